--- /dev/null
+++ b/Makefile
@@ -0,0 +1,56 @@
+# Every target sets up what it needs first; see README.md.
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+READY := $(VENV)/.ready
+PROMPT ?=
+SEED ?= 1
+SCENARIO ?= examples/scenarios/mixed-farois.json
+OUT ?= out
+
+.PHONY: demo test dist lint format soak measure measure-overhead measure-control cluster-demo clean
+
+$(READY): requirements/locked.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q --disable-pip-version-check -r requirements/locked.txt
+	$(BIN)/python -m pip install -q --disable-pip-version-check --no-deps -e .
+	touch $(READY)
+
+demo: $(READY)
+	$(BIN)/scalebend demo $(if $(PROMPT),--prompt "$(PROMPT)")
+
+cluster-demo: $(READY)
+	bash examples/cluster/run.sh $(BIN)/scalebend
+
+lint: $(READY)
+	$(BIN)/ruff format --check src tests
+	$(BIN)/ruff check src tests
+	$(BIN)/mypy
+
+format: $(READY)
+	$(BIN)/ruff format src tests
+	$(BIN)/ruff check --fix src tests
+
+test: lint
+	$(BIN)/python -m pytest
+
+# A longer run of the same state machines, with fresh seeds.
+soak: $(READY)
+	SCALEBEND_HYPOTHESIS_PROFILE=soak $(BIN)/python -m pytest tests/unit
+
+measure: $(READY)
+	$(BIN)/scalebend measure $(SCENARIO) --seed $(SEED) --out $(OUT)
+
+measure-overhead: $(READY)
+	$(BIN)/scalebend measure-overhead
+
+measure-control: $(READY)
+	$(BIN)/scalebend measure-control
+
+dist: $(READY)
+	mkdir -p dist
+	$(BIN)/shiv --quiet -c scalebend -p '/usr/bin/env python3' -o dist/scalebend -r requirements/runtime.txt --no-deps .
+	cd /tmp && $(abspath dist/scalebend) --version
+
+clean:
+	rm -rf $(VENV) dist build out
--- /dev/null
+++ b/src/scalebend/__init__.py
@@ -0,0 +1,3 @@
+"""Scalebend: a serving layer that shares one fleet of engines fairly."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/scalebend/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: argument parsing only; each command lives in commands/."""
--- /dev/null
+++ b/src/scalebend/cli/main.py
@@ -0,0 +1,209 @@
+"""Command line: declares the commands; each one's module is imported when it runs.
+
+Exit codes: 0 done; 1 the command ran and its answer is no (a conflict, a broken
+promise, a refused request); 2 wrong arguments or a document with faults; 3 the
+instance could not be reached.
+"""
+
+from __future__ import annotations
+
+import importlib
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+app = typer.Typer(
+    name="scalebend",
+    help="Serve many customers from one fleet of language-model engines, fairly.",
+    no_args_is_help=True,
+    add_completion=False,
+    pretty_exceptions_enable=False,
+)
+
+Url = Annotated[
+    str, typer.Option(help="Address of an instance.", envvar="SCALEBEND_URL")
+]
+Key = Annotated[str, typer.Option(help="Key to use.", envvar="SCALEBEND_KEY")]
+Json = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+
+DEFAULT_URL = "http://127.0.0.1:8080"
+
+
+def _run(command: str, **options: Any) -> None:
+    module = importlib.import_module(f"scalebend.commands.{command}")
+    raise typer.Exit(module.run(**options))
+
+
+def _show_version(is_asked: bool) -> None:
+    if is_asked:
+        _run("version", as_json=False)
+
+
+@app.callback()
+def _set_up(
+    version: Annotated[
+        bool,
+        typer.Option("--version", callback=_show_version, is_eager=True),
+    ] = False,
+) -> None:
+    pass
+
+
+@app.command()
+def run(
+    settings: Annotated[Path, typer.Argument(help="Settings, a JSON file.")],
+) -> None:
+    """Run an instance until SIGTERM; open requests are finished first."""
+    _run("run", settings=settings)
+
+
+@app.command()
+def check(
+    file: Annotated[Path | None, typer.Argument(help="A JSON file.")] = None,
+    schema: Annotated[
+        str, typer.Option(help="Print a JSON Schema: settings or configuration.")
+    ] = "",
+    as_json: Json = False,
+) -> None:
+    """Check a settings or configuration file without starting anything."""
+    _run("check", file=file, schema=schema, as_json=as_json)
+
+
+@app.command()
+def apply(
+    file: Annotated[Path, typer.Argument(help="Configuration, a JSON file.")],
+    url: Url = DEFAULT_URL,
+    key: Key = "",
+    base: Annotated[
+        int | None, typer.Option(help="Version it replaces; default: the newest.")
+    ] = None,
+    change: Annotated[
+        str, typer.Option(help="Change id; the same again gives the same answer.")
+    ] = "",
+    operator: Annotated[str, typer.Option(help="Name shown to others.")] = "",
+    as_json: Json = False,
+) -> None:
+    """Replace the configuration as a whole."""
+    _run(
+        "apply",
+        file=file,
+        url=url,
+        key=key,
+        base=base,
+        change=change,
+        operator=operator,
+        as_json=as_json,
+    )
+
+
+@app.command()
+def diff(
+    file: Annotated[Path, typer.Argument(help="Configuration, a JSON file.")],
+    url: Url = DEFAULT_URL,
+    key: Key = "",
+    as_json: Json = False,
+) -> None:
+    """Show how a file differs from the configuration in force (exit 1 if it does)."""
+    _run("diff", file=file, url=url, key=key, as_json=as_json)
+
+
+@app.command()
+def status(url: Url = DEFAULT_URL, key: Key = "", as_json: Json = False) -> None:
+    """Show instances, their configuration versions, and upstreams."""
+    _run("status", url=url, key=key, as_json=as_json)
+
+
+@app.command()
+def drain(url: Url = DEFAULT_URL, key: Key = "") -> None:
+    """Ask an instance for a planned stop."""
+    _run("drain", url=url, key=key)
+
+
+@app.command()
+def ask(
+    prompt: Annotated[Path, typer.Argument(help="A file with the prompt, or -.")],
+    model: Annotated[str, typer.Option(help="Model to ask.")],
+    url: Url = DEFAULT_URL,
+    key: Key = "",
+    max_tokens: Annotated[int, typer.Option(help="Tokens to generate.")] = 256,
+    time_limit: Annotated[float, typer.Option(help="Seconds.")] = 120.0,
+) -> None:
+    """Send a prompt and print its streamed answer."""
+    _run(
+        "ask",
+        prompt=prompt,
+        model=model,
+        url=url,
+        key=key,
+        max_tokens=max_tokens,
+        time_limit=time_limit,
+    )
+
+
+@app.command()
+def demo(
+    prompt: Annotated[
+        Path | None, typer.Option(help="A file to send as one more prompt.")
+    ] = None,
+    seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
+    as_json: Json = False,
+) -> None:
+    """Run an instance, small engines and a mixed load in one process."""
+    _run("demo", prompt=prompt, seed=seed, as_json=as_json)
+
+
+@app.command()
+def measure(
+    scenario: Annotated[Path, typer.Argument(help="Scenario, a JSON file.")],
+    seed: Annotated[int, typer.Option(help="Seed of the load.")] = 1,
+    seeds: Annotated[
+        int, typer.Option(help="Run this many seeds, from --seed on.")
+    ] = 1,
+    out: Annotated[Path | None, typer.Option(help="Folder for results.")] = None,
+    policy: Annotated[
+        list[str] | None, typer.Option(help="Only these policies; may be repeated.")
+    ] = None,
+    as_json: Json = False,
+) -> None:
+    """Measure the core in virtual time with small stand-in engines."""
+    _run(
+        "measure",
+        scenario=scenario,
+        seed=seed,
+        seeds=seeds,
+        out=out,
+        policies=policy or [],
+        as_json=as_json,
+    )
+
+
+@app.command("measure-overhead")
+def measure_overhead(as_json: Json = False) -> None:
+    """Compare the real path with a bare pass-through, in processor time."""
+    _run("measure_overhead", as_json=as_json)
+
+
+@app.command("measure-control")
+def measure_control(as_json: Json = False) -> None:
+    """Measure control costs by number of instances, core alone."""
+    _run("measure_control", as_json=as_json)
+
+
+@app.command("hash-key")
+def hash_key(
+    key: Annotated[str, typer.Argument(help="A secret key, or - for input.")] = "-",
+) -> None:
+    """Print the hash of a key, as settings and configuration hold it."""
+    _run("hash_key", key=key)
+
+
+@app.command()
+def version(as_json: Json = False) -> None:
+    """Show the version."""
+    _run("version", as_json=as_json)
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
--- /dev/null
+++ b/src/scalebend/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module per command, imported only when the command runs."""
--- /dev/null
+++ b/src/scalebend/commands/ask.py
@@ -0,0 +1,71 @@
+"""``scalebend ask``."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from scalebend.commands.client import UNREACHABLE, build_headers
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = msgspec.field(default_factory=list)
+
+
+def run(
+    *,
+    prompt: Path,
+    model: str,
+    url: str,
+    key: str,
+    max_tokens: int,
+    time_limit: float,
+) -> int:
+    """Send a prompt and print its answer as it comes."""
+    try:
+        text = sys.stdin.read() if str(prompt) == "-" else prompt.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{prompt}: {error}", file=sys.stderr)
+        return 2
+    body = {"model": model, "prompt": text, "max_tokens": max_tokens, "stream": True}
+    try:
+        return asyncio.run(_ask(url, key, msgspec.json.encode(body), time_limit))
+    except (aiohttp.ClientError, TimeoutError) as error:
+        print(f"{url}: {error}", file=sys.stderr)
+        return UNREACHABLE
+
+
+async def _ask(url: str, key: str, body: bytes, time_limit: float) -> int:
+    headers = {**build_headers(key), "X-Time-Limit": str(time_limit)}
+    async with (
+        aiohttp.ClientSession() as session,
+        session.post(f"{url}/v1/completions", data=body, headers=headers) as answer,
+    ):
+        if answer.status != 200:
+            print(await answer.text(), file=sys.stderr)
+            return 1
+        return await print_stream(answer)
+
+
+async def print_stream(answer: aiohttp.ClientResponse) -> int:
+    """Print a streamed answer; return 1 when it ended without its end mark."""
+    async for line in answer.content:
+        if line.startswith(b"event: error"):
+            problem = await answer.content.readline()
+            print(problem.decode(), file=sys.stderr)
+            return 1
+        if line.startswith(b"data: [DONE]"):
+            print()
+            return 0
+        if line.startswith(b"data: "):
+            event = msgspec.json.decode(line[6:], type=_Event)
+            print("".join(c.text for c in event.choices), end="", flush=True)
+    return 1
--- /dev/null
+++ b/src/scalebend/commands/drain.py
@@ -0,0 +1,17 @@
+"""``scalebend drain``."""
+
+from __future__ import annotations
+
+import asyncio
+
+from scalebend.commands.client import AnswerError, fetch, report
+
+
+def run(*, url: str, key: str) -> int:
+    """Ask an instance for a planned stop."""
+    try:
+        asyncio.run(fetch("POST", f"{url}/admin/drain", key, object))
+    except AnswerError as error:
+        return report(error)
+    print("the instance stops once its open requests are finished")
+    return 0
--- /dev/null
+++ b/src/scalebend/commands/run.py
@@ -0,0 +1,48 @@
+"""``scalebend run``."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+import structlog
+
+from scalebend.commands.check import print_faults
+from scalebend.edges.http_server import drain, serve_instance
+from scalebend.edges.logs import configure_logs
+from scalebend.edges.settings_file import read_settings
+from scalebend.exceptions import DocumentError, StorageError
+from scalebend.models.settings import Settings
+
+logger = structlog.get_logger(__name__)
+
+
+def run(*, settings: Path) -> int:
+    """Run an instance until it is told to stop."""
+    try:
+        read = read_settings(settings)
+    except DocumentError as error:
+        print_faults(settings, error)
+        return 2
+    configure_logs(read.log)
+    try:
+        return asyncio.run(_run(read))
+    except StorageError as error:
+        print(f"{settings}: {error}", file=sys.stderr)
+        return 2
+    except OSError as error:
+        print(f"{settings}: {error}", file=sys.stderr)
+        return 3
+
+
+async def _run(settings: Settings) -> int:
+    async with serve_instance(settings) as runtime:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, runtime.stopped.set)
+        await runtime.stopped.wait()
+        is_clean = await drain(runtime, settings.limits.drain_time)
+        logger.info("instance stops", clean=is_clean)
+    return 0 if is_clean else 1
--- /dev/null
+++ b/src/scalebend/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without I/O: typed message and present time in, actions out."""
--- /dev/null
+++ b/src/scalebend/core/catalog.py
@@ -0,0 +1,199 @@
+"""Upstreams as this instance knows them: announcements, load digests, liveness."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+
+from scalebend.core.routing import Candidate
+from scalebend.exceptions import DocumentError, ErrorKind, Fault
+from scalebend.models.ids import AvailabilityZone, ModelName, ServiceName, UpstreamId
+from scalebend.models.upstream import (
+    Announcement,
+    EngineRole,
+    UpstreamKindName,
+    UpstreamState,
+)
+from scalebend.models.work import LoadDigest, ReplicaView, Request
+from scalebend.utils.addresses import parse_address
+
+MOST_MEMORY_TOKENS = 1_000_000_000
+MOST_RATE = 1e9
+
+
+class UpstreamRecord(msgspec.Struct):
+    """One upstream; ``heard`` is when its last announcement reached any instance."""
+
+    announcement: Announcement
+    view: ReplicaView
+    digest: LoadDigest
+    heard: float
+
+
+def build_view(announcement: Announcement) -> ReplicaView:
+    """Return the static facts that routing needs."""
+    return ReplicaView(
+        upstream=announcement.upstream,
+        availability_zone=announcement.availability_zone,
+        memory_tokens=announcement.memory_tokens,
+        concurrency=announcement.concurrency,
+        prefill_rate=announcement.prefill_rate,
+        step_time=announcement.step_time,
+    )
+
+
+def check_announcement(announcement: Announcement) -> None:
+    """Raise :class:`DocumentError` for values that cannot be true."""
+    faults = []
+    if not announcement.upstream:
+        faults.append(Fault("$.upstream", "expected a name"))
+    try:
+        parse_address(announcement.address)
+    except ValueError as error:
+        faults.append(Fault("$.address", str(error)))
+    if announcement.incarnation < 1:
+        faults.append(Fault("$.incarnation", "expected a number from 1"))
+    if not 1 <= announcement.concurrency <= 100_000:
+        faults.append(Fault("$.concurrency", "expected 1 to 100000"))
+    if not 0.0 < announcement.step_time < 60.0:
+        faults.append(Fault("$.step_time", "expected seconds above 0 and below 60"))
+    if not 0.0 < announcement.prefill_rate <= MOST_RATE:
+        faults.append(Fault("$.prefill_rate", "expected tokens a second above 0"))
+    faults += _check_family(announcement)
+    if min(msgspec.structs.astuple(announcement.load)) < 0:
+        faults.append(Fault("$.load", "expected numbers from 0"))
+    if faults:
+        raise DocumentError(faults, kind=ErrorKind.INVALID_ANNOUNCEMENT)
+
+
+def _check_family(announcement: Announcement) -> list[Fault]:
+    match announcement.family:
+        case UpstreamKindName.ENGINE:
+            if 1 <= announcement.memory_tokens <= MOST_MEMORY_TOKENS:
+                return []
+            expected = f"expected 1 to {MOST_MEMORY_TOKENS} tokens"
+            return [Fault("$.memory_tokens", expected)]
+        case UpstreamKindName.SERVICE:
+            if announcement.service and not announcement.memory_tokens:
+                return []
+            return [Fault("$.service", "expected a service name and no memory_tokens")]
+
+
+def build_idle_digest(view: ReplicaView) -> LoadDigest:
+    """Return the digest of a replica that holds nothing."""
+    return LoadDigest(view.upstream, 0, 0, 0, view.memory_tokens, 0, 0)
+
+
+class Catalog:
+    """All upstreams heard of within ``timeout`` seconds, indexed for routing."""
+
+    def __init__(self, timeout: float) -> None:
+        self.timeout = timeout
+        self._records: dict[UpstreamId, UpstreamRecord] = {}
+        self._by_model: dict[ModelName, set[UpstreamId]] = {}
+        self._by_service: dict[ServiceName, set[UpstreamId]] = {}
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[UpstreamRecord]:
+        return iter(list(self._records.values()))
+
+    def get(self, upstream: UpstreamId) -> UpstreamRecord | None:
+        """The upstream's record, or ``None`` when it is not known."""
+        return self._records.get(upstream)
+
+    def take_announcement(self, announcement: Announcement, heard: float) -> bool:
+        """Store an announcement; return ``False`` when a newer one is known."""
+        record = self._records.get(announcement.upstream)
+        view = build_view(announcement)
+        if record is None:
+            record = UpstreamRecord(announcement, view, build_idle_digest(view), heard)
+            self._records[announcement.upstream] = record
+            self._index(announcement)
+            return True
+        known = record.announcement
+        news = (announcement.incarnation, announcement.sequence)
+        if news < (known.incarnation, known.sequence):
+            return False
+        record.heard = max(record.heard, heard)
+        if announcement.incarnation > known.incarnation:
+            record.digest = build_idle_digest(view)
+        if (announcement.models, announcement.service) != (known.models, known.service):
+            self._unindex(known)
+            self._index(announcement)
+        record.announcement = announcement
+        record.view = view
+        return True
+
+    def take_digest(self, digest: LoadDigest) -> None:
+        """Store a load digest of a known upstream."""
+        record = self._records.get(digest.upstream)
+        if record is not None:
+            record.digest = digest
+
+    def remove(self, upstream: UpstreamId) -> None:
+        """Drop an upstream that is gone."""
+        record = self._records.pop(upstream, None)
+        if record is not None:
+            self._unindex(record.announcement)
+
+    def is_silent(self, upstream: UpstreamId, now: float) -> bool:
+        """Whether the upstream announced nothing for too long."""
+        record = self._records.get(upstream)
+        return record is not None and now - record.heard >= self.timeout
+
+    def list_candidates(
+        self,
+        request: Request,
+        excluded: set[UpstreamId],
+        local_zones: set[AvailabilityZone] | None = None,
+    ) -> list[Candidate]:
+        """Replicas that serve what the request asks for and take new work."""
+        if request.service is not None:
+            names = self._by_service.get(request.service, set())
+        elif request.model is not None:
+            names = self._by_model.get(request.model, set())
+        else:
+            return []
+        found = []
+        for name in names:
+            record = self._records[name]
+            if name in excluded or not _serves(record.announcement, request):
+                continue
+            zone = record.view.availability_zone
+            is_local = local_zones is None or zone in local_zones
+            found.append(Candidate(record.view, record.digest, is_local))
+        return found
+
+    def _index(self, announcement: Announcement) -> None:
+        for loaded in announcement.models:
+            self._by_model.setdefault(loaded.model, set()).add(announcement.upstream)
+        if announcement.service is not None:
+            names = self._by_service.setdefault(announcement.service, set())
+            names.add(announcement.upstream)
+
+    def _unindex(self, announcement: Announcement) -> None:
+        for loaded in announcement.models:
+            self._by_model.get(loaded.model, set()).discard(announcement.upstream)
+        if announcement.service is not None:
+            names = self._by_service.get(announcement.service, set())
+            names.discard(announcement.upstream)
+
+
+def _serves(announcement: Announcement, request: Request) -> bool:
+    if announcement.state is not UpstreamState.SERVING:
+        return False
+    if request.model is None:
+        return True
+    if announcement.role is EngineRole.DECODE:
+        return False
+    for loaded in announcement.models:
+        if loaded.model != request.model:
+            continue
+        has_version = request.version in (None, loaded.version)
+        has_adapter = request.adapter is None or request.adapter in loaded.adapters
+        if has_version and has_adapter:
+            return True
+    return False
--- /dev/null
+++ b/src/scalebend/core/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The control group's replicated log: elections, replication, members, snapshots."""
--- /dev/null
+++ b/src/scalebend/core/consensus/replica.py
@@ -0,0 +1,604 @@
+"""One member of the control group: election, replication and member changes.
+
+The rules are those of the Raft algorithm with pre-vote, check-quorum, learners and
+one-at-a-time member changes. The class has no I/O: the caller hands in messages and
+the present time, then takes a :class:`Ready` and carries it out in its order.
+"""
+
+from __future__ import annotations
+
+import random
+from enum import Enum
+
+import msgspec
+
+from scalebend.core.consensus.log import EntryLog
+from scalebend.core.consensus.messages import (
+    Append,
+    AppendReply,
+    ConsensusMessage,
+    HardState,
+    InstallSnapshot,
+    LogEntry,
+    Member,
+    Members,
+    Outgoing,
+    Persist,
+    Ready,
+    Recovered,
+    Snapshot,
+    SnapshotReply,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
+from scalebend.models.ids import LogIndex, Term
+
+HEARTBEAT = 0.1
+"""Seconds between two messages of a leader to each member."""
+
+ELECTION_TIMEOUT = 0.6
+"""Seconds without a leader before a member asks for votes; up to twice by chance."""
+
+QUORUM_TIMEOUT = 0.6
+"""Seconds without an answer from a quorum before a leader steps down."""
+
+MOST_ENTRIES = 256
+"""Entries in one message."""
+
+SNAPSHOT_CHUNK = 256 * 1024
+"""Bytes of state in one message."""
+
+CATCH_UP_GAP = 16
+"""A learner this few entries behind may become a voter."""
+
+
+class ReplicaRole(Enum):
+    """Part that a member plays in its term."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+class _Progress(msgspec.Struct):
+    """What a leader knows of one member."""
+
+    next_index: LogIndex
+    match_index: LogIndex = LogIndex(0)
+    heard: float = 0.0
+    sent: float = 0.0
+    acked_round: int = 0
+    in_flight: bool = False
+    snapshot_offset: int | None = None
+
+
+class Replica:
+    """State of one member."""
+
+    def __init__(
+        self, me: Member, recovered: Recovered, *, now: float, seed: int = 0
+    ) -> None:
+        self.me = me
+        self.role = ReplicaRole.FOLLOWER
+        self.leader: Member | None = None
+        self.term = recovered.hard_state.term
+        self.log = EntryLog(recovered.snapshot, recovered.entries)
+        self.commit_index = self.log.base_index
+        self._voted_for = recovered.hard_state.voted_for
+        self._snapshot = recovered.snapshot
+        self._applied = self.log.base_index
+        self._stable = self.log.last_index
+        self._chooser = random.Random(f"{seed}/{me.instance}/{me.disk}")
+        self._members = self.log.find_members()
+        self._progress: dict[Member, _Progress] = {}
+        self._votes: set[Member] = set()
+        self._round = 0
+        self._heard_leader = -1e9
+        self._started_election = now
+        self._deadline = 0.0
+        self._incoming = bytearray()
+        self._incoming_index = LogIndex(0)
+        self._outbox: list[Outgoing] = []
+        self._hard_state_changed = False
+        self._truncate_from: LogIndex | None = None
+        self._received: Snapshot | None = None
+        self._last_now = now
+        self._reset_deadline(now)
+
+    @property
+    def members(self) -> Members | None:
+        """The member list in effect; ``None`` before the group was formed."""
+        return self._members
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads its term."""
+        return self.role is ReplicaRole.LEADER
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member, with this disk, has a vote."""
+        return self._members is not None and self.me in self._members.voters
+
+    def form_group(self, members: Members) -> None:
+        """Write the first member list into an empty log."""
+        if self._members is not None or self.log.last_index:
+            return
+        # The same entry at every founder, so that any of them may be elected.
+        entry = LogEntry(LogIndex(1), Term(0), 0.0, members=members)
+        self.log.append(entry)
+        self._members = members
+        self._reset_deadline(self._last_now)
+
+    # Proposals
+
+    def propose(self, command: bytes, at: float, now: float) -> LogIndex | None:
+        """Append a command; ``None`` when this member does not lead."""
+        if not self.is_leader:
+            return None
+        return self._append_own(LogEntry(self._next_index(), self.term, at, command))
+
+    def propose_members(
+        self, members: Members, at: float, now: float
+    ) -> LogIndex | None:
+        """Append a member change; ``None`` unless the last one is committed."""
+        if not self.is_leader or not self.can_change_members():
+            return None
+        entry = LogEntry(self._next_index(), self.term, at, members=members)
+        index = self._append_own(entry)
+        self._set_members(members, now)
+        return index
+
+    def can_change_members(self) -> bool:
+        """Whether the newest member list and an entry of this term are committed."""
+        is_settled = self.log.find_last_members_index() <= self.commit_index
+        return is_settled and self.log.get_term(self.commit_index) == self.term
+
+    def is_caught_up(self, member: Member) -> bool:
+        """Whether a learner has nearly the whole log."""
+        progress = self._progress.get(member)
+        if progress is None or progress.snapshot_offset is not None:
+            return False
+        return progress.match_index + CATCH_UP_GAP >= self.log.last_index
+
+    def read_lag(self, member: Member, now: float) -> float | None:
+        """Seconds since the member answered this leader."""
+        progress = self._progress.get(member)
+        return None if progress is None else now - progress.heard
+
+    def transfer_leadership(self, now: float) -> Member | None:
+        """Ask the most advanced voter to take over; return it."""
+        if not self.is_leader or self._members is None:
+            return None
+        others = [m for m in sorted(self._members.voters) if m != self.me]
+        if not others:
+            return None
+        best = max(others, key=lambda member: self._progress[member].match_index)
+        self._send(best, TimeoutNow(self.me, self.term))
+        return best
+
+    # Time
+
+    def advance(self, now: float) -> None:
+        """Act on time: heartbeats, step-down without a quorum, elections."""
+        self._last_now = now
+        if self._members is None:
+            return
+        if self.is_leader:
+            self._lead(now)
+        elif now >= self._deadline and self.is_voter:
+            self._start_election(now, is_pre_vote=True)
+
+    # Messages
+
+    def handle(self, message: ConsensusMessage, now: float) -> None:
+        """Take one message of another member."""
+        self._last_now = now
+        if self._members is None and not isinstance(message, Append | InstallSnapshot):
+            return
+        match message:
+            case VoteRequest():
+                self._handle_vote_request(message, now)
+            case VoteReply():
+                self._handle_vote_reply(message, now)
+            case Append():
+                self._handle_append(message, now)
+            case AppendReply():
+                self._handle_append_reply(message, now)
+            case InstallSnapshot():
+                self._handle_install(message, now)
+            case SnapshotReply():
+                self._handle_snapshot_reply(message, now)
+            case TimeoutNow():
+                if message.term == self.term and self.is_voter:
+                    self._start_election(now, is_pre_vote=False, is_transfer=True)
+
+    # Output
+
+    def take_ready(self) -> Ready:
+        """Return what must be carried out now; call :meth:`confirm` after it."""
+        entries = self.log.read(LogIndex(self._stable + 1), len(self.log))
+        persist = None
+        if self._hard_state_changed or entries or self._truncate_from is not None:
+            persist = Persist(self.read_hard_state(), self._truncate_from, entries)
+        committed = []
+        if self.commit_index > self._applied:
+            first = LogIndex(self._applied + 1)
+            committed = self.log.read(first, self.commit_index - self._applied)
+        ready = Ready(persist, self._received, self._outbox, committed)
+        self._outbox = []
+        self._received = None
+        self._hard_state_changed = False
+        self._truncate_from = None
+        return ready
+
+    def confirm(self, ready: Ready) -> None:
+        """The ready was carried out: its entries are durable and applied."""
+        if ready.persist is not None and ready.persist.entries:
+            self._stable = ready.persist.entries[-1].index
+            if self.is_leader:
+                self._advance_commit()
+        if ready.committed:
+            self._applied = max(self._applied, ready.committed[-1].index)
+
+    def compact(self, snapshot: Snapshot) -> None:
+        """A snapshot was stored: drop the entries that it covers."""
+        self._snapshot = snapshot
+        self.log.compact(snapshot)
+
+    def build_snapshot(self, state: bytes) -> Snapshot:
+        """Describe the applied state for storage."""
+        members = self.log.find_members(self._applied)
+        term = self.log.get_term(self._applied)
+        assert members is not None and term is not None
+        return Snapshot(self._applied, term, members, state)
+
+    def read_hard_state(self) -> HardState:
+        """The term and vote as they must be stored."""
+        return HardState(self.term, self._voted_for)
+
+    @property
+    def applied_entries(self) -> int:
+        """Applied entries that no snapshot covers yet."""
+        return self._applied - self.log.base_index
+
+    # Election
+
+    def _start_election(
+        self, now: float, *, is_pre_vote: bool, is_transfer: bool = False
+    ) -> None:
+        assert self._members is not None
+        self.leader = None
+        self._reset_deadline(now)
+        self._votes = {self.me}
+        if is_pre_vote:
+            self.role = ReplicaRole.PRE_CANDIDATE
+            term = Term(self.term + 1)
+        else:
+            self.role = ReplicaRole.CANDIDATE
+            self._set_term(Term(self.term + 1), voted_for=self.me)
+            term = self.term
+        request = VoteRequest(
+            self.me,
+            term,
+            self.log.last_index,
+            self.log.last_term,
+            is_pre_vote,
+            is_transfer,
+        )
+        for member in self._members.voters - {self.me}:
+            self._send(member, request)
+        self._count_votes(now)
+
+    def _count_votes(self, now: float) -> None:
+        assert self._members is not None
+        if not self._members.is_quorum(self._votes):
+            return
+        if self.role is ReplicaRole.PRE_CANDIDATE:
+            self._start_election(now, is_pre_vote=False)
+        elif self.role is ReplicaRole.CANDIDATE:
+            self._become_leader(now)
+
+    def _handle_vote_request(self, request: VoteRequest, now: float) -> None:
+        # A member in touch with its leader does not help to unseat it; this also
+        # keeps a returning, isolated member from raising the term.
+        has_leader = self.is_leader or now - self._heard_leader < ELECTION_TIMEOUT
+        if has_leader and not request.is_transfer and request.term > self.term:
+            self._reply_vote(request, is_granted=False)
+            return
+        if request.term > self.term and not request.is_pre_vote:
+            self._become_follower(request.term, None, now)
+        is_current = request.term > self.term or (
+            request.term == self.term and not request.is_pre_vote
+        )
+        is_free = request.is_pre_vote or self._voted_for in (None, request.sender)
+        is_granted = is_current and is_free and self._is_up_to_date(request)
+        if is_granted and not request.is_pre_vote:
+            self._voted_for = request.sender
+            self._hard_state_changed = True
+            self._reset_deadline(now)
+        self._reply_vote(request, is_granted=is_granted)
+
+    def _reply_vote(self, request: VoteRequest, *, is_granted: bool) -> None:
+        term = request.term if is_granted else self.term
+        reply = VoteReply(self.me, term, is_granted, request.is_pre_vote)
+        self._send(request.sender, reply)
+
+    def _is_up_to_date(self, request: VoteRequest) -> bool:
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (self.log.last_term, self.log.last_index)
+
+    def _handle_vote_reply(self, reply: VoteReply, now: float) -> None:
+        if reply.term > self.term and not reply.is_granted:
+            self._become_follower(reply.term, None, now)
+            return
+        expected = {
+            ReplicaRole.PRE_CANDIDATE: (True, self.term + 1),
+            ReplicaRole.CANDIDATE: (False, self.term),
+        }.get(self.role)
+        if reply.is_granted and expected == (reply.is_pre_vote, reply.term):
+            self._votes.add(reply.sender)
+            self._count_votes(now)
+
+    def _become_leader(self, now: float) -> None:
+        assert self._members is not None
+        self.role = ReplicaRole.LEADER
+        self.leader = self.me
+        self._progress = {}
+        self._sync_progress(now)
+        # An entry of its own term lets the leader commit what earlier terms left.
+        self._append_own(LogEntry(self._next_index(), self.term, 0.0))
+        self._broadcast(now)
+
+    def _become_follower(self, term: Term, leader: Member | None, now: float) -> None:
+        self.role = ReplicaRole.FOLLOWER
+        self.leader = leader
+        if term > self.term:
+            self._set_term(term, voted_for=None)
+        self._reset_deadline(now)
+
+    def _set_term(self, term: Term, voted_for: Member | None) -> None:
+        self.term = term
+        self._voted_for = voted_for
+        self._hard_state_changed = True
+
+    def _reset_deadline(self, now: float) -> None:
+        if self._members is not None and self._members.voters == {self.me}:
+            # Nobody else can lead: there is nobody to wait for.
+            self._deadline = now
+            return
+        self._deadline = now + ELECTION_TIMEOUT * self._chooser.uniform(1.0, 2.0)
+
+    # Leading
+
+    def _lead(self, now: float) -> None:
+        assert self._members is not None
+        heard = {
+            member
+            for member, progress in self._progress.items()
+            if now - progress.heard < QUORUM_TIMEOUT
+        }
+        if not self._members.is_quorum(heard | {self.me}):
+            self._become_follower(self.term, None, now)
+            return
+        is_removed = self.me not in self._members.voters
+        if is_removed and self.log.find_last_members_index() <= self.commit_index:
+            self._become_follower(self.term, None, now)
+            return
+        self._broadcast(now)
+
+    def _broadcast(self, now: float) -> None:
+        for member, progress in self._progress.items():
+            is_due = now - progress.sent >= HEARTBEAT
+            has_news = progress.next_index <= self.log.last_index
+            if is_due or (has_news and not progress.in_flight):
+                self._replicate(member, progress, now)
+
+    def _replicate(self, member: Member, progress: _Progress, now: float) -> None:
+        progress.sent = now
+        progress.in_flight = True
+        previous = LogIndex(progress.next_index - 1)
+        previous_term = self.log.get_term(previous)
+        if previous_term is None:
+            self._send_snapshot(member, progress)
+            return
+        progress.snapshot_offset = None
+        self._round += 1
+        entries = self.log.read(progress.next_index, MOST_ENTRIES)
+        message = Append(
+            self.me,
+            self.term,
+            previous,
+            previous_term,
+            entries,
+            self.commit_index,
+            self._round,
+        )
+        self._send(member, message)
+
+    def _send_snapshot(self, member: Member, progress: _Progress) -> None:
+        snapshot = self._snapshot
+        assert snapshot is not None
+        offset = progress.snapshot_offset or 0
+        if offset > len(snapshot.state):
+            offset = 0
+        progress.snapshot_offset = offset
+        message = InstallSnapshot(
+            self.me,
+            self.term,
+            snapshot.index,
+            snapshot.term,
+            snapshot.members,
+            offset,
+            len(snapshot.state),
+            snapshot.state[offset : offset + SNAPSHOT_CHUNK],
+        )
+        self._send(member, message)
+
+    def _handle_append_reply(self, reply: AppendReply, now: float) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, None, now)
+            return
+        progress = self._progress.get(reply.sender)
+        if not self.is_leader or progress is None or reply.term < self.term:
+            return
+        progress.heard = now
+        progress.in_flight = False
+        if reply.is_accepted:
+            progress.match_index = max(progress.match_index, reply.index)
+            progress.next_index = LogIndex(progress.match_index + 1)
+            self._advance_commit()
+        else:
+            retry_from = min(reply.index + 1, progress.next_index - 1)
+            progress.next_index = LogIndex(max(progress.match_index + 1, retry_from))
+        if progress.next_index <= self.log.last_index:
+            self._replicate(reply.sender, progress, now)
+
+    def _handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, None, now)
+            return
+        progress = self._progress.get(reply.sender)
+        if not self.is_leader or progress is None or reply.term < self.term:
+            return
+        progress.heard = now
+        progress.in_flight = False
+        if self._snapshot is None or reply.index != self._snapshot.index:
+            progress.snapshot_offset = 0
+        elif reply.offset >= len(self._snapshot.state):
+            progress.snapshot_offset = None
+            progress.match_index = max(progress.match_index, reply.index)
+            progress.next_index = LogIndex(progress.match_index + 1)
+        else:
+            progress.snapshot_offset = reply.offset
+        if progress.next_index <= self.log.last_index:
+            self._replicate(reply.sender, progress, now)
+
+    def _advance_commit(self) -> None:
+        assert self._members is not None
+        indexes = {m: progress.match_index for m, progress in self._progress.items()}
+        indexes[self.me] = self._stable
+        for candidate in sorted(set(indexes.values()), reverse=True):
+            if candidate <= self.commit_index:
+                return
+            holders = {m for m, index in indexes.items() if index >= candidate}
+            is_own_term = self.log.get_term(candidate) == self.term
+            if is_own_term and self._members.is_quorum(holders):
+                self.commit_index = candidate
+                return
+
+    def _append_own(self, entry: LogEntry) -> LogIndex:
+        self.log.append(entry)
+        return entry.index
+
+    def _next_index(self) -> LogIndex:
+        return LogIndex(self.log.last_index + 1)
+
+    def _set_members(self, members: Members | None, now: float) -> None:
+        self._members = members
+        if self.is_leader:
+            self._sync_progress(now)
+
+    def _sync_progress(self, now: float) -> None:
+        assert self._members is not None
+        others = self._members.everyone - {self.me}
+        for member in [m for m in self._progress if m not in others]:
+            del self._progress[member]
+        for member in sorted(others):
+            if member not in self._progress:
+                self._progress[member] = _Progress(self._next_index(), heard=now)
+
+    # Following
+
+    def _handle_append(self, message: Append, now: float) -> None:
+        if message.term < self.term:
+            self._reply_append(message, is_accepted=False, index=self.log.last_index)
+            return
+        self._follow(message.sender, message.term, now)
+        previous_term = self.log.get_term(message.previous_index)
+        is_covered = message.previous_index < self.log.base_index
+        if not is_covered and previous_term != message.previous_term:
+            hint = min(self.log.last_index, LogIndex(message.previous_index - 1))
+            self._reply_append(message, is_accepted=False, index=LogIndex(max(0, hint)))
+            return
+        last = self._store(message.entries, now)
+        matched = LogIndex(message.previous_index + len(message.entries))
+        if last is not None:
+            matched = last
+        self.commit_index = max(self.commit_index, min(message.commit, matched))
+        self._reply_append(message, is_accepted=True, index=matched)
+
+    def _store(self, entries: list[LogEntry], now: float) -> LogIndex | None:
+        has_members = False
+        for entry in entries:
+            if entry.index <= self.log.base_index:
+                continue
+            known = self.log.get_term(entry.index)
+            if known == entry.term:
+                continue
+            if known is not None:
+                self._truncate(entry.index)
+                has_members = True
+            self.log.append(entry)
+            has_members |= entry.members is not None
+        if has_members:
+            self._set_members(self.log.find_members(), now)
+        return entries[-1].index if entries else None
+
+    def _truncate(self, start: LogIndex) -> None:
+        self.log.truncate(start)
+        if start <= self._stable:
+            self._stable = LogIndex(start - 1)
+            earlier = self._truncate_from
+            self._truncate_from = start if earlier is None else min(earlier, start)
+
+    def _follow(self, leader: Member, term: Term, now: float) -> None:
+        self._become_follower(term, leader, now)
+        self._heard_leader = now
+
+    def _reply_append(
+        self, message: Append, *, is_accepted: bool, index: LogIndex
+    ) -> None:
+        reply = AppendReply(self.me, self.term, is_accepted, index, message.round)
+        self._send(message.sender, reply)
+
+    def _handle_install(self, message: InstallSnapshot, now: float) -> None:
+        if message.term < self.term:
+            self._reply_snapshot(message, 0)
+            return
+        self._follow(message.sender, message.term, now)
+        if message.index <= self.commit_index:
+            self._reply_snapshot(message, message.size)
+            return
+        if message.offset == 0 or message.index != self._incoming_index:
+            self._incoming = bytearray()
+            self._incoming_index = message.index
+        if len(self._incoming) != message.offset:
+            self._reply_snapshot(message, len(self._incoming))
+            return
+        self._incoming += message.data
+        if len(self._incoming) >= message.size:
+            self._install(message, now)
+        self._reply_snapshot(message, message.offset + len(message.data))
+
+    def _install(self, message: InstallSnapshot, now: float) -> None:
+        snapshot = Snapshot(
+            message.index, message.snapshot_term, message.members, bytes(self._incoming)
+        )
+        self._incoming = bytearray()
+        self._snapshot = snapshot
+        self._received = snapshot
+        self.log.compact(snapshot)
+        self.commit_index = snapshot.index
+        self._applied = snapshot.index
+        self._stable = max(snapshot.index, min(self._stable, self.log.last_index))
+        self._set_members(self.log.find_members(), now)
+
+    def _reply_snapshot(self, message: InstallSnapshot, offset: int) -> None:
+        reply = SnapshotReply(self.me, self.term, message.index, offset)
+        self._send(message.sender, reply)
+
+    def _send(self, to: Member, message: ConsensusMessage) -> None:
+        self._outbox.append(Outgoing(to, message))
--- /dev/null
+++ b/src/scalebend/core/control_member.py
@@ -0,0 +1,291 @@
+"""One control instance: its vote, the replicated state, and who may ask for what.
+
+Formation: a group is founded only when every configured control instance answers
+that its disk is empty. An instance whose disk is new while a group exists joins as
+a learner, and votes once it has the whole log and its old vote is removed.
+"""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+
+from scalebend.core.consensus.messages import (
+    ConsensusMessage,
+    HardState,
+    LogEntry,
+    Member,
+    Members,
+    Ready,
+    Recovered,
+    Snapshot,
+)
+from scalebend.core.consensus.replica import Replica
+from scalebend.core.control_state import (
+    ControlState,
+    ListedInstance,
+    Result,
+    SetInstances,
+    encode_command,
+)
+from scalebend.models.ids import InstanceId, LogIndex, Term
+from scalebend.models.messages import (
+    Fetch,
+    Found,
+    Hello,
+    HelloReply,
+    Join,
+    PeerMessage,
+    ProposalAnswer,
+    Propose,
+    Published,
+)
+
+logger = structlog.get_logger(__name__)
+
+HELLO_PERIOD = 0.5
+"""Seconds between two attempts to form or join a group."""
+
+SNAPSHOT_ENTRIES = 2_000
+"""Applied entries after which a snapshot replaces them."""
+
+LIST_PERIOD = 0.2
+"""Seconds between two comparisons of the live instances with the committed list."""
+
+
+class ToInstance(msgspec.Struct, frozen=True):
+    """Action: send a message to an instance."""
+
+    instance: InstanceId
+    message: PeerMessage
+
+
+class _Waiting(msgspec.Struct, frozen=True):
+    """A proposer that waits for the entry at an index of a term."""
+
+    term: Term
+    instance: InstanceId
+    proposal: str
+
+
+class ControlMember:
+    """Replicated log and state of one control instance."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        peers: list[InstanceId],
+        recovered: Recovered,
+        *,
+        now: float,
+        seed: int = 0,
+    ) -> None:
+        self.me = Member(instance, recovered.disk)
+        self.state = ControlState()
+        if recovered.snapshot is not None:
+            self.state.restore(recovered.snapshot.state)
+        self.replica = Replica(self.me, recovered, now=now, seed=seed)
+        self._peers = peers
+        self._hellos: dict[InstanceId, HelloReply] = {}
+        self._hello_at = now
+        self._list_at = now
+        self._waiting: dict[LogIndex, _Waiting] = {}
+        self._outbox: list[ToInstance] = []
+
+    @property
+    def leader(self) -> InstanceId | None:
+        """The instance that leads, as far as known."""
+        leader = self.replica.leader
+        return leader.instance if leader is not None else None
+
+    # Messages
+
+    def handle(
+        self, sender: InstanceId, message: PeerMessage, now: float, at: float
+    ) -> None:
+        """Take one message; ``at`` is the wall clock that new entries carry."""
+        match message:
+            case Hello():
+                reply = HelloReply(self.me, self._has_group)
+                self._send(sender, reply)
+            case HelloReply():
+                self._hellos[sender] = message
+                self._try_to_found()
+            case Found(members):
+                self.replica.form_group(members)
+            case Join(member):
+                self._take_in(member, now)
+            case Propose():
+                self._propose(sender, message, now, at)
+            case Fetch():
+                self._publish(sender, message)
+            case _ if isinstance(message, ConsensusMessage):
+                self.replica.handle(message, now)
+
+    def advance(self, now: float) -> None:
+        """Act on time."""
+        self.replica.advance(now)
+        if now >= self._hello_at and not self.replica.is_voter:
+            self._hello_at = now + HELLO_PERIOD
+            self._seek_group()
+        if self.replica.is_leader:
+            self._promote_learners(now)
+
+    def set_live_instances(
+        self, live: list[ListedInstance], now: float, at: float
+    ) -> None:
+        """As leader, propose the instance list when it is not the live one."""
+        if not self.replica.is_leader or now < self._list_at:
+            return
+        self._list_at = now + LIST_PERIOD
+        current = self.state.instances
+        if sorted(live) == sorted(current.instances):
+            return
+        command = SetInstances(current.epoch, sorted(live))
+        self.replica.propose(encode_command(command), at, now)
+
+    def stop_leading(self, now: float) -> None:
+        """Hand leadership over before a planned stop."""
+        self.replica.transfer_leadership(now)
+
+    # Carrying out
+
+    def take_ready(self, now: float) -> Ready:
+        """What must be written and synced before :meth:`finish`."""
+        self.replica.advance(now)
+        return self.replica.take_ready()
+
+    @property
+    def has_outgoing(self) -> bool:
+        """Whether messages wait that need nothing to be written first."""
+        return bool(self._outbox)
+
+    def finish(self, ready: Ready, now: float) -> list[ToInstance]:
+        """The writes of ``ready`` are durable; return what to send."""
+        if ready.snapshot is not None:
+            self.state.restore(ready.snapshot.state)
+        for entry in ready.committed:
+            self._apply(entry)
+        self.replica.confirm(ready)
+        if not self.replica.is_leader:
+            self._disappoint_waiting()
+        sent = [ToInstance(o.to.instance, o.message) for o in ready.messages]
+        sent += self._outbox
+        self._outbox = []
+        return sent
+
+    def build_due_snapshot(self) -> Snapshot | None:
+        """Return a snapshot when enough entries were applied since the last."""
+        if self.replica.applied_entries < SNAPSHOT_ENTRIES:
+            return None
+        return self.replica.build_snapshot(self.state.export())
+
+    def read_tail(self, snapshot: Snapshot) -> tuple[HardState, list[LogEntry]]:
+        """What must stand in the journal after ``snapshot``."""
+        log = self.replica.log
+        entries = log.read(LogIndex(snapshot.index + 1), len(log))
+        return self.replica.read_hard_state(), entries
+
+    # Formation and members
+
+    @property
+    def _has_group(self) -> bool:
+        return self.replica.members is not None
+
+    def _seek_group(self) -> None:
+        for peer in self._peers:
+            self._send(peer, Hello(self.me, self._has_group))
+        if not self._peers:
+            self._try_to_found()
+        if any(reply.has_group for reply in self._hellos.values()):
+            for peer in self._peers:
+                self._send(peer, Join(self.me))
+
+    def _try_to_found(self) -> None:
+        if self._has_group or set(self._hellos) != set(self._peers):
+            return
+        if any(reply.has_group for reply in self._hellos.values()):
+            return
+        if any(peer < self.me.instance for peer in self._peers):
+            return
+        voters = {reply.member for reply in self._hellos.values()} | {self.me}
+        members = Members(frozenset(voters))
+        self.replica.form_group(members)
+        logger.info("control group founded", voters=sorted(m.instance for m in voters))
+        for peer in self._peers:
+            self._send(peer, Found(members))
+
+    def _take_in(self, member: Member, now: float) -> None:
+        members = self.replica.members
+        if members is None or not self.replica.is_leader:
+            return
+        if member in members.everyone:
+            return
+        learners = {m for m in members.learners if m.instance != member.instance}
+        changed = Members(members.voters, frozenset(learners | {member}))
+        if self.replica.propose_members(changed, 0.0, now) is not None:
+            logger.info("control learner added", instance=member.instance)
+
+    def _promote_learners(self, now: float) -> None:
+        members = self.replica.members
+        if members is None or not self.replica.can_change_members():
+            return
+        for learner in sorted(members.learners):
+            if not self.replica.is_caught_up(learner):
+                continue
+            old = {m for m in members.voters if m.instance == learner.instance}
+            if old:
+                # The old disk is gone with its vote: remove it before the new one
+                # votes, one change at a time.
+                changed = Members(members.voters - old, members.learners)
+            else:
+                changed = Members(
+                    members.voters | {learner}, members.learners - {learner}
+                )
+            self.replica.propose_members(changed, 0.0, now)
+            logger.info("control voter changed", instance=learner.instance)
+            return
+
+    # Proposals
+
+    def _propose(
+        self, sender: InstanceId, message: Propose, now: float, at: float
+    ) -> None:
+        index = self.replica.propose(message.command, at, now)
+        if index is None:
+            answer = ProposalAnswer(message.proposal, None, self.leader)
+            self._send(sender, answer)
+            return
+        self._waiting[index] = _Waiting(self.replica.term, sender, message.proposal)
+
+    def _apply(self, entry: LogEntry) -> None:
+        result: Result | None = None
+        if entry.command:
+            result = self.state.apply(entry.command, entry.at)
+        waiting = self._waiting.pop(entry.index, None)
+        if waiting is None:
+            return
+        if waiting.term != entry.term:
+            result = None
+        self._answer(waiting, result)
+
+    def _disappoint_waiting(self) -> None:
+        # Their entries may still be committed; the proposers ask the next leader.
+        for waiting in self._waiting.values():
+            self._answer(waiting, None)
+        self._waiting.clear()
+
+    def _answer(self, waiting: _Waiting, result: Result | None) -> None:
+        answer = ProposalAnswer(waiting.proposal, result, self.leader)
+        self._send(waiting.instance, answer)
+
+    def _publish(self, sender: InstanceId, message: Fetch) -> None:
+        configuration = self.state.configuration
+        instances = self.state.instances
+        newer = configuration if configuration.version > message.version else None
+        listed = instances if instances.epoch > message.epoch else None
+        if newer is not None or listed is not None:
+            self._send(sender, Published(newer, listed))
+
+    def _send(self, instance: InstanceId, message: PeerMessage) -> None:
+        self._outbox.append(ToInstance(instance, message))
--- /dev/null
+++ b/src/scalebend/core/instance.py
@@ -0,0 +1,727 @@
+"""One instance as a whole: its parts, and the messages between them. No I/O.
+
+The edges hand in requests, announcements, messages and datagrams with the present
+time, and carry out the returned actions. Messages for this instance itself never
+leave it.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+
+import msgspec
+import structlog
+
+from scalebend.core.admission import AdmissionControl
+from scalebend.core.catalog import Catalog
+from scalebend.core.consensus.messages import Ready, Recovered
+from scalebend.core.control_client import ControlClient, Proposed, Submission
+from scalebend.core.control_member import ControlMember, ToInstance
+from scalebend.core.control_state import (
+    EMPTY_LIST,
+    Barrier,
+    Command,
+    Done,
+    ListedInstance,
+)
+from scalebend.core.entry import Entry, EntryOptions
+from scalebend.core.flow import (
+    AbortAttempt,
+    AttemptResult,
+    ClaimKey,
+    Conclude,
+    EntryAction,
+    ResumeAttempt,
+    StartAttempt,
+    ToOwner,
+)
+from scalebend.core.membership import MemberRank, Membership, Outbound
+from scalebend.core.owner import CancelOnEngine, OwnerAction, ReplicaOwner, ToEntry
+from scalebend.core.ownership import ReplicaOwners
+from scalebend.core.queueing import POLICIES, PRIORITY_FACTOR
+from scalebend.core.rendezvous import find_responsible
+from scalebend.core.shares import UsageHome
+from scalebend.exceptions import ErrorKind, RefusedError, ScalebendError
+from scalebend.models.configuration import (
+    EMPTY_CONFIGURATION,
+    AcceptedConfiguration,
+    Model,
+    Service,
+)
+from scalebend.models.ids import (
+    AttemptId,
+    CustomerId,
+    InstanceId,
+    ModelName,
+    RequestId,
+    ServiceName,
+    UpstreamId,
+)
+from scalebend.models.messages import (
+    Announced,
+    CacheRumor,
+    CatalogPage,
+    CustomerOpen,
+    Datagram,
+    DigestRumor,
+    Fetch,
+    FetchCatalog,
+    Handover,
+    PeerMessage,
+    ProposalAnswer,
+    Published,
+    UpstreamRumor,
+    UsageAnswer,
+    UsageReport,
+)
+from scalebend.models.settings import Settings
+from scalebend.models.upstream import Announcement, CacheEvent, Load
+from scalebend.models.work import (
+    Grant,
+    LoadDigest,
+    Refusal,
+    RefusalReason,
+    Release,
+    Renew,
+    Request,
+    Reserve,
+    Started,
+)
+
+logger = structlog.get_logger(__name__)
+
+RENEW_PERIOD = 1.0
+USAGE_PERIOD = 1.0
+FETCH_PERIOD = 0.25
+"""Seconds between two requests for newer state while some is known to exist."""
+
+REFRESH_PERIOD = 2.0
+"""Seconds between two requests for newer state when none is known."""
+
+ISOLATION_LIMIT = 6.0
+"""Seconds without hearing another instance before this one stops admitting."""
+
+LIST_GRACE = 3.0
+"""Seconds after its start in which a leader removes no instance from the list."""
+
+BARRIER_TIMEOUT = 2.0
+DIGEST_REPEATS = 2
+CACHE_REPEATS = 3
+LONGEST_CACHE_EVENT = 64
+
+InstanceAction = (
+    ToInstance
+    | Outbound
+    | StartAttempt
+    | ResumeAttempt
+    | AbortAttempt
+    | ClaimKey
+    | Conclude
+    | CancelOnEngine
+    | Proposed
+)
+
+
+class Readiness(msgspec.Struct, frozen=True):
+    """Whether requests are admitted; ``reason`` says why not."""
+
+    is_ready: bool
+    reason: str
+
+
+class Instance:
+    """All parts of one instance."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        recovered: Recovered | None,
+        *,
+        now: float,
+        incarnation: int,
+        seed: int = 0,
+    ) -> None:
+        self.settings = settings
+        self.me = settings.instance
+        self.incarnation = incarnation
+        self.configuration: AcceptedConfiguration = EMPTY_CONFIGURATION
+        self.instances = EMPTY_LIST
+        self.admission = AdmissionControl()
+        self.catalog = Catalog(settings.limits.announcement_timeout)
+        policy = POLICIES[settings.policy]
+        options = EntryOptions(self.me, settings.availability_zone, policy, seed)
+        self.entry = Entry(options, self.catalog)
+        self.owners = ReplicaOwners(self.me, self.catalog, policy)
+        self.home = UsageHome()
+        self.is_draining = False
+        self.is_fresh = False
+        listed = ListedInstance(
+            self.me,
+            incarnation,
+            settings.listen.peers,
+            settings.listen.gossip,
+            settings.region,
+            settings.availability_zone,
+        )
+        seeds = [peer.gossip for peer in settings.peers]
+        self.membership = Membership(listed, seeds, now=now, seed=seed)
+        control = [peer.instance for peer in settings.peers if peer.control]
+        self.control: ControlMember | None = None
+        if recovered is not None:
+            self.control = ControlMember(
+                self.me, control, recovered, now=now, seed=seed
+            )
+            control = [self.me, *control]
+        self.client = ControlClient(self.me, control)
+        self._control_names = control
+        self._started = now
+        self._times: dict[str, float] = {}
+        self._barrier: str | None = None
+        self._needed = Done(EMPTY_CONFIGURATION.version, EMPTY_LIST.epoch)
+        self._models: dict[ModelName, Model] = {}
+        self._services: dict[ServiceName, Service] = {}
+        self._digest_count = 0
+        self._sent_digests: dict[UpstreamId, LoadDigest] = {}
+        self._digest_sequences: dict[UpstreamId, int] = {}
+        self._sent_records: dict[UpstreamId, Announcement] = {}
+        self._fleet_open: dict[CustomerId, dict[InstanceId, int]] = {}
+        self._has_catalog = False
+
+    # Reading
+
+    def read_readiness(self, now: float) -> Readiness:
+        """Whether this instance admits requests now."""
+        if self.is_draining:
+            return Readiness(False, "the instance is stopping")
+        if not self.is_fresh:
+            return Readiness(False, "no quorum has confirmed the configuration yet")
+        if self._is_isolated(now):
+            return Readiness(False, "no other instance is heard")
+        return Readiness(True, "")
+
+    def get_model(self, name: ModelName) -> Model | None:
+        """A model of the configuration in force."""
+        return self._models.get(name)
+
+    def get_service(self, name: ServiceName) -> Service | None:
+        """A service of the configuration in force."""
+        return self._services.get(name)
+
+    def _is_isolated(self, now: float) -> bool:
+        if not self.settings.peers:
+            return False
+        return now - self.membership.heard_any >= ISOLATION_LIMIT
+
+    # Requests
+
+    def admit(self, request: Request, now: float) -> list[InstanceAction]:
+        """Admit and route a request; raise :class:`RefusedError` when it is not."""
+        readiness = self.read_readiness(now)
+        if not readiness.is_ready:
+            raise RefusedError(
+                readiness.reason, kind=ErrorKind.NOT_READY, retry_after=1.0
+            )
+        self.admission.admit(
+            request.request, request.customer, request.memory_tokens, now
+        )
+        return self._run(self.entry.admit(request, now), now)
+
+    def handle_started(self, attempt: AttemptId, now: float) -> list[InstanceAction]:
+        """The first token of an attempt arrived."""
+        return self._run(self.entry.handle_started(attempt, now), now)
+
+    def handle_result(
+        self, attempt: AttemptId, result: AttemptResult, now: float
+    ) -> list[InstanceAction]:
+        """An attempt ended, as far as its connection tells."""
+        return self._run(self.entry.handle_result(attempt, result, now), now)
+
+    def handle_claim(
+        self, request: RequestId, error: ScalebendError | None, now: float
+    ) -> list[InstanceAction]:
+        """The control group answered a claim."""
+        return self._run(self.entry.handle_claim(request, error, now), now)
+
+    def cancel(self, request: RequestId, now: float) -> list[InstanceAction]:
+        """The caller went away."""
+        return self._run(self.entry.cancel(request, now), now)
+
+    def finish(self, request: RequestId, customer: CustomerId) -> None:
+        """The caller was answered."""
+        self.admission.finish(request, customer)
+
+    def confirm_cancelled(
+        self, upstream: UpstreamId, attempt: AttemptId, now: float
+    ) -> list[InstanceAction]:
+        """An engine confirmed a cancellation."""
+        owner = self.owners.get(upstream)
+        if owner is None:
+            return []
+        return self._run(owner.confirm_cancelled(attempt, now), now)
+
+    def propose(
+        self, command: Command, timeout: float, now: float
+    ) -> tuple[str, list[InstanceAction]]:
+        """Propose a command to the control group; its end comes as an action."""
+        name, sent = self.client.submit(
+            command, timeout, now, salt=str(self.incarnation)
+        )
+        return name, self._run(list(sent), now)
+
+    def drain(self, now: float) -> list[InstanceAction]:
+        """Begin a planned stop: admit nothing, own nothing, finish what is open."""
+        self.is_draining = True
+        self.membership.leave(now)
+        if self.control is not None:
+            self.control.stop_leading(now)
+        return self.advance(now, 0.0)
+
+    # Upstreams
+
+    def take_announcement(
+        self, announcement: Announcement, now: float
+    ) -> list[InstanceAction]:
+        """An upstream announced itself to this instance: tell its owner."""
+        owner = self.owners.find_owner(announcement.upstream)
+        if owner is None:
+            return []
+        return self._run([ToInstance(owner, Announced(announcement))], now)
+
+    def _take_announced(self, announcement: Announcement, now: float) -> list[_Step]:
+        if not self.catalog.take_announcement(announcement, now):
+            return []
+        for event in announcement.cache_events:
+            self._take_cache_event(announcement.upstream, event)
+        self._spread_record(announcement, is_gone=False)
+        record = self.catalog.get(announcement.upstream)
+        assert record is not None
+        owner = self.owners.ensure(record, now)
+        if owner is None:
+            return []
+        return list(owner.take_announcement(announcement, now))
+
+    def _take_cache_event(self, upstream: UpstreamId, event: CacheEvent) -> None:
+        self.entry.prefixes.take_event(upstream, event)
+        if len(event.stored) + len(event.evicted) <= LONGEST_CACHE_EVENT:
+            subject = f"c/{upstream}/{event.sequence}"
+            rumor = CacheRumor(upstream, event)
+            self.membership.rumors.put(subject, rumor, CACHE_REPEATS)
+
+    def _spread_record(self, announcement: Announcement, *, is_gone: bool) -> None:
+        upstream = announcement.upstream
+        known = self._sent_records.get(upstream)
+        plain = msgspec.structs.replace(
+            announcement,
+            sequence=0,
+            running=[],
+            cache_events=[],
+            load=Load(),
+        )
+        if known == plain and not is_gone:
+            return
+        self._sent_records[upstream] = plain
+        carried = msgspec.structs.replace(plain, sequence=announcement.sequence)
+        self.membership.spread(f"u/{upstream}", UpstreamRumor(carried, is_gone))
+        if is_gone:
+            del self._sent_records[upstream]
+
+    def _drop_upstream(self, upstream: UpstreamId, now: float) -> list[_Step]:
+        self.catalog.remove(upstream)
+        self.owners.drop(upstream)
+        self._sent_digests.pop(upstream, None)
+        self._digest_sequences.pop(upstream, None)
+        return list(self.entry.handle_upstream_gone(upstream, now))
+
+    # Messages
+
+    def handle_peer(
+        self, sender: InstanceId, message: PeerMessage, now: float, wall: float
+    ) -> list[InstanceAction]:
+        """Take a message of another instance."""
+        return self._run(self._dispatch(sender, message, now, wall), now, wall)
+
+    def handle_datagram(self, datagram: Datagram, now: float) -> list[InstanceAction]:
+        """Take a datagram of another instance."""
+        steps: list[_Step] = []
+        for rumor in self.membership.handle(datagram, now):
+            match rumor:
+                case UpstreamRumor(announcement, is_gone):
+                    steps += self._take_upstream_rumor(announcement, is_gone, now)
+                case DigestRumor():
+                    self._take_digest_rumor(rumor)
+                case CacheRumor(upstream, event):
+                    self.entry.prefixes.take_event(upstream, event)
+        return self._run(steps, now)
+
+    def _take_upstream_rumor(
+        self, announcement: Announcement, is_gone: bool, now: float
+    ) -> list[_Step]:
+        upstream = announcement.upstream
+        record = self.catalog.get(upstream)
+        news = (announcement.incarnation, announcement.sequence)
+        if record is not None:
+            known = record.announcement
+            if news < (known.incarnation, known.sequence):
+                return []
+        if self.owners.is_mine(upstream):
+            # The owner's own knowledge comes from announcements; a rumor only
+            # tells it of an upstream that it has not heard yet.
+            if record is None and not is_gone:
+                self.catalog.take_announcement(announcement, now)
+            return []
+        if is_gone:
+            if record is None:
+                return []
+            self.membership.spread(
+                f"u/{upstream}", UpstreamRumor(announcement, is_gone)
+            )
+            return self._drop_upstream(upstream, now)
+        is_news = record is None or news > (
+            record.announcement.incarnation,
+            record.announcement.sequence,
+        )
+        if is_news:
+            self.catalog.take_announcement(announcement, now)
+            self.membership.spread(
+                f"u/{upstream}", UpstreamRumor(announcement, is_gone)
+            )
+        return []
+
+    def _take_digest_rumor(self, rumor: DigestRumor) -> None:
+        upstream = rumor.digest.upstream
+        if self.owners.is_mine(upstream):
+            return
+        if self._digest_sequences.get(upstream, -1) >= rumor.sequence:
+            return
+        self._digest_sequences[upstream] = rumor.sequence
+        self.entry.take_digest(rumor.digest)
+        self.membership.rumors.put(f"d/{upstream}", rumor, DIGEST_REPEATS)
+
+    def _dispatch(
+        self, sender: InstanceId, message: PeerMessage, now: float, wall: float
+    ) -> list[_Step]:
+        match message:
+            case Reserve() | Started() | Release() | Renew():
+                return self._dispatch_to_owner(message, now)
+            case Grant():
+                return list(self.entry.handle_grant(message, now))
+            case Refusal():
+                return list(self.entry.handle_refusal(message, now))
+            case Announced(announcement):
+                return self._take_announced(announcement, now)
+            case ProposalAnswer():
+                ended, sent = self.client.handle(message, now)
+                return self._take_ended(ended) + list(sent)
+            case Published():
+                return self._take_published(message, now)
+            case Fetch() if self.control is None:
+                return self._answer_fetch(sender, message)
+            case UsageReport():
+                return self._take_usage_report(sender, message, now)
+            case UsageAnswer():
+                self._take_usage_answer(message, now)
+            case Handover(upstream, renew):
+                owner = self.owners.get(upstream)
+                if owner is not None:
+                    return list(owner.take_handover(renew.work, now))
+            case FetchCatalog():
+                return [ToInstance(sender, self._build_catalog_page())]
+            case CatalogPage():
+                return self._take_catalog_page(message, now)
+            case _:
+                if self.control is not None:
+                    self.control.handle(sender, message, now, wall)
+        return []
+
+    def _dispatch_to_owner(
+        self, message: Reserve | Started | Release | Renew, now: float
+    ) -> list[_Step]:
+        upstream = (
+            message.work.upstream
+            if isinstance(message, Reserve)
+            else (message.upstream)
+        )
+        owner = self.owners.get(upstream)
+        if owner is not None:
+            return list(owner.handle(message, now))
+        if isinstance(message, Reserve):
+            work = message.work
+            refusal = Refusal(work.attempt, upstream, RefusalReason.NOT_OWNER, 0.5)
+            return [ToInstance(work.entry, refusal)]
+        return []
+
+    # Time
+
+    def advance(self, now: float, wall: float) -> list[InstanceAction]:
+        """Act on time; to be called every few tens of milliseconds."""
+        steps: list[_Step] = []
+        steps += self.entry.advance(now)
+        for upstream, owner in self.owners:
+            if self.catalog.is_silent(upstream, now):
+                steps += self._lose_upstream(upstream, now)
+                continue
+            steps += owner.advance(now)
+            self._spread_digest(owner)
+        steps += self.membership.advance(now)
+        ended, sent = self.client.advance(now)
+        steps += self._take_ended(ended)
+        steps += sent
+        if self._is_due("renew", RENEW_PERIOD, now):
+            steps += self.entry.renew(now)
+        if self._is_due("usage", USAGE_PERIOD, now):
+            steps += self._report_usage(now)
+        steps += self._keep_fresh(now)
+        self._advance_control(now, wall)
+        return self._run(steps, now, wall)
+
+    def _lose_upstream(self, upstream: UpstreamId, now: float) -> list[_Step]:
+        record = self.catalog.get(upstream)
+        assert record is not None
+        logger.warning("upstream fell silent", upstream=upstream)
+        self._spread_record(record.announcement, is_gone=True)
+        return self._drop_upstream(upstream, now)
+
+    def _spread_digest(self, owner: ReplicaOwner) -> None:
+        digest = owner.read_digest()
+        if self._sent_digests.get(digest.upstream) == digest:
+            return
+        self._sent_digests[digest.upstream] = digest
+        self._digest_count += 1
+        self.entry.take_digest(digest)
+        sequence = (self.owners.epoch << 32) + self._digest_count
+        rumor = DigestRumor(digest, sequence)
+        self.membership.rumors.put(f"d/{digest.upstream}", rumor, DIGEST_REPEATS + 1)
+
+    def _is_due(self, name: str, period: float, now: float) -> bool:
+        if now < self._times.get(name, 0.0):
+            return False
+        self._times[name] = now + period
+        return True
+
+    # Control
+
+    def finish_control(self, ready: Ready, now: float) -> list[InstanceAction]:
+        """The control member's writes are durable: apply and send."""
+        assert self.control is not None
+        steps: list[_Step] = list(self.control.finish(ready, now))
+        state = self.control.state
+        published = Published(state.configuration, state.instances)
+        steps += self._take_published(published, now)
+        return self._run(steps, now)
+
+    def _advance_control(self, now: float, wall: float) -> None:
+        if self.control is None:
+            return
+        self.control.advance(now)
+        live = self.membership.list_live()
+        if self.settings.peers and now - self._started < LIST_GRACE:
+            listed = {item.instance for item in live}
+            kept = self.control.state.instances.instances
+            live += [item for item in kept if item.instance not in listed]
+        self.control.set_live_instances(live, now, wall)
+
+    def _keep_fresh(self, now: float) -> list[_Step]:
+        steps: list[_Step] = []
+        if not self.is_fresh and self._barrier is None:
+            name, sent = self.client.submit(
+                Barrier(), BARRIER_TIMEOUT, now, salt=str(self.incarnation)
+            )
+            self._barrier = name
+            steps += sent
+        own = (self.configuration.version, self.instances.epoch)
+        newest = self.membership.newest
+        needs_more = newest[0] > own[0] or newest[1] > own[1] or not self.is_fresh
+        if needs_more and self._is_due("fetch", FETCH_PERIOD, now):
+            steps += self._fetch_from(self.membership.newest_from)
+        elif self._is_due("refresh", REFRESH_PERIOD, now):
+            steps += self._fetch_from(None)
+        if not self._has_catalog and self._is_due("catalog", 1.0, now):
+            steps += self._fetch_catalog()
+        return steps
+
+    def _fetch_from(self, instance: InstanceId | None) -> list[_Step]:
+        if self.control is not None:
+            return []
+        fetch = Fetch(self.configuration.version, self.instances.epoch)
+        targets = set(self._control_names[: 1 + len(self._control_names) // 2])
+        if instance is not None:
+            targets.add(instance)
+        self._control_names = self._control_names[1:] + self._control_names[:1]
+        return [ToInstance(target, fetch) for target in sorted(targets)]
+
+    def _fetch_catalog(self) -> list[_Step]:
+        for known in self.membership.list_known():
+            if known.rank is MemberRank.ALIVE:
+                return [ToInstance(known.listed.instance, FetchCatalog())]
+        return []
+
+    def _answer_fetch(self, sender: InstanceId, fetch: Fetch) -> list[_Step]:
+        configuration = self.configuration
+        instances = self.instances
+        newer = configuration if configuration.version > fetch.version else None
+        listed = instances if instances.epoch > fetch.epoch else None
+        if newer is None and listed is None:
+            return []
+        return [ToInstance(sender, Published(newer, listed))]
+
+    def _take_ended(self, ended: list[Proposed]) -> list[_Step]:
+        steps: list[_Step] = []
+        for proposed in ended:
+            if proposed.proposal != self._barrier:
+                steps.append(proposed)
+                continue
+            self._barrier = None
+            if isinstance(proposed.result, Done):
+                self._needed = proposed.result
+                self._note_freshness()
+        return steps
+
+    def _take_published(self, published: Published, now: float) -> list[_Step]:
+        configuration = published.configuration
+        if configuration and configuration.version > self.configuration.version:
+            self._put_in_force(configuration)
+        steps: list[_Step] = []
+        listed = published.instances
+        if listed and listed.epoch > self.instances.epoch:
+            self.instances = listed
+            steps += self._follow_list(now)
+        self.membership.note_own(self.configuration.version, self.instances.epoch)
+        self._note_freshness()
+        return steps
+
+    def _put_in_force(self, accepted: AcceptedConfiguration) -> None:
+        self.configuration = accepted
+        configuration = accepted.configuration
+        self._models = {model.model: model for model in configuration.models}
+        self._services = {item.service: item for item in configuration.services}
+        self.admission.set_limits(
+            {c.customer: c.limits for c in configuration.customers}
+        )
+        self.owners.shares.set_weights(
+            {
+                c.customer: c.weight * PRIORITY_FACTOR**c.priority
+                for c in configuration.customers
+            }
+        )
+        logger.info("configuration in force", version=accepted.version)
+
+    def _follow_list(self, now: float) -> list[_Step]:
+        listed = self.instances
+        self.admission.instances = max(1, len(listed.instances))
+        self.entry.local_zones = {
+            item.availability_zone
+            for item in listed.instances
+            if item.region == self.settings.region
+        }
+        for item in listed.instances:
+            self.membership.learn(item, MemberRank.ALIVE, now)
+        change = self.owners.set_instances(listed, now)
+        steps: list[_Step] = [*change.handovers, *change.refusals]
+        steps += self.entry.handle_owner_changed(change.upstreams, now)
+        return steps
+
+    def _note_freshness(self) -> None:
+        if self.is_fresh or self._barrier is not None:
+            return
+        needed = self._needed
+        has_all = (
+            self.configuration.version >= needed.version
+            and self.instances.epoch >= needed.epoch
+        )
+        if has_all and self.instances.epoch > 0:
+            self.is_fresh = True
+            logger.info("configuration is fresh", version=self.configuration.version)
+
+    def _build_catalog_page(self) -> CatalogPage:
+        return CatalogPage(
+            [
+                msgspec.structs.replace(
+                    record.announcement, running=[], cache_events=[]
+                )
+                for record in self.catalog
+            ],
+            [record.digest for record in self.catalog],
+        )
+
+    def _take_catalog_page(self, page: CatalogPage, now: float) -> list[_Step]:
+        self._has_catalog = True
+        steps: list[_Step] = []
+        for announcement in page.announcements:
+            steps += self._take_upstream_rumor(announcement, False, now)
+        for digest in page.digests:
+            if not self.owners.is_mine(digest.upstream):
+                self.entry.take_digest(digest)
+        return steps
+
+    # Usage
+
+    def _report_usage(self, now: float) -> list[_Step]:
+        self.home.forget_faded(now)
+        names = [item.instance for item in self.instances.instances] or [self.me]
+        usages = {u.customer: u for u in self.owners.shares.read_local(now)}
+        opens = {
+            customer: CustomerOpen(customer, count)
+            for customer, count in self.admission.read_open().items()
+        }
+        reports: dict[InstanceId, UsageReport] = {}
+        for customer in sorted(usages.keys() | opens.keys()):
+            home = find_responsible(customer, names)
+            assert home is not None
+            report = reports.setdefault(home, UsageReport([], []))
+            if customer in usages:
+                report.usages.append(usages[customer])
+            if customer in opens:
+                report.open.append(opens[customer])
+        return [ToInstance(home, report) for home, report in reports.items()]
+
+    def _take_usage_report(
+        self, sender: InstanceId, report: UsageReport, now: float
+    ) -> list[_Step]:
+        usages = self.home.report(sender, report.usages, now)
+        live = {item.instance for item in self.instances.instances}
+        opens = []
+        for item in report.open:
+            known = self._fleet_open.setdefault(item.customer, {})
+            known[sender] = item.open
+            others = sum(
+                count
+                for instance, count in known.items()
+                if instance != sender and instance in live
+            )
+            opens.append(CustomerOpen(item.customer, others))
+        return [ToInstance(sender, UsageAnswer(usages, opens))]
+
+    def _take_usage_answer(self, answer: UsageAnswer, now: float) -> None:
+        self.owners.shares.set_remote(answer.usages, now)
+        for item in answer.open:
+            self.admission.set_fleet_open(item.customer, item.open)
+
+    # Running actions
+
+    def _run(
+        self, steps: Sequence[_Step], now: float, wall: float = 0.0
+    ) -> list[InstanceAction]:
+        """Carry out what concerns this instance only; return the rest."""
+        out: list[InstanceAction] = []
+        queue: deque[_Step] = deque(steps)
+        while queue:
+            step = queue.popleft()
+            match step:
+                case ToOwner(upstream, message):
+                    owner = self.owners.find_owner(upstream)
+                    if owner is not None:
+                        queue.appendleft(ToInstance(owner, message))
+                case ToEntry(entry, reply):
+                    queue.appendleft(ToInstance(entry, reply))
+                case Submission(to, proposal):
+                    queue.appendleft(ToInstance(to, proposal))
+                case ToInstance(instance, inner) if instance == self.me:
+                    followers = self._dispatch(self.me, inner, now, wall)
+                    queue.extendleft(reversed(followers))
+                case _:
+                    out.append(step)
+        return out
+
+
+_Step = InstanceAction | EntryAction | OwnerAction | Submission
--- /dev/null
+++ b/src/scalebend/core/owner.py
@@ -0,0 +1,379 @@
+"""The owner of one replica decides what starts there, and when.
+
+One instance owns a replica at a time. It keeps the exact memory ledger, the queue
+and the cancellations that the engine still has to confirm. Entries reserve, are
+granted or refused, renew what they hold and release it.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from scalebend.core.ledger import MemoryLedger
+from scalebend.core.queueing import SHORT_TOKENS, Policy, Waiting, WorkQueue
+from scalebend.core.shares import ShareLedger
+from scalebend.models.ids import AttemptId, Incarnation, InstanceId, UpstreamId
+from scalebend.models.upstream import Announcement, UpstreamState
+from scalebend.models.work import (
+    Grant,
+    LoadDigest,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Release,
+    Renew,
+    ReplicaView,
+    Reserve,
+    Started,
+    Work,
+)
+
+GRANT_VALID = 2.0
+"""Seconds in which a granted attempt must be renewed, started or released."""
+
+HOLD_LEASE = 8.0
+"""Seconds a started attempt keeps its memory without a renewal by its entry."""
+
+UNKNOWN_GRACE = 5.0
+"""Seconds an engine may run an attempt that no entry claims before it is cancelled."""
+
+SHORT_RESERVE = 1 / 16
+"""Share of a replica's memory that only short prompts may take."""
+
+PREFILL_WINDOW = 0.2
+"""Seconds of prefill work that may be granted ahead of the engine's progress."""
+
+BLOCKED_PATIENCE = 1.0
+"""Seconds a large head may be passed over before others must wait for it."""
+
+REBUILD_TIME = 1.5
+"""Seconds a new owner listens for renewals before its first grant."""
+
+
+class ToEntry(msgspec.Struct, frozen=True):
+    """Action: send a grant or refusal to an entry."""
+
+    entry: InstanceId
+    message: Grant | Refusal
+
+
+class CancelOnEngine(msgspec.Struct, frozen=True):
+    """Action: ask the engine to stop an attempt and to confirm it."""
+
+    upstream: UpstreamId
+    attempt: AttemptId
+
+
+OwnerAction = ToEntry | CancelOnEngine
+OwnerMessage = Reserve | Started | Release | Renew
+
+
+class _Hold(msgspec.Struct):
+    work: Work
+    cost: float
+    lease_until: float
+    is_prefilling: bool = True
+
+
+class ReplicaOwner:
+    """Queue, memory and holds of one replica."""
+
+    def __init__(
+        self,
+        view: ReplicaView,
+        policy: Policy,
+        shares: ShareLedger,
+        *,
+        incarnation: Incarnation,
+        grants_from: float = 0.0,
+    ) -> None:
+        self.view = view
+        self.is_leaving = False
+        self.ledger = MemoryLedger(view.memory_tokens)
+        self.queue = WorkQueue(policy, shares)
+        self._shares = shares
+        self._incarnation = incarnation
+        self._grants_from = grants_from
+        self._holds: dict[AttemptId, _Hold] = {}
+        self._unclaimed: dict[AttemptId, float] = {}
+        self._prefill_tokens = 0
+        self._short_tokens = 0
+
+    def handle(self, message: OwnerMessage, now: float) -> list[OwnerAction]:
+        """Take one message of an entry."""
+        match message:
+            case Reserve(work):
+                return self._reserve(work, now)
+            case Started(attempt):
+                return self._mark_started(attempt, now)
+            case Release():
+                return self._release(message, now)
+            case Renew(_, works):
+                return self._renew(works, now)
+
+    def take_announcement(
+        self, announcement: Announcement, now: float
+    ) -> list[OwnerAction]:
+        """Take what the replica says of itself."""
+        actions: list[OwnerAction] = []
+        if announcement.incarnation > self._incarnation:
+            self._incarnation = announcement.incarnation
+            self._forget_holds()
+        elif announcement.incarnation < self._incarnation:
+            return []
+        if announcement.state is UpstreamState.LEAVING and not self.is_leaving:
+            self.is_leaving = True
+            actions += self._refuse_all(RefusalReason.LEAVING)
+        elif announcement.state is UpstreamState.SERVING:
+            self.is_leaving = False
+        self._note_unclaimed(announcement.running, now)
+        return actions + self.advance(now)
+
+    def confirm_cancelled(self, attempt: AttemptId, now: float) -> list[OwnerAction]:
+        """The engine confirmed that it holds nothing for the attempt."""
+        self._drop_hold(attempt)
+        self.ledger.free_attempt(attempt)
+        return self._start_waiting(now)
+
+    def advance(self, now: float) -> list[OwnerAction]:
+        """Act on time: expired waits and leases, owed cancellations, starts."""
+        actions = self._refuse_expired(now)
+        self._expire_leases(now)
+        self._cancel_unclaimed(now)
+        for attempt in self.ledger.take_due_cancellations(now):
+            actions.append(CancelOnEngine(self.view.upstream, attempt))
+        return actions + self._start_waiting(now)
+
+    def take_handover(self, works: list[Work], now: float) -> list[OwnerAction]:
+        """Take the holds of the old owner; grants may begin at once."""
+        self._renew(works, now)
+        self._grants_from = now
+        return self._start_waiting(now)
+
+    def close(self) -> list[OwnerAction]:
+        """Ownership moves elsewhere: refuse what waits, so that it is routed anew."""
+        return self._refuse_all(RefusalReason.NOT_OWNER)
+
+    def read_digest(self) -> LoadDigest:
+        """Load for the other instances."""
+        decoding = sum(not hold.is_prefilling for hold in self._holds.values())
+        return LoadDigest(
+            upstream=self.view.upstream,
+            prefill_tokens=self._prefill_tokens,
+            short_tokens=self._short_tokens,
+            decoding=decoding,
+            free_tokens=self.ledger.free,
+            queued=len(self.queue),
+            queued_tokens=self.queue.tokens,
+        )
+
+    def list_holds(self) -> list[Work]:
+        """Work that holds memory, for a hand-over."""
+        return [hold.work for hold in self._holds.values()]
+
+    def _reserve(self, work: Work, now: float) -> list[OwnerAction]:
+        if work.attempt in self.queue:
+            return []
+        if work.attempt in self._holds:
+            # The first grant was lost on its way.
+            return [self._build_grant(work)]
+        reason = self._find_refusal(work)
+        if reason is not None:
+            return [self._refuse(work, reason)]
+        self.queue.push(work, now)
+        return self._start_waiting(now)
+
+    def _build_grant(self, work: Work) -> ToEntry:
+        grant = Grant(work.attempt, self.view.upstream, GRANT_VALID)
+        return ToEntry(work.entry, grant)
+
+    def _find_refusal(self, work: Work) -> RefusalReason | None:
+        if self.ledger.knows(work.attempt):
+            # Its cancellation is owed: the engine would refuse to start it.
+            return RefusalReason.NOT_OWNER
+        if self.is_leaving:
+            return RefusalReason.LEAVING
+        if work.memory_tokens > self.ledger.capacity:
+            return RefusalReason.TOO_LARGE
+        if self._estimate_wait(work) > work.patience:
+            return RefusalReason.TOO_LATE
+        return None
+
+    def _estimate_wait(self, work: Work) -> float:
+        return self.queue.estimate_tokens_ahead(work) / self.view.prefill_rate
+
+    def _refuse(self, work: Work, reason: RefusalReason) -> ToEntry:
+        retry_after = self.queue.tokens / self.view.prefill_rate
+        refusal = Refusal(work.attempt, self.view.upstream, reason, retry_after)
+        return ToEntry(work.entry, refusal)
+
+    def _refuse_all(self, reason: RefusalReason) -> list[OwnerAction]:
+        refused = self.queue.list_waiting()
+        return [self._refuse_waiting(waiting, reason) for waiting in refused]
+
+    def _refuse_expired(self, now: float) -> list[OwnerAction]:
+        expired = [item for item in self.queue.list_waiting() if item.is_expired(now)]
+        return [self._refuse_waiting(item, RefusalReason.TOO_LATE) for item in expired]
+
+    def _refuse_waiting(self, waiting: Waiting, reason: RefusalReason) -> ToEntry:
+        self.queue.remove(waiting.work.attempt)
+        return self._refuse(waiting.work, reason)
+
+    def _start_waiting(self, now: float) -> list[OwnerAction]:
+        if self.is_leaving or now < self._grants_from:
+            return []
+        actions: list[OwnerAction] = []
+        while (waiting := self._find_next(now)) is not None:
+            self.queue.remove(waiting.work.attempt)
+            actions.append(self._grant(waiting.work, now))
+        return actions
+
+    def _find_next(self, now: float) -> Waiting | None:
+        if not len(self.queue) or len(self._holds) >= self.view.concurrency:
+            return None
+        must_wait_for: Waiting | None = None
+        for head in self.queue.list_heads(now):
+            if head.is_expired(now):
+                continue
+            is_short = head.work.prefill_tokens < SHORT_TOKENS
+            if must_wait_for is not None and not is_short:
+                continue
+            if not self._fits_window(head.work):
+                continue
+            if self._fits_memory(head.work):
+                return head
+            if head.blocked_since is None:
+                head.blocked_since = now
+            elif now - head.blocked_since >= BLOCKED_PATIENCE:
+                must_wait_for = must_wait_for or head
+        return None
+
+    def _fits_memory(self, work: Work) -> bool:
+        free = self.ledger.free
+        if work.prefill_tokens >= SHORT_TOKENS and self._holds:
+            reserve = int(self.ledger.capacity * SHORT_RESERVE)
+            free -= min(reserve, self.ledger.capacity - work.memory_tokens)
+        return work.memory_tokens <= free
+
+    def _fits_window(self, work: Work) -> bool:
+        if work.held_elsewhere:
+            return True
+        window = PREFILL_WINDOW * self.view.prefill_rate
+        if work.prefill_tokens < SHORT_TOKENS:
+            return self._short_tokens < window
+        return self._prefill_tokens - self._short_tokens < window
+
+    def _grant(self, work: Work, now: float) -> ToEntry:
+        self.ledger.hold(work.attempt, work.memory_tokens)
+        cost = estimate_cost(work, self.view)
+        self._shares.charge(work.customer, cost, now)
+        self._add_hold(work, cost, now + GRANT_VALID)
+        return self._build_grant(work)
+
+    def _add_hold(self, work: Work, cost: float, lease_until: float) -> None:
+        self._holds[work.attempt] = _Hold(work, cost, lease_until)
+        self._count_prefill(work, work.prefill_tokens)
+
+    def _drop_hold(self, attempt: AttemptId) -> _Hold | None:
+        hold = self._holds.pop(attempt, None)
+        if hold is not None and hold.is_prefilling:
+            self._count_prefill(hold.work, -hold.work.prefill_tokens)
+        return hold
+
+    def _count_prefill(self, work: Work, tokens: int) -> None:
+        self._prefill_tokens += tokens
+        if work.prefill_tokens < SHORT_TOKENS:
+            self._short_tokens += tokens
+
+    def _mark_started(self, attempt: AttemptId, now: float) -> list[OwnerAction]:
+        hold = self._holds.get(attempt)
+        if hold is None or not hold.is_prefilling:
+            return []
+        hold.is_prefilling = False
+        hold.lease_until = now + HOLD_LEASE
+        self._count_prefill(hold.work, -hold.work.prefill_tokens)
+        return self._start_waiting(now)
+
+    def _release(self, release: Release, now: float) -> list[OwnerAction]:
+        attempt = release.attempt
+        self.queue.remove(attempt)
+        hold = self._drop_hold(attempt)
+        if hold is not None:
+            self._correct_charge(hold, release, now)
+        match release.outcome:
+            case Outcome.UNUSED | Outcome.FINISHED:
+                if self.ledger.holds(attempt):
+                    self.ledger.free_attempt(attempt)
+            case Outcome.ABANDONED:
+                # Owed even when the ledger does not know it: the attempt may have
+                # reached the engine before this instance became the owner.
+                self._owe(attempt, now)
+        return self.advance(now)
+
+    def _correct_charge(self, hold: _Hold, release: Release, now: float) -> None:
+        if release.outcome is Outcome.UNUSED:
+            self._shares.charge(hold.work.customer, -hold.cost, now)
+            return
+        unused = max(0, hold.work.output_tokens - release.output_tokens)
+        refund = unused * compute_token_cost(self.view)
+        self._shares.charge(hold.work.customer, -refund, now)
+
+    def _renew(self, works: list[Work], now: float) -> list[OwnerAction]:
+        for work in works:
+            self._unclaimed.pop(work.attempt, None)
+            hold = self._holds.get(work.attempt)
+            if hold is not None:
+                hold.lease_until = now + HOLD_LEASE
+            elif not self.ledger.knows(work.attempt):
+                # Granted by an earlier owner: it holds memory, whatever fits here.
+                self.queue.remove(work.attempt)
+                self.ledger.hold(work.attempt, work.memory_tokens)
+                self._add_hold(work, 0.0, now + HOLD_LEASE)
+        return []
+
+    def _expire_leases(self, now: float) -> None:
+        expired = [
+            attempt for attempt, hold in self._holds.items() if hold.lease_until <= now
+        ]
+        for attempt in expired:
+            self._drop_hold(attempt)
+            self._owe(attempt, now)
+
+    def _owe(self, attempt: AttemptId, now: float) -> None:
+        if self.view.memory_tokens:
+            self.ledger.owe(attempt, now)
+        else:
+            # A plain service holds no memory and has no cancellation.
+            self.ledger.free_attempt(attempt)
+
+    def _note_unclaimed(self, running: list[str], now: float) -> None:
+        reported = {AttemptId(name) for name in running}
+        unknown = {name for name in reported if not self.ledger.knows(name)}
+        self._unclaimed = {
+            name: self._unclaimed.get(name, now) for name in sorted(unknown)
+        }
+
+    def _cancel_unclaimed(self, now: float) -> None:
+        for attempt, since in list(self._unclaimed.items()):
+            if now - since >= UNKNOWN_GRACE:
+                del self._unclaimed[attempt]
+                self._owe(attempt, now)
+
+    def _forget_holds(self) -> None:
+        self.ledger.clear()
+        self._holds.clear()
+        self._unclaimed.clear()
+        self._prefill_tokens = 0
+        self._short_tokens = 0
+
+
+def compute_token_cost(view: ReplicaView) -> float:
+    """Engine-seconds of one generated token: a step is shared by a typical batch."""
+    typical_batch = max(1.0, view.concurrency / 4)
+    return view.step_time / typical_batch
+
+
+def estimate_cost(work: Work, view: ReplicaView) -> float:
+    """Engine-seconds that ``work`` will use."""
+    prefill = work.prefill_tokens / view.prefill_rate
+    return prefill + work.output_tokens * compute_token_cost(view)
--- /dev/null
+++ b/src/scalebend/core/ownership.py
@@ -0,0 +1,129 @@
+"""The replicas that this instance owns, and how ownership changes hands.
+
+The owner of a replica is its rendezvous hash over the committed instance list. A new
+owner first listens for renewals, unless the old one handed the replica over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import msgspec
+import structlog
+
+from scalebend.core.catalog import Catalog, UpstreamRecord
+from scalebend.core.control_member import ToInstance
+from scalebend.core.control_state import InstanceList
+from scalebend.core.owner import REBUILD_TIME, OwnerAction, ReplicaOwner
+from scalebend.core.queueing import Policy
+from scalebend.core.rendezvous import find_responsible
+from scalebend.core.shares import ShareLedger
+from scalebend.models.ids import Epoch, InstanceId, UpstreamId
+from scalebend.models.messages import Handover
+from scalebend.models.work import Renew
+
+logger = structlog.get_logger(__name__)
+
+
+class OwnershipChange(msgspec.Struct):
+    """What follows from a newer instance list."""
+
+    upstreams: set[UpstreamId]
+    handovers: list[ToInstance]
+    refusals: list[OwnerAction]
+
+
+class ReplicaOwners:
+    """Owners of this instance's replicas, by the newest instance list."""
+
+    def __init__(self, instance: InstanceId, catalog: Catalog, policy: Policy) -> None:
+        self.shares = ShareLedger()
+        self.epoch = Epoch(0)
+        self._instance = instance
+        self._catalog = catalog
+        self._policy = policy
+        self._names: list[InstanceId] = [instance]
+        self._responsible: dict[UpstreamId, InstanceId | None] = {}
+        self._owners: dict[UpstreamId, ReplicaOwner] = {}
+
+    def __iter__(self) -> Iterator[tuple[UpstreamId, ReplicaOwner]]:
+        return iter(list(self._owners.items()))
+
+    def get(self, upstream: UpstreamId) -> ReplicaOwner | None:
+        """This instance's owner of the replica, if it owns it."""
+        return self._owners.get(upstream)
+
+    def find_owner(self, upstream: UpstreamId) -> InstanceId | None:
+        """The instance that owns the replica."""
+        if upstream not in self._responsible:
+            self._responsible[upstream] = find_responsible(upstream, self._names)
+        return self._responsible[upstream]
+
+    def is_mine(self, upstream: UpstreamId) -> bool:
+        """Whether this instance owns the replica."""
+        return self.find_owner(upstream) == self._instance
+
+    def ensure(self, record: UpstreamRecord, now: float) -> ReplicaOwner | None:
+        """Return the owner of a replica that is this instance's, made if needed."""
+        upstream = record.announcement.upstream
+        if not self.is_mine(upstream):
+            return None
+        owner = self._owners.get(upstream)
+        if owner is None:
+            # Nothing can be held elsewhere of a replica that runs nothing.
+            must_rebuild = bool(record.announcement.running)
+            owner = self._build(record, now, must_rebuild=must_rebuild)
+        elif owner.view != record.view:
+            owner.view = record.view
+            owner.ledger.capacity = record.view.memory_tokens
+        return owner
+
+    def drop(self, upstream: UpstreamId) -> None:
+        """The replica is gone."""
+        self._owners.pop(upstream, None)
+        self._responsible.pop(upstream, None)
+
+    def set_instances(self, listed: InstanceList, now: float) -> OwnershipChange:
+        """Follow a newer instance list."""
+        before = {
+            record.view.upstream: self.find_owner(record.view.upstream)
+            for record in self._catalog
+        }
+        self.epoch = listed.epoch
+        self._names = [item.instance for item in listed.instances]
+        self._responsible = {}
+        changed = {name for name, old in before.items() if self.find_owner(name) != old}
+        change = OwnershipChange(changed, [], [])
+        for upstream in sorted(changed):
+            owner = self._owners.pop(upstream, None)
+            new_owner = self.find_owner(upstream)
+            if owner is not None and new_owner is not None:
+                handover = Handover(upstream, Renew(upstream, owner.list_holds()))
+                change.handovers.append(ToInstance(new_owner, handover))
+                change.refusals += owner.close()
+            if new_owner == self._instance:
+                record = self._catalog.get(upstream)
+                assert record is not None
+                record.heard = now
+                self._build(record, now, must_rebuild=True)
+        return change
+
+    def _build(
+        self, record: UpstreamRecord, now: float, *, must_rebuild: bool
+    ) -> ReplicaOwner:
+        announcement = record.announcement
+        owner = ReplicaOwner(
+            record.view,
+            self._policy,
+            self.shares,
+            incarnation=announcement.incarnation,
+            grants_from=now + REBUILD_TIME if must_rebuild else now,
+        )
+        self._owners[announcement.upstream] = owner
+        logger.info(
+            "owns replica",
+            upstream=announcement.upstream,
+            epoch=self.epoch,
+            rebuild=must_rebuild,
+        )
+        return owner
--- /dev/null
+++ b/src/scalebend/core/routing.py
@@ -0,0 +1,179 @@
+"""Choice of the replica for one request.
+
+The score of a replica is the time to first token that the request would see there,
+plus the delay it would cause to others, both in seconds; the lowest wins. Digests
+lag, so each choice is added to the digest at once and taken back when a newer
+digest arrives.
+"""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+
+from scalebend.core.queueing import SHORT_TOKENS
+from scalebend.models.ids import AvailabilityZone, UpstreamId
+from scalebend.models.work import LoadDigest, ReplicaView
+
+MOST_CANDIDATES = 24
+"""Replicas scored for one request; the rest are left out by a seeded sample."""
+
+ZONE_PENALTY = 0.003
+"""Seconds added for another availability zone: its round trip, rounded up."""
+
+REGION_PENALTY = 0.1
+"""Seconds added for another region."""
+
+DELAY_WEIGHT = 0.15
+"""Weight of the delay caused to one decoding attempt by a second of prefill."""
+
+MEMORY_PENALTY = 2.0
+"""Seconds added when the replica's free memory is too small now."""
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """One replica that could take the request."""
+
+    view: ReplicaView
+    digest: LoadDigest
+    is_local_region: bool = True
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """The chosen replica and why; ``score`` in seconds."""
+
+    upstream: UpstreamId
+    score: float
+    prefill_tokens: int
+    cached_tokens: int
+    candidates: int
+    reason: str
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """What a request needs from a replica, in tokens."""
+
+    prompt_tokens: int
+    memory_tokens: int
+
+
+class PendingLoad:
+    """Load this instance sent out since the last digest of each replica."""
+
+    def __init__(self) -> None:
+        self._tokens: dict[UpstreamId, tuple[int, int]] = {}
+
+    def add(self, upstream: UpstreamId, prefill_tokens: int) -> None:
+        """Note that a request was routed to the replica."""
+        tokens, count = self._tokens.get(upstream, (0, 0))
+        self._tokens[upstream] = (tokens + prefill_tokens, count + 1)
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """A newer digest includes what was sent."""
+        self._tokens.pop(upstream, None)
+
+    def get(self, upstream: UpstreamId) -> tuple[int, int]:
+        """Prefill tokens and requests sent since the last digest."""
+        return self._tokens.get(upstream, (0, 0))
+
+
+def sample_candidates(
+    candidates: list[Candidate],
+    zone: AvailabilityZone,
+    cached: dict[UpstreamId, int],
+    chooser: random.Random,
+) -> list[Candidate]:
+    """Bound the candidates: all with a cached prefix, then of the own zone first."""
+    if len(candidates) <= MOST_CANDIDATES:
+        return candidates
+    kept = [c for c in candidates if c.view.upstream in cached][: MOST_CANDIDATES // 2]
+    names = {candidate.view.upstream for candidate in kept}
+    rest = [c for c in candidates if c.view.upstream not in names]
+    near = [c for c in rest if c.view.availability_zone == zone]
+    far = [c for c in rest if c.view.availability_zone != zone]
+    room = MOST_CANDIDATES - len(kept)
+    near = chooser.sample(near, min(len(near), room * 2 // 3))
+    far = chooser.sample(far, min(len(far), room - len(near)))
+    return kept + near + far
+
+
+def choose_replica(
+    demand: Demand,
+    candidates: list[Candidate],
+    *,
+    zone: AvailabilityZone,
+    cached: dict[UpstreamId, int],
+    pending: PendingLoad,
+) -> Choice | None:
+    """Return the best replica, or ``None`` when there is no candidate."""
+    best: Choice | None = None
+    for candidate in candidates:
+        upstream = candidate.view.upstream
+        if demand.memory_tokens > candidate.view.memory_tokens:
+            continue
+        hit = min(cached.get(upstream, 0), demand.prompt_tokens)
+        prefill = demand.prompt_tokens - hit
+        score = _score(demand, prefill, candidate, zone, pending.get(upstream))
+        if best is None or (score, upstream) < (best.score, best.upstream):
+            reason = "cached-prefix" if hit else "least-delay"
+            best = Choice(upstream, score, prefill, hit, len(candidates), reason)
+    return best
+
+
+def _score(
+    demand: Demand,
+    prefill: int,
+    candidate: Candidate,
+    zone: AvailabilityZone,
+    pending: tuple[int, int],
+) -> float:
+    view = candidate.view
+    digest = candidate.digest
+    sent_tokens, sent_count = pending
+    backlog = digest.prefill_tokens + digest.queued_tokens + sent_tokens
+    own = prefill / view.prefill_rate
+    if demand.prompt_tokens < SHORT_TOKENS:
+        # The engine prefills a short prompt before the long ones it holds; those
+        # still stretch every step of the answer.
+        ahead = digest.short_tokens / view.prefill_rate
+        stretch = view.step_time if backlog > digest.short_tokens else 0.0
+        score = own + ahead + stretch * (1 + sent_count)
+        score += DELAY_WEIGHT * backlog / view.prefill_rate
+    else:
+        ahead = backlog / view.prefill_rate
+        score = own + ahead + own * DELAY_WEIGHT * (digest.decoding + sent_count)
+    score += (digest.decoding + sent_count) * view.step_time * 0.05
+    if demand.memory_tokens > digest.free_tokens:
+        score += MEMORY_PENALTY
+    if digest.queued and demand.prompt_tokens >= SHORT_TOKENS:
+        score += digest.queued * view.step_time
+    if not candidate.is_local_region:
+        return score + REGION_PENALTY
+    if view.availability_zone != zone:
+        return score + ZONE_PENALTY
+    return score
+
+
+def choose_group(
+    demand: Demand, candidates: list[Candidate], most: int
+) -> list[UpstreamId]:
+    """Return the fewest replicas whose memory together fits, least loaded first.
+
+    The result is sorted by name: every instance reserves in this global order, so
+    that two prompts can never wait for each other. Empty when nothing fits.
+    """
+    by_load = sorted(
+        candidates,
+        key=lambda c: (
+            c.digest.prefill_tokens + c.digest.queued_tokens,
+            -c.digest.free_tokens,
+            c.view.upstream,
+        ),
+    )
+    for size in range(2, most + 1):
+        group = by_load[:size]
+        smallest = min((c.view.memory_tokens for c in group), default=0)
+        if len(group) == size and smallest * size >= demand.memory_tokens:
+            return sorted(candidate.view.upstream for candidate in group)
+    return []
--- /dev/null
+++ b/src/scalebend/edges/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that touches sockets, timers or the process environment."""
--- /dev/null
+++ b/src/scalebend/edges/admin.py
@@ -0,0 +1,218 @@
+"""HTTP for operators: configuration, status, drain."""
+
+from __future__ import annotations
+
+import ipaddress
+
+import msgspec
+from aiohttp import web
+
+from scalebend.core.control_state import Accepted, Apply, Conflict
+from scalebend.core.membership import MemberRank
+from scalebend.edges.runtime import Runtime
+from scalebend.edges.settings_file import check_configuration
+from scalebend.exceptions import (
+    ErrorKind,
+    Ran,
+    RequestError,
+    ScalebendError,
+)
+from scalebend.models.configuration import ConfigurationChange
+from scalebend.models.ids import ConfigurationVersion, InstanceId, UpstreamId
+from scalebend.utils.documents import decode_document
+from scalebend.utils.keys import is_known_key
+
+APPLY_TIMEOUT = 6.0
+
+
+class InstanceStatus(msgspec.Struct, frozen=True):
+    """One instance in ``status``; ``heard`` in seconds ago."""
+
+    instance: InstanceId
+    availability_zone: str
+    state: str
+    version: ConfigurationVersion
+    heard: float
+
+
+class UpstreamStatus(msgspec.Struct, frozen=True):
+    """One upstream in ``status``; sizes in tokens."""
+
+    upstream: UpstreamId
+    family: str
+    state: str
+    owner: InstanceId | None
+    memory_tokens: int
+    free_tokens: int
+    queued: int
+    decoding: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """What an instance knows."""
+
+    instance: InstanceId
+    is_ready: bool
+    reason: str
+    version: ConfigurationVersion
+    epoch: int
+    is_control: bool
+    leader: InstanceId | None
+    open_requests: int
+    instances: list[InstanceStatus]
+    upstreams: list[UpstreamStatus]
+
+
+class ApplyAnswer(msgspec.Struct, frozen=True):
+    """The change was accepted as ``version``."""
+
+    version: ConfigurationVersion
+
+
+class ConflictAnswer(msgspec.Struct, frozen=True):
+    """The change lost; ``winner_*`` tell to whom."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    ran: str
+    winner_version: ConfigurationVersion
+    winner_change: str
+    winner_operator: str
+
+
+def build_status(runtime: Runtime) -> Status:
+    """Collect what this instance knows now."""
+    instance = runtime.instance
+    now = runtime.now()
+    readiness = instance.read_readiness(now)
+    control = instance.control
+    instances = [
+        InstanceStatus(
+            known.listed.instance,
+            known.listed.availability_zone,
+            known.rank.name.lower(),
+            known.version,
+            round(now - known.heard, 2),
+        )
+        for known in instance.membership.list_known()
+    ]
+    me = instance.membership.me
+    rank = MemberRank(instance.membership.rank).name.lower()
+    version = instance.configuration.version
+    instances.append(
+        InstanceStatus(me.instance, me.availability_zone, rank, version, 0.0)
+    )
+    upstreams = [
+        UpstreamStatus(
+            record.announcement.upstream,
+            record.announcement.family.value,
+            record.announcement.state.value,
+            instance.owners.find_owner(record.announcement.upstream),
+            record.view.memory_tokens,
+            record.digest.free_tokens,
+            record.digest.queued,
+            record.digest.decoding,
+        )
+        for record in instance.catalog
+    ]
+    return Status(
+        instance.me,
+        readiness.is_ready,
+        readiness.reason,
+        version,
+        instance.instances.epoch,
+        control is not None,
+        control.leader if control is not None else None,
+        runtime.count_open(),
+        sorted(instances, key=lambda item: item.instance),
+        sorted(upstreams, key=lambda item: item.upstream),
+    )
+
+
+class AdminHandlers:
+    """Requests of operators."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add what operators use."""
+        app.router.add_get("/admin/status", self._show_status)
+        app.router.add_get("/admin/configuration", self._show_configuration)
+        app.router.add_post("/admin/configuration", self._apply)
+        app.router.add_post("/admin/drain", self._drain)
+
+    def _check_operator(self, request: web.Request) -> None:
+        hashes = self._runtime.instance.settings.operator_key_hashes
+        if not hashes:
+            if request.remote and ipaddress.ip_address(request.remote).is_loopback:
+                return
+            raise RequestError(
+                "no operator key is set: only loopback may do this",
+                kind=ErrorKind.FORBIDDEN,
+            )
+        header = request.headers.get("Authorization", "").removeprefix("Bearer ")
+        if not is_known_key(header, hashes):
+            raise RequestError("the key is unknown", kind=ErrorKind.UNKNOWN_KEY)
+
+    async def _show_status(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        return _answer(build_status(self._runtime))
+
+    async def _show_configuration(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        return _answer(self._runtime.instance.configuration)
+
+    async def _apply(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        change = decode_document(
+            await request.read(), ConfigurationChange, ErrorKind.INVALID_CONFIGURATION
+        )
+        check_configuration(change.configuration)
+        if not change.change:
+            raise RequestError("$.change: expected a change id")
+        match await self._runtime.propose(Apply(change), APPLY_TIMEOUT):
+            case Accepted(version):
+                return _answer(ApplyAnswer(version))
+            case Conflict(winner, base):
+                error = ScalebendError(
+                    f"base {base} is not the newest: {winner.operator or 'somebody'} "
+                    f"applied change {winner.change} as version {winner.version}",
+                    kind=ErrorKind.CONFIGURATION_CONFLICT,
+                )
+                return _answer(
+                    ConflictAnswer(
+                        error.kind.value,
+                        error.answer.title,
+                        error.answer.status,
+                        error.detail,
+                        Ran.NO.value,
+                        winner.version,
+                        winner.change,
+                        winner.operator,
+                    ),
+                    status=error.answer.status,
+                )
+            case _:
+                raise ScalebendError(
+                    "no quorum answered in time; the change may still be accepted: "
+                    "send it again with the same change id",
+                    kind=ErrorKind.NO_QUORUM,
+                    ran=Ran.UNKNOWN,
+                    retry_after=2.0,
+                )
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        self._check_operator(request)
+        self._runtime.stopped.set()
+        return web.Response(status=202)
+
+
+def _answer(document: msgspec.Struct, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(document),
+        content_type="application/json",
+    )
--- /dev/null
+++ b/src/scalebend/edges/exchange.py
@@ -0,0 +1,338 @@
+"""One caller's request in progress: its attempts on upstreams and its answer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+
+import aiohttp
+import msgspec
+import structlog
+from aiohttp import web
+
+from scalebend.core.catalog import UpstreamRecord
+from scalebend.core.claims import StoredAnswer
+from scalebend.core.flow import (
+    AttemptResult,
+    Broken,
+    Completed,
+    Garbled,
+    NeverStarted,
+    StartAttempt,
+)
+from scalebend.edges.problems import build_problem
+from scalebend.edges.sse import (
+    EventFramer,
+    GarbledStreamError,
+    Usage,
+    list_payloads,
+    read_usage,
+)
+from scalebend.exceptions import ScalebendError
+from scalebend.models.ids import AttemptId, RequestId, UpstreamId
+from scalebend.models.work import Request
+
+logger = structlog.get_logger(__name__)
+
+CLOSE_TIMEOUT = 1.0
+LARGEST_ANSWER = 64 * 1024 * 1024
+EVENT_STREAM = "text/event-stream"
+
+
+class _CallerGoneError(Exception):
+    """The caller closed its connection."""
+
+
+class OutgoingCall(msgspec.Struct, frozen=True):
+    """What is sent to the upstream, besides what identifies the attempt."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class AttemptReporter(msgspec.Struct, frozen=True):
+    """Where an exchange reports what happens to an attempt."""
+
+    started: Callable[[AttemptId], None]
+    ended: Callable[[AttemptId, AttemptResult], None]
+    caller_left: Callable[[RequestId], None]
+    find: Callable[[UpstreamId], UpstreamRecord | None]
+
+
+class Exchange:
+    """Runs the attempts of one request and writes the caller's answer."""
+
+    def __init__(
+        self,
+        request: Request,
+        call: OutgoingCall,
+        http_request: web.Request,
+        session: aiohttp.ClientSession,
+        reporter: AttemptReporter,
+    ) -> None:
+        self.request = request
+        self.response: web.StreamResponse | None = None
+        self.concluded: asyncio.Future[ScalebendError | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self.first_token_at: float | None = None
+        self.output_tokens = 0
+        self._call = call
+        self._http_request = http_request
+        self._session = session
+        self._reporter = reporter
+        self._framer = EventFramer()
+        self._collected: list[bytes] = []
+        self._task: asyncio.Task[None] | None = None
+        self._start: StartAttempt | None = None
+
+    # Orders of the core
+
+    def start(self, start: StartAttempt) -> None:
+        """Send the request to the granted replicas."""
+        self._start = start
+        self._framer = EventFramer()
+        self._collected = []
+        self._task = asyncio.create_task(self._run(is_resumed=False))
+
+    def resume(self) -> None:
+        """Fetch the rest of the attempt's stream over a new link."""
+        self._framer.restart()
+        self._task = asyncio.create_task(self._run(is_resumed=True))
+
+    def abort(self) -> None:
+        """Close the link of the current attempt."""
+        if self._task is not None and self._task is not asyncio.current_task():
+            self._task.cancel()
+        self._task = None
+
+    def conclude(self, error: ScalebendError | None) -> None:
+        """The request is over."""
+        if not self.concluded.done():
+            self.concluded.set_result(error)
+
+    # Caller's side
+
+    async def write_error(self, error: ScalebendError) -> None:
+        """End an answer that had begun with the error as its last event."""
+        assert self.response is not None
+        problem = build_problem(error, self.request.request)
+        data = b"event: error\ndata: " + msgspec.json.encode(problem) + b"\n\n"
+        with contextlib.suppress(ConnectionError, TimeoutError):
+            await asyncio.wait_for(self.response.write(data), CLOSE_TIMEOUT)
+            await asyncio.wait_for(self.response.write_eof(), CLOSE_TIMEOUT)
+
+    def read_stored_answer(self) -> StoredAnswer | None:
+        """The whole answer as far as it was collected, to be kept with a claim."""
+        if isinstance(self.response, web.Response):
+            body = self.response.body
+            data = body if isinstance(body, bytes) else None
+            return StoredAnswer(self.response.status, self.response.content_type, data)
+        if self.response is not None:
+            return StoredAnswer(200, EVENT_STREAM, None)
+        return None
+
+    # Upstream's side
+
+    async def _run(self, *, is_resumed: bool) -> None:
+        assert self._start is not None
+        start = self._start
+        lead = self._reporter.find(start.upstreams[0])
+        if lead is None:
+            result: AttemptResult = NeverStarted("the upstream is gone")
+        else:
+            try:
+                result = await self._attempt(start, lead, is_resumed=is_resumed)
+            except _CallerGoneError:
+                self._reporter.caller_left(self.request.request)
+                return
+            except Exception as error:
+                # Without a result the request would hang until its time limit.
+                logger.exception("attempt failed", attempt=start.attempt)
+                result = Broken(f"internal: {type(error).__name__}")
+        self._task = None
+        self._reporter.ended(start.attempt, result)
+
+    async def _attempt(
+        self, start: StartAttempt, lead: UpstreamRecord, *, is_resumed: bool
+    ) -> AttemptResult:
+        has_helpers = len(start.upstreams) > 1
+        try:
+            if has_helpers and not is_resumed and not await self._hold_helpers(start):
+                return NeverStarted("a helper refused", 1.0, may_hold_memory=True)
+            async with self._open(start, lead, is_resumed=is_resumed) as answer:
+                return await self._read(start, answer, is_resumed=is_resumed)
+        except aiohttp.ClientConnectorError as error:
+            if is_resumed:
+                return Broken(f"cannot connect again: {error.strerror}")
+            detail = f"cannot connect: {error.strerror}"
+            return NeverStarted(detail, may_hold_memory=has_helpers)
+        except GarbledStreamError as error:
+            return Garbled(str(error))
+        except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
+            return Broken(f"link lost: {type(error).__name__}")
+
+    def _open(
+        self, start: StartAttempt, lead: UpstreamRecord, *, is_resumed: bool
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        base = f"http://{lead.announcement.address}"
+        if is_resumed:
+            headers = {"Last-Event-ID": str(self._framer.next_offset - 1)}
+            url = f"{base}/v1/requests/{start.attempt}/stream"
+            return self._session.get(url, headers=headers)
+        headers = {
+            **self._call.headers,
+            "X-Request-Id": start.attempt,
+            "X-Priority": str(start.priority),
+            "X-Group-Size": str(len(start.upstreams)),
+        }
+        return self._session.request(
+            self._call.method,
+            base + self._call.path,
+            data=self._call.body,
+            headers=headers,
+        )
+
+    async def _hold_helpers(self, start: StartAttempt) -> bool:
+        parts = len(start.upstreams)
+        memory = -(-self.request.memory_tokens // parts)
+        body = msgspec.json.encode({"memory_tokens": memory})
+        for upstream in start.upstreams[1:]:
+            record = self._reporter.find(upstream)
+            if record is None:
+                return False
+            base = f"http://{record.announcement.address}"
+            url = f"{base}/v1/requests/{start.attempt}/memory"
+            async with self._session.put(url, data=body) as answer:
+                if answer.status >= 300:
+                    return False
+        return True
+
+    async def _read(
+        self, start: StartAttempt, answer: aiohttp.ClientResponse, *, is_resumed: bool
+    ) -> AttemptResult:
+        if self.request.service is not None:
+            return await self._read_service(start, answer)
+        if answer.status in (429, 503) and not is_resumed:
+            return await self._read_refusal(answer)
+        if answer.status >= 500 or (is_resumed and answer.status >= 400):
+            return Broken(f"the upstream answered {answer.status}")
+        if answer.status >= 400:
+            await self._pass_whole(answer)
+            return Completed()
+        if answer.content_type != EVENT_STREAM:
+            return Garbled(f"the upstream answered {answer.content_type}")
+        return await self._read_events(start, answer)
+
+    async def _read_refusal(self, answer: aiohttp.ClientResponse) -> AttemptResult:
+        body = await answer.content.read(4096)
+        with contextlib.suppress(msgspec.MsgspecError):
+            if msgspec.json.decode(body, type=_UpstreamProblem).ran == "no":
+                retry_after = float(answer.headers.get("Retry-After", "0"))
+                return NeverStarted("the upstream refused", retry_after)
+        return Broken(f"the upstream answered {answer.status}")
+
+    async def _read_service(
+        self, start: StartAttempt, answer: aiohttp.ClientResponse
+    ) -> AttemptResult:
+        self._reporter.started(start.attempt)
+        await self._pass_whole(answer)
+        return Completed()
+
+    async def _pass_whole(self, answer: aiohttp.ClientResponse) -> None:
+        body = await answer.content.read(LARGEST_ANSWER)
+        if not answer.content.at_eof():
+            body += await answer.read()
+        self.response = web.Response(
+            status=answer.status, body=body, content_type=answer.content_type
+        )
+
+    async def _read_events(
+        self, start: StartAttempt, answer: aiohttp.ClientResponse
+    ) -> AttemptResult:
+        framer = self._framer
+        async for data in answer.content.iter_any():
+            passed = framer.feed(data)
+            if not passed:
+                continue
+            if self.first_token_at is None:
+                self.first_token_at = asyncio.get_running_loop().time()
+                self._reporter.started(start.attempt)
+            if self.request.is_streamed:
+                await self._write(passed)
+            else:
+                self._collected.append(passed)
+        if not framer.is_whole:
+            return Broken("the stream ended before its end mark")
+        usage = read_usage(framer.tail)
+        self.output_tokens = usage.completion_tokens
+        if self.request.is_streamed:
+            assert self.response is not None
+            with contextlib.suppress(ConnectionError):
+                await self.response.write_eof()
+        else:
+            self.response = self._assemble(usage)
+        return Completed(
+            usage.completion_tokens,
+            usage.prompt_tokens,
+            usage.prompt_tokens_details.cached_tokens,
+        )
+
+    async def _write(self, data: bytes) -> None:
+        if self.response is None:
+            self.response = web.StreamResponse(headers={"Cache-Control": "no-store"})
+            self.response.content_type = EVENT_STREAM
+            self.response.headers["X-Request-Id"] = self.request.request
+            await self.response.prepare(self._http_request)
+        try:
+            await self.response.write(data)
+        except ConnectionError as error:
+            raise _CallerGoneError from error
+
+    def _assemble(self, usage: Usage) -> web.Response:
+        is_chat = self._call.path.startswith("/v1/chat")
+        body = assemble_answer(b"".join(self._collected), usage, is_chat=is_chat)
+        return web.Response(
+            body=body,
+            content_type="application/json",
+            headers={"X-Request-Id": self.request.request},
+        )
+
+
+class _UpstreamProblem(msgspec.Struct):
+    ran: str = "unknown"
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str = ""
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    delta: _Delta = _Delta()
+
+
+class _Event(msgspec.Struct):
+    choices: list[_Choice] = msgspec.field(default_factory=list)
+
+
+def assemble_answer(events: bytes, usage: Usage, *, is_chat: bool) -> bytes:
+    """Return the whole answer in the shape that callers expect of one."""
+    text = []
+    for payload in list_payloads(events):
+        try:
+            event = msgspec.json.decode(payload, type=_Event)
+        except msgspec.MsgspecError as error:
+            raise GarbledStreamError("an event is not JSON") from error
+        text += [choice.text or choice.delta.content for choice in event.choices]
+    whole = "".join(text)
+    choice: dict[str, object] = {"index": 0, "finish_reason": "stop"}
+    if is_chat:
+        choice["message"] = {"role": "assistant", "content": whole}
+    else:
+        choice["text"] = whole
+    kind = "chat.completion" if is_chat else "text_completion"
+    return msgspec.json.encode({"object": kind, "choices": [choice], "usage": usage})
--- /dev/null
+++ b/src/scalebend/edges/http_server.py
@@ -0,0 +1,308 @@
+"""HTTP for callers, upstreams and operators."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import ssl
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+from scalebend.core.catalog import check_announcement
+from scalebend.edges.admin import AdminHandlers
+from scalebend.edges.exchange import Exchange
+from scalebend.edges.problems import build_response
+from scalebend.edges.request_parser import (
+    ParsedCall,
+    parse_completion,
+    parse_service_call,
+)
+from scalebend.edges.runtime import ClaimedAnswerError, Runtime, run_core
+from scalebend.exceptions import (
+    ErrorKind,
+    RefusedError,
+    RequestError,
+    ScalebendError,
+)
+from scalebend.models.ids import CustomerId, RequestId
+from scalebend.models.settings import Settings, Tls
+from scalebend.models.upstream import Announcement
+from scalebend.utils.addresses import parse_address
+from scalebend.utils.documents import decode_document
+from scalebend.utils.keys import hash_key, is_known_key
+
+logger = structlog.get_logger(__name__)
+
+LARGEST_ANNOUNCEMENT = 1024 * 1024
+BEARER = "Bearer "
+
+Parser = Callable[..., ParsedCall]
+
+
+def read_key(request: web.Request) -> str:
+    """Return the key of the ``Authorization`` header, or an empty text."""
+    header = request.headers.get("Authorization", "")
+    return header[len(BEARER) :] if header.startswith(BEARER) else ""
+
+
+class CallerHandlers:
+    """Requests of callers and announcements of upstreams."""
+
+    def __init__(self, runtime: Runtime) -> None:
+        self._runtime = runtime
+        self._instance = runtime.instance
+        self._body_bytes = 0
+        self._keys_version = -1
+        self._customers: dict[str, CustomerId] = {}
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add what callers and upstreams use."""
+        app.router.add_post("/v1/completions", self._complete)
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_get("/v1/models", self._list_models)
+        app.router.add_route("*", "/services/{service}/{path:.*}", self._call_service)
+        app.router.add_post("/upstreams/announce", self._announce)
+        app.router.add_get("/health/live", self._answer_live)
+        app.router.add_get("/health/ready", self._answer_ready)
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, parse_completion)
+
+    async def _call_service(self, request: web.Request) -> web.StreamResponse:
+        return await self._serve(request, parse_service_call)
+
+    async def _serve(
+        self, http_request: web.Request, parse: Parser
+    ) -> web.StreamResponse:
+        name = self._runtime.build_request_id()
+        try:
+            customer = self._identify(http_request)
+            self._check_ready()
+            async with self._read_body(http_request) as body:
+                now = self._runtime.now()
+                parsed = parse(http_request, body, self._instance, name, customer, now)
+                return await self._run(http_request, parsed)
+        except ScalebendError as error:
+            self._runtime.metrics.incr(f"request.failed.{error.kind.value}")
+            logger.info(
+                "request failed",
+                request=name,
+                kind=error.kind.value,
+                ran=error.ran.value,
+                detail=error.detail,
+            )
+            return build_response(error, name)
+
+    def _check_ready(self) -> None:
+        readiness = self._instance.read_readiness(self._runtime.now())
+        if not readiness.is_ready:
+            raise RefusedError(
+                readiness.reason, kind=ErrorKind.NOT_READY, retry_after=1.0
+            )
+
+    def _identify(self, request: web.Request) -> CustomerId:
+        accepted = self._instance.configuration
+        if accepted.version != self._keys_version:
+            self._keys_version = accepted.version
+            self._customers = {
+                key_hash: customer.customer
+                for customer in accepted.configuration.customers
+                for key_hash in customer.key_hashes
+            }
+        # The table is searched by the hash of the key: what its timing could tell
+        # is the hash, from which no key follows.
+        customer = self._customers.get(hash_key(read_key(request)))
+        if customer is None:
+            raise RequestError("the key is unknown", kind=ErrorKind.UNKNOWN_KEY)
+        return customer
+
+    @contextlib.asynccontextmanager
+    async def _read_body(self, request: web.Request) -> AsyncIterator[bytes]:
+        limits = self._instance.settings.limits
+        announced = request.content_length
+        size = limits.body_bytes if announced is None else announced
+        if size > limits.body_bytes:
+            raise RequestError(
+                f"the body may have {limits.body_bytes} bytes",
+                kind=ErrorKind.BODY_TOO_LARGE,
+            )
+        if self._body_bytes + size > limits.body_bytes_sum:
+            raise RefusedError("too many bodies are held", retry_after=1.0)
+        self._body_bytes += size
+        try:
+            yield await self._read_within(request, limits.default_time_limit)
+        finally:
+            self._body_bytes -= size
+
+    async def _read_within(self, request: web.Request, seconds: float) -> bytes:
+        try:
+            return await asyncio.wait_for(request.read(), seconds)
+        except TimeoutError:
+            raise RequestError("the body did not arrive in time") from None
+        except web.HTTPRequestEntityTooLarge as error:
+            raise RequestError(
+                error.text or "the body is too large", kind=ErrorKind.BODY_TOO_LARGE
+            ) from None
+
+    async def _run(
+        self, http_request: web.Request, parsed: ParsedCall
+    ) -> web.StreamResponse:
+        runtime = self._runtime
+        exchange = Exchange(
+            parsed.request,
+            parsed.call,
+            http_request,
+            runtime.session,
+            runtime.build_reporter(),
+        )
+        runtime.admit(exchange)
+        try:
+            error = await exchange.concluded
+        except asyncio.CancelledError:
+            runtime.cancel(parsed.request.request)
+            raise
+        finally:
+            runtime.forget(exchange)
+        self._record(exchange, error)
+        return await self._answer(exchange, error)
+
+    async def _answer(
+        self, exchange: Exchange, error: ScalebendError | None
+    ) -> web.StreamResponse:
+        if isinstance(error, ClaimedAnswerError):
+            stored = error.stored
+            return web.Response(
+                status=stored.status,
+                body=stored.body,
+                content_type=stored.content_type,
+                headers={"X-Repeated": "true"},
+            )
+        if error is None:
+            assert exchange.response is not None
+            return exchange.response
+        if exchange.response is not None and exchange.response.prepared:
+            await exchange.write_error(error)
+            return exchange.response
+        raise error
+
+    def _record(self, exchange: Exchange, error: ScalebendError | None) -> None:
+        metrics = self._runtime.metrics
+        request = exchange.request
+        now = self._runtime.now()
+        metrics.timing("request.duration", (now - request.arrived) * 1000.0)
+        if exchange.first_token_at is not None:
+            wait = (exchange.first_token_at - request.arrived) * 1000.0
+            metrics.timing("request.first_token", wait)
+        if error is None:
+            metrics.incr("request.finished")
+            metrics.incr("tokens.output", exchange.output_tokens)
+
+    async def _list_models(self, request: web.Request) -> web.Response:
+        models = self._instance.configuration.configuration.models
+        data = [{"id": model.model, "object": "model"} for model in models]
+        return web.json_response({"object": "list", "data": data})
+
+    async def _announce(self, request: web.Request) -> web.Response:
+        hashes = self._instance.settings.upstream_key_hashes
+        if hashes and not is_known_key(read_key(request), hashes):
+            error = RequestError("the key is unknown", kind=ErrorKind.UNKNOWN_KEY)
+            return build_response(error)
+        try:
+            if (request.content_length or 0) > LARGEST_ANNOUNCEMENT:
+                raise RequestError(
+                    "the announcement is too large", kind=ErrorKind.BODY_TOO_LARGE
+                )
+            announcement = decode_document(
+                await request.read(), Announcement, ErrorKind.INVALID_ANNOUNCEMENT
+            )
+            check_announcement(announcement)
+        except ScalebendError as error:
+            return build_response(error)
+        self._runtime.announcements.on_next(announcement)
+        return web.Response(status=202)
+
+    async def _answer_live(self, request: web.Request) -> web.Response:
+        return web.Response(text="live\n")
+
+    async def _answer_ready(self, request: web.Request) -> web.Response:
+        readiness = self._instance.read_readiness(self._runtime.now())
+        if readiness.is_ready:
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text=readiness.reason + "\n")
+
+
+@web.middleware
+async def _answer_unknown_paths(
+    request: web.Request,
+    handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+) -> web.StreamResponse:
+    try:
+        return await handler(request)
+    except (web.HTTPNotFound, web.HTTPMethodNotAllowed):
+        detail = f"{request.method} {request.path}"
+        return build_response(RequestError(detail, kind=ErrorKind.NOT_FOUND))
+    except ScalebendError as error:
+        return build_response(error, RequestId(""))
+
+
+def build_app(runtime: Runtime) -> web.Application:
+    """Return the HTTP application of an instance."""
+    limits = runtime.instance.settings.limits
+    app = web.Application(
+        client_max_size=limits.body_bytes, middlewares=[_answer_unknown_paths]
+    )
+    CallerHandlers(runtime).add_routes(app)
+    AdminHandlers(runtime).add_routes(app)
+    return app
+
+
+def _build_ssl(tls: Tls | None) -> ssl.SSLContext | None:
+    if tls is None:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    if tls.authority is not None:
+        context.load_verify_locations(tls.authority)
+        context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+@contextlib.asynccontextmanager
+async def serve_instance(
+    settings: Settings, *, seed: int = 0
+) -> AsyncIterator[Runtime]:
+    """Run an instance with its HTTP server."""
+    address = parse_address(settings.listen.callers)
+    async with run_core(settings, seed=seed) as runtime:
+        runner = web.AppRunner(
+            build_app(runtime),
+            handler_cancellation=True,
+            access_log=None,
+            shutdown_timeout=2.0,
+        )
+        await runner.setup()
+        try:
+            site = web.TCPSite(
+                runner,
+                address.host,
+                address.port,
+                ssl_context=_build_ssl(settings.caller_tls),
+            )
+            await site.start()
+            logger.info("instance listens", instance=settings.instance)
+            yield runtime
+        finally:
+            await runner.cleanup()
+
+
+async def drain(runtime: Runtime, longest: float) -> bool:
+    """Stop as planned: finish what is open; return whether all of it ended."""
+    runtime.drain()
+    deadline = runtime.now() + longest
+    while runtime.count_open() and runtime.now() < deadline:
+        await asyncio.sleep(0.05)
+    # Others must have heard of the hand-over before this process is gone.
+    await asyncio.sleep(1.0 if runtime.instance.settings.peers else 0.0)
+    return runtime.count_open() == 0
--- /dev/null
+++ b/src/scalebend/edges/request_parser.py
@@ -0,0 +1,233 @@
+"""Turn an HTTP request of a caller into a :class:`Request` of the core."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from scalebend.core.instance import Instance
+from scalebend.core.prefixes import compute_prefixes
+from scalebend.edges.exchange import OutgoingCall
+from scalebend.exceptions import ErrorKind, RequestError
+from scalebend.models.configuration import Service
+from scalebend.models.ids import (
+    CustomerId,
+    IdempotencyKey,
+    ModelName,
+    RequestId,
+    ServiceName,
+)
+from scalebend.models.work import Request
+
+TIME_LIMIT_HEADER = "X-Time-Limit"
+PRIORITY_HEADER = "X-Priority"
+REPEAT_HEADER = "X-Not-Repeatable"
+KEY_HEADER = "Idempotency-Key"
+
+MOST_PRIORITY = 3
+DEFAULT_OUTPUT_TOKENS = 256
+MOST_OUTPUT_TOKENS = 1_000_000
+LONGEST_KEY = 200
+SAFE_METHODS = ("GET", "HEAD", "OPTIONS")
+FORWARDED_HEADERS = ("Content-Type", "Accept", "X-Order")
+
+_RAW_FIELDS = msgspec.json.Decoder(dict[str, msgspec.Raw])
+
+
+class ParsedCall(msgspec.Struct, frozen=True):
+    """A caller's request, for the core and for the upstream."""
+
+    request: Request
+    call: OutgoingCall
+    prompt_bytes: int = 0
+
+
+class _Fields(msgspec.Struct):
+    """The fields of a completion that scalebend itself reads."""
+
+    model: str
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    adapter: str | None = None
+    version: str | None = None
+
+
+def read_time_limit(headers: Mapping[str, str], instance: Instance) -> float:
+    """Return the request's time limit in seconds."""
+    limits = instance.settings.limits
+    text = headers.get(TIME_LIMIT_HEADER)
+    if text is None:
+        return limits.default_time_limit
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not 0.0 < seconds <= limits.longest_time_limit:
+        raise RequestError(
+            f"{TIME_LIMIT_HEADER}: expected seconds above 0 and up to "
+            f"{limits.longest_time_limit:g}",
+            kind=ErrorKind.INVALID_TIME_LIMIT,
+        )
+    return seconds
+
+
+def read_priority(headers: Mapping[str, str]) -> int:
+    """Return the request's priority among its customer's requests."""
+    text = headers.get(PRIORITY_HEADER, "0")
+    try:
+        priority = int(text)
+    except ValueError:
+        priority = MOST_PRIORITY + 1
+    if abs(priority) > MOST_PRIORITY:
+        raise RequestError(
+            f"{PRIORITY_HEADER}: expected -{MOST_PRIORITY} to {MOST_PRIORITY}"
+        )
+    return priority
+
+
+def parse_completion(
+    http_request: web.Request,
+    body: bytes,
+    instance: Instance,
+    name: RequestId,
+    customer: CustomerId,
+    now: float,
+) -> ParsedCall:
+    """Parse ``/v1/completions`` and ``/v1/chat/completions``."""
+    raw, fields = _decode_fields(body)
+    prompt_field = "messages" if "/chat/" in http_request.path else "prompt"
+    prompt = raw.get(prompt_field)
+    if prompt is None or bytes(prompt) in (b'""', b"[]", b"null"):
+        raise RequestError(f"$.{prompt_field}: expected a prompt")
+    model = instance.get_model(ModelName(fields.model))
+    if model is None:
+        raise RequestError(
+            f"$.model: {fields.model!r} is not configured",
+            kind=ErrorKind.UNKNOWN_MODEL,
+        )
+    output_tokens = fields.max_completion_tokens or fields.max_tokens
+    output_tokens = output_tokens or DEFAULT_OUTPUT_TOKENS
+    if not 1 <= output_tokens <= MOST_OUTPUT_TOKENS:
+        raise RequestError(f"$.max_tokens: expected 1 to {MOST_OUTPUT_TOKENS}")
+    data = bytes(prompt)
+    tokens = instance.entry.sizes.estimate_tokens(model.model, len(data))
+    if tokens > model.longest_prompt * 1.25:
+        raise RequestError(
+            f"the prompt has about {tokens} tokens; "
+            f"the model takes {model.longest_prompt}",
+            kind=ErrorKind.PROMPT_TOO_LONG,
+        )
+    headers = http_request.headers
+    key, is_repeatable = _read_repeatability(headers, must_have_key=False)
+    request = Request(
+        request=name,
+        customer=customer,
+        arrived=now,
+        deadline=now + read_time_limit(headers, instance),
+        model=model.model,
+        adapter=fields.adapter,
+        version=fields.version,
+        prompt_tokens=tokens,
+        output_tokens=output_tokens,
+        priority=read_priority(headers),
+        repeatable=is_repeatable,
+        is_streamed=fields.stream,
+        idempotency_key=key,
+        fingerprint=_compute_fingerprint(http_request.path, body) if key else "",
+        prefixes=compute_prefixes(data),
+    )
+    if not fields.stream:
+        raw["stream"] = msgspec.Raw(b"true")
+        body = msgspec.json.encode(raw)
+    call = OutgoingCall(
+        "POST", http_request.path, body, {"Content-Type": "application/json"}
+    )
+    return ParsedCall(request, call, len(data))
+
+
+def parse_service_call(
+    http_request: web.Request,
+    body: bytes,
+    instance: Instance,
+    name: RequestId,
+    customer: CustomerId,
+    now: float,
+) -> ParsedCall:
+    """Parse ``/services/{service}/...``."""
+    service = instance.get_service(ServiceName(http_request.match_info["service"]))
+    if service is None:
+        raise RequestError(
+            f"service {http_request.match_info['service']!r} is not configured",
+            kind=ErrorKind.UNKNOWN_SERVICE,
+        )
+    path = "/" + http_request.match_info["path"]
+    method = http_request.method
+    headers = http_request.headers
+    may_repeat = is_repeatable_call(service, method, path)
+    key, is_repeatable = _read_repeatability(headers, must_have_key=not may_repeat)
+    if http_request.query_string:
+        path = f"{path}?{http_request.query_string}"
+    request = Request(
+        request=name,
+        customer=customer,
+        arrived=now,
+        deadline=now + read_time_limit(headers, instance),
+        service=service.service,
+        priority=read_priority(headers),
+        repeatable=is_repeatable,
+        is_streamed=False,
+        idempotency_key=key,
+        fingerprint=_compute_fingerprint(f"{method} {path}", body) if key else "",
+    )
+    forwarded = {n: headers[n] for n in FORWARDED_HEADERS if n in headers}
+    if key is not None:
+        forwarded[KEY_HEADER] = key
+    return ParsedCall(request, OutgoingCall(method, path, body, forwarded))
+
+
+def is_repeatable_call(service: Service, method: str, path: str) -> bool:
+    """Whether the configuration lets this call be repeated."""
+    matching = [
+        call
+        for call in service.calls
+        if call.method == method and path.startswith(call.path)
+    ]
+    if matching:
+        longest = max(matching, key=lambda call: len(call.path))
+        return longest.repeatable
+    return method in SAFE_METHODS
+
+
+def _decode_fields(body: bytes) -> tuple[dict[str, msgspec.Raw], _Fields]:
+    try:
+        raw = _RAW_FIELDS.decode(body)
+        fields = msgspec.json.decode(body, type=_Fields)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise RequestError(f"the body is not valid: {error}") from None
+    return raw, fields
+
+
+def _read_repeatability(
+    headers: Mapping[str, str], *, must_have_key: bool
+) -> tuple[IdempotencyKey | None, bool]:
+    text = headers.get(KEY_HEADER)
+    is_marked = headers.get(REPEAT_HEADER, "false").lower() == "true"
+    if text is None:
+        if must_have_key or is_marked:
+            raise RequestError(
+                f"{KEY_HEADER}: expected, since this call must not be repeated",
+                kind=ErrorKind.MISSING_IDEMPOTENCY_KEY,
+            )
+        return None, True
+    if not 1 <= len(text) <= LONGEST_KEY:
+        raise RequestError(f"{KEY_HEADER}: expected 1 to {LONGEST_KEY} characters")
+    return IdempotencyKey(text), False
+
+
+def _compute_fingerprint(path: str, body: bytes) -> str:
+    return xxhash.xxh3_128_hexdigest(path.encode() + b"\0" + body)
--- /dev/null
+++ b/src/scalebend/edges/runtime.py
@@ -0,0 +1,410 @@
+"""Carries out the core's actions: timers, links, files, and open exchanges."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator, Coroutine, Iterator, Sequence
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import reactivex
+import structlog
+from reactivex.scheduler.eventloop import AsyncIOScheduler
+from reactivex.subject import Subject
+
+from scalebend.core.catalog import UpstreamRecord
+from scalebend.core.claims import (
+    Claim,
+    ClaimConflict,
+    ClaimKnown,
+    ClaimTaken,
+    Settle,
+    StoredAnswer,
+    Withdraw,
+)
+from scalebend.core.consensus.messages import Recovered
+from scalebend.core.control_client import Proposed
+from scalebend.core.control_member import ToInstance
+from scalebend.core.control_state import Command, Result
+from scalebend.core.flow import (
+    AbortAttempt,
+    AttemptResult,
+    ClaimKey,
+    Conclude,
+    ResumeAttempt,
+    StartAttempt,
+)
+from scalebend.core.instance import Instance, InstanceAction
+from scalebend.core.membership import Outbound
+from scalebend.core.owner import CancelOnEngine
+from scalebend.edges.exchange import AttemptReporter, Exchange
+from scalebend.edges.gossip import GossipSocket, open_gossip
+from scalebend.edges.metrics import Metrics, build_metrics
+from scalebend.edges.peers import PeerTransport, serve_peers
+from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
+from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
+from scalebend.models.messages import Datagram, PeerMessage
+from scalebend.models.settings import Settings
+from scalebend.models.upstream import Announcement
+from scalebend.storage.journal import Journal, open_journal
+
+logger = structlog.get_logger(__name__)
+
+TICK = 0.05
+"""Seconds between two calls of the core's timers."""
+
+CLAIM_TIMEOUT = 2.0
+SETTLE_TIMEOUT = 60.0
+CANCEL_TIMEOUT = 2.0
+
+
+class ClaimedAnswerError(ClaimError):
+    """The key's first request was answered; its stored answer is given again."""
+
+    def __init__(self, answer: StoredAnswer) -> None:
+        super().__init__("this request was run before", ran=Ran.YES)
+        self.stored = answer
+
+
+class Runtime:
+    """One running instance."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        journal: Journal | None,
+        session: aiohttp.ClientSession,
+        metrics: Metrics,
+    ) -> None:
+        self.instance = instance
+        self.metrics = metrics
+        self.session = session
+        self.journal = journal
+        self.announcements: Subject[Announcement] = Subject()
+        self.peers: PeerTransport | None = None
+        self.gossip: GossipSocket | None = None
+        self.stopped = asyncio.Event()
+        self._loop = asyncio.get_running_loop()
+        self._exchanges: dict[RequestId, Exchange] = {}
+        self._attempts: dict[AttemptId, Exchange] = {}
+        self._proposals: dict[str, asyncio.Future[Result | None]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._is_pumping = False
+        self._count = 0
+        self.announcements.subscribe(on_next=self._take_announcement)
+
+    def now(self) -> float:
+        """Seconds of the clock that only runs forward."""
+        return self._loop.time()
+
+    # Requests
+
+    def build_request_id(self) -> RequestId:
+        """Return a name that no other request of the system has."""
+        self._count += 1
+        incarnation = f"{self.instance.incarnation:x}"
+        return RequestId(f"{self.instance.me}-{incarnation}-{self._count}")
+
+    def admit(self, exchange: Exchange) -> None:
+        """Admit the request of an exchange; raise when it is refused at once."""
+        request = exchange.request
+        self._exchanges[request.request] = exchange
+        try:
+            self.execute(self.instance.admit(request, self.now()))
+        except ScalebendError:
+            del self._exchanges[request.request]
+            raise
+
+    def cancel(self, request: RequestId) -> None:
+        """The caller went away."""
+        self.execute(self.instance.cancel(request, self.now()))
+
+    def forget(self, exchange: Exchange) -> None:
+        """The caller was answered."""
+        request = exchange.request
+        self._exchanges.pop(request.request, None)
+        self.instance.finish(request.request, request.customer)
+
+    def count_open(self) -> int:
+        """Requests that are not answered yet."""
+        return len(self._exchanges)
+
+    def build_reporter(self) -> AttemptReporter:
+        """Return what exchanges report to."""
+        return AttemptReporter(
+            self._report_started, self._report_ended, self.cancel, self._find
+        )
+
+    def _find(self, upstream: UpstreamId) -> UpstreamRecord | None:
+        return self.instance.catalog.get(upstream)
+
+    def _report_started(self, attempt: AttemptId) -> None:
+        self.execute(self.instance.handle_started(attempt, self.now()))
+
+    def _report_ended(self, attempt: AttemptId, result: AttemptResult) -> None:
+        self.execute(self.instance.handle_result(attempt, result, self.now()))
+
+    # Inputs
+
+    def _take_announcement(self, announcement: Announcement) -> None:
+        self.execute(self.instance.take_announcement(announcement, self.now()))
+
+    def receive_message(self, sender: InstanceId, message: PeerMessage) -> None:
+        """Take a message of another instance."""
+        actions = self.instance.handle_peer(sender, message, self.now(), time.time())
+        self.execute(actions)
+
+    def receive_datagram(self, datagram: Datagram) -> None:
+        """Take a datagram of another instance."""
+        self.execute(self.instance.handle_datagram(datagram, self.now()))
+
+    def tick(self) -> None:
+        """Run the core's timers."""
+        try:
+            self.execute(self.instance.advance(self.now(), time.time()))
+        except Exception:
+            # The timer must go on: every time limit depends on it.
+            logger.exception("tick failed")
+
+    def drain(self) -> None:
+        """Begin a planned stop."""
+        logger.info("drain begins", open=self.count_open())
+        self.execute(self.instance.drain(self.now()))
+
+    async def propose(self, command: Command, timeout: float) -> Result | None:
+        """Commit a command; ``None`` when no quorum answered in time."""
+        name, actions = self.instance.propose(command, timeout, self.now())
+        future: asyncio.Future[Result | None] = self._loop.create_future()
+        self._proposals[name] = future
+        self.execute(actions)
+        return await future
+
+    # Actions
+
+    def execute(self, actions: Sequence[InstanceAction]) -> None:
+        """Carry out actions of the core."""
+        for action in actions:
+            self._execute_one(action)
+        if self.instance.control is not None and not self._is_pumping:
+            self._is_pumping = True
+            self._loop.call_soon(self._pump_control)
+
+    def _execute_one(self, action: InstanceAction) -> None:
+        match action:
+            case ToInstance(instance, message):
+                self._send(instance, message)
+            case Outbound(address, datagram):
+                if self.gossip is not None:
+                    self.gossip.send(address, datagram)
+            case StartAttempt(attempt, request):
+                exchange = self._exchanges.get(request)
+                if exchange is not None:
+                    self._attempts[attempt] = exchange
+                    exchange.start(action)
+            case ResumeAttempt(attempt):
+                if attempt in self._attempts:
+                    self._attempts[attempt].resume()
+            case AbortAttempt(attempt):
+                aborted = self._attempts.pop(attempt, None)
+                if aborted is not None:
+                    aborted.abort()
+            case ClaimKey(request):
+                self._spawn(self._claim(request))
+            case Conclude(request, error):
+                self._conclude(request, error)
+            case CancelOnEngine(upstream, attempt):
+                self._spawn(self._cancel_on_engine(upstream, attempt))
+            case Proposed(proposal, result):
+                future = self._proposals.pop(proposal, None)
+                if future is not None and not future.done():
+                    future.set_result(result)
+
+    def _send(self, instance: InstanceId, message: PeerMessage) -> None:
+        address = self._find_address(instance)
+        if address is not None and self.peers is not None:
+            self.peers.send(instance, address, message)
+
+    def _find_address(self, instance: InstanceId) -> str | None:
+        listed = self.instance.membership.get_listed(instance)
+        if listed is not None:
+            return listed.peers
+        for peer in self.instance.settings.peers:
+            if peer.instance == instance:
+                return peer.peers
+        return None
+
+    def _conclude(self, request: RequestId, error: ScalebendError | None) -> None:
+        exchange = self._exchanges.get(request)
+        if exchange is None:
+            return
+        exchange.conclude(error)
+        is_claimed = exchange.request.idempotency_key is not None
+        if is_claimed and not isinstance(error, ClaimError):
+            self._spawn(self._settle(exchange, error))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _claim(self, name: RequestId) -> None:
+        exchange = self._exchanges.get(name)
+        if exchange is None:
+            return
+        request = exchange.request
+        assert request.idempotency_key is not None
+        command = Claim(
+            request.customer, request.idempotency_key, request.fingerprint, name
+        )
+        timeout = min(CLAIM_TIMEOUT, max(0.0, request.deadline - self.now()))
+        result = await self.propose(command, timeout)
+        error = _read_claim(result)
+        self.execute(self.instance.handle_claim(name, error, self.now()))
+
+    async def _settle(self, exchange: Exchange, error: ScalebendError | None) -> None:
+        request = exchange.request
+        assert request.idempotency_key is not None
+        command: Command
+        if error is not None and error.ran is Ran.NO:
+            command = Withdraw(
+                request.customer, request.idempotency_key, request.request
+            )
+        elif error is None and (stored := exchange.read_stored_answer()) is not None:
+            command = Settle(
+                request.customer, request.idempotency_key, request.request, stored
+            )
+        else:
+            return
+        await self.propose(command, SETTLE_TIMEOUT)
+
+    async def _cancel_on_engine(self, upstream: UpstreamId, attempt: AttemptId) -> None:
+        record = self.instance.catalog.get(upstream)
+        if record is None:
+            return
+        url = f"http://{record.announcement.address}/v1/requests/{attempt}"
+        timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with self.session.delete(url, timeout=timeout) as answer:
+                if answer.status in (200, 202, 204, 404):
+                    now = self.now()
+                    self.execute(
+                        self.instance.confirm_cancelled(upstream, attempt, now)
+                    )
+
+    # Control
+
+    def _pump_control(self) -> None:
+        self._is_pumping = False
+        control = self.instance.control
+        journal = self.journal
+        if control is None or journal is None:
+            return
+        while True:
+            ready = control.take_ready(self.now())
+            if ready.is_empty and not control.has_outgoing:
+                break
+            if ready.snapshot is not None:
+                hard_state, tail = control.read_tail(ready.snapshot)
+                journal.store_snapshot(ready.snapshot, hard_state, tail)
+            elif ready.persist is not None:
+                journal.write(ready.persist)
+            self.execute(self.instance.finish_control(ready, self.now()))
+        snapshot = control.build_due_snapshot()
+        if snapshot is not None:
+            hard_state, tail = control.read_tail(snapshot)
+            journal.store_snapshot(snapshot, hard_state, tail)
+            control.replica.compact(snapshot)
+
+    async def close(self) -> None:
+        """End background work."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _read_claim(result: Result | None) -> ScalebendError | None:
+    match result:
+        case ClaimTaken():
+            return None
+        case ClaimKnown(_, answer) if answer is not None and answer.body is not None:
+            return ClaimedAnswerError(answer)
+        case ClaimKnown(state, answer):
+            ran = Ran.YES if answer is not None else Ran.UNKNOWN
+            detail = f"the first request with this key is {state.value}"
+            return ClaimError(detail, ran=ran)
+        case ClaimConflict():
+            return ClaimError(
+                "the key was used with other content",
+                kind=ErrorKind.IDEMPOTENCY_CONFLICT,
+            )
+        case _:
+            return ScalebendError(
+                "the claim was not confirmed in time",
+                kind=ErrorKind.NO_QUORUM,
+                retry_after=2.0,
+            )
+
+
+@contextlib.contextmanager
+def _recover(
+    settings: Settings,
+) -> Iterator[tuple[Journal | None, Recovered | None]]:
+    if not settings.is_control:
+        yield None, None
+        return
+    assert settings.data_folder is not None
+    with open_journal(Path(settings.data_folder) / "control") as opened:
+        yield opened
+
+
+@contextlib.asynccontextmanager
+async def run_core(settings: Settings, *, seed: int = 0) -> AsyncIterator[Runtime]:
+    """Run an instance's core with its links, files and timers."""
+    loop = asyncio.get_running_loop()
+    key = None
+    if settings.gossip_key_file is not None:
+        key = Path(settings.gossip_key_file).read_bytes().strip()
+    async with contextlib.AsyncExitStack() as stack:
+        journal, recovered = stack.enter_context(_recover(settings))
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=connector,
+                timeout=timeout,
+                auto_decompress=False,
+                read_bufsize=2**16,
+            )
+        )
+        instance = Instance(
+            settings,
+            recovered,
+            now=loop.time(),
+            incarnation=int(time.time() * 1000),
+            seed=seed,
+        )
+        runtime = Runtime(instance, journal, session, build_metrics(settings.statsd))
+        stack.push_async_callback(runtime.close)
+        runtime.peers = await stack.enter_async_context(
+            serve_peers(
+                settings.instance,
+                settings.listen.peers,
+                settings.peer_tls,
+                runtime.receive_message,
+            )
+        )
+        runtime.gossip = await stack.enter_async_context(
+            open_gossip(settings.listen.gossip, runtime.receive_datagram, key)
+        )
+        ticks = reactivex.interval(TICK, scheduler=AsyncIOScheduler(loop)).subscribe(
+            on_next=lambda _: runtime.tick(), on_error=_log_failure
+        )
+        stack.callback(ticks.dispose)
+        yield runtime
+
+
+def _log_failure(error: Exception) -> None:
+    logger.error("timer failed", exc_info=error)
--- /dev/null
+++ b/src/scalebend/models/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes shared by every layer; no behaviour beyond derivation."""
--- /dev/null
+++ b/src/scalebend/models/ids.py
@@ -0,0 +1,53 @@
+"""Identifier types. Each is a plain value at run time and distinct to the checker."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+InstanceId = NewType("InstanceId", str)
+"""Name of one scalebend instance, unique in the system."""
+
+AvailabilityZone = NewType("AvailabilityZone", str)
+"""Name of an availability zone."""
+
+Region = NewType("Region", str)
+"""Name of a region; availability zones belong to one."""
+
+CustomerId = NewType("CustomerId", str)
+"""Name of a customer in the configuration."""
+
+UpstreamId = NewType("UpstreamId", str)
+"""Name an upstream gives itself; stable over its restarts."""
+
+Incarnation = NewType("Incarnation", int)
+"""Number that an upstream or instance raises at each start."""
+
+ModelName = NewType("ModelName", str)
+"""Name of a model, as callers write it."""
+
+ServiceName = NewType("ServiceName", str)
+"""Name of a plain service."""
+
+RequestId = NewType("RequestId", str)
+"""One request of a caller."""
+
+AttemptId = NewType("AttemptId", str)
+"""One attempt to run a request on one upstream, unique in the system."""
+
+IdempotencyKey = NewType("IdempotencyKey", str)
+"""Caller's key for a request that is not to be repeated; scoped by customer."""
+
+ChangeId = NewType("ChangeId", str)
+"""Operator's key for one configuration change; a resend carries the same."""
+
+ConfigurationVersion = NewType("ConfigurationVersion", int)
+"""Number of an accepted configuration; rises by one with each change."""
+
+Epoch = NewType("Epoch", int)
+"""Number of the committed instance list that ownership is derived from."""
+
+Term = NewType("Term", int)
+"""Election term of the control group; also the fencing number of orders."""
+
+LogIndex = NewType("LogIndex", int)
+"""Position in the control group's log; the first entry has index 1."""
--- /dev/null
+++ b/src/scalebend/standins/engine_model.py
@@ -0,0 +1,312 @@
+"""Model of one engine in virtual or real time, without I/O.
+
+Continuous batching: each step generates one token for every decoding sequence and
+prefills one chunk of the prompt that comes first by priority. Steps between two
+changes of the batch are alike and are taken together. The assumptions stand in
+docs/measuring.md.
+"""
+
+from __future__ import annotations
+
+import heapq
+import math
+from collections import OrderedDict
+
+import msgspec
+
+from scalebend.models.ids import AttemptId
+from scalebend.models.upstream import CacheEvent
+
+PREFILL_ONLY_OVERHEAD = 0.002
+"""Seconds of a step that generates no token, besides its prefill."""
+
+SEQUENCE_OVERHEAD = 0.0001
+"""Seconds that each decoding sequence adds to a step."""
+
+
+class EngineParameters(msgspec.Struct, frozen=True):
+    """Capacity of an engine; rates in tokens a second, memory in tokens."""
+
+    memory_tokens: int = 400_000
+    concurrency: int = 64
+    prefill_rate: float = 20_000.0
+    step_time: float = 0.02
+    chunk_tokens: int = 256
+    idle_chunk_tokens: int = 2_048
+
+
+class Sequence(msgspec.Struct):
+    """One attempt on the engine."""
+
+    attempt: AttemptId
+    memory_tokens: int
+    output_tokens: int
+    priority: int
+    cached_tokens: int = 0
+    prefill_left: int = 0
+    speed: int = 1
+    prefixes: tuple[tuple[int, int], ...] = ()
+    first_token: float | None = None
+    ends_at_count: int = 0
+
+
+class FirstToken(msgspec.Struct, frozen=True):
+    """Event: the prompt is prefilled and one token generated."""
+
+    attempt: AttemptId
+    at: float
+
+
+class Finished(msgspec.Struct, frozen=True):
+    """Event: the last token was generated."""
+
+    attempt: AttemptId
+    at: float
+    output_tokens: int
+
+
+EngineEvent = FirstToken | Finished
+
+
+class _Span(msgspec.Struct):
+    """Equal steps that run now."""
+
+    start: float
+    step: float
+    steps: int
+    prefilling: AttemptId | None
+    chunk: int
+
+
+class EngineModel:
+    """Batch, memory and prefix cache of one engine."""
+
+    def __init__(self, parameters: EngineParameters) -> None:
+        self.parameters = parameters
+        self.used_tokens = 0
+        self.refused_full = 0
+        self._sequences: dict[AttemptId, Sequence] = {}
+        self._tombstones: OrderedDict[AttemptId, None] = OrderedDict()
+        self._prefill: list[tuple[int, int, AttemptId]] = []
+        self._decoding: list[tuple[int, AttemptId]] = []
+        self._decoding_count = 0
+        self._count = 0
+        self._order = 0
+        self._span: _Span | None = None
+        self._cache: OrderedDict[int, int] = OrderedDict()
+        self._cache_tokens = 0
+        self._events: list[CacheEvent] = []
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._sequences)
+
+    def list_running(self) -> list[AttemptId]:
+        """Attempts that hold memory."""
+        return list(self._sequences)
+
+    def count_cached(self, prefixes: tuple[tuple[int, int], ...]) -> int:
+        """Tokens of the longest cached prefix; pairs are (hash, tokens)."""
+        for prefix, tokens in reversed(prefixes):
+            if prefix in self._cache:
+                self._cache.move_to_end(prefix)
+                return tokens
+        return 0
+
+    def submit(
+        self,
+        attempt: AttemptId,
+        *,
+        prompt_tokens: int,
+        output_tokens: int,
+        priority: int,
+        now: float,
+        prefixes: tuple[tuple[int, int], ...] = (),
+        speed: int = 1,
+    ) -> Sequence | None:
+        """Start an attempt; ``None`` when it was cancelled before or does not fit.
+
+        ``speed`` is the number of engines that prefill the prompt together.
+        """
+        memory = -(-(prompt_tokens + output_tokens) // speed)
+        if not self.hold(attempt, memory):
+            return None
+        cached = min(self.count_cached(prefixes), prompt_tokens - 1)
+        sequence = self._sequences[attempt]
+        sequence.output_tokens = max(1, output_tokens)
+        sequence.priority = priority
+        sequence.cached_tokens = cached
+        sequence.prefill_left = max(1, -(-(prompt_tokens - cached) // speed))
+        sequence.prefixes = prefixes
+        self._cut_span(now)
+        self._order += 1
+        heapq.heappush(self._prefill, (-priority, self._order, attempt))
+        return sequence
+
+    def hold(self, attempt: AttemptId, memory_tokens: int) -> bool:
+        """Hold memory for an attempt, for itself or as a helper of another engine."""
+        if attempt in self._tombstones or attempt in self._sequences:
+            return False
+        if self.used_tokens + memory_tokens > self.parameters.memory_tokens:
+            self.refused_full += 1
+            return False
+        self._sequences[attempt] = Sequence(attempt, memory_tokens, 1, 0)
+        self.used_tokens += memory_tokens
+        self._evict()
+        return True
+
+    def cancel(self, attempt: AttemptId, now: float) -> None:
+        """Stop an attempt and refuse it should it still arrive."""
+        self._tombstones[attempt] = None
+        while len(self._tombstones) > 10_000:
+            self._tombstones.popitem(last=False)
+        if attempt in self._sequences:
+            self._cut_span(now)
+            self._drop(attempt)
+
+    def plan(self, now: float, most_steps: int | None = None) -> float | None:
+        """Begin the next steps if none run; return when they end."""
+        if self._span is None:
+            self._span = self._build_span(now, most_steps)
+        if self._span is None:
+            return None
+        return self._span.start + self._span.step * self._span.steps
+
+    def complete(self, now: float) -> list[EngineEvent]:
+        """End the running steps when their time has come; return what happened."""
+        span = self._span
+        if span is None or now < span.start + span.step * span.steps - 1e-9:
+            return []
+        self._span = None
+        return self._apply(span, span.steps)
+
+    def take_cache_events(self) -> list[CacheEvent]:
+        """Cache events since the last call."""
+        events = self._events
+        self._events = []
+        return events
+
+    def count_generated(self, attempt: AttemptId) -> int:
+        """Tokens generated so far for a running attempt."""
+        sequence = self._sequences.get(attempt)
+        if sequence is None or sequence.first_token is None:
+            return 0
+        return sequence.output_tokens - (sequence.ends_at_count - self._count)
+
+    def _build_span(self, now: float, most_steps: int | None) -> _Span | None:
+        prefilling = self._find_prefilling()
+        decoding = self._decoding_count
+        if prefilling is None and not decoding:
+            return None
+        parameters = self.parameters
+        chunk = 0
+        steps = most_steps or 1_000_000
+        if prefilling is not None:
+            left = self._sequences[prefilling].prefill_left
+            size = parameters.chunk_tokens if decoding else parameters.idle_chunk_tokens
+            chunk = min(size, left)
+            steps = min(steps, max(1, left // chunk))
+        base = PREFILL_ONLY_OVERHEAD
+        if decoding:
+            self._drop_stale()
+            base = parameters.step_time + SEQUENCE_OVERHEAD * decoding
+            steps = min(steps, self._decoding[0][0] - self._count)
+        step = base + chunk / parameters.prefill_rate
+        return _Span(now, step, steps, prefilling, chunk)
+
+    def _find_prefilling(self) -> AttemptId | None:
+        while self._prefill:
+            attempt = self._prefill[0][2]
+            sequence = self._sequences.get(attempt)
+            if sequence is not None and sequence.prefill_left > 0:
+                return attempt
+            heapq.heappop(self._prefill)
+        return None
+
+    def _drop_stale(self) -> None:
+        while self._decoding and self._decoding[0][1] not in self._sequences:
+            heapq.heappop(self._decoding)
+
+    def _cut_span(self, now: float) -> None:
+        """End the running steps after the one in progress."""
+        span = self._span
+        if span is None:
+            return
+        done = math.ceil((now - span.start) / span.step - 1e-9)
+        span.steps = min(span.steps, max(1, done))
+
+    def _apply(self, span: _Span, steps: int) -> list[EngineEvent]:
+        events: list[EngineEvent] = []
+        end = span.start + span.step * steps
+        self._count += steps
+        self._drop_stale()
+        while self._decoding and self._decoding[0][0] <= self._count:
+            attempt = heapq.heappop(self._decoding)[1]
+            sequence = self._sequences[attempt]
+            events.append(Finished(attempt, end, sequence.output_tokens))
+            self._drop(attempt)
+            self._drop_stale()
+        if span.prefilling in self._sequences:
+            events += self._advance_prefill(span, steps, end)
+        return events
+
+    def _advance_prefill(
+        self, span: _Span, steps: int, end: float
+    ) -> list[EngineEvent]:
+        assert span.prefilling is not None
+        sequence = self._sequences[span.prefilling]
+        sequence.prefill_left -= span.chunk * steps
+        if sequence.prefill_left > 0:
+            return []
+        sequence.first_token = end
+        self._store_prefixes(sequence)
+        attempt = sequence.attempt
+        events: list[EngineEvent] = [FirstToken(attempt, end)]
+        if sequence.output_tokens <= 1:
+            events.append(Finished(attempt, end, 1))
+            self._drop(attempt)
+            return events
+        sequence.ends_at_count = self._count + sequence.output_tokens - 1
+        heapq.heappush(self._decoding, (sequence.ends_at_count, attempt))
+        self._decoding_count += 1
+        return events
+
+    def _drop(self, attempt: AttemptId) -> None:
+        sequence = self._sequences.pop(attempt)
+        self.used_tokens -= sequence.memory_tokens
+        if sequence.first_token is not None and sequence.output_tokens > 1:
+            self._decoding_count -= 1
+
+    def _store_prefixes(self, sequence: Sequence) -> None:
+        stored = []
+        shorter = 0
+        sizes = []
+        for prefix, tokens in sequence.prefixes:
+            sizes.append((prefix, tokens - shorter))
+            shorter = tokens
+        # The longest is touched first, so that it is also the first to be evicted:
+        # a cached prefix is of no use without the shorter ones.
+        for prefix, size in reversed(sizes):
+            if prefix not in self._cache:
+                stored.append(prefix)
+                self._cache_tokens += size
+                self._cache[prefix] = size
+            self._cache.move_to_end(prefix)
+        if stored:
+            self._add_cache_event(stored, [])
+        self._evict()
+
+    def _evict(self) -> None:
+        # The cache lives in memory that no sequence holds.
+        room = self.parameters.memory_tokens - self.used_tokens
+        evicted = []
+        while self._cache and self._cache_tokens > room:
+            prefix, size = self._cache.popitem(last=False)
+            self._cache_tokens -= size
+            evicted.append(prefix)
+        if evicted:
+            self._add_cache_event([], evicted)
+
+    def _add_cache_event(self, stored: list[int], evicted: list[int]) -> None:
+        self._sequence += 1
+        self._events.append(CacheEvent(self._sequence, stored, evicted))
--- /dev/null
+++ b/src/scalebend/standins/engine_server.py
@@ -0,0 +1,305 @@
+"""A small engine over HTTP, for the demo and the tests.
+
+It speaks the interface of docs/interface-upstreams.md: streamed completions,
+resumption, cancellation, orders, and announcements to an instance. The answer to a
+prompt is deterministic, so that a caller can tell whether it got its own and whole.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import hashlib
+from collections.abc import AsyncIterator
+
+import msgspec
+from aiohttp import web
+
+from scalebend.core.prefixes import compute_prefixes, list_boundaries
+from scalebend.models.ids import (
+    AttemptId,
+    AvailabilityZone,
+    Incarnation,
+    ModelName,
+    UpstreamId,
+)
+from scalebend.models.upstream import (
+    Announcement,
+    Load,
+    LoadedModel,
+    UpstreamKindName,
+    UpstreamState,
+)
+from scalebend.standins.announcer import announce_for_ever
+from scalebend.standins.engine_model import (
+    EngineModel,
+    EngineParameters,
+    Finished,
+    FirstToken,
+)
+
+KEEP_FINISHED = 10.0
+"""Seconds a finished stream can still be resumed."""
+
+BYTES_PER_TOKEN = 4
+
+
+class EngineOptions(msgspec.Struct, frozen=True):
+    """Identity of a stand-in engine; ``time_scale`` below 1 makes it faster."""
+
+    upstream: UpstreamId
+    availability_zone: AvailabilityZone
+    models: list[LoadedModel]
+    parameters: EngineParameters = EngineParameters()
+    time_scale: float = 1.0
+    kind: str = "standin"
+    checks_fencing: bool = True
+    announce_key: str = ""
+
+
+def build_word(prompt: bytes, offset: int) -> str:
+    """Return the token at ``offset`` of the answer to ``prompt``."""
+    seed = hashlib.sha256(prompt).hexdigest()[:12]
+    return f"{seed}-{offset} "
+
+
+class _Stream(msgspec.Struct):
+    """Generated tokens of one attempt and who waits for more."""
+
+    prompt: bytes
+    output_tokens: int
+    prompt_tokens: int
+    cached_tokens: int
+    changed: asyncio.Event
+    generated: int = 0
+    is_cancelled: bool = False
+
+
+class Order(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An order to load or unload a model; refused with an old fencing number."""
+
+    order: str
+    fencing_number: int
+    load: list[LoadedModel] = msgspec.field(default_factory=list)
+    unload: list[ModelName] = msgspec.field(default_factory=list)
+
+
+class EngineServer:
+    """One stand-in engine."""
+
+    def __init__(self, options: EngineOptions, incarnation: int = 1) -> None:
+        self.options = options
+        self.model = EngineModel(options.parameters)
+        self.models = list(options.models)
+        self.incarnation = Incarnation(incarnation)
+        self.state = UpstreamState.SERVING
+        self.fencing_number = 0
+        self.address = ""
+        self._announcements = 0
+        self.started: list[str] = []
+        self.drop_after: int | None = None
+        self.garble = False
+        self.ignore_cancellations = 0
+        self._streams: dict[AttemptId, _Stream] = {}
+        self._wake = asyncio.Event()
+
+    def build_app(self) -> web.Application:
+        """Return the engine's HTTP application."""
+        app = web.Application(client_max_size=64 * 1024 * 1024)
+        app.router.add_post("/v1/completions", self._complete)
+        app.router.add_post("/v1/chat/completions", self._complete)
+        app.router.add_get("/v1/requests/{attempt}/stream", self._resume)
+        app.router.add_delete("/v1/requests/{attempt}", self._cancel)
+        app.router.add_put("/v1/requests/{attempt}/memory", self._hold)
+        app.router.add_post("/v1/orders", self._take_order)
+        return app
+
+    def build_announcement(self) -> Announcement:
+        """Return what the engine says of itself now."""
+        self._announcements += 1
+        parameters = self.options.parameters
+        scale = self.options.time_scale
+        return Announcement(
+            upstream=self.options.upstream,
+            family=UpstreamKindName.ENGINE,
+            address=self.address,
+            incarnation=self.incarnation,
+            sequence=self._announcements,
+            availability_zone=self.options.availability_zone,
+            kind=self.options.kind,
+            state=self.state,
+            models=self.models,
+            memory_tokens=parameters.memory_tokens,
+            concurrency=parameters.concurrency,
+            prefill_rate=parameters.prefill_rate / scale,
+            step_time=parameters.step_time * scale,
+            load=Load(running=len(self.model), memory_used=self.model.used_tokens),
+            running=list(self.model.list_running()),
+            cache_events=self.model.take_cache_events(),
+            fencing_number=self.fencing_number,
+        )
+
+    async def run_steps(self) -> None:
+        """Run engine steps for ever."""
+        loop = asyncio.get_running_loop()
+        scale = self.options.time_scale
+        while True:
+            now = loop.time() / scale
+            end = self.model.plan(now, most_steps=1)
+            if end is None:
+                self._wake.clear()
+                await self._wake.wait()
+                continue
+            await asyncio.sleep(max(0.0, (end - now) * scale))
+            self._deliver(self.model.complete(max(end, loop.time() / scale)))
+
+    def _deliver(self, events: list[FirstToken | Finished]) -> None:
+        for attempt, stream in list(self._streams.items()):
+            generated = self.model.count_generated(attempt)
+            if generated > stream.generated:
+                stream.generated = generated
+                stream.changed.set()
+        for event in events:
+            match event:
+                case FirstToken():
+                    pass
+                case Finished(attempt, _, output_tokens):
+                    stream = self._streams[attempt]
+                    stream.generated = output_tokens
+                    stream.changed.set()
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(KEEP_FINISHED, self._streams.pop, attempt, None)
+
+    async def _complete(self, request: web.Request) -> web.StreamResponse:
+        attempt = AttemptId(request.headers.get("X-Request-Id", ""))
+        body = await request.read()
+        if self.garble:
+            return web.Response(body=b"\x00garbage", content_type="text/event-stream")
+        fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
+        prompt = bytes(fields.get("prompt") or fields.get("messages") or b"")
+        output = msgspec.json.decode(fields.get("max_tokens", msgspec.Raw(b"16")))
+        prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
+        sequence = self.model.submit(
+            attempt,
+            prompt_tokens=prompt_tokens,
+            output_tokens=output,
+            priority=int(request.headers.get("X-Priority", "0")),
+            now=asyncio.get_running_loop().time() / self.options.time_scale,
+            prefixes=_list_prefixes(prompt),
+            speed=int(request.headers.get("X-Group-Size", "1")),
+        )
+        if sequence is None:
+            detail = {"kind": "overloaded", "ran": "no"}
+            return web.json_response(detail, status=503)
+        self.started.append(attempt)
+        stream = _Stream(
+            prompt, output, prompt_tokens, sequence.cached_tokens, asyncio.Event()
+        )
+        self._streams[attempt] = stream
+        self._wake.set()
+        return await self._send_stream(request, stream, 0)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        stream = self._streams.get(AttemptId(request.match_info["attempt"]))
+        if stream is None:
+            return web.json_response({"kind": "not-found"}, status=404)
+        offset = int(request.headers.get("Last-Event-ID", "-1")) + 1
+        return await self._send_stream(request, stream, offset)
+
+    async def _send_stream(
+        self, request: web.Request, stream: _Stream, offset: int
+    ) -> web.StreamResponse:
+        response = web.StreamResponse()
+        response.content_type = "text/event-stream"
+        await response.prepare(request)
+        while offset <= stream.output_tokens + 1 and not stream.is_cancelled:
+            if offset >= stream.generated and stream.generated < stream.output_tokens:
+                stream.changed.clear()
+                await stream.changed.wait()
+                continue
+            if self.drop_after is not None and offset >= self.drop_after:
+                self.drop_after = None
+                assert request.transport is not None
+                request.transport.abort()
+                return response
+            await response.write(_build_event(stream, offset))
+            offset += 1
+        return response
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        if self.ignore_cancellations:
+            self.ignore_cancellations -= 1
+            return web.Response(status=500)
+        attempt = AttemptId(request.match_info["attempt"])
+        now = asyncio.get_running_loop().time() / self.options.time_scale
+        self.model.cancel(attempt, now)
+        stream = self._streams.pop(attempt, None)
+        if stream is not None:
+            stream.is_cancelled = True
+            stream.changed.set()
+        return web.Response(status=204)
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        attempt = AttemptId(request.match_info["attempt"])
+        fields = msgspec.json.decode(await request.read(), type=dict[str, int])
+        if not self.model.hold(attempt, fields["memory_tokens"]):
+            return web.json_response({"ran": "no"}, status=503)
+        return web.Response(status=204)
+
+    async def _take_order(self, request: web.Request) -> web.Response:
+        order = msgspec.json.decode(await request.read(), type=Order)
+        if self.options.checks_fencing and order.fencing_number < self.fencing_number:
+            return web.json_response({"kind": "old-fencing-number"}, status=409)
+        self.fencing_number = max(self.fencing_number, order.fencing_number)
+        names = {loaded.model for loaded in order.load} | set(order.unload)
+        self.models = [m for m in self.models if m.model not in names] + order.load
+        return web.Response(status=202)
+
+
+def _list_prefixes(prompt: bytes) -> tuple[tuple[int, int], ...]:
+    hashes = compute_prefixes(prompt)
+    sizes = list_boundaries(len(prompt))
+    return tuple(
+        (prefix, size // BYTES_PER_TOKEN)
+        for prefix, size in zip(hashes, sizes, strict=True)
+    )
+
+
+def _build_event(stream: _Stream, offset: int) -> bytes:
+    if offset < stream.output_tokens:
+        choice = {"index": 0, "text": build_word(stream.prompt, offset)}
+        data = msgspec.json.encode({"choices": [choice]})
+    elif offset == stream.output_tokens:
+        usage = {
+            "prompt_tokens": stream.prompt_tokens,
+            "completion_tokens": stream.output_tokens,
+            "prompt_tokens_details": {"cached_tokens": stream.cached_tokens},
+        }
+        data = msgspec.json.encode({"choices": [], "usage": usage})
+    else:
+        data = b"[DONE]"
+    return b"id: %d\ndata: %s\n\n" % (offset, data)
+
+
+@contextlib.asynccontextmanager
+async def serve_engine(
+    options: EngineOptions, urls: list[str], *, incarnation: int = 1, port: int = 0
+) -> AsyncIterator[EngineServer]:
+    """Run a stand-in engine that announces itself to the instances at ``urls``."""
+    engine = EngineServer(options, incarnation)
+    runner = web.AppRunner(engine.build_app(), shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", port)
+    await site.start()
+    engine.address = f"127.0.0.1:{runner.addresses[0][1]}"
+    announcing = announce_for_ever(
+        engine.build_announcement, urls, options.announce_key
+    )
+    tasks = [asyncio.create_task(engine.run_steps()), asyncio.create_task(announcing)]
+    try:
+        yield engine
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await runner.cleanup()
--- /dev/null
+++ b/src/scalebend/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small single-purpose helpers without state."""
--- /dev/null
+++ b/src/scalebend/utils/addresses.py
@@ -0,0 +1,25 @@
+"""Parse ``IP:port`` addresses."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import NamedTuple
+
+
+class Address(NamedTuple):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in ``text``; raise ``ValueError`` when it is not one."""
+    host, separator, port = text.rpartition(":")
+    if not separator:
+        raise ValueError(f"expected IP:port, got {text!r}")
+    ipaddress.ip_address(host.strip("[]"))
+    number = int(port)
+    if not 0 <= number <= 65535:
+        raise ValueError(f"expected a port of 0 to 65535, got {number}")
+    return Address(host.strip("[]"), number)
