Measure the core in virtual time against stand-in engines

Cause: the choice between queueing policies needs figures from the real decisions, not from a model of them.

--- /dev/null
+++ b/src/scalebend/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the core in virtual time, with small stand-ins at its interfaces."""
--- /dev/null
+++ b/src/scalebend/measuring/harness.py
@@ -0,0 +1,737 @@
+"""Drive real instances' cores against stand-in engines in virtual time.
+
+Stand-ins for the interfaces, not a simulator of a cluster: messages take a fixed
+time, engines follow ``standins.engine_model``, processing takes no time. The same
+scenario, policy and seed give the same result.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections.abc import Callable, Sequence
+
+import msgspec
+
+from scalebend.core.claims import Claim, ClaimTaken, Settle, StoredAnswer
+from scalebend.core.consensus.messages import DiskId, HardState, Recovered
+from scalebend.core.control_client import Proposed
+from scalebend.core.control_member import ToInstance
+from scalebend.core.control_state import Apply
+from scalebend.core.flow import (
+    AbortAttempt,
+    AttemptResult,
+    Broken,
+    ClaimKey,
+    Completed,
+    Conclude,
+    NeverStarted,
+    ResumeAttempt,
+    StartAttempt,
+)
+from scalebend.core.instance import Instance, InstanceAction
+from scalebend.core.membership import Outbound
+from scalebend.core.owner import CancelOnEngine
+from scalebend.core.prefixes import list_boundaries
+from scalebend.exceptions import ClaimError, Ran, ScalebendError
+from scalebend.measuring.scenario import Fault, FaultKind, Scenario, compute_cost
+from scalebend.models.configuration import (
+    Configuration,
+    ConfigurationChange,
+    Customer,
+    Model,
+    Service,
+    ServiceCall,
+)
+from scalebend.models.ids import (
+    AttemptId,
+    AvailabilityZone,
+    ChangeId,
+    ConfigurationVersion,
+    CustomerId,
+    IdempotencyKey,
+    Incarnation,
+    InstanceId,
+    ModelName,
+    Region,
+    RequestId,
+    ServiceName,
+    Term,
+    UpstreamId,
+)
+from scalebend.models.settings import Listen, Peer, Role, Settings
+from scalebend.models.upstream import (
+    Announcement,
+    LoadedModel,
+    UpstreamKindName,
+    UpstreamState,
+)
+from scalebend.models.work import Request
+from scalebend.standins.engine_model import EngineModel, Finished, FirstToken
+from scalebend.standins.load import PlannedRequest
+
+MODEL = ModelName("dossiers")
+SERVICE = ServiceName("work-orders")
+TICK = 0.05
+ANNOUNCE_PERIOD = 0.5
+START_TIME = 4.0
+"""Virtual seconds for elections and announcements before the load begins."""
+
+TAIL_TIME = 10.0
+"""Seconds after the last request at which no memory may be held."""
+
+SERVICE_TIME = 0.02
+BYTES_PER_TOKEN = 4
+BYTES_IN_MEGATOKEN = 8_000_000
+PRIVATE_PREFIXES = 1_000_000
+
+
+class Outcome(msgspec.Struct):
+    """What became of one planned request; times in seconds of the load's clock."""
+
+    planned: PlannedRequest
+    order: str = ""
+    first_token: float | None = None
+    ended: float | None = None
+    error: str = ""
+    ran: str = ""
+    deadline: float = 0.0
+    output_tokens: int = 0
+    starts: int = 0
+
+
+class RunResult(msgspec.Struct):
+    """All outcomes of a run and what it left behind."""
+
+    outcomes: list[Outcome]
+    memory_left: int
+    overfilled: int
+    run_twice: int
+    used_by_customer: list[tuple[float, str, float]]
+    decisions: int
+    late_to_leaving: int = 0
+
+
+class _Engine(msgspec.Struct):
+    name: UpstreamId
+    zone: AvailabilityZone
+    model: EngineModel
+    incarnation: int = 1
+    is_up: bool = True
+    is_leaving: bool = False
+    plan: int = 0
+    sequence: int = 0
+
+
+class _Run(msgspec.Struct):
+    """One attempt on its way through an upstream."""
+
+    attempt: AttemptId
+    request: RequestId
+    instance: InstanceId
+    engine: UpstreamId
+    outcome: Outcome
+
+
+class Harness:
+    """One run of a scenario."""
+
+    def __init__(self, scenario: Scenario, policy: str, seed: int) -> None:
+        self.scenario = scenario
+        self.now = 0.0
+        self._policy = policy
+        self._chooser = random.Random(f"{scenario.name}/{policy}/{seed}")
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = 0
+        self._instances: dict[InstanceId, Instance] = {}
+        self._by_gossip: dict[str, InstanceId] = {}
+        self._zones: dict[InstanceId, AvailabilityZone] = {}
+        self._engines: dict[UpstreamId, _Engine] = {}
+        self._services: dict[UpstreamId, AvailabilityZone] = {}
+        self._runs: dict[AttemptId, _Run] = {}
+        self._outcomes: dict[RequestId, Outcome] = {}
+        self._requests: dict[RequestId, Request] = {}
+        self._homes: dict[RequestId, InstanceId] = {}
+        self._proposals: dict[str, tuple[InstanceId, RequestId]] = {}
+        self._orders_run: dict[str, int] = {}
+        self._used: list[tuple[float, str, float]] = []
+        self._cancel_loss = 0.0
+        self._message_loss = 0.0
+        self._late_to_leaving = 0
+        self._left_at: dict[UpstreamId, float] = {}
+        self._build_fleet(seed)
+
+    # Virtual time
+
+    def call_at(self, at: float, work: Callable[[], None]) -> None:
+        """Run ``work`` at a virtual time."""
+        self._count += 1
+        heapq.heappush(self._events, (max(at, self.now), self._count, work))
+
+    def run_until(self, end: float) -> None:
+        """Run events up to ``end``."""
+        while self._events and self._events[0][0] <= end:
+            self.now, _, work = heapq.heappop(self._events)
+            work()
+        self.now = end
+
+    def run(self, planned: list[PlannedRequest]) -> RunResult:
+        """Run the load to its end."""
+        self.run_until(START_TIME)
+        for request in planned:
+            self.call_at(START_TIME + request.at, self._bind(self._send, request))
+        for fault in self.scenario.faults:
+            self.call_at(START_TIME + fault.at, self._bind(self._fail, fault))
+        self._plan_orders()
+        last = START_TIME + self.scenario.duration
+        while self.now < last or self._has_open():
+            self.run_until(self.now + 1.0)
+        self.run_until(self.now + TAIL_TIME)
+        engines = self._engines.values()
+        return RunResult(
+            list(self._outcomes.values()),
+            sum(engine.model.used_tokens for engine in engines if engine.is_up),
+            sum(engine.model.refused_full for engine in engines),
+            sum(count > 1 for count in self._orders_run.values()),
+            self._used,
+            len(self._outcomes),
+            self._late_to_leaving,
+        )
+
+    def _has_open(self) -> bool:
+        return any(outcome.ended is None for outcome in self._outcomes.values())
+
+    @staticmethod
+    def _bind(work: Callable[..., None], *arguments: object) -> Callable[[], None]:
+        return lambda: work(*arguments)
+
+    # Fleet
+
+    def _build_fleet(self, seed: int) -> None:
+        scenario = self.scenario
+        zones = [AvailabilityZone(zone) for zone in scenario.zones]
+        names = [InstanceId(f"entry-{n}") for n in range(scenario.instances)]
+        for number, name in enumerate(names):
+            self._zones[name] = zones[number % len(zones)]
+            self._by_gossip[_build_gossip_address(name)] = name
+        for number, name in enumerate(names):
+            is_control = number < scenario.control
+            settings = self._build_settings(name, names, is_control)
+            recovered = None
+            if is_control:
+                recovered = Recovered(
+                    DiskId(f"disk-{number}"), HardState(Term(0), None), None, []
+                )
+            self._instances[name] = Instance(
+                settings, recovered, now=0.0, incarnation=1, seed=seed
+            )
+            offset = TICK * number / len(names)
+            self.call_at(offset, self._bind(self._tick, name))
+        for number in range(scenario.engines):
+            upstream = UpstreamId(f"engine-{number:03}")
+            engine = _Engine(
+                upstream, zones[number % len(zones)], EngineModel(scenario.parameters)
+            )
+            self._engines[upstream] = engine
+            at = 1.5 + ANNOUNCE_PERIOD * number / scenario.engines
+            self.call_at(at, self._bind(self._announce_engine, upstream))
+        for number in range(scenario.services):
+            upstream = UpstreamId(f"service-{number}")
+            self._services[upstream] = zones[number % len(zones)]
+            self.call_at(1.5, self._bind(self._announce_service, upstream, 1))
+        self.call_at(2.0, self._apply_configuration)
+
+    def _build_settings(
+        self, name: InstanceId, names: list[InstanceId], is_control: bool
+    ) -> Settings:
+        region = Region(self.scenario.region)
+        peers = [
+            Peer(
+                other,
+                "127.0.0.1:1",
+                _build_gossip_address(other),
+                region,
+                self._zones[other],
+                names.index(other) < self.scenario.control,
+            )
+            for other in names
+            if other != name
+        ]
+        return Settings(
+            instance=name,
+            region=region,
+            availability_zone=self._zones[name],
+            listen=Listen("127.0.0.1:1", "127.0.0.1:1", _build_gossip_address(name)),
+            roles=[Role.ENTRY, Role.CONTROL] if is_control else [Role.ENTRY],
+            peers=peers,
+            data_folder="-" if is_control else None,
+            policy=self._policy,
+        )
+
+    def _apply_configuration(self) -> None:
+        configuration = Configuration(
+            customers=[
+                Customer(c.customer, [], weight=c.weight)
+                for c in self.scenario.customers
+            ],
+            services=[Service(SERVICE, [ServiceCall("POST", "/", False)])],
+            models=[Model(MODEL, replicas=0)],
+        )
+        change = ConfigurationChange(
+            ConfigurationVersion(0), ChangeId("measure"), configuration
+        )
+        first = next(iter(self._instances))
+        _, actions = self._instances[first].propose(Apply(change), 2.0, self.now)
+        self._execute(first, actions)
+
+    # Instances
+
+    def _tick(self, name: InstanceId) -> None:
+        instance = self._instances.get(name)
+        if instance is None:
+            return
+        self._execute(name, instance.advance(self.now, self.now))
+        self._pump(name)
+        self.call_at(self.now + TICK, self._bind(self._tick, name))
+
+    def _pump(self, name: InstanceId) -> None:
+        instance = self._instances.get(name)
+        if instance is None or instance.control is None:
+            return
+        while True:
+            ready = instance.control.take_ready(self.now)
+            if ready.is_empty and not instance.control.has_outgoing:
+                return
+            self._execute(name, instance.finish_control(ready, self.now))
+
+    def _delay(self, one: AvailabilityZone, other: AvailabilityZone) -> float:
+        return 0.0002 if one == other else self.scenario.zone_delay
+
+    def _deliver(self, sender: InstanceId, to: InstanceId, message: object) -> None:
+        instance = self._instances.get(to)
+        if instance is None or sender not in self._instances:
+            return
+        actions = instance.handle_peer(sender, message, self.now, self.now)  # type: ignore[arg-type]
+        self._execute(to, actions)
+        self._pump(to)
+
+    def _deliver_datagram(self, to: InstanceId, datagram: object) -> None:
+        instance = self._instances.get(to)
+        if instance is not None:
+            self._execute(to, instance.handle_datagram(datagram, self.now))  # type: ignore[arg-type]
+
+    def _execute(self, name: InstanceId, actions: Sequence[InstanceAction]) -> None:
+        for action in actions:
+            self._execute_one(name, action)
+
+    def _execute_one(self, name: InstanceId, action: InstanceAction) -> None:
+        match action:
+            case ToInstance(to, message):
+                self._send_message(name, to, message)
+            case Outbound(address, datagram):
+                to = self._by_gossip[address]
+                delay = self._delay(self._zones[name], self._zones[to])
+                work = self._bind(self._deliver_datagram, to, datagram)
+                self.call_at(self.now + delay, work)
+            case StartAttempt():
+                self._start(name, action)
+            case ResumeAttempt(attempt):
+                self._resume(attempt)
+            case AbortAttempt(attempt):
+                self._runs.pop(attempt, None)
+            case ClaimKey(request):
+                self._claim(name, request)
+            case CancelOnEngine(upstream, attempt):
+                self._cancel(name, upstream, attempt)
+            case Conclude(request, error):
+                self._conclude(name, request, error)
+            case Proposed(proposal, result):
+                self._take_claim(proposal, result)
+
+    def _send_message(self, name: InstanceId, to: InstanceId, message: object) -> None:
+        if self._message_loss and self._chooser.random() < self._message_loss:
+            return
+        if to not in self._zones:
+            return
+        delay = self._delay(self._zones[name], self._zones[to])
+        self.call_at(self.now + delay, self._bind(self._deliver, name, to, message))
+
+    # Requests
+
+    def _send(self, planned: PlannedRequest) -> None:
+        names = sorted(self._instances)
+        name = self._chooser.choice(names)
+        request = Request(
+            request=RequestId(f"r{planned.number}"),
+            customer=planned.customer,
+            arrived=self.now,
+            deadline=self.now + self.scenario.time_limit,
+            model=MODEL,
+            prompt_tokens=planned.prompt_tokens,
+            output_tokens=planned.output_tokens,
+            prefixes=tuple(prefix for prefix, _ in _build_prefixes(planned)),
+        )
+        outcome = Outcome(planned, deadline=request.deadline - START_TIME)
+        self._admit(name, request, outcome)
+
+    def _plan_orders(self) -> None:
+        if not self.scenario.order_rate:
+            return
+        at = 0.0
+        number = 0
+        while (at := at + 1.0 / self.scenario.order_rate) < self.scenario.duration:
+            number += 1
+            work = self._bind(self._send_order, number, at)
+            self.call_at(START_TIME + at, work)
+
+    def _send_order(self, number: int, at: float) -> None:
+        name = self._chooser.choice(sorted(self._instances))
+        customer = self.scenario.customers[0].customer
+        # Every third order is sent a second time, under the same key.
+        key = f"order-{number - 1 if number % 3 == 0 else number}"
+        request = Request(
+            request=RequestId(f"o{number}"),
+            customer=customer,
+            arrived=self.now,
+            deadline=self.now + 20.0,
+            service=SERVICE,
+            repeatable=False,
+            is_streamed=False,
+            idempotency_key=IdempotencyKey(key),
+            fingerprint=key,
+        )
+        planned = PlannedRequest(-number, at, customer, 0, 0)
+        outcome = Outcome(planned, order=key, deadline=request.deadline - START_TIME)
+        self._admit(name, request, outcome)
+
+    def _admit(self, name: InstanceId, request: Request, outcome: Outcome) -> None:
+        self._outcomes[request.request] = outcome
+        self._requests[request.request] = request
+        self._homes[request.request] = name
+        try:
+            actions = self._instances[name].admit(request, self.now)
+        except ScalebendError as error:
+            self._conclude(name, request.request, error)
+            return
+        self._execute(name, actions)
+
+    def _conclude(
+        self, name: InstanceId, request: RequestId, error: ScalebendError | None
+    ) -> None:
+        outcome = self._outcomes[request]
+        if outcome.ended is not None:
+            return
+        outcome.ended = self.now - START_TIME
+        if error is not None:
+            outcome.error = error.kind.value
+            outcome.ran = error.ran.value
+        instance = self._instances.get(name)
+        if instance is not None:
+            instance.finish(request, self._requests[request].customer)
+            self._settle(name, request, error)
+
+    # Claims
+
+    def _claim(self, name: InstanceId, request: RequestId) -> None:
+        known = self._requests[request]
+        assert known.idempotency_key is not None
+        command = Claim(
+            known.customer, known.idempotency_key, known.fingerprint, request
+        )
+        proposal, actions = self._instances[name].propose(command, 2.0, self.now)
+        self._proposals[proposal] = (name, request)
+        self._execute(name, actions)
+        self._pump(name)
+
+    def _take_claim(self, proposal: str, result: object) -> None:
+        waiting = self._proposals.pop(proposal, None)
+        if waiting is None:
+            return
+        name, request = waiting
+        error = None if isinstance(result, ClaimTaken) else ClaimError("claimed")
+        if error is not None:
+            error.ran = Ran.UNKNOWN
+        actions = self._instances[name].handle_claim(request, error, self.now)
+        self._execute(name, actions)
+
+    def _settle(
+        self, name: InstanceId, request: RequestId, error: ScalebendError | None
+    ) -> None:
+        known = self._requests[request]
+        if known.idempotency_key is None or error is not None:
+            return
+        answer = StoredAnswer(200, "application/json", b"{}")
+        command = Settle(known.customer, known.idempotency_key, request, answer)
+        _, actions = self._instances[name].propose(command, 10.0, self.now)
+        self._execute(name, actions)
+
+    # Upstreams
+
+    def _start(self, name: InstanceId, start: StartAttempt) -> None:
+        lead = start.upstreams[0]
+        zone = self._services.get(lead)
+        if zone is None:
+            zone = self._engines[lead].zone
+        delay = self._delay(self._zones[name], zone)
+        run = _Run(
+            start.attempt, start.request, name, lead, self._outcomes[start.request]
+        )
+        self._runs[start.attempt] = run
+        work = self._run_service if lead in self._services else self._run_engine
+        self.call_at(self.now + delay, self._bind(work, run, start))
+
+    def _run_service(self, run: _Run, start: StartAttempt) -> None:
+        run.outcome.starts += 1
+        key = run.outcome.order
+        self._orders_run[key] = self._orders_run.get(key, 0) + 1
+        self._report(run, Completed(), SERVICE_TIME)
+
+    def _run_engine(self, run: _Run, start: StartAttempt) -> None:
+        group = [self._engines[upstream] for upstream in start.upstreams]
+        if not all(engine.is_up for engine in group):
+            self._report(run, NeverStarted("cannot connect"), 0.001)
+            return
+        parts = len(group)
+        request = self._requests[start.request]
+        memory = -(-request.memory_tokens // parts)
+        lead = group[0]
+        held = all(e.model.hold(start.attempt, memory) for e in group[1:])
+        sequence = None
+        if held:
+            prefixes = _build_prefixes(run.outcome.planned)
+            sequence = lead.model.submit(
+                start.attempt,
+                prompt_tokens=request.prompt_tokens,
+                output_tokens=request.output_tokens,
+                priority=start.priority,
+                now=self.now,
+                prefixes=prefixes,
+                speed=parts,
+            )
+        if sequence is None:
+            refused = NeverStarted("refused", may_hold_memory=parts > 1)
+            self._report(run, refused, 0.001)
+            return
+        run.outcome.starts += 1
+        left_at = self._left_at.get(lead.name)
+        if left_at is not None and self.now > left_at + 2.0:
+            self._late_to_leaving += 1
+        self._plan_steps(lead)
+
+    def _plan_steps(self, engine: _Engine) -> None:
+        end = engine.model.plan(self.now)
+        engine.plan += 1
+        if end is not None:
+            self.call_at(end, self._bind(self._end_steps, engine, engine.plan))
+
+    def _end_steps(self, engine: _Engine, plan: int) -> None:
+        if plan != engine.plan or not engine.is_up:
+            return
+        for event in engine.model.complete(self.now):
+            run = self._runs.get(event.attempt)
+            match event:
+                case FirstToken():
+                    if run is not None and run.outcome.first_token is None:
+                        run.outcome.first_token = self.now - START_TIME
+                    self._tell_started(run)
+                case Finished(_, _, output):
+                    self._charge(event.attempt)
+                    if run is not None:
+                        run.outcome.output_tokens = output
+                        self._report(run, Completed(output), 0.001)
+        self._plan_steps(engine)
+
+    def _charge(self, attempt: AttemptId) -> None:
+        request = RequestId(attempt.rpartition(".")[0])
+        planned = self._outcomes[request].planned
+        parameters = self.scenario.parameters
+        cost = compute_cost(planned.prompt_tokens, planned.output_tokens, parameters)
+        self._used.append((self.now - START_TIME, planned.customer, cost))
+
+    def _tell_started(self, run: _Run | None) -> None:
+        if run is None:
+            return
+
+        def tell() -> None:
+            instance = self._instances.get(run.instance)
+            if instance is not None and run.attempt in self._runs:
+                actions = instance.handle_started(run.attempt, self.now)
+                self._execute(run.instance, actions)
+
+        self.call_at(self.now + 0.001, tell)
+
+    def _report(self, run: _Run, result: AttemptResult, delay: float) -> None:
+        def report() -> None:
+            instance = self._instances.get(run.instance)
+            if instance is None or run.attempt not in self._runs:
+                return
+            if not isinstance(result, Broken):
+                del self._runs[run.attempt]
+            actions = instance.handle_result(run.attempt, result, self.now)
+            self._execute(run.instance, actions)
+
+        self.call_at(self.now + delay, report)
+
+    def _resume(self, attempt: AttemptId) -> None:
+        run = self._runs.get(attempt)
+        if run is None:
+            return
+        engine = self._engines[run.engine]
+        if engine.is_up and attempt in engine.model.list_running():
+            return
+        self._report(run, Broken("nothing to resume"), 0.002)
+
+    def _cancel(
+        self, name: InstanceId, upstream: UpstreamId, attempt: AttemptId
+    ) -> None:
+        engine = self._engines[upstream]
+        if self._cancel_loss and self._chooser.random() < self._cancel_loss:
+            return
+
+        def cancel() -> None:
+            if not engine.is_up:
+                return
+            engine.model.cancel(attempt, self.now)
+            self._plan_steps(engine)
+            self.call_at(self.now + 0.001, confirm)
+
+        def confirm() -> None:
+            instance = self._instances.get(name)
+            if instance is not None:
+                actions = instance.confirm_cancelled(upstream, attempt, self.now)
+                self._execute(name, actions)
+
+        self.call_at(self.now + 0.001, cancel)
+
+    # Announcements
+
+    def _announce_engine(self, upstream: UpstreamId) -> None:
+        engine = self._engines[upstream]
+        work = self._bind(self._announce_engine, upstream)
+        self.call_at(self.now + ANNOUNCE_PERIOD, work)
+        if not engine.is_up:
+            return
+        engine.sequence += 1
+        parameters = self.scenario.parameters
+        announcement = Announcement(
+            upstream=upstream,
+            family=UpstreamKindName.ENGINE,
+            address="127.0.0.1:1",
+            incarnation=Incarnation(engine.incarnation),
+            availability_zone=engine.zone,
+            sequence=engine.sequence,
+            state=UpstreamState.LEAVING if engine.is_leaving else UpstreamState.SERVING,
+            models=[LoadedModel(MODEL)],
+            memory_tokens=parameters.memory_tokens,
+            concurrency=parameters.concurrency,
+            prefill_rate=parameters.prefill_rate,
+            step_time=parameters.step_time,
+            running=list(engine.model.list_running()),
+            cache_events=engine.model.take_cache_events(),
+        )
+        self._announce(announcement, self.scenario.report_delay)
+
+    def _announce_service(self, upstream: UpstreamId, sequence: int) -> None:
+        work = self._bind(self._announce_service, upstream, sequence + 1)
+        self.call_at(self.now + ANNOUNCE_PERIOD, work)
+        announcement = Announcement(
+            upstream=upstream,
+            family=UpstreamKindName.SERVICE,
+            address="127.0.0.1:1",
+            incarnation=Incarnation(1),
+            availability_zone=self._services[upstream],
+            sequence=sequence,
+            service=SERVICE,
+        )
+        self._announce(announcement, 0.001)
+
+    def _announce(self, announcement: Announcement, delay: float) -> None:
+        name = self._chooser.choice(sorted(self._instances))
+
+        def arrive() -> None:
+            instance = self._instances.get(name)
+            if instance is not None:
+                actions = instance.take_announcement(announcement, self.now)
+                self._execute(name, actions)
+
+        self.call_at(self.now + delay, arrive)
+
+    # Faults
+
+    def _fail(self, fault: Fault) -> None:
+        match fault.kind:
+            case FaultKind.ENGINES_LOST:
+                up = [e for e in self._engines.values() if e.is_up]
+                for engine in self._chooser.sample(up, min(fault.count, len(up))):
+                    self._lose_engine(engine, fault.back_after)
+            case FaultKind.INSTANCE_LOST:
+                names = sorted(self._instances)[self.scenario.control :]
+                for name in self._chooser.sample(names, fault.count):
+                    self._lose_instance(name)
+            case FaultKind.CANCELLATIONS_LOST:
+                self._cancel_loss = fault.rate
+            case FaultKind.MESSAGES_LOST:
+                self._message_loss = fault.rate
+                if fault.back_after is not None:
+                    self.call_at(self.now + fault.back_after, self._heal_messages)
+            case FaultKind.LINKS_LOST:
+                self._lose_links(fault.rate)
+            case FaultKind.ENGINE_LEAVES:
+                for engine in list(self._engines.values())[: fault.count]:
+                    engine.is_leaving = True
+                    self._left_at[engine.name] = self.now
+
+    def _heal_messages(self) -> None:
+        self._message_loss = 0.0
+
+    def _lose_engine(self, engine: _Engine, back_after: float | None) -> None:
+        engine.is_up = False
+        for run in [r for r in self._runs.values() if r.engine == engine.name]:
+            self._report(run, Broken("engine lost"), 0.002)
+        if back_after is not None:
+            work = self._bind(self._restart_engine, engine)
+            self.call_at(self.now + back_after, work)
+
+    def _restart_engine(self, engine: _Engine) -> None:
+        engine.model = EngineModel(self.scenario.parameters)
+        engine.incarnation += 1
+        engine.is_up = True
+
+    def _lose_instance(self, name: InstanceId) -> None:
+        del self._instances[name]
+        for request, home in self._homes.items():
+            outcome = self._outcomes[request]
+            if home == name and outcome.ended is None:
+                # The caller sees its connection end; it is told nothing.
+                outcome.ended = self.now - START_TIME
+                outcome.error = "instance-lost"
+                outcome.ran = "unknown"
+        for attempt in [a for a, r in self._runs.items() if r.instance == name]:
+            del self._runs[attempt]
+
+    def _lose_links(self, rate: float) -> None:
+        for run in list(self._runs.values()):
+            if run.engine in self._engines and self._chooser.random() < rate:
+                self._report(run, Broken("link lost"), 0.0)
+
+
+def _build_gossip_address(name: InstanceId) -> str:
+    return f"gossip/{name}"
+
+
+def _build_prefixes(planned: PlannedRequest) -> tuple[tuple[int, int], ...]:
+    """Hashes of the prompt's prefixes with their tokens; the first are shared."""
+    if planned.prefix is None:
+        return ()
+    prefixes = []
+    for boundary in list_boundaries(planned.prompt_tokens * BYTES_PER_TOKEN):
+        tokens = boundary // BYTES_PER_TOKEN
+        is_shared = tokens <= planned.prefix_tokens
+        owner = planned.prefix if is_shared else PRIVATE_PREFIXES + planned.number
+        prefixes.append((owner * BYTES_IN_MEGATOKEN + boundary, tokens))
+    return tuple(prefixes)
+
+
+def list_customers(scenario: Scenario) -> list[CustomerId]:
+    """Customers of a scenario, in its order."""
+    return [customer.customer for customer in scenario.customers]
--- a/src/scalebend/standins/engine_model.py
+++ b/src/scalebend/standins/engine_model.py
@@ -31,8 +31,8 @@
     concurrency: int = 64
     prefill_rate: float = 20_000.0
     step_time: float = 0.02
-    chunk_tokens: int = 256
-    idle_chunk_tokens: int = 2_048
+    chunk_tokens: int = 480
+    idle_chunk_tokens: int = 1_024
 
 
 class Sequence(msgspec.Struct):
