Run prefill and decode on different engines, with KV export between

Change: each model's engines form two lanes, in an order all instances agree on; the border follows the share of prefill in the load. An attempt reserves and prefills on one engine, then reserves and imports on another.

--- a/src/scalebend/commands/measure.py
+++ b/src/scalebend/commands/measure.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from scalebend.core.queueing import POLICIES
+from scalebend.core.queueing import STRATEGIES
 from scalebend.edges.logs import configure_logs
 from scalebend.exceptions import DocumentError, ErrorKind
 from scalebend.measuring.harness import Harness
@@ -39,12 +39,12 @@
     except DocumentError as error:
         print(f"{scenario}: {error}", file=sys.stderr)
         return 2
-    unknown = [policy for policy in policies if policy not in POLICIES]
+    unknown = [policy for policy in policies if policy not in STRATEGIES]
     if unknown:
-        print(f"--policy: expected one of {', '.join(POLICIES)}", file=sys.stderr)
+        print(f"--policy: expected one of {', '.join(STRATEGIES)}", file=sys.stderr)
         return 2
     configure_logs(Logging(LogFormat.CONSOLE, "critical"))
-    figures = _run_all(read, policies or list(POLICIES), range(seed, seed + seeds))
+    figures = _run_all(read, policies or list(STRATEGIES), range(seed, seed + seeds))
     text = "" if as_json else build_table(figures)
     data = msgspec.json.format(msgspec.json.encode(figures), indent=1)
     print(data.decode() if as_json else text)
--- a/src/scalebend/core/catalog.py
+++ b/src/scalebend/core/catalog.py
@@ -11,7 +11,6 @@
 from scalebend.models.ids import AvailabilityZone, ModelName, ServiceName, UpstreamId
 from scalebend.models.upstream import (
     Announcement,
-    EngineRole,
     UpstreamKindName,
     UpstreamState,
 )
@@ -164,7 +163,8 @@
                 continue
             zone = record.view.availability_zone
             is_local = local_zones is None or zone in local_zones
-            found.append(Candidate(record.view, record.digest, is_local))
+            role = record.announcement.role
+            found.append(Candidate(record.view, record.digest, is_local, role))
         return found
 
     def _index(self, announcement: Announcement) -> None:
@@ -187,8 +187,6 @@
         return False
     if request.model is None:
         return True
-    if announcement.role is EngineRole.DECODE:
-        return False
     for loaded in announcement.models:
         if loaded.model != request.model:
             continue
--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -26,22 +26,15 @@
     FlowState,
     Garbled,
     NeverStarted,
+    Part,
+    Prefilled,
     ResumeAttempt,
     StartAttempt,
     ToOwner,
 )
-from scalebend.core.prefixes import PrefixIndex
-from scalebend.core.queueing import LONG_TOKENS, SHORT_TOKENS, FirstCome, Policy
-from scalebend.core.retries import OutlierDetector, RetryBudget, compute_delay
-from scalebend.core.routing import (
-    Candidate,
-    Demand,
-    PendingLoad,
-    choose_group,
-    choose_replica,
-    sample_candidates,
-)
-from scalebend.core.sizes import SizeEstimator
+from scalebend.core.placement import MOST_GROUP, Placement
+from scalebend.core.queueing import LONG_TOKENS, SHORT_TOKENS, FirstCome, Strategy
+from scalebend.core.retries import RetryBudget, compute_delay
 from scalebend.exceptions import (
     ErrorKind,
     Ran,
@@ -76,12 +69,6 @@
 
 MOST_TRIES = 4
 MOST_RESUMES = 3
-MOST_GROUP = 3
-"""Replicas that one prompt may be spread over."""
-
-GROUP_PATIENCE = 20.0
-"""Seconds a reservation may wait while others of its group are already held."""
-
 RESERVE_RESEND = 1.0
 """Seconds without an answer after which a reservation is sent again."""
 
@@ -91,9 +78,8 @@
 
     instance: InstanceId
     availability_zone: AvailabilityZone
-    policy: Policy
+    strategy: Strategy
     seed: int = 0
-    use_prefixes: bool = True
 
 
 class Entry:
@@ -101,13 +87,15 @@
 
     def __init__(self, options: EntryOptions, catalog: Catalog) -> None:
         self.catalog = catalog
-        self.prefixes = PrefixIndex()
-        self.sizes = SizeEstimator()
-        self.outliers = OutlierDetector()
-        self.local_zones: set[AvailabilityZone] | None = None
-        self._options = options
+        self.placement = Placement(
+            options.instance,
+            options.availability_zone,
+            catalog,
+            is_split=options.strategy.is_split,
+            seed=options.seed,
+        )
+        self._strategy = options.strategy
         self._chooser = random.Random(options.seed)
-        self._pending = PendingLoad()
         self._budget = RetryBudget()
         self._flows: dict[RequestId, Flow] = {}
         self._requests: dict[AttemptId, RequestId] = {}
@@ -126,7 +114,7 @@
     def take_digest(self, digest: LoadDigest) -> None:
         """Take a newer load digest of a replica."""
         self.catalog.take_digest(digest)
-        self._pending.forget(digest.upstream)
+        self.placement.pending.forget(digest.upstream)
 
     def handle_grant(self, grant: Grant, now: float) -> list[EntryAction]:
         """The owner lets an attempt start."""
@@ -142,6 +130,8 @@
         attempt.granted += 1
         if not attempt.has_all_grants():
             return [self._reserve_next(flow, now)]
+        if flow.state is FlowState.MOVING:
+            return self._start_decode(flow)
         attempt.state = AttemptState.GRANTED
         if flow.request.repeatable or flow.is_claimed:
             return self._start(flow)
@@ -153,6 +143,8 @@
         flow = self._find_flow(refusal.attempt)
         if flow is None or flow.attempt is None or flow.attempt.has_all_grants():
             return []
+        if flow.state is FlowState.MOVING:
+            return self._move_elsewhere(flow, refusal.upstream, now)
         actions = self._release_attempt(flow, Outcome.UNUSED)
         if refusal.reason is not RefusalReason.NOT_OWNER:
             flow.excluded.add(refusal.upstream)
@@ -180,13 +172,16 @@
         flow = self._find_flow(attempt)
         if flow is None or flow.attempt is None:
             return []
-        if not flow.attempt.was_sent or flow.attempt.state is AttemptState.RUNNING:
+        current = flow.attempt
+        if current.part is Part.DECODE:
+            return self._finish_move(flow)
+        if not current.was_sent or current.state is AttemptState.RUNNING:
             return []
-        flow.attempt.state = AttemptState.RUNNING
+        current.state = AttemptState.RUNNING
         flow.has_delivered = flow.request.is_streamed
         return [
             ToOwner(upstream, Started(attempt, upstream))
-            for upstream in flow.attempt.upstreams
+            for upstream in current.upstreams
         ]
 
     def handle_result(
@@ -196,12 +191,17 @@
         flow = self._find_flow(attempt)
         if flow is None or flow.attempt is None:
             return []
-        lead = flow.attempt.upstreams[0]
+        lead = flow.attempt.lead
         match result:
+            case Prefilled():
+                return self._move(flow, now)
             case Completed():
-                self.outliers.record_success(lead)
+                self.placement.outliers.record_success(lead)
                 self._learn(flow, result)
                 return self._conclude(flow, None, result.output_tokens)
+            case NeverStarted(detail) if flow.attempt.part is Part.DECODE:
+                self._record_failure(lead, now)
+                return self._move_elsewhere(flow, lead, now)
             case NeverStarted(detail, retry_after, may_hold_memory):
                 self._record_failure(lead, now)
                 flow.attempt.never_started = True
@@ -229,14 +229,16 @@
         self, upstream: UpstreamId, now: float
     ) -> list[EntryAction]:
         """An upstream fell silent: attempts not sent yet are routed anew."""
-        self.prefixes.forget_replica(upstream)
-        self._pending.forget(upstream)
+        self.placement.prefixes.forget_replica(upstream)
+        self.placement.pending.forget(upstream)
         actions: list[EntryAction] = []
         for flow in list(self._flows.values()):
             attempt = flow.attempt
             if attempt is None or upstream not in attempt.upstreams:
                 continue
-            if attempt.was_sent:
+            if flow.state is FlowState.MOVING and upstream != attempt.lead:
+                actions += self._move_elsewhere(flow, upstream, now)
+            elif attempt.was_sent:
                 actions += self._handle_broken(flow, f"{upstream} fell silent", now)
             elif flow.state is FlowState.RESERVING:
                 flow.last_error = UpstreamError(f"{upstream} fell silent")
@@ -302,135 +304,23 @@
 
     def _route(self, flow: Flow, now: float) -> list[EntryAction]:
         request = flow.request
-        excluded = flow.excluded
-        found = self.catalog.list_candidates(request, excluded, self.local_zones)
-        usable = [
-            candidate
-            for candidate in found
-            if self.outliers.is_usable(candidate.view.upstream, now)
-        ]
-        # With every replica set aside, a poor one is better than none.
-        candidates = usable or found
-        works = self._choose(flow, candidates, now)
-        if not works:
+        self._attempt_count += 1
+        name = AttemptId(f"{request.request}.{self._attempt_count}")
+        placed = self.placement.place(request, name, flow.excluded, now)
+        if placed is None:
             return self._refuse_unroutable(flow, now)
         flow.tries += 1
-        attempt = Attempt(works[0].attempt, works)
-        flow.attempt = attempt
+        part = Part.PREFILL if placed.is_split else Part.WHOLE
+        flow.attempt = Attempt(name, placed.works, part)
         flow.state = FlowState.RESERVING
-        self._requests[attempt.attempt] = request.request
-        for work in works:
-            self._pending.add(work.upstream, work.prefill_tokens)
-            self.outliers.note_chosen(work.upstream, now)
+        self._requests[name] = request.request
         return [self._reserve_next(flow, now)]
 
-    def _choose(
-        self, flow: Flow, candidates: list[Candidate], now: float
-    ) -> list[Work]:
-        request = flow.request
-        cached: dict[UpstreamId, int] = {}
-        if request.prefixes and request.model and self._options.use_prefixes:
-            ratio = self.sizes.get_bytes_per_token(request.model)
-            cached = self.prefixes.count_cached(request.prefixes, ratio)
-        zone = self._options.availability_zone
-        sampled = sample_candidates(candidates, zone, cached, self._chooser)
-        choice = choose_replica(
-            Demand(request.prompt_tokens, request.memory_tokens),
-            sampled,
-            zone=zone,
-            cached=cached,
-            pending=self._pending,
-        )
-        attempt = self._build_attempt_id(request)
-        if choice is not None:
-            logger.info(
-                "routed",
-                request=request.request,
-                customer=request.customer,
-                tokens=request.prompt_tokens,
-                candidates=choice.candidates,
-                upstream=choice.upstream,
-                cached_tokens=choice.cached_tokens,
-                score=round(choice.score, 4),
-                reason=choice.reason,
-            )
-            view = next(c.view for c in sampled if c.view.upstream == choice.upstream)
-            patience = request.deadline - now
-            patience -= choice.prefill_tokens / view.prefill_rate
-            return [
-                self._build_work(
-                    request, attempt, choice.upstream, choice.prefill_tokens, patience
-                )
-            ]
-        return self._choose_group(request, attempt, candidates, now)
-
-    def _choose_group(
-        self,
-        request: Request,
-        attempt: AttemptId,
-        candidates: list[Candidate],
-        now: float,
-    ) -> list[Work]:
-        demand = Demand(request.prompt_tokens, request.memory_tokens)
-        group = choose_group(demand, candidates, MOST_GROUP)
-        if not group:
-            return []
-        logger.info(
-            "routed",
-            request=request.request,
-            customer=request.customer,
-            tokens=request.prompt_tokens,
-            candidates=len(candidates),
-            upstream=group,
-            reason="spread-over-group",
-        )
-        patience = min(GROUP_PATIENCE, request.deadline - now)
-        return [
-            self._build_work(
-                request,
-                attempt,
-                upstream,
-                _divide(request.prompt_tokens, len(group)),
-                request.deadline - now if number == 0 else patience,
-                parts=len(group),
-            )
-            for number, upstream in enumerate(group)
-        ]
-
-    def _build_work(
-        self,
-        request: Request,
-        attempt: AttemptId,
-        upstream: UpstreamId,
-        prefill_tokens: int,
-        patience: float,
-        parts: int = 1,
-    ) -> Work:
-        return Work(
-            attempt=attempt,
-            request=request.request,
-            customer=request.customer,
-            entry=self._options.instance,
-            upstream=upstream,
-            memory_tokens=_divide(request.memory_tokens, parts),
-            prefill_tokens=prefill_tokens,
-            output_tokens=_divide(request.output_tokens, parts),
-            patience=patience,
-            priority=request.priority,
-        )
-
-    def _build_attempt_id(self, request: Request) -> AttemptId:
-        self._attempt_count += 1
-        return AttemptId(f"{request.request}.{self._attempt_count}")
-
     def _reserve_next(self, flow: Flow, now: float) -> ToOwner:
         attempt = flow.attempt
         assert attempt is not None
         attempt.sent_reserve = now
         work = attempt.works[attempt.granted]
-        if attempt.granted:
-            work = msgspec.structs.replace(work, held_elsewhere=True)
-            attempt.works[attempt.granted] = work
         return ToOwner(work.upstream, Reserve(work))
 
     def _start(self, flow: Flow) -> list[EntryAction]:
@@ -441,12 +331,75 @@
         priority = self._compute_engine_priority(flow.request)
         return [
             StartAttempt(
-                attempt.attempt, flow.request.request, attempt.upstreams, priority
+                attempt.attempt,
+                flow.request.request,
+                attempt.upstreams,
+                priority,
+                attempt.part,
             )
         ]
 
+    # Moving the KV cache
+
+    def _move(self, flow: Flow, now: float) -> list[EntryAction]:
+        attempt = flow.attempt
+        assert attempt is not None
+        source = attempt.works[0]
+        self.placement.prefixes.learn(source.upstream, flow.request.prefixes)
+        excluded = flow.excluded
+        work = self.placement.place_decode(flow.request, source, excluded, now)
+        if work is None:
+            error = UpstreamError("no engine can decode what was prefilled")
+            return self._fail_attempt(flow, error, now, Outcome.ABANDONED)
+        attempt.works = [source, work]
+        attempt.granted = 1
+        attempt.part = Part.PREFILL
+        flow.state = FlowState.MOVING
+        return [self._reserve_next(flow, now)]
+
+    def _move_elsewhere(
+        self, flow: Flow, upstream: UpstreamId, now: float
+    ) -> list[EntryAction]:
+        attempt = flow.attempt
+        assert attempt is not None
+        flow.excluded.add(upstream)
+        release = Release(attempt.attempt, upstream, Outcome.ABANDONED)
+        return [ToOwner(upstream, release), *self._move(flow, now)]
+
+    def _start_decode(self, flow: Flow) -> list[EntryAction]:
+        attempt = flow.attempt
+        assert attempt is not None
+        attempt.part = Part.DECODE
+        flow.state = FlowState.RUNNING
+        source, target = attempt.upstreams
+        return [
+            StartAttempt(
+                attempt.attempt,
+                flow.request.request,
+                (target,),
+                self._compute_engine_priority(flow.request),
+                Part.DECODE,
+                source,
+            )
+        ]
+
+    def _finish_move(self, flow: Flow) -> list[EntryAction]:
+        """The decode engine has the KV cache: give the prefill engine's back."""
+        attempt = flow.attempt
+        assert attempt is not None
+        if len(attempt.works) == 1:
+            return []
+        source, target = attempt.works
+        attempt.works = [target]
+        attempt.granted = 1
+        name = attempt.attempt
+        return [
+            ToOwner(source.upstream, Release(name, source.upstream, Outcome.ABANDONED)),
+            ToOwner(target.upstream, Started(name, target.upstream)),
+        ]
+
     def _compute_engine_priority(self, request: Request) -> int:
-        match self._options.policy:
+        match self._strategy.queue:
             case FirstCome():
                 return 0
             case _ if request.prompt_tokens < SHORT_TOKENS:
@@ -459,12 +412,12 @@
     def _handle_broken(self, flow: Flow, detail: str, now: float) -> list[EntryAction]:
         attempt = flow.attempt
         assert attempt is not None
-        record = self.catalog.get(attempt.upstreams[0])
+        record = self.catalog.get(attempt.lead)
         can_resume = attempt.state is AttemptState.RUNNING and record is not None
         if can_resume and attempt.resumes < MOST_RESUMES:
             attempt.resumes += 1
             return [ResumeAttempt(attempt.attempt)]
-        self._record_failure(attempt.upstreams[0], now)
+        self._record_failure(attempt.lead, now)
         return self._fail_attempt(flow, UpstreamError(detail), now, Outcome.ABANDONED)
 
     def _fail_attempt(
@@ -473,7 +426,7 @@
         attempt = flow.attempt
         assert attempt is not None
         flow.last_error = error
-        flow.excluded.add(attempt.upstreams[0])
+        flow.excluded.add(attempt.lead)
         actions = self._release_attempt(flow, outcome)
         is_safe = attempt.never_started or flow.request.repeatable
         if not is_safe or flow.has_delivered:
@@ -500,7 +453,7 @@
         serving = self.catalog.list_candidates(request, set())
         if serving and request.model is not None:
             error = RefusedError(
-                f"{request.memory_tokens} tokens fit no {MOST_GROUP} replicas",
+                f"{request.memory_tokens} tokens fit no {MOST_GROUP} engines",
                 kind=ErrorKind.PROMPT_TOO_LONG,
             )
         else:
@@ -536,10 +489,11 @@
         elif outcome is not Outcome.FINISHED:
             actions.append(AbortAttempt(attempt.attempt))
         # One reservation beyond the granted ones may be waiting at its owner.
-        for number, work in enumerate(attempt.works[: attempt.granted + 1]):
-            self.outliers.release_probe(work.upstream)
-            # A helper's memory is given back by cancelling it, however it ended.
-            is_helper = number > 0 and attempt.was_sent
+        for work in attempt.works[: attempt.granted + 1]:
+            self.placement.outliers.release_probe(work.upstream)
+            # What another engine than the lead holds is given back by cancelling
+            # it, however the attempt ended.
+            is_helper = work.upstream != attempt.lead and attempt.was_sent
             ended = Outcome.ABANDONED if is_helper else outcome
             release = Release(attempt.attempt, work.upstream, ended, output_tokens)
             actions.append(ToOwner(work.upstream, release))
@@ -551,11 +505,11 @@
     def _learn(self, flow: Flow, result: Completed) -> None:
         request = flow.request
         attempt = flow.attempt
-        if request.prefixes and attempt is not None and len(attempt.works) == 1:
-            self.prefixes.learn(attempt.upstreams[0], request.prefixes)
+        if attempt is not None and attempt.part is Part.WHOLE:
+            self.placement.prefixes.learn(attempt.lead, request.prefixes)
 
     def _record_failure(self, upstream: UpstreamId, now: float) -> None:
-        if self.outliers.record_failure(upstream, now):
+        if self.placement.outliers.record_failure(upstream, now):
             logger.warning("replica set aside", upstream=upstream)
 
     def _find_flow(self, attempt: AttemptId) -> Flow | None:
@@ -571,10 +525,6 @@
     return Ran.UNKNOWN
 
 
-def _divide(tokens: int, parts: int) -> int:
-    return -(-tokens // parts)
-
-
 _REFUSAL_KINDS = {
     RefusalReason.TOO_LARGE: ErrorKind.PROMPT_TOO_LONG,
     RefusalReason.TOO_LATE: ErrorKind.OVERLOADED,
--- a/src/scalebend/core/flow.py
+++ b/src/scalebend/core/flow.py
@@ -27,6 +27,10 @@
     cached_tokens: int = 0
 
 
+class Prefilled(msgspec.Struct, frozen=True):
+    """The first token was generated and the KV cache can be exported."""
+
+
 class NeverStarted(msgspec.Struct, frozen=True):
     """The upstream provably did not start the attempt.
 
@@ -50,7 +54,7 @@
     detail: str
 
 
-AttemptResult = Completed | NeverStarted | Broken | Garbled
+AttemptResult = Completed | Prefilled | NeverStarted | Broken | Garbled
 
 
 class ToOwner(msgspec.Struct, frozen=True):
@@ -60,13 +64,30 @@
     message: Reserve | Started | Release | Renew
 
 
+class Part(Enum):
+    """What of an attempt an engine runs.
+
+    ``PREFILL`` ends with the first token and keeps the KV cache for export;
+    ``DECODE`` imports it and goes on from the second token.
+    """
+
+    WHOLE = "whole"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class StartAttempt(msgspec.Struct, frozen=True):
-    """Action: send the request to these replicas; the first leads."""
+    """Action: send the request to these replicas; the first leads.
+
+    ``source`` is where a ``DECODE`` part imports its KV cache from.
+    """
 
     attempt: AttemptId
     request: RequestId
     upstreams: tuple[UpstreamId, ...]
     priority: int
+    part: Part = Part.WHOLE
+    source: UpstreamId | None = None
 
 
 class ResumeAttempt(msgspec.Struct, frozen=True):
@@ -100,19 +121,28 @@
 
 
 class FlowState(Enum):
-    """What an admitted request is waiting for."""
+    """What an admitted request is waiting for.
+
+    ``MOVING``: its KV cache is ready, and it waits for an engine to decode it.
+    """
 
     RESERVING = "reserving"
     CLAIMING = "claiming"
     RUNNING = "running"
+    MOVING = "moving"
     WAITING_TO_RETRY = "waiting-to-retry"
 
 
 class Attempt(msgspec.Struct):
-    """The current attempt of a request and the replicas it needs."""
+    """The current attempt of a request and the replicas it needs.
+
+    Of a split attempt ``works`` holds the prefill engine, then the decode engine
+    too until it has imported the KV cache.
+    """
 
     attempt: AttemptId
     works: list[Work]
+    part: Part = Part.WHOLE
     granted: int = 0
     state: AttemptState = AttemptState.QUEUED
     resumes: int = 0
@@ -133,6 +163,11 @@
         """Names of the replicas, in reservation order."""
         return tuple(work.upstream for work in self.works)
 
+    @property
+    def lead(self) -> UpstreamId:
+        """The replica whose stream is read now."""
+        return self.works[-1 if self.part is Part.DECODE else 0].upstream
+
 
 class Flow(msgspec.Struct):
     """One request; ``ran`` is what is known of earlier and current attempts."""
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -39,7 +39,7 @@
 from scalebend.core.membership import MemberRank, Membership, Outbound
 from scalebend.core.owner import CancelOnEngine, OwnerAction, ReplicaOwner, ToEntry
 from scalebend.core.ownership import ReplicaOwners
-from scalebend.core.queueing import POLICIES, PRIORITY_FACTOR
+from scalebend.core.queueing import PRIORITY_FACTOR, STRATEGIES
 from scalebend.core.rendezvous import find_responsible
 from scalebend.core.shares import UsageHome
 from scalebend.exceptions import ErrorKind, RefusedError, ScalebendError
@@ -149,10 +149,10 @@
         self.instances = EMPTY_LIST
         self.admission = AdmissionControl()
         self.catalog = Catalog(settings.limits.announcement_timeout)
-        policy = POLICIES[settings.policy]
-        options = EntryOptions(self.me, settings.availability_zone, policy, seed)
+        strategy = STRATEGIES[settings.policy]
+        options = EntryOptions(self.me, settings.availability_zone, strategy, seed)
         self.entry = Entry(options, self.catalog)
-        self.owners = ReplicaOwners(self.me, self.catalog, policy)
+        self.owners = ReplicaOwners(self.me, self.catalog, strategy.queue)
         self.home = UsageHome()
         self.is_draining = False
         self.is_fresh = False
@@ -302,7 +302,7 @@
         return list(owner.take_announcement(announcement, now))
 
     def _take_cache_event(self, upstream: UpstreamId, event: CacheEvent) -> None:
-        self.entry.prefixes.take_event(upstream, event)
+        self.entry.placement.prefixes.take_event(upstream, event)
         if len(event.stored) + len(event.evicted) <= LONGEST_CACHE_EVENT:
             subject = f"c/{upstream}/{event.sequence}"
             rumor = CacheRumor(upstream, event)
@@ -351,7 +351,7 @@
                 case DigestRumor():
                     self._take_digest_rumor(rumor)
                 case CacheRumor(upstream, event):
-                    self.entry.prefixes.take_event(upstream, event)
+                    self.entry.placement.prefixes.take_event(upstream, event)
         return self._run(steps, now)
 
     def _take_upstream_rumor(
@@ -609,7 +609,7 @@
     def _follow_list(self, now: float) -> list[_Step]:
         listed = self.instances
         self.admission.instances = max(1, len(listed.instances))
-        self.entry.local_zones = {
+        self.entry.placement.local_zones = {
             item.availability_zone
             for item in listed.instances
             if item.region == self.settings.region
--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -37,8 +37,11 @@
 UNKNOWN_GRACE = 5.0
 """Seconds an engine may run an attempt that no entry claims before it is cancelled."""
 
+RESERVE_MEMORY = 2 * SHORT_TOKENS
+"""Tokens of memory under which an attempt may use the reserve."""
+
 SHORT_RESERVE = 1 / 16
-"""Share of a replica's memory that only short prompts may take."""
+"""Share of a replica's memory that only small attempts may take."""
 
 PREFILL_WINDOW = 0.2
 """Seconds of prefill work that may be granted ahead of the engine's progress."""
@@ -235,8 +238,7 @@
         for head in self.queue.list_heads(now):
             if head.is_expired(now):
                 continue
-            is_short = head.work.prefill_tokens < SHORT_TOKENS
-            if must_wait_for is not None and not is_short:
+            if must_wait_for is not None and not _may_use_reserve(head.work):
                 continue
             if not self._fits_window(head.work):
                 continue
@@ -250,7 +252,7 @@
 
     def _fits_memory(self, work: Work) -> bool:
         free = self.ledger.free
-        if work.prefill_tokens >= SHORT_TOKENS and self._holds:
+        if not _may_use_reserve(work) and self._holds:
             reserve = int(self.ledger.capacity * SHORT_RESERVE)
             free -= min(reserve, self.ledger.capacity - work.memory_tokens)
         return work.memory_tokens <= free
@@ -367,6 +369,10 @@
         self._short_tokens = 0
 
 
+def _may_use_reserve(work: Work) -> bool:
+    return work.memory_tokens < RESERVE_MEMORY
+
+
 def compute_token_cost(view: ReplicaView) -> float:
     """Engine-seconds of one generated token: a step is shared by a typical batch."""
     typical_batch = max(1.0, view.concurrency / 4)
--- /dev/null
+++ b/src/scalebend/core/placement.py
@@ -0,0 +1,277 @@
+"""Where a request runs: its replica, its group, or its prefill and decode engines."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import structlog
+
+from scalebend.core.catalog import Catalog
+from scalebend.core.lanes import LaneBorder, compute_decode_seconds, split_lanes
+from scalebend.core.prefixes import PrefixIndex
+from scalebend.core.retries import OutlierDetector
+from scalebend.core.routing import (
+    Candidate,
+    Choice,
+    Demand,
+    PendingLoad,
+    choose_decode_replica,
+    choose_group,
+    choose_replica,
+    sample_candidates,
+)
+from scalebend.core.sizes import SizeEstimator
+from scalebend.models.ids import AttemptId, AvailabilityZone, InstanceId, UpstreamId
+from scalebend.models.work import Request, Work
+
+logger = structlog.get_logger(__name__)
+
+MOST_GROUP = 3
+"""Replicas that one prompt may be spread over."""
+
+GROUP_PATIENCE = 20.0
+"""Seconds a reservation may wait while others of its group are already held."""
+
+
+class Placed:
+    """Works of one attempt, in reservation order, and whether it is split."""
+
+    def __init__(self, works: list[Work], *, is_split: bool = False) -> None:
+        self.works = works
+        self.is_split = is_split
+
+
+class Placement:
+    """Chooses replicas from the catalog and what is known of their load."""
+
+    def __init__(
+        self,
+        instance: InstanceId,
+        zone: AvailabilityZone,
+        catalog: Catalog,
+        *,
+        is_split: bool,
+        seed: int,
+    ) -> None:
+        self.prefixes = PrefixIndex()
+        self.sizes = SizeEstimator()
+        self.outliers = OutlierDetector()
+        self.pending = PendingLoad()
+        self.local_zones: set[AvailabilityZone] | None = None
+        self._instance = instance
+        self._zone = zone
+        self._catalog = catalog
+        self._is_split = is_split
+        self._border = LaneBorder()
+        self._chooser = random.Random(seed)
+
+    def place(
+        self,
+        request: Request,
+        attempt: AttemptId,
+        excluded: set[UpstreamId],
+        now: float,
+    ) -> Placed | None:
+        """Choose where an attempt starts; ``None`` when nothing can take it."""
+        candidates = self._list_usable(request, excluded, now)
+        if request.model is None or not self._is_split:
+            return self._place_whole(request, attempt, candidates, now)
+        self._note_work(request, candidates, now)
+        lanes = split_lanes(candidates, self._border.read_share(request.model))
+        if not lanes.is_split:
+            return self._place_whole(request, attempt, candidates, now)
+        fits = any(c.view.memory_tokens >= request.memory_tokens for c in lanes.decode)
+        if not fits:
+            # No engine holds it whole: a group prefills and decodes it.
+            return self._place_whole(request, attempt, lanes.prefill, now, candidates)
+        first_part = msgspec.structs.replace(request, output_tokens=1)
+        placed = self._place_one(first_part, attempt, lanes.prefill, now)
+        if placed is None:
+            return self._place_whole(request, attempt, candidates, now)
+        placed.is_split = True
+        return placed
+
+    def place_decode(
+        self, request: Request, work: Work, excluded: set[UpstreamId], now: float
+    ) -> Work | None:
+        """Choose the engine that decodes what ``work`` has prefilled."""
+        assert request.model is not None
+        excluded = excluded | {work.upstream}
+        candidates = self._list_usable(request, excluded, now)
+        lanes = split_lanes(candidates, self._border.read_share(request.model))
+        record = self._catalog.get(work.upstream)
+        zone = record.view.availability_zone if record else self._zone
+        choice = choose_decode_replica(
+            request.memory_tokens, lanes.decode, zone=zone, pending=self.pending
+        )
+        if choice is None:
+            return None
+        self._log(request, choice, "decode")
+        self.pending.add(choice.upstream, 0)
+        return self._build_work(
+            request,
+            work.attempt,
+            choice.upstream,
+            memory_tokens=request.memory_tokens,
+            prefill_tokens=0,
+            output_tokens=request.output_tokens,
+            patience=request.deadline - now,
+            held_elsewhere=True,
+        )
+
+    def _list_usable(
+        self, request: Request, excluded: set[UpstreamId], now: float
+    ) -> list[Candidate]:
+        found = self._catalog.list_candidates(request, excluded, self.local_zones)
+        usable = [c for c in found if self.outliers.is_usable(c.view.upstream, now)]
+        # With every replica set aside, a poor one is better than none.
+        return usable or found
+
+    def _note_work(
+        self, request: Request, candidates: list[Candidate], now: float
+    ) -> None:
+        if not candidates or request.model is None:
+            return
+        view = candidates[0].view
+        prefill = request.prompt_tokens / view.prefill_rate
+        decode = compute_decode_seconds(request.output_tokens, view.step_time)
+        self._border.note(request.model, prefill, decode, now)
+
+    def _place_whole(
+        self,
+        request: Request,
+        attempt: AttemptId,
+        candidates: list[Candidate],
+        now: float,
+        spare: list[Candidate] | None = None,
+    ) -> Placed | None:
+        placed = self._place_one(request, attempt, candidates, now)
+        if placed is not None:
+            return placed
+        return self._place_group(request, attempt, candidates, now) or (
+            self._place_group(request, attempt, spare, now) if spare else None
+        )
+
+    def _place_one(
+        self,
+        request: Request,
+        attempt: AttemptId,
+        candidates: list[Candidate],
+        now: float,
+    ) -> Placed | None:
+        cached: dict[UpstreamId, int] = {}
+        if request.prefixes and request.model:
+            ratio = self.sizes.get_bytes_per_token(request.model)
+            cached = self.prefixes.count_cached(request.prefixes, ratio)
+        sampled = sample_candidates(candidates, self._zone, cached, self._chooser)
+        choice = choose_replica(
+            Demand(request.prompt_tokens, request.memory_tokens),
+            sampled,
+            zone=self._zone,
+            cached=cached,
+            pending=self.pending,
+        )
+        if choice is None:
+            return None
+        self._log(request, choice, "start")
+        self._note_chosen(choice.upstream, choice.prefill_tokens, now)
+        work = self._build_work(
+            request,
+            attempt,
+            choice.upstream,
+            memory_tokens=request.memory_tokens,
+            prefill_tokens=choice.prefill_tokens,
+            output_tokens=request.output_tokens,
+            patience=request.deadline - now - choice.prefill_seconds,
+        )
+        return Placed([work])
+
+    def _place_group(
+        self,
+        request: Request,
+        attempt: AttemptId,
+        candidates: list[Candidate],
+        now: float,
+    ) -> Placed | None:
+        demand = Demand(request.prompt_tokens, request.memory_tokens)
+        group = choose_group(demand, candidates, MOST_GROUP)
+        if not group:
+            return None
+        logger.info(
+            "routed",
+            request=request.request,
+            customer=request.customer,
+            tokens=request.prompt_tokens,
+            candidates=len(candidates),
+            upstream=group,
+            reason="spread-over-group",
+        )
+        patience = request.deadline - now
+        works = []
+        for number, upstream in enumerate(group):
+            prefill_tokens = divide(request.prompt_tokens, len(group))
+            self._note_chosen(upstream, prefill_tokens, now)
+            work = self._build_work(
+                request,
+                attempt,
+                upstream,
+                memory_tokens=divide(request.memory_tokens, len(group)),
+                prefill_tokens=prefill_tokens,
+                output_tokens=divide(request.output_tokens, len(group)),
+                patience=patience if number == 0 else min(GROUP_PATIENCE, patience),
+                held_elsewhere=number > 0,
+            )
+            works.append(work)
+        return Placed(works)
+
+    def _note_chosen(
+        self, upstream: UpstreamId, prefill_tokens: int, now: float
+    ) -> None:
+        self.pending.add(upstream, prefill_tokens)
+        self.outliers.note_chosen(upstream, now)
+
+    def _build_work(
+        self,
+        request: Request,
+        attempt: AttemptId,
+        upstream: UpstreamId,
+        *,
+        memory_tokens: int,
+        prefill_tokens: int,
+        output_tokens: int,
+        patience: float,
+        held_elsewhere: bool = False,
+    ) -> Work:
+        return Work(
+            attempt=attempt,
+            request=request.request,
+            customer=request.customer,
+            entry=self._instance,
+            upstream=upstream,
+            memory_tokens=memory_tokens,
+            prefill_tokens=prefill_tokens,
+            output_tokens=output_tokens,
+            patience=patience,
+            priority=request.priority,
+            held_elsewhere=held_elsewhere,
+        )
+
+    def _log(self, request: Request, choice: Choice, part: str) -> None:
+        logger.info(
+            "routed",
+            request=request.request,
+            customer=request.customer,
+            tokens=request.prompt_tokens,
+            part=part,
+            candidates=choice.candidates,
+            upstream=choice.upstream,
+            cached_tokens=choice.cached_tokens,
+            score=round(choice.score, 4),
+            reason=choice.reason,
+        )
+
+
+def divide(tokens: int, parts: int) -> int:
+    """Return the size of each of ``parts`` parts, rounded up."""
+    return -(-tokens // parts)
--- a/src/scalebend/core/queueing.py
+++ b/src/scalebend/core/queueing.py
@@ -52,15 +52,32 @@
 
 Policy = FirstCome | Lanes | FairQueue | SmallestFirst
 
-POLICIES: dict[str, Policy] = {
-    "first-come": FirstCome(),
-    "lanes": Lanes(),
-    "fair": FairQueue(),
-    "smallest": SmallestFirst(),
+
+class Strategy(msgspec.Struct, frozen=True):
+    """How requests are served: order in the queues, and whether they are split.
+
+    ``is_split``: prefill and decode run on different engines, with KV export.
+    """
+
+    queue: Policy
+    is_split: bool = False
+
+
+STRATEGIES: dict[str, Strategy] = {
+    "first-come": Strategy(FirstCome()),
+    "lanes": Strategy(Lanes()),
+    "fair": Strategy(FairQueue()),
+    "smallest": Strategy(SmallestFirst()),
+    "split-fair": Strategy(FairQueue(), is_split=True),
 }
 
+DEFAULT_STRATEGY = "split-fair"
+
 SHARED_GROUP = CustomerId("")
 
+HELD_GROUP = CustomerId("\0held")
+"""Group of work that holds memory elsewhere: it goes first, to set that free."""
+
 
 class Waiting(msgspec.Struct):
     """Work in an owner's queue; ``arrived`` and ``blocked_since`` in its clock."""
@@ -146,12 +163,18 @@
         if len(self._groups) > 1:
             groups = sorted(
                 self._groups,
-                key=lambda group: (self._shares.compute_normalized(group, now), group),
+                key=lambda group: self._rank_group(group, now),
             )
         else:
             groups = list(self._groups)
         return [self._waiting[self._groups[group][0][1]] for group in groups]
 
+    def _rank_group(
+        self, group: CustomerId, now: float
+    ) -> tuple[bool, float, CustomerId]:
+        use = self._shares.compute_normalized(group, now)
+        return (group != HELD_GROUP, use, group)
+
     def estimate_tokens_ahead(self, work: Work) -> int:
         """Prefill tokens likely to start before ``work`` if it were queued now."""
         group = self._find_group(work)
@@ -160,6 +183,8 @@
         return min(self.tokens, own * groups)
 
     def _find_group(self, work: Work) -> CustomerId:
+        if work.held_elsewhere:
+            return HELD_GROUP
         match self._policy:
             case FairQueue():
                 return work.customer
--- a/src/scalebend/core/routing.py
+++ b/src/scalebend/core/routing.py
@@ -14,6 +14,7 @@
 
 from scalebend.core.queueing import SHORT_TOKENS
 from scalebend.models.ids import AvailabilityZone, UpstreamId
+from scalebend.models.upstream import EngineRole
 from scalebend.models.work import LoadDigest, ReplicaView
 
 MOST_CANDIDATES = 24
@@ -38,14 +39,16 @@
     view: ReplicaView
     digest: LoadDigest
     is_local_region: bool = True
+    role: EngineRole = EngineRole.BOTH
 
 
 class Choice(msgspec.Struct, frozen=True):
-    """The chosen replica and why; ``score`` in seconds."""
+    """The chosen replica and why; ``score`` and ``prefill_seconds`` in seconds."""
 
     upstream: UpstreamId
     score: float
     prefill_tokens: int
+    prefill_seconds: float
     cached_tokens: int
     candidates: int
     reason: str
@@ -117,7 +120,9 @@
         score = _score(demand, prefill, candidate, zone, pending.get(upstream))
         if best is None or (score, upstream) < (best.score, best.upstream):
             reason = "cached-prefix" if hit else "least-delay"
-            best = Choice(upstream, score, prefill, hit, len(candidates), reason)
+            seconds = prefill / candidate.view.prefill_rate
+            count = len(candidates)
+            best = Choice(upstream, score, prefill, seconds, hit, count, reason)
     return best
 
 
@@ -155,6 +160,36 @@
     return score
 
 
+def choose_decode_replica(
+    memory_tokens: int,
+    candidates: list[Candidate],
+    *,
+    zone: AvailabilityZone,
+    pending: PendingLoad,
+) -> Choice | None:
+    """Return the replica with the shortest steps that has room.
+
+    ``zone`` is where the KV cache comes from.
+    """
+    best: Choice | None = None
+    for candidate in candidates:
+        view = candidate.view
+        if memory_tokens > view.memory_tokens:
+            continue
+        sent_count = pending.get(view.upstream)[1]
+        batch = candidate.digest.decoding + sent_count + candidate.digest.queued
+        score = batch * view.step_time / view.concurrency
+        score += candidate.digest.prefill_tokens / view.prefill_rate
+        if memory_tokens > candidate.digest.free_tokens:
+            score += MEMORY_PENALTY
+        if view.availability_zone != zone:
+            score += ZONE_PENALTY
+        if best is None or (score, view.upstream) < (best.score, best.upstream):
+            count = len(candidates)
+            best = Choice(view.upstream, score, 0, 0.0, 0, count, "shortest-steps")
+    return best
+
+
 def choose_group(
     demand: Demand, candidates: list[Candidate], most: int
 ) -> list[UpstreamId]:
--- a/src/scalebend/edges/request_parser.py
+++ b/src/scalebend/edges/request_parser.py
@@ -115,7 +115,7 @@
     if not 1 <= output_tokens <= MOST_OUTPUT_TOKENS:
         raise RequestError(f"$.max_tokens: expected 1 to {MOST_OUTPUT_TOKENS}")
     data = bytes(prompt)
-    tokens = instance.entry.sizes.estimate_tokens(model.model, len(data))
+    tokens = instance.entry.placement.sizes.estimate_tokens(model.model, len(data))
     if tokens > model.longest_prompt * 1.25:
         raise RequestError(
             f"the prompt has about {tokens} tokens; "
--- a/src/scalebend/edges/settings_file.py
+++ b/src/scalebend/edges/settings_file.py
@@ -5,7 +5,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from scalebend.core.queueing import POLICIES
+from scalebend.core.queueing import STRATEGIES
 from scalebend.exceptions import DocumentError, ErrorKind, Fault
 from scalebend.models.configuration import Configuration
 from scalebend.models.settings import Role, Settings
@@ -62,8 +62,8 @@
     if Role.CONTROL in settings.roles and settings.data_folder is None:
         expected = "expected a path: the role 'control' keeps state on disk"
         faults.append(Fault("$.data_folder", expected))
-    if settings.policy not in POLICIES:
-        faults.append(Fault("$.policy", f"expected one of {', '.join(POLICIES)}"))
+    if settings.policy not in STRATEGIES:
+        faults.append(Fault("$.policy", f"expected one of {', '.join(STRATEGIES)}"))
     faults += _check_limits(settings)
     faults += _check_hashes("$.operator_key_hashes", settings.operator_key_hashes)
     faults += _check_hashes("$.upstream_key_hashes", settings.upstream_key_hashes)
--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -26,6 +26,8 @@
     Completed,
     Conclude,
     NeverStarted,
+    Part,
+    Prefilled,
     ResumeAttempt,
     StartAttempt,
 )
@@ -131,6 +133,7 @@
     instance: InstanceId
     engine: UpstreamId
     outcome: Outcome
+    is_prefill_only: bool = False
 
 
 class Harness:
@@ -474,10 +477,19 @@
             zone = self._engines[lead].zone
         delay = self._delay(self._zones[name], zone)
         run = _Run(
-            start.attempt, start.request, name, lead, self._outcomes[start.request]
+            start.attempt,
+            start.request,
+            name,
+            lead,
+            self._outcomes[start.request],
+            start.part is Part.PREFILL,
         )
         self._runs[start.attempt] = run
-        work = self._run_service if lead in self._services else self._run_engine
+        work: Callable[..., None] = self._run_engine
+        if lead in self._services:
+            work = self._run_service
+        elif start.part is Part.DECODE:
+            work = self._begin_import
         self.call_at(self.now + delay, self._bind(work, run, start))
 
     def _run_service(self, run: _Run, start: StartAttempt) -> None:
@@ -507,6 +519,7 @@
                 now=self.now,
                 prefixes=prefixes,
                 speed=parts,
+                is_prefill_only=start.part is Part.PREFILL,
             )
         if sequence is None:
             refused = NeverStarted("refused", may_hold_memory=parts > 1)
@@ -518,6 +531,30 @@
             self._late_to_leaving += 1
         self._plan_steps(lead)
 
+    def _begin_import(self, run: _Run, start: StartAttempt) -> None:
+        engine = self._engines[start.upstreams[0]]
+        assert start.source is not None
+        source = self._engines[start.source]
+        request = self._requests[start.request]
+        is_there = source.is_up and start.attempt in source.model.list_running()
+        duration = None
+        if is_there and engine.is_up:
+            duration = engine.model.begin_import(
+                start.attempt,
+                prompt_tokens=request.prompt_tokens,
+                output_tokens=request.output_tokens,
+            )
+        if duration is None:
+            self._report(run, NeverStarted("cannot import"), 0.001)
+            return
+
+        def finish() -> None:
+            if engine.is_up and engine.model.finish_import(start.attempt, self.now):
+                self._plan_steps(engine)
+                self._tell_started(run)
+
+        self.call_at(self.now + duration, finish)
+
     def _plan_steps(self, engine: _Engine) -> None:
         end = engine.model.plan(self.now)
         engine.plan += 1
@@ -534,6 +571,8 @@
                     if run is not None and run.outcome.first_token is None:
                         run.outcome.first_token = self.now - START_TIME
                     self._tell_started(run)
+                    if run is not None and run.is_prefill_only:
+                        self._report(run, Prefilled(), 0.001)
                 case Finished(_, _, output):
                     self._charge(event.attempt)
                     if run is not None:
@@ -565,7 +604,7 @@
             instance = self._instances.get(run.instance)
             if instance is None or run.attempt not in self._runs:
                 return
-            if not isinstance(result, Broken):
+            if not isinstance(result, Broken | Prefilled):
                 del self._runs[run.attempt]
             actions = instance.handle_result(run.attempt, result, self.now)
             self._execute(run.instance, actions)
--- a/src/scalebend/models/settings.py
+++ b/src/scalebend/models/settings.py
@@ -98,7 +98,7 @@
     limits: Limits = Limits()
     log: Logging = Logging()
     statsd: Statsd | None = None
-    policy: str = "fair"
+    policy: str = "split-fair"
 
     @property
     def is_control(self) -> bool:
--- a/src/scalebend/standins/engine_model.py
+++ b/src/scalebend/standins/engine_model.py
@@ -25,7 +25,10 @@
 
 
 class EngineParameters(msgspec.Struct, frozen=True):
-    """Capacity of an engine; rates in tokens a second, memory in tokens."""
+    """Capacity of an engine; rates in tokens a second, memory in tokens.
+
+    ``transfer_rate`` is the speed at which KV cache is imported.
+    """
 
     memory_tokens: int = 400_000
     concurrency: int = 64
@@ -33,6 +36,7 @@
     step_time: float = 0.02
     chunk_tokens: int = 480
     idle_chunk_tokens: int = 1_024
+    transfer_rate: float = 250_000.0
 
 
 class Sequence(msgspec.Struct):
@@ -48,6 +52,8 @@
     prefixes: tuple[tuple[int, int], ...] = ()
     first_token: float | None = None
     ends_at_count: int = 0
+    is_prefill_only: bool = False
+    is_decoding: bool = False
 
 
 class FirstToken(msgspec.Struct, frozen=True):
@@ -123,10 +129,13 @@
         now: float,
         prefixes: tuple[tuple[int, int], ...] = (),
         speed: int = 1,
+        is_prefill_only: bool = False,
     ) -> Sequence | None:
         """Start an attempt; ``None`` when it was cancelled before or does not fit.
 
-        ``speed`` is the number of engines that prefill the prompt together.
+        ``speed`` is the number of engines that prefill the prompt together. With
+        ``is_prefill_only`` the KV cache is kept after the first token, for export,
+        until the attempt is cancelled.
         """
         memory = -(-(prompt_tokens + output_tokens) // speed)
         if not self.hold(attempt, memory):
@@ -138,11 +147,31 @@
         sequence.cached_tokens = cached
         sequence.prefill_left = max(1, -(-(prompt_tokens - cached) // speed))
         sequence.prefixes = prefixes
+        sequence.is_prefill_only = is_prefill_only
         self._cut_span(now)
         self._order += 1
         heapq.heappush(self._prefill, (-priority, self._order, attempt))
         return sequence
 
+    def begin_import(
+        self, attempt: AttemptId, *, prompt_tokens: int, output_tokens: int
+    ) -> float | None:
+        """Reserve memory for an import; return its duration, or ``None``."""
+        if not self.hold(attempt, prompt_tokens + output_tokens):
+            return None
+        self._sequences[attempt].output_tokens = output_tokens
+        return prompt_tokens / self.parameters.transfer_rate
+
+    def finish_import(self, attempt: AttemptId, now: float) -> bool:
+        """The KV cache arrived: decode from the second token on."""
+        sequence = self._sequences.get(attempt)
+        if sequence is None:
+            return False
+        self._cut_span(now)
+        sequence.first_token = now
+        self._begin_decoding(sequence)
+        return True
+
     def hold(self, attempt: AttemptId, memory_tokens: int) -> bool:
         """Hold memory for an attempt, for itself or as a helper of another engine."""
         if attempt in self._tombstones or attempt in self._sequences:
@@ -191,6 +220,8 @@
         sequence = self._sequences.get(attempt)
         if sequence is None or sequence.first_token is None:
             return 0
+        if not sequence.is_decoding:
+            return 1
         return sequence.output_tokens - (sequence.ends_at_count - self._count)
 
     def _build_span(self, now: float, most_steps: int | None) -> _Span | None:
@@ -262,19 +293,28 @@
         self._store_prefixes(sequence)
         attempt = sequence.attempt
         events: list[EngineEvent] = [FirstToken(attempt, end)]
+        if sequence.is_prefill_only:
+            return events
         if sequence.output_tokens <= 1:
             events.append(Finished(attempt, end, 1))
             self._drop(attempt)
             return events
-        sequence.ends_at_count = self._count + sequence.output_tokens - 1
-        heapq.heappush(self._decoding, (sequence.ends_at_count, attempt))
-        self._decoding_count += 1
+        self._begin_decoding(sequence)
         return events
 
+    def _begin_decoding(self, sequence: Sequence) -> None:
+        # Counted from the end of the running steps: a sequence joins between two.
+        running = self._span.steps if self._span is not None else 0
+        count = self._count + running
+        sequence.ends_at_count = count + sequence.output_tokens - 1
+        sequence.is_decoding = True
+        heapq.heappush(self._decoding, (sequence.ends_at_count, sequence.attempt))
+        self._decoding_count += 1
+
     def _drop(self, attempt: AttemptId) -> None:
         sequence = self._sequences.pop(attempt)
         self.used_tokens -= sequence.memory_tokens
-        if sequence.first_token is not None and sequence.output_tokens > 1:
+        if sequence.is_decoding:
             self._decoding_count -= 1
 
     def _store_prefixes(self, sequence: Sequence) -> None:
