Let a smaller prompt overtake larger ones at the owner as at the engine

Cause: an owner granted one prompt over 4,000 tokens at a time, so prompts of 4,000 to 32,000 tokens waited for larger ones that the engine would have let them pass.

Change: five size classes; owner window, load digest and engine priority count only what runs before a prompt of its class.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -33,7 +33,7 @@
     ToOwner,
 )
 from scalebend.core.placement import MOST_GROUP, Placement
-from scalebend.core.queueing import LONG_TOKENS, SHORT_TOKENS, FirstCome, Strategy
+from scalebend.core.queueing import FirstCome, Strategy, compute_size_class
 from scalebend.core.retries import RetryBudget, compute_delay
 from scalebend.exceptions import (
     ErrorKind,
@@ -328,7 +328,7 @@
         assert attempt is not None
         attempt.state = AttemptState.SENT
         flow.state = FlowState.RUNNING
-        priority = self._compute_engine_priority(flow.request)
+        priority = self._compute_engine_priority(attempt.works[0].prefill_tokens)
         return [
             StartAttempt(
                 attempt.attempt,
@@ -377,7 +377,7 @@
                 attempt.attempt,
                 flow.request.request,
                 (target,),
-                self._compute_engine_priority(flow.request),
+                self._compute_engine_priority(0),
                 Part.DECODE,
                 source,
             )
@@ -398,16 +398,12 @@
             ToOwner(target.upstream, Started(name, target.upstream)),
         ]
 
-    def _compute_engine_priority(self, request: Request) -> int:
+    def _compute_engine_priority(self, prefill_tokens: int) -> int:
         match self._strategy.queue:
             case FirstCome():
                 return 0
-            case _ if request.prompt_tokens < SHORT_TOKENS:
-                return 2
-            case _ if request.prompt_tokens < LONG_TOKENS:
-                return 1
             case _:
-                return 0
+                return -compute_size_class(prefill_tokens)
 
     def _handle_broken(self, flow: Flow, detail: str, now: float) -> list[EntryAction]:
         attempt = flow.attempt
--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -10,7 +10,15 @@
 import msgspec
 
 from scalebend.core.ledger import MemoryLedger
-from scalebend.core.queueing import SHORT_TOKENS, Policy, Waiting, WorkQueue
+from scalebend.core.queueing import (
+    CLASS_BORDERS,
+    SHORT_TOKENS,
+    FirstCome,
+    Policy,
+    Waiting,
+    WorkQueue,
+    compute_size_class,
+)
 from scalebend.core.shares import ShareLedger
 from scalebend.models.ids import AttemptId, Incarnation, InstanceId, UpstreamId
 from scalebend.models.upstream import Announcement, UpstreamState
@@ -99,8 +107,8 @@
         self._grants_from = grants_from
         self._holds: dict[AttemptId, _Hold] = {}
         self._unclaimed: dict[AttemptId, float] = {}
-        self._prefill_tokens = 0
-        self._short_tokens = 0
+        self._is_first_come = isinstance(policy, FirstCome)
+        self._prefill_tokens = [0] * (len(CLASS_BORDERS) + 1)
 
     def handle(self, message: OwnerMessage, now: float) -> list[OwnerAction]:
         """Take one message of an entry."""
@@ -162,8 +170,7 @@
         decoding = sum(not hold.is_prefilling for hold in self._holds.values())
         return LoadDigest(
             upstream=self.view.upstream,
-            prefill_tokens=self._prefill_tokens,
-            short_tokens=self._short_tokens,
+            prefill_tokens=tuple(self._prefill_tokens),
             decoding=decoding,
             free_tokens=self.ledger.free,
             queued=len(self.queue),
@@ -261,9 +268,12 @@
         if work.held_elsewhere:
             return True
         window = PREFILL_WINDOW * self.view.prefill_rate
-        if work.prefill_tokens < SHORT_TOKENS:
-            return self._short_tokens < window
-        return self._prefill_tokens - self._short_tokens < window
+        if self._is_first_come:
+            return sum(self._prefill_tokens) < window
+        # The engine lets a smaller prompt overtake larger ones, so only what it
+        # would run before this one counts.
+        size_class = compute_size_class(work.prefill_tokens)
+        return sum(self._prefill_tokens[: size_class + 1]) < window
 
     def _grant(self, work: Work, now: float) -> ToEntry:
         self.ledger.hold(work.attempt, work.memory_tokens)
@@ -283,9 +293,7 @@
         return hold
 
     def _count_prefill(self, work: Work, tokens: int) -> None:
-        self._prefill_tokens += tokens
-        if work.prefill_tokens < SHORT_TOKENS:
-            self._short_tokens += tokens
+        self._prefill_tokens[compute_size_class(work.prefill_tokens)] += tokens
 
     def _mark_started(self, attempt: AttemptId, now: float) -> list[OwnerAction]:
         hold = self._holds.get(attempt)
@@ -365,8 +373,7 @@
         self.ledger.clear()
         self._holds.clear()
         self._unclaimed.clear()
-        self._prefill_tokens = 0
-        self._short_tokens = 0
+        self._prefill_tokens = [0] * (len(CLASS_BORDERS) + 1)
 
 
 def _may_use_reserve(work: Work) -> bool:
--- a/src/scalebend/core/queueing.py
+++ b/src/scalebend/core/queueing.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import bisect
 import heapq
 import math
 
@@ -22,6 +23,9 @@
 LONG_TOKENS = 100_000
 """Prompts from this size are long."""
 
+CLASS_BORDERS = (SHORT_TOKENS, 12_000, 32_000, LONG_TOKENS)
+"""Prefill sizes that divide the classes; an engine prefills a lower class first."""
+
 AGEING = 5.0
 """Seconds of waiting that halve a request's size in the smallest-first order."""
 
@@ -94,6 +98,11 @@
 Key = tuple[float, ...]
 
 
+def compute_size_class(prefill_tokens: int) -> int:
+    """Return the class of a prefill; the lowest has the shortest ones."""
+    return bisect.bisect_right(CLASS_BORDERS, prefill_tokens)
+
+
 def compute_key(policy: Policy, work: Work, arrived: float) -> Key:
     """Return the sort key of work under ``policy``; the lowest starts first."""
     match policy:
--- a/src/scalebend/core/routing.py
+++ b/src/scalebend/core/routing.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from scalebend.core.queueing import SHORT_TOKENS
+from scalebend.core.queueing import SHORT_TOKENS, compute_size_class
 from scalebend.models.ids import AvailabilityZone, UpstreamId
 from scalebend.models.upstream import EngineRole
 from scalebend.models.work import LoadDigest, ReplicaView
@@ -136,18 +136,14 @@
     view = candidate.view
     digest = candidate.digest
     sent_tokens, sent_count = pending
-    backlog = digest.prefill_tokens + digest.queued_tokens + sent_tokens
     own = prefill / view.prefill_rate
-    if demand.prompt_tokens < SHORT_TOKENS:
-        # The engine prefills a short prompt before the long ones it holds; those
-        # still stretch every step of the answer.
-        ahead = digest.short_tokens / view.prefill_rate
-        stretch = view.step_time if backlog > digest.short_tokens else 0.0
-        score = own + ahead + stretch * (1 + sent_count)
-        score += DELAY_WEIGHT * backlog / view.prefill_rate
-    else:
-        ahead = backlog / view.prefill_rate
-        score = own + ahead + own * DELAY_WEIGHT * (digest.decoding + sent_count)
+    # The engine prefills a smaller prompt before the larger ones it holds; those
+    # still delay it by the chunk that runs, and stretch the steps of its answer.
+    ahead = digest.count_ahead(compute_size_class(prefill)) + sent_tokens
+    behind = digest.count_prefill() + digest.queued_tokens - ahead
+    score = own + ahead / view.prefill_rate
+    score += DELAY_WEIGHT * max(0, behind) / view.prefill_rate
+    score += DELAY_WEIGHT * own * (digest.decoding + sent_count)
     score += (digest.decoding + sent_count) * view.step_time * 0.05
     if demand.memory_tokens > digest.free_tokens:
         score += MEMORY_PENALTY
@@ -179,7 +175,7 @@
         sent_count = pending.get(view.upstream)[1]
         batch = candidate.digest.decoding + sent_count + candidate.digest.queued
         score = batch * view.step_time / view.concurrency
-        score += candidate.digest.prefill_tokens / view.prefill_rate
+        score += candidate.digest.count_prefill() / view.prefill_rate
         if memory_tokens > candidate.digest.free_tokens:
             score += MEMORY_PENALTY
         if view.availability_zone != zone:
@@ -201,7 +197,7 @@
     by_load = sorted(
         candidates,
         key=lambda c: (
-            c.digest.prefill_tokens + c.digest.queued_tokens,
+            c.digest.count_prefill() + c.digest.queued_tokens,
             -c.digest.free_tokens,
             c.view.upstream,
         ),
--- a/src/scalebend/models/work.py
+++ b/src/scalebend/models/work.py
@@ -150,20 +150,27 @@
 class LoadDigest(msgspec.Struct, frozen=True, array_like=True):
     """Load of one replica as its owner knows it.
 
-    ``prefill_tokens`` are granted but not yet answered with a first token, of which
-    ``short_tokens`` belong to short prompts; ``decoding`` counts attempts past their
+    ``prefill_tokens``, by size class, are granted but not yet answered with a first
+    token; ``decoding`` counts attempts past their
     first token; ``free_tokens`` is unreserved memory; ``queued_tokens`` of prefill
     wait at the owner.
     """
 
     upstream: UpstreamId
-    prefill_tokens: int
-    short_tokens: int
+    prefill_tokens: tuple[int, ...]
     decoding: int
     free_tokens: int
     queued: int
     queued_tokens: int
 
+    def count_ahead(self, size_class: int) -> int:
+        """Prefill tokens that the engine runs before a new prompt of the class."""
+        return sum(self.prefill_tokens[: size_class + 1])
+
+    def count_prefill(self) -> int:
+        """All prefill tokens granted and not yet answered."""
+        return sum(self.prefill_tokens)
+
 
 class ReplicaView(msgspec.Struct, frozen=True, kw_only=True):
     """Static facts of a replica that routing needs."""
