Count memory when dividing engines between prefill and decode

Cause: in the flood of dossiers prefilled prompts waited for decode memory and kept the prefill engines' memory full. The lane border counted decode time only.

Change: an attempt's part of a decode engine is the larger of its part of a batch and of the memory.

--- a/src/scalebend/core/lanes.py
+++ b/src/scalebend/core/lanes.py
@@ -14,6 +14,7 @@
 from scalebend.core.shares import decay
 from scalebend.models.ids import ModelName
 from scalebend.models.upstream import EngineRole
+from scalebend.models.work import ReplicaView, Request
 
 FEWEST_TO_SPLIT = 4
 """Engines of a model below which each does both."""
@@ -21,6 +22,9 @@
 TYPICAL_BATCH = 24
 """Decoding attempts that an engine of the decode lane is planned to hold."""
 
+MEMORY_USE = 0.7
+"""Part of the decode lane's memory that is planned to be in use."""
+
 START_SHARE = 0.5
 
 
@@ -55,9 +59,12 @@
         return prefill / (prefill + decode)
 
 
-def compute_decode_seconds(tokens: int, step_time: float) -> float:
-    """Engine-seconds of decoding in a typical batch of the decode lane."""
-    return tokens * step_time / TYPICAL_BATCH
+def compute_decode_seconds(request: Request, view: ReplicaView) -> float:
+    """Engine-seconds of decoding: its part of a batch, or of the memory if larger."""
+    duration = request.output_tokens * view.step_time
+    batch_part = 1.0 / TYPICAL_BATCH
+    memory_part = request.memory_tokens / (view.memory_tokens * MEMORY_USE)
+    return duration * max(batch_part, memory_part)
 
 
 def split_lanes(candidates: list[Candidate], prefill_share: float) -> Lanes:
--- a/src/scalebend/core/placement.py
+++ b/src/scalebend/core/placement.py
@@ -135,7 +135,7 @@
             return
         view = candidates[0].view
         prefill = request.prompt_tokens / view.prefill_rate
-        decode = compute_decode_seconds(request.output_tokens, view.step_time)
+        decode = compute_decode_seconds(request, view)
         self._border.note(request.model, prefill, decode, now)
 
     def _place_whole(
--- a/src/scalebend/standins/engine_model.py
+++ b/src/scalebend/standins/engine_model.py
@@ -137,7 +137,8 @@
         ``is_prefill_only`` the KV cache is kept after the first token, for export,
         until the attempt is cancelled.
         """
-        memory = -(-(prompt_tokens + output_tokens) // speed)
+        generated = 1 if is_prefill_only else output_tokens
+        memory = -(-(prompt_tokens + generated) // speed)
         if not self.hold(attempt, memory):
             return None
         cached = min(self.count_cached(prefixes), prompt_tokens - 1)
