Keep fair shares when smaller prompts overtake; pace them past overdue ones

Change: a head that waits for its window stops smaller prompts of customers over their share at once, and all once it was overtaken for its own duration; beside an overdue prefill a class leaves a third of the engine.

--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -12,6 +12,7 @@
 from scalebend.core.ledger import MemoryLedger
 from scalebend.core.queueing import (
     CLASS_BORDERS,
+    LONG_TOKENS,
     SHORT_TOKENS,
     FirstCome,
     Policy,
@@ -48,12 +49,24 @@
 RESERVE_MEMORY = 2 * SHORT_TOKENS
 """Tokens of memory under which an attempt may use the reserve."""
 
-SHORT_RESERVE = 1 / 16
+SMALL_RESERVE = 1 / 16
 """Share of a replica's memory that only small attempts may take."""
 
+LONG_RESERVE = 1 / 4
+"""Share of a replica's memory that long prompts leave to others."""
+
 PREFILL_WINDOW = 0.2
 """Seconds of prefill work that may be granted ahead of the engine's progress."""
 
+OVERDUE_FACTOR = 1.5
+"""A prefill is overdue after this many times its duration on an idle engine."""
+
+PACE_FACTOR = 1.5
+"""Times its own prefill after which a class goes on beside an overdue larger one."""
+
+OVER_SHARE_FACTOR = 1.2
+"""Use over the mean of the waiting customers from which one is over its share."""
+
 BLOCKED_PATIENCE = 1.0
 """Seconds a large head may be passed over before others must wait for it."""
 
@@ -83,6 +96,7 @@
     work: Work
     cost: float
     lease_until: float
+    granted: float
     is_prefilling: bool = True
 
 
@@ -107,6 +121,7 @@
         self._grants_from = grants_from
         self._holds: dict[AttemptId, _Hold] = {}
         self._unclaimed: dict[AttemptId, float] = {}
+        self._paced_until = [0.0] * (len(CLASS_BORDERS) + 1)
         self._is_first_come = isinstance(policy, FirstCome)
         self._prefill_tokens = [0] * (len(CLASS_BORDERS) + 1)
 
@@ -241,49 +256,96 @@
     def _find_next(self, now: float) -> Waiting | None:
         if not len(self.queue) or len(self._holds) >= self.view.concurrency:
             return None
-        must_wait_for: Waiting | None = None
-        for head in self.queue.list_heads(now):
+        is_memory_kept = False
+        # Classes up to these would delay a head that comes before them: any work,
+        # and the work of customers that used more than their share.
+        kept_class = -1
+        kept_class_over = -1
+        heads = self.queue.list_heads(now)
+        share = self._compute_mean_use(heads, now) * OVER_SHARE_FACTOR
+        for head in heads:
             if head.is_expired(now):
                 continue
-            if must_wait_for is not None and not _may_use_reserve(head.work):
+            if is_memory_kept and not _may_use_reserve(head.work):
+                continue
+            size_class = compute_size_class(head.work.prefill_tokens)
+            is_over = self._read_use(head, now) > share
+            kept = max(kept_class, kept_class_over) if is_over else kept_class
+            if size_class <= kept and not head.work.held_elsewhere:
                 continue
-            if not self._fits_window(head.work):
+            if not self._fits_window(head.work, now):
+                kept_class_over = max(kept_class_over, size_class)
+                if self._was_overtaken_enough(head, now):
+                    kept_class = max(kept_class, size_class)
                 continue
             if self._fits_memory(head.work):
                 return head
             if head.blocked_since is None:
                 head.blocked_since = now
             elif now - head.blocked_since >= BLOCKED_PATIENCE:
-                must_wait_for = must_wait_for or head
+                is_memory_kept = True
         return None
 
+    def _read_use(self, head: Waiting, now: float) -> float:
+        return self._shares.compute_normalized(head.work.customer, now)
+
+    def _compute_mean_use(self, heads: list[Waiting], now: float) -> float:
+        uses = {head.work.customer: self._read_use(head, now) for head in heads}
+        return sum(uses.values()) / len(uses)
+
+    def _was_overtaken_enough(self, head: Waiting, now: float) -> bool:
+        own = head.work.prefill_tokens / self.view.prefill_rate
+        return now - head.arrived >= PREFILL_WINDOW + own
+
     def _fits_memory(self, work: Work) -> bool:
         free = self.ledger.free
         if not _may_use_reserve(work) and self._holds:
-            reserve = int(self.ledger.capacity * SHORT_RESERVE)
+            is_long = work.memory_tokens >= LONG_TOKENS
+            part = LONG_RESERVE if is_long else SMALL_RESERVE
+            reserve = int(self.ledger.capacity * part)
             free -= min(reserve, self.ledger.capacity - work.memory_tokens)
         return work.memory_tokens <= free
 
-    def _fits_window(self, work: Work) -> bool:
+    def _fits_window(self, work: Work, now: float) -> bool:
         if work.held_elsewhere:
             return True
+        size_class = compute_size_class(work.prefill_tokens)
+        if now < max(self._paced_until[: size_class + 1]):
+            return False
         window = PREFILL_WINDOW * self.view.prefill_rate
         if self._is_first_come:
             return sum(self._prefill_tokens) < window
         # The engine lets a smaller prompt overtake larger ones, so only what it
         # would run before this one counts.
-        size_class = compute_size_class(work.prefill_tokens)
         return sum(self._prefill_tokens[: size_class + 1]) < window
 
     def _grant(self, work: Work, now: float) -> ToEntry:
         self.ledger.hold(work.attempt, work.memory_tokens)
         cost = estimate_cost(work, self.view)
         self._shares.charge(work.customer, cost, now)
-        self._add_hold(work, cost, now + GRANT_VALID)
+        self._pace(work, now)
+        self._add_hold(work, cost, now + GRANT_VALID, now)
         return self._build_grant(work)
 
-    def _add_hold(self, work: Work, cost: float, lease_until: float) -> None:
-        self._holds[work.attempt] = _Hold(work, cost, lease_until)
+    def _pace(self, work: Work, now: float) -> None:
+        """Leave engine time to a larger prompt that was overtaken for too long."""
+        size_class = compute_size_class(work.prefill_tokens)
+        for hold in self._holds.values():
+            if hold.is_prefilling and self._is_overdue(hold, size_class, now):
+                seconds = work.prefill_tokens / self.view.prefill_rate
+                self._paced_until[size_class] = now + PACE_FACTOR * seconds
+                return
+
+    def _is_overdue(self, hold: _Hold, size_class: int, now: float) -> bool:
+        if compute_size_class(hold.work.prefill_tokens) <= size_class:
+            return False
+        nominal = hold.work.prefill_tokens / self.view.prefill_rate
+        return now - hold.granted > OVERDUE_FACTOR * nominal
+
+    def _add_hold(
+        self, work: Work, cost: float, lease_until: float, now: float
+    ) -> None:
+        self._holds[work.attempt] = _Hold(work, cost, lease_until, now)
         self._count_prefill(work, work.prefill_tokens)
 
     def _drop_hold(self, attempt: AttemptId) -> _Hold | None:
@@ -338,7 +400,7 @@
                 # Granted by an earlier owner: it holds memory, whatever fits here.
                 self.queue.remove(work.attempt)
                 self.ledger.hold(work.attempt, work.memory_tokens)
-                self._add_hold(work, 0.0, now + HOLD_LEASE)
+                self._add_hold(work, 0.0, now + HOLD_LEASE, now)
         return []
 
     def _expire_leases(self, now: float) -> None:
--- a/src/scalebend/core/queueing.py
+++ b/src/scalebend/core/queueing.py
@@ -1,8 +1,8 @@
 """Order in which a replica's owner starts waiting work.
 
 A policy is a data class; its behaviour is chosen by ``match``. Each waiting attempt
-has a key that does not change while it waits, so a queue is a heap per group: fair
-queueing groups by customer, the other policies have one group.
+has a key that does not change while it waits, so a queue is a heap per group: by
+customer for fair queueing, and by size class for all policies but first-come.
 """
 
 from __future__ import annotations
@@ -10,6 +10,7 @@
 import bisect
 import heapq
 import math
+from typing import NamedTuple
 
 import msgspec
 
@@ -77,10 +78,20 @@
 
 DEFAULT_STRATEGY = "split-fair"
 
-SHARED_GROUP = CustomerId("")
+SHARED_CUSTOMER = CustomerId("")
 
-HELD_GROUP = CustomerId("\0held")
-"""Group of work that holds memory elsewhere: it goes first, to set that free."""
+
+class Group(NamedTuple):
+    """Work that is started in the order of its keys.
+
+    ``is_free`` is false for work that holds memory elsewhere: it goes first, to set
+    that free. Size classes are apart, so that a large head that cannot start yet
+    does not stop the smaller ones behind it.
+    """
+
+    is_free: bool
+    customer: CustomerId
+    size_class: int
 
 
 class Waiting(msgspec.Struct):
@@ -132,9 +143,9 @@
     def __init__(self, policy: Policy, shares: ShareLedger) -> None:
         self._policy = policy
         self._shares = shares
-        self._groups: dict[CustomerId, list[tuple[Key, AttemptId]]] = {}
+        self._groups: dict[Group, list[tuple[Key, AttemptId]]] = {}
         self._waiting: dict[AttemptId, Waiting] = {}
-        self._group_tokens: dict[CustomerId, int] = {}
+        self._group_tokens: dict[Group, int] = {}
         self.tokens = 0
 
     def __len__(self) -> int:
@@ -178,33 +189,39 @@
             groups = list(self._groups)
         return [self._waiting[self._groups[group][0][1]] for group in groups]
 
-    def _rank_group(
-        self, group: CustomerId, now: float
-    ) -> tuple[bool, float, CustomerId]:
-        use = self._shares.compute_normalized(group, now)
-        return (group != HELD_GROUP, use, group)
+    def _rank_group(self, group: Group, now: float) -> tuple[bool, float, Key]:
+        use = self._shares.compute_normalized(group.customer, now)
+        return (group.is_free, use, self._groups[group][0][0])
 
     def estimate_tokens_ahead(self, work: Work) -> int:
         """Prefill tokens likely to start before ``work`` if it were queued now."""
-        group = self._find_group(work)
-        own = self._group_tokens.get(group, 0)
-        groups = len(self._group_tokens) + (group not in self._group_tokens)
-        return min(self.tokens, own * groups)
-
-    def _find_group(self, work: Work) -> CustomerId:
-        if work.held_elsewhere:
-            return HELD_GROUP
+        own_group = self._find_group(work)
+        own = work.prefill_tokens
+        customers = {own_group.customer}
+        for group, tokens in self._group_tokens.items():
+            if group.size_class > own_group.size_class:
+                continue
+            customers.add(group.customer)
+            if group.customer == own_group.customer:
+                own += tokens
+        return min(self.tokens, (own - work.prefill_tokens) * len(customers))
+
+    def _find_group(self, work: Work) -> Group:
+        is_free = not work.held_elsewhere
+        size_class = compute_size_class(work.prefill_tokens)
         match self._policy:
+            case FirstCome():
+                return Group(True, SHARED_CUSTOMER, 0)
             case FairQueue():
-                return work.customer
+                return Group(is_free, work.customer, size_class)
             case _:
-                return SHARED_GROUP
+                return Group(is_free, SHARED_CUSTOMER, size_class)
 
-    def _count(self, group: CustomerId, tokens: int) -> None:
+    def _count(self, group: Group, tokens: int) -> None:
         self.tokens += tokens
         self._group_tokens[group] = self._group_tokens.get(group, 0) + tokens
 
-    def _drop_removed(self, group: CustomerId) -> None:
+    def _drop_removed(self, group: Group) -> None:
         heap = self._groups[group]
         while heap and heap[0][1] not in self._waiting:
             heapq.heappop(heap)
