Route by what runs before a prompt of its class, also in the owners' queues

Cause: short prompts piled up at one engine (18 waiting, 5 s) because a score counted waiting tokens as if a short prompt would overtake all of them.

Change: digests give waiting tokens by size class; what is ahead counts fully. Long prompts use only as many prefill engines as their part of the work needs.

--- a/src/scalebend/core/catalog.py
+++ b/src/scalebend/core/catalog.py
@@ -81,7 +81,7 @@
 
 def build_idle_digest(view: ReplicaView) -> LoadDigest:
     """Return the digest of a replica that holds nothing."""
-    return LoadDigest(view.upstream, (), 0, view.memory_tokens, 0, 0)
+    return LoadDigest(view.upstream, (), 0, view.memory_tokens, 0, ())
 
 
 class Catalog:
--- a/src/scalebend/core/lanes.py
+++ b/src/scalebend/core/lanes.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 import xxhash
 
@@ -19,6 +21,12 @@
 FEWEST_TO_SPLIT = 4
 """Engines of a model below which each does both."""
 
+FEWEST_FOR_LONG = 3
+"""Prefill engines open to long prompts, however few those are."""
+
+LONG_ROOM = 1.25
+"""Engines given to long prompts, relative to the work that they are."""
+
 TYPICAL_BATCH = 24
 """Decoding attempts that an engine of the decode lane is planned to hold."""
 
@@ -35,28 +43,61 @@
     decode: list[Candidate]
     is_split: bool
 
+    def list_for_long(self, long_share: float) -> list[Candidate]:
+        """Prefill engines that long prompts may use: as many as their work needs.
+
+        Memory of the others stays free for prompts that end soon.
+        """
+        wanted = math.ceil(long_share * LONG_ROOM * len(self.prefill))
+        return self.prefill[-max(FEWEST_FOR_LONG, wanted) :]
+
+
+class _Work(msgspec.Struct):
+    """Decayed engine-seconds of a model's recent requests."""
+
+    at: float
+    prefill: float = 0.0
+    long_prefill: float = 0.0
+    decode: float = 0.0
+
 
 class LaneBorder:
-    """Share of prefill in the work of recent requests, per model."""
+    """Shares of prefill, and of long prompts in it, in a model's recent work."""
 
     def __init__(self) -> None:
-        self._work: dict[ModelName, tuple[float, float, float]] = {}
-
-    def note(self, model: ModelName, prefill: float, decode: float, now: float) -> None:
+        self._work: dict[ModelName, _Work] = {}
+
+    def note(
+        self,
+        model: ModelName,
+        prefill: float,
+        decode: float,
+        now: float,
+        *,
+        is_long: bool,
+    ) -> None:
         """Count a request's engine-seconds of prefill and of decode."""
-        known_prefill, known_decode, at = self._work.get(model, (0.0, 0.0, now))
-        self._work[model] = (
-            decay(known_prefill, now - at) + prefill,
-            decay(known_decode, now - at) + decode,
-            now,
-        )
+        work = self._work.setdefault(model, _Work(now))
+        elapsed = now - work.at
+        work.at = now
+        work.prefill = decay(work.prefill, elapsed) + prefill
+        work.decode = decay(work.decode, elapsed) + decode
+        work.long_prefill = decay(work.long_prefill, elapsed)
+        work.long_prefill += prefill if is_long else 0.0
 
     def read_share(self, model: ModelName) -> float:
         """Part of the engines that should prefill."""
-        prefill, decode, _ = self._work.get(model, (0.0, 0.0, 0.0))
-        if prefill + decode <= 0.0:
+        work = self._work.get(model)
+        if work is None or work.prefill + work.decode <= 0.0:
             return START_SHARE
-        return prefill / (prefill + decode)
+        return work.prefill / (work.prefill + work.decode)
+
+    def read_long_share(self, model: ModelName) -> float:
+        """Part of the prefill engines' work that long prompts are."""
+        work = self._work.get(model)
+        if work is None or work.prefill <= 0.0:
+            return 0.0
+        return work.long_prefill / work.prefill
 
 
 def compute_decode_seconds(request: Request, view: ReplicaView) -> float:
--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -189,7 +189,7 @@
             decoding=decoding,
             free_tokens=self.ledger.free,
             queued=len(self.queue),
-            queued_tokens=self.queue.tokens,
+            queued_tokens=self.queue.count_tokens_by_class(),
         )
 
     def list_holds(self) -> list[Work]:
--- a/src/scalebend/core/placement.py
+++ b/src/scalebend/core/placement.py
@@ -10,6 +10,7 @@
 from scalebend.core.catalog import Catalog
 from scalebend.core.lanes import LaneBorder, compute_decode_seconds, split_lanes
 from scalebend.core.prefixes import PrefixIndex
+from scalebend.core.queueing import LONG_TOKENS
 from scalebend.core.retries import OutlierDetector
 from scalebend.core.routing import (
     Candidate,
@@ -81,12 +82,15 @@
         lanes = split_lanes(candidates, self._border.read_share(request.model))
         if not lanes.is_split:
             return self._place_whole(request, attempt, candidates, now)
+        chosen = lanes.prefill
+        if request.prompt_tokens >= LONG_TOKENS:
+            chosen = lanes.list_for_long(self._border.read_long_share(request.model))
         fits = any(c.view.memory_tokens >= request.memory_tokens for c in lanes.decode)
         if not fits:
             # No engine holds it whole: a group prefills and decodes it.
-            return self._place_whole(request, attempt, lanes.prefill, now, candidates)
+            return self._place_whole(request, attempt, chosen, now, candidates)
         first_part = msgspec.structs.replace(request, output_tokens=1)
-        placed = self._place_one(first_part, attempt, lanes.prefill, now)
+        placed = self._place_one(first_part, attempt, chosen, now)
         if placed is None:
             return self._place_whole(request, attempt, candidates, now)
         placed.is_split = True
@@ -136,7 +140,8 @@
         view = candidates[0].view
         prefill = request.prompt_tokens / view.prefill_rate
         decode = compute_decode_seconds(request, view)
-        self._border.note(request.model, prefill, decode, now)
+        is_long = request.prompt_tokens >= LONG_TOKENS
+        self._border.note(request.model, prefill, decode, now, is_long=is_long)
 
     def _place_whole(
         self,
--- a/src/scalebend/core/queueing.py
+++ b/src/scalebend/core/queueing.py
@@ -193,6 +193,13 @@
         use = self._shares.compute_normalized(group.customer, now)
         return (group.is_free, use, self._groups[group][0][0])
 
+    def count_tokens_by_class(self) -> tuple[int, ...]:
+        """Waiting prefill tokens of each size class."""
+        counts = [0] * (len(CLASS_BORDERS) + 1)
+        for group, tokens in self._group_tokens.items():
+            counts[group.size_class] += tokens
+        return tuple(counts)
+
     def estimate_tokens_ahead(self, work: Work) -> int:
         """Prefill tokens likely to start before ``work`` if it were queued now."""
         own_group = self._find_group(work)
--- a/src/scalebend/core/routing.py
+++ b/src/scalebend/core/routing.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from scalebend.core.queueing import SHORT_TOKENS, compute_size_class
+from scalebend.core.queueing import compute_size_class
 from scalebend.models.ids import AvailabilityZone, UpstreamId
 from scalebend.models.upstream import EngineRole
 from scalebend.models.work import LoadDigest, ReplicaView
@@ -140,15 +140,13 @@
     # The engine prefills a smaller prompt before the larger ones it holds; those
     # still delay it by the chunk that runs, and stretch the steps of its answer.
     ahead = digest.count_ahead(compute_size_class(prefill)) + sent_tokens
-    behind = digest.count_prefill() + digest.queued_tokens - ahead
+    behind = digest.count_all() - ahead
     score = own + ahead / view.prefill_rate
     score += DELAY_WEIGHT * max(0, behind) / view.prefill_rate
     score += DELAY_WEIGHT * own * (digest.decoding + sent_count)
     score += (digest.decoding + sent_count) * view.step_time * 0.05
     if demand.memory_tokens > digest.free_tokens:
         score += MEMORY_PENALTY
-    if digest.queued and demand.prompt_tokens >= SHORT_TOKENS:
-        score += digest.queued * view.step_time
     if not candidate.is_local_region:
         return score + REGION_PENALTY
     if view.availability_zone != zone:
@@ -175,7 +173,7 @@
         sent_count = pending.get(view.upstream)[1]
         batch = candidate.digest.decoding + sent_count + candidate.digest.queued
         score = batch * view.step_time / view.concurrency
-        score += candidate.digest.count_prefill() / view.prefill_rate
+        score += candidate.digest.count_all() / view.prefill_rate
         if memory_tokens > candidate.digest.free_tokens:
             score += MEMORY_PENALTY
         if view.availability_zone != zone:
@@ -197,7 +195,7 @@
     by_load = sorted(
         candidates,
         key=lambda c: (
-            c.digest.count_prefill() + c.digest.queued_tokens,
+            c.digest.count_all(),
             -c.digest.free_tokens,
             c.view.upstream,
         ),
--- a/src/scalebend/models/work.py
+++ b/src/scalebend/models/work.py
@@ -151,9 +151,8 @@
     """Load of one replica as its owner knows it.
 
     ``prefill_tokens``, by size class, are granted but not yet answered with a first
-    token; ``decoding`` counts attempts past their
-    first token; ``free_tokens`` is unreserved memory; ``queued_tokens`` of prefill
-    wait at the owner.
+    token, and ``queued_tokens`` wait at the owner; ``decoding`` counts attempts past
+    their first token; ``free_tokens`` is unreserved memory.
     """
 
     upstream: UpstreamId
@@ -161,15 +160,16 @@
     decoding: int
     free_tokens: int
     queued: int
-    queued_tokens: int
+    queued_tokens: tuple[int, ...]
 
     def count_ahead(self, size_class: int) -> int:
-        """Prefill tokens that the engine runs before a new prompt of the class."""
-        return sum(self.prefill_tokens[: size_class + 1])
+        """Prefill tokens that run before a new prompt of the class."""
+        granted = sum(self.prefill_tokens[: size_class + 1])
+        return granted + sum(self.queued_tokens[: size_class + 1])
 
-    def count_prefill(self) -> int:
-        """All prefill tokens granted and not yet answered."""
-        return sum(self.prefill_tokens)
+    def count_all(self) -> int:
+        """Prefill tokens granted and not yet answered, or waiting."""
+        return sum(self.prefill_tokens) + sum(self.queued_tokens)
 
 
 class ReplicaView(msgspec.Struct, frozen=True, kw_only=True):
