--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -18,6 +18,8 @@
     help="Serve many customers from one fleet of language-model engines, fairly.",
     no_args_is_help=True,
     add_completion=False,
+    # Plain help: the library for coloured help costs each instance 6 MB.
+    rich_markup_mode=None,
     pretty_exceptions_enable=False,
 )
 
