--- /dev/null
+++ b/tests/lib/control_group.py
@@ -0,0 +1,170 @@
+"""Control members over a lossy network and disks that drop what was not synced."""
+
+import msgspec
+
+from scalebend.core.consensus.messages import DiskId, HardState, Recovered
+from scalebend.core.control_member import ControlMember
+from scalebend.core.control_state import decode_command
+from scalebend.models.ids import Term
+from scalebend.models.messages import ProposalAnswer, Propose
+
+CLIENT = "client"
+
+
+class Disk:
+    """What a crash leaves: only whole, synced writes."""
+
+    def __init__(self, name):
+        self.name = DiskId(name)
+        self.hard_state = HardState(Term(0), None)
+        self.snapshot = None
+        self.entries = []
+
+    def write(self, persist):
+        if persist.hard_state is not None:
+            self.hard_state = persist.hard_state
+        if persist.truncate_from is not None:
+            kept = [e for e in self.entries if e.index < persist.truncate_from]
+            self.entries = kept
+        self.entries += persist.entries
+
+    def store_snapshot(self, snapshot, hard_state, entries):
+        self.snapshot = snapshot
+        self.hard_state = hard_state
+        self.entries = list(entries)
+
+    def recover(self):
+        entries = list(self.entries)
+        return Recovered(self.name, self.hard_state, self.snapshot, entries)
+
+
+class ControlGroup:
+    """Members by name, messages in flight, and what each member applied."""
+
+    def __init__(self, names, snapshot_entries=8):
+        self.names = list(names)
+        self.now = 0.0
+        self.disks = {name: Disk(f"{name}-disk-0") for name in self.names}
+        self.members = {}
+        self.flights = []
+        self.answers = {}
+        self.applied = {}
+        self.leaders = {}
+        self.cut = set()
+        self.snapshot_entries = snapshot_entries
+        self.starts = 0
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        self.starts += 1
+        peers = [other for other in self.names if other != name]
+        member = ControlMember(
+            name, peers, self.disks[name].recover(), now=self.now, seed=self.starts
+        )
+        self.members[name] = member
+
+    def crash(self, name):
+        self.members.pop(name, None)
+
+    def replace_disk(self, name):
+        self.crash(name)
+        self.disks[name] = Disk(f"{name}-disk-{self.starts}")
+        self.start(name)
+
+    def pump(self, name, crash_after=None):
+        """Carry out what the member wants; maybe die after a number of writes."""
+        member = self.members.get(name)
+        disk = self.disks[name]
+        while member is not None:
+            ready = member.take_ready(self.now)
+            if ready.is_empty and not member.has_outgoing:
+                break
+            if crash_after == 0:
+                self.crash(name)
+                return
+            if ready.snapshot is not None:
+                disk.store_snapshot(ready.snapshot, *member.read_tail(ready.snapshot))
+            elif ready.persist is not None:
+                disk.write(ready.persist)
+            if crash_after == 1:
+                self.crash(name)
+                return
+            self.note_applied(name, ready)
+            for action in member.finish(ready, self.now):
+                self.flights.append((name, action.instance, action.message))
+            self.note_leader(name)
+            if member.replica.applied_entries >= self.snapshot_entries:
+                snapshot = member.replica.build_snapshot(member.state.export())
+                disk.store_snapshot(snapshot, *member.read_tail(snapshot))
+                member.replica.compact(snapshot)
+
+    def note_applied(self, name, ready):
+        for entry in ready.committed:
+            known = self.applied.setdefault(entry.index, entry)
+            assert known == entry, f"two entries committed at {entry.index}"
+
+    def note_leader(self, name):
+        replica = self.members[name].replica
+        if replica.is_leader:
+            known = self.leaders.setdefault(replica.term, replica.me)
+            assert known == replica.me, f"two leaders in term {replica.term}"
+
+    def deliver(self, position, *, keep=False):
+        sender, to, message = self.flights[position]
+        if not keep:
+            del self.flights[position]
+        if to == CLIENT:
+            self.take_answer(message)
+            return
+        if {sender, to} & self.cut or to not in self.members:
+            return
+        # Through the codec, as between processes.
+        data = msgspec.msgpack.encode(message)
+        copy = msgspec.msgpack.decode(data, type=type(message))
+        self.members[to].handle(sender, copy, self.now, 1_000.0 + self.now)
+        self.pump(to)
+
+    def take_answer(self, message):
+        assert isinstance(message, ProposalAnswer)
+        if message.result is not None:
+            known = self.answers.setdefault(message.proposal, message.result)
+            assert known == message.result, "two answers to one proposal"
+
+    def propose(self, name, proposal, command):
+        if name in self.members:
+            message = Propose(proposal, msgspec.msgpack.encode(command))
+            self.members[name].handle(CLIENT, message, self.now, 1_000.0 + self.now)
+            self.pump(name)
+
+    def advance(self, seconds):
+        self.now += seconds
+        for name in list(self.members):
+            self.members[name].advance(self.now)
+            self.pump(name)
+
+    def deliver_all(self, most=5_000):
+        for _ in range(most):
+            if not self.flights:
+                return
+            self.deliver(0)
+
+    def settle(self, seconds=6.0):
+        """Everything up and connected for a while."""
+        self.cut.clear()
+        for name in self.names:
+            if name not in self.members:
+                self.start(name)
+        for _ in range(int(seconds / 0.1)):
+            self.advance(0.1)
+            self.deliver_all()
+
+    def find_leader(self):
+        return next((n for n, m in self.members.items() if m.replica.is_leader), None)
+
+    def list_commands(self):
+        return [
+            decode_command(self.applied[index].command)
+            for index in sorted(self.applied)
+            if self.applied[index].command
+        ]
