Prove the system over real processes: deaths, a lost disk, a pause, restarts

Cause: the parts were only proved apart. Two faults found: a restarted instance was ready before it knew any upstream and answered 503 (rolling restart test); `status` did not tell an operator whether a replaced member votes already.

Change: readiness waits for the upstreams; status shows voters.

--- a/src/scalebend/commands/status.py
+++ b/src/scalebend/commands/status.py
@@ -22,6 +22,9 @@
     ready = "ready" if status.is_ready else f"not ready: {status.reason}"
     print(f"{status.instance}: {ready}; leader {status.leader or 'not known'}")
     print(f"configuration version {status.version}, instance list {status.epoch}")
+    if status.is_control:
+        voters = ", ".join(status.voters) or "none yet"
+        print(f"control voters: {voters}; this one votes: {status.is_voter}")
     for item in status.instances:
         print(
             f"  {item.instance:<20} {item.availability_zone:<14} {item.state:<8} "
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -98,6 +98,12 @@
         leader = self.replica.leader
         return leader.instance if leader is not None else None
 
+    def list_voters(self) -> list[InstanceId]:
+        """Instances that vote now, as far as this one knows."""
+        members = self.replica.members
+        voters = members.voters if members is not None else frozenset()
+        return sorted(member.instance for member in voters)
+
     # Messages
 
     def handle(
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -105,6 +105,9 @@
 LIST_GRACE = 3.0
 """Seconds after its start in which a leader removes no instance from the list."""
 
+CATALOG_GRACE = 3.0
+"""Seconds after its start that an instance waits to be told of the upstreams."""
+
 BARRIER_TIMEOUT = 2.0
 DIGEST_REPEATS = 2
 CACHE_REPEATS = 3
@@ -196,6 +199,8 @@
             return Readiness(False, "the instance is stopping")
         if not self.is_fresh:
             return Readiness(False, "no quorum has confirmed the configuration yet")
+        if not self._knows_upstreams(now):
+            return Readiness(False, "the upstreams are not known yet")
         if self._is_isolated(now):
             return Readiness(False, "no other instance is heard")
         return Readiness(True, "")
@@ -208,6 +213,12 @@
         """A service of the configuration in force."""
         return self._services.get(name)
 
+    def _knows_upstreams(self, now: float) -> bool:
+        # With nobody to ask, announcements tell within a few periods.
+        if self._has_catalog or not self.settings.peers:
+            return True
+        return now - self._started >= CATALOG_GRACE
+
     def _is_isolated(self, now: float) -> bool:
         if not self.settings.peers:
             return False
@@ -536,7 +547,7 @@
             steps += self._fetch_from(self.membership.newest_from)
         elif self._is_due("refresh", REFRESH_PERIOD, now):
             steps += self._fetch_from(None)
-        if not self._has_catalog and self._is_due("catalog", 1.0, now):
+        if not self._has_catalog and self._is_due("catalog", FETCH_PERIOD, now):
             steps += self._fetch_catalog()
         return steps
 
--- a/src/scalebend/edges/admin.py
+++ b/src/scalebend/edges/admin.py
@@ -57,6 +57,8 @@
     version: ConfigurationVersion
     epoch: int
     is_control: bool
+    is_voter: bool
+    voters: list[InstanceId]
     leader: InstanceId | None
     open_requests: int
     instances: list[InstanceStatus]
@@ -124,6 +126,8 @@
         version,
         instance.instances.epoch,
         control is not None,
+        control is not None and control.replica.is_voter,
+        control.list_voters() if control is not None else [],
         control.leader if control is not None else None,
         runtime.count_open(),
         sorted(instances, key=lambda item: item.instance),
--- /dev/null
+++ b/tests/lib/cluster.py
@@ -0,0 +1,203 @@
+"""Several real instance processes on loopback, with stand-in upstreams here."""
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import sys
+
+import aiohttp
+import msgspec
+
+from scalebend.models.configuration import ConfigurationChange
+from scalebend.models.upstream import LoadedModel
+from scalebend.standins.engine_server import EngineOptions, serve_engine
+from scalebend.standins.ports import find_free_ports
+from scalebend.standins.service_server import ServiceOptions, serve_service
+from tests.lib.builders import MODEL, ZONE
+from tests.lib.fleet import CONFIGURATION, PARAMETERS, SERVICE
+
+
+class Cluster:
+    def __init__(self, folder, count, control, **settings):
+        self.folder = folder
+        self.names = [f"instance-{number}" for number in range(count)]
+        self.control = self.names[:control]
+        ports = iter(find_free_ports(3 * count))
+        self.addresses = {
+            name: [f"127.0.0.1:{next(ports)}" for _ in range(3)] for name in self.names
+        }
+        self.settings = settings
+        self.processes = {}
+        self.session = None
+        self.engines = []
+        self.service = None
+
+    def url(self, name):
+        return f"http://{self.addresses[name][0]}"
+
+    def write_settings(self, name):
+        def describe(other):
+            callers, peers, gossip = self.addresses[other]
+            return {
+                "instance": other,
+                "peers": peers,
+                "gossip": gossip,
+                "region": "rs-litoral",
+                "availability_zone": ZONE,
+                "control": other in self.control,
+            }
+
+        callers, peers, gossip = self.addresses[name]
+        document = {
+            "instance": name,
+            "region": "rs-litoral",
+            "availability_zone": ZONE,
+            "roles": ["entry", "control"] if name in self.control else ["entry"],
+            "listen": {"callers": callers, "peers": peers, "gossip": gossip},
+            "peers": [describe(other) for other in self.names if other != name],
+            "limits": {"default_time_limit": 30.0},
+            **self.settings,
+        }
+        if name in self.control:
+            document["data_folder"] = str(self.folder / name)
+        path = self.folder / f"{name}.json"
+        path.write_text(json.dumps(document))
+        return path
+
+    async def start(self, name):
+        path = self.write_settings(name)
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "scalebend", "run", str(path), stderr=log
+            )
+
+    async def kill(self, name, number=signal.SIGKILL):
+        process = self.processes[name]
+        os.kill(process.pid, number)
+        return await asyncio.wait_for(process.wait(), 30.0)
+
+    def pause(self, name):
+        os.kill(self.processes[name].pid, signal.SIGSTOP)
+
+    def resume(self, name):
+        os.kill(self.processes[name].pid, signal.SIGCONT)
+
+    def list_running(self):
+        return [n for n, p in self.processes.items() if p.returncode is None]
+
+    async def read_status(self, name):
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            timeout = aiohttp.ClientTimeout(total=1.0)
+            url = f"{self.url(name)}/admin/status"
+            async with self.session.get(url, timeout=timeout) as answer:
+                return await answer.json()
+        return None
+
+    async def wait_until(self, check, seconds=25.0):
+        for _ in range(int(seconds / 0.1)):
+            if await check():
+                return
+            await asyncio.sleep(0.1)
+        raise AssertionError("the condition did not become true")
+
+    async def wait_ready(self, names=None, upstreams=0):
+        async def check():
+            statuses = [await self.read_status(n) for n in names or self.names]
+            return all(
+                s and s["is_ready"] and len(s["upstreams"]) >= upstreams
+                for s in statuses
+            )
+
+        await self.wait_until(check)
+
+    async def wait_voter(self, name):
+        async def check():
+            status = await self.read_status(name)
+            return status and status["is_voter"] and len(status["voters"]) == 3
+
+        await self.wait_until(check)
+
+    async def wait_version(self, version, names=None):
+        async def check():
+            statuses = [await self.read_status(n) for n in names or self.names]
+            return all(s and s["version"] == version for s in statuses)
+
+        await self.wait_until(check)
+
+    async def find_leader(self):
+        for _ in range(200):
+            for name in self.list_running():
+                status = await self.read_status(name) if name in self.control else None
+                if status and status["leader"] == name:
+                    return name
+            await asyncio.sleep(0.1)
+        raise AssertionError("no leader")
+
+    async def apply(self, name, base, change, configuration=CONFIGURATION):
+        document = ConfigurationChange(base, change, configuration, "tests")
+        url = f"{self.url(name)}/admin/configuration"
+        data = msgspec.json.encode(document)
+        async with self.session.post(url, data=data) as answer:
+            return answer.status, await answer.json()
+
+    def complete(self, name, prompt, *, max_tokens=4):
+        body = {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        return self.session.post(
+            f"{self.url(name)}/v1/completions",
+            data=msgspec.json.encode(body),
+            headers={"Authorization": "Bearer keepers"},
+        )
+
+    async def order(self, name, key):
+        """Send an order; return its status, or ``None`` when the link was lost."""
+        headers = {
+            "Authorization": "Bearer keepers",
+            "Idempotency-Key": key,
+            "X-Order": key,
+            "X-Time-Limit": "5",
+        }
+        url = f"{self.url(name)}/services/{SERVICE}/orders"
+        with contextlib.suppress(aiohttp.ClientError):
+            async with self.session.post(url, data=b"{}", headers=headers) as answer:
+                await answer.read()
+                return answer.status
+        return None
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(folder, count=5, control=3, engines=2, **settings):
+    cluster = Cluster(folder, count, control, **settings)
+    async with contextlib.AsyncExitStack() as stack:
+        cluster.session = await stack.enter_async_context(aiohttp.ClientSession())
+        for name in cluster.names:
+            await cluster.start(name)
+        try:
+            urls = [cluster.url(name) for name in cluster.names]
+            for number in range(engines):
+                options = EngineOptions(
+                    upstream=f"engine-{number}",
+                    availability_zone=ZONE,
+                    models=[LoadedModel(MODEL)],
+                    parameters=PARAMETERS,
+                    time_scale=0.5,
+                )
+                context = serve_engine(options, urls[number:] + urls[:number])
+                engine = await stack.enter_async_context(context)
+                cluster.engines.append(engine)
+            service = serve_service(ServiceOptions("orders-1", ZONE, SERVICE), urls)
+            cluster.service = await stack.enter_async_context(service)
+            await cluster.wait_ready(upstreams=engines + 1)
+            yield cluster
+        finally:
+            for process in cluster.processes.values():
+                if process.returncode is None:
+                    os.kill(process.pid, signal.SIGCONT)
+                    process.kill()
+                    await process.wait()
