Carry the KV cache between engines on the real path

Cause: the split of prefill and decode was decided by the core but the HTTP edge still sent whole requests.

Change: `X-Part` and `X-Import-From` towards engines; the stand-in engine exports and imports; streams go on over the move and over a lost link.

--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -19,6 +19,8 @@
     Completed,
     Garbled,
     NeverStarted,
+    Part,
+    Prefilled,
     StartAttempt,
 )
 from scalebend.edges.problems import build_problem
@@ -94,8 +96,9 @@
     def start(self, start: StartAttempt) -> None:
         """Send the request to the granted replicas."""
         self._start = start
-        self._framer = EventFramer()
-        self._collected = []
+        if start.part is not Part.DECODE:
+            self._framer = EventFramer()
+            self._collected = []
         self._task = asyncio.create_task(self._run(is_resumed=False))
 
     def resume(self) -> None:
@@ -188,7 +191,10 @@
             "X-Request-Id": start.attempt,
             "X-Priority": str(start.priority),
             "X-Group-Size": str(len(start.upstreams)),
+            "X-Part": start.part.value,
         }
+        if start.source is not None:
+            headers["X-Import-From"] = self._build_export_url(start)
         return self._session.request(
             self._call.method,
             base + self._call.path,
@@ -196,6 +202,12 @@
             headers=headers,
         )
 
+    def _build_export_url(self, start: StartAttempt) -> str:
+        assert start.source is not None
+        source = self._reporter.find(start.source)
+        address = source.announcement.address if source is not None else ""
+        return f"http://{address}/v1/requests/{start.attempt}/kv"
+
     async def _hold_helpers(self, start: StartAttempt) -> bool:
         parts = len(start.upstreams)
         memory = -(-self.request.memory_tokens // parts)
@@ -254,17 +266,22 @@
         self, start: StartAttempt, answer: aiohttp.ClientResponse
     ) -> AttemptResult:
         framer = self._framer
+        is_first = True
         async for data in answer.content.iter_any():
             passed = framer.feed(data)
             if not passed:
                 continue
-            if self.first_token_at is None:
-                self.first_token_at = asyncio.get_running_loop().time()
+            if is_first:
+                is_first = False
+                now = asyncio.get_running_loop().time()
+                self.first_token_at = self.first_token_at or now
                 self._reporter.started(start.attempt)
             if self.request.is_streamed:
                 await self._write(passed)
             else:
                 self._collected.append(passed)
+        if start.part is Part.PREFILL and framer.next_offset == 1:
+            return Prefilled()
         if not framer.is_whole:
             return Broken("the stream ended before its end mark")
         usage = read_usage(framer.tail)
--- a/src/scalebend/standins/engine_model.py
+++ b/src/scalebend/standins/engine_model.py
@@ -294,7 +294,7 @@
         self._store_prefixes(sequence)
         attempt = sequence.attempt
         events: list[EngineEvent] = [FirstToken(attempt, end)]
-        if sequence.is_prefill_only:
+        if sequence.is_prefill_only and sequence.output_tokens > 1:
             return events
         if sequence.output_tokens <= 1:
             events.append(Finished(attempt, end, 1))
--- a/src/scalebend/standins/engine_server.py
+++ b/src/scalebend/standins/engine_server.py
@@ -12,6 +12,7 @@
 import hashlib
 from collections.abc import AsyncIterator
 
+import aiohttp
 import msgspec
 from aiohttp import web
 
@@ -73,6 +74,7 @@
     changed: asyncio.Event
     generated: int = 0
     is_cancelled: bool = False
+    is_prefill_only: bool = False
 
 
 class Order(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,6 +99,7 @@
         self.address = ""
         self._announcements = 0
         self.started: list[str] = []
+        self.imported: list[str] = []
         self.drop_after: int | None = None
         self.garble = False
         self.ignore_cancellations = 0
@@ -111,6 +114,7 @@
         app.router.add_get("/v1/requests/{attempt}/stream", self._resume)
         app.router.add_delete("/v1/requests/{attempt}", self._cancel)
         app.router.add_put("/v1/requests/{attempt}/memory", self._hold)
+        app.router.add_get("/v1/requests/{attempt}/kv", self._export)
         app.router.add_post("/v1/orders", self._take_order)
         return app
 
@@ -179,6 +183,9 @@
         prompt = bytes(fields.get("prompt") or fields.get("messages") or b"")
         output = msgspec.json.decode(fields.get("max_tokens", msgspec.Raw(b"16")))
         prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
+        part = request.headers.get("X-Part", "whole")
+        if part == "decode":
+            return await self._import(request, attempt, prompt, prompt_tokens, output)
         sequence = self.model.submit(
             attempt,
             prompt_tokens=prompt_tokens,
@@ -187,6 +194,7 @@
             now=asyncio.get_running_loop().time() / self.options.time_scale,
             prefixes=_list_prefixes(prompt),
             speed=int(request.headers.get("X-Group-Size", "1")),
+            is_prefill_only=part == "prefill",
         )
         if sequence is None:
             detail = {"kind": "overloaded", "ran": "no"}
@@ -195,10 +203,49 @@
         stream = _Stream(
             prompt, output, prompt_tokens, sequence.cached_tokens, asyncio.Event()
         )
+        stream.is_prefill_only = part == "prefill"
         self._streams[attempt] = stream
         self._wake.set()
         return await self._send_stream(request, stream, 0)
 
+    async def _import(
+        self,
+        request: web.Request,
+        attempt: AttemptId,
+        prompt: bytes,
+        prompt_tokens: int,
+        output: int,
+    ) -> web.StreamResponse:
+        refusal = web.json_response({"kind": "overloaded", "ran": "no"}, status=503)
+        if not await self._can_fetch(request.headers["X-Import-From"]):
+            return refusal
+        duration = self.model.begin_import(
+            attempt, prompt_tokens=prompt_tokens, output_tokens=output
+        )
+        if duration is None:
+            return refusal
+        stream = _Stream(prompt, output, prompt_tokens, 0, asyncio.Event(), 1)
+        self._streams[attempt] = stream
+        await asyncio.sleep(duration * self.options.time_scale)
+        now = asyncio.get_running_loop().time() / self.options.time_scale
+        if not self.model.finish_import(attempt, now):
+            return refusal
+        self.imported.append(attempt)
+        self._wake.set()
+        return await self._send_stream(request, stream, 1)
+
+    async def _can_fetch(self, url: str) -> bool:
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with aiohttp.ClientSession() as session, session.get(url) as answer:
+                return answer.status == 200
+        return False
+
+    async def _export(self, request: web.Request) -> web.Response:
+        stream = self._streams.get(AttemptId(request.match_info["attempt"]))
+        if stream is None or not stream.generated:
+            return web.json_response({"kind": "not-found"}, status=404)
+        return web.json_response({"prompt_tokens": stream.prompt_tokens})
+
     async def _resume(self, request: web.Request) -> web.StreamResponse:
         stream = self._streams.get(AttemptId(request.match_info["attempt"]))
         if stream is None:
@@ -212,7 +259,10 @@
         response = web.StreamResponse()
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        while offset <= stream.output_tokens + 1 and not stream.is_cancelled:
+        end = stream.output_tokens + 2
+        if stream.is_prefill_only and stream.output_tokens > 1:
+            end = 1
+        while offset < end and not stream.is_cancelled:
             if offset >= stream.generated and stream.generated < stream.output_tokens:
                 stream.changed.clear()
                 await stream.changed.wait()
--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -261,3 +261,30 @@
             async with fleet.post(document, "/upstreams/announce") as answer:
                 problem = await read_problem(answer, 400, "invalid-announcement")
             assert problem["detail"].startswith(path)
+
+
+async def test_prefill_and_decode_run_on_different_engines():
+    async with run_fleet(5) as fleet:
+        prompt = "a long inspection report " * 400
+        for number in range(4):
+            text = f"{prompt} {number}"
+            async with fleet.complete(text, max_tokens=12) as answer:
+                assert read_text(await answer.read()) == build_answer(text, 12)
+        async with fleet.complete(prompt, max_tokens=5, stream=False) as answer:
+            document = await answer.json()
+        assert document["choices"][0]["text"] == build_answer(prompt, 5)
+        async with fleet.complete(prompt, max_tokens=1) as answer:
+            assert read_text(await answer.read()) == build_answer(prompt, 1)
+        assert sum(len(engine.imported) for engine in fleet.engines) == 5
+        assert all(not set(e.imported) & set(e.started) for e in fleet.engines)
+        await wait_for_free_memory(fleet)
+
+
+async def test_lost_link_is_resumed_on_the_decoding_engine():
+    async with run_fleet(5) as fleet:
+        for engine in fleet.engines:
+            engine.drop_after = 6
+        async with fleet.complete("resume me", max_tokens=12) as answer:
+            events = await answer.read()
+        assert read_text(events) == build_answer("resume me", 12)
+        await wait_for_free_memory(fleet)
