--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,7 @@
 
 import os
 
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, Phase, settings
 
 settings.register_profile(
     "ci",
@@ -11,6 +11,17 @@
     max_examples=60,
     stateful_step_count=40,
     database=None,
+    # Shrinking may take minutes; the profile "shrink" does it on demand.
+    phases=[Phase.explicit, Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+settings.register_profile(
+    "shrink",
+    derandomize=True,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=40,
+    database=None,
     suppress_health_check=list(HealthCheck),
 )
 settings.register_profile(
