Prove attempts, claims and moves of an entry by a state machine

Cause: retries, claims and moved requests were proved only by functional tests.

Change: named tests and a hypothesis machine whose oracle counts conclusions and executions of each request.

--- /dev/null
+++ b/tests/unit/test_entry.py
@@ -0,0 +1,371 @@
+"""Way of a request through its entry: retries, claims, moves, time limits."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from scalebend.core.catalog import Catalog
+from scalebend.core.entry import MOST_TRIES, Entry, EntryOptions
+from scalebend.core.flow import (
+    AbortAttempt,
+    Broken,
+    ClaimKey,
+    Completed,
+    Conclude,
+    Garbled,
+    NeverStarted,
+    Part,
+    Prefilled,
+    ResumeAttempt,
+    StartAttempt,
+    ToOwner,
+)
+from scalebend.core.queueing import STRATEGIES
+from scalebend.exceptions import ClaimError, ErrorKind, Ran
+from scalebend.models.ids import InstanceId
+from scalebend.models.work import (
+    Grant,
+    Outcome,
+    Refusal,
+    RefusalReason,
+    Release,
+    Reserve,
+    Started,
+)
+from tests.lib.builders import ENTRY, ZONE, build_announcement, build_request
+
+
+def build_entry(engines=2, strategy="fair", **announced):
+    catalog = Catalog(2.5)
+    for number in range(engines):
+        catalog.take_announcement(
+            build_announcement(f"engine-{number}", **announced), 0.0
+        )
+    return Entry(EntryOptions(InstanceId(ENTRY), ZONE, STRATEGIES[strategy]), catalog)
+
+
+def list_reserved(actions):
+    return [
+        action.message.work
+        for action in actions
+        if isinstance(action, ToOwner) and isinstance(action.message, Reserve)
+    ]
+
+
+def list_released(actions):
+    return {
+        action.upstream: action.message.outcome
+        for action in actions
+        if isinstance(action, ToOwner) and isinstance(action.message, Release)
+    }
+
+
+def find(actions, kind):
+    return next((action for action in actions if isinstance(action, kind)), None)
+
+
+def start(entry, request, now=0.0):
+    (work,) = list_reserved(entry.admit(request, now))
+    actions = entry.handle_grant(Grant(work.attempt, work.upstream, 2.0), now)
+    return work, actions
+
+
+def grant_next(entry, actions, now=0.0):
+    (work,) = list_reserved(actions)
+    return work, entry.handle_grant(Grant(work.attempt, work.upstream, 2.0), now)
+
+
+def test_request_that_did_not_start_is_tried_elsewhere_and_said_not_run():
+    entry = build_entry()
+    work, actions = start(entry, build_request("r", repeatable=False))
+    assert find(actions, ClaimKey)
+    actions = entry.handle_claim("r", None, 0.0)
+    assert find(actions, StartAttempt).upstreams == (work.upstream,)
+    actions = entry.handle_result(work.attempt, NeverStarted("refused"), 0.0)
+    assert list_released(actions) == {work.upstream: Outcome.UNUSED}
+    second, actions = grant_next(entry, entry.advance(1.0), 1.0)
+    assert second.upstream != work.upstream
+    assert find(actions, ClaimKey) is None
+    actions = entry.handle_result(second.attempt, NeverStarted("refused"), 1.0)
+    actions += entry.advance(5.0)
+    assert find(actions, Conclude).error.ran is Ran.NO
+
+
+def test_request_not_to_be_repeated_is_never_sent_twice():
+    entry = build_entry()
+    work, _ = start(entry, build_request("r", repeatable=False))
+    entry.handle_claim("r", None, 0.0)
+    actions = entry.handle_result(work.attempt, Broken("lost"), 0.0)
+    assert find(actions, Conclude).error.ran is Ran.UNKNOWN
+    assert list_reserved(actions) == []
+
+
+def test_claim_that_did_not_take_starts_nothing():
+    entry = build_entry()
+    work, _ = start(entry, build_request("r", repeatable=False))
+    actions = entry.handle_claim("r", ClaimError("taken"), 0.0)
+    assert find(actions, StartAttempt) is None
+    assert find(actions, Conclude).error.kind is ErrorKind.ALREADY_CLAIMED
+    assert list_released(actions) == {work.upstream: Outcome.UNUSED}
+
+
+def test_repeatable_request_is_retried_until_tries_are_used_up():
+    entry = build_entry(engines=8)
+    work, actions = start(entry, build_request("r"))
+    for tries in range(MOST_TRIES - 1):
+        actions = entry.handle_result(work.attempt, Broken("lost"), float(tries))
+        assert find(actions, Conclude) is None
+        actions += entry.advance(tries + 0.9)
+        work, _ = grant_next(entry, actions, tries + 0.9)
+    actions = entry.handle_result(work.attempt, Broken("lost"), 9.0)
+    assert find(actions, Conclude).error.kind is ErrorKind.UPSTREAM_FAILED
+
+
+def test_retries_are_budgeted():
+    entry = build_entry(engines=3)
+    concluded = 0
+    for number in range(100):
+        work, _ = start(entry, build_request(f"r{number}"))
+        actions = entry.handle_result(work.attempt, Broken("lost"), 0.0)
+        concluded += find(actions, Conclude) is not None
+    assert concluded >= 100 - 10 - 20
+
+
+def test_delivered_stream_is_resumed_not_restarted():
+    entry = build_entry()
+    work, _ = start(entry, build_request("r"))
+    entry.handle_started(work.attempt, 0.1)
+    for _ in range(3):
+        actions = entry.handle_result(work.attempt, Broken("lost"), 0.2)
+        assert find(actions, ResumeAttempt).attempt == work.attempt
+    actions = entry.handle_result(work.attempt, Broken("lost"), 0.3)
+    assert find(actions, Conclude).error.ran is Ran.YES
+    assert list_released(actions) == {work.upstream: Outcome.ABANDONED}
+
+
+def test_time_limit_gives_back_what_was_held():
+    entry = build_entry()
+    work, _ = start(entry, build_request("r", deadline=5.0))
+    assert entry.advance(4.9) == []
+    actions = entry.advance(5.0)
+    assert find(actions, AbortAttempt).attempt == work.attempt
+    assert find(actions, Conclude).error.kind is ErrorKind.TIME_LIMIT
+    assert list_released(actions) == {work.upstream: Outcome.ABANDONED}
+    assert len(entry) == 0
+
+
+def test_late_grant_is_given_back():
+    entry = build_entry()
+    (work,) = list_reserved(entry.admit(build_request("r"), 0.0))
+    entry.cancel("r", 0.0)
+    actions = entry.handle_grant(Grant(work.attempt, work.upstream, 2.0), 0.1)
+    assert list_released(actions) == {work.upstream: Outcome.UNUSED}
+
+
+def test_unanswered_reservation_is_sent_again():
+    entry = build_entry()
+    (work,) = list_reserved(entry.admit(build_request("r"), 0.0))
+    assert list_reserved(entry.renew(0.5)) == []
+    assert list_reserved(entry.renew(1.0)) == [work]
+
+
+def test_long_prompt_reserves_in_one_order_and_all_or_none():
+    entry = build_entry(engines=3)
+    request = build_request("r", prompt_tokens=25_000, output_tokens=200)
+    actions = entry.admit(request, 0.0)
+    (first,) = list_reserved(actions)
+    second, actions = (
+        None,
+        entry.handle_grant(Grant(first.attempt, first.upstream, 2.0), 0.0),
+    )
+    (second,) = list_reserved(actions)
+    assert first.upstream < second.upstream
+    refusal = Refusal(second.attempt, second.upstream, RefusalReason.TOO_LATE, 1.0)
+    actions = entry.handle_refusal(refusal, 0.5)
+    assert list_released(actions)[first.upstream] is Outcome.UNUSED
+
+
+def test_prompt_that_fits_no_group_is_refused_as_not_run():
+    entry = build_entry(engines=5)
+    actions = entry.admit(build_request("r", prompt_tokens=50_000), 0.0)
+    error = find(actions, Conclude).error
+    assert (error.kind, error.ran) == (ErrorKind.PROMPT_TOO_LONG, Ran.NO)
+
+
+def move(entry, engines=5):
+    work, actions = start(entry, build_request("r"))
+    assert find(actions, StartAttempt).part is Part.PREFILL
+    entry.handle_started(work.attempt, 0.1)
+    (target,) = list_reserved(entry.handle_result(work.attempt, Prefilled(), 0.1))
+    return work, target
+
+
+def test_prefilled_request_moves_and_frees_the_first_engine():
+    entry = build_entry(engines=5, strategy="split-fair")
+    work, target = move(entry)
+    actions = entry.handle_grant(Grant(target.attempt, target.upstream, 2.0), 0.2)
+    started = find(actions, StartAttempt)
+    assert (started.part, started.source) == (Part.DECODE, work.upstream)
+    actions = entry.handle_started(work.attempt, 0.3)
+    assert list_released(actions) == {work.upstream: Outcome.ABANDONED}
+    assert any(isinstance(a.message, Started) for a in actions)
+    actions = entry.handle_result(work.attempt, Completed(100), 1.0)
+    assert list_released(actions) == {target.upstream: Outcome.FINISHED}
+    assert find(actions, Conclude).error is None
+
+
+def test_move_that_is_refused_goes_to_another_engine():
+    entry = build_entry(engines=5, strategy="split-fair")
+    work, target = move(entry)
+    refusal = Refusal(target.attempt, target.upstream, RefusalReason.LEAVING, 1.0)
+    actions = entry.handle_refusal(refusal, 0.2)
+    (other,) = list_reserved(actions)
+    assert other.upstream not in (work.upstream, target.upstream)
+    actions = entry.handle_upstream_gone(other.upstream, 0.3)
+    (third,) = list_reserved(actions)
+    assert third.upstream not in (target.upstream, other.upstream)
+
+
+def test_time_limit_during_a_move_frees_both_engines():
+    entry = build_entry(engines=5, strategy="split-fair")
+    work, target = move(entry)
+    released = list_released(entry.advance(60.0))
+    assert released == {
+        work.upstream: Outcome.ABANDONED,
+        target.upstream: Outcome.ABANDONED,
+    }
+
+
+RESULTS = [
+    Completed(5),
+    NeverStarted("refused"),
+    Broken("lost"),
+    Garbled("garbage"),
+    Prefilled(),
+]
+
+
+class EntryMachine(RuleBasedStateMachine):
+    """One entry whose owners, engines and claims answer in any way and order.
+
+    The oracle counts, for each request, conclusions and executions: exactly one of
+    the first by the time limit, at most one of the second when it must not be
+    repeated, none when it was refused as not run.
+    """
+
+    @initialize()
+    def begin(self):
+        self.now = 0.0
+        self.entry = build_entry(engines=5, strategy="split-fair")
+        self.count = 0
+        self.requests = {}
+        self.reserved = []
+        self.running = {}
+        self.claims = []
+        self.executed = {}
+        self.concluded = {}
+
+    def take(self, actions):
+        for action in actions:
+            match action:
+                case ToOwner(_, Reserve(work)):
+                    self.reserved.append(work)
+                case StartAttempt():
+                    self.running[action.attempt] = action
+                    if action.part is not Part.DECODE:
+                        done = self.executed.setdefault(action.request, [])
+                        done.append(action.attempt)
+                case AbortAttempt(attempt):
+                    self.running.pop(attempt, None)
+                case ClaimKey(request):
+                    self.claims.append(request)
+                case Conclude(request, error):
+                    assert request not in self.concluded, "concluded twice"
+                    self.concluded[request] = (self.now, error)
+
+    @rule(repeatable=st.booleans(), streamed=st.booleans())
+    def admit(self, repeatable, streamed):
+        self.count += 1
+        request = build_request(
+            f"r{self.count}",
+            deadline=self.now + 10.0,
+            repeatable=repeatable,
+            is_streamed=streamed,
+        )
+        self.requests[request.request] = request
+        self.take(self.entry.admit(request, self.now))
+
+    @rule(position=st.integers(0, 9), twice=st.booleans())
+    def grant(self, position, twice):
+        if self.reserved:
+            work = self.reserved.pop(position % len(self.reserved))
+            for _ in range(1 + twice):
+                message = Grant(work.attempt, work.upstream, 2.0)
+                self.take(self.entry.handle_grant(message, self.now))
+
+    @rule(position=st.integers(0, 9), reason=st.sampled_from(list(RefusalReason)))
+    def refuse(self, position, reason):
+        if self.reserved:
+            work = self.reserved.pop(position % len(self.reserved))
+            message = Refusal(work.attempt, work.upstream, reason, 1.0)
+            self.take(self.entry.handle_refusal(message, self.now))
+
+    @rule(succeeds=st.booleans())
+    def answer_claim(self, succeeds):
+        if self.claims:
+            error = None if succeeds else ClaimError("taken")
+            self.take(self.entry.handle_claim(self.claims.pop(0), error, self.now))
+
+    @rule(position=st.integers(0, 9))
+    def begin_stream(self, position):
+        if self.running:
+            attempt = list(self.running)[position % len(self.running)]
+            self.take(self.entry.handle_started(attempt, self.now))
+
+    @rule(position=st.integers(0, 9), number=st.integers(0, len(RESULTS) - 1))
+    def end(self, position, number):
+        if not self.running:
+            return
+        attempt = list(self.running)[position % len(self.running)]
+        action = self.running[attempt]
+        result = RESULTS[number]
+        if isinstance(result, Prefilled) and action.part is not Part.PREFILL:
+            return
+        if isinstance(result, NeverStarted) and action.part is not Part.DECODE:
+            self.executed[action.request].remove(attempt)
+        if not isinstance(result, Broken):
+            del self.running[attempt]
+        self.take(self.entry.handle_result(attempt, result, self.now))
+
+    @rule(seconds=st.sampled_from([0.05, 1.0, 4.0]))
+    def pass_time(self, seconds):
+        self.now += seconds
+        self.take(self.entry.advance(self.now))
+        self.take(self.entry.renew(self.now))
+
+    @rule(number=st.integers(0, 4))
+    def lose_upstream(self, number):
+        name = f"engine-{number}"
+        self.entry.catalog.remove(name)
+        self.take(self.entry.handle_upstream_gone(name, self.now))
+        self.entry.catalog.take_announcement(build_announcement(name), self.now)
+
+    @invariant()
+    def promises_hold(self):
+        for name, request in self.requests.items():
+            if name not in self.concluded:
+                assert self.now <= request.deadline
+            runs = len(self.executed.get(name, []))
+            assert request.repeatable or runs <= 1
+            at, error = self.concluded.get(name, (None, None))
+            if error is not None and error.ran is Ran.NO:
+                assert runs == 0, "said not run, but it ran"
+
+    def teardown(self):
+        if hasattr(self, "entry"):
+            self.now += 11.0
+            self.take(self.entry.advance(self.now))
+            assert set(self.concluded) == set(self.requests)
+            assert len(self.entry) == 0
+
+
+TestEntryMachine = EntryMachine.TestCase
