--- a/src/scalebend/core/membership.py
+++ b/src/scalebend/core/membership.py
@@ -123,6 +123,7 @@
         self._heartbeat_at = now
         self._gossip_at = now
         self._advanced = now
+        self._wrongly_dead: set[InstanceId] = set()
         self._ring: list[InstanceId] | None = None
         self._announce_self()
 
@@ -179,8 +180,13 @@
 
     def handle(self, datagram: Datagram, now: float) -> list[Rumor]:
         """Take a datagram; return the rumors that are not about instances."""
+        if now - self.heard_any >= SUSPECT_AFTER:
+            # This instance was cut off: what it did not hear says nothing.
+            self._forgive(now)
         self.heard_any = now
         peer = self._peers.get(datagram.sender)
+        if peer is not None and peer.rank is MemberRank.DEAD:
+            self._wrongly_dead.add(datagram.sender)
         if peer is not None and datagram.incarnation >= peer.listed.incarnation:
             peer.heard = now
             peer.version = datagram.version
@@ -205,7 +211,7 @@
     def advance(self, now: float) -> list[Outbound]:
         """Act on time: heartbeats, suspicions, a round of rumors."""
         self._forgive_own_pause(now)
-        actions: list[Outbound] = []
+        actions = self._tell_wrongly_dead()
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT
             actions += self._send_heartbeats(now)
@@ -215,6 +221,18 @@
             actions += self._send_rumors(now)
         return actions
 
+    def _tell_wrongly_dead(self) -> list[Outbound]:
+        """Tell a live instance that it is held dead, so that it can refute it."""
+        actions = []
+        for name in sorted(self._wrongly_dead):
+            peer = self._peers[name]
+            if peer.rank is MemberRank.DEAD:
+                rumor = MemberRumor(peer.listed, int(peer.rank))
+                datagram = self._build_datagram(False, [rumor], [])
+                actions.append(Outbound(peer.listed.gossip, datagram))
+        self._wrongly_dead.clear()
+        return actions
+
     # Heartbeats
 
     def _forgive_own_pause(self, now: float) -> None:
@@ -223,9 +241,12 @@
         pause = now - self._advanced
         self._advanced = now
         if pause > 2 * HEARTBEAT:
-            for peer in self._peers.values():
-                peer.heard = max(peer.heard, now - HEARTBEAT)
-            self._suspects.clear()
+            self._forgive(now)
+
+    def _forgive(self, now: float) -> None:
+        for peer in self._peers.values():
+            peer.heard = max(peer.heard, now - HEARTBEAT)
+        self._suspects.clear()
 
     def _list_ring(self) -> list[InstanceId]:
         if self._ring is None:
