--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -56,12 +56,16 @@
 
 
 class AttemptReporter(msgspec.Struct, frozen=True):
-    """Where an exchange reports what happens to an attempt."""
+    """Where an exchange reports what happens to an attempt.
+
+    ``scheme`` is ``http`` or ``https``, for all upstreams.
+    """
 
     started: Callable[[AttemptId], None]
     ended: Callable[[AttemptId, AttemptResult], None]
     caller_left: Callable[[RequestId], None]
     find: Callable[[UpstreamId], UpstreamRecord | None]
+    scheme: str = "http"
 
 
 class Exchange:
@@ -181,7 +185,7 @@
     def _open(
         self, start: StartAttempt, lead: UpstreamRecord, *, is_resumed: bool
     ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
-        base = f"http://{lead.announcement.address}"
+        base = f"{self._reporter.scheme}://{lead.announcement.address}"
         if is_resumed:
             headers = {"Last-Event-ID": str(self._framer.next_offset - 1)}
             url = f"{base}/v1/requests/{start.attempt}/stream"
@@ -206,7 +210,7 @@
         assert start.source is not None
         source = self._reporter.find(start.source)
         address = source.announcement.address if source is not None else ""
-        return f"http://{address}/v1/requests/{start.attempt}/kv"
+        return f"{self._reporter.scheme}://{address}/v1/requests/{start.attempt}/kv"
 
     async def _hold_helpers(self, start: StartAttempt) -> bool:
         parts = len(start.upstreams)
@@ -216,7 +220,7 @@
             record = self._reporter.find(upstream)
             if record is None:
                 return False
-            base = f"http://{record.announcement.address}"
+            base = f"{self._reporter.scheme}://{record.announcement.address}"
             url = f"{base}/v1/requests/{start.attempt}/memory"
             async with self._session.put(url, data=body) as answer:
                 if answer.status >= 300:
--- a/src/scalebend/edges/http_server.py
+++ b/src/scalebend/edges/http_server.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import ssl
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import structlog
@@ -20,6 +19,7 @@
     parse_service_call,
 )
 from scalebend.edges.runtime import ClaimedAnswerError, Runtime, run_core
+from scalebend.edges.tls import build_server_context
 from scalebend.exceptions import (
     ErrorKind,
     RefusedError,
@@ -27,7 +27,7 @@
     ScalebendError,
 )
 from scalebend.models.ids import CustomerId, RequestId
-from scalebend.models.settings import Settings, Tls
+from scalebend.models.settings import Settings
 from scalebend.models.upstream import Announcement
 from scalebend.utils.addresses import parse_address
 from scalebend.utils.documents import decode_document
@@ -258,17 +258,6 @@
     return app
 
 
-def _build_ssl(tls: Tls | None) -> ssl.SSLContext | None:
-    if tls is None:
-        return None
-    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
-    context.load_cert_chain(tls.certificate, tls.key)
-    if tls.authority is not None:
-        context.load_verify_locations(tls.authority)
-        context.verify_mode = ssl.CERT_REQUIRED
-    return context
-
-
 @contextlib.asynccontextmanager
 async def serve_instance(
     settings: Settings, *, seed: int = 0
@@ -288,7 +277,7 @@
                 runner,
                 address.host,
                 address.port,
-                ssl_context=_build_ssl(settings.caller_tls),
+                ssl_context=build_server_context(settings.caller_tls),
             )
             await site.start()
             logger.info("instance listens", instance=settings.instance)
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -46,6 +46,7 @@
 from scalebend.edges.gossip import GossipSocket, open_gossip
 from scalebend.edges.metrics import Metrics, build_metrics
 from scalebend.edges.peers import PeerTransport, serve_peers
+from scalebend.edges.tls import build_client_context
 from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
 from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
 from scalebend.models.messages import Datagram, PeerMessage
@@ -95,6 +96,7 @@
         self._attempts: dict[AttemptId, Exchange] = {}
         self._proposals: dict[str, asyncio.Future[Result | None]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
+        self._scheme = "https" if instance.settings.upstream_tls else "http"
         self._is_pumping = False
         self._count = 0
         self.announcements.subscribe(on_next=self._take_announcement)
@@ -138,7 +140,11 @@
     def build_reporter(self) -> AttemptReporter:
         """Return what exchanges report to."""
         return AttemptReporter(
-            self._report_started, self._report_ended, self.cancel, self._find
+            self._report_started,
+            self._report_ended,
+            self.cancel,
+            self._find,
+            self._scheme,
         )
 
     def _find(self, upstream: UpstreamId) -> UpstreamRecord | None:
@@ -289,7 +295,7 @@
         record = self.instance.catalog.get(upstream)
         if record is None:
             return
-        url = f"http://{record.announcement.address}/v1/requests/{attempt}"
+        url = f"{self._scheme}://{record.announcement.address}/v1/requests/{attempt}"
         timeout = aiohttp.ClientTimeout(total=CANCEL_TIMEOUT)
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with self.session.delete(url, timeout=timeout) as answer:
@@ -303,7 +309,7 @@
         record = self.instance.catalog.get(upstream)
         if record is None:
             return
-        url = f"http://{record.announcement.address}/v1/orders"
+        url = f"{self._scheme}://{record.announcement.address}/v1/orders"
         timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT)
         body = msgspec.json.encode(order)
         # Whatever the answer: what counts is what the engine announces.
@@ -386,7 +392,11 @@
         key = Path(settings.gossip_key_file).read_bytes().strip()
     async with contextlib.AsyncExitStack() as stack:
         journal, recovered = stack.enter_context(_recover(settings))
-        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0)
+        connector = aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=15.0,
+            ssl=build_client_context(settings.upstream_tls) or True,
+        )
         timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
         session = await stack.enter_async_context(
             aiohttp.ClientSession(
--- a/src/scalebend/models/settings.py
+++ b/src/scalebend/models/settings.py
@@ -95,6 +95,7 @@
     gossip_key_file: str | None = None
     peer_tls: Tls | None = None
     caller_tls: Tls | None = None
+    upstream_tls: Tls | None = None
     limits: Limits = Limits()
     log: Logging = Logging()
     statsd: Statsd | None = None
--- a/src/scalebend/standins/engine_server.py
+++ b/src/scalebend/standins/engine_server.py
@@ -10,6 +10,7 @@
 import asyncio
 import contextlib
 import hashlib
+import ssl
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -324,13 +325,18 @@
 
 @contextlib.asynccontextmanager
 async def serve_engine(
-    options: EngineOptions, urls: list[str], *, incarnation: int = 1, port: int = 0
+    options: EngineOptions,
+    urls: list[str],
+    *,
+    incarnation: int = 1,
+    port: int = 0,
+    context: ssl.SSLContext | None = None,
 ) -> AsyncIterator[EngineServer]:
     """Run a stand-in engine that announces itself to the instances at ``urls``."""
     engine = EngineServer(options, incarnation)
     runner = web.AppRunner(engine.build_app(), shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", port)
+    site = web.TCPSite(runner, "127.0.0.1", port, ssl_context=context)
     await site.start()
     engine.address = f"127.0.0.1:{runner.addresses[0][1]}"
     announcing = announce_for_ever(
--- a/tests/lib/fleet.py
+++ b/tests/lib/fleet.py
@@ -98,14 +98,25 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fleet(engines=1, *, parameters=PARAMETERS, scale=0.1, **changes):
+async def run_fleet(
+    engines=1,
+    *,
+    parameters=PARAMETERS,
+    scale=0.1,
+    tls=None,
+    has_service=True,
+    **changes,
+):
     async with contextlib.AsyncExitStack() as stack:
         folder = stack.enter_context(tempfile.TemporaryDirectory())
         ports = find_free_ports(3)
-        url = f"http://127.0.0.1:{ports[0]}"
+        scheme = "https" if tls else "http"
+        url = f"{scheme}://127.0.0.1:{ports[0]}"
         settings = build_settings(folder, ports, **changes)
         runtime = await stack.enter_async_context(serve_instance(settings))
-        session = await stack.enter_async_context(aiohttp.ClientSession())
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(ssl=tls or True))
+        )
         running = []
         for number in range(engines):
             options = EngineOptions(
@@ -118,12 +129,13 @@
             context = serve_engine(options, [url])
             running.append(await stack.enter_async_context(context))
         options = ServiceOptions(UpstreamId("orders-1"), ZONE, SERVICE)
-        service = await stack.enter_async_context(serve_service(options, [url]))
+        urls = [url] if has_service else []
+        service = await stack.enter_async_context(serve_service(options, urls))
         fleet = Fleet(runtime, url, session, running, service)
         await fleet.wait_until(
             lambda: (
                 runtime.instance.read_readiness(runtime.now()).is_ready
-                and len(runtime.instance.catalog) == engines + 1
+                and len(runtime.instance.catalog) == engines + has_service
             )
         )
         await apply_configuration(fleet, CONFIGURATION)
