--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -187,9 +187,14 @@
 
 
 @app.command("measure-control")
-def measure_control(as_json: Json = False) -> None:
+def measure_control(
+    largest: Annotated[
+        int, typer.Option(help="Leave out sizes with more instances.")
+    ] = 390,
+    as_json: Json = False,
+) -> None:
     """Measure control costs by number of instances, core alone."""
-    _run("measure_control", as_json=as_json)
+    _run("measure_control", largest=largest, as_json=as_json)
 
 
 @app.command("hash-key")
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -172,10 +172,11 @@
                 return NeverStarted("a helper refused", 1.0, may_hold_memory=True)
             async with self._open(start, lead, is_resumed=is_resumed) as answer:
                 return await self._read(start, answer, is_resumed=is_resumed)
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            # Not a byte of the request left: it cannot have run.
+            detail = f"cannot connect: {error}"
             if is_resumed:
-                return Broken(f"cannot connect again: {error.strerror}")
-            detail = f"cannot connect: {error.strerror}"
+                return Broken(detail)
             return NeverStarted(detail, may_hold_memory=has_helpers)
         except GarbledStreamError as error:
             return Garbled(str(error))
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -60,6 +60,7 @@
 TICK = 0.05
 """Seconds between two calls of the core's timers."""
 
+CONNECT_TIMEOUT = 3.0
 CLAIM_TIMEOUT = 2.0
 SETTLE_TIMEOUT = 60.0
 CANCEL_TIMEOUT = 2.0
@@ -397,7 +398,7 @@
             keepalive_timeout=15.0,
             ssl=build_client_context(settings.upstream_tls) or True,
         )
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT)
         session = await stack.enter_async_context(
             aiohttp.ClientSession(
                 connector=connector,
--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -61,6 +61,7 @@
     Term,
     UpstreamId,
 )
+from scalebend.models.messages import Datagram, PeerMessage
 from scalebend.models.settings import Listen, Peer, Role, Settings
 from scalebend.models.upstream import (
     Announcement,
@@ -164,6 +165,10 @@
         self._left_at: dict[UpstreamId, float] = {}
         self._build_fleet(seed)
 
+    def list_instances(self) -> list[Instance]:
+        """Instances that are up."""
+        return list(self._instances.values())
+
     # Virtual time
 
     def call_at(self, at: float, work: Callable[[], None]) -> None:
@@ -310,18 +315,20 @@
     def _delay(self, one: AvailabilityZone, other: AvailabilityZone) -> float:
         return 0.0002 if one == other else self.scenario.zone_delay
 
-    def _deliver(self, sender: InstanceId, to: InstanceId, message: object) -> None:
+    def _deliver(
+        self, sender: InstanceId, to: InstanceId, message: PeerMessage
+    ) -> None:
         instance = self._instances.get(to)
         if instance is None or sender not in self._instances:
             return
-        actions = instance.handle_peer(sender, message, self.now, self.now)  # type: ignore[arg-type]
+        actions = instance.handle_peer(sender, message, self.now, self.now)
         self._execute(to, actions)
         self._pump(to)
 
-    def _deliver_datagram(self, to: InstanceId, datagram: object) -> None:
+    def _deliver_datagram(self, to: InstanceId, datagram: Datagram) -> None:
         instance = self._instances.get(to)
         if instance is not None:
-            self._execute(to, instance.handle_datagram(datagram, self.now))  # type: ignore[arg-type]
+            self._execute(to, instance.handle_datagram(datagram, self.now))
 
     def _execute(self, name: InstanceId, actions: Sequence[InstanceAction]) -> None:
         for action in actions:
@@ -330,12 +337,9 @@
     def _execute_one(self, name: InstanceId, action: InstanceAction) -> None:
         match action:
             case ToInstance(to, message):
-                self._send_message(name, to, message)
+                self.send_message(name, to, message)
             case Outbound(address, datagram):
-                to = self._by_gossip[address]
-                delay = self._delay(self._zones[name], self._zones[to])
-                work = self._bind(self._deliver_datagram, to, datagram)
-                self.call_at(self.now + delay, work)
+                self.send_datagram(name, address, datagram)
             case StartAttempt():
                 self._start(name, action)
             case ResumeAttempt(attempt):
@@ -351,7 +355,17 @@
             case Proposed(proposal, result):
                 self._take_claim(proposal, result)
 
-    def _send_message(self, name: InstanceId, to: InstanceId, message: object) -> None:
+    def send_datagram(self, name: InstanceId, address: str, datagram: Datagram) -> None:
+        """Deliver a datagram after the zones' delay."""
+        to = self._by_gossip[address]
+        delay = self._delay(self._zones[name], self._zones[to])
+        work = self._bind(self._deliver_datagram, to, datagram)
+        self.call_at(self.now + delay, work)
+
+    def send_message(
+        self, name: InstanceId, to: InstanceId, message: PeerMessage
+    ) -> None:
+        """Deliver a message after the zones' delay, unless messages are lost."""
         if self._message_loss and self._chooser.random() < self._message_loss:
             return
         if to not in self._zones:
