--- a/src/scalebend/core/catalog.py
+++ b/src/scalebend/core/catalog.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import msgspec
 
@@ -21,15 +22,22 @@
 MOST_RATE = 1e9
 
 
-class UpstreamRecord(msgspec.Struct):
+class UpstreamRecord(Candidate, kw_only=True):
     """One upstream; ``heard`` is when its last announcement reached any instance."""
 
     announcement: Announcement
-    view: ReplicaView
-    digest: LoadDigest
     heard: float
 
 
+class _Need(NamedTuple):
+    """What requests have in common that the same upstreams can take."""
+
+    service: ServiceName | None
+    model: ModelName | None
+    adapter: str | None
+    version: str | None
+
+
 def build_view(announcement: Announcement) -> ReplicaView:
     """Return the static facts that routing needs."""
     return ReplicaView(
@@ -92,6 +100,10 @@
         self._records: dict[UpstreamId, UpstreamRecord] = {}
         self._by_model: dict[ModelName, set[UpstreamId]] = {}
         self._by_service: dict[ServiceName, set[UpstreamId]] = {}
+        self._local_zones: set[AvailabilityZone] | None = None
+        # Kept until an upstream comes, goes or changes what it serves; digests
+        # change inside the records.
+        self._candidates: dict[_Need, list[Candidate]] = {}
 
     def __len__(self) -> int:
         return len(self._records)
@@ -108,7 +120,13 @@
         record = self._records.get(announcement.upstream)
         view = build_view(announcement)
         if record is None:
-            record = UpstreamRecord(announcement, view, build_idle_digest(view), heard)
+            record = UpstreamRecord(
+                view=view,
+                digest=build_idle_digest(view),
+                role=announcement.role,
+                announcement=announcement,
+                heard=heard,
+            )
             self._records[announcement.upstream] = record
             self._index(announcement)
             return True
@@ -122,8 +140,11 @@
         if (announcement.models, announcement.service) != (known.models, known.service):
             self._unindex(known)
             self._index(announcement)
+        if (announcement.state, announcement.role) != (known.state, known.role):
+            self._candidates.clear()
         record.announcement = announcement
         record.view = view
+        record.role = announcement.role
         return True
 
     def take_digest(self, digest: LoadDigest) -> None:
@@ -143,31 +164,48 @@
         record = self._records.get(upstream)
         return record is not None and now - record.heard >= self.timeout
 
+    def set_local_zones(self, zones: set[AvailabilityZone]) -> None:
+        """The zones of this instance's region."""
+        self._local_zones = zones
+        self._candidates.clear()
+
     def list_candidates(
-        self,
-        request: Request,
-        excluded: set[UpstreamId],
-        local_zones: set[AvailabilityZone] | None = None,
+        self, request: Request, excluded: set[UpstreamId]
     ) -> list[Candidate]:
-        """Replicas that serve what the request asks for and take new work."""
+        """Replicas that serve what the request asks for and take new work.
+
+        Without exclusions the list is shared: it must not be changed.
+        """
+        need = _Need(request.service, request.model, request.adapter, request.version)
+        found = self._candidates.get(need)
+        if found is None:
+            found = self._find_candidates(request)
+            self._candidates[need] = found
+        if not excluded:
+            return found
+        return [c for c in found if c.view.upstream not in excluded]
+
+    def _find_candidates(self, request: Request) -> list[Candidate]:
         if request.service is not None:
             names = self._by_service.get(request.service, set())
         elif request.model is not None:
             names = self._by_model.get(request.model, set())
         else:
             return []
-        found = []
-        for name in names:
+        found: list[Candidate] = []
+        for name in sorted(names):
             record = self._records[name]
-            if name in excluded or not _serves(record.announcement, request):
+            if not _serves(record.announcement, request):
                 continue
             zone = record.view.availability_zone
-            is_local = local_zones is None or zone in local_zones
-            role = record.announcement.role
-            found.append(Candidate(record.view, record.digest, is_local, role))
+            record.is_local_region = (
+                self._local_zones is None or zone in self._local_zones
+            )
+            found.append(record)
         return found
 
     def _index(self, announcement: Announcement) -> None:
+        self._candidates.clear()
         for loaded in announcement.models:
             self._by_model.setdefault(loaded.model, set()).add(announcement.upstream)
         if announcement.service is not None:
@@ -175,6 +213,7 @@
             names.add(announcement.upstream)
 
     def _unindex(self, announcement: Announcement) -> None:
+        self._candidates.clear()
         for loaded in announcement.models:
             self._by_model.get(loaded.model, set()).discard(announcement.upstream)
         if announcement.service is not None:
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -639,11 +639,13 @@
     def _follow_list(self, now: float) -> list[_Step]:
         listed = self.instances
         self.admission.instances = max(1, len(listed.instances))
-        self.entry.placement.local_zones = {
-            item.availability_zone
-            for item in listed.instances
-            if item.region == self.settings.region
-        }
+        self.catalog.set_local_zones(
+            {
+                item.availability_zone
+                for item in listed.instances
+                if item.region == self.settings.region
+            }
+        )
         for item in listed.instances:
             self.membership.learn(item, MemberRank.ALIVE, now)
         self._homes.set_instances(item.instance for item in listed.instances)
--- a/src/scalebend/core/lanes.py
+++ b/src/scalebend/core/lanes.py
@@ -37,11 +37,15 @@
 
 
 class Lanes(msgspec.Struct, frozen=True):
-    """A model's candidates by lane; both hold all of them when they are few."""
+    """A model's candidates by lane; both hold all of them when they are few.
+
+    ``most_memory`` is the largest memory of a decode engine, in tokens.
+    """
 
     prefill: list[Candidate]
     decode: list[Candidate]
     is_split: bool
+    most_memory: int = 0
 
     def list_for_long(self, long_share: float) -> list[Candidate]:
         """Prefill engines that long prompts may use: as many as their work needs.
@@ -120,7 +124,9 @@
     most = len(both) if decode else len(both) - 1
     count = max(fewest, min(most, wanted))
     ordered = sorted(both, key=_order)
-    return Lanes(prefill + ordered[:count], decode + ordered[count:], True)
+    decode += ordered[count:]
+    most_memory = max((c.view.memory_tokens for c in decode), default=0)
+    return Lanes(prefill + ordered[:count], decode, True, most_memory)
 
 
 def _order(candidate: Candidate) -> int:
--- a/src/scalebend/core/orders.py
+++ b/src/scalebend/core/orders.py
@@ -190,16 +190,24 @@
                 not _serves_any(r, needed) and r.view.upstream not in self._outstanding
                 for r in engines
             )
-            is_upgrade = [m.model for m in loaded] == [wanted.model]
-            if has_other_way or not is_upgrade or self._has_peer(record, engines):
+            if has_other_way or self._has_peer(record, engines):
                 return None
-            return 3
+            is_upgrade = [m.model for m in loaded] == [wanted.model]
+            may_go = is_upgrade or self._is_surplus(loaded, needed, engines)
+            return 3 if may_go else None
         if all(m.model == wanted.model for m in loaded):
             return 1
-        surplus = [
+        return 2 if self._is_surplus(loaded, needed, engines) else None
+
+    def _is_surplus(
+        self,
+        loaded: list[LoadedModel],
+        needed: dict[ModelName, Model],
+        engines: list[UpstreamRecord],
+    ) -> bool:
+        return all(
             self._count_all(m.model, engines) > needed[m.model].replicas for m in loaded
-        ]
-        return 2 if all(surplus) else None
+        )
 
     def _is_last(
         self,
--- a/src/scalebend/core/placement.py
+++ b/src/scalebend/core/placement.py
@@ -8,7 +8,7 @@
 import structlog
 
 from scalebend.core.catalog import Catalog
-from scalebend.core.lanes import LaneBorder, compute_decode_seconds, split_lanes
+from scalebend.core.lanes import LaneBorder, Lanes, compute_decode_seconds, split_lanes
 from scalebend.core.prefixes import PrefixIndex
 from scalebend.core.queueing import LONG_TOKENS
 from scalebend.core.retries import OutlierDetector
@@ -23,7 +23,13 @@
     sample_candidates,
 )
 from scalebend.core.sizes import SizeEstimator
-from scalebend.models.ids import AttemptId, AvailabilityZone, InstanceId, UpstreamId
+from scalebend.models.ids import (
+    AttemptId,
+    AvailabilityZone,
+    InstanceId,
+    ModelName,
+    UpstreamId,
+)
 from scalebend.models.work import Request, Work
 
 logger = structlog.get_logger(__name__)
@@ -59,12 +65,12 @@
         self.sizes = SizeEstimator()
         self.outliers = OutlierDetector()
         self.pending = PendingLoad()
-        self.local_zones: set[AvailabilityZone] | None = None
         self._instance = instance
         self._zone = zone
         self._catalog = catalog
         self._is_split = is_split
         self._border = LaneBorder()
+        self._lanes: dict[ModelName, tuple[list[Candidate], float, Lanes]] = {}
         self._chooser = random.Random(seed)
 
     def place(
@@ -79,14 +85,13 @@
         if request.model is None or not self._is_split:
             return self._place_whole(request, attempt, candidates, now)
         self._note_work(request, candidates, now)
-        lanes = split_lanes(candidates, self._border.read_share(request.model))
+        lanes = self._split(request.model, candidates)
         if not lanes.is_split:
             return self._place_whole(request, attempt, candidates, now)
         chosen = lanes.prefill
         if request.prompt_tokens >= LONG_TOKENS:
             chosen = lanes.list_for_long(self._border.read_long_share(request.model))
-        fits = any(c.view.memory_tokens >= request.memory_tokens for c in lanes.decode)
-        if not fits:
+        if request.memory_tokens > lanes.most_memory:
             # No engine holds it whole: a group prefills and decodes it.
             return self._place_whole(request, attempt, chosen, now, candidates)
         first_part = msgspec.structs.replace(request, output_tokens=1)
@@ -101,13 +106,17 @@
     ) -> Work | None:
         """Choose the engine that decodes what ``work`` has prefilled."""
         assert request.model is not None
-        excluded = excluded | {work.upstream}
         candidates = self._list_usable(request, excluded, now)
-        lanes = split_lanes(candidates, self._border.read_share(request.model))
+        lanes = self._split(request.model, candidates)
         record = self._catalog.get(work.upstream)
         zone = record.view.availability_zone if record else self._zone
+        sampled = [
+            candidate
+            for candidate in sample_candidates(lanes.decode, zone, {}, self._chooser)
+            if candidate.view.upstream != work.upstream
+        ]
         choice = choose_decode_replica(
-            request.memory_tokens, lanes.decode, zone=zone, pending=self.pending
+            request.memory_tokens, sampled, zone=zone, pending=self.pending
         )
         if choice is None:
             return None
@@ -124,10 +133,22 @@
             held_elsewhere=True,
         )
 
+    def _split(self, model: ModelName, candidates: list[Candidate]) -> Lanes:
+        """Divide the candidates; the last division of the same list is kept."""
+        share = round(self._border.read_share(model), 2)
+        kept = self._lanes.get(model)
+        if kept is not None and kept[0] is candidates and kept[1] == share:
+            return kept[2]
+        lanes = split_lanes(candidates, share)
+        self._lanes[model] = (candidates, share, lanes)
+        return lanes
+
     def _list_usable(
         self, request: Request, excluded: set[UpstreamId], now: float
     ) -> list[Candidate]:
-        found = self._catalog.list_candidates(request, excluded, self.local_zones)
+        found = self._catalog.list_candidates(request, excluded)
+        if not self.outliers.has_any():
+            return found
         usable = [c for c in found if self.outliers.is_usable(c.view.upstream, now)]
         # With every replica set aside, a poor one is better than none.
         return usable or found
--- a/src/scalebend/core/retries.py
+++ b/src/scalebend/core/retries.py
@@ -67,6 +67,10 @@
     def __init__(self) -> None:
         self._health: dict[UpstreamId, _Health] = {}
 
+    def has_any(self) -> bool:
+        """Whether any replica failed lately."""
+        return bool(self._health)
+
     def record_success(self, upstream: UpstreamId) -> None:
         """An attempt on the replica went well."""
         self._health.pop(upstream, None)
--- a/src/scalebend/core/routing.py
+++ b/src/scalebend/core/routing.py
@@ -17,7 +17,7 @@
 from scalebend.models.upstream import EngineRole
 from scalebend.models.work import LoadDigest, ReplicaView
 
-MOST_CANDIDATES = 24
+MOST_CANDIDATES = 16
 """Replicas scored for one request; the rest are left out by a seeded sample."""
 
 ZONE_PENALTY = 0.003
@@ -33,8 +33,8 @@
 """Seconds added when the replica's free memory is too small now."""
 
 
-class Candidate(msgspec.Struct, frozen=True):
-    """One replica that could take the request."""
+class Candidate(msgspec.Struct):
+    """One replica that could take the request, with its newest digest."""
 
     view: ReplicaView
     digest: LoadDigest
@@ -90,15 +90,31 @@
     """Bound the candidates: all with a cached prefix, then of the own zone first."""
     if len(candidates) <= MOST_CANDIDATES:
         return candidates
-    kept = [c for c in candidates if c.view.upstream in cached][: MOST_CANDIDATES // 2]
-    names = {candidate.view.upstream for candidate in kept}
-    rest = [c for c in candidates if c.view.upstream not in names]
-    near = [c for c in rest if c.view.availability_zone == zone]
-    far = [c for c in rest if c.view.availability_zone != zone]
+    kept: list[Candidate] = []
+    rest = candidates
+    if cached:
+        kept = [c for c in candidates if c.view.upstream in cached]
+        kept = kept[: MOST_CANDIDATES // 2]
+        names = {candidate.view.upstream for candidate in kept}
+        rest = [c for c in candidates if c.view.upstream not in names]
+    near: list[Candidate] = []
+    far: list[Candidate] = []
+    for candidate in rest:
+        is_near = candidate.view.availability_zone == zone
+        (near if is_near else far).append(candidate)
     room = MOST_CANDIDATES - len(kept)
-    near = chooser.sample(near, min(len(near), room * 2 // 3))
-    far = chooser.sample(far, min(len(far), room - len(near)))
-    return kept + near + far
+    near = _take_some(near, room * 2 // 3, chooser)
+    return kept + near + _take_some(far, room - len(near), chooser)
+
+
+def _take_some(
+    candidates: list[Candidate], count: int, chooser: random.Random
+) -> list[Candidate]:
+    """Return neighbours from a random place on: as good as a sample, and cheaper."""
+    if len(candidates) <= count:
+        return candidates
+    start = chooser.randrange(len(candidates))
+    return (candidates[start:] + candidates[:start])[:count]
 
 
 def choose_replica(
@@ -170,11 +186,12 @@
         view = candidate.view
         if memory_tokens > view.memory_tokens:
             continue
-        sent_count = pending.get(view.upstream)[1]
-        batch = candidate.digest.decoding + sent_count + candidate.digest.queued
+        digest = candidate.digest
+        batch = digest.decoding + digest.queued + pending.get(view.upstream)[1]
         score = batch * view.step_time / view.concurrency
-        score += candidate.digest.count_all() / view.prefill_rate
-        if memory_tokens > candidate.digest.free_tokens:
+        if digest.prefill_tokens or digest.queued_tokens:
+            score += digest.count_all() / view.prefill_rate
+        if memory_tokens > digest.free_tokens:
             score += MEMORY_PENALTY
         if view.availability_zone != zone:
             score += ZONE_PENALTY
--- a/src/scalebend/edges/logs.py
+++ b/src/scalebend/edges/logs.py
@@ -26,5 +26,5 @@
         ],
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
-        cache_logger_on_first_use=False,
+        cache_logger_on_first_use=True,
     )
--- /dev/null
+++ b/tests/unit/test_decision_cost.py
@@ -0,0 +1,130 @@
+"""Processor time of deciding one request; `make measure-decisions` prints it.
+
+In the usual run each benchmark is called once, so nothing depends on the clock.
+"""
+
+import itertools
+
+import pytest
+import structlog
+
+from scalebend.core.flow import Completed, Conclude, Prefilled, ToOwner
+from scalebend.core.instance import Instance
+from scalebend.models.configuration import (
+    AcceptedConfiguration,
+    Configuration,
+    Customer,
+    Model,
+)
+from scalebend.models.ids import InstanceId, Region
+from scalebend.models.messages import Published
+from scalebend.models.settings import Listen, Settings
+from scalebend.models.upstream import LoadedModel
+from scalebend.models.work import Grant, Reserve
+from tests.lib.builders import ENTRY, ZONE, build_announcement, build_request
+
+
+@pytest.fixture(autouse=True)
+def drop_log_lines():
+    """What a line costs depends on where it goes: the decision alone is measured."""
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(50),
+        cache_logger_on_first_use=True,
+    )
+    yield
+    structlog.reset_defaults()
+
+
+def build_instance(upstreams, models, customers, zones):
+    settings = Settings(
+        instance=InstanceId(ENTRY),
+        region=Region("r"),
+        availability_zone=ZONE,
+        listen=Listen("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
+    )
+    instance = Instance(settings, None, now=0.0, incarnation=1)
+    configuration = Configuration(
+        customers=[Customer(f"c{n}", []) for n in range(customers)],
+        models=[Model(f"m{n}") for n in range(models)],
+    )
+    accepted = AcceptedConfiguration(1, "x", "", configuration)
+    instance.handle_peer(ENTRY, Published(accepted, None), 0.0, 0.0)
+    for number in range(upstreams):
+        announcement = build_announcement(
+            f"engine-{number}",
+            availability_zone=ZONE if number % zones == 0 else f"z{number % zones}",
+            models=[LoadedModel(f"m{number % models}")],
+            memory_tokens=1_000_000,
+            concurrency=10_000,
+            prefill_rate=1e9,
+        )
+        instance.catalog.take_announcement(announcement, 0.0)
+    for number in range(customers):
+        instance.owners.shares.charge(f"c{number}", 1.0, 0.0)
+    return instance
+
+
+def build_decision(upstreams, models, customers, zones):
+    """Route, reserve, grant, move, finish: all decisions of one request."""
+    instance = build_instance(upstreams, models, customers, zones)
+    entry = instance.entry
+    names = itertools.count()
+
+    def decide():
+        number = next(names)
+        request = build_request(
+            f"r{number}",
+            customer=f"c{number % customers}",
+            model=f"m{number % models}",
+            deadline=1e9,
+        )
+        actions = list(entry.admit(request, 0.0))
+        attempt = ""
+        while actions:
+            action = actions.pop()
+            if isinstance(action, ToOwner) and isinstance(action.message, Reserve):
+                work = action.message.work
+                attempt = work.attempt
+                grant = Grant(work.attempt, work.upstream, 2.0)
+                entry.handle_grant(grant, 0.0)
+                entry.handle_started(attempt, 0.0)
+                if work.prefill_tokens:
+                    actions += entry.handle_result(attempt, Prefilled(), 0.0)
+        result = entry.handle_result(attempt, Completed(10), 0.0)
+        assert isinstance(result[-1], Conclude) and result[-1].error is None
+
+    return decide
+
+
+def test_decision_at_twenty_replicas(benchmark):
+    benchmark(build_decision(20, 1, 10, 3))
+
+
+def test_decision_at_six_hundred_replicas_and_two_thousand_customers(benchmark):
+    benchmark(build_decision(600, 8, 2_000, 6))
+
+
+def test_grant_at_the_owner_with_two_thousand_waiting(benchmark):
+    from scalebend.core.owner import ReplicaOwner
+    from scalebend.core.queueing import STRATEGIES
+    from scalebend.core.shares import ShareLedger
+    from scalebend.models.work import Outcome, Release, Started
+    from tests.lib.builders import UPSTREAM, build_view, build_work
+
+    shares = ShareLedger()
+    policy = STRATEGIES["fair"].queue
+    view = build_view(concurrency=1, memory_tokens=10**9, prefill_rate=1e9)
+    owner = ReplicaOwner(view, policy, shares, incarnation=1)
+    for number in range(2_000):
+        work = build_work(f"w{number}", customer=f"c{number % 40}", patience=1e9)
+        owner.handle(Reserve(work), 0.0)
+    names = itertools.count(2_000)
+
+    def decide():
+        (held,) = owner.ledger.list_held()
+        owner.handle(Started(held, UPSTREAM), 0.0)
+        owner.handle(Release(held, UPSTREAM, Outcome.FINISHED, 100), 0.0)
+        work = build_work(f"w{next(names)}", customer="c1", patience=1e9)
+        owner.handle(Reserve(work), 0.0)
+
+    benchmark(decide)
--- a/tests/unit/test_orders.py
+++ b/tests/unit/test_orders.py
@@ -20,7 +20,8 @@
 
 
 class Fleet:
-    def __init__(self, models, zones=("a", "b")):
+    def __init__(self, models, zones=("a", "b"), kinds=None):
+        self.kinds = kinds or {}
         self.catalog = Catalog(1e9)
         self.models = {}
         for number, loaded in enumerate(models):
@@ -37,7 +38,7 @@
         for name, loaded in self.models.items():
             announcement = build_announcement(
                 name,
-                kind="k",
+                kind=self.kinds.get(name, "k"),
                 sequence=self.sequence,
                 availability_zone=self.zones[name],
                 models=list(loaded),
@@ -140,6 +141,23 @@
     assert run(fleet, OrderPlanner(), configuration, 20.0, term=None) == []
 
 
+def test_last_replica_waits_for_an_empty_engine_that_may_soon_be_ordered():
+    fleet = Fleet([[M1], []], zones=("a",), kinds={"e1": "ignores"})
+    configuration = build_configuration(Model("m1", "2", replicas=1))
+    orders = run(fleet, OrderPlanner(), configuration, 20.0)
+    assert [sent.upstream for _, sent in orders] == ["e1"]
+    assert fleet.models["e0"] == [M1]
+
+
+def test_surplus_last_replica_is_given_up_when_there_is_no_other_way():
+    fleet = Fleet([[M1], [M1]])
+    configuration = build_configuration(
+        Model("m1", replicas=1), Model("m2", replicas=1)
+    )
+    run(fleet, OrderPlanner(), configuration, 20.0)
+    assert sorted(m[0].model for m in fleet.models.values()) == ["m1", "m2"]
+
+
 class OrderMachine(RuleBasedStateMachine):
     """Two leaders in turn; orders lost, doubled, reordered, late.
 
@@ -181,6 +199,7 @@
         for sent in self.fleet.plan(
             self.planner, self.configuration, self.now, self.term
         ):
+            assert sent.order.fencing_number == self.term
             self.flights.append(sent)
             self.sent.append(self.now)
 
