--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -205,6 +205,12 @@
     _run("hash_key", key=key)
 
 
+@app.command()
+def errors() -> None:
+    """Print the list of error kinds, as the page docs/errors.md."""
+    _run("errors")
+
+
 @app.command()
 def version(as_json: Json = False) -> None:
     """Show the version."""
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -86,6 +86,7 @@
         )
         self.first_token_at: float | None = None
         self.output_tokens = 0
+        self.prompt_tokens = 0
         self._call = call
         self._http_request = http_request
         self._session = session
@@ -264,7 +265,10 @@
         if not answer.content.at_eof():
             body += await answer.read()
         self.response = web.Response(
-            status=answer.status, body=body, content_type=answer.content_type
+            status=answer.status,
+            body=body,
+            content_type=answer.content_type,
+            headers={"X-Request-Id": self.request.request},
         )
 
     async def _read_events(
@@ -291,6 +295,7 @@
             return Broken("the stream ended before its end mark")
         usage = read_usage(framer.tail)
         self.output_tokens = usage.completion_tokens
+        self.prompt_tokens = usage.prompt_tokens
         if self.request.is_streamed:
             assert self.response is not None
             with contextlib.suppress(ConnectionError):
--- a/src/scalebend/edges/http_server.py
+++ b/src/scalebend/edges/http_server.py
@@ -165,7 +165,7 @@
             raise
         finally:
             runtime.forget(exchange)
-        self._record(exchange, error)
+        self._record(exchange, parsed.prompt_bytes, error)
         return await self._answer(exchange, error)
 
     async def _answer(
@@ -187,7 +187,9 @@
             return exchange.response
         raise error
 
-    def _record(self, exchange: Exchange, error: ScalebendError | None) -> None:
+    def _record(
+        self, exchange: Exchange, prompt_bytes: int, error: ScalebendError | None
+    ) -> None:
         metrics = self._runtime.metrics
         request = exchange.request
         now = self._runtime.now()
@@ -198,6 +200,9 @@
         if error is None:
             metrics.incr("request.finished")
             metrics.incr("tokens.output", exchange.output_tokens)
+        if request.model is not None:
+            sizes = self._instance.entry.placement.sizes
+            sizes.learn(request.model, prompt_bytes, exchange.prompt_tokens)
 
     async def _list_models(self, request: web.Request) -> web.Response:
         models = self._instance.configuration.configuration.models
--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -288,3 +288,16 @@
             events = await answer.read()
         assert read_text(events) == build_answer("resume me", 12)
         await wait_for_free_memory(fleet)
+
+
+async def test_bytes_per_token_are_learned_from_the_engines_counts():
+    async with run_fleet() as fleet:
+        sizes = fleet.runtime.instance.entry.placement.sizes
+        before = sizes.estimate_tokens(MODEL, 40_000)
+        sizes.learn(MODEL, 1_000, 1_000)
+        skewed = sizes.estimate_tokens(MODEL, 40_000)
+        assert skewed > before
+        for number in range(20):
+            async with fleet.complete(f"{number} " * 1_000) as answer:
+                await answer.read()
+        assert before <= sizes.estimate_tokens(MODEL, 40_000) < skewed
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -6,6 +6,7 @@
 import pytest
 
 from scalebend.commands import check
+from scalebend.commands.errors import build_page
 from scalebend.edges.settings_file import parse_configuration, read_settings
 from scalebend.exceptions import ANSWERS, DocumentError, ErrorKind
 from scalebend.utils.keys import hash_key, is_known_key
@@ -85,6 +86,11 @@
     assert set(ANSWERS) == set(ErrorKind)
 
 
+def test_error_page_is_the_generated_one():
+    page = EXAMPLES.parent / "docs" / "errors.md"
+    assert page.read_text() == build_page()
+
+
 def test_check_command_prints_faults_and_schemas(tmp_path, capsys):
     path = write(tmp_path, {"instance": 3})
     assert check.run(file=path, schema="", as_json=True) == 2
