Stop false alarms when many start at once; send changes of the instance list

Cause, at 390 instances in virtual time: a watcher that knows more than the one it watches is not sent heartbeats, and declared it dead; after 30 s 371 of 390 had refuted their death up to five times, and every change of the list sent 50 KB to each instance (20.9 KB a second).

Change: a watcher asks for a heartbeat after 0.9 s before it suspects at 1.6 s; list news is a change against a list that the asker has.

--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -28,6 +28,7 @@
     SetInstances,
     encode_command,
 )
+from scalebend.core.list_history import ListHistory
 from scalebend.models.ids import InstanceId, LogIndex, Term
 from scalebend.models.messages import (
     Fetch,
@@ -90,6 +91,8 @@
         self._hello_at = now
         self._list_at = now
         self._waiting: dict[LogIndex, _Waiting] = {}
+        self._lists = ListHistory()
+        self._lists.put(self.state.instances)
         self._outbox: list[ToInstance] = []
 
     @property
@@ -172,6 +175,7 @@
             self.state.restore(ready.snapshot.state)
         for entry in ready.committed:
             self._apply(entry)
+        self._lists.put(self.state.instances)
         self.replica.confirm(ready)
         if not self.replica.is_leader:
             self._disappoint_waiting()
@@ -287,9 +291,8 @@
 
     def _publish(self, sender: InstanceId, message: Fetch) -> None:
         configuration = self.state.configuration
-        instances = self.state.instances
         newer = configuration if configuration.version > message.version else None
-        listed = instances if instances.epoch > message.epoch else None
+        listed = self._lists.build_news(message.epoch, self.state.instances)
         if newer is not None or listed is not None:
             self._send(sender, Published(newer, listed))
 
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -36,6 +36,7 @@
     StartAttempt,
     ToOwner,
 )
+from scalebend.core.list_history import ListHistory, WholeList, apply_news
 from scalebend.core.membership import MemberRank, Membership, Outbound
 from scalebend.core.orders import OrderPlanner
 from scalebend.core.owner import CancelOnEngine, OwnerAction, ReplicaOwner, ToEntry
@@ -197,6 +198,7 @@
         self._sent_records: dict[UpstreamId, Announcement] = {}
         self._fleet_open: dict[CustomerId, dict[InstanceId, int]] = {}
         self._has_catalog = False
+        self._lists = ListHistory()
         self._usage_turn = 0
         self._homes = ResponsibleTable([self.me])
 
@@ -527,7 +529,7 @@
         assert self.control is not None
         steps: list[_Step] = list(self.control.finish(ready, now))
         state = self.control.state
-        published = Published(state.configuration, state.instances)
+        published = Published(state.configuration, WholeList(state.instances))
         steps += self._take_published(published, now)
         return self._run(steps, now)
 
@@ -588,9 +590,8 @@
 
     def _answer_fetch(self, sender: InstanceId, fetch: Fetch) -> list[_Step]:
         configuration = self.configuration
-        instances = self.instances
         newer = configuration if configuration.version > fetch.version else None
-        listed = instances if instances.epoch > fetch.epoch else None
+        listed = self._lists.build_news(fetch.epoch, self.instances)
         if newer is None and listed is None:
             return []
         return [ToInstance(sender, Published(newer, listed))]
@@ -612,9 +613,12 @@
         if configuration and configuration.version > self.configuration.version:
             self._put_in_force(configuration)
         steps: list[_Step] = []
-        listed = published.instances
-        if listed and listed.epoch > self.instances.epoch:
+        listed = None
+        if published.instances is not None:
+            listed = apply_news(published.instances, self.instances)
+        if listed is not None:
             self.instances = listed
+            self._lists.put(listed)
             steps += self._follow_list(now)
         self.membership.note_own(self.configuration.version, self.instances.epoch)
         self._note_freshness()
--- a/src/scalebend/core/membership.py
+++ b/src/scalebend/core/membership.py
@@ -23,6 +23,12 @@
 HEARTBEAT = 0.4
 """Seconds between two heartbeats to a watcher."""
 
+PROBE_AFTER = 0.9
+"""Seconds without a heartbeat before a watcher asks for one.
+
+Views differ for a while: an instance may not know that it is watched by this one.
+"""
+
 SUSPECT_AFTER = 1.6
 """Seconds without a heartbeat before a watcher suspects an instance."""
 
@@ -124,6 +130,7 @@
         self._gossip_at = now
         self._advanced = now
         self._wrongly_dead: set[InstanceId] = set()
+        self._probed_by: set[InstanceId] = set()
         self._ring: list[InstanceId] | None = None
         self._announce_self()
 
@@ -191,6 +198,8 @@
             peer.heard = now
             peer.version = datagram.version
             self._suspects.pop(datagram.sender, None)
+        if datagram.is_probe:
+            self._probed_by.add(datagram.sender)
         self._note_versions(datagram)
         for suspect in datagram.suspects:
             if suspect in self._peers:
@@ -211,11 +220,11 @@
     def advance(self, now: float) -> list[Outbound]:
         """Act on time: heartbeats, suspicions, a round of rumors."""
         self._forgive_own_pause(now)
-        actions = self._tell_wrongly_dead()
+        actions = self._tell_wrongly_dead() + self._answer_probes()
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT
             actions += self._send_heartbeats(now)
-            self._judge(now)
+            actions += self._judge(now)
         if now >= self._gossip_at:
             self._gossip_at = now + GOSSIP_PERIOD
             actions += self._send_rumors(now)
@@ -233,6 +242,12 @@
         self._wrongly_dead.clear()
         return actions
 
+    def _answer_probes(self) -> list[Outbound]:
+        asking = [self._peers[n] for n in sorted(self._probed_by) if n in self._peers]
+        self._probed_by.clear()
+        heartbeat = self._build_datagram(True, [], [])
+        return [Outbound(peer.listed.gossip, heartbeat) for peer in asking]
+
     # Heartbeats
 
     def _forgive_own_pause(self, now: float) -> None:
@@ -287,13 +302,19 @@
                     actions.append(Outbound(self._peers[name].listed.gossip, datagram))
         return actions
 
-    def _judge(self, now: float) -> None:
+    def _judge(self, now: float) -> list[Outbound]:
         is_cut_off = now - self.heard_any >= SUSPECT_AFTER
         if is_cut_off and len(self._list_ring()) > 2:
             # Hearing nobody says more about this instance than about all others.
-            return
+            return []
+        probes = []
         for name in self._list_watched():
             peer = self._peers[name]
+            if now - peer.heard >= PROBE_AFTER:
+                probe = msgspec.structs.replace(
+                    self._build_datagram(False, [], []), is_probe=True
+                )
+                probes.append(Outbound(peer.listed.gossip, probe))
             votes = self._suspects.get(name, {})
             if now - peer.heard < SUSPECT_AFTER:
                 votes.pop(self.me.instance, None)
@@ -302,6 +323,7 @@
             votes.setdefault(self.me.instance, now)
             if self._is_confirmed(name, votes, now):
                 self.learn(peer.listed, MemberRank.DEAD, now)
+        return probes
 
     def _is_confirmed(
         self, name: InstanceId, votes: dict[InstanceId, float], now: float
--- a/src/scalebend/models/messages.py
+++ b/src/scalebend/models/messages.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from scalebend.core.consensus.messages import ConsensusMessage, Member, Members
-from scalebend.core.control_state import InstanceList, ListedInstance, Result
+from scalebend.core.control_state import ListedInstance, Result
+from scalebend.core.list_history import ListNews
 from scalebend.core.shares import Usage
 from scalebend.models.configuration import AcceptedConfiguration
 from scalebend.models.ids import (
@@ -79,7 +80,7 @@
     """Committed state, as far as it is newer than was asked."""
 
     configuration: AcceptedConfiguration | None
-    instances: InstanceList | None
+    instances: ListNews | None
 
 
 class Announced(msgspec.Struct, frozen=True, tag=True):
@@ -191,7 +192,10 @@
 
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True):
-    """Heartbeat and rumors from one instance to another over UDP."""
+    """Heartbeat and rumors from one instance to another over UDP.
+
+    A probe asks the receiver for a heartbeat.
+    """
 
     sender: InstanceId
     incarnation: int
@@ -200,3 +204,4 @@
     epoch: Epoch
     rumors: list[Rumor]
     suspects: list[InstanceId]
+    is_probe: bool = False
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 
-from scalebend.core.control_state import ListedInstance
+from scalebend.core.control_state import InstanceList, ListedInstance
+from scalebend.core.list_history import ListChange, ListHistory, apply_news
 from scalebend.core.membership import Membership
 from scalebend.models.messages import Datagram
 
@@ -146,3 +147,34 @@
     net = Net(40)
     net.run(8.0)
     assert max(net.sizes) <= 1_400
+
+
+def test_many_that_start_at_once_raise_no_alarm():
+    """Views differ for a while: who is not heard is asked before it is suspected."""
+    net = Net(120)
+    net.run(20.0)
+    assert {member.me.incarnation for member in net.members.values()} == {1}
+    assert min(net.count_live(address) for address in net.members) >= 118
+
+
+@pytest.mark.parametrize("known", [0, 3, 7])
+def test_list_change_leads_to_the_whole_list(known):
+    history = ListHistory()
+    lists = []
+    for epoch in range(8):
+        items = [
+            ListedInstance(f"i{n}", epoch if n == epoch else 1, "p", "g", "r", "z")
+            for n in range(epoch, epoch + 5)
+        ]
+        lists.append(InstanceList(epoch, sorted(items)))
+        history.put(lists[-1])
+    news = history.build_news(known, lists[-1])
+    if known == 7:
+        assert news is None
+        return
+    assert isinstance(news, ListChange)
+    assert apply_news(news, lists[known]) == lists[-1]
+    assert apply_news(news, lists[known + 1]) is None
+    whole = ListHistory().build_news(known, lists[-1])
+    assert apply_news(whole, lists[known]) == lists[-1]
+    assert apply_news(whole, lists[-1]) is None
