Route anew after a short delay while a replica's owner changes

Ruled out: the replica (alive), the list (on its way, by its log).

Change: such a refusal costs no try and excludes nothing; the request is routed anew after 0.15 s, until its time limit.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -69,6 +69,10 @@
 
 MOST_TRIES = 4
 MOST_RESUMES = 3
+OWNER_CHANGE_DELAY = 0.15
+"""Seconds before a request is routed anew after it met an instance that does not
+own the replica (any more, or yet)."""
+
 RESERVE_RESEND = 1.0
 """Seconds without an answer after which a reservation is sent again."""
 
@@ -146,14 +150,20 @@
         if flow.state is FlowState.MOVING:
             return self._move_elsewhere(flow, refusal.upstream, now)
         actions = self._release_attempt(flow, Outcome.UNUSED)
-        if refusal.reason is not RefusalReason.NOT_OWNER:
+        delay = 0.0
+        if refusal.reason is RefusalReason.NOT_OWNER:
+            # Ownership is changing hands: this says nothing against the replica, and
+            # the newer instance list is on its way.
+            flow.tries -= 1
+            delay = OWNER_CHANGE_DELAY
+        else:
             flow.excluded.add(refusal.upstream)
         flow.last_error = RefusedError(
             f"{refusal.upstream} refused the request: {refusal.reason.value}",
             kind=_REFUSAL_KINDS[refusal.reason],
             retry_after=max(1.0, refusal.retry_after),
         )
-        return actions + self._retry(flow, now, delay=0.0)
+        return actions + self._retry(flow, now, delay=delay)
 
     def handle_claim(
         self, request: RequestId, error: ScalebendError | None, now: float
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -235,6 +235,20 @@
     }
 
 
+def test_change_of_owner_costs_no_try_and_excludes_no_replica():
+    entry = build_entry(engines=1)
+    now = 0.0
+    (work,) = list_reserved(entry.admit(build_request("r"), now))
+    for _ in range(3 * MOST_TRIES):
+        refusal = Refusal(work.attempt, work.upstream, RefusalReason.NOT_OWNER, 0.0)
+        actions = entry.handle_refusal(refusal, now)
+        assert find(actions, Conclude) is None and list_reserved(actions) == []
+        now += 0.2
+        (work,) = list_reserved(entry.advance(now))
+    actions = entry.handle_grant(Grant(work.attempt, work.upstream, 2.0), now)
+    assert find(actions, StartAttempt)
+
+
 RESULTS = [
     Completed(5),
     NeverStarted("refused"),
