--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -197,6 +197,12 @@
     _run("measure_control", largest=largest, as_json=as_json)
 
 
+@app.command("measure-changes")
+def measure_changes(as_json: Json = False) -> None:
+    """Measure the spread of changes, time without a leader, and recovery."""
+    _run("measure_changes", as_json=as_json)
+
+
 @app.command("hash-key")
 def hash_key(
     key: Annotated[str, typer.Argument(help="A secret key, or - for input.")] = "-",
