Wait five seconds before memory is kept for a large head; split the instance

Change: 5 s; news of upstreams and the exchange of usage are modules of their own.

Ruled out by trials, on a scratch copy: never stopping what is smaller (shares lost), more prefill window, less reserve, more engines for long prompts (no clear gain).

--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -39,11 +39,11 @@
 from scalebend.core.list_history import ListHistory, WholeList, apply_news
 from scalebend.core.membership import MemberRank, Membership, Outbound
 from scalebend.core.orders import OrderPlanner
-from scalebend.core.owner import CancelOnEngine, OwnerAction, ReplicaOwner, ToEntry
+from scalebend.core.owner import CancelOnEngine, OwnerAction, ToEntry
 from scalebend.core.ownership import ReplicaOwners
 from scalebend.core.queueing import PRIORITY_FACTOR, STRATEGIES
-from scalebend.core.rendezvous import ResponsibleTable
-from scalebend.core.shares import UsageHome
+from scalebend.core.upstream_news import UpstreamNews
+from scalebend.core.usage_exchange import UsageExchange
 from scalebend.exceptions import ErrorKind, RefusedError, ScalebendError
 from scalebend.models.configuration import (
     EMPTY_CONFIGURATION,
@@ -62,27 +62,22 @@
 )
 from scalebend.models.messages import (
     Announced,
-    CacheRumor,
     CatalogPage,
-    CustomerOpen,
     Datagram,
-    DigestRumor,
     Fetch,
     FetchCatalog,
     Handover,
     PeerMessage,
     ProposalAnswer,
     Published,
-    UpstreamRumor,
     UsageAnswer,
     UsageReport,
 )
 from scalebend.models.orders import SendOrder
 from scalebend.models.settings import Settings
-from scalebend.models.upstream import Announcement, CacheEvent, Load
+from scalebend.models.upstream import Announcement
 from scalebend.models.work import (
     Grant,
-    LoadDigest,
     Refusal,
     RefusalReason,
     Release,
@@ -96,9 +91,6 @@
 
 RENEW_PERIOD = 1.0
 USAGE_PERIOD = 1.0
-MOST_REPORTS = 4
-"""Homes that get this instance's usage in one period; the others take turns."""
-
 FETCH_PERIOD = 0.25
 """Seconds between two requests for newer state while some is known to exist."""
 
@@ -115,9 +107,6 @@
 """Seconds after its start that an instance waits to be told of the upstreams."""
 
 BARRIER_TIMEOUT = 2.0
-DIGEST_REPEATS = 2
-CACHE_REPEATS = 3
-LONGEST_CACHE_EVENT = 64
 
 InstanceAction = (
     ToInstance
@@ -163,7 +152,7 @@
         options = EntryOptions(self.me, settings.availability_zone, strategy, seed)
         self.entry = Entry(options, self.catalog)
         self.owners = ReplicaOwners(self.me, self.catalog, strategy.queue)
-        self.home = UsageHome()
+        self.usage = UsageExchange(self.me, self.owners.shares, self.admission)
         self.is_draining = False
         self.is_fresh = False
         listed = ListedInstance(
@@ -176,6 +165,7 @@
         )
         seeds = [peer.gossip for peer in settings.peers]
         self.membership = Membership(listed, seeds, now=now, seed=seed)
+        self.news = UpstreamNews(self.catalog, self.owners, self.entry, self.membership)
         control = [peer.instance for peer in settings.peers if peer.control]
         self.control: ControlMember | None = None
         if recovered is not None:
@@ -192,15 +182,7 @@
         self._needed = Done(EMPTY_CONFIGURATION.version, EMPTY_LIST.epoch)
         self._models: dict[ModelName, Model] = {}
         self._services: dict[ServiceName, Service] = {}
-        self._digest_count = 0
-        self._sent_digests: dict[UpstreamId, LoadDigest] = {}
-        self._digest_sequences: dict[UpstreamId, int] = {}
-        self._sent_records: dict[UpstreamId, Announcement] = {}
-        self._fleet_open: dict[CustomerId, dict[InstanceId, int]] = {}
-        self._has_catalog = False
         self._lists = ListHistory()
-        self._usage_turn = 0
-        self._homes = ResponsibleTable([self.me])
 
     # Reading
 
@@ -226,7 +208,7 @@
 
     def _knows_upstreams(self, now: float) -> bool:
         # With nobody to ask, announcements tell within a few periods.
-        if self._has_catalog or not self.settings.peers:
+        if self.news.has_catalog or not self.settings.peers:
             return True
         return now - self._started >= CATALOG_GRACE
 
@@ -310,51 +292,6 @@
             return []
         return self._run([ToInstance(owner, Announced(announcement))], now)
 
-    def _take_announced(self, announcement: Announcement, now: float) -> list[_Step]:
-        if not self.catalog.take_announcement(announcement, now):
-            return []
-        for event in announcement.cache_events:
-            self._take_cache_event(announcement.upstream, event)
-        self._spread_record(announcement, is_gone=False)
-        record = self.catalog.get(announcement.upstream)
-        assert record is not None
-        owner = self.owners.ensure(record, now)
-        if owner is None:
-            return []
-        return list(owner.take_announcement(announcement, now))
-
-    def _take_cache_event(self, upstream: UpstreamId, event: CacheEvent) -> None:
-        self.entry.placement.prefixes.take_event(upstream, event)
-        if len(event.stored) + len(event.evicted) <= LONGEST_CACHE_EVENT:
-            subject = f"c/{upstream}/{event.sequence}"
-            rumor = CacheRumor(upstream, event)
-            self.membership.rumors.put(subject, rumor, CACHE_REPEATS)
-
-    def _spread_record(self, announcement: Announcement, *, is_gone: bool) -> None:
-        upstream = announcement.upstream
-        known = self._sent_records.get(upstream)
-        plain = msgspec.structs.replace(
-            announcement,
-            sequence=0,
-            running=[],
-            cache_events=[],
-            load=Load(),
-        )
-        if known == plain and not is_gone:
-            return
-        self._sent_records[upstream] = plain
-        carried = msgspec.structs.replace(plain, sequence=announcement.sequence)
-        self.membership.spread(f"u/{upstream}", UpstreamRumor(carried, is_gone))
-        if is_gone:
-            del self._sent_records[upstream]
-
-    def _drop_upstream(self, upstream: UpstreamId, now: float) -> list[_Step]:
-        self.catalog.remove(upstream)
-        self.owners.drop(upstream)
-        self._sent_digests.pop(upstream, None)
-        self._digest_sequences.pop(upstream, None)
-        return list(self.entry.handle_upstream_gone(upstream, now))
-
     # Messages
 
     def handle_peer(
@@ -367,59 +304,9 @@
         """Take a datagram of another instance."""
         steps: list[_Step] = []
         for rumor in self.membership.handle(datagram, now):
-            match rumor:
-                case UpstreamRumor(announcement, is_gone):
-                    steps += self._take_upstream_rumor(announcement, is_gone, now)
-                case DigestRumor():
-                    self._take_digest_rumor(rumor)
-                case CacheRumor(upstream, event):
-                    self.entry.placement.prefixes.take_event(upstream, event)
+            steps += self.news.take_rumor(rumor, now)
         return self._run(steps, now)
 
-    def _take_upstream_rumor(
-        self, announcement: Announcement, is_gone: bool, now: float
-    ) -> list[_Step]:
-        upstream = announcement.upstream
-        record = self.catalog.get(upstream)
-        news = (announcement.incarnation, announcement.sequence)
-        if record is not None:
-            known = record.announcement
-            if news < (known.incarnation, known.sequence):
-                return []
-        if self.owners.is_mine(upstream):
-            # The owner's own knowledge comes from announcements; a rumor only
-            # tells it of an upstream that it has not heard yet.
-            if record is None and not is_gone:
-                self.catalog.take_announcement(announcement, now)
-            return []
-        if is_gone:
-            if record is None:
-                return []
-            self.membership.spread(
-                f"u/{upstream}", UpstreamRumor(announcement, is_gone)
-            )
-            return self._drop_upstream(upstream, now)
-        is_news = record is None or news > (
-            record.announcement.incarnation,
-            record.announcement.sequence,
-        )
-        if is_news:
-            self.catalog.take_announcement(announcement, now)
-            self.membership.spread(
-                f"u/{upstream}", UpstreamRumor(announcement, is_gone)
-            )
-        return []
-
-    def _take_digest_rumor(self, rumor: DigestRumor) -> None:
-        upstream = rumor.digest.upstream
-        if self.owners.is_mine(upstream):
-            return
-        if self._digest_sequences.get(upstream, -1) >= rumor.sequence:
-            return
-        self._digest_sequences[upstream] = rumor.sequence
-        self.entry.take_digest(rumor.digest)
-        self.membership.rumors.put(f"d/{upstream}", rumor, DIGEST_REPEATS)
-
     def _dispatch(
         self, sender: InstanceId, message: PeerMessage, now: float, wall: float
     ) -> list[_Step]:
@@ -431,7 +318,7 @@
             case Refusal():
                 return list(self.entry.handle_refusal(message, now))
             case Announced(announcement):
-                return self._take_announced(announcement, now)
+                return list(self.news.take_announced(announcement, now))
             case ProposalAnswer():
                 ended, sent = self.client.handle(message, now)
                 return self._take_ended(ended) + list(sent)
@@ -440,17 +327,17 @@
             case Fetch() if self.control is None:
                 return self._answer_fetch(sender, message)
             case UsageReport():
-                return self._take_usage_report(sender, message, now)
+                return [self.usage.take_report(sender, message, now)]
             case UsageAnswer():
-                self._take_usage_answer(message, now)
+                self.usage.take_answer(message, now)
             case Handover(upstream, renew):
                 owner = self.owners.get(upstream)
                 if owner is not None:
                     return list(owner.take_handover(renew.work, now))
             case FetchCatalog():
-                return [ToInstance(sender, self._build_catalog_page())]
+                return [ToInstance(sender, self.news.build_page())]
             case CatalogPage():
-                return self._take_catalog_page(message, now)
+                return list(self.news.take_page(message, now))
             case _:
                 if self.control is not None:
                     self.control.handle(sender, message, now, wall)
@@ -479,12 +366,7 @@
         """Act on time; to be called every few tens of milliseconds."""
         steps: list[_Step] = []
         steps += self.entry.advance(now)
-        for upstream, owner in self.owners:
-            if self.catalog.is_silent(upstream, now):
-                steps += self._lose_upstream(upstream, now)
-                continue
-            steps += owner.advance(now)
-            self._spread_digest(owner)
+        steps += self.news.advance(now)
         steps += self.membership.advance(now)
         ended, sent = self.client.advance(now)
         steps += self._take_ended(ended)
@@ -492,30 +374,12 @@
         if self._is_due("renew", RENEW_PERIOD, now):
             steps += self.entry.renew(now)
         if self._is_due("usage", USAGE_PERIOD, now):
-            steps += self._report_usage(now)
+            steps += self.usage.build_reports(now)
         steps += self._keep_fresh(now)
         self._advance_control(now, wall)
         steps += self._plan_orders(now)
         return self._run(steps, now, wall)
 
-    def _lose_upstream(self, upstream: UpstreamId, now: float) -> list[_Step]:
-        record = self.catalog.get(upstream)
-        assert record is not None
-        logger.warning("upstream fell silent", upstream=upstream)
-        self._spread_record(record.announcement, is_gone=True)
-        return self._drop_upstream(upstream, now)
-
-    def _spread_digest(self, owner: ReplicaOwner) -> None:
-        digest = owner.read_digest()
-        if self._sent_digests.get(digest.upstream) == digest:
-            return
-        self._sent_digests[digest.upstream] = digest
-        self._digest_count += 1
-        self.entry.take_digest(digest)
-        sequence = (self.owners.epoch << 32) + self._digest_count
-        rumor = DigestRumor(digest, sequence)
-        self.membership.rumors.put(f"d/{digest.upstream}", rumor, DIGEST_REPEATS + 1)
-
     def _is_due(self, name: str, period: float, now: float) -> bool:
         if now < self._times.get(name, 0.0):
             return False
@@ -568,7 +432,7 @@
             steps += self._fetch_from(self.membership.newest_from)
         elif self._is_due("refresh", REFRESH_PERIOD, now):
             steps += self._fetch_from(None)
-        if not self._has_catalog and self._is_due("catalog", FETCH_PERIOD, now):
+        if not self.news.has_catalog and self._is_due("catalog", FETCH_PERIOD, now):
             steps += self._fetch_catalog()
         return steps
 
@@ -652,7 +516,7 @@
         )
         for item in listed.instances:
             self.membership.learn(item, MemberRank.ALIVE, now)
-        self._homes.set_instances(item.instance for item in listed.instances)
+        self.usage.set_instances([item.instance for item in listed.instances])
         change = self.owners.set_instances(listed, now)
         steps: list[_Step] = [*change.handovers, *change.refusals]
         steps += self.entry.handle_owner_changed(change.upstreams, now)
@@ -670,74 +534,6 @@
             self.is_fresh = True
             logger.info("configuration is fresh", version=self.configuration.version)
 
-    def _build_catalog_page(self) -> CatalogPage:
-        return CatalogPage(
-            [
-                msgspec.structs.replace(
-                    record.announcement, running=[], cache_events=[]
-                )
-                for record in self.catalog
-            ],
-            [record.digest for record in self.catalog],
-        )
-
-    def _take_catalog_page(self, page: CatalogPage, now: float) -> list[_Step]:
-        self._has_catalog = True
-        steps: list[_Step] = []
-        for announcement in page.announcements:
-            steps += self._take_upstream_rumor(announcement, False, now)
-        for digest in page.digests:
-            if not self.owners.is_mine(digest.upstream):
-                self.entry.take_digest(digest)
-        return steps
-
-    # Usage
-
-    def _report_usage(self, now: float) -> list[_Step]:
-        self.home.forget_faded(now)
-        usages = {u.customer: u for u in self.owners.shares.read_local(now)}
-        opens = {
-            customer: CustomerOpen(customer, count)
-            for customer, count in self.admission.read_open().items()
-        }
-        reports: dict[InstanceId, UsageReport] = {}
-        for customer in sorted(usages.keys() | opens.keys()):
-            home = self._homes.find(customer)
-            assert home is not None
-            report = reports.setdefault(home, UsageReport([], []))
-            if customer in usages:
-                report.usages.append(usages[customer])
-            if customer in opens:
-                report.open.append(opens[customer])
-        # Remote homes take turns, so that the cost does not grow with the customers.
-        ordered = sorted(reports)
-        turn = self._usage_turn % max(1, len(ordered))
-        chosen = (ordered[turn:] + ordered[:turn])[:MOST_REPORTS]
-        self._usage_turn = turn + len(chosen)
-        return [ToInstance(home, reports[home]) for home in chosen]
-
-    def _take_usage_report(
-        self, sender: InstanceId, report: UsageReport, now: float
-    ) -> list[_Step]:
-        usages = self.home.report(sender, report.usages, now)
-        live = {item.instance for item in self.instances.instances}
-        opens = []
-        for item in report.open:
-            known = self._fleet_open.setdefault(item.customer, {})
-            known[sender] = item.open
-            others = sum(
-                count
-                for instance, count in known.items()
-                if instance != sender and instance in live
-            )
-            opens.append(CustomerOpen(item.customer, others))
-        return [ToInstance(sender, UsageAnswer(usages, opens))]
-
-    def _take_usage_answer(self, answer: UsageAnswer, now: float) -> None:
-        self.owners.shares.set_remote(answer.usages, now)
-        for item in answer.open:
-            self.admission.set_fleet_open(item.customer, item.open)
-
     # Running actions
 
     def _run(
--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -67,7 +67,7 @@
 OVER_SHARE_FACTOR = 1.2
 """Use over the mean of the waiting customers from which one is over its share."""
 
-BLOCKED_PATIENCE = 1.0
+BLOCKED_PATIENCE = 5.0
 """Seconds a large head may be passed over before others must wait for it."""
 
 REBUILD_TIME = 1.5
