Move the messages between instances to the core

Cause: models/ imported core/ for them, the only import that ran against the layers.

Change: core/messages.py; nothing else.

Measured: unit tests pass; no module of models/ imports core/ any more.

--- a/src/scalebend/core/control_client.py
+++ b/src/scalebend/core/control_client.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from scalebend.core.control_state import Command, Result, encode_command
+from scalebend.core.messages import ProposalAnswer, Propose
 from scalebend.models.ids import InstanceId
-from scalebend.models.messages import ProposalAnswer, Propose
 
 RESEND = 0.3
 """Seconds without an answer before a proposal is sent again, to another."""
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -29,8 +29,7 @@
     encode_command,
 )
 from scalebend.core.list_history import ListHistory
-from scalebend.models.ids import InstanceId, LogIndex, Term
-from scalebend.models.messages import (
+from scalebend.core.messages import (
     Fetch,
     Found,
     Hello,
@@ -41,6 +40,7 @@
     Propose,
     Published,
 )
+from scalebend.models.ids import InstanceId, LogIndex, Term
 
 logger = structlog.get_logger(__name__)
 
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -38,6 +38,19 @@
 )
 from scalebend.core.list_history import ListHistory, WholeList, apply_news
 from scalebend.core.membership import MemberRank, Membership, Outbound
+from scalebend.core.messages import (
+    Announced,
+    CatalogPage,
+    Datagram,
+    Fetch,
+    FetchCatalog,
+    Handover,
+    PeerMessage,
+    ProposalAnswer,
+    Published,
+    UsageAnswer,
+    UsageReport,
+)
 from scalebend.core.orders import OrderPlanner
 from scalebend.core.owner import CancelOnEngine, OwnerAction, ToEntry
 from scalebend.core.ownership import ReplicaOwners
@@ -60,19 +73,6 @@
     ServiceName,
     UpstreamId,
 )
-from scalebend.models.messages import (
-    Announced,
-    CatalogPage,
-    Datagram,
-    Fetch,
-    FetchCatalog,
-    Handover,
-    PeerMessage,
-    ProposalAnswer,
-    Published,
-    UsageAnswer,
-    UsageReport,
-)
 from scalebend.models.orders import SendOrder
 from scalebend.models.settings import Settings
 from scalebend.models.upstream import Announcement
--- a/src/scalebend/core/membership.py
+++ b/src/scalebend/core/membership.py
@@ -17,8 +17,8 @@
 import xxhash
 
 from scalebend.core.control_state import ListedInstance
+from scalebend.core.messages import Datagram, MemberRumor, Rumor
 from scalebend.models.ids import ConfigurationVersion, Epoch, InstanceId
-from scalebend.models.messages import Datagram, MemberRumor, Rumor
 
 HEARTBEAT = 0.4
 """Seconds between two heartbeats to a watcher."""
--- a/src/scalebend/core/ownership.py
+++ b/src/scalebend/core/ownership.py
@@ -14,12 +14,12 @@
 from scalebend.core.catalog import Catalog, UpstreamRecord
 from scalebend.core.control_member import ToInstance
 from scalebend.core.control_state import InstanceList
+from scalebend.core.messages import Handover
 from scalebend.core.owner import REBUILD_TIME, OwnerAction, ReplicaOwner
 from scalebend.core.queueing import Policy
 from scalebend.core.rendezvous import ResponsibleTable
 from scalebend.core.shares import ShareLedger
 from scalebend.models.ids import Epoch, InstanceId, UpstreamId
-from scalebend.models.messages import Handover
 from scalebend.models.work import Renew
 
 logger = structlog.get_logger(__name__)
--- a/src/scalebend/core/upstream_news.py
+++ b/src/scalebend/core/upstream_news.py
@@ -9,16 +9,16 @@
 from scalebend.core.entry import Entry
 from scalebend.core.flow import EntryAction
 from scalebend.core.membership import Membership
-from scalebend.core.owner import OwnerAction, ReplicaOwner
-from scalebend.core.ownership import ReplicaOwners
-from scalebend.models.ids import UpstreamId
-from scalebend.models.messages import (
+from scalebend.core.messages import (
     CacheRumor,
     CatalogPage,
     DigestRumor,
     Rumor,
     UpstreamRumor,
 )
+from scalebend.core.owner import OwnerAction, ReplicaOwner
+from scalebend.core.ownership import ReplicaOwners
+from scalebend.models.ids import UpstreamId
 from scalebend.models.upstream import Announcement, CacheEvent, Load
 from scalebend.models.work import LoadDigest
 
--- a/src/scalebend/core/usage_exchange.py
+++ b/src/scalebend/core/usage_exchange.py
@@ -4,10 +4,10 @@
 
 from scalebend.core.admission import AdmissionControl
 from scalebend.core.control_member import ToInstance
+from scalebend.core.messages import CustomerOpen, UsageAnswer, UsageReport
 from scalebend.core.rendezvous import ResponsibleTable
 from scalebend.core.shares import ShareLedger, UsageHome
 from scalebend.models.ids import CustomerId, InstanceId
-from scalebend.models.messages import CustomerOpen, UsageAnswer, UsageReport
 
 MOST_REPORTS = 4
 """Homes that get this instance's use in one period; the others take turns."""
--- a/src/scalebend/edges/gossip.py
+++ b/src/scalebend/edges/gossip.py
@@ -12,7 +12,7 @@
 import msgspec
 import structlog
 
-from scalebend.models.messages import Datagram
+from scalebend.core.messages import Datagram
 from scalebend.utils.addresses import parse_address
 
 logger = structlog.get_logger(__name__)
--- a/src/scalebend/edges/peers.py
+++ b/src/scalebend/edges/peers.py
@@ -18,8 +18,8 @@
 import structlog
 from grpc import aio
 
+from scalebend.core.messages import Envelope, PeerMessage
 from scalebend.models.ids import InstanceId
-from scalebend.models.messages import Envelope, PeerMessage
 from scalebend.models.settings import Tls
 
 logger = structlog.get_logger(__name__)
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -40,6 +40,7 @@
 )
 from scalebend.core.instance import Instance, InstanceAction
 from scalebend.core.membership import Outbound
+from scalebend.core.messages import Datagram, PeerMessage
 from scalebend.core.orders import ORDER_TIMEOUT
 from scalebend.core.owner import CancelOnEngine
 from scalebend.edges.exchange import AttemptReporter, Exchange
@@ -49,7 +50,6 @@
 from scalebend.edges.tls import build_client_context
 from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
 from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
-from scalebend.models.messages import Datagram, PeerMessage
 from scalebend.models.orders import Order, SendOrder
 from scalebend.models.settings import Settings
 from scalebend.models.upstream import Announcement
--- a/src/scalebend/measuring/control_cost.py
+++ b/src/scalebend/measuring/control_cost.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from scalebend.core.membership import RumorQueue
+from scalebend.core.messages import Datagram, Envelope, FetchCatalog, PeerMessage
 from scalebend.edges.gossip import open_gossip
 from scalebend.edges.peers import serve_peers
 from scalebend.measuring.harness import Harness
@@ -25,7 +26,6 @@
     Epoch,
     InstanceId,
 )
-from scalebend.models.messages import Datagram, Envelope, FetchCatalog, PeerMessage
 from scalebend.standins.ports import find_free_ports
 
 WARM_UP = 20.0
--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -33,6 +33,7 @@
 )
 from scalebend.core.instance import Instance, InstanceAction
 from scalebend.core.membership import Outbound
+from scalebend.core.messages import Datagram, PeerMessage
 from scalebend.core.owner import CancelOnEngine
 from scalebend.core.prefixes import list_boundaries
 from scalebend.exceptions import ClaimError, Ran, ScalebendError
@@ -61,7 +62,6 @@
     Term,
     UpstreamId,
 )
-from scalebend.models.messages import Datagram, PeerMessage
 from scalebend.models.settings import Listen, Peer, Role, Settings
 from scalebend.models.upstream import (
     Announcement,
--- a/tests/functional/test_keys.py
+++ b/tests/functional/test_keys.py
@@ -10,11 +10,11 @@
 import pytest
 import trustme
 
+from scalebend.core.messages import Datagram, FetchCatalog
 from scalebend.edges.gossip import open_gossip
 from scalebend.edges.peers import serve_peers
 from scalebend.edges.tls import build_client_context, build_server_context
 from scalebend.models.configuration import Customer
-from scalebend.models.messages import Datagram, FetchCatalog
 from scalebend.models.settings import Tls
 from scalebend.models.upstream import LoadedModel
 from scalebend.standins.engine_server import EngineOptions, serve_engine
--- a/tests/lib/control_group.py
+++ b/tests/lib/control_group.py
@@ -5,8 +5,8 @@
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
 from scalebend.core.control_state import decode_command
+from scalebend.core.messages import ProposalAnswer, Propose
 from scalebend.models.ids import Term
-from scalebend.models.messages import ProposalAnswer, Propose
 
 CLIENT = "client"
 
--- a/tests/unit/test_decision_cost.py
+++ b/tests/unit/test_decision_cost.py
@@ -10,6 +10,7 @@
 
 from scalebend.core.flow import Completed, Conclude, Prefilled, ToOwner
 from scalebend.core.instance import Instance
+from scalebend.core.messages import Published
 from scalebend.models.configuration import (
     AcceptedConfiguration,
     Configuration,
@@ -17,7 +18,6 @@
     Model,
 )
 from scalebend.models.ids import InstanceId, Region
-from scalebend.models.messages import Published
 from scalebend.models.settings import Listen, Settings
 from scalebend.models.upstream import LoadedModel
 from scalebend.models.work import Grant, Reserve
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -8,7 +8,7 @@
 from scalebend.core.control_state import InstanceList, ListedInstance
 from scalebend.core.list_history import ListChange, ListHistory, apply_news
 from scalebend.core.membership import Membership
-from scalebend.models.messages import Datagram
+from scalebend.core.messages import Datagram
 
 TICK = 0.05
 
