Drop what nothing uses; send the two gauges that the interface promised

Cause: reading the code as a newcomer: nine members without a caller, a quantile written twice, gauges in the metrics protocol that were never sent.

Change: removed, merged, sent; a test reads the metrics from a socket.

--- a/src/scalebend/commands/demo.py
+++ b/src/scalebend/commands/demo.py
@@ -57,6 +57,7 @@
     serve_service,
 )
 from scalebend.utils.keys import hash_key
+from scalebend.utils.quantiles import read_quantile
 
 ENGINES = 5
 TIME_SCALE = 0.2
@@ -407,19 +408,13 @@
     return BandRow(
         band.label,
         len(mine),
-        _read_quantile(whole, 0.5),
-        _read_quantile(whole, 0.95),
-        _read_quantile(slowdowns, 0.5) if is_short else None,
+        read_quantile(whole, 0.5),
+        read_quantile(whole, 0.95),
+        read_quantile(slowdowns, 0.5) if is_short else None,
         dict(failed),
     )
 
 
-def _read_quantile(ordered: list[float], part: float) -> float:
-    if not ordered:
-        return 0.0
-    return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
-
-
 def _print_report(report: Report) -> None:
     print()
     print("prompt tokens   requests   first token p50   p95        slowdown   failed")
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -96,7 +96,6 @@
         self._votes: set[Member] = set()
         self._round = 0
         self._heard_leader = -1e9
-        self._started_election = now
         self._deadline = 0.0
         self._incoming = bytearray()
         self._incoming_index = LogIndex(0)
@@ -163,11 +162,6 @@
             return False
         return progress.match_index + CATCH_UP_GAP >= self.log.last_index
 
-    def read_lag(self, member: Member, now: float) -> float | None:
-        """Seconds since the member answered this leader."""
-        progress = self._progress.get(member)
-        return None if progress is None else now - progress.heard
-
     def transfer_leadership(self, now: float) -> Member | None:
         """Ask the most advanced voter to take over; return it."""
         if not self.is_leader or self._members is None:
--- a/src/scalebend/core/control_client.py
+++ b/src/scalebend/core/control_client.py
@@ -48,10 +48,6 @@
         self._pending: dict[str, _Pending] = {}
         self._count = 0
 
-    def set_control(self, control: list[InstanceId]) -> None:
-        """Replace the control instances that may be asked."""
-        self._control = control
-
     def submit(
         self, command: Command, timeout: float, now: float, *, salt: str = ""
     ) -> tuple[str, list[Submission]]:
--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -297,21 +297,13 @@
         actions: list[EntryAction] = []
         for flow in list(self._flows.values()):
             if now >= flow.request.deadline:
-                actions += self._conclude(flow, self._build_time_limit_error(flow))
+                actions += self._conclude(
+                    flow, TimeLimitError("the time limit passed", retry_after=1.0)
+                )
             elif flow.state is FlowState.WAITING_TO_RETRY and now >= flow.retry_at:
                 actions += self._route(flow, now)
         return actions
 
-    def get_next_time(self) -> float | None:
-        """When :meth:`advance` next has something to do."""
-        times = [flow.request.deadline for flow in self._flows.values()]
-        times += [
-            flow.retry_at
-            for flow in self._flows.values()
-            if flow.state is FlowState.WAITING_TO_RETRY
-        ]
-        return min(times, default=None)
-
     def _route(self, flow: Flow, now: float) -> list[EntryAction]:
         request = flow.request
         self._attempt_count += 1
@@ -505,9 +497,6 @@
             actions.append(ToOwner(work.upstream, release))
         return actions
 
-    def _build_time_limit_error(self, flow: Flow) -> TimeLimitError:
-        return TimeLimitError("the time limit passed", retry_after=1.0)
-
     def _learn(self, flow: Flow, result: Completed) -> None:
         request = flow.request
         attempt = flow.attempt
--- a/src/scalebend/edges/peers.py
+++ b/src/scalebend/edges/peers.py
@@ -67,7 +67,6 @@
         self._me = me
         self._tls = tls
         self._queue: asyncio.Queue[PeerMessage] = asyncio.Queue(MOST_QUEUED)
-        self.bytes_sent = 0
         self.task = asyncio.create_task(self._run())
 
     def send(self, message: PeerMessage) -> None:
@@ -95,7 +94,6 @@
             while not self._queue.empty() and len(messages) < MOST_PER_FRAME:
                 messages.append(self._queue.get_nowait())
             frame = _ENCODER.encode([Envelope(self._me, m) for m in messages])
-            self.bytes_sent += len(frame)
             yield frame
 
 
@@ -143,10 +141,6 @@
             link = self._links[instance] = _Link(self._me, address, self._tls)
         link.send(message)
 
-    def read_bytes_sent(self) -> int:
-        """Bytes of all frames sent so far."""
-        return sum(link.bytes_sent for link in self._links.values())
-
     async def close(self) -> None:
         """Close all links."""
         tasks = [link.task for link in self._links.values()]
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -60,6 +60,7 @@
 TICK = 0.05
 """Seconds between two calls of the core's timers."""
 
+GAUGE_PERIOD = 5.0
 CONNECT_TIMEOUT = 3.0
 CLAIM_TIMEOUT = 2.0
 SETTLE_TIMEOUT = 60.0
@@ -99,6 +100,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._scheme = "https" if instance.settings.upstream_tls else "http"
         self._is_pumping = False
+        self._gauges_at = 0.0
         self._count = 0
         self.announcements.subscribe(on_next=self._take_announcement)
 
@@ -177,10 +179,19 @@
         try:
             self.execute(self.instance.advance(self.now(), time.time()))
             self._schedule_pump()
+            self._report_gauges()
         except Exception:
             # The timer must go on: every time limit depends on it.
             logger.exception("tick failed")
 
+    def _report_gauges(self) -> None:
+        now = self.now()
+        if now < self._gauges_at:
+            return
+        self._gauges_at = now + GAUGE_PERIOD
+        self.metrics.gauge("requests.open", self.count_open())
+        self.metrics.gauge("configuration.version", self.instance.configuration.version)
+
     def drain(self) -> None:
         """Begin a planned stop."""
         logger.info("drain begins", open=self.count_open())
--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -51,7 +51,6 @@
     AvailabilityZone,
     ChangeId,
     ConfigurationVersion,
-    CustomerId,
     IdempotencyKey,
     Incarnation,
     InstanceId,
@@ -789,8 +788,3 @@
         owner = planned.prefix if is_shared else PRIVATE_PREFIXES + planned.number
         prefixes.append((owner * BYTES_IN_MEGATOKEN + boundary, tokens))
     return tuple(prefixes)
-
-
-def list_customers(scenario: Scenario) -> list[CustomerId]:
-    """Customers of a scenario, in its order."""
-    return [customer.customer for customer in scenario.customers]
--- a/src/scalebend/storage/journal.py
+++ b/src/scalebend/storage/journal.py
@@ -79,9 +79,7 @@
         self._folder = folder
         self._number = 0
         self._file = -1
-        self._size = 0
         self.bytes_written = 0
-        self.syncs = 0
 
     def recover(self) -> Recovered:
         """Read everything that was confirmed; cut a torn tail."""
@@ -135,7 +133,6 @@
             view = view[os.write(self._file, view) :]
         os.fdatasync(self._file)
         self.bytes_written += len(record)
-        self.syncs += 1
 
     def _read_disk(self) -> DiskId:
         path = self._folder / "disk"
--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from scalebend.models.settings import Limits
+from scalebend.models.settings import Limits, Statsd
 from scalebend.models.upstream import UpstreamState
 from scalebend.standins.engine_server import build_word
 from tests.lib.builders import MODEL
@@ -301,3 +301,34 @@
             async with fleet.complete(f"{number} " * 1_000) as answer:
                 await answer.read()
         assert before <= sizes.estimate_tokens(MODEL, 40_000) < skewed
+
+
+class Receiver(asyncio.DatagramProtocol):
+    def __init__(self):
+        self.lines = []
+
+    def datagram_received(self, data, addr):
+        self.lines += data.decode().split("\n")
+
+
+async def test_metrics_are_sent_to_statsd():
+    loop = asyncio.get_running_loop()
+    transport, receiver = await loop.create_datagram_endpoint(
+        Receiver, local_addr=("127.0.0.1", 0)
+    )
+    port = transport.get_extra_info("sockname")[1]
+    async with run_fleet(statsd=Statsd(port=port)) as fleet:
+        async with fleet.complete("count me") as answer:
+            await answer.read()
+        async with fleet.complete("x", key="stranger") as answer:
+            assert answer.status == 401
+        wanted = {
+            "scalebend.request.finished:1|c",
+            "scalebend.request.failed.unknown-key:1|c",
+            "scalebend.tokens.output:4|c",
+            "scalebend.configuration.version:0|g",
+        }
+        await fleet.wait_until(lambda: wanted <= set(receiver.lines))
+        timers = {line.split(":")[0] for line in receiver.lines if "|ms" in line}
+        assert "scalebend.request.first_token" in timers
+    transport.close()
