Try the bad upstreams and the slow caller that had no test

Cause: the list of bad input was gone through line by line: an engine that never answers, half a stream, a slow caller and an older incarnation were not tried.

Change: four tests; the stand-in engine can do the first two.

Measured: all four pass; no fault found.

--- a/src/scalebend/standins/engine_server.py
+++ b/src/scalebend/standins/engine_server.py
@@ -94,6 +94,8 @@
         self.imported: list[str] = []
         self.drop_after: int | None = None
         self.garble = False
+        self.never_answers = False
+        self.cuts_every_stream = False
         self.ignore_cancellations = 0
         self._streams: dict[AttemptId, _Stream] = {}
         self._wake = asyncio.Event()
@@ -169,6 +171,8 @@
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         attempt = AttemptId(request.headers.get("X-Request-Id", ""))
         body = await request.read()
+        if self.never_answers:
+            await asyncio.Event().wait()
         if self.garble:
             return web.Response(body=b"\x00garbage", content_type="text/event-stream")
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
@@ -260,7 +264,8 @@
                 await stream.changed.wait()
                 continue
             if self.drop_after is not None and offset >= self.drop_after:
-                self.drop_after = None
+                if not self.cuts_every_stream:
+                    self.drop_after = None
                 assert request.transport is not None
                 request.transport.abort()
                 return response
--- a/tests/functional/test_requests.py
+++ b/tests/functional/test_requests.py
@@ -332,3 +332,54 @@
         timers = {line.split(":")[0] for line in receiver.lines if "|ms" in line}
         assert "scalebend.request.first_token" in timers
     transport.close()
+
+
+async def test_engine_that_never_answers_costs_no_more_than_the_time_limit():
+    async with run_fleet() as fleet:
+        fleet.engines[0].never_answers = True
+        started = fleet.runtime.now()
+        async with fleet.complete("hello?", X_Time_Limit="0.6") as answer:
+            await read_problem(answer, 504, "time-limit", ran="unknown")
+        assert fleet.runtime.now() - started < 5.0
+        fleet.engines[0].never_answers = False
+        owner = fleet.runtime.instance.owners.get("engine-0")
+        await fleet.wait_until(lambda: owner.ledger.used == 0)
+
+
+async def test_half_a_stream_is_never_taken_for_a_whole_one():
+    async with run_fleet() as fleet:
+        fleet.engines[0].drop_after = 3
+        fleet.engines[0].cuts_every_stream = True
+        async with fleet.complete("cut me", max_tokens=12) as answer:
+            events = await answer.read()
+        assert b"event: error" in events and b"[DONE]" not in events
+        assert b'"ran":"yes"' in events
+        async with fleet.complete("cut me", max_tokens=12, stream=False) as answer:
+            assert answer.status == 502
+        await wait_for_free_memory(fleet)
+
+
+async def test_slow_caller_holds_its_engine_only_until_its_time_limit():
+    async with run_fleet(scale=0.01) as fleet:
+        long = "word " * 3_000
+        async with fleet.complete(
+            long, max_tokens=60_000, X_Time_Limit="1.5"
+        ) as answer:
+            assert answer.status == 200
+            # Nothing is read: the buffers between engine and caller fill up.
+            await fleet.wait_until(lambda: fleet.runtime.count_open() == 0)
+            await wait_for_free_memory(fleet)
+            answer.close()
+
+
+async def test_announcement_of_an_older_incarnation_is_ignored():
+    async with run_fleet() as fleet:
+        truth = fleet.engines[0].build_announcement()
+        newer = msgspec.structs.replace(truth, incarnation=9, concurrency=7)
+        older = msgspec.structs.replace(truth, incarnation=8, concurrency=5)
+        for announcement in (newer, older):
+            body = msgspec.json.encode(announcement)
+            async with fleet.post(body, "/upstreams/announce") as answer:
+                assert answer.status == 202
+        record = fleet.runtime.instance.catalog.get("engine-0")
+        assert record.view.concurrency == 7
