Give the outcomes of a run a module of their own

Cause: the harness held its data classes and prompt hashing as well as the run.

Change: measuring/outcomes.py; behaviour unchanged.

--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -35,8 +35,8 @@
 from scalebend.core.membership import Outbound
 from scalebend.core.messages import Datagram, PeerMessage
 from scalebend.core.owner import CancelOnEngine
-from scalebend.core.prefixes import list_boundaries
 from scalebend.exceptions import ClaimError, Ran, ScalebendError
+from scalebend.measuring.outcomes import Outcome, RunResult, build_prefixes
 from scalebend.measuring.scenario import Fault, FaultKind, Scenario, compute_cost
 from scalebend.models.configuration import (
     Configuration,
@@ -83,35 +83,6 @@
 """Seconds after the last request at which no memory may be held."""
 
 SERVICE_TIME = 0.02
-BYTES_PER_TOKEN = 4
-BYTES_IN_MEGATOKEN = 8_000_000
-PRIVATE_PREFIXES = 1_000_000
-
-
-class Outcome(msgspec.Struct):
-    """What became of one planned request; times in seconds of the load's clock."""
-
-    planned: PlannedRequest
-    order: str = ""
-    first_token: float | None = None
-    ended: float | None = None
-    error: str = ""
-    ran: str = ""
-    deadline: float = 0.0
-    output_tokens: int = 0
-    starts: int = 0
-
-
-class RunResult(msgspec.Struct):
-    """All outcomes of a run and what it left behind."""
-
-    outcomes: list[Outcome]
-    memory_left: int
-    overfilled: int
-    run_twice: int
-    used_by_customer: list[tuple[float, str, float]]
-    decisions: int
-    late_to_leaving: int = 0
 
 
 class _Engine(msgspec.Struct):
@@ -390,7 +361,7 @@
             model=MODEL,
             prompt_tokens=planned.prompt_tokens,
             output_tokens=planned.output_tokens,
-            prefixes=tuple(prefix for prefix, _ in _build_prefixes(planned)),
+            prefixes=tuple(prefix for prefix, _ in build_prefixes(planned)),
         )
         outcome = Outcome(planned, deadline=request.deadline - START_TIME)
         self._admit(name, request, outcome)
@@ -528,7 +499,7 @@
         held = all(e.model.hold(start.attempt, memory) for e in group[1:])
         sequence = None
         if held:
-            prefixes = _build_prefixes(run.outcome.planned)
+            prefixes = build_prefixes(run.outcome.planned)
             sequence = lead.model.submit(
                 start.attempt,
                 prompt_tokens=request.prompt_tokens,
@@ -775,16 +746,3 @@
 
 def _build_gossip_address(name: InstanceId) -> str:
     return f"gossip/{name}"
-
-
-def _build_prefixes(planned: PlannedRequest) -> tuple[tuple[int, int], ...]:
-    """Hashes of the prompt's prefixes with their tokens; the first are shared."""
-    if planned.prefix is None:
-        return ()
-    prefixes = []
-    for boundary in list_boundaries(planned.prompt_tokens * BYTES_PER_TOKEN):
-        tokens = boundary // BYTES_PER_TOKEN
-        is_shared = tokens <= planned.prefix_tokens
-        owner = planned.prefix if is_shared else PRIVATE_PREFIXES + planned.number
-        prefixes.append((owner * BYTES_IN_MEGATOKEN + boundary, tokens))
-    return tuple(prefixes)
--- a/src/scalebend/measuring/results.py
+++ b/src/scalebend/measuring/results.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from scalebend.measuring.harness import Outcome, RunResult
+from scalebend.measuring.outcomes import Outcome, RunResult
 from scalebend.measuring.scenario import Scenario
 from scalebend.models.ids import AttemptId
 from scalebend.standins.engine_model import (
