Give local proposals the wall clock; let a move wait for a changing owner

Cause, both found by reading the whole change: a command proposed at the control leader itself stood in the log with time 0, so claims made there did not move the state's clock; and a prefilled request that met "not-owner" at its decode engine excluded that engine, the fault that was mended for requests not yet started.

Change: propose, drain and finish_control take the wall clock as an argument; a "not-owner" during a move waits for the next renewal or the newer list.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -148,6 +148,9 @@
         if flow is None or flow.attempt is None or flow.attempt.has_all_grants():
             return []
         if flow.state is FlowState.MOVING:
+            if refusal.reason is RefusalReason.NOT_OWNER:
+                # The reservation is sent again, at the latest by the next renewal.
+                return []
             return self._move_elsewhere(flow, refusal.upstream, now)
         actions = self._release_attempt(flow, Outcome.UNUSED)
         delay = 0.0
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -265,21 +265,21 @@
         return self._run(owner.confirm_cancelled(attempt, now), now)
 
     def propose(
-        self, command: Command, timeout: float, now: float
+        self, command: Command, timeout: float, now: float, wall: float
     ) -> tuple[str, list[InstanceAction]]:
         """Propose a command to the control group; its end comes as an action."""
         name, sent = self.client.submit(
             command, timeout, now, salt=str(self.incarnation)
         )
-        return name, self._run(list(sent), now)
+        return name, self._run(list(sent), now, wall)
 
-    def drain(self, now: float) -> list[InstanceAction]:
+    def drain(self, now: float, wall: float) -> list[InstanceAction]:
         """Begin a planned stop: admit nothing, own nothing, finish what is open."""
         self.is_draining = True
         self.membership.leave(now)
         if self.control is not None:
             self.control.stop_leading(now)
-        return self.advance(now, 0.0)
+        return self.advance(now, wall)
 
     # Upstreams
 
@@ -388,14 +388,16 @@
 
     # Control
 
-    def finish_control(self, ready: Ready, now: float) -> list[InstanceAction]:
+    def finish_control(
+        self, ready: Ready, now: float, wall: float
+    ) -> list[InstanceAction]:
         """The control member's writes are durable: apply and send."""
         assert self.control is not None
         steps: list[_Step] = list(self.control.finish(ready, now))
         state = self.control.state
         published = Published(state.configuration, WholeList(state.instances))
         steps += self._take_published(published, now)
-        return self._run(steps, now)
+        return self._run(steps, now, wall)
 
     def _advance_control(self, now: float, wall: float) -> None:
         if self.control is None:
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -195,12 +195,12 @@
     def drain(self) -> None:
         """Begin a planned stop."""
         logger.info("drain begins", open=self.count_open())
-        self.execute(self.instance.drain(self.now()))
+        self.execute(self.instance.drain(self.now(), time.time()))
         self._schedule_pump()
 
     async def propose(self, command: Command, timeout: float) -> Result | None:
         """Commit a command; ``None`` when no quorum answered in time."""
-        name, actions = self.instance.propose(command, timeout, self.now())
+        name, actions = self.instance.propose(command, timeout, self.now(), time.time())
         future: asyncio.Future[Result | None] = self._loop.create_future()
         self._proposals[name] = future
         self.execute(actions)
@@ -353,7 +353,7 @@
                 journal.store_snapshot(ready.snapshot, hard_state, tail)
             elif ready.persist is not None:
                 journal.write(ready.persist)
-            self.execute(self.instance.finish_control(ready, self.now()))
+            self.execute(self.instance.finish_control(ready, self.now(), time.time()))
         snapshot = control.build_due_snapshot()
         if snapshot is not None:
             hard_state, tail = control.read_tail(snapshot)
--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -141,7 +141,7 @@
 
     def propose(self, instance: Instance, command: Command) -> None:
         """Propose a command at an instance."""
-        _, actions = instance.propose(command, 5.0, self.now)
+        _, actions = instance.propose(command, 5.0, self.now, self.now)
         self._execute(instance.me, actions)
         self._pump(instance.me)
 
@@ -285,7 +285,7 @@
             ready = instance.control.take_ready(self.now)
             if ready.is_empty and not instance.control.has_outgoing:
                 return
-            self._execute(name, instance.finish_control(ready, self.now))
+            self._execute(name, instance.finish_control(ready, self.now, self.now))
 
     def _delay(self, one: AvailabilityZone, other: AvailabilityZone) -> float:
         return 0.0002 if one == other else self.scenario.zone_delay
@@ -430,7 +430,9 @@
         command = Claim(
             known.customer, known.idempotency_key, known.fingerprint, request
         )
-        proposal, actions = self._instances[name].propose(command, 2.0, self.now)
+        proposal, actions = self._instances[name].propose(
+            command, 2.0, self.now, self.now
+        )
         self._proposals[proposal] = (name, request)
         self._execute(name, actions)
         self._pump(name)
@@ -454,7 +456,7 @@
             return
         answer = StoredAnswer(200, "application/json", b"{}")
         command = Settle(known.customer, known.idempotency_key, request, answer)
-        _, actions = self._instances[name].propose(command, 10.0, self.now)
+        _, actions = self._instances[name].propose(command, 10.0, self.now, self.now)
         self._execute(name, actions)
 
     # Upstreams
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -225,6 +225,18 @@
     assert third.upstream not in (target.upstream, other.upstream)
 
 
+def test_move_waits_while_the_decode_engines_owner_changes():
+    entry = build_entry(engines=5, strategy="split-fair")
+    _, target = move(entry)
+    refusal = Refusal(target.attempt, target.upstream, RefusalReason.NOT_OWNER, 0.5)
+    for now in (0.2, 0.3, 0.4):
+        assert entry.handle_refusal(refusal, now) == []
+    assert list_reserved(entry.handle_owner_changed({target.upstream}, 0.5)) == [target]
+    assert list_reserved(entry.renew(2.0)) == [target]
+    actions = entry.handle_grant(Grant(target.attempt, target.upstream, 2.0), 2.1)
+    assert find(actions, StartAttempt).upstreams == (target.upstream,)
+
+
 def test_time_limit_during_a_move_frees_both_engines():
     entry = build_entry(engines=5, strategy="split-fair")
     work, target = move(entry)
