Keep one piece where the change had written two

Cause: read whole, the change held rounding-up division five times, the readiness refusal twice, the answer to a fetch twice, the reading of a key twice, the loop over held work twice and the count of size classes four times; and each tick of a control instance sorted the live instances and listed the catalogue, to use them at most every 0.2 s and 0.5 s.

Change: divide_up, Instance.check_ready, build_published, read_key, _renew_held and SIZE_CLASSES serve both sides; the two lists are made when they are due. An operator's key must now stand behind "Bearer ", as the pages say; without it it was taken too.

--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -38,8 +38,8 @@
     PeerMessage,
     ProposalAnswer,
     Propose,
-    Published,
 )
+from scalebend.core.publication import build_published
 from scalebend.models.ids import InstanceId, LogIndex, Term
 
 logger = structlog.get_logger(__name__)
@@ -140,11 +140,15 @@
         if self.replica.is_leader:
             self._promote_learners(now)
 
+    def is_list_due(self, now: float) -> bool:
+        """Whether this member leads and should compare the live instances now."""
+        return self.replica.is_leader and now >= self._list_at
+
     def set_live_instances(
         self, live: list[ListedInstance], now: float, at: float
     ) -> None:
         """As leader, propose the instance list when it is not the live one."""
-        if not self.replica.is_leader or now < self._list_at:
+        if not self.is_list_due(now):
             return
         self._list_at = now + LIST_PERIOD
         current = self.state.instances
@@ -290,11 +294,12 @@
         self._send(waiting.instance, answer)
 
     def _publish(self, sender: InstanceId, message: Fetch) -> None:
-        configuration = self.state.configuration
-        newer = configuration if configuration.version > message.version else None
-        listed = self._lists.build_news(message.epoch, self.state.instances)
-        if newer is not None or listed is not None:
-            self._send(sender, Published(newer, listed))
+        state = self.state
+        published = build_published(
+            message, state.configuration, state.instances, self._lists
+        )
+        if published is not None:
+            self._send(sender, published)
 
     def _send(self, instance: InstanceId, message: PeerMessage) -> None:
         self._outbox.append(ToInstance(instance, message))
--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -210,7 +210,7 @@
                 return self._move(flow, now)
             case Completed():
                 self.placement.outliers.record_success(lead)
-                self._learn(flow, result)
+                self._learn(flow)
                 return self._conclude(flow, None, result.output_tokens)
             case NeverStarted(detail) if flow.attempt.part is Part.DECODE:
                 self._record_failure(lead, now)
@@ -261,40 +261,43 @@
 
     def renew(self, now: float) -> list[EntryAction]:
         """Renew what is held and repeat unanswered reservations; once a second."""
-        actions: list[EntryAction] = []
-        held: dict[UpstreamId, list[Work]] = {}
+        actions = self._renew_held(None)
         for flow in self._flows.values():
             attempt = flow.attempt
-            if attempt is None:
+            if attempt is None or attempt.has_all_grants():
                 continue
-            for work in attempt.works[: attempt.granted]:
-                held.setdefault(work.upstream, []).append(work)
-            is_late = now - attempt.sent_reserve >= RESERVE_RESEND
-            if not attempt.has_all_grants() and is_late:
+            if now - attempt.sent_reserve >= RESERVE_RESEND:
                 actions.append(self._reserve_next(flow, now))
-        for upstream, works in held.items():
-            actions.append(ToOwner(upstream, Renew(upstream, works)))
         return actions
 
     def handle_owner_changed(
         self, upstreams: set[UpstreamId], now: float
     ) -> list[EntryAction]:
         """Tell the new owners at once what is held and what waits."""
-        actions: list[EntryAction] = []
+        actions = self._renew_held(upstreams)
         for flow in self._flows.values():
             attempt = flow.attempt
-            if attempt is None:
-                continue
-            for work in attempt.works[: attempt.granted]:
-                if work.upstream in upstreams:
-                    renew = Renew(work.upstream, [work])
-                    actions.append(ToOwner(work.upstream, renew))
-            if attempt.has_all_grants():
+            if attempt is None or attempt.has_all_grants():
                 continue
             if attempt.works[attempt.granted].upstream in upstreams:
                 actions.append(self._reserve_next(flow, now))
         return actions
 
+    def _renew_held(self, upstreams: set[UpstreamId] | None) -> list[EntryAction]:
+        """One renewal for each of ``upstreams``, or of all when it is ``None``."""
+        held: dict[UpstreamId, list[Work]] = {}
+        for flow in self._flows.values():
+            attempt = flow.attempt
+            if attempt is None:
+                continue
+            for work in attempt.works[: attempt.granted]:
+                if upstreams is None or work.upstream in upstreams:
+                    held.setdefault(work.upstream, []).append(work)
+        return [
+            ToOwner(upstream, Renew(upstream, works))
+            for upstream, works in held.items()
+        ]
+
     def advance(self, now: float) -> list[EntryAction]:
         """Conclude what is past its time limit; start retries that are due."""
         actions: list[EntryAction] = []
@@ -500,7 +503,7 @@
             actions.append(ToOwner(work.upstream, release))
         return actions
 
-    def _learn(self, flow: Flow, result: Completed) -> None:
+    def _learn(self, flow: Flow) -> None:
         request = flow.request
         attempt = flow.attempt
         if attempt is not None and attempt.part is Part.WHOLE:
--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -54,6 +54,7 @@
 from scalebend.core.orders import OrderPlanner
 from scalebend.core.owner import CancelOnEngine, OwnerAction, ToEntry
 from scalebend.core.ownership import ReplicaOwners
+from scalebend.core.publication import build_published
 from scalebend.core.queueing import PRIORITY_FACTOR, STRATEGIES
 from scalebend.core.upstream_news import UpstreamNews
 from scalebend.core.usage_exchange import UsageExchange
@@ -219,13 +220,17 @@
 
     # Requests
 
-    def admit(self, request: Request, now: float) -> list[InstanceAction]:
-        """Admit and route a request; raise :class:`RefusedError` when it is not."""
+    def check_ready(self, now: float) -> None:
+        """Raise :class:`RefusedError` when no requests are admitted now."""
         readiness = self.read_readiness(now)
         if not readiness.is_ready:
             raise RefusedError(
                 readiness.reason, kind=ErrorKind.NOT_READY, retry_after=1.0
             )
+
+    def admit(self, request: Request, now: float) -> list[InstanceAction]:
+        """Admit and route a request; raise :class:`RefusedError` when it is not."""
+        self.check_ready(now)
         self.admission.admit(
             request.request, request.customer, request.memory_tokens, now
         )
@@ -403,6 +408,8 @@
         if self.control is None:
             return
         self.control.advance(now)
+        if not self.control.is_list_due(now):
+            return
         live = self.membership.list_live()
         if self.settings.peers and now - self._started < LIST_GRACE:
             listed = {item.instance for item in live}
@@ -416,8 +423,7 @@
         replica = self.control.replica
         term = replica.term if replica.is_leader else None
         configuration = self.control.state.configuration.configuration
-        records = list(self.catalog)
-        return list(self._planner.advance(configuration, records, term, now))
+        return list(self._planner.advance(configuration, self.catalog, term, now))
 
     def _keep_fresh(self, now: float) -> list[_Step]:
         steps: list[_Step] = []
@@ -455,12 +461,10 @@
         return []
 
     def _answer_fetch(self, sender: InstanceId, fetch: Fetch) -> list[_Step]:
-        configuration = self.configuration
-        newer = configuration if configuration.version > fetch.version else None
-        listed = self._lists.build_news(fetch.epoch, self.instances)
-        if newer is None and listed is None:
-            return []
-        return [ToInstance(sender, Published(newer, listed))]
+        published = build_published(
+            fetch, self.configuration, self.instances, self._lists
+        )
+        return [ToInstance(sender, published)] if published is not None else []
 
     def _take_ended(self, ended: list[Proposed]) -> list[_Step]:
         steps: list[_Step] = []
--- a/src/scalebend/core/orders.py
+++ b/src/scalebend/core/orders.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 import structlog
 
@@ -52,7 +54,7 @@
     def advance(
         self,
         configuration: Configuration,
-        records: list[UpstreamRecord],
+        records: Iterable[UpstreamRecord],
         term: Term | None,
         now: float,
     ) -> list[SendOrder]:
--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -11,9 +11,9 @@
 
 from scalebend.core.ledger import MemoryLedger
 from scalebend.core.queueing import (
-    CLASS_BORDERS,
     LONG_TOKENS,
     SHORT_TOKENS,
+    SIZE_CLASSES,
     FirstCome,
     Policy,
     Waiting,
@@ -121,9 +121,9 @@
         self._grants_from = grants_from
         self._holds: dict[AttemptId, _Hold] = {}
         self._unclaimed: dict[AttemptId, float] = {}
-        self._paced_until = [0.0] * (len(CLASS_BORDERS) + 1)
+        self._paced_until = [0.0] * SIZE_CLASSES
         self._is_first_come = isinstance(policy, FirstCome)
-        self._prefill_tokens = [0] * (len(CLASS_BORDERS) + 1)
+        self._prefill_tokens = [0] * SIZE_CLASSES
 
     def handle(self, message: OwnerMessage, now: float) -> list[OwnerAction]:
         """Take one message of an entry."""
@@ -435,7 +435,7 @@
         self.ledger.clear()
         self._holds.clear()
         self._unclaimed.clear()
-        self._prefill_tokens = [0] * (len(CLASS_BORDERS) + 1)
+        self._prefill_tokens = [0] * SIZE_CLASSES
 
 
 def _may_use_reserve(work: Work) -> bool:
--- a/src/scalebend/core/placement.py
+++ b/src/scalebend/core/placement.py
@@ -31,6 +31,7 @@
     UpstreamId,
 )
 from scalebend.models.work import Request, Work
+from scalebend.utils.division import divide_up
 
 logger = structlog.get_logger(__name__)
 
@@ -41,12 +42,11 @@
 """Seconds a reservation may wait while others of its group are already held."""
 
 
-class Placed:
+class Placed(msgspec.Struct):
     """Works of one attempt, in reservation order, and whether it is split."""
 
-    def __init__(self, works: list[Work], *, is_split: bool = False) -> None:
-        self.works = works
-        self.is_split = is_split
+    works: list[Work]
+    is_split: bool = False
 
 
 class Placement:
@@ -236,15 +236,15 @@
         patience = request.deadline - now
         works = []
         for number, upstream in enumerate(group):
-            prefill_tokens = divide(request.prompt_tokens, len(group))
+            prefill_tokens = divide_up(request.prompt_tokens, len(group))
             self._note_chosen(upstream, prefill_tokens, now)
             work = self._build_work(
                 request,
                 attempt,
                 upstream,
-                memory_tokens=divide(request.memory_tokens, len(group)),
+                memory_tokens=divide_up(request.memory_tokens, len(group)),
                 prefill_tokens=prefill_tokens,
-                output_tokens=divide(request.output_tokens, len(group)),
+                output_tokens=divide_up(request.output_tokens, len(group)),
                 patience=patience if number == 0 else min(GROUP_PATIENCE, patience),
                 held_elsewhere=number > 0,
             )
@@ -296,8 +296,3 @@
             score=round(choice.score, 4),
             reason=choice.reason,
         )
-
-
-def divide(tokens: int, parts: int) -> int:
-    """Return the size of each of ``parts`` parts, rounded up."""
-    return -(-tokens // parts)
--- /dev/null
+++ b/src/scalebend/core/publication.py
@@ -0,0 +1,22 @@
+"""What an instance answers to one that asks for newer committed state."""
+
+from __future__ import annotations
+
+from scalebend.core.control_state import InstanceList
+from scalebend.core.list_history import ListHistory
+from scalebend.core.messages import Fetch, Published
+from scalebend.models.configuration import AcceptedConfiguration
+
+
+def build_published(
+    fetch: Fetch,
+    configuration: AcceptedConfiguration,
+    instances: InstanceList,
+    history: ListHistory,
+) -> Published | None:
+    """Return what is newer than the asker has; ``None`` when nothing is."""
+    newer = configuration if configuration.version > fetch.version else None
+    listed = history.build_news(fetch.epoch, instances)
+    if newer is None and listed is None:
+        return None
+    return Published(newer, listed)
--- a/src/scalebend/core/queueing.py
+++ b/src/scalebend/core/queueing.py
@@ -27,6 +27,8 @@
 CLASS_BORDERS = (SHORT_TOKENS, 12_000, 32_000, LONG_TOKENS)
 """Prefill sizes that divide the classes; an engine prefills a lower class first."""
 
+SIZE_CLASSES = len(CLASS_BORDERS) + 1
+
 AGEING = 5.0
 """Seconds of waiting that halve a request's size in the smallest-first order."""
 
@@ -195,7 +197,7 @@
 
     def count_tokens_by_class(self) -> tuple[int, ...]:
         """Waiting prefill tokens of each size class."""
-        counts = [0] * (len(CLASS_BORDERS) + 1)
+        counts = [0] * SIZE_CLASSES
         for group, tokens in self._group_tokens.items():
             counts[group.size_class] += tokens
         return tuple(counts)
@@ -203,7 +205,7 @@
     def estimate_tokens_ahead(self, work: Work) -> int:
         """Prefill tokens likely to start before ``work`` if it were queued now."""
         own_group = self._find_group(work)
-        own = work.prefill_tokens
+        own = 0
         customers = {own_group.customer}
         for group, tokens in self._group_tokens.items():
             if group.size_class > own_group.size_class:
@@ -211,7 +213,7 @@
             customers.add(group.customer)
             if group.customer == own_group.customer:
                 own += tokens
-        return min(self.tokens, (own - work.prefill_tokens) * len(customers))
+        return min(self.tokens, own * len(customers))
 
     def _find_group(self, work: Work) -> Group:
         is_free = not work.held_elsewhere
--- a/src/scalebend/edges/admin.py
+++ b/src/scalebend/edges/admin.py
@@ -9,6 +9,7 @@
 
 from scalebend.core.control_state import Accepted, Apply, Conflict
 from scalebend.core.membership import MemberRank
+from scalebend.edges.authorization import read_key
 from scalebend.edges.runtime import Runtime
 from scalebend.edges.settings_file import check_configuration
 from scalebend.exceptions import (
@@ -157,8 +158,7 @@
                 "no operator key is set: only loopback may do this",
                 kind=ErrorKind.FORBIDDEN,
             )
-        header = request.headers.get("Authorization", "").removeprefix("Bearer ")
-        if not is_known_key(header, hashes):
+        if not is_known_key(read_key(request), hashes):
             raise RequestError("the key is unknown", kind=ErrorKind.UNKNOWN_KEY)
 
     async def _show_status(self, request: web.Request) -> web.Response:
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -34,6 +34,7 @@
 from scalebend.exceptions import ScalebendError
 from scalebend.models.ids import AttemptId, RequestId, UpstreamId
 from scalebend.models.work import Request
+from scalebend.utils.division import divide_up
 
 logger = structlog.get_logger(__name__)
 
@@ -216,7 +217,7 @@
 
     async def _hold_helpers(self, start: StartAttempt) -> bool:
         parts = len(start.upstreams)
-        memory = -(-self.request.memory_tokens // parts)
+        memory = divide_up(self.request.memory_tokens, parts)
         body = msgspec.json.encode({"memory_tokens": memory})
         for upstream in start.upstreams[1:]:
             record = self._reporter.find(upstream)
--- a/src/scalebend/edges/http_server.py
+++ b/src/scalebend/edges/http_server.py
@@ -11,6 +11,7 @@
 
 from scalebend.core.catalog import check_announcement
 from scalebend.edges.admin import AdminHandlers
+from scalebend.edges.authorization import read_key
 from scalebend.edges.exchange import Exchange
 from scalebend.edges.problems import build_response
 from scalebend.edges.request_parser import (
@@ -36,17 +37,10 @@
 logger = structlog.get_logger(__name__)
 
 LARGEST_ANNOUNCEMENT = 1024 * 1024
-BEARER = "Bearer "
 
 Parser = Callable[..., ParsedCall]
 
 
-def read_key(request: web.Request) -> str:
-    """Return the key of the ``Authorization`` header, or an empty text."""
-    header = request.headers.get("Authorization", "")
-    return header[len(BEARER) :] if header.startswith(BEARER) else ""
-
-
 class CallerHandlers:
     """Requests of callers and announcements of upstreams."""
 
@@ -79,7 +73,7 @@
         name = self._runtime.build_request_id()
         try:
             customer = self._identify(http_request)
-            self._check_ready()
+            self._instance.check_ready(self._runtime.now())
             async with self._read_body(http_request) as body:
                 now = self._runtime.now()
                 parsed = parse(http_request, body, self._instance, name, customer, now)
@@ -95,13 +89,6 @@
             )
             return build_response(error, name)
 
-    def _check_ready(self) -> None:
-        readiness = self._instance.read_readiness(self._runtime.now())
-        if not readiness.is_ready:
-            raise RefusedError(
-                readiness.reason, kind=ErrorKind.NOT_READY, retry_after=1.0
-            )
-
     def _identify(self, request: web.Request) -> CustomerId:
         accepted = self._instance.configuration
         if accepted.version != self._keys_version:
--- a/src/scalebend/measuring/harness.py
+++ b/src/scalebend/measuring/harness.py
@@ -71,6 +71,7 @@
 from scalebend.models.work import Request
 from scalebend.standins.engine_model import EngineModel, Finished, FirstToken
 from scalebend.standins.load import PlannedRequest
+from scalebend.utils.division import divide_up
 
 MODEL = ModelName("dossiers")
 SERVICE = ServiceName("work-orders")
@@ -496,7 +497,7 @@
             return
         parts = len(group)
         request = self._requests[start.request]
-        memory = -(-request.memory_tokens // parts)
+        memory = divide_up(request.memory_tokens, parts)
         lead = group[0]
         held = all(e.model.hold(start.attempt, memory) for e in group[1:])
         sequence = None
--- a/src/scalebend/measuring/results.py
+++ b/src/scalebend/measuring/results.py
@@ -17,6 +17,7 @@
     FirstToken,
 )
 from scalebend.standins.load import Band
+from scalebend.utils.division import divide_up
 from scalebend.utils.quantiles import read_quantile
 
 NETWORK_TIME = 0.004
@@ -94,7 +95,7 @@
 def compute_idle(tokens: int, output: int, parameters: EngineParameters) -> IdleTimes:
     """Run one request alone on as few engines as hold it."""
     speed = 1
-    while -(-(tokens + output) // speed) > parameters.memory_tokens:
+    while divide_up(tokens + output, speed) > parameters.memory_tokens:
         speed += 1
     model = EngineModel(parameters)
     attempt = AttemptId("idle")
--- a/src/scalebend/standins/engine_model.py
+++ b/src/scalebend/standins/engine_model.py
@@ -16,6 +16,7 @@
 
 from scalebend.models.ids import AttemptId
 from scalebend.models.upstream import CacheEvent
+from scalebend.utils.division import divide_up
 
 PREFILL_ONLY_OVERHEAD = 0.002
 """Seconds of a step that generates no token, besides its prefill."""
@@ -138,7 +139,7 @@
         until the attempt is cancelled.
         """
         generated = 1 if is_prefill_only else output_tokens
-        memory = -(-(prompt_tokens + generated) // speed)
+        memory = divide_up(prompt_tokens + generated, speed)
         if not self.hold(attempt, memory):
             return None
         cached = min(self.count_cached(prefixes), prompt_tokens - 1)
@@ -146,7 +147,7 @@
         sequence.output_tokens = max(1, output_tokens)
         sequence.priority = priority
         sequence.cached_tokens = cached
-        sequence.prefill_left = max(1, -(-(prompt_tokens - cached) // speed))
+        sequence.prefill_left = max(1, divide_up(prompt_tokens - cached, speed))
         sequence.prefixes = prefixes
         sequence.is_prefill_only = is_prefill_only
         self._cut_span(now)
