--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -60,6 +60,18 @@
     _run("run", settings=settings)
 
 
+@app.command()
+def gateway(
+    settings: Annotated[
+        Path | None,
+        typer.Argument(help="Settings of the platform; default: $SCALEBEND_CONFIG."),
+    ] = None,
+    log_level: Annotated[str, typer.Option(help="Least level of log lines.")] = "info",
+) -> None:
+    """Run a front or a control instance on the users' platform until SIGTERM."""
+    _run("gateway", settings=settings, log_level=log_level)
+
+
 @app.command()
 def check(
     file: Annotated[Path | None, typer.Argument(help="A JSON file.")] = None,
--- /dev/null
+++ b/src/scalebend/commands/gateway.py
@@ -0,0 +1,60 @@
+"""``scalebend gateway``: a front or a control instance on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+from pathlib import Path
+
+import structlog
+
+from scalebend.commands.check import print_faults
+from scalebend.edges.logs import configure_bounded_logs
+from scalebend.exceptions import DocumentError, StorageError
+from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
+from scalebend.platform.settings import SETTINGS_VARIABLE, read_gateway_settings
+
+logger = structlog.get_logger(__name__)
+
+
+def run(*, settings: Path | None, log_level: str) -> int:
+    """Run the process that the settings describe until SIGTERM."""
+    path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    try:
+        read = read_gateway_settings(path)
+    except DocumentError as error:
+        print_faults(path, error)
+        return 2
+    configure_bounded_logs(log_level)
+    try:
+        asyncio.run(_run(read))
+    except StorageError as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+async def _run(settings: GatewaySettings) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    logger.info("process starts", instance=settings.name, role=settings.role.value)
+    match settings.role:
+        case GatewayRole.FRONT:
+            from scalebend.edges.gateway.front_server import serve_front
+
+            await serve_front(settings, stopped)
+        case GatewayRole.CONTROL:
+            from scalebend.edges.gateway.control_server import serve_control
+
+            await serve_control(settings, stopped)
+    logger.info("process stops", instance=settings.name)
+
+
+def _note_reload() -> None:
+    # Only the seeds may change while a process runs, and it has met the others.
+    logger.info("settings reloaded")
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from enum import Enum
 
 import msgspec
@@ -49,6 +50,9 @@
 SNAPSHOT_CHUNK = 256 * 1024
 """Bytes of state in one message."""
 
+MOST_ROUNDS = 64
+"""Unanswered appends whose times are kept for each member."""
+
 CATCH_UP_GAP = 16
 """A learner this few entries behind may become a voter."""
 
@@ -62,14 +66,25 @@
     LEADER = "leader"
 
 
+class _SentRound(msgspec.Struct, frozen=True):
+    """One append that a member has not answered, and when it was sent."""
+
+    round: int
+    sent_at: float
+
+
 class _Progress(msgspec.Struct):
-    """What a leader knows of one member."""
+    """What a leader knows of one member.
+
+    ``confirmed_at`` is when the newest append that it accepted was *sent*.
+    """
 
     next_index: LogIndex
     match_index: LogIndex = LogIndex(0)
     heard: float = 0.0
     sent: float = 0.0
-    acked_round: int = 0
+    rounds: deque[_SentRound] = msgspec.field(default_factory=deque)
+    confirmed_at: float = -1e9
     in_flight: bool = False
     snapshot_offset: int | None = None
 
@@ -162,6 +177,34 @@
             return False
         return progress.match_index + CATCH_UP_GAP >= self.log.last_index
 
+    def compute_confirmed_at(self, now: float) -> float | None:
+        """Latest moment at which a quorum surely had no other leader.
+
+        An append sent at that moment was accepted by a quorum in this term, so
+        nothing that another leader committed before it can be missing here. ``None``
+        for a member that does not lead, or has applied nothing of its term.
+        """
+        if not self.is_leader or self._members is None:
+            return None
+        if self.log.get_term(self._applied) != self.term:
+            return None
+        times = {m: progress.confirmed_at for m, progress in self._progress.items()}
+        times[self.me] = now
+        for candidate in sorted(set(times.values()), reverse=True):
+            holders = {m for m, at in times.items() if at >= candidate}
+            if self._members.is_quorum(holders):
+                return candidate
+        return None
+
+    def list_silent(self, longest: float, now: float) -> list[Member]:
+        """As leader, members that have not answered for ``longest`` seconds."""
+        silent = [
+            (progress.heard, member)
+            for member, progress in self._progress.items()
+            if now - progress.heard > longest
+        ]
+        return [member for _, member in sorted(silent)]
+
     def transfer_leadership(self, now: float) -> Member | None:
         """Ask the most advanced voter to take over; return it."""
         if not self.is_leader or self._members is None:
@@ -400,6 +443,9 @@
             return
         progress.snapshot_offset = None
         self._round += 1
+        progress.rounds.append(_SentRound(self._round, now))
+        if len(progress.rounds) > MOST_ROUNDS:
+            progress.rounds.popleft()
         entries = self.log.read(progress.next_index, MOST_ENTRIES)
         message = Append(
             self.me,
@@ -440,6 +486,8 @@
             return
         progress.heard = now
         progress.in_flight = False
+        while progress.rounds and progress.rounds[0].round <= reply.round:
+            progress.confirmed_at = progress.rounds.popleft().sent_at
         if reply.is_accepted:
             progress.match_index = max(progress.match_index, reply.index)
             progress.next_index = LogIndex(progress.match_index + 1)
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -50,6 +50,20 @@
 SNAPSHOT_ENTRIES = 2_000
 """Applied entries after which a snapshot replaces them."""
 
+SNAPSHOT_BYTES = 4 * 1024 * 1024
+"""Bytes of applied commands after which a snapshot replaces them: a replay stays
+under a second and a small disk holds several such journals."""
+
+LEADER_SILENCE = 2.0
+"""Seconds without a leader after which a member asks around again: it may have been
+replaced while it was away."""
+
+DEAD_VOTER = 4.0
+"""Seconds of silence after which a voter gives its place to a waiting learner."""
+
+DEAD_LEARNER = 15.0
+"""Seconds of silence after which a learner is dropped."""
+
 LIST_PERIOD = 0.2
 """Seconds between two comparisons of the live instances with the committed list."""
 
@@ -80,13 +94,24 @@
         *,
         now: float,
         seed: int = 0,
+        may_found: bool = True,
+        voters_wanted: int | None = None,
     ) -> None:
+        """``voters_wanted``: size of the group when members come and go by themselves.
+
+        Without it, the configured peers are the group and a voter keeps its place.
+        """
         self.me = Member(instance, recovered.disk)
         self.state = ControlState()
         if recovered.snapshot is not None:
             self.state.restore(recovered.snapshot.state)
         self.replica = Replica(self.me, recovered, now=now, seed=seed)
-        self._peers = peers
+        self._peers = list(peers)
+        self._founders = set(peers)
+        self._may_found = may_found
+        self._voters_wanted = voters_wanted
+        self._led_at = now
+        self._applied_bytes = 0
         self._hellos: dict[InstanceId, HelloReply] = {}
         self._hello_at = now
         self._list_at = now
@@ -115,10 +140,10 @@
         """Take one message; ``at`` is the wall clock that new entries carry."""
         match message:
             case Hello():
-                reply = HelloReply(self.me, self._has_group)
-                self._send(sender, reply)
+                self._answer_hello(sender, message)
             case HelloReply():
                 self._hellos[sender] = message
+                self._note_instances(message.instances)
                 self._try_to_found()
             case Found(members):
                 self.replica.form_group(members)
@@ -134,7 +159,10 @@
     def advance(self, now: float) -> None:
         """Act on time."""
         self.replica.advance(now)
-        if now >= self._hello_at and not self.replica.is_voter:
+        if self.replica.leader is not None:
+            self._led_at = now
+        is_lost = now - self._led_at > LEADER_SILENCE
+        if now >= self._hello_at and (is_lost or not self.replica.is_voter):
             self._hello_at = now + HELLO_PERIOD
             self._seek_group()
         if self.replica.is_leader:
@@ -190,8 +218,10 @@
 
     def build_due_snapshot(self) -> Snapshot | None:
         """Return a snapshot when enough entries were applied since the last."""
-        if self.replica.applied_entries < SNAPSHOT_ENTRIES:
+        has_many = self.replica.applied_entries >= SNAPSHOT_ENTRIES
+        if not has_many and self._applied_bytes < SNAPSHOT_BYTES:
             return None
+        self._applied_bytes = 0
         return self.replica.build_snapshot(self.state.export())
 
     def read_tail(self, snapshot: Snapshot) -> tuple[HardState, list[LogEntry]]:
@@ -206,7 +236,30 @@
     def _has_group(self) -> bool:
         return self.replica.members is not None
 
+    def _answer_hello(self, sender: InstanceId, message: Hello) -> None:
+        instances = self._list_instances()
+        reply = HelloReply(self.me, self._has_group, self._may_found, instances)
+        self._send(sender, reply)
+        members = self.replica.members
+        if members is None or message.has_group or message.member not in members.voters:
+            return
+        # It is a founder that did not hear of the founding: its disk, and so its
+        # log, is the one that was counted, and the first entry is the same for all.
+        if self.replica.log.find_last_members_index() == 1:
+            self._send(sender, Found(members))
+
+    def _list_instances(self) -> list[InstanceId]:
+        members = self.replica.members
+        everyone = members.everyone if members is not None else frozenset()
+        return sorted({member.instance for member in everyone})
+
+    def _note_instances(self, instances: list[InstanceId]) -> None:
+        for instance in instances:
+            if instance != self.me.instance and instance not in self._peers:
+                self._peers.append(instance)
+
     def _seek_group(self) -> None:
+        self._note_instances(self._list_instances())
         for peer in self._peers:
             self._send(peer, Hello(self.me, self._has_group))
         if not self._peers:
@@ -216,17 +269,22 @@
                 self._send(peer, Join(self.me))
 
     def _try_to_found(self) -> None:
-        if self._has_group or set(self._hellos) != set(self._peers):
+        if self._has_group or not self._may_found:
+            return
+        if not self._founders <= set(self._hellos):
             return
         if any(reply.has_group for reply in self._hellos.values()):
             return
-        if any(peer < self.me.instance for peer in self._peers):
+        if any(
+            self._hellos[peer].may_found and peer < self.me.instance
+            for peer in self._founders
+        ):
             return
-        voters = {reply.member for reply in self._hellos.values()} | {self.me}
+        voters = {self._hellos[peer].member for peer in self._founders} | {self.me}
         members = Members(frozenset(voters))
         self.replica.form_group(members)
         logger.info("control group founded", voters=sorted(m.instance for m in voters))
-        for peer in self._peers:
+        for peer in sorted(self._founders):
             self._send(peer, Found(members))
 
     def _take_in(self, member: Member, now: float) -> None:
@@ -248,7 +306,16 @@
             if not self.replica.is_caught_up(learner):
                 continue
             old = {m for m in members.voters if m.instance == learner.instance}
-            if old:
+            is_full = self._voters_wanted is not None and (
+                len(members.voters) >= self._voters_wanted
+            )
+            if not old and is_full:
+                silent = self.replica.list_silent(DEAD_VOTER, now)
+                dead = [member for member in silent if member in members.voters]
+                if not dead:
+                    continue
+                changed = Members(members.voters - {dead[0]}, members.learners)
+            elif old:
                 # The old disk is gone with its vote: remove it before the new one
                 # votes, one change at a time.
                 changed = Members(members.voters - old, members.learners)
@@ -259,6 +326,16 @@
             self.replica.propose_members(changed, 0.0, now)
             logger.info("control voter changed", instance=learner.instance)
             return
+        self._drop_dead_learners(members, now)
+
+    def _drop_dead_learners(self, members: Members, now: float) -> None:
+        silent = self.replica.list_silent(DEAD_LEARNER, now)
+        dead = members.learners & frozenset(silent)
+        if not dead:
+            return
+        changed = Members(members.voters, members.learners - dead)
+        if self.replica.propose_members(changed, 0.0, now) is not None:
+            logger.info("control learners dropped", count=len(dead))
 
     # Proposals
 
@@ -274,6 +351,7 @@
 
     def _apply(self, entry: LogEntry) -> None:
         result: Result | None = None
+        self._applied_bytes += len(entry.command)
         if entry.command:
             result = self.state.apply(entry.command, entry.at)
         waiting = self._waiting.pop(entry.index, None)
--- a/src/scalebend/core/control_state.py
+++ b/src/scalebend/core/control_state.py
@@ -30,7 +30,9 @@
     Epoch,
     InstanceId,
     Region,
+    RoutingVersion,
 )
+from scalebend.models.routing import StoredRouting
 
 REMEMBERED_CHANGES = 1_000
 """Accepted changes whose id is remembered, to answer a resend."""
@@ -77,11 +79,17 @@
     instances: list[ListedInstance]
 
 
+class PutRouting(msgspec.Struct, frozen=True, tag=True):
+    """Command: take this routing document, unless a higher version is held."""
+
+    routing: StoredRouting
+
+
 class Barrier(msgspec.Struct, frozen=True, tag=True):
     """Command: nothing; its commit proves that a quorum was reached."""
 
 
-Command = Apply | SetInstances | Barrier | Claim | Settle | Withdraw
+Command = Apply | SetInstances | PutRouting | Barrier | Claim | Settle | Withdraw
 
 
 class Accepted(msgspec.Struct, frozen=True, tag=True):
@@ -104,7 +112,15 @@
     epoch: Epoch
 
 
-Result = Accepted | Conflict | Done | ClaimTaken | ClaimKnown | ClaimConflict
+class RoutingHeld(msgspec.Struct, frozen=True, tag=True):
+    """Result: the version of the routing document that holds now."""
+
+    version: RoutingVersion
+
+
+Result = (
+    Accepted | Conflict | Done | RoutingHeld | ClaimTaken | ClaimKnown | ClaimConflict
+)
 
 
 class _Exported(msgspec.Struct):
@@ -113,6 +129,7 @@
     instances: InstanceList
     claims: list[ClaimRecord]
     clock: float
+    routing: StoredRouting | None = None
 
 
 class ControlState:
@@ -121,6 +138,7 @@
     def __init__(self) -> None:
         self.configuration = EMPTY_CONFIGURATION
         self.instances = EMPTY_LIST
+        self.routing: StoredRouting | None = None
         self.claims = ClaimTable()
         self._changes: dict[ChangeId, ConfigurationVersion] = {}
         self._clock = 0.0
@@ -134,6 +152,8 @@
                 return self._apply_change(change)
             case SetInstances():
                 self._set_instances(command)
+            case PutRouting(routing):
+                return self._put_routing(routing)
             case Barrier():
                 pass
             case Claim() | Settle() | Withdraw():
@@ -148,6 +168,7 @@
             self.instances,
             self.claims.export(),
             self._clock,
+            self.routing,
         )
         return msgspec.msgpack.encode(exported)
 
@@ -159,6 +180,7 @@
         self.claims.restore(exported.claims)
         self._changes = exported.changes
         self._clock = exported.clock
+        self.routing = exported.routing
 
     def _apply_change(self, change: ConfigurationChange) -> Result:
         known = self._changes.get(change.change)
@@ -175,6 +197,12 @@
             del self._changes[next(iter(self._changes))]
         return Accepted(version)
 
+    def _put_routing(self, routing: StoredRouting) -> Result:
+        # The highest version holds; one that is not above it changes nothing.
+        if self.routing is None or routing.version > self.routing.version:
+            self.routing = routing
+        return RoutingHeld(self.routing.version)
+
     def _set_instances(self, command: SetInstances) -> None:
         if command.base == self.instances.epoch:
             epoch = Epoch(self.instances.epoch + 1)
--- /dev/null
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -0,0 +1,385 @@
+"""One control instance of the gateway: its vote, the upstreams, and its fronts.
+
+Every control instance takes registrations and passes them on to the others; each
+pushes changes to all fronts that are linked to it. The leader of the replicated log
+also confirms the routing document's freshness and places work on engines.
+"""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+
+from scalebend.core.consensus.messages import ConsensusMessage, Ready
+from scalebend.core.control_member import ControlMember, ToInstance
+from scalebend.core.control_state import PutRouting, RoutingHeld, encode_command
+from scalebend.core.gateway.endpoint_directory import EndpointDirectory
+from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.messages import (
+    ControlNews,
+    EndpointChanges,
+    JobStages,
+    LeaseAnswer,
+    LeaseQuestion,
+    LinkMessage,
+    OpenJobs,
+    PlaceAnswer,
+    PlaceQuestion,
+    Registrations,
+    ReplicaFailures,
+    Subscribe,
+)
+from scalebend.core.gateway.route_table import RouteTable
+from scalebend.core.gateway.routing_store import build_news, unpack_routing
+from scalebend.core.messages import (
+    Found,
+    Hello,
+    HelloReply,
+    Join,
+    ProposalAnswer,
+    Propose,
+)
+from scalebend.models.endpoints import Endpoint, EndpointNews
+from scalebend.models.ids import InstanceId, RoutingVersion, UpstreamId
+from scalebend.models.placement import EngineWork, OpenJob
+from scalebend.models.routing import (
+    EMPTY_ROUTING,
+    EngineProfile,
+    Routing,
+    StoredRouting,
+)
+
+logger = structlog.get_logger(__name__)
+
+NEWS_PERIOD = 0.5
+"""Seconds between two heartbeats to a front; see ``edges/gateway/links.py``."""
+
+READ_PATIENCE = 2.0
+"""Seconds for which a reader waits for a quorum, twice what an election takes."""
+
+KEPT_VERSIONS = 64
+"""Routing documents kept to send only what changed since one of them."""
+
+HEARTBEATS_MISSED = 8
+"""Registrations an upstream may miss before it counts as gone. Fronts notice a dead
+one by themselves at once; this also spares upstreams that lost only their way to
+control, not to the fronts."""
+
+
+class ToFront(msgspec.Struct, frozen=True):
+    """Action: send a message to a front."""
+
+    front: InstanceId
+    message: LinkMessage
+
+
+class ProposalEnded(msgspec.Struct, frozen=True):
+    """Action: a routing document was decided on; ``held`` is the version in force.
+
+    ``None`` when this member stopped leading before it was known.
+    """
+
+    proposal: str
+    held: RoutingVersion | None
+
+
+class ReadConfirmed(msgspec.Struct, frozen=True):
+    """Action: the routing document held is the newest; answer these readers."""
+
+    readers: list[int]
+
+
+ControlAction = ToInstance | ToFront | ProposalEnded | ReadConfirmed
+
+
+class _Front(msgspec.Struct):
+    held: RoutingVersion = RoutingVersion(0)
+    sent: RoutingVersion = RoutingVersion(0)
+    is_subscribed: bool = False
+
+
+class _Question(msgspec.Struct, frozen=True):
+    """Someone who waits until leadership is confirmed after ``received_at``."""
+
+    received_at: float
+    front: InstanceId | None
+    asked_at: float
+    reader: int = 0
+
+
+class ControlInstance:
+    """State and decisions of one control instance, without I/O."""
+
+    def __init__(
+        self, member: ControlMember, heartbeat_interval: float, *, now: float
+    ) -> None:
+        self.member = member
+        self.directory = EndpointDirectory(HEARTBEATS_MISSED * heartbeat_interval)
+        self.scheduler = EngineScheduler()
+        self.routing = EMPTY_ROUTING
+        self.table = RouteTable(EMPTY_ROUTING)
+        self._history: dict[RoutingVersion, Routing] = {
+            EMPTY_ROUTING.version: EMPTY_ROUTING
+        }
+        self._fronts: dict[InstanceId, _Front] = {}
+        self._questions: list[_Question] = []
+        self._news_at = now
+        self._leader: InstanceId | None = None
+        self._was_leader = False
+        self._proposals = 0
+        self._readers = 0
+        self._load_routing()
+
+    @property
+    def me(self) -> InstanceId:
+        """This instance."""
+        return self.member.me.instance
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads the replicated log."""
+        return self.member.replica.is_leader
+
+    # Members of the control group
+
+    def handle_peer(
+        self, sender: InstanceId, message: LinkMessage, now: float, at: float
+    ) -> list[ControlAction]:
+        """Take a message of another control instance; ``at`` is the wall clock."""
+        match message:
+            case Registrations(news):
+                return self._merge(news, now)
+            case Hello() | HelloReply() | Found() | Join():
+                self.member.handle(sender, message, now, at)
+            case _ if isinstance(message, ConsensusMessage):
+                self.member.handle(sender, message, now, at)
+        return []
+
+    def finish(self, ready: Ready, now: float) -> list[ControlAction]:
+        """The writes of ``ready`` are durable; return what follows."""
+        actions: list[ControlAction] = []
+        for action in self.member.finish(ready, now):
+            if isinstance(action.message, ProposalAnswer):
+                actions.append(_read_answer(action.message))
+            else:
+                actions.append(action)
+        stored = self.member.state.routing
+        if stored is not None and stored.version != self.routing.version:
+            self._load_routing()
+            logger.info("routing applied", version=self.routing.version)
+            actions += self._push_routing()
+        return actions
+
+    def advance(self, now: float) -> list[ControlAction]:
+        """Act on time."""
+        self.member.advance(now)
+        actions: list[ControlAction] = []
+        if self.is_leader != self._was_leader:
+            self._was_leader = self.is_leader
+            # What is open is learned anew from the fronts.
+            self.scheduler = EngineScheduler()
+            logger.info("leadership changed", leads=self.is_leader)
+        if self.member.leader != self._leader or now >= self._news_at:
+            self._leader = self.member.leader
+            self._news_at = now + NEWS_PERIOD
+            news = self._build_news()
+            actions += [ToFront(front, news) for front in self._fronts]
+            self.scheduler.expire(now)
+        actions += self._answer_questions(now)
+        if self.member.leader is not None:
+            # A member out of touch with the group may be the one that is cut off.
+            actions += self._publish(self.directory.expire(now))
+        return actions
+
+    # Fronts
+
+    def add_front(self, front: InstanceId) -> list[ControlAction]:
+        """A front dialled: tell it everything."""
+        self._fronts[front] = _Front()
+        logger.info("front attached", front=front, fronts=len(self._fronts))
+        return [
+            ToFront(front, self._build_news()),
+            ToFront(front, EndpointChanges(self.directory.list_news())),
+        ]
+
+    def remove_front(self, front: InstanceId) -> None:
+        """The link to a front was lost; its jobs are forgotten when they expire."""
+        self._fronts.pop(front, None)
+        logger.info("front detached", front=front, fronts=len(self._fronts))
+
+    def handle_front(
+        self, front: InstanceId, message: LinkMessage, now: float
+    ) -> list[ControlAction]:
+        """Take a message of a front."""
+        match message:
+            case Subscribe(held, is_wanted):
+                return self._subscribe(front, held, is_wanted=is_wanted)
+            case LeaseQuestion(asked_at):
+                self._questions.append(_Question(now, front, asked_at))
+                return self._answer_questions(now)
+            case PlaceQuestion(work):
+                return [ToFront(front, self._place(work, now))]
+            case JobStages(stages):
+                for stage in stages:
+                    self.scheduler.note_stage(stage, now)
+            case ReplicaFailures(upstreams):
+                for upstream in upstreams:
+                    self.scheduler.note_failure(upstream, now)
+            case OpenJobs(jobs):
+                self._adopt(jobs, now)
+        return []
+
+    def _subscribe(
+        self, front: InstanceId, held: RoutingVersion, *, is_wanted: bool
+    ) -> list[ControlAction]:
+        state = self._fronts.get(front)
+        if state is None:
+            return []
+        state.is_subscribed = is_wanted
+        state.held = held
+        state.sent = held
+        return self._send_routing(front, state)
+
+    def _push_routing(self) -> list[ControlAction]:
+        actions: list[ControlAction] = []
+        for front, state in self._fronts.items():
+            # One document at a time to each front: a slow link gets only the newest.
+            if state.sent == state.held:
+                actions += self._send_routing(front, state)
+        return actions
+
+    def _send_routing(self, front: InstanceId, state: _Front) -> list[ControlAction]:
+        if not state.is_subscribed or state.held >= self.routing.version:
+            return []
+        base = self._history.get(state.held, EMPTY_ROUTING)
+        state.sent = self.routing.version
+        return [ToFront(front, build_news(base, self.routing))]
+
+    def _build_news(self) -> ControlNews:
+        members = self.member.replica.members
+        everyone = members.everyone if members is not None else frozenset()
+        instances = sorted({member.instance for member in everyone} | {self.me})
+        return ControlNews(
+            instances, self.member.leader, self.member.replica.term, len(self._fronts)
+        )
+
+    # Upstreams
+
+    def register(self, endpoint: Endpoint, now: float) -> list[ControlAction]:
+        """An upstream registered here."""
+        change = self.directory.register(endpoint, now)
+        known = self.directory.get(endpoint.upstream)
+        if known is None:
+            return []
+        return self._spread(EndpointNews(known, is_gone=False), change)
+
+    def remove(self, upstream: UpstreamId, now: float) -> list[ControlAction]:
+        """An upstream says here that it leaves."""
+        change = self.directory.remove(upstream, now)
+        return self._spread(change, change) if change is not None else []
+
+    def _spread(
+        self, news: EndpointNews, change: EndpointNews | None
+    ) -> list[ControlAction]:
+        actions: list[ControlAction] = [
+            ToInstance(instance, Registrations([news]))  # type: ignore[arg-type]
+            for instance in self._build_news().instances
+            if instance != self.me
+        ]
+        if change is not None:
+            actions += self._publish([change])
+        return actions
+
+    def _merge(self, news: list[EndpointNews], now: float) -> list[ControlAction]:
+        changes = [self.directory.merge(one, now) for one in news]
+        return self._publish([change for change in changes if change is not None])
+
+    def _publish(self, changes: list[EndpointNews]) -> list[ControlAction]:
+        for change in changes:
+            logger.info(
+                "upstream changed",
+                upstream=change.endpoint.upstream,
+                address=change.endpoint.address,
+                service=change.endpoint.service,
+                draining=change.endpoint.is_draining,
+                gone=change.is_gone,
+                sequence=change.endpoint.sequence,
+            )
+        if not changes:
+            return []
+        message = EndpointChanges(changes)
+        return [ToFront(front, message) for front in self._fronts]
+
+    # Routing documents
+
+    def propose_routing(self, stored: StoredRouting, now: float, at: float) -> str:
+        """As leader, propose a document; its end is a :class:`ProposalEnded`."""
+        self._proposals += 1
+        name = f"routing/{self._proposals}"
+        command = encode_command(PutRouting(stored))
+        self.member.handle(self.me, Propose(name, command), now, at)
+        return name
+
+    def ask_fresh(self, now: float) -> int:
+        """Ask whether the document held is the newest; see :class:`ReadConfirmed`."""
+        self._readers += 1
+        self._questions.append(_Question(now, None, now, self._readers))
+        return self._readers
+
+    def _load_routing(self) -> None:
+        stored = self.member.state.routing
+        if stored is None:
+            return
+        self.routing = unpack_routing(stored)
+        self.table = RouteTable(self.routing)
+        self._history[self.routing.version] = self.routing
+        while len(self._history) > KEPT_VERSIONS:
+            oldest = min(v for v in self._history if v != EMPTY_ROUTING.version)
+            del self._history[oldest]
+
+    def _answer_questions(self, now: float) -> list[ControlAction]:
+        confirmed = self.member.replica.compute_confirmed_at(now)
+        if confirmed is None:
+            self._questions = [
+                q
+                for q in self._questions
+                if q.front is None and now - q.received_at < READ_PATIENCE
+            ]
+            return []
+        answered = [q for q in self._questions if q.received_at <= confirmed]
+        self._questions = [q for q in self._questions if q.received_at > confirmed]
+        readers = [question.reader for question in answered if question.front is None]
+        actions: list[ControlAction] = []
+        for question in answered:
+            if question.front is not None:
+                answer = LeaseAnswer(question.asked_at, self.routing.version)
+                actions.append(ToFront(question.front, answer))
+        if readers:
+            actions.append(ReadConfirmed(readers))
+        return actions
+
+    # Placement
+
+    def _place(self, work: EngineWork, now: float) -> PlaceAnswer:
+        profile = self._find_profile(work)
+        if not self.is_leader or profile is None:
+            return PlaceAnswer(work.job, None, is_leader=False)
+        endpoints = self.directory.list_usable(work.service)
+        placement = self.scheduler.place(work, endpoints, profile, now)
+        return PlaceAnswer(work.job, placement)
+
+    def _adopt(self, jobs: list[OpenJob], now: float) -> None:
+        for job in jobs:
+            profile = self._find_profile(job.work)
+            if profile is not None:
+                self.scheduler.adopt(job, profile, now)
+
+    def _find_profile(self, work: EngineWork) -> EngineProfile | None:
+        service = self.table.services.get(work.service)
+        return service.engine if service is not None else None
+
+
+def _read_answer(answer: ProposalAnswer) -> ProposalEnded:
+    result = answer.result
+    held = result.version if isinstance(result, RoutingHeld) else None
+    return ProposalEnded(answer.proposal, held)
--- /dev/null
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -0,0 +1,127 @@
+"""Which upstreams are registered, merged from several control instances.
+
+Each control instance hears some registrations directly and the rest from the other
+control instances; fronts hear changes from all of them. Whoever hears first wins,
+by the registration's sequence number; a draining or departed upstream never becomes
+ready again under the same id, since a restart has a new one.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from scalebend.models.endpoints import Endpoint, EndpointNews
+from scalebend.models.ids import ServiceName, UpstreamId
+
+REMEMBERED_GONE = 60.0
+"""Seconds for which a departed id is remembered, against late registrations;
+the platform delivers them seconds late."""
+
+
+class _Known(msgspec.Struct):
+    endpoint: Endpoint
+    heard_at: float
+    is_gone: bool = False
+
+
+class EndpointDirectory:
+    """Upstreams by id, with when each was last heard of."""
+
+    def __init__(self, silence_limit: float) -> None:
+        self._silence_limit = silence_limit
+        self._known: dict[UpstreamId, _Known] = {}
+        self._by_service: dict[ServiceName, dict[UpstreamId, Endpoint]] = {}
+
+    def get(self, upstream: UpstreamId) -> Endpoint | None:
+        """The endpoint, unless it is gone."""
+        known = self._known.get(upstream)
+        return known.endpoint if known is not None and not known.is_gone else None
+
+    def list_usable(self, service: ServiceName) -> list[Endpoint]:
+        """Endpoints of a service that may be sent new requests."""
+        return list(self._by_service.get(service, {}).values())
+
+    def list_news(self) -> list[EndpointNews]:
+        """Everything known, for a process that knows nothing yet."""
+        return [EndpointNews(k.endpoint, k.is_gone) for k in self._known.values()]
+
+    def register(self, endpoint: Endpoint, now: float) -> EndpointNews | None:
+        """Take a registration; return what changed, if anything did."""
+        known = self._known.get(endpoint.upstream)
+        if known is None:
+            self._known[endpoint.upstream] = _Known(endpoint, now)
+            return self._publish(endpoint, is_gone=False)
+        known.heard_at = now
+        # A silent upstream that speaks again is back; a departed one has said so.
+        was_silent = known.is_gone and not known.endpoint.is_draining
+        if known.is_gone and not was_silent:
+            return None
+        if endpoint.sequence < known.endpoint.sequence:
+            return None
+        is_draining = known.endpoint.is_draining or endpoint.is_draining
+        merged = msgspec.structs.replace(endpoint, is_draining=is_draining)
+        has_changed = was_silent or not _is_alike(merged, known.endpoint)
+        known.endpoint = merged
+        known.is_gone = False
+        return self._publish(merged, is_gone=False) if has_changed else None
+
+    def remove(self, upstream: UpstreamId, now: float) -> EndpointNews | None:
+        """The upstream says that it leaves: it gets nothing new and never returns."""
+        known = self._known.get(upstream)
+        if known is None:
+            return None
+        is_news = not known.is_gone or not known.endpoint.is_draining
+        known.endpoint = msgspec.structs.replace(known.endpoint, is_draining=True)
+        known.is_gone = True
+        known.heard_at = now
+        return self._publish(known.endpoint, is_gone=True) if is_news else None
+
+    def merge(self, news: EndpointNews, now: float) -> EndpointNews | None:
+        """Take what another process published; return what is new here."""
+        if not news.is_gone:
+            return self.register(news.endpoint, now)
+        upstream = news.endpoint.upstream
+        known = self._known.get(upstream)
+        if known is None:
+            self._known[upstream] = _Known(news.endpoint, now, is_gone=True)
+            return news
+        if news.endpoint.is_draining:
+            return self.remove(upstream, now)
+        if known.is_gone or known.endpoint.sequence > news.endpoint.sequence:
+            return None
+        known.is_gone = True
+        return self._publish(known.endpoint, is_gone=True)
+
+    def expire(self, now: float) -> list[EndpointNews]:
+        """Take out the silent, and forget those long gone; return the changes."""
+        silent = [
+            known
+            for known in self._known.values()
+            if not known.is_gone and now - known.heard_at > self._silence_limit
+        ]
+        for known in silent:
+            known.is_gone = True
+        self._forget(now)
+        return [self._publish(known.endpoint, is_gone=True) for known in silent]
+
+    def _forget(self, now: float) -> None:
+        old = [
+            upstream
+            for upstream, known in self._known.items()
+            if known.is_gone and now - known.heard_at > REMEMBERED_GONE
+        ]
+        for upstream in old:
+            del self._known[upstream]
+
+    def _publish(self, endpoint: Endpoint, *, is_gone: bool) -> EndpointNews:
+        usable = self._by_service.setdefault(endpoint.service, {})
+        if is_gone or endpoint.is_draining:
+            usable.pop(endpoint.upstream, None)
+        else:
+            usable[endpoint.upstream] = endpoint
+        return EndpointNews(endpoint, is_gone)
+
+
+def _is_alike(one: Endpoint, other: Endpoint) -> bool:
+    """Whether two registrations say the same, but for their number."""
+    return msgspec.structs.replace(one, sequence=other.sequence) == other
--- /dev/null
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -0,0 +1,377 @@
+"""Chooses replicas for prompts of unlike lengths, from an exact list of open jobs.
+
+Two promises pull apart: a long prompt should be read by many replicas at once to
+start soon, yet reading delays the next event of whoever writes on the same replica.
+So every choice keeps, on each replica, the reading of one pass below the shortest
+event gap promised there. Short requests share as few replicas as they can; what they
+leave free reads long prompts, in as few parts as the time to first token allows.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
+from scalebend.models.endpoints import Endpoint
+from scalebend.models.ids import UpstreamId
+from scalebend.models.placement import (
+    EngineWork,
+    Helper,
+    JobId,
+    JobStage,
+    OpenJob,
+    Placement,
+)
+from scalebend.models.routing import EngineProfile
+
+GAP_MARGIN = 0.030
+"""Seconds of an event gap kept free, for delivery and for reading not yet known."""
+
+MOST_HELPERS = 16
+"""Replicas beside the first that may read one prompt; the platform's limit."""
+
+LONGEST_PART = 0.400
+"""Seconds of reading in one part where replicas are free; from trials with parts of
+200 to 800 ms on a day of mixed prompts."""
+
+TARGET_PART = 0.6
+"""Part of the target for the first token that a placement may plan to use."""
+
+MEMORY_MARGIN = 4_000
+"""Tokens of an engine's memory that are never planned for."""
+
+LOST_JOB = 1.0
+"""Seconds after a job's deadline at which it is forgotten, if its end was not heard."""
+
+SUSPECT_TIME = 2.0
+"""Seconds for which a replica that failed to connect or fell silent is avoided."""
+
+SLOW_READING = 1.5
+"""Times the predicted reading time above which a replica counts as slow."""
+
+PACE_WEIGHT = 0.3
+"""Weight of the newest reading in a replica's smoothed pace."""
+
+MOST_PACE = 8.0
+"""Largest slowness that one observation may teach."""
+
+
+class _Share(msgspec.Struct):
+    """A job's part on one replica."""
+
+    part: float
+    tokens: int
+    is_first: bool
+    read_until: float
+
+
+class _Job(msgspec.Struct):
+    work: EngineWork
+    placed_at: float
+    predicted: float
+    upstreams: list[UpstreamId]
+    forget_at: float
+    is_writing: bool = False
+
+
+class _Replica(msgspec.Struct):
+    shares: dict[JobId, _Share] = msgspec.field(default_factory=dict)
+    pace: float = 1.0
+    suspect_until: float = 0.0
+
+
+class _View(msgspec.Struct):
+    """What matters of one replica for one choice."""
+
+    endpoint: Endpoint
+    first_jobs: int
+    helping: int
+    tight_jobs: int
+    """Jobs whose event gap is no longer than the one to be placed."""
+
+    pending: float
+    pass_time: float
+    event_gap: float | None
+    free_tokens: int
+    pace: float
+
+    def compute_room(self, limit: float) -> float:
+        """Reading that may be added without delaying a writer beyond its gap."""
+        room = limit - self.pass_time - self.pending
+        if self.event_gap is not None:
+            gap_room = self.event_gap - GAP_MARGIN - self.pass_time - self.pending
+            room = min(room, gap_room)
+        return room / self.pace
+
+
+class EngineScheduler:
+    """Open jobs of all fronts, or of this one alone while no leader answers."""
+
+    def __init__(self) -> None:
+        self._jobs: dict[JobId, _Job] = {}
+        self._replicas: dict[UpstreamId, _Replica] = {}
+
+    @property
+    def open_jobs(self) -> int:
+        """Jobs that were placed and have not ended."""
+        return len(self._jobs)
+
+    # Inputs
+
+    def note_stage(self, stage: JobStage, now: float) -> None:
+        """A front saw a job's first token, or its end."""
+        job = self._jobs.get(stage.job)
+        if job is None:
+            return
+        if stage.is_ended:
+            self._drop(stage.job)
+        elif not job.is_writing:
+            job.is_writing = True
+            self._learn_pace(job, now)
+            for upstream in job.upstreams:
+                share = self._replicas[upstream].shares.get(stage.job)
+                if share is not None:
+                    share.read_until = now
+
+    def note_failure(self, upstream: UpstreamId, now: float) -> None:
+        """A front could not reach a replica, or it fell silent."""
+        replica = self._replicas.setdefault(upstream, _Replica())
+        replica.suspect_until = now + SUSPECT_TIME
+
+    def adopt(self, opened: OpenJob, profile: EngineProfile, now: float) -> None:
+        """Learn of a job that another scheduler placed."""
+        if opened.work.job in self._jobs:
+            return
+        self._put(opened.work, opened.placement, profile, now)
+        if opened.is_writing:
+            self.note_stage(JobStage(opened.work.job, is_ended=False), now)
+
+    def forget_front(self, is_of_front: Callable[[JobId], bool]) -> None:
+        """A front is gone, and its jobs with it."""
+        for job in [job for job in self._jobs if is_of_front(job)]:
+            self._drop(job)
+
+    def expire(self, now: float) -> None:
+        """Forget jobs whose end was never heard, and replicas without jobs."""
+        for job in [j for j, known in self._jobs.items() if now > known.forget_at]:
+            self._drop(job)
+
+    def retain(self, upstreams: Iterable[UpstreamId]) -> None:
+        """Forget replicas that no longer exist and run nothing."""
+        kept = set(upstreams)
+        for upstream in list(self._replicas):
+            if upstream not in kept and not self._replicas[upstream].shares:
+                del self._replicas[upstream]
+
+    # Choice
+
+    def place(
+        self,
+        work: EngineWork,
+        endpoints: list[Endpoint],
+        profile: EngineProfile,
+        now: float,
+    ) -> Placement | None:
+        """Choose replicas and count the job; ``None`` when none may take it."""
+        views = [
+            self._view(endpoint, work, profile, now)
+            for endpoint in endpoints
+            if endpoint.upstream not in work.excluded
+        ]
+        sound = [view for view in views if not self._is_suspect(view.endpoint, now)]
+        views = sound or views
+        if not views:
+            return None
+        placement = _choose(work, views, profile)
+        if placement is not None:
+            self._put(work, placement, profile, now)
+        return placement
+
+    def _is_suspect(self, endpoint: Endpoint, now: float) -> bool:
+        replica = self._replicas.get(endpoint.upstream)
+        return replica is not None and now < replica.suspect_until
+
+    def _view(
+        self, endpoint: Endpoint, work: EngineWork, profile: EngineProfile, now: float
+    ) -> _View:
+        replica = self._replicas.get(endpoint.upstream)
+        view = _View(endpoint, 0, 0, 0, 0.0, 0.0, None, profile.memory_tokens, 1.0)
+        if replica is None:
+            return view
+        contexts = []
+        for name, share in replica.shares.items():
+            job = self._jobs[name]
+            view.pending += max(0.0, min(share.part, share.read_until - now))
+            view.free_tokens -= share.tokens
+            if not share.is_first:
+                view.helping += 0 if job.is_writing else 1
+                continue
+            view.first_jobs += 1
+            contexts.append(job.work.prompt_tokens)
+            if job.work.event_gap <= work.event_gap:
+                view.tight_jobs += 1
+            if view.event_gap is None or job.work.event_gap < view.event_gap:
+                view.event_gap = job.work.event_gap
+        view.pace = replica.pace
+        view.pending *= replica.pace
+        view.pass_time = replica.pace * compute_pass_time(profile, contexts)
+        return view
+
+    # State
+
+    def _put(
+        self, work: EngineWork, placement: Placement, profile: EngineProfile, now: float
+    ) -> None:
+        read = compute_read_time(profile, work.prompt_tokens)
+        part = read / (1 + len(placement.helpers))
+        until = now + max(part, placement.first_token_in)
+        held = sum(helper.tokens for helper in placement.helpers)
+        tokens = work.prompt_tokens + work.output_tokens - held
+        self._share(placement.upstream, work.job, _Share(part, tokens, True, until))
+        for helper in placement.helpers:
+            share = _Share(part, helper.tokens, False, until)
+            self._share(helper.upstream, work.job, share)
+        upstreams = [placement.upstream, *(h.upstream for h in placement.helpers)]
+        self._jobs[work.job] = _Job(
+            work,
+            now,
+            placement.first_token_in,
+            upstreams,
+            now + work.remaining + LOST_JOB,
+        )
+
+    def _share(self, upstream: UpstreamId, job: JobId, share: _Share) -> None:
+        self._replicas.setdefault(upstream, _Replica()).shares[job] = share
+
+    def _drop(self, name: JobId) -> None:
+        job = self._jobs.pop(name, None)
+        if job is None:
+            return
+        for upstream in job.upstreams:
+            replica = self._replicas.get(upstream)
+            if replica is not None:
+                replica.shares.pop(name, None)
+
+    def _learn_pace(self, job: _Job, now: float) -> None:
+        # Only a job on one replica tells whose slowness it was.
+        if len(job.upstreams) != 1 or job.predicted <= 0.0:
+            return
+        replica = self._replicas[job.upstreams[0]]
+        seen = min(MOST_PACE, (now - job.placed_at) / job.predicted * replica.pace)
+        pace = seen if seen > SLOW_READING * replica.pace else max(1.0, seen)
+        replica.pace += PACE_WEIGHT * (pace - replica.pace)
+        replica.pace = max(1.0, replica.pace)
+
+
+def _choose(
+    work: EngineWork, views: list[_View], profile: EngineProfile
+) -> Placement | None:
+    read = compute_read_time(profile, work.prompt_tokens)
+    first_event = compute_pass_time(profile, [work.prompt_tokens])
+    limit = max(0.0, work.target * TARGET_PART)
+    single = _choose_single(work, views, profile, read, first_event, limit)
+    if single is not None:
+        return single
+    return _choose_group(work, views, profile, read, first_event)
+
+
+def _choose_single(
+    work: EngineWork,
+    views: list[_View],
+    profile: EngineProfile,
+    read: float,
+    first_event: float,
+    limit: float,
+) -> Placement | None:
+    """A replica that reads the whole prompt in time; the fullest such one."""
+    if read > LONGEST_PART:
+        return None
+    needed = work.prompt_tokens + work.output_tokens + MEMORY_MARGIN
+    fitting = [
+        view
+        for view in views
+        if view.first_jobs < profile.slots
+        and view.free_tokens >= needed
+        and view.compute_room(limit) >= read
+        and (view.event_gap is None or view.tight_jobs == view.first_jobs)
+    ]
+    # Replicas that write for longer gaps are left to the long prompts.
+    if not fitting:
+        fitting = [
+            view
+            for view in views
+            if view.first_jobs < profile.slots
+            and view.free_tokens >= needed
+            and view.compute_room(limit) >= read
+        ]
+    if not fitting:
+        return None
+    best = max(fitting, key=lambda view: (view.tight_jobs, -view.pending))
+    wait = best.pass_time + best.pending + read * best.pace + first_event
+    return Placement(best.endpoint.upstream, best.endpoint.address, (), wait)
+
+
+def _choose_group(
+    work: EngineWork,
+    views: list[_View],
+    profile: EngineProfile,
+    read: float,
+    first_event: float,
+) -> Placement | None:
+    """The fewest replicas whose rooms take even parts of the reading."""
+    limit = work.target * TARGET_PART
+    open_views = [view for view in views if view.first_jobs < profile.slots]
+    if not open_views:
+        open_views = views
+    ranked = sorted(open_views, key=lambda view: -view.compute_room(limit))
+    most = min(len(ranked), MOST_HELPERS + 1)
+    count = _count_parts(ranked[:most], read, limit)
+    group = _build_group(work, ranked[:count], read, first_event)
+    if group is None and count < most:
+        # Together these replicas lack the memory: let all that may help do so.
+        group = _build_group(work, ranked[:most], read, first_event)
+    return group
+
+
+def _count_parts(ranked: list[_View], read: float, limit: float) -> int:
+    for longest in (LONGEST_PART, limit):
+        for count in range(1, len(ranked) + 1):
+            part = read / count
+            if part <= longest and ranked[count - 1].compute_room(limit) >= part:
+                return count
+    return _choose_least_harm(ranked, read)
+
+
+def _choose_least_harm(ranked: list[_View], read: float) -> int:
+    """No set keeps every promise: take those without tight writers, or else all."""
+    free = [view for view in ranked if view.event_gap is None]
+    if free and read / len(free) <= 2.0 * LONGEST_PART:
+        return len(free)
+    return len(ranked)
+
+
+def _build_group(
+    work: EngineWork, chosen: list[_View], read: float, first_event: float
+) -> Placement | None:
+    first = max(chosen, key=lambda view: (view.free_tokens, -view.first_jobs))
+    others = [view for view in chosen if view is not first]
+    part = read / len(chosen)
+    wait = max(view.pending + view.pass_time + part * view.pace for view in chosen)
+    missing = work.prompt_tokens + work.output_tokens + MEMORY_MARGIN
+    missing -= first.free_tokens
+    helpers = []
+    for view in others:
+        tokens = 0
+        if missing > 0:
+            tokens = max(0, min(missing, view.free_tokens - MEMORY_MARGIN))
+            missing -= tokens
+        endpoint = view.endpoint
+        helpers.append(Helper(endpoint.upstream, endpoint.address, tokens))
+    if missing > 0:
+        return None
+    endpoint = first.endpoint
+    return Placement(
+        endpoint.upstream, endpoint.address, tuple(helpers), wait + first_event
+    )
--- /dev/null
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -0,0 +1,212 @@
+"""What a front believes: routing document, lease, upstreams, leader, and open jobs."""
+
+from __future__ import annotations
+
+import msgspec
+import structlog
+
+from scalebend.core.gateway.endpoint_directory import EndpointDirectory
+from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.key_lease import KeyLease
+from scalebend.core.gateway.messages import (
+    ControlNews,
+    EndpointChanges,
+    JobStages,
+    LeaseAnswer,
+    LeaseQuestion,
+    LinkMessage,
+    OpenJobs,
+    ReplicaFailures,
+    Subscribe,
+)
+from scalebend.core.gateway.retry_window import RetryWindow
+from scalebend.core.gateway.route_table import RouteTable
+from scalebend.core.gateway.routing_store import RoutingNews, apply_news
+from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import InstanceId, Term, UpstreamId
+from scalebend.models.placement import (
+    EngineWork,
+    JobId,
+    JobStage,
+    OpenJob,
+    Placement,
+)
+from scalebend.models.routing import EMPTY_ROUTING
+
+logger = structlog.get_logger(__name__)
+
+LEASE_PERIOD = 0.4
+"""Seconds between two questions for the lease, far below the bound on revocation so
+that several may be lost."""
+
+SILENCE_LIMIT = 3600.0
+"""A front hears from control instances which upstreams fell silent."""
+
+LEADER_PATIENCE = 1.5
+"""Seconds after which a leader whose link was lost is no longer asked."""
+
+
+class ToControl(msgspec.Struct, frozen=True):
+    """Action: send a message to a control instance."""
+
+    instance: InstanceId
+    message: LinkMessage
+
+
+class FrontInstance:
+    """State and decisions of one front, without I/O."""
+
+    def __init__(self, settings: GatewaySettings, *, now: float) -> None:
+        bounds = settings.bounds
+        self.settings = settings
+        self.table = RouteTable(EMPTY_ROUTING)
+        self.lease = KeyLease(bounds.key_revocation)
+        self.directory = EndpointDirectory(SILENCE_LIMIT)
+        self.balancer = ServiceBalancer()
+        self.retries = RetryWindow(
+            bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
+        )
+        self.scheduler = EngineScheduler()
+        self.instances: set[InstanceId] = {InstanceId(s) for s in settings.seeds}
+        self.leader: InstanceId | None = None
+        self.is_draining = False
+        self._term = Term(0)
+        self._linked: set[InstanceId] = set()
+        self._jobs: dict[JobId, OpenJob] = {}
+        self._lease_at = now
+        self._was_ready = False
+
+    # Readiness
+
+    def is_ready(self, now: float) -> bool:
+        """Whether new connections are wanted here."""
+        return not self.is_draining and self.may_admit(now)
+
+    def may_admit(self, now: float) -> bool:
+        """Whether requests may be admitted: a document is held and its lease lasts."""
+        return self.table.routing.version > 0 and self.lease.is_valid(now)
+
+    # Links
+
+    def add_link(self, instance: InstanceId) -> None:
+        """A link to a control instance is up."""
+        self._linked.add(instance)
+
+    def remove_link(self, instance: InstanceId) -> None:
+        """A link to a control instance was lost."""
+        self._linked.discard(instance)
+        if instance == self.leader:
+            logger.info("leader lost", leader=instance, term=self._term)
+            self.leader = None
+
+    def handle(
+        self, sender: InstanceId, message: LinkMessage, now: float
+    ) -> list[ToControl]:
+        """Take a message of a control instance."""
+        match message:
+            case ControlNews():
+                return self._take_control_news(sender, message, now)
+            case RoutingNews():
+                return self._take_routing(sender, message)
+            case LeaseAnswer(asked_at, newest):
+                held = self.table.routing.version
+                if not self.lease.confirm(asked_at, newest, held):
+                    # The document on its way may have been lost with a link.
+                    logger.info("routing is behind", held=held, newest=newest)
+                    return [ToControl(sender, Subscribe(held))]
+            case EndpointChanges(news):
+                for one in news:
+                    self.directory.merge(one, now)
+        return []
+
+    def advance(self, now: float) -> list[ToControl]:
+        """Act on time."""
+        actions = []
+        if self.leader is not None and now >= self._lease_at:
+            self._lease_at = now + LEASE_PERIOD
+            actions.append(ToControl(self.leader, LeaseQuestion(now)))
+        if self.is_ready(now) != self._was_ready:
+            self._was_ready = not self._was_ready
+            logger.info(
+                "readiness changed",
+                ready=self._was_ready,
+                draining=self.is_draining,
+                routing=self.table.routing.version,
+                lease=round(self.lease.compute_remaining(now), 3),
+            )
+        self.scheduler.expire(now)
+        return actions
+
+    def _take_control_news(
+        self, sender: InstanceId, news: ControlNews, now: float
+    ) -> list[ToControl]:
+        self.instances |= set(news.instances)
+        self.retries.set_fronts(news.fronts)
+        if news.leader is None or news.term < self._term:
+            return []
+        self._term = news.term
+        if news.leader == self.leader or news.leader not in self._linked:
+            return []
+        logger.info("leader found", leader=news.leader, term=news.term, source=sender)
+        self.leader = news.leader
+        self._lease_at = now + LEASE_PERIOD
+        return [
+            ToControl(news.leader, Subscribe(self.table.routing.version)),
+            ToControl(news.leader, OpenJobs(list(self._jobs.values()))),
+            ToControl(news.leader, LeaseQuestion(now)),
+        ]
+
+    def _take_routing(self, sender: InstanceId, news: RoutingNews) -> list[ToControl]:
+        held = self.table.routing
+        if news.version > held.version:
+            base = EMPTY_ROUTING if news.base == 0 else held
+            newer = apply_news(base, news)
+            if newer is not None:
+                self.table = RouteTable(newer)
+                logger.info(
+                    "routing applied",
+                    version=newer.version,
+                    replaced=held.version,
+                    routes=len(newer.routes),
+                    source=sender,
+                )
+        return [ToControl(sender, Subscribe(self.table.routing.version))]
+
+    # Engine jobs
+
+    def open_job(
+        self, work: EngineWork, placement: Placement, now: float, *, is_own: bool
+    ) -> None:
+        """Keep a job that was placed; ``is_own``: by this front's own scheduler."""
+        opened = OpenJob(work, placement, is_writing=False)
+        self._jobs[work.job] = opened
+        service = self.table.services.get(work.service)
+        if not is_own and service is not None and service.engine is not None:
+            self.scheduler.adopt(opened, service.engine, now)
+
+    def place(self, work: EngineWork, now: float) -> Placement | None:
+        """Place a job from what this front knows alone."""
+        service = self.table.services.get(work.service)
+        if service is None or service.engine is None:
+            return None
+        endpoints = self.directory.list_usable(work.service)
+        return self.scheduler.place(work, endpoints, service.engine, now)
+
+    def note_stage(self, stage: JobStage, now: float) -> list[ToControl]:
+        """A job's first token was seen, or it ended."""
+        self.scheduler.note_stage(stage, now)
+        opened = self._jobs.get(stage.job)
+        if stage.is_ended:
+            self._jobs.pop(stage.job, None)
+        elif opened is not None:
+            self._jobs[stage.job] = msgspec.structs.replace(opened, is_writing=True)
+        return self._tell_leader(JobStages([stage]))
+
+    def note_failure(self, upstream: UpstreamId, now: float) -> list[ToControl]:
+        """A replica could not be reached, or fell silent."""
+        self.scheduler.note_failure(upstream, now)
+        return self._tell_leader(ReplicaFailures([upstream]))
+
+    def _tell_leader(self, message: LinkMessage) -> list[ToControl]:
+        return [ToControl(self.leader, message)] if self.leader is not None else []
--- /dev/null
+++ b/src/scalebend/core/gateway/key_lease.py
@@ -0,0 +1,47 @@
+"""How long a front may admit requests by the keys that it knows.
+
+A key is revoked by a newer routing document. A front that is cut off from the control
+group does not hear of it; so it admits keyed requests only for a limited time after
+the moment at which the control leader, with a quorum behind it, confirmed that the
+front's document was the newest. The front measures that time from when it *asked*,
+on its own steady clock: neither clock differences nor slow links lengthen it.
+"""
+
+from __future__ import annotations
+
+from scalebend.models.ids import RoutingVersion
+
+LEASE_MARGIN = 0.3
+"""Seconds taken off the bound on revocation, for the time from check to send."""
+
+
+class KeyLease:
+    """Until when this front may admit requests by key."""
+
+    def __init__(self, revocation_bound: float) -> None:
+        self._duration = revocation_bound - LEASE_MARGIN
+        self._asked_at: float | None = None
+
+    def confirm(
+        self, asked_at: float, newest: RoutingVersion, held: RoutingVersion
+    ) -> bool:
+        """Take the leader's answer to the question asked at ``asked_at``.
+
+        Return whether it lengthens the lease; it does not while a newer document
+        than the one ``held`` here is still on its way.
+        """
+        if held < newest:
+            return False
+        if self._asked_at is None or asked_at > self._asked_at:
+            self._asked_at = asked_at
+        return True
+
+    def is_valid(self, now: float) -> bool:
+        """Whether a keyed request may be admitted at ``now``."""
+        return self.compute_remaining(now) > 0.0
+
+    def compute_remaining(self, now: float) -> float:
+        """Seconds until the lease ends; 0 or less when it has ended."""
+        if self._asked_at is None:
+            return 0.0
+        return self._asked_at + self._duration - now
--- /dev/null
+++ b/src/scalebend/core/gateway/messages.py
@@ -0,0 +1,126 @@
+"""Messages between fronts and control instances, and among control instances."""
+
+from __future__ import annotations
+
+import msgspec
+
+from scalebend.core.consensus.messages import ConsensusMessage
+from scalebend.core.gateway.routing_store import RoutingNews
+from scalebend.core.messages import Found, Hello, HelloReply, Join
+from scalebend.models.endpoints import EndpointNews
+from scalebend.models.ids import InstanceId, RoutingVersion, Term, UpstreamId
+from scalebend.models.placement import (
+    EngineWork,
+    JobId,
+    JobStage,
+    OpenJob,
+    Placement,
+)
+
+
+class Introduce(msgspec.Struct, frozen=True, tag=True):
+    """First message of a link: who dialled. ``incarnation`` differs at each start."""
+
+    instance: InstanceId
+    incarnation: int
+    is_front: bool
+
+
+class ControlNews(msgspec.Struct, frozen=True, tag=True):
+    """Control instance to front, also as a heartbeat: who leads, and who there is."""
+
+    instances: list[InstanceId]
+    leader: InstanceId | None
+    term: Term
+    fronts: int
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag=True):
+    """Either end of a link to the other: still here."""
+
+
+class Subscribe(msgspec.Struct, frozen=True, tag=True):
+    """Front to control instance: send routing documents newer than ``held``."""
+
+    held: RoutingVersion
+    is_wanted: bool = True
+
+
+class LeaseQuestion(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: which routing document is the newest from now on?"""
+
+    asked_at: float
+
+
+class LeaseAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Leader to front, once a quorum confirmed that it led after the question."""
+
+    asked_at: float
+    newest: RoutingVersion
+
+
+class EndpointChanges(msgspec.Struct, frozen=True, tag=True):
+    """Control instance to fronts: changes of upstreams, or all of them at first."""
+
+    news: list[EndpointNews]
+
+
+class Registrations(msgspec.Struct, frozen=True, tag=True):
+    """Control instance to the others: registrations it took, changed or not."""
+
+    news: list[EndpointNews]
+
+
+class PlaceQuestion(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: where should this run?"""
+
+    work: EngineWork
+
+
+class PlaceAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Leader to front; no placement when nothing may take the work."""
+
+    job: JobId
+    placement: Placement | None
+    is_leader: bool = True
+
+
+class JobStages(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: how far jobs came."""
+
+    stages: list[JobStage]
+
+
+class ReplicaFailures(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: replicas that could not be reached or fell silent."""
+
+    upstreams: list[UpstreamId]
+
+
+class OpenJobs(msgspec.Struct, frozen=True, tag=True):
+    """Front to a new leader: the jobs it has open."""
+
+    jobs: list[OpenJob]
+
+
+LinkMessage = (
+    ConsensusMessage
+    | Introduce
+    | ControlNews
+    | Heartbeat
+    | Subscribe
+    | LeaseQuestion
+    | LeaseAnswer
+    | EndpointChanges
+    | Registrations
+    | RoutingNews
+    | PlaceQuestion
+    | PlaceAnswer
+    | JobStages
+    | ReplicaFailures
+    | OpenJobs
+    | Hello
+    | HelloReply
+    | Found
+    | Join
+)
--- /dev/null
+++ b/src/scalebend/core/gateway/patience.py
@@ -0,0 +1,36 @@
+"""How long a front waits for bytes before it takes a replica for silent."""
+
+from __future__ import annotations
+
+from scalebend.models.routing import Route
+
+LEAST_FIRST = 1.2
+"""Least seconds until the first byte: four times the target of a quick question."""
+
+FIRST_FACTOR = 2.0
+"""Times the predicted time to the first token that a slow replica may take."""
+
+FIRST_SLACK = 0.8
+"""Seconds added to the prediction, for work that the scheduler did not know of."""
+
+LEAST_BETWEEN = 1.0
+"""Least seconds between two events: callers give up a stream after two."""
+
+BETWEEN_FACTOR = 2.0
+"""Times the promised pause between events after which the replica counts as silent."""
+
+SERVICE_FACTOR = 4.0
+"""Times the target after which an idempotent call of a plain service is sent again."""
+
+
+def compute_first_patience(route: Route, predicted: float | None) -> float:
+    """Seconds to wait for the first byte; ``predicted`` for engines only."""
+    if predicted is None:
+        return max(LEAST_FIRST, SERVICE_FACTOR * route.target_latency)
+    return max(LEAST_FIRST, FIRST_FACTOR * predicted + FIRST_SLACK)
+
+
+def compute_event_patience(route: Route) -> float:
+    """Seconds to wait for the next event of a stream."""
+    gap = route.event_gap or route.target_latency
+    return max(LEAST_BETWEEN, BETWEEN_FACTOR * gap)
--- /dev/null
+++ b/src/scalebend/core/gateway/routing_store.py
@@ -0,0 +1,129 @@
+"""Packed routing documents, and what changed between two of them."""
+
+from __future__ import annotations
+
+import zlib
+from typing import TypeVar
+
+import msgspec
+
+from scalebend.models.ids import CustomerId, RoutingVersion, ServiceName
+from scalebend.models.routing import (
+    ListenerLimits,
+    Route,
+    RoutedCustomer,
+    RoutedService,
+    Routing,
+    StoredRouting,
+)
+
+COMPRESSION = 1
+"""Level of zlib: the fastest makes a document of 350 routes ten times smaller."""
+
+_DECODER = msgspec.msgpack.Decoder(Routing)
+
+K = TypeVar("K")
+V = TypeVar("V")
+
+
+class RoutePlace(msgspec.Struct, frozen=True, array_like=True):
+    """What identifies a route: no two of a document share it."""
+
+    host: str
+    path_prefix: str
+
+
+class RoutingNews(msgspec.Struct, frozen=True, tag=True):
+    """What turns version ``base`` into ``version``; base 0 is the empty document."""
+
+    base: RoutingVersion
+    version: RoutingVersion
+    limits: ListenerLimits
+    needs_key: bool
+    routes: list[Route]
+    removed_routes: list[RoutePlace]
+    services: list[RoutedService]
+    removed_services: list[ServiceName]
+    customers: list[RoutedCustomer]
+    removed_customers: list[CustomerId]
+
+
+def pack_routing(routing: Routing, document: bytes) -> StoredRouting:
+    """Return the form in which the replicated log holds a document."""
+    encoded = msgspec.msgpack.encode(routing)
+    return StoredRouting(
+        routing.version,
+        zlib.compress(encoded, COMPRESSION),
+        zlib.compress(document, COMPRESSION),
+    )
+
+
+def unpack_routing(stored: StoredRouting) -> Routing:
+    """Return the document that the log holds."""
+    return _DECODER.decode(zlib.decompress(stored.routing))
+
+
+def unpack_document(stored: StoredRouting) -> bytes:
+    """Return the bytes that the operator sent."""
+    return zlib.decompress(stored.document)
+
+
+def build_news(base: Routing, newer: Routing) -> RoutingNews:
+    """Return what changed from ``base`` to ``newer``."""
+    old_routes = _index_routes(base)
+    new_routes = _index_routes(newer)
+    old_services = {service.name: service for service in base.services}
+    new_services = {service.name: service for service in newer.services}
+    old_customers = {customer.name: customer for customer in base.customers}
+    new_customers = {customer.name: customer for customer in newer.customers}
+    return RoutingNews(
+        base.version,
+        newer.version,
+        newer.limits,
+        newer.needs_key,
+        _list_changed(old_routes, new_routes),
+        _list_removed(old_routes, new_routes),
+        _list_changed(old_services, new_services),
+        _list_removed(old_services, new_services),
+        _list_changed(old_customers, new_customers),
+        _list_removed(old_customers, new_customers),
+    )
+
+
+def apply_news(base: Routing, news: RoutingNews) -> Routing | None:
+    """Return the newer document; ``None`` when ``base`` is not the news' base."""
+    if base.version != news.base:
+        return None
+    routes = _index_routes(base)
+    for place in news.removed_routes:
+        routes.pop(place, None)
+    for route in news.routes:
+        routes[RoutePlace(route.host, route.path_prefix)] = route
+    services = {service.name: service for service in base.services}
+    for service_name in news.removed_services:
+        services.pop(service_name, None)
+    services |= {service.name: service for service in news.services}
+    customers = {customer.name: customer for customer in base.customers}
+    for customer_name in news.removed_customers:
+        customers.pop(customer_name, None)
+    customers |= {customer.name: customer for customer in news.customers}
+    return Routing(
+        news.version,
+        tuple(routes.values()),
+        tuple(services.values()),
+        news.limits,
+        tuple(customers.values()),
+        news.needs_key,
+    )
+
+
+def _index_routes(routing: Routing) -> dict[RoutePlace, Route]:
+    return {RoutePlace(r.host, r.path_prefix): r for r in routing.routes}
+
+
+def _list_changed(old: dict[K, V], new: dict[K, V]) -> list[V]:
+    return [value for key, value in new.items() if old.get(key) != value]
+
+
+def _list_removed(old: dict[K, V], new: dict[K, V]) -> list[K]:
+    return [key for key in old if key not in new]
--- a/src/scalebend/core/messages.py
+++ b/src/scalebend/core/messages.py
@@ -40,6 +40,11 @@
 
     member: Member
     has_group: bool
+    may_found: bool = True
+    """Whether the sender was told that the deployment starts for the first time."""
+
+    instances: list[InstanceId] = msgspec.field(default_factory=list)
+    """Instances of the sender's group, where the asker may not know them all."""
 
 
 class Found(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/src/scalebend/edges/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, files and timers of fronts and control instances."""
--- /dev/null
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -0,0 +1,194 @@
+"""Runs one front: its links to control, its timers, and placement of engine work."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator, Coroutine, Iterable
+from typing import Any
+
+import structlog
+
+from scalebend.core.gateway.front_instance import FrontInstance, ToControl
+from scalebend.core.gateway.messages import (
+    Heartbeat,
+    Introduce,
+    LinkMessage,
+    PlaceAnswer,
+    PlaceQuestion,
+)
+from scalebend.edges.gateway.links import HEARTBEAT, Dialer
+from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.upstream_client import (
+    UpstreamSessions,
+    open_upstream_sessions,
+)
+from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.placement import EngineWork, JobId, JobStage, Placement
+
+logger = structlog.get_logger(__name__)
+
+TICK = 0.05
+"""Seconds between two calls of the core's timers."""
+
+PLACE_TIMEOUT = 0.06
+"""Seconds to wait for the leader's placement before this front decides alone: many
+times the usual answer of 3 ms, and a fifth of the target of a quick question."""
+
+CLOSE_TIMEOUT = 1.0
+"""Seconds for orders that are under way when the process stops."""
+
+LEADER_PAUSE = 0.5
+"""Seconds for which a leader that did not answer in time is not asked again."""
+
+
+class FrontRuntime:
+    """One running front."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        sessions: UpstreamSessions,
+        metrics: GatewayMetrics,
+    ) -> None:
+        self.settings = settings
+        self.sessions = sessions
+        self.metrics = metrics
+        self.chooser = random.Random()
+        self._loop = asyncio.get_running_loop()
+        self.instance = FrontInstance(settings, now=self.now())
+        self._incarnation = time.time_ns()
+        me = Introduce(InstanceId(settings.link_address), self._incarnation, True)
+        self._dialer = Dialer(me, self._receive, self._note_up, self._note_down)
+        self._placing: dict[JobId, asyncio.Future[PlaceAnswer]] = {}
+        self._jobs = 0
+        self._leader_paused_until = 0.0
+        self._heartbeat_at = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.open_requests = 0
+
+    def now(self) -> float:
+        """Seconds of the clock that only runs forward."""
+        return self._loop.time()
+
+    # Timers and links
+
+    async def run(self) -> None:
+        """Run the timers until cancelled."""
+        while True:
+            self._tick()
+            await asyncio.sleep(TICK)
+
+    def _tick(self) -> None:
+        now = self.now()
+        for instance in self.instance.instances:
+            self._dialer.dial(instance)
+        self._execute(self.instance.advance(now))
+        self._dialer.close_silent(now)
+        if now >= self._heartbeat_at:
+            self._heartbeat_at = now + HEARTBEAT
+            self._dialer.send_to_all(Heartbeat())
+
+    def _receive(self, sender: InstanceId, message: LinkMessage) -> None:
+        if isinstance(message, PlaceAnswer):
+            future = self._placing.pop(message.job, None)
+            if future is not None and not future.done():
+                future.set_result(message)
+            return
+        self._execute(self.instance.handle(sender, message, self.now()))
+
+    def _note_up(self, instance: InstanceId) -> None:
+        self.instance.add_link(instance)
+
+    def _note_down(self, instance: InstanceId) -> None:
+        self.instance.remove_link(instance)
+
+    def _execute(self, actions: Iterable[ToControl]) -> None:
+        for action in actions:
+            self._dialer.send(action.instance, action.message)
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run ``work`` beside the requests."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def close(self) -> None:
+        """Finish what runs beside the requests and end all links."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT)
+        await self._dialer.close()
+
+    # Placement
+
+    def build_job_id(self) -> JobId:
+        """Return a name that no other attempt of any front has."""
+        self._jobs += 1
+        # Also names reserved memory, where a colon or slash would be a separator.
+        me = self.settings.link_address.replace(":", "-")
+        return JobId(f"{me}-{self._incarnation:x}-{self._jobs}")
+
+    async def place(self, work: EngineWork) -> Placement | None:
+        """Ask the leader where to run; decide alone if it does not answer in time."""
+        answer = await self._ask_leader(work)
+        is_own = answer is None
+        if answer is not None:
+            placement = answer.placement
+        else:
+            placement = self.instance.place(work, self.now())
+        if placement is not None:
+            self.instance.open_job(work, placement, self.now(), is_own=is_own)
+        self.metrics.count_placement("front" if is_own else "leader")
+        return placement
+
+    async def _ask_leader(self, work: EngineWork) -> PlaceAnswer | None:
+        leader = self.instance.leader
+        if leader is None or self.now() < self._leader_paused_until:
+            return None
+        future: asyncio.Future[PlaceAnswer] = self._loop.create_future()
+        self._placing[work.job] = future
+        self._dialer.send(leader, PlaceQuestion(work))
+        try:
+            async with asyncio.timeout(PLACE_TIMEOUT):
+                answer = await future
+        except TimeoutError:
+            self._leader_paused_until = self.now() + LEADER_PAUSE
+            logger.info("leader did not place in time", leader=leader, job=work.job)
+            return None
+        finally:
+            self._placing.pop(work.job, None)
+        return answer if answer.is_leader else None
+
+    def note_first_token(self, job: JobId) -> None:
+        """The first event of a job came."""
+        stage = JobStage(job, is_ended=False)
+        self._execute(self.instance.note_stage(stage, self.now()))
+
+    def note_job_ended(self, job: JobId) -> None:
+        """A job ended, well or not."""
+        stage = JobStage(job, is_ended=True)
+        self._execute(self.instance.note_stage(stage, self.now()))
+
+    def note_replica_failure(self, upstream: UpstreamId) -> None:
+        """A replica could not be reached, or fell silent."""
+        self._execute(self.instance.note_failure(upstream, self.now()))
+
+
+@contextlib.asynccontextmanager
+async def run_front(
+    settings: GatewaySettings, metrics: GatewayMetrics
+) -> AsyncIterator[FrontRuntime]:
+    """Run a front's links and timers."""
+    async with open_upstream_sessions() as sessions:
+        runtime = FrontRuntime(settings, sessions, metrics)
+        task = asyncio.create_task(runtime.run())
+        try:
+            yield runtime
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            await runtime.close()
--- /dev/null
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -0,0 +1,276 @@
+"""A front's listeners: callers, readiness and metrics."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import structlog
+from aiohttp import web
+
+from scalebend.core.gateway.key_lease import LEASE_MARGIN
+from scalebend.edges.gateway.forwarder import RETRY_LATER, Forwarder, StreamBrokenError
+from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
+from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.problems import build_problem_body
+from scalebend.exceptions import (
+    ErrorKind,
+    Ran,
+    RefusedError,
+    RequestError,
+    ScalebendError,
+)
+from scalebend.models.calls import Call, CallerHeaders
+from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import CustomerId
+from scalebend.models.routing import Route
+from scalebend.platform.headers import (
+    REQUEST_ID,
+    format_retry_after,
+    read_caller_headers,
+)
+from scalebend.utils.addresses import parse_address
+
+logger = structlog.get_logger(__name__)
+
+HEADER_LINE_BYTES = 16 * 1024
+"""Bytes of one header line; the platform's limit for all headers together."""
+
+LARGEST_BODY = 64 * 1024 * 1024
+"""Bytes that the library may hold; the routing document sets the real limit."""
+
+KEEPALIVE_TIME = 75.0
+"""Seconds for which an idle connection is kept, longer than callers reuse one."""
+
+STOP_TAKING = 4.5
+"""Seconds after the stop signal for which new connections are still taken: the
+balancer asks every second and needs two failed answers, then some time to act."""
+
+STOP_MARGIN = 0.4
+"""Seconds before the kill at which the process ends by itself."""
+
+POLL = 0.05
+"""Seconds between two looks at what is still open while stopping."""
+
+Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+class CallerHandler:
+    """Admits requests of callers and answers them."""
+
+    def __init__(self, runtime: FrontRuntime) -> None:
+        self._runtime = runtime
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request."""
+        runtime = self._runtime
+        arrived = runtime.now()
+        headers = read_caller_headers(request.headers)
+        route: Route | None = None
+        runtime.open_requests += 1
+        runtime.metrics.set_open(runtime.open_requests)
+        try:
+            route = self._find_route(request)
+            call = self._admit(request, headers, route, arrived)
+            body = await self._read_body(request, call)
+            answer = await Forwarder(runtime, call, request, body).forward()
+            self._log(headers, route, answer.status, arrived, None)
+        except ScalebendError as error:
+            answer = _build_failure(error, headers)
+            self._log(headers, route, answer.status, arrived, error)
+        except StreamBrokenError:
+            answer = web.Response(status=502)
+            self._log(headers, route, 0, arrived, None)
+            if request.transport is not None:
+                # Without its end mark, the stream cannot be taken for whole.
+                request.transport.abort()
+        except (ConnectionError, asyncio.CancelledError):
+            logger.info("caller left", request=headers.request)
+            raise
+        finally:
+            runtime.open_requests -= 1
+            runtime.metrics.set_open(runtime.open_requests)
+        if runtime.instance.is_draining:
+            answer.force_close()
+        return answer
+
+    def _find_route(self, request: web.BaseRequest) -> Route:
+        instance = self._runtime.instance
+        if not instance.may_admit(self._runtime.now()):
+            raise RefusedError(
+                "the routing document may be outdated here",
+                kind=ErrorKind.NOT_READY,
+                retry_after=RETRY_LATER,
+            )
+        path = request.raw_path.partition("?")[0]
+        route = instance.table.find_route(request.host, path)
+        if route is None:
+            raise RequestError("no route has this path", kind=ErrorKind.NOT_FOUND)
+        return route
+
+    def _admit(
+        self,
+        request: web.BaseRequest,
+        headers: CallerHeaders,
+        route: Route,
+        arrived: float,
+    ) -> Call:
+        table = self._runtime.instance.table
+        wait = route.timeout
+        if headers.wait is not None:
+            wait = min(wait, headers.wait)
+        return Call(
+            headers=headers,
+            route=route,
+            service=table.choose_service(route, self._runtime.chooser),
+            customer=self._identify(headers, route),
+            method=request.method,
+            target=request.raw_path,
+            arrived=arrived,
+            deadline=arrived + wait,
+        )
+
+    def _identify(self, headers: CallerHeaders, route: Route) -> CustomerId | None:
+        table = self._runtime.instance.table
+        customer = table.find_customer(headers.key)
+        if customer is not None:
+            return customer.name
+        if table.routing.needs_key and not route.is_public:
+            raise RequestError("the key is unknown", kind=ErrorKind.UNKNOWN_KEY)
+        return None
+
+    async def _read_body(self, request: web.BaseRequest, call: Call) -> bytes:
+        if not request.can_read_body:
+            return b""
+        most = self._runtime.instance.table.routing.limits.body_bytes
+        size = request.content_length
+        if size is not None and size > most:
+            raise _too_large(most)
+        try:
+            async with asyncio.timeout_at(call.deadline):
+                body = await request.read()
+        except TimeoutError:
+            raise RequestError("the body did not arrive in time") from None
+        if len(body) > most:
+            raise _too_large(most)
+        # Time passed while the body came: the key may have been revoked meanwhile.
+        if not self._runtime.instance.may_admit(self._runtime.now() + LEASE_MARGIN / 2):
+            raise RefusedError(
+                "the routing document may be outdated here",
+                kind=ErrorKind.NOT_READY,
+                retry_after=RETRY_LATER,
+            )
+        return body
+
+    def _log(
+        self,
+        headers: CallerHeaders,
+        route: Route | None,
+        status: int,
+        arrived: float,
+        error: ScalebendError | None,
+    ) -> None:
+        runtime = self._runtime
+        elapsed = runtime.now() - arrived
+        kind = route.kind.value if route is not None else "none"
+        runtime.metrics.count_request(kind, status, elapsed)
+        logger.info(
+            "request answered",
+            request=headers.request,
+            route=route.name if route is not None else None,
+            status=status,
+            kind=error.kind.value if error is not None else None,
+            ran=error.ran.value if error is not None else None,
+            elapsed=round(elapsed, 3),
+            routing=runtime.instance.table.routing.version,
+        )
+
+
+def _too_large(most: int) -> RequestError:
+    return RequestError(
+        f"the body may have {most} bytes", kind=ErrorKind.BODY_TOO_LARGE
+    )
+
+
+def _build_failure(error: ScalebendError, headers: CallerHeaders) -> web.Response:
+    answer = build_problem_body(error, headers.request)
+    if headers.request:
+        answer.headers[REQUEST_ID] = headers.request
+    if error.retry_after is not None and error.ran is Ran.NO:
+        answer.headers["Retry-After"] = format_retry_after(error.retry_after)
+    return answer
+
+
+def _build_request(*parts):  # type: ignore[no-untyped-def]
+    """Make the library's request, with room for the largest body."""
+    loop = asyncio.get_running_loop()
+    return web.BaseRequest(*parts, loop, client_max_size=LARGEST_BODY)
+
+
+@contextlib.asynccontextmanager
+async def listen(address: str, handler: Handler) -> AsyncIterator[web.TCPSite]:
+    """Serve ``handler`` at ``address``."""
+    server = web.Server(
+        handler,
+        request_factory=_build_request,
+        handler_cancellation=True,
+        access_log=None,
+        keepalive_timeout=KEEPALIVE_TIME,
+        max_line_size=HEADER_LINE_BYTES,
+        max_field_size=HEADER_LINE_BYTES,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=0.2)
+    await runner.setup()
+    parsed = parse_address(address)
+    site = web.TCPSite(runner, parsed.host, parsed.port, backlog=1024)
+    await site.start()
+    try:
+        yield site
+    finally:
+        await runner.cleanup()
+
+
+async def answer_metrics(
+    metrics: GatewayMetrics, request: web.BaseRequest
+) -> web.StreamResponse:
+    """Answer with the figures of this process."""
+    return web.Response(body=metrics.render(), content_type="text/plain")
+
+
+async def serve_front(settings: GatewaySettings, stopped: asyncio.Event) -> None:
+    """Run a front until ``stopped`` is set, then finish what is open."""
+    assert settings.callers_address is not None
+    assert settings.readiness_address is not None
+    metrics = GatewayMetrics()
+    async with contextlib.AsyncExitStack() as stack:
+        runtime = await stack.enter_async_context(run_front(settings, metrics))
+
+        async def answer_ready(request: web.BaseRequest) -> web.StreamResponse:
+            if request.path == "/metrics":
+                return await answer_metrics(metrics, request)
+            is_ready = runtime.instance.is_ready(runtime.now())
+            return web.Response(status=200 if is_ready else 503)
+
+        handler = CallerHandler(runtime)
+        site = await stack.enter_async_context(
+            listen(settings.callers_address, handler.handle)
+        )
+        await stack.enter_async_context(
+            listen(settings.readiness_address, answer_ready)
+        )
+        logger.info("front listens", instance=settings.name)
+        await stopped.wait()
+        await _drain(runtime, site)
+
+
+async def _drain(runtime: FrontRuntime, site: web.TCPSite) -> None:
+    started = runtime.now()
+    runtime.instance.is_draining = True
+    logger.info("drain begins", open=runtime.open_requests)
+    end = started + runtime.settings.bounds.drain_grace - STOP_MARGIN
+    await asyncio.sleep(min(STOP_TAKING, end - started))
+    await site.stop()
+    while runtime.open_requests and runtime.now() < end:
+        await asyncio.sleep(POLL)
+    logger.info("drain ends", open=runtime.open_requests)
--- /dev/null
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -0,0 +1,93 @@
+"""Counters and latency histograms, as text on the metrics address.
+
+``prometheus_client`` rather than ``statsd``: the users read figures from an address
+of the process, and run no collector that takes datagrams.
+"""
+
+from __future__ import annotations
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+LATENCY_BUCKETS = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0)
+"""Seconds; the targets of the deployments are among them."""
+
+
+class GatewayMetrics:
+    """The figures of one process."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        registry = self._registry
+        self._requests = Counter(
+            "scalebend_requests",
+            "Answered requests by route kind and status",
+            ["kind", "status"],
+            registry=registry,
+        )
+        self._attempts = Counter(
+            "scalebend_attempts",
+            "Attempts at upstreams by outcome",
+            ["outcome"],
+            registry=registry,
+        )
+        self._placements = Counter(
+            "scalebend_placements",
+            "Placements on engines by who decided",
+            ["decider"],
+            registry=registry,
+        )
+        self._first_event = Histogram(
+            "scalebend_first_event_seconds",
+            "Time to the first event of a stream, by prompt size",
+            ["size"],
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self._duration = Histogram(
+            "scalebend_request_seconds",
+            "Time to the end of the answer, by route kind",
+            ["kind"],
+            buckets=LATENCY_BUCKETS,
+            registry=registry,
+        )
+        self._open = Gauge(
+            "scalebend_open_requests", "Requests not answered yet", registry=registry
+        )
+
+    def count_request(self, kind: str, status: int, duration: float) -> None:
+        """A request was answered after ``duration`` seconds."""
+        self._requests.labels(kind, str(status)).inc()
+        self._duration.labels(kind).observe(duration)
+
+    def count_attempt(self, outcome: str) -> None:
+        """An attempt at an upstream ended."""
+        self._attempts.labels(outcome).inc()
+
+    def count_placement(self, decider: str) -> None:
+        """Work was placed on engines."""
+        self._placements.labels(decider).inc()
+
+    def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
+        """A stream's first event came after ``seconds``."""
+        self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
+
+    def set_open(self, count: int) -> None:
+        """Requests that are not answered yet."""
+        self._open.set(count)
+
+    def render(self) -> bytes:
+        """The figures in the text format."""
+        return generate_latest(self._registry)
+
+
+def _name_size(tokens: int) -> str:
+    for bound, name in ((10_000, "10k"), (100_000, "100k"), (300_000, "300k")):
+        if tokens <= bound:
+            return name
+    return "more"
--- /dev/null
+++ b/src/scalebend/edges/gateway/reservations.py
@@ -0,0 +1,99 @@
+"""Memory set aside on helping replicas while one long prompt is read and answered."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import aiohttp
+import structlog
+
+from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.models.placement import EngineWork, Helper, Placement
+from scalebend.platform.orders import (
+    ORDER_PATH,
+    encode_release,
+    encode_reservation,
+    format_helper,
+)
+
+logger = structlog.get_logger(__name__)
+
+ORDER_TIMEOUT = 0.5
+"""Seconds for one order to a replica: it takes no slot there."""
+
+RELEASE_TRIES = 4
+"""Times that memory is given back before it is left to lapse."""
+
+HOLD_MARGIN = 1.0
+"""Seconds beyond the request's deadline for which memory is set aside."""
+
+JSON = {"Content-Type": "application/json"}
+
+
+@contextlib.asynccontextmanager
+async def hold_memory(
+    runtime: FrontRuntime, work: EngineWork, placement: Placement
+) -> AsyncIterator[list[str]]:
+    """Reserve what the placement asks for; yield the helpers as a request names them.
+
+    A helper that refuses is named without a reservation: the request then fails
+    there without having run, and is placed anew.
+    """
+    holders = [helper for helper in placement.helpers if helper.tokens]
+    hold = min(work.remaining + HOLD_MARGIN, runtime.settings.bounds.hold_most)
+    try:
+        if holders:
+            await asyncio.gather(*(_reserve(runtime, work, h, hold) for h in holders))
+        yield [
+            format_helper(helper.address, work.job if helper.tokens else None)
+            for helper in placement.helpers
+        ]
+    finally:
+        if holders:
+            runtime.spawn(_release_all(runtime, work, holders))
+
+
+async def _reserve(
+    runtime: FrontRuntime, work: EngineWork, helper: Helper, hold: float
+) -> None:
+    body = encode_reservation(work.job, helper.tokens, hold)
+    status = await _order(runtime, helper, body)
+    logger.info(
+        "memory reserved",
+        job=work.job,
+        upstream=helper.upstream,
+        tokens=helper.tokens,
+        status=status,
+    )
+
+
+async def _release_all(
+    runtime: FrontRuntime, work: EngineWork, holders: list[Helper]
+) -> None:
+    await asyncio.gather(*(_release(runtime, work, helper) for helper in holders))
+
+
+async def _release(runtime: FrontRuntime, work: EngineWork, helper: Helper) -> None:
+    body = encode_release(work.job)
+    for _ in range(RELEASE_TRIES):
+        status = await _order(runtime, helper, body)
+        if status is not None:
+            return
+    logger.warning("memory not given back", job=work.job, upstream=helper.upstream)
+
+
+async def _order(runtime: FrontRuntime, helper: Helper, body: bytes) -> int | None:
+    """Return the status of the answer, ``None`` when none came."""
+    url = f"http://{helper.address}{ORDER_PATH}"
+    timeout = aiohttp.ClientTimeout(total=ORDER_TIMEOUT)
+    session = runtime.sessions.pooled
+    try:
+        async with session.post(
+            url, data=body, headers=JSON, timeout=timeout
+        ) as answer:
+            return answer.status
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        logger.info("order unanswered", upstream=helper.upstream, error=str(error))
+        return None
--- a/src/scalebend/edges/logs.py
+++ b/src/scalebend/edges/logs.py
@@ -1,13 +1,15 @@
-"""Set up structured logs on standard error."""
+"""Set up structured logs."""
 
 from __future__ import annotations
 
 import logging
 import sys
 
+import msgspec
 import structlog
 
 from scalebend.models.settings import LogFormat, Logging
+from scalebend.utils.bounded_writer import BoundedWriter
 
 
 def configure_logs(options: Logging) -> None:
@@ -28,3 +30,25 @@
         logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
         cache_logger_on_first_use=True,
     )
+
+
+def _encode(event: object, **options: object) -> str:
+    return msgspec.json.encode(event, enc_hook=str).decode()
+
+
+def configure_bounded_logs(level_name: str) -> None:
+    """Write log lines as JSON to standard output, without ever blocking on it."""
+    level = logging.getLevelName(level_name.upper())
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(serializer=_encode),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(level),
+        logger_factory=structlog.WriteLoggerFactory(
+            file=BoundedWriter(sys.stdout.fileno())  # type: ignore[arg-type]
+        ),
+        cache_logger_on_first_use=True,
+    )
--- a/src/scalebend/edges/problems.py
+++ b/src/scalebend/edges/problems.py
@@ -38,14 +38,18 @@
     )
 
 
-def build_response(error: ScalebendError, request: str = "") -> web.Response:
-    """Return the HTTP answer of an error, with ``Retry-After`` where known."""
-    headers = {}
-    if error.retry_after is not None:
-        headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
+def build_problem_body(error: ScalebendError, request: str = "") -> web.Response:
+    """Return the HTTP answer of an error, without ``Retry-After``."""
     return web.Response(
         status=error.answer.status,
         body=msgspec.json.encode(build_problem(error, request)),
         content_type=CONTENT_TYPE,
-        headers=headers,
     )
+
+
+def build_response(error: ScalebendError, request: str = "") -> web.Response:
+    """Return the HTTP answer of an error, with ``Retry-After`` where known."""
+    response = build_problem_body(error, request)
+    if error.retry_after is not None:
+        response.headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
+    return response
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -26,7 +26,7 @@
     StoredAnswer,
     Withdraw,
 )
-from scalebend.core.consensus.messages import Recovered
+from scalebend.core.consensus.messages import Ready, Recovered
 from scalebend.core.control_client import Proposed
 from scalebend.core.control_member import ToInstance
 from scalebend.core.control_state import Command, Result
@@ -43,6 +43,7 @@
 from scalebend.core.messages import Datagram, PeerMessage
 from scalebend.core.orders import ORDER_TIMEOUT
 from scalebend.core.owner import CancelOnEngine
+from scalebend.edges.control_pump import pump_control
 from scalebend.edges.exchange import AttemptReporter, Exchange
 from scalebend.edges.gossip import GossipSocket, open_gossip
 from scalebend.edges.metrics import Metrics, build_metrics
@@ -344,21 +345,10 @@
         journal = self.journal
         if control is None or journal is None:
             return
-        while True:
-            ready = control.take_ready(self.now())
-            if ready.is_empty and not control.has_outgoing:
-                break
-            if ready.snapshot is not None:
-                hard_state, tail = control.read_tail(ready.snapshot)
-                journal.store_snapshot(ready.snapshot, hard_state, tail)
-            elif ready.persist is not None:
-                journal.write(ready.persist)
-            self.execute(self.instance.finish_control(ready, self.now(), time.time()))
-        snapshot = control.build_due_snapshot()
-        if snapshot is not None:
-            hard_state, tail = control.read_tail(snapshot)
-            journal.store_snapshot(snapshot, hard_state, tail)
-            control.replica.compact(snapshot)
+        pump_control(control, journal, self._finish_control, self.now())
+
+    def _finish_control(self, ready: Ready) -> None:
+        self.execute(self.instance.finish_control(ready, self.now(), time.time()))
 
     async def close(self) -> None:
         """End background work."""
--- /dev/null
+++ b/src/scalebend/models/calls.py
@@ -0,0 +1,98 @@
+"""One request on its way through a front, and what an upstream answered."""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from scalebend.models.ids import CustomerId, ServiceName, UpstreamId
+from scalebend.models.routing import Route
+
+
+class PromptSize(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens of a request: its prompt, and how many may come out."""
+
+    prompt: int
+    output_most: int
+    output_expected: int
+
+
+class CallerHeaders(msgspec.Struct, frozen=True):
+    """What the gateway reads of a request's headers."""
+
+    request: str
+    """The caller's id of this attempt; passed on unchanged."""
+
+    wait: float | None
+    """Seconds that the caller will wait; ``None`` when it did not say."""
+
+    key: str | None
+    last_event: int | None
+    """Id of the last event that the caller has, when it resumes a stream."""
+
+    prompt: PromptSize | None
+
+
+class Call(msgspec.Struct, frozen=True):
+    """A request that was admitted; times are on the front's steady clock."""
+
+    headers: CallerHeaders
+    route: Route
+    service: ServiceName
+    customer: CustomerId | None
+    method: str
+    target: str
+    """Path and query, exactly as they were received."""
+
+    arrived: float
+    deadline: float
+    """When the caller, or the route's timeout, ends the request."""
+
+
+class LoadReading(msgspec.Struct, frozen=True):
+    """An upstream's own count of its load, sent with an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
+class AnswerHeaders(msgspec.Struct, frozen=True):
+    """What the gateway reads of an upstream's answer."""
+
+    request: str | None
+    """Echo of the request's id; another id means another request's answer."""
+
+    has_not_run: bool
+    """Whether the upstream declares that it did not run the request."""
+
+    load: LoadReading | None
+    faulty_address: str | None
+    """Which of several upstreams caused the failure."""
+
+
+class Outcome(Enum):
+    """How one attempt at an upstream ended."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not sent"
+    REJECTED = "rejected"
+    """The upstream declared that it did not run the request."""
+
+    FAILED = "failed"
+    """The upstream ran the request and answered with a failure of its own."""
+
+    BROKEN = "broken"
+    """No whole answer came: it may have run."""
+
+    TIMED_OUT = "timed out"
+    SILENT = "silent"
+    """Nothing came for longer than a sound upstream takes."""
+
+
+class UpstreamTarget(msgspec.Struct, frozen=True, array_like=True):
+    """An upstream that was chosen for one attempt."""
+
+    upstream: UpstreamId
+    address: str
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -51,3 +51,6 @@
 
 LogIndex = NewType("LogIndex", int)
 """Position in the control group's log; the first entry has index 1."""
+
+RoutingVersion = NewType("RoutingVersion", int)
+"""Number of a routing document; operators raise it in uneven steps."""
--- /dev/null
+++ b/src/scalebend/models/placement.py
@@ -0,0 +1,73 @@
+"""Work for engines, and where it was placed. Times in seconds, sizes in tokens."""
+
+from __future__ import annotations
+
+from typing import NewType
+
+import msgspec
+
+from scalebend.models.ids import ServiceName, UpstreamId
+
+JobId = NewType("JobId", str)
+"""One attempt of one request at the engines, unique over all fronts."""
+
+
+class EngineWork(msgspec.Struct, frozen=True, array_like=True):
+    """A request as the scheduler sees it."""
+
+    job: JobId
+    service: ServiceName
+    prompt_tokens: int
+    output_tokens: int
+    """Most tokens that may come out."""
+
+    expected_tokens: int
+    """Tokens that the caller estimates will come out."""
+
+    target: float
+    """Time to the first token within which the answer counts as in time."""
+
+    event_gap: float
+    """Longest pause between events that counts as in time."""
+
+    remaining: float
+    """Time until the request ends whatever happens."""
+
+    excluded: tuple[UpstreamId, ...] = ()
+    """Replicas that this request must not be sent to again."""
+
+
+class Helper(msgspec.Struct, frozen=True, array_like=True):
+    """A replica that reads a part; it holds ``tokens`` of memory if above 0."""
+
+    upstream: UpstreamId
+    address: str
+    tokens: int = 0
+
+
+class Placement(msgspec.Struct, frozen=True, array_like=True):
+    """Replicas for one job; the first one writes the answer."""
+
+    upstream: UpstreamId
+    address: str
+    helpers: tuple[Helper, ...]
+    first_token_in: float
+    """Predicted time to the first token."""
+
+    own_tokens: int = 0
+    """Memory that the first replica must hold by reservation, 0 for none."""
+
+
+class JobStage(msgspec.Struct, frozen=True, array_like=True):
+    """How far a job came: its first token was seen, or it ended."""
+
+    job: JobId
+    is_ended: bool
+
+
+class OpenJob(msgspec.Struct, frozen=True, array_like=True):
+    """A job that a front has open, for a scheduler that must learn of it."""
+
+    work: EngineWork
+    placement: Placement
+    is_writing: bool
--- /dev/null
+++ b/src/scalebend/platform/headers.py
@@ -0,0 +1,175 @@
+"""Names and formats of HTTP headers on the platform, in both directions."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from scalebend.models.calls import (
+    AnswerHeaders,
+    Call,
+    CallerHeaders,
+    LoadReading,
+    PromptSize,
+)
+from scalebend.models.ids import UpstreamId
+
+REQUEST_ID = "X-Request-Id"
+DEADLINE = "X-Deadline-Ms"
+CUSTOMER = "X-Tenant"
+EXPECTED_UPSTREAM = "X-Expect-Instance"
+LAST_EVENT = "Last-Event-Id"
+HELPERS = "X-Helpers"
+URGENCY = "X-Request-Priority"
+
+_NOT_RUN = "X-Not-Executed"
+_LOAD = "X-Server-Load"
+_FAULTY = "At-Server"
+_TOKENS = "X-Token-Counts"
+_LENGTH_HINT = "X-Length-Hint"
+
+_CONNECTION_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        "Connection",
+        "Keep-Alive",
+        "Proxy-Connection",
+        "Proxy-Authenticate",
+        "Proxy-Authorization",
+        "TE",
+        "Trailer",
+        "Transfer-Encoding",
+        "Upgrade",
+        "Content-Length",
+        "Expect",
+    )
+)
+"""Headers that concern one connection; ``Content-Length`` is set anew."""
+
+_OWN_HEADERS = frozenset(
+    name.lower()
+    for name in (
+        "Authorization",
+        DEADLINE,
+        CUSTOMER,
+        EXPECTED_UPSTREAM,
+        LAST_EVENT,
+        HELPERS,
+        URGENCY,
+        "X-Expect-Version",
+    )
+)
+"""Headers that callers cannot set at an upstream."""
+
+
+def read_caller_headers(headers: Mapping[str, str]) -> CallerHeaders:
+    """Decode the headers of a request; malformed numbers count as not given."""
+    wait = _read_number(headers.get(DEADLINE))
+    scheme, _, key = headers.get("Authorization", "").partition(" ")
+    return CallerHeaders(
+        request=headers.get(REQUEST_ID, ""),
+        wait=wait / 1000.0 if wait is not None else None,
+        key=key.strip() if scheme.lower() == "bearer" and key.strip() else None,
+        last_event=_read_integer(headers.get(LAST_EVENT)),
+        prompt=_read_prompt(headers),
+    )
+
+
+def _read_prompt(headers: Mapping[str, str]) -> PromptSize | None:
+    prompt, _, most = headers.get(_TOKENS, "").partition(",")
+    prompt_tokens = _read_integer(prompt)
+    output_most = _read_integer(most)
+    if prompt_tokens is None or output_most is None:
+        return None
+    hint = _read_integer(headers.get(_LENGTH_HINT))
+    expected = output_most if hint is None else min(hint, output_most)
+    return PromptSize(prompt_tokens, output_most, expected)
+
+
+def build_upstream_headers(
+    received: CIMultiDictProxy[str],
+    call: Call,
+    upstream: UpstreamId,
+    *,
+    remaining: float,
+    last_event: int | None,
+    helpers: list[str],
+    urgency: int | None,
+) -> CIMultiDict[str]:
+    """Return the headers for an upstream; ``remaining`` is in seconds.
+
+    ``helpers`` are ``IP:port`` or ``IP:port/ticket``; ``urgency`` is 0 to 9, the
+    lowest first.
+    """
+    headers: CIMultiDict[str] = CIMultiDict()
+    named = received.get("Connection", "").lower()
+    dropped = {name.strip() for name in named.split(",") if name.strip()}
+    for name, value in received.items():
+        lower = name.lower()
+        if lower in _CONNECTION_HEADERS or lower in _OWN_HEADERS or lower in dropped:
+            continue
+        headers.add(name, value)
+    headers[DEADLINE] = str(max(1, int(remaining * 1000.0)))
+    headers[EXPECTED_UPSTREAM] = upstream
+    if call.customer is not None:
+        headers[CUSTOMER] = call.customer
+    if last_event is not None:
+        headers[LAST_EVENT] = str(last_event)
+    if helpers:
+        headers[HELPERS] = ",".join(helpers)
+    if urgency is not None:
+        headers[URGENCY] = str(urgency)
+    return headers
+
+
+def read_answer_headers(status: int, headers: Mapping[str, str]) -> AnswerHeaders:
+    """Decode the headers of an upstream's answer."""
+    # 421 says that another upstream was meant: this one did not run the request.
+    has_not_run = _NOT_RUN in headers or status == 421
+    return AnswerHeaders(
+        request=headers.get(REQUEST_ID),
+        has_not_run=has_not_run,
+        load=_read_load(headers.get(_LOAD)),
+        faulty_address=headers.get(_FAULTY),
+    )
+
+
+def copy_answer_headers(received: CIMultiDictProxy[str]) -> CIMultiDict[str]:
+    """Return an upstream's headers without those of its connection."""
+    copied: CIMultiDict[str] = CIMultiDict()
+    for name, value in received.items():
+        if name.lower() not in _CONNECTION_HEADERS:
+            copied.add(name, value)
+    return copied
+
+
+def format_retry_after(seconds: float) -> str:
+    """Callers of the platform read fractions of a second, too."""
+    return f"{seconds:.3f}"
+
+
+def _read_load(text: str | None) -> LoadReading | None:
+    if text is None:
+        return None
+    parts = [_read_integer(part) for part in text.split(",")]
+    if len(parts) != 3:
+        return None
+    running, waiting, slots = parts
+    if running is None or waiting is None or slots is None:
+        return None
+    return LoadReading(running, waiting, slots)
+
+
+def _read_number(text: str | None) -> float | None:
+    try:
+        return float(text) if text is not None else None
+    except ValueError:
+        return None
+
+
+def _read_integer(text: str | None) -> int | None:
+    try:
+        return int(text) if text is not None else None
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/scalebend/platform/settings.py
@@ -0,0 +1,94 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+
+from scalebend.exceptions import DocumentError, ErrorKind, Fault
+from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
+from scalebend.models.ids import AvailabilityZone
+from scalebend.utils.addresses import parse_address
+
+SETTINGS_VARIABLE = "SCALEBEND_CONFIG"
+"""Environment variable that holds the path of the settings file."""
+
+
+class _Listen(msgspec.Struct, rename="pascal"):
+    front: str | None = None
+    ready: str | None = None
+    control: str | None = None
+
+
+class _Tolerate(msgspec.Struct, rename="pascal"):
+    machines: int = 0
+
+
+class _Limits(msgspec.Struct, rename="pascal"):
+    memory_mb: int = 256
+    max_fds: int = 1024
+
+
+class _Bounds(msgspec.Struct, rename="pascal"):
+    revoke_ms: float = 5000.0
+    grace_s: float = 8.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 50.0
+    hold_max_ms: float = 20000.0
+
+
+class _Settings(msgspec.Struct, rename="pascal"):
+    node_name: str
+    serves: list[str]
+    ip: str
+    zone: str
+    listen: _Listen
+    # The first port is for messages between processes, the last for metrics.
+    port_range: tuple[int, int]
+    # Control addresses; the port for messages is the same on every machine.
+    seeds: list[str]
+    bootstrap: bool = False
+    tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    data_dir: str | None = None
+    heartbeat_ms: float = 1000.0
+
+
+def read_gateway_settings(path: Path) -> GatewaySettings:
+    """Return the settings in ``path``; raise :class:`DocumentError` on a fault."""
+    try:
+        read = msgspec.json.decode(path.read_bytes(), type=_Settings)
+    except (OSError, msgspec.MsgspecError) as error:
+        fault = Fault("$", str(error))
+        raise DocumentError([fault], kind=ErrorKind.INVALID_SETTINGS) from error
+    is_control = "control" in read.serves
+    bounds = read.bounds
+    link_port = read.port_range[0]
+    return GatewaySettings(
+        name=read.node_name,
+        role=GatewayRole.CONTROL if is_control else GatewayRole.FRONT,
+        availability_zone=AvailabilityZone(read.zone),
+        link_address=f"{read.ip}:{link_port}",
+        seeds=[f"{parse_address(seed).host}:{link_port}" for seed in read.seeds],
+        is_first_start=read.bootstrap,
+        tolerated_losses=read.tolerate.machines,
+        heartbeat_interval=read.heartbeat_ms / 1000.0,
+        bounds=Bounds(
+            key_revocation=bounds.revoke_ms / 1000.0,
+            drain_grace=bounds.grace_s,
+            retry_ratio=bounds.retry_ratio,
+            retry_window=bounds.retry_window_s,
+            retry_slack=bounds.retry_slack,
+            hold_most=bounds.hold_max_ms / 1000.0,
+        ),
+        callers_address=read.listen.front,
+        readiness_address=read.listen.ready,
+        control_address=read.listen.control,
+        metrics_port=read.port_range[1],
+        data_folder=read.data_dir,
+        open_files_most=read.limits.max_fds,
+        memory_mib=read.limits.memory_mb,
+    )
