Place by sound beliefs: delays against the median, no lost front's jobs, short holds

A replica's pace was learnt from its own prediction, which fed itself; jobs of killed fronts stayed counted; short prompts that fitted nowhere were split over all replicas, which answered 503. Memory reserved by a killed front was held for 14 s. Change: a replica is slow against the median delay of all; a lost link forgets the front's jobs, which it tells anew; prompts under 0.1 s of reading are never split; memory is held for 3.4 s and renewed.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -41,7 +41,7 @@
 )
 from scalebend.models.endpoints import Endpoint, EndpointNews
 from scalebend.models.ids import InstanceId, RoutingVersion, UpstreamId
-from scalebend.models.placement import EngineWork, OpenJob
+from scalebend.models.placement import EngineWork, OpenJob, is_job_of
 from scalebend.models.routing import (
     EMPTY_ROUTING,
     EngineProfile,
@@ -203,8 +203,12 @@
         ]
 
     def remove_front(self, front: InstanceId) -> None:
-        """The link to a front was lost; its jobs are forgotten when they expire."""
+        """The link to a front was lost.
+
+        Its jobs are forgotten: if it still runs, it tells them anew over its next link.
+        """
         self._fronts.pop(front, None)
+        self.scheduler.forget_front(lambda job: is_job_of(front, job))
         logger.info("front detached", front=front, fronts=len(self._fronts))
 
     def handle_front(
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+import statistics
+import zlib
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -48,14 +50,22 @@
 SUSPECT_TIME = 2.0
 """Seconds for which a replica that failed to connect or fell silent is avoided."""
 
-SLOW_READING = 1.5
-"""Times the predicted reading time above which a replica counts as slow."""
+QUICK_READ = 0.1
+"""Seconds of reading below which a prompt is never split: the answers of several
+replicas to wait for would cost more than their help saves."""
 
-PACE_WEIGHT = 0.3
-"""Weight of the newest reading in a replica's smoothed pace."""
+LATE_PART = 0.85
+"""Part of the target that is used before promises to others are given up."""
 
-MOST_PACE = 8.0
-"""Largest slowness that one observation may teach."""
+DELAY_WEIGHT = 0.3
+"""Weight of the newest first token in a replica's smoothed delay."""
+
+SLOW_DELAY = 1.8
+"""Times the median delay above which a replica counts as slow. When all are late the
+load is to blame, and nobody is avoided for it."""
+
+MOST_DELAY = 8.0
+"""Largest ratio of real to predicted time that one first token may teach."""
 
 
 class _Share(msgspec.Struct):
@@ -78,7 +88,12 @@
 
 class _Replica(msgspec.Struct):
     shares: dict[JobId, _Share] = msgspec.field(default_factory=dict)
+    delay: float = 1.0
+    """Smoothed ratio of real to predicted time to the first token."""
+
     pace: float = 1.0
+    """How many times slower than the others it is taken to be."""
+
     suspect_until: float = 0.0
 
 
@@ -109,7 +124,13 @@
 class EngineScheduler:
     """Open jobs of all fronts, or of this one alone while no leader answers."""
 
-    def __init__(self) -> None:
+    def __init__(self, salt: str = "") -> None:
+        """``salt`` differs between schedulers that do not know of each other's jobs.
+
+        It sets the order in which equal replicas are taken, so that many fronts
+        deciding alone do not all fill the same ones.
+        """
+        self._salt = salt.encode()
         self._jobs: dict[JobId, _Job] = {}
         self._replicas: dict[UpstreamId, _Replica] = {}
 
@@ -129,7 +150,7 @@
             self._drop(stage.job)
         elif not job.is_writing:
             job.is_writing = True
-            self._learn_pace(job, now)
+            self._learn_delay(job, now)
             for upstream in job.upstreams:
                 share = self._replicas[upstream].shares.get(stage.job)
                 if share is not None:
@@ -157,6 +178,7 @@
         """Forget jobs whose end was never heard, and replicas without jobs."""
         for job in [j for j, known in self._jobs.items() if now > known.forget_at]:
             self._drop(job)
+        self._compare_delays()
 
     def retain(self, upstreams: Iterable[UpstreamId]) -> None:
         """Forget replicas that no longer exist and run nothing."""
@@ -184,11 +206,14 @@
         views = sound or views
         if not views:
             return None
-        placement = _choose(work, views, profile)
+        placement = _choose(work, views, profile, self._rank)
         if placement is not None:
             self._put(work, placement, profile, now)
         return placement
 
+    def _rank(self, upstream: UpstreamId) -> int:
+        return zlib.crc32(self._salt + upstream.encode())
+
     def _is_suspect(self, endpoint: Endpoint, now: float) -> bool:
         replica = self._replicas.get(endpoint.upstream)
         return replica is not None and now < replica.suspect_until
@@ -254,113 +279,146 @@
             if replica is not None:
                 replica.shares.pop(name, None)
 
-    def _learn_pace(self, job: _Job, now: float) -> None:
+    def _learn_delay(self, job: _Job, now: float) -> None:
         # Only a job on one replica tells whose slowness it was.
         if len(job.upstreams) != 1 or job.predicted <= 0.0:
             return
         replica = self._replicas[job.upstreams[0]]
-        seen = min(MOST_PACE, (now - job.placed_at) / job.predicted * replica.pace)
-        pace = seen if seen > SLOW_READING * replica.pace else max(1.0, seen)
-        replica.pace += PACE_WEIGHT * (pace - replica.pace)
-        replica.pace = max(1.0, replica.pace)
-
+        seen = min(MOST_DELAY, (now - job.placed_at) / job.predicted)
+        replica.delay += DELAY_WEIGHT * (seen - replica.delay)
 
-def _choose(
-    work: EngineWork, views: list[_View], profile: EngineProfile
-) -> Placement | None:
-    read = compute_read_time(profile, work.prompt_tokens)
-    first_event = compute_pass_time(profile, [work.prompt_tokens])
-    limit = max(0.0, work.target * TARGET_PART)
-    single = _choose_single(work, views, profile, read, first_event, limit)
-    if single is not None:
-        return single
-    return _choose_group(work, views, profile, read, first_event)
+    def _compare_delays(self) -> None:
+        delays = [replica.delay for replica in self._replicas.values()]
+        if not delays:
+            return
+        usual = max(1.0, statistics.median(delays))
+        for replica in self._replicas.values():
+            ratio = replica.delay / usual
+            replica.pace = ratio if ratio > SLOW_DELAY else 1.0
 
 
-def _choose_single(
+def _choose(
     work: EngineWork,
     views: list[_View],
     profile: EngineProfile,
-    read: float,
-    first_event: float,
-    limit: float,
+    rank: Callable[[UpstreamId], int],
 ) -> Placement | None:
+    read = compute_read_time(profile, work.prompt_tokens)
+    plan = _Plan(
+        work,
+        profile,
+        read,
+        compute_pass_time(profile, [work.prompt_tokens]),
+        work.prompt_tokens + work.output_tokens + MEMORY_MARGIN,
+        rank,
+    )
+    if read <= LONGEST_PART:
+        single = _choose_in_time(plan, views)
+        if single is not None:
+            return _place_alone(plan, single)
+    if read <= QUICK_READ:
+        single = _choose_least_wait(plan, views)
+        return _place_alone(plan, single) if single is not None else None
+    return _choose_group(plan, views)
+
+
+class _Plan(msgspec.Struct, frozen=True):
+    """One piece of work with what follows from it alone."""
+
+    work: EngineWork
+    profile: EngineProfile
+    read: float
+    first_event: float
+    memory: int
+    rank: Callable[[UpstreamId], int]
+
+
+def _place_alone(plan: _Plan, view: _View) -> Placement:
+    wait = view.pass_time + view.pending + plan.read * view.pace + plan.first_event
+    return Placement(view.endpoint.upstream, view.endpoint.address, (), wait)
+
+
+def _choose_in_time(plan: _Plan, views: list[_View]) -> _View | None:
     """A replica that reads the whole prompt in time; the fullest such one."""
-    if read > LONGEST_PART:
-        return None
-    needed = work.prompt_tokens + work.output_tokens + MEMORY_MARGIN
+    limit = plan.work.target * TARGET_PART
     fitting = [
         view
         for view in views
-        if view.first_jobs < profile.slots
-        and view.free_tokens >= needed
-        and view.compute_room(limit) >= read
-        and (view.event_gap is None or view.tight_jobs == view.first_jobs)
+        if view.first_jobs < plan.profile.slots
+        and view.free_tokens >= plan.memory
+        and view.compute_room(limit) >= plan.read
     ]
     # Replicas that write for longer gaps are left to the long prompts.
-    if not fitting:
-        fitting = [
-            view
-            for view in views
-            if view.first_jobs < profile.slots
-            and view.free_tokens >= needed
-            and view.compute_room(limit) >= read
-        ]
+    alike = [view for view in fitting if view.tight_jobs == view.first_jobs]
+    candidates = alike or fitting
+    if not candidates:
+        return None
+    return max(
+        candidates,
+        key=lambda view: (
+            view.tight_jobs,
+            -view.pending,
+            plan.rank(view.endpoint.upstream),
+        ),
+    )
+
+
+def _choose_least_wait(plan: _Plan, views: list[_View]) -> _View | None:
+    """Nothing is in time: the replica that starts soonest, a full one last."""
+    fitting = [view for view in views if view.free_tokens >= plan.memory] or views
     if not fitting:
         return None
-    best = max(fitting, key=lambda view: (view.tight_jobs, -view.pending))
-    wait = best.pass_time + best.pending + read * best.pace + first_event
-    return Placement(best.endpoint.upstream, best.endpoint.address, (), wait)
+    slots = plan.profile.slots
+    return min(
+        fitting,
+        key=lambda view: (
+            max(0, view.first_jobs + 1 - slots),
+            view.pass_time + view.pending + plan.read * view.pace,
+            plan.rank(view.endpoint.upstream),
+        ),
+    )
 
 
-def _choose_group(
-    work: EngineWork,
-    views: list[_View],
-    profile: EngineProfile,
-    read: float,
-    first_event: float,
-) -> Placement | None:
+def _choose_group(plan: _Plan, views: list[_View]) -> Placement | None:
     """The fewest replicas whose rooms take even parts of the reading."""
-    limit = work.target * TARGET_PART
-    open_views = [view for view in views if view.first_jobs < profile.slots]
-    if not open_views:
-        open_views = views
-    ranked = sorted(open_views, key=lambda view: -view.compute_room(limit))
+    slots = plan.profile.slots
+    open_views = [
+        view for view in views if view.first_jobs < slots and view.helping < slots
+    ]
+    target = plan.work.target
+    ranked = sorted(
+        open_views or views,
+        key=lambda view: (
+            -view.compute_room(target * LATE_PART),
+            plan.rank(view.endpoint.upstream),
+        ),
+    )
     most = min(len(ranked), MOST_HELPERS + 1)
-    count = _count_parts(ranked[:most], read, limit)
-    group = _build_group(work, ranked[:count], read, first_event)
+    count = _count_parts(ranked[:most], plan.read, target)
+    group = _build_group(plan, ranked[:count])
     if group is None and count < most:
         # Together these replicas lack the memory: let all that may help do so.
-        group = _build_group(work, ranked[:most], read, first_event)
+        group = _build_group(plan, ranked[:most])
     return group
 
 
-def _count_parts(ranked: list[_View], read: float, limit: float) -> int:
-    for longest in (LONGEST_PART, limit):
+def _count_parts(ranked: list[_View], read: float, target: float) -> int:
+    for longest in (LONGEST_PART, target * TARGET_PART, target * LATE_PART):
+        limit = max(longest, target * TARGET_PART)
         for count in range(1, len(ranked) + 1):
             part = read / count
             if part <= longest and ranked[count - 1].compute_room(limit) >= part:
                 return count
-    return _choose_least_harm(ranked, read)
-
-
-def _choose_least_harm(ranked: list[_View], read: float) -> int:
-    """No set keeps every promise: take those without tight writers, or else all."""
-    free = [view for view in ranked if view.event_gap is None]
-    if free and read / len(free) <= 2.0 * LONGEST_PART:
-        return len(free)
+    # No set keeps every promise: many small parts delay others the least.
     return len(ranked)
 
 
-def _build_group(
-    work: EngineWork, chosen: list[_View], read: float, first_event: float
-) -> Placement | None:
+def _build_group(plan: _Plan, chosen: list[_View]) -> Placement | None:
     first = max(chosen, key=lambda view: (view.free_tokens, -view.first_jobs))
     others = [view for view in chosen if view is not first]
-    part = read / len(chosen)
+    part = plan.read / len(chosen)
     wait = max(view.pending + view.pass_time + part * view.pace for view in chosen)
-    missing = work.prompt_tokens + work.output_tokens + MEMORY_MARGIN
-    missing -= first.free_tokens
+    missing = plan.memory - first.free_tokens
     helpers = []
     for view in others:
         tokens = 0
@@ -372,6 +430,5 @@
     if missing > 0:
         return None
     endpoint = first.endpoint
-    return Placement(
-        endpoint.upstream, endpoint.address, tuple(helpers), wait + first_event
-    )
+    wait += plan.first_event
+    return Placement(endpoint.upstream, endpoint.address, tuple(helpers), wait)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -67,7 +67,7 @@
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
-        self.scheduler = EngineScheduler()
+        self.scheduler = EngineScheduler(settings.link_address)
         self.instances: set[InstanceId] = {InstanceId(s) for s in settings.seeds}
         self.leader: InstanceId | None = None
         self.is_draining = False
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -27,7 +27,13 @@
 )
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, UpstreamId
-from scalebend.models.placement import EngineWork, JobId, JobStage, Placement
+from scalebend.models.placement import (
+    EngineWork,
+    JobId,
+    JobStage,
+    Placement,
+    build_job_id,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -127,9 +133,8 @@
     def build_job_id(self) -> JobId:
         """Return a name that no other attempt of any front has."""
         self._jobs += 1
-        # Also names reserved memory, where a colon or slash would be a separator.
-        me = self.settings.link_address.replace(":", "-")
-        return JobId(f"{me}-{self._incarnation:x}-{self._jobs}")
+        me = InstanceId(self.settings.link_address)
+        return build_job_id(me, self._incarnation, self._jobs)
 
     async def place(self, work: EngineWork) -> Placement | None:
         """Ask the leader where to run; decide alone if it does not answer in time."""
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -205,7 +205,11 @@
 def _build_request(*parts):  # type: ignore[no-untyped-def]
     """Make the library's request, with room for the largest body."""
     loop = asyncio.get_running_loop()
-    return web.BaseRequest(*parts, loop, client_max_size=LARGEST_BODY)
+    return web.BaseRequest(  # type: ignore[misc]
+        *parts,
+        loop,  # type: ignore[arg-type]
+        client_max_size=LARGEST_BODY,
+    )
 
 
 @contextlib.asynccontextmanager
--- a/src/scalebend/edges/gateway/reservations.py
+++ b/src/scalebend/edges/gateway/reservations.py
@@ -23,12 +23,17 @@
 ORDER_TIMEOUT = 0.5
 """Seconds for one order to a replica: it takes no slot there."""
 
+HOLD = 3.4
+"""Seconds for which memory is set aside unless it is renewed. Whoever reserved may
+die, and an order may be carried out long after its memory was given back; either way
+the replica frees the memory within the four seconds that the platform allows."""
+
+RENEW_PERIOD = 1.1
+"""Seconds between two renewals, so that two may be lost."""
+
 RELEASE_TRIES = 4
 """Times that memory is given back before it is left to lapse."""
 
-HOLD_MARGIN = 1.0
-"""Seconds beyond the request's deadline for which memory is set aside."""
-
 JSON = {"Content-Type": "application/json"}
 
 
@@ -42,22 +47,38 @@
     there without having run, and is placed anew.
     """
     holders = [helper for helper in placement.helpers if helper.tokens]
-    hold = min(work.remaining + HOLD_MARGIN, runtime.settings.bounds.hold_most)
+    renewing: asyncio.Task[None] | None = None
     try:
         if holders:
-            await asyncio.gather(*(_reserve(runtime, work, h, hold) for h in holders))
+            await _reserve_all(runtime, work, holders)
+            renewing = asyncio.create_task(_renew(runtime, work, holders))
         yield [
             format_helper(helper.address, work.job if helper.tokens else None)
             for helper in placement.helpers
         ]
     finally:
+        if renewing is not None:
+            renewing.cancel()
         if holders:
             runtime.spawn(_release_all(runtime, work, holders))
 
 
-async def _reserve(
-    runtime: FrontRuntime, work: EngineWork, helper: Helper, hold: float
+async def _renew(
+    runtime: FrontRuntime, work: EngineWork, holders: list[Helper]
+) -> None:
+    while True:
+        await asyncio.sleep(RENEW_PERIOD)
+        await _reserve_all(runtime, work, holders)
+
+
+async def _reserve_all(
+    runtime: FrontRuntime, work: EngineWork, holders: list[Helper]
 ) -> None:
+    await asyncio.gather(*(_reserve(runtime, work, holder) for holder in holders))
+
+
+async def _reserve(runtime: FrontRuntime, work: EngineWork, helper: Helper) -> None:
+    hold = min(HOLD, runtime.settings.bounds.hold_most)
     body = encode_reservation(work.job, helper.tokens, hold)
     status = await _order(runtime, helper, body)
     logger.info(
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -6,12 +6,23 @@
 
 import msgspec
 
-from scalebend.models.ids import ServiceName, UpstreamId
+from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
 
 JobId = NewType("JobId", str)
 """One attempt of one request at the engines, unique over all fronts."""
 
 
+def build_job_id(front: InstanceId, incarnation: int, number: int) -> JobId:
+    """Return a name that no other attempt of any front has."""
+    # Also names reserved memory, where a colon or slash would be a separator.
+    return JobId(f"{front.replace(':', '-')}-{incarnation:x}-{number}")
+
+
+def is_job_of(front: InstanceId, job: JobId) -> bool:
+    """Whether ``front`` placed this job."""
+    return job.startswith(f"{front.replace(':', '-')}-")
+
+
 class EngineWork(msgspec.Struct, frozen=True, array_like=True):
     """A request as the scheduler sees it."""
 
