Suspect only replicas that cannot be reached; ask the late ones for a report

Ruled out: memory of lost jobs (open jobs fall to 0 after the load). Change: a late first token makes the front ask for a report, which names the slow and the silent; silence of a request alone condemns nobody, and a queueing replica gets more time. Without a leader, fronts use parts of 140 ms. Members vote sooner after a restart of all.

--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -41,6 +41,10 @@
 ELECTION_TIMEOUT = 0.6
 """Seconds without a leader before a member asks for votes; up to twice by chance."""
 
+START_TIMEOUT = 0.25
+"""Seconds after a restart before a member with a log asks for votes; up to twice by
+chance. Links to the others take a tenth of a second to come up."""
+
 QUORUM_TIMEOUT = 0.6
 """Seconds without an answer from a quorum before a leader steps down."""
 
@@ -120,6 +124,10 @@
         self._received: Snapshot | None = None
         self._last_now = now
         self._reset_deadline(now)
+        if self._members is not None:
+            # A leader would be heard at once; and if there is one that is not, the
+            # pre-vote fails. After all members restarted, nobody need wait longer.
+            self._deadline = now + START_TIMEOUT * self._chooser.uniform(1.0, 2.0)
 
     @property
     def members(self) -> Members | None:
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -27,6 +27,7 @@
     PlaceQuestion,
     Registrations,
     ReplicaFailures,
+    ReplicaPaces,
     Subscribe,
 )
 from scalebend.core.gateway.route_table import RouteTable
@@ -54,6 +55,9 @@
 NEWS_PERIOD = 0.5
 """Seconds between two heartbeats to a front; see ``edges/gateway/links.py``."""
 
+SUMMARY_PERIOD = 1.0
+"""Seconds between two log lines on what the leader believes of the engines."""
+
 READ_PATIENCE = 2.0
 """Seconds for which a reader waits for a quorum, twice what an election takes."""
 
@@ -124,6 +128,7 @@
         self._fronts: dict[InstanceId, _Front] = {}
         self._questions: list[_Question] = []
         self._news_at = now
+        self._summary_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
         self._proposals = 0
@@ -185,12 +190,26 @@
             news = self._build_news()
             actions += [ToFront(front, news) for front in self._fronts]
             self.scheduler.expire(now)
+        if self.is_leader and now >= self._summary_at:
+            self._summary_at = now + SUMMARY_PERIOD
+            self._log_summary(now)
         actions += self._answer_questions(now)
         if self.member.leader is not None:
             # A member out of touch with the group may be the one that is cut off.
             actions += self._publish(self.directory.expire(now))
         return actions
 
+    def _log_summary(self, now: float) -> None:
+        summary = self.scheduler.summarise(now)
+        logger.info(
+            "engine beliefs",
+            open=summary.open_jobs,
+            writing=summary.writing,
+            slow=summary.slow,
+            suspect=summary.suspect,
+            fronts=len(self._fronts),
+        )
+
     # Fronts
 
     def add_front(self, front: InstanceId) -> list[ControlAction]:
@@ -229,6 +248,9 @@
             case ReplicaFailures(upstreams):
                 for upstream in upstreams:
                     self.scheduler.note_failure(upstream, now)
+            case ReplicaPaces(paces):
+                for pace in paces:
+                    self.scheduler.note_pace(pace, now)
             case OpenJobs(jobs):
                 self._adopt(jobs, now)
         return []
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import statistics
 import zlib
 from collections.abc import Callable, Iterable
 
@@ -25,6 +24,7 @@
     JobStage,
     OpenJob,
     Placement,
+    ReplicaPace,
 )
 from scalebend.models.routing import EngineProfile
 
@@ -47,6 +47,10 @@
 LOST_JOB = 1.0
 """Seconds after a job's deadline at which it is forgotten, if its end was not heard."""
 
+LONGEST_PART_ALONE = 0.140
+"""The same for a scheduler that does not know of other fronts' jobs: with many small
+parts, two that meet on a replica still stay below a quick request's event gap."""
+
 SUSPECT_TIME = 2.0
 """Seconds for which a replica that failed to connect or fell silent is avoided."""
 
@@ -57,15 +61,12 @@
 LATE_PART = 0.85
 """Part of the target that is used before promises to others are given up."""
 
-DELAY_WEIGHT = 0.3
-"""Weight of the newest first token in a replica's smoothed delay."""
-
-SLOW_DELAY = 1.8
-"""Times the median delay above which a replica counts as slow. When all are late the
-load is to blame, and nobody is avoided for it."""
+SLOW_PACE = 1.5
+"""Times the usual work time from which on a replica is avoided like an unsound one."""
 
-MOST_DELAY = 8.0
-"""Largest ratio of real to predicted time that one first token may teach."""
+PACE_LIFE = 4.0
+"""Seconds for which a replica's word on its own slowness is believed; then it is tried
+again, and asked again if it is late."""
 
 
 class _Share(msgspec.Struct):
@@ -88,14 +89,16 @@
 
 class _Replica(msgspec.Struct):
     shares: dict[JobId, _Share] = msgspec.field(default_factory=dict)
-    delay: float = 1.0
-    """Smoothed ratio of real to predicted time to the first token."""
-
     pace: float = 1.0
-    """How many times slower than the others it is taken to be."""
+    """How many times slower than usual it works, by its own word."""
 
+    paced_until: float = 0.0
     suspect_until: float = 0.0
 
+    def read_pace(self, now: float) -> float:
+        """The pace, while it is believed."""
+        return self.pace if now < self.paced_until else 1.0
+
 
 class _View(msgspec.Struct):
     """What matters of one replica for one choice."""
@@ -121,16 +124,28 @@
         return room / self.pace
 
 
+class SchedulerSummary(msgspec.Struct, frozen=True):
+    """Beliefs of a scheduler in a few figures."""
+
+    open_jobs: int
+    writing: int
+    slow: list[UpstreamId]
+    suspect: list[UpstreamId]
+
+
 class EngineScheduler:
     """Open jobs of all fronts, or of this one alone while no leader answers."""
 
-    def __init__(self, salt: str = "") -> None:
-        """``salt`` differs between schedulers that do not know of each other's jobs.
+    def __init__(self, salt: str = "", longest_part: float = LONGEST_PART) -> None:
+        """``longest_part`` is the longest reading in one part, in seconds.
+
+        ``salt`` differs between schedulers that do not know of each other's jobs.
 
         It sets the order in which equal replicas are taken, so that many fronts
         deciding alone do not all fill the same ones.
         """
         self._salt = salt.encode()
+        self._longest_part = longest_part
         self._jobs: dict[JobId, _Job] = {}
         self._replicas: dict[UpstreamId, _Replica] = {}
 
@@ -150,7 +165,6 @@
             self._drop(stage.job)
         elif not job.is_writing:
             job.is_writing = True
-            self._learn_delay(job, now)
             for upstream in job.upstreams:
                 share = self._replicas[upstream].shares.get(stage.job)
                 if share is not None:
@@ -161,6 +175,12 @@
         replica = self._replicas.setdefault(upstream, _Replica())
         replica.suspect_until = now + SUSPECT_TIME
 
+    def note_pace(self, pace: ReplicaPace, now: float) -> None:
+        """A replica told how slow it is."""
+        replica = self._replicas.setdefault(pace.upstream, _Replica())
+        replica.pace = pace.pace
+        replica.paced_until = now + PACE_LIFE
+
     def adopt(self, opened: OpenJob, profile: EngineProfile, now: float) -> None:
         """Learn of a job that another scheduler placed."""
         if opened.work.job in self._jobs:
@@ -178,7 +198,6 @@
         """Forget jobs whose end was never heard, and replicas without jobs."""
         for job in [j for j, known in self._jobs.items() if now > known.forget_at]:
             self._drop(job)
-        self._compare_delays()
 
     def retain(self, upstreams: Iterable[UpstreamId]) -> None:
         """Forget replicas that no longer exist and run nothing."""
@@ -187,6 +206,16 @@
             if upstream not in kept and not self._replicas[upstream].shares:
                 del self._replicas[upstream]
 
+    def summarise(self, now: float) -> SchedulerSummary:
+        """What is believed now, for the log."""
+        writing = sum(job.is_writing for job in self._jobs.values())
+        return SchedulerSummary(
+            len(self._jobs),
+            writing,
+            [u for u, r in self._replicas.items() if r.read_pace(now) > 1.0],
+            [u for u, r in self._replicas.items() if now < r.suspect_until],
+        )
+
     # Choice
 
     def place(
@@ -202,11 +231,11 @@
             for endpoint in endpoints
             if endpoint.upstream not in work.excluded
         ]
-        sound = [view for view in views if not self._is_suspect(view.endpoint, now)]
+        sound = [view for view in views if self._is_sound(view.endpoint, now)]
         views = sound or views
         if not views:
             return None
-        placement = _choose(work, views, profile, self._rank)
+        placement = self._choose(work, views, profile)
         if placement is not None:
             self._put(work, placement, profile, now)
         return placement
@@ -214,9 +243,32 @@
     def _rank(self, upstream: UpstreamId) -> int:
         return zlib.crc32(self._salt + upstream.encode())
 
-    def _is_suspect(self, endpoint: Endpoint, now: float) -> bool:
+    def _choose(
+        self, work: EngineWork, views: list[_View], profile: EngineProfile
+    ) -> Placement | None:
+        plan = _Plan(
+            work,
+            profile,
+            compute_read_time(profile, work.prompt_tokens),
+            compute_pass_time(profile, [work.prompt_tokens]),
+            work.prompt_tokens + work.output_tokens + MEMORY_MARGIN,
+            self._longest_part,
+            self._rank,
+        )
+        if plan.read <= max(self._longest_part, QUICK_READ):
+            single = _choose_in_time(plan, views)
+            if single is not None:
+                return _place_alone(plan, single)
+        if plan.read <= QUICK_READ:
+            single = _choose_least_wait(plan, views)
+            return _place_alone(plan, single) if single is not None else None
+        return _choose_group(plan, views)
+
+    def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
         replica = self._replicas.get(endpoint.upstream)
-        return replica is not None and now < replica.suspect_until
+        if replica is None:
+            return True
+        return now >= replica.suspect_until and replica.read_pace(now) < SLOW_PACE
 
     def _view(
         self, endpoint: Endpoint, work: EngineWork, profile: EngineProfile, now: float
@@ -239,9 +291,9 @@
                 view.tight_jobs += 1
             if view.event_gap is None or job.work.event_gap < view.event_gap:
                 view.event_gap = job.work.event_gap
-        view.pace = replica.pace
-        view.pending *= replica.pace
-        view.pass_time = replica.pace * compute_pass_time(profile, contexts)
+        view.pace = replica.read_pace(now)
+        view.pending *= view.pace
+        view.pass_time = view.pace * compute_pass_time(profile, contexts)
         return view
 
     # State
@@ -279,48 +331,6 @@
             if replica is not None:
                 replica.shares.pop(name, None)
 
-    def _learn_delay(self, job: _Job, now: float) -> None:
-        # Only a job on one replica tells whose slowness it was.
-        if len(job.upstreams) != 1 or job.predicted <= 0.0:
-            return
-        replica = self._replicas[job.upstreams[0]]
-        seen = min(MOST_DELAY, (now - job.placed_at) / job.predicted)
-        replica.delay += DELAY_WEIGHT * (seen - replica.delay)
-
-    def _compare_delays(self) -> None:
-        delays = [replica.delay for replica in self._replicas.values()]
-        if not delays:
-            return
-        usual = max(1.0, statistics.median(delays))
-        for replica in self._replicas.values():
-            ratio = replica.delay / usual
-            replica.pace = ratio if ratio > SLOW_DELAY else 1.0
-
-
-def _choose(
-    work: EngineWork,
-    views: list[_View],
-    profile: EngineProfile,
-    rank: Callable[[UpstreamId], int],
-) -> Placement | None:
-    read = compute_read_time(profile, work.prompt_tokens)
-    plan = _Plan(
-        work,
-        profile,
-        read,
-        compute_pass_time(profile, [work.prompt_tokens]),
-        work.prompt_tokens + work.output_tokens + MEMORY_MARGIN,
-        rank,
-    )
-    if read <= LONGEST_PART:
-        single = _choose_in_time(plan, views)
-        if single is not None:
-            return _place_alone(plan, single)
-    if read <= QUICK_READ:
-        single = _choose_least_wait(plan, views)
-        return _place_alone(plan, single) if single is not None else None
-    return _choose_group(plan, views)
-
 
 class _Plan(msgspec.Struct, frozen=True):
     """One piece of work with what follows from it alone."""
@@ -330,6 +340,7 @@
     read: float
     first_event: float
     memory: int
+    longest_part: float
     rank: Callable[[UpstreamId], int]
 
 
@@ -394,7 +405,7 @@
         ),
     )
     most = min(len(ranked), MOST_HELPERS + 1)
-    count = _count_parts(ranked[:most], plan.read, target)
+    count = _count_parts(plan, ranked[:most])
     group = _build_group(plan, ranked[:count])
     if group is None and count < most:
         # Together these replicas lack the memory: let all that may help do so.
@@ -402,11 +413,12 @@
     return group
 
 
-def _count_parts(ranked: list[_View], read: float, target: float) -> int:
-    for longest in (LONGEST_PART, target * TARGET_PART, target * LATE_PART):
+def _count_parts(plan: _Plan, ranked: list[_View]) -> int:
+    target = plan.work.target
+    for longest in (plan.longest_part, target * TARGET_PART, target * LATE_PART):
         limit = max(longest, target * TARGET_PART)
         for count in range(1, len(ranked) + 1):
-            part = read / count
+            part = plan.read / count
             if part <= longest and ranked[count - 1].compute_room(limit) >= part:
                 return count
     # No set keeps every promise: many small parts delay others the least.
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -6,7 +6,10 @@
 import structlog
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
-from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.engine_scheduler import (
+    LONGEST_PART_ALONE,
+    EngineScheduler,
+)
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
     ControlNews,
@@ -17,6 +20,7 @@
     LinkMessage,
     OpenJobs,
     ReplicaFailures,
+    ReplicaPaces,
     Subscribe,
 )
 from scalebend.core.gateway.retry_window import RetryWindow
@@ -31,6 +35,7 @@
     JobStage,
     OpenJob,
     Placement,
+    ReplicaPace,
 )
 from scalebend.models.routing import EMPTY_ROUTING
 
@@ -67,7 +72,7 @@
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
-        self.scheduler = EngineScheduler(settings.link_address)
+        self.scheduler = EngineScheduler(settings.link_address, LONGEST_PART_ALONE)
         self.instances: set[InstanceId] = {InstanceId(s) for s in settings.seeds}
         self.leader: InstanceId | None = None
         self.is_draining = False
@@ -208,5 +213,11 @@
         self.scheduler.note_failure(upstream, now)
         return self._tell_leader(ReplicaFailures([upstream]))
 
+    def note_paces(self, paces: list[ReplicaPace], now: float) -> list[ToControl]:
+        """Replicas told how slow they are."""
+        for pace in paces:
+            self.scheduler.note_pace(pace, now)
+        return self._tell_leader(ReplicaPaces(paces)) if paces else []
+
     def _tell_leader(self, message: LinkMessage) -> list[ToControl]:
         return [ToControl(self.leader, message)] if self.leader is not None else []
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -15,6 +15,7 @@
     JobStage,
     OpenJob,
     Placement,
+    ReplicaPace,
 )
 
 
@@ -97,6 +98,12 @@
     upstreams: list[UpstreamId]
 
 
+class ReplicaPaces(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: how slow replicas say they are."""
+
+    paces: list[ReplicaPace]
+
+
 class OpenJobs(msgspec.Struct, frozen=True, tag=True):
     """Front to a new leader: the jobs it has open."""
 
@@ -118,6 +125,7 @@
     | PlaceAnswer
     | JobStages
     | ReplicaFailures
+    | ReplicaPaces
     | OpenJobs
     | Hello
     | HelloReply
--- a/src/scalebend/core/gateway/patience.py
+++ b/src/scalebend/core/gateway/patience.py
@@ -16,9 +16,15 @@
 LEAST_BETWEEN = 1.0
 """Least seconds between two events: callers give up a stream after two."""
 
-BETWEEN_FACTOR = 2.0
+BETWEEN_FACTOR = 4.0
 """Times the promised pause between events after which the replica counts as silent."""
 
+LATE_FACTOR = 1.6
+"""Times the predicted time to the first token after which replicas are asked why."""
+
+LATE_SLACK = 0.1
+"""Seconds added to that, for the way to the replica and back."""
+
 SERVICE_FACTOR = 4.0
 """Times the target after which an idempotent call of a plain service is sent again."""
 
@@ -34,3 +40,8 @@
     """Seconds to wait for the next event of a stream."""
     gap = route.event_gap or route.target_latency
     return max(LEAST_BETWEEN, BETWEEN_FACTOR * gap)
+
+
+def compute_inspection_delay(predicted: float) -> float:
+    """Seconds without a first token after which the replicas are asked for reports."""
+    return LATE_FACTOR * predicted + LATE_SLACK
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable
 
 import aiohttp
 import msgspec
@@ -18,11 +18,12 @@
 from scalebend.core.gateway.patience import (
     compute_event_patience,
     compute_first_patience,
+    compute_inspection_delay,
 )
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.reservations import hold_memory
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
-from scalebend.models.calls import AnswerHeaders, Call, Outcome
+from scalebend.models.calls import AnswerHeaders, Call, LoadReading, Outcome
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import EngineWork, JobId, Placement
 from scalebend.models.routing import RouteKind
@@ -88,6 +89,9 @@
         self._attempts = Attempts(call)
         self._cursor = EventCursor(call.headers.last_event)
         self._stream: web.StreamResponse | None = None
+        self._load: LoadReading | None = None
+        self._has_failed = True
+        self._lateness: asyncio.TimerHandle | None = None
 
     async def forward(self) -> web.StreamResponse:
         """Return the answer for the caller, or raise what it is refused with."""
@@ -111,7 +115,8 @@
         runtime = self._runtime
         if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT):
             runtime.instance.balancer.note_unreachable(target.upstream, runtime.now())
-        if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT, Outcome.BROKEN):
+        # Silence alone may be a queue: reports tell whether the replica is alive.
+        if ended.outcome is Outcome.NOT_SENT:
             runtime.note_replica_failure(target.upstream)
         decision = self._attempts.decide(
             ended.outcome, target.upstream, runtime.instance.retries, runtime.now()
@@ -198,6 +203,10 @@
         try:
             async with hold_memory(runtime, work, placement) as helpers:
                 self._log_placement(work, placement)
+                self._lateness = asyncio.get_running_loop().call_later(
+                    compute_inspection_delay(placement.first_token_in),
+                    lambda: runtime.spawn(runtime.inspect(placement)),
+                )
                 yield _Target(
                     placement.upstream,
                     placement.address,
@@ -206,8 +215,14 @@
                     work.job,
                 )
         finally:
+            self._stop_lateness()
             runtime.note_job_ended(work.job)
 
+    def _stop_lateness(self) -> None:
+        if self._lateness is not None:
+            self._lateness.cancel()
+            self._lateness = None
+
     def _build_work(self) -> EngineWork:
         call = self._call
         route, prompt = call.route, call.headers.prompt
@@ -266,12 +281,30 @@
             data=self._body or None,
             allow_redirects=False,
         )
-        async with _within(patience):
-            answer = await sending
+        answer = await self._await_head(target, sending, patience)
         async with answer:
             read = read_answer_headers(answer.status, answer.headers)
             return await self._take_answer(target, answer, read, patience)
 
+    async def _await_head(
+        self,
+        target: _Target,
+        sending: Awaitable[aiohttp.ClientResponse],
+        patience: float | None,
+    ) -> aiohttp.ClientResponse:
+        """Wait for the head, longer where the replica says that requests queue."""
+        task = asyncio.ensure_future(sending)
+        try:
+            while True:
+                done, _ = await asyncio.wait({task}, timeout=patience)
+                if done:
+                    return task.result()
+                if not self._runtime.is_queueing(target.upstream):
+                    raise _SilentError
+        finally:
+            if not task.done():
+                task.cancel()
+
     def _build_headers(self, target: _Target) -> CIMultiDict[str]:
         call = self._call
         urgency = None
@@ -339,6 +372,7 @@
             if not passed.data:
                 continue
             if is_first and target.job is not None:
+                self._stop_lateness()
                 self._runtime.note_first_token(target.job)
             is_first = False
             patience = between
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -19,6 +19,7 @@
     PlaceAnswer,
     PlaceQuestion,
 )
+from scalebend.edges.gateway.inspection import Inspector
 from scalebend.edges.gateway.links import HEARTBEAT, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.upstream_client import (
@@ -70,6 +71,7 @@
         me = Introduce(InstanceId(settings.link_address), self._incarnation, True)
         self._dialer = Dialer(me, self._receive, self._note_up, self._note_down)
         self._placing: dict[JobId, asyncio.Future[PlaceAnswer]] = {}
+        self._inspector = Inspector(sessions.pooled)
         self._jobs = 0
         self._leader_paused_until = 0.0
         self._heartbeat_at = 0.0
@@ -177,6 +179,19 @@
         stage = JobStage(job, is_ended=True)
         self._execute(self.instance.note_stage(stage, self.now()))
 
+    async def inspect(self, placement: Placement) -> None:
+        """A first token is late: ask the replicas which of them is slow."""
+        addresses = {helper.upstream: helper.address for helper in placement.helpers}
+        addresses[placement.upstream] = placement.address
+        inspection = await self._inspector.inspect(addresses, self.now())
+        self._execute(self.instance.note_paces(inspection.paces, self.now()))
+        for upstream in inspection.silent:
+            self.note_replica_failure(upstream)
+
+    def is_queueing(self, upstream: UpstreamId) -> bool:
+        """Whether a replica said lately that requests wait there."""
+        return self._inspector.is_queueing(upstream, self.now())
+
     def note_replica_failure(self, upstream: UpstreamId) -> None:
         """A replica could not be reached, or fell silent."""
         self._execute(self.instance.note_failure(upstream, self.now()))
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -42,7 +42,7 @@
 """Seconds until a connection must stand."""
 
 FIRST_REDIAL = 0.1
-LONGEST_REDIAL = 1.0
+LONGEST_REDIAL = 0.4
 """Seconds between two attempts to dial, doubling from the first to the longest."""
 
 UNACKED_TIMEOUT_MS = 2000
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -82,3 +82,20 @@
     work: EngineWork
     placement: Placement
     is_writing: bool
+
+
+class ReplicaReport(msgspec.Struct, frozen=True):
+    """What a replica tells of itself, some hundred milliseconds old."""
+
+    pace: float
+    """How many times slower than usual it works; 1 for a sound one."""
+
+    waiting: int
+    running: int
+
+
+class ReplicaPace(msgspec.Struct, frozen=True, array_like=True):
+    """How many times slower than usual a replica works."""
+
+    upstream: UpstreamId
+    pace: float
