Keep places for quick requests; read late prompts where they end first

Change: replicas for the quick requests of the last seconds are kept out of groups; a late group takes the replicas on which it ends first; a replica in a queue gets six times the predicted time; fronts learn busy replicas with each heartbeat.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -58,6 +58,10 @@
 SUMMARY_PERIOD = 1.0
 """Seconds between two log lines on what the leader believes of the engines."""
 
+BUSY_TOLD = 32
+"""Busy replicas told to each front with a heartbeat: 30 bytes each, so 2 KB a second
+whatever the size of the fleet."""
+
 READ_PATIENCE = 2.0
 """Seconds for which a reader waits for a quorum, twice what an election takes."""
 
@@ -187,7 +191,7 @@
         if self.member.leader != self._leader or now >= self._news_at:
             self._leader = self.member.leader
             self._news_at = now + NEWS_PERIOD
-            news = self._build_news()
+            news = self._build_news(now)
             actions += [ToFront(front, news) for front in self._fronts]
             self.scheduler.expire(now)
         if self.is_leader and now >= self._summary_at:
@@ -212,12 +216,12 @@
 
     # Fronts
 
-    def add_front(self, front: InstanceId) -> list[ControlAction]:
+    def add_front(self, front: InstanceId, now: float) -> list[ControlAction]:
         """A front dialled: tell it everything."""
         self._fronts[front] = _Front()
         logger.info("front attached", front=front, fronts=len(self._fronts))
         return [
-            ToFront(front, self._build_news()),
+            ToFront(front, self._build_news(now)),
             ToFront(front, EndpointChanges(self.directory.list_news())),
         ]
 
@@ -281,12 +285,18 @@
         state.sent = self.routing.version
         return [ToFront(front, build_news(base, self.routing))]
 
-    def _build_news(self) -> ControlNews:
+    def _list_instances(self) -> list[InstanceId]:
         members = self.member.replica.members
         everyone = members.everyone if members is not None else frozenset()
-        instances = sorted({member.instance for member in everyone} | {self.me})
+        return sorted({member.instance for member in everyone} | {self.me})
+
+    def _build_news(self, now: float) -> ControlNews:
         return ControlNews(
-            instances, self.member.leader, self.member.replica.term, len(self._fronts)
+            self._list_instances(),
+            self.member.leader,
+            self.member.replica.term,
+            len(self._fronts),
+            self.scheduler.list_busy(now, BUSY_TOLD) if self.is_leader else [],
         )
 
     # Upstreams
@@ -309,7 +319,7 @@
     ) -> list[ControlAction]:
         actions: list[ControlAction] = [
             ToInstance(instance, Registrations([news]))  # type: ignore[arg-type]
-            for instance in self._build_news().instances
+            for instance in self._list_instances()
             if instance != self.me
         ]
         if change is not None:
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Callable, Iterable
 
@@ -18,6 +19,7 @@
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import (
+    BusyReplica,
     EngineWork,
     Helper,
     JobId,
@@ -27,6 +29,7 @@
     ReplicaPace,
 )
 from scalebend.models.routing import EngineProfile
+from scalebend.utils.fading import FadingMaximum
 
 GAP_MARGIN = 0.030
 """Seconds of an event gap kept free, for delivery and for reading not yet known."""
@@ -51,6 +54,10 @@
 """The same for a scheduler that does not know of other fronts' jobs: with many small
 parts, two that meet on a replica still stay below a quick request's event gap."""
 
+BUSY_LIFE = 2.0
+"""Seconds for which the load that a lost leader told of is still counted: about the
+time that a quick answer takes."""
+
 SUSPECT_TIME = 2.0
 """Seconds for which a replica that failed to connect or fell silent is avoided."""
 
@@ -58,6 +65,19 @@
 """Seconds of reading below which a prompt is never split: the answers of several
 replicas to wait for would cost more than their help saves."""
 
+QUICK_GAP = 0.25
+"""Seconds; an event gap up to this makes a request quick: one part of a long prompt
+would break it."""
+
+QUICK_GROWTH = 1.25
+"""Times the quick requests open lately for which places are kept from long prompts."""
+
+QUICK_SPARE = 8
+"""Slots kept for quick requests beyond that: about what arrives in half a second."""
+
+QUICK_MEMORY = 3.0
+"""Seconds in which the remembered number of quick requests falls to a third."""
+
 LATE_PART = 0.85
 """Part of the target that is used before promises to others are given up."""
 
@@ -94,6 +114,10 @@
 
     paced_until: float = 0.0
     suspect_until: float = 0.0
+    others: BusyReplica | None = None
+    """Load that another scheduler told of, while this one decides alone."""
+
+    others_at: float = 0.0
 
     def read_pace(self, now: float) -> float:
         """The pace, while it is believed."""
@@ -115,6 +139,15 @@
     free_tokens: int
     pace: float
 
+    def count_quick(self) -> int:
+        """Jobs that write there, if the most demanding of them is quick."""
+        return self.first_jobs if self.is_quick else 0
+
+    @property
+    def is_quick(self) -> bool:
+        """Whether it writes for a request whose events must come in quick order."""
+        return self.event_gap is not None and self.event_gap <= QUICK_GAP
+
     def compute_room(self, limit: float) -> float:
         """Reading that may be added without delaying a writer beyond its gap."""
         room = limit - self.pass_time - self.pending
@@ -146,6 +179,7 @@
         """
         self._salt = salt.encode()
         self._longest_part = longest_part
+        self._quick = FadingMaximum(QUICK_MEMORY)
         self._jobs: dict[JobId, _Job] = {}
         self._replicas: dict[UpstreamId, _Replica] = {}
 
@@ -185,7 +219,7 @@
         """Learn of a job that another scheduler placed."""
         if opened.work.job in self._jobs:
             return
-        self._put(opened.work, opened.placement, profile, now)
+        self._put(opened.work, opened.placement, profile, now - opened.age)
         if opened.is_writing:
             self.note_stage(JobStage(opened.work.job, is_ended=False), now)
 
@@ -216,6 +250,32 @@
             [u for u, r in self._replicas.items() if now < r.suspect_until],
         )
 
+    def list_busy(self, now: float, most: int) -> list[BusyReplica]:
+        """The busiest replicas, for schedulers that may have to decide alone."""
+        busy = []
+        for upstream, replica in self._replicas.items():
+            reading = 0.0
+            gaps = []
+            for name, share in replica.shares.items():
+                reading += max(0.0, min(share.part, share.read_until - now))
+                if share.is_first:
+                    gaps.append(self._jobs[name].work.event_gap)
+            if reading > 0.0 or gaps:
+                gap = min(gaps, default=0.0)
+                told = BusyReplica(upstream, round(reading, 3), len(gaps), gap)
+                busy.append(told)
+        busy.sort(key=lambda one: (-one.reading, -one.writing))
+        return busy[:most]
+
+    def note_busy(self, busy: list[BusyReplica], now: float) -> None:
+        """Another scheduler told which replicas are busy."""
+        for replica in self._replicas.values():
+            replica.others = None
+        for one in busy:
+            replica = self._replicas.setdefault(one.upstream, _Replica())
+            replica.others = one
+            replica.others_at = now
+
     # Choice
 
     def place(
@@ -235,7 +295,8 @@
         views = sound or views
         if not views:
             return None
-        placement = self._choose(work, views, profile)
+        self._quick.note(sum(view.count_quick() for view in views), now)
+        placement = self._choose(work, views, profile, now)
         if placement is not None:
             self._put(work, placement, profile, now)
         return placement
@@ -244,7 +305,11 @@
         return zlib.crc32(self._salt + upstream.encode())
 
     def _choose(
-        self, work: EngineWork, views: list[_View], profile: EngineProfile
+        self,
+        work: EngineWork,
+        views: list[_View],
+        profile: EngineProfile,
+        now: float,
     ) -> Placement | None:
         plan = _Plan(
             work,
@@ -253,6 +318,7 @@
             compute_pass_time(profile, [work.prompt_tokens]),
             work.prompt_tokens + work.output_tokens + MEMORY_MARGIN,
             self._longest_part,
+            self._quick.read(now) * QUICK_GROWTH + QUICK_SPARE,
             self._rank,
         )
         if plan.read <= max(self._longest_part, QUICK_READ):
@@ -291,6 +357,7 @@
                 view.tight_jobs += 1
             if view.event_gap is None or job.work.event_gap < view.event_gap:
                 view.event_gap = job.work.event_gap
+        _add_others(view, replica, now)
         view.pace = replica.read_pace(now)
         view.pending *= view.pace
         view.pass_time = view.pace * compute_pass_time(profile, contexts)
@@ -332,6 +399,20 @@
                 replica.shares.pop(name, None)
 
 
+def _add_others(view: _View, replica: _Replica, now: float) -> None:
+    """Count what another scheduler told of the replica before it was lost."""
+    others = replica.others
+    age = now - replica.others_at
+    if others is None or age > BUSY_LIFE:
+        return
+    view.pending = max(view.pending, others.reading - age)
+    # Not counted as company: all fronts would join the same replicas at once.
+    view.first_jobs = max(view.first_jobs, others.writing)
+    gap = others.event_gap
+    if gap and (view.event_gap is None or gap < view.event_gap):
+        view.event_gap = gap
+
+
 class _Plan(msgspec.Struct, frozen=True):
     """One piece of work with what follows from it alone."""
 
@@ -341,6 +422,9 @@
     first_event: float
     memory: int
     longest_part: float
+    quick_slots: float
+    """Slots that are kept for quick requests."""
+
     rank: Callable[[UpstreamId], int]
 
 
@@ -392,25 +476,43 @@
 
 def _choose_group(plan: _Plan, views: list[_View]) -> Placement | None:
     """The fewest replicas whose rooms take even parts of the reading."""
+    ranked = _rank_for_group(plan, views)
+    most = min(len(ranked), MOST_HELPERS + 1)
+    count = _count_parts(plan, ranked[:most])
+    chosen = ranked[:count] if count else _choose_late(plan, ranked)
+    group = _build_group(plan, chosen)
+    if group is None and len(chosen) < most:
+        # Together these replicas lack the memory: let all that may help do so.
+        group = _build_group(plan, ranked[:most])
+    if group is None:
+        group = _build_group(plan, views[: MOST_HELPERS + 1])
+    return group
+
+
+def _rank_for_group(plan: _Plan, views: list[_View]) -> list[_View]:
+    """Replicas that may read a part, the emptiest first.
+
+    Some are kept out, so that quick requests find a place whatever long ones do.
+    """
     slots = plan.profile.slots
-    open_views = [
-        view for view in views if view.first_jobs < slots and view.helping < slots
-    ]
-    target = plan.work.target
+    limit = plan.work.target * LATE_PART
+    usable = [view for view in views if view.first_jobs < slots > view.helping]
     ranked = sorted(
-        open_views or views,
+        usable or views,
         key=lambda view: (
-            -view.compute_room(target * LATE_PART),
+            -view.compute_room(limit),
             plan.rank(view.endpoint.upstream),
         ),
     )
-    most = min(len(ranked), MOST_HELPERS + 1)
-    count = _count_parts(plan, ranked[:most])
-    group = _build_group(plan, ranked[:count])
-    if group is None and count < most:
-        # Together these replicas lack the memory: let all that may help do so.
-        group = _build_group(plan, ranked[:most])
-    return group
+    quick = sum(view.is_quick for view in views)
+    kept = max(0, math.ceil(plan.quick_slots / slots) - quick)
+    # Quick requests open idle replicas from the other end of the rank.
+    others = [view for view in ranked if not view.is_quick]
+    others.sort(
+        key=lambda v: (v.pending, v.first_jobs, -plan.rank(v.endpoint.upstream))
+    )
+    left_out = others[: min(kept, len(others) - 1)] if others else []
+    return [view for view in ranked if view not in left_out]
 
 
 def _count_parts(plan: _Plan, ranked: list[_View]) -> int:
@@ -421,8 +523,18 @@
             part = plan.read / count
             if part <= longest and ranked[count - 1].compute_room(limit) >= part:
                 return count
-    # No set keeps every promise: many small parts delay others the least.
-    return len(ranked)
+    return 0
+
+
+def _choose_late(plan: _Plan, ranked: list[_View]) -> list[_View]:
+    """It will be late wherever it runs: where it ends first, sparing quick requests."""
+    spared = [view for view in ranked if not view.is_quick]
+    by_wait = sorted(spared or ranked, key=lambda view: view.pending + view.pass_time)
+    best = min(
+        range(1, min(len(by_wait), MOST_HELPERS + 1) + 1),
+        key=lambda count: by_wait[count - 1].pending + plan.read / count,
+    )
+    return by_wait[:best]
 
 
 def _build_group(plan: _Plan, chosen: list[_View]) -> Placement | None:
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -79,6 +79,7 @@
         self._term = Term(0)
         self._linked: set[InstanceId] = set()
         self._jobs: dict[JobId, OpenJob] = {}
+        self._placed_at: dict[JobId, float] = {}
         self._lease_at = now
         self._was_ready = False
 
@@ -151,6 +152,8 @@
         if news.leader is None or news.term < self._term:
             return []
         self._term = news.term
+        if news.busy:
+            self.scheduler.note_busy(news.busy, now)
         if news.leader == self.leader or news.leader not in self._linked:
             return []
         logger.info("leader found", leader=news.leader, term=news.term, source=sender)
@@ -158,10 +161,16 @@
         self._lease_at = now + LEASE_PERIOD
         return [
             ToControl(news.leader, Subscribe(self.table.routing.version)),
-            ToControl(news.leader, OpenJobs(list(self._jobs.values()))),
+            ToControl(news.leader, OpenJobs(self._list_open_jobs(now))),
             ToControl(news.leader, LeaseQuestion(now)),
         ]
 
+    def _list_open_jobs(self, now: float) -> list[OpenJob]:
+        return [
+            msgspec.structs.replace(opened, age=now - self._placed_at[job])
+            for job, opened in self._jobs.items()
+        ]
+
     def _take_routing(self, sender: InstanceId, news: RoutingNews) -> list[ToControl]:
         held = self.table.routing
         if news.version > held.version:
@@ -186,6 +195,7 @@
         """Keep a job that was placed; ``is_own``: by this front's own scheduler."""
         opened = OpenJob(work, placement, is_writing=False)
         self._jobs[work.job] = opened
+        self._placed_at[work.job] = now
         service = self.table.services.get(work.service)
         if not is_own and service is not None and service.engine is not None:
             self.scheduler.adopt(opened, service.engine, now)
@@ -204,6 +214,7 @@
         opened = self._jobs.get(stage.job)
         if stage.is_ended:
             self._jobs.pop(stage.job, None)
+            self._placed_at.pop(stage.job, None)
         elif opened is not None:
             self._jobs[stage.job] = msgspec.structs.replace(opened, is_writing=True)
         return self._tell_leader(JobStages([stage]))
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -10,6 +10,7 @@
 from scalebend.models.endpoints import EndpointNews
 from scalebend.models.ids import InstanceId, RoutingVersion, Term, UpstreamId
 from scalebend.models.placement import (
+    BusyReplica,
     EngineWork,
     JobId,
     JobStage,
@@ -34,6 +35,8 @@
     leader: InstanceId | None
     term: Term
     fronts: int
+    busy: list[BusyReplica] = msgspec.field(default_factory=list)
+    """From the leader: the busiest replicas, should it be lost."""
 
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/gateway/patience.py
+++ b/src/scalebend/core/gateway/patience.py
@@ -7,10 +7,12 @@
 LEAST_FIRST = 1.2
 """Least seconds until the first byte: four times the target of a quick question."""
 
-FIRST_FACTOR = 2.0
-"""Times the predicted time to the first token that a slow replica may take."""
+FIRST_FACTOR = 6.0
+"""Times the predicted time to the first token that a replica may take before the
+request is taken from it: a long prompt that is read again costs all others, too.
+What is dead or slow is found sooner, by its connection or its report."""
 
-FIRST_SLACK = 0.8
+FIRST_SLACK = 0.6
 """Seconds added to the prediction, for work that the scheduler did not know of."""
 
 LEAST_BETWEEN = 1.0
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -136,7 +136,7 @@
 
     def _note_up(self, peer: Introduce) -> None:
         if peer.is_front:
-            self.execute(self.instance.add_front(peer.instance))
+            self.execute(self.instance.add_front(peer.instance, self.now()))
 
     def _note_down(self, peer: Introduce) -> None:
         if peer.is_front:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import AsyncIterator, Awaitable, Iterator
 
 import aiohttp
 import msgspec
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from scalebend.core.gateway.attempts import Attempts, GiveUp
+from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
 from scalebend.core.gateway.event_cursor import EventCursor, GarbledEventsError
 from scalebend.core.gateway.patience import (
     compute_event_patience,
@@ -62,6 +62,15 @@
     helpers: list[str]
     predicted: float | None = None
     job: JobId | None = None
+    placement: Placement | None = None
+
+    def find_faulty(self, address: str | None) -> UpstreamId:
+        """The upstream at ``address`` among those that took part."""
+        helpers = self.placement.helpers if self.placement is not None else ()
+        for helper in helpers:
+            if helper.address == address:
+                return helper.upstream
+        return self.upstream
 
 
 class _Ended(msgspec.Struct, frozen=True):
@@ -70,6 +79,8 @@
     outcome: Outcome
     answer: web.StreamResponse | None = None
     detail: str = ""
+    faulty_address: str | None = None
+    """The upstream at fault, where it is another than the one that answered."""
 
 
 class _SilentError(Exception):
@@ -107,19 +118,20 @@
             if ended.outcome is Outcome.ANSWERED:
                 assert ended.answer is not None
                 return ended.answer
-            decision = self._judge(target, ended)
-            if isinstance(decision, GiveUp):
-                return self._give_up(decision, ended.answer)
+            judged = self._judge(target, ended)
+            if isinstance(judged, GiveUp):
+                return self._give_up(judged, ended.answer)
 
-    def _judge(self, target: _Target, ended: _Ended):  # type: ignore[no-untyped-def]
+    def _judge(self, target: _Target, ended: _Ended) -> TryAgain | GiveUp:
         runtime = self._runtime
         if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT):
             runtime.instance.balancer.note_unreachable(target.upstream, runtime.now())
         # Silence alone may be a queue: reports tell whether the replica is alive.
         if ended.outcome is Outcome.NOT_SENT:
             runtime.note_replica_failure(target.upstream)
-        decision = self._attempts.decide(
-            ended.outcome, target.upstream, runtime.instance.retries, runtime.now()
+        faulty = target.find_faulty(ended.faulty_address)
+        decision: TryAgain | GiveUp = self._attempts.decide(
+            ended.outcome, faulty, runtime.instance.retries, runtime.now()
         )
         logger.info(
             "attempt ended",
@@ -127,6 +139,7 @@
             upstream=target.upstream,
             address=target.address,
             outcome=ended.outcome.value,
+            faulty=faulty,
             detail=ended.detail,
             last_event=self._cursor.last_event,
             decision=type(decision).__name__,
@@ -166,7 +179,7 @@
             yield target
 
     @contextlib.contextmanager
-    def _choose_service(self):  # type: ignore[no-untyped-def]
+    def _choose_service(self) -> Iterator[_Target | None]:
         runtime = self._runtime
         instance = runtime.instance
         endpoint = instance.balancer.choose(
@@ -213,6 +226,7 @@
                     helpers,
                     placement.first_token_in,
                     work.job,
+                    placement,
                 )
         finally:
             self._stop_lateness()
@@ -339,7 +353,8 @@
             return _Ended(Outcome.BROKEN, detail="answer to another request")
         if read.has_not_run and answer.status >= 400:
             await _read_whole(answer, patience)
-            return _Ended(Outcome.REJECTED, detail=f"status {answer.status}")
+            detail = f"status {answer.status}"
+            return _Ended(Outcome.REJECTED, None, detail, read.faulty_address)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and answer.status == 200:
             return await self._pass_events(target, answer)
--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -20,7 +20,7 @@
 logger = structlog.get_logger(__name__)
 
 REPORT_TIMEOUT = 0.4
-"""Seconds to wait for a report, which takes no slot: a sound replica answers at once."""
+"""Seconds to wait for a report, which takes no slot at a replica."""
 
 REPEAT_AFTER = 1.5
 """Seconds before the same replica is asked again by this front."""
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -82,6 +82,8 @@
     work: EngineWork
     placement: Placement
     is_writing: bool
+    age: float = 0.0
+    """Seconds since it was placed."""
 
 
 class ReplicaReport(msgspec.Struct, frozen=True):
@@ -99,3 +101,17 @@
 
     upstream: UpstreamId
     pace: float
+
+
+class BusyReplica(msgspec.Struct, frozen=True, array_like=True):
+    """Load of a replica, as its scheduler believes."""
+
+    upstream: UpstreamId
+    reading: float
+    """Seconds of reading that wait there."""
+
+    writing: int
+    """Requests that write there or are about to."""
+
+    event_gap: float
+    """Shortest event gap promised to one of them; 0 when there is none."""
