Decline very long prompts that would be late; ask engines for reports each second

Cause: a prompt of 630,000 tokens that could not be in time was read on nine replicas with parts of 3 to 6 s, came again after its caller gave up, and met a burst of quick requests: 155 open, 43 writing. Change: above 1.5 s of reading of one engine, work that would miss its target is declined with the time after which to come back; the leader asks each engine for a report every second, and tells fronts which are slow.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -42,7 +42,13 @@
 )
 from scalebend.models.endpoints import Endpoint, EndpointNews
 from scalebend.models.ids import InstanceId, RoutingVersion, UpstreamId
-from scalebend.models.placement import EngineWork, OpenJob, is_job_of
+from scalebend.models.placement import (
+    Declined,
+    EngineWork,
+    OpenJob,
+    ReplicaPace,
+    is_job_of,
+)
 from scalebend.models.routing import (
     EMPTY_ROUTING,
     EngineProfile,
@@ -346,6 +352,24 @@
         message = EndpointChanges(changes)
         return [ToFront(front, message) for front in self._fronts]
 
+    def list_engines(self) -> dict[UpstreamId, str]:
+        """Addresses of the replicas that the leader asks how slow they are."""
+        return {
+            endpoint.upstream: endpoint.address
+            for service in self.routing.services
+            if service.engine is not None
+            for endpoint in self.directory.list_usable(service.name)
+        }
+
+    def note_inspection(
+        self, paces: list[ReplicaPace], silent: list[UpstreamId], now: float
+    ) -> None:
+        """Replicas told how slow they are, or did not answer."""
+        for pace in paces:
+            self.scheduler.note_pace(pace, now)
+        for upstream in silent:
+            self.scheduler.note_failure(upstream, now)
+
     # Routing documents
 
     def propose_routing(self, stored: StoredRouting, now: float, at: float) -> str:
@@ -399,10 +423,12 @@
     def _place(self, work: EngineWork, now: float) -> PlaceAnswer:
         profile = self._find_profile(work)
         if not self.is_leader or profile is None:
-            return PlaceAnswer(work.job, None, is_leader=False)
+            return PlaceAnswer(work.job)
         endpoints = self.directory.list_usable(work.service)
-        placement = self.scheduler.place(work, endpoints, profile, now)
-        return PlaceAnswer(work.job, placement)
+        placed = self.scheduler.place(work, endpoints, profile, now)
+        if isinstance(placed, Declined):
+            return PlaceAnswer(work.job, declined=placed)
+        return PlaceAnswer(work.job, placed)
 
     def _adopt(self, jobs: list[OpenJob], now: float) -> None:
         for job in jobs:
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -20,6 +20,7 @@
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import (
     BusyReplica,
+    Declined,
     EngineWork,
     Helper,
     JobId,
@@ -78,6 +79,17 @@
 QUICK_MEMORY = 3.0
 """Seconds in which the remembered number of quick requests falls to a third."""
 
+LATE_READ_MOST = 1.5
+"""Seconds of reading of one engine up to which a prompt is read even if it is late.
+Longer ones would hold replicas for as long as dozens of quick requests need."""
+
+NO_REPLICA_PAUSE = 0.25
+MEMORY_PAUSE = 0.5
+LEAST_PAUSE = 0.3
+LONGEST_PAUSE = 2.0
+"""Seconds after which a declined request may come back: no replica known, no memory,
+and least and longest where it would be late, by as much as it would be late."""
+
 LATE_PART = 0.85
 """Part of the target that is used before promises to others are given up."""
 
@@ -260,11 +272,12 @@
                 reading += max(0.0, min(share.part, share.read_until - now))
                 if share.is_first:
                     gaps.append(self._jobs[name].work.event_gap)
-            if reading > 0.0 or gaps:
+            pace = replica.read_pace(now)
+            if reading > 0.0 or gaps or pace > 1.0:
                 gap = min(gaps, default=0.0)
-                told = BusyReplica(upstream, round(reading, 3), len(gaps), gap)
+                told = BusyReplica(upstream, round(reading, 3), len(gaps), gap, pace)
                 busy.append(told)
-        busy.sort(key=lambda one: (-one.reading, -one.writing))
+        busy.sort(key=lambda one: (-one.pace, -one.reading, -one.writing))
         return busy[:most]
 
     def note_busy(self, busy: list[BusyReplica], now: float) -> None:
@@ -275,6 +288,8 @@
             replica = self._replicas.setdefault(one.upstream, _Replica())
             replica.others = one
             replica.others_at = now
+            if one.pace > 1.0:
+                self.note_pace(ReplicaPace(one.upstream, one.pace), now)
 
     # Choice
 
@@ -284,8 +299,8 @@
         endpoints: list[Endpoint],
         profile: EngineProfile,
         now: float,
-    ) -> Placement | None:
-        """Choose replicas and count the job; ``None`` when none may take it."""
+    ) -> Placement | Declined:
+        """Choose replicas and count the job, or say when to come back."""
         views = [
             self._view(endpoint, work, profile, now)
             for endpoint in endpoints
@@ -294,10 +309,10 @@
         sound = [view for view in views if self._is_sound(view.endpoint, now)]
         views = sound or views
         if not views:
-            return None
+            return Declined(NO_REPLICA_PAUSE)
         self._quick.note(sum(view.count_quick() for view in views), now)
         placement = self._choose(work, views, profile, now)
-        if placement is not None:
+        if isinstance(placement, Placement):
             self._put(work, placement, profile, now)
         return placement
 
@@ -310,7 +325,7 @@
         views: list[_View],
         profile: EngineProfile,
         now: float,
-    ) -> Placement | None:
+    ) -> Placement | Declined:
         plan = _Plan(
             work,
             profile,
@@ -326,8 +341,7 @@
             if single is not None:
                 return _place_alone(plan, single)
         if plan.read <= QUICK_READ:
-            single = _choose_least_wait(plan, views)
-            return _place_alone(plan, single) if single is not None else None
+            return _place_alone(plan, _choose_least_wait(plan, views))
         return _choose_group(plan, views)
 
     def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
@@ -458,11 +472,9 @@
     )
 
 
-def _choose_least_wait(plan: _Plan, views: list[_View]) -> _View | None:
+def _choose_least_wait(plan: _Plan, views: list[_View]) -> _View:
     """Nothing is in time: the replica that starts soonest, a full one last."""
     fitting = [view for view in views if view.free_tokens >= plan.memory] or views
-    if not fitting:
-        return None
     slots = plan.profile.slots
     return min(
         fitting,
@@ -474,19 +486,26 @@
     )
 
 
-def _choose_group(plan: _Plan, views: list[_View]) -> Placement | None:
+def _choose_group(plan: _Plan, views: list[_View]) -> Placement | Declined:
     """The fewest replicas whose rooms take even parts of the reading."""
     ranked = _rank_for_group(plan, views)
     most = min(len(ranked), MOST_HELPERS + 1)
     count = _count_parts(plan, ranked[:most])
     chosen = ranked[:count] if count else _choose_late(plan, ranked)
-    group = _build_group(plan, chosen)
-    if group is None and len(chosen) < most:
-        # Together these replicas lack the memory: let all that may help do so.
-        group = _build_group(plan, ranked[:most])
-    if group is None:
-        group = _build_group(plan, views[: MOST_HELPERS + 1])
-    return group
+    # Together these replicas may lack the memory: then let all that may help do so.
+    for group in (chosen, ranked[:most], views[: MOST_HELPERS + 1]):
+        placement = _build_group(plan, group) if group else None
+        if placement is not None:
+            return _decline_if_harmful(plan, placement)
+    return Declined(MEMORY_PAUSE)
+
+
+def _decline_if_harmful(plan: _Plan, placement: Placement) -> Placement | Declined:
+    """A very long prompt that would be late blocks many replicas for little worth."""
+    late_by = placement.first_token_in - plan.work.target
+    if late_by <= 0.0 or plan.read <= LATE_READ_MOST:
+        return placement
+    return Declined(max(LEAST_PAUSE, min(late_by, LONGEST_PAUSE)))
 
 
 def _rank_for_group(plan: _Plan, views: list[_View]) -> list[_View]:
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -8,6 +8,7 @@
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import (
     LONGEST_PART_ALONE,
+    NO_REPLICA_PAUSE,
     EngineScheduler,
 )
 from scalebend.core.gateway.key_lease import KeyLease
@@ -30,6 +31,7 @@
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, Term, UpstreamId
 from scalebend.models.placement import (
+    Declined,
     EngineWork,
     JobId,
     JobStage,
@@ -200,11 +202,11 @@
         if not is_own and service is not None and service.engine is not None:
             self.scheduler.adopt(opened, service.engine, now)
 
-    def place(self, work: EngineWork, now: float) -> Placement | None:
+    def place(self, work: EngineWork, now: float) -> Placement | Declined:
         """Place a job from what this front knows alone."""
         service = self.table.services.get(work.service)
         if service is None or service.engine is None:
-            return None
+            return Declined(NO_REPLICA_PAUSE)
         endpoints = self.directory.list_usable(work.service)
         return self.scheduler.place(work, endpoints, service.engine, now)
 
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -11,6 +11,7 @@
 from scalebend.models.ids import InstanceId, RoutingVersion, Term, UpstreamId
 from scalebend.models.placement import (
     BusyReplica,
+    Declined,
     EngineWork,
     JobId,
     JobStage,
@@ -82,11 +83,11 @@
 
 
 class PlaceAnswer(msgspec.Struct, frozen=True, tag=True):
-    """Leader to front; no placement when nothing may take the work."""
+    """Control instance to front; neither placement nor refusal if it does not lead."""
 
     job: JobId
-    placement: Placement | None
-    is_leader: bool = True
+    placement: Placement | None = None
+    declined: Declined | None = None
 
 
 class JobStages(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -25,6 +25,7 @@
 from scalebend.core.gateway.routing_store import pack_routing, unpack_document
 from scalebend.edges.control_pump import pump_control
 from scalebend.edges.gateway.front_server import answer_metrics, listen
+from scalebend.edges.gateway.inspection import Inspector
 from scalebend.edges.gateway.links import (
     HEARTBEAT,
     Dialer,
@@ -32,6 +33,7 @@
     listen_for_links,
 )
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.upstream_client import open_upstream_sessions
 from scalebend.edges.problems import build_response
 from scalebend.exceptions import (
     ErrorKind,
@@ -59,6 +61,10 @@
 """Seconds for a decision of the control group; callers try another instance after
 one second without an answer."""
 
+INSPECTION_PERIOD = 1.0
+"""Seconds between two reports of each engine: a slow one is found before it holds up
+more than a few requests, and a report costs about as much as a hundredth of one."""
+
 REOPEN_DELAY = 0.3
 """Seconds before a log whose disk refused a write is read again."""
 
@@ -106,6 +112,18 @@
         """Seconds of the clock that only runs forward."""
         return self._loop.time()
 
+    async def inspect_engines(self) -> None:
+        """While this member leads, ask the replicas how slow they are."""
+        async with open_upstream_sessions() as sessions:
+            inspector = Inspector(sessions.pooled)
+            while True:
+                await asyncio.sleep(INSPECTION_PERIOD)
+                if not self.instance.is_leader:
+                    continue
+                engines = self.instance.list_engines()
+                found = await inspector.inspect(engines, self.now())
+                self.instance.note_inspection(found.paces, found.silent, self.now())
+
     async def run(self) -> None:
         """Run the timers until cancelled."""
         while True:
@@ -365,11 +383,14 @@
     settings: GatewaySettings, runtime: ControlRuntime
 ) -> AsyncIterator[None]:
     async with listen_for_links(settings.link_address, runtime.server):
-        task = asyncio.create_task(runtime.run())
+        tasks = [
+            asyncio.create_task(runtime.run()),
+            asyncio.create_task(runtime.inspect_engines()),
+        ]
         try:
             yield
         finally:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             await runtime.dialer.close()
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -25,7 +25,7 @@
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import AnswerHeaders, Call, LoadReading, Outcome
 from scalebend.models.ids import UpstreamId
-from scalebend.models.placement import EngineWork, JobId, Placement
+from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -102,6 +102,7 @@
         self._stream: web.StreamResponse | None = None
         self._load: LoadReading | None = None
         self._has_failed = True
+        self._retry_after = RETRY_LATER
         self._lateness: asyncio.TimerHandle | None = None
 
     async def forward(self) -> web.StreamResponse:
@@ -158,7 +159,7 @@
                 "no upstream took the request",
                 kind=decision.kind,
                 ran=decision.ran,
-                retry_after=RETRY_LATER,
+                retry_after=self._retry_after,
             )
         raise UpstreamError(
             "no upstream answered whole", kind=decision.kind, ran=decision.ran
@@ -210,7 +211,9 @@
         runtime = self._runtime
         work = self._build_work()
         placement = await runtime.place(work)
-        if placement is None:
+        if isinstance(placement, Declined):
+            self._log_declined(work, placement)
+            self._retry_after = placement.retry_after
             yield None
             return
         try:
@@ -253,6 +256,17 @@
             excluded=tuple(self._attempts.excluded),
         )
 
+    def _log_declined(self, work: EngineWork, declined: Declined) -> None:
+        logger.info(
+            "engines declined",
+            request=self._call.headers.request,
+            job=work.job,
+            prompt=work.prompt_tokens,
+            excluded=len(work.excluded),
+            retry_after=declined.retry_after,
+            leader=self._runtime.instance.leader,
+        )
+
     def _log_placement(self, work: EngineWork, placement: Placement) -> None:
         logger.info(
             "engines chosen",
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -29,6 +29,7 @@
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import (
+    Declined,
     EngineWork,
     JobId,
     JobStage,
@@ -138,18 +139,19 @@
         me = InstanceId(self.settings.link_address)
         return build_job_id(me, self._incarnation, self._jobs)
 
-    async def place(self, work: EngineWork) -> Placement | None:
+    async def place(self, work: EngineWork) -> Placement | Declined:
         """Ask the leader where to run; decide alone if it does not answer in time."""
         answer = await self._ask_leader(work)
-        is_own = answer is None
+        placed: Placement | Declined | None = None
         if answer is not None:
-            placement = answer.placement
-        else:
-            placement = self.instance.place(work, self.now())
-        if placement is not None:
-            self.instance.open_job(work, placement, self.now(), is_own=is_own)
+            placed = answer.placement or answer.declined
+        is_own = placed is None
+        if placed is None:
+            placed = self.instance.place(work, self.now())
+        if isinstance(placed, Placement):
+            self.instance.open_job(work, placed, self.now(), is_own=is_own)
         self.metrics.count_placement("front" if is_own else "leader")
-        return placement
+        return placed
 
     async def _ask_leader(self, work: EngineWork) -> PlaceAnswer | None:
         leader = self.instance.leader
@@ -167,7 +169,7 @@
             return None
         finally:
             self._placing.pop(work.job, None)
-        return answer if answer.is_leader else None
+        return answer
 
     def note_first_token(self, job: JobId) -> None:
         """The first event of a job came."""
--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -22,7 +22,7 @@
 REPORT_TIMEOUT = 0.4
 """Seconds to wait for a report, which takes no slot at a replica."""
 
-REPEAT_AFTER = 1.5
+REPEAT_AFTER = 0.9
 """Seconds before the same replica is asked again by this front."""
 
 
@@ -70,7 +70,7 @@
         reports = await asyncio.gather(*(self._ask(a) for a in due.values()))
         self._reports.update(zip(due, reports, strict=True))
         inspection = _summarise(dict(zip(due, reports, strict=True)))
-        if due:
+        if inspection.silent or any(pace.pace > 1.0 for pace in inspection.paces):
             logger.info(
                 "replicas inspected",
                 asked=len(due),
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -69,6 +69,12 @@
     """Memory that the first replica must hold by reservation, 0 for none."""
 
 
+class Declined(msgspec.Struct, frozen=True, array_like=True):
+    """Nothing may take the work now; it may come back after ``retry_after``."""
+
+    retry_after: float
+
+
 class JobStage(msgspec.Struct, frozen=True, array_like=True):
     """How far a job came: its first token was seen, or it ended."""
 
@@ -115,3 +121,6 @@
 
     event_gap: float
     """Shortest event gap promised to one of them; 0 when there is none."""
+
+    pace: float = 1.0
+    """How many times slower than usual it works."""
