--- /dev/null
+++ b/tests/functional/test_gateway.py
@@ -0,0 +1,280 @@
+"""Gateway processes before stand-in replicas: what callers and replicas see."""
+
+import asyncio
+import contextlib
+import signal
+import time
+
+import aiohttp
+import pytest
+from yarl import URL
+
+from scalebend.platform.headers import EXPECTED_UPSTREAM
+from tests.lib.platform_processes import run_processes
+from tests.lib.platform_replicas import EVENTS, build_document, run_replica
+
+SERVICE = "svc"
+WHOLE_STREAM = b"".join(
+    f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, EVENTS + 1)
+)
+
+
+class System:
+    """Processes, replicas and a client session."""
+
+    def __init__(self, processes, session):
+        self.processes = processes
+        self.session = session
+        self.replicas = []
+        self.requests = 0
+
+    async def call(self, kind, *, front=0, key="key-1", method="POST", **headers):
+        self.requests += 1
+        url = f"http://{self.processes.find_front(front)}/{SERVICE}/{kind}/x%2Fy?a=%20"
+        sent = {
+            "Host": "test.example",
+            "X-Request-Id": f"r-{self.requests}",
+            "X-Deadline-Ms": "4000",
+            "Authorization": f"Bearer {key}",
+            **headers,
+        }
+        async with self.session.request(
+            method, URL(url, encoded=True), headers=sent, data=b"body"
+        ) as answer:
+            return answer.status, await answer.read(), answer.headers
+
+    async def put(self, document):
+        for _ in range(60):
+            for control in self.processes.list_controls():
+                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                    async with self.session.put(
+                        f"http://{control}/config", data=document
+                    ) as answer:
+                        if answer.status in (200, 400):
+                            return answer.status
+            await asyncio.sleep(0.1)
+        raise AssertionError("nobody took the configuration")
+
+    async def wait_ready(self, is_ready=True, front=0, seconds=10.0):
+        url = f"http://{self.processes.find_readiness(front)}/ready"
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with self.session.get(url) as answer:
+                    if (answer.status == 200) == is_ready:
+                        return
+            await asyncio.sleep(0.05)
+        raise AssertionError(f"front {front} did not become ready={is_ready}")
+
+    async def wait_served(self, seconds=10.0):
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            status, _, _ = await self.call("idempotent")
+            if status == 200:
+                return
+            await asyncio.sleep(0.05)
+        raise AssertionError("nothing is served")
+
+
+@pytest.fixture
+async def system(tmp_path):
+    async with contextlib.AsyncExitStack() as stack:
+        processes = stack.enter_context(run_processes(tmp_path))
+        timeout = aiohttp.ClientTimeout(total=8.0)
+        session = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
+            )
+        )
+        system = System(processes, session)
+        assert await system.put(build_document(1, [SERVICE])) == 200
+        await system.wait_ready(front=0)
+        await system.wait_ready(front=1)
+        for number in (1, 2):
+            replica = await stack.enter_async_context(
+                run_replica(number, SERVICE, processes.list_controls(), session)
+            )
+            system.replicas.append(replica)
+        await system.wait_served()
+        for replica in system.replicas:
+            replica.ran.clear()
+        yield system
+
+
+def list_runs(system):
+    return [run for replica in system.replicas for run in replica.ran]
+
+
+async def test_request_reaches_a_replica_unchanged(system):
+    status, body, headers = await system.call("idempotent", Cookie="a=b")
+    assert status == 200
+    assert body.startswith(b"done by i-")
+    assert headers["X-Server-Seal"].startswith("seal-of-")
+    ((request, received),) = list_runs(system)
+    assert received == b"body"
+    assert request.raw_path == f"/{SERVICE}/idempotent/x%2Fy?a=%20"
+    assert request.headers["X-Tenant"] == "crew"
+    assert request.headers["Host"] == "test.example"
+    assert request.headers["Cookie"] == "a=b"
+    assert "Authorization" not in request.headers
+    assert int(request.headers["X-Deadline-Ms"]) <= 4000
+    assert request.headers[EXPECTED_UPSTREAM].startswith("i-")
+
+
+async def test_unknown_route_and_key(system):
+    assert (await system.call("idempotent", key="wrong"))[0] == 401
+    assert (await system.call("nothing"))[0] == 404
+    assert not list_runs(system)
+
+
+async def test_stream_is_passed_on_and_resumed_at_another_replica(system):
+    assert (await system.call("stream"))[1] == WHOLE_STREAM
+    for replica in system.replicas:
+        replica.ran.clear()
+    system.replicas[0].mode = system.replicas[1].mode = "break"
+    task = asyncio.create_task(system.call("stream"))
+    while not list_runs(system):
+        await asyncio.sleep(0.001)
+    for replica in system.replicas:
+        if not replica.ran:
+            replica.mode = "answer"
+    status, body, _ = await task
+    assert (status, body) == (200, WHOLE_STREAM)
+    last_events = [r.headers.get("Last-Event-Id") for r, _ in list_runs(system)]
+    assert sorted(map(str, last_events)) == ["2", "None"]
+
+
+async def test_caller_that_resumes_gets_the_rest(system):
+    _, body, _ = await system.call("stream", **{"Last-Event-Id": "3"})
+    assert body == b"id: 4\ndata: 4\n\nid: 5\ndata: 5\n\n"
+
+
+async def test_not_repeatable_request_runs_once_and_is_not_called_refused(system):
+    for replica in system.replicas:
+        replica.mode = "vanish"
+    status, _, headers = await system.call("non_idempotent")
+    assert status == 502
+    assert "Retry-After" not in headers
+    assert len(list_runs(system)) == 1
+
+
+async def test_full_replicas_make_a_true_refusal(system):
+    for replica in system.replicas:
+        replica.mode = "full"
+    status, _, headers = await system.call("non_idempotent")
+    assert status == 503
+    assert 0.0 < float(headers["Retry-After"]) < 4.0
+    assert not list_runs(system)
+
+
+async def test_failure_of_one_replica_is_retried_at_another(system):
+    system.replicas[0].mode = "fail"
+    statuses = [(await system.call("idempotent"))[0] for _ in range(6)]
+    assert statuses == [200] * 6
+    for replica in system.replicas:
+        replica.mode = "fail"
+    status, body, headers = await system.call("idempotent")
+    assert (status, body) == (500, b"own failure")
+    assert headers["X-Server-Seal"].startswith("seal-of-")
+
+
+async def test_leaving_replica_gets_nothing_new(system):
+    await system.replicas[0].register(system.session, state="draining")
+    await asyncio.sleep(0.3)
+    system.replicas[0].ran.clear()
+    for _ in range(10):
+        assert (await system.call("idempotent"))[0] == 200
+    assert not system.replicas[0].ran
+
+
+async def test_configuration_is_read_back_and_never_goes_back(system):
+    newest = build_document(7, [SERVICE])
+    assert await system.put(newest) == 200
+    assert await system.put(build_document(3, [])) == 200
+    assert await system.put(newest) == 200
+    for control in system.processes.list_controls():
+        async with system.session.get(f"http://{control}/config") as answer:
+            assert answer.status == 200
+            assert await answer.read() == newest
+    assert await system.put(build_document(9, [SERVICE], TimeoutMs=0)) == 400
+    assert await system.put(newest[:-20]) == 400
+    assert (await system.call("idempotent"))[0] == 200
+
+
+async def test_revoked_key_is_refused(system):
+    assert await system.put(build_document(2, [SERVICE], keys=("key-2",))) == 200
+    await asyncio.sleep(0.5)
+    assert (await system.call("idempotent"))[0] == 401
+    assert (await system.call("idempotent", key="key-2"))[0] == 200
+
+
+async def test_front_cut_off_from_control_stops_admitting_in_time(system):
+    for name in system.processes.names[:3]:
+        system.processes.signal(name, signal.SIGSTOP)
+    await asyncio.sleep(5.0)
+    system.replicas[0].ran.clear()
+    status, _, headers = await system.call("idempotent")
+    assert status == 503
+    assert "Retry-After" in headers
+    assert not system.replicas[0].ran
+    for name in system.processes.names[:3]:
+        system.processes.signal(name, signal.SIGCONT)
+    await system.wait_served()
+
+
+async def test_killed_leader_is_replaced_while_requests_are_served(system):
+    leader = system.processes.find_leader()
+    system.processes.kill(leader)
+    for _ in range(20):
+        assert (await system.call("idempotent"))[0] == 200
+        await asyncio.sleep(0.05)
+    document = build_document(12, [SERVICE])
+    assert await system.put(document) == 200
+    system.processes.start(leader)
+    await asyncio.sleep(1.0)
+    control = system.processes.find_ip(leader)
+    url = f"http://{control}:{system.processes.control_port}/config"
+    async with system.session.get(url) as answer:
+        assert await answer.read() == document
+
+
+async def test_planned_stop_finishes_an_open_stream(system):
+    for replica in system.replicas:
+        replica.gate.clear()
+    task = asyncio.create_task(system.call("stream"))
+    while not list_runs(system):
+        await asyncio.sleep(0.01)
+    system.processes.signal("front-0", signal.SIGTERM)
+    await system.wait_ready(is_ready=False, seconds=2.0)
+    # Callers that were not told yet are still served, and told to go.
+    status, _, headers = await system.call("idempotent")
+    assert status == 200
+    assert headers["Connection"] == "close"
+    for replica in system.replicas:
+        replica.gate.set()
+    assert (await task)[1] == WHOLE_STREAM
+    assert system.processes.running["front-0"].wait(timeout=10) == 0
+
+
+async def test_each_decision_on_a_request_is_in_the_log(system):
+    system.replicas[0].mode = system.replicas[1].mode = "full"
+    await system.call("idempotent", **{"X-Request-Id": "traced-1"})
+    lines = [
+        line
+        for line in system.processes.read_log("front-0")
+        if line.get("request") == "traced-1"
+    ]
+    events = [line["event"] for line in lines]
+    assert events.count("attempt ended") == 2
+    assert events[-1] == "request answered"
+    assert lines[-1]["status"] == 503
+    assert lines[-1]["ran"] == "no"
+
+
+async def test_metrics_are_served_on_the_readiness_address(system):
+    await system.call("idempotent")
+    url = f"http://{system.processes.find_readiness(0)}/metrics"
+    async with system.session.get(url) as answer:
+        text = await answer.text()
+    assert 'scalebend_requests_total{kind="idempotent",status="200"}' in text
+    assert "scalebend_request_seconds_bucket" in text
--- a/tests/lib/control_group.py
+++ b/tests/lib/control_group.py
@@ -41,8 +41,11 @@
 class ControlGroup:
     """Members by name, messages in flight, and what each member applied."""
 
-    def __init__(self, names, snapshot_entries=8):
+    def __init__(self, names, snapshot_entries=8, seeds=None, voters_wanted=None):
+        """With ``seeds``, members find each other through these and may be replaced."""
         self.names = list(names)
+        self.seeds = seeds
+        self.voters_wanted = voters_wanted
         self.now = 0.0
         self.disks = {name: Disk(f"{name}-disk-0") for name in self.names}
         self.members = {}
@@ -53,20 +56,39 @@
         self.cut = set()
         self.snapshot_entries = snapshot_entries
         self.starts = 0
+        self.is_first_start = True
         for name in self.names:
             self.start(name)
 
     def start(self, name):
         self.starts += 1
-        peers = [other for other in self.names if other != name]
+        known = self.names if self.seeds is None else self.seeds
+        peers = [other for other in known if other != name]
         member = ControlMember(
-            name, peers, self.disks[name].recover(), now=self.now, seed=self.starts
+            name,
+            peers,
+            self.disks[name].recover(),
+            now=self.now,
+            seed=self.starts,
+            may_found=self.seeds is None or (self.is_first_start and name in known),
+            voters_wanted=self.voters_wanted,
         )
         self.members[name] = member
 
     def crash(self, name):
         self.members.pop(name, None)
 
+    def add(self, name):
+        """A machine joins with an empty disk."""
+        self.names.append(name)
+        self.disks[name] = Disk(f"{name}-disk-{self.starts}")
+        self.start(name)
+
+    def remove(self, name):
+        """A machine is gone for good."""
+        self.crash(name)
+        self.names.remove(name)
+
     def replace_disk(self, name):
         self.crash(name)
         self.disks[name] = Disk(f"{name}-disk-{self.starts}")
--- /dev/null
+++ b/tests/lib/platform_processes.py
@@ -0,0 +1,114 @@
+"""Gateway processes on loopback addresses, started and ended by id."""
+
+import contextlib
+import json
+import os
+import signal
+import subprocess
+import sys
+
+from scalebend.standins.ports import find_free_ports
+
+CONTROLS = 3
+FRONTS = 2
+
+
+class Processes:
+    """A small deployment: each process has a loopback address of its own."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        link, metrics, front, ready, control = find_free_ports(5, "0.0.0.0")
+        self.ports = {"link": link, "metrics": metrics}
+        self.front_port, self.ready_port, self.control_port = front, ready, control
+        self.running = {}
+        self.starts = {}
+        self.names = [f"control-{n}" for n in range(CONTROLS)]
+        self.names += [f"front-{n}" for n in range(FRONTS)]
+
+    def find_ip(self, name):
+        return f"127.0.0.{20 + self.names.index(name)}"
+
+    def list_controls(self):
+        return [f"{self.find_ip(n)}:{self.control_port}" for n in self.names[:CONTROLS]]
+
+    def find_front(self, number):
+        return f"{self.find_ip(f'front-{number}')}:{self.front_port}"
+
+    def find_readiness(self, number):
+        return f"{self.find_ip(f'front-{number}')}:{self.ready_port}"
+
+    def start(self, name):
+        ip = self.find_ip(name)
+        is_control = name.startswith("control")
+        folder = self.folder / name
+        folder.mkdir(exist_ok=True)
+        starts = self.starts.get(name, 0)
+        self.starts[name] = starts + 1
+        listen = {"Control": f"{ip}:{self.control_port}"}
+        if not is_control:
+            listen = {
+                "Front": f"{ip}:{self.front_port}",
+                "Ready": f"{ip}:{self.ready_port}",
+            }
+        settings = {
+            "NodeName": name,
+            "Serves": ["control" if is_control else "front"],
+            "Ip": ip,
+            "Zone": "z",
+            "Listen": listen,
+            "PortRange": [self.ports["link"], self.ports["metrics"]],
+            "Seeds": self.list_controls(),
+            "Bootstrap": starts == 0,
+            "Tolerate": {"Machines": 1},
+            "HeartbeatMs": 1200,
+            "DataDir": str(folder / "data") if is_control else None,
+        }
+        path = folder / "node.json"
+        path.write_text(json.dumps(settings))
+        with (folder / f"log-{starts}").open("wb") as log:
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", "scalebend", "gateway"],
+                env={**os.environ, "SCALEBEND_CONFIG": str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, name, number):
+        self.running[name].send_signal(number)
+
+    def kill(self, name):
+        process = self.running.pop(name)
+        process.kill()
+        process.wait()
+
+    def read_log(self, name):
+        path = self.folder / name / f"log-{self.starts[name] - 1}"
+        lines = path.read_text().splitlines()
+        return [json.loads(line) for line in lines if line.startswith("{")]
+
+    def find_leader(self):
+        """The control instance that last said that it leads."""
+        leaders = []
+        for name in self.names[:CONTROLS]:
+            if name not in self.running:
+                continue
+            changes = [line for line in self.read_log(name) if "leads" in line]
+            if changes and changes[-1]["leads"]:
+                leaders.append((changes[-1]["timestamp"], name))
+        return max(leaders)[1]
+
+
+@contextlib.contextmanager
+def run_processes(folder):
+    """Start a deployment; end what of it still runs."""
+    processes = Processes(folder)
+    for name in processes.names:
+        processes.start(name)
+    try:
+        yield processes
+    finally:
+        for process in processes.running.values():
+            process.send_signal(signal.SIGCONT)
+            process.kill()
+            process.wait()
--- /dev/null
+++ b/tests/lib/platform_replicas.py
@@ -0,0 +1,157 @@
+"""Stand-in replicas of the users' platform, by its published protocol."""
+
+import asyncio
+import contextlib
+import json
+
+import aiohttp
+from aiohttp import web
+
+EVENTS = 5
+
+
+class Replica:
+    """One replica: answers, keeps what it ran, and registers itself."""
+
+    def __init__(self, number, service, controls):
+        self.id = f"i-{number}"
+        self.service = service
+        self.controls = controls
+        self.address = None
+        self.ran = []
+        self.orders = []
+        self.mode = "answer"
+        self.event_pause = 0.02
+        self.sequence = 0
+        self.gate = asyncio.Event()
+        self.gate.set()
+
+    async def handle(self, request):
+        if request.path == "/report":
+            return web.json_response({"pace": 1.0, "Waiting": 0, "Running": 0})
+        if request.path == "/order":
+            self.orders.append(await request.json())
+            return web.json_response({"Available": 1})
+        expected = request.headers.get("X-Expect-Instance")
+        if expected not in (None, self.id):
+            return web.Response(status=421)
+        body = await request.read()
+        if self.mode == "full":
+            return web.Response(status=503, headers={"X-Not-Executed": "true"})
+        self.ran.append((request, body))
+        echo = {
+            "X-Request-Id": request.headers["X-Request-Id"],
+            "X-Server-Seal": f"seal-of-{self.id}",
+        }
+        if self.mode == "vanish":
+            request.transport.abort()
+            return web.Response()
+        if self.mode == "fail":
+            return web.Response(status=500, headers=echo, body=b"own failure")
+        if "stream" in request.path:
+            return await self.stream(request, echo)
+        return web.Response(headers=echo, body=b"done by " + self.id.encode())
+
+    async def stream(self, request, echo):
+        answer = web.StreamResponse(headers=echo)
+        answer.content_type = "text/event-stream"
+        await answer.prepare(request)
+        first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        for number in range(first, EVENTS + 1):
+            await self.gate.wait()
+            await answer.write(f"id: {number}\ndata: {number}\n\n".encode())
+            if self.mode == "break" and number == 2:
+                await answer.write(b"id: 3\nda")
+                request.transport.abort()
+                return answer
+            await asyncio.sleep(self.event_pause)
+        await answer.write_eof()
+        return answer
+
+    async def register(self, session, state="ready"):
+        self.sequence += 1
+        document = {
+            "Service": self.service,
+            "Address": self.address,
+            "Zone": "z",
+            "Slots": 8,
+            "State": state,
+            "Seq": self.sequence,
+        }
+        await self.call_control(session, "PUT", document)
+
+    async def leave(self, session):
+        await self.call_control(session, "DELETE", None)
+
+    async def call_control(self, session, method, document):
+        for control in self.controls:
+            url = f"http://{control}/instances/{self.id}"
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                timeout = aiohttp.ClientTimeout(total=1.0)
+                async with session.request(
+                    method, url, json=document, timeout=timeout
+                ) as answer:
+                    if answer.status == 200:
+                        return
+        raise AssertionError("no control instance took the registration")
+
+
+@contextlib.asynccontextmanager
+async def run_replica(number, service, controls, session):
+    """Serve a replica and keep it registered."""
+    replica = Replica(number, service, controls)
+    runner = web.ServerRunner(web.Server(replica.handle, handler_cancellation=True))
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = site._server.sockets[0].getsockname()[1]
+    replica.address = f"127.0.0.1:{port}"
+    await replica.register(session)
+    try:
+        yield replica
+    finally:
+        await runner.cleanup()
+
+
+def build_document(version, services, keys=("key-1",), **route_changes):
+    """A configuration document as the platform's operators send it."""
+    routes = []
+    for service in services:
+        for kind, extra in (
+            ("idempotent", {}),
+            ("non_idempotent", {"MaxAttempts": 1}),
+            ("streaming", {"Resumable": True, "GapAimMs": 200}),
+        ):
+            path = "stream" if kind == "streaming" else kind
+            routes.append(
+                {
+                    "Name": f"{service}-{kind}",
+                    "Host": "test.example",
+                    "PathPrefix": f"/{service}/{path}/",
+                    "Kind": kind,
+                    "TimeoutMs": 5000,
+                    "TargetLatencyMs": 300,
+                    "Priority": 1,
+                    "Service": service,
+                    "MaxAttempts": 2,
+                    "Public": False,
+                    **extra,
+                    **route_changes,
+                }
+            )
+    document = {
+        "Version": version,
+        "Routes": routes,
+        "Services": [
+            {"Name": service, "HealthPath": "/health", "MaxConnections": 50}
+            for service in services
+        ],
+        "Limits": {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 65536,
+            "HeaderTimeoutMs": 3000,
+            "IdleTimeoutMs": 15000,
+        },
+        "Tenants": [{"Name": "crew", "ApiKeys": list(keys), "Priority": 1}],
+    }
+    return json.dumps(document).encode()
--- /dev/null
+++ b/tests/unit/gateway/test_attempts.py
@@ -0,0 +1,93 @@
+from hypothesis import given, strategies as st
+
+from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
+from scalebend.core.gateway.retry_window import RetryWindow
+from scalebend.exceptions import ErrorKind, Ran
+from scalebend.models.calls import Outcome
+from scalebend.models.routing import RouteKind
+from tests.lib.gateway_builders import build_call, build_route
+
+MAY_HAVE_RUN = {Outcome.FAILED, Outcome.BROKEN, Outcome.SILENT, Outcome.TIMED_OUT}
+
+
+def build_budget(slack=1_000.0):
+    return RetryWindow(0.0, slack, 10.0)
+
+
+def run_attempts(call, outcomes, budget=None):
+    """Feed outcomes until the call ends; return the outcomes used and the end."""
+    attempts = Attempts(call)
+    used = []
+    for number, outcome in enumerate(outcomes):
+        used.append(outcome)
+        decision = attempts.decide(
+            outcome, f"i-{number}", budget or build_budget(), 0.0
+        )
+        if isinstance(decision, GiveUp):
+            return used, decision
+    return used, None
+
+
+OUTCOMES = st.lists(
+    st.sampled_from([o for o in Outcome if o is not Outcome.ANSWERED]),
+    min_size=30,
+    max_size=30,
+)
+
+
+@given(OUTCOMES)
+def test_not_repeatable_request_runs_at_most_once(outcomes):
+    call = build_call(build_route(kind=RouteKind.NON_IDEMPOTENT, attempts_most=3))
+    used, end = run_attempts(call, outcomes)
+    assert sum(outcome in MAY_HAVE_RUN for outcome in used) <= 1
+    assert end is not None
+
+
+@given(OUTCOMES, st.sampled_from(RouteKind), st.integers(1, 3))
+def test_refusal_as_not_run_is_true(outcomes, kind, attempts_most):
+    call = build_call(build_route(kind=kind, attempts_most=attempts_most))
+    used, end = run_attempts(call, outcomes)
+    if end is not None and end.ran is Ran.NO:
+        assert not any(outcome in MAY_HAVE_RUN for outcome in used)
+    if end is not None and end.kind in (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM):
+        assert end.ran is Ran.NO
+
+
+@given(OUTCOMES, st.integers(1, 3))
+def test_no_more_runs_than_the_route_allows(outcomes, attempts_most):
+    call = build_call(build_route(attempts_most=attempts_most))
+    used, _ = run_attempts(call, outcomes)
+    assert sum(outcome in MAY_HAVE_RUN for outcome in used) <= attempts_most
+
+
+def test_stream_that_may_be_resumed_is_tried_again():
+    route = build_route(kind=RouteKind.STREAMING, is_resumable=True)
+    _, end = run_attempts(build_call(route), [Outcome.BROKEN])
+    assert end is None
+    route = build_route(kind=RouteKind.STREAMING, is_resumable=False)
+    _, end = run_attempts(build_call(route), [Outcome.BROKEN])
+    assert end.ran is Ran.UNKNOWN
+
+
+def test_own_failure_of_the_upstream_is_passed_on_at_last():
+    used, end = run_attempts(build_call(), [Outcome.FAILED, Outcome.FAILED])
+    assert len(used) == 2
+    assert end.passes_answer
+
+
+def test_empty_budget_ends_the_call():
+    _, end = run_attempts(build_call(), [Outcome.BROKEN], build_budget(0.0))
+    assert end.kind is ErrorKind.UPSTREAM_FAILED
+
+
+def test_what_was_never_sent_costs_no_budget():
+    attempts = Attempts(build_call())
+    decision = attempts.decide(Outcome.NOT_SENT, "i-1", build_budget(0.0), 0.0)
+    assert decision == TryAgain()
+    assert attempts.excluded == {"i-1"}
+
+
+def test_no_attempt_begins_at_the_deadline():
+    attempts = Attempts(build_call(deadline=1.0))
+    decision = attempts.decide(Outcome.BROKEN, "i-1", build_budget(), 0.99)
+    assert isinstance(decision, GiveUp)
--- /dev/null
+++ b/tests/unit/gateway/test_endpoint_directory.py
@@ -0,0 +1,105 @@
+import msgspec
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from scalebend.core.gateway.endpoint_directory import EndpointDirectory
+from scalebend.models.endpoints import EndpointNews
+from tests.lib.gateway_builders import SERVICE, build_endpoint
+
+
+def list_ids(directory):
+    return {endpoint.upstream for endpoint in directory.list_usable(SERVICE)}
+
+
+def test_late_registration_does_not_undo_draining():
+    directory = EndpointDirectory(10.0)
+    directory.register(build_endpoint(sequence=2, is_draining=True), 0.0)
+    assert directory.register(build_endpoint(sequence=1), 1.0) is None
+    assert not list_ids(directory)
+
+
+def test_departed_upstream_never_returns_under_its_id():
+    directory = EndpointDirectory(10.0)
+    directory.register(build_endpoint(), 0.0)
+    directory.remove("i-1", 1.0)
+    directory.register(build_endpoint(sequence=9), 2.0)
+    assert not list_ids(directory)
+
+
+def test_silent_upstream_returns_when_it_speaks():
+    directory = EndpointDirectory(10.0)
+    directory.register(build_endpoint(), 0.0)
+    assert directory.expire(10.5)[0].is_gone
+    assert not list_ids(directory)
+    assert directory.register(build_endpoint(sequence=2), 11.0) is not None
+    assert list_ids(directory) == {"i-1"}
+
+
+def test_heartbeat_without_news_is_not_published():
+    directory = EndpointDirectory(10.0)
+    assert directory.register(build_endpoint(), 0.0) is not None
+    assert directory.register(build_endpoint(sequence=2), 1.0) is None
+
+
+def test_gone_by_silence_elsewhere_does_not_hide_a_newer_registration():
+    directory = EndpointDirectory(10.0)
+    directory.register(build_endpoint(sequence=5), 0.0)
+    stale = EndpointNews(build_endpoint(sequence=3), is_gone=True)
+    assert directory.merge(stale, 1.0) is None
+    assert list_ids(directory) == {"i-1"}
+
+
+class TwoDirectories(RuleBasedStateMachine):
+    """One hears the upstream, the other hears the first; news come in any order."""
+
+    def __init__(self):
+        super().__init__()
+        self.heard = EndpointDirectory(1_000.0)
+        self.told = EndpointDirectory(1_000.0)
+        self.news = []
+        self.sequence = 0
+        self.has_left = False
+
+    def publish(self, news):
+        if news is not None:
+            self.news.append(news)
+
+    @rule(lag=st.integers(0, 3), drains=st.booleans())
+    def register(self, lag, drains):
+        self.sequence += 1
+        number = max(1, self.sequence - lag)
+        endpoint = build_endpoint(sequence=number, is_draining=drains)
+        self.publish(self.heard.register(endpoint, 0.0))
+        self.has_left |= drains and number == self.sequence
+
+    @rule()
+    def leave(self):
+        self.publish(self.heard.remove("i-1", 0.0))
+        self.has_left |= self.sequence > 0
+
+    @rule(data=st.data())
+    def deliver(self, data):
+        if self.news:
+            position = data.draw(st.integers(0, len(self.news) - 1))
+            self.told.merge(self.news[position], 0.0)
+
+    @invariant()
+    def draining_is_final(self):
+        if self.has_left:
+            assert not list_ids(self.heard)
+
+    def teardown(self):
+        for news in self.news:
+            self.told.merge(news, 0.0)
+        assert list_ids(self.told) == list_ids(self.heard)
+        # A process that starts now learns the same.
+        fresh = EndpointDirectory(1_000.0)
+        for news in self.heard.list_news():
+            copy = msgspec.msgpack.decode(
+                msgspec.msgpack.encode(news), type=EndpointNews
+            )
+            fresh.merge(copy, 0.0)
+        assert list_ids(fresh) == list_ids(self.heard)
+
+
+TestTwoDirectories = TwoDirectories.TestCase
--- /dev/null
+++ b/tests/unit/gateway/test_engine_scheduler.py
@@ -0,0 +1,218 @@
+"""Placement: gaps of writers, sharing, lost fronts, slow replicas, and overload."""
+
+import pytest
+from hypothesis import given, strategies as st
+
+from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
+from scalebend.core.gateway.engine_scheduler import (
+    LONGEST_PART_ALONE,
+    EngineScheduler,
+)
+from scalebend.models.ids import InstanceId
+from scalebend.models.placement import (
+    Declined,
+    JobStage,
+    OpenJob,
+    Placement,
+    ReplicaPace,
+    build_job_id,
+    is_job_of,
+)
+from tests.lib.gateway_builders import (
+    PROFILE,
+    build_endpoint,
+    build_quick,
+    build_work,
+)
+
+ENDPOINTS = [build_endpoint(number) for number in range(1, 19)]
+
+
+def place(scheduler, work, now=0.0, endpoints=ENDPOINTS):
+    return scheduler.place(work, endpoints, PROFILE, now)
+
+
+def start(scheduler, work, now=0.0):
+    """Place work and see its first token."""
+    placement = place(scheduler, work, now)
+    scheduler.note_stage(JobStage(work.job, is_ended=False), now)
+    return placement
+
+
+def test_reading_time_of_the_sheet():
+    times = [compute_read_time(PROFILE, p) for p in (5_000, 45_000, 210_000)]
+    assert times == pytest.approx([0.0207, 0.2686, 2.842], rel=0.01)
+
+
+def test_pass_without_writers_takes_no_steps():
+    assert compute_pass_time(PROFILE, []) == 0.0
+    assert 0.042 < compute_pass_time(PROFILE, [5_000]) < 0.045
+
+
+def test_quick_requests_share_as_few_replicas_as_have_slots():
+    scheduler = EngineScheduler()
+    used = {start(scheduler, build_quick(n)).upstream for n in range(24)}
+    assert len(used) == 3
+
+
+def test_long_prompt_avoids_replicas_that_write_for_quick_requests():
+    scheduler = EngineScheduler()
+    quick = {start(scheduler, build_quick(n)).upstream for n in range(12)}
+    placement = place(scheduler, build_work("long", 210_000))
+    used = {placement.upstream, *(helper.upstream for helper in placement.helpers)}
+    assert len(used) > 1
+    assert not used & quick
+
+
+@given(
+    st.lists(
+        st.sampled_from([(5_000, 0.3, 0.2), (45_000, 1.5, 0.5), (210_000, 3.0, 0.8)]),
+        max_size=40,
+    )
+)
+def test_reading_keeps_below_the_event_gap_while_all_are_in_time(sizes):
+    scheduler = EngineScheduler()
+    reading = {}
+    gaps = {}
+    for number, (prompt, target, gap) in enumerate(sizes):
+        work = build_work(number, prompt, target=target, event_gap=gap)
+        placement = place(scheduler, work)
+        if isinstance(placement, Declined) or placement.first_token_in > target:
+            return
+        part = compute_read_time(PROFILE, prompt) / (1 + len(placement.helpers))
+        chosen = [placement.upstream, *(h.upstream for h in placement.helpers)]
+        for upstream in chosen:
+            limit = gaps.get(upstream)
+            reading[upstream] = reading.get(upstream, 0.0) + part
+            if limit is not None and placement.first_token_in < 0.5 * target:
+                assert reading[upstream] <= limit
+        gaps[placement.upstream] = min(gap, gaps.get(placement.upstream, gap))
+
+
+def test_jobs_of_a_lost_front_are_forgotten():
+    front = InstanceId("10.1.0.1:7000")
+    scheduler = EngineScheduler()
+    for number in range(144):
+        job = build_job_id(front, 7, number)
+        place(scheduler, build_quick(number, job=job))
+    assert scheduler.open_jobs == 144
+    scheduler.forget_front(lambda job: is_job_of(front, job))
+    assert scheduler.open_jobs == 0
+    assert place(scheduler, build_quick("next")).first_token_in < 0.1
+
+
+def test_front_with_a_longer_address_is_another():
+    job = build_job_id(InstanceId("10.1.0.11:7000"), 7, 1)
+    assert not is_job_of(InstanceId("10.1.0.1:7000"), job)
+
+
+def test_job_whose_end_was_not_heard_is_forgotten_after_its_deadline():
+    scheduler = EngineScheduler()
+    place(scheduler, build_quick(1, remaining=2.0))
+    scheduler.expire(2.5)
+    assert scheduler.open_jobs == 1
+    scheduler.expire(3.5)
+    assert scheduler.open_jobs == 0
+
+
+def test_quick_request_is_never_split():
+    scheduler = EngineScheduler()
+    for number in range(400):
+        placement = start(scheduler, build_quick(number, remaining=100.0))
+        assert placement.helpers == ()
+
+
+def test_late_first_tokens_alone_make_no_replica_slow():
+    # A pace learnt from its own prediction once fed itself until nothing fitted.
+    scheduler = EngineScheduler()
+    for number in range(100):
+        work = build_quick(number)
+        place(scheduler, work, now=float(number))
+        scheduler.note_stage(JobStage(work.job, is_ended=False), number + 2.0)
+        scheduler.note_stage(JobStage(work.job, is_ended=True), number + 2.5)
+    assert place(scheduler, build_quick("next"), now=200.0).first_token_in < 0.1
+
+
+def test_slow_replica_is_avoided_until_its_word_is_old():
+    scheduler = EngineScheduler()
+    first = place(scheduler, build_quick(1))
+    scheduler.note_stage(JobStage("front-1-1", is_ended=True), 0.1)
+    scheduler.note_pace(ReplicaPace(first.upstream, 4.0), 0.2)
+    assert place(scheduler, build_quick(2), now=0.3).upstream != first.upstream
+    for number in range(3, 9):
+        scheduler.note_stage(JobStage(f"front-1-{number - 1}", is_ended=True), 9.0)
+    assert place(scheduler, build_quick(10), now=9.0).upstream == first.upstream
+
+
+def test_unreachable_replica_is_avoided_but_used_when_all_are():
+    scheduler = EngineScheduler()
+    pair = ENDPOINTS[:2]
+    scheduler.note_failure("i-1", 0.0)
+    for number in range(20):
+        work = build_quick(number)
+        assert place(scheduler, work, 0.1, pair).upstream == "i-2"
+        scheduler.note_stage(JobStage(work.job, is_ended=True), 0.1)
+    scheduler.note_failure("i-2", 0.1)
+    assert isinstance(place(scheduler, build_quick("last"), 0.2, pair), Placement)
+
+
+def test_prompt_larger_than_one_memory_is_spread_over_reservations():
+    placement = place(EngineScheduler(), build_work("giant", 700_000))
+    held = sum(helper.tokens for helper in placement.helpers)
+    own = 700_000 + 1_600 - held
+    assert 0 < own <= PROFILE.memory_tokens
+    assert all(h.tokens <= PROFILE.memory_tokens for h in placement.helpers)
+
+
+def test_giant_prompts_leave_places_for_quick_requests():
+    scheduler = EngineScheduler()
+    for number in range(16):
+        start(scheduler, build_quick(number))
+    for number in range(4):
+        place(scheduler, build_work(f"giant-{number}", 650_000))
+    for number in range(16, 24):
+        placement = start(scheduler, build_quick(number), now=0.1)
+        assert placement.first_token_in < 0.3
+
+
+def test_giant_prompt_that_would_be_late_is_declined():
+    scheduler = EngineScheduler()
+    outcomes = [place(scheduler, build_work(n, 690_000)) for n in range(4)]
+    declined = [outcome for outcome in outcomes if isinstance(outcome, Declined)]
+    assert isinstance(outcomes[0], Placement)
+    assert declined
+    assert all(0.0 < outcome.retry_after <= 2.0 for outcome in declined)
+
+
+def test_short_read_is_never_declined():
+    scheduler = EngineScheduler()
+    for number in range(100):
+        assert isinstance(place(scheduler, build_work(number, 45_000)), Placement)
+
+
+def test_next_leader_learns_what_is_open():
+    old = EngineScheduler()
+    work = build_work("long", 210_000)
+    placement = place(old, work)
+    new = EngineScheduler()
+    new.adopt(OpenJob(work, placement, is_writing=False, age=0.1), PROFILE, 0.1)
+    busy = {one.upstream for one in new.list_busy(0.1, 32)}
+    assert busy == {placement.upstream, *(h.upstream for h in placement.helpers)}
+
+
+def test_fronts_deciding_alone_spread_and_use_small_parts():
+    fronts = [EngineScheduler(f"front-{n}", LONGEST_PART_ALONE) for n in range(9)]
+    firsts = [place(front, build_quick(n)).upstream for n, front in enumerate(fronts)]
+    assert len(set(firsts)) >= 5
+    placement = place(fronts[0], build_work("long", 45_000, target=1.5, event_gap=0.5))
+    assert len(placement.helpers) == 1
+
+
+def test_front_alone_avoids_what_the_lost_leader_told_of():
+    leader = EngineScheduler()
+    placement = place(leader, build_work("long", 210_000))
+    front = EngineScheduler("front")
+    front.note_busy(leader.list_busy(0.0, 32), 0.0)
+    reading = {placement.upstream, *(h.upstream for h in placement.helpers)}
+    for number in range(30):
+        assert place(front, build_quick(number), 0.01).upstream not in reading
--- /dev/null
+++ b/tests/unit/gateway/test_retry_window.py
@@ -0,0 +1,44 @@
+from hypothesis import given, strategies as st
+
+from scalebend.core.gateway.retry_window import RetryWindow
+from tests.lib.gateway_builders import SERVICE
+
+RATIO, SLACK, WINDOW = 0.2, 106.0, 10.0
+
+EVENTS = st.lists(
+    st.tuples(st.integers(0, 8), st.floats(0, 30), st.booleans()), max_size=600
+)
+
+
+@given(EVENTS)
+def test_all_fronts_together_stay_within_the_budget(events):
+    fronts = [RetryWindow(RATIO, SLACK, WINDOW) for _ in range(9)]
+    requests, retries = [], []
+    for front in fronts:
+        front.set_fronts(9)
+    for number, at, is_retry in sorted(events, key=lambda event: event[1]):
+        if not is_retry:
+            fronts[number].note_request(SERVICE, at)
+            requests.append(at)
+        elif fronts[number].spend(SERVICE, at):
+            retries.append(at)
+    for end in retries:
+        spent = sum(end - WINDOW < at <= end for at in retries)
+        earned = sum(end - WINDOW < at <= end for at in requests)
+        assert spent <= RATIO * earned + SLACK
+
+
+def test_window_slides():
+    window = RetryWindow(0.0, 10.0, WINDOW)
+    window.set_fronts(1)
+    taken = sum(window.spend(SERVICE, 0.0) for _ in range(20))
+    assert taken == 7
+    assert not window.spend(SERVICE, 9.9)
+    assert window.spend(SERVICE, 10.1)
+
+
+def test_services_have_budgets_of_their_own():
+    window = RetryWindow(0.0, 2.0, WINDOW)
+    assert window.spend(SERVICE, 0.0)
+    assert not window.spend(SERVICE, 0.0)
+    assert window.spend("other", 0.0)
--- /dev/null
+++ b/tests/unit/gateway/test_routing_store.py
@@ -0,0 +1,92 @@
+import msgspec
+from hypothesis import given, strategies as st
+
+from scalebend.core.control_state import ControlState, PutRouting, encode_command
+from scalebend.core.gateway.routing_store import (
+    RoutingNews,
+    apply_news,
+    build_news,
+    pack_routing,
+    unpack_document,
+    unpack_routing,
+)
+from scalebend.models.routing import EMPTY_ROUTING
+from tests.lib.gateway_builders import (
+    build_customer,
+    build_route,
+    build_routing,
+    build_service,
+)
+
+
+@st.composite
+def routings(draw, version):
+    prefixes = draw(st.sets(st.sampled_from("abcdef")))
+    routes = [
+        build_route(
+            name=prefix,
+            path_prefix=f"/{prefix}/",
+            timeout=draw(st.sampled_from([1.0, 2.0])),
+        )
+        for prefix in sorted(prefixes)
+    ]
+    services = [build_service(n) for n in sorted(draw(st.sets(st.sampled_from("xyz"))))]
+    customers = [
+        build_customer(name, f"{name}-{draw(st.integers(0, 1))}")
+        for name in sorted(draw(st.sets(st.sampled_from("pqr"))))
+    ]
+    return build_routing(version, routes, services, customers)
+
+
+def as_sets(routing):
+    return (
+        routing.version,
+        frozenset(routing.routes),
+        frozenset(routing.services),
+        frozenset(routing.customers),
+        routing.needs_key,
+    )
+
+
+@given(routings(1), routings(2))
+def test_news_turn_one_document_into_the_next(base, newer):
+    news = build_news(base, newer)
+    copy = msgspec.msgpack.decode(msgspec.msgpack.encode(news), type=RoutingNews)
+    assert as_sets(apply_news(base, copy)) == as_sets(newer)
+
+
+def test_news_for_another_base_are_not_applied():
+    news = build_news(build_routing(3), build_routing(5))
+    assert apply_news(build_routing(4), news) is None
+
+
+def test_small_change_of_a_large_document_is_small():
+    routes = [build_route(name=str(n), path_prefix=f"/{n}/") for n in range(350)]
+    base = build_routing(1, routes)
+    changed = [*routes[:-1], msgspec.structs.replace(routes[-1], timeout=1.0)]
+    news = build_news(base, build_routing(2, changed))
+    assert len(msgspec.msgpack.encode(news)) < 1_000
+    whole = build_news(EMPTY_ROUTING, base)
+    assert len(msgspec.msgpack.encode(whole)) < 60_000
+
+
+def put(state, routing, document=b"{}"):
+    command = PutRouting(pack_routing(routing, document))
+    return state.apply(encode_command(command), 0.0).version
+
+
+def test_highest_version_holds_and_is_handed_back_unchanged():
+    state = ControlState()
+    assert put(state, build_routing(5), b'{"five": 1}') == 5
+    assert put(state, build_routing(3), b'{"three": 1}') == 5
+    assert put(state, build_routing(5, routes=[]), b'{"other": 1}') == 5
+    assert unpack_document(state.routing) == b'{"five": 1}'
+    assert len(unpack_routing(state.routing).routes) == 1
+
+
+def test_document_survives_a_snapshot():
+    state = ControlState()
+    put(state, build_routing(5), b'{"five": 1}')
+    restored = ControlState()
+    restored.restore(state.export())
+    assert restored.routing == state.routing
