Make two new tests say what they mean: a reset, and headers that stand twice

Cause: closing without lingering sent an end, not a reset; the header library names a repeated header once among its keys.

--- a/tests/unit/gateway/test_platform.py
+++ b/tests/unit/gateway/test_platform.py
@@ -150,7 +150,7 @@
         helpers=[],
         urgency=None,
     )
-    assert sorted(sent.keys()) == [
+    assert sorted(name for name, _ in sent.items()) == [
         "Accept",
         "Accept",
         "Host",
--- a/tests/unit/gateway/test_upstream_client.py
+++ b/tests/unit/gateway/test_upstream_client.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 
 import aiohttp
 import pytest
@@ -74,6 +76,9 @@
         writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
         await writer.drain()
         await asyncio.sleep(0.05)
+        # Without lingering, closing sends a reset instead of an end.
+        sock = writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         writer.transport.abort()
 
     async with run_server(answer) as (url, _):
