Count fronts by the most heard lately; take registrations only inside a group

Cause, by reading: a control instance that has just started told fronts that they are one, so each could spend the whole fixed part of the retry budget; a control instance without a group acknowledged upstreams of which no front would hear. Change: the largest number of 30 s counts, the fixed part is used 2 s after the first word; without a known leader registrations get 503; a new link between control instances carries all upstreams.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -307,6 +307,18 @@
 
     # Upstreams
 
+    def may_take_registrations(self) -> bool:
+        """Whether fronts will hear of what is registered here.
+
+        An instance that is new, or cut off from the group, may be unknown to them.
+        """
+        return self.member.leader is not None
+
+    def introduce(self, instance: InstanceId) -> list[ControlAction]:
+        """A link to another control instance is up: tell it all upstreams."""
+        message = Registrations(self.directory.list_news())
+        return [ToInstance(instance, message)]  # type: ignore[arg-type]
+
     def register(self, endpoint: Endpoint, now: float) -> list[ControlAction]:
         """An upstream registered here."""
         change = self.directory.register(endpoint, now)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -150,7 +150,7 @@
         self, sender: InstanceId, news: ControlNews, now: float
     ) -> list[ToControl]:
         self.instances |= set(news.instances)
-        self.retries.set_fronts(news.fronts)
+        self.retries.set_fronts(news.fronts, now)
         if news.leader is None or news.term < self._term:
             return []
         self._term = news.term
--- a/src/scalebend/core/gateway/retry_window.py
+++ b/src/scalebend/core/gateway/retry_window.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 
 import msgspec
@@ -18,6 +19,14 @@
 and a new front is counted by the others a little late."""
 
 
+FRONTS_MEMORY = 30.0
+"""Seconds for which the largest number of fronts is believed: a control instance that
+has just started hears of them one after the other."""
+
+SETTLE_TIME = 2.0
+"""Seconds after the first word on the number of fronts until the fixed part is used."""
+
+
 class _Counts(msgspec.Struct):
     requests: deque[float] = msgspec.field(default_factory=deque)
     retries: deque[float] = msgspec.field(default_factory=deque)
@@ -30,12 +39,19 @@
         self._ratio = ratio
         self._slack = slack
         self._window = window
-        self._fronts = 1
+        self._fronts = 0
+        self._fronts_at = 0.0
+        self._slack_from = math.inf
         self._counts: dict[ServiceName, _Counts] = {}
 
-    def set_fronts(self, count: int) -> None:
+    def set_fronts(self, count: int, now: float) -> None:
         """Note how many fronts share the fixed part."""
-        self._fronts = max(1, count)
+        if math.isinf(self._slack_from):
+            self._slack_from = now + SETTLE_TIME
+        is_old = now - self._fronts_at > FRONTS_MEMORY
+        if count >= self._fronts or is_old:
+            self._fronts = max(1, count)
+            self._fronts_at = now
 
     def note_request(self, service: ServiceName, now: float) -> None:
         """Count a request that callers sent for ``service``."""
@@ -44,9 +60,8 @@
     def spend(self, service: ServiceName, now: float) -> bool:
         """Take one retry; ``False`` when the window holds as many as are allowed."""
         counts = self._get(service, now)
-        allowed = SAFETY * (
-            self._ratio * len(counts.requests) + self._slack / self._fronts
-        )
+        slack = self._slack / self._fronts if now >= self._slack_from else 0.0
+        allowed = SAFETY * (self._ratio * len(counts.requests) + slack)
         if len(counts.retries) + 1 > allowed:
             return False
         counts.retries.append(now)
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -99,7 +99,7 @@
         )
         introduction = Introduce(me, time.time_ns(), False)
         self.dialer = Dialer(
-            introduction, lambda _, __: None, lambda _: None, lambda _: None
+            introduction, lambda _, __: None, self._introduce, lambda _: None
         )
         self.server = LinkServer(self._receive, self._note_up, self._note_down)
         self.failure: asyncio.Future[None] = self._loop.create_future()
@@ -152,6 +152,9 @@
         )
         self.schedule_pump()
 
+    def _introduce(self, instance: InstanceId) -> None:
+        self.execute(self.instance.introduce(instance))
+
     def _note_up(self, peer: Introduce) -> None:
         if peer.is_front:
             self.execute(self.instance.add_front(peer.instance, self.now()))
@@ -284,6 +287,8 @@
 
     async def _register(self, request: web.BaseRequest) -> web.StreamResponse:
         runtime = self._runtime
+        if not runtime.instance.may_take_registrations():
+            raise _no_quorum()
         upstream = request.path.removeprefix(REGISTRATION_PREFIX)
         endpoint = decode_registration(upstream, await request.read())
         runtime.execute(runtime.instance.register(endpoint, runtime.now()))
@@ -291,6 +296,8 @@
 
     def _remove(self, request: web.BaseRequest) -> web.StreamResponse:
         runtime = self._runtime
+        if not runtime.instance.may_take_registrations():
+            raise _no_quorum()
         upstream = UpstreamId(request.path.removeprefix(REGISTRATION_PREFIX))
         runtime.execute(runtime.instance.remove(upstream, runtime.now()))
         return web.Response(body=ACKNOWLEDGEMENT, content_type="application/json")
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -11,7 +11,9 @@
 
 
 def build_budget(slack=1_000.0):
-    return RetryWindow(0.0, slack, 10.0)
+    window = RetryWindow(0.0, slack, 10.0)
+    window.set_fronts(1, -10.0)
+    return window
 
 
 def run_attempts(call, outcomes, budget=None):
--- /dev/null
+++ b/tests/unit/gateway/test_control_instance.py
@@ -0,0 +1,176 @@
+"""A control instance: who hears of upstreams, what fronts get, when it confirms."""
+
+import pytest
+
+from scalebend.core.consensus.messages import DiskId, HardState, Recovered
+from scalebend.core.control_member import ControlMember
+from scalebend.core.gateway.control_instance import (
+    ControlInstance,
+    ProposalEnded,
+    ReadConfirmed,
+    ToFront,
+)
+from scalebend.core.gateway.messages import (
+    ControlNews,
+    EndpointChanges,
+    JobStages,
+    LeaseAnswer,
+    LeaseQuestion,
+    PlaceAnswer,
+    PlaceQuestion,
+    Registrations,
+    Subscribe,
+)
+from scalebend.core.gateway.routing_store import RoutingNews, pack_routing
+from scalebend.models.endpoints import EndpointNews
+from scalebend.models.ids import InstanceId, Term
+from scalebend.models.placement import JobStage
+from tests.lib.gateway_builders import (
+    PROFILE,
+    build_endpoint,
+    build_quick,
+    build_route,
+    build_routing,
+    build_service,
+)
+
+ME = InstanceId("10.1.0.1:7000")
+FRONT = InstanceId("10.1.0.9:7000")
+
+
+class Single:
+    """A group of one member, whose clock and writes the test drives."""
+
+    def __init__(self, peers=()):
+        recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
+        member = ControlMember(ME, list(peers), recovered, now=0.0)
+        self.instance = ControlInstance(member, 1.2, now=0.0)
+        self.now = 0.0
+
+    def run(self, seconds=1.0):
+        actions = []
+        for _ in range(int(seconds / 0.05)):
+            self.now += 0.05
+            actions += self.instance.advance(self.now)
+            actions += self.pump()
+        return actions
+
+    def pump(self):
+        actions = []
+        while True:
+            ready = self.instance.member.take_ready(self.now)
+            if ready.is_empty and not self.instance.member.has_outgoing:
+                return actions
+            actions += self.instance.finish(ready, self.now)
+
+    def put(self, routing):
+        stored = pack_routing(routing, b"{}")
+        self.instance.propose_routing(stored, self.now, 0.0)
+        return self.pump()
+
+
+@pytest.fixture
+def single():
+    single = Single()
+    single.run()
+    assert single.instance.is_leader
+    return single
+
+
+def list_to_fronts(actions, kind):
+    return [
+        a.message
+        for a in actions
+        if isinstance(a, ToFront) and isinstance(a.message, kind)
+    ]
+
+
+def test_instance_without_a_group_takes_no_registrations():
+    alone = Single(peers=["10.1.0.2:7000", "10.1.0.3:7000"])
+    alone.run(3.0)
+    assert not alone.instance.may_take_registrations()
+
+
+def test_leader_takes_registrations_and_tells_fronts_only_changes(single):
+    assert single.instance.may_take_registrations()
+    single.instance.add_front(FRONT, single.now)
+    first = single.instance.register(build_endpoint(), single.now)
+    assert len(list_to_fronts(first, EndpointChanges)) == 1
+    again = single.instance.register(build_endpoint(sequence=2), single.now)
+    assert not list_to_fronts(again, EndpointChanges)
+    left = single.instance.remove("i-1", single.now)
+    (changes,) = list_to_fronts(left, EndpointChanges)
+    assert changes.news[0].is_gone
+
+
+def test_new_link_between_control_instances_carries_everything(single):
+    single.instance.register(build_endpoint(), single.now)
+    single.instance.remove("i-1", single.now)
+    (action,) = single.instance.introduce(InstanceId("10.1.0.2:7000"))
+    assert action.message.news[0].is_gone
+
+
+def test_upstream_that_others_hear_is_told_to_fronts(single):
+    single.instance.add_front(FRONT, single.now)
+    message = Registrations([EndpointNews(build_endpoint(), is_gone=False)])
+    actions = single.instance.handle_peer("x", message, single.now, 0.0)
+    assert len(list_to_fronts(actions, EndpointChanges)) == 1
+
+
+def test_front_gets_one_document_at_a_time_and_then_the_newest(single):
+    single.instance.add_front(FRONT, single.now)
+    single.instance.handle_front(FRONT, Subscribe(0), single.now)
+    sent = list_to_fronts(single.put(build_routing(1)), RoutingNews)
+    assert [news.version for news in sent] == [1]
+    routes = [build_route(path_prefix=f"/{n}/") for n in range(3)]
+    for version in (2, 3, 4):
+        assert not list_to_fronts(
+            single.put(build_routing(version, routes[: version - 1])), RoutingNews
+        )
+    actions = single.instance.handle_front(FRONT, Subscribe(1), single.now)
+    (news,) = list_to_fronts(actions, RoutingNews)
+    assert (news.base, news.version) == (1, 4)
+
+
+def test_documents_that_arrive_again_change_nothing(single):
+    ends = [a for a in single.put(build_routing(5)) if isinstance(a, ProposalEnded)]
+    ends += [a for a in single.put(build_routing(3)) if isinstance(a, ProposalEnded)]
+    assert [end.held for end in ends] == [5, 5]
+    assert single.instance.routing.version == 5
+
+
+def test_lease_names_the_newest_document(single):
+    single.put(build_routing(5))
+    single.instance.add_front(FRONT, single.now)
+    actions = single.instance.handle_front(FRONT, LeaseQuestion(7.5), single.now)
+    actions += single.run(0.3)
+    (answer,) = list_to_fronts(actions, LeaseAnswer)
+    assert answer == LeaseAnswer(7.5, 5)
+
+
+def test_reader_is_answered_after_a_quorum_confirmed(single):
+    reader = single.instance.ask_fresh(single.now)
+    confirmed = [a for a in single.run(0.3) if isinstance(a, ReadConfirmed)]
+    assert confirmed == [ReadConfirmed([reader])]
+
+
+def test_leader_places_and_learns_ends(single):
+    single.put(build_routing(1, services=[build_service(engine=PROFILE)]))
+    single.instance.register(build_endpoint(), single.now)
+    single.instance.add_front(FRONT, single.now)
+    work = build_quick(1)
+    actions = single.instance.handle_front(FRONT, PlaceQuestion(work), single.now)
+    (answer,) = list_to_fronts(actions, PlaceAnswer)
+    assert answer.placement.upstream == "i-1"
+    stages = JobStages([JobStage(work.job, is_ended=True)])
+    single.instance.handle_front(FRONT, stages, single.now)
+    assert single.instance.scheduler.open_jobs == 0
+
+
+def test_heartbeat_tells_the_busiest_replicas(single):
+    single.put(build_routing(1, services=[build_service(engine=PROFILE)]))
+    single.instance.register(build_endpoint(), single.now)
+    single.instance.add_front(FRONT, single.now)
+    single.instance.handle_front(FRONT, PlaceQuestion(build_quick(1)), single.now)
+    news = list_to_fronts(single.run(0.6), ControlNews)
+    assert [busy.upstream for busy in news[0].busy] == ["i-1"]
--- /dev/null
+++ b/tests/unit/gateway/test_front_instance.py
@@ -0,0 +1,133 @@
+"""What a front believes when links, leaders and documents come and go."""
+
+import msgspec
+import pytest
+
+from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.messages import (
+    ControlNews,
+    EndpointChanges,
+    LeaseAnswer,
+    LeaseQuestion,
+    OpenJobs,
+    Subscribe,
+)
+from scalebend.core.gateway.routing_store import build_news
+from scalebend.models.endpoints import EndpointNews
+from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
+from scalebend.models.ids import AvailabilityZone
+from scalebend.models.placement import JobStage
+from scalebend.models.routing import EMPTY_ROUTING
+from tests.lib.gateway_builders import (
+    PROFILE,
+    build_endpoint,
+    build_quick,
+    build_route,
+    build_routing,
+    build_service,
+)
+
+A, B = "10.1.0.1:7000", "10.1.0.2:7000"
+SETTINGS = GatewaySettings(
+    name="front-1",
+    role=GatewayRole.FRONT,
+    availability_zone=AvailabilityZone("z"),
+    link_address="10.1.0.9:7000",
+    seeds=[A, B],
+    is_first_start=True,
+    tolerated_losses=1,
+    heartbeat_interval=1.2,
+    bounds=Bounds(),
+)
+
+
+@pytest.fixture
+def front():
+    front = FrontInstance(SETTINGS, now=0.0)
+    front.add_link(A)
+    front.add_link(B)
+    return front
+
+
+def list_messages(actions, kind):
+    return [action.message for action in actions if isinstance(action.message, kind)]
+
+
+def take(front, routing, base=EMPTY_ROUTING, now=1.0):
+    return front.handle(A, build_news(base, routing), now)
+
+
+def test_front_is_ready_only_with_document_and_lease(front):
+    assert not front.is_ready(1.0)
+    take(front, build_routing(1))
+    assert not front.is_ready(1.0)
+    front.handle(A, LeaseAnswer(1.0, 1), 1.1)
+    assert front.is_ready(1.2)
+    front.is_draining = True
+    assert not front.is_ready(1.2)
+    assert front.may_admit(1.2)
+
+
+def test_older_document_is_never_taken(front):
+    newer = build_routing(5, [build_route(name="five")])
+    take(front, newer)
+    take(front, build_routing(3, [build_route(name="three")]))
+    assert front.table.routing.version == 5
+    assert front.table.find_route("a.example", "/").name == "five"
+
+
+def test_news_for_a_base_that_is_not_held_ask_again(front):
+    take(front, build_routing(1))
+    actions = take(front, build_routing(9), base=build_routing(4))
+    assert list_messages(actions, Subscribe) == [Subscribe(1)]
+    assert front.table.routing.version == 1
+
+
+def test_lease_answer_with_a_newer_document_asks_for_it(front):
+    take(front, build_routing(1))
+    actions = front.handle(A, LeaseAnswer(1.0, 2), 1.1)
+    assert list_messages(actions, Subscribe) == [Subscribe(1)]
+    assert not front.may_admit(1.1)
+
+
+def test_leader_of_the_highest_term_is_asked(front):
+    front.handle(A, ControlNews([A, B], A, 4, 2), 1.0)
+    assert front.leader == A
+    front.handle(B, ControlNews([A, B], B, 3, 2), 1.0)
+    assert front.leader == A
+    actions = front.handle(B, ControlNews([A, B], B, 5, 2), 1.0)
+    assert front.leader == B
+    assert list_messages(actions, LeaseQuestion)
+    assert {action.instance for action in actions} == {B}
+
+
+def test_leader_without_a_link_is_not_asked(front):
+    front.remove_link(B)
+    front.handle(A, ControlNews([A, B], B, 5, 2), 1.0)
+    assert front.leader is None
+    front.add_link(B)
+    front.handle(A, ControlNews([A, B], B, 5, 2), 1.5)
+    assert front.leader == B
+
+
+def test_members_are_remembered(front):
+    front.handle(A, ControlNews([A, "10.1.0.3:7000"], A, 1, 2), 1.0)
+    assert front.instances == {A, B, "10.1.0.3:7000"}
+
+
+def test_new_leader_is_told_open_jobs_with_their_age(front):
+    take(front, build_routing(1, services=[build_service(engine=PROFILE)]))
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.0)
+    front.handle(A, EndpointChanges([EndpointNews(build_endpoint(), False)]), 1.0)
+    for number in (1, 2):
+        work = build_quick(number)
+        front.open_job(work, front.place(work, 1.0), 1.0, is_own=True)
+    front.note_stage(JobStage("front-1-1", is_ended=True), 1.5)
+    front.note_stage(JobStage("front-1-2", is_ended=False), 1.5)
+    front.remove_link(A)
+    actions = front.handle(B, ControlNews([A, B], B, 2, 2), 2.0)
+    (message,) = list_messages(actions, OpenJobs)
+    (job,) = msgspec.msgpack.decode(msgspec.msgpack.encode(message), type=OpenJobs).jobs
+    assert job.work.job == "front-1-2"
+    assert job.is_writing
+    assert job.age == 1.0
