--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -50,8 +50,9 @@
 SILENCE_LIMIT = 3600.0
 """A front hears from control instances which upstreams fell silent."""
 
-LEADER_PATIENCE = 1.5
-"""Seconds after which a leader whose link was lost is no longer asked."""
+LEADER_PATIENCE = 1.0
+"""Seconds without a leader after which a front wants no new connections: longer than
+most elections, and when no front is ready all of them are used."""
 
 
 class ToControl(msgspec.Struct, frozen=True):
@@ -83,6 +84,7 @@
         self._jobs: dict[JobId, OpenJob] = {}
         self._placed_at: dict[JobId, float] = {}
         self._lease_at = now
+        self._led_at = now
         self._was_ready = False
         self.was_ready = False
         """Whether this process was ready at any time since its start."""
@@ -90,8 +92,13 @@
     # Readiness
 
     def is_ready(self, now: float) -> bool:
-        """Whether new connections are wanted here."""
-        return not self.is_draining and self.may_admit(now)
+        """Whether new connections are wanted here.
+
+        A front that is cut off from the leader still serves, but it places engine work
+        without knowing the others': they had better take what is new.
+        """
+        is_led = now - self._led_at < LEADER_PATIENCE
+        return not self.is_draining and is_led and self.may_admit(now)
 
     def may_admit(self, now: float) -> bool:
         """Whether requests may be admitted: a document is held and its lease lasts."""
@@ -133,6 +140,8 @@
     def advance(self, now: float) -> list[ToControl]:
         """Act on time."""
         actions = []
+        if self.leader is not None:
+            self._led_at = now
         if self.leader is not None and now >= self._lease_at:
             self._lease_at = now + LEASE_PERIOD
             actions.append(ToControl(self.leader, LeaseQuestion(now)))
--- a/tests/unit/gateway/test_front_instance.py
+++ b/tests/unit/gateway/test_front_instance.py
@@ -62,6 +62,8 @@
     take(front, build_routing(1))
     assert not front.is_ready(1.0)
     front.handle(A, LeaseAnswer(1.0, 1), 1.1)
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.1)
+    front.advance(1.1)
     assert front.is_ready(1.2)
     front.is_draining = True
     assert not front.is_ready(1.2)
@@ -131,3 +133,16 @@
     assert job.work.job == "front-1-2"
     assert job.is_writing
     assert job.age == 1.0
+
+
+def test_front_without_a_leader_serves_but_wants_no_new_connections(front):
+    take(front, build_routing(1))
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.0)
+    front.handle(A, LeaseAnswer(1.0, 1), 1.0)
+    front.advance(1.0)
+    front.remove_link(A)
+    front.advance(1.5)
+    assert front.is_ready(1.5)
+    front.advance(2.5)
+    assert not front.is_ready(2.5)
+    assert front.may_admit(2.5)
