--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -203,6 +203,7 @@
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
             self._log_summary(now)
+            self.scheduler.retain(self.directory.list_ids())
         actions += self._answer_questions(now)
         if self.member.leader is not None:
             # A member out of touch with the group may be the one that is cut off.
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -41,6 +41,10 @@
         """Endpoints of a service that may be sent new requests."""
         return list(self._by_service.get(service, {}).values())
 
+    def list_ids(self) -> list[UpstreamId]:
+        """Ids of all upstreams that are not gone."""
+        return [u for u, known in self._known.items() if not known.is_gone]
+
     def list_news(self) -> list[EndpointNews]:
         """Everything known, for a process that knows nothing yet."""
         return [EndpointNews(k.endpoint, k.is_gone) for k in self._known.values()]
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -9,20 +9,20 @@
 
 from __future__ import annotations
 
-import math
 import zlib
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
+from scalebend.core.gateway.engine_view import EngineView
+from scalebend.core.gateway.placement_choice import MEMORY_MARGIN, Plan, choose
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import (
     BusyReplica,
     Declined,
     EngineWork,
-    Helper,
     JobId,
     JobStage,
     OpenJob,
@@ -32,22 +32,10 @@
 from scalebend.models.routing import EngineProfile
 from scalebend.utils.fading import FadingMaximum
 
-GAP_MARGIN = 0.030
-"""Seconds of an event gap kept free, for delivery and for reading not yet known."""
-
-MOST_HELPERS = 16
-"""Replicas beside the first that may read one prompt; the platform's limit."""
-
 LONGEST_PART = 0.400
 """Seconds of reading in one part where replicas are free; from trials with parts of
 200 to 800 ms on a day of mixed prompts."""
 
-TARGET_PART = 0.6
-"""Part of the target for the first token that a placement may plan to use."""
-
-MEMORY_MARGIN = 4_000
-"""Tokens of an engine's memory that are never planned for."""
-
 LOST_JOB = 1.0
 """Seconds after a job's deadline at which it is forgotten, if its end was not heard."""
 
@@ -66,14 +54,6 @@
 SUSPECT_TIME = 2.0
 """Seconds for which a replica that failed to connect or fell silent is avoided."""
 
-QUICK_READ = 0.1
-"""Seconds of reading below which a prompt is never split: the answers of several
-replicas to wait for would cost more than their help saves."""
-
-QUICK_GAP = 0.25
-"""Seconds; an event gap up to this makes a request quick: one part of a long prompt
-would break it."""
-
 QUICK_GROWTH = 1.25
 """Times the quick requests open lately for which places are kept from long prompts."""
 
@@ -83,20 +63,6 @@
 QUICK_MEMORY = 3.0
 """Seconds in which the remembered number of quick requests falls to a third."""
 
-LATE_READ_MOST = 1.5
-"""Seconds of reading of one engine up to which a prompt is read even if it is late.
-Longer ones would hold replicas for as long as dozens of quick requests need."""
-
-NO_REPLICA_PAUSE = 0.25
-MEMORY_PAUSE = 0.5
-LEAST_PAUSE = 0.3
-LONGEST_PAUSE = 2.0
-"""Seconds after which a declined request may come back: no replica known, no memory,
-and least and longest where it would be late, by as much as it would be late."""
-
-LATE_PART = 0.85
-"""Part of the target that is used before promises to others are given up."""
-
 SLOW_PACE = 1.5
 """Times the usual work time from which on a replica is avoided like an unsound one."""
 
@@ -144,39 +110,6 @@
         return self.pace if now < self.paced_until else 1.0
 
 
-class _View(msgspec.Struct):
-    """What matters of one replica for one choice."""
-
-    endpoint: Endpoint
-    first_jobs: int
-    helping: int
-    tight_jobs: int
-    """Jobs whose event gap is no longer than the one to be placed."""
-
-    pending: float
-    pass_time: float
-    event_gap: float | None
-    free_tokens: int
-    pace: float
-
-    def count_quick(self) -> int:
-        """Jobs that write there, if the most demanding of them is quick."""
-        return self.first_jobs if self.is_quick else 0
-
-    @property
-    def is_quick(self) -> bool:
-        """Whether it writes for a request whose events must come in quick order."""
-        return self.event_gap is not None and self.event_gap <= QUICK_GAP
-
-    def compute_room(self, limit: float) -> float:
-        """Reading that may be added without delaying a writer beyond its gap."""
-        room = limit - self.pass_time - self.pending
-        if self.event_gap is not None:
-            gap_room = self.event_gap - GAP_MARGIN - self.pass_time - self.pending
-            room = min(room, gap_room)
-        return room / self.pace
-
-
 class SchedulerSummary(msgspec.Struct, frozen=True):
     """Beliefs of a scheduler in a few figures."""
 
@@ -326,10 +259,8 @@
         ]
         sound = [view for view in views if self._is_sound(view.endpoint, now)]
         views = sound or views
-        if not views:
-            return Declined(NO_REPLICA_PAUSE)
         self._quick.note(sum(view.count_quick() for view in views), now)
-        placement = self._choose(work, views, profile, now)
+        placement = choose(self._plan(work, profile, now), views)
         if isinstance(placement, Placement):
             self._put(work, placement, profile, now)
         return placement
@@ -337,14 +268,8 @@
     def _rank(self, upstream: UpstreamId) -> int:
         return zlib.crc32(self._salt + upstream.encode())
 
-    def _choose(
-        self,
-        work: EngineWork,
-        views: list[_View],
-        profile: EngineProfile,
-        now: float,
-    ) -> Placement | Declined:
-        plan = _Plan(
+    def _plan(self, work: EngineWork, profile: EngineProfile, now: float) -> Plan:
+        return Plan(
             work,
             profile,
             compute_read_time(profile, work.prompt_tokens),
@@ -354,13 +279,6 @@
             self._quick.read(now) * QUICK_GROWTH + QUICK_SPARE,
             self._rank,
         )
-        if plan.read <= max(self._longest_part, QUICK_READ):
-            single = _choose_in_time(plan, views)
-            if single is not None:
-                return _place_alone(plan, single)
-        if plan.read <= QUICK_READ:
-            return _place_alone(plan, _choose_least_wait(plan, views))
-        return _choose_group(plan, views)
 
     def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
         replica = self._replicas.get(endpoint.upstream)
@@ -370,9 +288,9 @@
 
     def _view(
         self, endpoint: Endpoint, work: EngineWork, profile: EngineProfile, now: float
-    ) -> _View:
+    ) -> EngineView:
         replica = self._replicas.get(endpoint.upstream)
-        view = _View(endpoint, 0, 0, 0, 0.0, 0.0, None, profile.memory_tokens, 1.0)
+        view = EngineView(endpoint, 0, 0, 0, 0.0, 0.0, None, profile.memory_tokens, 1.0)
         if replica is None:
             return view
         contexts = []
@@ -434,7 +352,7 @@
                 replica.shares.pop(name, None)
 
 
-def _add_others(view: _View, replica: _Replica, now: float) -> None:
+def _add_others(view: EngineView, replica: _Replica, now: float) -> None:
     """Count what another scheduler told of the replica before it was lost."""
     others = replica.others
     age = now - replica.others_at
@@ -446,153 +364,3 @@
     gap = others.event_gap
     if gap and (view.event_gap is None or gap < view.event_gap):
         view.event_gap = gap
-
-
-class _Plan(msgspec.Struct, frozen=True):
-    """One piece of work with what follows from it alone."""
-
-    work: EngineWork
-    profile: EngineProfile
-    read: float
-    first_event: float
-    memory: int
-    longest_part: float
-    quick_slots: float
-    """Slots that are kept for quick requests."""
-
-    rank: Callable[[UpstreamId], int]
-
-
-def _place_alone(plan: _Plan, view: _View) -> Placement:
-    wait = view.pass_time + view.pending + plan.read * view.pace + plan.first_event
-    return Placement(view.endpoint.upstream, view.endpoint.address, (), wait)
-
-
-def _choose_in_time(plan: _Plan, views: list[_View]) -> _View | None:
-    """A replica that reads the whole prompt in time; the fullest such one."""
-    limit = plan.work.target * TARGET_PART
-    fitting = [
-        view
-        for view in views
-        if view.first_jobs < plan.profile.slots
-        and view.free_tokens >= plan.memory
-        and view.compute_room(limit) >= plan.read
-    ]
-    # Replicas that write for longer gaps are left to the long prompts.
-    alike = [view for view in fitting if view.tight_jobs == view.first_jobs]
-    candidates = alike or fitting
-    if not candidates:
-        return None
-    return max(
-        candidates,
-        key=lambda view: (
-            view.tight_jobs,
-            -view.pending,
-            plan.rank(view.endpoint.upstream),
-        ),
-    )
-
-
-def _choose_least_wait(plan: _Plan, views: list[_View]) -> _View:
-    """Nothing is in time: the replica that starts soonest, a full one last."""
-    fitting = [view for view in views if view.free_tokens >= plan.memory] or views
-    slots = plan.profile.slots
-    return min(
-        fitting,
-        key=lambda view: (
-            max(0, view.first_jobs + 1 - slots),
-            view.pass_time + view.pending + plan.read * view.pace,
-            plan.rank(view.endpoint.upstream),
-        ),
-    )
-
-
-def _choose_group(plan: _Plan, views: list[_View]) -> Placement | Declined:
-    """The fewest replicas whose rooms take even parts of the reading."""
-    ranked = _rank_for_group(plan, views)
-    most = min(len(ranked), MOST_HELPERS + 1)
-    count = _count_parts(plan, ranked[:most])
-    chosen = ranked[:count] if count else _choose_late(plan, ranked)
-    # Together these replicas may lack the memory: then let all that may help do so.
-    for group in (chosen, ranked[:most], views[: MOST_HELPERS + 1]):
-        placement = _build_group(plan, group) if group else None
-        if placement is not None:
-            return _decline_if_harmful(plan, placement)
-    return Declined(MEMORY_PAUSE)
-
-
-def _decline_if_harmful(plan: _Plan, placement: Placement) -> Placement | Declined:
-    """A very long prompt that would be late blocks many replicas for little worth."""
-    late_by = placement.first_token_in - plan.work.target
-    if late_by <= 0.0 or plan.read <= LATE_READ_MOST:
-        return placement
-    return Declined(max(LEAST_PAUSE, min(late_by, LONGEST_PAUSE)))
-
-
-def _rank_for_group(plan: _Plan, views: list[_View]) -> list[_View]:
-    """Replicas that may read a part, the emptiest first.
-
-    Some are kept out, so that quick requests find a place whatever long ones do.
-    """
-    slots = plan.profile.slots
-    limit = plan.work.target * LATE_PART
-    usable = [view for view in views if view.first_jobs < slots > view.helping]
-    ranked = sorted(
-        usable or views,
-        key=lambda view: (
-            -view.compute_room(limit),
-            plan.rank(view.endpoint.upstream),
-        ),
-    )
-    quick = sum(view.is_quick for view in views)
-    kept = max(0, math.ceil(plan.quick_slots / slots) - quick)
-    # Quick requests open idle replicas from the other end of the rank.
-    others = [view for view in ranked if not view.is_quick]
-    others.sort(
-        key=lambda v: (v.pending, v.first_jobs, -plan.rank(v.endpoint.upstream))
-    )
-    left_out = others[: min(kept, len(others) - 1)] if others else []
-    return [view for view in ranked if view not in left_out]
-
-
-def _count_parts(plan: _Plan, ranked: list[_View]) -> int:
-    target = plan.work.target
-    for longest in (plan.longest_part, target * TARGET_PART, target * LATE_PART):
-        limit = max(longest, target * TARGET_PART)
-        for count in range(1, len(ranked) + 1):
-            part = plan.read / count
-            if part <= longest and ranked[count - 1].compute_room(limit) >= part:
-                return count
-    return 0
-
-
-def _choose_late(plan: _Plan, ranked: list[_View]) -> list[_View]:
-    """It will be late wherever it runs: where it ends first, sparing quick requests."""
-    spared = [view for view in ranked if not view.is_quick]
-    by_wait = sorted(spared or ranked, key=lambda view: view.pending + view.pass_time)
-    best = min(
-        range(1, min(len(by_wait), MOST_HELPERS + 1) + 1),
-        key=lambda count: by_wait[count - 1].pending + plan.read / count,
-    )
-    return by_wait[:best]
-
-
-def _build_group(plan: _Plan, chosen: list[_View]) -> Placement | None:
-    first = max(chosen, key=lambda view: (view.free_tokens, -view.first_jobs))
-    others = [view for view in chosen if view is not first]
-    part = plan.read / len(chosen)
-    wait = max(view.pending + view.pass_time + part * view.pace for view in chosen)
-    missing = plan.memory - first.free_tokens
-    helpers = []
-    for view in others:
-        tokens = 0
-        if missing > 0:
-            tokens = max(0, min(missing, view.free_tokens - MEMORY_MARGIN))
-            missing -= tokens
-        endpoint = view.endpoint
-        helpers.append(Helper(endpoint.upstream, endpoint.address, tokens))
-    if missing > 0:
-        return None
-    endpoint = first.endpoint
-    wait += plan.first_event
-    return Placement(endpoint.upstream, endpoint.address, tuple(helpers), wait)
--- /dev/null
+++ b/src/scalebend/core/gateway/engine_view.py
@@ -0,0 +1,47 @@
+"""What matters of one replica when work is to be placed."""
+
+from __future__ import annotations
+
+import msgspec
+
+from scalebend.models.endpoints import Endpoint
+
+GAP_MARGIN = 0.030
+"""Seconds of an event gap kept free, for delivery and for reading not yet known."""
+
+QUICK_GAP = 0.25
+"""Seconds; an event gap up to this makes a request quick: one part of a long prompt
+would break it."""
+
+
+class EngineView(msgspec.Struct):
+    """What matters of one replica for one choice."""
+
+    endpoint: Endpoint
+    first_jobs: int
+    helping: int
+    tight_jobs: int
+    """Jobs whose event gap is no longer than the one to be placed."""
+
+    pending: float
+    pass_time: float
+    event_gap: float | None
+    free_tokens: int
+    pace: float
+
+    def count_quick(self) -> int:
+        """Jobs that write there, if the most demanding of them is quick."""
+        return self.first_jobs if self.is_quick else 0
+
+    @property
+    def is_quick(self) -> bool:
+        """Whether it writes for a request whose events must come in quick order."""
+        return self.event_gap is not None and self.event_gap <= QUICK_GAP
+
+    def compute_room(self, limit: float) -> float:
+        """Reading that may be added without delaying a writer beyond its gap."""
+        room = limit - self.pass_time - self.pending
+        if self.event_gap is not None:
+            gap_room = self.event_gap - GAP_MARGIN - self.pass_time - self.pending
+            room = min(room, gap_room)
+        return room / self.pace
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -8,7 +8,6 @@
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import (
     LONGEST_PART_ALONE,
-    NO_REPLICA_PAUSE,
     EngineScheduler,
 )
 from scalebend.core.gateway.key_lease import KeyLease
@@ -24,6 +23,7 @@
     ReplicaPaces,
     Subscribe,
 )
+from scalebend.core.gateway.placement_choice import NO_REPLICA_PAUSE
 from scalebend.core.gateway.retry_window import RetryWindow
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
@@ -156,6 +156,7 @@
                 lease=round(self.lease.compute_remaining(now), 3),
             )
         self.scheduler.expire(now)
+        self.scheduler.retain(self.directory.list_ids())
         return actions
 
     def _take_control_news(
--- /dev/null
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -0,0 +1,216 @@
+"""Chooses replicas for one piece of work from views of all of them.
+
+A prompt goes to one replica if there is one that reads it in time, the fullest such
+one; else to the fewest replicas whose rooms take even parts of the reading.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+import msgspec
+
+from scalebend.core.gateway.engine_view import EngineView
+from scalebend.models.ids import UpstreamId
+from scalebend.models.placement import Declined, EngineWork, Helper, Placement
+from scalebend.models.routing import EngineProfile
+
+MOST_HELPERS = 16
+"""Replicas beside the first that may read one prompt; the platform's limit."""
+
+TARGET_PART = 0.6
+"""Part of the target for the first token that a placement may plan to use."""
+
+LATE_PART = 0.85
+"""Part of the target that is used before promises to others are given up."""
+
+MEMORY_MARGIN = 4_000
+"""Tokens of an engine's memory that are never planned for."""
+
+QUICK_READ = 0.1
+"""Seconds of reading below which a prompt is never split: the answers of several
+replicas to wait for would cost more than their help saves."""
+
+LATE_READ_MOST = 1.5
+"""Seconds of reading of one engine up to which a prompt is read even if it is late.
+Longer ones would hold replicas for as long as dozens of quick requests need."""
+
+NO_REPLICA_PAUSE = 0.25
+MEMORY_PAUSE = 0.5
+LEAST_PAUSE = 0.3
+LONGEST_PAUSE = 2.0
+"""Seconds after which a declined request may come back: no replica known, no memory,
+and least and longest where it would be late, by as much as it would be late."""
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """One piece of work with what follows from it alone."""
+
+    work: EngineWork
+    profile: EngineProfile
+    read: float
+    """Seconds that one engine takes to read the prompt."""
+
+    first_event: float
+    """Seconds from the end of reading to the first event."""
+
+    memory: int
+    """Tokens of memory that the prompt and its answer need, with a margin."""
+
+    longest_part: float
+    """Seconds of reading in one part where replicas are free."""
+
+    quick_slots: float
+    """Slots that are kept for quick requests."""
+
+    rank: Callable[[UpstreamId], int]
+    """Order in which equal replicas are taken."""
+
+
+def choose(plan: Plan, views: list[EngineView]) -> Placement | Declined:
+    """Choose replicas for the plan's work, or say when to come back."""
+    if not views:
+        return Declined(NO_REPLICA_PAUSE)
+    if plan.read <= max(plan.longest_part, QUICK_READ):
+        single = _choose_in_time(plan, views)
+        if single is not None:
+            return _place_alone(plan, single)
+    if plan.read <= QUICK_READ:
+        return _place_alone(plan, _choose_least_wait(plan, views))
+    return _choose_group(plan, views)
+
+
+def _place_alone(plan: Plan, view: EngineView) -> Placement:
+    wait = view.pass_time + view.pending + plan.read * view.pace + plan.first_event
+    return Placement(view.endpoint.upstream, view.endpoint.address, (), wait)
+
+
+def _choose_in_time(plan: Plan, views: list[EngineView]) -> EngineView | None:
+    """A replica that reads the whole prompt in time; the fullest such one."""
+    limit = plan.work.target * TARGET_PART
+    fitting = [
+        view
+        for view in views
+        if view.first_jobs < plan.profile.slots
+        and view.free_tokens >= plan.memory
+        and view.compute_room(limit) >= plan.read
+    ]
+    # Replicas that write for longer gaps are left to the long prompts.
+    alike = [view for view in fitting if view.tight_jobs == view.first_jobs]
+    candidates = alike or fitting
+    if not candidates:
+        return None
+    return max(
+        candidates,
+        key=lambda view: (
+            view.tight_jobs,
+            -view.pending,
+            plan.rank(view.endpoint.upstream),
+        ),
+    )
+
+
+def _choose_least_wait(plan: Plan, views: list[EngineView]) -> EngineView:
+    """Nothing is in time: the replica that starts soonest, a full one last."""
+    fitting = [view for view in views if view.free_tokens >= plan.memory] or views
+    slots = plan.profile.slots
+    return min(
+        fitting,
+        key=lambda view: (
+            max(0, view.first_jobs + 1 - slots),
+            view.pass_time + view.pending + plan.read * view.pace,
+            plan.rank(view.endpoint.upstream),
+        ),
+    )
+
+
+def _choose_group(plan: Plan, views: list[EngineView]) -> Placement | Declined:
+    """The fewest replicas whose rooms take even parts of the reading."""
+    ranked = _rank_for_group(plan, views)
+    most = min(len(ranked), MOST_HELPERS + 1)
+    count = _count_parts(plan, ranked[:most])
+    chosen = ranked[:count] if count else _choose_late(plan, ranked)
+    # Together these replicas may lack the memory: then let all that may help do so.
+    for group in (chosen, ranked[:most], views[: MOST_HELPERS + 1]):
+        placement = _build_group(plan, group) if group else None
+        if placement is not None:
+            return _decline_if_harmful(plan, placement)
+    return Declined(MEMORY_PAUSE)
+
+
+def _decline_if_harmful(plan: Plan, placement: Placement) -> Placement | Declined:
+    """A very long prompt that would be late blocks many replicas for little worth."""
+    late_by = placement.first_token_in - plan.work.target
+    if late_by <= 0.0 or plan.read <= LATE_READ_MOST:
+        return placement
+    return Declined(max(LEAST_PAUSE, min(late_by, LONGEST_PAUSE)))
+
+
+def _rank_for_group(plan: Plan, views: list[EngineView]) -> list[EngineView]:
+    """Replicas that may read a part, the emptiest first.
+
+    Some are kept out, so that quick requests find a place whatever long ones do.
+    """
+    slots = plan.profile.slots
+    limit = plan.work.target * LATE_PART
+    usable = [view for view in views if view.first_jobs < slots > view.helping]
+    ranked = sorted(
+        usable or views,
+        key=lambda view: (
+            -view.compute_room(limit),
+            plan.rank(view.endpoint.upstream),
+        ),
+    )
+    quick = sum(view.is_quick for view in views)
+    kept = max(0, math.ceil(plan.quick_slots / slots) - quick)
+    # Quick requests open idle replicas from the other end of the rank.
+    others = [view for view in ranked if not view.is_quick]
+    others.sort(
+        key=lambda v: (v.pending, v.first_jobs, -plan.rank(v.endpoint.upstream))
+    )
+    left_out = others[: min(kept, len(others) - 1)] if others else []
+    return [view for view in ranked if view not in left_out]
+
+
+def _count_parts(plan: Plan, ranked: list[EngineView]) -> int:
+    target = plan.work.target
+    for longest in (plan.longest_part, target * TARGET_PART, target * LATE_PART):
+        limit = max(longest, target * TARGET_PART)
+        for count in range(1, len(ranked) + 1):
+            part = plan.read / count
+            if part <= longest and ranked[count - 1].compute_room(limit) >= part:
+                return count
+    return 0
+
+
+def _choose_late(plan: Plan, ranked: list[EngineView]) -> list[EngineView]:
+    """It will be late wherever it runs: where it ends first, sparing quick requests."""
+    spared = [view for view in ranked if not view.is_quick]
+    by_wait = sorted(spared or ranked, key=lambda view: view.pending + view.pass_time)
+    best = min(
+        range(1, min(len(by_wait), MOST_HELPERS + 1) + 1),
+        key=lambda count: by_wait[count - 1].pending + plan.read / count,
+    )
+    return by_wait[:best]
+
+
+def _build_group(plan: Plan, chosen: list[EngineView]) -> Placement | None:
+    first = max(chosen, key=lambda view: (view.free_tokens, -view.first_jobs))
+    others = [view for view in chosen if view is not first]
+    part = plan.read / len(chosen)
+    wait = max(view.pending + view.pass_time + part * view.pace for view in chosen)
+    missing = plan.memory - first.free_tokens
+    helpers = []
+    for view in others:
+        tokens = 0
+        if missing > 0:
+            tokens = max(0, min(missing, view.free_tokens - MEMORY_MARGIN))
+            missing -= tokens
+        endpoint = view.endpoint
+        helpers.append(Helper(endpoint.upstream, endpoint.address, tokens))
+    if missing > 0:
+        return None
+    endpoint = first.endpoint
+    wait += plan.first_event
+    return Placement(endpoint.upstream, endpoint.address, tuple(helpers), wait)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -47,7 +47,7 @@
 """Seconds to wait for the leader's placement before this front decides alone: many
 times the usual answer of 3 ms, and a fifth of the target of a quick question."""
 
-CLOSE_TIMEOUT = 1.0
+CLOSE_TIMEOUT = 0.3
 """Seconds for orders that are under way when the process stops."""
 
 LEADER_PAUSE = 0.5
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -47,8 +47,9 @@
 """Seconds after the stop signal for which new connections are still taken: the
 balancer asks every second and needs two failed answers, then some time to act."""
 
-STOP_MARGIN = 0.4
-"""Seconds before the kill at which the process ends by itself."""
+STOP_MARGIN = 1.0
+"""Seconds before the kill at which open requests are left, so that closing them ends
+before it."""
 
 STARTING_PAUSE = 1.0
 """Seconds after which a caller may come back to a process that was never ready yet:
