Search for what is to be forgotten twice a second, not at each tick

Cause, by reading: fronts looked through all jobs and upstreams 20 times a second, and control instances 50 times.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -61,6 +61,9 @@
 NEWS_PERIOD = 0.5
 """Seconds between two heartbeats to a front; see ``edges/gateway/links.py``."""
 
+EXPIRE_PERIOD = 0.5
+"""Seconds between two searches for upstreams that fell silent."""
+
 SUMMARY_PERIOD = 1.0
 """Seconds between two log lines on what the leader believes of the engines."""
 
@@ -139,6 +142,7 @@
         self._questions: list[_Question] = []
         self._news_at = now
         self._summary_at = now
+        self._expire_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
         self._proposals = 0
@@ -205,8 +209,9 @@
             self._log_summary(now)
             self.scheduler.retain(self.directory.list_ids())
         actions += self._answer_questions(now)
-        if self.member.leader is not None:
+        if now >= self._expire_at and self.member.leader is not None:
             # A member out of touch with the group may be the one that is cut off.
+            self._expire_at = now + EXPIRE_PERIOD
             actions += self._publish(self.directory.expire(now))
         return actions
 
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -47,6 +47,9 @@
 """Seconds between two questions for the lease, far below the bound on revocation so
 that several may be lost."""
 
+TIDY_PERIOD = 0.5
+"""Seconds between two searches for jobs and replicas that are to be forgotten."""
+
 SILENCE_LIMIT = 3600.0
 """A front hears from control instances which upstreams fell silent."""
 
@@ -85,6 +88,7 @@
         self._placed_at: dict[JobId, float] = {}
         self._lease_at = now
         self._led_at = now
+        self._tidy_at = now
         self._was_ready = False
         self.was_ready = False
         """Whether this process was ready at any time since its start."""
@@ -155,8 +159,10 @@
                 routing=self.table.routing.version,
                 lease=round(self.lease.compute_remaining(now), 3),
             )
-        self.scheduler.expire(now)
-        self.scheduler.retain(self.directory.list_ids())
+        if now >= self._tidy_at:
+            self._tidy_at = now + TIDY_PERIOD
+            self.scheduler.expire(now)
+            self.scheduler.retain(self.directory.list_ids())
         return actions
 
     def _take_control_news(
