--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -9,6 +9,7 @@
 import pytest
 from yarl import URL
 
+from scalebend.core.gateway.retry_window import SETTLE_TIME
 from scalebend.platform.headers import EXPECTED_UPSTREAM
 from tests.lib.platform_processes import run_processes
 from tests.lib.platform_replicas import EVENTS, build_document, run_replica
@@ -96,6 +97,8 @@
             )
             system.replicas.append(replica)
         await system.wait_served()
+        # Retries may use the fixed part of their budget from now on.
+        await asyncio.sleep(SETTLE_TIME)
         for replica in system.replicas:
             replica.ran.clear()
         yield system
@@ -178,6 +181,17 @@
     assert headers["X-Server-Seal"].startswith("seal-of-")
 
 
+async def test_answer_to_another_request_is_never_passed_on(system):
+    system.replicas[0].mode = "foreign"
+    for _ in range(6):
+        status, body, _ = await system.call("idempotent")
+        assert (status, body) == (200, b"done by i-2")
+    for replica in system.replicas:
+        replica.mode = "foreign"
+    assert (await system.call("non_idempotent"))[0] == 502
+    assert (await system.call("stream"))[0] == 502
+
+
 async def test_leaving_replica_gets_nothing_new(system):
     await system.replicas[0].register(system.session, state="draining")
     await asyncio.sleep(0.3)
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -43,6 +43,8 @@
             "X-Request-Id": request.headers["X-Request-Id"],
             "X-Server-Seal": f"seal-of-{self.id}",
         }
+        if self.mode == "foreign":
+            echo["X-Request-Id"] = "of-another"
         if self.mode == "vanish":
             request.transport.abort()
             return web.Response()
--- a/tests/unit/gateway/test_endpoint_directory.py
+++ b/tests/unit/gateway/test_endpoint_directory.py
@@ -22,8 +22,9 @@
     directory = EndpointDirectory(10.0)
     directory.register(build_endpoint(), 0.0)
     directory.remove("i-1", 1.0)
-    directory.register(build_endpoint(sequence=9), 2.0)
+    assert directory.register(build_endpoint(sequence=9), 2.0) is None
     assert not list_ids(directory)
+    assert directory.get("i-1") is None
 
 
 def test_silent_upstream_returns_when_it_speaks():
--- a/tests/unit/gateway/test_engine_scheduler.py
+++ b/tests/unit/gateway/test_engine_scheduler.py
@@ -168,9 +168,9 @@
     scheduler = EngineScheduler()
     for number in range(16):
         start(scheduler, build_quick(number))
-    for number in range(4):
-        place(scheduler, build_work(f"giant-{number}", 650_000))
-    for number in range(16, 24):
+    for number in range(12):
+        place(scheduler, build_work(f"long-{number}", 200_000, target=10.0))
+    for number in range(16, 28):
         placement = start(scheduler, build_quick(number), now=0.1)
         assert placement.first_token_in < 0.3
 
--- a/tests/unit/gateway/test_group_changes.py
+++ b/tests/unit/gateway/test_group_changes.py
@@ -134,14 +134,24 @@
 
 
 def test_new_leader_confirms_only_with_an_entry_of_its_own():
-    group = build_group()
+    # A member that lacks what the last leader committed answers the next leader, too:
+    # its answer alone must not make the next leader sure of its applied state.
+    group = ControlGroup(("a", "b", "c"))
+    group.settle()
     put(group, 1)
     old = group.find_leader()
+    behind = next(name for name in group.names if name != old)
+    group.cut.add(behind)
+    put(group, 2)
     group.crash(old)
-    for _ in range(60):
+    group.flights.clear()
+    group.cut.clear()
+    for _ in range(80):
         group.advance(0.05)
-        for name, member in group.members.items():
-            if member.replica.compute_confirmed_at(group.now) is not None:
-                assert member.state.routing.version == 1, name
-        group.deliver_all()
+        while group.flights:
+            group.deliver(0)
+            for name, member in group.members.items():
+                confirmed = member.replica.compute_confirmed_at(group.now)
+                if confirmed is not None and confirmed > 0.0:
+                    assert member.state.routing.version == 2, name
     assert group.find_leader() is not None
