Refuse what a stopping front may not finish; a long prompt's first replica reads no parts

Change: 2.8 s after the signal requests are refused at once as not run, with when to come back. Streams log their first event and longest gap. Next: parts that wait must not meet on a replica at all.

--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
-from scalebend.core.gateway.engine_view import EngineView
+from scalebend.core.gateway.engine_view import EngineView, build_idle_view
 from scalebend.core.gateway.placement_choice import MEMORY_MARGIN, Plan, choose
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
@@ -36,6 +36,10 @@
 """Seconds of reading in one part where replicas are free; from trials with parts of
 200 to 800 ms on a day of mixed prompts."""
 
+LATENESS = 1.25
+"""Times the predicted time for which a part counts as not read, unless the first token
+is seen before: predictions leave out what arrives later."""
+
 LOST_JOB = 1.0
 """Seconds after a job's deadline at which it is forgotten, if its end was not heard."""
 
@@ -290,13 +294,15 @@
         self, endpoint: Endpoint, work: EngineWork, profile: EngineProfile, now: float
     ) -> EngineView:
         replica = self._replicas.get(endpoint.upstream)
-        view = EngineView(endpoint, 0, 0, 0, 0.0, 0.0, None, profile.memory_tokens, 1.0)
+        view = build_idle_view(endpoint, profile.memory_tokens)
         if replica is None:
             return view
         contexts = []
         for name, share in replica.shares.items():
             job = self._jobs[name]
-            view.pending += max(0.0, min(share.part, share.read_until - now))
+            reading = max(0.0, min(share.part, share.read_until - now))
+            view.pending += reading
+            view.own_reading += reading if share.is_first else 0.0
             view.free_tokens -= share.tokens
             if not share.is_first:
                 view.helping += 0 if job.is_writing else 1
@@ -323,7 +329,7 @@
     ) -> None:
         read = compute_read_time(profile, work.prompt_tokens)
         part = read / (1 + len(placement.helpers))
-        until = now + max(part, placement.first_token_in)
+        until = now + LATENESS * max(part, placement.first_token_in)
         held = sum(helper.tokens for helper in placement.helpers)
         tokens = work.prompt_tokens + work.output_tokens - held
         self._share(placement.upstream, work.job, _Share(part, tokens, True, until))
--- a/src/scalebend/core/gateway/engine_view.py
+++ b/src/scalebend/core/gateway/engine_view.py
@@ -23,7 +23,12 @@
     tight_jobs: int
     """Jobs whose event gap is no longer than the one to be placed."""
 
+    own_reading: float
+    """Seconds of reading for jobs that write here: parts read for others go before."""
+
     pending: float
+    """Seconds of reading that wait here, for whomever."""
+
     pass_time: float
     event_gap: float | None
     free_tokens: int
@@ -45,3 +50,19 @@
             gap_room = self.event_gap - GAP_MARGIN - self.pass_time - self.pending
             room = min(room, gap_room)
         return room / self.pace
+
+
+def build_idle_view(endpoint: Endpoint, memory_tokens: int) -> EngineView:
+    """A replica of which nothing is known."""
+    return EngineView(
+        endpoint=endpoint,
+        first_jobs=0,
+        helping=0,
+        tight_jobs=0,
+        own_reading=0.0,
+        pending=0.0,
+        pass_time=0.0,
+        event_gap=None,
+        free_tokens=memory_tokens,
+        pace=1.0,
+    )
--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -32,6 +32,10 @@
 """Seconds of reading below which a prompt is never split: the answers of several
 replicas to wait for would cost more than their help saves."""
 
+OWN_READING = 0.05
+"""Seconds of own reading up to which a replica may read a part for others: two quick
+prompts. A long prompt's first replica would be overtaken by part after part."""
+
 LATE_READ_MOST = 1.5
 """Seconds of reading of one engine up to which a prompt is read even if it is late.
 Longer ones would hold replicas for as long as dozens of quick requests need."""
@@ -155,6 +159,8 @@
     slots = plan.profile.slots
     limit = plan.work.target * LATE_PART
     usable = [view for view in views if view.first_jobs < slots > view.helping]
+    # A part read for others would go before what such a replica reads itself.
+    usable = [view for view in usable if view.own_reading <= OWN_READING] or usable
     ranked = sorted(
         usable or views,
         key=lambda view: (
@@ -174,12 +180,18 @@
 
 
 def _count_parts(plan: Plan, ranked: list[EngineView]) -> int:
+    """How many of the ranked replicas read a part; 0 when no number is in time."""
     target = plan.work.target
-    for longest in (plan.longest_part, target * TARGET_PART, target * LATE_PART):
-        limit = max(longest, target * TARGET_PART)
-        for count in range(1, len(ranked) + 1):
-            part = plan.read / count
-            if part <= longest and ranked[count - 1].compute_room(limit) >= part:
+    counts = range(1, len(ranked) + 1)
+    for count in counts:
+        part = plan.read / count
+        room = ranked[count - 1].compute_room(target * TARGET_PART)
+        if part <= plan.longest_part and room >= part:
+            return count
+    # Not enough are free for short parts: then the shortest that fit.
+    for share in (TARGET_PART, LATE_PART):
+        for count in reversed(counts):
+            if ranked[count - 1].compute_room(target * share) >= plan.read / count:
                 return count
     return 0
 
@@ -195,8 +207,16 @@
     return by_wait[:best]
 
 
+def _choose_first(plan: Plan, chosen: list[EngineView]) -> EngineView:
+    """The replica that writes: one with the memory, and little to read for others."""
+    fitting = [view for view in chosen if view.free_tokens >= plan.memory]
+    if not fitting:
+        return max(chosen, key=lambda view: (view.free_tokens, -view.pending))
+    return min(fitting, key=lambda v: (v.pending, v.first_jobs, -v.free_tokens))
+
+
 def _build_group(plan: Plan, chosen: list[EngineView]) -> Placement | None:
-    first = max(chosen, key=lambda view: (view.free_tokens, -view.first_jobs))
+    first = _choose_first(plan, chosen)
     others = [view for view in chosen if view is not first]
     part = plan.read / len(chosen)
     wait = max(view.pending + view.pass_time + part * view.pace for view in chosen)
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -102,6 +102,13 @@
         self._stream: web.StreamResponse | None = None
         self._load: LoadReading | None = None
         self._has_failed = True
+        self._event_at = 0.0
+        self.first_event: float | None = None
+        """Seconds from the request's arrival to the first event passed on."""
+
+        self.longest_gap = 0.0
+        """Longest pause between events passed on, in seconds."""
+
         self._retry_after = RETRY_LATER
         self._lateness: asyncio.TimerHandle | None = None
 
@@ -275,7 +282,7 @@
             prompt=work.prompt_tokens,
             upstream=placement.upstream,
             address=placement.address,
-            helpers=len(placement.helpers),
+            helpers=[helper.upstream for helper in placement.helpers],
             predicted=round(placement.first_token_in, 3),
             leader=self._runtime.instance.leader,
             routing=self._runtime.instance.table.routing.version,
@@ -405,6 +412,7 @@
                 self._runtime.note_first_token(target.job, self._load)
             is_first = False
             patience = between
+            self._note_events()
             stream = self._stream or await self._open_stream(answer)
             await stream.write(passed.data)
         if cursor.has_partial:
@@ -413,6 +421,14 @@
         await stream.write_eof()
         return _Ended(Outcome.ANSWERED, stream)
 
+    def _note_events(self) -> None:
+        now = self._runtime.now()
+        if self.first_event is None:
+            self.first_event = now - self._call.arrived
+        else:
+            self.longest_gap = max(self.longest_gap, now - self._event_at)
+        self._event_at = now
+
     async def _open_stream(self, answer: aiohttp.ClientResponse) -> web.StreamResponse:
         call = self._call
         stream = web.StreamResponse(
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -79,6 +79,7 @@
         self._heartbeat_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
         self.open_requests = 0
+        self.drain_began: float | None = None
 
     def now(self) -> float:
         """Seconds of the clock that only runs forward."""
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -43,9 +43,16 @@
 KEEPALIVE_TIME = 75.0
 """Seconds for which an idle connection is kept, longer than callers reuse one."""
 
+LAST_ADMISSION = 2.8
+"""Seconds after the stop signal for which requests are still admitted: the balancer
+asks every second and needs two failed answers. What comes later may not end in time."""
+
 STOP_TAKING = 4.5
-"""Seconds after the stop signal for which new connections are still taken: the
-balancer asks every second and needs two failed answers, then some time to act."""
+"""Seconds after the stop signal for which connections are still taken, so that who
+comes late is told to go elsewhere."""
+
+STOPPING_PAUSE = 0.05
+"""Seconds after which a caller may come back: another front will take it."""
 
 STOP_MARGIN = 1.0
 """Seconds before the kill at which open requests are left, so that closing them ends
@@ -79,8 +86,9 @@
             route = self._find_route(request)
             call = self._admit(request, headers, route, arrived)
             body = await self._read_body(request, call)
-            answer = await Forwarder(runtime, call, request, body).forward()
-            self._log(headers, route, answer.status, arrived, None)
+            forwarder = Forwarder(runtime, call, request, body)
+            answer = await forwarder.forward()
+            self._log(headers, route, answer.status, arrived, None, forwarder)
         except ScalebendError as error:
             answer = _build_failure(error, headers)
             self._log(headers, route, answer.status, arrived, error)
@@ -103,6 +111,7 @@
     def _find_route(self, request: web.BaseRequest) -> Route:
         instance = self._runtime.instance
         self._check_admission(self._runtime.now())
+        self._check_stopping(self._runtime.now())
         path = request.raw_path.partition("?")[0]
         route = instance.table.find_route(request.host, path)
         if route is None:
@@ -158,6 +167,15 @@
         self._check_admission(self._runtime.now() + LEASE_MARGIN / 2)
         return body
 
+    def _check_stopping(self, now: float) -> None:
+        began = self._runtime.drain_began
+        if began is not None and now - began > LAST_ADMISSION:
+            raise RefusedError(
+                "this front stops",
+                kind=ErrorKind.NOT_READY,
+                retry_after=STOPPING_PAUSE,
+            )
+
     def _check_admission(self, now: float) -> None:
         instance = self._runtime.instance
         if instance.may_admit(now):
@@ -176,6 +194,7 @@
         status: int,
         arrived: float,
         error: ScalebendError | None,
+        forwarder: Forwarder | None = None,
     ) -> None:
         runtime = self._runtime
         elapsed = runtime.now() - arrived
@@ -189,10 +208,21 @@
             kind=error.kind.value if error is not None else None,
             ran=error.ran.value if error is not None else None,
             elapsed=round(elapsed, 3),
+            **_describe_events(forwarder),
             routing=runtime.instance.table.routing.version,
         )
 
 
+def _describe_events(forwarder: Forwarder | None) -> dict[str, float]:
+    """Log fields of a stream's timing; none for other answers."""
+    if forwarder is None or forwarder.first_event is None:
+        return {}
+    return {
+        "first_event": round(forwarder.first_event, 3),
+        "longest_gap": round(forwarder.longest_gap, 3),
+    }
+
+
 def _too_large(most: int) -> RequestError:
     return RequestError(
         f"the body may have {most} bytes", kind=ErrorKind.BODY_TOO_LARGE
@@ -276,6 +306,7 @@
 
 async def _drain(runtime: FrontRuntime, site: web.TCPSite) -> None:
     started = runtime.now()
+    runtime.drain_began = started
     runtime.instance.is_draining = True
     logger.info("drain begins", open=runtime.open_requests)
     end = started + runtime.settings.bounds.drain_grace - STOP_MARGIN
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -10,6 +10,7 @@
 from yarl import URL
 
 from scalebend.core.gateway.retry_window import SETTLE_TIME
+from scalebend.edges.gateway.front_server import LAST_ADMISSION
 from scalebend.platform.headers import EXPECTED_UPSTREAM
 from tests.lib.platform_processes import run_processes
 from tests.lib.platform_replicas import EVENTS, build_document, run_replica
@@ -270,6 +271,18 @@
     assert system.processes.running["front-0"].wait(timeout=10) == 0
 
 
+async def test_stopping_front_takes_nothing_that_it_may_not_finish(system):
+    system.processes.signal("front-0", signal.SIGTERM)
+    await asyncio.sleep(LAST_ADMISSION + 0.3)
+    system.replicas[0].ran.clear()
+    system.replicas[1].ran.clear()
+    status, _, headers = await system.call("stream")
+    assert status == 503
+    assert headers["Connection"] == "close"
+    assert float(headers["Retry-After"]) < 0.2
+    assert not list_runs(system)
+
+
 async def test_each_decision_on_a_request_is_in_the_log(system):
     system.replicas[0].mode = system.replicas[1].mode = "full"
     await system.call("idempotent", **{"X-Request-Id": "traced-1"})
