Let parts of long prompts take turns on a replica

Change: a placement says when to send; each replica's long parts follow one another, and a part's room is the gap less the pass alone.

--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -16,7 +16,12 @@
 
 from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
 from scalebend.core.gateway.engine_view import EngineView, build_idle_view
-from scalebend.core.gateway.placement_choice import MEMORY_MARGIN, Plan, choose
+from scalebend.core.gateway.placement_choice import (
+    MEMORY_MARGIN,
+    QUICK_READ,
+    Plan,
+    choose,
+)
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import (
@@ -224,7 +229,7 @@
             reading = 0.0
             gaps = []
             for name, share in replica.shares.items():
-                reading += max(0.0, min(share.part, share.read_until - now))
+                reading = max(reading, share.read_until - now)
                 if share.is_first:
                     gaps.append(self._jobs[name].work.event_gap)
             pace = replica.read_pace(now)
@@ -298,11 +303,15 @@
         if replica is None:
             return view
         contexts = []
+        quick_reading = 0.0
         for name, share in replica.shares.items():
             job = self._jobs[name]
-            reading = max(0.0, min(share.part, share.read_until - now))
-            view.pending += reading
-            view.own_reading += reading if share.is_first else 0.0
+            left = max(0.0, share.read_until - now)
+            if share.part <= QUICK_READ:
+                # Short parts are read together, in one pass.
+                quick_reading += min(share.part, left)
+            else:
+                view.pending = max(view.pending, left)
             view.free_tokens -= share.tokens
             if not share.is_first:
                 view.helping += 0 if job.is_writing else 1
@@ -313,6 +322,7 @@
                 view.tight_jobs += 1
             if view.event_gap is None or job.work.event_gap < view.event_gap:
                 view.event_gap = job.work.event_gap
+        view.pending += quick_reading
         _add_others(view, replica, now)
         if replica.unknown_jobs and now < replica.unknown_until:
             view.first_jobs += replica.unknown_jobs
@@ -329,12 +339,16 @@
     ) -> None:
         read = compute_read_time(profile, work.prompt_tokens)
         part = read / (1 + len(placement.helpers))
-        until = now + LATENESS * max(part, placement.first_token_in)
+        start = now + placement.start_in
+        first_until = now + LATENESS * placement.first_token_in
+        helper_until = start + LATENESS * part
         held = sum(helper.tokens for helper in placement.helpers)
         tokens = work.prompt_tokens + work.output_tokens - held
-        self._share(placement.upstream, work.job, _Share(part, tokens, True, until))
+        self._share(
+            placement.upstream, work.job, _Share(part, tokens, True, first_until)
+        )
         for helper in placement.helpers:
-            share = _Share(part, helper.tokens, False, until)
+            share = _Share(part, helper.tokens, False, helper_until)
             self._share(helper.upstream, work.job, share)
         upstreams = [placement.upstream, *(h.upstream for h in placement.helpers)]
         self._jobs[work.job] = _Job(
--- a/src/scalebend/core/gateway/engine_view.py
+++ b/src/scalebend/core/gateway/engine_view.py
@@ -23,11 +23,8 @@
     tight_jobs: int
     """Jobs whose event gap is no longer than the one to be placed."""
 
-    own_reading: float
-    """Seconds of reading for jobs that write here: parts read for others go before."""
-
     pending: float
-    """Seconds of reading that wait here, for whomever."""
+    """Seconds until the reading that waits here is done, for whomever."""
 
     pass_time: float
     event_gap: float | None
@@ -43,8 +40,15 @@
         """Whether it writes for a request whose events must come in quick order."""
         return self.event_gap is not None and self.event_gap <= QUICK_GAP
 
+    def compute_part_room(self, limit: float) -> float:
+        """Reading that may follow what waits, alone in its pass, until ``limit``."""
+        room = limit - self.pass_time - self.pending
+        if self.event_gap is not None:
+            room = min(room, self.event_gap - GAP_MARGIN - self.pass_time)
+        return room / self.pace
+
     def compute_room(self, limit: float) -> float:
-        """Reading that may be added without delaying a writer beyond its gap."""
+        """Reading that may join what waits without delaying a writer beyond its gap."""
         room = limit - self.pass_time - self.pending
         if self.event_gap is not None:
             gap_room = self.event_gap - GAP_MARGIN - self.pass_time - self.pending
@@ -59,7 +63,6 @@
         first_jobs=0,
         helping=0,
         tight_jobs=0,
-        own_reading=0.0,
         pending=0.0,
         pass_time=0.0,
         event_gap=None,
--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -32,10 +32,6 @@
 """Seconds of reading below which a prompt is never split: the answers of several
 replicas to wait for would cost more than their help saves."""
 
-OWN_READING = 0.05
-"""Seconds of own reading up to which a replica may read a part for others: two quick
-prompts. A long prompt's first replica would be overtaken by part after part."""
-
 LATE_READ_MOST = 1.5
 """Seconds of reading of one engine up to which a prompt is read even if it is late.
 Longer ones would hold replicas for as long as dozens of quick requests need."""
@@ -87,7 +83,9 @@
 
 def _place_alone(plan: Plan, view: EngineView) -> Placement:
     wait = view.pass_time + view.pending + plan.read * view.pace + plan.first_event
-    return Placement(view.endpoint.upstream, view.endpoint.address, (), wait)
+    start = view.pending if plan.read > QUICK_READ else 0.0
+    endpoint = view.endpoint
+    return Placement(endpoint.upstream, endpoint.address, (), wait, start)
 
 
 def _choose_in_time(plan: Plan, views: list[EngineView]) -> EngineView | None:
@@ -159,12 +157,10 @@
     slots = plan.profile.slots
     limit = plan.work.target * LATE_PART
     usable = [view for view in views if view.first_jobs < slots > view.helping]
-    # A part read for others would go before what such a replica reads itself.
-    usable = [view for view in usable if view.own_reading <= OWN_READING] or usable
     ranked = sorted(
         usable or views,
         key=lambda view: (
-            -view.compute_room(limit),
+            -view.compute_part_room(limit),
             plan.rank(view.endpoint.upstream),
         ),
     )
@@ -185,13 +181,14 @@
     counts = range(1, len(ranked) + 1)
     for count in counts:
         part = plan.read / count
-        room = ranked[count - 1].compute_room(target * TARGET_PART)
+        room = ranked[count - 1].compute_part_room(target * TARGET_PART)
         if part <= plan.longest_part and room >= part:
             return count
     # Not enough are free for short parts: then the shortest that fit.
     for share in (TARGET_PART, LATE_PART):
         for count in reversed(counts):
-            if ranked[count - 1].compute_room(target * share) >= plan.read / count:
+            room = ranked[count - 1].compute_part_room(target * share)
+            if room >= plan.read / count:
                 return count
     return 0
 
@@ -219,7 +216,9 @@
     first = _choose_first(plan, chosen)
     others = [view for view in chosen if view is not first]
     part = plan.read / len(chosen)
-    wait = max(view.pending + view.pass_time + part * view.pace for view in chosen)
+    # A part that comes later is read first: let none wait on a replica.
+    start = max(view.pending for view in chosen)
+    wait = start + max(view.pass_time + part * view.pace for view in chosen)
     missing = plan.memory - first.free_tokens
     helpers = []
     for view in others:
@@ -233,4 +232,4 @@
         return None
     endpoint = first.endpoint
     wait += plan.first_event
-    return Placement(endpoint.upstream, endpoint.address, tuple(helpers), wait)
+    return Placement(endpoint.upstream, endpoint.address, tuple(helpers), wait, start)
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -39,6 +39,9 @@
 """Seconds after which a refused caller may come back: engines end several short
 requests in that time."""
 
+LEAST_WAIT = 0.01
+"""Seconds below which a placement's pause is not worth a timer."""
+
 LARGEST_ANSWER = 16 * 1024 * 1024
 """Bytes of an answer that is held whole before it is passed on."""
 
@@ -223,18 +226,21 @@
             self._retry_after = placement.retry_after
             yield None
             return
+        self._log_placement(work, placement)
         try:
+            await self._wait_for_turn(placement)
             async with hold_memory(runtime, work, placement) as helpers:
-                self._log_placement(work, placement)
                 self._lateness = asyncio.get_running_loop().call_later(
-                    compute_inspection_delay(placement.first_token_in),
+                    compute_inspection_delay(
+                        placement.first_token_in - placement.start_in
+                    ),
                     lambda: runtime.spawn(runtime.inspect(placement)),
                 )
                 yield _Target(
                     placement.upstream,
                     placement.address,
                     helpers,
-                    placement.first_token_in,
+                    placement.first_token_in - placement.start_in,
                     work.job,
                     placement,
                 )
@@ -242,6 +248,11 @@
             self._stop_lateness()
             runtime.note_job_ended(work.job)
 
+    async def _wait_for_turn(self, placement: Placement) -> None:
+        if placement.start_in >= LEAST_WAIT:
+            remaining = self._call.deadline - self._runtime.now()
+            await asyncio.sleep(min(placement.start_in, max(0.0, remaining)))
+
     def _stop_lateness(self) -> None:
         if self._lateness is not None:
             self._lateness.cancel()
@@ -284,6 +295,7 @@
             address=placement.address,
             helpers=[helper.upstream for helper in placement.helpers],
             predicted=round(placement.first_token_in, 3),
+            start_in=round(placement.start_in, 3),
             leader=self._runtime.instance.leader,
             routing=self._runtime.instance.table.routing.version,
         )
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -63,10 +63,10 @@
     address: str
     helpers: tuple[Helper, ...]
     first_token_in: float
-    """Predicted time to the first token."""
+    """Predicted time to the first token, the pause before sending included."""
 
-    own_tokens: int = 0
-    """Memory that the first replica must hold by reservation, 0 for none."""
+    start_in: float = 0.0
+    """Pause before sending, until earlier reading on these replicas is done."""
 
 
 class Declined(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/unit/gateway/test_engine_scheduler.py
+++ b/tests/unit/gateway/test_engine_scheduler.py
@@ -227,3 +227,26 @@
     scheduler.note_stage(JobStage("front-1-2", is_ended=True), 0.2)
     # What was told once is not believed for long.
     assert place(scheduler, build_quick(4), 2.0).upstream == first.upstream
+
+
+def test_parts_of_long_prompts_take_turns_on_a_replica():
+    # A part that comes later is read before those that wait: none may wait there.
+    scheduler = EngineScheduler()
+    turns = {}
+    for number in range(6):
+        placement = place(scheduler, build_work(number, 270_000, target=10.0))
+        part = compute_read_time(PROFILE, 270_000) / (1 + len(placement.helpers))
+        for upstream in (placement.upstream, *(h.upstream for h in placement.helpers)):
+            assert placement.start_in >= turns.get(upstream, 0.0) - 1e-9
+            turns[upstream] = placement.start_in + part
+
+
+def test_long_prompt_in_its_turn_is_predicted_with_the_pause():
+    scheduler = EngineScheduler()
+    first = place(scheduler, build_work(1, 270_000))
+    while first.start_in == 0.0:
+        last = first
+        first = place(scheduler, build_work(scheduler.open_jobs + 1, 270_000))
+        assert not isinstance(first, Declined)
+    assert first.first_token_in > first.start_in + 0.1
+    assert last.start_in == 0.0
