Listen before the libraries load; fronts that decide alone split replicas alike

Change: callers' sockets listen first; fronts alone use one half of the replicas, the same at all of them, for quick prompts.

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -11,6 +11,7 @@
 import structlog
 
 from scalebend.commands.check import print_faults
+from scalebend.edges.gateway.sockets import Listeners, open_listeners
 from scalebend.edges.logs import configure_bounded_logs
 from scalebend.exceptions import DocumentError, StorageError
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
@@ -29,14 +30,18 @@
         return 2
     configure_bounded_logs(log_level)
     try:
-        asyncio.run(_run(read))
+        listeners = open_listeners(read)
+        asyncio.run(_run(read, listeners))
     except StorageError as error:
         print(f"{path}: {error}", file=sys.stderr)
         return 2
+    except OSError as error:
+        print(f"{path}: {error}", file=sys.stderr)
+        return 3
     return 0
 
 
-async def _run(settings: GatewaySettings) -> None:
+async def _run(settings: GatewaySettings, listeners: Listeners) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -47,7 +52,7 @@
         case GatewayRole.FRONT:
             from scalebend.edges.gateway.front_server import serve_front
 
-            await serve_front(settings, stopped)
+            await serve_front(settings, listeners, stopped)
         case GatewayRole.CONTROL:
             from scalebend.edges.gateway.control_server import serve_control
 
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Callable, Iterable
 
@@ -60,6 +61,13 @@
 """Seconds for which the load that a lost leader told of is still counted: about the
 time that a quick answer takes."""
 
+QUICK_PART_ALONE = 0.5
+"""Part of the replicas that schedulers which decide alone use for quick prompts only:
+all of them split alike, so that one's long prompts spare another's quick ones."""
+
+LEAST_TO_SPLIT = 4
+"""Replicas below which there is nothing to split."""
+
 SUSPECT_TIME = 2.0
 """Seconds for which a replica that failed to connect or fell silent is avoided."""
 
@@ -139,6 +147,7 @@
         It sets the order in which equal replicas are taken, so that many fronts
         deciding alone do not all fill the same ones.
         """
+        self._is_alone = bool(salt)
         self._salt = salt.encode()
         self._longest_part = longest_part
         self._quick = FadingMaximum(QUICK_MEMORY)
@@ -261,6 +270,9 @@
         now: float,
     ) -> Placement | Declined:
         """Choose replicas and count the job, or say when to come back."""
+        if self._is_alone:
+            read = compute_read_time(profile, work.prompt_tokens)
+            endpoints = _split(endpoints, is_quick=read <= QUICK_READ)
         views = [
             self._view(endpoint, work, profile, now)
             for endpoint in endpoints
@@ -372,6 +384,15 @@
                 replica.shares.pop(name, None)
 
 
+def _split(endpoints: list[Endpoint], *, is_quick: bool) -> list[Endpoint]:
+    """The replicas for quick prompts, or those for the others; alike everywhere."""
+    if len(endpoints) < LEAST_TO_SPLIT:
+        return endpoints
+    ranked = sorted(endpoints, key=lambda one: zlib.crc32(one.upstream.encode()))
+    border = math.ceil(len(ranked) * QUICK_PART_ALONE)
+    return ranked[:border] if is_quick else ranked[border:]
+
+
 def _add_others(view: EngineView, replica: _Replica, now: float) -> None:
     """Count what another scheduler told of the replica before it was lost."""
     others = replica.others
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -33,6 +33,7 @@
     listen_for_links,
 )
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
 from scalebend.edges.problems import build_response
 from scalebend.exceptions import (
@@ -363,7 +364,7 @@
             await stack.enter_async_context(_run_links(settings, runtime))
             handler = ControlHandler(runtime)
             await stack.enter_async_context(
-                listen(settings.control_address, handler.handle)
+                listen(Listeners().take(settings.control_address), handler.handle)
             )
             logger.info("control listens", instance=settings.name)
             stopping = asyncio.ensure_future(_wait_until_set(stopped))
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import structlog
@@ -13,6 +14,7 @@
 from scalebend.edges.gateway.forwarder import RETRY_LATER, Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.sockets import BACKLOG, Listeners
 from scalebend.edges.problems import build_problem_body
 from scalebend.exceptions import (
     ErrorKind,
@@ -30,7 +32,6 @@
     format_retry_after,
     read_caller_headers,
 )
-from scalebend.utils.addresses import parse_address
 
 logger = structlog.get_logger(__name__)
 
@@ -249,8 +250,8 @@
 
 
 @contextlib.asynccontextmanager
-async def listen(address: str, handler: Handler) -> AsyncIterator[web.TCPSite]:
-    """Serve ``handler`` at ``address``."""
+async def listen(sock: socket.socket, handler: Handler) -> AsyncIterator[web.SockSite]:
+    """Serve ``handler`` at a socket that listens."""
     server = web.Server(
         handler,
         request_factory=_build_request,
@@ -262,8 +263,7 @@
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.2)
     await runner.setup()
-    parsed = parse_address(address)
-    site = web.TCPSite(runner, parsed.host, parsed.port, backlog=1024)
+    site = web.SockSite(runner, sock, backlog=BACKLOG)
     await site.start()
     try:
         yield site
@@ -278,7 +278,9 @@
     return web.Response(body=metrics.render(), content_type="text/plain")
 
 
-async def serve_front(settings: GatewaySettings, stopped: asyncio.Event) -> None:
+async def serve_front(
+    settings: GatewaySettings, listeners: Listeners, stopped: asyncio.Event
+) -> None:
     """Run a front until ``stopped`` is set, then finish what is open."""
     assert settings.callers_address is not None
     assert settings.readiness_address is not None
@@ -294,17 +296,16 @@
 
         handler = CallerHandler(runtime)
         site = await stack.enter_async_context(
-            listen(settings.callers_address, handler.handle)
-        )
-        await stack.enter_async_context(
-            listen(settings.readiness_address, answer_ready)
+            listen(listeners.take(settings.callers_address), handler.handle)
         )
+        readiness = listeners.take(settings.readiness_address)
+        await stack.enter_async_context(listen(readiness, answer_ready))
         logger.info("front listens", instance=settings.name)
         await stopped.wait()
         await _drain(runtime, site)
 
 
-async def _drain(runtime: FrontRuntime, site: web.TCPSite) -> None:
+async def _drain(runtime: FrontRuntime, site: web.SockSite) -> None:
     started = runtime.now()
     runtime.drain_began = started
     runtime.instance.is_draining = True
--- a/tests/unit/gateway/test_engine_scheduler.py
+++ b/tests/unit/gateway/test_engine_scheduler.py
@@ -250,3 +250,13 @@
         assert not isinstance(first, Declined)
     assert first.first_token_in > first.start_in + 0.1
     assert last.start_in == 0.0
+
+
+def test_fronts_deciding_alone_keep_long_prompts_from_each_other_s_quick_ones():
+    fronts = [EngineScheduler(f"front-{n}", LONGEST_PART_ALONE) for n in range(9)]
+    quick, long = set(), set()
+    for number, front in enumerate(fronts):
+        quick.add(place(front, build_quick(f"q{number}")).upstream)
+        placement = place(front, build_work(f"l{number}", 210_000))
+        long |= {placement.upstream, *(h.upstream for h in placement.helpers)}
+    assert not quick & long
