--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -56,7 +56,7 @@
         """Judge the attempt that just ended without an answer to pass on."""
         self.excluded.add(upstream)
         match outcome:
-            case Outcome.NOT_SENT:
+            case Outcome.NOT_SENT | Outcome.LEFT:
                 self._unsent += 1
                 is_allowed = self._unsent < MOST_UNSENT
                 return self._retry_or_refuse(is_allowed, retries, now, is_sent=False)
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -37,6 +37,11 @@
         known = self._known.get(upstream)
         return known.endpoint if known is not None and not known.is_gone else None
 
+    def is_usable(self, upstream: UpstreamId) -> bool:
+        """Whether an upstream may be sent new requests."""
+        endpoint = self.get(upstream)
+        return endpoint is not None and not endpoint.is_draining
+
     def list_usable(self, service: ServiceName) -> list[Endpoint]:
         """Endpoints of a service that may be sent new requests."""
         return list(self._by_service.get(service, {}).values())
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -229,6 +229,11 @@
         endpoints = self.directory.list_usable(work.service)
         return self.scheduler.place(work, endpoints, service.engine, now)
 
+    def is_placeable(self, placement: Placement) -> bool:
+        """Whether all replicas of a placement may still be sent new work."""
+        upstreams = [placement.upstream, *(h.upstream for h in placement.helpers)]
+        return all(self.directory.is_usable(upstream) for upstream in upstreams)
+
     def note_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """A job's first token was seen, or it ended."""
         self.scheduler.note_stage(stage, now)
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -66,6 +66,8 @@
     predicted: float | None = None
     job: JobId | None = None
     placement: Placement | None = None
+    is_gone: bool = False
+    """Whether it must not be sent to any more, so that another is to be chosen."""
 
     def find_faulty(self, address: str | None) -> UpstreamId:
         """The upstream at ``address`` among those that took part."""
@@ -229,6 +231,10 @@
         self._log_placement(work, placement)
         try:
             await self._wait_for_turn(placement)
+            if not runtime.instance.is_placeable(placement):
+                # Meanwhile one of them began to leave.
+                yield _Target(placement.upstream, placement.address, [], is_gone=True)
+                return
             async with hold_memory(runtime, work, placement) as helpers:
                 self._lateness = asyncio.get_running_loop().call_later(
                     compute_inspection_delay(
@@ -303,6 +309,8 @@
     # One attempt
 
     async def _attempt(self, target: _Target) -> _Ended:
+        if target.is_gone:
+            return _Ended(Outcome.LEFT, detail="a replica began to leave")
         try:
             async with asyncio.timeout_at(self._call.deadline):
                 return await self._exchange(target)
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -77,6 +77,9 @@
 
     ANSWERED = "answered"
     NOT_SENT = "not sent"
+    LEFT = "left"
+    """Nothing was sent, since the upstream began to leave before its turn."""
+
     REJECTED = "rejected"
     """The upstream declared that it did not run the request."""
 
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -93,3 +93,10 @@
     attempts = Attempts(build_call(deadline=1.0))
     decision = attempts.decide(Outcome.BROKEN, "i-1", build_budget(), 0.99)
     assert isinstance(decision, GiveUp)
+
+
+def test_replica_that_left_before_its_turn_costs_no_budget():
+    attempts = Attempts(build_call())
+    decision = attempts.decide(Outcome.LEFT, "i-1", build_budget(0.0), 0.0)
+    assert decision == TryAgain()
+    assert not attempts.may_have_run
--- a/tests/unit/gateway/test_front_instance.py
+++ b/tests/unit/gateway/test_front_instance.py
@@ -25,6 +25,7 @@
     build_route,
     build_routing,
     build_service,
+    build_work,
 )
 
 A, B = "10.1.0.1:7000", "10.1.0.2:7000"
@@ -146,3 +147,18 @@
     front.advance(2.5)
     assert not front.is_ready(2.5)
     assert front.may_admit(2.5)
+
+
+def test_placement_is_void_once_one_of_its_replicas_leaves(front):
+    # A long prompt may wait seconds for its turn.
+    take(front, build_routing(1, services=[build_service(engine=PROFILE)]))
+    news = [EndpointNews(build_endpoint(n), False) for n in range(1, 19)]
+    front.handle(A, EndpointChanges(news), 1.0)
+    placement = front.place(build_work("long", 210_000), 1.0)
+    assert placement.helpers
+    assert front.is_placeable(placement)
+    leaving = placement.helpers[-1].upstream
+    number = int(leaving.removeprefix("i-"))
+    change = EndpointNews(build_endpoint(number, sequence=2, is_draining=True), False)
+    front.handle(A, EndpointChanges([change]), 1.5)
+    assert not front.is_placeable(placement)
