--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -388,8 +388,8 @@
     """The replicas for quick prompts, or those for the others; alike everywhere."""
     if len(endpoints) < LEAST_TO_SPLIT:
         return endpoints
-    # As with a leader: long prompts from the lowest rank, quick ones from the highest, so
-    # that both find replicas that are used alike already.
+    # As with a leader: long prompts from the lowest rank, quick ones from the highest,
+    # so that both find replicas that are used alike already.
     ranked = sorted(endpoints, key=lambda one: zlib.crc32(one.upstream.encode()))
     border = len(ranked) - math.ceil(len(ranked) * QUICK_PART_ALONE)
     return ranked[border:] if is_quick else ranked[:border]
