Wait for a restarted process until it answers, not for one second

The test was wrong to take a second for granted. It is as strict: the first answer must be the newest document, read from the restarted process itself.

--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -68,6 +68,17 @@
             await asyncio.sleep(0.05)
         raise AssertionError(f"front {front} did not become ready={is_ready}")
 
+    async def read_when_served(self, url, seconds=20.0):
+        """The body of the first 200 of a process that may still be starting."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            with contextlib.suppress(aiohttp.ClientConnectorError):
+                async with self.session.get(url) as answer:
+                    if answer.status == 200:
+                        return await answer.read()
+            await asyncio.sleep(0.05)
+        raise AssertionError("the process did not come back")
+
     async def wait_served(self, seconds=10.0):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
@@ -246,11 +257,9 @@
     document = build_document(12, [SERVICE])
     assert await system.put(document) == 200
     system.processes.start(leader)
-    await asyncio.sleep(1.0)
     control = system.processes.find_ip(leader)
     url = f"http://{control}:{system.processes.control_port}/config"
-    async with system.session.get(url) as answer:
-        assert await answer.read() == document
+    assert await system.read_when_served(url) == document
 
 
 async def test_planned_stop_finishes_an_open_stream(system):
