Remove what nothing reads; name the replicas of a placement once

Cause, by reading the whole change: two fields of a job were left from a pace that is no longer learnt, links had a method without callers, the list of a placement's replicas was written three times, and a comment said accepted where any answer in the term counts. Ruled out: nothing decides differently. Checked: format, linter, types, unit tests.

--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -81,7 +81,7 @@
 class _Progress(msgspec.Struct):
     """What a leader knows of one member.
 
-    ``confirmed_at`` is when the newest append that it accepted was *sent*.
+    ``confirmed_at`` is when the newest append that it answered in this term was *sent*.
     """
 
     next_index: LogIndex
@@ -186,7 +186,7 @@
     def compute_confirmed_at(self, now: float) -> float | None:
         """Latest moment at which a quorum surely had no other leader.
 
-        An append sent at that moment was accepted by a quorum in this term, so
+        An append sent at that moment was answered by a quorum in this term, so
         nothing that another leader committed before it can be missing here. ``None``
         for a member that does not lead, or has applied nothing of its term.
         """
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -99,8 +99,6 @@
 
 class _Job(msgspec.Struct):
     work: EngineWork
-    placed_at: float
-    predicted: float
     upstreams: list[UpstreamId]
     forget_at: float
     is_writing: bool = False
@@ -362,14 +360,8 @@
         for helper in placement.helpers:
             share = _Share(part, helper.tokens, False, helper_until)
             self._share(helper.upstream, work.job, share)
-        upstreams = [placement.upstream, *(h.upstream for h in placement.helpers)]
-        self._jobs[work.job] = _Job(
-            work,
-            now,
-            placement.first_token_in,
-            upstreams,
-            now + work.remaining + LOST_JOB,
-        )
+        forget_at = now + work.remaining + LOST_JOB
+        self._jobs[work.job] = _Job(work, placement.upstreams, forget_at)
 
     def _share(self, upstream: UpstreamId, job: JobId, share: _Share) -> None:
         self._replicas.setdefault(upstream, _Replica()).shares[job] = share
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -231,8 +231,7 @@
 
     def is_placeable(self, placement: Placement) -> bool:
         """Whether all replicas of a placement may still be sent new work."""
-        upstreams = [placement.upstream, *(h.upstream for h in placement.helpers)]
-        return all(self.directory.is_usable(upstream) for upstream in upstreams)
+        return all(self.directory.is_usable(one) for one in placement.upstreams)
 
     def note_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """A job's first token was seen, or it ended."""
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -164,12 +164,6 @@
         self.dial(instance)
         self._wake.setdefault(instance, asyncio.Event()).set()
 
-    def drop(self, instance: InstanceId) -> None:
-        """Keep no link to ``instance`` any more."""
-        task = self._tasks.pop(instance, None)
-        if task is not None:
-            task.cancel()
-
     def send_to_all(self, message: LinkMessage) -> None:
         """Send a message over every link that is up."""
         for link in self._links.values():
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -68,6 +68,11 @@
     start_in: float = 0.0
     """Pause before sending, until earlier reading on these replicas is done."""
 
+    @property
+    def upstreams(self) -> list[UpstreamId]:
+        """All replicas that take part, the one that writes first."""
+        return [self.upstream, *(helper.upstream for helper in self.helpers)]
+
 
 class Declined(msgspec.Struct, frozen=True, array_like=True):
     """Nothing may take the work now; it may come back after ``retry_after``."""
