--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -8,9 +8,11 @@
 import sys
 from pathlib import Path
 
+import msgspec
 import structlog
 
 from scalebend.commands.check import print_faults
+from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners, open_listeners
 from scalebend.edges.logs import configure_bounded_logs
 from scalebend.exceptions import DocumentError, StorageError
@@ -20,7 +22,7 @@
 logger = structlog.get_logger(__name__)
 
 
-def run(*, settings: Path | None, log_level: str) -> int:
+def run(*, settings: Path | None, log_level: str, link_listen: str | None) -> int:
     """Run the process that the settings describe until SIGTERM."""
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
@@ -28,10 +30,11 @@
     except DocumentError as error:
         print_faults(path, error)
         return 2
+    read = msgspec.structs.replace(read, link_listen=link_listen)
     configure_bounded_logs(log_level)
     try:
         listeners = open_listeners(read)
-        asyncio.run(_run(read, listeners))
+        asyncio.run(_run(read, listeners, path))
     except StorageError as error:
         print(f"{path}: {error}", file=sys.stderr)
         return 2
@@ -41,25 +44,21 @@
     return 0
 
 
-async def _run(settings: GatewaySettings, listeners: Listeners) -> None:
+async def _run(settings: GatewaySettings, listeners: Listeners, path: Path) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    loop.add_signal_handler(signal.SIGHUP, _note_reload)
+    watch = SettingsWatch(path, settings)
+    loop.add_signal_handler(signal.SIGHUP, watch.note_signal)
     logger.info("process starts", instance=settings.name, role=settings.role.value)
     match settings.role:
         case GatewayRole.FRONT:
             from scalebend.edges.gateway.front_server import serve_front
 
-            await serve_front(settings, listeners, stopped)
+            await serve_front(settings, listeners, stopped, watch)
         case GatewayRole.CONTROL:
             from scalebend.edges.gateway.control_server import serve_control
 
-            await serve_control(settings, stopped)
+            await serve_control(settings, stopped, watch)
     logger.info("process stops", instance=settings.name)
-
-
-def _note_reload() -> None:
-    # Only the seeds may change while a process runs, and it has met the others.
-    logger.info("settings reloaded")
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -143,7 +143,7 @@
                 self._answer_hello(sender, message)
             case HelloReply():
                 self._hellos[sender] = message
-                self._note_instances(message.instances)
+                self.note_instances(message.instances)
                 self._try_to_found()
             case Found(members):
                 self.replica.form_group(members)
@@ -253,13 +253,14 @@
         everyone = members.everyone if members is not None else frozenset()
         return sorted({member.instance for member in everyone})
 
-    def _note_instances(self, instances: list[InstanceId]) -> None:
+    def note_instances(self, instances: list[InstanceId]) -> None:
+        """These are, or were, control instances: ask them for the group, too."""
         for instance in instances:
             if instance != self.me.instance and instance not in self._peers:
                 self._peers.append(instance)
 
     def _seek_group(self) -> None:
-        self._note_instances(self._list_instances())
+        self.note_instances(self._list_instances())
         for peer in self._peers:
             self._send(peer, Hello(self.me, self._has_group))
         if not self._peers:
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -110,6 +110,10 @@
 
     # Links
 
+    def note_seeds(self, seeds: list[InstanceId]) -> None:
+        """The settings name these control instances now."""
+        self.instances |= set(seeds)
+
     def add_link(self, instance: InstanceId) -> None:
         """A link to a control instance is up."""
         self._linked.add(instance)
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -33,6 +33,7 @@
     listen_for_links,
 )
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
 from scalebend.edges.problems import build_response
@@ -336,7 +337,9 @@
         return web.Response(status=307, headers={"Location": location})
 
 
-async def serve_control(settings: GatewaySettings, stopped: asyncio.Event) -> None:
+async def serve_control(
+    settings: GatewaySettings, stopped: asyncio.Event, watch: SettingsWatch
+) -> None:
     """Run a control instance until ``stopped`` is set.
 
     A disk that refuses a write ends the member, not the process: it comes back from
@@ -345,7 +348,7 @@
     metrics = GatewayMetrics()
     while not stopped.is_set():
         try:
-            await _serve_member(settings, metrics, stopped)
+            await _serve_member(settings, metrics, stopped, watch)
         except OSError as error:
             logger.error("control member ended", error=str(error))
         if not stopped.is_set():
@@ -353,7 +356,10 @@
 
 
 async def _serve_member(
-    settings: GatewaySettings, metrics: GatewayMetrics, stopped: asyncio.Event
+    settings: GatewaySettings,
+    metrics: GatewayMetrics,
+    stopped: asyncio.Event,
+    watch: SettingsWatch,
 ) -> None:
     assert settings.data_folder is not None
     assert settings.control_address is not None
@@ -362,6 +368,8 @@
         runtime = ControlRuntime(settings, journal, recovered, metrics)
         async with contextlib.AsyncExitStack() as stack:
             await stack.enter_async_context(_run_links(settings, runtime))
+            note_seeds = runtime.instance.member.note_instances
+            await stack.enter_async_context(watch.tell(note_seeds))
             handler = ControlHandler(runtime)
             await stack.enter_async_context(
                 listen(Listeners().take(settings.control_address), handler.handle)
@@ -395,7 +403,8 @@
 async def _run_links(
     settings: GatewaySettings, runtime: ControlRuntime
 ) -> AsyncIterator[None]:
-    async with listen_for_links(settings.link_address, runtime.server):
+    address = settings.link_listen or settings.link_address
+    async with listen_for_links(address, runtime.server):
         tasks = [
             asyncio.create_task(runtime.run()),
             asyncio.create_task(runtime.inspect_engines()),
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -14,6 +14,7 @@
 from scalebend.edges.gateway.forwarder import RETRY_LATER, Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import BACKLOG, Listeners
 from scalebend.edges.problems import build_problem_body
 from scalebend.exceptions import (
@@ -279,7 +280,10 @@
 
 
 async def serve_front(
-    settings: GatewaySettings, listeners: Listeners, stopped: asyncio.Event
+    settings: GatewaySettings,
+    listeners: Listeners,
+    stopped: asyncio.Event,
+    watch: SettingsWatch,
 ) -> None:
     """Run a front until ``stopped`` is set, then finish what is open."""
     assert settings.callers_address is not None
@@ -287,6 +291,7 @@
     metrics = GatewayMetrics()
     async with contextlib.AsyncExitStack() as stack:
         runtime = await stack.enter_async_context(run_front(settings, metrics))
+        await stack.enter_async_context(watch.tell(runtime.instance.note_seeds))
 
         async def answer_ready(request: web.BaseRequest) -> web.StreamResponse:
             if request.path == "/metrics":
--- a/tests/lib/gateway_builders.py
+++ b/tests/lib/gateway_builders.py
@@ -2,6 +2,7 @@
 
 from scalebend.models.calls import Call, CallerHeaders, PromptSize
 from scalebend.models.endpoints import Endpoint
+from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
 from scalebend.models.ids import (
     AvailabilityZone,
     CustomerId,
@@ -33,6 +34,25 @@
 )
 
 
+def build_settings(**changes):
+    values = {
+        "name": "front-1",
+        "role": GatewayRole.FRONT,
+        "availability_zone": AvailabilityZone("z"),
+        "link_address": "127.0.0.1:7340",
+        "seeds": ["127.0.0.2:7340"],
+        "is_first_start": True,
+        "tolerated_losses": 1,
+        "heartbeat_interval": 1.2,
+        "bounds": Bounds(retry_slack=7.0, hold_most=3.0),
+        "callers_address": "127.0.0.1:8000",
+        "readiness_address": "127.0.0.1:8001",
+        "metrics_port": 7355,
+        **changes,
+    }
+    return GatewaySettings(**values)
+
+
 def build_route(**changes):
     values = {
         "name": "r",
