--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -67,9 +67,13 @@
         typer.Argument(help="Settings of the platform; default: $SCALEBEND_CONFIG."),
     ] = None,
     log_level: Annotated[str, typer.Option(help="Least level of log lines.")] = "info",
+    link_listen: Annotated[
+        str | None,
+        typer.Option(help="IP:port for links, if others dial a proxy before it."),
+    ] = None,
 ) -> None:
     """Run a front or a control instance on the users' platform until SIGTERM."""
-    _run("gateway", settings=settings, log_level=log_level)
+    _run("gateway", settings=settings, log_level=log_level, link_listen=link_listen)
 
 
 @app.command()
@@ -215,6 +219,33 @@
     _run("measure_changes", as_json=as_json)
 
 
+@app.command()
+def soak(
+    seed: Annotated[int, typer.Option(help="First seed of the faults.")] = 1,
+    seeds: Annotated[int, typer.Option(help="Run this many seeds.")] = 1,
+    minutes: Annotated[float, typer.Option(help="Length of the load of each.")] = 1.0,
+    controls: Annotated[int, typer.Option(help="Control instances.")] = 3,
+    fronts: Annotated[int, typer.Option(help="Fronts.")] = 3,
+    replicas: Annotated[int, typer.Option(help="Stand-in replicas.")] = 6,
+    callers: Annotated[int, typer.Option(help="Callers that send at once.")] = 16,
+    out: Annotated[
+        Path, typer.Option(help="Folder for logs; those of a clean run are removed.")
+    ] = Path("out/soak"),
+) -> None:
+    """Run the gateway's processes under random faults and check its promises."""
+    _run(
+        "soak",
+        seed=seed,
+        seeds=seeds,
+        minutes=minutes,
+        controls=controls,
+        fronts=fronts,
+        replicas=replicas,
+        callers=callers,
+        out=out,
+    )
+
+
 @app.command("hash-key")
 def hash_key(
     key: Annotated[str, typer.Argument(help="A secret key, or - for input.")] = "-",
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -53,6 +53,18 @@
 _DECODER = msgspec.msgpack.Decoder(LinkMessage)
 
 
+def read_introduction(data: bytes) -> InstanceId | None:
+    """The process that dialled, from the first bytes of its link."""
+    if len(data) < _LENGTH.size:
+        return None
+    end = _LENGTH.size + _LENGTH.unpack_from(data)[0]
+    try:
+        message = _DECODER.decode(data[_LENGTH.size : end])
+    except msgspec.MsgspecError:
+        return None
+    return message.instance if isinstance(message, Introduce) else None
+
+
 class Link(asyncio.Protocol):
     """One connection to another process."""
 
--- a/src/scalebend/models/gateway_settings.py
+++ b/src/scalebend/models/gateway_settings.py
@@ -63,6 +63,9 @@
     """Seconds between two registrations of an upstream."""
 
     bounds: Bounds
+    link_listen: str | None = None
+    """Where links are accepted, if that is not the address that others dial."""
+
     callers_address: str | None = None
     readiness_address: str | None = None
     control_address: str | None = None
--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -22,6 +22,8 @@
 LAST_EVENT = "Last-Event-Id"
 HELPERS = "X-Helpers"
 URGENCY = "X-Request-Priority"
+SEAL = "X-Server-Seal"
+"""A replica's signature of its whole answer; callers count no success without it."""
 
 _NOT_RUN = "X-Not-Executed"
 _LOAD = "X-Server-Load"
@@ -123,6 +125,34 @@
     return headers
 
 
+def build_caller_headers(
+    call: CallerHeaders, host: str, resume_after: int | None = None
+) -> CIMultiDict[str]:
+    """Return the headers with which a caller sends ``call``; for stand-ins."""
+    headers: CIMultiDict[str] = CIMultiDict({"Host": host, REQUEST_ID: call.request})
+    if call.wait is not None:
+        headers[DEADLINE] = str(int(call.wait * 1000.0))
+    if call.key is not None:
+        headers["Authorization"] = f"Bearer {call.key}"
+    if call.prompt is not None:
+        headers[_TOKENS] = f"{call.prompt.prompt},{call.prompt.output_most}"
+    if resume_after is not None:
+        headers[LAST_EVENT] = str(resume_after)
+    return headers
+
+
+def build_answer_headers(
+    request: str, seal: str | None, *, has_not_run: bool = False
+) -> CIMultiDict[str]:
+    """Return the headers with which a replica answers ``request``; for stand-ins."""
+    headers: CIMultiDict[str] = CIMultiDict({REQUEST_ID: request})
+    if seal is not None:
+        headers[SEAL] = seal
+    if has_not_run:
+        headers[_NOT_RUN] = "true"
+    return headers
+
+
 def read_answer_headers(status: int, headers: Mapping[str, str]) -> AnswerHeaders:
     """Decode the headers of an upstream's answer."""
     # 421 says that another upstream was meant: this one did not run the request.
--- a/src/scalebend/platform/registrations.py
+++ b/src/scalebend/platform/registrations.py
@@ -27,6 +27,20 @@
 _DECODER = msgspec.json.Decoder(_Registration)
 
 
+def encode_registration(endpoint: Endpoint) -> bytes:
+    """Body with which the upstream ``endpoint`` registers; for stand-ins."""
+    return msgspec.json.encode(
+        _Registration(
+            service=endpoint.service,
+            address=endpoint.address,
+            zone=endpoint.availability_zone,
+            slots=endpoint.slots,
+            state="draining" if endpoint.is_draining else "ready",
+            seq=endpoint.sequence,
+        )
+    )
+
+
 def decode_registration(upstream: str, data: bytes) -> Endpoint:
     """Return the endpoint that registers; raise when the body cannot be read."""
     try:
--- a/src/scalebend/platform/reports.py
+++ b/src/scalebend/platform/reports.py
@@ -26,3 +26,8 @@
     except msgspec.MsgspecError:
         return None
     return ReplicaReport(max(1.0, read.pace), read.waiting, read.running)
+
+
+def encode_report(report: ReplicaReport) -> bytes:
+    """Body with which a replica answers; for stand-ins."""
+    return msgspec.json.encode(_Report(report.pace, report.waiting, report.running))
--- a/src/scalebend/platform/routing.py
+++ b/src/scalebend/platform/routing.py
@@ -108,6 +108,62 @@
     )
 
 
+def encode_routing(routing: Routing) -> bytes:
+    """Return the document as an operator sends it; for stand-ins."""
+    limits = routing.limits
+    document = _Document(
+        version=routing.version,
+        routes=[_write_route(route) for route in routing.routes],
+        services=[_write_service(service) for service in routing.services],
+        limits=_Limits(
+            limits.header_bytes,
+            limits.body_bytes,
+            limits.header_timeout * 1000.0,
+            limits.idle_timeout * 1000.0,
+        ),
+        tenants=[
+            _Tenant(customer.name, list(customer.keys), customer.priority)
+            for customer in routing.customers
+        ],
+    )
+    return msgspec.json.encode(document)
+
+
+def _write_route(route: Route) -> _Route:
+    gap = route.event_gap
+    return _Route(
+        name=route.name,
+        host=route.host,
+        path_prefix=route.path_prefix,
+        kind=route.kind,
+        timeout_ms=route.timeout * 1000.0,
+        target_latency_ms=route.target_latency * 1000.0,
+        priority=route.priority,
+        traffic_split=[_Split(s.service, s.weight) for s in route.services],
+        max_attempts=route.attempts_most,
+        public=route.is_public,
+        resumable=route.is_resumable,
+        gap_aim_ms=gap * 1000.0 if gap is not None else None,
+    )
+
+
+def _write_service(service: RoutedService) -> _Service:
+    profile = service.engine
+    engine = None
+    if profile is not None:
+        engine = _Engine(
+            profile.slots,
+            profile.memory_tokens,
+            profile.steps_per_pass,
+            profile.step_ms,
+            profile.per_sequence_ms,
+            profile.context_ms_per_thousand,
+            profile.read_tokens_per_second,
+            profile.pairs_ms_per_million,
+        )
+    return _Service(service.name, service.health_path, service.connections_most, engine)
+
+
 def _read_route(route: _Route) -> Route:
     split = route.traffic_split
     if split is not None:
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -57,6 +57,40 @@
     heartbeat_ms: float = 1000.0
 
 
+def encode_gateway_settings(settings: GatewaySettings) -> bytes:
+    """Return the file that the platform would write; for stand-ins.
+
+    The link port is the same on every machine, as is the port of control calls.
+    """
+    link = parse_address(settings.link_address)
+    control = settings.control_address
+    # Seeds are named by their addresses for calls, on the platform.
+    control_port = parse_address(control or settings.seeds[0]).port
+    bounds = settings.bounds
+    written = _Settings(
+        node_name=settings.name,
+        serves=["control" if settings.role is GatewayRole.CONTROL else "front"],
+        ip=link.host,
+        zone=settings.availability_zone,
+        listen=_Listen(settings.callers_address, settings.readiness_address, control),
+        port_range=(link.port, settings.metrics_port or link.port),
+        seeds=[f"{parse_address(s).host}:{control_port}" for s in settings.seeds],
+        bootstrap=settings.is_first_start,
+        tolerate=_Tolerate(settings.tolerated_losses),
+        bounds=_Bounds(
+            revoke_ms=bounds.key_revocation * 1000.0,
+            grace_s=bounds.drain_grace,
+            retry_ratio=bounds.retry_ratio,
+            retry_window_s=bounds.retry_window,
+            retry_slack=bounds.retry_slack,
+            hold_max_ms=bounds.hold_most * 1000.0,
+        ),
+        data_dir=settings.data_folder,
+        heartbeat_ms=settings.heartbeat_interval * 1000.0,
+    )
+    return msgspec.json.encode(written)
+
+
 def read_gateway_settings(path: Path) -> GatewaySettings:
     """Return the settings in ``path``; raise :class:`DocumentError` on a fault."""
     try:
--- /dev/null
+++ b/src/scalebend/soak/injector.py
@@ -0,0 +1,174 @@
+"""Carries out the faults of a schedule, and notes whom they disturb and how long."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+import signal
+from collections.abc import Iterator
+
+import aiohttp
+import msgspec
+import structlog
+
+from scalebend.soak.deployment import Deployment, draw_tear
+from scalebend.soak.faults import (
+    Change,
+    Crash,
+    Disorder,
+    Fault,
+    Impair,
+    Kill,
+    Leave,
+    Misbehave,
+    Pause,
+    ReplicaMode,
+    Reset,
+    Schedule,
+    Stop,
+)
+from scalebend.soak.layout import ProcessName
+from scalebend.soak.misbehaving import Orders
+from scalebend.soak.observations import Disturbance, Observations
+from scalebend.soak.operator import Operator
+from scalebend.soak.proxy import Proxy, Rule
+from scalebend.soak.replicas import Fleet
+
+logger = structlog.get_logger(__name__)
+
+
+class Injector:
+    """Faults of one run."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        fleet: Fleet,
+        operator: Operator,
+        seen: Observations,
+        seed: int,
+    ) -> None:
+        self._deployment = deployment
+        self._fleet = fleet
+        self._operator = operator
+        self._seen = seen
+        self._chooser = random.Random(f"{seed}/injector")
+
+    async def follow(self, schedule: Schedule, session: aiohttp.ClientSession) -> None:
+        """Carry out all faults at their times, and wait until all are over."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        async with asyncio.TaskGroup() as group:
+            for scheduled in schedule.faults:
+                await asyncio.sleep(max(0.0, began + scheduled.at - loop.time()))
+                logger.info("fault", fault=describe(scheduled.fault))
+                group.create_task(self.inject(scheduled.fault, session))
+        await asyncio.sleep(max(0.0, began + schedule.ends - loop.time()))
+
+    async def inject(self, fault: Fault, session: aiohttp.ClientSession) -> None:
+        """Carry out one fault, until it is over."""
+        match fault:
+            case Kill():
+                await self._kill(fault)
+            case Stop(process):
+                await self._stop(process)
+            case Pause(process, lasts):
+                await self._pause(process, lasts)
+            case Impair():
+                await self._impair(fault)
+            case Reset(target):
+                with self._disturb(target):
+                    for proxy in self._list_proxies(target):
+                        proxy.reset_all()
+            case Disorder(process, disk, clock_step, lasts):
+                with self._disturb(process):
+                    self._deployment.order(process, Orders(clock_step, disk))
+                    await asyncio.sleep(lasts)
+                    self._deployment.order(process, Orders())
+            case Change(count, revokes):
+                for _ in range(count):
+                    await self._operator.change(session, revokes=revokes)
+            case Misbehave() | Leave() | Crash():
+                await self._treat_replica(fault, session)
+
+    @contextlib.contextmanager
+    def _disturb(self, *processes: ProcessName) -> Iterator[None]:
+        now = asyncio.get_running_loop().time
+        noted = [Disturbance(process, now(), float("inf")) for process in processes]
+        self._seen.disturbances += noted
+        try:
+            yield
+        finally:
+            for disturbance in noted:
+                disturbance.until = now()
+
+    async def _kill(self, fault: Kill) -> None:
+        with self._disturb(*fault.processes):
+            tear = draw_tear(self._chooser) if fault.has_power_loss else None
+            for process in fault.processes:
+                self._deployment.kill(process, loses_disk=fault.loses_disk, tear=tear)
+            await asyncio.sleep(fault.down)
+            for process in fault.processes:
+                self._deployment.start(process)
+
+    async def _stop(self, process: ProcessName) -> None:
+        now = asyncio.get_running_loop().time
+        stop = Disturbance(process, now(), float("inf"))
+        self._seen.stops.append(stop)
+        if not await self._deployment.stop(process):
+            self._seen.overdue.append(stop)
+        stop.until = now()
+        with self._disturb(process):
+            self._deployment.start(process)
+            await asyncio.sleep(1.0)
+
+    async def _pause(self, process: ProcessName, lasts: float) -> None:
+        with self._disturb(process):
+            paused = self._deployment.signal(process, signal.SIGSTOP)
+            await asyncio.sleep(lasts)
+            if paused is not None:
+                self._deployment.signal(process, signal.SIGCONT)
+
+    async def _impair(self, fault: Impair) -> None:
+        target, dialler = fault.target, fault.dialler
+        proxies = self._list_proxies(target)
+        name = None
+        if dialler is not None:
+            # Calls from outside do not say who dialled.
+            proxies = [self._deployment.links[target]]
+            name = self._deployment.get_link(dialler)
+        rule = Rule(name, fault.holds, fault.delay)
+        disturbed = (target,) if dialler is None else (target, dialler)
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self._disturb(*disturbed))
+            for proxy in proxies:
+                stack.enter_context(proxy.apply(rule))
+            await asyncio.sleep(fault.lasts)
+
+    async def _treat_replica(
+        self, fault: Misbehave | Leave | Crash, session: aiohttp.ClientSession
+    ) -> None:
+        replica = self._fleet.replicas[fault.replica]
+        # Leaving is planned work, and disturbs nobody.
+        if isinstance(fault, Leave):
+            await replica.leave(session)
+            return
+        with self._disturb(ProcessName(f"replica-{fault.replica}")):
+            if isinstance(fault, Crash):
+                await replica.crash(fault.down)
+                return
+            replica.mode = fault.mode
+            await asyncio.sleep(fault.lasts)
+            replica.mode = ReplicaMode.SOUND
+
+    def _list_proxies(self, process: ProcessName) -> list[Proxy]:
+        proxies = [self._deployment.calls[process]]
+        if process in self._deployment.links:
+            proxies.append(self._deployment.links[process])
+        return proxies
+
+
+def describe(fault: Fault) -> str:
+    """A fault as one line of text."""
+    return msgspec.json.encode(fault).decode()
--- a/tests/unit/gateway/test_platform.py
+++ b/tests/unit/gateway/test_platform.py
@@ -6,7 +6,15 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from scalebend.exceptions import DocumentError, ErrorKind
+from scalebend.models.endpoints import Endpoint
 from scalebend.models.gateway_settings import GatewayRole
+from scalebend.models.ids import (
+    AvailabilityZone,
+    RoutingVersion,
+    ServiceName,
+    UpstreamId,
+)
+from scalebend.models.placement import ReplicaReport
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -14,12 +22,19 @@
     read_answer_headers,
     read_caller_headers,
 )
-from scalebend.platform.orders import encode_reservation, format_helper
-from scalebend.platform.registrations import decode_registration
-from scalebend.platform.reports import decode_report
-from scalebend.platform.routing import decode_routing
-from scalebend.platform.settings import read_gateway_settings
-from tests.lib.gateway_builders import build_call
+from scalebend.platform.orders import (
+    MemoryOrder,
+    decode_order,
+    encode_release,
+    encode_reservation,
+    format_helper,
+)
+from scalebend.platform.registrations import decode_registration, encode_registration
+from scalebend.platform.reports import decode_report, encode_report
+from scalebend.platform.routing import decode_routing, encode_routing
+from scalebend.platform.settings import encode_gateway_settings, read_gateway_settings
+from scalebend.soak.documents import build_routing
+from tests.lib.gateway_builders import build_call, build_settings
 from tests.lib.platform_replicas import build_document
 
 SETTINGS = {
@@ -187,3 +202,26 @@
     assert format_helper("10.0.0.1:1", "t") == "10.0.0.1:1/t"
     assert decode_report(b'{"pace": 3.9, "Waiting": 2, "Running": 8}').pace == 3.9
     assert decode_report(b"[]") is None
+
+
+def test_what_stand_ins_write_is_read_back_alike(tmp_path):
+    settings = build_settings()
+    path = tmp_path / "node.json"
+    path.write_bytes(encode_gateway_settings(settings))
+    assert read_gateway_settings(path) == settings
+    routing = build_routing(RoutingVersion(3), (RoutingVersion(2),))
+    assert decode_routing(encode_routing(routing)) == routing
+    endpoint = Endpoint(
+        UpstreamId("i-1"),
+        ServiceName("svc"),
+        "127.0.0.1:9",
+        AvailabilityZone("z"),
+        8,
+        True,
+        4,
+    )
+    assert decode_registration("i-1", encode_registration(endpoint)) == endpoint
+    report = ReplicaReport(2.0, 3, 4)
+    assert decode_report(encode_report(report)) == report
+    assert decode_order(encode_reservation("t", 5, 3.4)) == MemoryOrder("t", 5, 3.4)
+    assert decode_order(encode_release("t")) == MemoryOrder("t", 0, 0.0)
--- /dev/null
+++ b/tests/unit/soak/test_faults.py
@@ -0,0 +1,34 @@
+"""Schedules of the soak: repeatable, within what the system must bear."""
+
+from hypothesis import given, strategies as st
+
+from scalebend.soak.faults import CALM, DISK_RECOVERY, Kill, build_schedule
+from scalebend.soak.layout import build_layout
+
+LAYOUT = build_layout(3, 3, 6)
+
+
+@given(st.integers(0, 10_000))
+def test_same_seed_gives_the_same_schedule(seed):
+    assert build_schedule(seed, 60.0, LAYOUT) == build_schedule(seed, 60.0, LAYOUT)
+
+
+@given(st.integers(0, 10_000))
+def test_disks_are_lost_one_after_the_other(seed):
+    schedule = build_schedule(seed, 300.0, LAYOUT)
+    lost = [
+        scheduled.at
+        for scheduled in schedule.faults
+        if isinstance(scheduled.fault, Kill) and scheduled.fault.loses_disk
+    ]
+    for earlier, later in zip(lost, lost[1:], strict=False):
+        assert later - earlier > DISK_RECOVERY
+
+
+@given(st.integers(0, 10_000))
+def test_series_are_apart(seed):
+    schedule = build_schedule(seed, 120.0, LAYOUT)
+    times = [scheduled.at for scheduled in schedule.faults]
+    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
+    assert max(gaps) >= CALM
+    assert schedule.ends >= times[-1] + CALM
--- /dev/null
+++ b/tests/unit/soak/test_promises.py
@@ -0,0 +1,183 @@
+"""Each promise of the soak is seen to be broken, and kept runs pass."""
+
+import math
+
+import pytest
+
+from scalebend.models.ids import RoutingVersion, ServiceName, UpstreamId
+from scalebend.soak.deployment import BOUNDS
+from scalebend.soak.layout import ProcessName
+from scalebend.soak.observations import (
+    Accepted,
+    Answered,
+    Arrived,
+    Asked,
+    Departed,
+    Disturbance,
+    Exit,
+    Kind,
+    Observations,
+    Ran,
+    Read,
+    Ticket,
+)
+from scalebend.soak.promises import check_promises
+
+FRONT = ProcessName("front-0")
+UPSTREAM = UpstreamId("i-1")
+
+
+def build_asked(request="r-1", kind=Kind.REPEATABLE, sent_at=100.0, **changes):
+    asked = Asked(request, kind, FRONT, 1, RoutingVersion(0), sent_at, 3.0, 0)
+    asked.ended_at = sent_at + 0.1
+    asked.status = 200
+    asked.seal = f"{UPSTREAM}/{request}"
+    for name, value in changes.items():
+        setattr(asked, name, value)
+    return asked
+
+
+def build_ran(request="r-1", at=100.05, version=1, upstream=UPSTREAM):
+    return Ran(request, upstream, at, RoutingVersion(version), False)
+
+
+def build_seen():
+    """A run in which everything was kept."""
+    seen = Observations(load_ended_at=200.0, ended_at=220.0)
+    seen.accepted.append(Accepted(RoutingVersion(1), 10.0, ()))
+    seen.asked["r-1"] = build_asked()
+    seen.ran.append(build_ran())
+    seen.arrived.append(Arrived("r-1", ServiceName("plain"), 100.05))
+    seen.answered.append(Answered("r-1", 200))
+    seen.reads.append(Read(RoutingVersion(1), 210.0, True))
+    return seen
+
+
+def list_broken(seen):
+    return {violation.promise for violation in check_promises(seen)}
+
+
+def test_kept_run_has_no_violations():
+    assert list_broken(build_seen()) == set()
+
+
+def break_whole_answers(seen):
+    seen.asked["r-1"].fault = "body of 3 bytes"
+
+
+def break_own_status(seen):
+    seen.asked["r-1"].status = 500
+
+
+def break_unasked(seen):
+    seen.ran.append(build_ran("r-2"))
+
+
+def break_at_most_once(seen):
+    seen.asked["r-1"].kind = Kind.ONCE
+    seen.ran.append(build_ran(upstream=UpstreamId("i-2")))
+
+
+def break_refused_did_not_run(seen):
+    seen.asked["r-1"].status = 503
+    seen.asked["r-1"].seal = None
+
+
+def break_not_denied(seen):
+    seen.asked["r-1"].status = 401
+    seen.asked["r-1"].seal = None
+
+
+def break_revoked(seen):
+    at = 99.0 - BOUNDS.key_revocation
+    seen.accepted.append(Accepted(RoutingVersion(2), at, (RoutingVersion(1),)))
+    seen.asked["r-1"].version = RoutingVersion(1)
+
+
+def break_no_way_back(seen):
+    seen.asked["r-2"] = build_asked("r-2", sent_at=110.0)
+    seen.ran.insert(0, build_ran(at=99.0, version=2))
+    seen.ran.append(build_ran("r-2", 110.0, 1))
+
+
+def break_read_back(seen):
+    seen.accepted.append(Accepted(RoutingVersion(5), 50.0, ()))
+    seen.reads.insert(0, Read(RoutingVersion(1), 60.0, True))
+
+
+def break_nothing_lost(seen):
+    seen.accepted.append(Accepted(RoutingVersion(5), 209.9, ()))
+
+
+def break_memory(seen):
+    seen.tickets.append(Ticket(UPSTREAM, "t", 10.0, 30.0, 12.0))
+
+
+def break_retry_budget(seen):
+    for _ in range(40):
+        seen.arrived.append(Arrived("r-1", ServiceName("plain"), 100.06))
+
+
+def break_exits(seen):
+    seen.exits.append(Exit(FRONT, 20.0, 1))
+
+
+def break_calm_service(seen):
+    seen.asked["r-1"].status = None
+
+
+def break_in_time(seen):
+    seen.asked["r-1"].ended_at = 105.0
+
+
+def break_in_force(seen):
+    seen.accepted.append(Accepted(RoutingVersion(4), 90.0, ()))
+    seen.reads[-1] = Read(RoutingVersion(4), 210.0, True)
+
+
+def break_drained(seen):
+    seen.departed.append(Departed(UPSTREAM, ProcessName("control-0"), 95.0))
+
+
+def break_planned_stop(seen):
+    seen.stops.append(Disturbance(FRONT, 100.02, 103.0))
+    seen.asked["r-1"].status = None
+
+
+@pytest.mark.parametrize(
+    "break_promise",
+    [
+        break_whole_answers,
+        break_own_status,
+        break_unasked,
+        break_at_most_once,
+        break_refused_did_not_run,
+        break_not_denied,
+        break_revoked,
+        break_no_way_back,
+        break_read_back,
+        break_nothing_lost,
+        break_memory,
+        break_retry_budget,
+        break_exits,
+        break_calm_service,
+        break_in_time,
+        break_in_force,
+        break_drained,
+        break_planned_stop,
+    ],
+)
+def test_broken_promise_is_seen(break_promise):
+    seen = build_seen()
+    break_promise(seen)
+    assert break_promise.__name__.removeprefix("break_") in list_broken(seen)
+
+
+@pytest.mark.parametrize(
+    "break_promise", [break_calm_service, break_in_time, break_in_force, break_drained]
+)
+def test_promises_of_calm_are_not_asked_of_the_disturbed(break_promise):
+    seen = build_seen()
+    break_promise(seen)
+    seen.disturbances.append(Disturbance(ProcessName("control-1"), 80.0, math.inf))
+    assert break_promise.__name__.removeprefix("break_") not in list_broken(seen)
