--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -233,9 +233,26 @@
         endpoints = self.directory.list_usable(work.service)
         return self.scheduler.place(work, endpoints, service.engine, now)
 
-    def is_placeable(self, placement: Placement) -> bool:
-        """Whether all replicas of a placement may still be sent new work."""
-        return all(self.directory.is_usable(one) for one in placement.upstreams)
+    def list_left(self, placement: Placement) -> set[UpstreamId]:
+        """Replicas of a placement that must not be sent new work any more."""
+        upstreams = placement.upstreams
+        return {one for one in upstreams if not self.directory.is_usable(one)}
+
+    def replace_job(
+        self, job: JobId, placement: Placement, now: float
+    ) -> list[ToControl]:
+        """An open job runs on other replicas than planned, at the time it was given."""
+        opened = msgspec.structs.replace(self._jobs[job], placement=placement)
+        self._jobs[job] = opened
+        aged = msgspec.structs.replace(opened, age=now - self._placed_at[job])
+        ended = JobStage(job, is_ended=True)
+        self.scheduler.note_stage(ended, now)
+        service = self.table.services.get(opened.work.service)
+        if service is not None and service.engine is not None:
+            self.scheduler.adopt(aged, service.engine, now)
+        # A scheduler ignores what it is told of a job that it knows already.
+        first = self._tell_leader(JobStages([ended]))
+        return first + self._tell_leader(OpenJobs([aged]))
 
     def note_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """A job's first token was seen, or it ended."""
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -231,10 +231,11 @@
         self._log_placement(work, placement)
         try:
             await self._wait_for_turn(placement)
-            if not runtime.instance.is_placeable(placement):
-                # Meanwhile one of them began to leave.
+            kept = runtime.keep_staying(work, placement)
+            if kept is None:
                 yield _Target(placement.upstream, placement.address, [], is_gone=True)
                 return
+            placement = kept
             async with hold_memory(runtime, work, placement) as helpers:
                 self._lateness = asyncio.get_running_loop().call_later(
                     compute_inspection_delay(
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -19,6 +19,7 @@
     PlaceAnswer,
     PlaceQuestion,
 )
+from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.edges.gateway.inspection import Inspector
 from scalebend.edges.gateway.links import HEARTBEAT, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -155,6 +156,22 @@
         self.metrics.count_placement("front" if is_own else "leader")
         return placed
 
+    def keep_staying(self, work: EngineWork, placement: Placement) -> Placement | None:
+        """The placement without replicas that began to leave; ``None``: place anew."""
+        left = self.instance.list_left(placement)
+        if not left:
+            return placement
+        kept = drop_replicas(placement, left)
+        logger.info(
+            "replicas of a placement left",
+            job=work.job,
+            left=sorted(left),
+            staying=len(kept.upstreams) if kept is not None else 0,
+        )
+        if kept is not None:
+            self._execute(self.instance.replace_job(work.job, kept, self.now()))
+        return kept
+
     async def _ask_leader(self, work: EngineWork) -> PlaceAnswer | None:
         leader = self.instance.leader
         if leader is None or self.now() < self._leader_paused_until:
--- a/tests/unit/gateway/test_front_instance.py
+++ b/tests/unit/gateway/test_front_instance.py
@@ -12,6 +12,7 @@
     OpenJobs,
     Subscribe,
 )
+from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.core.gateway.routing_store import build_news
 from scalebend.models.endpoints import EndpointNews
 from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
@@ -149,16 +150,73 @@
     assert front.may_admit(2.5)
 
 
-def test_placement_is_void_once_one_of_its_replicas_leaves(front):
-    # A long prompt may wait seconds for its turn.
+@pytest.fixture
+def long_job(front):
+    """A long prompt that waits for its turn on several replicas, and its placement."""
     take(front, build_routing(1, services=[build_service(engine=PROFILE)]))
     news = [EndpointNews(build_endpoint(n), False) for n in range(1, 19)]
     front.handle(A, EndpointChanges(news), 1.0)
-    placement = front.place(build_work("long", 210_000), 1.0)
+    work = build_work("long", 210_000)
+    placement = front.place(work, 1.0)
     assert placement.helpers
-    assert front.is_placeable(placement)
-    leaving = placement.helpers[-1].upstream
-    number = int(leaving.removeprefix("i-"))
+    front.open_job(work, placement, 1.0, is_own=True)
+    return work, placement
+
+
+def let_leave(front, upstream, now):
+    number = int(upstream.removeprefix("i-"))
     change = EndpointNews(build_endpoint(number, sequence=2, is_draining=True), False)
-    front.handle(A, EndpointChanges([change]), 1.5)
-    assert not front.is_placeable(placement)
+    front.handle(A, EndpointChanges([change]), now)
+
+
+def test_replica_that_leaves_before_its_turn_is_seen(front, long_job):
+    _, placement = long_job
+    assert front.list_left(placement) == set()
+    leaving = placement.helpers[-1].upstream
+    let_leave(front, leaving, 1.5)
+    assert front.list_left(placement) == {leaving}
+
+
+def test_job_without_the_replica_that_left_keeps_its_time(front, long_job):
+    work, placement = long_job
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.2)
+    leaving = placement.helpers[-1].upstream
+    let_leave(front, leaving, 1.5)
+    kept = drop_replicas(placement, front.list_left(placement))
+    assert leaving not in kept.upstreams
+    messages = [action.message for action in front.replace_job(work.job, kept, 1.5)]
+    # The leader forgets the job first: it ignores what it knows already.
+    assert messages[0] == JobStages([JobStage(work.job, is_ended=True)])
+    (opened,) = messages[1].jobs
+    assert opened.placement == kept
+    assert opened.age == 0.5
+    assert opened.work == work
+    assert front.scheduler.open_jobs == 1
+
+
+def test_front_admits_as_soon_as_the_document_comes_after_the_lease(front):
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.0)
+    front.handle(A, LeaseAnswer(1.0, 1), 1.01)
+    assert not front.may_admit(1.02)
+    take(front, build_routing(1), now=1.03)
+    # Not only after the next question, which is 0.4 s away.
+    assert front.may_admit(1.03)
+
+
+def test_leader_that_won_again_hears_all_open_jobs(front, long_job):
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.2)
+    again = front.handle(A, ControlNews([A, B], A, 3, 2), 1.4)
+    assert list_messages(again, OpenJobs)[0].jobs
+    assert front.handle(A, ControlNews([A, B], A, 3, 2), 1.5) == []
+
+
+def test_leader_hears_of_jobs_that_the_front_placed_alone(front):
+    take(front, build_routing(1, services=[build_service(engine=PROFILE)]))
+    news = [EndpointNews(build_endpoint(n), False) for n in range(1, 19)]
+    front.handle(A, EndpointChanges(news), 1.0)
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.2)
+    work = build_work("short", 5_000)
+    placement = front.place(work, 1.3)
+    actions = front.open_job(work, placement, 1.3, is_own=True)
+    assert list_messages(actions, OpenJobs)[0].jobs[0].work == work
+    assert front.open_job(work, placement, 1.3, is_own=False) == []
