--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -203,6 +203,7 @@
             newer = apply_news(base, news)
             if newer is not None:
                 self.table = RouteTable(newer)
+                self.lease.note_held(newer.version)
                 logger.info(
                     "routing applied",
                     version=newer.version,
--- a/src/scalebend/core/gateway/key_lease.py
+++ b/src/scalebend/core/gateway/key_lease.py
@@ -9,18 +9,28 @@
 
 from __future__ import annotations
 
+import msgspec
+
 from scalebend.models.ids import RoutingVersion
 
 LEASE_MARGIN = 0.3
 """Seconds taken off the bound on revocation, for the time from check to send."""
 
 
+class _EarlyAnswer(msgspec.Struct, frozen=True):
+    """An answer that overtook the document it speaks of."""
+
+    asked_at: float
+    newest: RoutingVersion
+
+
 class KeyLease:
     """Until when this front may admit requests by key."""
 
     def __init__(self, revocation_bound: float) -> None:
         self._duration = revocation_bound - LEASE_MARGIN
         self._asked_at: float | None = None
+        self._early: _EarlyAnswer | None = None
 
     def confirm(
         self, asked_at: float, newest: RoutingVersion, held: RoutingVersion
@@ -28,14 +38,24 @@
         """Take the leader's answer to the question asked at ``asked_at``.
 
         Return whether it lengthens the lease; it does not while a newer document
-        than the one ``held`` here is still on its way.
+        than the one ``held`` here is still on its way; once that one has come,
+        :meth:`note_held` makes up for it.
         """
         if held < newest:
+            if self._early is None or asked_at >= self._early.asked_at:
+                self._early = _EarlyAnswer(asked_at, newest)
             return False
         if self._asked_at is None or asked_at > self._asked_at:
             self._asked_at = asked_at
         return True
 
+    def note_held(self, held: RoutingVersion) -> None:
+        """A newer document is held: an answer that came before it may count now."""
+        early = self._early
+        if early is not None and held >= early.newest:
+            self._early = None
+            self.confirm(early.asked_at, early.newest, held)
+
     def is_valid(self, now: float) -> bool:
         """Whether a keyed request may be admitted at ``now``."""
         return self.compute_remaining(now) > 0.0
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -51,6 +51,11 @@
 CLOSE_TIMEOUT = 0.3
 """Seconds for orders that are under way when the process stops."""
 
+STARTING_WAIT = 0.6
+"""Seconds for which a request waits at a process that has just started: after a
+restart of all, a leader is elected and leases are given in that time, and callers whose
+attempts are used up would be lost if they were refused."""
+
 LEADER_PAUSE = 0.5
 """Seconds for which a leader that did not answer in time is not asked again."""
 
@@ -79,6 +84,7 @@
         self._leader_paused_until = 0.0
         self._heartbeat_at = 0.0
         self._tasks: set[asyncio.Task[None]] = set()
+        self._first_lease = asyncio.Event()
         self.open_requests = 0
         self.drain_began: float | None = None
 
@@ -111,6 +117,16 @@
                 future.set_result(message)
             return
         self._execute(self.instance.handle(sender, message, self.now()))
+        if self.instance.may_admit(self.now()):
+            self._first_lease.set()
+
+    async def wait_for_first_lease(self) -> None:
+        """Wait a little, if this process was never able to admit requests yet."""
+        if self._first_lease.is_set():
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STARTING_WAIT):
+                await self._first_lease.wait()
 
     def _note_up(self, instance: InstanceId) -> None:
         self.instance.add_link(instance)
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -85,6 +85,7 @@
         runtime.open_requests += 1
         runtime.metrics.set_open(runtime.open_requests)
         try:
+            await runtime.wait_for_first_lease()
             route = self._find_route(request)
             call = self._admit(request, headers, route, arrived)
             body = await self._read_body(request, call)
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -248,6 +248,17 @@
     await system.wait_served()
 
 
+async def test_request_waits_for_the_first_lease_of_a_process(system):
+    system.processes.kill("front-0")
+    system.processes.start("front-0")
+    # It listens before it has met anyone.
+    status = None
+    while status is None:
+        with contextlib.suppress(aiohttp.ClientConnectorError):
+            status, _, _ = await system.call("idempotent")
+    assert status == 200
+
+
 async def test_killed_leader_is_replaced_while_requests_are_served(system):
     leader = system.processes.find_leader()
     system.processes.kill(leader)
