--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -38,10 +38,14 @@
 HEARTBEAT = 0.1
 """Seconds between two messages of a leader to each member."""
 
+LEAST_BETWEEN_ROUNDS = 0.01
+"""Seconds between two messages to a member when somebody waits for a confirmation: many
+who wait are served by one round."""
+
 ELECTION_TIMEOUT = 0.6
 """Seconds without a leader before a member asks for votes; up to twice by chance."""
 
-START_TIMEOUT = 0.25
+START_TIMEOUT = 0.12
 """Seconds between two pre-votes of a member that has met no leader since its start; up
 to twice by chance. If there is a leader, it is heard within a heartbeat, and a pre-vote
 does it no harm; after all members restarted, nobody need wait longer."""
@@ -202,6 +206,14 @@
                 return candidate
         return None
 
+    def hasten_confirmation(self, since: float, now: float) -> None:
+        """As leader, ask all members at once who were last asked before ``since``."""
+        if not self.is_leader:
+            return
+        for member, progress in self._progress.items():
+            if progress.sent < since and now - progress.sent >= LEAST_BETWEEN_ROUNDS:
+                self._replicate(member, progress, now)
+
     def list_silent(self, longest: float, now: float) -> list[Member]:
         """As leader, members that have not answered for ``longest`` seconds."""
         silent = [
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -31,7 +31,7 @@
     Subscribe,
 )
 from scalebend.core.gateway.route_table import RouteTable
-from scalebend.core.gateway.routing_store import build_news, unpack_routing
+from scalebend.core.gateway.routing_store import RoutingNews, build_news, unpack_routing
 from scalebend.core.messages import (
     Found,
     Hello,
@@ -67,9 +67,9 @@
 SUMMARY_PERIOD = 1.0
 """Seconds between two log lines on what the leader believes of the engines."""
 
-BUSY_TOLD = 32
-"""Busy replicas told to each front with a heartbeat: 30 bytes each, so 2 KB a second
-whatever the size of the fleet."""
+BUSY_TOLD = 64
+"""Busy replicas told to each front with a heartbeat: 30 bytes each, so 4 KB a second
+whatever the size of the fleet. Those that are not told of look idle."""
 
 READ_PATIENCE = 2.0
 """Seconds for which a reader waits for a quorum, twice what an election takes."""
@@ -77,6 +77,11 @@
 KEPT_VERSIONS = 64
 """Routing documents kept to send only what changed since one of them."""
 
+LEARNING_TIME = 0.15
+"""Seconds for which a new leader waits for the open jobs of all fronts before it places
+any: fronts hear of it within a tick and answer at once; one that is silent holds nobody
+up for longer. Meanwhile fronts place alone."""
+
 HEARTBEATS_MISSED = 8
 """Registrations an upstream may miss before it counts as gone. Fronts notice a dead
 one by themselves at once; this also spares upstreams that lost only their way to
@@ -122,6 +127,7 @@
     front: InstanceId | None
     asked_at: float
     reader: int = 0
+    is_urgent: bool = False
 
 
 class ControlInstance:
@@ -138,6 +144,9 @@
         self._history: dict[RoutingVersion, Routing] = {
             EMPTY_ROUTING.version: EMPTY_ROUTING
         }
+        self._packed: dict[RoutingVersion, RoutingNews] = {}
+        """What fronts that hold a version are sent for the newest one."""
+
         self._fronts: dict[InstanceId, _Front] = {}
         self._questions: list[_Question] = []
         self._news_at = now
@@ -145,6 +154,8 @@
         self._expire_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
+        self._unheard: set[InstanceId] = set()
+        self._learns_until = now
         self._proposals = 0
         self._readers = 0
         self._load_routing()
@@ -193,11 +204,7 @@
         """Act on time."""
         self.member.advance(now)
         actions: list[ControlAction] = []
-        if self.is_leader != self._was_leader:
-            self._was_leader = self.is_leader
-            # What is open is learned anew from the fronts.
-            self.scheduler = EngineScheduler()
-            logger.info("leadership changed", leads=self.is_leader)
+        self._note_leadership(now)
         if self.member.leader != self._leader or now >= self._news_at:
             self._leader = self.member.leader
             self._news_at = now + NEWS_PERIOD
@@ -215,6 +222,20 @@
             actions += self._publish(self.directory.expire(now))
         return actions
 
+    def _note_leadership(self, now: float) -> None:
+        if self.is_leader == self._was_leader:
+            return
+        self._was_leader = self.is_leader
+        # What is open is learned anew from the fronts.
+        self.scheduler = EngineScheduler()
+        self._unheard = set(self._fronts)
+        self._learns_until = now + LEARNING_TIME
+        logger.info("leadership changed", leads=self.is_leader)
+
+    def _may_place(self, now: float) -> bool:
+        """Whether this member leads, and knows what is open on the engines."""
+        return self.is_leader and not (self._unheard and now < self._learns_until)
+
     def _log_summary(self, now: float) -> None:
         summary = self.scheduler.summarise(now)
         logger.info(
@@ -243,6 +264,7 @@
         Its jobs are forgotten: if it still runs, it tells them anew over its next link.
         """
         self._fronts.pop(front, None)
+        self._unheard.discard(front)
         self.scheduler.forget_front(lambda job: is_job_of(front, job))
         logger.info("front detached", front=front, fronts=len(self._fronts))
 
@@ -250,11 +272,14 @@
         self, front: InstanceId, message: LinkMessage, now: float
     ) -> list[ControlAction]:
         """Take a message of a front."""
+        # It may lead since its last vote came: what is told now must not be forgotten.
+        self._note_leadership(now)
         match message:
             case Subscribe(held, is_wanted):
                 return self._subscribe(front, held, is_wanted=is_wanted)
-            case LeaseQuestion(asked_at):
-                self._questions.append(_Question(now, front, asked_at))
+            case LeaseQuestion(asked_at, is_urgent):
+                question = _Question(now, front, asked_at, is_urgent=is_urgent)
+                self._questions.append(question)
                 return self._answer_questions(now)
             case PlaceQuestion(work):
                 return [ToFront(front, self._place(work, now))]
@@ -268,6 +293,7 @@
                 for pace in paces:
                     self.scheduler.note_pace(pace, now)
             case OpenJobs(jobs):
+                self._unheard.discard(front)
                 self._adopt(jobs, now)
         return []
 
@@ -295,7 +321,10 @@
             return []
         base = self._history.get(state.held, EMPTY_ROUTING)
         state.sent = self.routing.version
-        return [ToFront(front, build_news(base, self.routing))]
+        news = self._packed.get(base.version)
+        if news is None:
+            news = self._packed[base.version] = build_news(base, self.routing)
+        return [ToFront(front, news)]
 
     def _list_instances(self) -> list[InstanceId]:
         members = self.member.replica.members
@@ -309,6 +338,7 @@
             self.member.replica.term,
             len(self._fronts),
             self.scheduler.list_busy(now, BUSY_TOLD) if self.is_leader else [],
+            self.scheduler.count_quick_replicas() if self.is_leader else 0,
         )
 
     # Upstreams
@@ -411,6 +441,7 @@
         self.routing = unpack_routing(stored)
         self.table = RouteTable(self.routing)
         self._history[self.routing.version] = self.routing
+        self._packed.clear()
         while len(self._history) > KEPT_VERSIONS:
             oldest = min(v for v in self._history if v != EMPTY_ROUTING.version)
             del self._history[oldest]
@@ -418,14 +449,19 @@
     def _answer_questions(self, now: float) -> list[ControlAction]:
         confirmed = self.member.replica.compute_confirmed_at(now)
         if confirmed is None:
+            # One that has just won the lead may answer once its first entry is applied.
             self._questions = [
                 q
                 for q in self._questions
-                if q.front is None and now - q.received_at < READ_PATIENCE
+                if (q.front is None or self.is_leader)
+                and now - q.received_at < READ_PATIENCE
             ]
             return []
         answered = [q for q in self._questions if q.received_at <= confirmed]
         self._questions = [q for q in self._questions if q.received_at > confirmed]
+        urgent = [q.received_at for q in self._questions if q.is_urgent]
+        if urgent:
+            self.member.replica.hasten_confirmation(max(urgent), now)
         readers = [question.reader for question in answered if question.front is None]
         actions: list[ControlAction] = []
         for question in answered:
@@ -440,7 +476,7 @@
 
     def _place(self, work: EngineWork, now: float) -> PlaceAnswer:
         profile = self._find_profile(work)
-        if not self.is_leader or profile is None:
+        if profile is None or not self._may_place(now):
             return PlaceAnswer(work.job)
         endpoints = self.directory.list_usable(work.service)
         placed = self.scheduler.place(work, endpoints, profile, now)
@@ -449,6 +485,8 @@
         return PlaceAnswer(work.job, placed)
 
     def _adopt(self, jobs: list[OpenJob], now: float) -> None:
+        if not self.is_leader:
+            return
         for job in jobs:
             profile = self._find_profile(job.work)
             if profile is not None:
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -16,7 +16,11 @@
 import msgspec
 
 from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
-from scalebend.core.gateway.engine_view import EngineView, build_idle_view
+from scalebend.core.gateway.engine_view import (
+    QUICK_GAP,
+    EngineView,
+    build_idle_view,
+)
 from scalebend.core.gateway.placement_choice import (
     MEMORY_MARGIN,
     QUICK_READ,
@@ -62,8 +66,13 @@
 time that a quick answer takes."""
 
 QUICK_PART_ALONE = 0.5
-"""Part of the replicas that schedulers which decide alone use for quick prompts only:
-all of them split alike, so that one's long prompts spare another's quick ones."""
+"""Part of the replicas that schedulers which decide alone use for quick prompts only,
+if no leader ever told how many it used: all of them split alike, so that one's long
+prompts spare another's quick ones."""
+
+LEAST_PART_ALONE = 0.2
+"""Part of the replicas that either sort of prompt has at least, whatever was told: the
+mix of prompts may change while there is no leader."""
 
 LEAST_TO_SPLIT = 4
 """Replicas below which there is nothing to split."""
@@ -74,6 +83,10 @@
 QUICK_GROWTH = 1.25
 """Times the quick requests open lately for which places are kept from long prompts."""
 
+QUICK_GROWTH_ALONE = 1.5
+"""Times the replicas that a leader used for quick requests that schedulers which decide
+alone use: they do not see each other's choices, and need more room."""
+
 QUICK_SPARE = 8
 """Slots kept for quick requests beyond that: about what arrives in half a second."""
 
@@ -149,6 +162,7 @@
         self._salt = salt.encode()
         self._longest_part = longest_part
         self._quick = FadingMaximum(QUICK_MEMORY)
+        self._quick_told: int | None = None
         self._jobs: dict[JobId, _Job] = {}
         self._replicas: dict[UpstreamId, _Replica] = {}
 
@@ -247,8 +261,21 @@
         busy.sort(key=lambda one: (-one.pace, -one.reading, -one.writing))
         return busy[:most]
 
-    def note_busy(self, busy: list[BusyReplica], now: float) -> None:
-        """Another scheduler told which replicas are busy."""
+    def count_quick_replicas(self) -> int:
+        """How many replicas write for quick requests."""
+        return sum(self._is_quick(replica) for replica in self._replicas.values())
+
+    def _is_quick(self, replica: _Replica) -> bool:
+        return any(
+            share.is_first and self._jobs[name].work.event_gap <= QUICK_GAP
+            for name, share in replica.shares.items()
+        )
+
+    def note_busy(
+        self, busy: list[BusyReplica], quick_replicas: int, now: float
+    ) -> None:
+        """Another scheduler told which replicas are busy, and how many with what."""
+        self._quick_told = quick_replicas
         for replica in self._replicas.values():
             replica.others = None
         for one in busy:
@@ -270,7 +297,7 @@
         """Choose replicas and count the job, or say when to come back."""
         if self._is_alone:
             read = compute_read_time(profile, work.prompt_tokens)
-            endpoints = _split(endpoints, is_quick=read <= QUICK_READ)
+            endpoints = self._split(endpoints, is_quick=read <= QUICK_READ)
         views = [
             self._view(endpoint, work, profile, now)
             for endpoint in endpoints
@@ -284,6 +311,21 @@
             self._put(work, placement, profile, now)
         return placement
 
+    def _split(self, endpoints: list[Endpoint], *, is_quick: bool) -> list[Endpoint]:
+        """The replicas for quick prompts, or those for the others; alike everywhere."""
+        count = len(endpoints)
+        if count < LEAST_TO_SPLIT:
+            return endpoints
+        quick = math.ceil(count * QUICK_PART_ALONE)
+        if self._quick_told is not None:
+            least = math.ceil(count * LEAST_PART_ALONE)
+            grown = math.ceil(self._quick_told * QUICK_GROWTH_ALONE)
+            quick = min(max(least, grown), count - least)
+        # As with a leader: long prompts from the lowest rank, quick ones from the
+        # highest, so that both find replicas that are used alike already.
+        ranked = sorted(endpoints, key=lambda one: zlib.crc32(one.upstream.encode()))
+        return ranked[count - quick :] if is_quick else ranked[: count - quick]
+
     def _rank(self, upstream: UpstreamId) -> int:
         return zlib.crc32(self._salt + upstream.encode())
 
@@ -297,6 +339,7 @@
             self._longest_part,
             self._quick.read(now) * QUICK_GROWTH + QUICK_SPARE,
             self._rank,
+            self._is_alone,
         )
 
     def _is_sound(self, endpoint: Endpoint, now: float) -> bool:
@@ -330,12 +373,16 @@
             contexts.append(job.work.prompt_tokens)
             if job.work.event_gap <= work.event_gap:
                 view.tight_jobs += 1
+            else:
+                view.loose_jobs += 1
             if view.event_gap is None or job.work.event_gap < view.event_gap:
                 view.event_gap = job.work.event_gap
         view.pending += quick_reading
-        _add_others(view, replica, now)
+        _add_others(view, replica, work, now)
         if replica.unknown_jobs and now < replica.unknown_until:
             view.first_jobs += replica.unknown_jobs
+            # Nothing is known of their gaps.
+            view.loose_jobs += replica.unknown_jobs
             contexts += [work.prompt_tokens] * replica.unknown_jobs
         view.pace = replica.read_pace(now)
         view.pending *= view.pace
@@ -376,26 +423,21 @@
                 replica.shares.pop(name, None)
 
 
-def _split(endpoints: list[Endpoint], *, is_quick: bool) -> list[Endpoint]:
-    """The replicas for quick prompts, or those for the others; alike everywhere."""
-    if len(endpoints) < LEAST_TO_SPLIT:
-        return endpoints
-    # As with a leader: long prompts from the lowest rank, quick ones from the highest,
-    # so that both find replicas that are used alike already.
-    ranked = sorted(endpoints, key=lambda one: zlib.crc32(one.upstream.encode()))
-    border = len(ranked) - math.ceil(len(ranked) * QUICK_PART_ALONE)
-    return ranked[border:] if is_quick else ranked[:border]
-
-
-def _add_others(view: EngineView, replica: _Replica, now: float) -> None:
+def _add_others(
+    view: EngineView, replica: _Replica, work: EngineWork, now: float
+) -> None:
     """Count what another scheduler told of the replica before it was lost."""
     others = replica.others
     age = now - replica.others_at
     if others is None or age > BUSY_LIFE:
         return
     view.pending = max(view.pending, others.reading - age)
+    # Some of them have ended since.
+    writing = int(others.writing * (1.0 - age / BUSY_LIFE))
     # Not counted as company: all fronts would join the same replicas at once.
-    view.first_jobs = max(view.first_jobs, others.writing)
+    view.first_jobs = max(view.first_jobs, writing)
     gap = others.event_gap
+    if gap > work.event_gap:
+        view.loose_jobs += writing
     if gap and (view.event_gap is None or gap < view.event_gap):
         view.event_gap = gap
--- a/src/scalebend/core/gateway/engine_view.py
+++ b/src/scalebend/core/gateway/engine_view.py
@@ -23,6 +23,9 @@
     tight_jobs: int
     """Jobs whose event gap is no longer than the one to be placed."""
 
+    loose_jobs: int
+    """Jobs whose event gap is longer than that, so that long prompts may join them."""
+
     pending: float
     """Seconds until the reading that waits here is done, for whomever."""
 
@@ -63,6 +66,7 @@
         first_jobs=0,
         helping=0,
         tight_jobs=0,
+        loose_jobs=0,
         pending=0.0,
         pass_time=0.0,
         event_gap=None,
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -152,7 +152,7 @@
             self._led_at = now
         if self.leader is not None and now >= self._lease_at:
             self._lease_at = now + LEASE_PERIOD
-            actions.append(ToControl(self.leader, LeaseQuestion(now)))
+            actions.append(ToControl(self.leader, self._ask_lease(now)))
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
             self.was_ready = True
@@ -176,10 +176,12 @@
         self.retries.set_fronts(news.fronts, now)
         if news.leader is None or news.term < self._term:
             return []
+        # One that lost the lead and won it again has forgotten what is open.
+        is_known = news.leader == self.leader and news.term == self._term
         self._term = news.term
         if news.busy:
-            self.scheduler.note_busy(news.busy, now)
-        if news.leader == self.leader or news.leader not in self._linked:
+            self.scheduler.note_busy(news.busy, news.quick_replicas, now)
+        if is_known or news.leader not in self._linked:
             return []
         logger.info("leader found", leader=news.leader, term=news.term, source=sender)
         self.leader = news.leader
@@ -187,9 +189,12 @@
         return [
             ToControl(news.leader, Subscribe(self.table.routing.version)),
             ToControl(news.leader, OpenJobs(self._list_open_jobs(now))),
-            ToControl(news.leader, LeaseQuestion(now)),
+            ToControl(news.leader, self._ask_lease(now)),
         ]
 
+    def _ask_lease(self, now: float) -> LeaseQuestion:
+        return LeaseQuestion(now, is_urgent=not self.lease.is_valid(now))
+
     def _list_open_jobs(self, now: float) -> list[OpenJob]:
         return [
             msgspec.structs.replace(opened, age=now - self._placed_at[job])
@@ -217,14 +222,18 @@
 
     def open_job(
         self, work: EngineWork, placement: Placement, now: float, *, is_own: bool
-    ) -> None:
+    ) -> list[ToControl]:
         """Keep a job that was placed; ``is_own``: by this front's own scheduler."""
         opened = OpenJob(work, placement, is_writing=False)
         self._jobs[work.job] = opened
         self._placed_at[work.job] = now
         service = self.table.services.get(work.service)
-        if not is_own and service is not None and service.engine is not None:
+        if is_own:
+            # A leader that did not answer in time may place for others meanwhile.
+            return self._tell_leader(OpenJobs([opened]))
+        if service is not None and service.engine is not None:
             self.scheduler.adopt(opened, service.engine, now)
+        return []
 
     def place(self, work: EngineWork, now: float) -> Placement | Declined:
         """Place a job from what this front knows alone."""
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -39,6 +39,9 @@
     busy: list[BusyReplica] = msgspec.field(default_factory=list)
     """From the leader: the busiest replicas, should it be lost."""
 
+    quick_replicas: int = 0
+    """From the leader: how many replicas write for quick requests."""
+
 
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
     """Either end of a link to the other: still here."""
@@ -55,6 +58,8 @@
     """Front to leader: which routing document is the newest from now on?"""
 
     asked_at: float
+    is_urgent: bool = False
+    """Whether the front holds no lease, and refuses requests until it has one."""
 
 
 class LeaseAnswer(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -36,6 +36,9 @@
 """Seconds of reading of one engine up to which a prompt is read even if it is late.
 Longer ones would hold replicas for as long as dozens of quick requests need."""
 
+RANKS = 2**32
+"""Ranks of replicas are below this."""
+
 NO_REPLICA_PAUSE = 0.25
 MEMORY_PAUSE = 0.5
 LEAST_PAUSE = 0.3
@@ -67,6 +70,9 @@
     rank: Callable[[UpstreamId], int]
     """Order in which equal replicas are taken."""
 
+    is_alone: bool = False
+    """Whether others choose at the same time, and do not see each other's choices."""
+
 
 def choose(plan: Plan, views: list[EngineView]) -> Placement | Declined:
     """Choose replicas for the plan's work, or say when to come back."""
@@ -99,10 +105,12 @@
         and view.compute_room(limit) >= plan.read
     ]
     # Replicas that write for longer gaps are left to the long prompts.
-    alike = [view for view in fitting if view.tight_jobs == view.first_jobs]
+    alike = [view for view in fitting if not view.loose_jobs]
     candidates = alike or fitting
     if not candidates:
         return None
+    if plan.is_alone:
+        return max(candidates, key=lambda view: _compute_pull(plan, view))
     return max(
         candidates,
         key=lambda view: (
@@ -113,6 +121,14 @@
     )
 
 
+def _compute_pull(plan: Plan, view: EngineView) -> float:
+    """Weighted rendezvous: each chooser has its own order, and over all choosers a
+    replica is taken as often as it has free slots."""
+    free = plan.profile.slots - view.first_jobs
+    drawn = (plan.rank(view.endpoint.upstream) + 1) / (RANKS + 1)
+    return free / -math.log(drawn)
+
+
 def _choose_least_wait(plan: Plan, views: list[EngineView]) -> EngineView:
     """Nothing is in time: the replica that starts soonest, a full one last."""
     fitting = [view for view in views if view.free_tokens >= plan.memory] or views
--- a/src/scalebend/core/gateway/routing_store.py
+++ b/src/scalebend/core/gateway/routing_store.py
@@ -34,10 +34,21 @@
 
 
 class RoutingNews(msgspec.Struct, frozen=True, tag=True):
-    """What turns version ``base`` into ``version``; base 0 is the empty document."""
+    """What turns version ``base`` into ``version``; base 0 is the empty document.
+
+    A large change goes to many fronts at once, over links that also carry answers to
+    their questions: so it is packed, once for all of them.
+    """
 
     base: RoutingVersion
     version: RoutingVersion
+    packed: bytes
+    """The :class:`_Changes`, as MessagePack by zlib."""
+
+
+class _Changes(msgspec.Struct, frozen=True, array_like=True):
+    """What differs between two documents; limits and keys are told whole."""
+
     limits: ListenerLimits
     needs_key: bool
     routes: list[Route]
@@ -48,6 +59,9 @@
     removed_customers: list[CustomerId]
 
 
+_CHANGES_DECODER = msgspec.msgpack.Decoder(_Changes)
+
+
 def pack_routing(routing: Routing, document: bytes) -> StoredRouting:
     """Return the form in which the replicated log holds a document."""
     encoded = msgspec.msgpack.encode(routing)
@@ -76,9 +90,7 @@
     new_services = {service.name: service for service in newer.services}
     old_customers = {customer.name: customer for customer in base.customers}
     new_customers = {customer.name: customer for customer in newer.customers}
-    return RoutingNews(
-        base.version,
-        newer.version,
+    changes = _Changes(
         newer.limits,
         newer.needs_key,
         _list_changed(old_routes, new_routes),
@@ -88,32 +100,35 @@
         _list_changed(old_customers, new_customers),
         _list_removed(old_customers, new_customers),
     )
+    packed = zlib.compress(msgspec.msgpack.encode(changes), COMPRESSION)
+    return RoutingNews(base.version, newer.version, packed)
 
 
 def apply_news(base: Routing, news: RoutingNews) -> Routing | None:
     """Return the newer document; ``None`` when ``base`` is not the news' base."""
     if base.version != news.base:
         return None
+    changes = _CHANGES_DECODER.decode(zlib.decompress(news.packed))
     routes = _index_routes(base)
-    for place in news.removed_routes:
+    for place in changes.removed_routes:
         routes.pop(place, None)
-    for route in news.routes:
+    for route in changes.routes:
         routes[RoutePlace(route.host, route.path_prefix)] = route
     services = {service.name: service for service in base.services}
-    for service_name in news.removed_services:
+    for service_name in changes.removed_services:
         services.pop(service_name, None)
-    services |= {service.name: service for service in news.services}
+    services |= {service.name: service for service in changes.services}
     customers = {customer.name: customer for customer in base.customers}
-    for customer_name in news.removed_customers:
+    for customer_name in changes.removed_customers:
         customers.pop(customer_name, None)
-    customers |= {customer.name: customer for customer in news.customers}
+    customers |= {customer.name: customer for customer in changes.customers}
     return Routing(
         news.version,
         tuple(routes.values()),
         tuple(services.values()),
-        news.limits,
+        changes.limits,
         tuple(customers.values()),
-        news.needs_key,
+        changes.needs_key,
     )
 
 
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -168,7 +168,9 @@
         if placed is None:
             placed = self.instance.place(work, self.now())
         if isinstance(placed, Placement):
-            self.instance.open_job(work, placed, self.now(), is_own=is_own)
+            self._execute(
+                self.instance.open_job(work, placed, self.now(), is_own=is_own)
+            )
         self.metrics.count_placement("front" if is_own else "leader")
         return placed
 
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -5,6 +5,7 @@
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
 from scalebend.core.gateway.control_instance import (
+    LEARNING_TIME,
     ControlInstance,
     ProposalEnded,
     ReadConfirmed,
@@ -16,6 +17,7 @@
     JobStages,
     LeaseAnswer,
     LeaseQuestion,
+    OpenJobs,
     PlaceAnswer,
     PlaceQuestion,
     Registrations,
@@ -24,7 +26,7 @@
 from scalebend.core.gateway.routing_store import RoutingNews, pack_routing
 from scalebend.models.endpoints import EndpointNews
 from scalebend.models.ids import InstanceId, Term
-from scalebend.models.placement import JobStage
+from scalebend.models.placement import JobStage, OpenJob, Placement
 from tests.lib.gateway_builders import (
     PROFILE,
     build_endpoint,
@@ -36,6 +38,7 @@
 
 ME = InstanceId("10.1.0.1:7000")
 FRONT = InstanceId("10.1.0.9:7000")
+OTHER_FRONT = InstanceId("10.1.0.8:7000")
 
 
 class Single:
@@ -132,6 +135,20 @@
     assert (news.base, news.version) == (1, 4)
 
 
+def test_change_is_packed_once_for_all_fronts(single):
+    fronts = [InstanceId(f"10.1.1.{n}:7000") for n in range(3)]
+    for front in fronts:
+        single.instance.add_front(front, single.now)
+        single.instance.handle_front(front, Subscribe(0), single.now)
+    first, *others = list_to_fronts(single.put(build_routing(1)), RoutingNews)
+    assert len(others) == 2
+    assert all(news is first for news in others)
+    for front in fronts:
+        single.instance.handle_front(front, Subscribe(1), single.now)
+    (second, *_) = list_to_fronts(single.put(build_routing(2)), RoutingNews)
+    assert (second.base, second.version) == (1, 2)
+
+
 def test_documents_that_arrive_again_change_nothing(single):
     ends = [a for a in single.put(build_routing(5)) if isinstance(a, ProposalEnded)]
     ends += [a for a in single.put(build_routing(3)) if isinstance(a, ProposalEnded)]
@@ -174,3 +191,76 @@
     single.instance.handle_front(FRONT, PlaceQuestion(build_quick(1)), single.now)
     news = list_to_fronts(single.run(0.6), ControlNews)
     assert [busy.upstream for busy in news[0].busy] == ["i-1"]
+
+
+@pytest.fixture
+def learning():
+    """A member that has just won the lead, with two fronts linked before."""
+    learning = Single()
+    learning.instance.add_front(FRONT, 0.0)
+    learning.instance.add_front(OTHER_FRONT, 0.0)
+    while not learning.instance.is_leader:
+        learning.run(0.05)
+    routing = build_routing(1, services=[build_service(engine=PROFILE)])
+    learning.put(routing)
+    for number in range(1, 5):
+        learning.instance.register(build_endpoint(number), learning.now)
+    return learning
+
+
+def ask(single, number):
+    question = PlaceQuestion(build_quick(number))
+    (action,) = single.instance.handle_front(FRONT, question, single.now)
+    return action.message
+
+
+def test_new_leader_places_once_it_heard_what_is_open(learning):
+    instance, now = learning.instance, learning.now
+    assert ask(learning, 1).placement is None
+    instance.handle_front(FRONT, OpenJobs([]), now)
+    assert ask(learning, 2).placement is None
+    instance.handle_front(OTHER_FRONT, OpenJobs([]), now)
+    assert ask(learning, 3).placement is not None
+
+
+def test_front_that_tells_nothing_holds_the_new_leader_up_only_briefly(learning):
+    learning.instance.handle_front(FRONT, OpenJobs([]), learning.now)
+    learning.now += LEARNING_TIME
+    assert ask(learning, 1).placement is not None
+
+
+def test_front_that_is_gone_holds_nobody_up(learning):
+    learning.instance.handle_front(FRONT, OpenJobs([]), learning.now)
+    learning.instance.remove_front(OTHER_FRONT)
+    assert ask(learning, 1).placement is not None
+
+
+def test_jobs_told_before_the_next_tick_are_not_forgotten():
+    single = Single()
+    single.instance.add_front(FRONT, 0.0)
+    # A member may win the lead by a message, between two ticks.
+    while not single.instance.is_leader:
+        single.now += 0.05
+        single.instance.member.advance(single.now)
+        single.pump()
+    single.put(build_routing(1, services=[build_service(engine=PROFILE)]))
+    placement = Placement("i-1", "a", (), 0.1)
+    opened = OpenJob(build_quick(7), placement, is_writing=False)
+    single.instance.handle_front(FRONT, OpenJobs([opened]), single.now)
+    single.instance.advance(single.now)
+    assert single.instance.scheduler.open_jobs == 1
+
+
+def test_question_for_the_lease_waits_for_the_first_entry_of_a_new_leader():
+    single = Single()
+    single.instance.add_front(FRONT, 0.0)
+    while not single.instance.is_leader:
+        single.now += 0.05
+        single.instance.member.advance(single.now)
+    # The entry of its term is not applied yet.
+    asked = single.instance.handle_front(FRONT, LeaseQuestion(1.0), single.now)
+    assert not list_to_fronts(asked, LeaseAnswer)
+    single.pump()
+    single.now += 0.02
+    answered = single.instance.advance(single.now)
+    assert len(list_to_fronts(answered, LeaseAnswer)) == 1
--- a/tests/unit/gateway/test_front_instance.py
+++ b/tests/unit/gateway/test_front_instance.py
@@ -7,6 +7,7 @@
 from scalebend.core.gateway.messages import (
     ControlNews,
     EndpointChanges,
+    JobStages,
     LeaseAnswer,
     LeaseQuestion,
     OpenJobs,
@@ -194,6 +195,14 @@
     assert front.scheduler.open_jobs == 1
 
 
+def test_front_without_a_lease_says_that_it_is_urgent(front):
+    actions = front.handle(A, ControlNews([A, B], A, 1, 2), 1.0)
+    assert list_messages(actions, LeaseQuestion)[0].is_urgent
+    take(front, build_routing(1))
+    front.handle(A, LeaseAnswer(1.0, 1), 1.01)
+    assert not list_messages(front.advance(2.0), LeaseQuestion)[0].is_urgent
+
+
 def test_front_admits_as_soon_as_the_document_comes_after_the_lease(front):
     front.handle(A, ControlNews([A, B], A, 1, 2), 1.0)
     front.handle(A, LeaseAnswer(1.0, 1), 1.01)
--- a/tests/unit/gateway/test_routing_store.py
+++ b/tests/unit/gateway/test_routing_store.py
@@ -90,3 +90,13 @@
     restored = ControlState()
     restored.restore(state.export())
     assert restored.routing == state.routing
+
+
+def test_large_change_is_small_on_the_way():
+    # As many routes as the platform adds at once.
+    routes = [
+        build_route(name=f"r-{n}", host=f"h{n % 7}.example", path_prefix=f"/p{n}/")
+        for n in range(1_400)
+    ]
+    news = build_news(build_routing(1), build_routing(2, routes))
+    assert len(msgspec.msgpack.encode(news)) < 30_000
--- a/tests/unit/test_consensus_rules.py
+++ b/tests/unit/test_consensus_rules.py
@@ -11,7 +11,11 @@
     VoteReply,
     VoteRequest,
 )
-from scalebend.core.consensus.replica import ELECTION_TIMEOUT, Replica
+from scalebend.core.consensus.replica import (
+    ELECTION_TIMEOUT,
+    LEAST_BETWEEN_ROUNDS,
+    Replica,
+)
 
 A, B, C = (Member(name, f"{name}-disk") for name in "abc")
 MEMBERS = Members(frozenset({A, B, C}))
@@ -117,3 +121,27 @@
     replica.handle(ask(C, 9), LATER + 0.1)
     assert not read_vote(replica)[0]
     assert replica.term == 1
+
+
+def list_appends(replica):
+    return [m for m in carry_out(replica)[0] if isinstance(m, Append)]
+
+
+def test_confirmation_that_somebody_waits_for_does_not_wait_for_the_heartbeat():
+    replica = build_replica()
+    elect(replica)
+    (first, *_) = list_appends(replica)
+    replica.handle(AppendReply(B, replica.term, True, 2, first.round), LATER)
+    carry_out(replica)
+    assert replica.compute_confirmed_at(LATER) == LATER
+    asked_at = LATER + 2 * LEAST_BETWEEN_ROUNDS
+    replica.advance(asked_at)
+    assert list_appends(replica) == []
+    replica.hasten_confirmation(asked_at, asked_at)
+    hastened = list_appends(replica)
+    assert len(hastened) == 2
+    replica.hasten_confirmation(asked_at, asked_at + LEAST_BETWEEN_ROUNDS / 2)
+    assert list_appends(replica) == []
+    newest = max(append.round for append in hastened)
+    replica.handle(AppendReply(B, replica.term, True, 2, newest), asked_at)
+    assert replica.compute_confirmed_at(asked_at) == asked_at
