--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -4,24 +4,38 @@
 control instances; fronts hear changes from all of them. Whoever hears first wins,
 by the registration's sequence number; a draining or departed upstream never becomes
 ready again under the same id, since a restart has a new one.
+
+An address belongs to the id that registered there last: an upstream that crashed says
+nothing, and its next incarnation may be back before its silence is noticed. A
+registration that was delayed on its way may come after that; it takes the address only
+for as long as the true one is not heard again.
 """
 
 from __future__ import annotations
 
 import msgspec
+import structlog
 
 from scalebend.models.endpoints import Endpoint, EndpointNews
 from scalebend.models.ids import ServiceName, UpstreamId
 
+logger = structlog.get_logger(__name__)
+
 REMEMBERED_GONE = 60.0
 """Seconds for which a departed id is remembered, against late registrations;
 the platform delivers them seconds late."""
 
 
+HEARD_AGAIN = 2
+"""Registrations after which an id takes its address back: one may have been delayed."""
+
+
 class _Known(msgspec.Struct):
     endpoint: Endpoint
     heard_at: float
     is_gone: bool = False
+    heard_since: int | None = None
+    """Registrations since another id took the address; ``None`` when none did."""
 
 
 class EndpointDirectory:
@@ -31,6 +45,7 @@
         self._silence_limit = silence_limit
         self._known: dict[UpstreamId, _Known] = {}
         self._by_service: dict[ServiceName, dict[UpstreamId, Endpoint]] = {}
+        self._by_address: dict[str, UpstreamId] = {}
 
     def get(self, upstream: UpstreamId) -> Endpoint | None:
         """The endpoint, unless it is gone."""
@@ -59,7 +74,10 @@
         known = self._known.get(endpoint.upstream)
         if known is None:
             self._known[endpoint.upstream] = _Known(endpoint, now)
+            self._take_address(endpoint)
             return self._publish(endpoint, is_gone=False)
+        if known.heard_since is not None and not self._count_again(known, endpoint):
+            return None
         known.heard_at = now
         # A silent upstream that speaks again is back; a departed one has said so.
         was_silent = known.is_gone and not known.endpoint.is_draining
@@ -74,6 +92,37 @@
         known.is_gone = False
         return self._publish(merged, is_gone=False) if has_changed else None
 
+    def _take_address(self, endpoint: Endpoint) -> None:
+        """Whoever had the address before has ended."""
+        before = self._by_address.get(endpoint.address)
+        self._by_address[endpoint.address] = endpoint.upstream
+        known = self._known.get(before) if before is not None else None
+        if known is None or before == endpoint.upstream or known.is_gone:
+            return
+        if known.endpoint.address != endpoint.address:
+            return
+        known.is_gone = True
+        known.heard_since = 0
+        logger.info(
+            "address taken over",
+            address=endpoint.address,
+            upstream=endpoint.upstream,
+            before=before,
+        )
+        self._publish(known.endpoint, is_gone=True)
+
+    def _count_again(self, known: _Known, endpoint: Endpoint) -> bool:
+        """Whether an id that lost its address was heard often enough to have it."""
+        if endpoint.sequence > known.endpoint.sequence:
+            known.heard_since = (known.heard_since or 0) + 1
+            is_draining = known.endpoint.is_draining or endpoint.is_draining
+            known.endpoint = msgspec.structs.replace(endpoint, is_draining=is_draining)
+        if (known.heard_since or 0) < HEARD_AGAIN:
+            return False
+        known.heard_since = None
+        self._take_address(endpoint)
+        return True
+
     def remove(self, upstream: UpstreamId, now: float) -> EndpointNews | None:
         """The upstream says that it leaves: it gets nothing new and never returns."""
         known = self._known.get(upstream)
@@ -120,7 +169,9 @@
             if known.is_gone and now - known.heard_at > REMEMBERED_GONE
         ]
         for upstream in old:
-            del self._known[upstream]
+            address = self._known.pop(upstream).endpoint.address
+            if self._by_address.get(address) == upstream:
+                del self._by_address[address]
 
     def _publish(self, endpoint: Endpoint, *, is_gone: bool) -> EndpointNews:
         usable = self._by_service.setdefault(endpoint.service, {})
--- a/tests/unit/gateway/test_endpoint_directory.py
+++ b/tests/unit/gateway/test_endpoint_directory.py
@@ -104,3 +104,61 @@
 
 
 TestTwoDirectories = TwoDirectories.TestCase
+
+
+def at_address(number, sequence=1, address="10.1.64.9:8000", **changes):
+    endpoint = build_endpoint(number, sequence=sequence, **changes)
+    return msgspec.structs.replace(endpoint, address=address)
+
+
+def list_usable(directory):
+    return {endpoint.upstream for endpoint in directory.list_usable(SERVICE)}
+
+
+def test_next_incarnation_at_an_address_ends_the_last():
+    directory = EndpointDirectory(10.0)
+    directory.register(at_address(1), 0.0)
+    directory.register(at_address(2), 1.0)
+    assert list_usable(directory) == {"i-2"}
+
+
+def test_delayed_registration_does_not_bring_the_last_incarnation_back():
+    directory = EndpointDirectory(10.0)
+    directory.register(at_address(1), 0.0)
+    directory.register(at_address(2), 1.0)
+    directory.register(at_address(1, sequence=5), 1.1)
+    assert list_usable(directory) == {"i-2"}
+
+
+def test_true_one_takes_its_address_back_from_a_delayed_registration():
+    directory = EndpointDirectory(10.0)
+    directory.register(at_address(2), 0.0)
+    # Nobody here knew the one that crashed.
+    directory.register(at_address(1, sequence=5), 0.5)
+    assert list_usable(directory) == {"i-1"}
+    directory.register(at_address(2, sequence=2), 1.0)
+    directory.register(at_address(2, sequence=2), 1.0)
+    assert list_usable(directory) == {"i-1"}
+    directory.register(at_address(2, sequence=3), 2.0)
+    assert list_usable(directory) == {"i-2"}
+    directory.register(at_address(1, sequence=4), 2.5)
+    assert list_usable(directory) == {"i-2"}
+
+
+def test_upstream_that_drained_stays_drained_when_its_address_is_used_again():
+    directory = EndpointDirectory(10.0)
+    directory.register(at_address(1), 0.0)
+    directory.remove("i-1", 0.5)
+    directory.register(at_address(2), 3.0)
+    directory.register(at_address(1, sequence=9), 3.5)
+    directory.register(at_address(1, sequence=10), 4.5)
+    assert list_usable(directory) == {"i-2"}
+
+
+def test_draining_upstream_that_lost_its_address_never_becomes_ready():
+    directory = EndpointDirectory(10.0)
+    directory.register(at_address(1, is_draining=True), 0.0)
+    directory.register(at_address(2), 3.0)
+    for sequence in (9, 10, 11):
+        directory.register(at_address(1, sequence=sequence), 3.5)
+    assert "i-1" not in list_usable(directory)
