--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import deque
 from enum import Enum
@@ -33,7 +34,7 @@
     VoteReply,
     VoteRequest,
 )
-from scalebend.models.ids import LogIndex, Term
+from scalebend.models.ids import InstanceId, LogIndex, Term
 
 HEARTBEAT = 0.1
 """Seconds between two messages of a leader to each member."""
@@ -42,8 +43,13 @@
 """Seconds between two messages to a member when somebody waits for a confirmation: many
 who wait are served by one round."""
 
-ELECTION_TIMEOUT = 0.6
-"""Seconds without a leader before a member asks for votes; up to twice by chance."""
+ELECTION_TIMEOUT = 0.45
+"""Seconds without a leader before a member asks for votes; up to twice by chance. More
+than four heartbeats: a link that loses packets delays some by a retransmission."""
+
+SUSPICION = 0.25
+"""Seconds after the loss of the leader's link, up to twice by chance, before a member
+asks for votes: a leader that lives has dialled again and sent a heartbeat by then."""
 
 START_TIMEOUT = 0.12
 """Seconds between two pre-votes of a member that has met no leader since its start; up
@@ -214,6 +220,15 @@
             if progress.sent < since and now - progress.sent >= LEAST_BETWEEN_ROUNDS:
                 self._replicate(member, progress, now)
 
+    def note_link_lost(self, instance: InstanceId, now: float) -> None:
+        """The link from an instance was lost: if it leads, it may have died."""
+        if self.leader is None or self.is_leader or self.leader.instance != instance:
+            return
+        # No longer in touch: others may be voted for, unless it is heard again.
+        self._heard_leader = -math.inf
+        suspected = now + SUSPICION * self._chooser.uniform(1.0, 2.0)
+        self._deadline = min(self._deadline, suspected)
+
     def list_silent(self, longest: float, now: float) -> list[Member]:
         """As leader, members that have not answered for ``longest`` seconds."""
         silent = [
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -83,9 +83,9 @@
 QUICK_GROWTH = 1.25
 """Times the quick requests open lately for which places are kept from long prompts."""
 
-QUICK_GROWTH_ALONE = 1.5
+QUICK_GROWTH_ALONE = 2.0
 """Times the replicas that a leader used for quick requests that schedulers which decide
-alone use: they do not see each other's choices, and need more room."""
+alone use: they do not see each other's choices, and a burst may just have begun."""
 
 QUICK_SPARE = 8
 """Slots kept for quick requests beyond that: about what arrives in half a second."""
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -79,7 +79,8 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self.scheduler = EngineScheduler(settings.link_address, LONGEST_PART_ALONE)
-        self.instances: set[InstanceId] = {InstanceId(s) for s in settings.seeds}
+        self._seeds = {InstanceId(seed) for seed in settings.seeds}
+        self._told: set[InstanceId] = set()
         self.leader: InstanceId | None = None
         self.is_draining = False
         self._term = Term(0)
@@ -112,7 +113,16 @@
 
     def note_seeds(self, seeds: list[InstanceId]) -> None:
         """The settings name these control instances now."""
-        self.instances |= set(seeds)
+        self._seeds = set(seeds)
+
+    @property
+    def instances(self) -> set[InstanceId]:
+        """Control instances to keep a link to: named, told of, or linked already.
+
+        One that was replaced is not told of any more, and once its link is lost it is
+        not dialled again.
+        """
+        return self._seeds | self._told | self._linked
 
     def add_link(self, instance: InstanceId) -> None:
         """A link to a control instance is up."""
@@ -172,10 +182,12 @@
     def _take_control_news(
         self, sender: InstanceId, news: ControlNews, now: float
     ) -> list[ToControl]:
-        self.instances |= set(news.instances)
         self.retries.set_fronts(news.fronts, now)
         if news.leader is None or news.term < self._term:
+            # It may be cut off; but what it names may be all that is left.
+            self._told |= set(news.instances)
             return []
+        self._told = set(news.instances)
         # One that lost the lead and won it again has forgotten what is open.
         is_known = news.leader == self.leader and news.term == self._term
         self._term = news.term
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -167,6 +167,9 @@
     def _note_down(self, peer: Introduce) -> None:
         if peer.is_front:
             self.instance.remove_front(peer.instance)
+        else:
+            replica = self.instance.member.replica
+            replica.note_link_lost(peer.instance, self.now())
 
     def execute(self, actions: Iterable[ControlAction]) -> None:
         """Carry out actions of the core."""
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -24,7 +24,7 @@
 from scalebend.edges.gateway.reservations import hold_memory
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import AnswerHeaders, Call, LoadReading, Outcome
-from scalebend.models.ids import UpstreamId
+from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
@@ -222,13 +222,14 @@
     async def _choose_engines(self) -> AsyncIterator[_Target | None]:
         runtime = self._runtime
         work = self._build_work()
-        placement = await runtime.place(work)
+        decision = await runtime.place(work)
+        placement = decision.placed
         if isinstance(placement, Declined):
-            self._log_declined(work, placement)
+            self._log_declined(work, placement, decision.leader)
             self._retry_after = placement.retry_after
             yield None
             return
-        self._log_placement(work, placement)
+        self._log_placement(work, placement, decision.leader)
         try:
             await self._wait_for_turn(placement)
             kept = runtime.keep_staying(work, placement)
@@ -281,7 +282,9 @@
             excluded=tuple(self._attempts.excluded),
         )
 
-    def _log_declined(self, work: EngineWork, declined: Declined) -> None:
+    def _log_declined(
+        self, work: EngineWork, declined: Declined, leader: InstanceId | None
+    ) -> None:
         logger.info(
             "engines declined",
             request=self._call.headers.request,
@@ -289,10 +292,12 @@
             prompt=work.prompt_tokens,
             excluded=len(work.excluded),
             retry_after=declined.retry_after,
-            leader=self._runtime.instance.leader,
+            leader=leader,
         )
 
-    def _log_placement(self, work: EngineWork, placement: Placement) -> None:
+    def _log_placement(
+        self, work: EngineWork, placement: Placement, leader: InstanceId | None
+    ) -> None:
         logger.info(
             "engines chosen",
             request=self._call.headers.request,
@@ -303,7 +308,7 @@
             helpers=[helper.upstream for helper in placement.helpers],
             predicted=round(placement.first_token_in, 3),
             start_in=round(placement.start_in, 3),
-            leader=self._runtime.instance.leader,
+            leader=leader,
             routing=self._runtime.instance.table.routing.version,
         )
 
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -31,6 +31,7 @@
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import (
+    Decision,
     Declined,
     EngineWork,
     JobId,
@@ -102,8 +103,7 @@
 
     def _tick(self) -> None:
         now = self.now()
-        for instance in self.instance.instances:
-            self._dialer.dial(instance)
+        self._dialer.keep_to(self.instance.instances)
         self._execute(self.instance.advance(now))
         self._dialer.close_silent(now)
         if now >= self._heartbeat_at:
@@ -116,7 +116,11 @@
             if future is not None and not future.done():
                 future.set_result(message)
             return
+        leader = self.instance.leader
         self._execute(self.instance.handle(sender, message, self.now()))
+        if self.instance.leader != leader:
+            # Another one: that the last did not answer says nothing of it.
+            self._leader_paused_until = 0.0
         if self.instance.may_admit(self.now()):
             self._first_lease.set()
 
@@ -158,21 +162,23 @@
         me = InstanceId(self.settings.link_address)
         return build_job_id(me, self._incarnation, self._jobs)
 
-    async def place(self, work: EngineWork) -> Placement | Declined:
+    async def place(self, work: EngineWork) -> Decision:
         """Ask the leader where to run; decide alone if it does not answer in time."""
+        leader = self.instance.leader
         answer = await self._ask_leader(work)
         placed: Placement | Declined | None = None
         if answer is not None:
             placed = answer.placement or answer.declined
         is_own = placed is None
         if placed is None:
+            leader = None
             placed = self.instance.place(work, self.now())
         if isinstance(placed, Placement):
             self._execute(
                 self.instance.open_job(work, placed, self.now(), is_own=is_own)
             )
         self.metrics.count_placement("front" if is_own else "leader")
-        return placed
+        return Decision(placed, leader)
 
     def keep_staying(self, work: EngineWork, placement: Placement) -> Placement | None:
         """The placement without replicas that began to leave; ``None``: place anew."""
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -169,6 +169,15 @@
         if instance not in self._tasks and instance != self._me.instance:
             self._tasks[instance] = asyncio.create_task(self._keep(instance))
 
+    def keep_to(self, instances: set[InstanceId]) -> None:
+        """Keep links to these instances, and dial no others any more."""
+        for instance in instances:
+            self.dial(instance)
+        for instance in set(self._tasks) - instances - set(self._links):
+            self._tasks.pop(instance).cancel()
+            self._wake.pop(instance, None)
+            logger.info("instance not dialled any more", instance=instance)
+
     def dial_now(self, instance: InstanceId) -> None:
         """Dial without waiting for the next attempt, if no link is up."""
         if instance in self._links or instance == self._me.instance:
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -80,6 +80,14 @@
     retry_after: float
 
 
+class Decision(msgspec.Struct, frozen=True):
+    """What a front is to do with a piece of work, and who decided."""
+
+    placed: Placement | Declined
+    leader: InstanceId | None
+    """The leader that placed it; ``None`` when the front decided alone."""
+
+
 class JobStage(msgspec.Struct, frozen=True, array_like=True):
     """How far a job came: its first token was seen, or it ended."""
 
--- a/tests/unit/gateway/test_front_instance.py
+++ b/tests/unit/gateway/test_front_instance.py
@@ -229,3 +229,21 @@
     actions = front.open_job(work, placement, 1.3, is_own=True)
     assert list_messages(actions, OpenJobs)[0].jobs[0].work == work
     assert front.open_job(work, placement, 1.3, is_own=False) == []
+
+
+def test_control_instance_that_was_replaced_is_not_dialled_for_ever(front):
+    other = "10.1.0.3:7000"
+    front.note_seeds([A])
+    front.handle(A, ControlNews([A, B], A, 1, 2), 1.0)
+    front.handle(A, ControlNews([A, other], A, 1, 2), 2.0)
+    assert front.instances == {A, B, other}, "its link is still up"
+    front.remove_link(B)
+    assert front.instances == {A, other}
+
+
+def test_minority_s_older_list_takes_no_instance_away(front):
+    other = "10.1.0.3:7000"
+    front.note_seeds([])
+    front.handle(A, ControlNews([A, other], A, 5, 2), 1.0)
+    front.handle(B, ControlNews([A, B], None, 4, 2), 1.1)
+    assert front.instances == {A, B, other}
--- a/tests/unit/test_consensus_rules.py
+++ b/tests/unit/test_consensus_rules.py
@@ -14,6 +14,7 @@
 from scalebend.core.consensus.replica import (
     ELECTION_TIMEOUT,
     LEAST_BETWEEN_ROUNDS,
+    SUSPICION,
     Replica,
 )
 
@@ -145,3 +146,42 @@
     newest = max(append.round for append in hastened)
     replica.handle(AppendReply(B, replica.term, True, 2, newest), asked_at)
     assert replica.compute_confirmed_at(asked_at) == asked_at
+
+
+def follow(replica, now=LATER):
+    replica.handle(Append(B, 3, 1, 0, [], 0, 1), now)
+    carry_out(replica)
+    assert replica.leader == B
+
+
+def list_requests(replica):
+    return [m for m in carry_out(replica)[0] if isinstance(m, VoteRequest)]
+
+
+def test_follower_whose_leader_s_link_broke_asks_for_votes_soon():
+    replica = build_replica()
+    follow(replica)
+    replica.note_link_lost(B.instance, LATER)
+    replica.advance(LATER + SUSPICION - 0.01)
+    assert not list_requests(replica)
+    replica.advance(LATER + 2 * SUSPICION)
+    assert list_requests(replica)
+
+
+def test_loss_of_another_link_says_nothing_of_the_leader():
+    replica = build_replica()
+    follow(replica)
+    replica.note_link_lost(C.instance, LATER)
+    replica.advance(LATER + ELECTION_TIMEOUT - 0.01)
+    assert not list_requests(replica)
+
+
+def test_leader_that_is_heard_again_stays():
+    replica = build_replica()
+    follow(replica)
+    replica.note_link_lost(B.instance, LATER)
+    follow(replica, LATER + SUSPICION / 2)
+    replica.advance(LATER + 2 * SUSPICION)
+    assert not list_requests(replica)
+    replica.handle(ask(C, 4), LATER + 2 * SUSPICION)
+    assert not read_vote(replica)[0]
