--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -41,8 +41,14 @@
 class EndpointDirectory:
     """Upstreams by id, with when each was last heard of."""
 
-    def __init__(self, silence_limit: float) -> None:
+    def __init__(self, silence_limit: float, heard_again: int = HEARD_AGAIN) -> None:
+        """``silence_limit`` is in seconds; ``heard_again`` see :data:`HEARD_AGAIN`.
+
+        With 1, whatever was told last counts: for fronts, which hear of each change
+        once, from control instances that have counted already.
+        """
         self._silence_limit = silence_limit
+        self._heard_again = heard_again
         self._known: dict[UpstreamId, _Known] = {}
         self._by_service: dict[ServiceName, dict[UpstreamId, Endpoint]] = {}
         self._by_address: dict[str, UpstreamId] = {}
@@ -113,11 +119,13 @@
 
     def _count_again(self, known: _Known, endpoint: Endpoint) -> bool:
         """Whether an id that lost its address was heard often enough to have it."""
-        if endpoint.sequence > known.endpoint.sequence:
+        is_late = endpoint.sequence < known.endpoint.sequence
+        is_same = endpoint.sequence == known.endpoint.sequence
+        if not is_late and (not is_same or self._heard_again == 1):
             known.heard_since = (known.heard_since or 0) + 1
             is_draining = known.endpoint.is_draining or endpoint.is_draining
             known.endpoint = msgspec.structs.replace(endpoint, is_draining=is_draining)
-        if (known.heard_since or 0) < HEARD_AGAIN:
+        if (known.heard_since or 0) < self._heard_again:
             return False
         known.heard_since = None
         self._take_address(endpoint)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -73,7 +73,7 @@
         self.settings = settings
         self.table = RouteTable(EMPTY_ROUTING)
         self.lease = KeyLease(bounds.key_revocation)
-        self.directory = EndpointDirectory(SILENCE_LIMIT)
+        self.directory = EndpointDirectory(SILENCE_LIMIT, heard_again=1)
         self.balancer = ServiceBalancer()
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
--- a/tests/unit/gateway/test_endpoint_directory.py
+++ b/tests/unit/gateway/test_endpoint_directory.py
@@ -162,3 +162,17 @@
     for sequence in (9, 10, 11):
         directory.register(at_address(1, sequence=sequence), 3.5)
     assert "i-1" not in list_usable(directory)
+
+
+def test_front_follows_control_when_an_address_goes_back_and_forth():
+    # A front hears of each change once, and must end with what control ends with.
+    front = EndpointDirectory(10.0, heard_again=1)
+    true, ghost = at_address(2, sequence=4), at_address(1, sequence=9)
+    front.merge(EndpointNews(at_address(1, sequence=1), False), 0.0)
+    front.merge(EndpointNews(true, False), 1.0)
+    assert list_usable(front) == {"i-2"}
+    # A control instance that has just started took a delayed registration for new.
+    front.merge(EndpointNews(ghost, False), 2.0)
+    assert list_usable(front) == {"i-1"}
+    front.merge(EndpointNews(true, False), 2.1)
+    assert list_usable(front) == {"i-2"}
