--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -9,11 +9,8 @@
 
 import math
 import random
-from collections import deque
 from enum import Enum
 
-import msgspec
-
 from scalebend.core.consensus.log import EntryLog
 from scalebend.core.consensus.messages import (
     Append,
@@ -34,6 +31,7 @@
     VoteReply,
     VoteRequest,
 )
+from scalebend.core.consensus.progress import Progress, find_held_by_quorum
 from scalebend.models.ids import InstanceId, LogIndex, Term
 
 HEARTBEAT = 0.1
@@ -65,12 +63,6 @@
 SNAPSHOT_CHUNK = 256 * 1024
 """Bytes of state in one message."""
 
-MOST_ROUNDS = 64
-"""Unanswered appends whose times are kept for each member."""
-
-CATCH_UP_GAP = 16
-"""A learner this few entries behind may become a voter."""
-
 
 class ReplicaRole(Enum):
     """Part that a member plays in its term."""
@@ -81,29 +73,6 @@
     LEADER = "leader"
 
 
-class _SentRound(msgspec.Struct, frozen=True):
-    """One append that a member has not answered, and when it was sent."""
-
-    round: int
-    sent_at: float
-
-
-class _Progress(msgspec.Struct):
-    """What a leader knows of one member.
-
-    ``confirmed_at`` is when the newest append that it answered in this term was *sent*.
-    """
-
-    next_index: LogIndex
-    match_index: LogIndex = LogIndex(0)
-    heard: float = 0.0
-    sent: float = 0.0
-    rounds: deque[_SentRound] = msgspec.field(default_factory=deque)
-    confirmed_at: float = -1e9
-    in_flight: bool = False
-    snapshot_offset: int | None = None
-
-
 class Replica:
     """State of one member."""
 
@@ -122,7 +91,7 @@
         self._stable = self.log.last_index
         self._chooser = random.Random(f"{seed}/{me.instance}/{me.disk}")
         self._members = self.log.find_members()
-        self._progress: dict[Member, _Progress] = {}
+        self._progress: dict[Member, Progress] = {}
         self._votes: set[Member] = set()
         self._round = 0
         self._heard_leader = -1e9
@@ -189,9 +158,7 @@
     def is_caught_up(self, member: Member) -> bool:
         """Whether a learner has nearly the whole log."""
         progress = self._progress.get(member)
-        if progress is None or progress.snapshot_offset is not None:
-            return False
-        return progress.match_index + CATCH_UP_GAP >= self.log.last_index
+        return progress is not None and progress.is_caught_up(self.log.last_index)
 
     def compute_confirmed_at(self, now: float) -> float | None:
         """Latest moment at which a quorum surely had no other leader.
@@ -206,11 +173,7 @@
             return None
         times = {m: progress.confirmed_at for m, progress in self._progress.items()}
         times[self.me] = now
-        for candidate in sorted(set(times.values()), reverse=True):
-            holders = {m for m, at in times.items() if at >= candidate}
-            if self._members.is_quorum(holders):
-                return candidate
-        return None
+        return find_held_by_quorum(times, self._members)
 
     def hasten_confirmation(self, since: float, now: float) -> None:
         """As leader, ask all members at once who were last asked before ``since``."""
@@ -468,7 +431,7 @@
             if is_due or (has_news and not progress.in_flight):
                 self._replicate(member, progress, now)
 
-    def _replicate(self, member: Member, progress: _Progress, now: float) -> None:
+    def _replicate(self, member: Member, progress: Progress, now: float) -> None:
         progress.sent = now
         progress.in_flight = True
         previous = LogIndex(progress.next_index - 1)
@@ -478,9 +441,7 @@
             return
         progress.snapshot_offset = None
         self._round += 1
-        progress.rounds.append(_SentRound(self._round, now))
-        if len(progress.rounds) > MOST_ROUNDS:
-            progress.rounds.popleft()
+        progress.note_sent(self._round, now)
         entries = self.log.read(progress.next_index, MOST_ENTRIES)
         message = Append(
             self.me,
@@ -493,7 +454,7 @@
         )
         self._send(member, message)
 
-    def _send_snapshot(self, member: Member, progress: _Progress) -> None:
+    def _send_snapshot(self, member: Member, progress: Progress) -> None:
         snapshot = self._snapshot
         assert snapshot is not None
         offset = progress.snapshot_offset or 0
@@ -519,17 +480,13 @@
         progress = self._progress.get(reply.sender)
         if not self.is_leader or progress is None or reply.term < self.term:
             return
-        progress.heard = now
-        progress.in_flight = False
-        while progress.rounds and progress.rounds[0].round <= reply.round:
-            progress.confirmed_at = progress.rounds.popleft().sent_at
+        progress.note_heard(now)
+        progress.note_answered(reply.round)
         if reply.is_accepted:
-            progress.match_index = max(progress.match_index, reply.index)
-            progress.next_index = LogIndex(progress.match_index + 1)
+            progress.note_match(reply.index)
             self._advance_commit()
         else:
-            retry_from = min(reply.index + 1, progress.next_index - 1)
-            progress.next_index = LogIndex(max(progress.match_index + 1, retry_from))
+            progress.step_back(reply.index)
         if progress.next_index <= self.log.last_index:
             self._replicate(reply.sender, progress, now)
 
@@ -540,14 +497,12 @@
         progress = self._progress.get(reply.sender)
         if not self.is_leader or progress is None or reply.term < self.term:
             return
-        progress.heard = now
-        progress.in_flight = False
+        progress.note_heard(now)
         if self._snapshot is None or reply.index != self._snapshot.index:
             progress.snapshot_offset = 0
         elif reply.offset >= len(self._snapshot.state):
             progress.snapshot_offset = None
-            progress.match_index = max(progress.match_index, reply.index)
-            progress.next_index = LogIndex(progress.match_index + 1)
+            progress.note_match(reply.index)
         else:
             progress.snapshot_offset = reply.offset
         if progress.next_index <= self.log.last_index:
@@ -557,14 +512,12 @@
         assert self._members is not None
         indexes = {m: progress.match_index for m, progress in self._progress.items()}
         indexes[self.me] = self._stable
-        for candidate in sorted(set(indexes.values()), reverse=True):
-            if candidate <= self.commit_index:
-                return
-            holders = {m for m, index in indexes.items() if index >= candidate}
-            is_own_term = self.log.get_term(candidate) == self.term
-            if is_own_term and self._members.is_quorum(holders):
-                self.commit_index = candidate
-                return
+        held = find_held_by_quorum(indexes, self._members)
+        # Entries of earlier terms are committed only with one of this term. Terms in
+        # the log never fall: the newest that a quorum holds tells for all before it.
+        if held is not None and held > self.commit_index:
+            if self.log.get_term(held) == self.term:
+                self.commit_index = held
 
     def _append_own(self, entry: LogEntry) -> LogIndex:
         self.log.append(entry)
@@ -585,7 +538,7 @@
             del self._progress[member]
         for member in sorted(others):
             if member not in self._progress:
-                self._progress[member] = _Progress(self._next_index(), heard=now)
+                self._progress[member] = Progress(self._next_index(), heard=now)
 
     # Following
 
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -15,6 +15,7 @@
 from scalebend.core.control_state import PutRouting, RoutingHeld, encode_command
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
 from scalebend.core.gateway.messages import (
     ControlNews,
     EndpointChanges,
@@ -71,9 +72,6 @@
 """Busy replicas told to each front with a heartbeat: 30 bytes each, so 4 KB a second
 whatever the size of the fleet. Those that are not told of look idle."""
 
-READ_PATIENCE = 2.0
-"""Seconds for which a reader waits for a quorum, twice what an election takes."""
-
 KEPT_VERSIONS = 64
 """Routing documents kept to send only what changed since one of them."""
 
@@ -120,16 +118,6 @@
     is_subscribed: bool = False
 
 
-class _Question(msgspec.Struct, frozen=True):
-    """Someone who waits until leadership is confirmed after ``received_at``."""
-
-    received_at: float
-    front: InstanceId | None
-    asked_at: float
-    reader: int = 0
-    is_urgent: bool = False
-
-
 class ControlInstance:
     """State and decisions of one control instance, without I/O."""
 
@@ -148,7 +136,7 @@
         """What fronts that hold a version are sent for the newest one."""
 
         self._fronts: dict[InstanceId, _Front] = {}
-        self._questions: list[_Question] = []
+        self._questions = FreshnessQuestions()
         self._news_at = now
         self._summary_at = now
         self._expire_at = now
@@ -278,8 +266,8 @@
             case Subscribe(held, is_wanted):
                 return self._subscribe(front, held, is_wanted=is_wanted)
             case LeaseQuestion(asked_at, is_urgent):
-                question = _Question(now, front, asked_at, is_urgent=is_urgent)
-                self._questions.append(question)
+                question = FreshnessQuestion(now, front, asked_at, is_urgent=is_urgent)
+                self._questions.add(question)
                 return self._answer_questions(now)
             case PlaceQuestion(work):
                 return [ToFront(front, self._place(work, now))]
@@ -431,7 +419,7 @@
     def ask_fresh(self, now: float) -> int:
         """Ask whether the document held is the newest; see :class:`ReadConfirmed`."""
         self._readers += 1
-        self._questions.append(_Question(now, None, now, self._readers))
+        self._questions.add(FreshnessQuestion(now, None, now, self._readers))
         return self._readers
 
     def _load_routing(self) -> None:
@@ -447,21 +435,13 @@
             del self._history[oldest]
 
     def _answer_questions(self, now: float) -> list[ControlAction]:
-        confirmed = self.member.replica.compute_confirmed_at(now)
-        if confirmed is None:
-            # One that has just won the lead may answer once its first entry is applied.
-            self._questions = [
-                q
-                for q in self._questions
-                if (q.front is None or self.is_leader)
-                and now - q.received_at < READ_PATIENCE
-            ]
-            return []
-        answered = [q for q in self._questions if q.received_at <= confirmed]
-        self._questions = [q for q in self._questions if q.received_at > confirmed]
-        urgent = [q.received_at for q in self._questions if q.is_urgent]
-        if urgent:
-            self.member.replica.hasten_confirmation(max(urgent), now)
+        replica = self.member.replica
+        answered = self._questions.take_confirmed(
+            replica.compute_confirmed_at(now), now, is_leader=self.is_leader
+        )
+        urgent_at = self._questions.find_urgent()
+        if urgent_at is not None:
+            replica.hasten_confirmation(urgent_at, now)
         readers = [question.reader for question in answered if question.front is None]
         actions: list[ControlAction] = []
         for question in answered:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Awaitable, Iterator
+from collections.abc import AsyncIterator, Awaitable
 
 import aiohttp
 import msgspec
@@ -18,14 +18,11 @@
 from scalebend.core.gateway.patience import (
     compute_event_patience,
     compute_first_patience,
-    compute_inspection_delay,
 )
 from scalebend.edges.gateway.front_runtime import FrontRuntime
-from scalebend.edges.gateway.reservations import hold_memory
+from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
-from scalebend.models.calls import AnswerHeaders, Call, LoadReading, Outcome
-from scalebend.models.ids import InstanceId, UpstreamId
-from scalebend.models.placement import Declined, EngineWork, JobId, Placement
+from scalebend.models.calls import AnswerHeaders, Call, Outcome
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -35,13 +32,6 @@
 
 logger = structlog.get_logger(__name__)
 
-RETRY_LATER = 0.25
-"""Seconds after which a refused caller may come back: engines end several short
-requests in that time."""
-
-LEAST_WAIT = 0.01
-"""Seconds below which a placement's pause is not worth a timer."""
-
 LARGEST_ANSWER = 16 * 1024 * 1024
 """Bytes of an answer that is held whole before it is passed on."""
 
@@ -57,27 +47,6 @@
     """A stream that the caller already reads cannot be finished."""
 
 
-class _Target(msgspec.Struct, frozen=True):
-    """Where one attempt goes."""
-
-    upstream: UpstreamId
-    address: str
-    helpers: list[str]
-    predicted: float | None = None
-    job: JobId | None = None
-    placement: Placement | None = None
-    is_gone: bool = False
-    """Whether it must not be sent to any more, so that another is to be chosen."""
-
-    def find_faulty(self, address: str | None) -> UpstreamId:
-        """The upstream at ``address`` among those that took part."""
-        helpers = self.placement.helpers if self.placement is not None else ()
-        for helper in helpers:
-            if helper.address == address:
-                return helper.upstream
-        return self.upstream
-
-
 class _Ended(msgspec.Struct, frozen=True):
     """How one attempt ended; ``answer`` is the upstream's own, if it gave one."""
 
@@ -103,10 +72,9 @@
         self._request = request
         self._body = body
         self._attempts = Attempts(call)
+        self._choice = UpstreamChoice(runtime, call, self._attempts.excluded)
         self._cursor = EventCursor(call.headers.last_event)
         self._stream: web.StreamResponse | None = None
-        self._load: LoadReading | None = None
-        self._has_failed = True
         self._event_at = 0.0
         self.first_event: float | None = None
         """Seconds from the request's arrival to the first event passed on."""
@@ -114,15 +82,12 @@
         self.longest_gap = 0.0
         """Longest pause between events passed on, in seconds."""
 
-        self._retry_after = RETRY_LATER
-        self._lateness: asyncio.TimerHandle | None = None
-
     async def forward(self) -> web.StreamResponse:
         """Return the answer for the caller, or raise what it is refused with."""
         runtime, call = self._runtime, self._call
         runtime.instance.retries.note_request(call.service, runtime.now())
         while True:
-            async with self._choose() as target:
+            async with self._choice.choose() as target:
                 if target is None:
                     decision = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
                     return self._give_up(decision, None)
@@ -135,7 +100,7 @@
             if isinstance(judged, GiveUp):
                 return self._give_up(judged, ended.answer)
 
-    def _judge(self, target: _Target, ended: _Ended) -> TryAgain | GiveUp:
+    def _judge(self, target: Target, ended: _Ended) -> TryAgain | GiveUp:
         runtime = self._runtime
         if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT):
             runtime.instance.balancer.note_unreachable(target.upstream, runtime.now())
@@ -171,150 +136,15 @@
                 "no upstream took the request",
                 kind=decision.kind,
                 ran=decision.ran,
-                retry_after=self._retry_after,
+                retry_after=self._choice.retry_after,
             )
         raise UpstreamError(
             "no upstream answered whole", kind=decision.kind, ran=decision.ran
         )
 
-    # Choice
-
-    @contextlib.asynccontextmanager
-    async def _choose(self) -> AsyncIterator[_Target | None]:
-        """Choose an upstream and count the request there until the block ends."""
-        service = self._runtime.instance.table.services.get(self._call.service)
-        prompt = self._call.headers.prompt
-        if service is not None and service.engine is not None and prompt is not None:
-            async with self._choose_engines() as target:
-                yield target
-            return
-        with self._choose_service() as target:
-            yield target
-
-    @contextlib.contextmanager
-    def _choose_service(self) -> Iterator[_Target | None]:
-        runtime = self._runtime
-        instance = runtime.instance
-        endpoint = instance.balancer.choose(
-            instance.directory.list_usable(self._call.service),
-            self._attempts.excluded,
-            runtime.settings.availability_zone,
-            runtime.chooser,
-            runtime.now(),
-        )
-        if endpoint is None:
-            yield None
-            return
-        instance.balancer.note_sent(endpoint.upstream)
-        self._load = None
-        self._has_failed = True
-        try:
-            yield _Target(endpoint.upstream, endpoint.address, [])
-        finally:
-            instance.balancer.note_ended(
-                endpoint.upstream,
-                self._load,
-                runtime.now(),
-                has_failed=self._has_failed,
-            )
-
-    @contextlib.asynccontextmanager
-    async def _choose_engines(self) -> AsyncIterator[_Target | None]:
-        runtime = self._runtime
-        work = self._build_work()
-        decision = await runtime.place(work)
-        placement = decision.placed
-        if isinstance(placement, Declined):
-            self._log_declined(work, placement, decision.leader)
-            self._retry_after = placement.retry_after
-            yield None
-            return
-        self._log_placement(work, placement, decision.leader)
-        try:
-            await self._wait_for_turn(placement)
-            kept = runtime.keep_staying(work, placement)
-            if kept is None:
-                yield _Target(placement.upstream, placement.address, [], is_gone=True)
-                return
-            placement = kept
-            async with hold_memory(runtime, work, placement) as helpers:
-                self._lateness = asyncio.get_running_loop().call_later(
-                    compute_inspection_delay(
-                        placement.first_token_in - placement.start_in
-                    ),
-                    lambda: runtime.spawn(runtime.inspect(placement)),
-                )
-                yield _Target(
-                    placement.upstream,
-                    placement.address,
-                    helpers,
-                    placement.first_token_in - placement.start_in,
-                    work.job,
-                    placement,
-                )
-        finally:
-            self._stop_lateness()
-            runtime.note_job_ended(work.job)
-
-    async def _wait_for_turn(self, placement: Placement) -> None:
-        if placement.start_in >= LEAST_WAIT:
-            remaining = self._call.deadline - self._runtime.now()
-            await asyncio.sleep(min(placement.start_in, max(0.0, remaining)))
-
-    def _stop_lateness(self) -> None:
-        if self._lateness is not None:
-            self._lateness.cancel()
-            self._lateness = None
-
-    def _build_work(self) -> EngineWork:
-        call = self._call
-        route, prompt = call.route, call.headers.prompt
-        assert prompt is not None
-        return EngineWork(
-            job=self._runtime.build_job_id(),
-            service=call.service,
-            prompt_tokens=prompt.prompt,
-            output_tokens=prompt.output_most,
-            expected_tokens=prompt.output_expected,
-            target=route.target_latency,
-            event_gap=route.event_gap or route.target_latency,
-            remaining=call.deadline - self._runtime.now(),
-            excluded=tuple(self._attempts.excluded),
-        )
-
-    def _log_declined(
-        self, work: EngineWork, declined: Declined, leader: InstanceId | None
-    ) -> None:
-        logger.info(
-            "engines declined",
-            request=self._call.headers.request,
-            job=work.job,
-            prompt=work.prompt_tokens,
-            excluded=len(work.excluded),
-            retry_after=declined.retry_after,
-            leader=leader,
-        )
-
-    def _log_placement(
-        self, work: EngineWork, placement: Placement, leader: InstanceId | None
-    ) -> None:
-        logger.info(
-            "engines chosen",
-            request=self._call.headers.request,
-            job=work.job,
-            prompt=work.prompt_tokens,
-            upstream=placement.upstream,
-            address=placement.address,
-            helpers=[helper.upstream for helper in placement.helpers],
-            predicted=round(placement.first_token_in, 3),
-            start_in=round(placement.start_in, 3),
-            leader=leader,
-            routing=self._runtime.instance.table.routing.version,
-        )
-
     # One attempt
 
-    async def _attempt(self, target: _Target) -> _Ended:
+    async def _attempt(self, target: Target) -> _Ended:
         if target.is_gone:
             return _Ended(Outcome.LEFT, detail="a replica began to leave")
         try:
@@ -331,7 +161,7 @@
         except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
             return _Ended(Outcome.BROKEN, detail=f"{type(error).__name__}: {error}")
 
-    async def _exchange(self, target: _Target) -> _Ended:
+    async def _exchange(self, target: Target) -> _Ended:
         call = self._call
         session = self._runtime.sessions.choose(may_repeat=call.route.may_repeat)
         patience = self._compute_patience(target)
@@ -349,7 +179,7 @@
 
     async def _await_head(
         self,
-        target: _Target,
+        target: Target,
         sending: Awaitable[aiohttp.ClientResponse],
         patience: float | None,
     ) -> aiohttp.ClientResponse:
@@ -366,7 +196,7 @@
             if not task.done():
                 task.cancel()
 
-    def _build_headers(self, target: _Target) -> CIMultiDict[str]:
+    def _build_headers(self, target: Target) -> CIMultiDict[str]:
         call = self._call
         urgency = None
         if target.job is not None:
@@ -382,19 +212,19 @@
             urgency=urgency,
         )
 
-    def _compute_patience(self, target: _Target) -> float | None:
+    def _compute_patience(self, target: Target) -> float | None:
         if not self._call.route.may_repeat:
             return None
         return compute_first_patience(self._call.route, target.predicted)
 
     async def _take_answer(
         self,
-        target: _Target,
+        target: Target,
         answer: aiohttp.ClientResponse,
         read: AnswerHeaders,
         patience: float | None,
     ) -> _Ended:
-        self._load = read.load
+        self._choice.load = read.load
         if read.request is not None and read.request != self._call.headers.request:
             answer.close()
             return _Ended(Outcome.BROKEN, detail="answer to another request")
@@ -414,11 +244,11 @@
         )
         if answer.status >= 500:
             return _Ended(Outcome.FAILED, passed, detail=f"status {answer.status}")
-        self._has_failed = False
+        self._choice.has_failed = False
         return _Ended(Outcome.ANSWERED, passed)
 
     async def _pass_events(
-        self, target: _Target, answer: aiohttp.ClientResponse
+        self, target: Target, answer: aiohttp.ClientResponse
     ) -> _Ended:
         cursor = self._cursor
         cursor.restart()
@@ -433,9 +263,8 @@
             passed = cursor.feed(data)
             if not passed.data:
                 continue
-            if is_first and target.job is not None:
-                self._stop_lateness()
-                self._runtime.note_first_token(target.job, self._load)
+            if is_first:
+                self._choice.note_first_token(target)
             is_first = False
             patience = between
             self._note_events()
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -11,11 +11,12 @@
 from aiohttp import web
 
 from scalebend.core.gateway.key_lease import LEASE_MARGIN
-from scalebend.edges.gateway.forwarder import RETRY_LATER, Forwarder, StreamBrokenError
+from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import BACKLOG, Listeners
+from scalebend.edges.gateway.upstream_choice import RETRY_LATER
 from scalebend.edges.problems import build_problem_body
 from scalebend.exceptions import (
     ErrorKind,
--- /dev/null
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -0,0 +1,207 @@
+"""Chooses where an attempt of one call goes, and counts the request there meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+
+import msgspec
+import structlog
+
+from scalebend.core.gateway.patience import compute_inspection_delay
+from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.reservations import hold_memory
+from scalebend.models.calls import Call, LoadReading
+from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.placement import Declined, EngineWork, JobId, Placement
+
+logger = structlog.get_logger(__name__)
+
+RETRY_LATER = 0.25
+"""Seconds after which a refused caller may come back: engines end several short
+requests in that time."""
+
+LEAST_WAIT = 0.01
+"""Seconds below which a placement's pause is not worth a timer."""
+
+
+class Target(msgspec.Struct, frozen=True):
+    """Where one attempt goes."""
+
+    upstream: UpstreamId
+    address: str
+    helpers: list[str]
+    predicted: float | None = None
+    job: JobId | None = None
+    placement: Placement | None = None
+    is_gone: bool = False
+    """Whether it must not be sent to any more, so that another is to be chosen."""
+
+    def find_faulty(self, address: str | None) -> UpstreamId:
+        """The upstream at ``address`` among those that took part."""
+        helpers = self.placement.helpers if self.placement is not None else ()
+        for helper in helpers:
+            if helper.address == address:
+                return helper.upstream
+        return self.upstream
+
+
+class UpstreamChoice:
+    """Choices for one call, one after the other."""
+
+    def __init__(
+        self, runtime: FrontRuntime, call: Call, excluded: set[UpstreamId]
+    ) -> None:
+        """``excluded`` grows while attempts fail."""
+        self._runtime = runtime
+        self._call = call
+        self._excluded = excluded
+        self._lateness: asyncio.TimerHandle | None = None
+        self.load: LoadReading | None = None
+        """The chosen upstream's own count of its load, once it answered."""
+
+        self.has_failed = True
+        """Whether the attempt gave no answer to pass on, as far as known."""
+
+        self.retry_after = RETRY_LATER
+        """Seconds after which the caller may come back, if nothing is chosen."""
+
+    def note_first_token(self, target: Target) -> None:
+        """The first event of a stream came."""
+        if target.job is not None:
+            self._stop_lateness()
+            self._runtime.note_first_token(target.job, self.load)
+
+    @contextlib.asynccontextmanager
+    async def choose(self) -> AsyncIterator[Target | None]:
+        """Choose an upstream and count the request there until the block ends."""
+        service = self._runtime.instance.table.services.get(self._call.service)
+        prompt = self._call.headers.prompt
+        if service is not None and service.engine is not None and prompt is not None:
+            async with self._choose_engines() as target:
+                yield target
+            return
+        with self._choose_service() as target:
+            yield target
+
+    @contextlib.contextmanager
+    def _choose_service(self) -> Iterator[Target | None]:
+        runtime = self._runtime
+        instance = runtime.instance
+        endpoint = instance.balancer.choose(
+            instance.directory.list_usable(self._call.service),
+            self._excluded,
+            runtime.settings.availability_zone,
+            runtime.chooser,
+            runtime.now(),
+        )
+        if endpoint is None:
+            yield None
+            return
+        instance.balancer.note_sent(endpoint.upstream)
+        self.load = None
+        self.has_failed = True
+        try:
+            yield Target(endpoint.upstream, endpoint.address, [])
+        finally:
+            instance.balancer.note_ended(
+                endpoint.upstream,
+                self.load,
+                runtime.now(),
+                has_failed=self.has_failed,
+            )
+
+    @contextlib.asynccontextmanager
+    async def _choose_engines(self) -> AsyncIterator[Target | None]:
+        runtime = self._runtime
+        work = self._build_work()
+        decision = await runtime.place(work)
+        placement = decision.placed
+        if isinstance(placement, Declined):
+            self._log_declined(work, placement, decision.leader)
+            self.retry_after = placement.retry_after
+            yield None
+            return
+        self._log_placement(work, placement, decision.leader)
+        try:
+            await self._wait_for_turn(placement)
+            kept = runtime.keep_staying(work, placement)
+            if kept is None:
+                yield Target(placement.upstream, placement.address, [], is_gone=True)
+                return
+            placement = kept
+            async with hold_memory(runtime, work, placement) as helpers:
+                self._lateness = asyncio.get_running_loop().call_later(
+                    compute_inspection_delay(
+                        placement.first_token_in - placement.start_in
+                    ),
+                    lambda: runtime.spawn(runtime.inspect(placement)),
+                )
+                yield Target(
+                    placement.upstream,
+                    placement.address,
+                    helpers,
+                    placement.first_token_in - placement.start_in,
+                    work.job,
+                    placement,
+                )
+        finally:
+            self._stop_lateness()
+            runtime.note_job_ended(work.job)
+
+    async def _wait_for_turn(self, placement: Placement) -> None:
+        if placement.start_in >= LEAST_WAIT:
+            remaining = self._call.deadline - self._runtime.now()
+            await asyncio.sleep(min(placement.start_in, max(0.0, remaining)))
+
+    def _stop_lateness(self) -> None:
+        if self._lateness is not None:
+            self._lateness.cancel()
+            self._lateness = None
+
+    def _build_work(self) -> EngineWork:
+        call = self._call
+        route, prompt = call.route, call.headers.prompt
+        assert prompt is not None
+        return EngineWork(
+            job=self._runtime.build_job_id(),
+            service=call.service,
+            prompt_tokens=prompt.prompt,
+            output_tokens=prompt.output_most,
+            expected_tokens=prompt.output_expected,
+            target=route.target_latency,
+            event_gap=route.event_gap or route.target_latency,
+            remaining=call.deadline - self._runtime.now(),
+            excluded=tuple(self._excluded),
+        )
+
+    def _log_declined(
+        self, work: EngineWork, declined: Declined, leader: InstanceId | None
+    ) -> None:
+        logger.info(
+            "engines declined",
+            request=self._call.headers.request,
+            job=work.job,
+            prompt=work.prompt_tokens,
+            excluded=len(work.excluded),
+            retry_after=declined.retry_after,
+            leader=leader,
+        )
+
+    def _log_placement(
+        self, work: EngineWork, placement: Placement, leader: InstanceId | None
+    ) -> None:
+        logger.info(
+            "engines chosen",
+            request=self._call.headers.request,
+            job=work.job,
+            prompt=work.prompt_tokens,
+            upstream=placement.upstream,
+            address=placement.address,
+            helpers=[helper.upstream for helper in placement.helpers],
+            predicted=round(placement.first_token_in, 3),
+            start_in=round(placement.start_in, 3),
+            leader=leader,
+            routing=self._runtime.instance.table.routing.version,
+        )
