--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -31,7 +31,12 @@
 
 SHORTEST = 0.3
 LONGEST = 4.0
-"""Seconds that a fault lasts."""
+"""Seconds that most faults last."""
+
+LASTING_SHARE = 0.15
+LASTING = 9.0
+"""Part of the faults that last longer, and how long at most, in seconds: a process that
+is cut off must stop admitting before a revoked key's time is over."""
 
 DISK_RECOVERY = 6.0
 """Seconds after a lost disk until the next may be lost: the new member learns, then
@@ -210,6 +215,8 @@
         return Change(chooser.choice((1, 1, 2, 5)), chooser.random() < 0.5)
 
     def _draw_length(self) -> float:
+        if self._chooser.random() < LASTING_SHARE:
+            return self._chooser.uniform(LONGEST, LASTING)
         return self._chooser.uniform(SHORTEST, LONGEST)
 
     def _draw_kill(self, at: float) -> Kill:
@@ -220,6 +227,7 @@
         match chooser.randrange(5):
             case 0 if at - self._disk_lost_at > DISK_RECOVERY + LONGEST:
                 self._disk_lost_at = at
+                down = min(down, LONGEST)
                 return Kill((chooser.choice(layout.controls),), down, True, True)
             case 1:
                 return Kill(layout.controls, min(1.0, down), is_power)
