--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -56,7 +56,7 @@
 
     SOUND = "sound"
     BROKEN = "broken"
-    """Runs the request, then resets the connection."""
+    """Runs the request, then resets the connection; a stream, inside an event."""
 
     FAILING = "failing"
     """Runs the request and answers with a failure of its own."""
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -59,6 +59,9 @@
 SLOTS = 8
 """Requests that a replica works on at once; it refuses more than four times as many."""
 
+WHOLE_EVENTS = 3
+"""Events that a broken replica sends before it breaks off inside one."""
+
 SERVICE_TIME = 0.03
 """Seconds that a call of the plain service takes."""
 
@@ -147,8 +150,6 @@
         self._running += 1
         incarnation = self._id
         try:
-            if self.mode is ReplicaMode.BROKEN:
-                return self._reset(request)
             answer = await self._answer(request, name)
         finally:
             self._running -= 1
@@ -166,6 +167,8 @@
             return web.Response(status=500, headers=headers, body=b"own failure")
         events = int(request.query.get("events", "0"))
         if not events:
+            if self.mode is ReplicaMode.BROKEN:
+                return self._reset(request)
             await asyncio.sleep(SERVICE_TIME)
             answer = web.Response(headers=headers, body=build_body(name))
             if self.mode is ReplicaMode.EXTRA and request.transport is not None:
@@ -195,7 +198,11 @@
         for number in range(first, events + 1):
             if not self.is_up or self._id != incarnation:
                 return self._reset(request)
-            await answer.write(build_event(name, number))
+            event = build_event(name, number)
+            if self.mode is ReplicaMode.BROKEN and number == first + WHOLE_EVENTS:
+                await answer.write(event[: len(event) // 2])
+                return self._reset(request)
+            await answer.write(event)
             await asyncio.sleep(float(request.query["gap"]))
         await answer.write_eof()
         return answer
