--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -3,8 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-from collections.abc import AsyncIterator, Awaitable
+from collections.abc import Awaitable
 
 import aiohttp
 import msgspec
@@ -20,6 +19,12 @@
     compute_first_patience,
 )
 from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.silence import (
+    SilentError,
+    read_available,
+    read_whole,
+    wait_for_task,
+)
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import AnswerHeaders, Call, Outcome
@@ -32,9 +37,6 @@
 
 logger = structlog.get_logger(__name__)
 
-LARGEST_ANSWER = 16 * 1024 * 1024
-"""Bytes of an answer that is held whole before it is passed on."""
-
 QUICK_TARGET = 0.5
 """Seconds; requests with a shorter target are let in first at the engines."""
 
@@ -57,10 +59,6 @@
     """The upstream at fault, where it is another than the one that answered."""
 
 
-class _SilentError(Exception):
-    """Nothing came from the upstream in the time that a sound one takes."""
-
-
 class Forwarder:
     """One request of a caller."""
 
@@ -156,7 +154,7 @@
             return _Ended(Outcome.NOT_SENT, detail=str(error))
         except aiohttp.ConnectionTimeoutError:
             return _Ended(Outcome.NOT_SENT, detail="connection timed out")
-        except _SilentError:
+        except SilentError:
             return _Ended(Outcome.SILENT)
         except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
             return _Ended(Outcome.BROKEN, detail=f"{type(error).__name__}: {error}")
@@ -187,11 +185,10 @@
         task = asyncio.ensure_future(sending)
         try:
             while True:
-                done, _ = await asyncio.wait({task}, timeout=patience)
-                if done:
+                if await wait_for_task(task, patience):
                     return task.result()
                 if not self._runtime.is_queueing(target.upstream):
-                    raise _SilentError
+                    raise SilentError
         finally:
             if not task.done():
                 task.cancel()
@@ -229,13 +226,13 @@
             answer.close()
             return _Ended(Outcome.BROKEN, detail="answer to another request")
         if read.has_not_run and answer.status >= 400:
-            await _read_whole(answer, patience)
+            await read_whole(answer, patience)
             detail = f"status {answer.status}"
             return _Ended(Outcome.REJECTED, None, detail, read.faulty_address)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and answer.status == 200:
             return await self._pass_events(target, answer)
-        body = await _read_whole(answer, patience)
+        body = await read_whole(answer, patience)
         passed = web.Response(
             status=answer.status,
             reason=answer.reason,
@@ -256,8 +253,7 @@
         patience = compute_first_patience(self._call.route, target.predicted)
         is_first = True
         while True:
-            async with _within(patience):
-                data = await answer.content.readany()
+            data = await read_available(answer.content, patience)
             if not data:
                 break
             passed = cursor.feed(data)
@@ -301,30 +297,3 @@
                 call.headers.prompt.prompt, elapsed
             )
         return stream
-
-
-@contextlib.asynccontextmanager
-async def _within(patience: float | None) -> AsyncIterator[None]:
-    """Raise when the block takes longer than ``patience`` seconds."""
-    timer = asyncio.timeout(patience)
-    try:
-        async with timer:
-            yield
-    except TimeoutError:
-        if timer.expired():
-            raise _SilentError from None
-        raise
-
-
-async def _read_whole(answer: aiohttp.ClientResponse, patience: float | None) -> bytes:
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        async with _within(patience):
-            data = await answer.content.readany()
-        if not data:
-            return b"".join(parts)
-        parts.append(data)
-        size += len(data)
-        if size > LARGEST_ANSWER:
-            raise aiohttp.ClientPayloadError("the answer is too large")
