--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -2,7 +2,16 @@
 
 from hypothesis import given, strategies as st
 
-from scalebend.soak.faults import CALM, DISK_RECOVERY, Kill, build_schedule
+from scalebend.soak.faults import (
+    CALM,
+    DISK_RECOVERY,
+    FIRST_AT,
+    SERIES_LENGTH,
+    Change,
+    Kill,
+    Leave,
+    build_schedule,
+)
 from scalebend.soak.layout import build_layout
 
 LAYOUT = build_layout(3, 3, 6)
@@ -26,9 +35,16 @@
 
 
 @given(st.integers(0, 10_000))
-def test_series_are_apart(seed):
+def test_each_series_is_followed_by_a_calm_with_planned_work(seed):
     schedule = build_schedule(seed, 120.0, LAYOUT)
-    times = [scheduled.at for scheduled in schedule.faults]
-    gaps = [later - earlier for earlier, later in zip(times, times[1:], strict=False)]
-    assert max(gaps) >= CALM
-    assert schedule.ends >= times[-1] + CALM
+    period = SERIES_LENGTH + CALM
+    begins = FIRST_AT
+    while begins < 120.0:
+        quiet = [
+            scheduled
+            for scheduled in schedule.faults
+            if begins + SERIES_LENGTH < scheduled.at < begins + period
+        ]
+        assert {type(scheduled.fault) for scheduled in quiet} == {Leave, Change}
+        begins += period
+    assert schedule.ends == begins
