--- a/src/scalebend/commands/soak.py
+++ b/src/scalebend/commands/soak.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import shutil
+import signal
 import sys
 from pathlib import Path
 
@@ -36,7 +37,7 @@
         options = SoakOptions(number, 60.0 * minutes, layout, callers, folder.resolve())
         with (folder / LOG_NAME).open("w") as log:
             structlog.configure(logger_factory=structlog.WriteLoggerFactory(file=log))
-            report = asyncio.run(run_soak(options))
+            report = asyncio.run(_run_until_stopped(options))
         _print(report, folder)
         if report.violations:
             broken += 1
@@ -46,6 +47,18 @@
     return 1 if broken else 0
 
 
+async def _run_until_stopped(options: SoakOptions) -> SoakReport:
+    """Run one seed; a stop signal ends it like Ctrl-C, and all that it started."""
+    running = asyncio.current_task()
+    assert running is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, running.cancel)
+    try:
+        return await run_soak(options)
+    finally:
+        loop.remove_signal_handler(signal.SIGTERM)
+
+
 def _print(report: SoakReport, folder: Path) -> None:
     verdict = "broken" if report.violations else "kept"
     print(
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -1,5 +1,11 @@
 """A short soak with a fixed seed, and the seeds that ever failed."""
 
+import contextlib
+import subprocess
+import sys
+import time
+from pathlib import Path
+
 import pytest
 
 from scalebend.soak.layout import build_layout
@@ -14,3 +20,26 @@
     report = await run_soak(options)
     assert report.violations == []
     assert report.served > 100
+
+
+def list_running(folder):
+    """Processes whose command line names ``folder``."""
+    found = []
+    for path in Path("/proc").glob("[0-9]*/cmdline"):
+        with contextlib.suppress(OSError):
+            if str(folder).encode() in path.read_bytes():
+                found.append(int(path.parent.name))
+    return found
+
+
+def test_stopped_soak_leaves_no_process_behind(tmp_path):
+    command = [sys.executable, "-m", "scalebend", "soak", "--out", str(tmp_path)]
+    soak = subprocess.Popen(command)
+    folder = tmp_path / "seed-1" / "control-0"
+    deadline = time.monotonic() + 20.0
+    while not list_running(folder) and time.monotonic() < deadline:
+        time.sleep(0.1)
+    assert list_running(folder)
+    soak.terminate()
+    soak.wait(timeout=20.0)
+    assert list_running(tmp_path / "seed-1") == []
