--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -18,11 +18,11 @@
 FIRST_AT = 2.0
 """Seconds from the start of the load to the first fault."""
 
-CALM = 9.0
+CALM = 11.0
 """Seconds without new faults between two series: longer than the time after which a
 process counts as undisturbed, so that every promise is checked in each pause."""
 
-PLANNED_AFTER = 4.5
+PLANNED_AFTER = 6.5
 """Seconds of calm after which a replica leaves and a document changes, as planned: what
 is promised of them in calm could not be checked within a series."""
 
@@ -185,8 +185,10 @@
             begins = at + chooser.uniform(0.0, SERIES_LENGTH)
             faults.append(ScheduledFault(begins, drawer.draw(begins)))
         planned_at = at + SERIES_LENGTH + PLANNED_AFTER
-        leaving = Leave(chooser.randrange(layout.replicas))
-        faults.append(ScheduledFault(planned_at, leaving))
+        # An engine is looked at again before each delayed send, a plain one is not.
+        numbers = [chooser.randrange(layout.replicas)]
+        numbers += [chooser.choice(layout.plain_replicas)]
+        faults += [ScheduledFault(planned_at, Leave(number)) for number in set(numbers)]
         faults.append(ScheduledFault(planned_at, Change(1, revokes=False)))
         at += SERIES_LENGTH + CALM
     faults.sort(key=lambda scheduled: scheduled.at)
--- a/src/scalebend/soak/layout.py
+++ b/src/scalebend/soak/layout.py
@@ -22,6 +22,11 @@
         """All processes of the system."""
         return self.controls + self.fronts
 
+    @property
+    def plain_replicas(self) -> list[int]:
+        """Numbers of the replicas of the plain service: a third; others are engines."""
+        return [number for number in range(self.replicas) if number % 3 == 2]
+
     @property
     def tolerated_losses(self) -> int:
         """Control instances that may be lost at once."""
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -127,7 +127,7 @@
     fleet = Fleet(seen, controls, options.seed)
     async with contextlib.AsyncExitStack() as stack:
         for number in range(options.layout.replicas):
-            service = PLAIN if number % 3 == 2 else ENGINES
+            service = PLAIN if number in options.layout.plain_replicas else ENGINES
             await stack.enter_async_context(
                 run_replica(fleet, service, session, HEARTBEAT)
             )
