--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -153,9 +153,13 @@
             shutil.rmtree(self.folder / name / "data", ignore_errors=True)
 
     def _lose_unsynced(self, name: ProcessName, tear: Callable[[int], int]) -> None:
-        for path, size in read_synced(self.folder / name).items():
-            if os.path.exists(path) and os.path.getsize(path) > size:
-                os.truncate(path, size + tear(os.path.getsize(path) - size))
+        synced = read_synced(self.folder / name)
+        for path in (self.folder / name / "data").glob("*"):
+            # A file may have got its name after it was synced under another.
+            size = max(synced.get(str(path), 0), synced.get(f"{path}.new", 0))
+            unsynced = path.stat().st_size - size
+            if unsynced > 0:
+                os.truncate(path, size + tear(unsynced))
 
     def signal(self, name: ProcessName, number: int) -> int | None:
         """Send a signal; return the id of the process, ``None`` if there is none."""
