--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -187,7 +187,11 @@
             # It may be cut off; but what it names may be all that is left.
             self._told |= set(news.instances)
             return []
-        self._told = set(news.instances)
+        if news.leader in news.instances:
+            self._told = set(news.instances)
+        else:
+            # It has heard of the leader, but not yet of the group: its disk is new.
+            self._told |= set(news.instances)
         # One that lost the lead and won it again has forgotten what is open.
         is_known = news.leader == self.leader and news.term == self._term
         self._term = news.term
--- a/tests/unit/gateway/test_front_instance.py
+++ b/tests/unit/gateway/test_front_instance.py
@@ -247,3 +247,12 @@
     front.handle(A, ControlNews([A, other], A, 5, 2), 1.0)
     front.handle(B, ControlNews([A, B], None, 4, 2), 1.1)
     assert front.instances == {A, B, other}
+
+
+def test_member_with_a_new_disk_takes_no_instance_away(front):
+    other, newest = "10.1.0.3:7000", "10.1.0.4:7000"
+    front.note_seeds([A])
+    front.handle(A, ControlNews([A, B, other], other, 5, 2), 1.0)
+    # It was replaced, and knows of the leader's first message only.
+    front.handle(B, ControlNews([newest], other, 5, 2), 1.1)
+    assert front.instances == {A, B, other, newest}
