--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -24,7 +24,7 @@
 from scalebend.models.ids import AvailabilityZone
 from scalebend.platform.settings import SETTINGS_VARIABLE, encode_gateway_settings
 from scalebend.soak.layout import Layout, ProcessName
-from scalebend.soak.misbehaving import Orders, read_synced, write_orders
+from scalebend.soak.misbehaving import SYNCED, Orders, read_synced, write_orders
 from scalebend.soak.observations import Exit, Observations
 from scalebend.standins.ports import find_free_ports
 from scalebend.standins.proxy import Proxy, run_proxy
@@ -151,6 +151,7 @@
             self._lose_unsynced(name, tear)
         if loses_disk:
             shutil.rmtree(self.folder / name / "data", ignore_errors=True)
+            (self.folder / name / SYNCED).unlink(missing_ok=True)
 
     def _lose_unsynced(self, name: ProcessName, tear: Callable[[int], int]) -> None:
         synced = read_synced(self.folder / name)
--- a/src/scalebend/soak/misbehaving.py
+++ b/src/scalebend/soak/misbehaving.py
@@ -52,7 +52,8 @@
         self._folder = folder
         self._time = time.time
         self._fdatasync = os.fdatasync
-        self._synced: dict[str, int] = {}
+        # What an earlier process synced lasts.
+        self._synced = read_synced(folder)
 
     def install(self) -> None:
         """Replace the calls in this process."""
--- a/tests/unit/soak/test_misbehaving.py
+++ b/tests/unit/soak/test_misbehaving.py
@@ -45,3 +45,12 @@
     assert told["ahead"] > 49.0
     assert told["failed"] == errno.ENOSPC
     assert read_synced(tmp_path) == {}
+
+
+def test_what_an_earlier_process_synced_is_still_known(tmp_path):
+    run_script(tmp_path, tmp_path / "first")
+    run_script(tmp_path, tmp_path / "second")
+    assert set(read_synced(tmp_path)) == {
+        str(tmp_path / "first"),
+        str(tmp_path / "second"),
+    }
