--- a/src/scalebend/soak/operator.py
+++ b/src/scalebend/soak/operator.py
@@ -24,12 +24,13 @@
 AGAIN_AFTER = 0.1
 """Seconds until the same is sent to another control instance."""
 
+PATIENCE = 40.0
+"""Seconds after which a change that nobody acknowledges breaks a promise: longer than any
+fault lasts, together with a restart of all."""
+
 READ_PERIOD = 0.7
 """Seconds between two documents that are read back."""
 
-STARTING = 20.0
-"""Seconds in which the first document must be taken."""
-
 
 class Operator:
     """Sends documents and reads them back."""
@@ -57,7 +58,12 @@
         self._keys = [key for key in self._keys if key not in dropped] + [version]
         body = encode_routing(build_routing(version, tuple(self._keys)))
         self._sent[version] = body
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + PATIENCE
         while version == self._newest:
+            if loop.time() > deadline:
+                self.refused.append(f"version {version}: no answer for {PATIENCE} s")
+                return
             status = await self._put(session, body)
             if status == 200:
                 now = asyncio.get_running_loop().time()
