--- a/src/scalebend/soak/operator.py
+++ b/src/scalebend/soak/operator.py
@@ -25,8 +25,8 @@
 """Seconds until the same is sent to another control instance."""
 
 PATIENCE = 40.0
-"""Seconds after which a change that nobody acknowledges breaks a promise: longer than any
-fault lasts, together with a restart of all."""
+"""Seconds after which a change that nobody acknowledges breaks a promise: longer than
+any fault lasts, together with a restart of all."""
 
 READ_PERIOD = 0.7
 """Seconds between two documents that are read back."""
