--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -186,9 +186,9 @@
             faults.append(ScheduledFault(begins, drawer.draw(begins)))
         planned_at = at + SERIES_LENGTH + PLANNED_AFTER
         # An engine is looked at again before each delayed send, a plain one is not.
-        numbers = [chooser.randrange(layout.replicas)]
-        numbers += [chooser.choice(layout.plain_replicas)]
-        faults += [ScheduledFault(planned_at, Leave(number)) for number in set(numbers)]
+        for numbers in (layout.engine_replicas, layout.plain_replicas):
+            leaving = Leave(chooser.choice(numbers))
+            faults.append(ScheduledFault(planned_at, leaving))
         faults.append(ScheduledFault(planned_at, Change(1, revokes=False)))
         at += SERIES_LENGTH + CALM
     faults.sort(key=lambda scheduled: scheduled.at)
--- a/src/scalebend/soak/layout.py
+++ b/src/scalebend/soak/layout.py
@@ -27,6 +27,11 @@
         """Numbers of the replicas of the plain service: a third; others are engines."""
         return [number for number in range(self.replicas) if number % 3 == 2]
 
+    @property
+    def engine_replicas(self) -> list[int]:
+        """Numbers of the engines."""
+        return sorted(set(range(self.replicas)) - set(self.plain_replicas))
+
     @property
     def tolerated_losses(self) -> int:
         """Control instances that may be lost at once."""
