--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -14,7 +14,8 @@
 SECONDS = 12.0
 
 
-@pytest.mark.parametrize("seed", [1])
+# Each seed that ever failed stays here; docs/soak.md tells the causes.
+@pytest.mark.parametrize("seed", [1, 6, 500])
 async def test_promises_are_kept(seed, tmp_path):
     options = SoakOptions(seed, SECONDS, build_layout(3, 2, 6), 8, tmp_path)
     report = await run_soak(options)
