--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import random
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator
 
 import aiohttp
 import structlog
@@ -328,8 +328,6 @@
 
 _TIMEOUT = aiohttp.ClientTimeout(total=CALL_TIMEOUT)
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 @contextlib.asynccontextmanager
 async def run_replica(
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -12,11 +12,11 @@
 import structlog
 
 from scalebend.soak.callers import run_callers
-from scalebend.soak.deployment import HEARTBEAT, Deployment, run_deployment
+from scalebend.soak.deployment import HEARTBEAT, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
 from scalebend.soak.faults import build_schedule
 from scalebend.soak.injector import Injector
-from scalebend.soak.layout import Layout
+from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.observations import Observations
 from scalebend.soak.operator import CALL_TIMEOUT, Operator
 from scalebend.soak.promises import Violation, check_promises
@@ -75,7 +75,7 @@
         async with asyncio.timeout(START_TIMEOUT):
             await operator.change(session)
         fleet = await stack.enter_async_context(
-            _run_fleet(options, seen, deployment, session)
+            _run_fleet(options, seen, controls, session)
         )
         await asyncio.sleep(SETTLE_START)
         injector = Injector(deployment, fleet, operator, seen, options.seed)
@@ -120,10 +120,9 @@
 async def _run_fleet(
     options: SoakOptions,
     seen: Observations,
-    deployment: Deployment,
+    controls: dict[ProcessName, str],
     session: aiohttp.ClientSession,
 ) -> AsyncIterator[Fleet]:
-    controls = {name: deployment.get_calls(name) for name in options.layout.controls}
     fleet = Fleet(seen, controls, options.seed)
     async with contextlib.AsyncExitStack() as stack:
         for number in range(options.layout.replicas):
