Serve control beside fronts; relay where the machine has no disk; name processes apart

Cause: deployments without core machines had no role that serves control; and a front and a control process of one machine went by one link address, so that each new link of one ended the other's. Fronts have names of their own. Links that come back again and again are a log line and a counter. Ruled out: front and control in one process (then every front would count as core).

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -1,4 +1,4 @@
-"""``scalebend gateway``: a front or a control instance on the users' platform."""
+"""``scalebend gateway``: a front, a control instance or a relay."""
 
 from __future__ import annotations
 
@@ -61,4 +61,8 @@
             from scalebend.edges.gateway.control_server import serve_control
 
             await serve_control(settings, stopped, watch)
+        case GatewayRole.RELAY:
+            from scalebend.edges.gateway.relay_server import serve_relay
+
+            await serve_relay(settings, stopped, watch)
     logger.info("process stops", instance=settings.name)
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -38,6 +38,7 @@
     PeerMessage,
     ProposalAnswer,
     Propose,
+    RelayReply,
 )
 from scalebend.core.publication import build_published
 from scalebend.models.ids import InstanceId, LogIndex, Term
@@ -95,11 +96,14 @@
         now: float,
         seed: int = 0,
         may_found: bool = True,
+        may_be_named: bool = False,
         voters_wanted: int | None = None,
     ) -> None:
         """``voters_wanted``: size of the group when members come and go by themselves.
 
         Without it, the configured peers are the group and a voter keeps its place.
+        ``may_be_named``: whether a relay may name this one as founder, where none of
+        the configured peers has a disk.
         """
         self.me = Member(instance, recovered.disk)
         self.state = ControlState()
@@ -109,6 +113,8 @@
         self._peers = list(peers)
         self._founders = set(peers)
         self._may_found = may_found
+        self._may_be_named = may_be_named
+        self._relays: set[InstanceId] = set()
         self._voters_wanted = voters_wanted
         self._led_at = now
         self._applied_bytes = 0
@@ -145,6 +151,8 @@
                 self._hellos[sender] = message
                 self.note_instances(message.instances)
                 self._try_to_found()
+            case RelayReply(instances, founder):
+                self._take_relay_reply(sender, instances, founder)
             case Found(members):
                 self.replica.form_group(members)
             case Join(member):
@@ -272,21 +280,37 @@
     def _try_to_found(self) -> None:
         if self._has_group or not self._may_found:
             return
-        if not self._founders <= set(self._hellos):
+        if not self._founders <= set(self._hellos) | self._relays:
             return
+        founders = self._founders - self._relays
         if any(reply.has_group for reply in self._hellos.values()):
             return
         if any(
             self._hellos[peer].may_found and peer < self.me.instance
-            for peer in self._founders
+            for peer in founders
         ):
             return
-        voters = {self._hellos[peer].member for peer in self._founders} | {self.me}
+        self._found({self._hellos[peer].member for peer in founders} | {self.me})
+
+    def _found(self, voters: set[Member]) -> None:
         members = Members(frozenset(voters))
         self.replica.form_group(members)
         logger.info("control group founded", voters=sorted(m.instance for m in voters))
-        for peer in sorted(self._founders):
-            self._send(peer, Found(members))
+        for member in sorted(voters - {self.me}):
+            self._send(member.instance, Found(members))
+
+    def _take_relay_reply(
+        self, relay: InstanceId, instances: list[InstanceId], founder: InstanceId | None
+    ) -> None:
+        self._relays.add(relay)
+        self.note_instances(instances)
+        is_named = founder == self.me.instance and self._may_be_named
+        is_first = not any(reply.has_group for reply in self._hellos.values())
+        if is_named and is_first and not self._has_group:
+            # The others join: a second founder is never named.
+            self._found({self.me})
+            return
+        self._try_to_found()
 
     def _take_in(self, member: Member, now: float) -> None:
         members = self.replica.members
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -20,6 +20,7 @@
     ControlNews,
     EndpointChanges,
     JobStages,
+    KnownInstances,
     LeaseAnswer,
     LeaseQuestion,
     LinkMessage,
@@ -40,6 +41,7 @@
     Join,
     ProposalAnswer,
     Propose,
+    RelayReply,
 )
 from scalebend.models.endpoints import Endpoint, EndpointNews
 from scalebend.models.ids import InstanceId, RoutingVersion, UpstreamId
@@ -87,7 +89,7 @@
 
 
 class ToFront(msgspec.Struct, frozen=True):
-    """Action: send a message to a front."""
+    """Action: send a message to a front, or to a relay."""
 
     front: InstanceId
     message: LinkMessage
@@ -136,6 +138,7 @@
         """What fronts that hold a version are sent for the newest one."""
 
         self._fronts: dict[InstanceId, _Front] = {}
+        self._relays: set[InstanceId] = set()
         self._questions = FreshnessQuestions()
         self._news_at = now
         self._summary_at = now
@@ -167,8 +170,10 @@
         match message:
             case Registrations(news):
                 return self._merge(news, now)
-            case Hello() | HelloReply() | Found() | Join():
+            case Hello() | HelloReply() | RelayReply() | Found() | Join():
                 self.member.handle(sender, message, now, at)
+            case KnownInstances(instances):
+                self.member.note_instances(instances)
             case _ if isinstance(message, ConsensusMessage):
                 self.member.handle(sender, message, now, at)
         return []
@@ -197,7 +202,7 @@
             self._leader = self.member.leader
             self._news_at = now + NEWS_PERIOD
             news = self._build_news(now)
-            actions += [ToFront(front, news) for front in self._fronts]
+            actions += [ToFront(one, news) for one in (*self._fronts, *self._relays)]
             self.scheduler.expire(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
@@ -246,6 +251,15 @@
             ToFront(front, EndpointChanges(self.directory.list_news())),
         ]
 
+    def add_relay(self, relay: InstanceId, now: float) -> list[ControlAction]:
+        """A relay dialled: it wants to know who leads, and nothing else."""
+        self._relays.add(relay)
+        return [ToFront(relay, self._build_news(now))]
+
+    def remove_relay(self, relay: InstanceId) -> None:
+        """The link to a relay was lost."""
+        self._relays.discard(relay)
+
     def remove_front(self, front: InstanceId) -> None:
         """The link to a front was lost.
 
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -15,6 +15,7 @@
     ControlNews,
     EndpointChanges,
     JobStages,
+    KnownInstances,
     LeaseAnswer,
     LeaseQuestion,
     LinkMessage,
@@ -78,7 +79,7 @@
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
-        self.scheduler = EngineScheduler(settings.link_address, LONGEST_PART_ALONE)
+        self.scheduler = EngineScheduler(settings.instance, LONGEST_PART_ALONE)
         self._seeds = {InstanceId(seed) for seed in settings.seeds}
         self._told: set[InstanceId] = set()
         self.leader: InstanceId | None = None
@@ -142,6 +143,10 @@
         match message:
             case ControlNews():
                 return self._take_control_news(sender, message, now)
+            case KnownInstances(instances):
+                # A relay's word is second-hand: of use only while nobody leads.
+                if self.leader is None:
+                    self._told |= set(instances)
             case RoutingNews():
                 return self._take_routing(sender, message)
             case LeaseAnswer(asked_at, newest):
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -6,8 +6,9 @@
 
 from scalebend.core.consensus.messages import ConsensusMessage
 from scalebend.core.gateway.routing_store import RoutingNews
-from scalebend.core.messages import Found, Hello, HelloReply, Join
+from scalebend.core.messages import Found, Hello, HelloReply, Join, RelayReply
 from scalebend.models.endpoints import EndpointNews
+from scalebend.models.gateway_settings import GatewayRole
 from scalebend.models.ids import InstanceId, RoutingVersion, Term, UpstreamId
 from scalebend.models.placement import (
     BusyReplica,
@@ -26,7 +27,7 @@
 
     instance: InstanceId
     incarnation: int
-    is_front: bool
+    role: GatewayRole
 
 
 class ControlNews(msgspec.Struct, frozen=True, tag=True):
@@ -43,6 +44,12 @@
     """From the leader: how many replicas write for quick requests."""
 
 
+class KnownInstances(msgspec.Struct, frozen=True, tag=True):
+    """Relay to whoever dialled, also as a heartbeat: control instances with a disk."""
+
+    instances: list[InstanceId]
+
+
 class Heartbeat(msgspec.Struct, frozen=True, tag=True):
     """Either end of a link to the other: still here."""
 
@@ -123,6 +130,7 @@
     ConsensusMessage
     | Introduce
     | ControlNews
+    | KnownInstances
     | Heartbeat
     | Subscribe
     | LeaseQuestion
@@ -138,6 +146,7 @@
     | OpenJobs
     | Hello
     | HelloReply
+    | RelayReply
     | Found
     | Join
 )
--- a/src/scalebend/core/messages.py
+++ b/src/scalebend/core/messages.py
@@ -47,6 +47,16 @@
     """Instances of the sender's group, where the asker may not know them all."""
 
 
+class RelayReply(msgspec.Struct, frozen=True, tag=True):
+    """Answer to :class:`Hello` of a process that has no disk, and so no vote."""
+
+    instances: list[InstanceId]
+    """Control instances with a disk that the relay knows."""
+
+    founder: InstanceId | None = None
+    """The one instance that may found the group, where no seed has a disk."""
+
+
 class Found(msgspec.Struct, frozen=True, tag=True):
     """Founder to the other control instances: this is the first member list."""
 
@@ -137,6 +147,7 @@
     ConsensusMessage
     | Hello
     | HelloReply
+    | RelayReply
     | Found
     | Join
     | Propose
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -20,9 +20,15 @@
     ReadConfirmed,
     ToFront,
 )
-from scalebend.core.gateway.messages import Heartbeat, Introduce, LinkMessage
+from scalebend.core.gateway.messages import (
+    Heartbeat,
+    Introduce,
+    KnownInstances,
+    LinkMessage,
+)
 from scalebend.core.gateway.route_table import check_routing
 from scalebend.core.gateway.routing_store import pack_routing, unpack_document
+from scalebend.core.messages import RelayReply
 from scalebend.edges.control_pump import pump_control
 from scalebend.edges.gateway.front_server import answer_metrics, listen
 from scalebend.edges.gateway.inspection import Inspector
@@ -33,6 +39,7 @@
     listen_for_links,
 )
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.redirects import redirect_to
 from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
@@ -43,7 +50,7 @@
     RequestError,
     ScalebendError,
 )
-from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.models.ids import InstanceId, RoutingVersion, UpstreamId
 from scalebend.platform.registrations import (
     ACKNOWLEDGEMENT,
@@ -85,7 +92,7 @@
         self.metrics = metrics
         self._journal = journal
         self._loop = asyncio.get_running_loop()
-        me = InstanceId(settings.link_address)
+        me = settings.instance
         peers = [InstanceId(seed) for seed in settings.seeds if seed != me]
         member = ControlMember(
             me,
@@ -94,16 +101,17 @@
             now=self.now(),
             seed=time.time_ns(),
             may_found=settings.is_first_start and me in settings.seeds,
+            may_be_named=settings.is_first_start,
             voters_wanted=2 * settings.tolerated_losses + 1,
         )
         self.instance = ControlInstance(
             member, settings.heartbeat_interval, now=self.now()
         )
-        introduction = Introduce(me, time.time_ns(), False)
+        introduction = Introduce(me, time.time_ns(), settings.role)
         self.dialer = Dialer(
-            introduction, lambda _, __: None, self._introduce, lambda _: None
+            introduction, self._hear_relay, self._introduce, lambda _: None, metrics
         )
-        self.server = LinkServer(self._receive, self._note_up, self._note_down)
+        self.server = LinkServer(self._receive, self._note_up, self._note_down, metrics)
         self.failure: asyncio.Future[None] = self._loop.create_future()
         self._proposals: dict[str, asyncio.Future[RoutingVersion | None]] = {}
         self._readers: dict[int, asyncio.Future[None]] = {}
@@ -145,31 +153,44 @@
     # Links
 
     def _receive(self, peer: Introduce, message: LinkMessage) -> None:
+        if peer.role is GatewayRole.FRONT:
+            actions = self.instance.handle_front(peer.instance, message, self.now())
+            self.execute(actions)
+        elif peer.role is GatewayRole.CONTROL:
+            self._take_peer_message(peer.instance, message)
+
+    def _hear_relay(self, instance: InstanceId, message: LinkMessage) -> None:
+        """Over a link that this member dialled, only relays answer."""
+        if isinstance(message, RelayReply | KnownInstances):
+            self._take_peer_message(instance, message)
+
+    def _take_peer_message(self, sender: InstanceId, message: LinkMessage) -> None:
         now = self.now()
-        if peer.is_front:
-            self.execute(self.instance.handle_front(peer.instance, message, now))
-            return
-        self.execute(
-            self.instance.handle_peer(peer.instance, message, now, time.time())
-        )
+        self.execute(self.instance.handle_peer(sender, message, now, time.time()))
         self.schedule_pump()
 
     def _introduce(self, instance: InstanceId) -> None:
         self.execute(self.instance.introduce(instance))
 
     def _note_up(self, peer: Introduce) -> None:
-        if peer.is_front:
-            self.execute(self.instance.add_front(peer.instance, self.now()))
-        else:
-            # It runs, so it can be dialled without waiting any longer.
-            self.dialer.dial_now(peer.instance)
+        match peer.role:
+            case GatewayRole.FRONT:
+                self.execute(self.instance.add_front(peer.instance, self.now()))
+            case GatewayRole.RELAY:
+                self.execute(self.instance.add_relay(peer.instance, self.now()))
+            case GatewayRole.CONTROL:
+                # It runs, so it can be dialled without waiting any longer.
+                self.dialer.dial_now(peer.instance)
 
     def _note_down(self, peer: Introduce) -> None:
-        if peer.is_front:
-            self.instance.remove_front(peer.instance)
-        else:
-            replica = self.instance.member.replica
-            replica.note_link_lost(peer.instance, self.now())
+        match peer.role:
+            case GatewayRole.FRONT:
+                self.instance.remove_front(peer.instance)
+            case GatewayRole.RELAY:
+                self.instance.remove_relay(peer.instance)
+            case GatewayRole.CONTROL:
+                replica = self.instance.member.replica
+                replica.note_link_lost(peer.instance, self.now())
 
     def execute(self, actions: Iterable[ControlAction]) -> None:
         """Carry out actions of the core."""
@@ -334,10 +355,7 @@
         leader = runtime.instance.member.leader
         if leader is None:
             raise _no_quorum()
-        host = leader.rpartition(":")[0]
-        port = str(runtime.settings.control_address).rpartition(":")[2]
-        location = f"http://{host}:{port}{request.raw_path}"
-        return web.Response(status=307, headers={"Location": location})
+        return redirect_to(leader, runtime.settings, request)
 
 
 async def serve_control(
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -77,8 +77,10 @@
         self._loop = asyncio.get_running_loop()
         self.instance = FrontInstance(settings, now=self.now())
         self._incarnation = time.time_ns()
-        me = Introduce(InstanceId(settings.link_address), self._incarnation, True)
-        self._dialer = Dialer(me, self._receive, self._note_up, self._note_down)
+        me = Introduce(settings.instance, self._incarnation, settings.role)
+        self._dialer = Dialer(
+            me, self._receive, self._note_up, self._note_down, metrics
+        )
         self._placing: dict[JobId, asyncio.Future[PlaceAnswer]] = {}
         self._inspector = Inspector(sessions.pooled)
         self._jobs = 0
@@ -159,8 +161,7 @@
     def build_job_id(self) -> JobId:
         """Return a name that no other attempt of any front has."""
         self._jobs += 1
-        me = InstanceId(self.settings.link_address)
-        return build_job_id(me, self._incarnation, self._jobs)
+        return build_job_id(self.settings.instance, self._incarnation, self._jobs)
 
     async def place(self, work: EngineWork) -> Decision:
         """Ask the leader where to run; decide alone if it does not answer in time."""
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -20,7 +20,9 @@
 import msgspec
 import structlog
 
+from scalebend.core.gateway.link_history import LinkHistory
 from scalebend.core.gateway.messages import Introduce, LinkMessage
+from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.models.ids import InstanceId
 from scalebend.utils.addresses import parse_address
 
@@ -146,6 +148,21 @@
             self.close()
 
 
+class _LinkCounter:
+    """Counts the starts of links, and says which peers' links do not last."""
+
+    def __init__(self, metrics: GatewayMetrics) -> None:
+        self._metrics = metrics
+        self._history = LinkHistory()
+
+    def note_start(self, peer: InstanceId) -> None:
+        """A link is up."""
+        self._metrics.count_link_start()
+        if self._history.note_start(peer, asyncio.get_running_loop().time()):
+            logger.warning("link unstable", instance=peer)
+            self._metrics.count_unstable_link()
+
+
 class Dialer:
     """Keeps a link to each of a set of addresses."""
 
@@ -155,7 +172,9 @@
         on_message: Callable[[InstanceId, LinkMessage], None],
         on_up: Callable[[InstanceId], None],
         on_down: Callable[[InstanceId], None],
+        metrics: GatewayMetrics,
     ) -> None:
+        self._counter = _LinkCounter(metrics)
         self._me = me
         self._on_message = on_message
         self._on_up = on_up
@@ -213,6 +232,7 @@
                 link.send(self._me)
                 self._links[instance] = link
                 logger.info("link up", instance=instance)
+                self._counter.note_start(instance)
                 self._on_up(instance)
                 try:
                     await link.lost
@@ -264,7 +284,9 @@
         on_message: Callable[[Introduce, LinkMessage], None],
         on_up: Callable[[Introduce], None],
         on_down: Callable[[Introduce], None],
+        metrics: GatewayMetrics,
     ) -> None:
+        self._counter = _LinkCounter(metrics)
         self._on_message = on_message
         self._on_up = on_up
         self._on_down = on_down
@@ -307,6 +329,7 @@
             self._links[message.instance] = link
             if older is not None:
                 older.close()
+            self._counter.note_start(message.instance)
             self._on_up(message)
         else:
             logger.warning("link without introduction")
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -56,6 +56,16 @@
             buckets=LATENCY_BUCKETS,
             registry=registry,
         )
+        self._link_starts = Counter(
+            "scalebend_link_starts",
+            "Links to or from other processes that came up",
+            registry=registry,
+        )
+        self._unstable_links = Counter(
+            "scalebend_unstable_links",
+            "Times that one peer's links came up more often than is usual",
+            registry=registry,
+        )
         self._open = Gauge(
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
@@ -73,6 +83,14 @@
         """Work was placed on engines."""
         self._placements.labels(decider).inc()
 
+    def count_link_start(self) -> None:
+        """A link is up."""
+        self._link_starts.inc()
+
+    def count_unstable_link(self) -> None:
+        """The links of one peer end and come back again and again."""
+        self._unstable_links.inc()
+
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
         """A stream's first event came after ``seconds``."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
--- /dev/null
+++ b/src/scalebend/edges/gateway/redirects.py
@@ -0,0 +1,22 @@
+"""Sends a call to the control process that can answer it."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import InstanceId
+from scalebend.utils.addresses import parse_address
+
+
+def redirect_to(
+    target: InstanceId, settings: GatewaySettings, request: web.BaseRequest
+) -> web.Response:
+    """Tell the caller to send the same call to ``target``.
+
+    The port for calls is the same at every control process.
+    """
+    host = parse_address(target).host
+    port = parse_address(str(settings.control_address)).port
+    location = f"http://{host}:{port}{request.raw_path}"
+    return web.Response(status=307, headers={"Location": location})
--- /dev/null
+++ b/src/scalebend/edges/gateway/relay_server.py
@@ -0,0 +1,126 @@
+"""Runs a relay: links to the control instances, links of others, and redirects."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import time
+from collections.abc import AsyncIterator
+
+import structlog
+from aiohttp import web
+
+from scalebend.core.gateway.messages import (
+    Heartbeat,
+    Introduce,
+    KnownInstances,
+    LinkMessage,
+)
+from scalebend.core.gateway.relay_instance import RelayInstance
+from scalebend.core.messages import Hello
+from scalebend.edges.gateway.front_server import answer_metrics, listen
+from scalebend.edges.gateway.links import (
+    HEARTBEAT,
+    Dialer,
+    LinkServer,
+    listen_for_links,
+)
+from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.redirects import redirect_to
+from scalebend.edges.gateway.settings_watch import SettingsWatch
+from scalebend.edges.gateway.sockets import Listeners
+from scalebend.edges.problems import build_response
+from scalebend.exceptions import ErrorKind, RefusedError
+from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import InstanceId
+
+logger = structlog.get_logger(__name__)
+
+TICK = 0.1
+"""Seconds between two looks at links; a relay decides nothing that is urgent."""
+
+
+class RelayRuntime:
+    """One running relay."""
+
+    def __init__(self, settings: GatewaySettings, metrics: GatewayMetrics) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        me = settings.instance
+        seeds = [InstanceId(seed) for seed in settings.seeds]
+        self.instance = RelayInstance(me, seeds, is_first_start=settings.is_first_start)
+        introduction = Introduce(me, time.time_ns(), settings.role)
+        self.dialer = Dialer(
+            introduction,
+            self.instance.handle,
+            self.instance.add_link,
+            self.instance.remove_link,
+            metrics,
+        )
+        self.server = LinkServer(self._receive, self._note_up, lambda _: None, metrics)
+
+    async def run(self) -> None:
+        """Run the timers until cancelled."""
+        loop = asyncio.get_running_loop()
+        heartbeat_at = 0.0
+        while True:
+            now = loop.time()
+            self.dialer.keep_to(self.instance.instances)
+            self.dialer.close_silent(now)
+            self.server.close_silent(now)
+            if now >= heartbeat_at:
+                heartbeat_at = now + HEARTBEAT
+                self.dialer.send_to_all(Heartbeat())
+                self.server.send_to_all(self._build_known())
+            await asyncio.sleep(TICK)
+
+    def _build_known(self) -> KnownInstances:
+        return KnownInstances(self.instance.list_members())
+
+    def _note_up(self, peer: Introduce) -> None:
+        self.server.send(peer.instance, self._build_known())
+
+    def _receive(self, peer: Introduce, message: LinkMessage) -> None:
+        if isinstance(message, Hello):
+            reply = self.instance.answer_hello(peer.instance, message)
+            self.server.send(peer.instance, reply)
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Send a call on to a member of the control group."""
+        if request.method == "GET" and request.path == "/metrics":
+            return await answer_metrics(self._metrics, request)
+        target = self.instance.choose_target()
+        if target is None:
+            error = RefusedError("no member is known", kind=ErrorKind.NO_QUORUM)
+            return build_response(error)
+        return redirect_to(target, self._settings, request)
+
+
+async def serve_relay(
+    settings: GatewaySettings, stopped: asyncio.Event, watch: SettingsWatch
+) -> None:
+    """Run a relay until ``stopped`` is set."""
+    assert settings.control_address is not None
+    runtime = RelayRuntime(settings, GatewayMetrics())
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(_run_links(settings, runtime))
+        await stack.enter_async_context(watch.tell(runtime.instance.note_seeds))
+        sock = Listeners().take(settings.control_address)
+        await stack.enter_async_context(listen(sock, runtime.handle))
+        logger.info("relay listens", instance=settings.name)
+        await stopped.wait()
+
+
+@contextlib.asynccontextmanager
+async def _run_links(
+    settings: GatewaySettings, runtime: RelayRuntime
+) -> AsyncIterator[None]:
+    address = settings.link_listen or settings.link_address
+    async with listen_for_links(address, runtime.server):
+        task = asyncio.create_task(runtime.run())
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await runtime.dialer.close()
--- a/src/scalebend/models/gateway_settings.py
+++ b/src/scalebend/models/gateway_settings.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from scalebend.models.ids import AvailabilityZone
+from scalebend.models.ids import AvailabilityZone, InstanceId
 
 
 class GatewayRole(Enum):
@@ -17,6 +17,8 @@
 
     FRONT = "front"
     CONTROL = "control"
+    RELAY = "relay"
+    """Takes control calls without a disk, so it has no vote: it sends them on."""
 
 
 class Bounds(msgspec.Struct, frozen=True):
@@ -48,7 +50,7 @@
     role: GatewayRole
     availability_zone: AvailabilityZone
     link_address: str
-    """Where this process takes messages of the others; also its instance id."""
+    """Where control processes of this machine take messages of the others."""
 
     seeds: list[str]
     """Link addresses of some control instances, perhaps outdated."""
@@ -73,3 +75,15 @@
     data_folder: str | None = None
     open_files_most: int = 1024
     memory_mib: int = 256
+
+    @property
+    def instance(self) -> InstanceId:
+        """This process among all others of the system.
+
+        A control process goes by the address at which others dial it. Nobody dials a
+        front, and a control process may share its machine, so it has a name of its own:
+        with one name for both, each new link of one would end the other's.
+        """
+        if self.role is GatewayRole.FRONT:
+            return InstanceId(f"front-{self.link_address}")
+        return InstanceId(self.link_address)
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -69,7 +69,7 @@
     bounds = settings.bounds
     written = _Settings(
         node_name=settings.name,
-        serves=["control" if settings.role is GatewayRole.CONTROL else "front"],
+        serves=["front" if settings.role is GatewayRole.FRONT else "control"],
         ip=link.host,
         zone=settings.availability_zone,
         listen=_Listen(settings.callers_address, settings.readiness_address, control),
@@ -98,12 +98,14 @@
     except (OSError, msgspec.MsgspecError) as error:
         fault = Fault("$", str(error))
         raise DocumentError([fault], kind=ErrorKind.INVALID_SETTINGS) from error
-    is_control = "control" in read.serves
+    role = GatewayRole.FRONT
+    if "control" in read.serves:
+        role = GatewayRole.CONTROL if read.data_dir is not None else GatewayRole.RELAY
     bounds = read.bounds
     link_port = read.port_range[0]
     return GatewaySettings(
         name=read.node_name,
-        role=GatewayRole.CONTROL if is_control else GatewayRole.FRONT,
+        role=role,
         availability_zone=AvailabilityZone(read.zone),
         link_address=f"{read.ip}:{link_port}",
         seeds=[f"{parse_address(seed).host}:{link_port}" for seed in read.seeds],
