Load what serves HTTP after the links of a control instance are up; explain losses from logs

Cause: after the loss of all power control processes listened 0.7 to 0.8 s after the machines were back, half of it loading libraries that no vote needs. Change: runtime, calls and HTTP listener are modules of their own; the last two are loaded in a thread while the group elects. 'scalebend explain-losses' tells from fronts' logs which requests were not served in time, why and when. Ruled out: leaving the metrics library out (the counters are needed by the links).

--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -202,6 +202,16 @@
     _run("measure_overhead", as_json=as_json)
 
 
+@app.command("explain-losses")
+def explain_losses(
+    logs: Annotated[list[Path], typer.Argument(help="Log files of fronts.")],
+    window: Annotated[float, typer.Option(help="Seconds of one window.")] = 2.0,
+    as_json: Json = False,
+) -> None:
+    """Say why requests were not served in time, from the logs of fronts."""
+    _run("explain_losses", logs=logs, window=window, as_json=as_json)
+
+
 @app.command("measure-placement")
 def measure_placement(
     scenario: Annotated[Path, typer.Argument(help="Scenario, a JSON file.")],
--- /dev/null
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -0,0 +1,141 @@
+"""Calls of operators and upstreams at a control instance, over HTTP."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import structlog
+from aiohttp import web
+
+from scalebend.edges.gateway.control_runtime import ControlRuntime, build_no_quorum
+from scalebend.edges.gateway.http_listener import answer_metrics, listen
+from scalebend.edges.gateway.inspection import Inspector
+from scalebend.edges.gateway.redirects import redirect_to
+from scalebend.edges.gateway.sockets import Listeners
+from scalebend.edges.gateway.upstream_client import open_upstream_sessions
+from scalebend.edges.problems import build_response
+from scalebend.exceptions import ErrorKind, RequestError, ScalebendError
+from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import UpstreamId
+from scalebend.platform.registrations import (
+    ACKNOWLEDGEMENT,
+    CONFIGURATION_PATH,
+    REGISTRATION_PREFIX,
+    decode_registration,
+)
+
+logger = structlog.get_logger(__name__)
+
+INSPECTION_PERIOD = 2.5
+"""Seconds between two reports of each engine. Fronts ask at once when a first token is
+late; this finds slow ones before, at a price that shows where probes are dear."""
+
+
+class ControlHandler:
+    """Calls of operators and upstreams."""
+
+    def __init__(self, runtime: ControlRuntime) -> None:
+        self._runtime = runtime
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one call."""
+        try:
+            return await self._dispatch(request)
+        except ScalebendError as error:
+            logger.info(
+                "call refused",
+                method=request.method,
+                path=request.path,
+                kind=error.kind.value,
+                detail=error.detail[:200],
+            )
+            return build_response(error)
+
+    async def _dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
+        path = request.path
+        match request.method:
+            case "PUT" if path.startswith(REGISTRATION_PREFIX):
+                return await self._register(request)
+            case "DELETE" if path.startswith(REGISTRATION_PREFIX):
+                return self._remove(request)
+            case "PUT" if path == CONFIGURATION_PATH:
+                return await self._put(request)
+            case "GET" if path == CONFIGURATION_PATH:
+                return await self._get(request)
+            case "GET" if path == "/metrics":
+                return await answer_metrics(self._runtime.metrics, request)
+        raise RequestError(f"{request.method} {path}", kind=ErrorKind.NOT_FOUND)
+
+    async def _register(self, request: web.BaseRequest) -> web.StreamResponse:
+        runtime = self._runtime
+        upstream = request.path.removeprefix(REGISTRATION_PREFIX)
+        endpoint = decode_registration(upstream, await request.read())
+        runtime.execute(runtime.instance.register(endpoint, runtime.now()))
+        return self._acknowledge_registration()
+
+    def _remove(self, request: web.BaseRequest) -> web.StreamResponse:
+        runtime = self._runtime
+        upstream = UpstreamId(request.path.removeprefix(REGISTRATION_PREFIX))
+        runtime.execute(runtime.instance.remove(upstream, runtime.now()))
+        return self._acknowledge_registration()
+
+    def _acknowledge_registration(self) -> web.StreamResponse:
+        # It is remembered in any case; but not every front may hear of it from here.
+        if not self._runtime.instance.may_acknowledge():
+            raise build_no_quorum()
+        return web.Response(body=ACKNOWLEDGEMENT, content_type="application/json")
+
+    async def _put(self, request: web.BaseRequest) -> web.StreamResponse:
+        if (redirect := self._redirect(request)) is not None:
+            return redirect
+        data = await request.read()
+        held = await self._runtime.put_routing(data)
+        logger.info("routing acknowledged", held=held, size=len(data))
+        return web.Response(body=b"{}", content_type="application/json")
+
+    async def _get(self, request: web.BaseRequest) -> web.StreamResponse:
+        if (redirect := self._redirect(request)) is not None:
+            return redirect
+        document = await self._runtime.read_document()
+        return web.Response(body=document, content_type="application/json")
+
+    def _redirect(self, request: web.BaseRequest) -> web.StreamResponse | None:
+        """Where another member leads, the call belongs there."""
+        runtime = self._runtime
+        if runtime.instance.is_leader:
+            return None
+        leader = runtime.instance.member.leader
+        if leader is None:
+            raise build_no_quorum()
+        return redirect_to(leader, runtime.settings, request)
+
+
+async def _inspect_engines(runtime: ControlRuntime) -> None:
+    """While this member leads, ask the replicas how slow they are."""
+    async with open_upstream_sessions() as sessions:
+        inspector = Inspector(sessions.pooled)
+        while True:
+            await asyncio.sleep(INSPECTION_PERIOD)
+            if not runtime.instance.is_leader:
+                continue
+            engines = runtime.instance.list_engines()
+            found = await inspector.inspect(engines, runtime.now())
+            runtime.instance.note_inspection(found.paces, found.silent, runtime.now())
+
+
+@contextlib.asynccontextmanager
+async def serve_calls(
+    settings: GatewaySettings, runtime: ControlRuntime
+) -> AsyncIterator[None]:
+    """Answer calls, and look after the engines, until the block ends."""
+    assert settings.control_address is not None
+    sock = Listeners().take(settings.control_address)
+    task = asyncio.create_task(_inspect_engines(runtime))
+    try:
+        async with listen(sock, ControlHandler(runtime).handle):
+            yield
+    finally:
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
 
 import structlog
 from aiohttp import web
@@ -13,9 +11,10 @@
 from scalebend.core.gateway.key_lease import LEASE_MARGIN
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
+from scalebend.edges.gateway.http_listener import answer_metrics, listen
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.settings_watch import SettingsWatch
-from scalebend.edges.gateway.sockets import BACKLOG, Listeners
+from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import RETRY_LATER
 from scalebend.edges.problems import build_problem_body
 from scalebend.exceptions import (
@@ -37,15 +36,6 @@
 
 logger = structlog.get_logger(__name__)
 
-HEADER_LINE_BYTES = 16 * 1024
-"""Bytes of one header line; the platform's limit for all headers together."""
-
-LARGEST_BODY = 64 * 1024 * 1024
-"""Bytes that the library may hold; the routing document sets the real limit."""
-
-KEEPALIVE_TIME = 75.0
-"""Seconds for which an idle connection is kept, longer than callers reuse one."""
-
 LAST_ADMISSION = 2.8
 """Seconds after the stop signal for which requests are still admitted: the balancer
 asks every second and needs two failed answers. What comes later may not end in time."""
@@ -68,8 +58,6 @@
 POLL = 0.05
 """Seconds between two looks at what is still open while stopping."""
 
-Handler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
-
 
 class CallerHandler:
     """Admits requests of callers and answers them."""
@@ -212,6 +200,8 @@
             kind=error.kind.value if error is not None else None,
             ran=error.ran.value if error is not None else None,
             elapsed=round(elapsed, 3),
+            target=route.target_latency if route is not None else None,
+            event_gap=route.event_gap if route is not None else None,
             **_describe_events(forwarder),
             routing=runtime.instance.table.routing.version,
         )
@@ -242,45 +232,6 @@
     return answer
 
 
-def _build_request(*parts):  # type: ignore[no-untyped-def]
-    """Make the library's request, with room for the largest body."""
-    loop = asyncio.get_running_loop()
-    return web.BaseRequest(  # type: ignore[misc]
-        *parts,
-        loop,  # type: ignore[arg-type]
-        client_max_size=LARGEST_BODY,
-    )
-
-
-@contextlib.asynccontextmanager
-async def listen(sock: socket.socket, handler: Handler) -> AsyncIterator[web.SockSite]:
-    """Serve ``handler`` at a socket that listens."""
-    server = web.Server(
-        handler,
-        request_factory=_build_request,
-        handler_cancellation=True,
-        access_log=None,
-        keepalive_timeout=KEEPALIVE_TIME,
-        max_line_size=HEADER_LINE_BYTES,
-        max_field_size=HEADER_LINE_BYTES,
-    )
-    runner = web.ServerRunner(server, shutdown_timeout=0.2)
-    await runner.setup()
-    site = web.SockSite(runner, sock, backlog=BACKLOG)
-    await site.start()
-    try:
-        yield site
-    finally:
-        await runner.cleanup()
-
-
-async def answer_metrics(
-    metrics: GatewayMetrics, request: web.BaseRequest
-) -> web.StreamResponse:
-    """Answer with the figures of this process."""
-    return web.Response(body=metrics.render(), content_type="text/plain")
-
-
 async def serve_front(
     settings: GatewaySettings,
     listeners: Listeners,
--- a/src/scalebend/edges/gateway/relay_server.py
+++ b/src/scalebend/edges/gateway/relay_server.py
@@ -18,7 +18,7 @@
 )
 from scalebend.core.gateway.relay_instance import RelayInstance
 from scalebend.core.messages import Hello
-from scalebend.edges.gateway.front_server import answer_metrics, listen
+from scalebend.edges.gateway.http_listener import answer_metrics, listen
 from scalebend.edges.gateway.links import (
     HEARTBEAT,
     Dialer,
--- /dev/null
+++ b/src/scalebend/measuring/losses.py
@@ -0,0 +1,219 @@
+"""A ledger of requests that were not served in time, by kind, moment and reason.
+
+Read from the fronts' structured logs: ``engines chosen``, ``engines declined``,
+``attempt ended``, ``caller left`` and ``request answered``. A line may stand behind a
+prefix, such as a process' name. Times are in seconds.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable
+from datetime import datetime
+from enum import Enum
+from typing import Any
+
+import msgspec
+
+LONG_TURN = 0.5
+"""Part of the target that a wait for the turn must take to be the reason."""
+
+SLOWER = 1.5
+"""Times the predicted first token from which the replica is the reason."""
+
+
+class Reason(Enum):
+    """Why a request earned less than its whole worth."""
+
+    REFUSED = "refused: no place in time"
+    NOT_READY = "refused: no lease or stopping"
+    CALLER_LEFT = "caller left or its connection was lost"
+    REPLICA_FAILED = "replicas failed it"
+    REPLICA_LOST = "placed again after an attempt was lost"
+    TIMED_OUT = "time limit reached"
+    WAITED = "waited for its turn"
+    NO_LEADER = "placed without the leader"
+    REPLICA_SLOW = "replica slower than predicted"
+    LATE = "late as predicted"
+    PAUSE = "pause between events"
+    UNKNOWN = "no reason in the log"
+
+
+class LoggedRequest(msgspec.Struct):
+    """What the log tells of one attempt of a caller."""
+
+    request: str
+    at: float
+    route: str | None = None
+    status: int | None = None
+    kind: str | None = None
+    elapsed: float = 0.0
+    target: float | None = None
+    event_gap: float | None = None
+    first_event: float | None = None
+    longest_gap: float = 0.0
+    predicted: float | None = None
+    start_in: float = 0.0
+    had_leader: bool = True
+    was_declined: bool = False
+    has_left: bool = False
+    outcomes: list[str] = msgspec.field(default_factory=list)
+
+
+class LedgerRow(msgspec.Struct, frozen=True):
+    """Requests of one route that were lost for one reason."""
+
+    route: str
+    reason: str
+    count: int
+
+
+class WindowRow(msgspec.Struct, frozen=True):
+    """Requests that arrived in one window, and how many were not served in time."""
+
+    start: float
+    requests: int
+    lost: int
+    main_reason: str
+
+
+class Ledger(msgspec.Struct, frozen=True):
+    """All losses; the counts of ``rows`` and of ``windows`` both sum up to ``lost``."""
+
+    requests: int
+    lost: int
+    rows: list[LedgerRow]
+    windows: list[WindowRow]
+
+
+def read_requests(lines: Iterable[str]) -> list[LoggedRequest]:
+    """Requests of callers in log lines, in the order in which they were first named."""
+    requests: dict[str, LoggedRequest] = {}
+    for line in lines:
+        start = line.find("{")
+        if start < 0 or '"request"' not in line:
+            continue
+        try:
+            event = msgspec.json.decode(line[start:])
+        except msgspec.DecodeError:
+            # A line that was cut by a crash tells nothing.
+            continue
+        _take(requests, event)
+    return list(requests.values())
+
+
+def _take(requests: dict[str, LoggedRequest], event: dict[str, Any]) -> None:
+    name = event.get("request")
+    if not name:
+        return
+    at = datetime.fromisoformat(event["timestamp"]).timestamp()
+    seen = requests.setdefault(name, LoggedRequest(name, at))
+    match event["event"]:
+        case "engines chosen":
+            seen.predicted = event["predicted"]
+            seen.start_in = event["start_in"]
+            seen.had_leader = event["leader"] is not None
+        case "engines declined":
+            seen.was_declined = True
+        case "attempt ended":
+            seen.outcomes.append(event["outcome"])
+        case "caller left":
+            seen.has_left = True
+        case "request answered":
+            for field in ("route", "status", "kind", "elapsed", "target", "event_gap"):
+                setattr(seen, field, event.get(field))
+            seen.first_event = event.get("first_event")
+            seen.longest_gap = event.get("longest_gap", 0.0)
+            seen.at = at - (seen.elapsed or 0.0)
+
+
+def find_reason(seen: LoggedRequest) -> Reason | None:
+    """Why a request was not served in time; ``None`` when it was."""
+    if seen.has_left or seen.status is None:
+        return Reason.CALLER_LEFT
+    if seen.status >= 400 or seen.status == 0:
+        return _find_failure(seen)
+    first = seen.first_event if seen.first_event is not None else seen.elapsed
+    if seen.target is not None and first > seen.target:
+        return _find_delay(seen, first)
+    if seen.event_gap is not None and seen.longest_gap > seen.event_gap:
+        return Reason.REPLICA_LOST if seen.outcomes else Reason.PAUSE
+    return None
+
+
+def _find_failure(seen: LoggedRequest) -> Reason:
+    match seen.kind:
+        case "not-ready":
+            return Reason.NOT_READY
+        case "overloaded" | "no-upstream":
+            return Reason.REFUSED
+        case "time-limit":
+            return Reason.TIMED_OUT
+    if seen.outcomes or seen.status == 0:
+        return Reason.REPLICA_FAILED
+    return Reason.UNKNOWN
+
+
+def _find_delay(seen: LoggedRequest, first: float) -> Reason:
+    if seen.outcomes:
+        return Reason.REPLICA_LOST
+    if seen.predicted is None or seen.target is None:
+        return Reason.REPLICA_SLOW
+    if not seen.had_leader:
+        return Reason.NO_LEADER
+    if first > SLOWER * seen.predicted:
+        return Reason.REPLICA_SLOW
+    if seen.start_in > LONG_TURN * seen.target:
+        return Reason.WAITED
+    return Reason.LATE
+
+
+def build_ledger(requests: list[LoggedRequest], window: float) -> Ledger:
+    """Count losses by route and reason, and by windows of ``window`` seconds."""
+    # Who calls a route that is not there is owed nothing.
+    owed = [one for one in requests if one.status not in (401, 404)]
+    if not owed:
+        return Ledger(0, 0, [], [])
+    begin = min(one.at for one in owed)
+    rows: Counter[tuple[str, Reason]] = Counter()
+    windows: dict[int, Counter[Reason | None]] = {}
+    for one in owed:
+        reason = find_reason(one)
+        windows.setdefault(int((one.at - begin) // window), Counter())[reason] += 1
+        if reason is not None:
+            rows[one.route or "-", reason] += 1
+    return Ledger(
+        requests=len(owed),
+        lost=rows.total(),
+        rows=[
+            LedgerRow(route, reason.value, count)
+            for (route, reason), count in rows.most_common()
+        ],
+        windows=[
+            _build_window(number * window, counts)
+            for number, counts in sorted(windows.items())
+        ],
+    )
+
+
+def _build_window(start: float, counts: Counter[Reason | None]) -> WindowRow:
+    served = counts.pop(None, 0)
+    main = counts.most_common(1)
+    return WindowRow(
+        start=start,
+        requests=served + counts.total(),
+        lost=counts.total(),
+        main_reason=main[0][0].value if main and main[0][0] is not None else "",
+    )
+
+
+def format_ledger(ledger: Ledger) -> str:
+    """Tables for people."""
+    lines = [f"{ledger.requests} requests, {ledger.lost} not served in time", ""]
+    lines += [f"{row.count:>6}  {row.route:<12} {row.reason}" for row in ledger.rows]
+    lines += ["", "from second  requests  lost  mostly"]
+    lines += [
+        f"{row.start:>11.0f}  {row.requests:>8}  {row.lost:>4}  {row.main_reason}"
+        for row in ledger.windows
+    ]
+    return "\n".join(lines)
