Spare who writes when a group is chosen; try groups with memory before kept places

Change: a group pays for the time by which it delays others' events; replicas where nobody writes go first. A group without the memory gives way to one with it before the places of quick prompts are touched.

--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import msgspec
 
@@ -27,6 +27,10 @@
 """Seconds by which a group must end sooner to be worth one more replica; more for
 schedulers that do not see each other's choices, whose groups would meet."""
 
+DISTURBANCE = 0.05
+"""Seconds by which a group must end sooner to be worth each second by which it delays
+the events of one who writes."""
+
 MOST_STARTS = 24
 """Starts that are looked at for one group: far more parts than wait in a busy fleet."""
 
@@ -180,17 +184,7 @@
 def _choose_group(plan: Plan, views: list[EngineView]) -> Placement | Declined:
     """The replicas and the time with which the prompt is read first."""
     candidates = _list_for_group(plan, views)
-    group = (
-        _find_earliest_end(plan, candidates, plan.longest_part)
-        or _find_earliest_end(plan, candidates, math.inf)
-        or _choose_least_pending(plan, candidates)
-    )
-    # Together these replicas may lack the memory: then let all that may help do so.
-    placement = (
-        _build_group(plan, group)
-        or _build_group(plan, _choose_least_pending(plan, candidates))
-        or _build_group(plan, _choose_least_pending(plan, views))
-    )
+    placement = _place_first_possible(plan, _list_groups(plan, candidates, views))
     if placement is None:
         return Declined(MEMORY_PAUSE)
     if placement.first_token_in <= plan.work.target * HOPEFUL:
@@ -198,6 +192,30 @@
     return _place_late(plan, candidates, placement)
 
 
+def _list_groups(
+    plan: Plan, candidates: list[EngineView], views: list[EngineView]
+) -> Iterator[_Group | None]:
+    """Groups to try, the best first: replicas together may lack the memory."""
+    yield (
+        _find_earliest_end(plan, candidates, plan.longest_part)
+        or _find_earliest_end(plan, candidates, math.inf)
+    )
+    with_memory = [view for view in candidates if view.free_tokens >= plan.memory]
+    yield _find_earliest_end(plan, with_memory, math.inf)
+    yield _choose_least_pending(plan, candidates)
+    yield _choose_least_pending(plan, views)
+
+
+def _place_first_possible(
+    plan: Plan, groups: Iterator[_Group | None]
+) -> Placement | None:
+    for group in groups:
+        placement = _build_group(plan, group) if group is not None else None
+        if placement is not None:
+            return placement
+    return None
+
+
 def _place_late(
     plan: Plan, candidates: list[EngineView], placement: Placement
 ) -> Placement | Declined:
@@ -247,37 +265,35 @@
     Groups start where a replica's earlier part ends, also in the time left before parts
     that were planned already, which keep their turns (conservative backfilling).
     """
+    # Those where nobody writes first, and quick requests' replicas last.
+    ranked = sorted(candidates, key=lambda view: (view.is_quick, view.first_jobs))
     ends = {round(busy.end, 3) for view in candidates for busy in view.busy}
     best: _Group | None = None
     for start in sorted({0.0, *ends})[:MOST_STARTS]:
         if best is not None and start >= best.cost:
             break
-        rooms = [(view.compute_part_room(start), view) for view in candidates]
-        rooms.sort(key=lambda one: -one[0])
+        rooms = [view.compute_part_room(start) for view in ranked]
+        largest = sorted(rooms, reverse=True)
         for count in range(1, min(len(rooms), MOST_HELPERS + 1) + 1):
             part = plan.read / count
-            if rooms[count - 1][0] < part or part > longest_part:
+            if largest[count - 1] < part or part > longest_part:
                 continue
-            cost = start + part + plan.part_cost * count
-            if best is None or cost < best.cost:
-                fitting = [view for room, view in rooms if room >= part]
-                best = _Group(_choose_tightest(fitting, start, count), start, cost)
+            group = _take_fitting(plan, ranked, rooms, start, count)
+            if best is None or group.cost < best.cost:
+                best = group
     return best
 
 
-def _choose_tightest(
-    fitting: list[EngineView], start: float, count: int
-) -> list[EngineView]:
-    """Of replicas that fit, those where nobody writes, the shortest times first."""
-    ranked = sorted(
-        fitting,
-        key=lambda view: (
-            view.is_quick,
-            view.first_jobs,
-            view.compute_part_room(start),
-        ),
-    )
-    return ranked[:count]
+def _take_fitting(
+    plan: Plan, ranked: list[EngineView], rooms: list[float], start: float, count: int
+) -> _Group:
+    """The first replicas with room for a part, and what the group costs."""
+    part = plan.read / count
+    fitting = [view for view, room in zip(ranked, rooms, strict=True) if room >= part]
+    chosen = fitting[:count]
+    disturbed = sum(view.first_jobs for view in chosen)
+    cost = start + part + plan.part_cost * count + DISTURBANCE * part * disturbed
+    return _Group(chosen, start, cost)
 
 
 def _choose_least_pending(plan: Plan, views: list[EngineView]) -> _Group:
--- a/src/scalebend/measuring/placement_run.py
+++ b/src/scalebend/measuring/placement_run.py
@@ -180,6 +180,8 @@
         for cut in scenario.fronts_cut:
             self._at(cut.at, lambda one=cut: self._forget_fronts(one.count))  # type: ignore[misc]
             self._at(cut.at + cut.length, self._take_lead)
+        for restart in scenario.restarts:
+            self._at(restart.at, self._restart)
         self._at(NEWS_PERIOD, self._tell_fronts)
         self._at(EXPIRE_PERIOD, self._expire)
 
@@ -220,6 +222,9 @@
 
     def _arrive(self, result: Result) -> None:
         arrival = result.arrival
+        restarts = self._scenario.restarts
+        if any(self._is_within(one.at, one.length) for one in restarts):
+            return
         if arrival.leaves_after is not None:
             leave_at = arrival.at + arrival.leaves_after
             self._at(max(leave_at, self._now), lambda: self._leave(result))
@@ -344,6 +349,17 @@
                 opened = OpenJob(job.work, job.placement, job.is_writing, age)
                 self._leader.adopt(opened, self._profile, self._now)
 
+    def _restart(self) -> None:
+        """All processes lose what they knew, and their callers what was open."""
+        for number, job in self._jobs.items():
+            if not job.is_over:
+                self._end(number)
+        self._leader = EngineScheduler()
+        self._fronts = [
+            EngineScheduler(f"front-{n}", LONGEST_PART_ALONE)
+            for n in range(self._scenario.fronts)
+        ]
+
     def _forget_fronts(self, count: int) -> None:
         """The leader lost the links to some fronts, and with them their jobs."""
         for number in range(count):
--- a/src/scalebend/measuring/placement_scenario.py
+++ b/src/scalebend/measuring/placement_scenario.py
@@ -102,6 +102,14 @@
     count: int
 
 
+class RestartOfAll(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All fronts and the leader end at once; callers lose what is open, and what they
+    send until the processes are back."""
+
+    at: float
+    length: float
+
+
 class PlacementScenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Everything but the seed and the decider."""
 
@@ -114,6 +122,7 @@
     engine_losses: list[EngineLoss] = msgspec.field(default_factory=list)
     leader_losses: list[LeaderLoss] = msgspec.field(default_factory=list)
     fronts_cut: list[FrontsCut] = msgspec.field(default_factory=list)
+    restarts: list[RestartOfAll] = msgspec.field(default_factory=list)
     leaves_early: float = 0.0
     """Part of the callers that leave while they wait for the first event."""
 
