Let fronts that decide alone use all replicas for all prompts

Cause: without a leader, fronts kept half of the replicas, or twice what the leader had used, for quick prompts and the rest for long ones. Both halves were fuller than the whole: replicas' own counts and missing first tokens now tell what the halves were for. Change: the split is gone, with four constants and a field of the heartbeat.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -348,7 +348,6 @@
             self.member.replica.term,
             len(self._fronts),
             self.scheduler.list_busy(now, BUSY_TOLD) if self.is_leader else [],
-            self.scheduler.count_quick_replicas() if self.is_leader else 0,
         )
 
     # Upstreams
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 import zlib
 from collections.abc import Callable, Iterable
 
@@ -17,7 +16,6 @@
 
 from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
 from scalebend.core.gateway.engine_view import (
-    QUICK_GAP,
     BusyTime,
     EngineView,
     build_idle_view,
@@ -68,18 +66,6 @@
 """Seconds for which the load that a lost leader told of is still counted: about the
 time that a quick answer takes."""
 
-QUICK_PART_ALONE = 0.5
-"""Part of the replicas that schedulers which decide alone use for quick prompts only,
-if no leader ever told how many it used: all of them split alike, so that one's long
-prompts spare another's quick ones."""
-
-LEAST_PART_ALONE = 0.2
-"""Part of the replicas that either sort of prompt has at least, whatever was told: the
-mix of prompts may change while there is no leader."""
-
-LEAST_TO_SPLIT = 4
-"""Replicas below which there is nothing to split."""
-
 OVERDUE = 0.0
 """Seconds after the predicted time of a first token, lateness included, from which a
 replica counts as fuller than is known here: others may have placed there without a
@@ -91,10 +77,6 @@
 QUICK_GROWTH = 1.25
 """Times the quick requests open lately for which places are kept from long prompts."""
 
-QUICK_GROWTH_ALONE = 2.0
-"""Times the replicas that a leader used for quick requests that schedulers which decide
-alone use: they do not see each other's choices, and a burst may just have begun."""
-
 QUICK_SPARE = 8
 """Slots kept for quick requests beyond that: about what arrives in half a second."""
 
@@ -174,7 +156,6 @@
         self._salt = salt.encode()
         self._longest_part = longest_part
         self._quick = FadingMaximum(QUICK_MEMORY)
-        self._quick_told: int | None = None
         self._jobs: dict[JobId, _Job] = {}
         self._replicas: dict[UpstreamId, _Replica] = {}
 
@@ -277,21 +258,8 @@
         busy.sort(key=lambda one: (-one.pace, -one.reading, -one.writing))
         return busy[:most]
 
-    def count_quick_replicas(self) -> int:
-        """How many replicas write for quick requests."""
-        return sum(self._is_quick(replica) for replica in self._replicas.values())
-
-    def _is_quick(self, replica: _Replica) -> bool:
-        return any(
-            share.is_first and self._jobs[name].work.event_gap <= QUICK_GAP
-            for name, share in replica.shares.items()
-        )
-
-    def note_busy(
-        self, busy: list[BusyReplica], quick_replicas: int, now: float
-    ) -> None:
-        """Another scheduler told which replicas are busy, and how many with what."""
-        self._quick_told = quick_replicas
+    def note_busy(self, busy: list[BusyReplica], now: float) -> None:
+        """Another scheduler told which replicas are busy."""
         for replica in self._replicas.values():
             replica.others = None
         for one in busy:
@@ -315,9 +283,6 @@
         A job that is known already is placed anew.
         """
         self.forget(work.job)
-        if self._is_alone:
-            read = compute_read_time(profile, work.prompt_tokens)
-            endpoints = self._split(endpoints, is_quick=read <= QUICK_READ)
         views = [
             self._view(endpoint, work, profile, now)
             for endpoint in endpoints
@@ -331,21 +296,6 @@
             self._put(work, placement, profile, now)
         return placement
 
-    def _split(self, endpoints: list[Endpoint], *, is_quick: bool) -> list[Endpoint]:
-        """The replicas for quick prompts, or those for the others; alike everywhere."""
-        count = len(endpoints)
-        if count < LEAST_TO_SPLIT:
-            return endpoints
-        quick = math.ceil(count * QUICK_PART_ALONE)
-        if self._quick_told is not None:
-            least = math.ceil(count * LEAST_PART_ALONE)
-            grown = math.ceil(self._quick_told * QUICK_GROWTH_ALONE)
-            quick = min(max(least, grown), count - least)
-        # As with a leader: long prompts from the lowest rank, quick ones from the
-        # highest, so that both find replicas that are used alike already.
-        ranked = sorted(endpoints, key=lambda one: zlib.crc32(one.upstream.encode()))
-        return ranked[count - quick :] if is_quick else ranked[: count - quick]
-
     def _rank(self, upstream: UpstreamId) -> int:
         return zlib.crc32(self._salt + upstream.encode())
 
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -210,7 +210,7 @@
         is_known = news.leader == self.leader and news.term == self._term
         self._term = news.term
         if news.busy:
-            self.scheduler.note_busy(news.busy, news.quick_replicas, now)
+            self.scheduler.note_busy(news.busy, now)
         if is_known or news.leader not in self._linked:
             return []
         logger.info("leader found", leader=news.leader, term=news.term, source=sender)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -40,9 +40,6 @@
     busy: list[BusyReplica] = msgspec.field(default_factory=list)
     """From the leader: the busiest replicas, should it be lost."""
 
-    quick_replicas: int = 0
-    """From the leader: how many replicas write for quick requests."""
-
 
 class KnownInstances(msgspec.Struct, frozen=True, tag=True):
     """Relay to whoever dialled, also as a heartbeat: control instances with a disk."""
--- a/src/scalebend/measuring/placement_run.py
+++ b/src/scalebend/measuring/placement_run.py
@@ -369,10 +369,9 @@
     def _tell_fronts(self) -> None:
         """The leader's heartbeat says which replicas are busy, and with what."""
         busy = self._leader.list_busy(self._now, len(self._engines))
-        quick = self._leader.count_quick_replicas()
         for number, front in enumerate(self._fronts):
             if not self._is_leaderless(number):
-                front.note_busy(busy, quick, self._now)
+                front.note_busy(busy, self._now)
         if self._now < self._scenario.length:
             self._at(self._now + NEWS_PERIOD, self._tell_fronts)
 
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -325,3 +325,45 @@
         text = await answer.text()
     assert 'scalebend_requests_total{kind="idempotent",status="200"}' in text
     assert "scalebend_request_seconds_bucket" in text
+
+
+async def test_caller_that_leaves_is_worked_for_no_longer(system):
+    for replica in system.replicas:
+        replica.gate.clear()
+    task = asyncio.create_task(system.call("stream"))
+    while not list_runs(system):
+        await asyncio.sleep(0.001)
+    await asyncio.sleep(0.1)
+    left_at = time.monotonic()
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    async with asyncio.timeout(5.0):
+        while not any(replica.cancelled_at for replica in system.replicas):
+            await asyncio.sleep(0.01)
+    cancelled = [at for replica in system.replicas for at in replica.cancelled_at]
+    assert min(cancelled) - left_at < 0.5
+    # And nobody is asked to go on with it.
+    await asyncio.sleep(0.6)
+    assert len(list_runs(system)) == 1
+
+
+async def test_relay_without_a_disk_introduces_and_redirects(system):
+    processes = system.processes
+    relay = processes.find_control("relay-0")
+    processes.start("relay-0")
+    url = f"http://{relay}/config"
+    body = await system.read_when_served(url)
+    assert body == build_document(1, [SERVICE])
+    async with system.session.put(url, data=build_document(2, [SERVICE])) as answer:
+        assert answer.status == 200
+    replica = system.replicas[0]
+    replica.controls = [relay]
+    await replica.register(system.session)
+    # A front that is told of nobody else finds its leader and serves.
+    processes.seeds["front-9"] = [relay]
+    processes.start("front-9")
+    await system.wait_ready(front=9)
+    assert (await system.call("idempotent", front=9))[0] == 200
+    assert "leadership changed" not in {
+        line["event"] for line in processes.read_log("relay-0")
+    }
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import time
 
 import aiohttp
 from aiohttp import web
@@ -20,6 +21,7 @@
         self.address = None
         self.ran = []
         self.orders = []
+        self.cancelled_at = []
         self.mode = "answer"
         self.event_pause = 0.02
         self.sequence = 0
@@ -51,7 +53,11 @@
         if self.mode == "fail":
             return web.Response(status=500, headers=echo, body=b"own failure")
         if "stream" in request.path:
-            return await self.stream(request, echo)
+            try:
+                return await self.stream(request, echo)
+            except asyncio.CancelledError:
+                self.cancelled_at.append(time.monotonic())
+                raise
         return web.Response(headers=echo, body=b"done by " + self.id.encode())
 
     async def stream(self, request, echo):
