--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -74,11 +74,10 @@
 SUSPECT_TIME = 2.0
 """Seconds for which a replica that failed to connect or fell silent is avoided."""
 
-QUICK_GROWTH = 1.25
-"""Times the quick requests open lately for which places are kept from long prompts."""
-
-QUICK_SPARE = 8
-"""Slots kept for quick requests beyond that: about what arrives in half a second."""
+QUICK_SPARE = 12
+"""Slots kept from long prompts beyond the quick requests open lately: about what
+arrives in two thirds of a second. A quarter more than those open, as well, brought 0.91 instead
+of 0.95 of the long prompts in time and no more of the quick ones, 30 seeds."""
 
 QUICK_MEMORY = 3.0
 """Seconds in which the remembered number of quick requests falls to a third."""
@@ -307,7 +306,7 @@
             compute_pass_time(profile, [work.prompt_tokens]),
             work.prompt_tokens + work.output_tokens + MEMORY_MARGIN,
             self._longest_part,
-            self._quick.read(now) * QUICK_GROWTH + QUICK_SPARE,
+            self._quick.read(now) + QUICK_SPARE,
             self._rank,
             self._is_alone,
         )
