Look at starts when a part has ended, not a moment before

Cause: starts were rounded to the nearest millisecond; of two, one was too early and its replica still counted as busy, so that the next part's end was taken. Change: rounded up; replicas left out are compared by name, not by all their fields.

--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -1,7 +1,8 @@
 """Chooses replicas for one piece of work from views of all of them.
 
 A prompt goes to one replica if there is one that reads it in time, the fullest such
-one; else to the fewest replicas whose rooms take even parts of the reading.
+one; else to the group that ends the reading first, now or after parts that are planned;
+if even that is late, to few replicas that nobody uses, or back to its caller.
 """
 
 from __future__ import annotations
@@ -254,7 +255,8 @@
     others = [view for view in reversed(ranked) if not view.is_quick]
     others.sort(key=lambda view: (view.pending, view.first_jobs))
     left_out = others[: min(kept, len(others) - 1)] if others else []
-    return [view for view in ranked if view not in left_out]
+    names = {view.endpoint.upstream for view in left_out}
+    return [view for view in ranked if view.endpoint.upstream not in names]
 
 
 def _find_earliest_end(
@@ -267,7 +269,8 @@
     """
     # Those where nobody writes first, and quick requests' replicas last.
     ranked = sorted(candidates, key=lambda view: (view.is_quick, view.first_jobs))
-    ends = {round(busy.end, 3) for view in candidates for busy in view.busy}
+    # Rounded up: a moment earlier, the replica would still be busy.
+    ends = {math.ceil(1e3 * b.end) / 1e3 for view in candidates for b in view.busy}
     best: _Group | None = None
     for start in sorted({0.0, *ends})[:MOST_STARTS]:
         if best is not None and start >= best.cost:
