Send again over a connection of its own after one that broke or fell silent

Cause: connections that fall silent for good stay in the pools; two of them in a row, at two replicas, ended an idempotent request with 502. Change: an attempt after one that may have run takes no pooled connection. Ruled out: emptying the pools (the sound ones would be lost with them).

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -162,7 +162,9 @@
 
     async def _exchange(self, target: Target) -> _Ended:
         call = self._call
-        session = self._runtime.sessions.choose(may_repeat=call.route.may_repeat)
+        # After a connection that broke or fell silent, a pooled one may be as dead.
+        may_pool = call.route.may_repeat and not self._attempts.may_have_run
+        session = self._runtime.sessions.choose(may_pool=may_pool)
         patience = self._compute_patience(target)
         sending = session.request(
             call.method,
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -84,10 +84,11 @@
 
 
 class UpstreamSessions:
-    """Sessions for requests that may be repeated, and for those that may not.
+    """Sessions with pooled connections, and with one for each request.
 
     A request that must not run twice gets a connection of its own: on a pooled one
-    that the upstream closes meanwhile, nobody could say whether it had run.
+    that the upstream closes meanwhile, nobody could say whether it had run. So does one
+    whose last attempt broke or fell silent: connections may fall silent many at once.
     """
 
     def __init__(
@@ -96,9 +97,9 @@
         self.pooled = pooled
         self._single = single
 
-    def choose(self, *, may_repeat: bool) -> aiohttp.ClientSession:
+    def choose(self, *, may_pool: bool) -> aiohttp.ClientSession:
         """The session for a request."""
-        return self.pooled if may_repeat else self._single
+        return self.pooled if may_pool else self._single
 
 
 def _build_session(*, force_close: bool) -> aiohttp.ClientSession:
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -366,3 +366,14 @@
     assert "leadership changed" not in {
         line["event"] for line in processes.read_log("relay-0")
     }
+
+
+async def test_connections_that_fall_silent_for_good_are_given_up(system):
+    for _ in range(8):
+        assert (await system.call("idempotent"))[0] == 200
+    for replica in system.replicas:
+        replica.muted = set(replica.transports)
+    # Each silent one in a front's pool costs a request at most one patience.
+    for _ in range(4):
+        assert (await system.call("idempotent"))[0] == 200
+    assert all(replica.transports - replica.muted for replica in system.replicas)
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -22,6 +22,8 @@
         self.ran = []
         self.orders = []
         self.cancelled_at = []
+        self.transports = set()
+        self.muted = set()
         self.mode = "answer"
         self.event_pause = 0.02
         self.sequence = 0
@@ -40,6 +42,10 @@
         body = await request.read()
         if self.mode == "full":
             return web.Response(status=503, headers={"X-Not-Executed": "true"})
+        self.transports.add(request.transport)
+        if request.transport in self.muted:
+            # The connection stands, and nothing comes over it any more.
+            await asyncio.Event().wait()
         self.ran.append((request, body))
         echo = {
             "X-Request-Id": request.headers["X-Request-Id"],
--- a/tests/unit/gateway/test_upstream_client.py
+++ b/tests/unit/gateway/test_upstream_client.py
@@ -33,8 +33,8 @@
         server.close()
 
 
-async def fetch(sessions, url, *, may_repeat=True):
-    session = sessions.choose(may_repeat=may_repeat)
+async def fetch(sessions, url, *, may_pool=True):
+    session = sessions.choose(may_pool=may_pool)
     async with session.get(url) as answer:
         return await answer.read()
 
@@ -107,7 +107,7 @@
     async with run_server(answer) as (url, connections):
         async with open_upstream_sessions() as sessions:
             for _ in range(3):
-                assert await fetch(sessions, url, may_repeat=False) == b"ok"
+                assert await fetch(sessions, url, may_pool=False) == b"ok"
             assert len(connections) == 3
 
 
