Test the ledger of losses and the model of placement; split its results

Cause: both commands had only been run by hand. Change: tests for each reason, for sums, for faults of a scenario, for passes, crashes, worth and the bound; results of a run stand apart from the run; two commands share the reading of a scenario. Ruled out: nothing.

--- a/src/scalebend/commands/measure.py
+++ b/src/scalebend/commands/measure.py
@@ -9,14 +9,13 @@
 
 import msgspec
 
+from scalebend.commands.scenario_file import read_scenario
 from scalebend.core.queueing import STRATEGIES
 from scalebend.edges.logs import configure_logs
-from scalebend.exceptions import DocumentError, ErrorKind
 from scalebend.measuring.harness import Harness
 from scalebend.measuring.results import Figures, build_figures
 from scalebend.measuring.scenario import Scenario, plan_load
 from scalebend.models.settings import LogFormat, Logging
-from scalebend.utils.documents import decode_document
 
 
 def run(
@@ -29,15 +28,8 @@
     as_json: bool,
 ) -> int:
     """Measure a scenario; exit code 1 when a promise was broken."""
-    try:
-        read = decode_document(
-            scenario.read_bytes(), Scenario, ErrorKind.INVALID_SETTINGS
-        )
-    except OSError as error:
-        print(f"{scenario}: {error.strerror}", file=sys.stderr)
-        return 2
-    except DocumentError as error:
-        print(f"{scenario}: {error}", file=sys.stderr)
+    read = read_scenario(scenario, Scenario)
+    if read is None:
         return 2
     unknown = [policy for policy in policies if policy not in STRATEGIES]
     if unknown:
--- a/src/scalebend/commands/measure_placement.py
+++ b/src/scalebend/commands/measure_placement.py
@@ -9,28 +9,21 @@
 
 import msgspec
 
+from scalebend.commands.scenario_file import read_scenario
 from scalebend.edges.logs import configure_logs
-from scalebend.exceptions import DocumentError, ErrorKind
-from scalebend.measuring.placement_run import Decider, PlacementRun, Result
+from scalebend.measuring.placement_results import Decider, Result
+from scalebend.measuring.placement_run import PlacementRun
 from scalebend.measuring.placement_scenario import PlacementScenario
 from scalebend.measuring.placement_table import build_figures, format_table
 from scalebend.models.settings import LogFormat, Logging
-from scalebend.utils.documents import decode_document
 
 
 def run(
     *, scenario: Path, seed: int, seeds: int, deciders: list[str], as_json: bool
 ) -> int:
     """Play the scenario with each decider and print what callers got."""
-    try:
-        read = decode_document(
-            scenario.read_bytes(), PlacementScenario, ErrorKind.INVALID_SETTINGS
-        )
-    except OSError as error:
-        print(f"{scenario}: {error.strerror}", file=sys.stderr)
-        return 2
-    except DocumentError as error:
-        print(f"{scenario}: {error}", file=sys.stderr)
+    read = read_scenario(scenario, PlacementScenario)
+    if read is None:
         return 2
     known = [decider.value for decider in Decider]
     if any(name not in known for name in deciders):
--- a/src/scalebend/measuring/placement_run.py
+++ b/src/scalebend/measuring/placement_run.py
@@ -10,7 +10,6 @@
 import heapq
 import random
 from collections.abc import Callable
-from enum import Enum
 from functools import partial
 
 import msgspec
@@ -23,8 +22,8 @@
 from scalebend.core.gateway.placement_choice import MOST_HELPERS
 from scalebend.core.gateway.placement_turn import REPLAN_PERIOD, keep_turn, renew_work
 from scalebend.measuring.engine_passes import PassEngine, Reading, Writing
+from scalebend.measuring.placement_results import Decider, Result
 from scalebend.measuring.placement_scenario import (
-    Arrival,
     PlacementScenario,
     plan_arrivals,
 )
@@ -59,67 +58,9 @@
 LOSS_NOTICED = 0.2
 """Seconds until a front sends a request again whose engine crashed."""
 
-FREE_HOLD = 1 / 8
-DEAREST_HOLD = 3 / 4
-"""Parts of the target and of the deadline between which holding what is then not
-served costs more and more, up to the whole worth."""
-
-SECOND_REFUSAL = 0.3
-"""Part of the worth that a returned request costs that is refused again."""
-
 SERVICE = ServiceName("engines")
 
 
-class Decider(Enum):
-    """Who decides where work goes."""
-
-    LEADER = "leader"
-    ALONE = "alone"
-    FEWEST_OPEN = "fewest-open"
-    RANDOM = "random"
-    IDLE_FLEET = "idle-fleet"
-    """Each request on a fleet of its own: a bound."""
-
-
-class Result(msgspec.Struct):
-    """What became of one request; times since its first attempt."""
-
-    arrival: Arrival
-    first_event: float | None = None
-    last_event: float = 0.0
-    longest_gap: float = 0.0
-    is_whole: bool = False
-    refusals: int = 0
-    has_left: bool = False
-    held: float = 0.0
-    """Seconds for which it was held in vain before its last refusal."""
-
-    @property
-    def is_in_time(self) -> bool:
-        """Whether it was served within its target and its event gap."""
-        kind = self.arrival.kind
-        return (
-            self.is_whole
-            and self.first_event is not None
-            and self.first_event <= kind.target
-            and self.longest_gap <= kind.event_gap
-        )
-
-    def compute_worth(self) -> float:
-        """Worth earned, less the price of refusals."""
-        kind = self.arrival.kind
-        if self.is_in_time:
-            return kind.worth * self.arrival.size_factor
-        if self.is_whole:
-            return kind.late_worth * self.arrival.size_factor
-        free = FREE_HOLD * kind.target
-        dearest = DEAREST_HOLD * kind.deadline
-        price = min(1.0, max(0.0, self.held - free) / (dearest - free))
-        if self.refusals > 1:
-            price += SECOND_REFUSAL
-        return -price * kind.worth * self.arrival.size_factor
-
-
 class _Job(msgspec.Struct):
     result: Result
     work: EngineWork
--- a/src/scalebend/measuring/placement_table.py
+++ b/src/scalebend/measuring/placement_table.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from scalebend.measuring.placement_run import Decider, Result
+from scalebend.measuring.placement_results import Decider, Result
 from scalebend.utils.quantiles import read_quantile
 
 WINDOW = 2.0
--- a/tests/unit/gateway/test_placement_under_load.py
+++ b/tests/unit/gateway/test_placement_under_load.py
@@ -27,7 +27,8 @@
     keep_turn,
     renew_work,
 )
-from scalebend.measuring.placement_run import Decider, PlacementRun
+from scalebend.measuring.placement_results import Decider
+from scalebend.measuring.placement_run import PlacementRun
 from scalebend.measuring.placement_scenario import PlacementScenario, plan_arrivals
 from scalebend.measuring.placement_table import build_figures
 from scalebend.models.placement import Declined, JobStage, Placement
--- /dev/null
+++ b/tests/unit/test_losses.py
@@ -0,0 +1,99 @@
+"""The ledger of requests that were not served in time, from log lines."""
+
+import json
+
+import pytest
+
+from scalebend.commands import explain_losses
+from scalebend.measuring.losses import (
+    LoggedRequest,
+    Reason,
+    build_ledger,
+    find_reason,
+    read_requests,
+)
+
+BASE = {"target": 0.3, "event_gap": 0.25, "status": 200, "first_event": 0.1}
+
+
+def build_line(event, second, request="r-1", prefix="", **fields):
+    stamp = f"2026-01-01T00:00:{second:06.3f}Z"
+    line = {"event": event, "request": request, "timestamp": stamp, **fields}
+    return prefix + json.dumps(line)
+
+
+def answer(second, request, **changes):
+    fields = {"route": "r", "kind": None, "elapsed": 0.5, **BASE, **changes}
+    return build_line("request answered", second, request, **fields)
+
+
+@pytest.mark.parametrize(
+    ("changes", "reason"),
+    [
+        ({}, None),
+        ({"has_left": True}, Reason.CALLER_LEFT),
+        ({"status": None}, Reason.CALLER_LEFT),
+        ({"status": 503, "kind": "not-ready"}, Reason.NOT_READY),
+        ({"status": 503, "kind": "no-upstream"}, Reason.REFUSED),
+        ({"status": 504, "kind": "time-limit"}, Reason.TIMED_OUT),
+        ({"status": 502, "outcomes": ["broken"]}, Reason.REPLICA_FAILED),
+        ({"status": 400, "kind": "bad-request"}, Reason.UNKNOWN),
+        ({"first_event": 0.5, "outcomes": ["silent"]}, Reason.REPLICA_LOST),
+        ({"first_event": 0.5, "predicted": 0.2, "had_leader": False}, Reason.NO_LEADER),
+        ({"first_event": 0.5, "predicted": 0.2}, Reason.REPLICA_SLOW),
+        ({"first_event": 0.5, "predicted": 0.5, "start_in": 0.3}, Reason.WAITED),
+        ({"first_event": 0.5, "predicted": 0.5}, Reason.LATE),
+        ({"longest_gap": 0.4}, Reason.PAUSE),
+        ({"longest_gap": 0.4, "outcomes": ["broken"]}, Reason.REPLICA_LOST),
+        ({"first_event": None, "elapsed": 0.4}, Reason.REPLICA_SLOW),
+    ],
+)
+def test_reason_of_one_request(changes, reason):
+    assert find_reason(LoggedRequest("r-1", 0.0, **{**BASE, **changes})) is reason
+
+
+def test_counts_of_rows_and_windows_sum_up():
+    lines = [
+        "not a log line",
+        build_line("engines chosen", 1.0, "a", "  1.0 front-1 ", leader="x")[:-5],
+        build_line(
+            "engines chosen",
+            1.0,
+            "a",
+            prefix="   1.0 front-1 ",
+            predicted=0.6,
+            start_in=0.4,
+            leader="x",
+        ),
+        answer(1.9, "a", first_event=0.7),
+        answer(2.0, "b"),
+        answer(2.1, "c", status=404),
+        answer(4.9, "d", status=503, kind="not-ready", elapsed=0.2),
+        build_line("caller left", 5.0, "e"),
+    ]
+    ledger = build_ledger(read_requests(lines), 2.0)
+    assert ledger.requests == 4
+    assert ledger.lost == 3
+    assert sum(row.count for row in ledger.rows) == ledger.lost
+    assert sum(window.lost for window in ledger.windows) == ledger.lost
+    assert sum(window.requests for window in ledger.windows) == ledger.requests
+    assert {row.reason for row in ledger.rows} == {
+        Reason.WAITED.value,
+        Reason.NOT_READY.value,
+        Reason.CALLER_LEFT.value,
+    }
+
+
+def test_command_prints_tables_and_names_a_missing_file(tmp_path, capsys):
+    log = tmp_path / "front-1.log"
+    log.write_text("\n".join([answer(2.0, "b"), answer(3.0, "c", longest_gap=0.9)]))
+    assert explain_losses.run(logs=[log], window=2.0, as_json=False) == 0
+    printed = capsys.readouterr().out
+    assert "2 requests, 1 not served in time" in printed
+    assert Reason.PAUSE.value in printed
+    assert explain_losses.run(logs=[tmp_path / "none"], window=2.0, as_json=True) == 2
+    assert "none" in capsys.readouterr().err
+
+
+def test_empty_log_gives_an_empty_ledger():
+    assert build_ledger([], 2.0).requests == 0
--- /dev/null
+++ b/tests/unit/test_measure_placement.py
@@ -0,0 +1,126 @@
+"""The command that compares ways to place work, and the engines that it plays."""
+
+import json
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from scalebend.commands import measure_placement
+from scalebend.measuring.engine_passes import PassEngine, Reading, Writing
+from scalebend.measuring.placement_results import Decider, Result
+from scalebend.measuring.placement_run import PlacementRun
+from scalebend.measuring.placement_scenario import PlacementScenario, plan_arrivals
+
+FOLDER = Path(__file__).parents[2] / "examples" / "placement"
+SCENARIO = msgspec.json.decode(
+    (FOLDER / "mix-flips.json").read_bytes(), type=PlacementScenario
+)
+
+
+def run(path, deciders=("leader",), *, as_json=True):
+    return measure_placement.run(
+        scenario=path, seed=1, seeds=2, deciders=list(deciders), as_json=as_json
+    )
+
+
+@pytest.mark.parametrize("path", sorted(FOLDER.glob("*.json")), ids=lambda p: p.stem)
+def test_every_example_is_a_scenario(path):
+    scenario = msgspec.json.decode(path.read_bytes(), type=PlacementScenario)
+    assert scenario.name == path.stem
+    assert plan_arrivals(scenario, 1) == plan_arrivals(scenario, 1)
+
+
+def test_figures_as_data_and_as_a_table(capsys):
+    assert run(FOLDER / "mix-flips.json") == 0
+    (figures,) = json.loads(capsys.readouterr().out)
+    assert figures["decider"] == "leader"
+    assert 0.8 < figures["worth"] <= 1.0
+    assert run(FOLDER / "mix-flips.json", as_json=False) == 0
+    assert "first event p50" in capsys.readouterr().out
+
+
+def test_faults_are_named(tmp_path, capsys):
+    path = tmp_path / "bad.json"
+    path.write_text('{"name": "x", "length": "long"}')
+    assert run(path) == 2
+    printed = capsys.readouterr().err
+    assert "bad.json" in printed
+    assert "$.length" in printed
+    assert run(tmp_path / "missing.json") == 2
+    assert run(FOLDER / "mix-flips.json", ["oracle"]) == 2
+
+
+def test_pass_reads_what_waits_and_plays_its_steps():
+    engine = PassEngine(SCENARIO.engines)
+    assert engine.begin_pass() is None
+    engine.add(Reading(1, 0.1, 15_000, is_joint=False), is_first=True)
+    assert engine.begin_pass() == pytest.approx(0.1)
+    assert engine.end_pass().read == [1]
+    engine.write(Writing(1, 15_000, 2))
+    engine.add(Reading(2, 0.2, 30_000, is_joint=True), is_first=False)
+    # 34 steps of 1.31 ms and a little for the context, and the part of the other.
+    assert engine.begin_pass() == pytest.approx(0.2 + 34 * 1.343e-3, rel=0.01)
+    ended = engine.end_pass()
+    assert (ended.read, ended.written) == ([2], [1])
+
+
+def test_newest_part_is_read_first_and_a_long_one_over_several_passes():
+    engine = PassEngine(SCENARIO.engines)
+    for job in (1, 2):
+        reading = Reading(job, 0.4, 60_000, is_joint=True)
+        engine.add(reading, is_first=False)
+    engine.begin_pass()
+    assert engine.end_pass().read == [2]
+    engine.begin_pass()
+    assert engine.end_pass().read == [1]
+
+
+def test_request_beyond_the_slots_waits_for_a_place():
+    engine = PassEngine(SCENARIO.engines)
+    for job in range(SCENARIO.engines.slots + 1):
+        engine.add(Reading(job, 0.01, 1_000, is_joint=False), is_first=True)
+    engine.begin_pass()
+    assert len(engine.end_pass().read) == SCENARIO.engines.slots
+    engine.drop(0)
+    engine.begin_pass()
+    assert engine.end_pass().read == [SCENARIO.engines.slots]
+
+
+def test_crash_loses_what_is_open():
+    engine = PassEngine(SCENARIO.engines)
+    engine.add(Reading(1, 0.1, 1_000, is_joint=False), is_first=True)
+    engine.begin_pass()
+    engine.add(Reading(2, 0.1, 1_000, is_joint=False), is_first=True)
+    engine.write(Writing(3, 1_000, 5))
+    assert engine.crash() == {1, 2, 3}
+    assert engine.is_idle
+    assert engine.open_jobs == 0
+
+
+def test_worth_counts_from_the_first_attempt_and_refusals_cost():
+    (arrival,) = [a for a in plan_arrivals(SCENARIO, 1) if a.kind.name == "long"][:1]
+    full = arrival.kind.worth * arrival.size_factor
+    kind = arrival.kind
+
+    def worth(**fields):
+        return Result(arrival, **fields).compute_worth() / full
+
+    in_time = {"first_event": kind.target, "is_whole": True}
+    assert worth(**in_time) == 1.0
+    late = {"first_event": kind.target + 0.1, "is_whole": True}
+    assert worth(**late) == pytest.approx(kind.late_worth / kind.worth)
+    assert worth(**in_time, longest_gap=kind.event_gap + 0.1) < 1.0
+    assert worth(refusals=1) == 0.0
+    assert worth(refusals=2) == pytest.approx(-0.3)
+    assert worth(held=kind.target / 8) == 0.0
+    assert worth(held=1.0) > worth(held=5.0) > worth(held=kind.deadline)
+    assert worth(held=kind.deadline) == pytest.approx(-1.0)
+
+
+def test_nobody_is_placed_better_than_alone_on_an_idle_fleet():
+    for decider in (Decider.LEADER, Decider.FEWEST_OPEN):
+        bound = PlacementRun(SCENARIO, Decider.IDLE_FLEET, 2).run()
+        played = PlacementRun(SCENARIO, decider, 2).run()
+        owed = sum(max(0.0, one.compute_worth()) for one in bound)
+        assert sum(one.compute_worth() for one in played) <= owed
