--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -13,6 +13,12 @@
 from scalebend.core.consensus.messages import ConsensusMessage, Ready
 from scalebend.core.control_member import ControlMember, ToInstance
 from scalebend.core.control_state import PutRouting, RoutingHeld, encode_command
+from scalebend.core.gateway.control_actions import (
+    ControlAction,
+    ProposalEnded,
+    ReadConfirmed,
+    ToFront,
+)
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
@@ -92,32 +98,6 @@
 control, not to the fronts."""
 
 
-class ToFront(msgspec.Struct, frozen=True):
-    """Action: send a message to a front, or to a relay."""
-
-    front: InstanceId
-    message: LinkMessage
-
-
-class ProposalEnded(msgspec.Struct, frozen=True):
-    """Action: a routing document was decided on; ``held`` is the version in force.
-
-    ``None`` when this member stopped leading before it was known.
-    """
-
-    proposal: str
-    held: RoutingVersion | None
-
-
-class ReadConfirmed(msgspec.Struct, frozen=True):
-    """Action: the routing document held is the newest; answer these readers."""
-
-    readers: list[int]
-
-
-ControlAction = ToInstance | ToFront | ProposalEnded | ReadConfirmed
-
-
 class _Front(msgspec.Struct):
     held: RoutingVersion = RoutingVersion(0)
     sent: RoutingVersion = RoutingVersion(0)
--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -46,7 +46,7 @@
 """Seconds of reading up to which one replica is tried before several: one part then
 stays below the event gap of whoever writes long answers."""
 
-HOPEFUL = 1.5
+PREDICTION_SLACK = 1.5
 """Times the target up to which a predicted first token may still turn out in time:
 predictions count each part that is not read yet as a quarter longer, and prompts that
 wait ask again. With 1.0, 20 of 435 long prompts were declined, with 1.5 only 11."""
@@ -188,7 +188,7 @@
     placement = _place_first_possible(plan, _list_groups(plan, candidates, views))
     if placement is None:
         return Declined(MEMORY_PAUSE)
-    if placement.first_token_in <= plan.work.target * HOPEFUL:
+    if placement.first_token_in <= plan.work.target * PREDICTION_SLACK:
         return placement
     return _place_late(plan, candidates, placement)
 
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -15,13 +15,13 @@
 
 from scalebend.core.consensus.messages import Ready, Recovered
 from scalebend.core.control_member import ControlMember, ToInstance
-from scalebend.core.gateway.control_instance import (
+from scalebend.core.gateway.control_actions import (
     ControlAction,
-    ControlInstance,
     ProposalEnded,
     ReadConfirmed,
     ToFront,
 )
+from scalebend.core.gateway.control_instance import ControlInstance
 from scalebend.core.gateway.messages import (
     Heartbeat,
     Introduce,
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -5,13 +5,12 @@
 import asyncio
 import contextlib
 import importlib
-from collections.abc import AsyncIterator
 from pathlib import Path
 
 import structlog
 
 from scalebend.edges.gateway.control_runtime import ControlRuntime
-from scalebend.edges.gateway.links import listen_for_links
+from scalebend.edges.gateway.links import run_links
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.models.gateway_settings import GatewaySettings
@@ -52,7 +51,9 @@
     with open_journal(folder) as (journal, recovered):
         runtime = ControlRuntime(settings, folder, journal, recovered, metrics)
         async with contextlib.AsyncExitStack() as stack:
-            await stack.enter_async_context(_run_links(settings, runtime))
+            address = settings.link_listen or settings.link_address
+            links = run_links(address, runtime.server, runtime.dialer, runtime.run())
+            await stack.enter_async_context(links)
             note_seeds = runtime.instance.member.note_instances
             await stack.enter_async_context(watch.tell(note_seeds))
             # In a thread: votes are cast while the libraries for HTTP are loaded.
@@ -83,18 +84,3 @@
         runtime.instance.member.stop_leading(runtime.now())
         runtime.schedule_pump()
         await asyncio.sleep(HAND_OVER)
-
-
-@contextlib.asynccontextmanager
-async def _run_links(
-    settings: GatewaySettings, runtime: ControlRuntime
-) -> AsyncIterator[None]:
-    address = settings.link_listen or settings.link_address
-    async with listen_for_links(address, runtime.server):
-        task = asyncio.create_task(runtime.run())
-        try:
-            yield
-        finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            await runtime.dialer.close()
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -14,8 +14,8 @@
 import contextlib
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable
-from typing import cast
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any, cast
 
 import msgspec
 import structlog
@@ -358,3 +358,18 @@
     finally:
         listener.close()
         server.close()
+
+
+@contextlib.asynccontextmanager
+async def run_links(
+    address: str, server: LinkServer, dialer: Dialer, timers: Coroutine[Any, Any, None]
+) -> AsyncIterator[None]:
+    """Accept links at ``address`` and run a process' timers until the block ends."""
+    async with listen_for_links(address, server):
+        task = asyncio.create_task(timers)
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await dialer.close()
--- a/src/scalebend/edges/gateway/relay_server.py
+++ b/src/scalebend/edges/gateway/relay_server.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import AsyncIterator
 
 import structlog
 from aiohttp import web
@@ -23,7 +22,7 @@
     HEARTBEAT,
     Dialer,
     LinkServer,
-    listen_for_links,
+    run_links,
 )
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.redirects import redirect_to
@@ -103,24 +102,11 @@
     assert settings.control_address is not None
     runtime = RelayRuntime(settings, GatewayMetrics())
     async with contextlib.AsyncExitStack() as stack:
-        await stack.enter_async_context(_run_links(settings, runtime))
+        address = settings.link_listen or settings.link_address
+        links = run_links(address, runtime.server, runtime.dialer, runtime.run())
+        await stack.enter_async_context(links)
         await stack.enter_async_context(watch.tell(runtime.instance.note_seeds))
         sock = Listeners().take(settings.control_address)
         await stack.enter_async_context(listen(sock, runtime.handle))
         logger.info("relay listens", instance=settings.name)
         await stopped.wait()
-
-
-@contextlib.asynccontextmanager
-async def _run_links(
-    settings: GatewaySettings, runtime: RelayRuntime
-) -> AsyncIterator[None]:
-    address = settings.link_listen or settings.link_address
-    async with listen_for_links(address, runtime.server):
-        task = asyncio.create_task(runtime.run())
-        try:
-            yield
-        finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-            await runtime.dialer.close()
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -4,13 +4,12 @@
 
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
-from scalebend.core.gateway.control_instance import (
-    LEARNING_TIME,
-    ControlInstance,
+from scalebend.core.gateway.control_actions import (
     ProposalEnded,
     ReadConfirmed,
     ToFront,
 )
+from scalebend.core.gateway.control_instance import LEARNING_TIME, ControlInstance
 from scalebend.core.gateway.messages import (
     ControlNews,
     EndpointChanges,
