Let fronts share which replicas fail, and eject those from all of them

Each of 195 fronts calls one of the five once a minute and learnt alone.

Change: fronts tell the leader five times a second what became of attempts; it keeps fading counts for each replica, ejects one with three failures of late that are half of what it answered, for 2 s, doubling to 8 s, a third of a service at most, and pushes the list when it changes. Balancers and the engine scheduler avoid those while others can serve.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -24,6 +24,7 @@
 from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
 from scalebend.core.gateway.messages import (
     ControlNews,
+    EjectedUpstreams,
     EndpointChanges,
     JobStages,
     KnownInstances,
@@ -31,6 +32,7 @@
     LeaseQuestion,
     LinkMessage,
     OpenJobs,
+    OutcomesSeen,
     PlaceAnswer,
     PlaceQuestion,
     Registrations,
@@ -38,6 +40,7 @@
     ReplicaPaces,
     Subscribe,
 )
+from scalebend.core.gateway.outlier_detector import OutlierDetector
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingNews, build_news, unpack_routing
 from scalebend.core.messages import (
@@ -49,7 +52,7 @@
     Propose,
     RelayReply,
 )
-from scalebend.models.endpoints import Endpoint, EndpointNews
+from scalebend.models.endpoints import Endpoint, EndpointNews, UpstreamOutcomes
 from scalebend.models.ids import InstanceId, RoutingVersion, UpstreamId
 from scalebend.models.placement import (
     Declined,
@@ -113,6 +116,10 @@
         self.member = member
         self.directory = EndpointDirectory(HEARTBEATS_MISSED * heartbeat_interval)
         self.scheduler = EngineScheduler()
+        self._outliers = OutlierDetector()
+        self._ejected: list[UpstreamId] = []
+        """Upstreams as the fronts were told."""
+
         self.routing = EMPTY_ROUTING
         self.table = RouteTable(EMPTY_ROUTING)
         self._history: dict[RoutingVersion, Routing] = {
@@ -192,10 +199,12 @@
             news = self._build_news(now)
             actions += [ToFront(one, news) for one in (*self._fronts, *self._relays)]
             self.scheduler.expire(now)
+            self._outliers.expire(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
             self._log_summary(now)
             self.scheduler.retain(self.directory.list_ids())
+        actions += self._publish_ejected(now)
         actions += self._answer_questions(now)
         if now >= self._expire_at and self.member.leader is not None:
             # A member out of touch with the group may be the one that is cut off.
@@ -209,6 +218,8 @@
         self._was_leader = self.is_leader
         # What is open is learned anew from the fronts.
         self.scheduler = EngineScheduler()
+        self._outliers = OutlierDetector()
+        self._ejected = []
         self._unheard = set(self._fronts)
         self._learns_until = now + LEARNING_TIME
         logger.info("leadership changed", leads=self.is_leader)
@@ -234,10 +245,13 @@
         """A front dialled: tell it everything."""
         self._fronts[front] = _Front()
         logger.info("front attached", front=front, fronts=len(self._fronts))
-        return [
+        actions: list[ControlAction] = [
             ToFront(front, self._build_news(now)),
             ToFront(front, EndpointChanges(self.directory.list_news())),
         ]
+        if self._ejected:
+            actions.append(ToFront(front, EjectedUpstreams(self._ejected)))
+        return actions
 
     def add_relay(self, relay: InstanceId, now: float) -> list[ControlAction]:
         """A relay dialled: it wants to know who leads, and nothing else."""
@@ -282,6 +296,8 @@
             case ReplicaPaces(paces):
                 for pace in paces:
                     self.scheduler.note_pace(pace, now)
+            case OutcomesSeen(outcomes):
+                return self._take_outcomes(outcomes, now)
             case OpenJobs(jobs):
                 self._unheard.discard(front)
                 self._adopt(jobs, now)
@@ -413,6 +429,30 @@
         for upstream in silent:
             self.scheduler.note_failure(upstream, now)
 
+    def _take_outcomes(
+        self, outcomes: list[UpstreamOutcomes], now: float
+    ) -> list[ControlAction]:
+        """As leader, learn what became of a front's attempts."""
+        if not self.is_leader:
+            return []
+        for one in outcomes:
+            endpoint = self.directory.get(one.upstream)
+            if endpoint is not None:
+                usable = len(self.directory.list_usable(endpoint.service))
+                self._outliers.note(one, endpoint.service, usable, now)
+        return self._publish_ejected(now)
+
+    def _publish_ejected(self, now: float) -> list[ControlAction]:
+        ejections = self._outliers.list_ejections(now)
+        ejected = [one.upstream for one in ejections]
+        if ejected == self._ejected:
+            return []
+        for one in ejections:
+            self.scheduler.avoid(one.upstream, one.until)
+        logger.info("upstreams ejected", upstreams=ejected, before=self._ejected)
+        self._ejected = ejected
+        return [ToFront(front, EjectedUpstreams(ejected)) for front in self._fronts]
+
     # Routing documents
 
     def propose_routing(self, stored: StoredRouting, now: float, at: float) -> str:
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -113,6 +113,10 @@
         """A front could not reach a replica, or it fell silent."""
         self._change(upstream).note_failure(now)
 
+    def avoid(self, upstream: UpstreamId, until: float) -> None:
+        """A replica fails what it is sent: use others till then, if there are any."""
+        self._change(upstream).avoid(until)
+
     def note_pace(self, pace: ReplicaPace, now: float) -> None:
         """A replica told how slow it is."""
         self._change(pace.upstream).note_pace(pace.pace, now)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -13,6 +13,7 @@
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
     ControlNews,
+    EjectedUpstreams,
     EndpointChanges,
     JobStages,
     KnownInstances,
@@ -20,6 +21,7 @@
     LeaseQuestion,
     LinkMessage,
     OpenJobs,
+    OutcomesSeen,
     ReplicaFailures,
     ReplicaPaces,
     Subscribe,
@@ -29,6 +31,7 @@
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
 from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.models.endpoints import UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, Term, UpstreamId
 from scalebend.models.placement import (
@@ -48,6 +51,10 @@
 """Seconds between two questions for the lease, far below the bound on revocation so
 that several may be lost."""
 
+OUTCOMES_PERIOD = 0.2
+"""Seconds between two reports of what became of attempts, if there were any: five
+messages a second of a busy front, whatever its load."""
+
 TIDY_PERIOD = 0.5
 """Seconds between two searches for jobs and replicas that are to be forgotten."""
 
@@ -89,6 +96,8 @@
         self._linked: set[InstanceId] = set()
         self._jobs: dict[JobId, OpenJob] = {}
         self._placed_at: dict[JobId, float] = {}
+        self._outcomes: dict[UpstreamId, UpstreamOutcomes] = {}
+        self._outcomes_at = now
         self._lease_at = now
         self._heard_at = now
         self._tidy_at = now
@@ -166,6 +175,8 @@
                     # The document on its way may have been lost with a link.
                     logger.info("routing is behind", held=held, newest=newest)
                     return [ToControl(sender, Subscribe(held))]
+            case EjectedUpstreams(upstreams) if sender == self.leader:
+                self._take_ejected(upstreams, now)
             case EndpointChanges(news):
                 for one in news:
                     self.directory.merge(one, now)
@@ -177,6 +188,10 @@
         if self.leader is not None and now >= self._lease_at:
             self._lease_at = now + LEASE_PERIOD
             actions.append(ToControl(self.leader, self._ask_lease(now)))
+        if self._outcomes and now >= self._outcomes_at:
+            self._outcomes_at = now + OUTCOMES_PERIOD
+            actions += self._tell_leader(OutcomesSeen(list(self._outcomes.values())))
+            self._outcomes.clear()
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
             self.was_ready = True
@@ -215,6 +230,8 @@
             return []
         logger.info("leader found", leader=news.leader, term=news.term, source=sender)
         self.leader = news.leader
+        # The next one finds out anew, and says so.
+        self.balancer.note_ejected(())
         self._heard_at = now
         self._lease_at = now + LEASE_PERIOD
         return [
@@ -317,6 +334,20 @@
             self._jobs[stage.job] = msgspec.structs.replace(opened, is_writing=True)
         return self._tell_leader(JobStages([stage]))
 
+    def note_outcome(self, upstream: UpstreamId, *, has_failed: bool) -> None:
+        """An attempt at an upstream ended with an answer, or with its failure."""
+        seen = self._outcomes.get(upstream) or UpstreamOutcomes(upstream, 0, 0)
+        self._outcomes[upstream] = UpstreamOutcomes(
+            upstream, seen.answered + (not has_failed), seen.failed + has_failed
+        )
+
+    def _take_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
+        logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
+        self.balancer.note_ejected(upstreams)
+        for upstream in upstreams:
+            # For the time in which this front may have to place alone.
+            self.scheduler.note_failure(upstream, now)
+
     def note_failure(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """A replica could not be reached, or fell silent."""
         self.scheduler.note_failure(upstream, now)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -7,7 +7,7 @@
 from scalebend.core.consensus.messages import ConsensusMessage
 from scalebend.core.gateway.routing_store import RoutingNews
 from scalebend.core.messages import Found, Hello, HelloReply, Join, RelayReply
-from scalebend.models.endpoints import EndpointNews
+from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewayRole
 from scalebend.models.ids import InstanceId, RoutingVersion, Term, UpstreamId
 from scalebend.models.placement import (
@@ -117,6 +117,18 @@
     paces: list[ReplicaPace]
 
 
+class OutcomesSeen(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: what became of attempts since the last such message."""
+
+    outcomes: list[UpstreamOutcomes]
+
+
+class EjectedUpstreams(msgspec.Struct, frozen=True, tag=True):
+    """Leader to fronts when it changes: all upstreams that fail what they are sent."""
+
+    upstreams: list[UpstreamId]
+
+
 class OpenJobs(msgspec.Struct, frozen=True, tag=True):
     """Front to a new leader: the jobs it has open."""
 
@@ -140,6 +152,8 @@
     | JobStages
     | ReplicaFailures
     | ReplicaPaces
+    | OutcomesSeen
+    | EjectedUpstreams
     | OpenJobs
     | Hello
     | HelloReply
--- a/src/scalebend/core/gateway/replica_load.py
+++ b/src/scalebend/core/gateway/replica_load.py
@@ -100,7 +100,11 @@
 
     def note_failure(self, now: float) -> None:
         """It could not be reached, or fell silent."""
-        self.suspect_until = now + SUSPECT_TIME
+        self.avoid(now + SUSPECT_TIME)
+
+    def avoid(self, until: float) -> None:
+        """It is to be used only if no other is left."""
+        self.suspect_until = max(self.suspect_until, until)
 
     def note_pace(self, pace: float, now: float) -> None:
         """It told how slow it is."""
--- a/src/scalebend/core/gateway/service_balancer.py
+++ b/src/scalebend/core/gateway/service_balancer.py
@@ -44,6 +44,8 @@
 
     def __init__(self) -> None:
         self._records: dict[UpstreamId, _Record] = {}
+        self._ejected: frozenset[UpstreamId] = frozenset()
+        """Those that other fronts saw fail, too."""
 
     def choose(
         self,
@@ -55,7 +57,12 @@
     ) -> Endpoint | None:
         """The least loaded upstream, by chance among equals."""
         usable = [e for e in endpoints if e.upstream not in excluded]
-        sound = [e for e in usable if self._get(e.upstream).suspect_until <= now]
+        sound = [
+            e
+            for e in usable
+            if self._get(e.upstream).suspect_until <= now
+            and e.upstream not in self._ejected
+        ]
         candidates = sound or usable
         if not candidates:
             return None
@@ -63,6 +70,10 @@
             candidates, key=lambda e: (self._weigh(e, zone, now), chooser.random())
         )
 
+    def note_ejected(self, upstreams: Iterable[UpstreamId]) -> None:
+        """All upstreams that are to get nothing while others can."""
+        self._ejected = frozenset(upstreams)
+
     def note_sent(self, upstream: UpstreamId) -> None:
         """A request is sent there."""
         self._get(upstream).open += 1
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -93,6 +93,7 @@
                 ended = await self._attempt(target)
             runtime.metrics.count_attempt(ended.outcome.value)
             if ended.outcome is Outcome.ANSWERED:
+                runtime.instance.note_outcome(target.upstream, has_failed=False)
                 assert ended.answer is not None
                 return ended.answer
             judged = self._judge(target, ended)
@@ -107,6 +108,8 @@
         if ended.outcome is Outcome.NOT_SENT:
             runtime.note_replica_failure(target.upstream)
         faulty = target.find_faulty(ended.faulty_address)
+        if ended.outcome in (Outcome.FAILED, Outcome.BROKEN):
+            runtime.instance.note_outcome(faulty, has_failed=True)
         decision: TryAgain | GiveUp = self._attempts.decide(
             ended.outcome, faulty, runtime.instance.retries, runtime.now()
         )
--- a/src/scalebend/models/endpoints.py
+++ b/src/scalebend/models/endpoints.py
@@ -25,3 +25,11 @@
 
     endpoint: Endpoint
     is_gone: bool
+
+
+class UpstreamOutcomes(msgspec.Struct, frozen=True, array_like=True):
+    """How many attempts at an upstream ended with an answer and with its failure."""
+
+    upstream: UpstreamId
+    answered: int
+    failed: int
--- /dev/null
+++ b/tests/lib/gateway_group.py
@@ -0,0 +1,93 @@
+"""A leader and many fronts in one process: messages arrive at once, no network."""
+
+from scalebend.core.consensus.messages import DiskId, HardState, Recovered
+from scalebend.core.control_member import ControlMember
+from scalebend.core.gateway.control_actions import ToFront
+from scalebend.core.gateway.control_instance import ControlInstance
+from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.routing_store import pack_routing
+from scalebend.models.ids import InstanceId, Term
+from tests.lib.gateway_builders import (
+    PROFILE,
+    SERVICE,
+    build_endpoint,
+    build_routing,
+    build_service,
+    build_settings,
+)
+
+LEADER = InstanceId("10.1.0.1:7000")
+TICK = 0.05
+
+
+class Deployment:
+    """One control instance that leads, its fronts, and replicas of one service."""
+
+    def __init__(self, fronts, replicas, engine=None):
+        recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
+        member = ControlMember(LEADER, [], recovered, now=0.0)
+        self.leader = ControlInstance(member, 1.2, now=0.0)
+        self.now = 0.0
+        self.endpoints = [build_endpoint(number) for number in range(1, replicas + 1)]
+        self.fronts = []
+        self.names = []
+        self.run(1.0)
+        routing = build_routing(services=[build_service(engine=engine)])
+        self.leader.propose_routing(pack_routing(routing, b"{}"), self.now, 0.0)
+        self._pump()
+        for endpoint in self.endpoints:
+            self.leader.register(endpoint, self.now)
+        for number in range(fronts):
+            self.add_front(number)
+        self.run(0.5)
+
+    def add_front(self, number):
+        settings = build_settings(link_address=f"10.2.0.{number}:7000", seeds=[LEADER])
+        front = FrontInstance(settings, now=self.now)
+        front.add_link(LEADER)
+        self.fronts.append(front)
+        self.names.append(settings.instance)
+        self._deliver(self.leader.add_front(settings.instance, self.now))
+
+    def run(self, seconds):
+        """Let time pass; return all that the leader did."""
+        actions = []
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + TICK)
+            done = self.leader.advance(self.now) + self._pump()
+            self._deliver(done)
+            actions += done
+            for name, front in zip(self.names, self.fronts, strict=True):
+                self._send(name, front.advance(self.now))
+        return actions
+
+    def choose_service(self, front, chance):
+        """The replica that a front would send a plain call to."""
+        usable = front.directory.list_usable(SERVICE)
+        zone = front.settings.availability_zone
+        return front.balancer.choose(usable, set(), zone, chance, self.now).upstream
+
+    def _send(self, name, actions):
+        for action in actions:
+            self._deliver(self.leader.handle_front(name, action.message, self.now))
+
+    def _deliver(self, actions):
+        for action in actions:
+            if isinstance(action, ToFront) and action.front in self.names:
+                front = self.fronts[self.names.index(action.front)]
+                answers = front.handle(LEADER, action.message, self.now)
+                self._send(action.front, answers)
+
+    def _pump(self):
+        actions = []
+        while True:
+            ready = self.leader.member.take_ready(self.now)
+            if ready.is_empty and not self.leader.member.has_outgoing:
+                return actions
+            actions += self.leader.finish(ready, self.now)
+
+
+def build_deployment(fronts, replicas, *, has_engines=False):
+    """A leader that leads, with its fronts linked and all replicas registered."""
+    return Deployment(fronts, replicas, PROFILE if has_engines else None)
