Tell a leader that answered too late where the job runs

Cause: a front that waits 60 ms in vain places by itself and tells the leader of the job; but the leader, late and not gone, has placed it meanwhile, and ignored what it was told of a job that it knew. From then on it counted the job on a replica that did not have it, and sent others to the one that did.

Change: the front ends the leader's plan for the job first, as it did already where a placement was repaired; one function does both now.

Measured: the test counts the job on the leader's replica before, on the front's after.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -277,8 +277,7 @@
         self._placed_at[work.job] = now
         service = self.table.services.get(work.service)
         if is_own:
-            # A leader that did not answer in time may place for others meanwhile.
-            return self._tell_leader(OpenJobs([opened]))
+            return self._tell_placed_here(opened)
         if service is not None and service.engine is not None:
             self.scheduler.adopt(opened, service.engine, now)
         return []
@@ -319,9 +318,18 @@
         service = self.table.services.get(opened.work.service)
         if service is not None and service.engine is not None:
             self.scheduler.adopt(aged, service.engine, now)
-        # A scheduler ignores what it is told of a job that it knows already.
+        return self._tell_placed_here(aged)
+
+    def _tell_placed_here(self, opened: OpenJob) -> list[ToControl]:
+        """Tell the leader where a job runs, whatever it planned for it itself.
+
+        A leader that did not answer in time has placed it, too. It would go on counting
+        the job there, and send others to the replica on which it runs.
+        """
+        ended = JobStage(opened.work.job, is_ended=True)
+        # It ignores what it is told of a job that it knows already.
         first = self._tell_leader(JobStages([ended]))
-        return first + self._tell_leader(OpenJobs([aged]))
+        return first + self._tell_leader(OpenJobs([opened]))
 
     def note_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """A job's first token was seen, or it ended."""
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -34,6 +34,7 @@
     build_routing,
     build_service,
 )
+from tests.lib.gateway_group import build_deployment
 
 ME = InstanceId("10.1.0.1:7000")
 FRONT = InstanceId("10.1.0.9:7000")
@@ -263,3 +264,18 @@
     single.now += 0.02
     answered = single.instance.advance(single.now)
     assert len(list_to_fronts(answered, LeaseAnswer)) == 1
+
+
+def test_leader_that_answered_too_late_counts_the_job_where_it_runs():
+    deployment = build_deployment(fronts=1, replicas=5, has_engines=True)
+    front, (name,) = deployment.fronts[0], deployment.names
+    work = build_quick(1)
+    (late,) = deployment.leader.handle_front(name, PlaceQuestion(work), deployment.now)
+    others = [
+        e for e in deployment.endpoints if e.upstream != late.message.placement.upstream
+    ]
+    own = front.scheduler.place(work, others, PROFILE, deployment.now)
+    for told in front.open_job(work, own, deployment.now, is_own=True):
+        deployment.leader.handle_front(name, told.message, deployment.now)
+    busy = deployment.leader.scheduler.list_busy(deployment.now, 5)
+    assert [one.upstream for one in busy] == [own.upstream]
