Bring a front's links up before it loads what serves HTTP

Loading the HTTP library is three quarters of a start's processor time, and links, document, upstreams and lease need none of it.

Change: as control instances do already, a front starts its links and timers and loads HTTP in a thread beside them; front_server.py keeps the start and the stop, front_calls.py what answers callers. Sessions to upstreams are handed to the runtime once they exist.

Ruled out: leaving out parts of the HTTP library (about 50 of 340 ms by processor time, and its runner needs them); skipping the interpreter's site hooks (35 ms here, but of this machine's hooks, not of the users').

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -1,21 +1,21 @@
-"""A front's listeners: callers, readiness and metrics."""
+"""A front's HTTP: it admits requests of callers, and tells readiness and metrics."""
 
 from __future__ import annotations
 
 import asyncio
 import contextlib
+from collections.abc import AsyncIterator
 
 import structlog
 from aiohttp import web
 
 from scalebend.core.gateway.key_lease import LEASE_MARGIN
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
-from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
+from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.http_listener import answer_metrics, listen
-from scalebend.edges.gateway.metrics import GatewayMetrics
-from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import RETRY_LATER
+from scalebend.edges.gateway.upstream_client import open_upstream_sessions
 from scalebend.edges.problems import build_problem_body
 from scalebend.exceptions import (
     ErrorKind,
@@ -40,24 +40,13 @@
 """Seconds after the stop signal for which requests are still admitted: the balancer
 asks every second and needs two failed answers. What comes later may not end in time."""
 
-STOP_TAKING = 4.5
-"""Seconds after the stop signal for which connections are still taken, so that who
-comes late is told to go elsewhere."""
-
 STOPPING_PAUSE = 0.05
 """Seconds after which a caller may come back: another front will take it."""
 
-STOP_MARGIN = 1.0
-"""Seconds before the kill at which open requests are left, so that closing them ends
-before it."""
-
 STARTING_PAUSE = 1.0
 """Seconds after which a caller may come back to a process that was never ready yet:
 where all were restarted, a leader is elected and leases are given by then."""
 
-POLL = 0.05
-"""Seconds between two looks at what is still open while stopping."""
-
 
 class CallerHandler:
     """Admits requests of callers and answers them."""
@@ -232,45 +221,30 @@
     return answer
 
 
-async def serve_front(
-    settings: GatewaySettings,
-    listeners: Listeners,
-    stopped: asyncio.Event,
-    watch: SettingsWatch,
-) -> None:
-    """Run a front until ``stopped`` is set, then finish what is open."""
+@contextlib.asynccontextmanager
+async def serve_calls(
+    settings: GatewaySettings, listeners: Listeners, runtime: FrontRuntime
+) -> AsyncIterator[web.SockSite]:
+    """Answer callers, and whoever asks for readiness and metrics.
+
+    What is returned is the listener for callers, to be stopped first.
+    """
     assert settings.callers_address is not None
     assert settings.readiness_address is not None
-    metrics = GatewayMetrics()
-    async with contextlib.AsyncExitStack() as stack:
-        runtime = await stack.enter_async_context(run_front(settings, metrics))
-        await stack.enter_async_context(watch.tell(runtime.instance.note_seeds))
-
-        async def answer_ready(request: web.BaseRequest) -> web.StreamResponse:
-            if request.path == "/metrics":
-                return await answer_metrics(metrics, request)
-            is_ready = runtime.instance.is_ready(runtime.now())
-            return web.Response(status=200 if is_ready else 503)
-
-        handler = CallerHandler(runtime)
-        site = await stack.enter_async_context(
-            listen(listeners.take(settings.callers_address), handler.handle)
-        )
-        readiness = listeners.take(settings.readiness_address)
-        await stack.enter_async_context(listen(readiness, answer_ready))
-        logger.info("front listens", instance=settings.name)
-        await stopped.wait()
-        await _drain(runtime, site)
-
 
-async def _drain(runtime: FrontRuntime, site: web.SockSite) -> None:
-    started = runtime.now()
-    runtime.drain_began = started
-    runtime.instance.is_draining = True
-    logger.info("drain begins", open=runtime.open_requests)
-    end = started + runtime.settings.bounds.drain_grace - STOP_MARGIN
-    await asyncio.sleep(min(STOP_TAKING, end - started))
-    await site.stop()
-    while runtime.open_requests and runtime.now() < end:
-        await asyncio.sleep(POLL)
-    logger.info("drain ends", open=runtime.open_requests)
+    async def answer_ready(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/metrics":
+            return await answer_metrics(runtime.metrics, request)
+        is_ready = runtime.instance.is_ready(runtime.now())
+        return web.Response(status=200 if is_ready else 503)
+
+    handler = CallerHandler(runtime)
+    callers = listeners.take(settings.callers_address)
+    readiness = listeners.take(settings.readiness_address)
+    async with (
+        open_upstream_sessions() as sessions,
+        runtime.use_sessions(sessions),
+        listen(callers, handler.handle) as site,
+        listen(readiness, answer_ready),
+    ):
+        yield site
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -7,7 +7,7 @@
 import random
 import time
 from collections.abc import AsyncIterator, Coroutine, Iterable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 
@@ -26,13 +26,8 @@
     keep_turn,
     renew_work,
 )
-from scalebend.edges.gateway.inspection import Inspector
 from scalebend.edges.gateway.links import HEARTBEAT, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
-from scalebend.edges.gateway.upstream_client import (
-    UpstreamSessions,
-    open_upstream_sessions,
-)
 from scalebend.models.calls import LoadReading
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, UpstreamId
@@ -46,6 +41,10 @@
     build_job_id,
 )
 
+if TYPE_CHECKING:
+    from scalebend.edges.gateway.inspection import Inspector
+    from scalebend.edges.gateway.upstream_client import UpstreamSessions
+
 logger = structlog.get_logger(__name__)
 
 TICK = 0.05
@@ -67,14 +66,8 @@
 class FrontRuntime:
     """One running front."""
 
-    def __init__(
-        self,
-        settings: GatewaySettings,
-        sessions: UpstreamSessions,
-        metrics: GatewayMetrics,
-    ) -> None:
+    def __init__(self, settings: GatewaySettings, metrics: GatewayMetrics) -> None:
         self.settings = settings
-        self.sessions = sessions
         self.metrics = metrics
         self.chooser = random.Random()
         self._loop = asyncio.get_running_loop()
@@ -85,7 +78,8 @@
             me, self._receive, self._note_up, self._note_down, metrics
         )
         self._placing: dict[JobId, asyncio.Future[PlaceAnswer]] = {}
-        self._inspector = Inspector(sessions.pooled)
+        self._sessions: UpstreamSessions | None = None
+        self._inspector: Inspector | None = None
         self._jobs = 0
         self._leader_paused_until = 0.0
         self._heartbeat_at = 0.0
@@ -98,6 +92,25 @@
         """Seconds of the clock that only runs forward."""
         return self._loop.time()
 
+    @property
+    def sessions(self) -> UpstreamSessions:
+        """Connections to upstreams; there are some while callers are served."""
+        assert self._sessions is not None
+        return self._sessions
+
+    @contextlib.asynccontextmanager
+    async def use_sessions(self, sessions: UpstreamSessions) -> AsyncIterator[None]:
+        """Send requests to upstreams over ``sessions`` until the block ends."""
+        # Imported with the rest of HTTP, which is loaded after links are up.
+        from scalebend.edges.gateway.inspection import Inspector
+
+        self._sessions = sessions
+        self._inspector = Inspector(sessions.pooled)
+        try:
+            yield
+        finally:
+            await self._finish_tasks()
+
     # Timers and links
 
     async def run(self) -> None:
@@ -154,10 +167,13 @@
         task.add_done_callback(self._tasks.discard)
 
     async def close(self) -> None:
-        """Finish what runs beside the requests and end all links."""
+        """End all links."""
+        await self._dialer.close()
+
+    async def _finish_tasks(self) -> None:
+        """Wait a little for what runs beside the requests."""
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=CLOSE_TIMEOUT)
-        await self._dialer.close()
 
     def wants_callers_to_go(self) -> bool:
         """Whether callers should send what comes next over another connection."""
@@ -267,6 +283,7 @@
         """A first token is late: ask the replicas which of them is slow."""
         addresses = {helper.upstream: helper.address for helper in placement.helpers}
         addresses[placement.upstream] = placement.address
+        assert self._inspector is not None
         inspection = await self._inspector.inspect(addresses, self.now())
         self._execute(self.instance.note_paces(inspection.paces, self.now()))
         for upstream in inspection.silent:
@@ -274,6 +291,8 @@
 
     def is_queueing(self, upstream: UpstreamId) -> bool:
         """Whether a replica said lately that requests wait there."""
+        if self._inspector is None:
+            return False
         return self._inspector.is_queueing(upstream, self.now())
 
     def note_replica_failure(self, upstream: UpstreamId) -> None:
@@ -286,13 +305,12 @@
     settings: GatewaySettings, metrics: GatewayMetrics
 ) -> AsyncIterator[FrontRuntime]:
     """Run a front's links and timers."""
-    async with open_upstream_sessions() as sessions:
-        runtime = FrontRuntime(settings, sessions, metrics)
-        task = asyncio.create_task(runtime.run())
-        try:
-            yield runtime
-        finally:
-            task.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await task
-            await runtime.close()
+    runtime = FrontRuntime(settings, metrics)
+    task = asyncio.create_task(runtime.run())
+    try:
+        yield runtime
+    finally:
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        await runtime.close()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -10,7 +10,7 @@
 from yarl import URL
 
 from scalebend.core.gateway.retry_window import SETTLE_TIME
-from scalebend.edges.gateway.front_server import LAST_ADMISSION
+from scalebend.edges.gateway.front_calls import LAST_ADMISSION
 from scalebend.platform.headers import EXPECTED_UPSTREAM
 from tests.lib.platform_processes import run_processes
 from tests.lib.platform_replicas import EVENTS, build_document, run_replica
