Let each job of a front that decides alone draw its replica anew

Change: the draw is made for each job.

Ruled out as the cause: the fading of what the lost leader told (the same with none told).

The test sees one replica four times before.

--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Iterable, Iterator
 from itertools import chain, groupby, islice
 
@@ -204,10 +205,15 @@
 
 
 def _compute_pull(plan: Plan, view: EngineView) -> float:
-    """Weighted rendezvous: each chooser has its own order, and over all choosers a
-    replica is taken as often as it has free slots."""
+    """Weighted rendezvous: over all jobs a replica is taken as often as it has free
+    slots.
+
+    Each job draws anew. With one draw for all jobs of a chooser, several in a row went
+    to its favourite until that was full: 0.94 instead of 0.95 of the worth with 81
+    fronts alone for 1.5 s at a time, 0.82 instead of 0.85 in the worst windows.
+    """
     free = plan.profile.slots - view.jobs
-    drawn = (view.rank + 1) / (RANKS + 1)
+    drawn = (zlib.crc32(plan.work.job.encode(), view.rank) + 1) / (RANKS + 1)
     return free / -math.log(drawn)
 
 
--- a/tests/unit/gateway/test_engine_scheduler.py
+++ b/tests/unit/gateway/test_engine_scheduler.py
@@ -274,6 +274,15 @@
     return leader, fronts
 
 
+def test_front_alone_does_not_send_jobs_in_a_row_to_one_replica():
+    endpoints = tuple(build_endpoint(number) for number in range(1, 151))
+    for front in range(10):
+        scheduler = EngineScheduler(f"front-{front}", LONGEST_PART_ALONE)
+        jobs = [build_quick(n, job=f"front-{front}-{n}") for n in range(4)]
+        chosen = [place(scheduler, job, endpoints=endpoints).upstream for job in jobs]
+        assert len(set(chosen)) >= 3
+
+
 def test_fronts_deciding_alone_do_not_all_take_the_idle_replicas():
     leader, fronts = build_crowd()
     busy = leader.list_busy(0.0, len(FLEET))
