Load HTTP in turns of the loop at fronts and control instances

Cause: a thread that imports holds the interpreter's lock for 5 ms at a time; on a part of one core the loop got hardly a turn.

Change: the libraries are imported one after the other, the small ones first, with a turn of 2 ms of the loop between, by one function for both.

--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import contextlib
-import importlib
 from pathlib import Path
 
 import structlog
 
 from scalebend.edges.gateway.control_runtime import ControlRuntime
+from scalebend.edges.gateway.http_loading import load_http
 from scalebend.edges.gateway.links import run_links
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.settings_watch import SettingsWatch
@@ -56,10 +56,8 @@
             await stack.enter_async_context(links)
             note_seeds = runtime.instance.member.note_instances
             await stack.enter_async_context(watch.tell(note_seeds))
-            # In a thread: votes are cast while the libraries for HTTP are loaded.
-            calls = await asyncio.to_thread(
-                importlib.import_module, "scalebend.edges.gateway.control_calls"
-            )
+            # Votes are cast meanwhile.
+            calls = await load_http("scalebend.edges.gateway.control_calls")
             await stack.enter_async_context(calls.serve_calls(settings, runtime))
             logger.info("control listens", instance=settings.name)
             stopping = asyncio.ensure_future(_wait_until_set(stopped))
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -9,21 +9,17 @@
 import structlog
 
 from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
+from scalebend.edges.gateway.http_loading import load_http
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.utils.loading import load_in_turns
 
 if TYPE_CHECKING:
     from aiohttp import web
 
 logger = structlog.get_logger(__name__)
 
-HTTP_LIBRARIES = ("multidict", "yarl", "attr", "aiohttp", "aiohttp.web")
-"""What takes three quarters of the processor time of a start to load, in the order in
-which one needs the other; the small ones first, so that links are dialled early."""
-
 STOP_TAKING = 4.5
 """Seconds after the stop signal for which connections are still taken, so that who
 comes late is told to go elsewhere."""
@@ -48,9 +44,7 @@
         runtime = await stack.enter_async_context(run_front(settings, metrics))
         await stack.enter_async_context(watch.tell(runtime.instance.note_seeds))
         # Links come up and the routing document arrives meanwhile.
-        calls = await load_in_turns(
-            HTTP_LIBRARIES, "scalebend.edges.gateway.front_calls"
-        )
+        calls = await load_http("scalebend.edges.gateway.front_calls")
         site = await stack.enter_async_context(
             calls.serve_calls(settings, listeners, runtime)
         )
--- a/tests/unit/test_loading.py
+++ b/tests/unit/gateway/test_http_loading.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from scalebend.utils.loading import load_in_turns
+from scalebend.edges.gateway.http_loading import load_in_turns
 
 
 @pytest.fixture
