Model fleets in cells with a leader each

Cause: whether the fleet is to be split over several leaders is open; the model had one.

Change: engines are dealt out to `cells`, each with a leader and a queue of questions; a front takes the less loaded of two drawn, by what it last heard, and a loss may strike some leaders only. The plain way of placing and the bound moved to placement_baselines.py, the engines' endpoints to placement_cells.py.

--- a/src/scalebend/measuring/placement_run.py
+++ b/src/scalebend/measuring/placement_run.py
@@ -1,8 +1,8 @@
 """Plays a scenario of placement in virtual time and counts what callers got.
 
-The real scheduler decides: one leader that hears of all, or each front alone. Two plain
-ways stand beside it, and the time that each request takes on a fleet of its own, which
-no way of deciding can beat.
+The real scheduler decides: one leader that hears of all, one for each cell of the
+fleet, or each front alone. Two plain ways stand beside it, and the time that each
+request takes on a fleet of its own, which no way of deciding can beat.
 """
 
 from __future__ import annotations
@@ -14,26 +14,31 @@
 
 import msgspec
 
-from scalebend.core.gateway.engine_costs import compute_pass_time, compute_read_time
+from scalebend.core.gateway.engine_costs import compute_read_time
 from scalebend.core.gateway.engine_scheduler import (
     LONGEST_PART_ALONE,
     EngineScheduler,
 )
-from scalebend.core.gateway.placement_choice import MOST_HELPERS
 from scalebend.core.gateway.placement_turn import REPLAN_PERIOD, keep_turn, renew_work
 from scalebend.measuring.engine_passes import PassEngine, Reading, Writing
-from scalebend.measuring.leader_queue import LeaderQueue
+from scalebend.measuring.placement_baselines import place_simply, serve_alone
+from scalebend.measuring.placement_cells import (
+    SERVICE,
+    Cell,
+    build_cells,
+    build_endpoints,
+    choose_cell,
+)
 from scalebend.measuring.placement_results import Decider, Result
 from scalebend.measuring.placement_scenario import (
     PlacementScenario,
     plan_arrivals,
 )
 from scalebend.models.endpoints import Endpoint
-from scalebend.models.ids import AvailabilityZone, InstanceId, ServiceName, UpstreamId
+from scalebend.models.ids import InstanceId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
-    Helper,
     JobStage,
     OpenJob,
     Placement,
@@ -59,14 +64,15 @@
 LOSS_NOTICED = 0.2
 """Seconds until a front sends a request again whose engine crashed."""
 
-SERVICE = ServiceName("engines")
-
 
 class _Job(msgspec.Struct):
     result: Result
     work: EngineWork
     placement: Placement
     engines: list[int]
+    cell: Cell | None
+    """Whose leader placed it, or ``None``: its front did."""
+
     began: float
     unread: set[int]
     is_writing: bool = False
@@ -86,26 +92,14 @@
         self._engines = [
             PassEngine(scenario.engines) for _ in range(scenario.engines.count)
         ]
-        self._endpoints = [
-            Endpoint(
-                UpstreamId(f"engine-{n}"),
-                SERVICE,
-                f"10.0.0.{n}:1",
-                AvailabilityZone("z"),
-                self._profile.slots,
-                False,
-                1,
-            )
-            for n in range(scenario.engines.count)
-        ]
+        self._endpoints = build_endpoints(self._profile, scenario.engines.count)
         self._numbers = {one.upstream: n for n, one in enumerate(self._endpoints)}
         self._down: set[int] = set()
-        self._leader = EngineScheduler()
+        self._cells = build_cells(scenario, self._endpoints)
         self._fronts = [
             EngineScheduler(f"front-{n}", LONGEST_PART_ALONE)
             for n in range(scenario.fronts)
         ]
-        self._queue = LeaderQueue(scenario.choice_time, scenario.fronts)
         self._jobs: dict[int, _Job] = {}
         self._job_count = 0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
@@ -124,10 +118,13 @@
         for loss in scenario.engine_losses:
             self._at(loss.at, lambda one=loss: self._lose(one.count, one.back_after))  # type: ignore[misc]
         for lost in scenario.leader_losses:
-            self._at(lost.at + lost.length, self._take_lead)
+            self._at(
+                lost.at + lost.length,
+                lambda one=lost: self._take_lead(self._cells[: one.cells]),  # type: ignore[misc]
+            )
         for cut in scenario.fronts_cut:
             self._at(cut.at, lambda one=cut: self._forget_fronts(one.count))  # type: ignore[misc]
-            self._at(cut.at + cut.length, self._take_lead)
+            self._at(cut.at + cut.length, lambda: self._take_lead(self._cells))
         for restart in scenario.restarts:
             self._at(restart.at, self._restart)
         self._at(NEWS_PERIOD, self._tell_fronts)
@@ -137,7 +134,7 @@
         """Play everything; return what became of each request."""
         if self._decider is Decider.IDLE_FLEET:
             for result in self.results:
-                self._serve_alone(result)
+                serve_alone(result, self._profile, len(self._engines), SEND_TIME)
             return self.results
         while self._events:
             self._now, _, action = heapq.heappop(self._events)
@@ -149,23 +146,13 @@
         heapq.heappush(self._events, (when, self._event_count, action))
 
     def _expire(self) -> None:
-        self._leader.expire(self._now)
+        for cell in self._cells:
+            cell.scheduler.expire(self._now)
         for front in self._fronts:
             front.expire(self._now)
         if self._now < self._scenario.length + 30.0:
             self._at(self._now + EXPIRE_PERIOD, self._expire)
 
-    # The bound
-
-    def _serve_alone(self, result: Result) -> None:
-        arrival = result.arrival
-        read = compute_read_time(self._profile, arrival.prompt)
-        width = min(MOST_HELPERS + 1, len(self._engines))
-        event = compute_pass_time(self._profile, [arrival.prompt])
-        result.first_event = read / width + event + 3 * SEND_TIME
-        result.longest_gap = event
-        result.is_whole = True
-
     # Requests
 
     def _arrive(self, result: Result) -> None:
@@ -188,13 +175,17 @@
     def _ask(self, result: Result) -> None:
         """Ask the leader, or decide alone where it does not answer in time."""
         front = result.arrival.front
-        if self._is_leaderless(front):
-            self._at(self._now + ASK_TIME, lambda: self._place(result, is_led=False))
+        cell = choose_cell(
+            self._cells, lambda one: self._is_lost(one, front), self._chance
+        )
+        if cell is None:
+            self._at(self._now + ASK_TIME, lambda: self._place(result, None))
             return
-        answer = self._queue.ask(front, ASK_TIME, self._now)
-        self._at(answer.at, lambda: self._place(result, is_led=answer.is_led))
+        answer = cell.queue.ask(front, ASK_TIME, self._now)
+        asked = cell if answer.is_led else None
+        self._at(answer.at, lambda: self._place(result, asked))
 
-    def _place(self, result: Result, *, is_led: bool) -> None:
+    def _place(self, result: Result, cell: Cell | None) -> None:
         arrival = result.arrival
         remaining = arrival.at + arrival.kind.deadline - self._now
         if result.has_left or remaining <= 0.0:
@@ -212,13 +203,14 @@
             event_gap=arrival.kind.event_gap,
             remaining=remaining,
         )
-        is_led = is_led and not self._is_leaderless(arrival.front)
-        placed = self._decide(work, arrival.front, is_led=is_led)
+        if cell is not None and self._is_lost(cell, arrival.front):
+            cell = None
+        placed = self._decide(work, arrival.front, cell)
         if isinstance(placed, Declined):
             self._refuse(result, placed.retry_after, remaining)
             return
         engines = [self._numbers[upstream] for upstream in placed.upstreams]
-        job = _Job(result, work, placed, engines, self._now, set(engines))
+        job = _Job(result, work, placed, engines, cell, self._now, set(engines))
         self._jobs[number] = job
         self._note_open(job)
         self._at(self._now + remaining, lambda: self._give_up(number))
@@ -237,11 +229,12 @@
         if job.is_over:
             return
         job.work = renew_work(job.work, REPLAN_PERIOD)
-        if self._is_leaderless(job.result.arrival.front):
+        cell = job.cell
+        if cell is None or self._is_lost(cell, job.result.arrival.front):
             job.placement = keep_turn(job.placement, REPLAN_PERIOD)
             self._await_turn(number)
             return
-        placed = self._decide(job.work, job.result.arrival.front, is_led=True)
+        placed = self._decide(job.work, job.result.arrival.front, cell)
         if isinstance(placed, Declined):
             job.is_over = True
             job.result.held += self._now - job.began
@@ -255,17 +248,18 @@
         self._await_turn(number)
 
     def _decide(
-        self, work: EngineWork, front: int, *, is_led: bool
+        self, work: EngineWork, front: int, cell: Cell | None
     ) -> Placement | Declined:
-        alive = [e for n, e in enumerate(self._endpoints) if n not in self._down]
+        endpoints = self._endpoints if cell is None else cell.endpoints
+        alive = [e for e in endpoints if self._numbers[e.upstream] not in self._down]
         match self._decider:
             case Decider.RANDOM:
-                return self._place_simply(work, self._chance.choice(alive))
+                return place_simply(work, self._chance.choice(alive), alive)
             case Decider.FEWEST_OPEN:
-                return self._place_simply(work, min(alive, key=self._count_open))
-        scheduler = self._leader if is_led else self._fronts[front]
+                return place_simply(work, min(alive, key=self._count_open), alive)
+        scheduler = self._fronts[front] if cell is None else cell.scheduler
         self.choices += 1
-        self.choices_alone += not is_led
+        self.choices_alone += cell is None
         return scheduler.place(work, alive, self._profile, self._now)
 
     def _note_open(self, job: _Job) -> None:
@@ -274,35 +268,38 @@
         front = self._fronts[job.result.arrival.front]
         front.forget(job.work.job)
         front.adopt(opened, self._profile, self._now)
-        if not self._is_leaderless(job.result.arrival.front):
+        for cell in self._find_told(job):
             # It hears of it after all that it was asked before.
-            heard_at = max(self._now, self._queue.free_at)
-            self._at(heard_at, lambda: self._tell_leader_open(job, opened))
+            heard_at = max(self._now, cell.queue.free_at)
+            self._at(heard_at, lambda c=cell: self._tell_open(c, job, opened))  # type: ignore[misc]
 
-    def _tell_leader_open(self, job: _Job, opened: OpenJob) -> None:
+    def _tell_open(self, cell: Cell, job: _Job, opened: OpenJob) -> None:
         if not job.is_over and job.placement == opened.placement:
-            self._leader.adopt(opened, self._profile, self._now)
+            cell.scheduler.adopt(opened, self._profile, self._now)
+
+    def _find_told(self, job: _Job) -> list[Cell]:
+        """Cells whose leader hears of a job: those of its engines."""
+        numbers = {engine % len(self._cells) for engine in job.engines}
+        front = job.result.arrival.front
+        return [
+            cell
+            for cell in self._cells
+            if cell.number in numbers and not self._is_lost(cell, front)
+        ]
 
     def _count_open(self, endpoint: Endpoint) -> tuple[int, float]:
         number = self._numbers[endpoint.upstream]
         return self._engines[number].open_jobs, self._chance.random()
 
-    def _place_simply(self, work: EngineWork, endpoint: Endpoint) -> Placement:
-        """One engine, and one more for each 60,000 tokens, the next ones in order."""
-        alive = [e for n, e in enumerate(self._endpoints) if n not in self._down]
-        more = min(MOST_HELPERS, work.prompt_tokens // 60_000)
-        position = alive.index(endpoint)
-        others = (alive[position + 1 :] + alive[:position])[:more]
-        helpers = tuple(Helper(one.upstream, one.address) for one in others)
-        return Placement(endpoint.upstream, endpoint.address, helpers, 0.0)
-
-    def _is_leaderless(self, front: int) -> bool:
-        """Whether a front has no leader to ask now."""
+    def _is_lost(self, cell: Cell, front: int) -> bool:
+        """Whether a front has no leader of this cell to ask now."""
         scenario = self._scenario
         return (
             self._decider is Decider.ALONE
             or any(
-                self._is_within(one.at, one.length) for one in scenario.leader_losses
+                self._is_within(one.at, one.length)
+                and (one.cells is None or cell.number < one.cells)
+                for one in scenario.leader_losses
             )
             or any(
                 front < one.count and self._is_within(one.at, one.length)
@@ -313,37 +310,50 @@
     def _is_within(self, at: float, length: float) -> bool:
         return at <= self._now < at + length
 
-    def _take_lead(self) -> None:
-        """A new leader learns what is open from the fronts that reach it."""
-        self._leader = EngineScheduler()
+    def _take_lead(self, cells: list[Cell]) -> None:
+        """New leaders learn what is open from the fronts that reach them."""
+        for cell in cells:
+            cell.scheduler = EngineScheduler()
         for job in self._jobs.values():
-            if not job.is_over and not self._is_leaderless(job.result.arrival.front):
-                age = self._now - job.began
-                opened = OpenJob(job.work, job.placement, job.is_writing, age)
-                self._leader.adopt(opened, self._profile, self._now)
+            if job.is_over:
+                continue
+            opened = OpenJob(
+                job.work, job.placement, job.is_writing, self._now - job.began
+            )
+            for cell in self._find_told(job):
+                cell.scheduler.adopt(opened, self._profile, self._now)
 
     def _restart(self) -> None:
         """All processes lose what they knew, and their callers what was open."""
         for number, job in self._jobs.items():
             if not job.is_over:
                 self._end(number)
-        self._leader = EngineScheduler()
+        for cell in self._cells:
+            cell.scheduler = EngineScheduler()
         self._fronts = [
             EngineScheduler(f"front-{n}", LONGEST_PART_ALONE)
             for n in range(self._scenario.fronts)
         ]
 
     def _forget_fronts(self, count: int) -> None:
-        """The leader lost the links to some fronts, and with them their jobs."""
+        """Leaders lost the links to some fronts, and with them their jobs."""
         for number in range(count):
             front = InstanceId(f"front-{number}")
-            self._leader.forget_front(partial(is_job_of, front))
+            for cell in self._cells:
+                cell.scheduler.forget_front(partial(is_job_of, front))
 
     def _tell_fronts(self) -> None:
-        """The leader's heartbeat says which replicas are busy, and with what."""
-        busy = self._leader.list_busy(self._now, len(self._engines))
+        """Heartbeats of leaders say which replicas are busy, and with what."""
+        for cell in self._cells:
+            cell.tell_load()
         for number, front in enumerate(self._fronts):
-            if not self._is_leaderless(number):
+            heard = [one for one in self._cells if not self._is_lost(one, number)]
+            busy = [
+                replica
+                for cell in heard
+                for replica in cell.scheduler.list_busy(self._now, len(self._engines))
+            ]
+            if heard:
                 front.note_busy(busy, self._now)
         if self._now < self._scenario.length:
             self._at(self._now + NEWS_PERIOD, self._tell_fronts)
@@ -396,9 +406,11 @@
         load = self._engines[job.engines[0]].open_jobs
         stage = JobStage(job.work.job, is_ended=is_ended, load=load)
         self._fronts[job.result.arrival.front].note_stage(stage, self._now)
-        if not self._is_leaderless(job.result.arrival.front):
-            when = self._now + TELL_TIME
-            self._at(when, lambda: self._leader.note_stage(stage, self._now))
+        for cell in self._find_told(job):
+            self._at(
+                self._now + TELL_TIME,
+                lambda c=cell: c.scheduler.note_stage(stage, self._now),  # type: ignore[misc]
+            )
 
     # Engines
 
--- a/src/scalebend/measuring/placement_scenario.py
+++ b/src/scalebend/measuring/placement_scenario.py
@@ -88,10 +88,12 @@
 
 
 class LeaderLoss(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A time in which fronts decide alone."""
+    """A time in which leaders are lost, and fronts without one decide alone."""
 
     at: float
     length: float
+    cells: int | None = None
+    """How many cells lose theirs; all by default."""
 
 
 class FrontsCut(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -128,6 +130,9 @@
     leader_losses: list[LeaderLoss] = msgspec.field(default_factory=list)
     fronts_cut: list[FrontsCut] = msgspec.field(default_factory=list)
     restarts: list[RestartOfAll] = msgspec.field(default_factory=list)
+    cells: int = 1
+    """Parts of the fleet, each with a leader of its own."""
+
     choice_time: float = 0.0
     """Seconds that the leader takes for each choice, one after the other."""
 
--- a/tests/unit/gateway/test_placement_under_load.py
+++ b/tests/unit/gateway/test_placement_under_load.py
@@ -33,7 +33,11 @@
 )
 from scalebend.measuring.placement_results import Decider
 from scalebend.measuring.placement_run import PlacementRun
-from scalebend.measuring.placement_scenario import PlacementScenario, plan_arrivals
+from scalebend.measuring.placement_scenario import (
+    LeaderLoss,
+    PlacementScenario,
+    plan_arrivals,
+)
 from scalebend.measuring.placement_table import build_figures
 from scalebend.models.placement import Declined, JobStage, Placement
 from tests.lib.gateway_builders import (
@@ -135,6 +139,20 @@
     assert in_time > 0.99
 
 
+@pytest.mark.parametrize(("cells", "lost"), [(1, None), (3, 1)])
+def test_cells_lose_only_their_own_leader(cells, lost):
+    scenario = msgspec.structs.replace(
+        read_scenario("rush-after-restart"),
+        cells=cells,
+        restarts=[],
+        leader_losses=[LeaderLoss(3.0, 1.5, lost)],
+    )
+    run = PlacementRun(scenario, Decider.LEADER, 1)
+    results = run.run()
+    assert all(result.is_whole for result in results)
+    assert (run.choices_alone > 0) == (lost is None)
+
+
 @pytest.mark.parametrize("name", ["mix-flips", "engines-lost", "fronts-cut"])
 def test_every_request_ends_once(name):
     scenario = read_scenario(name)
