Listen for callers before anything else is loaded

The port opened after the settings' types, logs and the event loop's library were loaded.

Faults of the file or of the address are reported as before by what reads them next.

Ruled out: skipping the interpreter's site hooks (of this machine, not of the users').

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -17,7 +17,8 @@
 from scalebend.edges.logs import configure_bounded_logs
 from scalebend.exceptions import DocumentError, StorageError
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
-from scalebend.platform.settings import SETTINGS_VARIABLE, read_gateway_settings
+from scalebend.platform.early_settings import SETTINGS_VARIABLE
+from scalebend.platform.settings import read_gateway_settings
 
 logger = structlog.get_logger(__name__)
 
@@ -26,8 +27,17 @@
 the machine when it is imported, a fifth of the processor time of a start."""
 
 
-def run(*, settings: Path | None, log_level: str, link_listen: str | None) -> int:
-    """Run the process that the settings describe until SIGTERM."""
+def run(
+    *,
+    settings: Path | None,
+    log_level: str,
+    link_listen: str | None,
+    listeners: Listeners | None = None,
+) -> int:
+    """Run the process that the settings describe until SIGTERM.
+
+    ``listeners`` are sockets that listen already, if there are any.
+    """
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         read = read_gateway_settings(path)
@@ -38,7 +48,7 @@
     os.environ.update(_NO_CERTIFICATES)
     configure_bounded_logs(log_level)
     try:
-        listeners = open_listeners(read)
+        listeners = open_listeners(read, listeners or Listeners())
         asyncio.run(_run(read, listeners, path))
     except StorageError as error:
         print(f"{path}: {error}", file=sys.stderr)
@@ -71,8 +81,3 @@
 
             await serve_relay(settings, stopped, watch)
     logger.info("process stops", instance=settings.name)
-
-
-if __name__ == "__main__":
-    # Without the command line's library: a restart of everything waits for imports.
-    sys.exit(run(settings=None, log_level="info", link_listen=None))
--- a/src/scalebend/edges/gateway/sockets.py
+++ b/src/scalebend/edges/gateway/sockets.py
@@ -6,11 +6,15 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+from typing import TYPE_CHECKING
 
-from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.utils.addresses import parse_address
 
+if TYPE_CHECKING:
+    from scalebend.models.gateway_settings import GatewaySettings
+
 BACKLOG = 1024
 """Connections that may wait to be accepted: those of some seconds of a busy front."""
 
@@ -26,6 +30,11 @@
         if address not in self._sockets:
             self._sockets[address] = _listen(address)
 
+    def try_open(self, address: str) -> None:
+        """Listen at ``address`` if that is possible; :meth:`open` tells why not."""
+        with contextlib.suppress(OSError, ValueError):
+            self.open(address)
+
     def take(self, address: str) -> socket.socket:
         """Return the socket of ``address`` to whoever serves and closes it."""
         self.open(address)
@@ -42,9 +51,8 @@
     return sock
 
 
-def open_listeners(settings: GatewaySettings) -> Listeners:
+def open_listeners(settings: GatewaySettings, listeners: Listeners) -> Listeners:
     """Listen at the addresses of callers; others find this process by asking again."""
-    listeners = Listeners()
     if settings.callers_address is not None:
         listeners.open(settings.callers_address)
     return listeners
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -11,9 +11,6 @@
 from scalebend.models.ids import AvailabilityZone
 from scalebend.utils.addresses import parse_address
 
-SETTINGS_VARIABLE = "SCALEBEND_CONFIG"
-"""Environment variable that holds the path of the settings file."""
-
 
 class _Listen(msgspec.Struct, rename="pascal"):
     front: str | None = None
--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -22,7 +22,8 @@
 from scalebend.edges.gateway.links import read_introduction
 from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
 from scalebend.models.ids import AvailabilityZone
-from scalebend.platform.settings import SETTINGS_VARIABLE, encode_gateway_settings
+from scalebend.platform.early_settings import SETTINGS_VARIABLE
+from scalebend.platform.settings import encode_gateway_settings
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.misbehaving import SYNCED, Orders, read_synced, write_orders
 from scalebend.soak.observations import Exit, Observations
--- /dev/null
+++ b/tests/unit/gateway/test_start_gateway.py
@@ -0,0 +1,60 @@
+"""A process listens before it loads what it serves with."""
+
+import json
+import subprocess
+import sys
+
+import pytest
+
+from scalebend.edges.gateway.sockets import Listeners
+from scalebend.platform.early_settings import read_callers_address
+from scalebend.platform.settings import encode_gateway_settings
+from scalebend.standins.ports import find_free_ports
+from tests.lib.gateway_builders import build_settings
+
+SLOW = ["msgspec", "structlog", "asyncio", "aiohttp"]
+
+
+def test_nothing_slow_is_loaded_before_the_port_is_open():
+    code = (
+        "import sys, scalebend.commands.start_gateway\n"
+        f"print([name for name in {SLOW!r} if name in sys.modules])"
+    )
+    done = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    )
+    assert done.stdout.strip() == "[]"
+
+
+def test_address_is_that_of_the_whole_settings(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_bytes(encode_gateway_settings(build_settings()))
+    assert read_callers_address(str(path)) == build_settings().callers_address
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "{", "[]", '{"Listen": 3}', '{"Listen": {}}', '{"Listen": {"Front": 3}}'],
+)
+def test_settings_with_a_fault_are_left_to_whoever_reads_them_all(tmp_path, text):
+    path = tmp_path / "node.json"
+    path.write_text(text)
+    assert read_callers_address(str(path)) is None
+    assert read_callers_address(str(tmp_path / "none.json")) is None
+
+
+def test_control_process_has_no_address_for_callers(tmp_path):
+    path = tmp_path / "node.json"
+    path.write_text(json.dumps({"Listen": {"Control": "127.0.0.1:1"}}))
+    assert read_callers_address(str(path)) is None
+
+
+def test_address_that_is_taken_is_reported_later():
+    (port,) = find_free_ports(1)
+    first, second = Listeners(), Listeners()
+    first.open(f"127.0.0.1:{port}")
+    second.try_open(f"127.0.0.1:{port}")
+    second.try_open("nowhere")
+    with pytest.raises(OSError, match="in use"):
+        second.open(f"127.0.0.1:{port}")
+    first.take(f"127.0.0.1:{port}").close()
