--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -19,6 +19,7 @@
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.platform.early_settings import SETTINGS_VARIABLE
 from scalebend.platform.settings import read_gateway_settings
+from scalebend.utils.early_stop import exit_when_stopped
 
 logger = structlog.get_logger(__name__)
 
@@ -38,6 +39,7 @@
 
     ``listeners`` are sockets that listen already, if there are any.
     """
+    exit_when_stopped()
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         read = read_gateway_settings(path)
--- a/tests/unit/gateway/test_start_gateway.py
+++ b/tests/unit/gateway/test_start_gateway.py
@@ -1,13 +1,14 @@
 """A process listens before it loads what it serves with."""
 
 import json
+import os
 import subprocess
 import sys
 
 import pytest
 
 from scalebend.edges.gateway.sockets import Listeners
-from scalebend.platform.early_settings import read_callers_address
+from scalebend.platform.early_settings import SETTINGS_VARIABLE, read_callers_address
 from scalebend.platform.settings import encode_gateway_settings
 from scalebend.standins.ports import find_free_ports
 from tests.lib.gateway_builders import build_settings
@@ -26,6 +27,25 @@
     assert done.stdout.strip() == "[]"
 
 
+def test_stop_signal_while_libraries_load_is_a_planned_end(tmp_path):
+    code = (
+        "import os, signal, sys\n"
+        "from scalebend.edges.gateway import sockets\n"
+        "def stop(*_): os.kill(os.getpid(), signal.SIGTERM)\n"
+        "sockets.Listeners.try_open = stop\n"
+        "from scalebend.commands.start_gateway import main\n"
+        "sys.exit(main() or 9)"
+    )
+    path = tmp_path / "node.json"
+    path.write_bytes(encode_gateway_settings(build_settings()))
+    done = subprocess.run(
+        [sys.executable, "-c", code],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        check=False,
+    )
+    assert done.returncode == 0
+
+
 def test_address_is_that_of_the_whole_settings(tmp_path):
     path = tmp_path / "node.json"
     path.write_bytes(encode_gateway_settings(build_settings()))
