--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 SCENARIO ?= examples/scenarios/mixed-farois.json
 OUT ?= out
 
-.PHONY: demo test dist lint format soak measure measure-overhead measure-control measure-changes measure-decisions cluster-demo clean
+.PHONY: demo test dist lint format soak measure measure-overhead measure-control measure-changes measure-decisions regression cluster-demo clean
 
 $(READY): requirements/locked.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -57,6 +57,13 @@
 	$(BIN)/shiv --quiet -c scalebend -p '/usr/bin/env python3' -o dist/scalebend -r requirements/runtime.txt --no-deps .
 	cd /tmp && $(abspath dist/scalebend) --version
 
+# Played days that must not fall; BENCH is the users' bench, SITES the folder of its sites.
+REGRESSION := sites/farol-sul.toml sites/anacp-piedra.toml grown/farol-sul-grown.toml \
+	grown/anacp-piedra-grown.toml further/exviv-braga.toml \
+	further-grown/exviv-braga-grown.toml large/farol-sul-large.toml
+regression:
+	for site in $(REGRESSION); do $(BENCH) score $(SITES)/$$site --why "regression run" || exit 1; done
+
 # Spread of a change, time without a leader, recovery from disk.
 measure-changes: $(READY)
 	$(BIN)/scalebend measure-changes
