--- a/src/scalebend/core/gateway/engine_view.py
+++ b/src/scalebend/core/gateway/engine_view.py
@@ -24,8 +24,8 @@
     end: float
 
 
-class Company(msgspec.Struct, frozen=True):
-    """Who writes on a replica: alike for many replicas, whatever the fleet's size."""
+class Occupancy(msgspec.Struct, frozen=True):
+    """What writes on a replica: the same for many of them at any size of the fleet."""
 
     gaps: tuple[float, ...] = ()
     """Event gaps of the known jobs that write there, in seconds, shortest first."""
@@ -45,7 +45,7 @@
     @property
     def jobs(self) -> int:
         """Jobs that write there or are about to."""
-        # Fronts alone all hear of the same jobs: they are no company to join.
+        # Fronts alone all hear of the same jobs, and would all join them.
         return max(len(self.gaps), self.told_jobs) + self.unknown_jobs
 
     @property
@@ -72,7 +72,7 @@
         return len(self.gaps) - self.count_tight(event_gap) + self.unknown_jobs + told
 
 
-IDLE = Company()
+IDLE = Occupancy()
 
 
 class EngineView(msgspec.Struct):
@@ -83,9 +83,9 @@
     """Place in the order in which equal replicas are taken."""
 
     free_tokens: int
-    company: Company = IDLE
+    occupancy: Occupancy = IDLE
     jobs: int = 0
-    """As :attr:`Company.jobs`; it is looked at for each candidate of a choice."""
+    """As :attr:`Occupancy.jobs`; it is looked at for each candidate of a choice."""
 
     helping: int = 0
     """Parts of others' prompts that are read there now."""
@@ -116,14 +116,14 @@
                 return 0.0
             if busy.start > start:
                 room = min(room, busy.start - start)
-        event_gap = self.company.event_gap
+        event_gap = self.occupancy.event_gap
         if event_gap is not None:
             room = min(room, event_gap - GAP_MARGIN - self.pass_time)
         return room / self.pace
 
     def compute_room(self, limit: float) -> float:
         """Reading that may join what waits without delaying a writer beyond its gap."""
-        event_gap = self.company.event_gap
+        event_gap = self.occupancy.event_gap
         if event_gap is not None:
             limit = min(limit, event_gap - GAP_MARGIN)
         return (limit - self.pass_time - self.pending) / self.pace
--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from scalebend.core.gateway.engine_costs import QUICK_READ
-from scalebend.core.gateway.engine_view import IDLE, Company, EngineView
+from scalebend.core.gateway.engine_view import IDLE, EngineView, Occupancy
 from scalebend.core.gateway.replica_pool import ReplicaPool
 from scalebend.models.placement import Declined, EngineWork, Helper, Placement
 from scalebend.models.routing import EngineProfile
@@ -43,7 +43,7 @@
 many as a group may have, so that those left out would hardly be taken."""
 
 MOST_ALIKE = 4
-"""Replicas with the same company that are looked at when nothing is in time: they
+"""Replicas with the same occupancy that are looked at when nothing is in time: they
 differ only by the sizes of what they write, some milliseconds."""
 
 MEMORY_MARGIN = 4_000
@@ -154,16 +154,16 @@
     gap = plan.work.event_gap
     slots = plan.profile.slots
 
-    def rank_company(company: Company) -> tuple[bool, bool, int]:
+    def rank_occupancy(occupancy: Occupancy) -> tuple[bool, bool, int]:
         return (
-            company.is_overdue,
-            company.count_loose(gap) > 0,
-            -company.count_tight(gap),
+            occupancy.is_overdue,
+            occupancy.count_loose(gap) > 0,
+            -occupancy.count_tight(gap),
         )
 
-    companies = [one for one in pool.list_companies() if one.jobs < slots]
-    companies.sort(key=rank_company)
-    for _, alike in groupby(companies, key=rank_company):
+    occupancies = [one for one in pool.list_occupancies() if one.jobs < slots]
+    occupancies.sort(key=rank_occupancy)
+    for _, alike in groupby(occupancies, key=rank_occupancy):
         view = _choose_among_alike(plan, pool, list(alike))
         if view is not None:
             return view
@@ -171,19 +171,19 @@
 
 
 def _choose_among_alike(
-    plan: Plan, pool: ReplicaPool, companies: list[Company]
+    plan: Plan, pool: ReplicaPool, occupancies: list[Occupancy]
 ) -> EngineView | None:
-    """The replica with the least to read, of those with equally good companies."""
+    """The replica with the least to read, of those with equally good occupancies."""
     limit = plan.work.target * TARGET_PART
     settled = []
-    for company in companies:
-        for view in pool.iterate_settled(company, reverse=True):
+    for occupancy in occupancies:
+        for view in pool.iterate_settled(occupancy, reverse=True):
             if _fits_in_time(plan, view, limit):
                 settled.append(view)
                 break
     if settled:
         return max(settled, key=lambda view: view.rank)
-    reading = chain.from_iterable(pool.iterate_reading(one) for one in companies)
+    reading = chain.from_iterable(pool.iterate_reading(one) for one in occupancies)
     fitting = [view for view in reading if _fits_in_time(plan, view, limit)]
     return max(fitting, key=lambda view: (-view.pending, view.rank), default=None)
 
@@ -193,13 +193,13 @@
     limit = plan.work.target * TARGET_PART
     gap = plan.work.event_gap
     fitting = [view for view in views if _fits_in_time(plan, view, limit)]
-    answering = [v for v in fitting if not v.company.is_overdue] or fitting
-    alike = [v for v in answering if not v.company.count_loose(gap)] or answering
+    answering = [v for v in fitting if not v.occupancy.is_overdue] or fitting
+    alike = [v for v in answering if not v.occupancy.count_loose(gap)] or answering
     if plan.is_alone:
         return max(alike, key=lambda view: _compute_pull(plan, view), default=None)
     return max(
         alike,
-        key=lambda view: (view.company.count_tight(gap), -view.pending, view.rank),
+        key=lambda view: (view.occupancy.count_tight(gap), -view.pending, view.rank),
         default=None,
     )
 
@@ -234,14 +234,14 @@
 
 
 def _sample_by_jobs(plan: Plan, pool: ReplicaPool) -> Iterator[EngineView]:
-    """Some replicas of each company, those with a free slot first."""
+    """Some replicas of each occupancy, those with a free slot first."""
     excluded = plan.work.excluded
     left = MOST_CANDIDATES
-    for company in sorted(pool.list_companies(), key=lambda one: one.jobs):
+    for occupancy in sorted(pool.list_occupancies(), key=lambda one: one.jobs):
         if left <= 0:
             return
-        settled = pool.iterate_settled(company)
-        found = chain(islice(settled, MOST_ALIKE), pool.iterate_reading(company))
+        settled = pool.iterate_settled(occupancy)
+        found = chain(islice(settled, MOST_ALIKE), pool.iterate_reading(occupancy))
         for view in islice(found, left):
             left -= 1
             if view.endpoint.upstream not in excluded:
@@ -293,11 +293,9 @@
 
 def _sample_for_group(plan: Plan, pool: ReplicaPool) -> list[EngineView]:
     """Replicas to look at: where nobody writes first, and quick requests' last."""
-    companies = pool.list_companies()
-    companies.sort(key=lambda one: (one.is_quick, one.jobs))
-    views = chain.from_iterable(
-        chain(pool.iterate_settled(one), pool.iterate_reading(one)) for one in companies
-    )
+    occupancies = pool.list_occupancies()
+    occupancies.sort(key=lambda one: (one.is_quick, one.jobs))
+    views = chain.from_iterable(map(pool.iterate_views, occupancies))
     excluded = plan.work.excluded
     usable = (view for view in views if view.endpoint.upstream not in excluded)
     return list(islice(usable, MOST_CANDIDATES))
@@ -340,7 +338,7 @@
     if plan.read > LATE_READ_MOST:
         return declined
     latest = plan.work.remaining * LATE_DEADLINE
-    idle = [v for v in candidates if v.company.event_gap is None and not v.busy]
+    idle = [v for v in candidates if v.occupancy.event_gap is None and not v.busy]
     for count in range(1, min(len(idle), MOST_HELPERS + 1) + 1):
         if plan.read / count <= latest:
             late = _build_group(plan, _Group(idle[:count], 0.0, 0.0))
@@ -361,7 +359,7 @@
     # Those that are not looked at are left to quick requests in any case.
     kept = _count_kept(plan, pool) - pool.count_others_than_quick(beside=views)
     # Quick requests open idle replicas from the other end of the rank.
-    others = [view for view in reversed(ranked) if not view.company.is_quick]
+    others = [view for view in reversed(ranked) if not view.occupancy.is_quick]
     others.sort(key=lambda view: (view.pending, view.jobs))
     left_out = others[: max(0, min(kept, len(others) - 1))]
     names = {view.endpoint.upstream for view in left_out}
@@ -377,7 +375,7 @@
     that were planned already, which keep their turns (conservative backfilling).
     """
     # Those where nobody writes first, and quick requests' replicas last.
-    ranked = sorted(candidates, key=lambda view: (view.company.is_quick, view.jobs))
+    ranked = sorted(candidates, key=lambda view: (view.occupancy.is_quick, view.jobs))
     # Rounded up: a moment earlier, the replica would still be busy.
     ends = {math.ceil(1e3 * b.end) / 1e3 for view in candidates for b in view.busy}
     best: _Group | None = None
@@ -410,7 +408,7 @@
 
 def _choose_least_pending(plan: Plan, views: list[EngineView]) -> _Group:
     """No time was found: after all that is planned, where that ends first."""
-    spared = [view for view in views if not view.company.is_quick] or views
+    spared = [view for view in views if not view.occupancy.is_quick] or views
     ranked = sorted(spared, key=lambda view: view.pending + view.pass_time)
     counts = range(1, min(len(ranked), MOST_HELPERS + 1) + 1)
     best = min(counts, key=lambda n: ranked[n - 1].pending + plan.read / n)
--- a/src/scalebend/core/gateway/replica_load.py
+++ b/src/scalebend/core/gateway/replica_load.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from scalebend.core.gateway.engine_costs import QUICK_READ, compute_pass_time
-from scalebend.core.gateway.engine_view import BusyTime, Company, EngineView
+from scalebend.core.gateway.engine_view import BusyTime, EngineView, Occupancy
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import BusyReplica, EngineWork, JobId
@@ -65,6 +65,26 @@
     read_from: float
     read_until: float
 
+    def is_helping(self, now: float) -> bool:
+        """Whether a part of another replica's job is read there now.
+
+        Parts whose turn comes later are not at the replica yet.
+        """
+        is_read = self.is_first or self.job.is_writing
+        return not is_read and self.read_from <= now
+
+
+class _Reading(msgspec.Struct):
+    """What is to be read on a replica; times in seconds from now, at its usual pace."""
+
+    pending: float = 0.0
+    busy: list[BusyTime] = msgspec.field(default_factory=list)
+    is_reading: bool = False
+    """Whether anything is planned that is not known to be read."""
+
+    is_overdue: bool = False
+    """Whether a first token is missing that should have been seen."""
+
 
 class ReplicaLoad(msgspec.Struct):
     """One replica, as far as a scheduler knows."""
@@ -115,65 +135,75 @@
         self, endpoint: Endpoint, rank: int, profile: EngineProfile, now: float
     ) -> EngineView:
         """What matters of it now."""
-        contexts = []
-        gaps = []
-        busy = []
-        is_overdue = is_reading = False
-        helping = 0
-        pending = quick_reading = 0.0
-        free_tokens = profile.memory_tokens
+        reading = self._sum_reading(now)
+        occupancy = self._find_occupancy(now, is_overdue=reading.is_overdue)
+        held = sum(share.tokens for share in self.shares.values())
+        pace = self.read_pace(now)
+        return EngineView(
+            endpoint=endpoint,
+            rank=rank,
+            free_tokens=profile.memory_tokens - held,
+            occupancy=occupancy,
+            jobs=occupancy.jobs,
+            helping=sum(share.is_helping(now) for share in self.shares.values()),
+            pending=reading.pending * pace,
+            pass_time=pace * compute_pass_time(profile, self._list_contexts(occupancy)),
+            pace=pace,
+            busy=tuple(reading.busy),
+            stable_until=self._find_next_change(now),
+            is_reading=reading.is_reading,
+        )
+
+    def _sum_reading(self, now: float) -> _Reading:
+        """What is to be read there, by this scheduler's word and by others'."""
+        reading = _Reading()
+        quick = 0.0
         for share in self.shares.values():
-            job = share.job
             left = share.read_until - now
-            is_reading |= left >= 0.0
-            if share.is_whole and not job.is_writing:
-                is_overdue |= left < -OVERDUE
+            reading.is_reading |= left >= 0.0
+            if share.is_whole and not share.job.is_writing:
+                reading.is_overdue |= left < -OVERDUE
             if share.part <= QUICK_READ and share.is_whole:
                 # Short prompts are read together, in one pass.
-                quick_reading += min(share.part, max(0.0, left))
+                quick += min(share.part, max(0.0, left))
             elif left > 0.0:
-                pending = max(pending, left)
-                busy.append(BusyTime(max(0.0, share.read_from - now), left))
-            free_tokens -= share.tokens
-            if share.is_first:
-                contexts.append(job.work.prompt_tokens)
-                gaps.append(job.work.event_gap)
-            elif not job.is_writing and share.read_from <= now:
-                # Parts whose turn comes later are not at the replica yet.
-                helping += 1
-        pending += quick_reading
+                reading.pending = max(reading.pending, left)
+                start = max(0.0, share.read_from - now)
+                reading.busy.append(BusyTime(start, left))
+        reading.pending += quick
+        others = self._find_others(now)
+        if others is not None:
+            reading.is_reading = True
+            left = others.reading - (now - self.others_at)
+            if left > 0.0:
+                reading.pending = max(reading.pending, left)
+                reading.busy.append(BusyTime(0.0, left))
+        if quick > 0.0:
+            reading.busy.append(BusyTime(0.0, quick))
+        return reading
+
+    def _find_occupancy(self, now: float, *, is_overdue: bool) -> Occupancy:
+        gaps = sorted(
+            share.job.work.event_gap for share in self.shares.values() if share.is_first
+        )
+        unknown_jobs = self.unknown_jobs if now < self.unknown_until else 0
         told_jobs, told_gap = 0, 0.0
         others = self._find_others(now)
         if others is not None:
-            age = now - self.others_at
             # Some of them have ended since.
+            age = now - self.others_at
             told_jobs = int(others.writing * (1.0 - age / BUSY_LIFE))
             told_gap = others.event_gap
-            if others.reading > age:
-                pending = max(pending, others.reading - age)
-                busy.append(BusyTime(0.0, others.reading - age))
-        if quick_reading > 0.0:
-            busy.append(BusyTime(0.0, quick_reading))
-        unknown_jobs = self.unknown_jobs if now < self.unknown_until else 0
-        # Nothing is known of their sizes, either.
-        contexts += [0] * unknown_jobs
-        gaps.sort()
-        company = Company(tuple(gaps), unknown_jobs, told_jobs, told_gap, is_overdue)
-        pace = self.read_pace(now)
-        return EngineView(
-            endpoint=endpoint,
-            rank=rank,
-            free_tokens=free_tokens,
-            company=company,
-            jobs=company.jobs,
-            helping=helping,
-            pending=pending * pace,
-            pass_time=pace * compute_pass_time(profile, contexts),
-            pace=pace,
-            busy=tuple(busy),
-            stable_until=self._find_next_change(now),
-            is_reading=is_reading or others is not None,
-        )
+        return Occupancy(tuple(gaps), unknown_jobs, told_jobs, told_gap, is_overdue)
+
+    def _list_contexts(self, occupancy: Occupancy) -> list[int]:
+        """Sizes of the prompts that are written for; nothing is known of others'."""
+        known = [
+            share.job.work.prompt_tokens
+            for share in self.shares.values()
+            if share.is_first
+        ]
+        return known + [0] * occupancy.unknown_jobs
 
     def _find_others(self, now: float) -> BusyReplica | None:
         return self.others if now - self.others_at <= BUSY_LIFE else None
--- a/src/scalebend/core/gateway/replica_pool.py
+++ b/src/scalebend/core/gateway/replica_pool.py
@@ -1,8 +1,8 @@
 """The usable replicas of one service, kept in order, so that a choice looks at few.
 
 Most replicas do not change between two choices: what they write was started before, and
-what they had to read is read. Their views are kept, and those with the same company are
-equal but for memory and rank, so one place in a sorted list finds the next one to take.
+what they had to read is read. Their views are kept, in buckets of the same occupancy:
+such replicas are equal but for memory and rank, so a sorted list tells which is next.
 Only replicas that read are looked at anew each time, since their reading ends by the
 clock. A choice therefore costs by what is being read, not by the size of the fleet.
 """
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from scalebend.core.gateway.engine_view import Company, EngineView
+from scalebend.core.gateway.engine_view import EngineView, Occupancy
 from scalebend.core.gateway.replica_load import ReplicaLoad
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
@@ -26,10 +26,10 @@
 """A replica of which nothing is known."""
 
 
-class _Shelf(msgspec.Struct, eq=False):
-    """Sound replicas with the same company."""
+class _Bucket(msgspec.Struct, eq=False):
+    """Sound replicas with the same occupancy."""
 
-    company: Company
+    occupancy: Occupancy
     settled: list[tuple[int, UpstreamId]] = msgspec.field(default_factory=list)
     """Those that read nothing, by rank."""
 
@@ -41,8 +41,8 @@
     rank: int
     view: EngineView | None = None
     viewed_at: float = 0.0
-    shelf: _Shelf | None = None
-    """Where it is filed; ``None`` for one that is unsound or new."""
+    bucket: _Bucket | None = None
+    """Where it is indexed; ``None`` for one that is unsound or new."""
 
 
 class ReplicaPool:
@@ -56,7 +56,7 @@
         self._loads: Mapping[UpstreamId, ReplicaLoad] = {}
         self._now = 0.0
         self._members: dict[UpstreamId, _Member] = {}
-        self._shelves: dict[Company, _Shelf] = {}
+        self._buckets: dict[Occupancy, _Bucket] = {}
         self._unsound: dict[UpstreamId, None] = {}
         self._stale: dict[UpstreamId, None] = {}
         self._changes: list[tuple[float, UpstreamId]] = []
@@ -94,14 +94,14 @@
         while self._changes and self._changes[0][0] <= now:
             self.touch(heapq.heappop(self._changes)[1])
         for upstream in self._stale:
-            self._refile(upstream)
+            self._index(upstream)
         self._stale.clear()
 
     def _keep_to(self, endpoints: Sequence[Endpoint]) -> None:
         self._endpoints = endpoints
         usable = {endpoint.upstream: endpoint for endpoint in endpoints}
         for upstream in [name for name in self._members if name not in usable]:
-            self._unfile(upstream)
+            self._unindex(upstream)
             del self._members[upstream]
             self._stale.pop(upstream, None)
         for upstream, endpoint in usable.items():
@@ -113,23 +113,23 @@
                 member.endpoint = endpoint
                 self._stale[upstream] = None
 
-    def _unfile(self, upstream: UpstreamId) -> None:
+    def _unindex(self, upstream: UpstreamId) -> None:
         member = self._members[upstream]
-        shelf = member.shelf
-        member.shelf = None
+        bucket = member.bucket
+        member.bucket = None
         self._unsound.pop(upstream, None)
-        if shelf is None:
+        if bucket is None:
             return
-        if upstream in shelf.reading:
-            del shelf.reading[upstream]
+        if upstream in bucket.reading:
+            del bucket.reading[upstream]
         else:
-            del shelf.settled[bisect_left(shelf.settled, (member.rank, upstream))]
-        if not shelf.settled and not shelf.reading:
-            del self._shelves[shelf.company]
-        self._count_quick(shelf.company, -1)
+            del bucket.settled[bisect_left(bucket.settled, (member.rank, upstream))]
+        if not bucket.settled and not bucket.reading:
+            del self._buckets[bucket.occupancy]
+        self._count_quick(bucket.occupancy, -1)
 
-    def _refile(self, upstream: UpstreamId) -> None:
-        self._unfile(upstream)
+    def _index(self, upstream: UpstreamId) -> None:
+        self._unindex(upstream)
         view = self._build_view(upstream)
         if view.stable_until < math.inf:
             heapq.heappush(self._changes, (view.stable_until, upstream))
@@ -137,20 +137,20 @@
         if not self._loads.get(upstream, _UNKNOWN).is_sound(self._now):
             self._unsound[upstream] = None
             return
-        shelf = self._shelves.get(view.company)
-        if shelf is None:
-            shelf = self._shelves[view.company] = _Shelf(view.company)
-        member.shelf = shelf
+        bucket = self._buckets.get(view.occupancy)
+        if bucket is None:
+            bucket = self._buckets[view.occupancy] = _Bucket(view.occupancy)
+        member.bucket = bucket
         if view.is_reading:
-            shelf.reading[upstream] = None
+            bucket.reading[upstream] = None
         else:
-            insort(shelf.settled, (member.rank, upstream))
-        self._count_quick(view.company, 1)
+            insort(bucket.settled, (member.rank, upstream))
+        self._count_quick(view.occupancy, 1)
 
-    def _count_quick(self, company: Company, change: int) -> None:
-        if company.is_quick:
+    def _count_quick(self, occupancy: Occupancy, change: int) -> None:
+        if occupancy.is_quick:
             self.quick_replicas += change
-            self.quick_jobs += change * company.jobs
+            self.quick_jobs += change * occupancy.jobs
 
     def _build_view(self, upstream: UpstreamId) -> EngineView:
         assert self._profile is not None
@@ -167,38 +167,43 @@
     @property
     def has_sound(self) -> bool:
         """Whether any replica is sound."""
-        return bool(self._shelves)
+        return bool(self._buckets)
 
-    def list_companies(self) -> list[Company]:
+    def list_occupancies(self) -> list[Occupancy]:
         """Companies that sound replicas have now."""
-        return list(self._shelves)
+        return list(self._buckets)
 
     def iterate_settled(
-        self, company: Company, *, reverse: bool = False
+        self, occupancy: Occupancy, *, reverse: bool = False
     ) -> Iterator[EngineView]:
-        """Sound replicas with this company that read nothing, by rank."""
-        settled = self._shelves[company].settled
+        """Sound replicas with this occupancy that read nothing, by rank."""
+        settled = self._buckets[occupancy].settled
         for _, upstream in reversed(settled) if reverse else settled:
             yield self._get_view(upstream)
 
-    def iterate_reading(self, company: Company) -> Iterator[EngineView]:
-        """Sound replicas with this company that read."""
-        for upstream in self._shelves[company].reading:
+    def iterate_reading(self, occupancy: Occupancy) -> Iterator[EngineView]:
+        """Sound replicas with this occupancy that read."""
+        for upstream in self._buckets[occupancy].reading:
             yield self._get_view(upstream)
 
-    def count_settled(self, company: Company) -> int:
-        """Sound replicas with this company that read nothing."""
-        shelf = self._shelves.get(company)
-        return len(shelf.settled) if shelf is not None else 0
+    def iterate_views(self, occupancy: Occupancy) -> Iterator[EngineView]:
+        """Sound replicas with this occupancy, those that read last."""
+        yield from self.iterate_settled(occupancy)
+        yield from self.iterate_reading(occupancy)
+
+    def count_settled(self, occupancy: Occupancy) -> int:
+        """Sound replicas with this occupancy that read nothing."""
+        bucket = self._buckets.get(occupancy)
+        return len(bucket.settled) if bucket is not None else 0
 
     def count_others_than_quick(self, beside: Iterable[EngineView]) -> int:
         """Sound replicas that do not write for quick requests, ``beside`` left out."""
-        filed = sum(
-            len(shelf.settled) + len(shelf.reading)
-            for company, shelf in self._shelves.items()
-            if not company.is_quick
+        indexed = sum(
+            len(bucket.settled) + len(bucket.reading)
+            for occupancy, bucket in self._buckets.items()
+            if not occupancy.is_quick
         )
-        return filed - sum(not view.company.is_quick for view in beside)
+        return indexed - sum(not view.occupancy.is_quick for view in beside)
 
     def list_views(self, excluded: Iterable[UpstreamId] = ()) -> list[EngineView]:
         """Sound replicas but for those ``excluded``; all others if there are none."""
@@ -206,7 +211,7 @@
         views = [
             self._get_view(upstream)
             for upstream, member in self._members.items()
-            if member.shelf is not None and upstream not in left_out
+            if member.bucket is not None and upstream not in left_out
         ]
         return views or [
             self._get_view(upstream)
--- a/tests/unit/gateway/test_replica_pool.py
+++ b/tests/unit/gateway/test_replica_pool.py
@@ -106,12 +106,12 @@
         assert order(kept.list_views()) == order(anew.list_views())
         assert kept.quick_jobs == anew.quick_jobs
         assert kept.quick_replicas == anew.quick_replicas
-        assert set(kept.list_companies()) == set(anew.list_companies())
+        assert set(kept.list_occupancies()) == set(anew.list_occupancies())
         assert kept.count_settled(IDLE) == anew.count_settled(IDLE)
 
 
 @given(STEPS, st.sampled_from([(5_000, 0.3, 0.2), (20_000, 1.0, 0.5)]))
-def test_choice_by_company_is_that_of_a_look_at_all(steps, size):
+def test_choice_by_occupancy_is_that_of_a_look_at_all(steps, size):
     fleet = Fleet()
     for step in steps:
         fleet.apply(*step)
