--- a/src/scalebend/core/gateway/outlier_detector.py
+++ b/src/scalebend/core/gateway/outlier_detector.py
@@ -48,6 +48,7 @@
 
 
 class _Record(msgspec.Struct):
+    service: ServiceName
     answered: float = 0.0
     failed: float = 0.0
     seen_at: float = 0.0
@@ -72,7 +73,6 @@
 
     def __init__(self) -> None:
         self._records: dict[UpstreamId, _Record] = {}
-        self._services: dict[UpstreamId, ServiceName] = {}
 
     def note(
         self, outcomes: UpstreamOutcomes, service: ServiceName, usable: int, now: float
@@ -84,8 +84,7 @@
             if not outcomes.failed:
                 # Nothing is to be remembered of those that only answer.
                 return
-            record = self._records[upstream] = _Record()
-            self._services[upstream] = service
+            record = self._records[upstream] = _Record(service)
         record.fade(now)
         record.answered += outcomes.answered
         record.failed += outcomes.failed
@@ -113,8 +112,10 @@
         """Forget upstreams that failed nothing for long."""
         for upstream, record in list(self._records.items()):
             if now >= max(record.failed_at + FORGET_AFTER, record.ejected_until):
-                del self._records[upstream], self._services[upstream]
+                del self._records[upstream]
 
     def _count_ejected(self, service: ServiceName, now: float) -> int:
-        ejections = self.list_ejections(now)
-        return sum(self._services[one.upstream] == service for one in ejections)
+        return sum(
+            record.service == service and now < record.ejected_until
+            for record in self._records.values()
+        )
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -20,6 +20,16 @@
 TICK = 0.05
 
 
+def pump(instance, now):
+    """Let a control instance write and act until it has nothing more to do."""
+    actions = []
+    while True:
+        ready = instance.member.take_ready(now)
+        if ready.is_empty and not instance.member.has_outgoing:
+            return actions
+        actions += instance.finish(ready, now)
+
+
 class Deployment:
     """One control instance that leads, its fronts, and replicas of one service."""
 
@@ -80,12 +90,7 @@
                 self._send(action.front, answers)
 
     def _pump(self):
-        actions = []
-        while True:
-            ready = self.leader.member.take_ready(self.now)
-            if ready.is_empty and not self.leader.member.has_outgoing:
-                return actions
-            actions += self.leader.finish(ready, self.now)
+        return pump(self.leader, self.now)
 
 
 def build_deployment(fronts, replicas, *, has_engines=False):
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -34,7 +34,7 @@
     build_routing,
     build_service,
 )
-from tests.lib.gateway_group import build_deployment
+from tests.lib.gateway_group import build_deployment, pump
 
 ME = InstanceId("10.1.0.1:7000")
 FRONT = InstanceId("10.1.0.9:7000")
@@ -59,12 +59,7 @@
         return actions
 
     def pump(self):
-        actions = []
-        while True:
-            ready = self.instance.member.take_ready(self.now)
-            if ready.is_empty and not self.instance.member.has_outgoing:
-                return actions
-            actions += self.instance.finish(ready, self.now)
+        return pump(self.instance, self.now)
 
     def put(self, routing):
         stored = pack_routing(routing, b"{}")
