Know upstreams by incarnation, and refuse what other programs write

Cause: an upstream may start again under its name, and other programs may write where upstreams register. The directory dropped a sequence that began anew, kept a name that had left or drained out for good, and kept suspicion, jobs, pace and ejection of the life before; the decoder read an unknown state as draining, which sticks, and took slots of 0, -4 or 10^9, empty addresses, port 99999 and negative numbers.

Change: the adapter decodes name and time of start into one id for an incarnation, under which everything is kept, so that nothing has to be cleared. A newer one ends the older at once; what is told of an older one changes nothing. A front ends what it waits for from an incarnation that is over. Registrations, departures, reports, load headers and lines of the upstreams file are checked field by field; a service that no document names is refused, unless the upstream was known with it, since it must still be able to leave. A report that cannot be read no longer counts as silence.

Ruled out: clearing each table when a new life is heard of (six tables in two processes, and late messages would fill them again). A departure without a body ends the newest life: the platform's have none, and taking one too many out is noticed at the next start.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -53,8 +53,14 @@
     Propose,
     RelayReply,
 )
-from scalebend.models.endpoints import Endpoint, EndpointNews, UpstreamOutcomes
-from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.exceptions import ErrorKind, RequestError
+from scalebend.models.endpoints import (
+    Departure,
+    Endpoint,
+    EndpointNews,
+    UpstreamOutcomes,
+)
+from scalebend.models.ids import InstanceId, ServiceName, UpstreamId, UpstreamName
 from scalebend.models.placement import (
     Declined,
     EngineWork,
@@ -334,16 +340,32 @@
         logger.info("upstreams restored", count=len(self.directory.list_ids()))
 
     def register(self, endpoint: Endpoint, now: float) -> list[ControlAction]:
-        """An upstream registered here."""
+        """An upstream registered here; raise if no document names its service.
+
+        One that is known with it is heard even if the service was taken out since: it
+        must be able to say that it leaves.
+        """
+        before = self.directory.get(endpoint.upstream)
+        is_as_known = before is not None and before.service == endpoint.service
+        if not is_as_known and not self._names_service(endpoint.service):
+            raise RequestError(
+                f"service {endpoint.service}", kind=ErrorKind.UNKNOWN_SERVICE
+            )
         change = self.directory.register(endpoint, now)
         known = self.directory.get(endpoint.upstream)
         if known is None:
             return []
         return self._spread(EndpointNews(known, is_gone=False), change)
 
-    def remove(self, upstream: UpstreamId, now: float) -> list[ControlAction]:
+    def _names_service(self, service: ServiceName) -> bool:
+        """Whether the routing document has the service, as far as one is held."""
+        return self.routing.version == 0 or service in self.table.services
+
+    def remove(
+        self, name: UpstreamName, now: float, born: int | None = None
+    ) -> list[ControlAction]:
         """An upstream says here that it leaves."""
-        change = self.directory.remove(upstream, now)
+        change = self.directory.leave(Departure(name, born), now)
         return self._spread(change, change) if change is not None else []
 
     def _spread(
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -2,11 +2,15 @@
 
 Each control instance hears some registrations directly and the rest from the other
 control instances; fronts hear changes from all of them. Whoever hears first wins,
-by the registration's sequence number; a draining or departed upstream never becomes
-ready again under the same id, since a restart has a new one.
+by the registration's sequence number; a draining or departed incarnation never becomes
+ready again.
+
+An upstream that starts again under its name is another incarnation: it ends the one
+before at once, whatever was known of that, and nothing that is told of an earlier one
+counts from then on, however late it comes.
 
 An address belongs to the id that registered there last: an upstream that crashed says
-nothing, and its next incarnation may be back before its silence is noticed. A
+nothing, and one with another name may be back there before its silence is noticed. A
 registration that was delayed on its way may come after that; it takes the address only
 for as long as the true one is not heard again.
 """
@@ -16,8 +20,13 @@
 import msgspec
 import structlog
 
-from scalebend.models.endpoints import Endpoint, EndpointNews
-from scalebend.models.ids import ServiceName, UpstreamId
+from scalebend.models.endpoints import (
+    Departure,
+    Endpoint,
+    EndpointNews,
+    build_upstream_id,
+)
+from scalebend.models.ids import ServiceName, UpstreamId, UpstreamName
 
 logger = structlog.get_logger(__name__)
 
@@ -25,7 +34,6 @@
 """Seconds for which a departed id is remembered, against late registrations;
 the platform delivers them seconds late."""
 
-
 HEARD_AGAIN = 2
 """Registrations after which an id takes its address back: one may have been delayed."""
 
@@ -50,6 +58,9 @@
         self._silence_limit = silence_limit
         self._heard_again = heard_again
         self._known: dict[UpstreamId, _Known] = {}
+        self._newest: dict[UpstreamName, UpstreamId] = {}
+        """The last incarnation of each upstream, gone or not."""
+
         self._by_service: dict[ServiceName, dict[UpstreamId, Endpoint]] = {}
         self._by_address: dict[str, UpstreamId] = {}
         self._usable: dict[ServiceName, tuple[Endpoint, ...]] = {}
@@ -65,6 +76,10 @@
         endpoint = self.get(upstream)
         return endpoint is not None and not endpoint.is_draining
 
+    def get_newest(self, name: UpstreamName) -> UpstreamId | None:
+        """The last incarnation of an upstream that was heard of, gone or not."""
+        return self._newest.get(name)
+
     def list_usable(self, service: ServiceName) -> tuple[Endpoint, ...]:
         """Endpoints of a service that may be sent new requests.
 
@@ -97,8 +112,11 @@
 
     def register(self, endpoint: Endpoint, now: float) -> EndpointNews | None:
         """Take a registration; return what changed, if anything did."""
+        if self._is_superseded(endpoint):
+            return None
         known = self._known.get(endpoint.upstream)
         if known is None:
+            self._begin(endpoint, now)
             self._known[endpoint.upstream] = _Known(endpoint, now)
             self._take_address(endpoint)
             return self._publish(endpoint, is_gone=False)
@@ -118,6 +136,33 @@
         known.is_gone = False
         return self._publish(merged, is_gone=False) if has_changed else None
 
+    def _is_superseded(self, endpoint: Endpoint) -> bool:
+        """Whether a later incarnation of the upstream is known."""
+        newest = self._newest.get(endpoint.name)
+        if newest is None or not endpoint.is_before(self._known[newest].endpoint):
+            return False
+        logger.info(
+            "earlier incarnation ignored",
+            upstream=endpoint.upstream,
+            newest=newest,
+            sequence=endpoint.sequence,
+        )
+        return True
+
+    def _begin(self, endpoint: Endpoint, now: float) -> None:
+        """An incarnation is heard of first: the one before it has ended."""
+        before = self._newest.get(endpoint.name)
+        self._newest[endpoint.name] = endpoint.upstream
+        if before is None or before == endpoint.upstream:
+            return
+        logger.info(
+            "upstream started again",
+            upstream=endpoint.upstream,
+            before=before,
+            address=endpoint.address,
+        )
+        self.remove(before, now)
+
     def _take_address(self, endpoint: Endpoint) -> None:
         """Whoever had the address before has ended."""
         before = self._by_address.get(endpoint.address)
@@ -152,7 +197,7 @@
         return True
 
     def remove(self, upstream: UpstreamId, now: float) -> EndpointNews | None:
-        """The upstream says that it leaves: it gets nothing new and never returns."""
+        """This incarnation leaves or has ended: it gets nothing new, never returns."""
         known = self._known.get(upstream)
         if known is None:
             return None
@@ -162,13 +207,24 @@
         known.heard_at = now
         return self._publish(known.endpoint, is_gone=True) if is_news else None
 
+    def leave(self, departure: Departure, now: float) -> EndpointNews | None:
+        """An upstream says that it leaves."""
+        if departure.born is not None:
+            upstream = build_upstream_id(departure.name, departure.born)
+            return self.remove(upstream, now)
+        newest = self._newest.get(departure.name)
+        return self.remove(newest, now) if newest is not None else None
+
     def merge(self, news: EndpointNews, now: float) -> EndpointNews | None:
         """Take what another process published; return what is new here."""
         if not news.is_gone:
             return self.register(news.endpoint, now)
+        if self._is_superseded(news.endpoint):
+            return None
         upstream = news.endpoint.upstream
         known = self._known.get(upstream)
         if known is None:
+            self._begin(news.endpoint, now)
             self._known[upstream] = _Known(news.endpoint, now, is_gone=True)
             return news
         if news.endpoint.is_draining:
@@ -197,9 +253,11 @@
             if known.is_gone and now - known.heard_at > REMEMBERED_GONE
         ]
         for upstream in old:
-            address = self._known.pop(upstream).endpoint.address
-            if self._by_address.get(address) == upstream:
-                del self._by_address[address]
+            endpoint = self._known.pop(upstream).endpoint
+            if self._by_address.get(endpoint.address) == upstream:
+                del self._by_address[endpoint.address]
+            if self._newest.get(endpoint.name) == upstream:
+                del self._newest[endpoint.name]
 
     def _publish(self, endpoint: Endpoint, *, is_gone: bool) -> EndpointNews:
         self._usable.pop(endpoint.service, None)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 import msgspec
 import structlog
 
@@ -31,7 +33,7 @@
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
 from scalebend.core.gateway.service_balancer import ServiceBalancer
-from scalebend.models.endpoints import UpstreamOutcomes
+from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, Term, UpstreamId
 from scalebend.models.placement import (
@@ -74,6 +76,15 @@
     message: LinkMessage
 
 
+class EndAttempts(msgspec.Struct, frozen=True):
+    """Action: nothing comes any more of attempts that run on these upstreams."""
+
+    upstreams: list[UpstreamId]
+
+
+FrontAction = ToControl | EndAttempts
+
+
 class FrontInstance:
     """State and decisions of one front, without I/O."""
 
@@ -156,7 +167,7 @@
 
     def handle(
         self, sender: InstanceId, message: LinkMessage, now: float
-    ) -> list[ToControl]:
+    ) -> Sequence[FrontAction]:
         """Take a message of a control instance."""
         if sender == self.leader:
             self._heard_at = now
@@ -178,8 +189,7 @@
             case EjectedUpstreams(upstreams) if sender == self.leader:
                 self._take_ejected(upstreams, now)
             case EndpointChanges(news):
-                for one in news:
-                    self.directory.merge(one, now)
+                return self._take_endpoints(news, now)
         return []
 
     def advance(self, now: float) -> list[ToControl]:
@@ -208,6 +218,18 @@
             self.scheduler.retain(self.directory.list_ids())
         return actions
 
+    def _take_endpoints(
+        self, news: list[EndpointNews], now: float
+    ) -> list[EndAttempts]:
+        ended = []
+        for one in news:
+            name = one.endpoint.name
+            before = self.directory.get_newest(name)
+            self.directory.merge(one, now)
+            if before is not None and before != self.directory.get_newest(name):
+                ended.append(before)
+        return [EndAttempts(ended)] if ended else []
+
     def _take_control_news(
         self, sender: InstanceId, news: ControlNews, now: float
     ) -> list[ToControl]:
--- a/src/scalebend/edges/gateway/control_calls.py
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -18,11 +18,11 @@
 from scalebend.edges.problems import build_response
 from scalebend.exceptions import ErrorKind, RequestError, ScalebendError
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import UpstreamId
 from scalebend.platform.registrations import (
     ACKNOWLEDGEMENT,
     CONFIGURATION_PATH,
     REGISTRATION_PREFIX,
+    decode_departure,
     decode_registration,
 )
 
@@ -32,6 +32,9 @@
 """Seconds between two reports of each engine. Fronts ask at once when a first token is
 late; this finds slow ones before, at a price that shows where probes are dear."""
 
+LONGEST_LOGGED = 200
+"""Characters of a refused call's path and fault that are logged: anybody may call."""
+
 
 class ControlHandler:
     """Calls of operators and upstreams."""
@@ -47,9 +50,9 @@
             logger.info(
                 "call refused",
                 method=request.method,
-                path=request.path,
+                path=request.path[:LONGEST_LOGGED],
                 kind=error.kind.value,
-                detail=error.detail[:200],
+                detail=error.detail[:LONGEST_LOGGED],
             )
             return build_response(error)
 
@@ -59,7 +62,7 @@
             case "PUT" if path.startswith(REGISTRATION_PREFIX):
                 return await self._register(request)
             case "DELETE" if path.startswith(REGISTRATION_PREFIX):
-                return self._remove(request)
+                return await self._remove(request)
             case "PUT" if path == CONFIGURATION_PATH:
                 return await self._put(request)
             case "GET" if path == CONFIGURATION_PATH:
@@ -70,15 +73,18 @@
 
     async def _register(self, request: web.BaseRequest) -> web.StreamResponse:
         runtime = self._runtime
-        upstream = request.path.removeprefix(REGISTRATION_PREFIX)
-        endpoint = decode_registration(upstream, await request.read())
+        name = request.path.removeprefix(REGISTRATION_PREFIX)
+        endpoint = decode_registration(name, await request.read())
         runtime.execute(runtime.instance.register(endpoint, runtime.now()))
         return self._acknowledge_registration()
 
-    def _remove(self, request: web.BaseRequest) -> web.StreamResponse:
+    async def _remove(self, request: web.BaseRequest) -> web.StreamResponse:
         runtime = self._runtime
-        upstream = UpstreamId(request.path.removeprefix(REGISTRATION_PREFIX))
-        runtime.execute(runtime.instance.remove(upstream, runtime.now()))
+        name = request.path.removeprefix(REGISTRATION_PREFIX)
+        departure = decode_departure(name, await request.read())
+        runtime.execute(
+            runtime.instance.remove(departure.name, runtime.now(), departure.born)
+        )
         return self._acknowledge_registration()
 
     def _acknowledge_registration(self) -> web.StreamResponse:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -11,7 +11,12 @@
 
 import structlog
 
-from scalebend.core.gateway.front_instance import FrontInstance, ToControl
+from scalebend.core.gateway.front_instance import (
+    EndAttempts,
+    FrontAction,
+    FrontInstance,
+    ToControl,
+)
 from scalebend.core.gateway.messages import (
     Heartbeat,
     Introduce,
@@ -28,6 +33,7 @@
 )
 from scalebend.edges.gateway.links import HEARTBEAT, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.running_attempts import RunningAttempts
 from scalebend.models.calls import LoadReading
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId, UpstreamId
@@ -77,13 +83,14 @@
         self._dialer = Dialer(
             me, self._receive, self._note_up, self._note_down, metrics
         )
+        self.attempts = RunningAttempts()
         self._placing: dict[JobId, asyncio.Future[PlaceAnswer]] = {}
         self._sessions: UpstreamSessions | None = None
         self._inspector: Inspector | None = None
         self._jobs = 0
         self._leader_paused_until = 0.0
         self._heartbeat_at = 0.0
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[object]] = set()
         self._first_lease = asyncio.Event()
         self.open_requests = 0
         self.drain_began: float | None = None
@@ -156,11 +163,15 @@
     def _note_down(self, instance: InstanceId) -> None:
         self.instance.remove_link(instance)
 
-    def _execute(self, actions: Iterable[ToControl]) -> None:
+    def _execute(self, actions: Iterable[FrontAction]) -> None:
         for action in actions:
-            self._dialer.send(action.instance, action.message)
+            match action:
+                case ToControl(instance, message):
+                    self._dialer.send(instance, message)
+                case EndAttempts(upstreams):
+                    self.attempts.end(upstreams)
 
-    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def spawn(self, work: Coroutine[Any, Any, object]) -> None:
         """Run ``work`` beside the requests."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
@@ -279,8 +290,8 @@
         stage = JobStage(job, is_ended=True)
         self._execute(self.instance.note_stage(stage, self.now()))
 
-    async def inspect(self, placement: Placement) -> None:
-        """A first token is late: ask the replicas which of them is slow."""
+    async def inspect(self, placement: Placement) -> list[UpstreamId]:
+        """Ask the replicas which of them is slow; return those that do not answer."""
         addresses = {helper.upstream: helper.address for helper in placement.helpers}
         addresses[placement.upstream] = placement.address
         assert self._inspector is not None
@@ -288,6 +299,7 @@
         self._execute(self.instance.note_paces(inspection.paces, self.now()))
         for upstream in inspection.silent:
             self.note_replica_failure(upstream)
+        return self._inspector.list_silent(addresses, self.now())
 
     def is_queueing(self, upstream: UpstreamId) -> bool:
         """Whether a replica said lately that requests wait there."""
--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
+from enum import Enum
 
 import aiohttp
 import msgspec
 import structlog
 
 from scalebend.core.gateway.replica_load import SLOW_PACE
+from scalebend.models.endpoints import get_upstream_born
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import ReplicaPace, ReplicaReport
 from scalebend.platform.reports import REPORT_PATH, decode_report
@@ -30,6 +33,17 @@
 """Seconds for which a report says something about a request that still waits."""
 
 
+class _NoReport(Enum):
+    """Why there is no report of a replica."""
+
+    UNANSWERED = "unanswered"
+    UNREADABLE = "unreadable"
+    """Something else answered there, which says nothing of the replica."""
+
+
+_Report = ReplicaReport | _NoReport
+
+
 class Inspection(msgspec.Struct, frozen=True):
     """What some replicas told; ``silent`` did not answer at all."""
 
@@ -37,9 +51,25 @@
     silent: list[UpstreamId]
 
 
-def _summarise(reports: dict[UpstreamId, ReplicaReport | None]) -> Inspection:
-    paces = [ReplicaPace(u, report.pace) for u, report in reports.items() if report]
-    return Inspection(paces, [u for u, report in reports.items() if report is None])
+def _summarise(reports: dict[UpstreamId, _Report]) -> Inspection:
+    paces = []
+    silent = []
+    for upstream, report in reports.items():
+        match report:
+            case ReplicaReport(pace=pace, born=born):
+                if _is_of(upstream, born):
+                    paces.append(ReplicaPace(upstream, pace))
+                else:
+                    silent.append(upstream)
+            case _NoReport.UNANSWERED:
+                silent.append(upstream)
+    return Inspection(paces, silent)
+
+
+def _is_of(upstream: UpstreamId, born: int | None) -> bool:
+    """Whether a report may be this incarnation's; either may tell no start."""
+    known = get_upstream_born(upstream)
+    return known is None or born is None or known == born
 
 
 class Inspector:
@@ -48,16 +78,27 @@
     def __init__(self, session: aiohttp.ClientSession) -> None:
         self._session = session
         self._asked: dict[UpstreamId, float] = {}
-        self._reports: dict[UpstreamId, ReplicaReport | None] = {}
+        self._reports: dict[UpstreamId, _Report] = {}
 
     def is_queueing(self, upstream: UpstreamId, now: float) -> bool:
         """Whether the replica's last report explains why a request still waits."""
         asked_at = self._asked.get(upstream, -REPORT_LIFE)
         report = self._reports.get(upstream)
-        if report is None or now - asked_at > REPORT_LIFE:
+        if not isinstance(report, ReplicaReport) or now - asked_at > REPORT_LIFE:
             return False
         return report.waiting > 0 and report.pace < SLOW_PACE
 
+    def list_silent(
+        self, upstreams: Iterable[UpstreamId], now: float
+    ) -> list[UpstreamId]:
+        """Those that did not answer when they were asked last, a moment ago."""
+        return [
+            upstream
+            for upstream in upstreams
+            if self._reports.get(upstream) is _NoReport.UNANSWERED
+            and now - self._asked[upstream] < REPEAT_AFTER
+        ]
+
     async def inspect(self, addresses: dict[UpstreamId, str], now: float) -> Inspection:
         """Ask these replicas, but those asked a moment ago."""
         due = {
@@ -79,12 +120,16 @@
             )
         return inspection
 
-    async def _ask(self, address: str) -> ReplicaReport | None:
+    async def _ask(self, address: str) -> _Report:
         timeout = aiohttp.ClientTimeout(total=REPORT_TIMEOUT)
         url = f"http://{address}{REPORT_PATH}"
         try:
             async with self._session.get(url, timeout=timeout) as answer:
-                return decode_report(await answer.read())
+                report = decode_report(await answer.read())
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             logger.info("report unanswered", address=address, error=str(error))
-            return None
+            return _NoReport.UNANSWERED
+        if report is None:
+            logger.info("report not readable", address=address)
+            return _NoReport.UNREADABLE
+        return report
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -17,7 +17,12 @@
 """Name of a customer in the configuration."""
 
 UpstreamId = NewType("UpstreamId", str)
-"""Name an upstream gives itself; stable over its restarts."""
+"""What an upstream is known by inside the system. In the gateway it names one
+incarnation, see :func:`scalebend.models.endpoints.build_upstream_id`; elsewhere it is
+the upstream's own name, beside an :data:`Incarnation`."""
+
+UpstreamName = NewType("UpstreamName", str)
+"""Name an upstream of the gateway gives itself; it may keep it over a restart."""
 
 Incarnation = NewType("Incarnation", int)
 """Number that an upstream or instance raises at each start."""
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -115,6 +115,8 @@
 
     waiting: int
     running: int
+    born: int | None = None
+    """Unix millisecond of its start; ``None`` if it tells none."""
 
 
 class ReplicaPace(msgspec.Struct, frozen=True, array_like=True):
--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -13,6 +13,7 @@
     LoadReading,
     PromptSize,
 )
+from scalebend.models.endpoints import get_upstream_name
 from scalebend.models.ids import UpstreamId
 
 REQUEST_ID = "X-Request-Id"
@@ -31,6 +32,10 @@
 _TOKENS = "X-Token-Counts"
 _LENGTH_HINT = "X-Length-Hint"
 
+MOST_DIGITS = 6
+"""Digits of a count that a replica can mean: a million requests are at none of them,
+and one that claims them would never be chosen again."""
+
 _CONNECTION_HEADERS = frozenset(
     name.lower()
     for name in (
@@ -113,7 +118,7 @@
             continue
         headers.add(name, value)
     headers[DEADLINE] = str(max(1, int(remaining * 1000.0)))
-    headers[EXPECTED_UPSTREAM] = upstream
+    headers[EXPECTED_UPSTREAM] = get_upstream_name(upstream)
     if call.customer is not None:
         headers[CUSTOMER] = call.customer
     if last_event is not None:
@@ -182,13 +187,15 @@
 def _read_load(text: str | None) -> LoadReading | None:
     if text is None:
         return None
-    parts = [_read_integer(part) for part in text.split(",")]
-    if len(parts) != 3:
-        return None
-    running, waiting, slots = parts
-    if running is None or waiting is None or slots is None:
+    parts = text.split(",")
+    if len(parts) != 3 or not all(_is_count(part) for part in parts):
         return None
-    return LoadReading(running, waiting, slots)
+    running, waiting, slots = (int(part) for part in parts)
+    return LoadReading(running, waiting, slots) if slots else None
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= MOST_DIGITS
 
 
 def _read_number(text: str | None) -> float | None:
--- a/src/scalebend/platform/registrations.py
+++ b/src/scalebend/platform/registrations.py
@@ -1,12 +1,29 @@
-"""What upstreams send to register themselves, and what they are answered."""
+"""What upstreams send to register themselves, and what they are answered.
+
+Other programs may write to the same place. A message with a field that is missing, of
+another type or out of its range is refused whole: it must neither add an upstream nor
+change the one whose name it bears.
+"""
 
 from __future__ import annotations
 
+import ipaddress
+from typing import Annotated, Literal
+
 import msgspec
 
 from scalebend.exceptions import DocumentError, ErrorKind, Fault
-from scalebend.models.endpoints import Endpoint
-from scalebend.models.ids import AvailabilityZone, ServiceName, UpstreamId
+from scalebend.models.endpoints import (
+    LONGEST_NAME,
+    Count,
+    Departure,
+    Endpoint,
+    Name,
+    Slots,
+    build_upstream_id,
+    may_be_upstream_name,
+)
+from scalebend.models.ids import AvailabilityZone, ServiceName, UpstreamName
 
 REGISTRATION_PREFIX = "/instances/"
 CONFIGURATION_PATH = "/config"
@@ -15,16 +32,25 @@
 """Body of the answer to a registration: no other address for the next one."""
 
 
-class _Registration(msgspec.Struct, rename="pascal"):
-    service: str
-    address: str
-    zone: str
-    slots: int = 1
-    state: str = "ready"
-    seq: int = 0
+class _Registration(msgspec.Struct, rename="pascal", kw_only=True):
+    service: Name
+    address: Name
+    zone: Name
+    version: str
+    slots: Slots
+    state: Literal["ready", "draining"]
+    seq: Count
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    # Unix millisecond of the start; deployments of earlier pages tell none.
+    born: Count | msgspec.UnsetType = msgspec.field(name="born", default=msgspec.UNSET)
+
+
+class _Departure(msgspec.Struct):
+    born: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 _DECODER = msgspec.json.Decoder(_Registration)
+_DEPARTURE_DECODER = msgspec.json.Decoder(_Departure)
 
 
 def encode_registration(endpoint: Endpoint) -> bytes:
@@ -34,26 +60,67 @@
             service=endpoint.service,
             address=endpoint.address,
             zone=endpoint.availability_zone,
+            version="v1",
             slots=endpoint.slots,
             state="draining" if endpoint.is_draining else "ready",
             seq=endpoint.sequence,
+            cold_remaining_ms=0.0,
+            born=msgspec.UNSET if endpoint.born is None else endpoint.born,
         )
     )
 
 
 def decode_registration(upstream: str, data: bytes) -> Endpoint:
-    """Return the endpoint that registers; raise when the body cannot be read."""
+    """Return the endpoint that registers; raise when the message is not valid."""
+    name = _read_name(upstream)
     try:
         read = _DECODER.decode(data)
-    except msgspec.MsgspecError as error:
-        fault = Fault("$", str(error))
-        raise DocumentError([fault], kind=ErrorKind.INVALID_ANNOUNCEMENT) from error
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _build_error("$", str(error)) from error
+    if not _is_address(read.address):
+        raise _build_error("$.Address", "an IP address and a port")
+    born = None if read.born is msgspec.UNSET else read.born
     return Endpoint(
-        upstream=UpstreamId(upstream),
+        upstream=build_upstream_id(name, born),
         service=ServiceName(read.service),
         address=read.address,
         availability_zone=AvailabilityZone(read.zone),
         slots=read.slots,
-        is_draining=read.state != "ready",
+        is_draining=read.state == "draining",
         sequence=read.seq,
+        born=born,
     )
+
+
+def decode_departure(upstream: str, data: bytes) -> Departure:
+    """Return who says that it leaves; raise when the message is not valid.
+
+    The usual message has no body. Then it speaks of the newest incarnation.
+    """
+    name = _read_name(upstream)
+    if not data:
+        return Departure(name, None)
+    try:
+        read = _DEPARTURE_DECODER.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise _build_error("$", str(error)) from error
+    return Departure(name, None if read.born is msgspec.UNSET else read.born)
+
+
+def _read_name(text: str) -> UpstreamName:
+    if len(text) > LONGEST_NAME or not may_be_upstream_name(text):
+        raise _build_error("path", "the name of an upstream")
+    return UpstreamName(text)
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdecimal() and 0 < int(port) < 2**16
+
+
+def _build_error(path: str, expected: str) -> DocumentError:
+    return DocumentError([Fault(path, expected)], kind=ErrorKind.INVALID_ANNOUNCEMENT)
--- a/src/scalebend/platform/reports.py
+++ b/src/scalebend/platform/reports.py
@@ -2,18 +2,23 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+from scalebend.models.endpoints import Count
 from scalebend.models.placement import ReplicaReport
 
 REPORT_PATH = "/report"
 
 
-class _Report(msgspec.Struct):
+class _Report(msgspec.Struct, kw_only=True):
     # How many times slower than usual the replica works.
-    pace: float = 1.0
-    waiting: int = msgspec.field(name="Waiting", default=0)
-    running: int = msgspec.field(name="Running", default=0)
+    pace: Annotated[float, msgspec.Meta(gt=0, le=1e6)] = 1.0
+    waiting: Count = msgspec.field(name="Waiting")
+    running: Count = msgspec.field(name="Running")
+    # Unix millisecond of its start.
+    born: Count | msgspec.UnsetType = msgspec.UNSET
 
 
 _DECODER = msgspec.json.Decoder(_Report)
@@ -23,11 +28,17 @@
     """Return the report in ``data``; ``None`` when it is none."""
     try:
         read = _DECODER.decode(data)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
-    return ReplicaReport(max(1.0, read.pace), read.waiting, read.running)
+    born = None if read.born is msgspec.UNSET else read.born
+    return ReplicaReport(max(1.0, read.pace), read.waiting, read.running, born)
 
 
 def encode_report(report: ReplicaReport) -> bytes:
     """Body with which a replica answers; for stand-ins."""
-    return msgspec.json.encode(_Report(report.pace, report.waiting, report.running))
+    born = msgspec.UNSET if report.born is None else report.born
+    return msgspec.json.encode(
+        _Report(
+            pace=report.pace, waiting=report.waiting, running=report.running, born=born
+        )
+    )
--- a/src/scalebend/storage/upstream_file.py
+++ b/src/scalebend/storage/upstream_file.py
@@ -21,7 +21,8 @@
 _NAME = "upstreams"
 _CHECKSUM_SIZE = 4
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(list[EndpointNews])
+_LIST_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
+_DECODER = msgspec.msgpack.Decoder(EndpointNews)
 
 
 def write_upstreams(folder: Path, news: list[EndpointNews]) -> None:
@@ -49,7 +50,26 @@
         logger.warning("upstreams not read", error="damaged")
         return []
     try:
-        return _DECODER.decode(data)
+        entries = _LIST_DECODER.decode(data)
     except msgspec.MsgspecError as error:
         logger.warning("upstreams not read", error=str(error))
         return []
+    return _decode_valid(entries)
+
+
+def _decode_valid(entries: list[msgspec.Raw]) -> list[EndpointNews]:
+    """The entries that another program did not spoil, in their order."""
+    news = []
+    error: msgspec.MsgspecError | None = None
+    for entry in entries:
+        try:
+            news.append(_DECODER.decode(entry))
+        except msgspec.MsgspecError as caught:
+            error = caught
+    if error is not None:
+        logger.warning(
+            "stored upstreams left out",
+            count=len(entries) - len(news),
+            last_error=str(error),
+        )
+    return news
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -88,8 +88,10 @@
             "Service": self.service,
             "Address": self.address,
             "Zone": "z",
+            "Version": "v1",
             "Slots": 8,
             "State": state,
+            "ColdRemainingMs": 0,
             "Seq": self.sequence,
         }
         await self.call_control(session, "PUT", document)
--- /dev/null
+++ b/tests/unit/gateway/test_foreign_messages.py
@@ -0,0 +1,220 @@
+"""Other programs may write where upstreams do: what is not valid changes nothing."""
+
+import json
+
+import pytest
+from hypothesis import given, strategies as st
+
+from scalebend.exceptions import DocumentError, ErrorKind, RequestError
+from scalebend.models.endpoints import LONGEST_NAME, MOST_SLOTS, Departure
+from scalebend.platform.headers import read_answer_headers
+from scalebend.platform.registrations import decode_departure, decode_registration
+from scalebend.platform.reports import decode_report
+from tests.lib.gateway_builders import SERVICE, build_routing
+from tests.unit.gateway.test_control_instance import Single
+
+VALID = {
+    "Service": SERVICE,
+    "Address": "10.1.64.1:8000",
+    "Zone": "pelotas",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "ColdRemainingMs": 0,
+    "Stage": "unified",
+    "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+    "Seq": 4,
+    "born": 1_764_722_395_123,
+}
+REQUIRED = [name for name in VALID if name not in ("Stage", "Models", "born")]
+
+BAD_VALUES = [
+    ("Service", ""),
+    ("Service", 7),
+    ("Service", "s" * (LONGEST_NAME + 1)),
+    ("Address", ""),
+    ("Address", "nonsense"),
+    ("Address", "10.1.64.1"),
+    ("Address", "10.1.64.1:"),
+    ("Address", "10.1.64.1:0"),
+    ("Address", "10.1.64.1:99999"),
+    ("Address", "10.1.64.1:٣"),
+    ("Address", "10.1.64.1/x:80"),
+    ("Address", ["10.1.64.1:8000"]),
+    ("Zone", ""),
+    ("Zone", None),
+    ("Version", 3),
+    ("Slots", 0),
+    ("Slots", -4),
+    ("Slots", MOST_SLOTS + 1),
+    ("Slots", 1_000_000_000),
+    ("Slots", 10**30),
+    ("Slots", "8"),
+    ("Slots", True),
+    ("Slots", 1.5),
+    ("State", "resting"),
+    ("State", "Ready"),
+    ("State", ""),
+    ("State", None),
+    ("ColdRemainingMs", "0"),
+    ("ColdRemainingMs", -1),
+    ("Seq", -1),
+    ("Seq", "4"),
+    ("Seq", 2.5),
+    ("born", "1764722395123"),
+    ("born", 1764722395123.5),
+    ("born", -1),
+    ("born", None),
+    ("born", False),
+]
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=4,
+)
+
+
+def encode(**changes):
+    return json.dumps({**VALID, **changes}).encode()
+
+
+def test_valid_message_is_taken():
+    endpoint = decode_registration("i-1", encode())
+    assert (endpoint.name, endpoint.born) == ("i-1", VALID["born"])
+    assert (endpoint.slots, endpoint.sequence, endpoint.is_draining) == (8, 4, False)
+    assert decode_registration("i-1", encode(SomethingNew=[1])) == endpoint
+
+
+@pytest.mark.parametrize("name", REQUIRED)
+def test_message_without_a_field_is_refused(name):
+    body = {key: value for key, value in VALID.items() if key != name}
+    with pytest.raises(DocumentError):
+        decode_registration("i-1", json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(("name", "value"), BAD_VALUES)
+def test_message_with_a_wrong_field_is_refused(name, value):
+    with pytest.raises(DocumentError) as caught:
+        decode_registration("i-1", encode(**{name: value}))
+    assert caught.value.answer.status == 400
+
+
+@pytest.mark.parametrize("name", ["", "a/b", "i-1~19af", "a b", "a\n", "x" * 300])
+def test_name_that_no_upstream_has_is_refused(name):
+    with pytest.raises(DocumentError):
+        decode_registration(name, encode())
+    with pytest.raises(DocumentError):
+        decode_departure(name, b"")
+
+
+def test_departure_names_an_incarnation_or_none():
+    assert decode_departure("i-1", b"") == Departure("i-1", None)
+    assert decode_departure("i-1", b"{}") == Departure("i-1", None)
+    assert decode_departure("i-1", b'{"born": 7}') == Departure("i-1", 7)
+    for body in (b"\xff", b"[", b"[]", b'{"born": "7"}', b'{"born": 7.5}'):
+        with pytest.raises(DocumentError):
+            decode_departure("i-1", body)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xfe",
+        b"",
+        b"[]",
+        b'{"pace": 1.0, "Waiting": 1}',
+        b'{"pace": -2.0, "Waiting": 1, "Running": 1}',
+        b'{"pace": "2", "Waiting": 1, "Running": 1}',
+        b'{"pace": 2.0, "Waiting": -1, "Running": 1}',
+        b'{"pace": 2.0, "Waiting": 1, "Running": 1.5}',
+        b'{"pace": 2.0, "Waiting": 1, "Running": 1, "born": "x"}',
+    ],
+)
+def test_report_that_is_none(data):
+    assert decode_report(data) is None
+
+
+@pytest.mark.parametrize(
+    "text", ["", "1,2", "1,2,3,4", "a,b,c", "-1,0,8", "1,2,0", "1, 2,8", "9999999,0,8"]
+)
+def test_load_that_is_none(text):
+    assert read_answer_headers(200, {"X-Server-Load": text}).load is None
+
+
+def build_control():
+    """A leader that knows its service, and one healthy upstream of it."""
+    single = Single()
+    single.run(3.0)
+    single.put(build_routing(1))
+    endpoint = decode_registration("i-1", encode())
+    single.instance.register(endpoint, single.now)
+    return single
+
+
+def send(single, name, data):
+    """As the call would: decode and register; refusals are told to the caller."""
+    try:
+        endpoint = decode_registration(name, data)
+        return single.instance.register(endpoint, single.now)
+    except (DocumentError, RequestError):
+        return []
+
+
+def list_fleet(single):
+    return single.instance.directory.list_usable(SERVICE)
+
+
+def test_service_that_no_document_names_is_refused():
+    single = build_control()
+    before = list_fleet(single)
+    for name, address in (("i-1", "10.1.64.1:8000"), ("i-9", "10.1.64.1:8000")):
+        endpoint = decode_registration(name, encode(Service="none", Address=address))
+        with pytest.raises(RequestError) as caught:
+            single.instance.register(endpoint, single.now)
+        assert caught.value.kind is ErrorKind.UNKNOWN_SERVICE
+    assert list_fleet(single) == before
+
+
+def test_upstream_whose_service_was_taken_out_can_still_leave():
+    single = build_control()
+    single.put(build_routing(2, routes=[], services=[]))
+    drains = decode_registration("i-1", encode(State="draining", Seq=5))
+    single.instance.register(drains, single.now)
+    assert not list_fleet(single)
+
+
+@given(st.sampled_from(sorted(VALID)), JSON_VALUES)
+def test_healthy_fleet_stays_whatever_a_field_holds(name, value):
+    single = build_control()
+    before = list_fleet(single)
+    send(single, "i-1", encode(**{name: value}))
+    after = list_fleet(single)
+    if not is_valid_change(name, value):
+        assert after == before
+    assert all(isinstance(e.slots, int) and 0 < e.slots <= MOST_SLOTS for e in after)
+
+
+def is_valid_change(name, value):
+    """Whether a true upstream could send this value."""
+    try:
+        decode_registration("i-1", encode(**{name: value}))
+    except DocumentError:
+        return False
+    return True
+
+
+@given(st.binary(), st.integers(0, len(encode())), st.integers(0, 255))
+def test_bytes_that_are_no_message_change_nothing(data, position, byte):
+    single = build_control()
+    before = list_fleet(single)
+    assert send(single, "i-1", data) == []
+    if position < len(encode()):
+        assert send(single, "i-1", encode()[:position]) == []
+    damaged = bytearray(encode())
+    damaged[min(position, len(damaged) - 1)] = byte
+    try:
+        decode_registration("i-2", bytes(damaged))
+    except DocumentError:
+        assert send(single, "i-2", bytes(damaged)) == []
+        assert list_fleet(single) == before
--- a/tests/unit/gateway/test_platform.py
+++ b/tests/unit/gateway/test_platform.py
@@ -103,6 +103,7 @@
 
 def test_registration_is_decoded():
     body = {"Service": "s", "Address": "10.0.0.1:80", "Zone": "z", "State": "draining"}
+    body |= {"Version": "v1", "Slots": 8, "ColdRemainingMs": 0}
     endpoint = decode_registration("i-1", json.dumps({**body, "Seq": 4}).encode())
     assert endpoint.is_draining
     assert endpoint.sequence == 4
--- a/tests/unit/gateway/test_upstream_file.py
+++ b/tests/unit/gateway/test_upstream_file.py
@@ -1,5 +1,8 @@
 """The stored upstreams of a control instance: whole, or nothing."""
 
+import zlib
+
+import msgspec
 import pytest
 
 from scalebend.models.endpoints import EndpointNews
@@ -40,3 +43,16 @@
 def test_disk_that_refuses_the_file_ends_nothing(tmp_path):
     write_upstreams(tmp_path / "missing", NEWS)
     assert read_upstreams(tmp_path / "missing") == []
+
+
+def test_entries_of_another_writer_are_left_out_and_the_others_hold(tmp_path):
+    good = [msgspec.to_builtins(one) for one in NEWS]
+    bad = []
+    for position, value in ((2, ""), (4, -4), (4, 10**9), (4, "8"), (6, -1), (7, "x")):
+        endpoint = list(good[0][0])
+        endpoint[position] = value
+        bad.append([endpoint, False])
+    data = msgspec.msgpack.encode([bad[0], good[0], *bad[1:], "line", good[1]])
+    checksum = zlib.crc32(data).to_bytes(4, "big")
+    (tmp_path / "upstreams").write_bytes(checksum + data)
+    assert read_upstreams(tmp_path) == NEWS
