--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -14,7 +14,8 @@
 only delay the caller's own retry."""
 
 MOST_UNSENT = 6
-"""Upstreams in turn to which no connection could be made."""
+"""Times that a request is placed anew because a replica could not be reached, whether
+from here or from the replica that it was sent to."""
 
 LEAST_REMAINING = 0.05
 """Seconds before the deadline below which no new attempt is worth its load."""
@@ -51,15 +52,29 @@
         return self.runs > 0
 
     def decide(
-        self, outcome: Outcome, upstream: UpstreamId, retries: RetryWindow, now: float
+        self,
+        outcome: Outcome,
+        upstream: UpstreamId,
+        retries: RetryWindow,
+        now: float,
+        *,
+        is_helper: bool = False,
     ) -> TryAgain | GiveUp:
-        """Judge the attempt that just ended without an answer to pass on."""
+        """Judge the attempt that just ended without an answer to pass on.
+
+        ``upstream`` is the one at fault; ``is_helper`` if another one answered for it,
+        which may well take the request without it.
+        """
         self.excluded.add(upstream)
         match outcome:
             case Outcome.NOT_SENT | Outcome.LEFT:
                 self._unsent += 1
                 is_allowed = self._unsent < MOST_UNSENT
                 return self._retry_or_refuse(is_allowed, retries, now, is_sent=False)
+            case Outcome.REJECTED if is_helper:
+                self._unsent += 1
+                is_allowed = self._unsent < MOST_UNSENT
+                return self._retry_or_refuse(is_allowed, retries, now)
             case Outcome.REJECTED:
                 self._rejections += 1
                 is_allowed = self._rejections < MOST_REJECTIONS
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable
 
 import aiohttp
@@ -19,6 +18,7 @@
     compute_first_patience,
 )
 from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.running_attempts import RunningAttempt
 from scalebend.edges.gateway.silence import (
     SilentError,
     own_answer,
@@ -27,8 +27,10 @@
     wait_for_task,
 )
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
+from scalebend.edges.gateway.upstream_client import build_timeout
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import AnswerHeaders, Call, Outcome
+from scalebend.models.ids import UpstreamId
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -56,9 +58,17 @@
     outcome: Outcome
     answer: web.StreamResponse | None = None
     detail: str = ""
-    faulty_address: str | None = None
+    faulty: UpstreamId | None = None
     """The upstream at fault, where it is another than the one that answered."""
 
+    @property
+    def is_group_damaged(self) -> bool:
+        """Whether one that takes part was found missing; others may be, too."""
+        if self.outcome is Outcome.NOT_SENT:
+            return True
+        is_unused = self.outcome in (Outcome.REJECTED, Outcome.LEFT)
+        return is_unused and self.faulty is not None
+
 
 class Forwarder:
     """One request of a caller."""
@@ -99,19 +109,25 @@
             judged = self._judge(target, ended)
             if isinstance(judged, GiveUp):
                 return self._give_up(judged, ended.answer)
+            if ended.is_group_damaged:
+                await self._choice.exclude_silent(target)
 
     def _judge(self, target: Target, ended: _Ended) -> TryAgain | GiveUp:
         runtime = self._runtime
+        faulty = ended.faulty or target.upstream
         if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT):
             runtime.instance.balancer.note_unreachable(target.upstream, runtime.now())
         # Silence alone may be a queue: reports tell whether the replica is alive.
         if ended.outcome is Outcome.NOT_SENT:
-            runtime.note_replica_failure(target.upstream)
-        faulty = target.find_faulty(ended.faulty_address)
-        if ended.outcome in (Outcome.FAILED, Outcome.BROKEN):
+            runtime.note_replica_failure(faulty)
+        if ended.outcome in (Outcome.FAILED, Outcome.BROKEN, Outcome.NOT_SENT):
             runtime.instance.note_outcome(faulty, has_failed=True)
-        decision: TryAgain | GiveUp = self._attempts.decide(
-            ended.outcome, faulty, runtime.instance.retries, runtime.now()
+        decision = self._attempts.decide(
+            ended.outcome,
+            faulty,
+            runtime.instance.retries,
+            runtime.now(),
+            is_helper=faulty != target.upstream,
         )
         logger.info(
             "attempt ended",
@@ -147,23 +163,30 @@
     # One attempt
 
     async def _attempt(self, target: Target) -> _Ended:
-        if target.is_gone:
-            return _Ended(Outcome.LEFT, detail="a replica began to leave")
-        try:
-            async with asyncio.timeout_at(self._call.deadline):
-                return await self._exchange(target)
-        except TimeoutError:
-            return _Ended(Outcome.TIMED_OUT)
-        except aiohttp.ClientConnectorError as error:
-            return _Ended(Outcome.NOT_SENT, detail=str(error))
-        except aiohttp.ConnectionTimeoutError:
-            return _Ended(Outcome.NOT_SENT, detail="connection timed out")
-        except SilentError:
-            return _Ended(Outcome.SILENT)
-        except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
-            return _Ended(Outcome.BROKEN, detail=f"{type(error).__name__}: {error}")
+        if target.lost is not None:
+            return _Ended(Outcome.LEFT, detail="not sent", faulty=target.lost)
+        attempts = self._runtime.attempts
+        with attempts.watch(self._call.deadline, target.upstreams) as running:
+            try:
+                async with running.limit:
+                    return await self._exchange(target, running)
+            # Also a TimeoutError, but the connector's own: the deadline comes later.
+            except aiohttp.ConnectionTimeoutError:
+                return _Ended(Outcome.NOT_SENT, detail="connection timed out")
+            except aiohttp.ClientConnectorError as error:
+                return _Ended(Outcome.NOT_SENT, detail=str(error))
+            except SilentError:
+                return _Ended(Outcome.SILENT)
+            except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
+                if not running.limit.expired():
+                    detail = f"{type(error).__name__}: {error}"
+                    return _Ended(Outcome.BROKEN, detail=detail)
+            if running.ended_with is None:
+                return _Ended(Outcome.TIMED_OUT)
+            detail = f"{running.ended_with} started again"
+            return _Ended(Outcome.BROKEN, None, detail, running.ended_with)
 
-    async def _exchange(self, target: Target) -> _Ended:
+    async def _exchange(self, target: Target, running: RunningAttempt) -> _Ended:
         call = self._call
         # After a connection that broke or fell silent, a pooled one may be as dead.
         may_pool = call.route.may_repeat and not self._attempts.may_have_run
@@ -175,11 +198,12 @@
             headers=self._build_headers(target),
             data=self._body or None,
             allow_redirects=False,
+            timeout=build_timeout(call.deadline - self._runtime.now()),
         )
         answer = await self._await_head(target, sending, patience)
         async with answer:
             read = read_answer_headers(answer.status, answer.headers)
-            return await self._take_answer(target, answer, read, patience)
+            return await self._take_answer(target, running, answer, read, patience)
 
     async def _await_head(
         self,
@@ -218,6 +242,7 @@
     async def _take_answer(
         self,
         target: Target,
+        running: RunningAttempt,
         answer: aiohttp.ClientResponse,
         read: AnswerHeaders,
         patience: float | None,
@@ -229,10 +254,11 @@
         if read.has_not_run and answer.status >= 400:
             await read_whole(answer, patience)
             detail = f"status {answer.status}"
-            return _Ended(Outcome.REJECTED, None, detail, read.faulty_address)
+            faulty = target.find_helper(read.faulty_address)
+            return _Ended(Outcome.REJECTED, None, detail, faulty)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and answer.status == 200:
-            return await self._pass_events(target, answer)
+            return await self._pass_events(target, running, answer)
         body = await read_whole(answer, patience)
         passed = web.Response(
             status=answer.status,
@@ -246,7 +272,7 @@
         return _Ended(Outcome.ANSWERED, passed)
 
     async def _pass_events(
-        self, target: Target, answer: aiohttp.ClientResponse
+        self, target: Target, running: RunningAttempt, answer: aiohttp.ClientResponse
     ) -> _Ended:
         cursor = self._cursor
         cursor.restart()
@@ -260,6 +286,10 @@
             passed = cursor.feed(data)
             if not passed.data:
                 continue
+            if answer.content.is_eof():
+                running.keep_only(())
+            elif is_first:
+                running.keep_only(target.holders)
             if is_first:
                 self._choice.note_first_token(target)
             is_first = False
--- a/src/scalebend/edges/gateway/reservations.py
+++ b/src/scalebend/edges/gateway/reservations.py
@@ -10,6 +10,7 @@
 import structlog
 
 from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import EngineWork, Helper, Placement
 from scalebend.platform.orders import (
     ORDER_PATH,
@@ -37,6 +38,14 @@
 JSON = {"Content-Type": "application/json"}
 
 
+class HolderSilentError(Exception):
+    """A replica that is to hold memory did not answer; nothing was sent to any."""
+
+    def __init__(self, upstream: UpstreamId) -> None:
+        super().__init__(upstream)
+        self.upstream = upstream
+
+
 @contextlib.asynccontextmanager
 async def hold_memory(
     runtime: FrontRuntime, work: EngineWork, placement: Placement
@@ -44,13 +53,16 @@
     """Reserve what the placement asks for; yield the helpers as a request names them.
 
     A helper that refuses is named without a reservation: the request then fails
-    there without having run, and is placed anew.
+    there without having run, and is placed anew. Where one does not answer at all,
+    raise :class:`HolderSilentError`: a request that is not sent is no retry.
     """
     holders = [helper for helper in placement.helpers if helper.tokens]
     renewing: asyncio.Task[None] | None = None
     try:
         if holders:
-            await _reserve_all(runtime, work, holders)
+            statuses = await _reserve_all(runtime, work, holders)
+            if None in statuses:
+                raise HolderSilentError(holders[statuses.index(None)].upstream)
             renewing = asyncio.create_task(_renew(runtime, work, holders))
         yield [
             format_helper(helper.address, work.job if helper.tokens else None)
@@ -73,11 +85,15 @@
 
 async def _reserve_all(
     runtime: FrontRuntime, work: EngineWork, holders: list[Helper]
-) -> None:
-    await asyncio.gather(*(_reserve(runtime, work, holder) for holder in holders))
+) -> list[int | None]:
+    """Status of each holder's answer, ``None`` where none came."""
+    reserving = (_reserve(runtime, work, holder) for holder in holders)
+    return await asyncio.gather(*reserving)
 
 
-async def _reserve(runtime: FrontRuntime, work: EngineWork, helper: Helper) -> None:
+async def _reserve(
+    runtime: FrontRuntime, work: EngineWork, helper: Helper
+) -> int | None:
     hold = min(HOLD, runtime.settings.bounds.hold_most)
     body = encode_reservation(work.job, helper.tokens, hold)
     status = await _order(runtime, helper, body)
@@ -88,6 +104,7 @@
         tokens=helper.tokens,
         status=status,
     )
+    return status
 
 
 async def _release_all(
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -11,7 +11,7 @@
 
 from scalebend.core.gateway.patience import compute_inspection_delay
 from scalebend.edges.gateway.front_runtime import FrontRuntime
-from scalebend.edges.gateway.reservations import hold_memory
+from scalebend.edges.gateway.reservations import HolderSilentError, hold_memory
 from scalebend.models.calls import Call, LoadReading
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
@@ -32,16 +32,35 @@
     predicted: float | None = None
     job: JobId | None = None
     placement: Placement | None = None
-    is_gone: bool = False
-    """Whether it must not be sent to any more, so that another is to be chosen."""
+    lost: UpstreamId | None = None
+    """One that takes part and cannot, so that nothing is to be sent there."""
+
+    @property
+    def upstreams(self) -> list[UpstreamId]:
+        """All that take part until the first event."""
+        if self.placement is None:
+            return [self.upstream]
+        return self.placement.upstreams
+
+    @property
+    def holders(self) -> list[UpstreamId]:
+        """Those that take part until the end: the others only read."""
+        helpers = self.placement.helpers if self.placement is not None else ()
+        return [self.upstream, *(one.upstream for one in helpers if one.tokens)]
 
-    def find_faulty(self, address: str | None) -> UpstreamId:
-        """The upstream at ``address`` among those that took part."""
+    def find_helper(self, address: str | None) -> UpstreamId | None:
+        """The helper at ``address``, if there is one."""
         helpers = self.placement.helpers if self.placement is not None else ()
         for helper in helpers:
             if helper.address == address:
                 return helper.upstream
-        return self.upstream
+        return None
+
+
+def _build_unsent(placement: Placement, lost: UpstreamId) -> Target:
+    return Target(
+        placement.upstream, placement.address, [], placement=placement, lost=lost
+    )
 
 
 class UpstreamChoice:
@@ -64,6 +83,16 @@
         self.retry_after = RETRY_LATER
         """Seconds after which the caller may come back, if nothing is chosen."""
 
+    async def exclude_silent(self, target: Target) -> None:
+        """One of a group was lost: leave out all of it that do not answer now.
+
+        A crash often takes several. Found one by one, by attempts that fail, they would
+        cost a long prompt all its attempts.
+        """
+        if target.placement is not None and target.placement.helpers:
+            silent = await self._runtime.inspect(target.placement)
+            self._excluded.update(silent)
+
     def note_first_token(self, target: Target) -> None:
         """The first event of a stream came."""
         if target.job is not None:
@@ -133,10 +162,16 @@
             placement = turn
             kept = runtime.keep_staying(work, placement)
             if kept is None:
-                yield Target(placement.upstream, placement.address, [], is_gone=True)
+                yield _build_unsent(placement, placement.upstream)
                 return
             placement = kept
-            async with hold_memory(runtime, work, placement) as helpers:
+            async with contextlib.AsyncExitStack() as stack:
+                holding = hold_memory(runtime, work, placement)
+                try:
+                    helpers = await stack.enter_async_context(holding)
+                except HolderSilentError as error:
+                    yield _build_unsent(placement, error.upstream)
+                    return
                 self._lateness = asyncio.get_running_loop().call_later(
                     compute_inspection_delay(
                         placement.first_token_in - placement.start_in
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -11,15 +11,21 @@
 import asyncio
 import contextlib
 import functools
+import math
 import socket
 from collections.abc import AsyncIterator
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-CONNECT_TIMEOUT = 0.4
+CONNECT_TIMEOUT = 0.1
 """Seconds until a connection must stand: many round trips between the availability
-zones of a region, and short of the target for a quick question."""
+zones of a region, and a third of the target for a quick question, so that another
+replica can still answer in time. A lost packet is sent again only after a second."""
+
+CONNECT_PART = 0.9
+"""Part of the time left that a connection may take: it ends before the deadline does,
+so that a request that was not sent is never taken for one that may have run."""
 
 IDLE_TIME = 4.0
 """Seconds for which an idle connection is kept; upstreams forget theirs later."""
@@ -102,13 +108,22 @@
         return self.pooled if may_pool else self._single
 
 
+def build_timeout(remaining: float) -> aiohttp.ClientTimeout:
+    """Time limits of a request whose deadline is in ``remaining`` seconds.
+
+    Only that of the connection: the rest is for whoever waits for the answer.
+    """
+    connect = min(CONNECT_TIMEOUT, max(0.001, CONNECT_PART * remaining))
+    return aiohttp.ClientTimeout(total=None, sock_connect=connect)
+
+
 def _build_session(*, force_close: bool) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=_StrictConnector(force_close=force_close),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT),
+        timeout=build_timeout(math.inf),
         max_line_size=32 * 1024,
         max_field_size=32 * 1024,
     )
