Let a setting decide whether a front cut off from control stops

Cause: RevokeStrict of the platform's settings was read nowhere, so a front stopped when its lease ended wherever it ran. Where the sheet says false, a front cut off from all control need not stop for a key's sake: callers who reach only it were refused.

Change: the setting is read; without it, a front that was confirmed once since its start goes on with the document it holds. Readiness is as before, so new connections go elsewhere, and a process that has just started waits for its first answer in both.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -92,7 +92,9 @@
         bounds = settings.bounds
         self.settings = settings
         self.table = RouteTable(EMPTY_ROUTING)
-        self.lease = KeyLease(bounds.key_revocation)
+        self.lease = KeyLease(
+            bounds.key_revocation, is_strict=bounds.is_revocation_strict
+        )
         self.directory = EndpointDirectory(SILENCE_LIMIT, heard_again=1)
         self.balancer = ServiceBalancer()
         self.retries = RetryWindow(
--- a/src/scalebend/core/gateway/key_lease.py
+++ b/src/scalebend/core/gateway/key_lease.py
@@ -5,6 +5,11 @@
 the moment at which the control leader, with a quorum behind it, confirmed that the
 front's document was the newest. The front measures that time from when it *asked*,
 on its own steady clock: neither clock differences nor slow links lengthen it.
+
+Some deployments do not bound revocation for fronts that are cut off. There, a front that
+was confirmed once since it started goes on with the document it holds: callers who reach
+only it are served by rules that may be a little old, instead of by none. A front that
+has just started is never sure of its document, so it waits for the first answer in both.
 """
 
 from __future__ import annotations
@@ -27,8 +32,10 @@
 class KeyLease:
     """Until when this front may admit requests by key."""
 
-    def __init__(self, revocation_bound: float) -> None:
+    def __init__(self, revocation_bound: float, *, is_strict: bool = True) -> None:
+        """``is_strict``: the bound, in seconds, holds also for fronts cut off."""
         self._duration = revocation_bound - LEASE_MARGIN
+        self._is_strict = is_strict
         self._asked_at: float | None = None
         self._early: _EarlyAnswer | None = None
 
@@ -58,6 +65,8 @@
 
     def is_valid(self, now: float) -> bool:
         """Whether a keyed request may be admitted at ``now``."""
+        if not self._is_strict:
+            return self._asked_at is not None
         return self.compute_remaining(now) > 0.0
 
     def compute_remaining(self, now: float) -> float:
--- a/src/scalebend/models/gateway_settings.py
+++ b/src/scalebend/models/gateway_settings.py
@@ -25,7 +25,10 @@
     """Times and ratios that the deployment promises its users."""
 
     key_revocation: float = 5.0
-    """Seconds after which a revoked key must not be admitted anywhere."""
+    """Seconds after which a revoked key must not be admitted."""
+
+    is_revocation_strict: bool = True
+    """Whether that holds also for a front that is cut off from control."""
 
     drain_grace: float = 8.0
     """Seconds between the stop signal and the kill."""
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -29,6 +29,7 @@
 
 class _Bounds(msgspec.Struct, rename="pascal"):
     revoke_ms: float = 5000.0
+    revoke_strict: bool = True
     grace_s: float = 8.0
     retry_ratio: float = 0.2
     retry_window_s: float = 10.0
@@ -76,6 +77,7 @@
         tolerate=_Tolerate(settings.tolerated_losses),
         bounds=_Bounds(
             revoke_ms=bounds.key_revocation * 1000.0,
+            revoke_strict=bounds.is_revocation_strict,
             grace_s=bounds.drain_grace,
             retry_ratio=bounds.retry_ratio,
             retry_window_s=bounds.retry_window,
@@ -111,6 +113,7 @@
         heartbeat_interval=read.heartbeat_ms / 1000.0,
         bounds=Bounds(
             key_revocation=bounds.revoke_ms / 1000.0,
+            is_revocation_strict=bounds.revoke_strict,
             drain_grace=bounds.grace_s,
             retry_ratio=bounds.retry_ratio,
             retry_window=bounds.retry_window_s,
--- a/tests/unit/gateway/test_key_lease.py
+++ b/tests/unit/gateway/test_key_lease.py
@@ -1,6 +1,16 @@
 from hypothesis import given, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+)
 
+from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.key_lease import LEASE_MARGIN, KeyLease
+from scalebend.core.gateway.route_table import RouteTable
+from scalebend.models.gateway_settings import Bounds
+from tests.lib.gateway_builders import build_routing, build_settings
 
 BOUND = 5.0
 
@@ -64,3 +74,72 @@
     assert not lease.is_valid(2.5)
     lease.note_held(8)
     assert lease.is_valid(2.0 + BOUND - LEASE_MARGIN - 0.01)
+
+
+class CutOffFront(RuleBasedStateMachine):
+    """A front that is linked to control or cut off, in deployments of both settings.
+
+    The model: strict, nothing is admitted later than the bound after the last moment at
+    which the front was known to hold the newest document; otherwise it admits from its
+    first confirmation on. Nobody admits before that, nor after a restart.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.now = 0.0
+        self.restart()
+
+    @rule()
+    def restart(self):
+        self.strict = KeyLease(BOUND)
+        self.lenient = KeyLease(BOUND, is_strict=False)
+        self.confirmed_at = None
+        self.held = 1
+        self.questions = []
+
+    @rule(seconds=st.floats(0.01, 7.0))
+    def wait(self, seconds):
+        self.now += seconds
+
+    @rule()
+    def ask(self):
+        self.questions.append(self.now)
+
+    @precondition(lambda self: self.questions)
+    @rule(data=st.data(), is_newest=st.booleans(), is_kept=st.booleans())
+    def answer(self, data, is_newest, is_kept):
+        position = data.draw(st.integers(0, len(self.questions) - 1))
+        asked_at = self.questions[position]
+        if not is_kept:
+            del self.questions[position]
+        newest = self.held if is_newest else self.held + 1
+        for lease in (self.strict, self.lenient):
+            assert lease.confirm(asked_at, newest, self.held) is is_newest
+        if is_newest:
+            self.confirmed_at = max(asked_at, self.confirmed_at or 0.0)
+
+    @invariant()
+    def admits_as_the_setting_says(self):
+        if self.confirmed_at is None:
+            assert not self.strict.is_valid(self.now)
+            assert not self.lenient.is_valid(self.now)
+            return
+        age = self.now - self.confirmed_at
+        assert self.lenient.is_valid(self.now)
+        assert self.strict.is_valid(self.now) is (age < BOUND - LEASE_MARGIN)
+
+
+TestCutOffFront = CutOffFront.TestCase
+
+
+def test_front_that_is_cut_off_follows_the_setting():
+    for is_strict in (True, False):
+        bounds = Bounds(key_revocation=BOUND, is_revocation_strict=is_strict)
+        front = FrontInstance(build_settings(bounds=bounds), now=0.0)
+        front.table = RouteTable(build_routing(1))
+        assert not front.may_admit(1.0)
+        front.lease.confirm(1.0, newest=1, held=1)
+        assert front.may_admit(2.0)
+        assert front.may_admit(60.0) is not is_strict
+        # Callers had better go where control is heard, whatever the setting.
+        assert not front.is_ready(60.0)
