--- a/src/scalebend/core/gateway/key_lease.py
+++ b/src/scalebend/core/gateway/key_lease.py
@@ -6,10 +6,10 @@
 front's document was the newest. The front measures that time from when it *asked*,
 on its own steady clock: neither clock differences nor slow links lengthen it.
 
-Some deployments do not bound revocation for fronts that are cut off. There, a front that
-was confirmed once since it started goes on with the document it holds: callers who reach
-only it are served by rules that may be a little old, instead of by none. A front that
-has just started is never sure of its document, so it waits for the first answer in both.
+Some deployments do not bound revocation for fronts that are cut off. There, a front
+that was confirmed once since it started goes on with the document it holds: callers who
+reach only it are served by rules that may be a little old, instead of by none. A front
+that has just started is never sure of its document: it waits for an answer in both.
 """
 
 from __future__ import annotations
--- a/src/scalebend/measuring/losses.py
+++ b/src/scalebend/measuring/losses.py
@@ -84,6 +84,9 @@
     lost: int
     rows: list[LedgerRow]
     windows: list[WindowRow]
+    cut_short: int = 0
+    """Requests left out of all counts: their route's time limit, below its own target,
+    ended them. The document asks for that, for instance to test what is in force."""
 
 
 def read_requests(lines: Iterable[str]) -> list[LoggedRequest]:
@@ -168,12 +171,19 @@
     return Reason.LATE
 
 
+def _is_cut_short(seen: LoggedRequest) -> bool:
+    has_reached_limit = seen.kind == "time-limit" and not seen.has_left
+    return has_reached_limit and seen.target is not None and seen.elapsed < seen.target
+
+
 def build_ledger(requests: list[LoggedRequest], window: float) -> Ledger:
     """Count losses by route and reason, and by windows of ``window`` seconds."""
     # Who calls a route that is not there is owed nothing.
-    owed = [one for one in requests if one.status not in (401, 404)]
+    allowed = [one for one in requests if one.status not in (401, 404)]
+    owed = [one for one in allowed if not _is_cut_short(one)]
+    cut_short = len(allowed) - len(owed)
     if not owed:
-        return Ledger(0, 0, [], [])
+        return Ledger(0, 0, [], [], cut_short)
     begin = min(one.at for one in owed)
     rows: Counter[tuple[str, Reason]] = Counter()
     windows: dict[int, Counter[Reason | None]] = {}
@@ -193,6 +203,7 @@
             _build_window(number * window, counts)
             for number, counts in sorted(windows.items())
         ],
+        cut_short=cut_short,
     )
 
 
@@ -209,7 +220,10 @@
 
 def format_ledger(ledger: Ledger) -> str:
     """Tables for people."""
-    lines = [f"{ledger.requests} requests, {ledger.lost} not served in time", ""]
+    lines = [f"{ledger.requests} requests, {ledger.lost} not served in time"]
+    if ledger.cut_short:
+        lines.append(f"{ledger.cut_short} more cut short by their route's time limit")
+    lines.append("")
     lines += [f"{row.count:>6}  {row.route:<12} {row.reason}" for row in ledger.rows]
     lines += ["", "from second  requests  lost  mostly"]
     lines += [
--- a/tests/unit/test_losses.py
+++ b/tests/unit/test_losses.py
@@ -10,6 +10,7 @@
     Reason,
     build_ledger,
     find_reason,
+    format_ledger,
     read_requests,
 )
 
@@ -84,6 +85,21 @@
     }
 
 
+def test_requests_that_their_route_cuts_short_are_counted_apart():
+    limit = {"status": 504, "kind": "time-limit", "first_event": None}
+    lines = [
+        answer(1.0, "a", **limit, route="test", target=1.0, elapsed=0.4),
+        answer(1.1, "b", **limit, target=1.0, elapsed=1.2),
+        answer(1.2, "c"),
+    ]
+    ledger = build_ledger(read_requests(lines), 2.0)
+    assert (ledger.requests, ledger.lost, ledger.cut_short) == (2, 1, 1)
+    assert [(row.route, row.reason) for row in ledger.rows] == [
+        ("r", Reason.TIMED_OUT.value)
+    ]
+    assert "1 more cut short by their route's time limit" in format_ledger(ledger)
+
+
 def test_command_prints_tables_and_names_a_missing_file(tmp_path, capsys):
     log = tmp_path / "front-1.log"
     log.write_text("\n".join([answer(2.0, "b"), answer(3.0, "c", longest_gap=0.9)]))
