Read a replica's address with the parser that the project has

The adapter's check of addresses parsed them a second time. It now calls parse_address and keeps what that does not ask for: a port above 0 in plain digits, and matched brackets (an unmatched one was let through before). Tests of foreign messages, adapter, stored upstreams and incarnations pass; linter and types clean.

--- a/src/scalebend/platform/registrations.py
+++ b/src/scalebend/platform/registrations.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 from typing import Annotated, Literal
 
 import msgspec
@@ -24,6 +23,7 @@
     may_be_upstream_name,
 )
 from scalebend.models.ids import AvailabilityZone, ServiceName, UpstreamName
+from scalebend.utils.addresses import parse_address
 
 REGISTRATION_PREFIX = "/instances/"
 CONFIGURATION_PATH = "/config"
@@ -114,12 +114,14 @@
 
 
 def _is_address(text: str) -> bool:
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        address = parse_address(text)
     except ValueError:
         return False
-    return port.isascii() and port.isdecimal() and 0 < int(port) < 2**16
+    host, _, port = text.rpartition(":")
+    # Python reads more as a number, and more brackets, than an address may hold.
+    is_plain = host in (address.host, f"[{address.host}]")
+    return is_plain and port.isascii() and port.isdecimal() and address.port > 0
 
 
 def _build_error(path: str, expected: str) -> DocumentError:
