Name requests by their content in log lines

Cause: no line told what two arrivals of the same request have in common, so whether replicas end one after the other under one request or under many could not be told. Lines of requests and attempts carry a fingerprint of caller, method, host, path and body now. No decision changes.

A probe of each replica under which an attempt broke was ruled out: probes are paid for, and the end of a replica shows in its address being taken over.

Tests: the new ones and those of the gateway's processes pass; no measurement on a deployment yet.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -30,7 +30,7 @@
 from scalebend.edges.gateway.upstream_client import build_timeout
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import AnswerHeaders, Call, Outcome
-from scalebend.models.ids import UpstreamId
+from scalebend.models.ids import Fingerprint, UpstreamId
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -74,10 +74,16 @@
     """One request of a caller."""
 
     def __init__(
-        self, runtime: FrontRuntime, call: Call, request: web.BaseRequest, body: bytes
+        self,
+        runtime: FrontRuntime,
+        call: Call,
+        request: web.BaseRequest,
+        body: bytes,
+        fingerprint: Fingerprint,
     ) -> None:
         self._runtime = runtime
         self._call = call
+        self._fingerprint = fingerprint
         self._request = request
         self._body = body
         self._attempts = Attempts(call)
@@ -132,6 +138,7 @@
         logger.info(
             "attempt ended",
             request=self._call.headers.request,
+            fingerprint=self._fingerprint,
             upstream=target.upstream,
             address=target.address,
             outcome=ended.outcome.value,
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -6,9 +6,11 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+import msgspec
 import structlog
 from aiohttp import web
 
+from scalebend.core.fingerprints import compute_fingerprint
 from scalebend.core.gateway.key_lease import LEASE_MARGIN
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_runtime import FrontRuntime
@@ -26,7 +28,7 @@
 )
 from scalebend.models.calls import Call, CallerHeaders
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import CustomerId
+from scalebend.models.ids import CustomerId, Fingerprint
 from scalebend.models.routing import Route
 from scalebend.platform.headers import (
     REQUEST_ID,
@@ -48,6 +50,15 @@
 where all were restarted, a leader is elected and leases are given by then."""
 
 
+class _Arrival(msgspec.Struct):
+    """What is known so far of a request that came; ``at`` is on the steady clock."""
+
+    headers: CallerHeaders
+    at: float
+    route: Route | None = None
+    fingerprint: Fingerprint | None = None
+
+
 class CallerHandler:
     """Admits requests of callers and answers them."""
 
@@ -58,29 +69,35 @@
         """Answer one request."""
         runtime = self._runtime
         arrived = runtime.now()
-        headers = read_caller_headers(request.headers)
-        route: Route | None = None
+        arrival = _Arrival(read_caller_headers(request.headers), arrived)
         runtime.open_requests += 1
         runtime.metrics.set_open(runtime.open_requests)
         try:
             await runtime.wait_for_first_lease()
-            route = self._find_route(request)
-            call = self._admit(request, headers, route, arrived)
+            arrival.route = self._find_route(request)
+            call = self._admit(request, arrival, arrival.route)
             body = await self._read_body(request, call)
-            forwarder = Forwarder(runtime, call, request, body)
+            arrival.fingerprint = compute_fingerprint(
+                call.customer, call.method, request.host, call.target, body
+            )
+            forwarder = Forwarder(runtime, call, request, body, arrival.fingerprint)
             answer = await forwarder.forward()
-            self._log(headers, route, answer.status, arrived, None, forwarder)
+            self._log(arrival, answer.status, None, forwarder)
         except ScalebendError as error:
-            answer = _build_failure(error, headers)
-            self._log(headers, route, answer.status, arrived, error)
+            answer = _build_failure(error, arrival.headers)
+            self._log(arrival, answer.status, error)
         except StreamBrokenError:
             answer = web.Response(status=502)
-            self._log(headers, route, 0, arrived, None)
+            self._log(arrival, 0, None)
             if request.transport is not None:
                 # Without its end mark, the stream cannot be taken for whole.
                 request.transport.abort()
         except (ConnectionError, asyncio.CancelledError):
-            logger.info("caller left", request=headers.request)
+            logger.info(
+                "caller left",
+                request=arrival.headers.request,
+                fingerprint=arrival.fingerprint,
+            )
             raise
         finally:
             runtime.open_requests -= 1
@@ -102,23 +119,22 @@
     def _admit(
         self,
         request: web.BaseRequest,
-        headers: CallerHeaders,
+        arrival: _Arrival,
         route: Route,
-        arrived: float,
     ) -> Call:
         table = self._runtime.instance.table
         wait = route.timeout
-        if headers.wait is not None:
-            wait = min(wait, headers.wait)
+        if arrival.headers.wait is not None:
+            wait = min(wait, arrival.headers.wait)
         return Call(
-            headers=headers,
+            headers=arrival.headers,
             route=route,
             service=table.choose_service(route, self._runtime.chooser),
-            customer=self._identify(headers, route),
+            customer=self._identify(arrival.headers, route),
             method=request.method,
             target=request.raw_path,
-            arrived=arrived,
-            deadline=arrived + wait,
+            arrived=arrival.at,
+            deadline=arrival.at + wait,
         )
 
     def _identify(self, headers: CallerHeaders, route: Route) -> CustomerId | None:
@@ -170,20 +186,20 @@
 
     def _log(
         self,
-        headers: CallerHeaders,
-        route: Route | None,
+        arrival: _Arrival,
         status: int,
-        arrived: float,
         error: ScalebendError | None,
         forwarder: Forwarder | None = None,
     ) -> None:
         runtime = self._runtime
-        elapsed = runtime.now() - arrived
+        route = arrival.route
+        elapsed = runtime.now() - arrival.at
         kind = route.kind.value if route is not None else "none"
         runtime.metrics.count_request(kind, status, elapsed)
         logger.info(
             "request answered",
-            request=headers.request,
+            request=arrival.headers.request,
+            fingerprint=arrival.fingerprint,
             route=route.name if route is not None else None,
             status=status,
             kind=error.kind.value if error is not None else None,
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -36,6 +36,10 @@
 RequestId = NewType("RequestId", str)
 """One request of a caller."""
 
+Fingerprint = NewType("Fingerprint", str)
+"""What arrivals of the same request have in common, in hexadecimal; see
+:func:`scalebend.core.fingerprints.compute_fingerprint`."""
+
 AttemptId = NewType("AttemptId", str)
 """One attempt to run a request on one upstream, unique in the system."""
 
