--- a/src/scalebend/core/fingerprints.py
+++ b/src/scalebend/core/fingerprints.py
@@ -21,8 +21,8 @@
 ) -> Fingerprint:
     """Name a request by its content; ``target`` is path and query as received.
 
-    It costs two microseconds, and 0.9 for each kilobyte of the body, where the processor
-    has instructions for this hash; others of the library take twice that.
+    It costs two microseconds, and 0.9 for each kilobyte of the body, where the
+    processor has instructions for this hash; others of the library take twice that.
     """
     digest = hashlib.sha256()
     for part in (customer or "", method, host.lower(), target):
