--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -7,112 +7,20 @@
 
 import aiohttp
 import pytest
-from yarl import URL
 
-from scalebend.core.gateway.retry_window import SETTLE_TIME
 from scalebend.edges.gateway.front_calls import LAST_ADMISSION
 from scalebend.platform.headers import EXPECTED_UPSTREAM
-from tests.lib.platform_processes import run_processes
-from tests.lib.platform_replicas import EVENTS, build_document, run_replica
+from tests.lib.gateway_system import SERVICE, run_system
+from tests.lib.platform_replicas import EVENTS, build_document
 
-SERVICE = "svc"
 WHOLE_STREAM = b"".join(
     f"id: {n}\ndata: {n}\n\n".encode() for n in range(1, EVENTS + 1)
 )
 
 
-class System:
-    """Processes, replicas and a client session."""
-
-    def __init__(self, processes, session):
-        self.processes = processes
-        self.session = session
-        self.replicas = []
-        self.requests = 0
-
-    async def call(self, kind, *, front=0, key="key-1", method="POST", **headers):
-        self.requests += 1
-        url = f"http://{self.processes.find_front(front)}/{SERVICE}/{kind}/x%2Fy?a=%20"
-        sent = {
-            "Host": "test.example",
-            "X-Request-Id": f"r-{self.requests}",
-            "X-Deadline-Ms": "4000",
-            "Authorization": f"Bearer {key}",
-            **headers,
-        }
-        async with self.session.request(
-            method, URL(url, encoded=True), headers=sent, data=b"body"
-        ) as answer:
-            return answer.status, await answer.read(), answer.headers
-
-    async def put(self, document):
-        for _ in range(60):
-            for control in self.processes.list_controls():
-                with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                    async with self.session.put(
-                        f"http://{control}/config", data=document
-                    ) as answer:
-                        if answer.status in (200, 400):
-                            return answer.status
-            await asyncio.sleep(0.1)
-        raise AssertionError("nobody took the configuration")
-
-    async def wait_ready(self, is_ready=True, front=0, seconds=10.0):
-        url = f"http://{self.processes.find_readiness(front)}/ready"
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                async with self.session.get(url) as answer:
-                    if (answer.status == 200) == is_ready:
-                        return
-            await asyncio.sleep(0.05)
-        raise AssertionError(f"front {front} did not become ready={is_ready}")
-
-    async def read_when_served(self, url, seconds=20.0):
-        """The body of the first 200 of a process that may still be starting."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            with contextlib.suppress(aiohttp.ClientConnectorError):
-                async with self.session.get(url) as answer:
-                    if answer.status == 200:
-                        return await answer.read()
-            await asyncio.sleep(0.05)
-        raise AssertionError("the process did not come back")
-
-    async def wait_served(self, seconds=10.0):
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            status, _, _ = await self.call("idempotent")
-            if status == 200:
-                return
-            await asyncio.sleep(0.05)
-        raise AssertionError("nothing is served")
-
-
 @pytest.fixture
 async def system(tmp_path):
-    async with contextlib.AsyncExitStack() as stack:
-        processes = stack.enter_context(run_processes(tmp_path))
-        timeout = aiohttp.ClientTimeout(total=8.0)
-        session = await stack.enter_async_context(
-            aiohttp.ClientSession(
-                timeout=timeout, connector=aiohttp.TCPConnector(force_close=True)
-            )
-        )
-        system = System(processes, session)
-        assert await system.put(build_document(1, [SERVICE])) == 200
-        await system.wait_ready(front=0)
-        await system.wait_ready(front=1)
-        for number in (1, 2):
-            replica = await stack.enter_async_context(
-                run_replica(number, SERVICE, processes.list_controls(), session)
-            )
-            system.replicas.append(replica)
-        await system.wait_served()
-        # Retries may use the fixed part of their budget from now on.
-        await asyncio.sleep(SETTLE_TIME)
-        for replica in system.replicas:
-            replica.ran.clear()
+    async with run_system(tmp_path) as system:
         yield system
 
 
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -113,9 +113,9 @@
 
 
 @contextlib.asynccontextmanager
-async def run_replica(number, service, controls, session):
-    """Serve a replica and keep it registered."""
-    replica = Replica(number, service, controls)
+async def run_replica(number, service, controls, session, build=Replica):
+    """Serve a replica and register it."""
+    replica = build(number, service, controls)
     runner = web.ServerRunner(web.Server(replica.handle, handler_cancellation=True))
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
