Hold back requests under which three upstreams ended, at all fronts

Cause: what an attempt did to its upstream was forgotten with the answer, and known at one front only. A request that ends each replica that begins it got all attempts of its route at each arrival, for ever; blame went to the replicas. Class: state that belongs to the request, kept per arrival; a retry amplifies a fault without bound.

Change: each front keeps, by fingerprint, which incarnations ended while they ran a request; the leader passes that on to all fronts and control instances. At three the request is refused before it is sent (503, not run, with the time to come back), for 600 s and twice as long for each further one. A whole answer clears a request.

Ruled out: the budget of retries (two sends for each arrival, never exceeded); counting only connections that are proved to be a process's end (a probe for each, which is paid for, while a third of such broken answers in a row happens by chance one time in thousands where connections alone are reset).

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -19,11 +19,13 @@
     ReadConfirmed,
     ToFront,
 )
+from scalebend.core.gateway.crash_exchange import CrashExchange
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
 from scalebend.core.gateway.messages import (
     ControlNews,
+    CrashNews,
     EjectedUpstreams,
     EndpointChanges,
     JobStages,
@@ -114,6 +116,7 @@
         self.member = member
         self.directory = EndpointDirectory(HEARTBEATS_MISSED * heartbeat_interval)
         self.scheduler = EngineScheduler()
+        self.crashes = CrashExchange()
         self._outliers = OutlierDetector()
         self._ejected: list[UpstreamId] = []
         """Upstreams as the fronts were told."""
@@ -161,6 +164,8 @@
         match message:
             case Registrations(news):
                 return self._merge(news, now)
+            case CrashNews():
+                self.crashes.take_from_peer(message, now)
             case Hello() | HelloReply() | RelayReply() | Found() | Join():
                 self.member.handle(sender, message, now, at)
             case KnownInstances(instances):
@@ -196,6 +201,7 @@
             actions += [ToFront(one, news) for one in (*self._fronts, *self._relays)]
             self.scheduler.expire(now)
             self._outliers.expire(now)
+            self.crashes.ledger.expire(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
             self._log_summary(now)
@@ -210,6 +216,7 @@
             actions += self._publish(self.directory.expire(now), now)
         actions += self._tell_peers(self._news_to_peers.take_due(now))
         actions += self._tell_fronts(self._news_to_fronts.take_due(now))
+        actions += self._send_crashes(now)
         return actions
 
     def _note_leadership(self, now: float) -> None:
@@ -246,6 +253,7 @@
         self._fronts[front] = None
         self._documents.add_front(front)
         self._catalogues.add_front(front, now)
+        self.crashes.add_front(front)
         logger.info("front attached", front=front, fronts=len(self._fronts))
         actions: list[ControlAction] = [ToFront(front, self._build_news(now))]
         actions += self._send_catalogues(now)
@@ -270,6 +278,7 @@
         self._fronts.pop(front, None)
         self._documents.remove_front(front)
         self._catalogues.remove_front(front)
+        self.crashes.remove_front(front)
         self._unheard.discard(front)
         self.scheduler.forget_front(lambda job: is_job_of(front, job))
         logger.info("front detached", front=front, fronts=len(self._fronts))
@@ -300,11 +309,18 @@
                     self.scheduler.note_pace(pace, now)
             case OutcomesSeen(outcomes):
                 return self._take_outcomes(outcomes, now)
+            case CrashNews():
+                self.crashes.take(message, now)
+                return self._send_crashes(now)
             case OpenJobs(jobs):
                 self._unheard.discard(front)
                 self._adopt(jobs, now)
         return []
 
+    def _send_crashes(self, now: float) -> list[ControlAction]:
+        peers = [one for one in self._list_instances() if one != self.me]
+        return self.crashes.send_due(self._fronts, peers, now, is_leader=self.is_leader)
+
     def _send_catalogues(self, now: float) -> list[ControlAction]:
         sent = self._catalogues.send_due(
             self.directory, self.upstream_changes, now, is_leader=self.is_leader
@@ -337,7 +353,8 @@
     def introduce(self, instance: InstanceId) -> list[ControlAction]:
         """A link to another control instance is up: tell it all upstreams."""
         message = Registrations(self.directory.list_news())
-        return [ToInstance(instance, message)]  # type: ignore[arg-type]
+        actions: list[ControlAction] = [ToInstance(instance, message)]  # type: ignore[arg-type]
+        return actions + self.crashes.introduce(instance)
 
     def restore_upstreams(self, news: list[EndpointNews], now: float) -> None:
         """Take what this instance knew before it was started again."""
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -7,6 +7,7 @@
 import msgspec
 import structlog
 
+from scalebend.core.crash_ledger import CrashLedger
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import (
     LONGEST_PART_ALONE,
@@ -15,6 +16,7 @@
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
     ControlNews,
+    CrashNews,
     EjectedUpstreams,
     EndpointChanges,
     JobStages,
@@ -33,9 +35,10 @@
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
 from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import InstanceId, Term, UpstreamId
+from scalebend.models.ids import Fingerprint, InstanceId, Term, UpstreamId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
@@ -97,6 +100,7 @@
         )
         self.directory = EndpointDirectory(SILENCE_LIMIT, heard_again=1)
         self.balancer = ServiceBalancer()
+        self.crashes = CrashLedger()
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -192,6 +196,9 @@
                 self._take_ejected(upstreams, now)
             case EndpointChanges(news):
                 return self._take_endpoints(news, now)
+            case CrashNews(records, cleared):
+                self.crashes.merge(records, now)
+                self.crashes.clear(cleared)
         return []
 
     def advance(self, now: float) -> list[ToControl]:
@@ -217,6 +224,7 @@
         if now >= self._tidy_at:
             self._tidy_at = now + TIDY_PERIOD
             self.scheduler.expire(now)
+            self.crashes.expire(now)
             self.scheduler.retain(self.directory.list_ids())
         return actions
 
@@ -262,6 +270,7 @@
             ToControl(news.leader, Subscribe(self.table.routing.version)),
             ToControl(news.leader, OpenJobs(self._list_open_jobs(now))),
             ToControl(news.leader, self._ask_lease(now)),
+            *self._tell_crashes(self.crashes.list_to_tell(now)),
         ]
 
     def _ask_lease(self, now: float) -> LeaseQuestion:
@@ -373,6 +382,24 @@
             upstream, seen.answered + (not has_failed), seen.failed + has_failed
         )
 
+    # Requests under which upstreams end
+
+    def note_lost(
+        self, fingerprint: Fingerprint, upstream: UpstreamId, now: float
+    ) -> list[ToControl]:
+        """An upstream ended, or cut the request off, while it ran it."""
+        record = self.crashes.note_lost(fingerprint, upstream, now)
+        return self._tell_crashes([record]) if record is not None else []
+
+    def note_answered(self, fingerprint: Fingerprint, now: float) -> list[ToControl]:
+        """An upstream gave a whole answer to the request."""
+        if not self.crashes.note_answered(fingerprint, now):
+            return []
+        return self._tell_leader(CrashNews([], [fingerprint]))
+
+    def _tell_crashes(self, records: list[CrashRecord]) -> list[ToControl]:
+        return self._tell_leader(CrashNews(records, [])) if records else []
+
     def _take_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
         logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
         self.balancer.note_ejected(upstreams)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -7,9 +7,16 @@
 from scalebend.core.consensus.messages import ConsensusMessage
 from scalebend.core.gateway.routing_store import RoutingNews
 from scalebend.core.messages import Found, Hello, HelloReply, Join, RelayReply
+from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewayRole
-from scalebend.models.ids import InstanceId, RoutingVersion, Term, UpstreamId
+from scalebend.models.ids import (
+    Fingerprint,
+    InstanceId,
+    RoutingVersion,
+    Term,
+    UpstreamId,
+)
 from scalebend.models.placement import (
     BusyReplica,
     Declined,
@@ -129,6 +136,16 @@
     upstreams: list[UpstreamId]
 
 
+class CrashNews(msgspec.Struct, frozen=True, tag=True):
+    """Any process to another: requests under which upstreams ended.
+
+    ``cleared`` are requests that an upstream answered after all.
+    """
+
+    records: list[CrashRecord]
+    cleared: list[Fingerprint]
+
+
 class OpenJobs(msgspec.Struct, frozen=True, tag=True):
     """Front to a new leader: the jobs it has open."""
 
@@ -155,6 +172,7 @@
     | OutcomesSeen
     | EjectedUpstreams
     | OpenJobs
+    | CrashNews
     | Hello
     | HelloReply
     | RelayReply
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -48,6 +48,18 @@
 """Urgency at the engines, 0 to 9, the lowest first; 5 is what they assume."""
 
 
+_REFUSALS = (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.ENDS_UPSTREAMS)
+"""Kinds with which a request ends that no upstream was sent."""
+
+_CUT_ERRORS = (
+    aiohttp.ServerDisconnectedError,
+    aiohttp.ClientPayloadError,
+    OSError,
+)
+"""The connection ended. What remains are answers that are no HTTP or no events: who
+sends such is not at its end."""
+
+
 class StreamBrokenError(Exception):
     """A stream that the caller already reads cannot be finished."""
 
@@ -61,6 +73,9 @@
     faulty: UpstreamId | None = None
     """The upstream at fault, where it is another than the one that answered."""
 
+    is_cut: bool = False
+    """Whether the connection ended before the answer did, as when a process ends."""
+
     @property
     def is_group_damaged(self) -> bool:
         """Whether one that takes part was found missing; others may be, too."""
@@ -87,7 +102,8 @@
         self._request = request
         self._body = body
         self._attempts = Attempts(call)
-        self._choice = UpstreamChoice(runtime, call, self._attempts.excluded)
+        excluded = self._attempts.excluded
+        self._choice = UpstreamChoice(runtime, call, fingerprint, excluded)
         self._cursor = EventCursor(call.headers.last_event)
         self._stream: web.StreamResponse | None = None
         self._event_at = 0.0
@@ -102,12 +118,21 @@
         runtime, call = self._runtime, self._call
         runtime.instance.retries.note_request(call.service, runtime.now())
         while True:
+            hold = self._compute_hold()
+            if hold > 0.0:
+                runtime.metrics.count_held_request()
+                self._choice.retry_after = hold
+                decision = self._attempts.refuse(ErrorKind.ENDS_UPSTREAMS)
+                return self._give_up(decision, None)
             async with self._choice.choose() as target:
                 if target is None:
                     decision = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
                     return self._give_up(decision, None)
                 ended = await self._attempt(target)
             runtime.metrics.count_attempt(ended.outcome.value)
+            if ended.outcome in (Outcome.ANSWERED, Outcome.FAILED):
+                # A whole answer, even of a failure: it survived the request.
+                runtime.note_answered(self._fingerprint)
             if ended.outcome is Outcome.ANSWERED:
                 runtime.instance.note_outcome(target.upstream, has_failed=False)
                 assert ended.answer is not None
@@ -118,9 +143,16 @@
             if ended.is_group_damaged:
                 await self._choice.exclude_silent(target)
 
+    def _compute_hold(self) -> float:
+        """Seconds for which the request must not be sent, since it ends upstreams."""
+        runtime = self._runtime
+        return runtime.instance.crashes.compute_hold(self._fingerprint, runtime.now())
+
     def _judge(self, target: Target, ended: _Ended) -> TryAgain | GiveUp:
         runtime = self._runtime
         faulty = ended.faulty or target.upstream
+        if ended.is_cut:
+            runtime.note_lost(self._fingerprint, faulty)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT):
             runtime.instance.balancer.note_unreachable(target.upstream, runtime.now())
         # Silence alone may be a queue: reports tell whether the replica is alive.
@@ -156,7 +188,7 @@
             raise StreamBrokenError
         if decision.passes_answer and answer is not None:
             return answer
-        if decision.kind in (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM):
+        if decision.kind in _REFUSALS:
             raise RefusedError(
                 "no upstream took the request",
                 kind=decision.kind,
@@ -172,6 +204,9 @@
     async def _attempt(self, target: Target) -> _Ended:
         if target.lost is not None:
             return _Ended(Outcome.LEFT, detail="not sent", faulty=target.lost)
+        if self._compute_hold() > 0.0:
+            # It became known while the request waited for its turn.
+            return _Ended(Outcome.LEFT, detail="held back")
         attempts = self._runtime.attempts
         with attempts.watch(self._call.deadline, target.upstreams) as running:
             try:
@@ -187,11 +222,14 @@
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.limit.expired():
                     detail = f"{type(error).__name__}: {error}"
-                    return _Ended(Outcome.BROKEN, detail=detail)
+                    is_cut = isinstance(error, _CUT_ERRORS)
+                    return _Ended(Outcome.BROKEN, detail=detail, is_cut=is_cut)
             if running.ended_with is None:
                 return _Ended(Outcome.TIMED_OUT)
             detail = f"{running.ended_with} started again"
-            return _Ended(Outcome.BROKEN, None, detail, running.ended_with)
+            return _Ended(
+                Outcome.BROKEN, detail=detail, faulty=running.ended_with, is_cut=True
+            )
 
     async def _exchange(self, target: Target, running: RunningAttempt) -> _Ended:
         call = self._call
@@ -305,7 +343,7 @@
             stream = self._stream or await self._open_stream(answer)
             await stream.write(passed.data)
         if cursor.has_partial:
-            return _Ended(Outcome.BROKEN, detail="ended inside an event")
+            return _Ended(Outcome.BROKEN, detail="ended inside an event", is_cut=True)
         stream = self._stream or await self._open_stream(answer)
         await stream.write_eof()
         return _Ended(Outcome.ANSWERED, stream)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -36,7 +36,7 @@
 from scalebend.edges.gateway.running_attempts import RunningAttempts
 from scalebend.models.calls import LoadReading
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
 from scalebend.models.placement import (
     Decision,
     Declined,
@@ -307,6 +307,15 @@
             return False
         return self._inspector.is_queueing(upstream, self.now())
 
+    def note_lost(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
+        """An upstream ended, or cut the request off, while it ran it."""
+        self.metrics.count_lost_request()
+        self._execute(self.instance.note_lost(fingerprint, upstream, self.now()))
+
+    def note_answered(self, fingerprint: Fingerprint) -> None:
+        """An upstream gave a whole answer to the request."""
+        self._execute(self.instance.note_answered(fingerprint, self.now()))
+
     def note_replica_failure(self, upstream: UpstreamId) -> None:
         """A replica could not be reached, or fell silent."""
         self._execute(self.instance.note_failure(upstream, self.now()))
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -56,6 +56,16 @@
             buckets=LATENCY_BUCKETS,
             registry=registry,
         )
+        self._lost_requests = Counter(
+            "scalebend_lost_requests",
+            "Attempts that an upstream cut off, or that ended with it",
+            registry=registry,
+        )
+        self._held_requests = Counter(
+            "scalebend_held_requests",
+            "Arrivals refused since upstreams ended under the same request",
+            registry=registry,
+        )
         self._link_starts = Counter(
             "scalebend_link_starts",
             "Links to or from other processes that came up",
@@ -83,6 +93,14 @@
         """Work was placed on engines."""
         self._placements.labels(decider).inc()
 
+    def count_lost_request(self) -> None:
+        """An upstream cut an attempt off, or ended while it ran it."""
+        self._lost_requests.inc()
+
+    def count_held_request(self) -> None:
+        """A request was refused since upstreams ended under it."""
+        self._held_requests.inc()
+
     def count_link_start(self) -> None:
         """A link is up."""
         self._link_starts.inc()
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -13,7 +13,7 @@
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.reservations import HolderSilentError, hold_memory
 from scalebend.models.calls import Call, LoadReading
-from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 
 logger = structlog.get_logger(__name__)
@@ -67,9 +67,14 @@
     """Choices for one call, one after the other."""
 
     def __init__(
-        self, runtime: FrontRuntime, call: Call, excluded: set[UpstreamId]
+        self,
+        runtime: FrontRuntime,
+        call: Call,
+        fingerprint: Fingerprint,
+        excluded: set[UpstreamId],
     ) -> None:
         """``excluded`` grows while attempts fail."""
+        self._fingerprint = fingerprint
         self._runtime = runtime
         self._call = call
         self._excluded = excluded
@@ -209,6 +214,7 @@
             event_gap=route.event_gap or route.target_latency,
             remaining=call.deadline - self._runtime.now(),
             excluded=tuple(self._excluded),
+            is_suspect=self._runtime.instance.crashes.is_suspect(self._fingerprint),
         )
 
     def _log_declined(
--- a/src/scalebend/exceptions.py
+++ b/src/scalebend/exceptions.py
@@ -39,6 +39,7 @@
     OVERLOADED = "overloaded"
     NO_UPSTREAM = "no-upstream"
     NOT_READY = "not-ready"
+    ENDS_UPSTREAMS = "ends-upstreams"
     NO_QUORUM = "no-quorum"
     TIME_LIMIT = "time-limit"
     UPSTREAM_FAILED = "upstream-failed"
@@ -87,6 +88,9 @@
     ErrorKind.OVERLOADED: Answer(503, True, "The fleet is overloaded"),
     ErrorKind.NO_UPSTREAM: Answer(503, True, "No upstream can take the request"),
     ErrorKind.NOT_READY: Answer(503, True, "The instance does not admit requests"),
+    ErrorKind.ENDS_UPSTREAMS: Answer(
+        503, True, "Upstreams ended while they ran this request"
+    ),
     ErrorKind.NO_QUORUM: Answer(503, True, "The control group has no quorum"),
     ErrorKind.TIME_LIMIT: Answer(504, True, "The time limit was reached"),
     ErrorKind.UPSTREAM_FAILED: Answer(502, True, "The upstream failed"),
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -47,6 +47,9 @@
     excluded: tuple[UpstreamId, ...] = ()
     """Replicas that this request must not be sent to again."""
 
+    is_suspect: bool = False
+    """Whether a replica ended under this request, and none has answered it since."""
+
 
 class Helper(msgspec.Struct, frozen=True, array_like=True):
     """A replica that reads a part; it holds ``tokens`` of memory if above 0."""
