Add tests of held requests over restarts, one of them red

A held request stays held when the leader, a front or all control instances start again: fronts tell a new leader what they know. When all processes start again at once nobody knows it any more, and it ends three more replicas.

--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -110,3 +110,46 @@
     for number in range(10):
         status, _, _ = await system.call("idempotent", body=b"another %d" % number)
         assert status == 200
+
+
+async def restart(system, names):
+    for name in names:
+        system.processes.kill(name)
+    for name in names:
+        system.processes.start(name)
+    for front in (0, 1):
+        await system.wait_ready(front=front, seconds=20.0)
+    await system.wait_served()
+
+
+async def assert_held(system):
+    """It is refused by both fronts, which is not the cause of any replica's end."""
+    ended = count_ended(system)
+    for front in (0, 1):
+        status, body, headers = await system.call(
+            "idempotent", front=front, body=POISON
+        )
+        assert status == 503
+        assert b'"type":"ends-upstreams"' in body
+        assert b'"ran":"no"' in body
+        assert float(headers["Retry-After"]) > 0.0
+    assert count_ended(system) == ended
+
+
+async def test_request_stays_held_when_the_leader_or_a_front_starts_again(system):
+    await send_poison(system, 4)
+    await asyncio.sleep(DOWN)
+    await assert_held(system)
+    await restart(system, [system.processes.find_leader()])
+    await assert_held(system)
+    await restart(system, ["front-0"])
+    await assert_held(system)
+    await restart(system, system.processes.names[:3])
+    await assert_held(system)
+
+
+async def test_request_stays_held_when_all_processes_start_again(system):
+    await send_poison(system, 4)
+    await asyncio.sleep(DOWN)
+    await restart(system, system.processes.started)
+    await assert_held(system)
