Keep requests that end upstreams on disk beside the known upstreams

Cause: what fronts and control instances know of such requests is in their memory; when all start again at once it is gone, and each request ends three more replicas. Class: state lost by restart.

Change: control instances store their records, as they store the upstreams they know; one module writes and reads both lists. A hold begins anew with the restart.

Ruled out: the replicated log (a write and a quorum for each crash, and nothing where no leader is: what it protects from is there then, too).

--- a/src/scalebend/core/gateway/crash_exchange.py
+++ b/src/scalebend/core/gateway/crash_exchange.py
@@ -37,6 +37,10 @@
 
         self._send_at = -math.inf
 
+    def restore(self, records: list[CrashRecord], now: float) -> None:
+        """Take what this instance knew before it was started again; holds begin anew."""
+        self.ledger.merge(records, now)
+
     def add_front(self, front: InstanceId) -> None:
         """A front was linked."""
         self._untold[front] = None
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -9,6 +9,7 @@
 import asyncio
 import time
 from collections.abc import Iterable
+from functools import partial
 from pathlib import Path
 
 import structlog
@@ -32,12 +33,14 @@
 from scalebend.core.gateway.routing_store import pack_routing, unpack_document
 from scalebend.core.messages import RelayReply
 from scalebend.edges.control_pump import pump_control
+from scalebend.edges.gateway.hint_store import HintStore
 from scalebend.edges.gateway.links import HEARTBEAT, Dialer, LinkServer
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.exceptions import ErrorKind, RefusedError
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.models.ids import InstanceId, RoutingVersion
 from scalebend.platform.routing import decode_routing
+from scalebend.storage.crash_file import read_crashes, write_crashes
 from scalebend.storage.journal import Journal
 from scalebend.storage.upstream_file import read_upstreams, write_upstreams
 
@@ -46,9 +49,6 @@
 TICK = 0.02
 """Seconds between two calls of the core's timers, a fifth of the log's heartbeat."""
 
-STORE_PERIOD = 0.5
-"""Seconds between two writes of the known upstreams, of some kilobytes each."""
-
 QUORUM_TIMEOUT = 0.8
 """Seconds for a decision of the control group; callers try another instance after
 one second without an answer."""
@@ -67,10 +67,6 @@
     ) -> None:
         self.settings = settings
         self.metrics = metrics
-        self._folder = folder
-        self._storing: asyncio.Task[None] | None = None
-        self._stored_changes = 0
-        self._store_at = 0.0
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         me = settings.instance
@@ -89,6 +85,13 @@
             member, settings.heartbeat_interval, now=self.now()
         )
         self.instance.restore_upstreams(read_upstreams(folder), self.now())
+        self.instance.crashes.restore(read_crashes(folder), self.now())
+        self._upstream_store = HintStore(
+            self.instance.directory.list_news, partial(write_upstreams, folder)
+        )
+        self._crash_store = HintStore(
+            self.instance.crashes.ledger.list_records, partial(write_crashes, folder)
+        )
         introduction = Introduce(me, time.time_ns(), settings.role)
         self.dialer = Dialer(
             introduction, self._hear_relay, self._introduce, lambda _: None, metrics
@@ -111,22 +114,14 @@
             self.dialer.close_silent(self.now())
             self.server.close_silent(self.now())
             self._send_heartbeats()
-            self._store_upstreams()
+            self._store_hints()
             self.schedule_pump()
             await asyncio.sleep(TICK)
 
-    def _store_upstreams(self) -> None:
-        """Keep the known upstreams on disk, beside this loop: disks may stall."""
-        changes = self.instance.upstream_changes
-        is_due = self.now() >= self._store_at and changes != self._stored_changes
-        if not is_due or (self._storing is not None and not self._storing.done()):
-            return
-        self._store_at = self.now() + STORE_PERIOD
-        self._stored_changes = changes
-        news = self.instance.directory.list_news()
-        self._storing = asyncio.create_task(
-            asyncio.to_thread(write_upstreams, self._folder, news)
-        )
+    def _store_hints(self) -> None:
+        instance = self.instance
+        self._upstream_store.store_due(instance.upstream_changes, self.now())
+        self._crash_store.store_due(instance.crashes.ledger.changes, self.now())
 
     def _send_heartbeats(self) -> None:
         if self.now() >= self._heartbeat_at:
