--- a/src/scalebend/core/gateway/crash_exchange.py
+++ b/src/scalebend/core/gateway/crash_exchange.py
@@ -38,7 +38,7 @@
         self._send_at = -math.inf
 
     def restore(self, records: list[CrashRecord], now: float) -> None:
-        """Take what this instance knew before it was started again; holds begin anew."""
+        """Take what was known before a restart of this instance; holds begin anew."""
         self.ledger.merge(records, now)
 
     def add_front(self, front: InstanceId) -> None:
