--- a/src/scalebend/standins/engine_server.py
+++ b/src/scalebend/standins/engine_server.py
@@ -97,6 +97,11 @@
         self.never_answers = False
         self.cuts_every_stream = False
         self.ignore_cancellations = 0
+        self.ends_on: bytes | None = None
+        """A prompt that contains this ends the engine, which starts again at once."""
+
+        self.ends = 0
+        self._callers: set[asyncio.Transport] = set()
         self._streams: dict[AttemptId, _Stream] = {}
         self._wake = asyncio.Event()
 
@@ -177,6 +182,10 @@
             return web.Response(body=b"\x00garbage", content_type="text/event-stream")
         fields = msgspec.json.decode(body, type=dict[str, msgspec.Raw])
         prompt = bytes(fields.get("prompt") or fields.get("messages") or b"")
+        if request.transport is not None:
+            self._callers.add(request.transport)
+        if self.ends_on is not None and self.ends_on in prompt:
+            return self._start_again()
         output = msgspec.json.decode(fields.get("max_tokens", msgspec.Raw(b"16")))
         prompt_tokens = max(1, len(prompt) // BYTES_PER_TOKEN)
         part = request.headers.get("X-Part", "whole")
@@ -204,6 +213,17 @@
         self._wake.set()
         return await self._send_stream(request, stream, 0)
 
+    def _start_again(self) -> web.Response:
+        """Lose all that runs, and every connection, as a process that ends does."""
+        self.ends += 1
+        self.incarnation = Incarnation(self.incarnation + 1)
+        self.model = EngineModel(self.options.parameters)
+        self._streams.clear()
+        for transport in self._callers:
+            transport.abort()
+        self._callers.clear()
+        return web.Response(status=500)
+
     async def _import(
         self,
         request: web.Request,
