Hold back requests that end upstreams on the own interface, too

An entry gave each arrival four tries and forgot with its conclusion what they had done to the engines.

Change: entries keep the same ledger, by caller and content; engines count by incarnation, since they keep their names. Instances tell each other by rumor, and one that starts is told with the upstreams. Refused before it is queued, and again before it is sent. A failure that an upstream tells itself, or one of this process, blames nobody.

Ruled out: a message to all instances for each crash (270 instances); rumors take up to two seconds, in which another instance may end three more.

Left: nothing is stored here, so a restart of all instances forgets it.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -13,6 +13,7 @@
 import structlog
 
 from scalebend.core.catalog import Catalog
+from scalebend.core.crash_watch import CrashWatch
 from scalebend.core.flow import (
     AbortAttempt,
     Attempt,
@@ -46,6 +47,7 @@
 from scalebend.models.ids import (
     AttemptId,
     AvailabilityZone,
+    Incarnation,
     InstanceId,
     RequestId,
     UpstreamId,
@@ -101,6 +103,7 @@
         self._strategy = options.strategy
         self._chooser = random.Random(options.seed)
         self._budget = RetryBudget()
+        self.crashes = CrashWatch()
         self._flows: dict[RequestId, Flow] = {}
         self._requests: dict[AttemptId, RequestId] = {}
         self._attempt_count = 0
@@ -138,7 +141,7 @@
             return self._start_decode(flow)
         attempt.state = AttemptState.GRANTED
         if flow.request.repeatable or flow.is_claimed:
-            return self._start(flow)
+            return self._start(flow, now)
         flow.state = FlowState.CLAIMING
         return [ClaimKey(flow.request.request)]
 
@@ -178,7 +181,7 @@
         if error is not None:
             return self._conclude(flow, error)
         flow.is_claimed = True
-        return self._start(flow)
+        return self._start(flow, now)
 
     def handle_started(self, attempt: AttemptId, now: float) -> list[EntryAction]:
         """The first token of an attempt arrived."""
@@ -211,6 +214,7 @@
             case Completed():
                 self.placement.outliers.record_success(lead)
                 self._learn(flow)
+                self.crashes.note_answered(flow.request, now)
                 return self._conclude(flow, None, result.output_tokens)
             case NeverStarted(detail) if flow.attempt.part is Part.DECODE:
                 self._record_failure(lead, now)
@@ -221,8 +225,8 @@
                 error = UpstreamError(detail, retry_after=retry_after or None)
                 outcome = Outcome.ABANDONED if may_hold_memory else Outcome.UNUSED
                 return self._fail_attempt(flow, error, now, outcome)
-            case Broken(detail):
-                return self._handle_broken(flow, detail, now)
+            case Broken():
+                return self._handle_broken(flow, result, now)
             case Garbled(detail):
                 self._record_failure(lead, now)
                 flow.attempt.state = AttemptState.RUNNING
@@ -252,7 +256,8 @@
             if flow.state is FlowState.MOVING and upstream != attempt.lead:
                 actions += self._move_elsewhere(flow, upstream, now)
             elif attempt.was_sent:
-                actions += self._handle_broken(flow, f"{upstream} fell silent", now)
+                broken = Broken(f"{upstream} fell silent")
+                actions += self._handle_broken(flow, broken, now)
             elif flow.state is FlowState.RESERVING:
                 flow.last_error = UpstreamError(f"{upstream} fell silent")
                 actions += self._release_attempt(flow, Outcome.UNUSED)
@@ -312,6 +317,9 @@
 
     def _route(self, flow: Flow, now: float) -> list[EntryAction]:
         request = flow.request
+        held = self.crashes.find_hold(request, now)
+        if held is not None:
+            return self._conclude(flow, flow.last_error or held)
         self._attempt_count += 1
         name = AttemptId(f"{request.request}.{self._attempt_count}")
         placed = self.placement.place(request, name, flow.excluded, now)
@@ -331,10 +339,15 @@
         work = attempt.works[attempt.granted]
         return ToOwner(work.upstream, Reserve(work))
 
-    def _start(self, flow: Flow) -> list[EntryAction]:
+    def _start(self, flow: Flow, now: float) -> list[EntryAction]:
         attempt = flow.attempt
         assert attempt is not None
+        held = self.crashes.find_hold(flow.request, now)
+        if held is not None:
+            # It became known while the request waited for its grant.
+            return self._conclude(flow, flow.last_error or held)
         attempt.state = AttemptState.SENT
+        attempt.incarnation = self._find_incarnation(attempt.lead)
         flow.state = FlowState.RUNNING
         priority = self._compute_engine_priority(attempt.works[0].prefill_tokens)
         return [
@@ -378,6 +391,7 @@
         attempt = flow.attempt
         assert attempt is not None
         attempt.part = Part.DECODE
+        attempt.incarnation = self._find_incarnation(attempt.lead)
         flow.state = FlowState.RUNNING
         source, target = attempt.upstreams
         return [
@@ -413,7 +427,13 @@
             case _:
                 return -compute_size_class(prefill_tokens)
 
-    def _handle_broken(self, flow: Flow, detail: str, now: float) -> list[EntryAction]:
+    def _find_incarnation(self, upstream: UpstreamId) -> Incarnation | None:
+        record = self.catalog.get(upstream)
+        return record.announcement.incarnation if record is not None else None
+
+    def _handle_broken(
+        self, flow: Flow, broken: Broken, now: float
+    ) -> list[EntryAction]:
         attempt = flow.attempt
         assert attempt is not None
         record = self.catalog.get(attempt.lead)
@@ -422,7 +442,11 @@
             attempt.resumes += 1
             return [ResumeAttempt(attempt.attempt)]
         self._record_failure(attempt.lead, now)
-        return self._fail_attempt(flow, UpstreamError(detail), now, Outcome.ABANDONED)
+        if broken.may_have_ended:
+            lead, incarnation = attempt.lead, attempt.incarnation
+            self.crashes.note_lost(flow.request, lead, incarnation, now)
+        error = UpstreamError(broken.detail)
+        return self._fail_attempt(flow, error, now, Outcome.ABANDONED)
 
     def _fail_attempt(
         self, flow: Flow, error: UpstreamError, now: float, outcome: Outcome
--- a/src/scalebend/core/flow.py
+++ b/src/scalebend/core/flow.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from scalebend.exceptions import Ran, ScalebendError
-from scalebend.models.ids import AttemptId, RequestId, UpstreamId
+from scalebend.models.ids import AttemptId, Incarnation, RequestId, UpstreamId
 from scalebend.models.work import (
     AttemptState,
     Release,
@@ -43,9 +43,13 @@
 
 
 class Broken(msgspec.Struct, frozen=True):
-    """The link to the upstream was lost after the request was sent."""
+    """No whole answer came after the request was sent.
+
+    ``may_have_ended``: unless the upstream said itself that it failed.
+    """
 
     detail: str
+    may_have_ended: bool = True
 
 
 class Garbled(msgspec.Struct, frozen=True):
@@ -147,6 +151,9 @@
     state: AttemptState = AttemptState.QUEUED
     resumes: int = 0
     never_started: bool = False
+    incarnation: Incarnation | None = None
+    """Of the replica whose stream is read now, once the request was sent."""
+
     sent_reserve: float = 0.0
 
     def has_all_grants(self) -> bool:
--- a/src/scalebend/core/messages.py
+++ b/src/scalebend/core/messages.py
@@ -9,6 +9,7 @@
 from scalebend.core.list_history import ListNews
 from scalebend.core.shares import Usage
 from scalebend.models.configuration import AcceptedConfiguration
+from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import (
     ConfigurationVersion,
     CustomerId,
@@ -141,6 +142,8 @@
 
     announcements: list[Announcement]
     digests: list[LoadDigest]
+    crashes: list[CrashRecord] = msgspec.field(default_factory=list)
+    """Requests under which upstreams ended."""
 
 
 PeerMessage = (
@@ -204,7 +207,13 @@
     event: CacheEvent
 
 
-Rumor = MemberRumor | UpstreamRumor | DigestRumor | CacheRumor
+class CrashRumor(msgspec.Struct, frozen=True, tag="x", array_like=True):
+    """A request under which upstreams ended; none named: one answered it after all."""
+
+    record: CrashRecord
+
+
+Rumor = MemberRumor | UpstreamRumor | DigestRumor | CacheRumor | CrashRumor
 
 
 class Datagram(msgspec.Struct, frozen=True, array_like=True):
--- a/src/scalebend/core/upstream_news.py
+++ b/src/scalebend/core/upstream_news.py
@@ -12,12 +12,14 @@
 from scalebend.core.messages import (
     CacheRumor,
     CatalogPage,
+    CrashRumor,
     DigestRumor,
     Rumor,
     UpstreamRumor,
 )
 from scalebend.core.owner import OwnerAction, ReplicaOwner
 from scalebend.core.ownership import ReplicaOwners
+from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import UpstreamId
 from scalebend.models.upstream import Announcement, CacheEvent, Load
 from scalebend.models.work import LoadDigest
@@ -73,6 +75,9 @@
     def advance(self, now: float) -> list[NewsAction]:
         """Run the owners' timers; drop upstreams that fell silent."""
         actions: list[NewsAction] = []
+        for record in self._entry.crashes.take_news():
+            self._spread_crash(record)
+        self._entry.crashes.ledger.expire(now)
         for upstream, owner in self._owners:
             if self._catalog.is_silent(upstream, now):
                 actions += self._lose(upstream, now)
@@ -132,8 +137,22 @@
                 self._take_digest_rumor(rumor)
             case CacheRumor(upstream, event):
                 self._entry.placement.prefixes.take_event(upstream, event)
+            case CrashRumor(record):
+                self._take_crash(record, now)
         return []
 
+    def _take_crash(self, record: CrashRecord, now: float) -> None:
+        """Learn what another instance saw, and pass on what is new."""
+        if not record.ended:
+            if self._entry.crashes.ledger.clear([record.fingerprint]):
+                self._spread_crash(record)
+            return
+        for merged in self._entry.crashes.ledger.merge([record], now):
+            self._spread_crash(merged)
+
+    def _spread_crash(self, record: CrashRecord) -> None:
+        self._membership.spread(f"x/{record.fingerprint}", CrashRumor(record))
+
     def _take_upstream_rumor(
         self, announcement: Announcement, is_gone: bool, now: float
     ) -> list[NewsAction]:
@@ -194,6 +213,7 @@
                 for record in self._catalog
             ],
             [record.digest for record in self._catalog],
+            self._entry.crashes.ledger.list_records(),
         )
 
     def take_page(self, page: CatalogPage, now: float) -> list[NewsAction]:
@@ -202,6 +222,7 @@
         actions: list[NewsAction] = []
         for announcement in page.announcements:
             actions += self._take_upstream_rumor(announcement, False, now)
+        self._entry.crashes.ledger.merge(page.crashes, now)
         for digest in page.digests:
             if not self._owners.is_mine(digest.upstream):
                 self._entry.take_digest(digest)
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -161,7 +161,8 @@
             except Exception as error:
                 # Without a result the request would hang until its time limit.
                 logger.exception("attempt failed", attempt=start.attempt)
-                result = Broken(f"internal: {type(error).__name__}")
+                detail = f"internal: {type(error).__name__}"
+                result = Broken(detail, may_have_ended=False)
         self._task = None
         self._reporter.ended(start.attempt, result)
 
@@ -238,7 +239,9 @@
         if answer.status in (429, 503) and not is_resumed:
             return await self._read_refusal(answer)
         if answer.status >= 500 or (is_resumed and answer.status >= 400):
-            return Broken(f"the upstream answered {answer.status}")
+            # One that no longer knows an attempt has started again since.
+            detail = f"the upstream answered {answer.status}"
+            return Broken(detail, may_have_ended=is_resumed)
         if answer.status >= 400:
             await self._pass_whole(answer)
             return Completed()
@@ -252,7 +255,8 @@
             if msgspec.json.decode(body, type=_UpstreamProblem).ran == "no":
                 retry_after = float(answer.headers.get("Retry-After", "0"))
                 return NeverStarted("the upstream refused", retry_after)
-        return Broken(f"the upstream answered {answer.status}")
+        detail = f"the upstream answered {answer.status}"
+        return Broken(detail, may_have_ended=False)
 
     async def _read_service(
         self, start: StartAttempt, answer: aiohttp.ClientResponse
--- a/src/scalebend/edges/request_parser.py
+++ b/src/scalebend/edges/request_parser.py
@@ -9,6 +9,7 @@
 import xxhash
 from aiohttp import web
 
+from scalebend.core.fingerprints import compute_fingerprint
 from scalebend.core.instance import Instance
 from scalebend.core.prefixes import compute_prefixes
 from scalebend.edges.exchange import OutgoingCall
@@ -139,6 +140,7 @@
         is_streamed=fields.stream,
         idempotency_key=key,
         fingerprint=_compute_fingerprint(http_request.path, body) if key else "",
+        content=compute_fingerprint(customer, "POST", "", http_request.path, body),
         prefixes=compute_prefixes(data),
     )
     if not fields.stream:
@@ -183,6 +185,7 @@
         is_streamed=False,
         idempotency_key=key,
         fingerprint=_compute_fingerprint(f"{method} {path}", body) if key else "",
+        content=compute_fingerprint(customer, method, service.service, path, body),
     )
     forwarded = {n: headers[n] for n in FORWARDED_HEADERS if n in headers}
     if key is not None:
--- a/src/scalebend/models/work.py
+++ b/src/scalebend/models/work.py
@@ -10,6 +10,7 @@
     AttemptId,
     AvailabilityZone,
     CustomerId,
+    Fingerprint,
     IdempotencyKey,
     InstanceId,
     ModelName,
@@ -38,7 +39,8 @@
 
     ``deadline`` is in the clock of the instance that admitted it.
     ``prefixes`` are the block hashes of the prompt, longest prefix last;
-    ``fingerprint`` is a hash of the whole content.
+    ``fingerprint`` is a hash of the whole content, kept with claimed keys; ``content``
+    names the request at all instances, see :mod:`scalebend.core.fingerprints`.
     """
 
     request: RequestId
@@ -56,6 +58,7 @@
     is_streamed: bool = True
     idempotency_key: IdempotencyKey | None = None
     fingerprint: str = ""
+    content: Fingerprint | None = None
     prefixes: tuple[int, ...] = ()
 
     @property
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -395,3 +395,40 @@
 
 
 TestEntryMachine = EntryMachine.TestCase
+
+
+def test_engine_that_starts_again_under_its_name_is_another_one():
+    entry = build_entry(1)
+    for incarnation in range(1, 4):
+        announcement = build_announcement("engine-0", incarnation=incarnation)
+        entry.catalog.take_announcement(announcement, float(incarnation))
+        request = build_request(f"r{incarnation}", repeatable=False, content="cause")
+        work, _ = start(entry, request, float(incarnation))
+        entry.handle_claim(request.request, None, float(incarnation))
+        entry.handle_result(work.attempt, Broken("lost"), float(incarnation))
+    actions = entry.admit(build_request("r9", content="cause"), 4.0)
+    assert find(actions, Conclude).error.kind is ErrorKind.ENDS_UPSTREAMS
+    assert find(actions, Conclude).error.ran is Ran.NO
+
+
+def test_failure_that_an_engine_tells_itself_is_not_its_end():
+    entry = build_entry(6)
+    for number in range(4):
+        request = build_request(f"r{number}", repeatable=False, content="cause")
+        work, _ = start(entry, request)
+        entry.handle_claim(request.request, None, 0.0)
+        failed = Broken("it answered 500", may_have_ended=False)
+        entry.handle_result(work.attempt, failed, 0.0)
+    assert not entry.crashes.ledger.is_suspect("cause")
+
+
+def test_request_that_waits_for_its_grant_is_not_started_once_it_is_held():
+    entry = build_entry(6)
+    request = build_request("r", content="cause")
+    (work,) = list_reserved(entry.admit(request, 0.0))
+    for number in range(3):
+        entry.crashes.note_lost(request, f"engine-{number}", 1, 0.0)
+    actions = entry.handle_grant(Grant(work.attempt, work.upstream, 2.0), 0.0)
+    assert find(actions, StartAttempt) is None
+    assert find(actions, Conclude).error.ran is Ran.NO
+    assert list_released(actions) == {work.upstream: Outcome.UNUSED}
--- a/tests/unit/test_instance.py
+++ b/tests/unit/test_instance.py
@@ -2,10 +2,13 @@
 
 from scalebend.core.claims import Claim
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
+from scalebend.core.crash_ledger import MOST_ENDED
 from scalebend.core.instance import Instance
-from scalebend.models.ids import InstanceId, Region
+from scalebend.core.messages import Datagram
+from scalebend.exceptions import ErrorKind
+from scalebend.models.ids import Incarnation, InstanceId, Region, UpstreamId
 from scalebend.models.settings import Listen, Role, Settings
-from tests.lib.builders import ENTRY, ZONE
+from tests.lib.builders import ENTRY, ZONE, build_request
 
 
 def carry_out(instance, now, wall):
@@ -36,3 +39,48 @@
     instance.propose(Claim("c", "k", "f", "r1"), 2.0, 2.0, 5_001.0)
     (entry,) = carry_out(instance, 2.0, 5_001.0)
     assert entry.at == 5_001.0
+
+
+def build_instance(name):
+    settings = Settings(
+        instance=InstanceId(name),
+        region=Region("r"),
+        availability_zone=ZONE,
+        listen=Listen("127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"),
+        roles=[Role.ENTRY],
+    )
+    return Instance(settings, None, now=0.0, incarnation=1)
+
+
+def end_engines(instance, request):
+    for number in range(MOST_ENDED):
+        name = UpstreamId(f"engine-{number}")
+        instance.entry.crashes.note_lost(request, name, Incarnation(1), 1.0)
+
+
+def pass_rumors(sender, receiver):
+    sender.advance(1.0, 0.0)
+    rumors = sender.membership.rumors.take(10_000)
+    datagram = Datagram(sender.me, 1, False, 0, 0, rumors, [])
+    receiver.handle_datagram(datagram, 1.0)
+
+
+def test_requests_that_end_engines_are_told_to_all_instances():
+    request = build_request("r", content="cause")
+    here, there, third = (build_instance(name) for name in ("a", "b", "c"))
+    end_engines(here, request)
+    pass_rumors(here, there)
+    pass_rumors(there, third)
+    assert third.entry.crashes.find_hold(request, 1.0).kind is ErrorKind.ENDS_UPSTREAMS
+    # One that an engine answered after all is cleared in the same way.
+    there.entry.crashes.note_answered(request, 1.0)
+    pass_rumors(there, here)
+    assert here.entry.crashes.find_hold(request, 1.0) is None
+
+
+def test_instance_that_starts_is_told_of_them_with_the_upstreams():
+    request = build_request("r", content="cause")
+    here, starting = build_instance("a"), build_instance("b")
+    end_engines(here, request)
+    starting.news.take_page(here.news.build_page(), 2.0)
+    assert starting.entry.crashes.find_hold(request, 2.0) is not None
