Blame requests for replicas that ended without a word, once that is known

Cause: a machine that loses power resets nothing. Its attempts fall silent or time out, and whether it was busy, cut off or at its end is known only by its registrations. Class: the evidence comes after the attempt that it belongs to was forgotten.

Ruled out: counting silence at once (a lost link or a busy replica silences many).

--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -76,6 +76,11 @@
         endpoint = self.get(upstream)
         return endpoint is not None and not endpoint.is_draining
 
+    def has_ended(self, upstream: UpstreamId) -> bool:
+        """Whether it is gone and never said that it would leave."""
+        known = self._known.get(upstream)
+        return known is not None and known.is_gone and not known.endpoint.is_draining
+
     def get_newest(self, name: UpstreamName) -> UpstreamId | None:
         """The last incarnation of an upstream that was heard of, gone or not."""
         return self._newest.get(name)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -35,6 +35,7 @@
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
 from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.core.gateway.unanswered_attempts import UnansweredAttempts
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -101,6 +102,7 @@
         self.directory = EndpointDirectory(SILENCE_LIMIT, heard_again=1)
         self.balancer = ServiceBalancer()
         self.crashes = CrashLedger()
+        self._unanswered = UnansweredAttempts()
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -225,12 +227,13 @@
             self._tidy_at = now + TIDY_PERIOD
             self.scheduler.expire(now)
             self.crashes.expire(now)
+            self._unanswered.expire(now)
             self.scheduler.retain(self.directory.list_ids())
         return actions
 
     def _take_endpoints(
         self, news: list[EndpointNews], now: float
-    ) -> list[EndAttempts]:
+    ) -> list[FrontAction]:
         ended = []
         for one in news:
             name = one.endpoint.name
@@ -238,7 +241,8 @@
             self.directory.merge(one, now)
             if before is not None and before != self.directory.get_newest(name):
                 ended.append(before)
-        return [EndAttempts(ended)] if ended else []
+        actions: list[FrontAction] = [*self._blame_unanswered(ended, now)]
+        return [EndAttempts(ended), *actions] if ended else actions
 
     def _take_control_news(
         self, sender: InstanceId, news: ControlNews, now: float
@@ -397,6 +401,28 @@
             return []
         return self._tell_leader(CrashNews([], [fingerprint]))
 
+    def note_unanswered(
+        self, fingerprint: Fingerprint, upstream: UpstreamId, now: float
+    ) -> None:
+        """An attempt got no answer, and its connection did not end."""
+        self._unanswered.add(upstream, fingerprint, now)
+
+    def _blame_unanswered(
+        self, superseded: list[UpstreamId], now: float
+    ) -> list[ToControl]:
+        """Upstreams may have ended under requests that they left unanswered."""
+        owing = self._unanswered.list_upstreams()
+        ended = [
+            upstream
+            for upstream in owing
+            if upstream in superseded or self.directory.has_ended(upstream)
+        ]
+        actions = []
+        for upstream in ended:
+            for fingerprint in self._unanswered.take(upstream):
+                actions += self.note_lost(fingerprint, upstream, now)
+        return actions
+
     def _tell_crashes(self, records: list[CrashRecord]) -> list[ToControl]:
         return self._tell_leader(CrashNews(records, [])) if records else []
 
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -153,6 +153,8 @@
         faulty = ended.faulty or target.upstream
         if ended.is_cut:
             runtime.note_lost(self._fingerprint, faulty)
+        if ended.outcome in (Outcome.SILENT, Outcome.TIMED_OUT):
+            runtime.note_unanswered(self._fingerprint, target.upstream)
         if ended.outcome in (Outcome.NOT_SENT, Outcome.SILENT):
             runtime.instance.balancer.note_unreachable(target.upstream, runtime.now())
         # Silence alone may be a queue: reports tell whether the replica is alive.
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -312,6 +312,10 @@
         self.metrics.count_lost_request()
         self._execute(self.instance.note_lost(fingerprint, upstream, self.now()))
 
+    def note_unanswered(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
+        """An attempt got no answer, and its connection did not end."""
+        self.instance.note_unanswered(fingerprint, upstream, self.now())
+
     def note_answered(self, fingerprint: Fingerprint) -> None:
         """An upstream gave a whole answer to the request."""
         self._execute(self.instance.note_answered(fingerprint, self.now()))
--- a/tests/unit/gateway/test_silent_ends.py
+++ b/tests/unit/gateway/test_silent_ends.py
@@ -8,7 +8,9 @@
 
 from scalebend.core.crash_ledger import MOST_ENDED
 from scalebend.core.gateway.messages import EndpointChanges
+from scalebend.core.gateway.unanswered_attempts import LIFE, UnansweredAttempts
 from scalebend.models.endpoints import EndpointNews
+from scalebend.models.ids import Fingerprint
 from scalebend.models.routing import RouteKind
 from tests.lib.front import answer_sealed, run_front, serve
 from tests.lib.gateway_builders import build_endpoint, build_route, build_routing
@@ -95,3 +97,14 @@
             gone = build_endpoint(number, address=silent)
             tell(front, EndpointNews(gone, is_gone=True))
         await send(front, 200)
+
+
+def test_replica_that_ends_long_after_an_attempt_is_no_sign_against_it():
+    attempts = UnansweredAttempts()
+    early, late = Fingerprint("early"), Fingerprint("late")
+    name = build_endpoint(1).upstream
+    attempts.add(name, early, 0.0)
+    attempts.add(name, late, LIFE / 2)
+    attempts.expire(LIFE)
+    assert attempts.take(name) == [late]
+    assert attempts.list_upstreams() == []
