--- a/src/scalebend/core/crash_ledger.py
+++ b/src/scalebend/core/crash_ledger.py
@@ -123,7 +123,10 @@
         ]
 
     def clear(self, fingerprints: Iterable[Fingerprint]) -> list[Fingerprint]:
-        """An upstream answered these whole; return those that were blamed here."""
+        """An upstream answered these whole; return those that were blamed here.
+
+        Who does not hear of it may tell of the blame again, until it expires there.
+        """
         cleared = [one for one in fingerprints if one in self._records]
         for fingerprint in cleared:
             del self._records[fingerprint]
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -20,13 +20,13 @@
     ToFront,
 )
 from scalebend.core.gateway.crash_exchange import CrashExchange
+from scalebend.core.gateway.ejection_push import EjectionPush
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
 from scalebend.core.gateway.messages import (
     ControlNews,
     CrashNews,
-    EjectedUpstreams,
     EndpointChanges,
     JobStages,
     KnownInstances,
@@ -43,7 +43,6 @@
     Subscribe,
 )
 from scalebend.core.gateway.news_batch import NewsBatch
-from scalebend.core.gateway.outlier_detector import OutlierDetector
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_push import RoutingPush
 from scalebend.core.gateway.routing_store import unpack_routing
@@ -117,9 +116,7 @@
         self.directory = EndpointDirectory(HEARTBEATS_MISSED * heartbeat_interval)
         self.scheduler = EngineScheduler()
         self.crashes = CrashExchange()
-        self._outliers = OutlierDetector()
-        self._ejected: list[UpstreamId] = []
-        """Upstreams as the fronts were told."""
+        self._ejections = EjectionPush()
 
         self.routing = EMPTY_ROUTING
         self.table = RouteTable(EMPTY_ROUTING)
@@ -200,7 +197,7 @@
             news = self._build_news(now)
             actions += [ToFront(one, news) for one in (*self._fronts, *self._relays)]
             self.scheduler.expire(now)
-            self._outliers.expire(now)
+            self._ejections.expire(now)
             self.crashes.ledger.expire(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
@@ -225,8 +222,7 @@
         self._was_leader = self.is_leader
         # What is open is learned anew from the fronts.
         self.scheduler = EngineScheduler()
-        self._outliers = OutlierDetector()
-        self._ejected = []
+        self._ejections = EjectionPush()
         self._unheard = set(self._fronts)
         self._learns_until = now + LEARNING_TIME
         logger.info("leadership changed", leads=self.is_leader)
@@ -257,9 +253,7 @@
         logger.info("front attached", front=front, fronts=len(self._fronts))
         actions: list[ControlAction] = [ToFront(front, self._build_news(now))]
         actions += self._send_catalogues(now)
-        if self._ejected:
-            actions.append(ToFront(front, EjectedUpstreams(self._ejected)))
-        return actions
+        return actions + [*self._ejections.greet(front)]
 
     def add_relay(self, relay: InstanceId, now: float) -> list[ControlAction]:
         """A relay dialled: it wants to know who leads, and nothing else."""
@@ -459,23 +453,11 @@
         """As leader, learn what became of a front's attempts."""
         if not self.is_leader:
             return []
-        for one in outcomes:
-            endpoint = self.directory.get(one.upstream)
-            if endpoint is not None:
-                usable = len(self.directory.list_usable(endpoint.service))
-                self._outliers.note(one, endpoint.service, usable, now)
+        self._ejections.take(outcomes, self.directory, now)
         return self._publish_ejected(now)
 
     def _publish_ejected(self, now: float) -> list[ControlAction]:
-        ejections = self._outliers.list_ejections(now)
-        ejected = [one.upstream for one in ejections]
-        if ejected == self._ejected:
-            return []
-        for one in ejections:
-            self.scheduler.avoid(one.upstream, one.until)
-        logger.info("upstreams ejected", upstreams=ejected, before=self._ejected)
-        self._ejected = ejected
-        return [ToFront(front, EjectedUpstreams(ejected)) for front in self._fronts]
+        return [*self._ejections.publish(self._fronts, self.scheduler, now)]
 
     # Routing documents
 
