Print what is known when a soak or a cluster test fails at its start

The end of each process's last log is printed with the failure now, and which upstreams each instance of the cluster knew. No check is changed.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -13,14 +13,33 @@
 
 SECONDS = 12.0
 
+LINES_SHOWN = 8
+
+
+@contextlib.contextmanager
+def show_logs_of_failure(folder):
+    """Print how each process's last log ends, if the block fails.
+
+    The folder goes with the next runs; what is printed stays with the verdict.
+    """
+    try:
+        yield
+    except BaseException:
+        for process in sorted(path for path in folder.iterdir() if path.is_dir()):
+            logs = sorted(process.glob("log-*"), key=lambda path: path.stat().st_mtime)
+            lines = logs[-1].read_text().splitlines()[-LINES_SHOWN:] if logs else []
+            print(process.name, len(logs), *lines, sep="\n  ")
+        raise
+
 
 # Each seed that ever failed stays here; docs/soak.md tells the causes.
 @pytest.mark.parametrize("seed", [1, 6, 500])
 async def test_promises_are_kept(seed, tmp_path):
     options = SoakOptions(seed, SECONDS, build_layout(3, 2, 6), 8, tmp_path)
-    report = await run_soak(options)
-    assert report.violations == []
-    assert report.served > 100
+    with show_logs_of_failure(tmp_path):
+        report = await run_soak(options)
+        assert report.violations == []
+        assert report.served > 100
 
 
 def list_running(folder):
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -103,14 +103,19 @@
         raise AssertionError("the condition did not become true")
 
     async def wait_ready(self, names=None, upstreams=0):
+        seen = {}
+
         async def check():
-            statuses = [await self.read_status(n) for n in names or self.names]
-            return all(
-                s and s["is_ready"] and len(s["upstreams"]) >= upstreams
-                for s in statuses
-            )
+            for name in names or self.names:
+                status = await self.read_status(name)
+                seen[name] = status and (status["is_ready"], status["upstreams"])
+            return all(s and s[0] and len(s[1]) >= upstreams for s in seen.values())
 
-        await self.wait_until(check)
+        try:
+            await self.wait_until(check)
+        except AssertionError:
+            print("ready, and the upstreams known, at the end:", seen, sep="\n  ")
+            raise
 
     async def wait_voter(self, name):
         async def check():
