--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -226,9 +226,9 @@
     def _choose(self, plan: Plan, pool: ReplicaPool) -> Placement | Declined:
         if plan.work.is_suspect:
             # All that ran on a replica that ended come back at once, and the cause is
-            # among them. Packed together like other quick prompts, they met again: 84
-            # of 124 requests were lost with two replicas or more. Apart, the cause ends
-            # one that runs little else, and the others are answered.
+            # among them. Packed together like other quick prompts, they met again: by
+            # one day's logs, 84 of 124 requests were lost with two replicas or more.
+            # Apart, the cause ends one that runs little else, and others are answered.
             suspects = self._suspects.values()
             beside = {upstream for job in suspects for upstream in job.upstreams}
             placement = choose_apart(plan, pool, beside)
