--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -36,6 +36,7 @@
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.core.gateway.unanswered_attempts import UnansweredAttempts
+from scalebend.core.request_limits import RequestLimits
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -49,6 +50,7 @@
     Placement,
     ReplicaPace,
 )
+from scalebend.models.request_limits import UNLIMITED, HeardLimit
 from scalebend.models.routing import EMPTY_ROUTING
 
 logger = structlog.get_logger(__name__)
@@ -102,6 +104,7 @@
         self.directory = EndpointDirectory(SILENCE_LIMIT, heard_again=1)
         self.balancer = ServiceBalancer()
         self.crashes = CrashLedger()
+        self.limits = RequestLimits()
         self._unanswered = UnansweredAttempts()
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
@@ -229,6 +232,7 @@
             self.crashes.expire(now)
             self._unanswered.expire(now)
             self.scheduler.retain(self.directory.list_ids())
+            self.limits.retain(self.directory.list_ids())
         return actions
 
     def _take_endpoints(
@@ -386,6 +390,18 @@
             upstream, seen.answered + (not has_failed), seen.failed + has_failed
         )
 
+    def hear_limit(self, heard: HeardLimit) -> list[ToControl]:
+        """An upstream's answer named the requests a second that it takes, or none."""
+        changed = self.limits.hear(heard)
+        if changed is not None:
+            logger.info(
+                "request limit heard",
+                upstream=changed.upstream,
+                rate=changed.rate if changed.rate < UNLIMITED else None,
+                revision=changed.revision,
+            )
+        return []
+
     # Requests under which upstreams end
 
     def note_lost(
--- /dev/null
+++ b/src/scalebend/core/request_limits.py
@@ -0,0 +1,66 @@
+"""Limits on requests a second that upstreams named, as one process knows them.
+
+An upstream in need says in its answers how many requests a second it takes, for as long
+as that holds. Answers overtake each other on their ways, so a lower limit counts at
+once, while a higher one, or none, counts only from a request that was sent when the
+present limit was known already.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from scalebend.models.ids import UpstreamId
+from scalebend.models.request_limits import UNLIMITED, HeardLimit, RequestLimit
+
+
+class _Record(msgspec.Struct):
+    rate: float
+    revision: int
+
+
+class RequestLimits:
+    """Limits of upstreams; one that was ended stays known by its revision."""
+
+    def __init__(self) -> None:
+        self._records: dict[UpstreamId, _Record] = {}
+
+    # What upstreams and other processes say
+
+    def hear(self, heard: HeardLimit) -> RequestLimit | None:
+        """Take what an answer said; return the limit if it changed."""
+        known = self.get(heard.upstream)
+        if heard.rate == known.rate:
+            return None
+        if heard.rate > known.rate and heard.revision != known.revision:
+            return None
+        changed = RequestLimit(heard.upstream, heard.rate, known.revision + 1)
+        self._records[heard.upstream] = _Record(changed.rate, changed.revision)
+        return changed
+
+    # What is known
+
+    def get(self, upstream: UpstreamId) -> RequestLimit:
+        """The limit in force at an upstream."""
+        record = self._records.get(upstream)
+        if record is None:
+            return RequestLimit(upstream, UNLIMITED, 0)
+        return RequestLimit(upstream, record.rate, record.revision)
+
+    def is_limited(self, upstream: UpstreamId) -> bool:
+        """Whether an upstream takes only so many requests a second."""
+        record = self._records.get(upstream)
+        return record is not None and record.rate < UNLIMITED
+
+    def count_limited(self) -> int:
+        """Upstreams with a limit in force."""
+        return sum(one.rate < UNLIMITED for one in self._records.values())
+
+    def retain(self, upstreams: Iterable[UpstreamId]) -> None:
+        """Forget upstreams that no longer exist."""
+        if self._records:
+            kept = set(upstreams)
+            for upstream in [one for one in self._records if one not in kept]:
+                del self._records[upstream]
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -31,6 +31,7 @@
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import AnswerHeaders, Call, Outcome
 from scalebend.models.ids import Fingerprint, UpstreamId
+from scalebend.models.request_limits import UNLIMITED, HeardLimit, RequestLimit
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -113,6 +114,12 @@
         self.longest_gap = 0.0
         """Longest pause between events passed on, in seconds."""
 
+        self.sent = 0
+        """Times that the request was sent to an upstream."""
+
+        self.upstream: UpstreamId | None = None
+        """Where it was sent last."""
+
     async def forward(self) -> web.StreamResponse:
         """Return the answer for the caller, or raise what it is refused with."""
         runtime, call = self._runtime, self._call
@@ -247,11 +254,45 @@
             allow_redirects=False,
             timeout=build_timeout(call.deadline - self._runtime.now()),
         )
+        limit = self._note_sent(target)
         answer = await self._await_head(target, sending, patience)
         async with answer:
             read = read_answer_headers(answer.status, answer.headers)
+            self._hear_limit(limit, read)
             return await self._take_answer(target, running, answer, read, patience)
 
+    def _note_sent(self, target: Target) -> RequestLimit:
+        """Count an attempt; return the limit of its upstream as known now."""
+        runtime = self._runtime
+        limit = runtime.instance.limits.get(target.upstream)
+        if limit.rate < UNLIMITED:
+            runtime.metrics.count_limited_attempt(is_first=not self.sent)
+            logger.info(
+                "sent to a limited upstream",
+                request=self._call.headers.request,
+                upstream=target.upstream,
+                rate=limit.rate,
+                revision=limit.revision,
+                sent_before=self.sent,
+            )
+        self.sent += 1
+        self.upstream = target.upstream
+        return limit
+
+    def _hear_limit(self, known: RequestLimit, read: AnswerHeaders) -> None:
+        """Take what an answer says of its upstream's limit; ``known`` is from before.
+
+        That there is none follows only from an answer to a request that ran.
+        """
+        if read.request not in (None, self._call.headers.request):
+            return
+        if read.request_limit is None:
+            return
+        if read.has_not_run and read.request_limit == UNLIMITED:
+            return
+        heard = HeardLimit(known.upstream, read.request_limit, known.revision)
+        self._runtime.hear_limit(heard)
+
     async def _await_head(
         self,
         target: Target,
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -57,6 +57,7 @@
     at: float
     route: Route | None = None
     fingerprint: Fingerprint | None = None
+    forwarder: Forwarder | None = None
 
 
 class CallerHandler:
@@ -81,6 +82,7 @@
                 call.customer, call.method, request.host, call.target, body
             )
             forwarder = Forwarder(runtime, call, request, body, arrival.fingerprint)
+            arrival.forwarder = forwarder
             answer = await forwarder.forward()
             self._log(arrival, answer.status, None, forwarder)
         except ScalebendError as error:
@@ -208,6 +210,7 @@
             target=route.target_latency if route is not None else None,
             event_gap=route.event_gap if route is not None else None,
             **_describe_events(forwarder),
+            **_describe_attempts(arrival.forwarder),
             routing=runtime.instance.table.routing.version,
         )
 
@@ -222,6 +225,13 @@
     }
 
 
+def _describe_attempts(forwarder: Forwarder | None) -> dict[str, object]:
+    """Log fields of where a request was sent; none if it was not admitted."""
+    if forwarder is None:
+        return {}
+    return {"upstream": forwarder.upstream, "sent": forwarder.sent}
+
+
 def _too_large(most: int) -> RequestError:
     return RequestError(
         f"the body may have {most} bytes", kind=ErrorKind.BODY_TOO_LARGE
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -46,6 +46,7 @@
     Placement,
     build_job_id,
 )
+from scalebend.models.request_limits import HeardLimit
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.inspection import Inspector
@@ -307,6 +308,11 @@
             return False
         return self._inspector.is_queueing(upstream, self.now())
 
+    def hear_limit(self, heard: HeardLimit) -> None:
+        """An upstream's answer named the requests a second that it takes, or none."""
+        self._execute(self.instance.hear_limit(heard))
+        self.metrics.set_limited(self.instance.limits.count_limited())
+
     def note_lost(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
         """An upstream ended, or cut the request off, while it ran it."""
         self.metrics.count_lost_request()
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -66,6 +66,17 @@
             "Arrivals refused since upstreams ended under the same request",
             registry=registry,
         )
+        self._limited_upstreams = Gauge(
+            "scalebend_limited_upstreams",
+            "Upstreams that take only so many requests a second, as known here",
+            registry=registry,
+        )
+        self._limited_attempts = Counter(
+            "scalebend_limited_attempts",
+            "Attempts at such upstreams, by whether the request was sent before",
+            ["attempt"],
+            registry=registry,
+        )
         self._link_starts = Counter(
             "scalebend_link_starts",
             "Links to or from other processes that came up",
@@ -101,6 +112,14 @@
         """A request was refused since upstreams ended under it."""
         self._held_requests.inc()
 
+    def set_limited(self, count: int) -> None:
+        """Upstreams with a limit on requests a second."""
+        self._limited_upstreams.set(count)
+
+    def count_limited_attempt(self, *, is_first: bool) -> None:
+        """A request is sent to an upstream with a limit."""
+        self._limited_attempts.labels("first" if is_first else "again").inc()
+
     def count_link_start(self) -> None:
         """A link is up."""
         self._link_starts.inc()
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -71,6 +71,11 @@
     faulty_address: str | None
     """Which of several upstreams caused the failure."""
 
+    request_limit: float | None
+    """Requests a second that the upstream takes from all fronts together, ``UNLIMITED``
+    when it names no limit; ``None`` when nothing follows: what it names is unreadable,
+    or another one answered."""
+
 
 class Outcome(Enum):
     """How one attempt at an upstream ended."""
--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Mapping
 
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -15,6 +16,7 @@
 )
 from scalebend.models.endpoints import get_upstream_name
 from scalebend.models.ids import UpstreamId
+from scalebend.models.request_limits import UNLIMITED
 
 REQUEST_ID = "X-Request-Id"
 DEADLINE = "X-Deadline-Ms"
@@ -29,9 +31,14 @@
 _NOT_RUN = "X-Not-Executed"
 _LOAD = "X-Server-Load"
 _FAULTY = "At-Server"
+_REQUEST_LIMIT = "Server-Limit"
+"""Requests a second, from all fronts together, although the name says neither."""
+
 _TOKENS = "X-Token-Counts"
 _LENGTH_HINT = "X-Length-Hint"
 
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 MOST_DIGITS = 6
 """Digits of a count that a replica can mean: a million requests are at none of them,
 and one that claims them would never be chosen again."""
@@ -167,6 +174,7 @@
         has_not_run=has_not_run,
         load=_read_load(headers.get(_LOAD)),
         faulty_address=headers.get(_FAULTY),
+        request_limit=None if status == 421 else _read_limit(headers),
     )
 
 
@@ -194,6 +202,13 @@
     return LoadReading(running, waiting, slots) if slots else None
 
 
+def _read_limit(headers: Mapping[str, str]) -> float | None:
+    text = headers.get(_REQUEST_LIMIT)
+    if text is None:
+        return UNLIMITED
+    return float(text) if _DECIMAL.fullmatch(text) else None
+
+
 def _is_count(text: str) -> bool:
     return text.isascii() and text.isdecimal() and len(text) <= MOST_DIGITS
 
--- a/tests/unit/gateway/test_foreign_messages.py
+++ b/tests/unit/gateway/test_foreign_messages.py
@@ -142,6 +142,13 @@
     assert read_answer_headers(200, {"X-Server-Load": text}).load is None
 
 
+@pytest.mark.parametrize(
+    "text", ["", "-1", "1e3", "nan", "inf", "1,5", " 2", "2 ", "+2", "x", "9" * 10]
+)
+def test_limit_that_is_none(text):
+    assert read_answer_headers(200, {"Server-Limit": text}).request_limit is None
+
+
 def build_control():
     """A leader that knows its service, and one healthy upstream of it."""
     single = Single()
--- a/tests/unit/gateway/test_platform.py
+++ b/tests/unit/gateway/test_platform.py
@@ -15,6 +15,7 @@
     UpstreamId,
 )
 from scalebend.models.placement import ReplicaReport
+from scalebend.models.request_limits import UNLIMITED
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
     build_upstream_headers,
@@ -185,6 +186,11 @@
     assert not read_answer_headers(500, {"X-Server-Load": "1,2"}).has_not_run
     load = read_answer_headers(200, {"X-Server-Load": "3,0,8"}).load
     assert (load.running, load.waiting, load.slots) == (3, 0, 8)
+    assert read_answer_headers(200, {"Server-Limit": "1.25"}).request_limit == 1.25
+    assert read_answer_headers(503, {"Server-Limit": "0"}).request_limit == 0.0
+    assert read_answer_headers(200, {}).request_limit == UNLIMITED
+    # Another upstream answered at this address.
+    assert read_answer_headers(421, {"Server-Limit": "3"}).request_limit is None
     kept = copy_answer_headers(
         CIMultiDictProxy(CIMultiDict({"Connection": "close", "X-Server-Seal": "s"}))
     )
