--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -1,12 +1,16 @@
 """A leader and many fronts in one process: messages arrive at once, no network."""
 
+import msgspec
+
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
 from scalebend.core.gateway.control_actions import ToFront
 from scalebend.core.gateway.control_instance import ControlInstance
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.messages import PlaceQuestion
 from scalebend.core.gateway.routing_store import pack_routing
 from scalebend.models.ids import InstanceId, Term
+from scalebend.models.placement import JobStage, Placement
 from tests.lib.gateway_builders import (
     PROFILE,
     SERVICE,
@@ -78,6 +82,33 @@
         zone = front.settings.availability_zone
         return front.balancer.choose(usable, set(), zone, chance, self.now).upstream
 
+    def place(self, front, work):
+        """Ask the leader, as a front does, and tell it what became of it."""
+        number = self.fronts.index(front)
+        question = PlaceQuestion(work)
+        (action,) = self.leader.handle_front(self.names[number], question, self.now)
+        placed = action.message.placement or action.message.declined
+        if isinstance(placed, Placement):
+            told = front.open_job(work, placed, self.now, is_own=False)
+            self._send(self.names[number], told)
+        return placed
+
+    def note_stage(self, front, job, *, is_ended):
+        """A front saw a job's first token, or its end."""
+        told = front.note_stage(JobStage(job, is_ended), self.now)
+        self._send(self.names[self.fronts.index(front)], told)
+
+    def renew(self):
+        """All replicas register again."""
+        for number, endpoint in enumerate(self.endpoints):
+            newer = msgspec.structs.replace(endpoint, sequence=endpoint.sequence + 1)
+            self.endpoints[number] = newer
+            self._deliver(self.leader.register(newer, self.now))
+
+    def hear_limit(self, front, heard):
+        """An answer at a front named what its replica takes."""
+        self._send(self.names[self.fronts.index(front)], front.hear_limit(heard))
+
     def _send(self, name, actions):
         for action in actions:
             self._deliver(self.leader.handle_front(name, action.message, self.now))
