--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -24,6 +24,7 @@
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
+from scalebend.core.gateway.limit_exchange import GRANT_LIFE, LimitExchange
 from scalebend.core.gateway.messages import (
     ControlNews,
     CrashNews,
@@ -32,6 +33,8 @@
     KnownInstances,
     LeaseAnswer,
     LeaseQuestion,
+    LimitNews,
+    LimitsHeard,
     LinkMessage,
     OpenJobs,
     OutcomesSeen,
@@ -40,6 +43,8 @@
     Registrations,
     ReplicaFailures,
     ReplicaPaces,
+    SendQuestion,
+    SentAlone,
     Subscribe,
 )
 from scalebend.core.gateway.news_batch import NewsBatch
@@ -116,6 +121,7 @@
         self.directory = EndpointDirectory(HEARTBEATS_MISSED * heartbeat_interval)
         self.scheduler = EngineScheduler()
         self.crashes = CrashExchange()
+        self.limits = LimitExchange()
         self._ejections = EjectionPush()
 
         self.routing = EMPTY_ROUTING
@@ -199,10 +205,12 @@
             self.scheduler.expire(now)
             self._ejections.expire(now)
             self.crashes.ledger.expire(now)
+            self.limits.expire(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
             self._log_summary(now)
             self.scheduler.retain(self.directory.list_ids())
+            self.limits.retain(self.directory.list_ids(), now)
         actions += self._documents.advance(now)
         actions += self._send_catalogues(now)
         actions += self._publish_ejected(now)
@@ -214,6 +222,7 @@
         actions += self._tell_peers(self._news_to_peers.take_due(now))
         actions += self._tell_fronts(self._news_to_fronts.take_due(now))
         actions += self._send_crashes(now)
+        actions += self.limits.send_due(now, is_leader=self.is_leader)
         return actions
 
     def _note_leadership(self, now: float) -> None:
@@ -223,6 +232,7 @@
         # What is open is learned anew from the fronts.
         self.scheduler = EngineScheduler()
         self._ejections = EjectionPush()
+        self.limits.start_term(now)
         self._unheard = set(self._fronts)
         self._learns_until = now + LEARNING_TIME
         logger.info("leadership changed", leads=self.is_leader)
@@ -231,6 +241,13 @@
         """Whether this member leads, and knows what is open on the engines."""
         return self.is_leader and not (self._unheard and now < self._learns_until)
 
+    def _may_grant(self, now: float) -> bool:
+        """Whether nobody else grants what upstreams with limits may be sent."""
+        confirmed_at = self.member.replica.compute_confirmed_at(now)
+        if confirmed_at is None or now - confirmed_at > GRANT_LIFE:
+            return False
+        return self._may_place(now)
+
     def _log_summary(self, now: float) -> None:
         summary = self.scheduler.summarise(now)
         logger.info(
@@ -250,6 +267,7 @@
         self._documents.add_front(front)
         self._catalogues.add_front(front, now)
         self.crashes.add_front(front)
+        self.limits.add_front(front, now)
         logger.info("front attached", front=front, fronts=len(self._fronts))
         actions: list[ControlAction] = [ToFront(front, self._build_news(now))]
         actions += self._send_catalogues(now)
@@ -264,7 +282,7 @@
         """The link to a relay was lost."""
         self._relays.discard(relay)
 
-    def remove_front(self, front: InstanceId) -> None:
+    def remove_front(self, front: InstanceId, now: float) -> None:
         """The link to a front was lost.
 
         Its jobs are forgotten: if it still runs, it tells them anew over its next link.
@@ -273,6 +291,7 @@
         self._documents.remove_front(front)
         self._catalogues.remove_front(front)
         self.crashes.remove_front(front)
+        self.limits.remove_front(front, now)
         self._unheard.discard(front)
         self.scheduler.forget_front(lambda job: is_job_of(front, job))
         logger.info("front detached", front=front, fronts=len(self._fronts))
@@ -306,6 +325,17 @@
             case CrashNews():
                 self.crashes.take(message, now)
                 return self._send_crashes(now)
+            case LimitsHeard(heard):
+                self.limits.hear(front, heard, now)
+            case LimitNews(limits):
+                self.limits.merge(front, limits, now)
+            case SentAlone(upstreams):
+                for upstream in upstreams:
+                    self.limits.budget.spend(upstream, now)
+            case SendQuestion():
+                may_grant = self._may_grant(now)
+                answer = self.limits.answer(message, now, may_grant=may_grant)
+                return [ToFront(front, answer)]
             case OpenJobs(jobs):
                 self._unheard.discard(front)
                 self._adopt(jobs, now)
@@ -508,7 +538,14 @@
         if profile is None or not self._may_place(now):
             return PlaceAnswer(work.job)
         endpoints = self.directory.list_usable(work.service)
-        placed = self.scheduler.place(work, endpoints, profile, now)
+        placed = self.limits.place(
+            self.scheduler,
+            work,
+            endpoints,
+            profile,
+            now,
+            may_grant=self._may_grant(now),
+        )
         if isinstance(placed, Declined):
             return PlaceAnswer(work.job, declined=placed)
         return PlaceAnswer(work.job, placed)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -13,6 +13,7 @@
     LONGEST_PART_ALONE,
     EngineScheduler,
 )
+from scalebend.core.gateway.front_limits import FrontLimits
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
     ControlNews,
@@ -23,11 +24,13 @@
     KnownInstances,
     LeaseAnswer,
     LeaseQuestion,
+    LimitNews,
     LinkMessage,
     OpenJobs,
     OutcomesSeen,
     ReplicaFailures,
     ReplicaPaces,
+    SentAlone,
     Subscribe,
 )
 from scalebend.core.gateway.placement_choice import NO_REPLICA_PAUSE
@@ -36,7 +39,6 @@
 from scalebend.core.gateway.routing_store import RoutingNews, apply_news
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.core.gateway.unanswered_attempts import UnansweredAttempts
-from scalebend.core.request_limits import RequestLimits
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointNews, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -50,7 +52,7 @@
     Placement,
     ReplicaPace,
 )
-from scalebend.models.request_limits import UNLIMITED, HeardLimit
+from scalebend.models.request_limits import HeardLimit
 from scalebend.models.routing import EMPTY_ROUTING
 
 logger = structlog.get_logger(__name__)
@@ -104,7 +106,7 @@
         self.directory = EndpointDirectory(SILENCE_LIMIT, heard_again=1)
         self.balancer = ServiceBalancer()
         self.crashes = CrashLedger()
-        self.limits = RequestLimits()
+        self.limits = FrontLimits(settings.instance, now)
         self._unanswered = UnansweredAttempts()
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
@@ -182,6 +184,7 @@
         """Take a message of a control instance."""
         if sender == self.leader:
             self._heard_at = now
+            self.limits.note_leader_heard(now)
         match message:
             case ControlNews():
                 return self._take_control_news(sender, message, now)
@@ -201,6 +204,9 @@
                 self._take_ejected(upstreams, now)
             case EndpointChanges(news):
                 return self._take_endpoints(news, now)
+            case LimitNews():
+                is_from_leader = sender == self.leader
+                self.limits.take(message, now, is_from_leader=is_from_leader)
             case CrashNews(records, cleared):
                 self.crashes.merge(records, now)
                 self.crashes.clear(cleared)
@@ -232,7 +238,7 @@
             self.crashes.expire(now)
             self._unanswered.expire(now)
             self.scheduler.retain(self.directory.list_ids())
-            self.limits.retain(self.directory.list_ids())
+            self.limits.expire(self.directory.list_ids(), now)
         return actions
 
     def _take_endpoints(
@@ -252,6 +258,7 @@
         self, sender: InstanceId, news: ControlNews, now: float
     ) -> list[ToControl]:
         self.retries.set_fronts(news.fronts, now)
+        self.limits.note_fronts(news.fronts)
         if news.leader is None or news.term < self._term:
             # It may be cut off; but what it names may be all that is left.
             self._told |= set(news.instances)
@@ -274,7 +281,9 @@
         self.balancer.note_ejected(())
         self._heard_at = now
         self._lease_at = now + LEASE_PERIOD
+        limits = self.limits.build_news()
         return [
+            *(self._tell_leader(limits) if limits is not None else []),
             ToControl(news.leader, Subscribe(self.table.routing.version)),
             ToControl(news.leader, OpenJobs(self._list_open_jobs(now))),
             ToControl(news.leader, self._ask_lease(now)),
@@ -318,7 +327,8 @@
         self._placed_at[work.job] = now
         service = self.table.services.get(work.service)
         if is_own:
-            return self._tell_placed_here(opened)
+            told = self._tell_placed_here(opened)
+            return told + self.note_sent_alone(placement.upstream)
         if service is not None and service.engine is not None:
             self.scheduler.adopt(opened, service.engine, now)
         return []
@@ -340,7 +350,9 @@
         if service is None or service.engine is None:
             return Declined(NO_REPLICA_PAUSE)
         endpoints = self.directory.list_usable(work.service)
-        return self.scheduler.place(work, endpoints, service.engine, now)
+        return self.limits.placement.place(
+            self.scheduler, work, endpoints, service.engine, now
+        )
 
     def list_left(self, placement: Placement) -> set[UpstreamId]:
         """Replicas of a placement that must not be sent new work any more."""
@@ -369,8 +381,10 @@
         """
         ended = JobStage(opened.work.job, is_ended=True)
         # It ignores what it is told of a job that it knows already.
-        first = self._tell_leader(JobStages([ended]))
-        return first + self._tell_leader(OpenJobs([opened]))
+        return [
+            *self._tell_leader(JobStages([ended])),
+            *self._tell_leader(OpenJobs([opened])),
+        ]
 
     def note_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """A job's first token was seen, or it ended."""
@@ -390,17 +404,18 @@
             upstream, seen.answered + (not has_failed), seen.failed + has_failed
         )
 
-    def hear_limit(self, heard: HeardLimit) -> list[ToControl]:
+    # Limits on requests a second
+
+    def hear_limit(self, heard: HeardLimit, now: float) -> list[ToControl]:
         """An upstream's answer named the requests a second that it takes, or none."""
-        changed = self.limits.hear(heard)
-        if changed is not None:
-            logger.info(
-                "request limit heard",
-                upstream=changed.upstream,
-                rate=changed.rate if changed.rate < UNLIMITED else None,
-                revision=changed.revision,
-            )
-        return []
+        told = self.limits.hear(heard, now, is_led=self.leader is not None)
+        return self._tell_leader(told) if told is not None else []
+
+    def note_sent_alone(self, upstream: UpstreamId) -> list[ToControl]:
+        """A request is sent to an upstream without the leader's word."""
+        if not self.limits.is_limited(upstream):
+            return []
+        return self._tell_leader(SentAlone([upstream]))
 
     # Requests under which upstreams end
 
--- /dev/null
+++ b/src/scalebend/core/gateway/front_limits.py
@@ -0,0 +1,114 @@
+"""Limits on requests a second at a front: heard, told to the leader, and kept alone."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable
+
+import structlog
+
+from scalebend.core.gateway.limited_placement import LimitedPlacement
+from scalebend.core.gateway.messages import (
+    LimitNews,
+    LimitsHeard,
+    SendAnswer,
+    SendQuestion,
+)
+from scalebend.core.request_limits import RequestLimits
+from scalebend.core.send_budget import OwnTurn, SendBudget
+from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.request_limits import (
+    HeardLimit,
+    RequestLimit,
+    describe_rate,
+)
+
+logger = structlog.get_logger(__name__)
+
+
+class FrontLimits:
+    """What one front knows of limits, and may send without the leader's word."""
+
+    def __init__(self, front: InstanceId, now: float) -> None:
+        self._limits = RequestLimits()
+        self._fronts = 1
+        self._number: int | None = None
+        # Until the leader gives out numbers: they differ, but for some by chance.
+        self._drawn = zlib.crc32(front.encode())
+        self.budget = SendBudget(self._limits, OwnTurn(1, 0, now))
+        self.placement = LimitedPlacement(self.budget)
+
+    def get(self, upstream: UpstreamId) -> RequestLimit:
+        """The limit in force at an upstream."""
+        return self._limits.get(upstream)
+
+    def is_limited(self, upstream: UpstreamId) -> bool:
+        """Whether an upstream takes only so many requests a second."""
+        return self._limits.is_limited(upstream)
+
+    def count_limited(self) -> int:
+        """Upstreams with a limit in force."""
+        return self._limits.count_limited()
+
+    def hear(
+        self, heard: HeardLimit, now: float, *, is_led: bool
+    ) -> LimitsHeard | None:
+        """Take what an answer said; return what the leader is to be told.
+
+        The leader decides when a limit is raised or ends, and all are told; a front
+        without one decides for itself.
+        """
+        known = self._limits.get(heard.upstream)
+        if heard.rate == known.rate:
+            return None
+        if heard.rate < known.rate or not is_led:
+            changed = self._limits.hear(heard)
+            self._note_changes([changed] if changed is not None else [], now)
+        return LimitsHeard([heard]) if is_led else None
+
+    def take(self, news: LimitNews, now: float, *, is_from_leader: bool) -> None:
+        """Another process told what it knows."""
+        self._note_changes(self._limits.merge(news.limits), now)
+        if is_from_leader:
+            self._fronts = news.fronts
+            self._number = news.number
+
+    def note_fronts(self, fronts: int) -> None:
+        """A control instance told how many fronts it sees."""
+        if self._number is None:
+            self._fronts = max(self._fronts, fronts)
+
+    def note_leader_heard(self, now: float) -> None:
+        """The leader is there, and grants: this front's own turns begin after it."""
+        if self._limits.count_limited():
+            number = self._number
+            if number is None:
+                number = self._drawn % self._fronts
+            self.budget.set_share(OwnTurn(self._fronts, number, now), now)
+
+    def grant(self, question: SendQuestion, now: float) -> SendAnswer:
+        """Take one of this front's own turns, if its time has come."""
+        upstream, wait = self.budget.grant(question.upstreams, question.patience, now)
+        return SendAnswer(question.question, upstream, wait)
+
+    def build_news(self) -> LimitNews | None:
+        """What a new leader is to be told."""
+        limits = self._limits.list_all()
+        return LimitNews(limits) if limits else None
+
+    def expire(self, upstreams: Iterable[UpstreamId], now: float) -> None:
+        """Forget upstreams that no longer exist, and prompts that were sent."""
+        self._limits.retain(upstreams)
+        self.budget.refresh(now)
+        self.placement.expire(now)
+
+    def _note_changes(self, changed: list[RequestLimit], now: float) -> None:
+        for limit in changed:
+            logger.info(
+                "request limit known",
+                upstream=limit.upstream,
+                rate=describe_rate(limit.rate),
+                revision=limit.revision,
+            )
+        if changed:
+            self.budget.refresh(now)
--- /dev/null
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -0,0 +1,168 @@
+"""Limits on requests a second at a control instance: known, told, granted as leader.
+
+Every front tells the leader what upstreams say, and the leader tells all fronts, so
+that they do not have to meet a limit to keep it. The leader alone grants sends; see
+:mod:`scalebend.core.send_budget` for what fronts do that it does not hear.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Sequence
+
+import structlog
+
+from scalebend.core.gateway.control_actions import ToFront
+from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.limited_placement import LimitedPlacement, exclude
+from scalebend.core.gateway.messages import LimitNews, SendAnswer, SendQuestion
+from scalebend.core.request_limits import RequestLimits
+from scalebend.core.send_budget import GrantedPart, SendBudget
+from scalebend.models.endpoints import Endpoint
+from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.placement import Declined, EngineWork, Placement
+from scalebend.models.request_limits import (
+    HeardLimit,
+    RequestLimit,
+    describe_rate,
+)
+from scalebend.models.routing import EngineProfile
+
+logger = structlog.get_logger(__name__)
+
+SPREAD_PERIOD = 0.05
+"""Seconds from one message to all fronts to the next: when a whole service falls into
+need, hundreds of answers say so within a moment."""
+
+MISSING_MEMORY = 60.0
+"""Seconds for which a front that was lost keeps its part. One that is cut off may go on
+serving callers that long; one that stopped costs the others its part until then, an
+eighth with eight fronts."""
+
+GRANT_LIFE = 0.4
+"""Seconds since a quorum confirmed that this instance leads for which it grants: less
+than another one needs to be elected."""
+
+
+class LimitExchange:
+    """What one control instance knows of limits, and grants while it leads."""
+
+    def __init__(self) -> None:
+        self.limits = RequestLimits()
+        self.budget = SendBudget(self.limits, GrantedPart(1.0))
+        self.placement = LimitedPlacement(self.budget)
+        self._linked: dict[InstanceId, None] = {}
+        self._missing: dict[InstanceId, float] = {}
+        self._is_changed = False
+        self._send_at = -math.inf
+
+    # Fronts
+
+    def add_front(self, front: InstanceId, now: float) -> None:
+        """A front was linked."""
+        self._linked[front] = None
+        self._missing.pop(front, None)
+        self._share_out(now)
+
+    def remove_front(self, front: InstanceId, now: float) -> None:
+        """The link to a front was lost: it may still send on its own."""
+        if front in self._linked:
+            del self._linked[front]
+            self._missing[front] = now
+            self._share_out(now)
+
+    def start_term(self, now: float) -> None:
+        """This instance begins to lead: what the last leader granted is not known."""
+        self.budget.restart(now)
+
+    def expire(self, now: float) -> None:
+        """Give the parts of fronts that are gone for long to the others."""
+        gone = [f for f, at in self._missing.items() if now - at >= MISSING_MEMORY]
+        for front in gone:
+            del self._missing[front]
+        if gone:
+            self._share_out(now)
+        self.placement.expire(now)
+
+    def retain(self, upstreams: Iterable[UpstreamId], now: float) -> None:
+        """Forget upstreams that no longer exist."""
+        self.limits.retain(upstreams)
+        self.budget.refresh(now)
+
+    def _share_out(self, now: float) -> None:
+        linked = len(self._linked)
+        if linked:
+            part = linked / (linked + len(self._missing))
+            self.budget.set_share(GrantedPart(part), now)
+        self._is_changed = True
+
+    # News
+
+    def hear(self, front: InstanceId, heard: Iterable[HeardLimit], now: float) -> None:
+        """A front passed on what answers said."""
+        for one in heard:
+            changed = self.limits.hear(one)
+            if changed is not None:
+                self._note_change(changed, front, now)
+
+    def merge(
+        self, front: InstanceId, limits: Iterable[RequestLimit], now: float
+    ) -> None:
+        """A front told all that it knows."""
+        for changed in self.limits.merge(limits):
+            self._note_change(changed, front, now)
+
+    def _note_change(self, limit: RequestLimit, source: InstanceId, now: float) -> None:
+        logger.info(
+            "request limit changed",
+            upstream=limit.upstream,
+            rate=describe_rate(limit.rate),
+            revision=limit.revision,
+            source=source,
+            fronts=len(self._linked),
+            missing=len(self._missing),
+        )
+        self.budget.refresh(now)
+        self._is_changed = True
+
+    def send_due(self, now: float, *, is_leader: bool) -> list[ToFront]:
+        """Tell all fronts, if anything is new and there are limits at all."""
+        if not (self._is_changed and is_leader) or now < self._send_at:
+            return []
+        self._is_changed = False
+        self._send_at = now + SPREAD_PERIOD
+        limits = self.limits.list_all()
+        if not limits:
+            return []
+        return [
+            ToFront(front, LimitNews(limits, len(self._linked), number))
+            for number, front in enumerate(self._linked)
+        ]
+
+    # Grants
+
+    def place(
+        self,
+        scheduler: EngineScheduler,
+        work: EngineWork,
+        endpoints: Sequence[Endpoint],
+        profile: EngineProfile,
+        now: float,
+        *,
+        may_grant: bool,
+    ) -> Placement | Declined:
+        """Place work where limits leave room; at none if this one may not grant."""
+        limited = self.budget.list_limited()
+        if limited and not may_grant:
+            work = exclude(work, limited)
+        return self.placement.place(scheduler, work, endpoints, profile, now)
+
+    def answer(
+        self, question: SendQuestion, now: float, *, may_grant: bool
+    ) -> SendAnswer:
+        """Grant a send to one of the upstreams, now or within the asker's patience."""
+        if not may_grant:
+            _, wait = self.budget.find_soonest(question.upstreams, now)
+            return SendAnswer(question.question, None, wait)
+        upstream, wait = self.budget.grant(question.upstreams, question.patience, now)
+        return SendAnswer(question.question, upstream, wait)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -14,6 +14,7 @@
     Fingerprint,
     InstanceId,
     RoutingVersion,
+    SendId,
     Term,
     UpstreamId,
 )
@@ -27,6 +28,7 @@
     Placement,
     ReplicaPace,
 )
+from scalebend.models.request_limits import HeardLimit, RequestLimit
 
 
 class Introduce(msgspec.Struct, frozen=True, tag=True):
@@ -146,6 +148,47 @@
     cleared: list[Fingerprint]
 
 
+class LimitsHeard(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: what answers of upstreams said of the requests they take."""
+
+    heard: list[HeardLimit]
+
+
+class LimitNews(msgspec.Struct, frozen=True, tag=True):
+    """Leader to front, and front to a new leader: all limits that are known."""
+
+    limits: list[RequestLimit]
+    fronts: int = 1
+    number: int = 0
+    """From the leader: which of how many fronts this one is, should it be lost."""
+
+
+class SendQuestion(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: to which of these limited upstreams may a request be sent?"""
+
+    question: SendId
+    upstreams: list[UpstreamId]
+    patience: float
+    """Seconds for which the request would wait."""
+
+
+class SendAnswer(msgspec.Struct, frozen=True, tag=True):
+    """Leader to front: send there after ``wait`` seconds.
+
+    Without an upstream nothing may be sent; one has room after ``wait`` seconds.
+    """
+
+    question: SendId
+    upstream: UpstreamId | None
+    wait: float
+
+
+class SentAlone(msgspec.Struct, frozen=True, tag=True):
+    """Front to leader: limited upstreams that were sent a request without its word."""
+
+    upstreams: list[UpstreamId]
+
+
 class OpenJobs(msgspec.Struct, frozen=True, tag=True):
     """Front to a new leader: the jobs it has open."""
 
@@ -173,6 +216,11 @@
     | EjectedUpstreams
     | OpenJobs
     | CrashNews
+    | LimitsHeard
+    | LimitNews
+    | SendQuestion
+    | SendAnswer
+    | SentAlone
     | Hello
     | HelloReply
     | RelayReply
--- a/src/scalebend/core/request_limits.py
+++ b/src/scalebend/core/request_limits.py
@@ -26,6 +26,7 @@
 
     def __init__(self) -> None:
         self._records: dict[UpstreamId, _Record] = {}
+        self._limited: dict[UpstreamId, None] = {}
 
     # What upstreams and other processes say
 
@@ -37,9 +38,28 @@
         if heard.rate > known.rate and heard.revision != known.revision:
             return None
         changed = RequestLimit(heard.upstream, heard.rate, known.revision + 1)
-        self._records[heard.upstream] = _Record(changed.rate, changed.revision)
+        self._put(changed)
         return changed
 
+    def merge(self, limits: Iterable[RequestLimit]) -> list[RequestLimit]:
+        """Take what another process knows; return what is new here."""
+        changed = []
+        for limit in limits:
+            known = self.get(limit.upstream)
+            is_later = limit.revision > known.revision
+            is_lower = limit.revision == known.revision and limit.rate < known.rate
+            if is_later or is_lower:
+                self._put(limit)
+                changed.append(limit)
+        return changed
+
+    def _put(self, limit: RequestLimit) -> None:
+        self._records[limit.upstream] = _Record(limit.rate, limit.revision)
+        if limit.rate < UNLIMITED:
+            self._limited[limit.upstream] = None
+        else:
+            self._limited.pop(limit.upstream, None)
+
     # What is known
 
     def get(self, upstream: UpstreamId) -> RequestLimit:
@@ -51,12 +71,20 @@
 
     def is_limited(self, upstream: UpstreamId) -> bool:
         """Whether an upstream takes only so many requests a second."""
-        record = self._records.get(upstream)
-        return record is not None and record.rate < UNLIMITED
+        return upstream in self._limited
+
+    @property
+    def limited(self) -> Iterable[UpstreamId]:
+        """Upstreams with a limit in force."""
+        return self._limited
 
     def count_limited(self) -> int:
         """Upstreams with a limit in force."""
-        return sum(one.rate < UNLIMITED for one in self._records.values())
+        return len(self._limited)
+
+    def list_all(self) -> list[RequestLimit]:
+        """All that is known, also of limits that have ended, for another process."""
+        return [self.get(upstream) for upstream in self._records]
 
     def retain(self, upstreams: Iterable[UpstreamId]) -> None:
         """Forget upstreams that no longer exist."""
@@ -64,3 +92,4 @@
             kept = set(upstreams)
             for upstream in [one for one in self._records if one not in kept]:
                 del self._records[upstream]
+                self._limited.pop(upstream, None)
--- /dev/null
+++ b/src/scalebend/core/send_budget.py
@@ -0,0 +1,178 @@
+"""How many requests a process may send to upstreams that named a limit.
+
+The limit is on the sum over all fronts, so it is granted in one place: the leader
+holds it, and whoever wants to send asks there. The leader leaves out the parts of
+fronts that it does not hear, since these may be sending on their own: each of them has
+an even part, and the parts begin one after the other from the moment at which the
+leader fell silent. What a front sends on its own it tells, and that is taken from what
+the leader grants next. So the sum exceeds the limit by no more than the parts of fronts
+whose silence the leader has not noticed yet.
+
+Sends are spaced by the generic cell rate algorithm (a leaky bucket as a meter): it
+keeps one moment per upstream, and no list of what was sent.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+import msgspec
+
+from scalebend.core.request_limits import RequestLimits
+from scalebend.models.ids import UpstreamId
+
+BURST = 0.25
+"""Seconds' worth of a limit, or one request if that is more, that may be sent at once
+after a pause. A limit of 100 a second under as many requests at random moments is used
+to 0.50 without it, to 0.98 with it, and no second holds more than 125 (ten runs of a
+minute in virtual time)."""
+
+LEAST_RATE = 1.0 / 30.0
+"""Requests a second that are sent even where an upstream takes fewer, or none: only an
+answer tells that its need has ended."""
+
+
+class GrantedPart(msgspec.Struct, frozen=True):
+    """What a leader grants: this part of each limit, above 0 and at most 1."""
+
+    part: float
+
+
+class OwnTurn(msgspec.Struct, frozen=True):
+    """What a front may send while it hears nothing of a leader.
+
+    Front ``number`` of ``fronts``, from 0, has every turn of its own from ``since`` on:
+    the fronts together send at the limit, none of them at the same moment as another.
+    """
+
+    fronts: int
+    number: int
+    since: float
+
+
+Share = GrantedPart | OwnTurn
+
+
+class _Pace(msgspec.Struct):
+    rate: float
+    share: Share
+    interval: float
+    burst: float
+    due: float
+    """When a request would be due if all had come at equal distances."""
+
+    def compute_wait(self, now: float) -> float:
+        return max(0.0, self.due - self.burst - now)
+
+    def spend(self, at: float) -> None:
+        self.due = max(self.due, at) + self.interval
+
+
+class SendBudget:
+    """Paces of the limited upstreams, for one process and its share of the limits."""
+
+    def __init__(self, limits: RequestLimits, share: Share) -> None:
+        self._limits = limits
+        self._share = share
+        self._paces: dict[UpstreamId, _Pace] = {}
+
+    def set_share(self, share: Share, now: float) -> None:
+        """Go on with another share of all limits."""
+        if share == self._share:
+            return
+        if isinstance(share, OwnTurn):
+            self._paces.clear()
+        self._share = share
+        self.refresh(now)
+
+    def restart(self, now: float) -> None:
+        """Forget what was granted: from now on, limits are used up at first."""
+        self._paces.clear()
+        self.refresh(now)
+
+    def refresh(self, now: float) -> None:
+        """Begin to count for limits that are new, and adapt to those that changed."""
+        for upstream in self._limits.limited:
+            self._get(upstream, now)
+        for upstream in [u for u in self._paces if not self._limits.is_limited(u)]:
+            del self._paces[upstream]
+
+    def compute_wait(self, upstream: UpstreamId, now: float) -> float:
+        """Seconds until a request may be sent there."""
+        if not self._limits.is_limited(upstream):
+            return 0.0
+        return self._get(upstream, now).compute_wait(now)
+
+    def spend(self, upstream: UpstreamId, at: float) -> None:
+        """A request is sent there at ``at``, with or without room for it."""
+        if self._limits.is_limited(upstream):
+            self._get(upstream, at).spend(at)
+
+    def refund(self, upstream: UpstreamId) -> None:
+        """A request that was counted is not sent."""
+        pace = self._paces.get(upstream)
+        if pace is not None:
+            pace.due -= pace.interval
+
+    def list_limited(self) -> tuple[UpstreamId, ...]:
+        """Upstreams with a limit, whether there is room or not."""
+        return tuple(self._limits.limited)
+
+    def list_closed(self, now: float) -> tuple[UpstreamId, ...]:
+        """Upstreams that may not be sent a request now."""
+        return tuple(
+            upstream
+            for upstream in self._limits.limited
+            if self._get(upstream, now).compute_wait(now) > 0.0
+        )
+
+    def grant(
+        self, upstreams: Iterable[UpstreamId], patience: float, now: float
+    ) -> tuple[UpstreamId | None, float]:
+        """Count a send to the upstream with room, or to the first within patience.
+
+        Returns it with the wait; no upstream, and the least wait, if that is too long.
+        """
+        soonest, wait = self.find_soonest(upstreams, now)
+        if soonest is None or wait > patience:
+            return None, wait
+        self.spend(soonest, now + wait)
+        return soonest, wait
+
+    def find_soonest(
+        self, upstreams: Iterable[UpstreamId], now: float
+    ) -> tuple[UpstreamId | None, float]:
+        """The first of ``upstreams`` that has room, or gets it first, and the wait."""
+        best: UpstreamId | None = None
+        least = math.inf
+        for upstream in upstreams:
+            wait = self.compute_wait(upstream, now)
+            if wait < least:
+                best, least = upstream, wait
+        return best, least
+
+    def _get(self, upstream: UpstreamId, now: float) -> _Pace:
+        rate = max(LEAST_RATE, self._limits.get(upstream).rate)
+        pace = self._paces.get(upstream)
+        if pace is not None and pace.rate == rate and pace.share == self._share:
+            return pace
+        fresh = _build_pace(rate, self._share, now)
+        if pace is not None:
+            # What was sent lately counts on, but for no more than an empty bucket.
+            owed = max(0.0, pace.due - now) / pace.interval
+            fresh.due = min(fresh.due, now + owed * fresh.interval)
+        self._paces[upstream] = fresh
+        return fresh
+
+
+def _build_pace(rate: float, share: Share, now: float) -> _Pace:
+    """A pace under which nothing may be sent at once."""
+    match share:
+        case GrantedPart(part):
+            interval = 1.0 / (rate * part)
+            burst = max(BURST, interval)
+            return _Pace(rate, share, interval, burst, now + burst + interval)
+        case OwnTurn(fronts, number, since):
+            first = since + (number + 1) / rate
+            return _Pace(rate, share, fronts / rate, 0.0, first)
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -164,7 +164,7 @@
     def _note_down(self, peer: Introduce) -> None:
         match peer.role:
             case GatewayRole.FRONT:
-                self.instance.remove_front(peer.instance)
+                self.instance.remove_front(peer.instance, self.now())
             case GatewayRole.RELAY:
                 self.instance.remove_relay(peer.instance)
             case GatewayRole.CONTROL:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -21,22 +21,22 @@
     Heartbeat,
     Introduce,
     LinkMessage,
-    PlaceAnswer,
-    PlaceQuestion,
+    SendAnswer,
+    SendQuestion,
 )
-from scalebend.core.gateway.patience import LEADER_PAUSE, PLACE_TIMEOUT
 from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.core.gateway.placement_turn import (
     REPLAN_PERIOD,
     keep_turn,
     renew_work,
 )
+from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.running_attempts import RunningAttempts
 from scalebend.models.calls import LoadReading
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
+from scalebend.models.ids import Fingerprint, InstanceId, SendId, UpstreamId
 from scalebend.models.placement import (
     Decision,
     Declined,
@@ -85,11 +85,11 @@
             me, self._receive, self._note_up, self._note_down, metrics
         )
         self.attempts = RunningAttempts()
-        self._placing: dict[JobId, asyncio.Future[PlaceAnswer]] = {}
+        self._leader_calls = LeaderCalls(self._dialer.send)
         self._sessions: UpstreamSessions | None = None
         self._inspector: Inspector | None = None
         self._jobs = 0
-        self._leader_paused_until = 0.0
+        self._sends = 0
         self._heartbeat_at = 0.0
         self._tasks: set[asyncio.Task[object]] = set()
         self._first_lease = asyncio.Event()
@@ -137,16 +137,12 @@
             self._dialer.send_to_all(Heartbeat())
 
     def _receive(self, sender: InstanceId, message: LinkMessage) -> None:
-        if isinstance(message, PlaceAnswer):
-            future = self._placing.pop(message.job, None)
-            if future is not None and not future.done():
-                future.set_result(message)
+        if self._leader_calls.take(message):
             return
         leader = self.instance.leader
         self._execute(self.instance.handle(sender, message, self.now()))
         if self.instance.leader != leader:
-            # Another one: that the last did not answer says nothing of it.
-            self._leader_paused_until = 0.0
+            self._leader_calls.note_leader_changed()
         if self.instance.may_admit(self.now()):
             self._first_lease.set()
 
@@ -201,7 +197,7 @@
     async def place(self, work: EngineWork) -> Decision:
         """Ask the leader where to run; decide alone if it does not answer in time."""
         leader = self.instance.leader
-        answer = await self._ask_leader(work)
+        answer = await self._leader_calls.place(leader, work)
         placed: Placement | Declined | None = None
         if answer is not None:
             placed = answer.placement or answer.declined
@@ -223,8 +219,8 @@
         while placement.start_in > REPLAN_PERIOD:
             asked_at = self.now()
             await asyncio.sleep(REPLAN_PERIOD)
-            answer = await self._ask_leader(
-                renew_work(work, REPLAN_PERIOD), may_pause=False
+            answer = await self._leader_calls.place(
+                self.instance.leader, renew_work(work, REPLAN_PERIOD), may_pause=False
             )
             waited = self.now() - asked_at
             work = renew_work(work, waited)
@@ -248,6 +244,10 @@
         if not left:
             return placement
         kept = drop_replicas(placement, left)
+        if kept is not None and kept.upstream != placement.upstream:
+            # Another one answers now: nothing was granted there.
+            if self.instance.limits.is_limited(kept.upstream):
+                kept = None
         logger.info(
             "replicas of a placement left",
             job=work.job,
@@ -258,27 +258,22 @@
             self._execute(self.instance.replace_job(work.job, kept, self.now()))
         return kept
 
-    async def _ask_leader(
-        self, work: EngineWork, *, may_pause: bool = True
-    ) -> PlaceAnswer | None:
-        """The leader's answer; without one, it is not asked for a while."""
-        leader = self.instance.leader
-        if leader is None or self.now() < self._leader_paused_until:
-            return None
-        future: asyncio.Future[PlaceAnswer] = self._loop.create_future()
-        self._placing[work.job] = future
-        self._dialer.send(leader, PlaceQuestion(work))
-        try:
-            async with asyncio.timeout(PLACE_TIMEOUT):
-                answer = await future
-        except TimeoutError:
-            if may_pause:
-                self._leader_paused_until = self.now() + LEADER_PAUSE
-            logger.info("leader did not place in time", leader=leader, job=work.job)
-            return None
-        finally:
-            self._placing.pop(work.job, None)
-        return answer
+    async def request_send(
+        self, upstreams: list[UpstreamId], patience: float
+    ) -> SendAnswer:
+        """Ask the leader for a send to one of some limited upstreams.
+
+        Without an answer this front has its own turns, and tells what it sends.
+        """
+        self._sends += 1
+        question = SendQuestion(SendId(self._sends), upstreams, patience)
+        answer = await self._leader_calls.request_send(self.instance.leader, question)
+        if answer is not None:
+            return answer
+        alone = self.instance.limits.grant(question, self.now())
+        if alone.upstream is not None:
+            self._execute(self.instance.note_sent_alone(alone.upstream))
+        return alone
 
     def note_first_token(self, job: JobId, load: LoadReading | None) -> None:
         """The first event of a job came, with the replica's own count of its load."""
@@ -310,9 +305,13 @@
 
     def hear_limit(self, heard: HeardLimit) -> None:
         """An upstream's answer named the requests a second that it takes, or none."""
-        self._execute(self.instance.hear_limit(heard))
+        self._execute(self.instance.hear_limit(heard, self.now()))
         self.metrics.set_limited(self.instance.limits.count_limited())
 
+    def note_limits_full(self) -> None:
+        """A request is refused, since no upstream that might take it has room."""
+        self.metrics.count_limit_refusal()
+
     def note_lost(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
         """An upstream ended, or cut the request off, while it ran it."""
         self.metrics.count_lost_request()
--- /dev/null
+++ b/src/scalebend/edges/gateway/leader_calls.py
@@ -0,0 +1,90 @@
+"""Questions of a front to the leader, each with a time limit."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import structlog
+
+from scalebend.core.gateway.messages import (
+    LinkMessage,
+    PlaceAnswer,
+    PlaceQuestion,
+    SendAnswer,
+    SendQuestion,
+)
+from scalebend.core.gateway.patience import LEADER_PAUSE, PLACE_TIMEOUT
+from scalebend.models.ids import InstanceId, SendId
+from scalebend.models.placement import EngineWork, JobId
+
+logger = structlog.get_logger(__name__)
+
+_Answer = PlaceAnswer | SendAnswer
+
+
+class LeaderCalls:
+    """Questions that wait for their answers; a leader that is late is left in peace."""
+
+    def __init__(self, send: Callable[[InstanceId, LinkMessage], object]) -> None:
+        self._send = send
+        self._loop = asyncio.get_running_loop()
+        self._waiting: dict[JobId | SendId, asyncio.Future[_Answer]] = {}
+        self._paused_until = 0.0
+
+    def take(self, message: LinkMessage) -> bool:
+        """Take a message, if it is an answer; one that is late is dropped."""
+        match message:
+            case PlaceAnswer(job=name):
+                future = self._waiting.pop(name, None)
+            case SendAnswer(question=number):
+                future = self._waiting.pop(number, None)
+            case _:
+                return False
+        if future is not None and not future.done():
+            future.set_result(message)
+        return True
+
+    def note_leader_changed(self) -> None:
+        """Another one leads: that the last did not answer says nothing of it."""
+        self._paused_until = 0.0
+
+    async def place(
+        self, leader: InstanceId | None, work: EngineWork, *, may_pause: bool = True
+    ) -> PlaceAnswer | None:
+        """Where work should run; ``None`` if the leader does not answer in time."""
+        question = PlaceQuestion(work)
+        answer = await self._ask(leader, work.job, question, may_pause=may_pause)
+        return answer if isinstance(answer, PlaceAnswer) else None
+
+    async def request_send(
+        self, leader: InstanceId | None, question: SendQuestion
+    ) -> SendAnswer | None:
+        """Whether a request may be sent to a limited upstream."""
+        name = question.question
+        answer = await self._ask(leader, name, question, may_pause=True)
+        return answer if isinstance(answer, SendAnswer) else None
+
+    async def _ask(
+        self,
+        leader: InstanceId | None,
+        name: JobId | SendId,
+        question: PlaceQuestion | SendQuestion,
+        *,
+        may_pause: bool,
+    ) -> _Answer | None:
+        if leader is None or self._loop.time() < self._paused_until:
+            return None
+        future: asyncio.Future[_Answer] = self._loop.create_future()
+        self._waiting[name] = future
+        self._send(leader, question)
+        try:
+            async with asyncio.timeout(PLACE_TIMEOUT):
+                return await future
+        except TimeoutError:
+            if may_pause:
+                self._paused_until = self._loop.time() + LEADER_PAUSE
+            logger.info("leader did not place in time", leader=leader, job=name)
+            return None
+        finally:
+            self._waiting.pop(name, None)
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -77,6 +77,11 @@
             ["attempt"],
             registry=registry,
         )
+        self._limit_refusals = Counter(
+            "scalebend_limit_refusals",
+            "Requests refused since limited upstreams alone were left, without room",
+            registry=registry,
+        )
         self._link_starts = Counter(
             "scalebend_link_starts",
             "Links to or from other processes that came up",
@@ -120,6 +125,10 @@
         """A request is sent to an upstream with a limit."""
         self._limited_attempts.labels("first" if is_first else "again").inc()
 
+    def count_limit_refusal(self) -> None:
+        """No upstream with room was left for a request."""
+        self._limit_refusals.inc()
+
     def count_link_start(self) -> None:
         """A link is up."""
         self._link_starts.inc()
--- /dev/null
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -0,0 +1,79 @@
+"""Chooses an upstream of a plain service, within the limits that upstreams named."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import structlog
+
+from scalebend.core.gateway.limited_placement import PATIENT_PART
+from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.models.calls import Call
+from scalebend.models.endpoints import Endpoint
+from scalebend.models.ids import UpstreamId
+
+logger = structlog.get_logger(__name__)
+
+
+class Room(msgspec.Struct, frozen=True):
+    """An upstream that may be sent the request now, or when there will be one."""
+
+    endpoint: Endpoint | None
+    retry_after: float | None = None
+    """Seconds until a limited upstream has room, if that is what is missing."""
+
+
+async def choose_with_room(
+    runtime: FrontRuntime, call: Call, excluded: set[UpstreamId]
+) -> Room:
+    """The least loaded upstream that takes the request; waits a little if none does.
+
+    A limited one is asked for at the leader, which costs a round trip; others are not.
+    """
+    instance = runtime.instance
+    full: set[UpstreamId] = set()
+    retry_after: float | None = None
+    while True:
+        usable = instance.directory.list_usable(call.service)
+        endpoint = instance.balancer.choose(
+            usable,
+            excluded | full,
+            runtime.settings.availability_zone,
+            runtime.chooser,
+            runtime.now(),
+        )
+        if endpoint is None:
+            if full:
+                _log_full(call, full, retry_after)
+                runtime.note_limits_full()
+            return Room(None, retry_after)
+        if not instance.limits.is_limited(endpoint.upstream):
+            return Room(endpoint)
+        names = {one.upstream: one for one in usable if one.upstream not in excluded}
+        limited = [one for one in names if instance.limits.is_limited(one)]
+        limited.sort(key=lambda one: one != endpoint.upstream)
+        has_others = len(limited) < len(names)
+        patience = 0.0 if has_others else _compute_patience(runtime, call)
+        granted = await runtime.request_send(limited, patience)
+        if granted.upstream is not None:
+            await asyncio.sleep(granted.wait)
+            if instance.directory.is_usable(granted.upstream):
+                return Room(names[granted.upstream])
+        full.update(limited)
+        retry_after = granted.wait
+
+
+def _compute_patience(runtime: FrontRuntime, call: Call) -> float:
+    """Seconds for which the call may wait and still be answered in time."""
+    left = call.arrived + call.route.target_latency - runtime.now()
+    return max(0.0, PATIENT_PART * left)
+
+
+def _log_full(call: Call, full: set[UpstreamId], retry_after: float | None) -> None:
+    logger.info(
+        "limited upstreams are full",
+        request=call.headers.request,
+        upstreams=sorted(full),
+        retry_after=retry_after,
+    )
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 
 import msgspec
 import structlog
@@ -12,6 +12,7 @@
 from scalebend.core.gateway.patience import compute_inspection_delay
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.reservations import HolderSilentError, hold_memory
+from scalebend.edges.gateway.service_choice import choose_with_room
 from scalebend.models.calls import Call, LoadReading
 from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
@@ -113,21 +114,18 @@
             async with self._choose_engines() as target:
                 yield target
             return
-        with self._choose_service() as target:
+        async with self._choose_service() as target:
             yield target
 
-    @contextlib.contextmanager
-    def _choose_service(self) -> Iterator[Target | None]:
+    @contextlib.asynccontextmanager
+    async def _choose_service(self) -> AsyncIterator[Target | None]:
         runtime = self._runtime
         instance = runtime.instance
-        endpoint = instance.balancer.choose(
-            instance.directory.list_usable(self._call.service),
-            self._excluded,
-            runtime.settings.availability_zone,
-            runtime.chooser,
-            runtime.now(),
-        )
+        room = await choose_with_room(runtime, self._call, self._excluded)
+        endpoint = room.endpoint
         if endpoint is None:
+            if room.retry_after is not None:
+                self.retry_after = room.retry_after
             yield None
             return
         instance.balancer.note_sent(endpoint.upstream)
@@ -226,6 +224,7 @@
             job=work.job,
             prompt=work.prompt_tokens,
             excluded=len(work.excluded),
+            limited=self._runtime.instance.limits.count_limited(),
             retry_after=declined.retry_after,
             leader=leader,
         )
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -63,3 +63,6 @@
 
 RoutingVersion = NewType("RoutingVersion", int)
 """Number of a routing document; operators raise it in uneven steps."""
+
+SendId = NewType("SendId", int)
+"""One question of a front whether it may send a request, among all of its own."""
--- a/src/scalebend/models/request_limits.py
+++ b/src/scalebend/models/request_limits.py
@@ -35,3 +35,8 @@
     revision: int
     """Of the limit that was known when the request was sent: an answer that was on its
     way before the upstream named its limit does not end it."""
+
+
+def describe_rate(rate: float) -> float | None:
+    """A rate for log lines; ``None`` for no limit."""
+    return rate if rate < UNLIMITED else None
--- a/tests/functional/test_limited_replicas.py
+++ b/tests/functional/test_limited_replicas.py
@@ -10,6 +10,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 
 import pytest
@@ -77,10 +78,21 @@
                 await asyncio.sleep(min(0.5, self.retry_afters[-1]))
 
 
+async def keep_registered(system):
+    """Replicas that say nothing for long count as gone."""
+    while True:
+        await asyncio.sleep(1.2)
+        for replica in system.replicas:
+            with contextlib.suppress(AssertionError):
+                await replica.register(system.session)
+
+
 @pytest.fixture
 async def system(tmp_path):
     async with run_system(tmp_path, 3, LimitedReplica) as system:
+        registering = asyncio.create_task(keep_registered(system))
         yield system
+        registering.cancel()
 
 
 def compute_allowed(limit):
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -107,7 +107,9 @@
 
     def hear_limit(self, front, heard):
         """An answer at a front named what its replica takes."""
-        self._send(self.names[self.fronts.index(front)], front.hear_limit(heard))
+        self._send(
+            self.names[self.fronts.index(front)], front.hear_limit(heard, self.now)
+        )
 
     def _send(self, name, actions):
         for action in actions:
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -226,7 +226,7 @@
 
 def test_front_that_is_gone_holds_nobody_up(learning):
     learning.instance.handle_front(FRONT, OpenJobs([]), learning.now)
-    learning.instance.remove_front(OTHER_FRONT)
+    learning.instance.remove_front(OTHER_FRONT, learning.now)
     assert ask(learning, 1).placement is not None
 
 
--- a/tests/unit/gateway/test_crash_exchange.py
+++ b/tests/unit/gateway/test_crash_exchange.py
@@ -56,7 +56,7 @@
     deployment.leader.crashes = CrashExchange()
     for name, front in zip(deployment.names, deployment.fronts, strict=True):
         front.remove_link(LEADER)
-        deployment.leader.remove_front(name)
+        deployment.leader.remove_front(name, deployment.now)
         front.add_link(LEADER)
         deployment._deliver(deployment.leader.add_front(name, deployment.now))
     deployment.run(0.6)
