--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -271,6 +271,8 @@
         logger.info("front attached", front=front, fronts=len(self._fronts))
         actions: list[ControlAction] = [ToFront(front, self._build_news(now))]
         actions += self._send_catalogues(now)
+        if self.is_leader:
+            actions += self.limits.greet(front)
         return actions + [*self._ejections.greet(front)]
 
     def add_relay(self, relay: InstanceId, now: float) -> list[ControlAction]:
@@ -544,7 +546,7 @@
             endpoints,
             profile,
             now,
-            may_grant=self._may_grant(now),
+            may_grant=not self.limits.is_any or self._may_grant(now),
         )
         if isinstance(placed, Declined):
             return PlaceAnswer(work.job, declined=placed)
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -56,6 +56,11 @@
         self._is_changed = False
         self._send_at = -math.inf
 
+    @property
+    def is_any(self) -> bool:
+        """Whether any upstream has a limit."""
+        return self.limits.count_limited() > 0
+
     # Fronts
 
     def add_front(self, front: InstanceId, now: float) -> None:
@@ -139,6 +144,14 @@
             for number, front in enumerate(self._linked)
         ]
 
+    def greet(self, front: InstanceId) -> list[ToFront]:
+        """Tell a front that was just linked, the last of all, before it sends."""
+        limits = self.limits.list_all()
+        if not limits:
+            return []
+        count = len(self._linked)
+        return [ToFront(front, LimitNews(limits, count, count - 1))]
+
     # Grants
 
     def place(
--- a/src/scalebend/core/send_budget.py
+++ b/src/scalebend/core/send_budget.py
@@ -15,6 +15,7 @@
 from __future__ import annotations
 
 import math
+import zlib
 from collections.abc import Iterable
 
 import msgspec
@@ -28,6 +29,10 @@
 to 0.50 without it, to 0.98 with it, and no second holds more than 125 (ten runs of a
 minute in virtual time)."""
 
+TURN_LIFE = 1.0
+"""Seconds for which a front may use a turn of its own, or as long as a turn lasts.
+Turns that could be saved up would be used by many fronts at once."""
+
 LEAST_RATE = 1.0 / 30.0
 """Requests a second that are sent even where an upstream takes fewer, or none: only an
 answer tells that its need has ended."""
@@ -42,8 +47,9 @@
 class OwnTurn(msgspec.Struct, frozen=True):
     """What a front may send while it hears nothing of a leader.
 
-    Front ``number`` of ``fronts``, from 0, has every turn of its own from ``since`` on:
-    the fronts together send at the limit, none of them at the same moment as another.
+    Front ``number`` of ``fronts``, from 0, has its turn after those before it, and
+    again when all have had theirs, from ``since`` on: together they send at the limit.
+    Each upstream begins with another front, so that none has to wait for all at once.
     """
 
     fronts: int
@@ -54,9 +60,9 @@
 Share = GrantedPart | OwnTurn
 
 
-class _Pace(msgspec.Struct):
-    rate: float
-    share: Share
+class _Spacing(msgspec.Struct):
+    """Sends at equal distances, with a burst after a pause."""
+
     interval: float
     burst: float
     due: float
@@ -68,6 +74,47 @@
     def spend(self, at: float) -> None:
         self.due = max(self.due, at) + self.interval
 
+    def refund(self) -> None:
+        self.due -= self.interval
+
+
+class _Turns(msgspec.Struct):
+    """One send in each turn; a turn that is not used in time is lost."""
+
+    first: float
+    """When the first turn begins."""
+
+    period: float
+    life: float
+    """Seconds for which a turn may be used."""
+
+    next: int = 0
+    """Number of the first turn that was not used."""
+
+    def compute_wait(self, now: float) -> float:
+        current = self._count(now)
+        begin = self.first + current * self.period
+        if self.next <= current and now < begin + self.life:
+            return 0.0
+        following = max(self.next, current + 1)
+        return self.first + following * self.period - now
+
+    def spend(self, at: float) -> None:
+        self.next = max(self.next, self._count(at)) + 1
+
+    def refund(self) -> None:
+        self.next -= 1
+
+    def _count(self, now: float) -> int:
+        """Number of the turn that began last; negative before the first."""
+        return math.floor((now - self.first) / self.period)
+
+
+class _Pace(msgspec.Struct):
+    rate: float
+    share: Share
+    sends: _Spacing | _Turns
+
 
 class SendBudget:
     """Paces of the limited upstreams, for one process and its share of the limits."""
@@ -102,18 +149,18 @@
         """Seconds until a request may be sent there."""
         if not self._limits.is_limited(upstream):
             return 0.0
-        return self._get(upstream, now).compute_wait(now)
+        return self._get(upstream, now).sends.compute_wait(now)
 
     def spend(self, upstream: UpstreamId, at: float) -> None:
         """A request is sent there at ``at``, with or without room for it."""
         if self._limits.is_limited(upstream):
-            self._get(upstream, at).spend(at)
+            self._get(upstream, at).sends.spend(at)
 
     def refund(self, upstream: UpstreamId) -> None:
         """A request that was counted is not sent."""
         pace = self._paces.get(upstream)
         if pace is not None:
-            pace.due -= pace.interval
+            pace.sends.refund()
 
     def list_limited(self) -> tuple[UpstreamId, ...]:
         """Upstreams with a limit, whether there is room or not."""
@@ -124,7 +171,7 @@
         return tuple(
             upstream
             for upstream in self._limits.limited
-            if self._get(upstream, now).compute_wait(now) > 0.0
+            if self._get(upstream, now).sends.compute_wait(now) > 0.0
         )
 
     def grant(
@@ -157,22 +204,33 @@
         pace = self._paces.get(upstream)
         if pace is not None and pace.rate == rate and pace.share == self._share:
             return pace
-        fresh = _build_pace(rate, self._share, now)
+        sends = _build_sends(upstream, rate, self._share, now)
         if pace is not None:
-            # What was sent lately counts on, but for no more than an empty bucket.
-            owed = max(0.0, pace.due - now) / pace.interval
-            fresh.due = min(fresh.due, now + owed * fresh.interval)
-        self._paces[upstream] = fresh
-        return fresh
+            _carry_over(pace.sends, sends, now)
+        pace = self._paces[upstream] = _Pace(rate, self._share, sends)
+        return pace
 
 
-def _build_pace(rate: float, share: Share, now: float) -> _Pace:
-    """A pace under which nothing may be sent at once."""
+def _build_sends(
+    upstream: UpstreamId, rate: float, share: Share, now: float
+) -> _Spacing | _Turns:
+    """Sends of which the first may not be at once."""
     match share:
         case GrantedPart(part):
             interval = 1.0 / (rate * part)
             burst = max(BURST, interval)
-            return _Pace(rate, share, interval, burst, now + burst + interval)
+            return _Spacing(interval, burst, now + burst + interval)
         case OwnTurn(fronts, number, since):
-            first = since + (number + 1) / rate
-            return _Pace(rate, share, fronts / rate, 0.0, first)
+            life = max(TURN_LIFE, 1.0 / rate)
+            turn = (number + zlib.crc32(upstream.encode())) % fronts
+            return _Turns(since + (turn + 1) / rate, fronts / rate, life)
+
+
+def _carry_over(
+    before: _Spacing | _Turns, after: _Spacing | _Turns, now: float
+) -> None:
+    """What was sent lately counts on, but for no more than if nothing were left."""
+    match before, after:
+        case _Spacing(), _Spacing():
+            owed = max(0.0, before.due - now) / before.interval
+            after.due = min(after.due, now + owed * after.interval)
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -38,23 +38,51 @@
     """One control instance that leads, its fronts, and replicas of one service."""
 
     def __init__(self, fronts, replicas, engine=None):
-        recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
-        member = ControlMember(LEADER, [], recovered, now=0.0)
-        self.leader = ControlInstance(member, 1.2, now=0.0)
         self.now = 0.0
+        self.engine = engine
         self.endpoints = [build_endpoint(number) for number in range(1, replicas + 1)]
         self.fronts = []
         self.names = []
-        self.run(1.0)
-        routing = build_routing(services=[build_service(engine=engine)])
-        self.leader.propose_routing(pack_routing(routing, b"{}"), self.now, 0.0)
-        self._pump()
-        for endpoint in self.endpoints:
-            self.leader.register(endpoint, self.now)
+        self.leader = self._build_leader()
         for number in range(fronts):
             self.add_front(number)
         self.run(0.5)
 
+    def _build_leader(self):
+        """A control instance that leads, with all replicas registered and no front."""
+        recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
+        member = ControlMember(LEADER, [], recovered, now=self.now)
+        leader = ControlInstance(member, 1.2, now=self.now)
+        end = self.now + 1.0
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + TICK)
+            leader.advance(self.now)
+            pump(leader, self.now)
+        routing = build_routing(services=[build_service(engine=self.engine)])
+        leader.propose_routing(pack_routing(routing, b"{}"), self.now, 0.0)
+        pump(leader, self.now)
+        for endpoint in self.endpoints:
+            leader.register(endpoint, self.now)
+        return leader
+
+    def lose_leader(self):
+        """All fronts lose their links to the leader."""
+        for front in self.fronts:
+            front.remove_link(LEADER)
+
+    def replace_leader(self):
+        """Another one leads after a second; it knows what fronts tell it."""
+        self.leader = self._build_leader()
+        for name, front in zip(self.names, self.fronts, strict=True):
+            front.add_link(LEADER)
+            self._deliver(self.leader.add_front(name, self.now))
+
+    def cut_front(self, number, *, is_noticed):
+        """A front loses the leader, which notices that or not."""
+        self.fronts[number].remove_link(LEADER)
+        if is_noticed:
+            self.leader.remove_front(self.names[number], self.now)
+
     def add_front(self, number):
         settings = build_settings(link_address=f"10.2.0.{number}:7000", seeds=[LEADER])
         front = FrontInstance(settings, now=self.now)
@@ -85,6 +113,12 @@
     def place(self, front, work):
         """Ask the leader, as a front does, and tell it what became of it."""
         number = self.fronts.index(front)
+        if front.leader is None:
+            placed = front.place(work, self.now)
+            if isinstance(placed, Placement):
+                told = front.open_job(work, placed, self.now, is_own=True)
+                self._send(self.names[number], told)
+            return placed
         question = PlaceQuestion(work)
         (action,) = self.leader.handle_front(self.names[number], question, self.now)
         placed = action.message.placement or action.message.declined
