--- a/src/scalebend/core/gateway/front_limits.py
+++ b/src/scalebend/core/gateway/front_limits.py
@@ -35,6 +35,7 @@
         self._number: int | None = None
         # Until the leader gives out numbers: they differ, but for some by chance.
         self._drawn = zlib.crc32(front.encode())
+        self._heard_at = now
         self.budget = SendBudget(self._limits, OwnTurn(1, 0, now))
         self.placement = LimitedPlacement(self.budget)
 
@@ -80,11 +81,9 @@
 
     def note_leader_heard(self, now: float) -> None:
         """The leader is there, and grants: this front's own turns begin after it."""
+        self._heard_at = now
         if self._limits.count_limited():
-            number = self._number
-            if number is None:
-                number = self._drawn % self._fronts
-            self.budget.set_share(OwnTurn(self._fronts, number, now), now)
+            self._count_turns(now)
 
     def grant(self, question: SendQuestion, now: float) -> SendAnswer:
         """Take one of this front's own turns, if its time has come."""
@@ -111,4 +110,12 @@
                 revision=limit.revision,
             )
         if changed:
+            self._count_turns(now)
             self.budget.refresh(now)
+
+    def _count_turns(self, now: float) -> None:
+        number = self._number
+        if number is None:
+            number = self._drawn % self._fronts
+        turn = OwnTurn(self._fronts, number, self._heard_at)
+        self.budget.set_share(turn, now)
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -83,6 +83,13 @@
         if is_noticed:
             self.leader.remove_front(self.names[number], self.now)
 
+    def link_front(self, number):
+        """A front that was cut off is linked again."""
+        self.fronts[number].add_link(LEADER)
+        name = self.names[number]
+        self.leader.remove_front(name, self.now)
+        self._deliver(self.leader.add_front(name, self.now))
+
     def add_front(self, number):
         settings = build_settings(link_address=f"10.2.0.{number}:7000", seeds=[LEADER])
         front = FrontInstance(settings, now=self.now)
--- a/tests/unit/gateway/test_limited_engines.py
+++ b/tests/unit/gateway/test_limited_engines.py
@@ -287,3 +287,17 @@
     deployment.run(3.0)
     placed = deployment.place(deployment.fronts[1], build_work(1, 200_000))
     assert len(placed.upstreams) > 4
+
+
+def test_limit_that_is_named_while_nobody_leads_is_kept():
+    load = build_load()
+    load.run(4.0)
+    load.deployment.lose_leader()
+    names = [endpoint.upstream for endpoint in load.deployment.endpoints]
+    load.limits = dict.fromkeys(names, 1.0)
+    # Each front has to hear it from each engine.
+    load.set_rate(40.0)
+    load.run(10.0)
+    since = load.deployment.now
+    load.run(10.0)
+    assert all(load.count_most(one, since) <= compute_tolerated(1.0) for one in names)
