--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -207,10 +207,11 @@
         endpoints: Sequence[Endpoint],
         profile: EngineProfile,
         now: float,
+        closed: Iterable[UpstreamId] = (),
     ) -> Placement | Declined:
         """Choose replicas and count the job, or say when to come back.
 
-        A job that is known already is placed anew.
+        A job that is known already is placed anew; none runs on replicas in ``closed``.
         """
         self.forget(work.job)
         pool = self._pools.get(work.service)
@@ -218,7 +219,7 @@
             pool = self._pools[work.service] = ReplicaPool(self._rank)
         pool.refresh(endpoints, profile, self._replicas, now)
         self._quick.note(pool.quick_jobs, now)
-        placement = self._choose(self._plan(work, profile, now), pool)
+        placement = self._choose(self._plan(work, profile, now, closed), pool)
         if isinstance(placement, Placement):
             self._put(work, placement, profile, now)
         return placement
@@ -239,7 +240,13 @@
     def _rank(self, upstream: UpstreamId) -> int:
         return zlib.crc32(self._salt + upstream.encode())
 
-    def _plan(self, work: EngineWork, profile: EngineProfile, now: float) -> Plan:
+    def _plan(
+        self,
+        work: EngineWork,
+        profile: EngineProfile,
+        now: float,
+        closed: Iterable[UpstreamId] = (),
+    ) -> Plan:
         return Plan(
             work,
             profile,
@@ -248,6 +255,7 @@
             work.prompt_tokens + work.output_tokens + MEMORY_MARGIN,
             self._longest_part,
             self._quick.read(now) + QUICK_SPARE,
+            frozenset((*work.excluded, *closed)),
             self._is_alone,
         )
 
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -20,6 +20,7 @@
     CrashNews,
     EjectedUpstreams,
     EndpointChanges,
+    FrontPlace,
     JobStages,
     KnownInstances,
     LeaseAnswer,
@@ -205,8 +206,9 @@
             case EndpointChanges(news):
                 return self._take_endpoints(news, now)
             case LimitNews():
-                is_from_leader = sender == self.leader
-                self.limits.take(message, now, is_from_leader=is_from_leader)
+                self.limits.take(message, now)
+            case FrontPlace() if sender == self.leader:
+                self.limits.note_place(message)
             case CrashNews(records, cleared):
                 self.crashes.merge(records, now)
                 self.crashes.clear(cleared)
--- a/src/scalebend/core/gateway/front_limits.py
+++ b/src/scalebend/core/gateway/front_limits.py
@@ -9,6 +9,7 @@
 
 from scalebend.core.gateway.limited_placement import LimitedPlacement
 from scalebend.core.gateway.messages import (
+    FrontPlace,
     LimitNews,
     LimitsHeard,
     SendAnswer,
@@ -67,12 +68,14 @@
             self._note_changes([changed] if changed is not None else [], now)
         return LimitsHeard([heard]) if is_led else None
 
-    def take(self, news: LimitNews, now: float, *, is_from_leader: bool) -> None:
-        """Another process told what it knows."""
+    def take(self, news: LimitNews, now: float) -> None:
+        """A control instance told what it knows."""
         self._note_changes(self._limits.merge(news.limits), now)
-        if is_from_leader:
-            self._fronts = news.fronts
-            self._number = news.number
+
+    def note_place(self, place: FrontPlace) -> None:
+        """The leader told which of how many fronts this one is."""
+        self._fronts = place.fronts
+        self._number = place.number
 
     def note_fronts(self, fronts: int) -> None:
         """A control instance told how many fronts it sees."""
@@ -96,8 +99,8 @@
         return LimitNews(limits) if limits else None
 
     def expire(self, upstreams: Iterable[UpstreamId], now: float) -> None:
-        """Forget upstreams that no longer exist, and prompts that were sent."""
-        self._limits.retain(upstreams)
+        """Forget upstreams that are gone for long, and prompts that were sent."""
+        self._limits.retain(upstreams, now)
         self.budget.refresh(now)
         self.placement.expire(now)
 
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -14,8 +14,13 @@
 
 from scalebend.core.gateway.control_actions import ToFront
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
-from scalebend.core.gateway.limited_placement import LimitedPlacement, exclude
-from scalebend.core.gateway.messages import LimitNews, SendAnswer, SendQuestion
+from scalebend.core.gateway.limited_placement import LimitedPlacement
+from scalebend.core.gateway.messages import (
+    FrontPlace,
+    LimitNews,
+    SendAnswer,
+    SendQuestion,
+)
 from scalebend.core.request_limits import RequestLimits
 from scalebend.core.send_budget import GrantedPart, SendBudget
 from scalebend.models.endpoints import Endpoint
@@ -53,7 +58,10 @@
         self.placement = LimitedPlacement(self.budget)
         self._linked: dict[InstanceId, None] = {}
         self._missing: dict[InstanceId, float] = {}
-        self._is_changed = False
+        self._news: dict[UpstreamId, RequestLimit] = {}
+        self._is_resized = False
+        """Whether fronts have another place among each other than they were told."""
+
         self._send_at = -math.inf
 
     @property
@@ -90,8 +98,8 @@
         self.placement.expire(now)
 
     def retain(self, upstreams: Iterable[UpstreamId], now: float) -> None:
-        """Forget upstreams that no longer exist."""
-        self.limits.retain(upstreams)
+        """Forget upstreams that are gone for long."""
+        self.limits.retain(upstreams, now)
         self.budget.refresh(now)
 
     def _share_out(self, now: float) -> None:
@@ -99,7 +107,7 @@
         if linked:
             part = linked / (linked + len(self._missing))
             self.budget.set_share(GrantedPart(part), now)
-        self._is_changed = True
+        self._is_resized = True
 
     # News
 
@@ -128,30 +136,38 @@
             missing=len(self._missing),
         )
         self.budget.refresh(now)
-        self._is_changed = True
+        self._news[limit.upstream] = limit
 
     def send_due(self, now: float, *, is_leader: bool) -> list[ToFront]:
-        """Tell all fronts, if anything is new and there are limits at all."""
-        if not (self._is_changed and is_leader) or now < self._send_at:
+        """As leader, tell all fronts what is new, and their places if there is need."""
+        if not is_leader:
+            self._news.clear()
+            return []
+        is_due = self._news or (self._is_resized and self.is_any)
+        if not is_due or now < self._send_at:
             return []
-        self._is_changed = False
         self._send_at = now + SPREAD_PERIOD
+        actions = self._tell_places() if self._is_resized else []
+        if self._news:
+            # One message for all, which is encoded once.
+            news = LimitNews(list(self._news.values()))
+            self._news.clear()
+            actions += [ToFront(front, news) for front in self._linked]
+        return actions
+
+    def greet(self, front: InstanceId) -> list[ToFront]:
+        """Tell a front that was just linked all limits, before it sends anything."""
         limits = self.limits.list_all()
-        if not limits:
-            return []
+        return [ToFront(front, LimitNews(limits))] if limits else []
+
+    def _tell_places(self) -> list[ToFront]:
+        self._is_resized = False
+        fronts = len(self._linked) + len(self._missing)
         return [
-            ToFront(front, LimitNews(limits, len(self._linked), number))
+            ToFront(front, FrontPlace(fronts, number))
             for number, front in enumerate(self._linked)
         ]
 
-    def greet(self, front: InstanceId) -> list[ToFront]:
-        """Tell a front that was just linked, the last of all, before it sends."""
-        limits = self.limits.list_all()
-        if not limits:
-            return []
-        count = len(self._linked)
-        return [ToFront(front, LimitNews(limits, count, count - 1))]
-
     # Grants
 
     def place(
@@ -165,9 +181,9 @@
         may_grant: bool,
     ) -> Placement | Declined:
         """Place work where limits leave room; at none if this one may not grant."""
-        limited = self.budget.list_limited()
-        if limited and not may_grant:
-            work = exclude(work, limited)
+        if self.is_any and not may_grant:
+            limited = self.budget.list_limited()
+            return scheduler.place(work, endpoints, profile, now, limited)
         return self.placement.place(scheduler, work, endpoints, profile, now)
 
     def answer(
--- a/src/scalebend/core/gateway/limited_placement.py
+++ b/src/scalebend/core/gateway/limited_placement.py
@@ -52,11 +52,10 @@
         self._forget(work.job, now)
         closed = self._budget.list_closed(now)
         is_quick = compute_read_time(profile, work.prompt_tokens) <= QUICK_READ
-        placed = scheduler.place(
-            exclude(work, closed if is_quick else limited), endpoints, profile, now
-        )
+        spared = closed if is_quick else limited
+        placed = scheduler.place(work, endpoints, profile, now, spared)
         if isinstance(placed, Declined) and not is_quick:
-            placed = scheduler.place(exclude(work, closed), endpoints, profile, now)
+            placed = scheduler.place(work, endpoints, profile, now, closed)
         if isinstance(placed, Declined):
             placed = self._place_later(scheduler, work, endpoints, profile, now, placed)
         if isinstance(placed, Placement):
@@ -80,8 +79,8 @@
         soonest, wait = self._budget.find_soonest(usable, now)
         if wait > min(LONGEST_WAIT, PATIENT_PART * work.target):
             return Declined(wait)
-        others = tuple(one for one in closed if one != soonest)
-        placed = scheduler.place(exclude(work, others), endpoints, profile, now)
+        others = [one for one in closed if one != soonest]
+        placed = scheduler.place(work, endpoints, profile, now, others)
         if isinstance(placed, Declined):
             return Declined(max(wait, placed.retry_after))
         return msgspec.structs.replace(
@@ -106,8 +105,3 @@
         """Forget prompts whose turn has come."""
         for job in [job for job, (_, due) in self._waiting.items() if due <= now]:
             del self._waiting[job]
-
-
-def exclude(work: EngineWork, upstreams: Sequence[UpstreamId]) -> EngineWork:
-    """The same work, not to be placed on ``upstreams``."""
-    return msgspec.structs.replace(work, excluded=(*work.excluded, *upstreams))
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -155,12 +155,16 @@
 
 
 class LimitNews(msgspec.Struct, frozen=True, tag=True):
-    """Leader to front, and front to a new leader: all limits that are known."""
+    """Leader to fronts: limits that changed; front to a new leader: all it knows."""
 
     limits: list[RequestLimit]
-    fronts: int = 1
-    number: int = 0
-    """From the leader: which of how many fronts this one is, should it be lost."""
+
+
+class FrontPlace(msgspec.Struct, frozen=True, tag=True):
+    """Leader to front: which of how many fronts it is, should the leader be lost."""
+
+    fronts: int
+    number: int
 
 
 class SendQuestion(msgspec.Struct, frozen=True, tag=True):
@@ -218,6 +222,7 @@
     | CrashNews
     | LimitsHeard
     | LimitNews
+    | FrontPlace
     | SendQuestion
     | SendAnswer
     | SentAlone
--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -99,6 +99,9 @@
     quick_slots: float
     """Slots that are kept for quick requests."""
 
+    excluded: frozenset[UpstreamId] = frozenset()
+    """Replicas that must not be used for it."""
+
     is_alone: bool = False
     """Whether others choose at the same time, and do not see each other's choices."""
 
@@ -137,9 +140,8 @@
     ``beside`` are replicas where such work runs. A quick prompt goes to the sound one
     with the fewest jobs. ``None`` where none is left that would be in time.
     """
-    excluded = (*plan.work.excluded, *beside)
-    work = msgspec.structs.replace(plan.work, excluded=excluded)
-    apart = msgspec.structs.replace(plan, work=work)
+    excluded = plan.excluded.union(beside)
+    apart = msgspec.structs.replace(plan, excluded=excluded)
     sound = _sample_by_jobs(apart, pool)
     if plan.read <= QUICK_READ:
         limit = plan.work.target * TARGET_PART
@@ -165,7 +167,7 @@
         view.jobs < plan.profile.slots
         and view.free_tokens >= plan.memory
         and view.compute_room(limit) >= plan.read
-        and view.endpoint.upstream not in plan.work.excluded
+        and view.endpoint.upstream not in plan.excluded
     )
 
 
@@ -175,7 +177,7 @@
     Replicas that write for longer gaps are left to the long prompts.
     """
     if plan.is_alone or not pool.has_sound:
-        return choose_in_time_of(plan, pool.list_views(plan.work.excluded))
+        return choose_in_time_of(plan, pool.list_views(plan.excluded))
     gap = plan.work.event_gap
     slots = plan.profile.slots
 
@@ -244,7 +246,7 @@
 
 def _choose_least_wait(plan: Plan, pool: ReplicaPool) -> EngineView | None:
     """Nothing is in time: the replica that starts soonest, a full one last."""
-    sample = list(_sample_by_jobs(plan, pool)) or pool.list_views(plan.work.excluded)
+    sample = list(_sample_by_jobs(plan, pool)) or pool.list_views(plan.excluded)
     fitting = [view for view in sample if view.free_tokens >= plan.memory] or sample
     slots = plan.profile.slots
     return min(
@@ -260,7 +262,7 @@
 
 def _sample_by_jobs(plan: Plan, pool: ReplicaPool) -> Iterator[EngineView]:
     """Some replicas of each occupancy, those with a free slot first."""
-    excluded = plan.work.excluded
+    excluded = plan.excluded
     left = MOST_CANDIDATES
     for occupancy in sorted(pool.list_occupancies(), key=lambda one: one.jobs):
         if left <= 0:
@@ -289,7 +291,7 @@
         view
         for view in pool.iterate_settled(IDLE)
         if view.helping < plan.profile.slots
-        and view.endpoint.upstream not in plan.work.excluded
+        and view.endpoint.upstream not in plan.excluded
     )
     views = list(islice(usable, most))
     counts = [n for n in range(1, most + 1) if plan.read / n <= plan.longest_part]
@@ -304,7 +306,7 @@
 
 def choose_group(plan: Plan, pool: ReplicaPool) -> Placement | Declined:
     """The replicas and the time with which the prompt is read first."""
-    views = _sample_for_group(plan, pool) or pool.list_views(plan.work.excluded)
+    views = _sample_for_group(plan, pool) or pool.list_views(plan.excluded)
     if not views:
         return Declined(NO_REPLICA_PAUSE)
     candidates = _list_for_group(plan, pool, views)
@@ -321,7 +323,7 @@
     occupancies = pool.list_occupancies()
     occupancies.sort(key=lambda one: (one.is_quick, one.jobs))
     views = chain.from_iterable(map(pool.iterate_views, occupancies))
-    excluded = plan.work.excluded
+    excluded = plan.excluded
     usable = (view for view in views if view.endpoint.upstream not in excluded)
     return list(islice(usable, MOST_CANDIDATES))
 
--- a/src/scalebend/core/request_limits.py
+++ b/src/scalebend/core/request_limits.py
@@ -15,10 +15,16 @@
 from scalebend.models.ids import UpstreamId
 from scalebend.models.request_limits import UNLIMITED, HeardLimit, RequestLimit
 
+ABSENT_MEMORY = 60.0
+"""Seconds for which the limit of an upstream that is not known is kept: one that was
+taken for gone while it only lost its way to control comes back with its need, and a
+control instance that has just started hears of upstreams one after the other."""
+
 
 class _Record(msgspec.Struct):
     rate: float
     revision: int
+    absent_since: float | None = None
 
 
 class RequestLimits:
@@ -86,10 +92,16 @@
         """All that is known, also of limits that have ended, for another process."""
         return [self.get(upstream) for upstream in self._records]
 
-    def retain(self, upstreams: Iterable[UpstreamId]) -> None:
-        """Forget upstreams that no longer exist."""
-        if self._records:
-            kept = set(upstreams)
-            for upstream in [one for one in self._records if one not in kept]:
+    def retain(self, upstreams: Iterable[UpstreamId], now: float) -> None:
+        """Forget upstreams that were not among ``upstreams`` for long."""
+        if not self._records:
+            return
+        present = set(upstreams)
+        for upstream, record in list(self._records.items()):
+            if upstream in present:
+                record.absent_since = None
+            elif record.absent_since is None:
+                record.absent_since = now
+            elif now - record.absent_since >= ABSENT_MEMORY:
                 del self._records[upstream]
                 self._limited.pop(upstream, None)
