--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -24,6 +24,7 @@
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.freshness import FreshnessQuestion, FreshnessQuestions
+from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.limit_exchange import GRANT_LIFE, LimitExchange
 from scalebend.core.gateway.messages import (
     ControlNews,
@@ -69,15 +70,11 @@
 )
 from scalebend.models.ids import InstanceId, ServiceName, UpstreamId, UpstreamName
 from scalebend.models.placement import (
-    Declined,
     EngineWork,
-    OpenJob,
     ReplicaPace,
-    is_job_of,
 )
 from scalebend.models.routing import (
     EMPTY_ROUTING,
-    EngineProfile,
     StoredRouting,
 )
 
@@ -96,11 +93,6 @@
 """Busy replicas told to each front with a heartbeat: 30 bytes each, so 4 KB a second
 whatever the size of the fleet. Those that are not told of look idle."""
 
-LEARNING_TIME = 0.15
-"""Seconds for which a new leader waits for the open jobs of all fronts before it places
-any: fronts hear of it within a tick and answer at once; one that is silent holds nobody
-up for longer. Meanwhile fronts place alone."""
-
 RESTORED_HEARTBEATS = 2
 """Registrations an upstream may miss after a restart of this instance before what was
 known of it before counts no more: one may meet an instance that is not back yet."""
@@ -119,9 +111,9 @@
     ) -> None:
         self.member = member
         self.directory = EndpointDirectory(HEARTBEATS_MISSED * heartbeat_interval)
-        self.scheduler = EngineScheduler()
         self.crashes = CrashExchange()
         self.limits = LimitExchange()
+        self.placement = LeaderPlacement(self.limits, now)
         self._ejections = EjectionPush()
 
         self.routing = EMPTY_ROUTING
@@ -142,8 +134,6 @@
         self._expire_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
-        self._unheard: set[InstanceId] = set()
-        self._learns_until = now
         self._proposals = 0
         self._readers = 0
         self._load_routing()
@@ -153,6 +143,11 @@
         """This instance."""
         return self.member.me.instance
 
+    @property
+    def scheduler(self) -> EngineScheduler:
+        """The open jobs of all fronts, while this instance leads."""
+        return self.placement.scheduler
+
     @property
     def is_leader(self) -> bool:
         """Whether this member leads the replicated log."""
@@ -208,7 +203,7 @@
             self.limits.expire(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
-            self._log_summary(now)
+            self.placement.log_summary(len(self._fronts), now)
             self.scheduler.retain(self.directory.list_ids())
             self.limits.retain(self.directory.list_ids(), now)
         actions += self._documents.advance(now)
@@ -230,34 +225,18 @@
             return
         self._was_leader = self.is_leader
         # What is open is learned anew from the fronts.
-        self.scheduler = EngineScheduler()
         self._ejections = EjectionPush()
-        self.limits.start_term(now)
-        self._unheard = set(self._fronts)
-        self._learns_until = now + LEARNING_TIME
+        self.placement.start_term(self._fronts, now)
         logger.info("leadership changed", leads=self.is_leader)
 
-    def _may_place(self, now: float) -> bool:
-        """Whether this member leads, and knows what is open on the engines."""
-        return self.is_leader and not (self._unheard and now < self._learns_until)
-
     def _may_grant(self, now: float) -> bool:
         """Whether nobody else grants what upstreams with limits may be sent."""
-        confirmed_at = self.member.replica.compute_confirmed_at(now)
-        if confirmed_at is None or now - confirmed_at > GRANT_LIFE:
+        if not self.is_leader or self.placement.is_learning(now):
             return False
-        return self._may_place(now)
-
-    def _log_summary(self, now: float) -> None:
-        summary = self.scheduler.summarise(now)
-        logger.info(
-            "engine beliefs",
-            open=summary.open_jobs,
-            writing=summary.writing,
-            slow=summary.slow,
-            suspect=summary.suspect,
-            fronts=len(self._fronts),
-        )
+        if not self.limits.is_any:
+            return True
+        confirmed_at = self.member.replica.compute_confirmed_at(now)
+        return confirmed_at is not None and now - confirmed_at <= GRANT_LIFE
 
     # Fronts
 
@@ -294,8 +273,7 @@
         self._catalogues.remove_front(front)
         self.crashes.remove_front(front)
         self.limits.remove_front(front, now)
-        self._unheard.discard(front)
-        self.scheduler.forget_front(lambda job: is_job_of(front, job))
+        self.placement.remove_front(front)
         logger.info("front detached", front=front, fronts=len(self._fronts))
 
     def handle_front(
@@ -317,11 +295,9 @@
                 for stage in stages:
                     self.scheduler.note_stage(stage, now)
             case ReplicaFailures(upstreams):
-                for upstream in upstreams:
-                    self.scheduler.note_failure(upstream, now)
+                self.placement.note_inspection([], upstreams, now)
             case ReplicaPaces(paces):
-                for pace in paces:
-                    self.scheduler.note_pace(pace, now)
+                self.placement.note_inspection(paces, [], now)
             case OutcomesSeen(outcomes):
                 return self._take_outcomes(outcomes, now)
             case CrashNews():
@@ -339,12 +315,15 @@
                 answer = self.limits.answer(message, now, may_grant=may_grant)
                 return [ToFront(front, answer)]
             case OpenJobs(jobs):
-                self._unheard.discard(front)
-                self._adopt(jobs, now)
+                self.placement.note_heard(front)
+                if self.is_leader:
+                    self.placement.adopt(jobs, self.table, now)
         return []
 
     def _send_crashes(self, now: float) -> list[ControlAction]:
-        peers = [one for one in self._list_instances() if one != self.me]
+        if not self.crashes.is_due(now):
+            return []
+        peers = self._list_peers()
         return self.crashes.send_due(self._fronts, peers, now, is_leader=self.is_leader)
 
     def _send_catalogues(self, now: float) -> list[ControlAction]:
@@ -358,6 +337,9 @@
         everyone = members.everyone if members is not None else frozenset()
         return sorted({member.instance for member in everyone} | {self.me})
 
+    def _list_peers(self) -> list[InstanceId]:
+        return [one for one in self._list_instances() if one != self.me]
+
     def _build_news(self, now: float) -> ControlNews:
         return ControlNews(
             self._list_instances(),
@@ -430,8 +412,7 @@
         message = Registrations(news)
         return [
             ToInstance(instance, message)  # type: ignore[arg-type]
-            for instance in self._list_instances()
-            if instance != self.me
+            for instance in self._list_peers()
         ]
 
     def _merge(self, news: list[EndpointNews], now: float) -> list[ControlAction]:
@@ -474,10 +455,7 @@
         self, paces: list[ReplicaPace], silent: list[UpstreamId], now: float
     ) -> None:
         """Replicas told how slow they are, or did not answer."""
-        for pace in paces:
-            self.scheduler.note_pace(pace, now)
-        for upstream in silent:
-            self.scheduler.note_failure(upstream, now)
+        self.placement.note_inspection(paces, silent, now)
 
     def _take_outcomes(
         self, outcomes: list[UpstreamOutcomes], now: float
@@ -536,33 +514,12 @@
     # Placement
 
     def _place(self, work: EngineWork, now: float) -> PlaceAnswer:
-        profile = self._find_profile(work)
-        if profile is None or not self._may_place(now):
+        if not self.is_leader:
             return PlaceAnswer(work.job)
-        endpoints = self.directory.list_usable(work.service)
-        placed = self.limits.place(
-            self.scheduler,
-            work,
-            endpoints,
-            profile,
-            now,
-            may_grant=not self.limits.is_any or self._may_grant(now),
+        may_grant = self._may_grant(now)
+        return self.placement.place(
+            work, self.table, self.directory, now, may_grant=may_grant
         )
-        if isinstance(placed, Declined):
-            return PlaceAnswer(work.job, declined=placed)
-        return PlaceAnswer(work.job, placed)
-
-    def _adopt(self, jobs: list[OpenJob], now: float) -> None:
-        if not self.is_leader:
-            return
-        for job in jobs:
-            profile = self._find_profile(job.work)
-            if profile is not None:
-                self.scheduler.adopt(job, profile, now)
-
-    def _find_profile(self, work: EngineWork) -> EngineProfile | None:
-        service = self.table.services.get(work.service)
-        return service.engine if service is not None else None
 
 
 def _read_answer(answer: ProposalAnswer) -> ProposalEnded:
--- a/src/scalebend/core/gateway/crash_exchange.py
+++ b/src/scalebend/core/gateway/crash_exchange.py
@@ -62,6 +62,11 @@
         self.ledger.merge(news.records, now)
         self.ledger.clear(news.cleared)
 
+    def is_due(self, now: float) -> bool:
+        """Whether there is anything to tell by now."""
+        is_new = bool(self._news or self._cleared) and now >= self._send_at
+        return is_new or bool(self._untold)
+
     def send_due(
         self,
         fronts: Iterable[InstanceId],
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -192,6 +192,7 @@
         """Grant a send to one of the upstreams, now or within the asker's patience."""
         if not may_grant:
             _, wait = self.budget.find_soonest(question.upstreams, now)
-            return SendAnswer(question.question, None, wait)
+            # By then it is known who leads.
+            return SendAnswer(question.question, None, max(wait, GRANT_LIFE))
         upstream, wait = self.budget.grant(question.upstreams, question.patience, now)
         return SendAnswer(question.question, upstream, wait)
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -9,7 +9,8 @@
     ReadConfirmed,
     ToFront,
 )
-from scalebend.core.gateway.control_instance import LEARNING_TIME, ControlInstance
+from scalebend.core.gateway.control_instance import ControlInstance
+from scalebend.core.gateway.leader_placement import LEARNING_TIME
 from scalebend.core.gateway.messages import (
     ControlNews,
     EndpointChanges,
