--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -154,7 +154,11 @@
 
 
 def build_answer_headers(
-    request: str, seal: str | None, *, has_not_run: bool = False
+    request: str,
+    seal: str | None,
+    *,
+    has_not_run: bool = False,
+    request_limit: float | None = None,
 ) -> CIMultiDict[str]:
     """Return the headers with which a replica answers ``request``; for stand-ins."""
     headers: CIMultiDict[str] = CIMultiDict({REQUEST_ID: request})
@@ -162,6 +166,8 @@
         headers[SEAL] = seal
     if has_not_run:
         headers[_NOT_RUN] = "true"
+    if request_limit is not None:
+        headers[_REQUEST_LIMIT] = f"{request_limit:g}"
     return headers
 
 
--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -37,6 +37,14 @@
 LONGEST = 4.0
 """Seconds that most faults last."""
 
+LIMIT_LASTS = 4.0
+"""Seconds for which replicas name their limits: over before the next calm is checked,
+since all of a sort name one, so that those in use are among them."""
+
+LEAST_RATE = 0.3
+MOST_RATE = 1.0
+"""Requests a second that such a replica takes: a part of what it gets otherwise."""
+
 LASTING_SHARE = 0.15
 LASTING = 9.0
 """Part of the faults that last longer, and how long at most, in seconds: a process that
@@ -148,6 +156,14 @@
     down: float
 
 
+class Limit(msgspec.Struct, frozen=True, tag=True):
+    """Replicas name a limit on requests a second each, from all fronts together."""
+
+    replicas: tuple[int, ...]
+    rate: float
+    lasts: float
+
+
 class Change(msgspec.Struct, frozen=True, tag=True):
     """Routing documents in quick succession."""
 
@@ -156,7 +172,17 @@
 
 
 Fault = (
-    Kill | Stop | Pause | Impair | Reset | Disorder | Misbehave | Leave | Crash | Change
+    Kill
+    | Stop
+    | Pause
+    | Impair
+    | Reset
+    | Disorder
+    | Misbehave
+    | Leave
+    | Crash
+    | Limit
+    | Change
 )
 
 
@@ -177,6 +203,8 @@
 def build_schedule(seed: int, length: float, layout: Layout) -> Schedule:
     """Draw the faults of a run of about ``length`` seconds."""
     chooser = random.Random(seed)
+    # Apart from the rest, so that seeds that were kept still give the same faults.
+    limits = random.Random(f"{seed}/limits")
     drawer = _Drawer(chooser, layout)
     faults: list[ScheduledFault] = []
     at = FIRST_AT
@@ -184,6 +212,8 @@
         for _ in range(chooser.randint(LEAST_IN_SERIES, MOST_IN_SERIES)):
             begins = at + chooser.uniform(0.0, SERIES_LENGTH)
             faults.append(ScheduledFault(begins, drawer.draw(begins)))
+        begins = at + limits.uniform(0.0, SERIES_LENGTH)
+        faults.append(ScheduledFault(begins, _draw_limit(limits, layout)))
         planned_at = at + SERIES_LENGTH + PLANNED_AFTER
         # An engine is looked at again before each delayed send, a plain one is not.
         for numbers in (layout.engine_replicas, layout.plain_replicas):
@@ -195,6 +225,12 @@
     return Schedule(faults, at)
 
 
+def _draw_limit(chooser: random.Random, layout: Layout) -> Limit:
+    rate = round(chooser.uniform(LEAST_RATE, MOST_RATE), 2)
+    replicas = chooser.choice((layout.engine_replicas, layout.plain_replicas))
+    return Limit(tuple(replicas), rate, LIMIT_LASTS)
+
+
 class _Drawer:
     """Draws one fault after the other, within what the system must bear."""
 
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -77,6 +77,9 @@
             case faults.Change(count, revokes):
                 for _ in range(count):
                     await self._operator.change(session, revokes=revokes)
+            case faults.Limit(replicas, rate, lasts):
+                limited = [self._fleet.replicas[number] for number in replicas]
+                await asyncio.gather(*(r.limit_requests(rate, lasts) for r in limited))
             case faults.Misbehave() | faults.Leave() | faults.Crash():
                 await self._treat_replica(fault, session)
 
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -75,6 +75,16 @@
     request: str
     service: ServiceName
     at: float
+    upstream: UpstreamId
+
+
+class Limited(msgspec.Struct):
+    """A replica named a limit on requests a second, while it lasted."""
+
+    upstream: UpstreamId
+    rate: float
+    since: float
+    until: float
 
 
 class Answered(msgspec.Struct, frozen=True):
@@ -144,6 +154,7 @@
     asked: dict[str, Asked] = msgspec.field(default_factory=dict)
     ran: list[Ran] = msgspec.field(default_factory=list)
     arrived: list[Arrived] = msgspec.field(default_factory=list)
+    limited: list[Limited] = msgspec.field(default_factory=list)
     answered: list[Answered] = msgspec.field(default_factory=list)
     departed: list[Departed] = msgspec.field(default_factory=list)
     accepted: list[Accepted] = msgspec.field(default_factory=list)
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -16,7 +16,14 @@
 from scalebend.models.ids import RoutingVersion, UpstreamId
 from scalebend.soak.deployment import BOUNDS
 from scalebend.soak.layout import ProcessName
-from scalebend.soak.observations import Asked, Departed, Kind, Observations, Ran
+from scalebend.soak.observations import (
+    Asked,
+    Departed,
+    Kind,
+    Limited,
+    Observations,
+    Ran,
+)
 
 SETTLE = 4.0
 """Seconds after the last fault from which the promises of calm hold."""
@@ -49,6 +56,15 @@
 REFUSED_IN_CALM = 0.05
 """Part of the requests sent in calm that may be refused."""
 
+LIMIT_WINDOW = 4.0
+LIMIT_EXCESS = 1.5
+LIMIT_SLACK = 5.0
+"""Seconds of a window, and how far beyond its limit a replica tolerates requests."""
+
+LIMIT_LEARNING = 1.0
+"""Seconds after the first request that a front sent to a limited replica in which the
+front may not know: until its answer, and half a second as the platform allows."""
+
 PROMISED_NOT_RUN = frozenset({408, 421, 429, 503})
 """Statuses that promise that a request has not run and never will."""
 
@@ -247,6 +263,43 @@
                 break
 
 
+def _check_request_limits(evidence: Evidence) -> Iterator[str]:
+    """Who passed on that a replica takes only so many requests keeps to it.
+
+    All fronts together, in any window, but for what is tolerated.
+    """
+    for limited in evidence.seen.limited:
+        times = _list_told(evidence, limited)
+        allowed = LIMIT_EXCESS * limited.rate * LIMIT_WINDOW + LIMIT_SLACK
+        for at in times:
+            count = _count(times, at, at + LIMIT_WINDOW)
+            if count > allowed:
+                yield (
+                    f"{limited.upstream} at {at:.3f}: {count} requests in "
+                    f"{LIMIT_WINDOW:g} s, {limited.rate:g} a second allowed"
+                )
+                break
+
+
+def _list_told(evidence: Evidence, limited: Limited) -> list[float]:
+    """When requests came to a limited replica from fronts that knew of it."""
+    told_at: dict[tuple[ProcessName, int], float] = {}
+    times = []
+    for arrived in sorted(evidence.seen.arrived, key=lambda one: one.at):
+        asked = evidence.seen.asked.get(arrived.request)
+        is_there = arrived.upstream == limited.upstream
+        if asked is None or not is_there:
+            continue
+        if not limited.since <= arrived.at <= limited.until:
+            continue
+        known_from = told_at.setdefault(
+            (asked.front, asked.start), arrived.at + LIMIT_LEARNING
+        )
+        if arrived.at >= known_from:
+            times.append(arrived.at)
+    return times
+
+
 def _count(times: list[float], since: float, until: float) -> int:
     return bisect_left(times, until) - bisect_left(times, since)
 
@@ -342,6 +395,7 @@
     _check_nothing_lost,
     _check_memory,
     _check_retry_budget,
+    _check_request_limits,
     _check_exits,
     _check_calm_service,
     _check_in_time,
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -49,6 +49,7 @@
     Answered,
     Arrived,
     Departed,
+    Limited,
     Observations,
     Ran,
     Ticket,
@@ -124,6 +125,9 @@
         self.address = address
         self.proxy: Proxy | None = None
         self.mode = ReplicaMode.SOUND
+        self.request_limit: float | None = None
+        """Requests a second that it names in its answers."""
+
         self.is_up = True
         self._id = fleet.build_upstream_id()
         self._sequence = 0
@@ -149,7 +153,7 @@
         seen = self._fleet.seen
         name = request.headers[REQUEST_ID]
         now = asyncio.get_running_loop().time()
-        seen.arrived.append(Arrived(name, self._service, now))
+        seen.arrived.append(Arrived(name, self._service, now, self._id))
         expected = request.headers.get(EXPECTED_UPSTREAM)
         if expected not in (None, get_upstream_name(self._id)):
             return web.Response(status=421, headers=build_answer_headers(name, None))
@@ -177,7 +181,8 @@
 
     async def _answer(self, request: web.BaseRequest, name: str) -> web.StreamResponse:
         told = "of-another" if self.mode is ReplicaMode.FOREIGN else name
-        headers = build_answer_headers(told, f"{self._id}/{name}")
+        seal = f"{self._id}/{name}"
+        headers = build_answer_headers(told, seal, request_limit=self.request_limit)
         if self.mode is ReplicaMode.FAILING:
             return web.Response(status=500, headers=headers, body=b"own failure")
         events = int(request.query.get("events", "0"))
@@ -268,6 +273,17 @@
         known.until = now + order.hold
         return web.json_response({})
 
+    async def limit_requests(self, rate: float, lasts: float) -> None:
+        """Name a limit for a while, or until this incarnation is over."""
+        now = asyncio.get_running_loop().time
+        limited = Limited(self._id, rate, now(), now() + lasts)
+        self._fleet.seen.limited.append(limited)
+        self.request_limit = rate
+        while now() < limited.until and self._id == limited.upstream:
+            await asyncio.sleep(0.05)
+        limited.until = now()
+        self.request_limit = None
+
     # Registration and life
 
     async def keep_registered(
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -16,6 +16,7 @@
     Disturbance,
     Exit,
     Kind,
+    Limited,
     Observations,
     Ran,
     Read,
@@ -47,7 +48,7 @@
     seen.accepted.append(Accepted(RoutingVersion(1), 10.0, ()))
     seen.asked["r-1"] = build_asked()
     seen.ran.append(build_ran())
-    seen.arrived.append(Arrived("r-1", ServiceName("plain"), 100.05))
+    seen.arrived.append(Arrived("r-1", ServiceName("plain"), 100.05, UPSTREAM))
     seen.answered.append(Answered("r-1", 200))
     seen.reads.append(Read(RoutingVersion(1), 210.0, True))
     return seen
@@ -115,7 +116,7 @@
 
 def break_retry_budget(seen):
     for _ in range(40):
-        seen.arrived.append(Arrived("r-1", ServiceName("plain"), 100.06))
+        seen.arrived.append(Arrived("r-1", ServiceName("plain"), 100.06, UPSTREAM))
 
 
 def break_exits(seen):
@@ -181,3 +182,31 @@
     break_promise(seen)
     seen.disturbances.append(Disturbance(ProcessName("control-1"), 80.0, math.inf))
     assert break_promise.__name__.removeprefix("break_") not in list_broken(seen)
+
+
+def arrive(seen, at, front=FRONT):
+    request = f"limited-{len(seen.arrived)}"
+    seen.asked[request] = build_asked(request, sent_at=at, front=front)
+    seen.ran.append(build_ran(request, at))
+    seen.answered.append(Answered(request, 200))
+    seen.arrived.append(Arrived(request, ServiceName("plain"), at, UPSTREAM))
+
+
+def test_requests_beyond_what_a_replica_takes_are_seen():
+    seen = build_seen()
+    seen.limited.append(Limited(UPSTREAM, 1.0, 110.0, 120.0))
+    fronts = [ProcessName(f"front-{number}") for number in range(3)]
+    # Before they know, and before the limit, fronts may send what they like.
+    for step in range(30):
+        arrive(seen, 109.0 + step / 30)
+    for front in fronts:
+        for step in range(10):
+            arrive(seen, 110.0 + step / 20, front)
+    assert list_broken(seen) == set()
+    # Each alone keeps to it: 4 requests in 4 s. Together they do not.
+    for front in fronts:
+        for step in range(4):
+            arrive(seen, 112.0 + step, front)
+    assert list_broken(seen) == {"request_limits"}
+    seen.limited[0].rate = 2.0
+    assert list_broken(seen) == set()
