--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -204,8 +204,9 @@
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_PERIOD
             self.placement.log_summary(len(self._fronts), now)
-            self.scheduler.retain(self.directory.list_ids())
-            self.limits.retain(self.directory.list_ids(), now)
+            known = self.directory.list_ids()
+            self.scheduler.retain(known)
+            self.limits.retain(known, now)
         actions += self._documents.advance(now)
         actions += self._send_catalogues(now)
         actions += self._publish_ejected(now)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -239,8 +239,9 @@
             self.scheduler.expire(now)
             self.crashes.expire(now)
             self._unanswered.expire(now)
-            self.scheduler.retain(self.directory.list_ids())
-            self.limits.expire(self.directory.list_ids(), now)
+            known = self.directory.list_ids()
+            self.scheduler.retain(known)
+            self.limits.expire(known, now)
         return actions
 
     def _take_endpoints(
--- a/src/scalebend/edges/gateway/service_choice.py
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -15,6 +15,11 @@
 
 logger = structlog.get_logger(__name__)
 
+MOST_ASKED = 16
+"""Limited upstreams that the leader is asked for at once: a question of half a kilobyte
+where a whole large service is in need. If one in eight has room, seven of eight
+questions drawn by chance find one."""
+
 
 class Room(msgspec.Struct, frozen=True):
     """An upstream that may be sent the request now, or when there will be one."""
@@ -52,10 +57,10 @@
             return Room(endpoint)
         names = {one.upstream: one for one in usable if one.upstream not in excluded}
         limited = [one for one in names if instance.limits.is_limited(one)]
-        limited.sort(key=lambda one: one != endpoint.upstream)
         has_others = len(limited) < len(names)
         patience = 0.0 if has_others else _compute_patience(runtime, call)
-        granted = await runtime.request_send(limited, patience)
+        asked = _draw(runtime, limited, endpoint.upstream)
+        granted = await runtime.request_send(asked, patience)
         if granted.upstream is not None:
             await asyncio.sleep(granted.wait)
             if instance.directory.is_usable(granted.upstream):
@@ -64,6 +69,15 @@
         retry_after = granted.wait
 
 
+def _draw(
+    runtime: FrontRuntime, limited: list[UpstreamId], first: UpstreamId
+) -> list[UpstreamId]:
+    """Some of the limited upstreams, by chance, behind the one that was chosen."""
+    others = [one for one in limited if one != first]
+    count = min(len(others), MOST_ASKED - 1)
+    return [first, *runtime.chooser.sample(others, count)]
+
+
 def _compute_patience(runtime: FrontRuntime, call: Call) -> float:
     """Seconds for which the call may wait and still be answered in time."""
     left = call.arrived + call.route.target_latency - runtime.now()
