--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -78,8 +78,7 @@
                 for _ in range(count):
                     await self._operator.change(session, revokes=revokes)
             case faults.Limit(replicas, rate, lasts):
-                limited = [self._fleet.replicas[number] for number in replicas]
-                await asyncio.gather(*(r.limit_requests(rate, lasts) for r in limited))
+                await self._limit(replicas, rate, lasts)
             case faults.Misbehave() | faults.Leave() | faults.Crash():
                 await self._treat_replica(fault, session)
 
@@ -137,6 +136,15 @@
                 stack.enter_context(proxy.apply(rule))
             await asyncio.sleep(fault.lasts)
 
+    async def _limit(
+        self, replicas: tuple[int, ...], rate: float, lasts: float
+    ) -> None:
+        # Most of what is sent to their service is refused meanwhile.
+        names = [ProcessName(f"replica-{number}") for number in replicas]
+        limited = [self._fleet.replicas[number] for number in replicas]
+        with self._disturb(*names):
+            await asyncio.gather(*(r.limit_requests(rate, lasts) for r in limited))
+
     async def _treat_replica(
         self,
         fault: faults.Misbehave | faults.Leave | faults.Crash,
