--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -16,14 +16,13 @@
 from scalebend.core.gateway.control_actions import (
     ControlAction,
     ProposalEnded,
-    ReadConfirmed,
     ToFront,
 )
+from scalebend.core.gateway.control_documents import ControlDocuments
 from scalebend.core.gateway.crash_exchange import CrashExchange
 from scalebend.core.gateway.ejection_push import EjectionPush
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
-from scalebend.core.gateway.freshness import FreshnessRequest, PendingFreshnessRequests
 from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.limit_exchange import GRANT_LEASE_S, LimitExchange
 from scalebend.core.gateway.messages import (
@@ -34,7 +33,6 @@
     EndpointChanges,
     JobStages,
     KnownInstances,
-    LeaseReply,
     LeaseRequest,
     LimitUpdates,
     LinkMessage,
@@ -51,8 +49,6 @@
     UncoordinatedSends,
 )
 from scalebend.core.gateway.route_table import RouteTable
-from scalebend.core.gateway.routing_push import RoutingPush
-from scalebend.core.gateway.routing_store import unpack_routing
 from scalebend.core.gateway.upstream_exchange import DirectoryUpdates, UpstreamExchange
 from scalebend.core.messages import (
     FoundGroup,
@@ -74,10 +70,7 @@
     EngineWork,
     ReplicaPace,
 )
-from scalebend.models.routing import (
-    EMPTY_ROUTING,
-    StoredRouting,
-)
+from scalebend.models.routing import Routing, StoredRouting
 
 logger = structlog.get_logger(__name__)
 
@@ -108,21 +101,17 @@
         self.placement = LeaderPlacement(self.limits, now)
         self._ejections = EjectionPush()
 
-        self.routing = EMPTY_ROUTING
-        self.table = RouteTable(EMPTY_ROUTING)
         self._fronts: dict[InstanceId, None] = {}
-        self._documents = RoutingPush()
+        self._documents = ControlDocuments(member.replica)
         self._catalogs = CatalogPush()
         self._relays: set[InstanceId] = set()
-        self._freshness_requests = PendingFreshnessRequests()
         self._heartbeat_at = now
         self._summary_at = now
         self._expire_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
         self._proposals = 0
-        self._readers = 0
-        self._load_routing()
+        self._documents.load(member.state.routing)
 
     @property
     def me(self) -> InstanceId:
@@ -134,6 +123,16 @@
         """The upstreams known to this instance."""
         return self.upstreams.directory
 
+    @property
+    def routing(self) -> Routing:
+        """The routing document in force."""
+        return self._documents.routing
+
+    @property
+    def table(self) -> RouteTable:
+        """The routes of the document in force."""
+        return self._documents.table
+
     @property
     def scheduler(self) -> EngineScheduler:
         """The open jobs of all fronts, while this instance leads."""
@@ -171,11 +170,8 @@
                 actions.append(_read_proposal_reply(action.message))
             else:
                 actions.append(action)
-        stored = self.member.state.routing
-        if stored is not None and stored.version != self.routing.version:
-            self._load_routing()
-            logger.info("routing applied", version=self.routing.version)
-            actions += self._documents.push(now)
+        if self._documents.load(self.member.state.routing):
+            actions += self._documents.push.push(now)
         return actions
 
     def advance(self, now: float) -> list[ControlAction]:
@@ -200,10 +196,10 @@
             known = self.directory.list_ids()
             self.scheduler.retain(known)
             self.limits.retain(known, now)
-        actions += self._documents.advance(now)
+        actions += self._documents.push.advance(now)
         actions += self._send_catalogs(now)
         actions += self._publish_ejected(now)
-        actions += self._reply_to_freshness_requests(now)
+        actions += self._documents.reply(now, is_leader=self.is_leader)
         if now >= self._expire_at and self.member.leader is not None:
             # Without a leader, this member itself may be the partitioned one, so that
             # missing registrations say nothing about the upstreams.
@@ -240,7 +236,7 @@
     def add_front(self, front: InstanceId, now: float) -> list[ControlAction]:
         """Add a newly linked front and return the initial state to send it."""
         self._fronts[front] = None
-        self._documents.add_front(front)
+        self._documents.push.add_front(front)
         self._catalogs.add_front(front, now)
         self.crashes.add_front(front)
         self.limits.add_front(front, now)
@@ -266,7 +262,7 @@
         A front that still runs reports its open jobs again over its next link.
         """
         self._fronts.pop(front, None)
-        self._documents.remove_front(front)
+        self._documents.push.remove_front(front)
         self._catalogs.remove_front(front)
         self.crashes.remove_front(front)
         self.limits.remove_front(front, now)
@@ -282,11 +278,11 @@
         self._update_leadership(now)
         match message:
             case Subscribe(held, is_wanted):
-                return [*self._documents.subscribe(front, held, is_wanted=is_wanted)]
-            case LeaseRequest(asked_at, is_urgent):
-                request = FreshnessRequest(now, front, asked_at, is_urgent=is_urgent)
-                self._freshness_requests.add(request)
-                return self._reply_to_freshness_requests(now)
+                push = self._documents.push
+                return [*push.subscribe(front, held, is_wanted=is_wanted)]
+            case LeaseRequest():
+                self._documents.request_lease(front, message, now)
+                return self._documents.reply(now, is_leader=self.is_leader)
             case PlacementRequest(work):
                 return [ToFront(front, self._place(work, now))]
             case JobStages(stages):
@@ -448,35 +444,7 @@
 
     def request_fresh_read(self, now: float) -> int:
         """Request a confirmed read; :class:`ReadConfirmed` names the returned id."""
-        self._readers += 1
-        self._freshness_requests.add(FreshnessRequest(now, None, now, self._readers))
-        return self._readers
-
-    def _load_routing(self) -> None:
-        stored = self.member.state.routing
-        if stored is None:
-            return
-        self.routing = unpack_routing(stored)
-        self.table = RouteTable(self.routing)
-        self._documents.record_document(self.routing)
-
-    def _reply_to_freshness_requests(self, now: float) -> list[ControlAction]:
-        replica = self.member.replica
-        confirmed = self._freshness_requests.pop_confirmed(
-            replica.compute_confirmed_at(now), now, is_leader=self.is_leader
-        )
-        urgent_at = self._freshness_requests.find_urgent()
-        if urgent_at is not None:
-            replica.request_confirmation(urgent_at, now)
-        readers = [request.reader for request in confirmed if request.front is None]
-        actions: list[ControlAction] = []
-        for request in confirmed:
-            if request.front is not None:
-                reply = LeaseReply(request.asked_at, self.routing.version)
-                actions.append(ToFront(request.front, reply))
-        if readers:
-            actions.append(ReadConfirmed(readers))
-        return actions
+        return self._documents.request_fresh_read(now)
 
     # Placement
 
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -18,12 +18,8 @@
     compute_batch_step_time,
     compute_prefill_time,
 )
-from scalebend.core.gateway.placement_choice import (
-    MEMORY_MARGIN_TOKENS,
-    Plan,
-    choose_isolated,
-    choose_replicas,
-)
+from scalebend.core.gateway.placement_choice import choose_isolated, choose_replicas
+from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, Plan
 from scalebend.core.gateway.replica_load import Job, JobPart, ReplicaLoad
 from scalebend.core.gateway.replica_pool import ReplicaPool
 from scalebend.models.endpoints import Endpoint
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -13,8 +13,11 @@
     UNCOORDINATED_MAX_PART_S,
     EngineScheduler,
 )
+from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
+from scalebend.core.gateway.front_crashes import FrontCrashes
 from scalebend.core.gateway.front_jobs import FrontJobs
 from scalebend.core.gateway.front_limits import FrontLimits
+from scalebend.core.gateway.front_links import FrontLinks
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
     AttemptOutcomes,
@@ -37,21 +40,18 @@
     Subscribe,
     UncoordinatedSends,
 )
-from scalebend.core.gateway.placement_choice import NO_REPLICA_RETRY_S
+from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.retry_window import RetryWindow
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
-from scalebend.core.gateway.unanswered_attempts import UnansweredAttempts
 from scalebend.core.upstream_backoff import UpstreamBackoffs
-from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import (
     Fingerprint,
     InstanceId,
     ServiceName,
-    Term,
     UpstreamId,
 )
 from scalebend.models.placement import (
@@ -82,27 +82,6 @@
 """Time without an update before an upstream expires at a front. It is long because
 control instances detect unresponsive upstreams and notify the fronts."""
 
-LEADER_TIMEOUT_S = 1.0
-"""Without a message from the leader for this long, a front isn't ready and asks callers
-to close persistent connections: two heartbeats, and longer than most elections. When no
-front is ready, balancers use all of them."""
-
-
-class ToControl(msgspec.Struct, frozen=True):
-    """Action: send a message to a control instance."""
-
-    instance: InstanceId
-    message: LinkMessage
-
-
-class EndAttempts(msgspec.Struct, frozen=True):
-    """Action: fail the attempts on these upstreams, which will send nothing more."""
-
-    upstreams: list[UpstreamId]
-
-
-FrontAction = ToControl | EndAttempts
-
 
 class FrontInstance:
     """State and decisions of one front, without I/O."""
@@ -118,28 +97,22 @@
             ENDPOINT_TIMEOUT_S, registrations_to_regain_address=1
         )
         self.balancer = ServiceBalancer()
-        self.crashes = CrashLedger()
+        self._crashes = FrontCrashes(self.directory)
         self.limits = FrontLimits(settings.instance, now)
         self.backoffs = UpstreamBackoffs()
         self._draining: dict[UpstreamId, None] = {}
         """Upstreams that announced a drain in a response, kept for a later leader."""
 
-        self._unanswered = UnansweredAttempts()
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self.scheduler = EngineScheduler(settings.instance, UNCOORDINATED_MAX_PART_S)
-        self._seeds = {InstanceId(seed) for seed in settings.seeds}
-        self._announced: set[InstanceId] = set()
-        self.leader: InstanceId | None = None
+        self._links = FrontLinks(settings.seeds, now)
         self.is_draining = False
-        self._term = Term(0)
-        self._linked: set[InstanceId] = set()
         self._jobs = FrontJobs(self.scheduler)
         self._outcomes: dict[UpstreamId, UpstreamOutcomes] = {}
         self._next_outcome_report_at = now
         self._next_lease_request_at = now
-        self._leader_seen_at = now
         self._next_expiry_at = now
         self._was_ready = False
         self.has_been_ready = False
@@ -157,12 +130,12 @@
         return not self.is_draining and is_led and self.may_admit(now)
 
     def is_cut_off(self, now: float) -> bool:
-        """Whether the leader sent nothing within :data:`LEADER_TIMEOUT_S`.
+        """Whether the leader has sent nothing for longer than most elections take.
 
         Readiness doesn't move requests on persistent connections, so callers are asked
         to close those.
         """
-        return now - self._leader_seen_at >= LEADER_TIMEOUT_S
+        return self._links.is_cut_off(now)
 
     def may_admit(self, now: float) -> bool:
         """Whether requests may be admitted: there is a document with a valid lease."""
@@ -170,44 +143,45 @@
 
     # Links
 
-    def set_seeds(self, seeds: list[InstanceId]) -> None:
-        """Replace the control instances that the settings name."""
-        self._seeds = set(seeds)
+    @property
+    def leader(self) -> InstanceId | None:
+        """The control instance that leads, as far as this front knows."""
+        return self._links.leader
+
+    @property
+    def crashes(self) -> CrashLedger:
+        """Requests during which upstreams crashed, from all fronts."""
+        return self._crashes.ledger
 
     @property
     def instances(self) -> set[InstanceId]:
-        """Control instances to keep a link to: configured, announced or linked.
+        """Control instances to keep a link to."""
+        return self._links.instances
 
-        A replaced instance is no longer announced, so it isn't dialled again once its
-        link is lost.
-        """
-        return self._seeds | self._announced | self._linked
+    def set_seeds(self, seeds: list[InstanceId]) -> None:
+        """Replace the control instances that the settings name."""
+        self._links.set_seeds(seeds)
 
     def add_link(self, instance: InstanceId) -> None:
         """Add a control instance whose link is up."""
-        self._linked.add(instance)
+        self._links.add(instance)
 
     def remove_link(self, instance: InstanceId) -> None:
         """Remove a control instance whose link was lost."""
-        self._linked.discard(instance)
-        if instance == self.leader:
-            logger.info("leader lost", leader=instance, term=self._term)
-            self.leader = None
+        self._links.remove(instance)
 
     def handle(
         self, sender: InstanceId, message: LinkMessage, now: float
     ) -> Sequence[FrontAction]:
         """Apply a message of a control instance; return the actions it causes."""
         if sender == self.leader:
-            self._leader_seen_at = now
+            self._links.record_leader_contact(now)
             self.limits.record_leader_contact(now)
         match message:
             case ControlStatus():
                 return self._apply_control_status(sender, message, now)
             case KnownInstances(instances):
-                # A relay's list may be stale: used only while there is no leader.
-                if self.leader is None:
-                    self._announced |= set(instances)
+                self._links.announce(instances)
             case RoutingUpdate():
                 return self._apply_routing(sender, message)
             case LeaseReply(asked_at, newest):
@@ -224,9 +198,8 @@
                 self.limits.apply_updates(message, now)
             case FrontNumber() if sender == self.leader:
                 self.limits.record_position(message)
-            case CrashUpdates(records, cleared):
-                self.crashes.merge(records, now)
-                self.crashes.clear(cleared)
+            case CrashUpdates():
+                self._crashes.merge(message, now)
         return []
 
     def advance(self, now: float) -> list[ToControl]:
@@ -237,9 +210,7 @@
             actions.append(ToControl(self.leader, self._build_lease_request(now)))
         if self._outcomes and now >= self._next_outcome_report_at:
             self._next_outcome_report_at = now + OUTCOME_REPORT_INTERVAL_S
-            actions += self._send_to_leader(
-                AttemptOutcomes(list(self._outcomes.values()))
-            )
+            actions += self._report(AttemptOutcomes(list(self._outcomes.values())))
             self._outcomes.clear()
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
@@ -254,8 +225,7 @@
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             self.scheduler.expire(now)
-            self.crashes.expire(now)
-            self._unanswered.expire(now)
+            self._crashes.expire(now)
             known = self.directory.list_ids()
             self.scheduler.retain(known)
             self.limits.expire(known, now)
@@ -273,7 +243,8 @@
             self.directory.merge(change, now)
             if before is not None and before != self.directory.get_newest(name):
                 ended.append(before)
-        actions: list[FrontAction] = [*self._record_unanswered_crashes(ended, now)]
+        crashed = self._crashes.record_ended_upstreams(ended, now)
+        actions: list[FrontAction] = [*self._report(crashed)]
         return [EndAttempts(ended), *actions] if ended else actions
 
     def _apply_control_status(
@@ -281,38 +252,23 @@
     ) -> list[ToControl]:
         self.retries.update_front_count(status.fronts, now)
         self.limits.record_front_count(status.fronts)
-        if status.leader is None or status.term < self._term:
-            # The sender may be cut off, but its instances may be the only ones left.
-            self._announced |= set(status.instances)
-            return []
-        if status.leader in status.instances:
-            self._announced = set(status.instances)
-        else:
-            # A sender with a new disk knows the leader, but not yet the whole group.
-            self._announced |= set(status.instances)
-        # A leader that was elected again in a newer term has lost the open jobs.
-        is_known = status.leader == self.leader and status.term == self._term
-        self._term = status.term
-        if status.busy:
+        is_outdated = self._links.is_outdated(status)
+        is_new_leader = self._links.apply_status(sender, status)
+        if status.busy and not is_outdated:
             self.scheduler.record_busy_replicas(status.busy, now)
-        if is_known or status.leader not in self._linked:
+        if not is_new_leader:
             return []
-        logger.info(
-            "leader found", leader=status.leader, term=status.term, source=sender
-        )
-        self.leader = status.leader
         # The new leader detects outliers anew and publishes them.
         self.balancer.set_ejected(())
-        self._leader_seen_at = now
+        self._links.record_leader_contact(now)
         self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
-        limits = self.limits.build_updates()
         return [
-            *(self._send_to_leader(limits) if limits is not None else []),
+            *self._report(self.limits.build_updates()),
             *self._report_draining(list(self._draining)),
-            ToControl(status.leader, Subscribe(self.table.routing.version)),
-            ToControl(status.leader, OpenJobs(self._jobs.list_open(now))),
-            ToControl(status.leader, self._build_lease_request(now)),
-            *self._report_crashes(self.crashes.list_to_publish(now)),
+            *self._report(Subscribe(self.table.routing.version)),
+            *self._report(OpenJobs(self._jobs.list_open(now))),
+            *self._report(self._build_lease_request(now)),
+            *self._report(self._crashes.build_updates(now)),
         ]
 
     def _build_lease_request(self, now: float) -> LeaseRequest:
@@ -422,14 +378,14 @@
         ended = JobStage(opened.work.job, is_ended=True)
         # The end comes first: the leader ignores reports of jobs that it knows.
         return [
-            *self._send_to_leader(JobStages([ended])),
-            *self._send_to_leader(OpenJobs([opened])),
+            *self._report(JobStages([ended])),
+            *self._report(OpenJobs([opened])),
         ]
 
     def record_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """Record the first token or the end of a job."""
         self._jobs.record_stage(stage, now)
-        return self._send_to_leader(JobStages([stage]))
+        return self._report(JobStages([stage]))
 
     def record_outcome(self, upstream: UpstreamId, *, has_failed: bool) -> None:
         """Count a response or a failure of an upstream."""
@@ -442,14 +398,14 @@
 
     def record_limit(self, observed: ObservedLimit, now: float) -> list[ToControl]:
         """Record the rate limit in an upstream's response, or that there is none."""
-        update = self.limits.receive(observed, now, has_leader=self.leader is not None)
-        return self._send_to_leader(update) if update is not None else []
+        has_leader = self.leader is not None
+        return self._report(self.limits.receive(observed, now, has_leader=has_leader))
 
     def record_uncoordinated_send(self, upstream: UpstreamId) -> list[ToControl]:
         """Report a request that is sent to a rate-limited upstream without a permit."""
         if not self.limits.is_limited(upstream):
             return []
-        return self._send_to_leader(UncoordinatedSends([upstream]))
+        return self._report(UncoordinatedSends([upstream]))
 
     # Draining upstreams
 
@@ -464,7 +420,7 @@
         return self._report_draining([upstream])
 
     def _report_draining(self, upstreams: list[UpstreamId]) -> list[ToControl]:
-        return self._send_to_leader(DrainingReport(upstreams)) if upstreams else []
+        return self._report(DrainingReport(upstreams) if upstreams else None)
 
     # Crashes and suspect requests
 
@@ -472,39 +428,17 @@
         self, fingerprint: Fingerprint, upstream: UpstreamId, now: float
     ) -> list[ToControl]:
         """Record that an upstream crashed or disconnected during a request."""
-        record = self.crashes.record_crash(fingerprint, upstream, now)
-        return self._report_crashes([record]) if record is not None else []
+        return self._report(self._crashes.record_crash(fingerprint, upstream, now))
 
     def record_completed(self, fingerprint: Fingerprint, now: float) -> list[ToControl]:
         """Record that an upstream gave a complete response to the request."""
-        if not self.crashes.record_completed(fingerprint, now):
-            return []
-        return self._send_to_leader(CrashUpdates([], [fingerprint]))
+        return self._report(self._crashes.record_completed(fingerprint, now))
 
     def record_unanswered(
         self, fingerprint: Fingerprint, upstream: UpstreamId, now: float
     ) -> None:
         """Record an attempt without a response whose connection did not break."""
-        self._unanswered.add(upstream, fingerprint, now)
-
-    def _record_unanswered_crashes(
-        self, superseded: list[UpstreamId], now: float
-    ) -> list[ToControl]:
-        """Record crashes of upstreams that ended with unanswered requests."""
-        unanswered = self._unanswered.list_upstreams()
-        ended = [
-            upstream
-            for upstream in unanswered
-            if upstream in superseded or self.directory.is_lost(upstream)
-        ]
-        actions = []
-        for upstream in ended:
-            for fingerprint in self._unanswered.pop(upstream):
-                actions += self.record_crash(fingerprint, upstream, now)
-        return actions
-
-    def _report_crashes(self, records: list[CrashRecord]) -> list[ToControl]:
-        return self._send_to_leader(CrashUpdates(records, [])) if records else []
+        self._crashes.record_unanswered(fingerprint, upstream, now)
 
     def _apply_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
         logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
@@ -516,18 +450,21 @@
     def record_failure(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report a replica that is unreachable or unresponsive."""
         self.scheduler.record_failure(upstream, now)
-        return self._send_to_leader(ReplicaFailures([upstream]))
+        return self._report(ReplicaFailures([upstream]))
 
     def record_rejection(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report that an engine rejected a request without running it."""
         self.scheduler.record_rejection(upstream, now)
-        return self._send_to_leader(RejectionReport(upstream))
+        return self._report(RejectionReport(upstream))
 
     def record_paces(self, paces: list[ReplicaPace], now: float) -> list[ToControl]:
         """Record the paces that replicas reported, and send them to the leader."""
         for pace in paces:
             self.scheduler.record_pace(pace, now)
-        return self._send_to_leader(ReplicaPaces(paces)) if paces else []
+        return self._report(ReplicaPaces(paces) if paces else None)
 
-    def _send_to_leader(self, message: LinkMessage) -> list[ToControl]:
-        return [ToControl(self.leader, message)] if self.leader is not None else []
+    def _report(self, message: LinkMessage | None) -> list[ToControl]:
+        """Send a report to the leader, if there are both."""
+        if message is None or self.leader is None:
+            return []
+        return [ToControl(self.leader, message)]
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -100,9 +100,13 @@
             self.scheduler, work, endpoints, profile, now, may_grant=may_grant
         )
         if isinstance(placed, Declined):
-            return PlacementReply(work.job, declined=placed)
+            return self._decline(work, placed)
         return PlacementReply(work.job, placed)
 
+    def _decline(self, work: EngineWork, declined: Declined) -> PlacementReply:
+        """Reply that no replica may take the work now."""
+        return PlacementReply(work.job, declined=declined)
+
     def log_summary(self, fronts: int, now: float) -> None:
         """Log the scheduler's state."""
         summary = self.scheduler.summarise(now)
--- a/src/scalebend/core/gateway/placement_aging.py
+++ b/src/scalebend/core/gateway/placement_aging.py
@@ -21,6 +21,7 @@
         work,
         target=max(0.0, work.target - waited),
         remaining=max(0.0, work.remaining - waited),
+        waited=work.waited + waited,
     )
 
 
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -28,8 +28,8 @@
 )
 from scalebend.models.calls import Call, CallerHeaders
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import CustomerId, Fingerprint
-from scalebend.models.routing import Route
+from scalebend.models.ids import Fingerprint
+from scalebend.models.routing import Route, RoutedCustomer
 from scalebend.platform.headers import (
     REQUEST_ID,
     format_retry_after,
@@ -129,22 +129,24 @@
         timeout_s = route.timeout
         if arrival.headers.wait is not None:
             timeout_s = min(timeout_s, arrival.headers.wait)
+        customer = self._identify(arrival.headers, route)
         return Call(
             headers=arrival.headers,
             route=route,
             service=table.choose_service(route, self._runtime.chooser),
-            customer=self._identify(arrival.headers, route),
+            customer=customer.name if customer is not None else None,
             method=request.method,
             target=request.raw_path,
             arrived=arrival.at,
             deadline=arrival.at + timeout_s,
+            priority=_choose_priority(customer, route),
         )
 
-    def _identify(self, headers: CallerHeaders, route: Route) -> CustomerId | None:
+    def _identify(self, headers: CallerHeaders, route: Route) -> RoutedCustomer | None:
         table = self._runtime.instance.table
         customer = table.find_customer(headers.key)
         if customer is not None:
-            return customer.name
+            return customer
         if table.routing.needs_key and not route.is_public:
             raise RequestError("the key is unknown", kind=ErrorKind.UNKNOWN_KEY)
         return None
@@ -218,6 +220,13 @@
         )
 
 
+def _choose_priority(customer: RoutedCustomer | None, route: Route) -> int:
+    """Return the rank of the customer; that of the route if the customer has none."""
+    if customer is not None and customer.priority is not None:
+        return customer.priority
+    return route.priority
+
+
 def _describe_events(forwarder: Forwarder | None) -> dict[str, float]:
     """Return the log fields of the timing of a stream; none for other responses."""
     if forwarder is None or forwarder.first_event is None:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -11,12 +11,8 @@
 
 import structlog
 
-from scalebend.core.gateway.front_instance import (
-    EndAttempts,
-    FrontAction,
-    FrontInstance,
-    ToControl,
-)
+from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
+from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.messages import (
     Heartbeat,
     Introduce,
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -235,6 +235,7 @@
         call = self._call
         route, prompt = call.route, call.headers.prompt
         assert prompt is not None
+        now = self._runtime.now()
         return EngineWork(
             job=self._runtime.build_job_id(),
             service=call.service,
@@ -243,9 +244,14 @@
             expected_tokens=prompt.expected_output_tokens,
             target=route.target_latency,
             event_gap=route.event_gap or route.target_latency,
-            remaining=call.deadline - self._runtime.now(),
+            remaining=call.deadline - now,
             excluded=tuple(self._excluded),
             is_suspect=self._runtime.instance.crashes.is_suspect(self._fingerprint),
+            priority=call.priority,
+            customer=call.customer,
+            availability_zone=self._runtime.settings.availability_zone,
+            fingerprint=self._fingerprint,
+            waited=now - call.arrived,
         )
 
     def _log_declined(
--- a/src/scalebend/measuring/placement_baselines.py
+++ b/src/scalebend/measuring/placement_baselines.py
@@ -6,7 +6,7 @@
     compute_batch_step_time,
     compute_prefill_time,
 )
-from scalebend.core.gateway.placement_choice import MAX_HELPERS
+from scalebend.core.gateway.placement_plan import MAX_HELPERS
 from scalebend.measuring.placement_results import Result
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.placement import EngineWork, Helper, Placement
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -49,6 +49,9 @@
     deadline: float
     """When the caller's wait or the route's timeout ends, whichever is earlier."""
 
+    priority: int = 0
+    """Rank of the customer, or else of the route; 0 is the most urgent."""
+
 
 class ReportedLoad(msgspec.Struct, frozen=True):
     """Load that an upstream reports in a response."""
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -6,7 +6,14 @@
 
 import msgspec
 
-from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
+from scalebend.models.ids import (
+    AvailabilityZone,
+    CustomerId,
+    Fingerprint,
+    InstanceId,
+    ServiceName,
+    UpstreamId,
+)
 
 JobId = NewType("JobId", str)
 """Id of one attempt of a request at the engines, unique over all fronts."""
@@ -50,6 +57,19 @@
     is_suspect: bool = False
     """Whether a replica crashed during this request and none has completed it since."""
 
+    priority: int = 0
+    """Rank of the customer, or else of the route; 0 is the most urgent."""
+
+    customer: CustomerId | None = None
+    availability_zone: AvailabilityZone | None = None
+    """Zone of the front that will send the request."""
+
+    fingerprint: Fingerprint | None = None
+    """Identifies the request when its caller sends it again after a refusal."""
+
+    waited: float = 0.0
+    """Seconds since the request arrived at the front."""
+
 
 class Helper(msgspec.Struct, frozen=True, array_like=True):
     """A prefill helper: computes a part, and reserves ``tokens`` of memory if not 0."""
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -6,7 +6,8 @@
 from scalebend.core.control_member import ControlMember
 from scalebend.core.gateway.control_actions import ToFront
 from scalebend.core.gateway.control_instance import ControlInstance
-from scalebend.core.gateway.front_instance import FrontInstance, ToControl
+from scalebend.core.gateway.front_actions import ToControl
+from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.messages import PlacementRequest
 from scalebend.core.gateway.routing_store import pack_routing
 from scalebend.models.ids import InstanceId, Term
--- a/tests/unit/gateway/test_incarnations.py
+++ b/tests/unit/gateway/test_incarnations.py
@@ -9,7 +9,8 @@
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
-from scalebend.core.gateway.front_instance import EndAttempts, FrontInstance
+from scalebend.core.gateway.front_actions import EndAttempts
+from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.messages import EndpointChanges
 from scalebend.core.gateway.outlier_detector import OutlierDetector
 from scalebend.models.endpoints import (
--- a/tests/unit/gateway/test_replica_pool.py
+++ b/tests/unit/gateway/test_replica_pool.py
@@ -9,15 +9,17 @@
 
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.engine_view import IDLE
-from scalebend.core.gateway.placement_choice import (
-    REPLICA_COST_S,
-    choose_on_time,
-    choose_on_time_from,
+from scalebend.core.gateway.group_placement import (
     choose_prefill_group,
     place_on_idle,
 )
+from scalebend.core.gateway.placement_plan import REPLICA_COST_S
 from scalebend.core.gateway.replica_load import ReplicaLoad
 from scalebend.core.gateway.replica_pool import ReplicaPool
+from scalebend.core.gateway.single_placement import (
+    choose_on_time,
+    choose_on_time_from,
+)
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import JobStage, Placement, ReplicaPace
 from tests.lib.gateway_builders import (
