Queue requests at the leader and give room to them in order

A prompt that could not start asked again at an interval, so room went to whoever asked next. The leader now holds it: the first ones have reserved starts that are planned anew when room is given back, the first one that lacks memory has just enough replicas kept free, and small prompts are backfilled. In force where the routing document ranks customers and the front says that it can wait; tests show the same placements while there is room for all.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -69,6 +69,7 @@
 from scalebend.models.placement import (
     EngineWork,
     ReplicaPace,
+    is_job_of,
 )
 from scalebend.models.routing import Routing, StoredRouting
 
@@ -187,6 +188,7 @@
                 ToFront(one, heartbeat) for one in (*self._fronts, *self._relays)
             ]
             self.scheduler.expire(now)
+            self.placement.queue.expire(now)
             self._ejections.expire(now)
             self.crashes.ledger.expire(now)
             self.limits.expire(now)
@@ -208,7 +210,7 @@
         actions += self._send_updates(self.upstreams.pop_due(now))
         actions += self._send_crashes(now)
         actions += self.limits.send_due(now, is_leader=self.is_leader)
-        return actions
+        return actions + self._release_queued(now)
 
     def _update_leadership(self, now: float) -> None:
         if self.is_leader == self._was_leader:
@@ -283,11 +285,11 @@
             case LeaseRequest():
                 self._documents.request_lease(front, message, now)
                 return self._documents.reply(now, is_leader=self.is_leader)
-            case PlacementRequest(work):
-                return [ToFront(front, self._place(work, now))]
+            case PlacementRequest(work, may_wait):
+                return [ToFront(front, self._place(work, now, may_wait=may_wait))]
             case JobStages(stages):
-                for stage in stages:
-                    self.scheduler.record_stage(stage, now)
+                self.placement.record_stages(stages, self.table, now)
+                return self._release_queued(now)
             case ReplicaFailures(upstreams):
                 self.placement.record_inspection([], upstreams, now)
             case ReplicaPaces(paces):
@@ -448,13 +450,32 @@
 
     # Placement
 
-    def _place(self, work: EngineWork, now: float) -> PlacementReply:
+    def _place(self, work: EngineWork, now: float, *, may_wait: bool) -> PlacementReply:
         if not self.is_leader:
             return PlacementReply(work.job)
         may_grant = self._may_grant(now)
         return self.placement.place(
-            work, self.table, self.directory, now, may_grant=may_grant
+            work,
+            self.table,
+            self.directory,
+            now,
+            may_grant=may_grant,
+            may_wait=may_wait,
+        )
+
+    def _release_queued(self, now: float) -> list[ControlAction]:
+        """As leader, reply to queued requests for which there is room now."""
+        if not self.is_leader or not self.placement.queue.waiting:
+            return []
+        replies = self.placement.release(
+            self.table, self.directory, now, may_grant=self._may_grant(now)
         )
+        return [
+            ToFront(front, reply)
+            for reply in replies
+            for front in self._fronts
+            if is_job_of(front, reply.job)
+        ]
 
 
 def _read_proposal_reply(reply: ProposalReply) -> ProposalEnded:
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -221,16 +221,32 @@
         used.
         """
         self.forget(work.job)
-        pool = self._pools.get(work.service)
-        if pool is None:
-            pool = self._pools[work.service] = ReplicaPool(self._rank)
-        pool.refresh(endpoints, profile, self._replicas, now)
+        pool = self.refresh(work.service, endpoints, profile, now)
         self._quick.record(pool.quick_jobs, now)
         placement = self._choose(self._build_plan(work, profile, now, in_backoff), pool)
         if isinstance(placement, Placement):
             self._add_job(work, placement, profile, now)
         return placement
 
+    def find_work(self, job: JobId) -> EngineWork | None:
+        """Return the work of an open job."""
+        found = self._jobs.get(job)
+        return found.work if found is not None else None
+
+    def refresh(
+        self,
+        service: ServiceName,
+        endpoints: Sequence[Endpoint],
+        profile: EngineProfile,
+        now: float,
+    ) -> ReplicaPool:
+        """Return the replicas of a service with their load at ``now``."""
+        pool = self._pools.get(service)
+        if pool is None:
+            pool = self._pools[service] = ReplicaPool(self._rank)
+        pool.refresh(endpoints, profile, self._replicas, now)
+        return pool
+
     def _choose(self, plan: Plan, pool: ReplicaPool) -> Placement | Declined:
         if plan.work.is_suspect:
             # All requests of a crashed replica are retried at once, and the cause is
--- a/src/scalebend/core/gateway/group_placement.py
+++ b/src/scalebend/core/gateway/group_placement.py
@@ -102,7 +102,7 @@
     candidates = _list_candidates(plan, pool, views)
     placement = _place_first_possible(plan, _list_groups(plan, candidates, views))
     if placement is None:
-        return Declined(NO_MEMORY_RETRY_S)
+        return Declined(NO_MEMORY_RETRY_S, lacks_memory=True)
     if placement.first_token_in <= plan.work.target * PREDICTION_SLACK:
         return placement
     return _place_late(plan, candidates, placement)
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -14,11 +14,15 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
+from scalebend.core.gateway.queued_placement import Queued, QueuedPlacement
 from scalebend.core.gateway.route_table import RouteTable
-from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.core.gateway.service_room import EngineRoom
+from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
+    JobId,
+    JobStage,
     OpenJob,
     ReplicaPace,
     is_job_of,
@@ -36,6 +40,7 @@
 
     def __init__(self, limits: LimitExchange, now: float) -> None:
         self.scheduler = EngineScheduler()
+        self.queue = QueuedPlacement()
         self._limits = limits
         self._unreported: set[InstanceId] = set()
         self._learning_until = now
@@ -43,6 +48,7 @@
     def start_term(self, fronts: Iterable[InstanceId], now: float) -> None:
         """Begin or end leading; ``fronts`` are expected to report their open jobs."""
         self.scheduler = EngineScheduler()
+        self.queue = QueuedPlacement()
         self._limits.start_term(now)
         self._unreported = set(fronts)
         self._learning_until = now + LEARNING_TIMEOUT_S
@@ -58,6 +64,7 @@
         """
         self._unreported.discard(front)
         self.scheduler.forget_front(lambda job: is_job_of(front, job))
+        self.queue.remove_front(front)
 
     def record_front_report(self, front: InstanceId) -> None:
         """Record that a front has reported all its open jobs."""
@@ -68,6 +75,7 @@
         for job in jobs:
             profile = table.find_engine(job.work.service)
             if profile is not None:
+                self.queue.remove(job.work.job)
                 self.scheduler.adopt(job, profile, now)
 
     def record_inspection(
@@ -82,6 +90,22 @@
         for upstream in unresponsive:
             self.scheduler.record_failure(upstream, now)
 
+    def record_stages(
+        self, stages: Iterable[JobStage], table: RouteTable, now: float
+    ) -> None:
+        """Record first tokens and ends of jobs, queued ones included."""
+        for stage in stages:
+            if stage.is_ended:
+                self._record_end(stage.job, table, now)
+            self.scheduler.record_stage(stage, now)
+
+    def _record_end(self, job: JobId, table: RouteTable, now: float) -> None:
+        self.queue.remove(job)
+        work = self.scheduler.find_work(job)
+        profile = table.find_engine(work.service) if work is not None else None
+        if work is not None and profile is not None:
+            self.queue.record_end(work, profile, now)
+
     def place(
         self,
         work: EngineWork,
@@ -90,19 +114,79 @@
         now: float,
         *,
         may_grant: bool,
+        may_wait: bool = False,
     ) -> PlacementReply:
-        """Choose replicas; rate-limited ones are left out unless it ``may_grant``."""
-        profile = table.find_engine(work.service)
-        if profile is None or self.is_learning(now):
+        """Choose replicas; rate-limited ones are left out unless it ``may_grant``.
+
+        If the document ranks customers, a request that ``may_wait`` is queued while
+        there is no room for it; :meth:`release` returns the replies that follow.
+        """
+        room = self._find_room(work.service, table, directory, now, may_grant=may_grant)
+        if room is None or self.is_learning(now):
             return PlacementReply(work.job)
-        endpoints = directory.list_usable(work.service)
-        placed = self._limits.place(
-            self.scheduler, work, endpoints, profile, now, may_grant=may_grant
-        )
+        if table.has_ranked_customers:
+            return self._place_in_order(work, room, may_wait=may_wait)
+        placed = room.place(work)
         if isinstance(placed, Declined):
             return self._decline(work, placed)
         return PlacementReply(work.job, placed)
 
+    def _place_in_order(
+        self, work: EngineWork, room: EngineRoom, *, may_wait: bool
+    ) -> PlacementReply:
+        placed = self.queue.place(work, room, room.now, may_wait=may_wait)
+        match placed:
+            case Queued(plan, expected):
+                return PlacementReply(work.job, plan, is_queued=True, queued=expected)
+            case Declined():
+                return self._decline(work, placed)
+        return PlacementReply(work.job, placed)
+
+    def release(
+        self,
+        table: RouteTable,
+        directory: EndpointDirectory,
+        now: float,
+        *,
+        may_grant: bool,
+    ) -> list[PlacementReply]:
+        """Return the replies to queued requests that wait no longer."""
+        if not self.queue.waiting or self.is_learning(now):
+            return []
+
+        def find_room(service: ServiceName) -> EngineRoom | None:
+            return self._find_room(service, table, directory, now, may_grant=may_grant)
+
+        return [
+            self._decline(one.work, one.placed)
+            if isinstance(one.placed, Declined)
+            else PlacementReply(one.work.job, one.placed)
+            for one in self.queue.advance(find_room, now)
+        ]
+
+    def _find_room(
+        self,
+        service: ServiceName,
+        table: RouteTable,
+        directory: EndpointDirectory,
+        now: float,
+        *,
+        may_grant: bool,
+    ) -> EngineRoom | None:
+        """Return the room of a service; ``None`` if it has no engines."""
+        profile = table.find_engine(service)
+        if profile is None:
+            return None
+        return EngineRoom(
+            self.scheduler,
+            self._limits,
+            service,
+            directory.list_usable(service),
+            profile,
+            now,
+            may_grant,
+        )
+
     def _decline(self, work: EngineWork, declined: Declined) -> PlacementReply:
         """Reply that no replica may take the work now."""
         return PlacementReply(work.job, declined=declined)
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -25,7 +25,7 @@
 from scalebend.core.send_budget import LeaderShare, SendBudget
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import InstanceId, UpstreamId
-from scalebend.models.placement import Declined, EngineWork, Placement
+from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 from scalebend.models.rate_limits import (
     ObservedLimit,
     RateLimit,
@@ -187,6 +187,11 @@
             return scheduler.place(work, endpoints, profile, now, limited)
         return self.placement.place(scheduler, work, endpoints, profile, now)
 
+    def withdraw(self, scheduler: EngineScheduler, job: JobId, now: float) -> None:
+        """Undo the placement of a job that was not sent."""
+        scheduler.forget(job)
+        self.placement.withdraw(job, now)
+
     def grant(
         self, request: SendPermitRequest, now: float, *, may_grant: bool
     ) -> SendPermitReply:
--- a/src/scalebend/core/gateway/limited_placement.py
+++ b/src/scalebend/core/gateway/limited_placement.py
@@ -49,7 +49,7 @@
         limited = self._budget.list_limited()
         if not limited:
             return scheduler.place(work, endpoints, profile, now)
-        self._release(work.job, now)
+        self.withdraw(work.job, now)
         exhausted = self._budget.list_exhausted(now)
         is_quick = (
             compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
@@ -97,8 +97,8 @@
         if placement.start_in > 0.0:
             self._pending[job] = (placement.upstream, due)
 
-    def _release(self, job: JobId, now: float) -> None:
-        """Refund the send of a prompt that is placed anew before it was sent."""
+    def withdraw(self, job: JobId, now: float) -> None:
+        """Refund the send of a prompt whose placement is undone before it was sent."""
         upstream, due = self._pending.pop(job, (None, now))
         if upstream is not None and due > now:
             self._budget.refund(upstream)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -98,6 +98,8 @@
     """Front to leader: request to place a job."""
 
     work: EngineWork
+    may_wait: bool = False
+    """Whether the front awaits further replies while the job is queued."""
 
 
 class PlacementReply(msgspec.Struct, frozen=True, tag="PlaceAnswer"):
@@ -106,6 +108,12 @@
     job: JobId
     placement: Placement | None = None
     declined: Declined | None = None
+    is_queued: bool = False
+    """Whether the job waits at the leader; a placement is then only planned, and
+    another reply follows."""
+
+    queued: float | None = None
+    """Seconds until a queued job is expected to start, if known."""
 
 
 class JobStages(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/gateway/placement_queue.py
+++ b/src/scalebend/core/gateway/placement_queue.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from collections import Counter
 from collections.abc import Callable, Iterator
 from itertools import count
@@ -33,6 +34,10 @@
 """Share of a caller's time for which its request may wait. The rest is for the
 response, or for one return after a refusal."""
 
+LATE_SHARE = 0.5
+"""Share of the rest of its wait for which a request that is late lets others be on
+time. Memory may have to add up for it in what is left."""
+
 PRIORITY_STEP_S = 4.0
 """Seconds of slack that one priority level is worth: more than quick and long targets
 differ by, and less than callers wait, so that no level starves."""
@@ -57,12 +62,12 @@
 def compute_rank(work: EngineWork, now: float) -> float:
     """Compute the rank of a waiting request; the lowest is next.
 
-    The rank is a clock time: the latest start that is on time, or else the end of the
-    wait, and later for each priority level.
+    The rank is a clock time: the latest start that is on time, or else half of what is
+    left of the wait, and later for each priority level.
     """
     slack = (1.0 - TARGET_SHARE) * work.target
     if slack <= 0.0:
-        slack = compute_wait_limit(work)
+        slack = LATE_SHARE * compute_wait_limit(work)
     return now + slack + PRIORITY_STEP_S * work.priority
 
 
@@ -88,6 +93,9 @@
     is_late: bool = False
     """Whether the rank is that of a request that cannot be on time any more."""
 
+    is_kept: bool = False
+    """Whether replicas are kept free for it, so that it keeps its rank."""
+
     def build_work(self, now: float) -> EngineWork:
         """Return the request at ``now``, with less time left."""
         return age_work(self.work, now - self.announced_at)
@@ -236,8 +244,13 @@
         """List all that wait, in no particular order."""
         return list(self._entries)
 
-    def add(self, work: EngineWork, now: float) -> Waiting | None:
-        """Let a request wait; ``None`` if there is no room in the queue."""
+    def add(
+        self, work: EngineWork, now: float, max_wait: float = math.inf
+    ) -> Waiting | None:
+        """Let a request wait for up to ``max_wait`` seconds.
+
+        Return ``None`` if there is no room in the queue.
+        """
         size = WORK_BYTES + EXCLUDED_BYTES * len(work.excluded)
         # As many as there are free places: one customer never fills the queue.
         allowed = MAX_WAITING - len(self._entries)
@@ -250,7 +263,7 @@
             compute_rank(work, now),
             0,
             size,
-            now + compute_wait_limit(work),
+            now + min(compute_wait_limit(work), max_wait),
             is_late=work.target <= 0.0,
         )
         self._bytes += size
@@ -329,16 +342,20 @@
         return False, self._entries[level.find_first_of(customer)]
 
     def _mark_late(self, level: _Level, now: float) -> None:
-        """Rank requests that cannot be on time any more by the end of their wait."""
+        """Rank requests that cannot be on time any more by the rest of their wait."""
         while True:
             job = level.by_rank.find_first()
             assert job is not None
             entry = self._entries[job]
-            if entry.is_late or entry.build_work(now).target > 0.0:
+            if (
+                entry.is_late
+                or entry.is_kept
+                or entry.announced_at + entry.work.target > now
+            ):
                 return
             self.remove(job)
             entry.is_late = True
-            entry.rank = entry.limit + PRIORITY_STEP_S * entry.work.priority
+            entry.rank = compute_rank(entry.build_work(now), now)
             self.put_back(entry)
 
     def _push(self, entry: Waiting) -> None:
--- /dev/null
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -0,0 +1,476 @@
+"""Gives room at the engines to waiting requests, in order, with few reservations.
+
+Answers seconds of too little memory, too few slots or too few idle replicas; see
+docs/design/placement-queue.md. With room for all, each request is placed as without it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+import structlog
+
+from scalebend.core.gateway.engine_costs import (
+    MIN_SPLIT_PREFILL_S,
+    compute_batch_step_time,
+    compute_prefill_time,
+)
+from scalebend.core.gateway.group_placement import MAX_LATE_PREFILL_S
+from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S, age_placement
+from scalebend.core.gateway.placement_queue import (
+    Waiting,
+    compute_rank,
+    compute_wait_limit,
+)
+from scalebend.core.gateway.waiting_line import (
+    Answer,
+    WaitingLine,
+    compute_memory,
+)
+from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
+from scalebend.models.placement import (
+    Declined,
+    EngineWork,
+    JobId,
+    Placement,
+    is_job_of,
+)
+from scalebend.models.routing import EngineProfile
+
+logger = structlog.get_logger(__name__)
+
+MAX_PLANNED = 8
+"""Requests with reserved starts; bounds the cost of planning anew."""
+
+MAX_BACKFILLED = 4
+"""Small prompts placed ahead of others in one plan."""
+
+MAX_SERVED = 16
+"""Quick prompts that get a free slot in one call."""
+
+MIN_PLAN_INTERVAL_S = 0.05
+"""Time between two plans, which bounds their cost while jobs end all the time: short
+against the target of a long prompt."""
+
+MAX_PLAN_INTERVAL_S = REPLAN_INTERVAL_S
+"""Time after which to plan anew without a change: prefills end by the clock, too."""
+
+KEEP_FREE_S = 2.0
+"""Time for which replicas are kept free before they are chosen anew: about the duration
+of a response, so that memory adds up there, and lost replicas are replaced."""
+
+ANSWER_LIFETIME_S = 1.5
+"""Time for which an answer is repeated to a front that asks again: several intervals at
+which fronts ask, so that no reply lost with a link makes a second placement."""
+
+
+class ServiceRoom(Protocol):
+    """Room at the engines of one service, now."""
+
+    profile: EngineProfile
+
+    def place(self, work: EngineWork) -> Placement | Declined:
+        """Choose replicas and count the job there."""
+
+    def withdraw(self, job: JobId) -> None:
+        """Undo the placement of a job that was not sent."""
+
+    def has_free_slot(self) -> bool:
+        """Whether any replica has a free slot."""
+
+    def list_freest(self, tokens: int) -> list[UpstreamId]:
+        """Return the fewest replicas that hold ``tokens`` once idle, if there are."""
+
+
+class Queued(msgspec.Struct, frozen=True):
+    """A request that waits."""
+
+    plan: Placement | None
+    expected: float | None
+    """Seconds until it is expected to start, if known."""
+
+
+class Released(msgspec.Struct, frozen=True):
+    """A request that waits no longer."""
+
+    work: EngineWork
+    placed: Placement | Declined
+
+
+def compute_cost(work: EngineWork, profile: EngineProfile) -> float:
+    """Compute the engine time of a response in seconds, decoding shared by a batch."""
+    step = compute_batch_step_time(profile, [work.prompt_tokens])
+    steps = work.expected_tokens / max(1, profile.decode_steps_per_batch_step)
+    prefill = compute_prefill_time(profile, work.prompt_tokens)
+    return prefill + steps * step / max(1, profile.slots)
+
+
+class QueuedPlacement:
+    """Requests that wait at the leader, and the order in which they get room."""
+
+    def __init__(self) -> None:
+        self._lines: dict[ServiceName, WaitingLine] = {}
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return sum(line.waiting for line in self._lines.values())
+
+    # Inputs
+
+    def remove(self, job: JobId) -> None:
+        """Remove a request that ended, or that runs elsewhere."""
+        for line in self._lines.values():
+            line.remove(job)
+            line.answers.pop(job, None)
+
+    def remove_front(self, front: InstanceId) -> None:
+        """Remove what a front announced whose link was lost."""
+        for line in self._lines.values():
+            for queue in (line.quick, line.long):
+                for job in [one for one in queue.list_jobs() if is_job_of(front, one)]:
+                    line.remove(job)
+
+    def record_change(self) -> None:
+        """Record that room may have been given back."""
+        for line in self._lines.values():
+            line.is_changed = True
+
+    def record_end(self, work: EngineWork, profile: EngineProfile, now: float) -> None:
+        """Record that a job ended and gave its memory back."""
+        line = self._lines.get(work.service)
+        if line is not None and not is_quick(work, profile):
+            line.freed.record(compute_memory(work), now)
+        self.record_change()
+
+    # Decisions
+
+    def place(
+        self, work: EngineWork, room: ServiceRoom, now: float, *, may_wait: bool
+    ) -> Placement | Declined | Queued:
+        """Place a request, let it wait, or decline it.
+
+        A request that already waits keeps its place.
+        """
+        line = self._lines.get(work.service)
+        if line is None:
+            line = self._lines[work.service] = WaitingLine(now)
+        if may_wait:
+            known = self._find_known(line, work, now)
+            if known is not None:
+                return known
+        may_wait &= compute_wait_limit(work) > 0.0
+        if is_quick(work, room.profile):
+            if may_wait and (len(line.quick) or not room.has_free_slot()):
+                if line.quick.add(work, now) is not None:
+                    return self._log_queued(line, work, Queued(None, None), now)
+            may_wait = False
+        rank = compute_rank(work, now)
+        first = line.long.find_first(now) if may_wait and line.is_changed else None
+        if first is not None and first.rank < rank:
+            # Room may be free that was not offered yet to those that wait.
+            waits = self._let_wait(line, work, None, room, now)
+            if waits is not None:
+                return waits
+        placed, is_restricted = _place_around(line, work, rank, room)
+        if may_wait and (
+            placed.start_in > REPLAN_INTERVAL_S
+            if isinstance(placed, Placement)
+            else placed.lacks_memory or is_restricted
+        ):
+            plan = placed if isinstance(placed, Placement) else None
+            line.is_short |= plan is None
+            waits = self._let_wait(line, work, plan, room, now)
+            if waits is not None:
+                return waits
+        if isinstance(placed, Placement):
+            line.use.charge(work.customer, compute_cost(work, room.profile), now)
+        return placed
+
+    def advance(
+        self, find_room: Callable[[ServiceName], ServiceRoom | None], now: float
+    ) -> list[Released]:
+        """Give room to those that wait, and end the waits that are too long."""
+        released = []
+        for service, line in self._lines.items():
+            self._forget_answers(line, now)
+            if not line.waiting:
+                line.stop_keeping()
+                continue
+            room = find_room(service)
+            if room is None:
+                continue
+            for one in (
+                *self._end_waits(line, room, now),
+                *self._serve_quick(line, room, now),
+                *self._plan_if_due(line, room, now),
+            ):
+                line.answers[one.work.job] = Answer(one.placed, now)
+                released.append(one)
+        return released
+
+    def expire(self, now: float) -> None:
+        """Forget customers that received nothing for long."""
+        for line in self._lines.values():
+            line.use.expire(now)
+
+    def _find_known(
+        self, line: WaitingLine, work: EngineWork, now: float
+    ) -> Placement | Declined | Queued | None:
+        """Return what is known of a request about which its front asks again."""
+        answer = line.answers.get(work.job)
+        if answer is not None:
+            if isinstance(answer.placed, Declined):
+                return answer.placed
+            return age_placement(answer.placed, now - answer.at)
+        found = line.find(work.job)
+        if found is None:
+            return None
+        queue, entry = found
+        queue.renew(work, now)
+        if entry.plan is None:
+            return Queued(None, self._estimate(line, now))
+        plan = age_placement(entry.plan, now - entry.planned_at)
+        return Queued(plan, plan.start_in)
+
+    def _let_wait(
+        self,
+        line: WaitingLine,
+        work: EngineWork,
+        plan: Placement | None,
+        room: ServiceRoom,
+        now: float,
+    ) -> Queued | None:
+        """Let a long prompt wait, with or without a plan; ``None`` if it must not."""
+        max_wait = compute_wait_limit(work)
+        if _is_never_late(work, room.profile):
+            max_wait = min(max_wait, work.target)
+        memory = compute_memory(work)
+        expected = plan.start_in if plan is not None else None
+        if plan is None:
+            if line.is_short:
+                expected = self._estimate(line, now, memory)
+            is_hopeless = expected is not None and expected > max_wait
+            if is_hopeless or not room.list_freest(memory):
+                return None
+        entry = line.long.add(work, now, max_wait)
+        if entry is None:
+            return None
+        line.long_tokens += memory
+        line.is_changed = True
+        if plan is not None and len(line.planned) < MAX_PLANNED:
+            entry.plan, entry.planned_at = plan, now
+            line.planned.append(work.job)
+        elif plan is not None:
+            room.withdraw(work.job)
+        return self._log_queued(line, work, Queued(entry.plan, expected), now)
+
+    def _estimate(self, line: WaitingLine, now: float, tokens: int = 0) -> float | None:
+        """Estimate when memory for all long prompts that wait will be given back."""
+        rate = line.freed.compute_rate(now)
+        return (line.long_tokens + tokens) / rate if rate > 0.0 else None
+
+    def _log_queued(
+        self, line: WaitingLine, work: EngineWork, queued: Queued, now: float
+    ) -> Queued:
+        expected = queued.expected
+        logger.info(
+            "request queued",
+            job=work.job,
+            prompt=work.prompt_tokens,
+            priority=work.priority,
+            customer=work.customer,
+            waited=round(work.waited, 3),
+            use=round(line.use.read(work.customer, now), 3),
+            waiting=line.waiting,
+            expected=round(expected, 3) if expected is not None else None,
+        )
+        return queued
+
+    # Room for those that wait
+
+    def _end_waits(
+        self, line: WaitingLine, room: ServiceRoom, now: float
+    ) -> list[Released]:
+        """Place or decline the requests whose wait has ended."""
+        released = []
+        for queue in (line.quick, line.long):
+            while (entry := queue.find_expired(now)) is not None:
+                work = entry.build_work(now)
+                line.remove(work.job)
+                placed = room.place(work)
+                released.append(self._release(line, entry, placed, room, now))
+        return released
+
+    def _serve_quick(
+        self, line: WaitingLine, room: ServiceRoom, now: float
+    ) -> list[Released]:
+        """Give free slots to quick prompts."""
+        released: list[Released] = []
+        while len(released) < MAX_SERVED and len(line.quick) and room.has_free_slot():
+            entry = line.quick.find_first(now)
+            assert entry is not None
+            line.remove(entry.work.job)
+            placed = room.place(entry.build_work(now))
+            released.append(self._release(line, entry, placed, room, now))
+        return released
+
+    def _plan_if_due(
+        self, line: WaitingLine, room: ServiceRoom, now: float
+    ) -> list[Released]:
+        age = now - line.planned_at
+        if age < (MIN_PLAN_INTERVAL_S if line.is_changed else MAX_PLAN_INTERVAL_S):
+            return []
+        line.is_changed = False
+        line.planned_at = now
+        return self._plan(line, room, now)
+
+    def _plan(self, line: WaitingLine, room: ServiceRoom, now: float) -> list[Released]:
+        """Plan the first long prompts anew, in order; release those that may start."""
+        queue = line.long
+        for job in line.planned:
+            planned = queue.get(job)
+            if planned is not None and planned.plan is not None:
+                planned.plan = None
+                room.withdraw(job)
+        line.planned.clear()
+        released: list[Released] = []
+        kept: list[Waiting] = []
+        lacks_any = False
+        while len(kept) < MAX_PLANNED and len(released) < MAX_SERVED:
+            entry = queue.find_first(now)
+            if entry is None:
+                break
+            queue.remove(entry.work.job)
+            work = entry.build_work(now)
+            placed, is_restricted = _place_around(line, work, entry.rank, room, entry)
+            if isinstance(placed, Declined):
+                # A very long prompt that would be late is not served at all.
+                is_final = (
+                    not placed.lacks_memory
+                    and not is_restricted
+                    and _is_never_late(work, room.profile)
+                )
+            else:
+                is_final = placed.start_in <= REPLAN_INTERVAL_S
+            if is_final:
+                line.long_tokens -= compute_memory(work)
+                if line.kept_for is entry:
+                    line.stop_keeping()
+                released.append(self._release(line, entry, placed, room, now))
+                continue
+            kept.append(entry)
+            if isinstance(placed, Placement):
+                entry.plan, entry.planned_at = placed, now
+                line.planned.append(work.job)
+            elif placed.lacks_memory and not lacks_any:
+                lacks_any = True
+                _keep_free(line, entry, room, now)
+        line.is_short = lacks_any
+        if not lacks_any:
+            line.stop_keeping()
+        for entry in kept:
+            queue.put_back(entry)
+        if len(kept) == MAX_PLANNED:
+            released += self._backfill(line, room, now)
+        return released
+
+    def _backfill(
+        self, line: WaitingLine, room: ServiceRoom, now: float
+    ) -> list[Released]:
+        """Start the smallest prompts that wait where they take no reserved room."""
+        released: list[Released] = []
+        while len(released) < MAX_BACKFILLED:
+            entry = line.long.find_smallest()
+            if entry is None or entry is line.kept_for or entry.plan is not None:
+                break
+            work = entry.build_work(now)
+            placed, _ = _place_around(line, work, entry.rank, room, entry)
+            if isinstance(placed, Declined):
+                break
+            if placed.start_in > REPLAN_INTERVAL_S:
+                room.withdraw(work.job)
+                break
+            line.remove(work.job)
+            released.append(self._release(line, entry, placed, room, now))
+        return released
+
+    def _release(
+        self,
+        line: WaitingLine,
+        entry: Waiting,
+        placed: Placement | Declined,
+        room: ServiceRoom,
+        now: float,
+    ) -> Released:
+        work = entry.build_work(now)
+        is_placed = isinstance(placed, Placement)
+        if is_placed:
+            line.use.charge(work.customer, compute_cost(work, room.profile), now)
+        logger.info(
+            "queued request placed" if is_placed else "queued request declined",
+            job=work.job,
+            prompt=work.prompt_tokens,
+            priority=work.priority,
+            customer=work.customer,
+            waited=round(work.waited, 3),
+            late=entry.is_late,
+            waiting=line.waiting,
+        )
+        return Released(work, placed)
+
+    def _forget_answers(self, line: WaitingLine, now: float) -> None:
+        while line.answers:
+            job = next(iter(line.answers))
+            if now - line.answers[job].at <= ANSWER_LIFETIME_S:
+                return
+            del line.answers[job]
+
+
+def is_quick(work: EngineWork, profile: EngineProfile) -> bool:
+    """Whether a prompt is never split, so that it needs little but a slot."""
+    return compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
+
+
+def _is_never_late(work: EngineWork, profile: EngineProfile) -> bool:
+    """Whether a prompt is declined rather than served late."""
+    return compute_prefill_time(profile, work.prompt_tokens) > MAX_LATE_PREFILL_S
+
+
+def _place_around(
+    line: WaitingLine,
+    work: EngineWork,
+    rank: float,
+    room: ServiceRoom,
+    entry: Waiting | None = None,
+) -> tuple[Placement | Declined, bool]:
+    """Place a request outside the replicas kept free, and return whether any were.
+
+    Quick prompts may use them: they take little memory and end soon.
+    """
+    kept_for = line.kept_for
+    is_restricted = (
+        kept_for is not None
+        and kept_for is not entry
+        and rank >= kept_for.rank
+        and not is_quick(work, room.profile)
+    )
+    if is_restricted:
+        excluded = (*work.excluded, *line.kept_free)
+        work = msgspec.structs.replace(work, excluded=excluded)
+    return room.place(work), is_restricted
+
+
+def _keep_free(
+    line: WaitingLine, entry: Waiting, room: ServiceRoom, now: float
+) -> None:
+    """Keep replicas free until they can hold the first request that lacks memory."""
+    if line.kept_for is entry and now - line.kept_since < KEEP_FREE_S:
+        return
+    line.stop_keeping()
+    line.kept_for = entry
+    entry.is_kept = True
+    line.kept_since = now
+    line.kept_free = tuple(room.list_freest(compute_memory(entry.work)))
--- a/src/scalebend/core/gateway/route_table.py
+++ b/src/scalebend/core/gateway/route_table.py
@@ -31,6 +31,10 @@
         self._customers: dict[str, RoutedCustomer] = {
             key: customer for customer in routing.customers for key in customer.keys
         }
+        self.has_ranked_customers = any(
+            customer.priority is not None for customer in routing.customers
+        )
+        """Whether the document ranks customers, so that the leader queues requests."""
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route by the longest path prefix; ``host`` may name a port."""
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -101,6 +101,8 @@
     """No replica may take the work now; retry after ``retry_after`` seconds."""
 
     retry_after: float
+    lacks_memory: bool = False
+    """Whether only memory is missing that running jobs will give back."""
 
 
 class Decision(msgspec.Struct, frozen=True):
