Let fronts wait for the leader's later reply instead of asking again

A front says in its request that it can wait, and the leader's reply says that the job is queued. The front then starts as soon as a later reply comes; it asks again twice a second, which announces the job with its age to a new leader, and decides alone as before when the leader is silent.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -328,6 +328,13 @@
             self.scheduler, work, endpoints, profile, now
         )
 
+    def has_room(self, work: EngineWork, now: float) -> bool:
+        """Whether this front could place a job without the leader."""
+        placed = self.place(work, now)
+        self.limits.placement.withdraw(work.job, now)
+        self.scheduler.forget(work.job)
+        return isinstance(placed, Placement)
+
     def exclude_in_backoff(self, work: EngineWork, now: float) -> EngineWork:
         """Return the work without the replicas that are in backoff for this front.
 
--- a/src/scalebend/core/gateway/queued_placement.py
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -158,7 +158,7 @@
         if line is None:
             line = self._lines[work.service] = WaitingLine(now)
         if may_wait:
-            known = self._find_known(line, work, now)
+            known = self._find_known(line, work, room, now)
             if known is not None:
                 return known
         may_wait &= compute_wait_limit(work) > 0.0
@@ -217,7 +217,7 @@
             line.use.expire(now)
 
     def _find_known(
-        self, line: WaitingLine, work: EngineWork, now: float
+        self, line: WaitingLine, work: EngineWork, room: ServiceRoom, now: float
     ) -> Placement | Declined | Queued | None:
         """Return what is known of a request about which its front asks again."""
         answer = line.answers.get(work.job)
@@ -233,6 +233,12 @@
         if entry.plan is None:
             return Queued(None, self._estimate(line, now))
         plan = age_placement(entry.plan, now - entry.planned_at)
+        if plan.start_in <= REPLAN_INTERVAL_S:
+            # The front sends it before the next plan would reach it.
+            line.remove(work.job)
+            self._release(line, entry, plan, room, now)
+            line.answers[work.job] = Answer(plan, now)
+            return plan
         return Queued(plan, plan.start_in)
 
     def _let_wait(
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -121,6 +121,7 @@
             self.dialer.close_unresponsive(self.now())
             self.server.close_unresponsive(self.now())
             self._send_heartbeats()
+            self.metrics.set_waiting_requests(self.instance.placement.queue.waiting)
             self._write_lists()
             self.schedule_pump()
             await asyncio.sleep(TICK_INTERVAL_S)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -25,6 +25,7 @@
     age_placement,
     age_work,
 )
+from scalebend.core.gateway.placement_queue import compute_wait_limit
 from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
@@ -65,6 +66,10 @@
 MAX_HEADER_NAME_CHARS = 64
 """Bounds of header names in metrics and logs, since upstreams choose the names."""
 
+QUEUE_RENEWAL_S = 0.5
+"""Time after which the leader is asked again about a job that waits there, which also
+tells a new leader: short against the wait, with few messages while many wait."""
+
 MIN_START_DELAY_S = 0.01
 """Shorter delays of a placement are skipped: not worth a timer."""
 
@@ -143,7 +148,7 @@
         leader = self.instance.leader
         self._execute(self.instance.handle(sender, message, self.now()))
         if self.instance.leader != leader:
-            self._leader_calls.reset_backoff()
+            self._leader_calls.record_new_leader()
         if self.instance.may_admit(self.now()):
             self._first_lease.set()
 
@@ -198,11 +203,15 @@
     async def place(self, work: EngineWork) -> Decision:
         """Ask the leader for a placement; place uncoordinated if it does not reply."""
         work = self.instance.exclude_in_backoff(work, self.now())
+        before = work.waited
         leader = self.instance.leader
         reply = await self._leader_calls.place(leader, work)
         placed: Placement | Declined | None = None
         if reply is not None:
             placed = reply.placement or reply.declined
+            if placed is None and reply.is_queued:
+                work, placed = await self._wait_in_queue(work)
+                leader = self.instance.leader
         is_uncoordinated = placed is None
         if placed is None:
             leader = None
@@ -213,8 +222,57 @@
                     work, placed, self.now(), is_uncoordinated=is_uncoordinated
                 )
             )
+        elif is_uncoordinated:
+            # A leader whose reply came late may hold the job or count it.
+            self.record_job_end(work.job)
         self.metrics.count_placement("front" if is_uncoordinated else "leader")
-        return Decision(placed, leader)
+        return Decision(placed, leader, work.waited - before)
+
+    async def _wait_in_queue(
+        self, work: EngineWork
+    ) -> tuple[EngineWork, Placement | Declined | None]:
+        """Wait until the leader has room; ``None`` if this front has to decide.
+
+        The leader is asked again at an interval, which announces the work to a new one.
+        """
+        outcome = "left"
+        try:
+            while True:
+                started_at = self.now()
+                reply = await self._leader_calls.await_release(
+                    work.job, min(QUEUE_RENEWAL_S, work.remaining)
+                )
+                work = age_work(work, self.now() - started_at)
+                if reply is None:
+                    reply = await self._leader_calls.place(
+                        self.instance.leader,
+                        self.instance.exclude_in_backoff(work, self.now()),
+                        may_back_off=False,
+                    )
+                placed = None
+                if reply is not None:
+                    placed = reply.placement or reply.declined
+                if placed is not None:
+                    is_placed = isinstance(placed, Placement)
+                    outcome = "placed" if is_placed else "declined"
+                    return work, placed
+                is_queued = reply is not None and reply.is_queued
+                if not is_queued and not self._may_keep_waiting(work):
+                    outcome = "alone"
+                    return work, None
+        finally:
+            self.metrics.count_queued_request(outcome)
+            if outcome in ("left", "alone"):
+                self.record_job_end(work.job)
+
+    def _may_keep_waiting(self, work: EngineWork) -> bool:
+        """Whether to wait for the next leader, because this front has no room either.
+
+        The front knows less than a leader, but places in its stead.
+        """
+        if compute_wait_limit(work) <= 0.0:
+            return False
+        return not self.instance.has_room(work, self.now())
 
     async def wait_for_start(
         self, work: EngineWork, placement: Placement
@@ -225,13 +283,17 @@
         """
         while placement.start_in > REPLAN_INTERVAL_S:
             started_at = self.now()
-            await asyncio.sleep(REPLAN_INTERVAL_S)
-            renewed = age_work(work, REPLAN_INTERVAL_S)
-            reply = await self._leader_calls.place(
-                self.instance.leader,
-                self.instance.exclude_in_backoff(renewed, self.now()),
-                may_back_off=False,
-            )
+            interval = REPLAN_INTERVAL_S
+            if self._leader_calls.is_queued(work.job):
+                interval = min(QUEUE_RENEWAL_S, placement.start_in)
+            reply = await self._leader_calls.await_release(work.job, interval)
+            if reply is None:
+                renewed = age_work(work, self.now() - started_at)
+                reply = await self._leader_calls.place(
+                    self.instance.leader,
+                    self.instance.exclude_in_backoff(renewed, self.now()),
+                    may_back_off=False,
+                )
             waited = self.now() - started_at
             work = age_work(work, waited)
             placed = None
@@ -244,6 +306,10 @@
                 continue
             placement = placed
             self.instance.record_replanned(work, placement, self.now())
+        if self._leader_calls.is_queued(work.job):
+            # The leader is lost or silent: the prompt starts as it was planned.
+            self._leader_calls.forget_queued(work.job)
+            self._execute(self.instance.replace_job(work.job, placement, self.now()))
         if placement.start_in >= MIN_START_DELAY_S:
             await asyncio.sleep(min(placement.start_in, max(0.0, work.remaining)))
         return placement
@@ -295,6 +361,7 @@
 
     def record_job_end(self, job: JobId) -> None:
         """Record that a job ended, with or without success."""
+        self._leader_calls.forget_queued(job)
         stage = JobStage(job, is_ended=True)
         self._execute(self.instance.record_stage(stage, self.now()))
 
--- a/src/scalebend/edges/gateway/leader_calls.py
+++ b/src/scalebend/edges/gateway/leader_calls.py
@@ -30,6 +30,9 @@
         self._send = send
         self._loop = asyncio.get_running_loop()
         self._pending: dict[JobId | SendPermitId, asyncio.Future[_Reply]] = {}
+        self._queued: dict[JobId, asyncio.Future[PlacementReply | None]] = {}
+        """Jobs that wait at the leader, with the reply that follows."""
+
         self._backoff_until = 0.0
 
     def receive(self, message: LinkMessage) -> bool:
@@ -37,6 +40,7 @@
         match message:
             case PlacementReply(job=job):
                 future = self._pending.pop(job, None)
+                self._record_queued(message, is_awaited=future is not None)
             case SendPermitReply(request_id=request_id):
                 future = self._pending.pop(request_id, None)
             case _:
@@ -45,15 +49,54 @@
             future.set_result(message)
         return True
 
-    def reset_backoff(self) -> None:
-        """End the backoff, because the leader changed."""
+    def _record_queued(self, reply: PlacementReply, *, is_awaited: bool) -> None:
+        if is_awaited and reply.is_queued:
+            self._queued.setdefault(reply.job, self._loop.create_future())
+        elif is_awaited:
+            self._queued.pop(reply.job, None)
+        else:
+            queued = self._queued.get(reply.job)
+            if queued is not None and not queued.done():
+                queued.set_result(reply)
+
+    def record_new_leader(self) -> None:
+        """End the backoff, and announce to the new leader what waits."""
         self._backoff_until = 0.0
+        for queued in self._queued.values():
+            if not queued.done():
+                queued.set_result(None)
+
+    def is_queued(self, job: JobId) -> bool:
+        """Whether a job waits at the leader as far as this front knows."""
+        return job in self._queued
+
+    def forget_queued(self, job: JobId) -> None:
+        """Forget a job that waits no longer."""
+        self._queued.pop(job, None)
+
+    async def await_release(
+        self, job: JobId, timeout_s: float
+    ) -> PlacementReply | None:
+        """Wait for the reply to a queued job; ``None`` when it is time to ask again."""
+        queued = self._queued.get(job)
+        if queued is None:
+            await asyncio.sleep(timeout_s)
+            return None
+        await asyncio.wait([queued], timeout=timeout_s)
+        if not queued.done():
+            return None
+        reply = queued.result()
+        if reply is None:
+            self._queued[job] = self._loop.create_future()
+        else:
+            del self._queued[job]
+        return reply
 
     async def place(
         self, leader: InstanceId | None, work: EngineWork, *, may_back_off: bool = True
     ) -> PlacementReply | None:
         """Return where work should run; ``None`` without a leader's reply in time."""
-        request = PlacementRequest(work)
+        request = PlacementRequest(work, may_wait=True)
         reply = await self._request(
             leader, work.job, request, may_back_off=may_back_off
         )
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -42,6 +42,17 @@
             ["decider"],
             registry=registry,
         )
+        self._queued_requests = Counter(
+            "scalebend_queued_requests",
+            "Requests that waited at the leader, by how the wait ended",
+            ["outcome"],
+            registry=registry,
+        )
+        self._waiting_requests = Gauge(
+            "scalebend_waiting_requests",
+            "Requests that wait at this process while it leads",
+            registry=registry,
+        )
         self._first_event = Histogram(
             "scalebend_first_event_seconds",
             "Time to the first event of a stream, by prompt size",
@@ -125,6 +136,14 @@
         """Count a placement on engines by who decided."""
         self._placements.labels(decider).inc()
 
+    def count_queued_request(self, outcome: str) -> None:
+        """Count a request that waited at the leader without a planned start."""
+        self._queued_requests.labels(outcome).inc()
+
+    def set_waiting_requests(self, count: int) -> None:
+        """Set the number of requests that wait here."""
+        self._waiting_requests.set(count)
+
     def count_lost_request(self) -> None:
         """Count an attempt whose upstream crashed or broke the connection."""
         self._lost_requests.inc()
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -9,6 +9,7 @@
 import msgspec
 import structlog
 
+from scalebend.core.gateway.placement_aging import age_work
 from scalebend.core.gateway.timeouts import (
     compute_inspection_delay,
     compute_room_timeout,
@@ -179,6 +180,8 @@
         runtime = self._runtime
         work = self._build_work()
         decision = await runtime.place(work)
+        if decision.waited > 0.0:
+            work = age_work(work, decision.waited)
         placement = decision.placed
         if isinstance(placement, Declined):
             self._log_declined(work, placement, decision.leader)
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -112,6 +112,9 @@
     leader: InstanceId | None
     """The leader that placed it; ``None`` for an uncoordinated placement."""
 
+    waited: float = 0.0
+    """Seconds for which the work waited until then."""
+
 
 class JobStage(msgspec.Struct, frozen=True, array_like=True):
     """Progress of a job: its first token was seen, or it ended."""
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -38,9 +38,10 @@
 class Deployment:
     """One control instance that leads, its fronts, and replicas of one service."""
 
-    def __init__(self, fronts, replicas, engine=None):
+    def __init__(self, fronts, replicas, engine=None, *, customers=()):
         self.now = 0.0
         self.engine = engine
+        self.customers = customers
         self.endpoints = [build_endpoint(number) for number in range(1, replicas + 1)]
         self.fronts = []
         self.names = []
@@ -59,7 +60,8 @@
             self.now = min(end, self.now + TICK)
             leader.advance(self.now)
             pump(leader, self.now)
-        routing = build_routing(services=[build_service(engine=self.engine)])
+        services = [build_service(engine=self.engine)]
+        routing = build_routing(services=services, customers=self.customers)
         leader.propose_routing(pack_routing(routing, b"{}"), self.now, 0.0)
         pump(leader, self.now)
         for endpoint in self.endpoints:
