Count free slots once for each turn of the queue, and test its cost

The benchmark of a freed slot among 600 full replicas with 1,900 requests waiting checked for another free slot after each placement, which rebuilt a view.

--- a/src/scalebend/core/gateway/queued_placement.py
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -77,8 +77,8 @@
     def withdraw(self, job: JobId) -> None:
         """Undo the placement of a job that was not sent."""
 
-    def has_free_slot(self) -> bool:
-        """Whether any replica has a free slot."""
+    def count_free_slots(self) -> int:
+        """Count the slots that are free for quick prompts."""
 
     def list_freest(self, tokens: int) -> list[UpstreamId]:
         """Return the fewest replicas that hold ``tokens`` once idle, if there are."""
@@ -163,7 +163,7 @@
                 return known
         may_wait &= compute_wait_limit(work) > 0.0
         if is_quick(work, room.profile):
-            if may_wait and (len(line.quick) or not room.has_free_slot()):
+            if may_wait and (len(line.quick) or not room.count_free_slots()):
                 if line.quick.add(work, now) is not None:
                     return self._log_queued(line, work, Queued(None, None), now)
             may_wait = False
@@ -315,7 +315,9 @@
     ) -> list[Released]:
         """Give free slots to quick prompts."""
         released: list[Released] = []
-        while len(released) < MAX_SERVED and len(line.quick) and room.has_free_slot():
+        if not len(line.quick):
+            return released
+        for _ in range(min(room.count_free_slots(), MAX_SERVED, len(line.quick))):
             entry = line.quick.find_first(now)
             assert entry is not None
             line.remove(entry.work.job)
@@ -327,7 +329,9 @@
         self, line: WaitingLine, room: ServiceRoom, now: float
     ) -> list[Released]:
         age = now - line.planned_at
-        if age < (MIN_PLAN_INTERVAL_S if line.is_changed else MAX_PLAN_INTERVAL_S):
+        if not len(line.long) or age < (
+            MIN_PLAN_INTERVAL_S if line.is_changed else MAX_PLAN_INTERVAL_S
+        ):
             return []
         line.is_changed = False
         line.planned_at = now
--- a/src/scalebend/core/gateway/replica_pool.py
+++ b/src/scalebend/core/gateway/replica_pool.py
@@ -198,6 +198,14 @@
         bucket = self._buckets.get(occupancy)
         return len(bucket.without_prefill) if bucket is not None else 0
 
+    def count_free_slots(self, slots: int) -> int:
+        """Count the free slots of healthy replicas with ``slots`` each."""
+        return sum(
+            max(0, slots - occupancy.jobs)
+            * (len(bucket.without_prefill) + len(bucket.prefilling))
+            for occupancy, bucket in self._buckets.items()
+        )
+
     def count_without_quick(self, apart_from: Iterable[EngineView]) -> int:
         """Count healthy replicas without quick jobs, ``apart_from`` left out."""
         indexed = sum(
--- a/src/scalebend/core/gateway/service_room.py
+++ b/src/scalebend/core/gateway/service_room.py
@@ -43,14 +43,14 @@
         """Undo the placement of a job that was not sent."""
         self.limits.withdraw(self.scheduler, job, self.now)
 
-    def has_free_slot(self) -> bool:
-        """Whether a healthy replica has a free slot, or none is healthy."""
+    def count_free_slots(self) -> int:
+        """Count the free slots of healthy replicas; those of all if none is healthy."""
         pool = self.scheduler.refresh(
             self.service, self.endpoints, self.profile, self.now
         )
-        occupancies = pool.list_occupancies()
-        slots = self.profile.slots
-        return not occupancies or any(one.jobs < slots for one in occupancies)
+        if not pool.has_healthy:
+            return self.profile.slots * len(self.endpoints)
+        return pool.count_free_slots(self.profile.slots)
 
     def list_freest(self, tokens: int) -> list[UpstreamId]:
         """Return the fewest replicas that hold ``tokens`` once idle, if there are.
--- a/tests/unit/test_decision_cost.py
+++ b/tests/unit/test_decision_cost.py
@@ -3,6 +3,7 @@
 In the usual run each benchmark is called once, so nothing depends on the clock.
 """
 
+import collections
 import itertools
 
 import pytest
@@ -168,3 +169,75 @@
 )
 def test_placement_among_replicas(benchmark, replicas, prompt, target, event_gap):
     benchmark(build_placement(replicas, prompt, target, event_gap))
+
+
+def build_queue_choice(waiting, customers):
+    """Build a function that takes the next waiting request and adds another."""
+    from scalebend.core.gateway.customer_use import CustomerUse
+    from scalebend.core.gateway.placement_queue import PlacementQueue
+
+    use = CustomerUse(0.0)
+    queue = PlacementQueue(use)
+    numbers = itertools.count()
+
+    def add():
+        number = next(numbers)
+        work = build_quick(
+            number, customer=f"c{number % customers}", priority=number % 3
+        )
+        assert queue.add(work, 0.0) is not None
+
+    for _ in range(waiting):
+        add()
+
+    def decide():
+        entry = queue.find_first(0.1)
+        queue.remove(entry.work.job)
+        use.charge(entry.work.customer, 0.05, 0.1)
+        add()
+
+    return decide
+
+
+@pytest.mark.parametrize("customers", [40, 1_900])
+def test_choice_among_two_thousand_waiting_requests(benchmark, customers):
+    benchmark(build_queue_choice(1_900, customers))
+
+
+def build_queued_placement(replicas, waiting):
+    """Build a function that gives one freed slot to one of many quick prompts."""
+    from tests.lib.queue_room import QueueRoom
+
+    room = QueueRoom(replicas)
+    running = collections.deque()
+    numbers = itertools.count()
+
+    def add(number):
+        work = build_quick(number, customer=f"c{number % 40}", remaining=1e9)
+        return work.job, room.place(work, 0.05 * number)
+
+    def start(job, number):
+        room.scheduler.record_stage(JobStage(job, is_ended=False), 0.05 * number)
+        running.append(job)
+
+    for _ in range(PROFILE.slots * replicas):
+        number = next(numbers)
+        job, placed = add(number)
+        assert isinstance(placed, Placement)
+        start(job, number)
+    for _ in range(waiting):
+        add(next(numbers))
+    assert room.queue.waiting == waiting
+
+    def decide():
+        number = next(numbers)
+        room.end(running.popleft(), 0.05 * number)
+        (job,) = room.advance(0.05 * number)
+        start(job, number)
+        add(number)
+
+    return decide
+
+
+def test_freed_slot_among_six_hundred_replicas_with_two_thousand_waiting(benchmark):
+    benchmark(build_queued_placement(600, 1_900))
