--- a/src/scalebend/core/gateway/placement_aging.py
+++ b/src/scalebend/core/gateway/placement_aging.py
@@ -35,3 +35,13 @@
         first_token_in=placement.first_token_in - waited,
         start_in=max(0.0, placement.start_in - waited),
     )
+
+
+def postpone_placement(placement: Placement, start_in: float) -> Placement:
+    """Return the placement with a start that is at least ``start_in`` seconds away."""
+    delay = max(0.0, start_in - placement.start_in)
+    return msgspec.structs.replace(
+        placement,
+        first_token_in=placement.first_token_in + delay,
+        start_in=placement.start_in + delay,
+    )
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -24,6 +24,7 @@
     REPLAN_INTERVAL_S,
     age_placement,
     age_work,
+    postpone_placement,
 )
 from scalebend.core.gateway.placement_queue import compute_wait_limit
 from scalebend.core.gateway.placement_repair import drop_replicas
@@ -303,6 +304,9 @@
                 return placed
             if placed is None:
                 placement = age_placement(placement, waited)
+                if reply is not None and reply.is_queued:
+                    # The leader gave the planned room to a more urgent job.
+                    placement = postpone_placement(placement, QUEUE_RENEWAL_S)
                 continue
             placement = placed
             self.instance.record_replanned(work, placement, self.now())
--- a/tests/unit/gateway/test_queue_messages.py
+++ b/tests/unit/gateway/test_queue_messages.py
@@ -369,6 +369,21 @@
     run(test)
 
 
+def test_planned_prompt_does_not_start_when_its_room_was_given_away():
+    async def test():
+        runtime, leader = build_front(replicas=1)
+        planned = build_reply("", 0.3, is_queued=True, queued=0.3)
+        leader.answers = [planned, QUEUED, build_reply("")]
+        work = build_work(1, 200_000)
+        decision = await runtime.place(work)
+        started = runtime.now()
+        await runtime.wait_for_start(work, decision.placed)
+        assert len(leader.asked) == 3
+        assert runtime.now() - started > 0.7
+
+    run(test)
+
+
 def test_late_reply_to_a_front_that_decided_alone_is_dropped():
     async def test():
         runtime, leader = build_front(replicas=1)
