Estimate a wait by what is ahead in order, and respect shares on arrival

A prompt was declined as hopeless by all that waited, although small ones need not wait for larger ones of later rank; and a customer over its share could pass a waiting one of its priority by a shorter target.

--- a/src/scalebend/core/gateway/placement_queue.py
+++ b/src/scalebend/core/gateway/placement_queue.py
@@ -16,7 +16,7 @@
 
 from scalebend.core.gateway.customer_use import CustomerUse
 from scalebend.core.gateway.placement_aging import age_work
-from scalebend.core.gateway.placement_plan import TARGET_SHARE
+from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, TARGET_SHARE
 from scalebend.models.ids import CustomerId
 from scalebend.models.placement import EngineWork, JobId, Placement
 
@@ -46,6 +46,9 @@
 """Requests of customers over their share that are passed over in one choice; then the
 customer with the least use is next."""
 
+RANK_INTERVAL_S = 0.25
+"""Accuracy of ranks in sums of memory, so that a sum has few terms."""
+
 MIN_COMPACTED = 256
 """Heap entries up to which outdated ones are kept."""
 
@@ -71,6 +74,11 @@
     return now + slack + PRIORITY_STEP_S * work.priority
 
 
+def compute_memory(work: EngineWork) -> int:
+    """Compute the memory of a prompt and its response, in tokens."""
+    return work.prompt_tokens + work.output_tokens + MEMORY_MARGIN_TOKENS
+
+
 class Waiting(msgspec.Struct, eq=False):
     """One request that waits; clock times in seconds."""
 
@@ -223,6 +231,9 @@
         self._customers: Counter[CustomerId | None] = Counter()
         """Waiting requests of each customer."""
 
+        self._memory: Counter[int] = Counter()
+        """Memory that waiting requests need, in tokens by intervals of rank."""
+
         self._bytes = 0
 
     def __len__(self) -> int:
@@ -290,6 +301,7 @@
         entry = self._entries.pop(job, None)
         if entry is not None:
             self._bytes -= entry.size
+            self._count_memory(entry, -1)
             self._customers[entry.work.customer] -= 1
             if not self._customers[entry.work.customer]:
                 del self._customers[entry.work.customer]
@@ -318,6 +330,13 @@
         job = self._by_tokens.find_first()
         return self._entries[job] if job is not None else None
 
+    def sum_memory_before(self, rank: float) -> int:
+        """Sum the tokens that requests of lower rank need, to an interval."""
+        last = int(rank / RANK_INTERVAL_S)
+        return sum(
+            tokens for interval, tokens in self._memory.items() if interval <= last
+        )
+
     def find_expired(self, now: float) -> Waiting | None:
         """Return a request whose wait has ended."""
         job = self._by_limit.find_first()
@@ -363,6 +382,7 @@
         entry.number = next(self._numbers)
         self._entries[work.job] = entry
         self._customers[work.customer] += 1
+        self._count_memory(entry, 1)
         level = self._levels.get(work.priority)
         if level is None:
             level = self._levels[work.priority] = _Level(self._is_valid)
@@ -370,6 +390,12 @@
         self._by_tokens.push(work.prompt_tokens, entry.number, work.job)
         self._by_limit.push(entry.limit, entry.number, work.job)
 
+    def _count_memory(self, entry: Waiting, sign: int) -> None:
+        interval = int(entry.rank / RANK_INTERVAL_S)
+        self._memory[interval] += sign * compute_memory(entry.work)
+        if not self._memory[interval]:
+            del self._memory[interval]
+
     def _is_valid(self, number: int, job: JobId) -> bool:
         entry = self._entries.get(job)
         return entry is not None and entry.number == number
--- a/src/scalebend/core/gateway/queued_placement.py
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -19,16 +19,14 @@
 )
 from scalebend.core.gateway.group_placement import MAX_LATE_PREFILL_S
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S, age_placement
+from scalebend.core.gateway.placement_plan import NO_MEMORY_RETRY_S
 from scalebend.core.gateway.placement_queue import (
     Waiting,
+    compute_memory,
     compute_rank,
     compute_wait_limit,
 )
-from scalebend.core.gateway.waiting_line import (
-    Answer,
-    WaitingLine,
-    compute_memory,
-)
+from scalebend.core.gateway.waiting_line import Answer, WaitingLine
 from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
 from scalebend.models.placement import (
     Declined,
@@ -169,19 +167,18 @@
             may_wait = False
         rank = compute_rank(work, now)
         first = line.long.find_first(now) if may_wait and line.is_changed else None
-        if first is not None and first.rank < rank:
+        if first is not None and line.is_behind(work, rank, first, now):
             # Room may be free that was not offered yet to those that wait.
-            waits = self._let_wait(line, work, None, room, now)
+            waits = self._let_wait(line, work, None, room, now, is_tried=False)
             if waits is not None:
                 return waits
-        placed, is_restricted = _place_around(line, work, rank, room)
+        placed, is_restricted = _place_around(line, work, rank, room, now)
         if may_wait and (
             placed.start_in > REPLAN_INTERVAL_S
             if isinstance(placed, Placement)
             else placed.lacks_memory or is_restricted
         ):
             plan = placed if isinstance(placed, Placement) else None
-            line.is_short |= plan is None
             waits = self._let_wait(line, work, plan, room, now)
             if waits is not None:
                 return waits
@@ -231,7 +228,7 @@
         queue, entry = found
         queue.renew(work, now)
         if entry.plan is None:
-            return Queued(None, self._estimate(line, now))
+            return Queued(None, self._estimate(line, entry.rank, now))
         plan = age_placement(entry.plan, now - entry.planned_at)
         if plan.start_in <= REPLAN_INTERVAL_S:
             # The front sends it before the next plan would reach it.
@@ -248,6 +245,8 @@
         plan: Placement | None,
         room: ServiceRoom,
         now: float,
+        *,
+        is_tried: bool = True,
     ) -> Queued | None:
         """Let a long prompt wait, with or without a plan; ``None`` if it must not."""
         max_wait = compute_wait_limit(work)
@@ -256,27 +255,42 @@
         memory = compute_memory(work)
         expected = plan.start_in if plan is not None else None
         if plan is None:
-            if line.is_short:
-                expected = self._estimate(line, now, memory)
+            if is_tried:
+                expected = self._estimate(line, compute_rank(work, now), now, memory)
             is_hopeless = expected is not None and expected > max_wait
             if is_hopeless or not room.list_freest(memory):
                 return None
         entry = line.long.add(work, now, max_wait)
         if entry is None:
             return None
-        line.long_tokens += memory
         line.is_changed = True
         if plan is not None and len(line.planned) < MAX_PLANNED:
             entry.plan, entry.planned_at = plan, now
             line.planned.append(work.job)
         elif plan is not None:
             room.withdraw(work.job)
+        if not is_tried:
+            line.untried.append(work.job)
         return self._log_queued(line, work, Queued(entry.plan, expected), now)
 
-    def _estimate(self, line: WaitingLine, now: float, tokens: int = 0) -> float | None:
-        """Estimate when memory for all long prompts that wait will be given back."""
+    def _estimate(
+        self, line: WaitingLine, rank: float, now: float, memory: int = 0
+    ) -> float | None:
+        """Estimate when memory will be given back for all up to ``rank``.
+
+        ``memory`` are the tokens of a request that does not wait yet.
+        """
         rate = line.freed.compute_rate(now)
-        return (line.long_tokens + tokens) / rate if rate > 0.0 else None
+        if rate <= 0.0:
+            return None
+        planned = [line.long.get(job) for job in line.planned]
+        reserved = sum(
+            compute_memory(one.work)
+            for one in planned
+            if one is not None and one.rank <= rank
+        )
+        missing = line.long.sum_memory_before(rank) - reserved + memory
+        return max(0, missing) / rate
 
     def _log_queued(
         self, line: WaitingLine, work: EngineWork, queued: Queued, now: float
@@ -355,7 +369,9 @@
                 break
             queue.remove(entry.work.job)
             work = entry.build_work(now)
-            placed, is_restricted = _place_around(line, work, entry.rank, room, entry)
+            placed, is_restricted = _place_around(
+                line, work, entry.rank, room, now, entry
+            )
             if isinstance(placed, Declined):
                 # A very long prompt that would be late is not served at all.
                 is_final = (
@@ -366,7 +382,6 @@
             else:
                 is_final = placed.start_in <= REPLAN_INTERVAL_S
             if is_final:
-                line.long_tokens -= compute_memory(work)
                 if line.kept_for is entry:
                     line.stop_keeping()
                 released.append(self._release(line, entry, placed, room, now))
@@ -378,13 +393,32 @@
             elif placed.lacks_memory and not lacks_any:
                 lacks_any = True
                 _keep_free(line, entry, room, now)
-        line.is_short = lacks_any
         if not lacks_any:
             line.stop_keeping()
         for entry in kept:
             queue.put_back(entry)
         if len(kept) == MAX_PLANNED:
             released += self._backfill(line, room, now)
+        if lacks_any:
+            released += self._decline_hopeless(line, room, now)
+        line.untried.clear()
+        return released
+
+    def _decline_hopeless(
+        self, line: WaitingLine, room: ServiceRoom, now: float
+    ) -> list[Released]:
+        """Decline the last requests added since the last plan that wait too long."""
+        released: list[Released] = []
+        for job in reversed(line.untried):
+            entry = line.long.get(job)
+            if entry is None or entry.plan is not None:
+                continue
+            expected = self._estimate(line, entry.rank, now)
+            if expected is None or now + expected <= entry.limit:
+                continue
+            line.remove(job)
+            declined = Declined(NO_MEMORY_RETRY_S, lacks_memory=True)
+            released.append(self._release(line, entry, declined, room, now))
         return released
 
     def _backfill(
@@ -397,7 +431,7 @@
             if entry is None or entry is line.kept_for or entry.plan is not None:
                 break
             work = entry.build_work(now)
-            placed, _ = _place_around(line, work, entry.rank, room, entry)
+            placed, _ = _place_around(line, work, entry.rank, room, now, entry)
             if isinstance(placed, Declined):
                 break
             if placed.start_in > REPLAN_INTERVAL_S:
@@ -454,6 +488,7 @@
     work: EngineWork,
     rank: float,
     room: ServiceRoom,
+    now: float,
     entry: Waiting | None = None,
 ) -> tuple[Placement | Declined, bool]:
     """Place a request outside the replicas kept free, and return whether any were.
@@ -464,8 +499,8 @@
     is_restricted = (
         kept_for is not None
         and kept_for is not entry
-        and rank >= kept_for.rank
         and not is_quick(work, room.profile)
+        and line.is_behind(work, rank, kept_for, now)
     )
     if is_restricted:
         excluded = (*work.excluded, *line.kept_free)
--- a/src/scalebend/core/gateway/waiting_line.py
+++ b/src/scalebend/core/gateway/waiting_line.py
@@ -7,7 +7,6 @@
 import msgspec
 
 from scalebend.core.gateway.customer_use import CustomerUse
-from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS
 from scalebend.core.gateway.placement_queue import PlacementQueue, Waiting
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
@@ -46,17 +45,14 @@
         self.use = CustomerUse(now)
         self.quick = PlacementQueue(self.use)
         self.long = PlacementQueue(self.use)
-        self.long_tokens = 0
-        """Memory for which long prompts wait."""
-
         self.freed = FreedMemory()
         self.planned: list[JobId] = []
         self.answers: dict[JobId, Answer] = {}
         self.is_changed = False
         """Whether room may have been given back, or a request added, since a plan."""
 
-        self.is_short = False
-        """Whether memory was lacking at the last choice for a long prompt."""
+        self.untried: list[JobId] = []
+        """Long prompts added since the last plan without a choice for them."""
 
         self.planned_at = -math.inf
         self.kept_for: Waiting | None = None
@@ -81,19 +77,23 @@
     def remove(self, job: JobId) -> Waiting | None:
         self.quick.remove(job)
         entry = self.long.remove(job)
-        if entry is not None:
-            self.long_tokens -= compute_memory(entry.work)
-            if self.kept_for is entry:
-                self.stop_keeping()
+        if entry is not None and self.kept_for is entry:
+            self.stop_keeping()
         return entry
 
+    def is_behind(
+        self, work: EngineWork, rank: float, entry: Waiting, now: float
+    ) -> bool:
+        """Whether a request has to leave room to one that waits."""
+        if rank >= entry.rank:
+            return True
+        other = entry.work
+        return work.priority == other.priority and self.use.is_ahead(
+            work.customer, self.use.get_grown(other.customer), now
+        )
+
     def stop_keeping(self) -> None:
         if self.kept_for is not None:
             self.kept_for.is_kept = False
         self.kept_for = None
         self.kept_free = ()
-
-
-def compute_memory(work: EngineWork) -> int:
-    """Compute the memory of a prompt and its response, in tokens."""
-    return work.prompt_tokens + work.output_tokens + MEMORY_MARGIN_TOKENS
