Forecast when engines have room for a prompt

Nothing knew when memory is given back: a declined prompt was told a constant. Open jobs now have a predicted end, from the first token, the tokens expected and the seconds for each of them that ended jobs took. The tests show it for memory, scheduled prefill and what is booked before.

--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -22,6 +22,7 @@
 from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, Plan
 from scalebend.core.gateway.replica_load import Job, JobPart, ReplicaLoad
 from scalebend.core.gateway.replica_pool import ReplicaPool
+from scalebend.core.gateway.room_forecast import DecodeTimes, EngineFleet
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import ServiceName, UpstreamId
 from scalebend.models.placement import (
@@ -93,6 +94,7 @@
 
         self._replicas: dict[UpstreamId, ReplicaLoad] = {}
         self._pools: dict[ServiceName, ReplicaPool] = {}
+        self._decode_times = DecodeTimes()
 
     @property
     def open_jobs(self) -> int:
@@ -107,9 +109,12 @@
         if job is None:
             return
         if stage.is_ended:
+            if job.is_decoding:
+                self._decode_times.record(job, now - job.decoding_since)
             self._remove_job(stage.job)
         elif not job.is_decoding:
             job.is_decoding = True
+            job.decoding_since = now
             if stage.load is not None:
                 self._edit_load(job.upstreams[0]).record_load(stage.load, now)
             for upstream in job.upstreams:
@@ -205,6 +210,12 @@
             if one.pace > 1.0:
                 self.record_pace(ReplicaPace(one.upstream, one.pace), now)
 
+    def describe_fleet(
+        self, endpoints: Sequence[Endpoint], profile: EngineProfile
+    ) -> EngineFleet:
+        """Return the replicas of a service with their loads, for forecasts."""
+        return EngineFleet(endpoints, profile, self._replicas, self._decode_times)
+
     # Choice
 
     def place(
@@ -280,7 +291,7 @@
         tokens = work.prompt_tokens + work.output_tokens - helper_tokens
         is_unsplit = not placement.helpers
         forget_at = now + work.remaining + MISSING_END_GRACE_S
-        job = Job(work, placement.upstreams, forget_at)
+        job = Job(work, placement.upstreams, forget_at, prefill_until=lead_until)
         self._jobs[work.job] = job
         if work.is_suspect:
             self._suspects[work.job] = job
--- a/src/scalebend/core/gateway/replica_load.py
+++ b/src/scalebend/core/gateway/replica_load.py
@@ -48,6 +48,11 @@
     upstreams: list[UpstreamId]
     forget_at: float
     is_decoding: bool = False
+    prefill_until: float = 0.0
+    """Clock time at which its prefill is predicted to end."""
+
+    decoding_since: float = 0.0
+    """Clock time of its first token, once it decodes."""
 
 
 class JobPart(msgspec.Struct):
