Give refused prompts a place in a schedule, and hold them when they return

A prompt without room was told to come back after half a second, found no room again and was lost, as callers have one retry. The leader now books the moment at which room is expected, behind earlier bookings, and holds who comes back until there is room. In force where several customers compete; the tests show that work with room, documents without competing customers and fronts that send no fingerprint are answered as before.

--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -14,12 +14,15 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
+from scalebend.core.gateway.return_schedule import ReturnSchedule, has_booked_returns
+from scalebend.core.gateway.room_forecast import EngineFleet
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
     OpenJob,
+    Placement,
     ReplicaPace,
     is_job_of,
 )
@@ -36,6 +39,7 @@
 
     def __init__(self, limits: LimitExchange, now: float) -> None:
         self.scheduler = EngineScheduler()
+        self.returns = ReturnSchedule()
         self._limits = limits
         self._unreported: set[InstanceId] = set()
         self._learning_until = now
@@ -43,6 +47,7 @@
     def start_term(self, fronts: Iterable[InstanceId], now: float) -> None:
         """Begin or end leading; ``fronts`` are expected to report their open jobs."""
         self.scheduler = EngineScheduler()
+        self.returns = ReturnSchedule()
         self._limits.start_term(now)
         self._unreported = set(fronts)
         self._learning_until = now + LEARNING_TIMEOUT_S
@@ -96,16 +101,40 @@
         if profile is None or self.is_learning(now):
             return PlacementReply(work.job)
         endpoints = directory.list_usable(work.service)
-        placed = self._limits.place(
-            self.scheduler, work, endpoints, profile, now, may_grant=may_grant
-        )
-        if isinstance(placed, Declined):
-            return self._decline(work, placed)
+        fleet = self.scheduler.describe_fleet(endpoints, profile)
+        books_returns = has_booked_returns(table.routing)
+        placed: Placement | Declined | None = None
+        if books_returns and self.returns.must_yield(work, fleet, now):
+            self.scheduler.forget(work.job)
+        else:
+            wanted = self.returns.prepare(work)
+            placed = self._limits.place(
+                self.scheduler, wanted, endpoints, profile, now, may_grant=may_grant
+            )
+        if not isinstance(placed, Placement):
+            return self._decline(work, placed, fleet, now, books_returns=books_returns)
+        self.returns.record_placed(work, placed)
         return PlacementReply(work.job, placed)
 
-    def _decline(self, work: EngineWork, declined: Declined) -> PlacementReply:
-        """Reply that no replica may take the work now."""
-        return PlacementReply(work.job, declined=declined)
+    def _decline(
+        self,
+        work: EngineWork,
+        declined: Declined | None,
+        fleet: EngineFleet,
+        now: float,
+        *,
+        books_returns: bool,
+    ) -> PlacementReply:
+        """Reply that no replica may take the work now, or that it is held.
+
+        ``declined`` is ``None`` if the work yields to a request with an earlier place.
+        """
+        if declined is not None and not (books_returns and fleet.endpoints):
+            return PlacementReply(work.job, declined=declined)
+        answer = self.returns.answer(work, declined, fleet, now)
+        if isinstance(answer, Placement):
+            return PlacementReply(work.job, answer)
+        return PlacementReply(work.job, declined=answer)
 
     def log_summary(self, fronts: int, now: float) -> None:
         """Log the scheduler's state."""
@@ -117,4 +146,5 @@
             slow=summary.slow,
             suspect=summary.suspect,
             fronts=fronts,
+            bookings=self.returns.bookings,
         )
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -122,6 +122,8 @@
             self.server.close_unresponsive(self.now())
             self._send_heartbeats()
             self._write_lists()
+            for outcome in self.instance.placement.returns.pop_outcomes():
+                self.metrics.count_prompt_without_room(outcome.value)
             self.schedule_pump()
             await asyncio.sleep(TICK_INTERVAL_S)
 
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -108,6 +108,12 @@
             "Times that one peer's links came up more often than is usual",
             registry=registry,
         )
+        self._prompts_without_room = Counter(
+            "scalebend_prompts_without_room",
+            "Prompts without room at the leader, by what became of them",
+            ["outcome"],
+            registry=registry,
+        )
         self._open_requests = Gauge(
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
@@ -165,6 +171,10 @@
         """Count a peer whose links repeatedly end and come back."""
         self._unstable_links.inc()
 
+    def count_prompt_without_room(self, outcome: str) -> None:
+        """Count a prompt that had no room when the leader was asked."""
+        self._prompts_without_room.labels(outcome).inc()
+
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
         """Record the time to the first event of a stream."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
