--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -102,7 +102,10 @@
             return PlacementReply(work.job)
         endpoints = directory.list_usable(work.service)
         fleet = self.scheduler.describe_fleet(endpoints, profile)
-        books_returns = has_booked_returns(table.routing)
+        # What lacks a send permit is not helped by a forecast of memory and slots.
+        books_returns = (
+            has_booked_returns(table.routing) and not self._limits.has_limits
+        )
         placed: Placement | Declined | None = None
         if books_returns and self.returns.must_yield(work, fleet, now):
             self.scheduler.forget(work.job)
@@ -129,7 +132,7 @@
 
         ``declined`` is ``None`` if the work yields to a request with an earlier place.
         """
-        if declined is not None and not (books_returns and fleet.endpoints):
+        if declined is not None and not books_returns:
             return PlacementReply(work.job, declined=declined)
         answer = self.returns.answer(work, declined, fleet, now)
         if isinstance(answer, Placement):
--- a/src/scalebend/core/gateway/return_schedule.py
+++ b/src/scalebend/core/gateway/return_schedule.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from enum import Enum
+from itertools import islice
 
 import msgspec
 import structlog
@@ -22,6 +23,7 @@
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
 from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.room_forecast import (
+    MAX_REPLICAS,
     EngineFleet,
     QueuedAhead,
     compute_shortest_prefill,
@@ -199,7 +201,7 @@
         """
         if declined is None:
             declined = Declined(MIN_RETRY_S)
-        if work.fingerprint is None:
+        if work.fingerprint is None or not _waits_for_room(work, fleet):
             return declined
         self.expire(now)
         if not _can_end(work, fleet):
@@ -281,6 +283,22 @@
         )
 
 
+def _waits_for_room(work: EngineWork, fleet: EngineFleet) -> bool:
+    """Whether the work may be booked or held.
+
+    Short prompts are declined only where no replica may have them.
+    """
+    prefill = compute_prefill_time(fleet.profile, work.prompt_tokens)
+    return prefill > MIN_SPLIT_PREFILL_S and bool(_list_usable(work, fleet))
+
+
+def _list_usable(work: EngineWork, fleet: EngineFleet) -> list[Endpoint]:
+    """List some replicas that may have the work; bounds the cost at any fleet size."""
+    excluded = work.excluded
+    usable = (one for one in fleet.endpoints if one.upstream not in excluded)
+    return list(islice(usable, MAX_REPLICAS))
+
+
 def _can_end(work: EngineWork, fleet: EngineFleet) -> bool:
     """Whether there is time and memory for the work, if all replicas were idle."""
     shortest = compute_shortest_prefill(work, fleet)
@@ -316,12 +334,11 @@
     """
     booking.is_held = True
     booking.until = max(booking.due, now) + KEEP_S
-    usable = [one for one in fleet.endpoints if one.upstream not in work.excluded]
 
     def count_jobs(endpoint: Endpoint) -> int:
         load = fleet.loads.get(endpoint.upstream)
         return len(load.parts) if load is not None else 0
 
-    endpoint = min(usable or fleet.endpoints, key=count_jobs)
+    endpoint = min(_list_usable(work, fleet), key=count_jobs)
     prefill = compute_prefill_time(fleet.profile, work.prompt_tokens)
     return Placement(endpoint.upstream, endpoint.address, (), HOLD_S + prefill, HOLD_S)
--- a/tests/unit/gateway/test_return_schedule.py
+++ b/tests/unit/gateway/test_return_schedule.py
@@ -8,6 +8,7 @@
 from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S, age_work
+from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.return_schedule import (
     HEEDED_SHARE,
     KEEP_S,
@@ -15,7 +16,8 @@
     SPACING_S,
     ReturnSchedule,
 )
-from scalebend.models.ids import Fingerprint
+from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.models.ids import Fingerprint, InstanceId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
@@ -23,6 +25,7 @@
     OpenJob,
     Placement,
 )
+from scalebend.models.rate_limits import ObservedLimit
 from tests.lib.gateway_builders import (
     PROFILE,
     SERVICE,
@@ -30,7 +33,7 @@
     build_quick,
     build_work,
 )
-from tests.lib.returning_callers import build_table, is_held, place
+from tests.lib.returning_callers import Directory, build_table, is_held, place
 
 FOUR = tuple(build_endpoint(number) for number in range(1, 5))
 COMPETING = build_table(PROFILE, 2, SERVICE)
@@ -239,6 +242,21 @@
     outcomes = [outcome.value for outcome in leader.returns.pop_outcomes()]
     assert outcomes == ["booked", "held", "refused"]
     assert leader.returns.pop_outcomes() == []
+    metrics = GatewayMetrics()
+    for outcome in outcomes:
+        metrics.count_prompt_without_room(outcome)
+    sample = b'scalebend_prompts_without_room_total{outcome="held"} 1.0'
+    assert sample in metrics.render()
+
+
+def test_held_request_is_an_ordinary_placement_for_fronts_of_any_version(leader):
+    work = age_work(build_long(1), 1.5)
+    reply = leader.place(work, COMPETING, Directory(FOUR), 0.0, may_grant=True)
+    assert reply.declined is None
+    encoded = msgspec.msgpack.encode(reply.placement)
+    fields = msgspec.msgpack.decode(encoded)
+    assert len(fields) == len(msgspec.structs.fields(Placement)) == 5
+    assert fields[4] > REPLAN_INTERVAL_S
 
 
 # Where returns are not booked
@@ -253,6 +271,26 @@
     assert leader.returns.bookings == 0
 
 
+def test_prompts_that_no_replica_may_have_are_declined_as_before(leader):
+    excluded = tuple(endpoint.upstream for endpoint in FOUR)
+    for prompt in (5_000, 200_000):
+        work = build_long(1, prompt, excluded=excluded)
+        assert ask(leader, work, 0.0) == Declined(NO_REPLICA_RETRY_S)
+    none = place(leader, COMPETING, (), build_long(2), 0.0)
+    assert none == Declined(NO_REPLICA_RETRY_S)
+    assert leader.returns.bookings == 0
+
+
+def test_returns_are_not_booked_where_replicas_are_rate_limited():
+    limits = LimitExchange()
+    leader = LeaderPlacement(limits, 0.0)
+    fill(leader, 0.0)
+    limits.receive(InstanceId("front-1"), [ObservedLimit(FOUR[0].upstream, 1.0, 0)], 0)
+    assert limits.has_limits
+    assert isinstance(ask(leader, build_long(1), 0.0), Declined)
+    assert leader.returns.bookings == 0
+
+
 def test_front_of_the_version_before_is_answered_as_before(leader):
     work = build_long(1, fingerprint=None)
     old = msgspec.msgpack.encode(msgspec.structs.astuple(work)[:10])
