Let a late request wait while others can still be on time

It now comes first again when less than half of its time is left. A caller that comes back after its moment is held, too.

--- a/src/scalebend/core/gateway/return_schedule.py
+++ b/src/scalebend/core/gateway/return_schedule.py
@@ -48,8 +48,8 @@
 would be placed in no order."""
 
 KEEP_S = 1.5
-"""Time after its moment for which a booking is kept: a caller that heeds it connects
-anew and meets a front within that."""
+"""Time after its moment for which others leave room for a booking: a caller that heeds
+it connects anew and meets a front within that."""
 
 MAX_BOOKINGS = 500
 """Bookings that are kept; beyond them, callers are refused without one. Each placement
@@ -71,6 +71,10 @@
 """Share of the remaining time that the prefill of a held request may take; the rest is
 for decoding and for delays."""
 
+URGENT_SHARE = 0.45
+"""Share of its time that is left when a late request comes first again. Until then,
+those that can still be on time go before it: it earns the same at any later moment."""
+
 OVERDUE_S = 3.0
 """Time past its moment after which smaller long prompts yield to a held one, too: it
 needs several replicas at once, and each of them would delay it again."""
@@ -103,11 +107,25 @@
     """When room for it is expected."""
 
     until: float
-    """When it is forgotten, unless its caller asks again."""
+    """When others no longer leave room for it, unless its caller asks again."""
+
+    deadline: float
+    """When it is forgotten: whoever comes back before is not refused again."""
+
+    on_time_until: float
+    """When its target has passed."""
+
+    urgent_from: float
+    """When it comes first again, although its target has passed."""
 
     is_held: bool = False
     """Whether its caller came back and waits."""
 
+    def is_first(self, now: float) -> bool:
+        """Whether its time has come: to be on time, or at all."""
+        is_patient = self.on_time_until < now < self.urgent_from
+        return self.due <= now and not is_patient
+
 
 def has_booked_returns(routing: Routing) -> bool:
     """Whether callers of several customers compete for the engines.
@@ -135,8 +153,8 @@
         return outcomes
 
     def expire(self, now: float) -> None:
-        """Forget the bookings of callers that did not come back in time."""
-        for name in [n for n, one in self._bookings.items() if one.until < now]:
+        """Forget the bookings of requests whose deadline has passed."""
+        for name in [n for n, one in self._bookings.items() if one.deadline < now]:
             del self._bookings[name]
 
     # Before the choice of replicas
@@ -174,7 +192,7 @@
                 continue
             if is_early:
                 return True
-            if one.due <= now and (
+            if one.is_first(now) and (
                 one.prefill_s <= prefill
                 or (now - one.due > OVERDUE_S and prefill > MIN_YIELDING_PREFILL_S)
             ):
@@ -211,7 +229,7 @@
         booking = self._bookings.get(work.fingerprint)
         if booking is not None and booking.is_held:
             return _hold(work, booking, fleet, now)
-        room_in = forecast_room(work, fleet, now, self._sum_ahead(work))
+        room_in = forecast_room(work, fleet, now, self._sum_ahead(work, now))
         if booking is None:
             if len(self._bookings) >= MAX_BOOKINGS:
                 self._record(Outcome.REFUSED, work, room_in, declined.retry_after)
@@ -251,11 +269,13 @@
                 moment = due - SPACING_S
         return max(earliest, moment)
 
-    def _sum_ahead(self, work: EngineWork) -> QueuedAhead:
+    def _sum_ahead(self, work: EngineWork, now: float) -> QueuedAhead:
         ahead = [
             one
             for name, one in self._bookings.items()
-            if one.service == work.service and name != work.fingerprint
+            if one.service == work.service
+            and name != work.fingerprint
+            and one.until >= now
         ]
         return QueuedAhead(
             sum(one.prefill_s for one in ahead), sum(one.tokens for one in ahead)
@@ -315,12 +335,16 @@
 
 
 def _book(work: EngineWork, fleet: EngineFleet, now: float) -> Booking:
+    time = work.waited + work.remaining
     return Booking(
         work.service,
         compute_prefill_time(fleet.profile, work.prompt_tokens),
         work.prompt_tokens + work.output_tokens,
         due=now,
         until=now + KEEP_S,
+        deadline=now + work.remaining,
+        on_time_until=now + work.target,
+        urgent_from=now + work.remaining - URGENT_SHARE * time,
     )
 
 
--- a/tests/unit/gateway/test_return_schedule.py
+++ b/tests/unit/gateway/test_return_schedule.py
@@ -166,7 +166,22 @@
     assert isinstance(ask(leader, quick, wait + 0.03), Placement)
 
 
-def test_booking_is_kept_for_a_short_time_only(leader):
+def test_late_request_comes_first_again_only_when_little_time_is_left(leader):
+    work = build_long(1, 200_000)
+    ask(leader, work, 0.0)
+    for now in (4.9, 5.5, 8.0, 8.4):
+        again = return_as(work, 2, now)
+        held = ask(leader, again, now)
+        assert is_held(leader, held, again)
+    empty(leader, 8.0)
+    on_time = build_long(3, 300_000)
+    assert not is_held(leader, ask(leader, on_time, 8.1), on_time)
+    leader.scheduler.forget(on_time.job)
+    other = build_long(4, 300_000)
+    assert is_held(leader, ask(leader, other, 8.5), other)
+
+
+def test_room_is_kept_for_a_short_time_only(leader):
     work = build_long(1, 200_000)
     wait = ask(leader, work, 0.0).retry_after
     empty(leader, wait)
@@ -179,6 +194,13 @@
     assert not is_held(leader, placed, newcomer)
 
 
+def test_caller_that_returns_late_is_not_refused_again(leader):
+    work = build_long(1)
+    wait = ask(leader, work, 0.0).retry_after
+    again = return_as(work, 2, wait + 2.0 * KEEP_S)
+    assert is_held(leader, ask(leader, again, wait + 2.0 * KEEP_S), again)
+
+
 def test_hopeless_prompts_are_refused_without_a_place(leader):
     too_large = build_long(1, 1_900_000, remaining=60.0)
     hurried = build_long(2, 400_000, remaining=0.5)
