--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -288,7 +288,7 @@
             case PlacementRequest(work, may_wait):
                 return [ToFront(front, self._place(work, now, may_wait=may_wait))]
             case JobStages(stages):
-                self.placement.record_stages(stages, self.table, now)
+                self.placement.record_stages(stages, now)
                 return self._release_queued(now)
             case ReplicaFailures(upstreams):
                 self.placement.record_inspection([], upstreams, now)
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -14,14 +14,14 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
-from scalebend.core.gateway.queued_placement import Queued, QueuedPlacement
+from scalebend.core.gateway.queued_placement import QueuedPlacement
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.service_room import EngineRoom
+from scalebend.core.gateway.waiting_line import Queued
 from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
-    JobId,
     JobStage,
     OpenJob,
     ReplicaPace,
@@ -75,7 +75,7 @@
         for job in jobs:
             profile = table.find_engine(job.work.service)
             if profile is not None:
-                self.queue.remove(job.work.job)
+                self.queue.record_open(job.work, now)
                 self.scheduler.adopt(job, profile, now)
 
     def record_inspection(
@@ -90,22 +90,15 @@
         for upstream in unresponsive:
             self.scheduler.record_failure(upstream, now)
 
-    def record_stages(
-        self, stages: Iterable[JobStage], table: RouteTable, now: float
-    ) -> None:
+    def record_stages(self, stages: Iterable[JobStage], now: float) -> None:
         """Record first tokens and ends of jobs, queued ones included."""
         for stage in stages:
             if stage.is_ended:
-                self._record_end(stage.job, table, now)
+                has_started = self.scheduler.is_decoding(stage.job)
+                self.queue.remove(stage.job, has_started=has_started)
+                self.queue.record_change()
             self.scheduler.record_stage(stage, now)
 
-    def _record_end(self, job: JobId, table: RouteTable, now: float) -> None:
-        self.queue.remove(job)
-        work = self.scheduler.find_work(job)
-        profile = table.find_engine(work.service) if work is not None else None
-        if work is not None and profile is not None:
-            self.queue.record_end(work, profile, now)
-
     def place(
         self,
         work: EngineWork,
@@ -201,4 +194,5 @@
             slow=summary.slow,
             suspect=summary.suspect,
             fronts=fronts,
+            bookings=self.queue.returns.bookings,
         )
--- a/src/scalebend/core/gateway/placement_queue.py
+++ b/src/scalebend/core/gateway/placement_queue.py
@@ -38,6 +38,10 @@
 """Share of the rest of its wait for which a request that is late lets others be on
 time. Memory may have to add up for it in what is left."""
 
+LATE_TARGET_SHARE = 0.4
+"""Share of its remaining time by which a request that came back is placed at least,
+once its own target is shorter: it is served late rather than never."""
+
 PRIORITY_STEP_S = 4.0
 """Seconds of slack that one priority level is worth: more than quick and long targets
 differ by, and less than callers wait, so that no level starves."""
@@ -79,6 +83,32 @@
     return work.prompt_tokens + work.output_tokens + MEMORY_MARGIN_TOKENS
 
 
+class Position(msgspec.Struct, frozen=True):
+    """Place in the order of a request that was refused before; clock times in seconds.
+
+    It is the same as if the request had waited since its first arrival.
+    """
+
+    rank: float
+    on_time_until: float
+    """When its target has passed."""
+
+    late_rank: float
+    """Its rank from then on."""
+
+    target: float
+    """Target by which it is placed at least: with what is left of it, a prompt with a
+    long prefill would be declined for being late, though there is room."""
+
+    is_served_late: bool
+    """Whether the choice of replicas accepts it without any target left, with as few
+    replicas as can end it."""
+
+    def compute_rank(self, now: float) -> float:
+        """Compute its rank, that of a request that waited on."""
+        return self.rank if now <= self.on_time_until else self.late_rank
+
+
 class Waiting(msgspec.Struct, eq=False):
     """One request that waits; clock times in seconds."""
 
@@ -104,9 +134,31 @@
     is_kept: bool = False
     """Whether replicas are kept free for it, so that it keeps its rank."""
 
+    position: Position | None = None
+    """Its place in the order, if it was refused before."""
+
+    @property
+    def on_time_until(self) -> float:
+        """When it cannot be on time any more."""
+        if self.position is not None:
+            return self.position.on_time_until
+        return self.announced_at + self.work.target
+
     def build_work(self, now: float) -> EngineWork:
         """Return the request at ``now``, with less time left."""
-        return age_work(self.work, now - self.announced_at)
+        work = age_work(self.work, now - self.announced_at)
+        if self.position is None:
+            return work
+        target = max(self.position.target, LATE_TARGET_SHARE * work.remaining)
+        if now > self.position.on_time_until and self.position.is_served_late:
+            target = 0.0
+        return msgspec.structs.replace(work, target=target)
+
+    def compute_late_rank(self, now: float) -> float:
+        """Compute the rank with which it waits on once it cannot be on time."""
+        if self.position is not None:
+            return self.position.late_rank
+        return compute_rank(self.build_work(now), now)
 
 
 class _Heap:
@@ -256,11 +308,16 @@
         return list(self._entries)
 
     def add(
-        self, work: EngineWork, now: float, max_wait: float = math.inf
+        self,
+        work: EngineWork,
+        now: float,
+        max_wait: float = math.inf,
+        position: Position | None = None,
     ) -> Waiting | None:
         """Let a request wait for up to ``max_wait`` seconds.
 
-        Return ``None`` if there is no room in the queue.
+        With a ``position``, there is no other limit. Return ``None`` if there is no
+        room in the queue.
         """
         size = WORK_BYTES + EXCLUDED_BYTES * len(work.excluded)
         # As many as there are free places: one customer never fills the queue.
@@ -268,14 +325,13 @@
         is_full = self._customers[work.customer] >= allowed
         if is_full or self._bytes + size > MAX_BYTES:
             return None
+        if position is None:
+            rank, is_late = compute_rank(work, now), work.target <= 0.0
+            max_wait = min(compute_wait_limit(work), max_wait)
+        else:
+            rank, is_late = position.compute_rank(now), now > position.on_time_until
         entry = Waiting(
-            work,
-            now,
-            compute_rank(work, now),
-            0,
-            size,
-            now + min(compute_wait_limit(work), max_wait),
-            is_late=work.target <= 0.0,
+            work, now, rank, 0, size, now + max_wait, is_late=is_late, position=position
         )
         self._bytes += size
         self._push(entry)
@@ -366,15 +422,11 @@
             job = level.by_rank.find_first()
             assert job is not None
             entry = self._entries[job]
-            if (
-                entry.is_late
-                or entry.is_kept
-                or entry.announced_at + entry.work.target > now
-            ):
+            if entry.is_late or entry.is_kept or entry.on_time_until > now:
                 return
             self.remove(job)
             entry.is_late = True
-            entry.rank = compute_rank(entry.build_work(now), now)
+            entry.rank = entry.compute_late_rank(now)
             self.put_back(entry)
 
     def _push(self, entry: Waiting) -> None:
--- a/src/scalebend/core/gateway/queued_placement.py
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -7,17 +7,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
 
 import msgspec
 import structlog
 
-from scalebend.core.gateway.engine_costs import (
-    MIN_SPLIT_PREFILL_S,
-    compute_batch_step_time,
-    compute_prefill_time,
-)
-from scalebend.core.gateway.group_placement import MAX_LATE_PREFILL_S
+from scalebend.core.gateway.admission import Admission, can_be_served
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S, age_placement
 from scalebend.core.gateway.placement_plan import NO_MEMORY_RETRY_S
 from scalebend.core.gateway.placement_queue import (
@@ -26,8 +20,17 @@
     compute_rank,
     compute_wait_limit,
 )
-from scalebend.core.gateway.waiting_line import Answer, WaitingLine
-from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
+from scalebend.core.gateway.return_schedule import Booking, Outcome, ReturnSchedule
+from scalebend.core.gateway.room_forecast import compute_latest_start
+from scalebend.core.gateway.service_room import EngineRoom
+from scalebend.core.gateway.waiting_line import (
+    Answer,
+    Queued,
+    Released,
+    WaitingLine,
+)
+from scalebend.core.gateway.work_kinds import compute_cost, is_never_late, is_quick
+from scalebend.models.ids import InstanceId, ServiceName
 from scalebend.models.placement import (
     Declined,
     EngineWork,
@@ -35,12 +38,15 @@
     Placement,
     is_job_of,
 )
-from scalebend.models.routing import EngineProfile
 
 logger = structlog.get_logger(__name__)
 
 MAX_PLANNED = 8
-"""Requests with reserved starts; bounds the cost of planning anew."""
+"""Requests that are tried in one plan; bounds its cost."""
+
+MAX_RESERVED = 2
+"""Requests with reserved starts. A reserved start keeps quick prompts off its replicas
+before it, so that only the first ones have one."""
 
 MAX_BACKFILLED = 4
 """Small prompts placed ahead of others in one plan."""
@@ -64,52 +70,17 @@
 which fronts ask, so that no reply lost with a link makes a second placement."""
 
 
-class ServiceRoom(Protocol):
-    """Room at the engines of one service, now."""
-
-    profile: EngineProfile
-
-    def place(self, work: EngineWork) -> Placement | Declined:
-        """Choose replicas and count the job there."""
-
-    def withdraw(self, job: JobId) -> None:
-        """Undo the placement of a job that was not sent."""
-
-    def count_free_slots(self) -> int:
-        """Count the slots that are free for quick prompts."""
-
-    def list_freest(self, tokens: int) -> list[UpstreamId]:
-        """Return the fewest replicas that hold ``tokens`` once idle, if there are."""
-
-
-class Queued(msgspec.Struct, frozen=True):
-    """A request that waits."""
-
-    plan: Placement | None
-    expected: float | None
-    """Seconds until it is expected to start, if known."""
-
-
-class Released(msgspec.Struct, frozen=True):
-    """A request that waits no longer."""
-
-    work: EngineWork
-    placed: Placement | Declined
-
-
-def compute_cost(work: EngineWork, profile: EngineProfile) -> float:
-    """Compute the engine time of a response in seconds, decoding shared by a batch."""
-    step = compute_batch_step_time(profile, [work.prompt_tokens])
-    steps = work.expected_tokens / max(1, profile.decode_steps_per_batch_step)
-    prefill = compute_prefill_time(profile, work.prompt_tokens)
-    return prefill + steps * step / max(1, profile.slots)
-
-
 class QueuedPlacement:
     """Requests that wait at the leader, and the order in which they get room."""
 
     def __init__(self) -> None:
         self._lines: dict[ServiceName, WaitingLine] = {}
+        self._admission = Admission()
+
+    @property
+    def returns(self) -> ReturnSchedule:
+        """Positions of the requests that were refused."""
+        return self._admission.returns
 
     @property
     def waiting(self) -> int:
@@ -118,8 +89,22 @@
 
     # Inputs
 
-    def remove(self, job: JobId) -> None:
-        """Remove a request that ended, or that runs elsewhere."""
+    def remove(self, job: JobId, *, has_started: bool = False) -> None:
+        """Remove a request that ended, or whose caller left.
+
+        ``has_started`` is whether its first token was seen.
+        """
+        self._remove(job)
+        self.returns.record_end(job, has_started=has_started)
+
+    def record_open(self, work: EngineWork, now: float) -> None:
+        """Remove a request that its front sent to engines."""
+        self._remove(work.job)
+        booking = self.returns.find(work)
+        if booking is not None:
+            self.returns.record_placed(booking, work, now)
+
+    def _remove(self, job: JobId) -> None:
         for line in self._lines.values():
             line.remove(job)
             line.answers.pop(job, None)
@@ -130,28 +115,25 @@
             for queue in (line.quick, line.long):
                 for job in [one for one in queue.list_jobs() if is_job_of(front, one)]:
                     line.remove(job)
+                    self.returns.record_end(job, has_started=False)
 
     def record_change(self) -> None:
         """Record that room may have been given back."""
         for line in self._lines.values():
             line.is_changed = True
 
-    def record_end(self, work: EngineWork, profile: EngineProfile, now: float) -> None:
-        """Record that a job ended and gave its memory back."""
-        line = self._lines.get(work.service)
-        if line is not None and not is_quick(work, profile):
-            line.freed.record(compute_memory(work), now)
-        self.record_change()
-
     # Decisions
 
     def place(
-        self, work: EngineWork, room: ServiceRoom, now: float, *, may_wait: bool
+        self, work: EngineWork, room: EngineRoom, now: float, *, may_wait: bool
     ) -> Placement | Declined | Queued:
         """Place a request, let it wait, or decline it.
 
-        A request that already waits keeps its place.
+        A request that already waits keeps its place, and one that was refused before
+        has the position of its first arrival.
         """
+        can_return = may_wait
+        booking = self.returns.find(work) if may_wait else None
         line = self._lines.get(work.service)
         if line is None:
             line = self._lines[work.service] = WaitingLine(now)
@@ -159,35 +141,41 @@
             known = self._find_known(line, work, room, now)
             if known is not None:
                 return known
-        may_wait &= compute_wait_limit(work) > 0.0
+        may_wait &= booking is not None or compute_wait_limit(work) > 0.0
         if is_quick(work, room.profile):
             if may_wait and (len(line.quick) or not room.count_free_slots()):
                 if line.quick.add(work, now) is not None:
                     return self._log_queued(line, work, Queued(None, None), now)
             may_wait = False
         rank = compute_rank(work, now)
+        if booking is not None:
+            rank = booking.position.compute_rank(now)
         first = line.long.find_first(now) if may_wait and line.is_changed else None
         if first is not None and line.is_behind(work, rank, first, now):
             # Room may be free that was not offered yet to those that wait.
-            waits = self._let_wait(line, work, None, room, now, is_tried=False)
+            waits = self._let_wait(line, work, None, room, now, booking, is_tried=False)
             if waits is not None:
                 return waits
         placed, is_restricted = _place_around(line, work, rank, room, now)
         if may_wait and (
             placed.start_in > REPLAN_INTERVAL_S
             if isinstance(placed, Placement)
-            else placed.lacks_memory or is_restricted
+            else placed.lacks_memory or is_restricted or booking is not None
         ):
             plan = placed if isinstance(placed, Placement) else None
-            waits = self._let_wait(line, work, plan, room, now)
+            waits = self._let_wait(line, work, plan, room, now, booking)
             if waits is not None:
                 return waits
         if isinstance(placed, Placement):
             line.use.charge(work.customer, compute_cost(work, room.profile), now)
+            if booking is not None:
+                self.returns.record_placed(booking, work, now)
+        elif can_return:
+            placed = self._admission.refuse(line, work, placed, room, now)
         return placed
 
     def advance(
-        self, find_room: Callable[[ServiceName], ServiceRoom | None], now: float
+        self, find_room: Callable[[ServiceName], EngineRoom | None], now: float
     ) -> list[Released]:
         """Give room to those that wait, and end the waits that are too long."""
         released = []
@@ -209,12 +197,13 @@
         return released
 
     def expire(self, now: float) -> None:
-        """Forget customers that received nothing for long."""
+        """Forget customers that received nothing for long, and expired bookings."""
+        self.returns.expire(now)
         for line in self._lines.values():
             line.use.expire(now)
 
     def _find_known(
-        self, line: WaitingLine, work: EngineWork, room: ServiceRoom, now: float
+        self, line: WaitingLine, work: EngineWork, room: EngineRoom, now: float
     ) -> Placement | Declined | Queued | None:
         """Return what is known of a request about which its front asks again."""
         answer = line.answers.get(work.job)
@@ -228,7 +217,9 @@
         queue, entry = found
         queue.renew(work, now)
         if entry.plan is None:
-            return Queued(None, self._estimate(line, entry.rank, now))
+            rank = entry.rank
+            expected = self._admission.forecast(line, work, rank, room, now)
+            return Queued(None, expected)
         plan = age_placement(entry.plan, now - entry.planned_at)
         if plan.start_in <= REPLAN_INTERVAL_S:
             # The front sends it before the next plan would reach it.
@@ -243,28 +234,40 @@
         line: WaitingLine,
         work: EngineWork,
         plan: Placement | None,
-        room: ServiceRoom,
+        room: EngineRoom,
         now: float,
+        booking: Booking | None,
         *,
         is_tried: bool = True,
     ) -> Queued | None:
         """Let a long prompt wait, with or without a plan; ``None`` if it must not."""
+        admission = self._admission
+        position = booking.position if booking is not None else None
         max_wait = compute_wait_limit(work)
-        if _is_never_late(work, room.profile):
+        if position is not None:
+            max_wait = compute_latest_start(work, room.describe_fleet())
+        elif is_never_late(work, room.profile):
             max_wait = min(max_wait, work.target)
-        memory = compute_memory(work)
         expected = plan.start_in if plan is not None else None
         if plan is None:
-            if is_tried:
-                expected = self._estimate(line, compute_rank(work, now), now, memory)
-            is_hopeless = expected is not None and expected > max_wait
-            if is_hopeless or not room.list_freest(memory):
+            if not can_be_served(work, room.describe_fleet()):
+                return None
+            if not room.list_freest(compute_memory(work)):
                 return None
-        entry = line.long.add(work, now, max_wait)
+            if is_tried and position is None:
+                rank = compute_rank(work, now)
+                expected = admission.forecast(line, work, rank, room, now)
+                is_too_late = expected is None or expected > max_wait
+                if is_too_late and admission.may_refuse(line, work, room):
+                    return None
+        entry = line.long.add(work, now, max_wait, position)
         if entry is None:
             return None
+        if booking is not None:
+            self.returns.record_waiting(booking, work.job)
+            self.returns.record(Outcome.HELD, work)
         line.is_changed = True
-        if plan is not None and len(line.planned) < MAX_PLANNED:
+        if plan is not None and len(line.planned) < MAX_RESERVED:
             entry.plan, entry.planned_at = plan, now
             line.planned.append(work.job)
         elif plan is not None:
@@ -273,25 +276,6 @@
             line.untried.append(work.job)
         return self._log_queued(line, work, Queued(entry.plan, expected), now)
 
-    def _estimate(
-        self, line: WaitingLine, rank: float, now: float, memory: int = 0
-    ) -> float | None:
-        """Estimate when memory will be given back for all up to ``rank``.
-
-        ``memory`` are the tokens of a request that does not wait yet.
-        """
-        rate = line.freed.compute_rate(now)
-        if rate <= 0.0:
-            return None
-        planned = [line.long.get(job) for job in line.planned]
-        reserved = sum(
-            compute_memory(one.work)
-            for one in planned
-            if one is not None and one.rank <= rank
-        )
-        missing = line.long.sum_memory_before(rank) - reserved + memory
-        return max(0, missing) / rate
-
     def _log_queued(
         self, line: WaitingLine, work: EngineWork, queued: Queued, now: float
     ) -> Queued:
@@ -312,7 +296,7 @@
     # Room for those that wait
 
     def _end_waits(
-        self, line: WaitingLine, room: ServiceRoom, now: float
+        self, line: WaitingLine, room: EngineRoom, now: float
     ) -> list[Released]:
         """Place or decline the requests whose wait has ended."""
         released = []
@@ -325,7 +309,7 @@
         return released
 
     def _serve_quick(
-        self, line: WaitingLine, room: ServiceRoom, now: float
+        self, line: WaitingLine, room: EngineRoom, now: float
     ) -> list[Released]:
         """Give free slots to quick prompts."""
         released: list[Released] = []
@@ -340,7 +324,7 @@
         return released
 
     def _plan_if_due(
-        self, line: WaitingLine, room: ServiceRoom, now: float
+        self, line: WaitingLine, room: EngineRoom, now: float
     ) -> list[Released]:
         age = now - line.planned_at
         if not len(line.long) or age < (
@@ -351,7 +335,7 @@
         line.planned_at = now
         return self._plan(line, room, now)
 
-    def _plan(self, line: WaitingLine, room: ServiceRoom, now: float) -> list[Released]:
+    def _plan(self, line: WaitingLine, room: EngineRoom, now: float) -> list[Released]:
         """Plan the first long prompts anew, in order; release those that may start."""
         queue = line.long
         for job in line.planned:
@@ -377,7 +361,8 @@
                 is_final = (
                     not placed.lacks_memory
                     and not is_restricted
-                    and _is_never_late(work, room.profile)
+                    and entry.position is None
+                    and is_never_late(work, room.profile)
                 )
             else:
                 is_final = placed.start_in <= REPLAN_INTERVAL_S
@@ -388,8 +373,11 @@
                 continue
             kept.append(entry)
             if isinstance(placed, Placement):
-                entry.plan, entry.planned_at = placed, now
-                line.planned.append(work.job)
+                if len(line.planned) < MAX_RESERVED:
+                    entry.plan, entry.planned_at = placed, now
+                    line.planned.append(work.job)
+                else:
+                    room.withdraw(work.job)
             elif placed.lacks_memory and not lacks_any:
                 lacks_any = True
                 _keep_free(line, entry, room, now)
@@ -399,22 +387,25 @@
             queue.put_back(entry)
         if len(kept) == MAX_PLANNED:
             released += self._backfill(line, room, now)
-        if lacks_any:
+        if kept:
             released += self._decline_hopeless(line, room, now)
         line.untried.clear()
         return released
 
     def _decline_hopeless(
-        self, line: WaitingLine, room: ServiceRoom, now: float
+        self, line: WaitingLine, room: EngineRoom, now: float
     ) -> list[Released]:
         """Decline the last requests added since the last plan that wait too long."""
         released: list[Released] = []
         for job in reversed(line.untried):
             entry = line.long.get(job)
-            if entry is None or entry.plan is not None:
+            if entry is None or entry.plan is not None or entry.position is not None:
                 continue
-            expected = self._estimate(line, entry.rank, now)
-            if expected is None or now + expected <= entry.limit:
+            work, rank = entry.build_work(now), entry.rank
+            expected = self._admission.forecast(line, work, rank, room, now)
+            if expected is not None and now + expected <= entry.limit:
+                continue
+            if not self._admission.may_refuse(line, work, room):
                 continue
             line.remove(job)
             declined = Declined(NO_MEMORY_RETRY_S, lacks_memory=True)
@@ -422,7 +413,7 @@
         return released
 
     def _backfill(
-        self, line: WaitingLine, room: ServiceRoom, now: float
+        self, line: WaitingLine, room: EngineRoom, now: float
     ) -> list[Released]:
         """Start the smallest prompts that wait where they take no reserved room."""
         released: list[Released] = []
@@ -446,13 +437,18 @@
         line: WaitingLine,
         entry: Waiting,
         placed: Placement | Declined,
-        room: ServiceRoom,
+        room: EngineRoom,
         now: float,
     ) -> Released:
         work = entry.build_work(now)
         is_placed = isinstance(placed, Placement)
-        if is_placed:
+        if isinstance(placed, Placement):
             line.use.charge(work.customer, compute_cost(work, room.profile), now)
+            booking = self.returns.find(work)
+            if booking is not None:
+                self.returns.record_placed(booking, work, now)
+        else:
+            placed = self._admission.refuse(line, work, placed, room, now)
         logger.info(
             "queued request placed" if is_placed else "queued request declined",
             job=work.job,
@@ -473,21 +469,11 @@
             del line.answers[job]
 
 
-def is_quick(work: EngineWork, profile: EngineProfile) -> bool:
-    """Whether a prompt is never split, so that it needs little but a slot."""
-    return compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
-
-
-def _is_never_late(work: EngineWork, profile: EngineProfile) -> bool:
-    """Whether a prompt is declined rather than served late."""
-    return compute_prefill_time(profile, work.prompt_tokens) > MAX_LATE_PREFILL_S
-
-
 def _place_around(
     line: WaitingLine,
     work: EngineWork,
     rank: float,
-    room: ServiceRoom,
+    room: EngineRoom,
     now: float,
     entry: Waiting | None = None,
 ) -> tuple[Placement | Declined, bool]:
@@ -508,9 +494,7 @@
     return room.place(work), is_restricted
 
 
-def _keep_free(
-    line: WaitingLine, entry: Waiting, room: ServiceRoom, now: float
-) -> None:
+def _keep_free(line: WaitingLine, entry: Waiting, room: EngineRoom, now: float) -> None:
     """Keep replicas free until they can hold the first request that lacks memory."""
     if line.kept_for is entry and now - line.kept_since < KEEP_FREE_S:
         return
--- a/src/scalebend/core/gateway/service_room.py
+++ b/src/scalebend/core/gateway/service_room.py
@@ -11,6 +11,7 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.placement_plan import MAX_HELPERS, MEMORY_MARGIN_TOKENS
+from scalebend.core.gateway.room_forecast import EngineFleet
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import ServiceName, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
@@ -43,6 +44,15 @@
         """Undo the placement of a job that was not sent."""
         self.limits.withdraw(self.scheduler, job, self.now)
 
+    def describe_fleet(self) -> EngineFleet:
+        """Return the replicas with their loads, for forecasts."""
+        return self.scheduler.describe_fleet(self.endpoints, self.profile)
+
+    def is_rate_limited(self) -> bool:
+        """Whether any replica of the service is rate limited."""
+        limited = set(self.limits.budget.list_limited())
+        return any(one.upstream in limited for one in self.endpoints)
+
     def count_free_slots(self) -> int:
         """Count the free slots of healthy replicas; those of all if none is healthy."""
         pool = self.scheduler.refresh(
--- a/src/scalebend/core/gateway/waiting_line.py
+++ b/src/scalebend/core/gateway/waiting_line.py
@@ -7,35 +7,33 @@
 import msgspec
 
 from scalebend.core.gateway.customer_use import CustomerUse
-from scalebend.core.gateway.placement_queue import PlacementQueue, Waiting
+from scalebend.core.gateway.placement_queue import (
+    PlacementQueue,
+    Waiting,
+    compute_memory,
+)
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 
-FREED_DECAY_S = 3.0
-"""Time constant of the rate at which memory is given back: about one response."""
-
 
 class Answer(msgspec.Struct, frozen=True):
     placed: Placement | Declined
     at: float
 
 
-class FreedMemory:
-    """Decaying rate at which long prompts give memory back, in tokens."""
+class Queued(msgspec.Struct, frozen=True):
+    """A request that waits."""
 
-    def __init__(self) -> None:
-        self._tokens = 0.0
-        self._at = 0.0
+    plan: Placement | None
+    expected: float | None
+    """Seconds until it is expected to start, if known."""
 
-    def record(self, tokens: int, now: float) -> None:
-        self._tokens = self._decay(now) + tokens
-        self._at = now
 
-    def compute_rate(self, now: float) -> float:
-        return self._decay(now) / FREED_DECAY_S
+class Released(msgspec.Struct, frozen=True):
+    """A request that waits no longer."""
 
-    def _decay(self, now: float) -> float:
-        return self._tokens * math.exp(-max(0.0, now - self._at) / FREED_DECAY_S)
+    work: EngineWork
+    placed: Placement | Declined
 
 
 class WaitingLine:
@@ -45,7 +43,6 @@
         self.use = CustomerUse(now)
         self.quick = PlacementQueue(self.use)
         self.long = PlacementQueue(self.use)
-        self.freed = FreedMemory()
         self.planned: list[JobId] = []
         self.answers: dict[JobId, Answer] = {}
         self.is_changed = False
@@ -92,6 +89,19 @@
             work.customer, self.use.get_grown(other.customer), now
         )
 
+    def sum_memory_before(self, rank: float) -> int:
+        """Sum the tokens that long prompts up to ``rank`` need.
+
+        Those with reserved replicas count there already.
+        """
+        planned = [self.long.get(job) for job in self.planned]
+        reserved = sum(
+            compute_memory(one.work)
+            for one in planned
+            if one is not None and one.rank <= rank
+        )
+        return max(0, self.long.sum_memory_before(rank) - reserved)
+
     def stop_keeping(self) -> None:
         if self.kept_for is not None:
             self.kept_for.is_kept = False
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -123,6 +123,8 @@
             self._send_heartbeats()
             self.metrics.set_waiting_requests(self.instance.placement.queue.waiting)
             self._write_lists()
+            for outcome in self.instance.placement.queue.returns.pop_outcomes():
+                self.metrics.count_prompt_without_room(outcome.value)
             self.schedule_pump()
             await asyncio.sleep(TICK_INTERVAL_S)
 
