--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -109,7 +109,7 @@
         if job is None:
             return
         if stage.is_ended:
-            if job.is_decoding:
+            if job.is_decoding and not stage.has_failed:
                 self._decode_times.record(job, now - job.decoding_since)
             self._remove_job(stage.job)
         elif not job.is_decoding:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -141,6 +141,7 @@
                     refusal = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
                     return self._give_up(refusal, None)
                 result = await self._attempt(target)
+                self._choice.is_complete = result.outcome is Outcome.ANSWERED
             runtime.metrics.count_attempt(result.outcome.value)
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -363,10 +363,10 @@
         stage = JobStage(job, is_ended=False, load=count)
         self._execute(self.instance.record_stage(stage, self.now()))
 
-    def record_job_end(self, job: JobId) -> None:
+    def record_job_end(self, job: JobId, *, has_failed: bool = True) -> None:
         """Record that a job ended, with or without success."""
         self._leader_calls.forget_queued(job)
-        stage = JobStage(job, is_ended=True)
+        stage = JobStage(job, is_ended=True, has_failed=has_failed)
         self._execute(self.instance.record_stage(stage, self.now()))
 
     async def inspect(self, placement: Placement) -> list[UpstreamId]:
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -97,6 +97,9 @@
         self.has_failed = True
         """Whether the attempt failed; true until a response succeeded."""
 
+        self.is_complete = False
+        """Whether the attempt ended with a complete response."""
+
         self.retry_after = DEFAULT_RETRY_AFTER_S
         """Seconds after which the caller may retry, if nothing is chosen."""
 
@@ -227,7 +230,7 @@
                 )
         finally:
             self._cancel_inspection()
-            runtime.record_job_end(work.job)
+            runtime.record_job_end(work.job, has_failed=not self.is_complete)
 
     def _cancel_inspection(self) -> None:
         if self._inspection_timer is not None:
@@ -264,6 +267,7 @@
             "engines declined",
             request=self._call.headers.request,
             job=work.job,
+            fingerprint=work.fingerprint,
             prompt=work.prompt_tokens,
             excluded=len(work.excluded),
             limited=self._runtime.instance.limits.count_limited(),
@@ -278,6 +282,7 @@
             "engines chosen",
             request=self._call.headers.request,
             job=work.job,
+            fingerprint=work.fingerprint,
             prompt=work.prompt_tokens,
             upstream=placement.upstream,
             address=placement.address,
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -124,6 +124,9 @@
     load: int | None = None
     """Requests running and waiting at the lead replica, as it reports them."""
 
+    has_failed: bool = False
+    """Whether it ended without a complete response."""
+
 
 class OpenJob(msgspec.Struct, frozen=True, array_like=True):
     """An open job of a front, for a scheduler that does not know it yet."""
--- a/tests/unit/gateway/test_room_forecast.py
+++ b/tests/unit/gateway/test_room_forecast.py
@@ -5,7 +5,12 @@
 
 from scalebend.core.gateway.engine_costs import compute_prefill_time
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
-from scalebend.core.gateway.room_forecast import QueuedAhead, forecast_room
+from scalebend.core.gateway.room_forecast import (
+    OUTLOOK_LIFETIME_S,
+    Outlooks,
+    QueuedAhead,
+    forecast_room,
+)
 from scalebend.models.placement import JobStage
 from tests.lib.gateway_builders import PROFILE, build_endpoint, build_quick, build_work
 
@@ -60,6 +65,41 @@
     assert fleet.decode_times.predict(twice, PROFILE) == pytest.approx(0.8)
 
 
+def test_decode_times_are_not_learned_from_responses_that_were_cut_off():
+    scheduler = EngineScheduler()
+    work = build_quick(1)
+    start_jobs(scheduler, [work])
+    before = scheduler.describe_fleet(TWO, PROFILE).decode_times.predict(work, PROFILE)
+    scheduler.record_stage(JobStage(work.job, is_ended=False), 0.1)
+    scheduler.record_stage(JobStage(work.job, is_ended=True, has_failed=True), 9.0)
+    after = scheduler.describe_fleet(TWO, PROFILE).decode_times.predict(work, PROFILE)
+    assert after == before
+
+
+def test_stages_of_either_version_are_read_by_the_other():
+    class EarlierStage(msgspec.Struct, frozen=True, array_like=True):
+        job: str
+        is_ended: bool
+        load: int | None = None
+
+    new = msgspec.msgpack.encode(JobStage("j", is_ended=True, has_failed=True))
+    assert msgspec.msgpack.decode(new, type=EarlierStage) == EarlierStage("j", True)
+    old = msgspec.msgpack.encode(EarlierStage("j", True, 3))
+    assert msgspec.msgpack.decode(old, type=JobStage) == JobStage("j", True, 3)
+
+
+def test_outlook_of_a_moment_ago_forecasts_nearly_the_same():
+    scheduler = EngineScheduler()
+    start_jobs(scheduler, [build_work("first", 200_000, target=9.0)])
+    fleet = scheduler.describe_fleet(TWO, PROFILE)
+    outlooks = Outlooks()
+    for now in (0.0, 0.02, 0.04, 0.06):
+        kept = outlooks.forecast_room(LONG, fleet, now, QueuedAhead())
+        assert kept == pytest.approx(
+            forecast_room(LONG, fleet, now), abs=OUTLOOK_LIFETIME_S
+        )
+
+
 def test_scheduled_prefill_and_bookings_before_it_delay_room():
     scheduler = EngineScheduler()
     start_jobs(scheduler, [build_work("first", 200_000, target=9.0)])
--- a/tests/unit/test_decision_cost.py
+++ b/tests/unit/test_decision_cost.py
@@ -20,7 +20,7 @@
     Model,
 )
 from scalebend.models.ids import InstanceId, Region
-from scalebend.models.placement import JobStage, Placement
+from scalebend.models.placement import Declined, JobStage, Placement
 from scalebend.models.settings import Listen, Settings
 from scalebend.models.upstream import LoadedModel
 from scalebend.models.work import Grant, Reserve
@@ -241,3 +241,57 @@
 
 def test_freed_slot_among_six_hundred_replicas_with_two_thousand_waiting(benchmark):
     benchmark(build_queued_placement(600, 1_900))
+
+
+def build_refusal(replicas, waiting, bookings):
+    """Build a function that refuses a long prompt, with a booking, on a full fleet."""
+    from scalebend.models.ids import Fingerprint
+    from scalebend.models.placement import OpenJob
+    from tests.lib.queue_room import QueueRoom
+
+    room = QueueRoom(replicas)
+    for number in range(PROFILE.slots * replicas):
+        endpoint = room.endpoints[number % replicas]
+        work = build_gateway_work(
+            f"full-{number}", 54_000, target=60.0, event_gap=0.8, remaining=1e9
+        )
+        placed = Placement(endpoint.upstream, endpoint.address, (), 0.1, 0.0)
+        room.scheduler.adopt(OpenJob(work, placed, is_decoding=True), PROFILE, 0.0)
+    numbers = itertools.count()
+
+    def build_long(customer, remaining):
+        number = next(numbers)
+        fingerprint = Fingerprint(f"request-{number}")
+        return build_gateway_work(
+            number,
+            300_000,
+            target=1.0,
+            event_gap=0.8,
+            fingerprint=fingerprint,
+            customer=customer,
+            remaining=remaining,
+        )
+
+    for number in range(waiting):
+        room.place(build_long(f"c{number % 40}", 1e9), 0.0)
+    assert room.queue.waiting == waiting
+    (line,) = room.queue._lines.values()
+    declined = Declined(0.5, lacks_memory=True)
+
+    def refuse(customer, now):
+        work = build_long(customer, 10.0)
+        admission = room.queue._admission
+        return admission.refuse(line, work, declined, room.build_room(now), now)
+
+    for number in range(bookings):
+        assert refuse(f"c{number % 40}", 0.0) != declined
+    times = itertools.count(1)
+
+    def decide():
+        refuse("next", 1e-3 * next(times))
+
+    return decide
+
+
+def test_refusal_among_six_hundred_replicas_with_two_thousand_waiting(benchmark):
+    benchmark(build_refusal(600, 1_900, 300))
