--- a/src/scalebend/core/control_state.py
+++ b/src/scalebend/core/control_state.py
@@ -18,16 +18,23 @@
     Settle,
     Withdraw,
 )
+from scalebend.core.gateway.evacuations import apply_order
 from scalebend.models.configuration import (
     EMPTY_CONFIGURATION,
     AcceptedConfiguration,
     ConfigurationChange,
 )
+from scalebend.models.evacuations import (
+    NO_EVACUATIONS,
+    EvacuationOrder,
+    Evacuations,
+)
 from scalebend.models.ids import (
     AvailabilityZone,
     ChangeId,
     ConfigurationVersion,
     Epoch,
+    EvacuationRevision,
     InstanceId,
     Region,
     RoutingVersion,
@@ -85,7 +92,14 @@
 
 
 class Barrier(msgspec.Struct, frozen=True, tag=True):
-    """Command without effect; its commit proves that a quorum was reached."""
+    """Command that carries an evacuation order, or has no effect.
+
+    The commit of one without effect proves that a quorum was reached. The order is a
+    field of this command since members of an earlier version, which could not decode
+    an unknown one, ignore the field.
+    """
+
+    evacuation: EvacuationOrder | None = None
 
 
 Command = (
@@ -119,8 +133,21 @@
     version: RoutingVersion
 
 
+class EvacuationResult(msgspec.Struct, frozen=True, tag=True):
+    """Result: revision of the evacuations that are stored now."""
+
+    revision: EvacuationRevision
+
+
 Result = (
-    Accepted | Conflict | Done | RoutingResult | ClaimTaken | ClaimKnown | ClaimConflict
+    Accepted
+    | Conflict
+    | Done
+    | RoutingResult
+    | ClaimTaken
+    | ClaimKnown
+    | ClaimConflict
+    | EvacuationResult
 )
 
 
@@ -133,6 +160,7 @@
     claims: list[ClaimRecord]
     clock: float
     routing: StoredRouting | None = None
+    evacuations: Evacuations = NO_EVACUATIONS
 
 
 class ControlState:
@@ -142,6 +170,7 @@
         self.configuration = EMPTY_CONFIGURATION
         self.instances = EMPTY_LIST
         self.routing: StoredRouting | None = None
+        self.evacuations = NO_EVACUATIONS
         self.claims = ClaimTable()
         self._changes: dict[ChangeId, ConfigurationVersion] = {}
         self._clock = 0.0
@@ -157,6 +186,9 @@
                 self._set_instances(command)
             case PutRouting(routing):
                 return self._put_routing(routing)
+            case Barrier(EvacuationOrder() as order):
+                self.evacuations = apply_order(self.evacuations, order, at)
+                return EvacuationResult(self.evacuations.revision)
             case Barrier():
                 pass
             case Claim() | Settle() | Withdraw():
@@ -172,6 +204,7 @@
             self.claims.export(),
             self._clock,
             self.routing,
+            self.evacuations,
         )
         return msgspec.msgpack.encode(stored)
 
@@ -184,6 +217,7 @@
         self._changes = stored.changes
         self._clock = stored.clock
         self.routing = stored.routing
+        self.evacuations = stored.evacuations
 
     def _apply_change(self, change: ConfigurationChange) -> Result:
         known = self._changes.get(change.change)
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -25,7 +25,12 @@
     EndpointUpdate,
     build_upstream_id,
 )
-from scalebend.models.ids import ServiceName, UpstreamId, UpstreamName
+from scalebend.models.ids import (
+    AvailabilityZone,
+    ServiceName,
+    UpstreamId,
+    UpstreamName,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -33,6 +38,9 @@
 """How long ids that are gone are kept, so that delayed registrations of them are
 ignored; the platform may deliver a registration seconds late."""
 
+MAX_ZONES = 1_000
+"""Bounds the zones that are kept, since upstreams choose the names."""
+
 REGISTRATIONS_TO_REGAIN_ADDRESS = 2
 """Registrations after which an id regains its address; a single one may be delayed."""
 
@@ -71,6 +79,11 @@
         self._usable: dict[ServiceName, tuple[Endpoint, ...]] = {}
         """Cache of :meth:`list_usable`, until the upstreams of a service change."""
 
+        self.zones: set[AvailabilityZone] = set()
+        """Zones of all upstreams ever known, also of those that are forgotten."""
+
+        self._evacuated: frozenset[AvailabilityZone] = frozenset()
+
     def get(self, upstream: UpstreamId) -> Endpoint | None:
         """Return the endpoint, or ``None`` if it is unknown or gone."""
         known = self._known.get(upstream)
@@ -79,7 +92,18 @@
     def is_usable(self, upstream: UpstreamId) -> bool:
         """Whether new requests may be sent to the upstream."""
         endpoint = self.get(upstream)
-        return endpoint is not None and not endpoint.is_draining
+        if endpoint is None or endpoint.is_draining:
+            return False
+        return endpoint.availability_zone not in self._evacuated
+
+    def set_evacuated(self, zones: frozenset[AvailabilityZone]) -> None:
+        """Replace the zones whose upstreams get no new requests."""
+        self._evacuated = zones
+        self._usable.clear()
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Whether only the evacuation of zones keeps a service from new requests."""
+        return not self.list_usable(service) and bool(self._by_service.get(service))
 
     def is_lost(self, upstream: UpstreamId) -> bool:
         """Whether the upstream is gone without having announced that it drains."""
@@ -97,7 +121,11 @@
         """
         usable = self._usable.get(service)
         if usable is None:
-            usable = tuple(self._by_service.get(service, {}).values())
+            usable = tuple(
+                endpoint
+                for endpoint in self._by_service.get(service, {}).values()
+                if endpoint.availability_zone not in self._evacuated
+            )
             self._usable[service] = usable
         return usable
 
@@ -261,6 +289,7 @@
         if known is None:
             self._start_incarnation(update.endpoint, now)
             self._known[upstream] = _Known(update.endpoint, now, is_gone=True)
+            self._record_zone(update.endpoint)
             return update
         if update.endpoint.is_draining:
             return self.remove(upstream, now)
@@ -296,6 +325,7 @@
                 del self._newest[endpoint.name]
 
     def _publish(self, endpoint: Endpoint, *, is_gone: bool) -> EndpointUpdate:
+        self._record_zone(endpoint)
         self._usable.pop(endpoint.service, None)
         usable = self._by_service.setdefault(endpoint.service, {})
         if is_gone or endpoint.is_draining:
@@ -304,6 +334,10 @@
             usable[endpoint.upstream] = endpoint
         return EndpointUpdate(endpoint, is_gone)
 
+    def _record_zone(self, endpoint: Endpoint) -> None:
+        if len(self.zones) < MAX_ZONES:
+            self.zones.add(endpoint.availability_zone)
+
 
 def _is_same_but_for_sequence(one: Endpoint, other: Endpoint) -> bool:
     """Whether two registrations differ at most in their sequence number."""
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -9,6 +9,7 @@
 from scalebend.core.messages import FoundGroup, Hello, HelloReply, Join, RelayReply
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
+from scalebend.models.evacuations import Evacuations
 from scalebend.models.gateway_settings import GatewayRole
 from scalebend.models.ids import (
     Fingerprint,
@@ -37,6 +38,8 @@
     instance: InstanceId
     incarnation: int
     role: GatewayRole
+    knows_evacuations: bool = False
+    """Whether its version applies the evacuation orders in the replicated log."""
 
 
 class ControlStatus(msgspec.Struct, frozen=True, tag="ControlNews"):
@@ -49,6 +52,9 @@
     busy: list[BusyReplica] = msgspec.field(default_factory=list)
     """From the leader: the busiest replicas, for uncoordinated placement."""
 
+    evacuations: Evacuations | None = None
+    """The committed evacuations; ``None`` before the first."""
+
 
 class KnownInstances(msgspec.Struct, frozen=True, tag=True):
     """Relay to its peer, also as a heartbeat: control instances that have a disk."""
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -64,5 +64,8 @@
 RoutingVersion = NewType("RoutingVersion", int)
 """Number of a routing document; rises with each change, with gaps."""
 
+EvacuationRevision = NewType("EvacuationRevision", int)
+"""Number of a change of the evacuated availability zones; rises by one with each."""
+
 SendPermitId = NewType("SendPermitId", int)
 """Number of a front's request for a send permit, unique within the front."""
