Spread evacuations to all fronts and refuse at once where nothing else is left

Each control instance sends the committed evacuations with its heartbeat and at once on a change; a front keeps the highest revision it heard from anybody. Choices leave the zone out through the directory; what runs there goes on. A service with upstreams in evacuated zones alone is refused at once, not run, with a time to return.

--- a/src/scalebend/core/gateway/control_actions.py
+++ b/src/scalebend/core/gateway/control_actions.py
@@ -6,7 +6,7 @@
 
 from scalebend.core.control_member import ToInstance
 from scalebend.core.gateway.messages import LinkMessage
-from scalebend.models.ids import InstanceId, RoutingVersion
+from scalebend.models.ids import EvacuationRevision, InstanceId, RoutingVersion
 
 
 class ToFront(msgspec.Struct, frozen=True):
@@ -17,14 +17,14 @@
 
 
 class ProposalEnded(msgspec.Struct, frozen=True):
-    """Action: the proposal of a routing document ended.
+    """Action: the proposal of a routing document or an evacuation ended.
 
-    ``held`` is the version in force, or ``None`` if this member lost the leadership
-    before the result was known.
+    ``held`` is the version or revision in force, or ``None`` if this member lost the
+    leadership before the result was known.
     """
 
     proposal: str
-    held: RoutingVersion | None
+    held: RoutingVersion | EvacuationRevision | None
 
 
 class ReadConfirmed(msgspec.Struct, frozen=True):
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -11,11 +11,10 @@
 
 from scalebend.core.consensus.messages import ConsensusMessage, Ready
 from scalebend.core.control_member import ControlMember, ToInstance
-from scalebend.core.control_state import PutRouting, RoutingResult, encode_command
+from scalebend.core.control_state import Barrier, PutRouting
 from scalebend.core.gateway.catalog_push import CatalogPush
 from scalebend.core.gateway.control_actions import (
     ControlAction,
-    ProposalEnded,
     ToFront,
 )
 from scalebend.core.gateway.control_documents import ControlDocuments
@@ -23,6 +22,7 @@
 from scalebend.core.gateway.ejection_push import EjectionPush
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.evacuation_push import EvacuationPush
 from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.limit_exchange import GRANT_LEASE_S, LimitExchange
 from scalebend.core.gateway.messages import (
@@ -48,6 +48,7 @@
     Subscribe,
     UncoordinatedSends,
 )
+from scalebend.core.gateway.proposals import Proposals, read_proposal_reply
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.upstream_exchange import DirectoryUpdates, UpstreamExchange
 from scalebend.core.messages import (
@@ -56,7 +57,6 @@
     HelloReply,
     Join,
     ProposalReply,
-    Propose,
     RelayReply,
 )
 from scalebend.exceptions import ErrorKind, RequestError
@@ -65,7 +65,14 @@
     Endpoint,
     UpstreamOutcomes,
 )
-from scalebend.models.ids import InstanceId, ServiceName, UpstreamId, UpstreamName
+from scalebend.models.evacuations import EvacuationOrder
+from scalebend.models.ids import (
+    AvailabilityZone,
+    InstanceId,
+    ServiceName,
+    UpstreamId,
+    UpstreamName,
+)
 from scalebend.models.placement import (
     EngineWork,
     ReplicaPace,
@@ -92,13 +99,21 @@
     """State and decisions of one control instance, without I/O."""
 
     def __init__(
-        self, member: ControlMember, heartbeat_interval: float, *, now: float
+        self,
+        member: ControlMember,
+        heartbeat_interval: float,
+        *,
+        now: float,
+        availability_zone: AvailabilityZone | None = None,
     ) -> None:
         self.member = member
         self.upstreams = UpstreamExchange(heartbeat_interval)
         self.crashes = CrashExchange()
         self.limits = LimitExchange()
         self.placement = LeaderPlacement(self.limits, now)
+        self.evacuations = EvacuationPush(
+            self.directory, availability_zone, heartbeat_interval, now
+        )
         self._ejections = EjectionPush()
 
         self._fronts: dict[InstanceId, None] = {}
@@ -110,8 +125,9 @@
         self._expire_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
-        self._proposals = 0
+        self._proposals = Proposals(member)
         self._documents.load(member.state.routing)
+        self.evacuations.load(member.state.evacuations)
 
     @property
     def me(self) -> InstanceId:
@@ -167,11 +183,13 @@
         actions: list[ControlAction] = []
         for action in self.member.finish(ready, now):
             if isinstance(action.message, ProposalReply):
-                actions.append(_read_proposal_reply(action.message))
+                actions.append(read_proposal_reply(action.message))
             else:
                 actions.append(action)
         if self._documents.load(self.member.state.routing):
             actions += self._documents.push.push(now)
+        if self.evacuations.load(self.member.state.evacuations):
+            actions += self._send_heartbeats(now)
         return actions
 
     def advance(self, now: float) -> list[ControlAction]:
@@ -182,10 +200,7 @@
         if self.member.leader != self._leader or now >= self._heartbeat_at:
             self._leader = self.member.leader
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
-            heartbeat = self._build_heartbeat(now)
-            actions += [
-                ToFront(one, heartbeat) for one in (*self._fronts, *self._relays)
-            ]
+            actions += self._send_heartbeats(now)
             self.scheduler.expire(now)
             self._ejections.expire(now)
             self.crashes.ledger.expire(now)
@@ -339,6 +354,10 @@
     def _list_peers(self) -> list[InstanceId]:
         return [one for one in self._list_instances() if one != self.me]
 
+    def _send_heartbeats(self, now: float) -> list[ControlAction]:
+        heartbeat = self._build_heartbeat(now)
+        return [ToFront(one, heartbeat) for one in (*self._fronts, *self._relays)]
+
     def _build_heartbeat(self, now: float) -> ControlStatus:
         return ControlStatus(
             self._list_instances(),
@@ -346,6 +365,7 @@
             self.member.replica.term,
             len(self._fronts),
             self.scheduler.list_busy(now, MAX_BUSY_REPLICAS) if self.is_leader else [],
+            self.evacuations.get_published(),
         )
 
     # Upstreams
@@ -436,11 +456,15 @@
 
     def propose_routing(self, stored: StoredRouting, now: float, at: float) -> str:
         """As leader, propose a document; :class:`ProposalEnded` returns the result."""
-        self._proposals += 1
-        name = f"routing/{self._proposals}"
-        command = encode_command(PutRouting(stored))
-        self.member.handle(self.me, Propose(name, command), now, at)
-        return name
+        return self._proposals.propose(PutRouting(stored), now, at)
+
+    def propose_evacuation(self, order: EvacuationOrder, now: float, at: float) -> str:
+        """As leader, propose an order; :class:`ProposalEnded` returns the result.
+
+        Raises the errors of :meth:`EvacuationPush.check`.
+        """
+        self.evacuations.check(order, self._list_instances(), now)
+        return self._proposals.propose(Barrier(order), now, at)
 
     def request_fresh_read(self, now: float) -> int:
         """Request a confirmed read; :class:`ReadConfirmed` names the returned id."""
@@ -455,9 +479,3 @@
         return self.placement.place(
             work, self.table, self.directory, now, may_grant=may_grant
         )
-
-
-def _read_proposal_reply(reply: ProposalReply) -> ProposalEnded:
-    result = reply.result
-    held = result.version if isinstance(result, RoutingResult) else None
-    return ProposalEnded(reply.proposal, held)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -13,6 +13,7 @@
     UNCOORDINATED_MAX_PART_S,
     EngineScheduler,
 )
+from scalebend.core.gateway.evacuations import HeldEvacuations
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_crashes import FrontCrashes
 from scalebend.core.gateway.front_jobs import FrontJobs
@@ -96,6 +97,7 @@
         self.directory = EndpointDirectory(
             ENDPOINT_TIMEOUT_S, registrations_to_regain_address=1
         )
+        self.evacuations = HeldEvacuations(self.directory)
         self.balancer = ServiceBalancer()
         self._crashes = FrontCrashes(self.directory)
         self.limits = FrontLimits(settings.instance, now)
@@ -252,6 +254,7 @@
     ) -> list[ToControl]:
         self.retries.update_front_count(status.fronts, now)
         self.limits.record_front_count(status.fronts)
+        self.evacuations.learn(status.evacuations)
         is_outdated = self._links.is_outdated(status)
         is_new_leader = self._links.apply_status(sender, status)
         if status.busy and not is_outdated:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -26,6 +26,7 @@
     age_work,
 )
 from scalebend.core.gateway.placement_repair import drop_replicas
+from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -83,6 +84,7 @@
         self._dialer = Dialer(
             introduction, self._receive, self._add_link, self._remove_link, metrics
         )
+        self._evacuations = EvacuationWatch(metrics)
         self.attempts = RunningAttempts()
         self._leader_calls = LeaderCalls(self._dialer.send)
         self._sessions: UpstreamSessions | None = None
@@ -142,6 +144,7 @@
             return
         leader = self.instance.leader
         self._execute(self.instance.handle(sender, message, self.now()))
+        self._evacuations.report(self.instance.evacuations.newest)
         if self.instance.leader != leader:
             self._leader_calls.reset_backoff()
         if self.instance.may_admit(self.now()):
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -112,6 +112,28 @@
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
 
+        self._evacuated_zones = Gauge(
+            "scalebend_evacuated_zones",
+            "Availability zones whose upstreams get nothing new from this process",
+            registry=registry,
+        )
+        self._evacuation_revision = Gauge(
+            "scalebend_evacuation_revision",
+            "Number of the last change of these zones that this process applied",
+            registry=registry,
+        )
+        self._evacuation_orders = Counter(
+            "scalebend_evacuation_orders",
+            "Orders of operators at the leader, by outcome",
+            ["order", "outcome"],
+            registry=registry,
+        )
+        self._evacuation_refusals = Counter(
+            "scalebend_evacuation_refusals",
+            "Requests refused since all upstreams are in evacuated zones",
+            registry=registry,
+        )
+
     def count_request(self, kind: str, status: int, duration: float) -> None:
         """Count a completed request that took ``duration`` seconds."""
         self._requests.labels(kind, str(status)).inc()
@@ -165,6 +187,19 @@
         """Count a peer whose links repeatedly end and come back."""
         self._unstable_links.inc()
 
+    def set_evacuations(self, zones: int, revision: int) -> None:
+        """Set the number of evacuated zones and the revision in force."""
+        self._evacuated_zones.set(zones)
+        self._evacuation_revision.set(revision)
+
+    def count_evacuation_order(self, order: str, outcome: str) -> None:
+        """Count an operator's order by its outcome."""
+        self._evacuation_orders.labels(order, outcome).inc()
+
+    def count_evacuation_refusal(self) -> None:
+        """Count a request whose service has upstreams in evacuated zones alone."""
+        self._evacuation_refusals.inc()
+
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
         """Record the time to the first event of a stream."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -13,6 +13,7 @@
     compute_inspection_delay,
     compute_room_timeout,
 )
+from scalebend.edges.gateway.evacuated_services import refuse_evacuated
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.reservations import HelperUnresponsiveError, reserve_memory
 from scalebend.edges.gateway.service_choice import choose_within_limits
@@ -121,6 +122,11 @@
         if not await self._wait_for_backoff():
             yield None
             return
+        retry_after_s = refuse_evacuated(self._runtime, self._call)
+        if retry_after_s is not None:
+            self.retry_after = retry_after_s
+            yield None
+            return
         profile = self._runtime.instance.table.find_engine(self._call.service)
         if profile is not None and self._call.headers.prompt is not None:
             async with self._choose_engines() as target:
--- a/src/scalebend/exceptions.py
+++ b/src/scalebend/exceptions.py
@@ -29,6 +29,7 @@
     FORBIDDEN = "forbidden"
     UNKNOWN_MODEL = "unknown-model"
     UNKNOWN_SERVICE = "unknown-service"
+    UNKNOWN_ZONE = "unknown-zone"
     NOT_FOUND = "not-found"
     BODY_TOO_LARGE = "body-too-large"
     PROMPT_TOO_LONG = "prompt-too-long"
@@ -76,6 +77,9 @@
     ErrorKind.UNKNOWN_SERVICE: ErrorResponse(
         404, False, "The service is not configured"
     ),
+    ErrorKind.UNKNOWN_ZONE: ErrorResponse(
+        404, False, "No upstream is in the availability zone"
+    ),
     ErrorKind.NOT_FOUND: ErrorResponse(404, False, "There is nothing at this path"),
     ErrorKind.BODY_TOO_LARGE: ErrorResponse(413, False, "The body is too large"),
     ErrorKind.PROMPT_TOO_LONG: ErrorResponse(
