Answer the operator's orders to evacuate an availability zone

POST and DELETE /evacuations/ZONE were answered 404. The leader proposes the order and answers once a quorum has it on disk; others redirect. A zone that nothing names is refused for good only once all upstreams had the time to register.

--- a/src/scalebend/edges/gateway/control_calls.py
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -13,6 +13,11 @@
     ControlRuntime,
     build_no_quorum_error,
 )
+from scalebend.edges.gateway.evacuation_calls import (
+    handle_list,
+    handle_order,
+    read_order,
+)
 from scalebend.edges.gateway.http_listener import listen, serve_metrics
 from scalebend.edges.gateway.inspection import Inspector
 from scalebend.edges.gateway.redirects import redirect_to
@@ -21,6 +26,7 @@
 from scalebend.edges.problems import build_response
 from scalebend.exceptions import ErrorKind, RequestError, ScalebendError
 from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.platform.evacuations import EVACUATION_PREFIX, EVACUATIONS_PATH
 from scalebend.platform.registrations import (
     ACKNOWLEDGEMENT,
     CONFIGURATION_PATH,
@@ -70,6 +76,10 @@
                 return await self._put_configuration(request)
             case "GET" if path == CONFIGURATION_PATH:
                 return await self._get_configuration(request)
+            case "POST" | "DELETE" if path.startswith(EVACUATION_PREFIX):
+                return await self._order_evacuation(request)
+            case "GET" if path == EVACUATIONS_PATH:
+                return self._redirect(request) or await handle_list(self._runtime)
             case "GET" if path == "/metrics":
                 return await serve_metrics(self._runtime.metrics, request)
         raise RequestError(f"{request.method} {path}", kind=ErrorKind.NOT_FOUND)
@@ -113,6 +123,10 @@
         document = await self._runtime.read_document()
         return web.Response(body=document, content_type="application/json")
 
+    async def _order_evacuation(self, request: web.BaseRequest) -> web.StreamResponse:
+        order = await read_order(request)
+        return self._redirect(request) or await handle_order(self._runtime, order)
+
     def _redirect(self, request: web.BaseRequest) -> web.StreamResponse | None:
         """Return a redirect to the leader; ``None`` if this member leads."""
         runtime = self._runtime
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -33,12 +33,14 @@
 from scalebend.core.gateway.routing_store import pack_routing, unpack_document
 from scalebend.core.messages import RelayReply
 from scalebend.edges.control_pump import pump_control
+from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer, LinkServer
 from scalebend.edges.gateway.list_writer import ListWriter
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.exceptions import ErrorKind, RefusedError
+from scalebend.models.evacuations import EvacuationOrder
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
-from scalebend.models.ids import InstanceId, RoutingVersion
+from scalebend.models.ids import EvacuationRevision, InstanceId, RoutingVersion
 from scalebend.platform.routing import decode_routing
 from scalebend.storage.crash_file import read_crashes, write_crashes
 from scalebend.storage.journal import Journal
@@ -83,7 +85,10 @@
             voters_wanted=2 * settings.tolerated_losses + 1,
         )
         self.instance = ControlInstance(
-            member, settings.heartbeat_interval, now=self.now()
+            member,
+            settings.heartbeat_interval,
+            now=self.now(),
+            availability_zone=settings.availability_zone,
         )
         self.instance.upstreams.restore(read_upstreams(folder), self.now())
         self.instance.crashes.restore(read_crashes(folder), self.now())
@@ -93,7 +98,9 @@
         self._crash_writer = ListWriter(
             self.instance.crashes.ledger.list_records, partial(write_crashes, folder)
         )
-        introduction = Introduce(own_id, time.time_ns(), settings.role)
+        introduction = Introduce(
+            own_id, time.time_ns(), settings.role, knows_evacuations=True
+        )
         self.dialer = Dialer(
             introduction,
             self._receive_from_relay,
@@ -105,10 +112,12 @@
             self._receive, self._handle_link_up, self._handle_link_down, metrics
         )
         self.failure: asyncio.Future[None] = self._loop.create_future()
-        self._pending_proposals: dict[str, asyncio.Future[RoutingVersion | None]] = {}
+        self._pending_proposals: dict[str, asyncio.Future[int | None]] = {}
         self._pending_reads: dict[int, asyncio.Future[None]] = {}
         self._is_pumping = False
         self._next_heartbeat_at = 0.0
+        self._evacuations = EvacuationWatch(metrics)
+        self._evacuations.report(self.instance.evacuations.newest)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
@@ -165,6 +174,10 @@
             case GatewayRole.RELAY:
                 self.execute(self.instance.add_relay(peer.instance, self.now()))
             case GatewayRole.CONTROL:
+                knows_evacuations = peer.knows_evacuations
+                self.instance.evacuations.record_member(
+                    peer.instance, knows_evacuations=knows_evacuations
+                )
                 # The peer is up: do not wait for the next redial.
                 self.dialer.dial_now(peer.instance)
 
@@ -220,6 +233,7 @@
 
     def _finish(self, ready: Ready) -> None:
         self.execute(self.instance.finish(ready, self.now()))
+        self._evacuations.report(self.instance.evacuations.newest)
 
     async def put_routing(self, data: bytes) -> RoutingVersion:
         """As leader, propose a document; return the version that is in force."""
@@ -229,22 +243,39 @@
             return self.instance.routing.version
         stored = pack_routing(routing, data)
         name = self.instance.propose_routing(stored, self.now(), time.time())
-        future: asyncio.Future[RoutingVersion | None] = self._loop.create_future()
+        return RoutingVersion(await self._wait_for_proposal(name))
+
+    async def order_evacuation(self, order: EvacuationOrder) -> EvacuationRevision:
+        """As leader, propose an order; return the revision that is in force."""
+        name = self.instance.propose_evacuation(order, self.now(), time.time())
+        return EvacuationRevision(await self._wait_for_proposal(name))
+
+    async def _wait_for_proposal(self, name: str) -> int:
+        """Return what is in force once a quorum has the proposal on disk."""
+        future: asyncio.Future[int | None] = self._loop.create_future()
         self._pending_proposals[name] = future
         self.schedule_pump()
         try:
             async with asyncio.timeout(QUORUM_TIMEOUT_S):
-                version = await future
+                held = await future
         except TimeoutError:
-            version = None
+            held = None
         finally:
             self._pending_proposals.pop(name, None)
-        if version is None:
+        if held is None:
             raise build_no_quorum_error()
-        return version
+        return held
 
     async def read_document(self) -> bytes:
         """As leader, return the latest document after a quorum confirmed the lead."""
+        await self.confirm_lead()
+        stored = self.instance.member.state.routing
+        if stored is None:
+            raise RefusedError("no document was accepted yet", kind=ErrorKind.NOT_READY)
+        return unpack_document(stored)
+
+    async def confirm_lead(self) -> None:
+        """Wait until a quorum confirms that this member leads, or raise an error."""
         reader = self.instance.request_fresh_read(self.now())
         future: asyncio.Future[None] = self._loop.create_future()
         self._pending_reads[reader] = future
@@ -255,10 +286,6 @@
             raise build_no_quorum_error() from None
         finally:
             self._pending_reads.pop(reader, None)
-        stored = self.instance.member.state.routing
-        if stored is None:
-            raise RefusedError("no document was accepted yet", kind=ErrorKind.NOT_READY)
-        return unpack_document(stored)
 
 
 def build_no_quorum_error() -> RefusedError:
