--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -14,6 +14,8 @@
 class Replica:
     """One replica: serves requests, records those it ran, and registers itself."""
 
+    zone = "z"
+
     def __init__(self, number, service, controls):
         self.id = f"i-{number}"
         self.service = service
@@ -87,7 +89,7 @@
         document = {
             "Service": self.service,
             "Address": self.address,
-            "Zone": "z",
+            "Zone": self.zone,
             "Version": "v1",
             "Slots": 8,
             "State": state,
