--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -142,6 +142,27 @@
     _run("drain", url=url, key=key)
 
 
+@app.command()
+def evacuate(
+    zone: Annotated[
+        str, typer.Argument(help="Availability zone; without one, show all.")
+    ] = "",
+    withdraw: Annotated[
+        bool, typer.Option("--withdraw", help="Use the zone again.")
+    ] = False,
+    url: Annotated[
+        str,
+        typer.Option(
+            help="Address of a control instance of the gateway.",
+            envvar="SCALEBEND_CONTROL_URL",
+        ),
+    ] = DEFAULT_URL,
+    as_json: Json = False,
+) -> None:
+    """Send nothing new to the upstreams of an availability zone, until withdrawn."""
+    _run("evacuate", zone=zone, withdraw=withdraw, url=url, as_json=as_json)
+
+
 @app.command()
 def ask(
     prompt: Annotated[
--- a/src/scalebend/platform/evacuations.py
+++ b/src/scalebend/platform/evacuations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from urllib.parse import quote
+
 import msgspec
 
 from scalebend.exceptions import ErrorKind, RequestError
@@ -46,6 +48,11 @@
     return EvacuationOrder(AvailabilityZone(zone), is_withdrawn=method == "DELETE")
 
 
+def build_order_path(zone: str) -> str:
+    """Return the path of orders for a zone."""
+    return EVACUATION_PREFIX + quote(zone, safe="")
+
+
 def encode_evacuations(evacuations: Evacuations) -> bytes:
     """Return the document of ``GET /evacuations``."""
     zones = [
--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import json
 import signal
+import sys
 import time
 
 import aiohttp
@@ -99,6 +101,29 @@
     assert all(0.0 <= line["age"] < ACK_S + FORCE_S for line in applied)
 
 
+async def run_command(system, *arguments):
+    control = system.processes.list_controls()[0]
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        *("-m", "scalebend", "evacuate", *arguments, "--url", f"http://{control}"),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    output, _ = await process.communicate()
+    return process.returncode, output.decode()
+
+
+async def test_command_orders_and_lists(system):
+    assert await run_command(system, "far") == (0, "far: evacuated\n")
+    code, listed = await run_command(system)
+    assert code == 0
+    assert [one["Zone"] for one in json.loads(listed)["Evacuated"]] == ["far"]
+    assert await run_command(system, "far", "--withdraw") == (0, "far: in use again\n")
+    assert await list_evacuated(system) == []
+    code, output = await run_command(system, "nowhere")
+    assert code == 1 and "nowhere" in output
+
+
 async def test_malformed_orders_are_refused_clearly(system):
     for control in system.processes.list_controls():
         status, body = await send(system, control, "POST", zone="nowhere")
