Soak: evacuate a zone in each series and check what is promised of it

Replicas stand in two zones, each with half of each service. An order not acknowledged within 40 s is a violation, as for documents.

--- a/src/scalebend/platform/evacuations.py
+++ b/src/scalebend/platform/evacuations.py
@@ -65,3 +65,9 @@
         [zone for is_withdrawn, zone in zones if is_withdrawn],
     )
     return msgspec.json.encode(listed)
+
+
+def decode_evacuated(data: bytes) -> tuple[AvailabilityZone, ...]:
+    """Return the evacuated zones of such a document; for test stand-ins."""
+    listed = msgspec.json.decode(data, type=_Listed)
+    return tuple(AvailabilityZone(one.zone) for one in listed.evacuated)
--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -21,10 +21,9 @@
 
 from scalebend.edges.gateway.links import read_introduction
 from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
-from scalebend.models.ids import AvailabilityZone
 from scalebend.platform.early_settings import SETTINGS_VARIABLE
 from scalebend.platform.settings import encode_gateway_settings
-from scalebend.soak.layout import Layout, ProcessName
+from scalebend.soak.layout import AVAILABILITY_ZONES, Layout, ProcessName
 from scalebend.soak.misbehaving import (
     SYNCED_FILE,
     ProcessFaults,
@@ -49,10 +48,6 @@
 RESTART_DELAY_S = 0.3
 """Seconds after an unexpected exit until the process is restarted."""
 
-AVAILABILITY_ZONES = tuple(
-    AvailabilityZone(name) for name in ("zone-a", "zone-b", "zone-c")
-)
-
 _FIRST_LISTEN_HOST = 10
 _FIRST_PROXY_HOST = 110
 
--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from scalebend.models.ids import AvailabilityZone
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.standins.proxy import Direction
 
@@ -53,6 +54,11 @@
 MAX_BACKOFF_S = 2.5
 """Bounds in seconds of the backoff that such a replica asks for."""
 
+EVACUATION_START_S = 1.0
+EVACUATION_DURATION_S = 7.0
+"""Latest start of an evacuation in a series, and its duration, in seconds: longer than
+the platform's bound, and over before the replicas of the next calm period drain."""
+
 LONG_FAULT_SHARE = 0.15
 MAX_LONG_FAULT_S = 9.0
 """Share of the faults that last longer, and their longest duration in seconds: an
@@ -189,6 +195,13 @@
     lasts: float
 
 
+class Evacuate(msgspec.Struct, frozen=True, tag=True):
+    """Evacuates an availability zone, and withdraws that after ``lasts`` seconds."""
+
+    availability_zone: AvailabilityZone
+    lasts: float
+
+
 class Change(msgspec.Struct, frozen=True, tag=True):
     """Sends ``count`` new routing documents in quick succession."""
 
@@ -209,6 +222,7 @@
     | RateLimitFault
     | Reject
     | Change
+    | Evacuate
 )
 
 
@@ -232,6 +246,7 @@
     # Separate generators keep the other faults of each seed as they are.
     rate_limit_random = random.Random(f"{seed}/limits")
     response_fault_random = random.Random(f"{seed}/words")
+    evacuation_random = random.Random(f"{seed}/evacuations")
     drawer = _Drawer(chooser, layout)
     faults: list[ScheduledFault] = []
     at = FIRST_SERIES_AT_S
@@ -249,6 +264,10 @@
         ):
             begins = at + response_fault_random.uniform(0.0, SERIES_DURATION_S)
             faults.append(ScheduledFault(begins, fault))
+        begins = at + evacuation_random.uniform(0.0, EVACUATION_START_S)
+        zone = evacuation_random.choice(layout.replica_zones)
+        evacuation = Evacuate(zone, EVACUATION_DURATION_S)
+        faults.append(ScheduledFault(begins, evacuation))
         planned_at = at + SERIES_DURATION_S + PLANNED_WORK_DELAY_S
         # Both services: before a delayed send, a front checks only engines again.
         for numbers in (layout.engine_replicas, layout.plain_replicas):
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -79,6 +79,10 @@
             case faults.Change(count, revokes):
                 for _ in range(count):
                     await self._operator.change(session, revokes=revokes)
+            case faults.Evacuate(zone, lasts):
+                replicas = self._deployment.layout.list_replicas_in(zone)
+                with self._disturb_replicas(*replicas):
+                    await self._operator.evacuate(session, zone, lasts)
             case faults.RateLimitFault(replicas, rate, lasts):
                 await self._limit_rate(replicas, rate, lasts)
             case faults.Reject(replicas, backoff, lasts):
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -9,7 +9,12 @@
 
 import msgspec
 
-from scalebend.models.ids import RoutingVersion, ServiceName, UpstreamId
+from scalebend.models.ids import (
+    AvailabilityZone,
+    RoutingVersion,
+    ServiceName,
+    UpstreamId,
+)
 from scalebend.soak.layout import ProcessName
 
 
@@ -79,6 +84,7 @@
     service: ServiceName
     at: float
     upstream: UpstreamId
+    availability_zone: AvailabilityZone | None = None
 
 
 class RateLimitPeriod(msgspec.Struct):
@@ -139,6 +145,23 @@
     is_as_sent: bool
 
 
+class Evacuation(msgspec.Struct):
+    """A control instance acknowledged the evacuation of an availability zone."""
+
+    availability_zone: AvailabilityZone
+    acknowledged_at: float
+    withdrawn_at: float
+    """When the withdrawal was first sent."""
+
+
+class EvacuationRead(msgspec.Struct, frozen=True):
+    """The evacuated zones were read while no order was on its way."""
+
+    requested_at: float
+    listed: tuple[AvailabilityZone, ...]
+    expected: tuple[AvailabilityZone, ...]
+
+
 class Reservation(msgspec.Struct):
     """KV cache memory that a replica reserved."""
 
@@ -183,6 +206,8 @@
     )
     accepted: list[AcceptedDocument] = msgspec.field(default_factory=list)
     reads: list[ReadBack] = msgspec.field(default_factory=list)
+    evacuations: list[Evacuation] = msgspec.field(default_factory=list)
+    evacuation_reads: list[EvacuationRead] = msgspec.field(default_factory=list)
     reservations: list[Reservation] = msgspec.field(default_factory=list)
     disturbances: list[Disturbance] = msgspec.field(default_factory=list)
     exits: list[Exit] = msgspec.field(default_factory=list)
--- a/src/scalebend/soak/operator.py
+++ b/src/scalebend/soak/operator.py
@@ -4,17 +4,29 @@
 
 import asyncio
 import contextlib
+import math
 import random
 
 import aiohttp
 import structlog
 
-from scalebend.models.ids import RoutingVersion
+from scalebend.models.ids import AvailabilityZone, RoutingVersion
+from scalebend.platform.evacuations import (
+    EVACUATIONS_PATH,
+    build_order_path,
+    decode_evacuated,
+)
 from scalebend.platform.registrations import CONFIGURATION_PATH
 from scalebend.platform.routing import decode_routing, encode_routing
 from scalebend.soak.documents import MAX_EXTRA_KEYS, build_routing
 from scalebend.soak.layout import ProcessName
-from scalebend.soak.observations import AcceptedDocument, Observations, ReadBack
+from scalebend.soak.observations import (
+    AcceptedDocument,
+    Evacuation,
+    EvacuationRead,
+    Observations,
+    ReadBack,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -112,3 +124,56 @@
         while True:
             await self.read(session)
             await asyncio.sleep(READ_INTERVAL_S)
+
+    # Evacuations
+
+    async def evacuate(
+        self, session: aiohttp.ClientSession, zone: AvailabilityZone, lasts: float
+    ) -> None:
+        """Evacuate a zone, and withdraw that ``lasts`` seconds after the answer."""
+        loop = asyncio.get_running_loop()
+        if not await self._order(session, "POST", zone):
+            return
+        evacuation = Evacuation(zone, loop.time(), math.inf)
+        self._observations.evacuations.append(evacuation)
+        await asyncio.sleep(lasts)
+        await self.read_evacuated(session, (zone,))
+        evacuation.withdrawn_at = loop.time()
+        await self._order(session, "DELETE", zone)
+
+    async def _order(
+        self, session: aiohttp.ClientSession, method: str, zone: AvailabilityZone
+    ) -> bool:
+        """Send an order until it is acknowledged; return whether it was."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + CHANGE_TIMEOUT_S
+        while loop.time() < deadline:
+            control = self._chooser.choice(list(self._controls.values()))
+            url = f"http://{control}{build_order_path(zone)}"
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with session.request(method, url, max_redirects=3) as response:
+                    if response.status == 200:
+                        logger.info("order acknowledged", method=method, zone=zone)
+                        return True
+                    if 400 <= response.status < 500:
+                        failure = f"{method} {zone}: status {response.status}"
+                        self.failed_changes.append(failure)
+                        return False
+            await asyncio.sleep(RETRY_INTERVAL_S)
+        self.failed_changes.append(f"{method} {zone}: not acknowledged in time")
+        return False
+
+    async def read_evacuated(
+        self, session: aiohttp.ClientSession, expected: tuple[AvailabilityZone, ...]
+    ) -> None:
+        """Read the evacuated zones from all control instances that answer."""
+        for control in self._controls.values():
+            requested_at = asyncio.get_running_loop().time()
+            url = f"http://{control}{EVACUATIONS_PATH}"
+            with contextlib.suppress(aiohttp.ClientError, OSError, TimeoutError):
+                async with session.get(url, max_redirects=3) as response:
+                    if response.status != 200:
+                        continue
+                    listed = decode_evacuated(await response.read())
+                    read = EvacuationRead(requested_at, listed, expected)
+                    self._observations.evacuation_reads.append(read)
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -15,6 +15,10 @@
 
 from scalebend.models.ids import RoutingVersion, UpstreamId
 from scalebend.soak.deployment import BOUNDS
+from scalebend.soak.evacuation_promises import (
+    check_evacuated,
+    check_evacuations_kept,
+)
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
     CallerRequest,
@@ -128,7 +132,7 @@
     """Return every violation of every promise."""
     evidence = Evidence(observations)
     return [
-        Violation(check.__name__.removeprefix("_check_"), detail)
+        Violation(check.__name__.removeprefix("_").removeprefix("check_"), detail)
         for check in CHECKS
         for detail in check(evidence)
     ]
@@ -475,6 +479,8 @@
     _check_request_limits,
     _check_pauses,
     _check_farewells,
+    check_evacuated,
+    check_evacuations_kept,
     _check_exits,
     _check_calm_service,
     _check_in_time,
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -24,7 +24,6 @@
     get_upstream_name,
 )
 from scalebend.models.ids import (
-    AvailabilityZone,
     ServiceName,
     UpstreamId,
     UpstreamName,
@@ -44,7 +43,7 @@
 from scalebend.platform.reports import REPORT_PATH, encode_report
 from scalebend.soak.documents import ENGINE, read_version
 from scalebend.soak.faults import ReplicaMode
-from scalebend.soak.layout import ProcessName
+from scalebend.soak.layout import ProcessName, get_replica_zone
 from scalebend.soak.observations import (
     Arrival,
     DrainAcknowledgement,
@@ -125,6 +124,7 @@
         self._fleet = fleet
         self._service = service
         self.address = address
+        self._zone = get_replica_zone(len(fleet.replicas))
         self.proxy: Proxy | None = None
         self.mode = ReplicaMode.HEALTHY
         self.rate_limit: float | None = None
@@ -161,7 +161,9 @@
         observations = self._fleet.observations
         request_id = request.headers[REQUEST_ID]
         now = asyncio.get_running_loop().time()
-        observations.arrivals.append(Arrival(request_id, self._service, now, self._id))
+        observations.arrivals.append(
+            Arrival(request_id, self._service, now, self._id, self._zone)
+        )
         expected = request.headers.get(EXPECTED_UPSTREAM)
         if expected not in (None, get_upstream_name(self._id)):
             return web.Response(
@@ -371,7 +373,7 @@
             self._id,
             self._service,
             self.address,
-            AvailabilityZone("zone-a"),
+            self._zone,
             SLOTS,
             self._is_draining,
             self._sequence,
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -88,6 +88,7 @@
             await asyncio.sleep(FINAL_LOAD_S)
         reading.cancel()
         await operator.read(session)
+        await operator.read_evacuated(session, ())
         observations.ended_at = asyncio.get_running_loop().time()
     violations = check_promises(observations)
     violations += [
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -4,7 +4,12 @@
 
 import pytest
 
-from scalebend.models.ids import RoutingVersion, ServiceName, UpstreamId
+from scalebend.models.ids import (
+    AvailabilityZone,
+    RoutingVersion,
+    ServiceName,
+    UpstreamId,
+)
 from scalebend.soak.deployment import BOUNDS
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
@@ -14,6 +19,8 @@
     Disturbance,
     DrainAcknowledgement,
     DrainNotice,
+    Evacuation,
+    EvacuationRead,
     Execution,
     Exit,
     Observations,
@@ -28,6 +35,7 @@
 
 FRONT = ProcessName("front-0")
 UPSTREAM = UpstreamId("i-1")
+ZONE = AvailabilityZone("zone-a")
 
 
 def build_call(request_id="r-1", kind=RequestKind.IDEMPOTENT, sent_at=100.0, **changes):
@@ -125,6 +133,18 @@
         )
 
 
+def break_evacuated(observations):
+    observations.arrivals[0] = Arrival(
+        "r-1", ServiceName("plain"), 100.05, UPSTREAM, ZONE
+    )
+    observations.evacuations.append(Evacuation(ZONE, 97.0, 130.0))
+    observations.evacuation_reads.append(EvacuationRead(210.0, (), ()))
+
+
+def break_evacuations_kept(observations):
+    observations.evacuation_reads.append(EvacuationRead(210.0, (), (ZONE,)))
+
+
 def break_exits(observations):
     observations.exits.append(Exit(FRONT, 20.0, 1))
 
@@ -168,6 +188,8 @@
         break_nothing_lost,
         break_memory,
         break_retry_budget,
+        break_evacuated,
+        break_evacuations_kept,
         break_exits,
         break_calm_service,
         break_in_time,
@@ -262,3 +284,46 @@
     assert list_broken(observations) == {"farewells"}
     observations.disturbances.append(Disturbance(FRONT, 113.0, 113.5))
     assert list_broken(observations) == set()
+
+
+@pytest.mark.parametrize(
+    ("disturbed", "since", "until", "late", "is_broken"),
+    [
+        (None, 0.0, 0.0, 2.4, False),
+        (None, 0.0, 0.0, 2.6, True),
+        # Withdrawn meanwhile.
+        (None, 0.0, 0.0, 31.0, False),
+        # The control group was unstable near the order.
+        ("control-1", 96.0, 98.0, 10.9, False),
+        ("control-1", 96.0, 98.0, 11.1, True),
+        # The front was cut off near the order, long before the request.
+        (FRONT, 96.0, 98.0, 4.9, False),
+        (FRONT, 96.0, 98.0, 12.0, True),
+        (FRONT, 96.0, 110.0, 12.0, False),
+    ],
+)
+def test_requests_in_an_evacuated_zone_are_reported(
+    disturbed, since, until, late, is_broken
+):
+    observations = build_observations()
+    observations.evacuations.append(Evacuation(ZONE, 100.0, 130.0))
+    observations.evacuation_reads.append(EvacuationRead(210.0, (), ()))
+    at = 100.0 + late
+    arrive(observations, at)
+    observations.arrivals[-1] = Arrival(
+        f"limited-{len(observations.arrivals) - 1}",
+        ServiceName("plain"),
+        at,
+        UPSTREAM,
+        ZONE,
+    )
+    if disturbed is not None:
+        process = ProcessName(disturbed)
+        observations.disturbances.append(Disturbance(process, since, until))
+    assert list_broken(observations) == ({"evacuated"} if is_broken else set())
+
+
+def test_list_that_was_never_read_is_reported():
+    observations = build_observations()
+    observations.evacuations.append(Evacuation(ZONE, 150.0, 160.0))
+    assert list_broken(observations) == {"evacuations_kept"}
