Soak: evacuate a zone without faults, too, and bound a front that has heard

A zone is evacuated once after the recovery, before the last change, and a control instance that fails after all fronts have heard no longer extends their bound.

--- a/src/scalebend/soak/evacuation_promises.py
+++ b/src/scalebend/soak/evacuation_promises.py
@@ -62,15 +62,17 @@
     call = evidence.observations.caller_requests.get(arrival.request_id)
     if call is None:
         return math.inf
-    acknowledged_at = evacuation.acknowledged_at
-    processes = {
-        one.process
+    # Once a front has heard of it, only faults of its own may delay a request.
+    since = evacuation.acknowledged_at - SETTLE_S
+    heard_by = evacuation.acknowledged_at + CALM_DELAY_S
+    is_stable = not any(
+        one.process.startswith("control")
+        and one.since <= heard_by
+        and one.until >= since
         for one in [*evidence.observations.disturbances, *evidence.observations.stops]
-        if one.since <= arrival.at and one.until >= acknowledged_at - SETTLE_S
-    }
-    controls = {one for one in processes if one.startswith("control")}
-    if call.front not in processes and not controls:
+    )
+    if is_stable and not evidence.is_disturbed(call.front, since, arrival.at):
         return CALM_DELAY_S
     if evidence.is_disturbed(call.front, arrival.at - DELAY_S - SETTLE_S, arrival.at):
         return math.inf
-    return DELAY_S + (UNSTABLE_DELAY_S if controls else 0.0)
+    return DELAY_S + (0.0 if is_stable else UNSTABLE_DELAY_S)
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -14,12 +14,12 @@
 from scalebend.soak.callers import run_callers
 from scalebend.soak.deployment import HEARTBEAT_INTERVAL_S, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
-from scalebend.soak.faults import build_schedule
+from scalebend.soak.faults import Evacuate, build_schedule
 from scalebend.soak.injector import Injector
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.observations import Observations
 from scalebend.soak.operator import CALL_TIMEOUT_S, Operator
-from scalebend.soak.promises import Violation, check_promises
+from scalebend.soak.promises import SETTLE_S, Violation, check_promises
 from scalebend.soak.replicas import Fleet, run_replica
 
 logger = structlog.get_logger(__name__)
@@ -33,6 +33,9 @@
 RECOVERY_S = 12.0
 """Seconds after the last fault within which service must recover."""
 
+CALM_EVACUATION_S = 5.0
+"""Seconds for which a zone is evacuated after the recovery."""
+
 FINAL_LOAD_S = 4.0
 """Seconds of load after the recovery."""
 
@@ -84,6 +87,10 @@
             await injector.follow(schedule, session)
             observations.load_ended_at = asyncio.get_running_loop().time()
             await asyncio.sleep(RECOVERY_S)
+            # Without any fault, the strictest bound holds.
+            evacuation = Evacuate(options.layout.replica_zones[0], CALM_EVACUATION_S)
+            await injector.inject(evacuation, session)
+            await asyncio.sleep(SETTLE_S)
             await operator.change(session)
             await asyncio.sleep(FINAL_LOAD_S)
         reading.cancel()
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -296,6 +296,8 @@
         # The control group was unstable near the order.
         ("control-1", 96.0, 98.0, 10.9, False),
         ("control-1", 96.0, 98.0, 11.1, True),
+        # It became unstable once all fronts had heard.
+        ("control-1", 103.0, 108.0, 2.6, True),
         # The front was cut off near the order, long before the request.
         (FRONT, 96.0, 98.0, 4.9, False),
         (FRONT, 96.0, 98.0, 12.0, True),
