Keep the zones that orders may name in the replicated log

The zones were known in memory alone: a leader that started while a zone had been down for over a minute refused its evacuation for good, and a withdrawal that changed nothing, once taken, could be refused when sent again. Each zone is now listed in the log by a field of Barrier, by upstreams and by orders, and the time after which an unlisted zone is refused for good counts from the confirmed lead.

--- a/src/scalebend/core/control_state.py
+++ b/src/scalebend/core/control_state.py
@@ -18,7 +18,7 @@
     Settle,
     Withdraw,
 )
-from scalebend.core.gateway.evacuations import apply_order
+from scalebend.core.gateway.evacuations import add_zones, apply_order
 from scalebend.models.configuration import (
     EMPTY_CONFIGURATION,
     AcceptedConfiguration,
@@ -92,7 +92,7 @@
 
 
 class Barrier(msgspec.Struct, frozen=True, tag=True):
-    """Command that carries an evacuation order, or has no effect.
+    """Command that carries an evacuation order or known zones, or has no effect.
 
     The commit of one without effect proves that a quorum was reached. The order is a
     field of this command since members of an earlier version, which could not decode
@@ -100,6 +100,8 @@
     """
 
     evacuation: EvacuationOrder | None = None
+    zones: tuple[AvailabilityZone, ...] = ()
+    """Zones to remember as known, named by upstreams or settings."""
 
 
 Command = (
@@ -161,6 +163,7 @@
     clock: float
     routing: StoredRouting | None = None
     evacuations: Evacuations = NO_EVACUATIONS
+    zones: tuple[AvailabilityZone, ...] = ()
 
 
 class ControlState:
@@ -171,6 +174,9 @@
         self.instances = EMPTY_LIST
         self.routing: StoredRouting | None = None
         self.evacuations = NO_EVACUATIONS
+        self.zones: tuple[AvailabilityZone, ...] = ()
+        """Availability zones that orders may name, the newest last."""
+
         self.claims = ClaimTable()
         self._changes: dict[ChangeId, ConfigurationVersion] = {}
         self._clock = 0.0
@@ -187,10 +193,11 @@
             case PutRouting(routing):
                 return self._put_routing(routing)
             case Barrier(EvacuationOrder() as order):
+                self.zones = add_zones(self.zones, [order.availability_zone])
                 self.evacuations = apply_order(self.evacuations, order, at)
                 return EvacuationResult(self.evacuations.revision)
-            case Barrier():
-                pass
+            case Barrier(zones=zones):
+                self.zones = add_zones(self.zones, zones)
             case Claim() | Settle() | Withdraw():
                 return self.claims.apply(command, self._clock)
         return Done(self.configuration.version, self.instances.epoch)
@@ -205,6 +212,7 @@
             self._clock,
             self.routing,
             self.evacuations,
+            self.zones,
         )
         return msgspec.msgpack.encode(stored)
 
@@ -218,6 +226,7 @@
         self._clock = stored.clock
         self.routing = stored.routing
         self.evacuations = stored.evacuations
+        self.zones = stored.zones
 
     def _apply_change(self, change: ConfigurationChange) -> Result:
         known = self._changes.get(change.change)
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -112,7 +112,7 @@
         self.limits = LimitExchange()
         self.placement = LeaderPlacement(self.limits, now)
         self.evacuations = EvacuationPush(
-            self.directory, availability_zone, heartbeat_interval, now
+            self.directory, availability_zone, heartbeat_interval
         )
         self._ejections = EjectionPush()
 
@@ -205,6 +205,7 @@
             self._ejections.expire(now)
             self.crashes.ledger.expire(now)
             self.limits.expire(now)
+        self._list_zones(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_INTERVAL_S
             self.placement.log_summary(len(self._fronts), now)
@@ -463,9 +464,18 @@
 
         Raises the errors of :meth:`EvacuationPush.check`.
         """
-        self.evacuations.check(order, self._list_instances(), now)
+        listed = self.member.state.zones
+        self.evacuations.check(order, self._list_instances(), listed, now)
         return self._proposals.propose(Barrier(order), now, at)
 
+    def _list_zones(self, now: float) -> None:
+        """As leader, add zones that are new here to those in the log."""
+        confirmed_at = self.member.replica.compute_confirmed_at(now)
+        self.evacuations.record_lead(is_confirmed=confirmed_at is not None, now=now)
+        if zones := self.evacuations.list_unlisted(self.member.state.zones, now):
+            # Without a wall clock: the entry leaves the state's clock as it is.
+            self._proposals.propose(Barrier(zones=zones), now, 0.0)
+
     def request_fresh_read(self, now: float) -> int:
         """Request a confirmed read; :class:`ReadConfirmed` names the returned id."""
         return self._documents.request_fresh_read(now)
--- a/src/scalebend/core/gateway/evacuations.py
+++ b/src/scalebend/core/gateway/evacuations.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Container
+from collections.abc import Container, Iterable
 
-from scalebend.core.gateway.endpoint_directory import EndpointDirectory
+from scalebend.core.gateway.endpoint_directory import MAX_ZONES, EndpointDirectory
 from scalebend.models.evacuations import (
     NO_EVACUATIONS,
     EvacuationOrder,
@@ -31,6 +31,14 @@
     return Evacuations(revision, (*others, changed))
 
 
+def add_zones(
+    known: tuple[AvailabilityZone, ...], zones: Iterable[AvailabilityZone]
+) -> tuple[AvailabilityZone, ...]:
+    """Return the known zones with more; beyond the bound, the oldest are dropped."""
+    added = dict.fromkeys(zone for zone in zones if zone not in known)
+    return (*known, *added)[-MAX_ZONES:] if added else known
+
+
 class HeldEvacuations:
     """The newest evacuations that one process knows, as its directory obeys them."""
 
