--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -468,6 +468,10 @@
         self.evacuations.check(order, self._list_instances(), listed, now)
         return self._proposals.propose(Barrier(order), now, at)
 
+    def check_evacuation_members(self) -> None:
+        """Raise the error of :meth:`EvacuationPush.check_members`, also as follower."""
+        self.evacuations.check_members(self._list_instances())
+
     def _list_zones(self, now: float) -> None:
         """As leader, add zones that are new here to those in the log."""
         confirmed_at = self.member.replica.compute_confirmed_at(now)
--- a/src/scalebend/core/gateway/evacuation_push.py
+++ b/src/scalebend/core/gateway/evacuation_push.py
@@ -78,6 +78,19 @@
             known.add(self._own_zone)
         return tuple(sorted(known.difference(listed)))[: MAX_ZONES - len(listed)]
 
+    def check_members(self, members: Iterable[InstanceId]) -> None:
+        """Check that all members of the group that linked here know evacuations.
+
+        Raises:
+            RefusedError: One doesn't: it would lose an order, or not know the call.
+        """
+        older = sorted(self._older_members.intersection(members))
+        if older:
+            raise RefusedError(
+                f"control instances of an earlier version: {', '.join(older)}",
+                kind=ErrorKind.NOT_READY,
+            )
+
     def check(
         self,
         order: EvacuationOrder,
@@ -92,12 +105,7 @@
             RefusedError: This instance may not have heard of the zone yet, or a member
                 of the group would lose the order.
         """
-        older = sorted(self._older_members.intersection(members))
-        if older:
-            raise RefusedError(
-                f"control instances of an earlier version: {', '.join(older)}",
-                kind=ErrorKind.NOT_READY,
-            )
+        self.check_members(members)
         zone = order.availability_zone
         zones = self._directory.zones.union(listed)
         if zone == self._own_zone or is_zone_known(zone, zones, self.newest):
--- a/src/scalebend/edges/gateway/control_calls.py
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -79,7 +79,7 @@
             case "POST" | "DELETE" if path.startswith(EVACUATION_PREFIX):
                 return await self._order_evacuation(request)
             case "GET" if path == EVACUATIONS_PATH:
-                return self._redirect(request) or await handle_list(self._runtime)
+                return await self._list_evacuations(request)
             case "GET" if path == "/metrics":
                 return await serve_metrics(self._runtime.metrics, request)
         raise RequestError(f"{request.method} {path}", kind=ErrorKind.NOT_FOUND)
@@ -125,8 +125,15 @@
 
     async def _order_evacuation(self, request: web.BaseRequest) -> web.StreamResponse:
         order = await read_order(request)
+        self._runtime.instance.check_evacuation_members()
         return self._redirect(request) or await handle_order(self._runtime, order)
 
+    async def _list_evacuations(self, request: web.BaseRequest) -> web.StreamResponse:
+        # A leader of an earlier version would not know the call.
+        if not self._runtime.instance.is_leader:
+            self._runtime.instance.check_evacuation_members()
+        return self._redirect(request) or await handle_list(self._runtime)
+
     def _redirect(self, request: web.BaseRequest) -> web.StreamResponse | None:
         """Return a redirect to the leader; ``None`` if this member leads."""
         runtime = self._runtime
