--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import structlog
 
 from scalebend.core.consensus.messages import ConsensusMessage, Ready
@@ -466,6 +467,8 @@
         """
         listed = self.member.state.zones
         self.evacuations.check(order, self._list_instances(), listed, now)
+        held = self.evacuations.newest.revision
+        order = msgspec.structs.replace(order, held=held)
         return self._proposals.propose(Barrier(order), now, at)
 
     def check_evacuation_members(self) -> None:
--- a/src/scalebend/core/gateway/evacuations.py
+++ b/src/scalebend/core/gateway/evacuations.py
@@ -23,9 +23,10 @@
     before = held.find(zone)
     # A zone that was never evacuated is in use, as if that had been withdrawn.
     was_withdrawn = before is None or before.is_withdrawn
-    if order.is_withdrawn == was_withdrawn:
+    if order.is_withdrawn == was_withdrawn and order.held <= held.revision:
         return held
-    revision = EvacuationRevision(held.revision + 1)
+    # The log's revisions restart lower if a member without them gave its snapshot.
+    revision = EvacuationRevision(max(held.revision, order.held) + 1)
     changed = ZoneEvacuation(zone, order.is_withdrawn, revision, at)
     others = (one for one in held.zones if one.availability_zone != zone)
     return Evacuations(revision, (*others, changed))
--- a/src/scalebend/models/evacuations.py
+++ b/src/scalebend/models/evacuations.py
@@ -12,6 +12,8 @@
 
     availability_zone: AvailabilityZone
     is_withdrawn: bool = False
+    held: EvacuationRevision = EvacuationRevision(0)
+    """The highest revision that its proposer knew; fronts ignore lower ones."""
 
 
 class ZoneEvacuation(msgspec.Struct, frozen=True, array_like=True):
@@ -28,7 +30,7 @@
     """All zones that were ever evacuated, as of one revision."""
 
     revision: EvacuationRevision = EvacuationRevision(0)
-    """Number of changes so far; equal revisions have equal content."""
+    """Rises with each change; equal revisions have equal content."""
 
     zones: tuple[ZoneEvacuation, ...] = ()
 
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -50,7 +50,7 @@
 """Operator's key for one configuration change; a resend carries the same."""
 
 ConfigurationVersion = NewType("ConfigurationVersion", int)
-"""Number of an accepted configuration; rises by one with each change."""
+"""Number of an accepted configuration; rises with each change."""
 
 Epoch = NewType("Epoch", int)
 """Number of the committed instance list that ownership is derived from."""
@@ -65,7 +65,7 @@
 """Number of a routing document; rises with each change, with gaps."""
 
 EvacuationRevision = NewType("EvacuationRevision", int)
-"""Number of a change of the evacuated availability zones; rises by one with each."""
+"""Number of a change of the evacuated availability zones; rises with each."""
 
 SendPermitId = NewType("SendPermitId", int)
 """Number of a front's request for a send permit, unique within the front."""
--- a/tests/unit/gateway/test_evacuation_log.py
+++ b/tests/unit/gateway/test_evacuation_log.py
@@ -119,6 +119,14 @@
         old.decode(msgspec.msgpack.encode(Unknown(ZONE)))
 
 
+def test_order_without_the_revision_held_is_read():
+    data = msgspec.msgpack.encode(
+        {"type": "Barrier", "evacuation": {"availability_zone": ZONE}}
+    )
+    assert decode_command(data) == EVACUATE
+    assert EVACUATE.evacuation.held == 0
+
+
 def test_log_of_the_version_before_is_read():
     data = msgspec.msgpack.encode(OldBarrier())
     assert decode_command(data) == Barrier()
--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -63,6 +63,20 @@
     assert held.evacuated == {zone for zone, withdrawn in last.items() if not withdrawn}
 
 
+def test_order_gets_a_revision_above_all_that_its_proposer_holds():
+    changed = apply_order(NO_EVACUATIONS, EvacuationOrder(FAR, held=7), 1.0)
+    assert (changed.revision, changed.evacuated) == (8, {FAR})
+    # Nothing but the revision changes, since fronts ignore the lower one.
+    raised = apply_order(changed, EvacuationOrder(FAR, held=9), 2.0)
+    assert (raised.revision, raised.evacuated) == (10, {FAR})
+    assert apply_order(raised, EvacuationOrder(FAR, held=10), 3.0) is raised
+    assert apply_order(raised, EvacuationOrder(FAR, held=9), 3.0) is raised
+    withdrawn = EvacuationOrder(FAR, is_withdrawn=True, held=3)
+    never = apply_order(NO_EVACUATIONS, withdrawn, 1.0)
+    assert (never.revision, never.evacuated) == (4, frozenset())
+    assert [one.revision for one in never.zones] == [4]
+
+
 # The control instance
 
 
@@ -109,6 +123,21 @@
     assert read_revisions(actions) == []
 
 
+@pytest.mark.parametrize("last", [EVACUATE, WITHDRAW])
+def test_order_is_in_force_though_the_log_s_revisions_restart_lower(last):
+    group = build_leader()
+    for one in (EVACUATE, WITHDRAW, EVACUATE):
+        order(group, one)
+    # As from the snapshot of a member of the version before.
+    group.instance.member.state.evacuations = NO_EVACUATIONS
+    actions = order(group, last)
+    assert [a.held for a in actions if isinstance(a, ProposalEnded)] == [4]
+    assert read_revisions(actions) == [4, 4]
+    assert group.instance.evacuations.newest.evacuated == (
+        {FAR} if last is EVACUATE else frozenset()
+    )
+
+
 def test_heartbeat_says_nothing_of_evacuations_before_the_first():
     group = build_leader()
     assert set(read_revisions(group.run(0.6))) == {None}
