Soak: evacuate a zone for longer than any limit of what is promised

Evacuations of seven seconds ended before the limit that holds when a control instance was disturbed near the order, so that case could not fail. Runs from a minute on end with a series of its own that has one of fourteen seconds; the others stay as they were, as do the short runs of the tests. A unit check compares each finite limit with the durations drawn.

--- a/src/scalebend/soak/evacuation_promises.py
+++ b/src/scalebend/soak/evacuation_promises.py
@@ -21,6 +21,9 @@
 UNSTABLE_DELAY_S = 6.0
 """Seconds on top if a control instance was disturbed near the acknowledgement."""
 
+FINITE_LIMITS_S = (CALM_DELAY_S, DELAY_S, DELAY_S + UNSTABLE_DELAY_S)
+"""Limits after which an arrival breaks the promise; some evacuations last longer."""
+
 SETTLE_S = 4.0
 """Seconds after a fault in which its effects may last."""
 
--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -59,6 +59,16 @@
 """Latest start of an evacuation in a series, and its duration, in seconds: longer than
 the platform's bound, and over before the replicas of the next calm period drain."""
 
+LONG_EVACUATION_DURATION_S = 14.0
+"""Duration of the evacuation in the last series, in seconds: longer than any limit of
+what is promised, so that late requests show also if control was disturbed."""
+
+LONG_EVACUATION_SERIES_S = 28.0
+"""Duration of that series with the calm after it, in seconds."""
+
+MIN_LONG_EVACUATION_LENGTH_S = 60.0
+"""Length in seconds from which a run has this series; those of the tests are short."""
+
 LONG_FAULT_SHARE = 0.15
 MAX_LONG_FAULT_S = 9.0
 """Share of the faults that last longer, and their longest duration in seconds: an
@@ -275,10 +285,32 @@
             faults.append(ScheduledFault(planned_at, planned_drain))
         faults.append(ScheduledFault(planned_at, Change(1, revokes=False)))
         at += SERIES_DURATION_S + CALM_S
+    if length >= MIN_LONG_EVACUATION_LENGTH_S:
+        # After the others, whose calm it would take, and with faults of its own.
+        faults += _draw_long_evacuation(random.Random(f"{seed}/long"), at, layout)
+        at += LONG_EVACUATION_SERIES_S
     faults.sort(key=lambda scheduled: scheduled.at)
     return Schedule(faults, at)
 
 
+def _draw_long_evacuation(
+    chooser: random.Random, at: float, layout: Layout
+) -> list[ScheduledFault]:
+    """Draw a series with a long evacuation, and without planned work after it."""
+    begins = at + chooser.uniform(0.0, EVACUATION_START_S)
+    zone = chooser.choice(layout.replica_zones)
+    evacuation = Evacuate(zone, LONG_EVACUATION_DURATION_S)
+    drawer = _Drawer(chooser, layout)
+    starts = [
+        at + chooser.uniform(0.0, SERIES_DURATION_S)
+        for _ in range(chooser.randint(MIN_SERIES_FAULTS, MAX_SERIES_FAULTS))
+    ]
+    return [
+        ScheduledFault(begins, evacuation),
+        *(ScheduledFault(start, drawer.draw(start)) for start in starts),
+    ]
+
+
 def _draw_rate_limit(chooser: random.Random, layout: Layout) -> RateLimitFault:
     rate = round(chooser.uniform(MIN_RATE_LIMIT_PER_S, MAX_RATE_LIMIT_PER_S), 2)
     replicas = chooser.choice((layout.engine_replicas, layout.plain_replicas))
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -2,13 +2,17 @@
 
 from hypothesis import given, strategies as st
 
+from scalebend.soak.evacuation_promises import FINITE_LIMITS_S
 from scalebend.soak.faults import (
     CALM_S,
     DISK_RECOVERY_S,
+    EVACUATION_DURATION_S,
     FIRST_SERIES_AT_S,
+    LONG_EVACUATION_SERIES_S,
     SERIES_DURATION_S,
     Change,
     Drain,
+    Evacuate,
     Kill,
     build_schedule,
 )
@@ -47,4 +51,39 @@
         ]
         assert {type(scheduled.fault) for scheduled in calm_faults} == {Drain, Change}
         begins += period
-    assert schedule.ends == begins
+    # The last series has a long evacuation, and no planned work.
+    assert schedule.ends == begins + LONG_EVACUATION_SERIES_S
+
+
+CHECKED_S = 2.0
+"""Seconds after its longest limit in which an evacuation still shows late requests."""
+
+
+def list_evacuations(seed, length=120.0):
+    return [
+        scheduled
+        for scheduled in build_schedule(seed, length, LAYOUT).faults
+        if isinstance(scheduled.fault, Evacuate)
+    ]
+
+
+def test_each_limit_is_shorter_than_an_evacuation_that_is_drawn():
+    lasts = {one.fault.lasts for seed in range(20) for one in list_evacuations(seed)}
+    for limit in FINITE_LIMITS_S:
+        assert any(limit + CHECKED_S <= one for one in lasts), limit
+
+
+@given(st.integers(0, 10_000))
+def test_one_zone_at_a_time_is_evacuated(seed):
+    evacuations = list_evacuations(seed, 300.0)
+    assert evacuations
+    for earlier, later in zip(evacuations, evacuations[1:], strict=False):
+        # With time for the acknowledgement.
+        assert later.at - earlier.at - earlier.fault.lasts >= 8.0
+
+
+@given(st.integers(0, 10_000))
+def test_short_schedule_has_no_long_evacuation(seed):
+    (evacuation,) = list_evacuations(seed, 12.0)
+    assert evacuation.fault.lasts == EVACUATION_DURATION_S
+    assert build_schedule(seed, 12.0, LAYOUT).ends == FIRST_SERIES_AT_S + 17.0
