Test placements after an evacuation, and jobs of the zone that end then

The test placed nothing after the order, so the leader never refreshed its replicas with the reduced list while jobs were open on the others.

--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -1,6 +1,7 @@
 """Evacuated availability zones: the order at control, and who obeys it."""
 
 import random
+from collections import Counter
 
 import pytest
 from hypothesis import given, strategies as st
@@ -340,14 +341,37 @@
 
 def test_open_jobs_and_records_of_the_zone_are_kept():
     deployment = Deployment()
-    for number in range(8):
-        deployment.group.place(deployment.front, build_quick(number))
-    busy = deployment.leader.scheduler.list_busy(deployment.group.now, 9)
-    assert {one.upstream for one in busy} & {"i-3", "i-4"}
+    group, scheduler = deployment.group, deployment.leader.scheduler
+
+    def count_jobs():
+        busy = scheduler.list_busy(group.now, 9)
+        return Counter({one.upstream: one.decoding for one in busy if one.decoding})
+
+    works = [build_quick(number) for number in range(16)]
+    placed = {w.job: group.place(deployment.front, w).upstream for w in works[:8]}
+    before = count_jobs()
+    there = [job for job, upstream in placed.items() if upstream in ("i-3", "i-4")]
+    assert len(there) == before["i-3"] + before["i-4"] > 0
     deployment.order(EVACUATE)
-    deployment.group.run(2.0)
+    # Each choice works on the replicas that are left.
+    for work in works[8:]:
+        placed[work.job] = group.place(deployment.front, work).upstream
+        assert placed[work.job] in ("i-1", "i-2")
+    group.run(2.0)
     directory = deployment.front.directory
-    assert deployment.leader.scheduler.open_jobs == 8
+    assert scheduler.open_jobs == 16
+    during = count_jobs()
+    assert during["i-3"] + during["i-4"] == len(there)
+    # What ends there gives its load back, as do the others.
+    for job in there:
+        group.record_stage(deployment.front, job, is_ended=True)
+    assert count_jobs().keys() <= {"i-1", "i-2"}
+    assert scheduler.open_jobs == 16 - len(there)
+    deployment.order(EvacuationOrder(NEAR))
+    deployment.order(WITHDRAW)
+    late = group.place(deployment.front, build_quick(99)).upstream
+    assert late in ("i-3", "i-4")
+    assert count_jobs()[late] == 1
     assert directory.get("i-3") is not None
     assert not directory.is_lost("i-3")
     assert "i-3" in directory.list_ids()
