Test that a committed order outlives its leader when its answer is lost

The test of the killed leader stops both followers, so that nothing commits, and sends the order again itself. The new one drops the answer and only reads the list.

--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -161,6 +161,44 @@
     assert await list_evacuated(system) == ["far"]
 
 
+async def test_committed_order_is_kept_though_its_answer_is_lost(system):
+    processes = system.processes
+    leader = processes.find_leader()
+    host, port = processes.find_control(leader).split(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    writer.write(b"POST /evacuations/far HTTP/1.1\r\nHost: x\r\n\r\n")
+    await writer.drain()
+    # The answer is never read; nobody orders again.
+    await wait_for_event(processes, leader, "evacuation acknowledged")
+    processes.kill(leader)
+    writer.close()
+    await asyncio.sleep(FORCE_S)
+    for front in (0, 1):
+        assert await find_users(system, front) == {"i-2"}
+    assert await wait_for_list(system) == ["far"]
+    processes.start(leader)
+    assert await wait_for_list(system) == ["far"]
+
+
+async def wait_for_event(processes, name, event, seconds=5.0):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if any(line["event"] == event for line in processes.read_log(name)):
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"{name} did not log {event}")
+
+
+async def wait_for_list(system, seconds=10.0):
+    """Return the list of the first instance that has a confirmed leader."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        if (listed := await list_evacuated(system)) is not None:
+            return listed
+        await asyncio.sleep(0.1)
+    raise AssertionError("no list could be read")
+
+
 async def test_acknowledged_order_outlives_the_power_of_all(system):
     processes = system.processes
     await order(system, "POST")
