Know the zone of each live upstream, and bound the withdrawn zones

Beyond the bound of the zones kept, a zone was unknown though its upstreams were registered. Withdrawn zones were listed for ever and went out with each heartbeat; the last hundred are kept now.

--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -105,6 +105,13 @@
         """Whether only the evacuation of zones keeps a service from new requests."""
         return not self.list_usable(service) and bool(self._by_service.get(service))
 
+    def has_zone(self, zone: AvailabilityZone) -> bool:
+        """Whether any upstream was in the zone, also if :attr:`zones` is full."""
+        return zone in self.zones or any(
+            not known.is_gone and known.endpoint.availability_zone == zone
+            for known in self._known.values()
+        )
+
     def is_lost(self, upstream: UpstreamId) -> bool:
         """Whether the upstream is gone without having announced that it drains."""
         known = self._known.get(upstream)
--- a/src/scalebend/core/gateway/evacuation_push.py
+++ b/src/scalebend/core/gateway/evacuation_push.py
@@ -107,8 +107,9 @@
         """
         self.check_members(members)
         zone = order.availability_zone
-        zones = self._directory.zones.union(listed)
-        if zone == self._own_zone or is_zone_known(zone, zones, self.newest):
+        if zone == self._own_zone or self._directory.has_zone(zone):
+            return
+        if is_zone_known(zone, listed, self.newest):
             return
         learned_at = self._learned_at
         if learned_at is None or now < learned_at or not self._directory.zones:
--- a/src/scalebend/core/gateway/evacuations.py
+++ b/src/scalebend/core/gateway/evacuations.py
@@ -13,6 +13,9 @@
 )
 from scalebend.models.ids import AvailabilityZone, EvacuationRevision
 
+MAX_WITHDRAWN_ZONES = 100
+"""Withdrawn zones that are still listed, the last ones: each heartbeat carries them."""
+
 
 def apply_order(held: Evacuations, order: EvacuationOrder, at: float) -> Evacuations:
     """Return the evacuations after an order; the same object if it changes nothing.
@@ -29,7 +32,15 @@
     revision = EvacuationRevision(max(held.revision, order.held) + 1)
     changed = ZoneEvacuation(zone, order.is_withdrawn, revision, at)
     others = (one for one in held.zones if one.availability_zone != zone)
-    return Evacuations(revision, (*others, changed))
+    return Evacuations(revision, _drop_old_withdrawn((*others, changed)))
+
+
+def _drop_old_withdrawn(
+    zones: tuple[ZoneEvacuation, ...],
+) -> tuple[ZoneEvacuation, ...]:
+    withdrawn = [one for one in zones if one.is_withdrawn]
+    dropped = withdrawn[:-MAX_WITHDRAWN_ZONES]
+    return tuple(one for one in zones if one not in dropped) if dropped else zones
 
 
 def add_zones(
--- a/src/scalebend/models/evacuations.py
+++ b/src/scalebend/models/evacuations.py
@@ -27,7 +27,7 @@
 
 
 class Evacuations(msgspec.Struct, frozen=True):
-    """All zones that were ever evacuated, as of one revision."""
+    """The evacuated zones and the last ones withdrawn, as of one revision."""
 
     revision: EvacuationRevision = EvacuationRevision(0)
     """Rises with each change; equal revisions have equal content."""
--- a/tests/unit/gateway/test_known_zones.py
+++ b/tests/unit/gateway/test_known_zones.py
@@ -7,8 +7,9 @@
 from scalebend.core.gateway.control_actions import ProposalEnded
 from scalebend.core.gateway.endpoint_directory import GONE_RETENTION_S, MAX_ZONES
 from scalebend.core.gateway.evacuation_push import LEARNING_HEARTBEATS
+from scalebend.core.gateway.evacuations import MAX_WITHDRAWN_ZONES, apply_order
 from scalebend.exceptions import RefusedError, RequestError, ScalebendError
-from scalebend.models.evacuations import EvacuationOrder
+from scalebend.models.evacuations import NO_EVACUATIONS, EvacuationOrder
 from scalebend.models.ids import AvailabilityZone
 from tests.lib.gateway_builders import build_endpoint
 from tests.unit.gateway.test_control_instance import SingleMemberGroup
@@ -110,6 +111,30 @@
     assert group.instance.member.state.zones == state.zones
 
 
+def test_zone_of_a_live_upstream_is_known_beyond_the_bounds():
+    group = build_leader(NEAR, seconds=LEARNING_S)
+    zones = (AvailabilityZone(f"z-{n}") for n in range(MAX_ZONES))
+    group.instance.directory.zones.update(zones)
+    group.run(2.0)
+    with pytest.raises(RequestError):
+        order(group, EVACUATE)
+    register(group, NEAR, FAR)
+    assert FAR not in group.instance.directory.zones
+    assert order(group, EVACUATE) == [1]
+
+
+def test_list_keeps_evacuated_zones_and_the_last_withdrawn():
+    held = apply_order(NO_EVACUATIONS, EVACUATE, 0.0)
+    for number in range(MAX_WITHDRAWN_ZONES + 9):
+        zone = AvailabilityZone(f"z-{number}")
+        for is_withdrawn in (False, True):
+            held = apply_order(held, EvacuationOrder(zone, is_withdrawn), 0.0)
+    assert len(held.zones) == MAX_WITHDRAWN_ZONES + 1
+    assert held.evacuated == {FAR}
+    assert held.find(AvailabilityZone("z-8")) is None
+    assert held.find(AvailabilityZone("z-9")).is_withdrawn
+
+
 def test_snapshot_without_zones_is_read():
     state = ControlState()
     state.apply(encode_command(Barrier(zones=(NEAR, FAR, NEAR))), 1.0)
