--- a/src/scalebend/edges/gateway/evacuation_calls.py
+++ b/src/scalebend/edges/gateway/evacuation_calls.py
@@ -20,7 +20,7 @@
 async def read_order(request: web.BaseRequest) -> EvacuationOrder:
     """Return the order of a call; raise :class:`RequestError` if it is malformed."""
     body = await request.content.read(1)
-    return decode_order(request.method, request.path, body)
+    return decode_order(request.method, request.rel_url.raw_path, body)
 
 
 async def handle_order(
--- a/src/scalebend/platform/evacuations.py
+++ b/src/scalebend/platform/evacuations.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from urllib.parse import quote
+from urllib.parse import quote, unquote
 
 import msgspec
 
@@ -34,11 +34,14 @@
 def decode_order(method: str, path: str, body: bytes) -> EvacuationOrder:
     """Return the order of a ``POST`` or ``DELETE`` below :data:`EVACUATION_PREFIX`.
 
+    ``path`` is quoted, as it was sent; the name of the zone may contain a slash.
+
     Raises:
         RequestError: The path names no single zone, or the order has a body.
     """
-    zone = path.removeprefix(EVACUATION_PREFIX)
-    if not zone or "/" in zone or len(zone) > MAX_NAME_CHARS:
+    quoted = path.removeprefix(EVACUATION_PREFIX)
+    zone = unquote(quoted)
+    if not zone or "/" in quoted or quoted == path or len(zone) > MAX_NAME_CHARS:
         raise RequestError(
             f"{method} {path}: expected the name of one zone, without a slash after it",
             kind=ErrorKind.NOT_FOUND,
--- a/tests/unit/gateway/test_evacuation_calls.py
+++ b/tests/unit/gateway/test_evacuation_calls.py
@@ -4,11 +4,13 @@
 
 import pytest
 from aiohttp import ClientSession
+from yarl import URL
 
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
 from scalebend.core.gateway.control_instance import ControlInstance
 from scalebend.edges.gateway.control_calls import ControlHandler
+from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.models.ids import InstanceId, Term
 from tests.lib.front import serve
 
@@ -23,10 +25,15 @@
         member = ControlMember(ME, [LEADER], recovered, now=0.0)
         monkeypatch.setattr(ControlMember, "leader", LEADER)
         self.instance = ControlInstance(member, 1.2, now=0.0)
+        monkeypatch.setattr(ControlInstance, "is_leader", property(self._get_leads))
+        self.leads = False
         # The group, as a follower knows it.
         self.instance._list_instances = lambda: [ME, LEADER]
         self.settings = SimpleNamespace(control_address="0.0.0.0:7341")
 
+    def _get_leads(self, _):
+        return self.leads
+
 
 @pytest.fixture
 def follower(monkeypatch):
@@ -39,7 +46,10 @@
         serve(handle) as address,
         ClientSession() as session,
         session.request(
-            method, f"http://{address}{path}", data=body, allow_redirects=False
+            method,
+            URL(f"http://{address}{path}", encoded=True),
+            data=body,
+            allow_redirects=False,
         ) as response,
     ):
         return response, await response.text()
@@ -57,3 +67,28 @@
     assert response.status == 503 and LEADER in body
     follower.instance.evacuations.record_member(LEADER, knows_evacuations=True)
     assert (await call(follower))[0].status == 307
+
+
+@pytest.mark.parametrize(
+    ("path", "zone"),
+    [
+        ("/evacuations/a%2Fb", "a/b"),
+        ("/evacuations/far?x=1", "far"),
+        ("/evacuations/far%2F", "far/"),
+        ("/evacuations%2Ffar", None),
+        ("/evacuations/far/", None),
+    ],
+)
+async def test_name_of_the_zone_is_read_as_it_was_sent(follower, path, zone):
+    orders = []
+
+    async def order_evacuation(order):
+        orders.append(order.availability_zone)
+        return 1
+
+    follower.order_evacuation = order_evacuation
+    follower.now = lambda: 0.0
+    follower.metrics = GatewayMetrics()
+    follower.leads = True
+    response, _ = await call(follower, path=path)
+    assert (response.status, orders) == ((200, [zone]) if zone else (404, []))
--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -16,7 +16,11 @@
 from scalebend.models.evacuations import NO_EVACUATIONS, EvacuationOrder
 from scalebend.models.ids import AvailabilityZone, InstanceId
 from scalebend.models.placement import Declined, Helper, Placement
-from scalebend.platform.evacuations import decode_order, encode_evacuations
+from scalebend.platform.evacuations import (
+    build_order_path,
+    decode_order,
+    encode_evacuations,
+)
 from tests.lib.gateway_builders import (
     PROFILE,
     SERVICE,
@@ -385,12 +389,19 @@
     assert decode_order("DELETE", "/evacuations/far", b"") == WITHDRAW
 
 
+@pytest.mark.parametrize("zone", ["a/b", "a b", "50%", "a%2Fb", "ö?"])
+def test_quoted_names_are_decoded_once(zone):
+    order = decode_order("POST", build_order_path(zone), b"")
+    assert order.availability_zone == zone
+
+
 @pytest.mark.parametrize(
     ("path", "body", "status"),
     [
         ("/evacuations/", b"", 404),
         ("/evacuations/far/", b"", 404),
         ("/evacuations/far/near", b"", 404),
+        ("/evacuations%2Ffar", b"", 404),
         ("/evacuations/" + "x" * 300, b"", 404),
         ("/evacuations/far", b"{}", 400),
     ],
