--- a/src/scalebend/edges/gateway/service_choice.py
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -8,6 +8,7 @@
 import structlog
 
 from scalebend.core.gateway.timeouts import compute_room_timeout
+from scalebend.edges.gateway.evacuated_services import refuse_evacuated
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.models.calls import Call
 from scalebend.models.endpoints import Endpoint
@@ -25,7 +26,8 @@
 
     endpoint: Endpoint | None
     retry_after: float | None = None
-    """Seconds until a send permit is free, if only rate limits prevent the send."""
+    """Seconds until a send permit is free, if only rate limits prevent the send, or
+    until the service may be in use again, if only evacuations do."""
 
 
 async def choose_within_limits(
@@ -50,6 +52,10 @@
         )
         if endpoint is None:
             if full:
+                # The zone of the last upstream may be evacuated while a permit is due.
+                evacuated_s = refuse_evacuated(runtime, call)
+                if evacuated_s is not None:
+                    return ServiceChoice(None, evacuated_s)
                 _log_full(call, full, retry_after)
                 runtime.record_limit_refusal()
             return ServiceChoice(None, retry_after)
--- a/tests/unit/gateway/test_evacuated_requests.py
+++ b/tests/unit/gateway/test_evacuated_requests.py
@@ -8,13 +8,14 @@
 from aiohttp import web
 
 from scalebend.core.gateway.evacuations import apply_order
-from scalebend.core.gateway.messages import ControlStatus
+from scalebend.core.gateway.messages import ControlStatus, SendPermitReply
 from scalebend.models.evacuations import EvacuationOrder
-from scalebend.models.ids import AvailabilityZone
+from scalebend.models.ids import AvailabilityZone, SendPermitId
 from scalebend.models.routing import RouteKind
 from tests.lib.front import answer_sealed, run_front, serve, wait_for
 from tests.lib.gateway_builders import (
     PROFILE,
+    SERVICE,
     build_route,
     build_routing,
     build_service,
@@ -171,3 +172,28 @@
         assert response.status == 200
         await response.read()
         assert (len(far.requests), len(near.requests)) == (0, 1)
+
+
+@pytest.mark.parametrize("is_granted", [False, True])
+async def test_request_that_waits_for_a_permit_is_refused_as_evacuated(is_granted):
+    upstream = Upstream()
+    async with run_front(PLAIN) as front, serve(upstream.handle) as address:
+        front.add(1, address, availability_zone=FAR)
+        runtime = front.runtime
+        runtime.instance.limits.is_limited = lambda _: True
+        (endpoint,) = runtime.instance.directory.list_usable(SERVICE)
+
+        async def request_send_permit(upstreams, timeout_s):
+            order(front, FAR)
+            granted = endpoint.upstream if is_granted else None
+            return SendPermitReply(SendPermitId(1), granted, wait=0.01)
+
+        runtime.request_send_permit = request_send_permit
+        async with front.call() as response:
+            document = await response.json(content_type=None)
+        assert (response.status, document["ran"]) == (503, "no")
+        assert 1.0 <= float(response.headers["Retry-After"]) <= 1.5
+        assert not upstream.requests
+        rendered = runtime.metrics.render()
+        assert b"scalebend_evacuation_refusals_total 1.0" in rendered
+        assert b"scalebend_limit_refusals_total 0.0" in rendered
