--- a/src/scalebend/core/control_state.py
+++ b/src/scalebend/core/control_state.py
@@ -18,7 +18,7 @@
     Settle,
     Withdraw,
 )
-from scalebend.core.gateway.evacuations import add_zones, apply_order
+from scalebend.core.evacuations import add_zones, apply_order
 from scalebend.models.configuration import (
     EMPTY_CONFIGURATION,
     AcceptedConfiguration,
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -19,6 +19,7 @@
 import msgspec
 import structlog
 
+from scalebend.core.evacuations import MAX_ZONES
 from scalebend.models.endpoints import (
     Deregistration,
     Endpoint,
@@ -38,9 +39,6 @@
 """How long ids that are gone are kept, so that delayed registrations of them are
 ignored; the platform may deliver a registration seconds late."""
 
-MAX_ZONES = 1_000
-"""Bounds the zones that are kept, since upstreams choose the names."""
-
 REGISTRATIONS_TO_REGAIN_ADDRESS = 2
 """Registrations after which an id regains its address; a single one may be delayed."""
 
--- a/src/scalebend/core/gateway/evacuation_push.py
+++ b/src/scalebend/core/gateway/evacuation_push.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Iterable
 
-from scalebend.core.gateway.endpoint_directory import MAX_ZONES, EndpointDirectory
+from scalebend.core.evacuations import MAX_ZONES
+from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.evacuations import HeldEvacuations, is_zone_known
 from scalebend.exceptions import ErrorKind, RefusedError, RequestError
 from scalebend.models.evacuations import EvacuationOrder, Evacuations
--- a/tests/unit/gateway/test_evacuated_requests.py
+++ b/tests/unit/gateway/test_evacuated_requests.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from scalebend.core.gateway.evacuations import apply_order
+from scalebend.core.evacuations import apply_order
 from scalebend.core.gateway.messages import ControlStatus, SendPermitReply
 from scalebend.models.evacuations import EvacuationOrder
 from scalebend.models.ids import AvailabilityZone, SendPermitId
--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -6,10 +6,10 @@
 import pytest
 from hypothesis import given, strategies as st
 
+from scalebend.core.evacuations import apply_order
 from scalebend.core.gateway.control_actions import ProposalEnded
 from scalebend.core.gateway.endpoint_directory import GONE_RETENTION_S
 from scalebend.core.gateway.evacuation_push import LEARNING_HEARTBEATS
-from scalebend.core.gateway.evacuations import apply_order
 from scalebend.core.gateway.messages import ControlStatus
 from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.exceptions import ErrorKind, RefusedError, RequestError
--- a/tests/unit/gateway/test_known_zones.py
+++ b/tests/unit/gateway/test_known_zones.py
@@ -4,10 +4,10 @@
 import pytest
 
 from scalebend.core.control_state import Barrier, ControlState, encode_command
+from scalebend.core.evacuations import MAX_WITHDRAWN_ZONES, MAX_ZONES, apply_order
 from scalebend.core.gateway.control_actions import ProposalEnded
-from scalebend.core.gateway.endpoint_directory import GONE_RETENTION_S, MAX_ZONES
+from scalebend.core.gateway.endpoint_directory import GONE_RETENTION_S
 from scalebend.core.gateway.evacuation_push import LEARNING_HEARTBEATS
-from scalebend.core.gateway.evacuations import MAX_WITHDRAWN_ZONES, apply_order
 from scalebend.exceptions import RefusedError, RequestError, ScalebendError
 from scalebend.models.evacuations import NO_EVACUATIONS, EvacuationOrder
 from scalebend.models.ids import AvailabilityZone
