Return the result of a proposal rather than a number that loses its kind

A proposal of a document ended with a version and one of an order with a revision, in one field. The test of documents compares the whole result now.

--- a/src/scalebend/core/gateway/control_actions.py
+++ b/src/scalebend/core/gateway/control_actions.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from scalebend.core.control_member import ToInstance
+from scalebend.core.control_state import EvacuationResult, RoutingResult
 from scalebend.core.gateway.messages import LinkMessage
-from scalebend.models.ids import EvacuationRevision, InstanceId, RoutingVersion
+from scalebend.models.ids import InstanceId
 
 
 class ToFront(msgspec.Struct, frozen=True):
@@ -19,12 +20,12 @@
 class ProposalEnded(msgspec.Struct, frozen=True):
     """Action: the proposal of a routing document or an evacuation ended.
 
-    ``held`` is the version or revision in force, or ``None`` if this member lost the
-    leadership before the result was known.
+    ``result`` has the version or revision in force. It is ``None`` if this member lost
+    the leadership before the result was known.
     """
 
     proposal: str
-    held: RoutingVersion | EvacuationRevision | None
+    result: RoutingResult | EvacuationResult | None
 
 
 class ReadConfirmed(msgspec.Struct, frozen=True):
--- a/src/scalebend/core/gateway/proposals.py
+++ b/src/scalebend/core/gateway/proposals.py
@@ -33,8 +33,6 @@
 def read_proposal_reply(reply: ProposalReply) -> ProposalEnded:
     """Return the end of a proposal, with what is in force if it was committed."""
     match reply.result:
-        case RoutingResult(version):
-            return ProposalEnded(reply.proposal, version)
-        case EvacuationResult(revision):
-            return ProposalEnded(reply.proposal, revision)
+        case RoutingResult() | EvacuationResult() as result:
+            return ProposalEnded(reply.proposal, result)
     return ProposalEnded(reply.proposal, None)
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -16,6 +16,7 @@
 
 from scalebend.core.consensus.messages import Ready, Recovered
 from scalebend.core.control_member import ControlMember, ToInstance
+from scalebend.core.control_state import EvacuationResult, RoutingResult
 from scalebend.core.gateway.control_actions import (
     ControlAction,
     ProposalEnded,
@@ -112,7 +113,9 @@
             self._receive, self._handle_link_up, self._handle_link_down, metrics
         )
         self.failure: asyncio.Future[None] = self._loop.create_future()
-        self._pending_proposals: dict[str, asyncio.Future[int | None]] = {}
+        self._pending_proposals: dict[
+            str, asyncio.Future[RoutingResult | EvacuationResult | None]
+        ] = {}
         self._pending_reads: dict[int, asyncio.Future[None]] = {}
         self._is_pumping = False
         self._next_heartbeat_at = 0.0
@@ -174,9 +177,8 @@
             case GatewayRole.RELAY:
                 self.execute(self.instance.add_relay(peer.instance, self.now()))
             case GatewayRole.CONTROL:
-                knows_evacuations = peer.knows_evacuations
                 self.instance.evacuations.record_member(
-                    peer.instance, knows_evacuations=knows_evacuations
+                    peer.instance, knows_evacuations=peer.knows_evacuations
                 )
                 # The peer is up: do not wait for the next redial.
                 self.dialer.dial_now(peer.instance)
@@ -199,10 +201,10 @@
                     self.dialer.send(instance, message)  # type: ignore[arg-type]
                 case ToFront(front, message):
                     self.server.send(front, message)
-                case ProposalEnded(proposal, version):
+                case ProposalEnded(proposal, result):
                     future = self._pending_proposals.pop(proposal, None)
                     if future is not None and not future.done():
-                        future.set_result(version)
+                        future.set_result(result)
                 case ReadConfirmed(readers):
                     self._resolve_reads(readers)
 
@@ -243,28 +245,33 @@
             return self.instance.routing.version
         stored = pack_routing(routing, data)
         name = self.instance.propose_routing(stored, self.now(), time.time())
-        return RoutingVersion(await self._wait_for_proposal(name))
+        result = await self._wait_for_proposal(name)
+        assert isinstance(result, RoutingResult)
+        return result.version
 
     async def order_evacuation(self, order: EvacuationOrder) -> EvacuationRevision:
         """As leader, propose an order; return the revision that is in force."""
         name = self.instance.propose_evacuation(order, self.now(), time.time())
-        return EvacuationRevision(await self._wait_for_proposal(name))
-
-    async def _wait_for_proposal(self, name: str) -> int:
-        """Return what is in force once a quorum has the proposal on disk."""
-        future: asyncio.Future[int | None] = self._loop.create_future()
+        result = await self._wait_for_proposal(name)
+        assert isinstance(result, EvacuationResult)
+        return result.revision
+
+    async def _wait_for_proposal(self, name: str) -> RoutingResult | EvacuationResult:
+        """Return the result of a proposal once a quorum has it on disk."""
+        future: asyncio.Future[RoutingResult | EvacuationResult | None]
+        future = self._loop.create_future()
         self._pending_proposals[name] = future
         self.schedule_pump()
         try:
             async with asyncio.timeout(QUORUM_TIMEOUT_S):
-                held = await future
+                result = await future
         except TimeoutError:
-            held = None
+            result = None
         finally:
             self._pending_proposals.pop(name, None)
-        if held is None:
+        if result is None:
             raise build_no_quorum_error()
-        return held
+        return result
 
     async def read_document(self) -> bytes:
         """As leader, return the latest document after a quorum confirmed the lead."""
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -4,6 +4,7 @@
 
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
+from scalebend.core.control_state import RoutingResult
 from scalebend.core.gateway.control_actions import (
     ProposalEnded,
     ReadConfirmed,
@@ -148,7 +149,7 @@
 def test_older_document_is_not_applied(group):
     ends = [a for a in group.put(build_routing(5)) if isinstance(a, ProposalEnded)]
     ends += [a for a in group.put(build_routing(3)) if isinstance(a, ProposalEnded)]
-    assert [end.held for end in ends] == [5, 5]
+    assert [end.result for end in ends] == [RoutingResult(5), RoutingResult(5)]
     assert group.instance.routing.version == 5
 
 
--- a/tests/unit/gateway/test_evacuations.py
+++ b/tests/unit/gateway/test_evacuations.py
@@ -112,7 +112,7 @@
 def test_order_reaches_all_fronts_at_once_and_with_each_heartbeat():
     group = build_leader()
     actions = order(group, EVACUATE)
-    assert [a.held for a in actions if isinstance(a, ProposalEnded)] == [1]
+    assert [a.result.revision for a in actions if isinstance(a, ProposalEnded)] == [1]
     assert read_revisions(actions) == [1, 1]
     assert set(read_revisions(group.run(0.6))) == {1}
     # The first message to a new front has it, too.
@@ -124,7 +124,7 @@
     group = build_leader()
     order(group, EVACUATE)
     actions = order(group, EVACUATE)
-    assert [a.held for a in actions if isinstance(a, ProposalEnded)] == [1]
+    assert [a.result.revision for a in actions if isinstance(a, ProposalEnded)] == [1]
     assert read_revisions(actions) == []
 
 
@@ -136,7 +136,7 @@
     # As from the snapshot of a member of the version before.
     group.instance.member.state.evacuations = NO_EVACUATIONS
     actions = order(group, last)
-    assert [a.held for a in actions if isinstance(a, ProposalEnded)] == [4]
+    assert [a.result.revision for a in actions if isinstance(a, ProposalEnded)] == [4]
     assert read_revisions(actions) == [4, 4]
     assert group.instance.evacuations.newest.evacuated == (
         {FAR} if last is EVACUATE else frozenset()
@@ -184,7 +184,7 @@
     order(group, WITHDRAW)
     group.instance.directory.zones.discard(FAR)
     actions = order(group, WITHDRAW)
-    assert [a.held for a in actions if isinstance(a, ProposalEnded)] == [2]
+    assert [a.result.revision for a in actions if isinstance(a, ProposalEnded)] == [2]
 
 
 def test_order_waits_for_members_that_would_lose_it():
--- a/tests/unit/gateway/test_known_zones.py
+++ b/tests/unit/gateway/test_known_zones.py
@@ -43,7 +43,7 @@
 
 def order(group, one):
     group.instance.propose_evacuation(one, group.now, 1_000.0)
-    return [a.held for a in group.pump() if isinstance(a, ProposalEnded)]
+    return [a.result.revision for a in group.pump() if isinstance(a, ProposalEnded)]
 
 
 def test_zone_that_was_down_for_long_is_known_after_a_restart():
