--- a/src/scalebend/cli/main.py
+++ b/src/scalebend/cli/main.py
@@ -160,6 +160,8 @@
     as_json: Json = False,
 ) -> None:
     """Send nothing new to the upstreams of an availability zone, until withdrawn."""
+    if withdraw and not zone:
+        raise typer.BadParameter("name the zone to use again", param_hint="--withdraw")
     _run("evacuate", zone=zone, withdraw=withdraw, url=url, as_json=as_json)
 
 
--- a/src/scalebend/edges/gateway/evacuated_services.py
+++ b/src/scalebend/edges/gateway/evacuated_services.py
@@ -18,7 +18,10 @@
 
 
 def refuse_evacuated(runtime: FrontRuntime, call: Call) -> float | None:
-    """Return after how many seconds to retry, or ``None`` if the service is in use."""
+    """Return after how many seconds to retry, or ``None`` if the service is in use.
+
+    The request is not sent again; an earlier attempt may have run.
+    """
     instance = runtime.instance
     if not instance.directory.is_evacuated(call.service):
         return None
--- a/tests/functional/test_evacuations.py
+++ b/tests/functional/test_evacuations.py
@@ -120,6 +120,8 @@
     assert [one["Zone"] for one in json.loads(listed)["Evacuated"]] == ["far"]
     assert await run_command(system, "far", "--withdraw") == (0, "far: in use again\n")
     assert await list_evacuated(system) == []
+    code, output = await run_command(system, "--withdraw")
+    assert code == 2 and "zone" in output
     code, output = await run_command(system, "nowhere")
     assert code == 1 and "nowhere" in output
 
