Choose upstreams by the health of the path between zones

Quick streams over links that lose packets are late after one retransmission, while other zones have room. Plain services and fronts without a leader go by the front's own evidence. Paths come back by use.

Work without a zone and deployments with one zone are placed as before.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -190,6 +190,7 @@
             self._ejections.expire(now)
             self.crashes.ledger.expire(now)
             self.limits.expire(now)
+        self.placement.paths.advance(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_INTERVAL_S
             self.placement.log_summary(len(self._fronts), now)
@@ -293,6 +294,7 @@
             case ReplicaPaces(paces):
                 self.placement.record_inspection(paces, [], now)
             case AttemptOutcomes(outcomes):
+                self.placement.paths.record(front, message.paths, now)
                 return self._record_outcomes(outcomes, now)
             case CrashUpdates():
                 self.crashes.receive(message, now)
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -18,6 +18,7 @@
     compute_batch_step_time,
     compute_prefill_time,
 )
+from scalebend.core.gateway.path_health import PathHealth
 from scalebend.core.gateway.placement_choice import choose_isolated, choose_replicas
 from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, Plan
 from scalebend.core.gateway.replica_load import Job, JobPart, ReplicaLoad
@@ -91,6 +92,9 @@
         self._suspects: dict[JobId, Job] = {}
         """Those of the open jobs that are suspect requests."""
 
+        self.paths: PathHealth | None = None
+        """States of the paths between zones; ``None`` if they are unknown."""
+
         self._replicas: dict[UpstreamId, ReplicaLoad] = {}
         self._pools: dict[ServiceName, ReplicaPool] = {}
 
@@ -263,6 +267,10 @@
             self._quick.read(now) + QUICK_SPARE_SLOTS,
             frozenset((*work.excluded, *in_backoff)),
             self._is_uncoordinated,
+            work.availability_zone,
+            self.paths.list_avoided(work.availability_zone, work.job)
+            if self.paths is not None
+            else frozenset(),
         )
 
     # State
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -40,6 +40,7 @@
     Subscribe,
     UncoordinatedSends,
 )
+from scalebend.core.gateway.path_health import FrontPaths
 from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.retry_window import RetryWindow
 from scalebend.core.gateway.route_table import RouteTable
@@ -107,6 +108,8 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self.scheduler = EngineScheduler(settings.instance, UNCOORDINATED_MAX_PART_S)
+        self.paths = FrontPaths(settings.availability_zone, now)
+        self.scheduler.paths = self.paths.health
         self._links = FrontLinks(settings.seeds, now)
         self.is_draining = False
         self._jobs = FrontJobs(self.scheduler)
@@ -208,10 +211,14 @@
         if self.leader is not None and now >= self._next_lease_request_at:
             self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
             actions.append(ToControl(self.leader, self._build_lease_request(now)))
-        if self._outcomes and now >= self._next_outcome_report_at:
+        has_news = bool(self._outcomes) or self.paths.has_news
+        if has_news and now >= self._next_outcome_report_at:
             self._next_outcome_report_at = now + OUTCOME_REPORT_INTERVAL_S
-            actions += self._report(AttemptOutcomes(list(self._outcomes.values())))
+            paths = self.paths.build_report(now)
+            outcomes = AttemptOutcomes(list(self._outcomes.values()), paths)
+            actions += self._report(outcomes)
             self._outcomes.clear()
+        self.paths.advance(now)
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
             self.has_been_ready = True
@@ -394,6 +401,23 @@
             upstream, seen.answered + (not has_failed), seen.failed + has_failed
         )
 
+    # Paths between zones
+
+    def record_path(
+        self, upstream: UpstreamId, observed: int, lost: int, now: float
+    ) -> None:
+        """Count pieces of data of an upstream, and those of them lost on the way."""
+        endpoint = self.directory.get(upstream)
+        if endpoint is not None:
+            self.paths.record(endpoint.availability_zone, observed, lost, now)
+
+    def record_failed_connection(self, upstream: UpstreamId, now: float) -> None:
+        """Count a connection to an upstream that timed out."""
+        endpoint = self.directory.get(upstream)
+        if endpoint is not None:
+            zone = endpoint.availability_zone
+            self.paths.record_failed_connection(zone, upstream, now)
+
     # Rate limits
 
     def record_limit(self, observed: ObservedLimit, now: float) -> list[ToControl]:
--- a/src/scalebend/core/gateway/group_placement.py
+++ b/src/scalebend/core/gateway/group_placement.py
@@ -80,6 +80,8 @@
         and view.endpoint.upstream not in plan.excluded
     )
     views = list(islice(usable, max_replicas))
+    if plan.avoided_zones:
+        views.sort(key=lambda view: plan.is_avoided(view.endpoint))
     counts = [
         n
         for n in range(1, max_replicas + 1)
@@ -256,11 +258,23 @@
 
 
 def _choose_lead(plan: Plan, chosen: list[EngineView]) -> EngineView:
-    """Choose the lead replica: one with enough memory and the least pending prefill."""
+    """Choose the lead replica: one with enough memory and the least pending prefill.
+
+    Only its path to the front matters, since helpers send nothing there.
+    """
     fitting = [view for view in chosen if view.free_tokens >= plan.memory_tokens]
     if not fitting:
         return max(chosen, key=lambda view: (view.free_tokens, -view.pending_prefill))
-    return min(fitting, key=lambda v: (v.pending_prefill, v.jobs, -v.free_tokens))
+    return min(
+        fitting,
+        key=lambda view: (
+            plan.is_avoided(view.endpoint),
+            view.pending_prefill,
+            view.jobs,
+            -view.free_tokens,
+            not plan.is_near(view.endpoint),
+        ),
+    )
 
 
 def _build_placement(plan: Plan, group: _PrefillGroup) -> Placement | None:
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -14,6 +14,7 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
+from scalebend.core.gateway.path_health import LeaderPaths
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import (
@@ -36,6 +37,7 @@
 
     def __init__(self, limits: LimitExchange, now: float) -> None:
         self.scheduler = EngineScheduler()
+        self.paths = LeaderPaths()
         self._limits = limits
         self._unreported: set[InstanceId] = set()
         self._learning_until = now
@@ -43,6 +45,8 @@
     def start_term(self, fronts: Iterable[InstanceId], now: float) -> None:
         """Begin or end leading; ``fronts`` are expected to report their open jobs."""
         self.scheduler = EngineScheduler()
+        self.paths = LeaderPaths()
+        self.scheduler.paths = self.paths.health
         self._limits.start_term(now)
         self._unreported = set(fronts)
         self._learning_until = now + LEARNING_TIMEOUT_S
@@ -57,6 +61,7 @@
         It reports its jobs anew if it still runs.
         """
         self._unreported.discard(front)
+        self.paths.remove_front(front)
         self.scheduler.forget_front(lambda job: is_job_of(front, job))
 
     def record_front_report(self, front: InstanceId) -> None:
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -18,6 +18,7 @@
     Term,
     UpstreamId,
 )
+from scalebend.models.paths import PathReport
 from scalebend.models.placement import (
     BusyReplica,
     Declined,
@@ -130,6 +131,9 @@
     """Front to leader: outcomes of attempts since the last such message."""
 
     outcomes: list[UpstreamOutcomes]
+    paths: PathReport | None = None
+    """Evidence on paths between zones: in a field, since instances of older versions
+    close links on which they receive a message that they don't know."""
 
 
 class EjectedUpstreams(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/src/scalebend/core/gateway/path_health.py
@@ -0,0 +1,390 @@
+"""Judges the paths between availability zones by the losses that fronts observe.
+
+Links between two zones that lose a few packets in a hundred delay most quick streams
+that cross them, since a retransmission takes longer than their events may be apart.
+Other zones usually have room, so work moves there until the evidence is old.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Mapping
+
+import msgspec
+import structlog
+
+from scalebend.models.ids import AvailabilityZone, InstanceId, UpstreamId
+from scalebend.models.paths import (
+    PathEvidence,
+    PathReport,
+    PathState,
+    PathSum,
+    ZonePath,
+    build_zone_path,
+)
+from scalebend.models.placement import JobId
+
+logger = structlog.get_logger(__name__)
+
+EVIDENCE_DECAY_S = 2.0
+"""Time constant of the decaying counts: about the duration of a quick response, so that
+streams that began before a fault don't hide it."""
+
+MIN_LOST = 2.5
+"""Minimum decayed number of losses, three recent ones: healthy links lose single
+packets."""
+
+MIN_LOST_AT_ONE_FRONT = 8.0
+"""The same, if a single front observed them and others would be bound by it."""
+
+MIN_FRONT_LOST = 0.5
+"""Decayed losses from which on a front counts as one that observed them."""
+
+MIN_LOSS_RATE = 0.01
+"""Minimum share of losses: a stream of some dozen events is then late in one case out
+of a few."""
+
+RELATIVE_LOSS_RATE = 3.0
+"""Multiple of the loss rate on the best other path of either zone that a degraded one
+must reach: what is lost on all paths is lost at the fronts, and no choice helps."""
+
+MIN_COMPARED = 10.0
+"""Minimum decayed number of observations of a path that is compared with."""
+
+FIRST_DEGRADED_S = 3.0
+MAX_DEGRADED_S = 12.0
+"""Time for which a path stays degraded after the last evidence, doubling from the first
+to the longest: each trial of a bad path costs a few streams."""
+
+TRIAL_S = 2.0
+"""Shortest length of a trial: about a quick response."""
+
+MIN_TRIED = 75.0
+"""Observations without which a trial goes on: those of two or three quick responses. At
+a few losses in a hundred, it is unlikely that all of them came through."""
+
+MAX_TRIAL_S = 10.0
+"""Longest trial: nobody uses the path, so it does no harm either."""
+
+TRIAL_SHARE = 8
+"""One in this many jobs uses a path on trial."""
+
+MIN_TRIAL_LOST = 0.9
+"""Losses that end a trial: few pieces of data use a path meanwhile, and the path is
+under suspicion. Slightly below one, since reports age on their way."""
+
+RESET_AFTER_S = 20.0
+"""Time for which a path must stay healthy before the doubling starts anew."""
+
+CONNECTION_LOSS_INTERVAL_S = 5.0
+"""Time for which further failed connections to the same upstream don't count: they tell
+of a dead host rather than of the path."""
+
+EVALUATION_INTERVAL_S = 0.1
+"""Interval of evaluations, which bounds their cost with hundreds of fronts."""
+
+MIN_EVIDENCE = 0.05
+"""Decayed counts below which evidence is removed."""
+
+
+class _Judged(msgspec.Struct):
+    """State of one path that is or was degraded; clock times in seconds."""
+
+    state: PathState
+    until: float
+    duration: float
+    """Time without evidence after which the path is tried, in seconds."""
+
+    last: PathSum = msgspec.field(default_factory=PathSum)
+    """Decayed evidence at the last update."""
+
+    last_at: float = 0.0
+    tried: PathSum = msgspec.field(default_factory=PathSum)
+    """Evidence since the trial began, not decayed."""
+
+    def count_tried(self, found: PathSum, now: float) -> None:
+        """Count what is new since the last update."""
+        factor = _compute_decay(now - self.last_at)
+        self.tried.observed += max(0.0, found.observed - factor * self.last.observed)
+        self.tried.lost += max(0.0, found.lost - factor * self.last.lost)
+        self.last, self.last_at = found, now
+
+    def needs_use(self, now: float) -> bool:
+        """Whether a trial goes on until the path has been used enough."""
+        return (
+            self.state is PathState.TRIAL
+            and self.tried.observed < MIN_TRIED
+            and now < self.until - TRIAL_S + MAX_TRIAL_S
+        )
+
+    def has_failed_trial(self) -> bool:
+        """Whether losses were observed during the trial, and not only single ones."""
+        return (
+            self.state is PathState.TRIAL
+            and self.tried.lost >= MIN_TRIAL_LOST
+            and self.tried.loss_rate >= MIN_LOSS_RATE
+        )
+
+
+class PathHealth:
+    """States of paths, by the evidence of all fronts or of one."""
+
+    def __init__(self, min_fronts: int) -> None:
+        """``min_fronts`` must have observed losses, or one a lot of them.
+
+        With 1, a front judges for itself alone.
+        """
+        self._min_fronts = min_fronts
+        self._judged: dict[ZonePath, _Judged] = {}
+        self._avoided: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
+        self._on_trial: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
+
+    @property
+    def has_judged(self) -> bool:
+        """Whether any path is or was recently degraded."""
+        return bool(self._judged)
+
+    def get_state(self, path: ZonePath) -> PathState:
+        """Return the state of a path; paths without evidence are healthy."""
+        judged = self._judged.get(path)
+        return judged.state if judged is not None else PathState.HEALTHY
+
+    def count_degraded(self) -> int:
+        """Count the paths that are avoided or on trial."""
+        return sum(j.state is not PathState.HEALTHY for j in self._judged.values())
+
+    def list_avoided(
+        self, front_zone: AvailabilityZone | None, job: JobId | None = None
+    ) -> frozenset[AvailabilityZone]:
+        """Zones whose upstreams the fronts of a zone should not use for this job."""
+        if front_zone is None or not self._judged:
+            return frozenset()
+        avoided = self._avoided.get(front_zone, frozenset())
+        on_trial = self._on_trial.get(front_zone)
+        if on_trial and (job is None or zlib.crc32(job.encode()) % TRIAL_SHARE):
+            return avoided | on_trial
+        return avoided
+
+    def update(self, sums: Mapping[ZonePath, PathSum], now: float) -> None:
+        """Judge all paths by the evidence at ``now``."""
+        for path, judged in self._judged.items():
+            judged.count_tried(sums.get(path, PathSum()), now)
+        for path, found in sums.items():
+            judged_before = self._judged.get(path)
+            has_failed = judged_before is not None and judged_before.has_failed_trial()
+            if has_failed or self._is_lossy(path, sums):
+                self._degrade(path, found, now)
+        for path, judged in list(self._judged.items()):
+            if now >= judged.until and not judged.needs_use(now):
+                self._relax(path, judged, sums.get(path, PathSum()), now)
+        self._avoided = self._collect(PathState.DEGRADED)
+        self._on_trial = self._collect(PathState.TRIAL)
+
+    def _is_lossy(self, path: ZonePath, sums: Mapping[ZonePath, PathSum]) -> bool:
+        found = sums[path]
+        is_seen_by_several = found.fronts >= self._min_fronts
+        min_lost = MIN_LOST if is_seen_by_several else MIN_LOST_AT_ONE_FRONT
+        if found.lost < min_lost or found.loss_rate < MIN_LOSS_RATE:
+            return False
+        usual = max(
+            _find_best_rate(path, path.first, sums),
+            _find_best_rate(path, path.second, sums),
+        )
+        return found.loss_rate >= RELATIVE_LOSS_RATE * usual
+
+    def _degrade(self, path: ZonePath, found: PathSum, now: float) -> None:
+        judged = self._judged.get(path)
+        if judged is None:
+            judged = self._judged[path] = _Judged(
+                PathState.HEALTHY, now, FIRST_DEGRADED_S / 2
+            )
+        if judged.state is not PathState.DEGRADED:
+            judged.duration = min(MAX_DEGRADED_S, 2.0 * judged.duration)
+            self._change(path, judged, PathState.DEGRADED, found)
+        judged.until = now + judged.duration
+
+    def _relax(
+        self, path: ZonePath, judged: _Judged, found: PathSum, now: float
+    ) -> None:
+        match judged.state:
+            case PathState.DEGRADED:
+                self._change(path, judged, PathState.TRIAL, found)
+                judged.until = now + TRIAL_S
+                judged.tried = PathSum()
+            case PathState.TRIAL:
+                self._change(path, judged, PathState.HEALTHY, found)
+                judged.until = now + RESET_AFTER_S
+            case PathState.HEALTHY:
+                del self._judged[path]
+
+    def _change(
+        self, path: ZonePath, judged: _Judged, state: PathState, found: PathSum
+    ) -> None:
+        logger.info(
+            "path state changed",
+            judge="leader" if self._min_fronts > 1 else "front",
+            zones=[path.first, path.second],
+            state=state.value,
+            before=judged.state.value,
+            observed=round(found.observed, 1),
+            lost=round(found.lost, 1),
+            fronts=found.fronts,
+            stays=round(judged.duration, 1),
+        )
+        judged.state = state
+
+    def _collect(
+        self, state: PathState
+    ) -> dict[AvailabilityZone, frozenset[AvailabilityZone]]:
+        collected: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
+        for path, judged in self._judged.items():
+            if judged.state is state:
+                for one, other in (
+                    (path.first, path.second),
+                    (path.second, path.first),
+                ):
+                    collected[one] = collected.get(one, frozenset()) | {other}
+        return collected
+
+
+class FrontPaths:
+    """Evidence of one front, and what it concludes from it alone."""
+
+    def __init__(self, front_zone: AvailabilityZone, now: float) -> None:
+        self.health = PathHealth(min_fronts=1)
+        self.has_news = False
+        """Whether losses were observed since the last report."""
+
+        self._front_zone = front_zone
+        self._counts: dict[AvailabilityZone, PathSum] = {}
+        self._counted_at = now
+        self._evaluate_at = now
+        self._connection_losses: dict[UpstreamId, float] = {}
+
+    def record(
+        self, zone: AvailabilityZone, observed: int, lost: int, now: float
+    ) -> None:
+        """Count pieces of data on the path to a zone, and those of them lost first."""
+        self._decay(now)
+        count = self._counts.setdefault(zone, PathSum())
+        count.observed += observed
+        count.lost += lost
+        if lost:
+            self.has_news = True
+            self._evaluate(now)
+
+    def record_failed_connection(
+        self, zone: AvailabilityZone, upstream: UpstreamId, now: float
+    ) -> None:
+        """Count a connection to an upstream that timed out."""
+        counted_at = self._connection_losses.get(upstream)
+        if counted_at is not None and now - counted_at < CONNECTION_LOSS_INTERVAL_S:
+            return
+        self._connection_losses[upstream] = now
+        self.record(zone, 1, 1, now)
+
+    def build_report(self, now: float) -> PathReport | None:
+        """Build a report of the current evidence, if there is any to compare."""
+        self.has_news = False
+        self._decay(now)
+        has_losses = any(count.lost >= MIN_EVIDENCE for count in self._counts.values())
+        if not has_losses and not self._counts.keys() - {self._front_zone}:
+            return None
+        evidence = [
+            PathEvidence(zone, round(count.observed, 2), round(count.lost, 2))
+            for zone, count in self._counts.items()
+        ]
+        return PathReport(self._front_zone, evidence)
+
+    def list_avoided(self) -> frozenset[AvailabilityZone]:
+        """Zones whose plain services this front should not use if others have room."""
+        return self.health.list_avoided(self._front_zone)
+
+    def advance(self, now: float) -> None:
+        """Judge the paths anew if that is due, and remove old evidence."""
+        if self.health.has_judged and now >= self._evaluate_at:
+            self._decay(now)
+            self._evaluate(now)
+        for upstream, counted_at in list(self._connection_losses.items()):
+            if now - counted_at >= CONNECTION_LOSS_INTERVAL_S:
+                del self._connection_losses[upstream]
+
+    def _evaluate(self, now: float) -> None:
+        self._evaluate_at = now + EVALUATION_INTERVAL_S
+        sums = {
+            build_zone_path(self._front_zone, zone): PathSum(
+                count.observed, count.lost, int(count.lost >= MIN_FRONT_LOST)
+            )
+            for zone, count in self._counts.items()
+        }
+        self.health.update(sums, now)
+
+    def _decay(self, now: float) -> None:
+        factor = _compute_decay(now - self._counted_at)
+        self._counted_at = now
+        for zone, count in list(self._counts.items()):
+            count.observed *= factor
+            count.lost *= factor
+            if count.observed < MIN_EVIDENCE:
+                del self._counts[zone]
+
+
+class LeaderPaths:
+    """Evidence of all fronts at the leader, and what it concludes from it."""
+
+    def __init__(self) -> None:
+        self.health = PathHealth(min_fronts=2)
+        self._reports: dict[InstanceId, tuple[PathReport, float]] = {}
+        self._has_losses = False
+        self._evaluate_at = 0.0
+
+    def record(self, front: InstanceId, report: PathReport | None, now: float) -> None:
+        """Replace the evidence of a front; older versions report none."""
+        if report is None:
+            return
+        self._reports[front] = (report, now)
+        if any(one.lost >= MIN_FRONT_LOST for one in report.evidence):
+            self._has_losses = True
+
+    def remove_front(self, front: InstanceId) -> None:
+        """Remove the evidence of a front whose link was lost."""
+        self._reports.pop(front, None)
+
+    def advance(self, now: float) -> None:
+        """Judge the paths anew if that is due."""
+        if now < self._evaluate_at or not (self._has_losses or self.health.has_judged):
+            return
+        self._evaluate_at = now + EVALUATION_INTERVAL_S
+        sums = self._sum(now)
+        self._has_losses = any(one.fronts for one in sums.values())
+        self.health.update(sums, now)
+
+    def _sum(self, now: float) -> dict[ZonePath, PathSum]:
+        """Sum up the evidence of all fronts, decayed since their reports."""
+        sums: dict[ZonePath, PathSum] = {}
+        for report, received_at in self._reports.values():
+            factor = _compute_decay(now - received_at)
+            for one in report.evidence:
+                path = build_zone_path(report.front_zone, one.upstream_zone)
+                total = sums.setdefault(path, PathSum())
+                total.observed += factor * one.observed
+                total.lost += factor * one.lost
+                total.fronts += factor * one.lost >= MIN_FRONT_LOST
+        return sums
+
+
+def _compute_decay(age: float) -> float:
+    return math.exp(-max(0.0, age) / EVIDENCE_DECAY_S)
+
+
+def _find_best_rate(
+    path: ZonePath, zone: AvailabilityZone, sums: Mapping[ZonePath, PathSum]
+) -> float:
+    """Find the loss rate of the best other path of a zone; 0 if none is known."""
+    rates = (
+        other.loss_rate
+        for one, other in sums.items()
+        if one != path and one.has(zone) and other.observed >= MIN_COMPARED
+    )
+    return min(rates, default=0.0)
--- a/src/scalebend/core/gateway/placement_plan.py
+++ b/src/scalebend/core/gateway/placement_plan.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from scalebend.models.ids import UpstreamId
+from scalebend.models.endpoints import Endpoint
+from scalebend.models.ids import AvailabilityZone, UpstreamId
 from scalebend.models.placement import EngineWork
 from scalebend.models.routing import EngineProfile
 
@@ -60,7 +61,21 @@
     is_uncoordinated: bool = False
     """Whether other schedulers place at the same time without seeing these choices."""
 
+    front_zone: AvailabilityZone | None = None
+    """Zone of the front that sends the work; ``None`` if it is unknown."""
+
+    avoided_zones: frozenset[AvailabilityZone] = frozenset()
+    """Zones to which the front's path is degraded."""
+
     @property
     def replica_cost_s(self) -> float:
         """Seconds by which each further replica must shorten the prefill."""
         return UNCOORDINATED_REPLICA_COST_S if self.is_uncoordinated else REPLICA_COST_S
+
+    def is_avoided(self, endpoint: Endpoint) -> bool:
+        """Whether the front's path to a replica is degraded."""
+        return endpoint.availability_zone in self.avoided_zones
+
+    def is_near(self, endpoint: Endpoint) -> bool:
+        """Whether a replica is in the zone of the front."""
+        return endpoint.availability_zone == self.front_zone
--- a/src/scalebend/core/gateway/replica_pool.py
+++ b/src/scalebend/core/gateway/replica_pool.py
@@ -19,7 +19,7 @@
 from scalebend.core.gateway.engine_view import EngineView, Occupancy
 from scalebend.core.gateway.replica_load import ReplicaLoad
 from scalebend.models.endpoints import Endpoint
-from scalebend.models.ids import UpstreamId
+from scalebend.models.ids import AvailabilityZone, UpstreamId
 from scalebend.models.routing import EngineProfile
 
 _NO_LOAD = ReplicaLoad()
@@ -33,6 +33,11 @@
     without_prefill: list[tuple[int, UpstreamId]] = msgspec.field(default_factory=list)
     """Replicas without scheduled prefill, by rank."""
 
+    by_zone: dict[AvailabilityZone, list[tuple[int, UpstreamId]]] = msgspec.field(
+        default_factory=dict
+    )
+    """The same replicas by availability zone."""
+
     prefilling: dict[UpstreamId, None] = msgspec.field(default_factory=dict)
 
 
@@ -44,6 +49,9 @@
     bucket: _Bucket | None = None
     """Where it is indexed; ``None`` if it is unhealthy or new."""
 
+    zone: AvailabilityZone | None = None
+    """Zone under which it is indexed."""
+
 
 class ReplicaPool:
     """Views of the replicas of one service at the moment of the last refresh."""
@@ -123,9 +131,13 @@
         if upstream in bucket.prefilling:
             del bucket.prefilling[upstream]
         else:
-            del bucket.without_prefill[
-                bisect_left(bucket.without_prefill, (member.rank, upstream))
-            ]
+            key = (member.rank, upstream)
+            del bucket.without_prefill[bisect_left(bucket.without_prefill, key)]
+            assert member.zone is not None
+            in_zone = bucket.by_zone[member.zone]
+            del in_zone[bisect_left(in_zone, key)]
+            if not in_zone:
+                del bucket.by_zone[member.zone]
         if not bucket.without_prefill and not bucket.prefilling:
             del self._buckets[bucket.occupancy]
         self._count_quick(bucket.occupancy, -1)
@@ -146,7 +158,10 @@
         if view.is_prefilling:
             bucket.prefilling[upstream] = None
         else:
-            insort(bucket.without_prefill, (member.rank, upstream))
+            key = (member.rank, upstream)
+            insort(bucket.without_prefill, key)
+            member.zone = member.endpoint.availability_zone
+            insort(bucket.by_zone.setdefault(member.zone, []), key)
         self._count_quick(view.occupancy, 1)
 
     def _count_quick(self, occupancy: Occupancy, change: int) -> None:
@@ -183,6 +198,19 @@
         for _, upstream in reversed(without_prefill) if reverse else without_prefill:
             yield self._get_view(upstream)
 
+    def list_zones_without_prefill(
+        self, occupancy: Occupancy
+    ) -> list[AvailabilityZone]:
+        """List the zones of healthy replicas of this occupancy that do not prefill."""
+        return list(self._buckets[occupancy].by_zone)
+
+    def iterate_zone_without_prefill(
+        self, occupancy: Occupancy, zone: AvailabilityZone
+    ) -> Iterator[EngineView]:
+        """Yield replicas as :meth:`iterate_without_prefill`, of one zone, reversed."""
+        for _, upstream in reversed(self._buckets[occupancy].by_zone[zone]):
+            yield self._get_view(upstream)
+
     def iterate_prefilling(self, occupancy: Occupancy) -> Iterator[EngineView]:
         """Yield healthy replicas of this occupancy that prefill."""
         for upstream in self._buckets[occupancy].prefilling:
--- a/src/scalebend/core/gateway/service_balancer.py
+++ b/src/scalebend/core/gateway/service_balancer.py
@@ -30,6 +30,10 @@
 ZONE_WEIGHT = 0.5
 """Weight of another availability zone, in open requests."""
 
+PATH_WEIGHT = 4.0
+"""Weight of a degraded path, in open requests: a retransmission takes several times as
+long as most requests, but an upstream with that many more has a queue."""
+
 
 class _Record(msgspec.Struct):
     open: int = 0
@@ -55,8 +59,12 @@
         zone: AvailabilityZone,
         chooser: random.Random,
         now: float,
+        avoided_zones: frozenset[AvailabilityZone] = frozenset(),
     ) -> Endpoint | None:
-        """Choose the upstream of least weight, at random among equals."""
+        """Choose the upstream of least weight, at random among equals.
+
+        Paths to ``avoided_zones`` are degraded.
+        """
         usable = [e for e in endpoints if e.upstream not in excluded]
         healthy = [
             e
@@ -67,9 +75,12 @@
         candidates = healthy or usable
         if not candidates:
             return None
-        return min(
-            candidates, key=lambda e: (self._weigh(e, zone, now), chooser.random())
-        )
+
+        def weigh(endpoint: Endpoint) -> float:
+            is_avoided = endpoint.availability_zone in avoided_zones
+            return self._weigh(endpoint, zone, now) + PATH_WEIGHT * is_avoided
+
+        return min(candidates, key=lambda e: (weigh(e), chooser.random()))
 
     def set_ejected(self, upstreams: Iterable[UpstreamId]) -> None:
         """Replace the set of ejected upstreams."""
--- a/src/scalebend/core/gateway/single_placement.py
+++ b/src/scalebend/core/gateway/single_placement.py
@@ -54,7 +54,8 @@
 def choose_on_time(plan: Plan, pool: ReplicaPool) -> EngineView | None:
     """Return the most occupied replica that prefills the whole prompt on time.
 
-    Replicas whose jobs allow longer event gaps are left to long prompts.
+    Replicas on degraded paths come last. Replicas whose jobs allow longer event gaps
+    are left to long prompts.
     """
     if plan.is_uncoordinated or not pool.has_healthy:
         return choose_on_time_from(plan, pool.list_views(plan.excluded))
@@ -70,44 +71,76 @@
 
     occupancies = [one for one in pool.list_occupancies() if one.jobs < slots]
     occupancies.sort(key=rank_occupancy)
-    for _, equal in groupby(occupancies, key=rank_occupancy):
-        view = _choose_among_equal(plan, pool, list(equal))
-        if view is not None:
-            return view
+    for _, not_overdue in groupby(occupancies, key=lambda one: one.is_overdue):
+        alike = [list(equal) for _, equal in groupby(not_overdue, key=rank_occupancy)]
+        for is_avoided in (False, True) if plan.avoided_zones else (False,):
+            for equal in alike:
+                view = _choose_among_equal(plan, pool, equal, is_avoided=is_avoided)
+                if view is not None:
+                    return view
     return None
 
 
 def _choose_among_equal(
-    plan: Plan, pool: ReplicaPool, occupancies: list[Occupancy]
+    plan: Plan, pool: ReplicaPool, occupancies: list[Occupancy], *, is_avoided: bool
 ) -> EngineView | None:
-    """Return the replica with the least pending prefill among equal occupancies."""
+    """Return the replica with the least pending prefill among equal occupancies.
+
+    Only replicas whose path is degraded, or only the others, are considered.
+    """
     limit = plan.work.target * TARGET_SHARE
     without_prefill = []
     for occupancy in occupancies:
-        for view in pool.iterate_without_prefill(occupancy, reverse=True):
-            if is_on_time(plan, view, limit):
-                without_prefill.append(view)
-                break
+        for views in _list_by_zone(plan, pool, occupancy, is_avoided=is_avoided):
+            for view in views:
+                if is_on_time(plan, view, limit):
+                    without_prefill.append(view)
+                    break
     if without_prefill:
-        return max(without_prefill, key=lambda view: view.rank)
+        return max(
+            without_prefill, key=lambda view: (plan.is_near(view.endpoint), view.rank)
+        )
     prefilling = chain.from_iterable(
         pool.iterate_prefilling(one) for one in occupancies
     )
-    fitting = [view for view in prefilling if is_on_time(plan, view, limit)]
+    fitting = [
+        view
+        for view in prefilling
+        if plan.is_avoided(view.endpoint) == is_avoided
+        and is_on_time(plan, view, limit)
+    ]
     return max(
-        fitting, key=lambda view: (-view.pending_prefill, view.rank), default=None
+        fitting,
+        key=lambda view: (
+            -view.pending_prefill,
+            plan.is_near(view.endpoint),
+            view.rank,
+        ),
+        default=None,
     )
 
 
+def _list_by_zone(
+    plan: Plan, pool: ReplicaPool, occupancy: Occupancy, *, is_avoided: bool
+) -> list[Iterator[EngineView]]:
+    """List the replicas without prefill of each zone, those of high rank first."""
+    if plan.front_zone is None:
+        return [pool.iterate_without_prefill(occupancy, reverse=True)]
+    return [
+        pool.iterate_zone_without_prefill(occupancy, zone)
+        for zone in pool.list_zones_without_prefill(occupancy)
+        if (zone in plan.avoided_zones) == is_avoided
+    ]
+
+
 def choose_on_time_from(plan: Plan, views: Iterable[EngineView]) -> EngineView | None:
     """Make the choice of :func:`choose_on_time` by examining each of ``views``."""
     limit = plan.work.target * TARGET_SHARE
     gap = plan.work.event_gap
     fitting = [view for view in views if is_on_time(plan, view, limit)]
     not_overdue = [v for v in fitting if not v.occupancy.is_overdue] or fitting
-    equal = [
-        v for v in not_overdue if not v.occupancy.count_jobs_beyond(gap)
-    ] or not_overdue
+    reached = [v for v in not_overdue if not plan.is_avoided(v.endpoint)] or not_overdue
+    equal = [v for v in reached if not v.occupancy.count_jobs_beyond(gap)] or reached
     if plan.is_uncoordinated:
         return max(
             equal, key=lambda view: _compute_rendezvous_score(plan, view), default=None
@@ -117,6 +150,7 @@
         key=lambda view: (
             view.occupancy.count_jobs_within(gap),
             -view.pending_prefill,
+            plan.is_near(view.endpoint),
             view.rank,
         ),
         default=None,
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -18,6 +18,7 @@
     compute_first_byte_timeout,
 )
 from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.path_watch import PathWatch, watch_path
 from scalebend.edges.gateway.response_headers import apply_response_head
 from scalebend.edges.gateway.response_reading import (
     UnresponsiveError,
@@ -77,6 +78,9 @@
     is_connection_lost: bool = False
     """Whether the connection was lost before the response was complete."""
 
+    is_connection_timeout: bool = False
+    """Whether no connection came about in time."""
+
     @property
     def has_unavailable_member(self) -> bool:
         """Whether an upstream of the placement is unavailable; others may be, too."""
@@ -107,6 +111,7 @@
         self._choice = UpstreamChoice(runtime, call, fingerprint, excluded)
         self._cursor = EventCursor(call.headers.last_event)
         self._stream: web.StreamResponse | None = None
+        self._path: PathWatch | None = None
         self._event_at = 0.0
         self.first_event: float | None = None
         """Seconds from the arrival of the request to the first forwarded event."""
@@ -179,6 +184,8 @@
         # A timeout alone may mean a queue: reports tell whether the replica is alive.
         if result.outcome is Outcome.NOT_SENT:
             runtime.record_replica_failure(faulty)
+        if result.is_connection_timeout:
+            runtime.record_failed_connection(target.upstream)
         if result.outcome is Outcome.REJECTED and target.job is not None:
             runtime.record_rejection(faulty)
         if result.outcome in (Outcome.FAILED, Outcome.INTERRUPTED, Outcome.NOT_SENT):
@@ -242,7 +249,11 @@
                     return await self._exchange(target, running)
             # Also a TimeoutError, but of the connector, before the deadline.
             except aiohttp.ConnectionTimeoutError:
-                return _AttemptResult(Outcome.NOT_SENT, detail="connection timed out")
+                return _AttemptResult(
+                    Outcome.NOT_SENT,
+                    detail="connection timed out",
+                    is_connection_timeout=True,
+                )
             except aiohttp.ClientConnectorError as error:
                 return _AttemptResult(Outcome.NOT_SENT, detail=str(error))
             except UnresponsiveError:
@@ -284,12 +295,14 @@
         )
         limit = self._record_sent(target)
         response = await self._wait_for_head(target, sending, read_timeout)
+        watching = watch_path(self._runtime, call, target.upstream, response)
         async with response:
-            head = read_response_headers(response.status, response.headers)
-            apply_response_head(self._runtime, call, limit, head)
-            return await self._process_response(
-                target, running, response, head, read_timeout
-            )
+            with watching as self._path:
+                head = read_response_headers(response.status, response.headers)
+                apply_response_head(self._runtime, call, limit, head)
+                return await self._process_response(
+                    target, running, response, head, read_timeout
+                )
 
     def _record_sent(self, target: Target) -> RateLimit:
         """Count an attempt; return the currently known rate limit of its upstream."""
@@ -391,6 +404,8 @@
             data = await read_available(response.content, read_timeout)
             if not data:
                 break
+            if self._path is not None:
+                self._path.record_data(data)
             forwarded = cursor.feed(data)
             if not forwarded.data:
                 continue
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -132,6 +132,7 @@
         self._dialer.set_targets(self.instance.instances)
         self._execute(self.instance.advance(now))
         self.metrics.set_rate_limited_upstreams(self.instance.limits.count_limited())
+        self.metrics.set_degraded_paths(self.instance.paths.health.count_degraded())
         self._dialer.close_unresponsive(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
@@ -362,6 +363,15 @@
         """Record that an upstream sent a complete response to the request."""
         self._execute(self.instance.record_completed(fingerprint, self.now()))
 
+    def record_path(self, upstream: UpstreamId, observed: int, lost: int) -> None:
+        """Count pieces of data of an upstream, and those of them lost on the way."""
+        self.instance.record_path(upstream, observed, lost, self.now())
+        self.metrics.count_path_losses(lost)
+
+    def record_failed_connection(self, upstream: UpstreamId) -> None:
+        """Count a connection to an upstream that timed out."""
+        self.instance.record_failed_connection(upstream, self.now())
+
     def record_rejection(self, upstream: UpstreamId) -> None:
         """Record that an engine rejected a request without running it."""
         self._execute(self.instance.record_rejection(upstream, self.now()))
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -108,6 +108,16 @@
             "Times that one peer's links came up more often than is usual",
             registry=registry,
         )
+        self._path_losses = Counter(
+            "scalebend_path_losses",
+            "Pieces of data on connections to upstreams that were lost first",
+            registry=registry,
+        )
+        self._degraded_paths = Gauge(
+            "scalebend_degraded_paths",
+            "Paths between zones that are avoided or on trial, as known here",
+            registry=registry,
+        )
         self._open_requests = Gauge(
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
@@ -165,6 +175,14 @@
         """Count a peer whose links repeatedly end and come back."""
         self._unstable_links.inc()
 
+    def count_path_losses(self, count: int) -> None:
+        """Count pieces of data that were lost and sent again."""
+        self._path_losses.inc(count)
+
+    def set_degraded_paths(self, count: int) -> None:
+        """Set the number of paths between zones that are not healthy."""
+        self._degraded_paths.set(count)
+
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
         """Record the time to the first event of a stream."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
--- a/src/scalebend/edges/gateway/service_choice.py
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -47,6 +47,7 @@
             runtime.settings.availability_zone,
             runtime.chooser,
             runtime.now(),
+            instance.paths.list_avoided(),
         )
         if endpoint is None:
             if full:
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -18,6 +18,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from scalebend.edges.gateway.socket_statistics import SocketCounts
+
 CONNECT_TIMEOUT_S = 0.1
 """Many round trips between the availability zones of a region, but short enough for
 another replica to respond within a short latency target. The kernel resends a lost SYN
@@ -40,6 +42,8 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._previous_payload: object = None
+        self.counts = SocketCounts()
+        """Segments of this connection that were evaluated; see ``path_watch.py``."""
 
     def set_response_params(self, **params: object) -> None:
         """Begin a new request (called by aiohttp)."""
--- a/tests/unit/gateway/test_replica_pool.py
+++ b/tests/unit/gateway/test_replica_pool.py
@@ -123,6 +123,32 @@
     assert choose_on_time(plan, pool) == choose_on_time_from(plan, pool.list_views())
 
 
+ZONES = ["z-a", "z-b", "z-c"]
+
+
+@given(
+    STEPS,
+    st.sampled_from([(5_000, 0.3, 0.2), (20_000, 1.0, 0.5)]),
+    st.sampled_from(ZONES),
+    st.frozensets(st.sampled_from(ZONES), max_size=2),
+)
+def test_choice_by_zone_equals_choice_among_all(steps, size, zone, avoided):
+    fleet = Fleet()
+    fleet.endpoints = tuple(
+        msgspec.structs.replace(one, availability_zone=ZONES[number % 3])
+        for number, one in enumerate(ENDPOINTS)
+    )
+    for step in steps:
+        fleet.apply(*step)
+    prompt, target, gap = size
+    work = build_work(
+        "next", prompt, target=target, event_gap=gap, availability_zone=zone
+    )
+    plan = msgspec.structs.replace(fleet.plan(work), avoided_zones=avoided)
+    pool = fleet.refresh()
+    assert choose_on_time(plan, pool) == choose_on_time_from(plan, pool.list_views())
+
+
 @given(STEPS, st.sampled_from(SIZES[1:]))
 def test_group_of_idle_replicas_ends_no_later_than_any_other(steps, size):
     fleet = Fleet()
--- a/tests/unit/test_decision_cost.py
+++ b/tests/unit/test_decision_cost.py
@@ -10,6 +10,7 @@
 
 from scalebend.core.flow import Completed, Conclude, Prefilled, ToOwner
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.path_health import PathHealth
 from scalebend.core.instance import Instance
 from scalebend.core.messages import Published
 from scalebend.models.configuration import (
@@ -19,6 +20,7 @@
     Model,
 )
 from scalebend.models.ids import InstanceId, Region
+from scalebend.models.paths import PathSum, build_zone_path
 from scalebend.models.placement import JobStage, Placement
 from scalebend.models.settings import Listen, Settings
 from scalebend.models.upstream import LoadedModel
@@ -138,10 +140,24 @@
     benchmark(decide)
 
 
-def build_placement(replicas, prompt, target, event_gap):
-    """Build a function that places one prompt beside two quick jobs per replica."""
+def build_placement(replicas, prompt, target, event_gap, zones=None):
+    """Build a function that places one prompt beside two quick jobs per replica.
+
+    With ``zones``, the first is that of the front, and its path to the second is
+    degraded.
+    """
+    changes = {}
     endpoints = tuple(build_endpoint(number) for number in range(replicas))
     scheduler = EngineScheduler()
+    if zones is not None:
+        changes["availability_zone"] = zones[0]
+        endpoints = tuple(
+            build_endpoint(number, availability_zone=zones[number % len(zones)])
+            for number in range(replicas)
+        )
+        scheduler.paths = PathHealth(min_fronts=1)
+        lossy = {build_zone_path(*zones[:2]): PathSum(100.0, 10.0, 3)}
+        scheduler.paths.update(lossy, 0.0)
     for number in range(2 * replicas):
         work = build_quick(number, remaining=1e9)
         scheduler.place(work, endpoints, PROFILE, 0.0)
@@ -152,7 +168,7 @@
         number = next(numbers)
         # Earlier prompts have ended by then.
         work = build_gateway_work(
-            f"next-{number}", prompt, target=target, event_gap=event_gap
+            f"next-{number}", prompt, target=target, event_gap=event_gap, **changes
         )
         placed = scheduler.place(work, endpoints, PROFILE, 10.0 * number)
         assert isinstance(placed, Placement)
@@ -168,3 +184,15 @@
 )
 def test_placement_among_replicas(benchmark, replicas, prompt, target, event_gap):
     benchmark(build_placement(replicas, prompt, target, event_gap))
+
+
+@pytest.mark.parametrize("replicas", [18, 60, 600])
+@pytest.mark.parametrize(
+    ("prompt", "target", "event_gap"),
+    [(5_000, 0.3, 0.2), (45_000, 1.5, 0.5), (210_000, 3.0, 0.8)],
+)
+def test_placement_among_replicas_of_zones(
+    benchmark, replicas, prompt, target, event_gap
+):
+    zones = ["z-a", "z-b", "z-c"]
+    benchmark(build_placement(replicas, prompt, target, event_gap, zones))
