Count events that are released one after the other; judge paths by a smaller share

A front reads what waited behind a lost segment in several reads within a fraction of a millisecond.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -41,9 +41,9 @@
 MIN_FRONT_LOST = 0.5
 """Decayed losses from which on a front counts as one that observed them."""
 
-MIN_LOSS_RATE = 0.01
-"""Minimum share of losses: a stream of some dozen events is then late in one case out
-of a few."""
+MIN_LOSS_RATE = 0.004
+"""Minimum share of losses: one in several streams of some dozen events is then late.
+Below the share that hurts, since the observations before a fault still count."""
 
 RELATIVE_LOSS_RATE = 3.0
 """Multiple of the loss rate on the best other path of either zone that a degraded one
--- a/src/scalebend/edges/gateway/path_watch.py
+++ b/src/scalebend/edges/gateway/path_watch.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import contextlib
+import math
 from collections.abc import Iterator
 
 import aiohttp
+import msgspec
 import structlog
 
 from scalebend.edges.gateway.front_runtime import FrontRuntime
@@ -24,9 +26,26 @@
 """Events that arrive together at the end of such a pause: those that waited behind the
 lost one. After a pause of the engine they arrive one by one."""
 
+MAX_RELEASE_S = 0.02
+RELEASE_SHARE = 0.25
+"""Time in which they arrive: this share of the usual time between two reads of the
+stream, up to the maximum."""
+
 EVENT_END = b"\n\n"
 
 
+class _Pause(msgspec.Struct):
+    """Last pause of a stream; times in seconds."""
+
+    ended_at: float = -math.inf
+    length: float = 0.0
+    released: int = 0
+    """Events that arrived together at its end."""
+
+    is_decided: bool = False
+    """Whether it is known if it came from a loss."""
+
+
 class PathWatch:
     """Counts pieces of data on one connection, and those that were lost first."""
 
@@ -43,19 +62,36 @@
         self._protocol = protocol
         self._observed = 1
         self._read_at: float | None = None
+        self._usual_sum = 0.0
+        self._usual_count = 0
+        self._paused = _Pause()
 
     def record_data(self, data: bytes) -> None:
         """Record data of a stream that was read now."""
         now = self._runtime.now()
-        pause = now - self._read_at if self._read_at is not None else 0.0
+        gap = now - self._read_at if self._read_at is not None else 0.0
         self._read_at = now
         self._observed += 1
-        if pause < MIN_PAUSE_S:
+        paused = self._paused
+        if gap >= MIN_PAUSE_S:
+            paused = self._paused = _Pause(now, gap)
+            if (lost := self._count_lost()) is not None:
+                paused.is_decided = True
+                self._record(lost, gap)
+        elif now > paused.ended_at + self._compute_release_time():
+            paused.is_decided = True
+            self._usual_sum += gap
+            self._usual_count += 1
+        if paused.is_decided:
             return
-        lost = self._count_lost()
-        if lost is None:
-            lost = int(data.count(EVENT_END) >= MIN_RELEASED_EVENTS)
-        self._record(lost, pause)
+        paused.released += data.count(EVENT_END)
+        if paused.released >= MIN_RELEASED_EVENTS:
+            paused.is_decided = True
+            self._record(1, paused.length)
+
+    def _compute_release_time(self) -> float:
+        usual = self._usual_sum / self._usual_count if self._usual_count else 0.0
+        return min(MAX_RELEASE_S, RELEASE_SHARE * usual)
 
     def close(self) -> None:
         """Record what was observed since the last pause."""
--- a/tests/unit/gateway/test_path_watch.py
+++ b/tests/unit/gateway/test_path_watch.py
@@ -60,6 +60,21 @@
     assert runtime.sum() == (5, 1)
 
 
+def test_events_released_one_after_the_other_show_a_loss():
+    runtime = FakeRuntime()
+    released = [(0.36 + 0.001 * number, EVENT) for number in range(5)]
+    read_stream(runtime, None, [(0.05, EVENT), (0.1, EVENT), *released, (0.4, EVENT)])
+    assert runtime.sum() == (9, 1)
+
+
+def test_pause_in_a_fast_stream_is_no_loss():
+    runtime = FakeRuntime()
+    fast = [(0.01 * number, EVENT) for number in range(10)]
+    later = [(0.3 + time, data) for time, data in fast]
+    read_stream(runtime, None, fast + later)
+    assert runtime.sum() == (21, 0)
+
+
 def test_pause_of_the_engine_is_no_loss():
     runtime = FakeRuntime()
     read_stream(runtime, None, [(0.05, EVENT), (0.36, EVENT), (0.41, EVENT)])
