--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -263,6 +263,8 @@
         is_new_leader = self._links.apply_status(sender, status)
         if status.busy and not is_outdated:
             self.scheduler.record_busy_replicas(status.busy, now)
+        if sender == status.leader and not is_outdated:
+            self.paths.adopt(status.degraded_paths, now)
         if not is_new_leader:
             return []
         # The new leader detects outliers anew and publishes them.
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -18,7 +18,7 @@
     Term,
     UpstreamId,
 )
-from scalebend.models.paths import PathReport
+from scalebend.models.paths import PathReport, ZonePath
 from scalebend.models.placement import (
     BusyReplica,
     Declined,
@@ -50,6 +50,9 @@
     busy: list[BusyReplica] = msgspec.field(default_factory=list)
     """From the leader: the busiest replicas, for uncoordinated placement."""
 
+    degraded_paths: list[ZonePath] = msgspec.field(default_factory=list)
+    """From the leader: paths between zones that it avoids, for the same."""
+
 
 class KnownInstances(msgspec.Struct, frozen=True, tag=True):
     """Relay to its peer, also as a heartbeat: control instances that have a disk."""
--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -9,7 +9,7 @@
 
 import math
 import zlib
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import msgspec
 import structlog
@@ -84,6 +84,10 @@
 EVALUATION_INTERVAL_S = 0.1
 """Interval of evaluations, which bounds their cost with hundreds of fronts."""
 
+TOLD_LIFETIME_S = 2.0
+"""Time for which a front goes by the degraded paths that the leader named last: a few
+of its heartbeats, as the link to a leader on a bad path loses packets, too."""
+
 MIN_EVIDENCE = 0.05
 """Decayed counts below which evidence is removed."""
 
@@ -137,6 +141,9 @@
         """
         self._min_fronts = min_fronts
         self._judged: dict[ZonePath, _Judged] = {}
+        self._told: frozenset[ZonePath] = frozenset()
+        """Paths that a better informed judge avoids."""
+
         self._avoided: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
         self._on_trial: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
 
@@ -150,15 +157,30 @@
         judged = self._judged.get(path)
         return judged.state if judged is not None else PathState.HEALTHY
 
-    def count_degraded(self) -> int:
-        """Count the paths that are avoided or on trial."""
-        return sum(j.state is not PathState.HEALTHY for j in self._judged.values())
+    def list_degraded(self) -> list[ZonePath]:
+        """List the paths that are avoided or on trial."""
+        degraded = [
+            path
+            for path, judged in self._judged.items()
+            if judged.state is not PathState.HEALTHY
+        ]
+        return sorted({*degraded, *self._told}, key=lambda path: str(path))
+
+    def set_told(self, paths: Iterable[ZonePath]) -> None:
+        """Also avoid these paths; replaces those named before."""
+        told = frozenset(paths)
+        if told != self._told:
+            logger.info(
+                "degraded paths heard", zones=sorted([p.first, p.second] for p in told)
+            )
+            self._told = told
+            self._collect_all()
 
     def list_avoided(
         self, front_zone: AvailabilityZone | None, job: JobId | None = None
     ) -> frozenset[AvailabilityZone]:
         """Zones whose upstreams the fronts of a zone should not use for this job."""
-        if front_zone is None or not self._judged:
+        if front_zone is None or not (self._judged or self._told):
             return frozenset()
         avoided = self._avoided.get(front_zone, frozenset())
         on_trial = self._on_trial.get(front_zone)
@@ -178,8 +200,7 @@
         for path, judged in list(self._judged.items()):
             if now >= judged.until and not judged.needs_use(now):
                 self._relax(path, judged, sums.get(path, PathSum()), now)
-        self._avoided = self._collect(PathState.DEGRADED)
-        self._on_trial = self._collect(PathState.TRIAL)
+        self._collect_all()
 
     def _is_lossy(self, path: ZonePath, sums: Mapping[ZonePath, PathSum]) -> bool:
         found = sums[path]
@@ -234,18 +255,11 @@
         )
         judged.state = state
 
-    def _collect(
-        self, state: PathState
-    ) -> dict[AvailabilityZone, frozenset[AvailabilityZone]]:
-        collected: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
-        for path, judged in self._judged.items():
-            if judged.state is state:
-                for one, other in (
-                    (path.first, path.second),
-                    (path.second, path.first),
-                ):
-                    collected[one] = collected.get(one, frozenset()) | {other}
-        return collected
+    def _collect_all(self) -> None:
+        states = {path: judged.state for path, judged in self._judged.items()}
+        states |= dict.fromkeys(self._told, PathState.DEGRADED)
+        self._avoided = _collect_zones(states, PathState.DEGRADED)
+        self._on_trial = _collect_zones(states, PathState.TRIAL)
 
 
 class FrontPaths:
@@ -261,6 +275,12 @@
         self._counted_at = now
         self._evaluate_at = now
         self._connection_losses: dict[UpstreamId, float] = {}
+        self._told_until = now
+
+    def adopt(self, paths: Iterable[ZonePath], now: float) -> None:
+        """Avoid the paths that the leader names, for a while."""
+        self.health.set_told(paths)
+        self._told_until = now + TOLD_LIFETIME_S
 
     def record(
         self, zone: AvailabilityZone, observed: int, lost: int, now: float
@@ -306,6 +326,8 @@
         if self.health.has_judged and now >= self._evaluate_at:
             self._decay(now)
             self._evaluate(now)
+        if now >= self._told_until:
+            self.health.set_told(())
         for upstream, counted_at in list(self._connection_losses.items()):
             if now - counted_at >= CONNECTION_LOSS_INTERVAL_S:
                 del self._connection_losses[upstream]
@@ -378,6 +400,18 @@
     return math.exp(-max(0.0, age) / EVIDENCE_DECAY_S)
 
 
+def _collect_zones(
+    states: Mapping[ZonePath, PathState], state: PathState
+) -> dict[AvailabilityZone, frozenset[AvailabilityZone]]:
+    """Collect, for each zone, the other ends of its paths in a state."""
+    collected: dict[AvailabilityZone, frozenset[AvailabilityZone]] = {}
+    for path, one_state in states.items():
+        if one_state is state:
+            for one, other in ((path.first, path.second), (path.second, path.first)):
+                collected[one] = collected.get(one, frozenset()) | {other}
+    return collected
+
+
 def _find_best_rate(
     path: ZonePath, zone: AvailabilityZone, sums: Mapping[ZonePath, PathSum]
 ) -> float:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -132,7 +132,8 @@
         self._dialer.set_targets(self.instance.instances)
         self._execute(self.instance.advance(now))
         self.metrics.set_rate_limited_upstreams(self.instance.limits.count_limited())
-        self.metrics.set_degraded_paths(self.instance.paths.health.count_degraded())
+        degraded = self.instance.paths.health.list_degraded()
+        self.metrics.set_degraded_paths(len(degraded))
         self._dialer.close_unresponsive(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
--- a/tests/unit/gateway/test_path_health.py
+++ b/tests/unit/gateway/test_path_health.py
@@ -20,11 +20,13 @@
     MAX_DEGRADED_S,
     MAX_TRIAL_S,
     MIN_TRIED,
+    TOLD_LIFETIME_S,
     TRIAL_S,
     FrontPaths,
     LeaderPaths,
     PathHealth,
 )
+from scalebend.core.gateway.routing_store import build_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.ids import AvailabilityZone, InstanceId, UpstreamId
@@ -36,6 +38,7 @@
     build_zone_path,
 )
 from scalebend.models.placement import JobStage, Placement
+from scalebend.models.routing import EMPTY_ROUTING
 from tests.lib.gateway_builders import (
     PROFILE,
     build_endpoint,
@@ -218,6 +221,13 @@
     outcomes: list[UpstreamOutcomes]
 
 
+class OldControlStatus(msgspec.Struct, frozen=True, tag="ControlNews"):
+    instances: list[str]
+    leader: str | None
+    term: int
+    fronts: int
+
+
 def test_older_processes_read_and_send_outcomes_without_paths():
     outcomes = [UpstreamOutcomes(UpstreamId("i-1"), 1, 2)]
     new = msgspec.msgpack.encode(AttemptOutcomes(outcomes, build_report(3.0)))
@@ -255,6 +265,46 @@
     ]
 
 
+def test_front_without_its_leader_goes_by_the_paths_that_it_named():
+    front = FrontInstance(build_settings(availability_zone=C), now=0.0)
+    for name in ("leader:1", "other:1"):
+        front.add_link(name)
+    names = ["leader:1", "other:1"]
+    status = ControlStatus(names, "leader:1", 1, 2, degraded_paths=[BAD])
+    front.handle("leader:1", status, 0.0)
+    front.handle("other:1", ControlStatus(names, "leader:1", 1, 2), 0.1)
+    front.advance(0.2)
+    assert front.paths.list_avoided() == {A}
+    updates = [
+        EndpointUpdate(build_endpoint(n, availability_zone=ZONES[n % 3]), False)
+        for n in range(6)
+    ]
+    front.handle("leader:1", EndpointChanges(updates), 0.2)
+    routing = build_routing(1, services=[build_service(engine=PROFILE)])
+    front.handle("leader:1", build_update(EMPTY_ROUTING, routing), 0.2)
+    for number in range(8):
+        work = build_quick(number, availability_zone=C)
+        placed = front.place(work, 0.3)
+        assert front.directory.get(placed.upstream).availability_zone != A
+    front.advance(0.1 + TOLD_LIFETIME_S)
+    assert front.paths.list_avoided() == frozenset()
+
+
+def test_leader_names_degraded_paths_in_its_heartbeats():
+    group = SingleMemberGroup()
+    group.run()
+    group.instance.add_front(FRONT, group.now)
+    for front in (FRONT, InstanceId("front-2")):
+        outcomes = AttemptOutcomes([], build_report(4.0))
+        group.instance.handle_front(front, outcomes, group.now)
+    sent = [action.message for action in group.run(1.0) if hasattr(action, "front")]
+    statuses = [one for one in sent if isinstance(one, ControlStatus)]
+    assert statuses[-1].degraded_paths == [BAD]
+    encoded = msgspec.msgpack.encode(statuses[-1])
+    assert msgspec.msgpack.decode(encoded, type=ControlStatus) == statuses[-1]
+    assert msgspec.msgpack.decode(encoded, type=OldControlStatus).leader is not None
+
+
 def test_leader_places_by_the_reports_of_fronts():
     group = SingleMemberGroup()
     group.run()
