Count a zone's own path as healthy until it is used

With little traffic, quick requests are packed on a few replicas, and none may be in the zone whose links lose packets.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -415,7 +415,13 @@
 def _find_best_rate(
     path: ZonePath, zone: AvailabilityZone, sums: Mapping[ZonePath, PathSum]
 ) -> float:
-    """Find the loss rate of the best other path of a zone; 0 if none is known."""
+    """Find the loss rate of the best other path of a zone; 0 if none is known.
+
+    A zone's own path counts as healthy until it is used: work that moves there shows.
+    """
+    own = ZonePath(zone, zone)
+    if own != path and sums.get(own, PathSum()).observed < MIN_COMPARED:
+        return 0.0
     rates = (
         other.loss_rate
         for one, other in sums.items()
--- a/tests/unit/gateway/test_path_health.py
+++ b/tests/unit/gateway/test_path_health.py
@@ -102,6 +102,12 @@
     assert not judge({BAD: LOSSY, OWN: LOSSY, build_zone_path(C, B): LOSSY}).has_judged
 
 
+def test_unused_own_zone_counts_as_healthy():
+    sums = {BAD: LOSSY, build_zone_path(C, B): LOSSY, build_zone_path(A, A): HEALTHY}
+    health = judge(sums | {build_zone_path(B, B): HEALTHY})
+    assert health.list_avoided(C) == {A, B}
+
+
 def test_path_returns_by_use_and_stays_degraded_longer_each_time():
     health = judge({BAD: LOSSY, OWN: HEALTHY})
     clean = {BAD: HEALTHY, OWN: HEALTHY}
@@ -484,7 +490,8 @@
 class LossyZone:
     """Fronts, replicas and the leader in steps of one event."""
 
-    def __init__(self, seed, *, has_paths):
+    def __init__(self, seed, *, has_paths, arrivals=ARRIVALS_PER_STEP):
+        self.arrivals = arrivals
         self.chooser = random.Random(seed)
         self.fleet = build_fleet(36)
         self.zones = {one.upstream: one.availability_zone for one in self.fleet}
@@ -505,7 +512,7 @@
     def run(self, seconds):
         for step in range(int(seconds / STEP_S)):
             now = step * STEP_S
-            for _ in range(ARRIVALS_PER_STEP):
+            for _ in range(self.arrivals):
                 self.arrive(now)
             for stream in list(self.open):
                 self.advance(stream, now)
@@ -561,6 +568,14 @@
         return sum(stream.is_late for stream in self.ended if stream.began >= begin)
 
 
+def test_lossy_links_are_found_where_no_stream_stays_in_its_zone():
+    before = LossyZone(3, has_paths=False, arrivals=1).run(20.0)
+    after = LossyZone(3, has_paths=True, arrivals=1).run(20.0)
+    settled = BEGIN + DETECTION_S
+    crossing = len(before.list_crossing(settled, END))
+    assert len(after.list_crossing(settled, END)) < TARGET_SHARE * crossing
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
 def test_quick_streams_leave_lossy_links_and_return(seed):
     before = LossyZone(seed, has_paths=False).run(40.0)
