Leave dead replicas out of the evidence on paths

Fronts that each timed out once on the same dead replica degraded its zone at the leader: three such reports were three losses. Failed connections are no longer reported, and count at the front itself only if they were to three different upstreams of the zone. A test with one and two dead replicas that twelve fronts notice shows it.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -78,8 +78,12 @@
 """Time for which a path must stay healthy before the doubling starts anew."""
 
 CONNECTION_LOSS_INTERVAL_S = 5.0
-"""Time for which further failed connections to the same upstream don't count: they tell
-of a dead host rather than of the path."""
+"""Time for which a failed connection counts; further ones to the same upstream tell of
+a dead host rather than of the path."""
+
+MIN_FAILED_UPSTREAMS = 3
+"""Different upstreams of a zone to which connections must fail until they count: single
+hosts die together rarely."""
 
 EVALUATION_INTERVAL_S = 0.1
 """Interval of evaluations, which bounds their cost with hundreds of fronts."""
@@ -204,6 +208,10 @@
 
     def _is_lossy(self, path: ZonePath, sums: Mapping[ZonePath, PathSum]) -> bool:
         found = sums[path]
+        if (failed := found.failed_upstreams) >= MIN_FAILED_UPSTREAMS:
+            found = PathSum(
+                found.observed + failed, found.lost + failed, max(1, found.fronts)
+            )
         is_seen_by_several = found.fronts >= self._min_fronts
         min_lost = MIN_LOST if is_seen_by_several else MIN_LOST_AT_ONE_FRONT
         if found.lost < min_lost or found.loss_rate < MIN_LOSS_RATE:
@@ -262,6 +270,12 @@
         self._on_trial = _collect_zones(states, PathState.TRIAL)
 
 
+class _FailedConnection(msgspec.Struct, frozen=True):
+    zone: AvailabilityZone
+    at: float
+    """Clock time in seconds."""
+
+
 class FrontPaths:
     """Evidence of one front, and what it concludes from it alone."""
 
@@ -274,7 +288,7 @@
         self._counts: dict[AvailabilityZone, PathSum] = {}
         self._counted_at = now
         self._evaluate_at = now
-        self._connection_losses: dict[UpstreamId, float] = {}
+        self._connection_losses: dict[UpstreamId, _FailedConnection] = {}
         self._told_until = now
 
     def adopt(self, paths: Iterable[ZonePath], now: float) -> None:
@@ -297,12 +311,16 @@
     def record_failed_connection(
         self, zone: AvailabilityZone, upstream: UpstreamId, now: float
     ) -> None:
-        """Count a connection to an upstream that timed out."""
-        counted_at = self._connection_losses.get(upstream)
-        if counted_at is not None and now - counted_at < CONNECTION_LOSS_INTERVAL_S:
+        """Count a connection to an upstream that timed out.
+
+        It is not reported: all fronts notice a dead host, which says nothing of paths.
+        """
+        before = self._connection_losses.get(upstream)
+        if before is not None and now - before.at < CONNECTION_LOSS_INTERVAL_S:
             return
-        self._connection_losses[upstream] = now
-        self.record(zone, 1, 1, now)
+        self._connection_losses[upstream] = _FailedConnection(zone, now)
+        self._decay(now)
+        self._evaluate(now)
 
     def build_report(self, now: float) -> PathReport | None:
         """Build a report of the current evidence, if there is any to compare."""
@@ -328,8 +346,8 @@
             self._evaluate(now)
         if now >= self._told_until:
             self.health.set_told(())
-        for upstream, counted_at in list(self._connection_losses.items()):
-            if now - counted_at >= CONNECTION_LOSS_INTERVAL_S:
+        for upstream, failed in list(self._connection_losses.items()):
+            if now - failed.at >= CONNECTION_LOSS_INTERVAL_S:
                 del self._connection_losses[upstream]
 
     def _evaluate(self, now: float) -> None:
@@ -340,6 +358,10 @@
             )
             for zone, count in self._counts.items()
         }
+        for failed in self._connection_losses.values():
+            if now - failed.at < CONNECTION_LOSS_INTERVAL_S:
+                path = build_zone_path(self._front_zone, failed.zone)
+                sums.setdefault(path, PathSum()).failed_upstreams += 1
         self.health.update(sums, now)
 
     def _decay(self, now: float) -> None:
--- a/src/scalebend/models/paths.py
+++ b/src/scalebend/models/paths.py
@@ -65,6 +65,9 @@
     fronts: int = 0
     """Fronts that observed losses."""
 
+    failed_upstreams: int = 0
+    """Upstreams to which connections timed out of late; not part of the losses."""
+
     @property
     def loss_rate(self) -> float:
         """Share of the observed pieces that were lost."""
--- a/tests/unit/gateway/test_path_health.py
+++ b/tests/unit/gateway/test_path_health.py
@@ -174,6 +174,22 @@
     assert not paths._connection_losses
 
 
+def test_dead_replica_that_all_fronts_notice_degrades_no_path():
+    leader = LeaderPaths()
+    for zone in ZONES:
+        for number in range(4):
+            paths = FrontPaths(zone, 0.0)
+            for other in ZONES:
+                paths.record(other, 300 if other == zone else 30, 0, 0.0)
+            paths.record_failed_connection(A, UpstreamId("i-1"), 0.1)
+            paths.record_failed_connection(A, UpstreamId("i-2"), 0.1)
+            assert not paths.health.has_judged
+            report = paths.build_report(0.1)
+            leader.record(InstanceId(f"{zone}-{number}"), report, 0.1)
+    leader.advance(0.2)
+    assert not leader.health.has_judged
+
+
 def test_evidence_ends_with_its_age():
     paths = FrontPaths(C, 0.0)
     paths.record(A, 100, 5, 0.0)
