Count at most one loss for each pause

A watched response observed pieces of data, but counted the segments lost: one upload of 700 segments with 12 sent again, none of them late, was 12 losses of 38 pieces and degraded a path. A pause counts as one late piece, a late head of a response as well, and losses without a pause count nowhere. Tests of the watch show the three cases.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -294,8 +294,10 @@
             timeout=build_timeout(call.deadline - self._runtime.now()),
         )
         limit = self._record_sent(target)
+        sent_at = self._runtime.now()
         response = await self._wait_for_head(target, sending, read_timeout)
-        watching = watch_path(self._runtime, call, target.upstream, response)
+        waited = self._runtime.now() - sent_at
+        watching = watch_path(self._runtime, call, target.upstream, response, waited)
         async with response:
             with watching as self._path:
                 head = read_response_headers(response.status, response.headers)
--- a/src/scalebend/edges/gateway/path_watch.py
+++ b/src/scalebend/edges/gateway/path_watch.py
@@ -5,6 +5,7 @@
 import contextlib
 import math
 from collections.abc import Iterator
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -55,7 +56,9 @@
         call: Call,
         upstream: UpstreamId,
         protocol: StrictResponseHandler | None,
+        waited: float = 0.0,
     ) -> None:
+        """``waited`` is the time from sending the request to the head, in seconds."""
         self._runtime = runtime
         self._call = call
         self._upstream = upstream
@@ -65,6 +68,8 @@
         self._usual_sum = 0.0
         self._usual_count = 0
         self._paused = _Pause()
+        if waited >= MIN_PAUSE_S and self._has_lost():
+            self._record(1, waited)
 
     def record_data(self, data: bytes) -> None:
         """Record data of a stream that was read now."""
@@ -75,9 +80,9 @@
         paused = self._paused
         if gap >= MIN_PAUSE_S:
             paused = self._paused = _Pause(now, gap)
-            if (lost := self._count_lost()) is not None:
+            if (has_lost := self._has_lost()) is not None:
                 paused.is_decided = True
-                self._record(lost, gap)
+                self._record(int(has_lost), gap)
         elif now > paused.ended_at + self._compute_release_time():
             paused.is_decided = True
             self._usual_sum += gap
@@ -94,8 +99,12 @@
         return min(MAX_RELEASE_S, RELEASE_SHARE * usual)
 
     def close(self) -> None:
-        """Record what was observed since the last pause."""
-        self._record(self._count_lost() or 0, 0.0)
+        """Record what was observed since the last pause.
+
+        What was lost without a pause delayed nothing, but must not count later.
+        """
+        self._has_lost()
+        self._record(0, 0.0)
 
     def _record(self, lost: int, pause: float) -> None:
         self._runtime.record_path(self._upstream, self._observed, lost)
@@ -109,8 +118,11 @@
                 pause=round(pause, 3),
             )
 
-    def _count_lost(self) -> int | None:
-        """Count losses since the last call; ``None`` if the system does not tell."""
+    def _has_lost(self) -> bool | None:
+        """Whether data was lost since the last call; ``None`` if that is not known.
+
+        One or several losses make one piece of data late, as :meth:`_record` counts.
+        """
         protocol = self._protocol
         if protocol is None or protocol.transport is None:
             return None
@@ -118,7 +130,7 @@
         if counts is None:
             return None
         before, protocol.counts = protocol.counts, counts
-        return count_lost(before, counts)
+        return count_lost(before, counts) > 0
 
 
 def count_lost(before: SocketCounts, counts: SocketCounts) -> int:
@@ -136,13 +148,18 @@
     call: Call,
     upstream: UpstreamId,
     response: aiohttp.ClientResponse,
+    waited: float = 0.0,
 ) -> Iterator[PathWatch]:
-    """Watch the connection of a response until the block ends."""
+    """Watch the connection of a response until the block ends.
+
+    ``waited`` is the time from sending the request to the head, in seconds.
+    """
     # The connection itself may be in the pool again when the head of a short response
     # is read, but its protocol is still known.
     protocol = response._protocol
     is_strict = isinstance(protocol, StrictResponseHandler)
-    watch = PathWatch(runtime, call, upstream, protocol if is_strict else None)  # type: ignore[arg-type]
+    known: Any = protocol if is_strict else None
+    watch = PathWatch(runtime, call, upstream, known, waited)
     try:
         yield watch
     finally:
--- a/tests/unit/gateway/test_path_watch.py
+++ b/tests/unit/gateway/test_path_watch.py
@@ -91,6 +91,34 @@
     assert runtime.sum() == (4, lost)
 
 
+def test_losses_without_a_pause_do_not_count(monkeypatch):
+    # A large prompt: hundreds of segments, some sent again at once.
+    runtime = FakeRuntime()
+    counts = SocketCounts(700, 12, 0)
+    monkeypatch.setattr(path_watch, "read_socket_counts", lambda sock: counts)
+    read_stream(runtime, FakeProtocol(), [(0.05 * n, EVENT) for n in range(1, 37)])
+    assert runtime.sum() == (37, 0)
+
+
+def test_several_losses_in_one_pause_count_once(monkeypatch):
+    runtime = FakeRuntime()
+    counts = SocketCounts(700, 12, 3)
+    monkeypatch.setattr(path_watch, "read_socket_counts", lambda sock: counts)
+    read_stream(runtime, FakeProtocol(), [(0.05, EVENT), (0.36, 5 * EVENT)])
+    assert runtime.sum() == (3, 1)
+
+
+@pytest.mark.parametrize(
+    ("waited", "retransmitted", "lost"), [(0.3, 2, 1), (0.3, 0, 0), (0.1, 2, 0)]
+)
+def test_late_head_counts_if_data_was_lost(monkeypatch, waited, retransmitted, lost):
+    runtime = FakeRuntime()
+    counts = SocketCounts(10, retransmitted, 0)
+    monkeypatch.setattr(path_watch, "read_socket_counts", lambda sock: counts)
+    PathWatch(runtime, build_call(), "i-1", FakeProtocol(), waited).close()
+    assert runtime.sum() == (1, lost)
+
+
 def test_losses_are_counted_once_for_each_retransmission_and_each_gap():
     before = SocketCounts(10, 1, 4)
     assert count_lost(before, before) == 0
