Compare paths at each front before summing them up

A front that stalled for 0.4 s with ten open streams reported ten losses at once, and bound all fronts of its zone. Losses at the same instant are one now, a front counts only if it loses clearly more on the path than on its best other one, and a single front must observe many losses for a second.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -38,6 +38,14 @@
 MIN_LOST_AT_ONE_FRONT = 8.0
 """The same, if a single front observed them and others would be bound by it."""
 
+LONE_FRONT_S = 1.0
+"""Time for which a single front must observe that many: a front that stalls once would
+count all its streams."""
+
+SAME_INSTANT_S = 0.03
+"""Time in which several losses at one front count as one: after a stall, it reads all
+its connections one after the other."""
+
 MIN_FRONT_LOST = 0.5
 """Decayed losses from which on a front counts as one that observed them."""
 
@@ -145,6 +153,9 @@
         """
         self._min_fronts = min_fronts
         self._judged: dict[ZonePath, _Judged] = {}
+        self._lone_since: dict[ZonePath, float] = {}
+        """Since when a single front observes many losses, clock time in seconds."""
+
         self._told: frozenset[ZonePath] = frozenset()
         """Paths that a better informed judge avoids."""
 
@@ -199,22 +210,24 @@
         for path, found in sums.items():
             judged_before = self._judged.get(path)
             has_failed = judged_before is not None and judged_before.has_failed_trial()
-            if has_failed or self._is_lossy(path, sums):
+            if has_failed or self._is_lossy(path, sums, now):
                 self._degrade(path, found, now)
+        for path in self._lone_since.keys() - sums.keys():
+            del self._lone_since[path]
         for path, judged in list(self._judged.items()):
             if now >= judged.until and not judged.needs_use(now):
                 self._relax(path, judged, sums.get(path, PathSum()), now)
         self._collect_all()
 
-    def _is_lossy(self, path: ZonePath, sums: Mapping[ZonePath, PathSum]) -> bool:
+    def _is_lossy(
+        self, path: ZonePath, sums: Mapping[ZonePath, PathSum], now: float
+    ) -> bool:
         found = sums[path]
         if (failed := found.failed_upstreams) >= MIN_FAILED_UPSTREAMS:
             found = PathSum(
                 found.observed + failed, found.lost + failed, max(1, found.fronts)
             )
-        is_seen_by_several = found.fronts >= self._min_fronts
-        min_lost = MIN_LOST if is_seen_by_several else MIN_LOST_AT_ONE_FRONT
-        if found.lost < min_lost or found.loss_rate < MIN_LOSS_RATE:
+        if not self._is_evident(path, found, now) or found.loss_rate < MIN_LOSS_RATE:
             return False
         usual = max(
             _find_best_rate(path, path.first, sums),
@@ -222,6 +235,15 @@
         )
         return found.loss_rate >= RELATIVE_LOSS_RATE * usual
 
+    def _is_evident(self, path: ZonePath, found: PathSum, now: float) -> bool:
+        """Whether there are enough losses, at several fronts or at one for a while."""
+        if found.fronts >= self._min_fronts:
+            return found.lost >= MIN_LOST
+        if not found.fronts or found.lost < MIN_LOST_AT_ONE_FRONT:
+            self._lone_since.pop(path, None)
+            return False
+        return now - self._lone_since.setdefault(path, now) >= LONE_FRONT_S
+
     def _degrade(self, path: ZonePath, found: PathSum, now: float) -> None:
         judged = self._judged.get(path)
         if judged is None:
@@ -289,6 +311,9 @@
         self._counted_at = now
         self._evaluate_at = now
         self._connection_losses: dict[UpstreamId, _FailedConnection] = {}
+        self._lost_at: dict[AvailabilityZone, float] = {}
+        """Clock time in seconds of the last loss that counted."""
+
         self._told_until = now
 
     def adopt(self, paths: Iterable[ZonePath], now: float) -> None:
@@ -299,9 +324,16 @@
     def record(
         self, zone: AvailabilityZone, observed: int, lost: int, now: float
     ) -> None:
-        """Count pieces of data on the path to a zone, and those of them lost first."""
+        """Count pieces of data on the path to a zone, and those of them lost first.
+
+        Losses of several streams at the same instant are one.
+        """
         self._decay(now)
         count = self._counts.setdefault(zone, PathSum())
+        if lost and now - self._lost_at.get(zone, -math.inf) < SAME_INSTANT_S:
+            lost = 0
+        elif lost:
+            self._lost_at[zone] = now
         count.observed += observed
         count.lost += lost
         if lost:
@@ -414,10 +446,22 @@
                 total = sums.setdefault(path, PathSum())
                 total.observed += factor * one.observed
                 total.lost += factor * one.lost
-                total.fronts += factor * one.lost >= MIN_FRONT_LOST
+                has_lost = factor * one.lost >= MIN_FRONT_LOST
+                total.fronts += has_lost and _is_worse_than_others(one, report)
         return sums
 
 
+def _is_worse_than_others(one: PathEvidence, report: PathReport) -> bool:
+    """Whether a front loses clearly more on a path than on its best other one."""
+    rates = [
+        other.lost / max(other.observed, 1.0)
+        for other in report.evidence
+        if other is not one and other.observed >= MIN_COMPARED
+    ]
+    rate = one.lost / max(one.observed, one.lost, 1.0)
+    return rate >= RELATIVE_LOSS_RATE * min(rates, default=0.0)
+
+
 def _compute_decay(age: float) -> float:
     return math.exp(-max(0.0, age) / EVIDENCE_DECAY_S)
 
