Compare a trial of a path with the other paths

A trial failed by a single loss, and needed none of the checks that degrade a path, so that a path no worse than the others stayed degraded where all lose a little. It fails now only by clearly more losses than the usual rate gives. A model of six paths that lose 1, 2 or 3 in 100 alike shows that the path returns.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -134,11 +134,15 @@
             and now < self.until - TRIAL_S + MAX_TRIAL_S
         )
 
-    def has_failed_trial(self) -> bool:
-        """Whether losses were observed during the trial, and not only single ones."""
+    def has_failed_trial(self, usual: float) -> bool:
+        """Whether clearly more was lost during the trial than at the ``usual`` rate.
+
+        Above a usual rate of 0, one loss early in the trial does not suffice.
+        """
+        used = max(self.tried.observed, MIN_TRIED)
         return (
             self.state is PathState.TRIAL
-            and self.tried.lost >= MIN_TRIAL_LOST
+            and self.tried.lost >= MIN_TRIAL_LOST + RELATIVE_LOSS_RATE * usual * used
             and self.tried.loss_rate >= MIN_LOSS_RATE
         )
 
@@ -209,7 +213,9 @@
             judged.count_tried(sums.get(path, PathSum()), now)
         for path, found in sums.items():
             judged_before = self._judged.get(path)
-            has_failed = judged_before is not None and judged_before.has_failed_trial()
+            has_failed = judged_before is not None and judged_before.has_failed_trial(
+                _find_usual_rate(path, sums)
+            )
             if has_failed or self._is_lossy(path, sums, now):
                 self._degrade(path, found, now)
         for path in self._lone_since.keys() - sums.keys():
@@ -229,11 +235,7 @@
             )
         if not self._is_evident(path, found, now) or found.loss_rate < MIN_LOSS_RATE:
             return False
-        usual = max(
-            _find_best_rate(path, path.first, sums),
-            _find_best_rate(path, path.second, sums),
-        )
-        return found.loss_rate >= RELATIVE_LOSS_RATE * usual
+        return found.loss_rate >= RELATIVE_LOSS_RATE * _find_usual_rate(path, sums)
 
     def _is_evident(self, path: ZonePath, found: PathSum, now: float) -> bool:
         """Whether there are enough losses, at several fronts or at one for a while."""
@@ -478,6 +480,14 @@
     return collected
 
 
+def _find_usual_rate(path: ZonePath, sums: Mapping[ZonePath, PathSum]) -> float:
+    """Find the loss rate that a path would have without a fault of its own."""
+    return max(
+        _find_best_rate(path, path.first, sums),
+        _find_best_rate(path, path.second, sums),
+    )
+
+
 def _find_best_rate(
     path: ZonePath, zone: AvailabilityZone, sums: Mapping[ZonePath, PathSum]
 ) -> float:
--- a/tests/unit/gateway/test_path_health.py
+++ b/tests/unit/gateway/test_path_health.py
@@ -1,6 +1,8 @@
 """Paths between zones: evidence, states, and where quick streams go meanwhile."""
 
+import math
 import random
+from itertools import combinations_with_replacement
 
 import msgspec
 import pytest
@@ -16,6 +18,7 @@
 )
 from scalebend.core.gateway.path_health import (
     CONNECTION_LOSS_INTERVAL_S,
+    EVIDENCE_DECAY_S,
     FIRST_DEGRADED_S,
     LONE_FRONT_S,
     MAX_DEGRADED_S,
@@ -202,6 +205,43 @@
     assert health.get_state(BAD) is expected
 
 
+@pytest.mark.parametrize(("lost", "is_back"), [(2.0, True), (9.0, False)])
+def test_trial_fails_by_more_than_is_lost_on_other_paths(lost, is_back):
+    health = judge({BAD: LOSSY, OWN: HEALTHY})
+    usual = {OWN: PathSum(400.0, 8.0, 3), build_zone_path(A, A): PathSum(400.0, 8.0, 3)}
+    began = FIRST_DEGRADED_S + 0.01
+    health.update({BAD: PathSum()} | usual, began)
+    health.update({BAD: PathSum(0.4 * MIN_TRIED, 0.4 * lost, 3)} | usual, began + 0.5)
+    used = PathSum(MIN_TRIED, lost, 3)
+    health.update({BAD: used} | usual, began + TRIAL_S)
+    expected = PathState.HEALTHY if is_back else PathState.DEGRADED
+    assert health.get_state(BAD) is expected
+
+
+@pytest.mark.parametrize("rate", [0.01, 0.02, 0.03])
+def test_path_returns_that_loses_no_more_than_others(rate):
+    chooser = random.Random(5)
+    paths = [build_zone_path(*pair) for pair in combinations_with_replacement(ZONES, 2)]
+    sums = {path: PathSum(400.0, 0.0, 3) for path in paths}
+    sums[BAD] = PathSum(400.0, 20.0, 3)
+    health = judge(sums)
+    assert health.get_state(BAD) is PathState.DEGRADED
+    steps, healthy = 3000, 0
+    uses = {PathState.HEALTHY: 20, PathState.TRIAL: 3, PathState.DEGRADED: 0}
+    for step in range(steps):
+        for path in paths:
+            used = 20 if path != BAD else uses[health.get_state(BAD)]
+            lost = sum(chooser.random() < rate for _ in range(used))
+            decay = math.exp(-0.1 / EVIDENCE_DECAY_S)
+            before = sums[path]
+            sums[path] = PathSum(
+                decay * before.observed + used, decay * before.lost + lost, 3
+            )
+        health.update(sums, 0.1 * (step + 1))
+        healthy += health.get_state(BAD) is PathState.HEALTHY
+    assert healthy > steps / 2
+
+
 # Evidence
 
 
