Measure pauses by the wait for data, and compare them with the stream

Without TCP_INFO, the time from read to read included the time for which the caller took nothing, and an engine that sends its last events together, or always several, looked like a retransmission. Only the wait for data counts now, beyond the usual time between reads, and the events released are compared with those of a usual read. Tests of a slow caller, a slow stream and one with several events in each read show it.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -403,11 +403,12 @@
         read_timeout = compute_first_byte_timeout(self._call.route, target.predicted)
         is_first = True
         while True:
+            asked_at = self._runtime.now()
             data = await read_available(response.content, read_timeout)
             if not data:
                 break
             if self._path is not None:
-                self._path.record_data(data)
+                self._path.record_data(data, self._runtime.now() - asked_at)
             forwarded = cursor.feed(data)
             if not forwarded.data:
                 continue
--- a/src/scalebend/edges/gateway/path_watch.py
+++ b/src/scalebend/edges/gateway/path_watch.py
@@ -20,12 +20,13 @@
 logger = structlog.get_logger(__name__)
 
 MIN_PAUSE_S = 0.15
-"""Shortest pause that may come from a retransmission: the kernel waits at least 200 ms
-from the lost segment on, less the time since the event before it."""
+"""Shortest time by which a retransmission prolongs the usual time between two reads:
+the kernel waits 200 ms or more from the lost segment on, somewhat less by its clock."""
 
-MIN_RELEASED_EVENTS = 2
-"""Events that arrive together at the end of such a pause: those that waited behind the
-lost one. After a pause of the engine they arrive one by one."""
+MIN_RELEASED_EVENTS = 2.0
+"""Events that arrive together at the end of such a pause, as a multiple of those of a
+usual read: those that waited behind the lost one. After a pause of the engine they
+arrive as before it."""
 
 MAX_RELEASE_S = 0.02
 RELEASE_SHARE = 0.25
@@ -66,38 +67,48 @@
         self._observed = 1
         self._read_at: float | None = None
         self._usual_sum = 0.0
+        self._usual_events = 0
         self._usual_count = 0
         self._paused = _Pause()
         if waited >= MIN_PAUSE_S and self._has_lost():
             self._record(1, waited)
 
-    def record_data(self, data: bytes) -> None:
-        """Record data of a stream that was read now."""
+    def record_data(self, data: bytes, waited: float) -> None:
+        """Record data of a stream that was read now, after a wait of some seconds.
+
+        While the caller of the front takes nothing, nobody waits for the data.
+        """
         now = self._runtime.now()
-        gap = now - self._read_at if self._read_at is not None else 0.0
-        self._read_at = now
         self._observed += 1
+        events = data.count(EVENT_END)
+        if self._read_at is not None:
+            self._evaluate(events, now - self._read_at, waited, now)
+        self._read_at = now
+
+    def _evaluate(self, events: int, gap: float, waited: float, now: float) -> None:
+        """Look for a pause before some events, or for what was released after one."""
         paused = self._paused
-        if gap >= MIN_PAUSE_S:
-            paused = self._paused = _Pause(now, gap)
-            if (has_lost := self._has_lost()) is not None:
-                paused.is_decided = True
-                self._record(int(has_lost), gap)
-        elif now > paused.ended_at + self._compute_release_time():
+        usual = self._usual_sum / max(1, self._usual_count)
+        is_pause = waited >= MIN_PAUSE_S + usual
+        if is_pause and (has_lost := self._has_lost()) is not None:
+            self._paused = _Pause(now, waited, is_decided=True)
+            self._record(int(has_lost), waited)
+            return
+        if is_pause and self._usual_count:
+            paused = self._paused = _Pause(now, waited)
+        elif now > paused.ended_at + min(MAX_RELEASE_S, RELEASE_SHARE * usual):
             paused.is_decided = True
             self._usual_sum += gap
+            self._usual_events += events
             self._usual_count += 1
         if paused.is_decided:
             return
-        paused.released += data.count(EVENT_END)
-        if paused.released >= MIN_RELEASED_EVENTS:
+        paused.released += events
+        usual_events = self._usual_events / max(1, self._usual_count)
+        if paused.released >= MIN_RELEASED_EVENTS * max(1.0, usual_events):
             paused.is_decided = True
             self._record(1, paused.length)
 
-    def _compute_release_time(self) -> float:
-        usual = self._usual_sum / self._usual_count if self._usual_count else 0.0
-        return min(MAX_RELEASE_S, RELEASE_SHARE * usual)
-
     def close(self) -> None:
         """Record what was observed since the last pause.
 
--- a/tests/unit/gateway/test_path_watch.py
+++ b/tests/unit/gateway/test_path_watch.py
@@ -44,12 +44,16 @@
         return self
 
 
-def read_stream(runtime, protocol, events):
-    """Watch events at ``(time, data)``."""
+def read_stream(runtime, protocol, events, busy=()):
+    """Watch events at ``(time, data)``.
+
+    At the times in ``busy``, the front was not reading before: the caller took nothing.
+    """
     watch = PathWatch(runtime, build_call(), "i-1", protocol)
     for time, data in events:
+        waited = 0.0 if time in busy else time - runtime.time
         runtime.time = time
-        watch.record_data(data)
+        watch.record_data(data, waited)
     watch.close()
 
 
@@ -81,6 +85,29 @@
     assert runtime.sum() == (4, 0)
 
 
+@pytest.mark.parametrize(("busy", "lost"), [((), 1), ((0.4,), 0)])
+def test_slow_caller_is_no_loss(busy, lost):
+    runtime = FakeRuntime()
+    events = [(0.05, EVENT), (0.1, EVENT), (0.4, 6 * EVENT), (0.45, EVENT)]
+    read_stream(runtime, None, events, busy)
+    assert runtime.sum() == (5, lost)
+
+
+def test_slow_stream_whose_last_events_come_together_has_no_loss():
+    runtime = FakeRuntime()
+    events = [(0.2 * number, EVENT) for number in range(10)]
+    read_stream(runtime, None, [*events, (2.0, 2 * EVENT)])
+    assert runtime.sum() == (12, 0)
+
+
+@pytest.mark.parametrize(("released", "lost"), [(3, 0), (12, 1)])
+def test_stream_whose_events_always_come_together(released, lost):
+    runtime = FakeRuntime()
+    events = [(0.05 * number, 3 * EVENT) for number in range(10)]
+    read_stream(runtime, None, [*events, (0.75, released * EVENT)])
+    assert runtime.sum() == (12, lost)
+
+
 @pytest.mark.parametrize(("out_of_order", "lost"), [(0, 0), (3, 1)])
 def test_kernel_decides_whether_a_pause_was_a_loss(monkeypatch, out_of_order, lost):
     runtime = FakeRuntime()
