--- /dev/null
+++ b/tests/unit/gateway/test_path_model.py
@@ -0,0 +1,150 @@
+"""A model of one zone whose links to the others lose packets."""
+
+import random
+
+import msgspec
+import pytest
+
+from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.path_health import (
+    FrontPaths,
+    LeaderPaths,
+)
+from scalebend.models.ids import AvailabilityZone, InstanceId
+from scalebend.models.placement import JobStage
+from tests.lib.gateway_builders import (
+    PROFILE,
+    build_quick,
+)
+from tests.lib.path_builders import (
+    ZONES,
+    C,
+    build_fleet,
+)
+
+STEP_S = 0.05
+EVENTS = 36
+LOSS = 0.04
+BEGIN, END = 4.0, 14.0
+FRONTS_PER_ZONE = 7
+DETECTION_S = 1.5
+"""Time until enough losses were reported: a retransmission, a report, three losses."""
+
+TARGET_SHARE = 8 / 69
+"""Late streams that are allowed, as a share of those without knowledge of the paths."""
+
+ARRIVALS_PER_STEP = 2
+
+
+class Stream(msgspec.Struct):
+    job: str
+    front: int
+    zone: AvailabilityZone
+    began: float
+    left: int = EVENTS
+    pause_until: float = 0.0
+    is_late: bool = False
+
+
+class LossyZone:
+    """Fronts, replicas and the leader in steps of one event."""
+
+    def __init__(self, seed, *, has_paths, arrivals=ARRIVALS_PER_STEP):
+        self.arrivals = arrivals
+        self.chooser = random.Random(seed)
+        self.fleet = build_fleet(36)
+        self.zones = {one.upstream: one.availability_zone for one in self.fleet}
+        self.scheduler = EngineScheduler()
+        self.leader = LeaderPaths()
+        if has_paths:
+            self.scheduler.paths = self.leader.health
+        fronts = range(3 * FRONTS_PER_ZONE)
+        self.front_zones = [ZONES[number % 3] for number in fronts]
+        self.fronts = [FrontPaths(zone, 0.0) for zone in self.front_zones]
+        self.open, self.ended = [], []
+        self.max_jobs = 0
+
+    def is_bad(self, stream, now):
+        zones = {self.front_zones[stream.front], stream.zone}
+        return BEGIN <= now < END and len(zones) == 2 and C in zones
+
+    def run(self, seconds):
+        for step in range(int(seconds / STEP_S)):
+            now = step * STEP_S
+            for _ in range(self.arrivals):
+                self.arrive(now)
+            for stream in list(self.open):
+                self.advance(stream, now)
+            if step % 4 == 0:
+                for number, front in enumerate(self.fronts):
+                    report = front.build_report(now)
+                    self.leader.record(InstanceId(f"f-{number}"), report, now)
+            self.leader.advance(now)
+        return self
+
+    def arrive(self, now):
+        number = len(self.ended) + len(self.open)
+        front = self.chooser.randrange(len(self.fronts))
+        work = build_quick(number, availability_zone=self.front_zones[front])
+        placed = self.scheduler.place(work, self.fleet, PROFILE, now)
+        self.scheduler.record_stage(JobStage(work.job, is_ended=False), now)
+        zone = self.zones[placed.upstream]
+        self.open.append(Stream(work.job, front, zone, now))
+        jobs = [load.parts for load in self.scheduler._replicas.values()]
+        self.max_jobs = max(self.max_jobs, *map(len, jobs))
+
+    def advance(self, stream, now):
+        if now < stream.pause_until:
+            return
+        is_released = stream.pause_until > 0.0
+        if is_released:
+            self.fronts[stream.front].record(stream.zone, 1, 1, now)
+            stream.pause_until = 0.0
+            stream.left -= 5
+        stream.left -= 1
+        self.fronts[stream.front].record(stream.zone, 1, 0, now)
+        if self.is_bad(stream, now) and self.chooser.random() < LOSS:
+            stream.pause_until = now + 0.25
+            stream.is_late = True
+        if stream.left <= 0:
+            self.open.remove(stream)
+            self.ended.append(stream)
+            self.scheduler.record_stage(JobStage(stream.job, is_ended=True), now)
+
+    def list_crossing(self, begin, end):
+        return [
+            stream
+            for stream in self.ended
+            if begin <= stream.began < end
+            and stream.zone != self.front_zones[stream.front]
+            and C in (stream.zone, self.front_zones[stream.front])
+        ]
+
+    def count_used(self):
+        return sum(bool(load.parts) for load in self.scheduler._replicas.values())
+
+    def count_late(self, begin=0.0):
+        return sum(stream.is_late for stream in self.ended if stream.began >= begin)
+
+
+def test_lossy_links_are_found_where_no_stream_stays_in_its_zone():
+    before = LossyZone(3, has_paths=False, arrivals=1).run(20.0)
+    after = LossyZone(3, has_paths=True, arrivals=1).run(20.0)
+    settled = BEGIN + DETECTION_S
+    crossing = len(before.list_crossing(settled, END))
+    assert len(after.list_crossing(settled, END)) < TARGET_SHARE * crossing
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4])
+def test_quick_streams_leave_lossy_links_and_return(seed):
+    before = LossyZone(seed, has_paths=False).run(40.0)
+    after = LossyZone(seed, has_paths=True).run(40.0)
+    settled = BEGIN + DETECTION_S
+    crossing = len(before.list_crossing(settled, END))
+    assert len(after.list_crossing(settled, END)) < TARGET_SHARE * crossing
+    assert after.count_late(settled) < TARGET_SHARE * before.count_late(settled)
+    assert after.max_jobs <= PROFILE.slots
+    assert after.count_used() <= before.count_used() + len(ZONES)
+    assert len(after.list_crossing(30.0, 38.0)) > 0.5 * len(
+        before.list_crossing(30.0, 38.0)
+    )
