Try a degraded path with a few plain requests and at fronts

Choices for plain services passed no id, so that a path on trial was never used for them, and the leader named paths on trial to the fronts, which avoided them altogether. Tests of the share of plain requests and of the paths named show both.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -348,7 +348,7 @@
             self.member.replica.term,
             len(self._fronts),
             self.scheduler.list_busy(now, MAX_BUSY_REPLICAS) if self.is_leader else [],
-            self.placement.paths.health.list_degraded() if self.is_leader else [],
+            self.placement.paths.health.list_avoided_paths() if self.is_leader else [],
         )
 
     # Upstreams
--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -193,6 +193,12 @@
         ]
         return sorted({*degraded, *self._told}, key=lambda path: str(path))
 
+    def list_avoided_paths(self) -> list[ZonePath]:
+        """List the paths that are avoided, without those on trial."""
+        states = self._judged.items()
+        degraded = {path for path, one in states if one.state is PathState.DEGRADED}
+        return sorted(degraded, key=str)
+
     def set_told(self, paths: Iterable[ZonePath]) -> None:
         """Also avoid these paths; replaces those named before."""
         told = frozenset(paths)
@@ -377,9 +383,13 @@
         ]
         return PathReport(self._front_zone, evidence)
 
-    def list_avoided(self) -> frozenset[AvailabilityZone]:
-        """Zones whose plain services this front should not use if others have room."""
-        return self.health.list_avoided(self._front_zone)
+    def list_avoided(self, request: str | None = None) -> frozenset[AvailabilityZone]:
+        """Zones whose plain services should not get a request if others have room.
+
+        A few requests use a path on trial.
+        """
+        job = JobId(request) if request is not None else None
+        return self.health.list_avoided(self._front_zone, job)
 
     def advance(self, now: float) -> None:
         """Judge the paths anew if that is due, and remove old evidence."""
--- a/src/scalebend/edges/gateway/service_choice.py
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -47,7 +47,7 @@
             runtime.settings.availability_zone,
             runtime.chooser,
             runtime.now(),
-            instance.paths.list_avoided(),
+            instance.paths.list_avoided(call.headers.request),
         )
         if endpoint is None:
             if full:
--- a/tests/unit/gateway/test_path_evidence.py
+++ b/tests/unit/gateway/test_path_evidence.py
@@ -23,6 +23,7 @@
 from scalebend.models.paths import (
     PathEvidence,
     PathReport,
+    PathState,
 )
 from scalebend.models.routing import EMPTY_ROUTING
 from tests.lib.gateway_builders import (
@@ -81,6 +82,36 @@
     assert not leader.health.has_judged
 
 
+def test_front_tries_a_path_with_a_small_share_of_its_plain_requests():
+    paths = FrontPaths(C, 0.0)
+    paths.record(C, 100, 0, 0.0)
+    for number in range(4):
+        paths.record(A, 25, 1, 0.1 * number)
+    requests = [f"id-{number}" for number in range(800)]
+    assert all(paths.list_avoided(one) == {A} for one in requests)
+    paths.record(C, 100, 0, 2.0)
+    for step in range(60):
+        paths.advance(0.1 * step)
+        if paths.health.get_state(BAD) is PathState.TRIAL:
+            break
+    tried = sum(not paths.list_avoided(one) for one in requests)
+    assert 0.05 < tried / len(requests) < 0.25
+
+
+def test_fronts_are_not_told_of_paths_on_trial():
+    paths = LeaderPaths()
+    for number in range(2):
+        paths.record(InstanceId(f"front-{number}"), build_path_report(4.0), 0.0)
+    paths.advance(0.1)
+    assert paths.health.list_avoided_paths() == [BAD]
+    for step in range(200):
+        paths.advance(0.2 + 0.1 * step)
+        if paths.health.get_state(BAD) is PathState.TRIAL:
+            break
+    assert paths.health.list_degraded() == [BAD]
+    assert paths.health.list_avoided_paths() == []
+
+
 def test_evidence_ends_with_its_age():
     paths = FrontPaths(C, 0.0)
     paths.record(A, 100, 5, 0.0)
