Leave what a front brings or takes at once out of a trial

A front that linked anew during a trial brought all its evidence as if it were new and ended the trial; one that left hid new losses of others. The first report and the last one shift the baseline now, which tests show. Socket counts are read on Linux only, since other systems have other fields at the offsets. Reports at the leader are a typed pair, and a test shows that a new front reads the status of an older leader.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -239,6 +239,20 @@
                 self._relax(path, judged, sums.get(path, PathSum()), now)
         self._collect_all()
 
+    def shift_baseline(
+        self, path: ZonePath, observed: float, lost: float, at: float
+    ) -> None:
+        """Leave evidence that appears, or disappears if negative, out of a trial."""
+        judged = self._judged.get(path)
+        if judged is not None:
+            factor = math.exp((at - judged.last_at) / EVIDENCE_DECAY_S)
+            last = judged.last
+            judged.last = PathSum(
+                max(0.0, last.observed + factor * observed),
+                max(0.0, last.lost + factor * lost),
+                last.fronts,
+            )
+
     def _is_lossy(
         self, path: ZonePath, sums: Mapping[ZonePath, PathSum], now: float
     ) -> bool:
@@ -426,12 +440,18 @@
                 del self._counts[zone]
 
 
+class _Received(msgspec.Struct, frozen=True):
+    report: PathReport
+    at: float
+    """Clock time in seconds."""
+
+
 class LeaderPaths:
     """Evidence of all fronts at the leader, and what it concludes from it."""
 
     def __init__(self) -> None:
         self.health = PathHealth(min_fronts=2)
-        self._reports: dict[InstanceId, tuple[PathReport, float]] = {}
+        self._reports: dict[InstanceId, _Received] = {}
         self._has_losses = False
         self._evaluate_at = 0.0
 
@@ -439,13 +459,25 @@
         """Replace the evidence of a front; older versions report none."""
         if report is None:
             return
-        self._reports[front] = (report, now)
+        received = _Received(report, now)
+        if front not in self._reports:
+            self._shift_baselines(received, 1.0)
+        self._reports[front] = received
         if any(one.lost >= MIN_FRONT_LOST for one in report.evidence):
             self._has_losses = True
 
     def remove_front(self, front: InstanceId) -> None:
         """Remove the evidence of a front whose link was lost."""
-        self._reports.pop(front, None)
+        received = self._reports.pop(front, None)
+        if received is not None:
+            self._shift_baselines(received, -1.0)
+
+    def _shift_baselines(self, received: _Received, sign: float) -> None:
+        """Tell trials of all evidence that a front brings or takes away at once."""
+        for one in received.report.evidence:
+            path = build_zone_path(received.report.front_zone, one.upstream_zone)
+            observed, lost = sign * one.observed, sign * one.lost
+            self.health.shift_baseline(path, observed, lost, received.at)
 
     def advance(self, now: float) -> None:
         """Judge the paths anew if that is due."""
@@ -459,8 +491,9 @@
     def _sum(self, now: float) -> dict[ZonePath, PathSum]:
         """Sum up the evidence of all fronts, decayed since their reports."""
         sums: dict[ZonePath, PathSum] = {}
-        for report, received_at in self._reports.values():
-            factor = _compute_decay(now - received_at)
+        for received in self._reports.values():
+            report = received.report
+            factor = _compute_decay(now - received.at)
             for one in report.evidence:
                 path = build_zone_path(report.front_zone, one.upstream_zone)
                 total = sums.setdefault(path, PathSum())
--- a/src/scalebend/edges/gateway/socket_statistics.py
+++ b/src/scalebend/edges/gateway/socket_statistics.py
@@ -8,6 +8,7 @@
 
 import socket
 import struct
+import sys
 
 import msgspec
 
@@ -36,7 +37,7 @@
     """Return the counts of a connected TCP socket; ``None`` where there are none."""
     option = getattr(socket, "TCP_INFO", None)
     get_option = getattr(sock, "getsockopt", None)
-    if option is None or get_option is None:
+    if sys.platform != "linux" or option is None or get_option is None:
         return None
     try:
         data = get_option(socket.IPPROTO_TCP, option, _INFO_BYTES)
--- a/tests/unit/gateway/test_path_evidence.py
+++ b/tests/unit/gateway/test_path_evidence.py
@@ -44,6 +44,9 @@
 )
 from tests.unit.gateway.test_control_instance import SingleMemberGroup
 
+LATE = PathReport(C, [PathEvidence(A, 20.0, 2.0), PathEvidence(C, 100.0, 0.0)])
+"""Report with few losses, too few to degrade a path again."""
+
 
 def test_front_judges_its_own_evidence():
     paths = FrontPaths(C, 0.0)
@@ -154,6 +157,41 @@
         assert not paths.health.has_judged
 
 
+@pytest.mark.parametrize("relinks", [False, True])
+def test_evidence_of_a_front_that_links_anew_fails_no_trial(relinks):
+    paths = LeaderPaths()
+    paths.record(FRONT, build_path_report(4.0), 0.0)
+    paths.record(InstanceId("front-2"), build_path_report(4.0), 0.0)
+    now = 0.0
+    while paths.health.get_state(BAD) is not PathState.TRIAL:
+        now += 0.1
+        paths.advance(now)
+        assert now < 20.0
+    if relinks:
+        paths.remove_front(FRONT)
+    paths.record(InstanceId("front-3" if not relinks else FRONT), LATE, now)
+    for _ in range(5):
+        now += 0.1
+        paths.advance(now)
+        assert paths.health.get_state(BAD) is PathState.TRIAL
+
+
+def test_new_losses_of_a_front_fail_a_trial_after_another_one_left():
+    paths = LeaderPaths()
+    names = [FRONT, InstanceId("front-2")]
+    for name in names:
+        paths.record(name, build_path_report(4.0), 0.0)
+    now = 0.0
+    while paths.health.get_state(BAD) is not PathState.TRIAL:
+        now += 0.1
+        paths.advance(now)
+        assert now < 20.0
+    paths.remove_front(FRONT)
+    paths.record(names[1], LATE, now)
+    paths.advance(now + 0.1)
+    assert paths.health.get_state(BAD) is PathState.DEGRADED
+
+
 # Processes of the version before
 
 
@@ -168,6 +206,18 @@
     fronts: int
 
 
+def test_new_front_reads_the_status_of_an_older_leader():
+    old = msgspec.msgpack.encode(OldControlStatus(["leader:1"], "leader:1", 3, 2))
+    status = msgspec.msgpack.decode(old, type=ControlStatus)
+    assert status.leader == "leader:1"
+    assert status.degraded_paths == []
+    front = FrontInstance(build_settings(availability_zone=C), now=0.0)
+    front.add_link("leader:1")
+    front.handle("leader:1", status, 0.0)
+    assert front.leader == "leader:1"
+    assert front.paths.list_avoided() == frozenset()
+
+
 def test_older_processes_read_and_send_outcomes_without_paths():
     outcomes = [UpstreamOutcomes(UpstreamId("i-1"), 1, 2)]
     new = msgspec.msgpack.encode(AttemptOutcomes(outcomes, build_path_report(3.0)))
--- a/tests/unit/gateway/test_path_watch.py
+++ b/tests/unit/gateway/test_path_watch.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import sys
 
 import aiohttp
 import pytest
@@ -194,6 +195,16 @@
     assert counts.out_of_order == 0
 
 
+def test_other_systems_have_no_counts(monkeypatch):
+    # Their structures have other fields at these offsets.
+    with connect() as (client, accepted):
+        client.sendall(b"request")
+        accepted.recv(100)
+        assert read_socket_counts(client) is not None
+        monkeypatch.setattr(sys, "platform", "darwin")
+        assert read_socket_counts(client) is None
+
+
 def test_other_objects_and_closed_sockets_have_no_counts():
     assert read_socket_counts(None) is None
     one, other = socket.socketpair()
