--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -40,7 +40,7 @@
     Subscribe,
     UncoordinatedSends,
 )
-from scalebend.core.gateway.path_health import FrontPaths
+from scalebend.core.gateway.path_evidence import FrontPaths
 from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.retry_window import RetryWindow
 from scalebend.core.gateway.route_table import RouteTable
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -14,7 +14,7 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
-from scalebend.core.gateway.path_health import LeaderPaths
+from scalebend.core.gateway.path_evidence import LeaderPaths
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import (
--- a/tests/unit/gateway/test_path_evidence.py
+++ b/tests/unit/gateway/test_path_evidence.py
@@ -11,7 +11,7 @@
     OpenJobs,
     PlacementRequest,
 )
-from scalebend.core.gateway.path_health import (
+from scalebend.core.gateway.path_evidence import (
     CONNECTION_LOSS_INTERVAL_S,
     TOLD_LIFETIME_S,
     FrontPaths,
--- a/tests/unit/gateway/test_path_model.py
+++ b/tests/unit/gateway/test_path_model.py
@@ -7,10 +7,7 @@
 import pytest
 
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
-from scalebend.core.gateway.path_health import (
-    FrontPaths,
-    LeaderPaths,
-)
+from scalebend.core.gateway.path_evidence import FrontPaths, LeaderPaths
 from scalebend.models.ids import AvailabilityZone, InstanceId
 from scalebend.models.placement import Declined, JobStage
 from tests.lib.gateway_builders import (
--- a/tests/unit/gateway/test_path_states.py
+++ b/tests/unit/gateway/test_path_states.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from scalebend.core.gateway.path_evidence import FrontPaths, LeaderPaths
 from scalebend.core.gateway.path_health import (
     EVIDENCE_DECAY_S,
     FIRST_DEGRADED_S,
@@ -15,8 +16,6 @@
     MIN_LOSS_RATE,
     MIN_TRIED,
     TRIAL_S,
-    FrontPaths,
-    LeaderPaths,
 )
 from scalebend.models.ids import InstanceId
 from scalebend.models.paths import (
