Require losses beyond those of other paths, not only a higher rate

Where all paths lose 1 in 100, the best of them had too good a rate by luck, and a path was healthy for 26 % of a model's time, degraded 32 times in ten minutes. Some losses must now exceed what the compared rate gives; the model is a test.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -239,7 +239,9 @@
             )
         if not self._is_evident(path, found, now) or found.loss_rate < MIN_LOSS_RATE:
             return False
-        return found.loss_rate >= RELATIVE_LOSS_RATE * _find_usual_rate(path, sums)
+        # The usual rate is that of the best path, which may just have had luck.
+        limit = RELATIVE_LOSS_RATE * _find_usual_rate(path, sums)
+        return found.lost >= limit * found.observed + MIN_LOST
 
     def _is_evident(self, path: ZonePath, found: PathSum, now: float) -> bool:
         """Whether there are enough losses, at several fronts or at one for a while."""
--- a/tests/unit/gateway/test_path_states.py
+++ b/tests/unit/gateway/test_path_states.py
@@ -196,6 +196,29 @@
     assert health.get_state(BAD) is expected
 
 
+@pytest.mark.parametrize("rate", [0.01, 0.02, 0.03])
+def test_path_is_mostly_healthy_though_all_paths_lose_alike(rate):
+    chooser = random.Random(5)
+    paths = [build_zone_path(*pair) for pair in combinations_with_replacement(ZONES, 2)]
+    sums = {path: PathSum(400.0, 0.0, 3) for path in paths}
+    sums[BAD] = PathSum(400.0, 20.0, 3)
+    health = judge(sums)
+    uses = {PathState.HEALTHY: 20, PathState.TRIAL: 3, PathState.DEGRADED: 0}
+    decay = math.exp(-0.1 / EVIDENCE_DECAY_S)
+    steps, healthy = 6000, 0
+    for step in range(steps):
+        for path in paths:
+            used = uses[health.get_state(path)]
+            lost = sum(chooser.random() < rate for _ in range(used))
+            before = sums[path]
+            sums[path] = PathSum(
+                decay * before.observed + used, decay * before.lost + lost, 3
+            )
+        health.update(sums, 0.1 * (step + 1))
+        healthy += health.get_state(BAD) is PathState.HEALTHY
+    assert healthy > steps / 2
+
+
 @pytest.mark.parametrize("rate", [0.01, 0.02, 0.03])
 def test_path_returns_that_loses_no_more_than_others(rate):
     chooser = random.Random(5)
