--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -207,6 +207,7 @@
             self.crashes.ledger.expire(now)
             self.limits.expire(now)
         self._list_zones(now)
+        self.placement.paths.advance(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_INTERVAL_S
             self.placement.log_summary(len(self._fronts), now)
@@ -310,6 +311,7 @@
             case ReplicaPaces(paces):
                 self.placement.record_inspection(paces, [], now)
             case AttemptOutcomes(outcomes):
+                self.placement.paths.record(front, message.paths, now)
                 return self._record_outcomes(outcomes, now)
             case CrashUpdates():
                 self.crashes.receive(message, now)
@@ -368,6 +370,7 @@
             len(self._fronts),
             self.scheduler.list_busy(now, MAX_BUSY_REPLICAS) if self.is_leader else [],
             self.evacuations.get_published(),
+            self.placement.paths.health.list_avoided_paths() if self.is_leader else [],
         )
 
     # Upstreams
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -19,6 +19,7 @@
     Term,
     UpstreamId,
 )
+from scalebend.models.paths import PathReport, ZonePath
 from scalebend.models.placement import (
     BusyReplica,
     Declined,
@@ -55,6 +56,9 @@
     evacuations: Evacuations | None = None
     """The committed evacuations; ``None`` before the first."""
 
+    degraded_paths: list[ZonePath] = msgspec.field(default_factory=list)
+    """From the leader: paths between zones that it avoids, for the same."""
+
 
 class KnownInstances(msgspec.Struct, frozen=True, tag=True):
     """Relay to its peer, also as a heartbeat: control instances that have a disk."""
@@ -136,6 +140,9 @@
     """Front to leader: outcomes of attempts since the last such message."""
 
     outcomes: list[UpstreamOutcomes]
+    paths: PathReport | None = None
+    """Evidence on paths between zones: in a field, since instances of older versions
+    close links on which they receive a message that they don't know."""
 
 
 class EjectedUpstreams(msgspec.Struct, frozen=True, tag=True):
