--- a/src/scalebend/models/endpoints.py
+++ b/src/scalebend/models/endpoints.py
@@ -73,6 +73,9 @@
     born: Count | None = None
     """Start in Unix milliseconds; ``None`` if it stated none."""
 
+    cold_s: float = 0.0
+    """Seconds for which it stays cold after this registration, as it states."""
+
     @property
     def name(self) -> UpstreamName:
         """The name that all its incarnations share."""
--- a/src/scalebend/models/gateway_settings.py
+++ b/src/scalebend/models/gateway_settings.py
@@ -45,6 +45,13 @@
     max_reservation_s: float = 20.0
     """Longest time for which a replica reserves memory, in seconds."""
 
+    slow_start_excess: float = 1.5
+    """Requests that may arrive at a cold replica in one second, as a multiple of the
+    rate that its service states."""
+
+    slow_start_slack: float = 5.0
+    """Requests that may arrive there in one second in addition."""
+
 
 class GatewaySettings(msgspec.Struct, frozen=True):
     """All settings of one gateway process; addresses are ``IP:port``."""
--- a/src/scalebend/models/routing.py
+++ b/src/scalebend/models/routing.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from scalebend.models.ids import CustomerId, RoutingVersion, ServiceName
+from scalebend.models.slow_start import SlowStart
 
 
 class RouteKind(Enum):
@@ -76,6 +77,8 @@
     max_connections: int = msgspec.field(name="connections_most")
     health_path: str
     engine: EngineProfile | None
+    slow_start: SlowStart | None = None
+    """Set if its replicas take less while they are cold."""
 
 
 class ListenerLimits(msgspec.Struct, frozen=True, array_like=True):
--- a/src/scalebend/platform/registrations.py
+++ b/src/scalebend/platform/registrations.py
@@ -64,7 +64,7 @@
             slots=endpoint.slots,
             state="draining" if endpoint.is_draining else "ready",
             seq=endpoint.sequence,
-            cold_remaining_ms=0.0,
+            cold_remaining_ms=endpoint.cold_s * 1000.0,
             born=msgspec.UNSET if endpoint.born is None else endpoint.born,
         )
     )
@@ -89,6 +89,7 @@
         is_draining=read.state == "draining",
         sequence=read.seq,
         born=born,
+        cold_s=read.cold_remaining_ms / 1000.0,
     )
 
 
--- a/src/scalebend/platform/routing.py
+++ b/src/scalebend/platform/routing.py
@@ -16,6 +16,7 @@
     Routing,
     WeightedService,
 )
+from scalebend.models.slow_start import SlowStart
 
 
 class _Split(msgspec.Struct, rename="pascal"):
@@ -56,6 +57,8 @@
     health_path: str = "/health"
     max_connections: int = 100
     engine: _Engine | None = None
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -161,7 +164,13 @@
             profile.prefill_tokens_per_second,
             profile.attention_ms_per_million_pairs,
         )
-    return _Service(service.name, service.health_path, service.max_connections, engine)
+    encoded = _Service(
+        service.name, service.health_path, service.max_connections, engine
+    )
+    if service.slow_start is not None:
+        encoded.cold_s = service.slow_start.cold_s
+        encoded.cold_per_s = service.slow_start.rate
+    return encoded
 
 
 def _convert_route(route: _Route) -> Route:
@@ -201,6 +210,13 @@
             prefill_tokens_per_second=engine.read_per_s,
             attention_ms_per_million_pairs=engine.pairs_per_m,
         )
+    slow_start = None
+    if service.cold_s > 0.0 and service.cold_per_s > 0.0:
+        slow_start = SlowStart(service.cold_s, service.cold_per_s)
     return RoutedService(
-        ServiceName(service.name), service.max_connections, service.health_path, profile
+        ServiceName(service.name),
+        service.max_connections,
+        service.health_path,
+        profile,
+        slow_start,
     )
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -35,6 +35,8 @@
     retry_window_s: float = 10.0
     retry_slack: float = 50.0
     hold_max_ms: float = 20000.0
+    cold_excess: float = 1.5
+    cold_slack: float = 5.0
 
 
 class _Settings(msgspec.Struct, rename="pascal"):
@@ -83,6 +85,8 @@
             retry_window_s=bounds.retry_window,
             retry_slack=bounds.retry_slack,
             hold_max_ms=bounds.max_reservation_s * 1000.0,
+            cold_excess=bounds.slow_start_excess,
+            cold_slack=bounds.slow_start_slack,
         ),
         data_dir=settings.data_folder,
         heartbeat_ms=settings.heartbeat_interval * 1000.0,
@@ -119,6 +123,8 @@
             retry_window=bounds.retry_window_s,
             retry_slack=bounds.retry_slack,
             max_reservation_s=bounds.hold_max_ms / 1000.0,
+            slow_start_excess=bounds.cold_excess,
+            slow_start_slack=bounds.cold_slack,
         ),
         callers_address=read.listen.front,
         readiness_address=read.listen.ready,
