Give each replica of a service with slow start a ceiling on what it gets in a second

The leader grants its part of a ceiling at all times, and each replica is assigned to a few fronts for the time without a leader. Warm replicas come first while they have room in time. Without a slow start in the routing document nothing is built or asked.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -49,6 +49,7 @@
     UncoordinatedSends,
 )
 from scalebend.core.gateway.route_table import RouteTable
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.gateway.upstream_exchange import DirectoryUpdates, UpstreamExchange
 from scalebend.core.messages import (
     FoundGroup,
@@ -65,6 +66,7 @@
     Endpoint,
     UpstreamOutcomes,
 )
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, ServiceName, UpstreamId, UpstreamName
 from scalebend.models.placement import (
     EngineWork,
@@ -92,12 +94,18 @@
     """State and decisions of one control instance, without I/O."""
 
     def __init__(
-        self, member: ControlMember, heartbeat_interval: float, *, now: float
+        self,
+        member: ControlMember,
+        heartbeat_interval: float,
+        *,
+        now: float,
+        bounds: Bounds | None = None,
     ) -> None:
         self.member = member
         self.upstreams = UpstreamExchange(heartbeat_interval)
         self.crashes = CrashExchange()
-        self.limits = LimitExchange()
+        starts = SlowStarts(self.directory, bounds or Bounds())
+        self.limits = LimitExchange(starts)
         self.placement = LeaderPlacement(self.limits, now)
         self._ejections = EjectionPush()
 
@@ -112,6 +120,7 @@
         self._was_leader = False
         self._proposals = 0
         self._documents.load(member.state.routing)
+        starts.apply(self.routing)
 
     @property
     def me(self) -> InstanceId:
@@ -171,6 +180,7 @@
             else:
                 actions.append(action)
         if self._documents.load(self.member.state.routing):
+            self.limits.starts.apply(self.routing)
             actions += self._documents.push.push(now)
         return actions
 
@@ -226,7 +236,7 @@
         """
         if not self.is_leader or self.placement.is_learning(now):
             return False
-        if not self.limits.has_limits:
+        if not self.limits.has_limits and not self.limits.starts.has_any:
             return True
         confirmed_at = self.member.replica.compute_confirmed_at(now)
         return confirmed_at is not None and now - confirmed_at <= GRANT_LEASE_S
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -19,6 +19,7 @@
 import msgspec
 import structlog
 
+from scalebend.core.gateway.cold_reports import ColdReports
 from scalebend.models.endpoints import (
     Deregistration,
     Endpoint,
@@ -71,6 +72,9 @@
         self._usable: dict[ServiceName, tuple[Endpoint, ...]] = {}
         """Cache of :meth:`list_usable`, until the upstreams of a service change."""
 
+        self.cold = ColdReports()
+        """Which upstreams stated that they are cold, and for how long."""
+
     def get(self, upstream: UpstreamId) -> Endpoint | None:
         """Return the endpoint, or ``None`` if it is unknown or gone."""
         known = self._known.get(upstream)
@@ -130,6 +134,7 @@
         if known is None:
             self._start_incarnation(endpoint, now)
             self._known[endpoint.upstream] = _Known(endpoint, now)
+            self.cold.record(endpoint, now)
             self._assign_address(endpoint)
             return self._publish(endpoint, is_gone=False)
         if known.takeover_registrations is not None and not self._regains_address(
@@ -148,9 +153,10 @@
             return None
         is_draining = known.endpoint.is_draining or endpoint.is_draining
         merged = msgspec.structs.replace(endpoint, is_draining=is_draining)
-        has_changed = has_timed_out or not _is_same_but_for_sequence(
-            merged, known.endpoint
-        )
+        is_newer = endpoint.sequence > known.endpoint.sequence
+        has_cold_changed = is_newer and self.cold.record(endpoint, now)
+        is_same = _is_same_but_for_sequence(merged, known.endpoint)
+        has_changed = has_timed_out or has_cold_changed or not is_same
         known.endpoint = merged
         known.is_gone = False
         return self._publish(merged, is_gone=False) if has_changed else None
@@ -290,6 +296,7 @@
         ]
         for upstream in old:
             endpoint = self._known.pop(upstream).endpoint
+            self.cold.forget(upstream)
             if self._by_address.get(endpoint.address) == upstream:
                 del self._by_address[endpoint.address]
             if self._newest.get(endpoint.name) == upstream:
@@ -306,5 +313,6 @@
 
 
 def _is_same_but_for_sequence(one: Endpoint, other: Endpoint) -> bool:
-    """Whether two registrations differ at most in their sequence number."""
-    return msgspec.structs.replace(one, sequence=other.sequence) == other
+    """Whether two registrations differ at most in sequence number and cold time."""
+    same = msgspec.structs.replace(one, sequence=other.sequence, cold_s=other.cold_s)
+    return same == other
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -45,6 +45,7 @@
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -98,7 +99,8 @@
         )
         self.balancer = ServiceBalancer()
         self._crashes = FrontCrashes(self.directory)
-        self.limits = FrontLimits(settings.instance, now)
+        starts = SlowStarts(self.directory, bounds)
+        self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
         self._draining: dict[UpstreamId, None] = {}
         """Upstreams that announced a drain in a response, kept for a later leader."""
@@ -283,6 +285,7 @@
             newer = apply_update(base, update)
             if newer is not None:
                 self.table = RouteTable(newer)
+                self.limits.starts.apply(newer)
                 self.lease.record_document(newer.version)
                 logger.info(
                     "routing applied",
--- a/src/scalebend/core/gateway/front_limits.py
+++ b/src/scalebend/core/gateway/front_limits.py
@@ -15,8 +15,10 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from scalebend.core.gateway.slow_start import SlowStarts
+from scalebend.core.gateway.slow_start_budget import AssignedCeilings, SlowStartBudget
 from scalebend.core.rate_limits import RateLimits
-from scalebend.core.send_budget import SendBudget, UncoordinatedShare
+from scalebend.core.send_budget import UncoordinatedShare
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.rate_limits import (
     ObservedLimit,
@@ -30,14 +32,18 @@
 class FrontLimits:
     """Rate limits known to one front, and what it may send without the leader."""
 
-    def __init__(self, front: InstanceId, now: float) -> None:
+    def __init__(self, front: InstanceId, starts: SlowStarts, now: float) -> None:
         self._limits = RateLimits()
         self._fronts = 1
         self._number: int | None = None
         # Used until the leader assigns numbers; two fronts may get the same one.
         self._name_hash = zlib.crc32(front.encode())
         self._leader_seen_at = now
-        self.budget = SendBudget(self._limits, UncoordinatedShare(1, 0, now))
+        self.starts = starts
+        self._ceilings = AssignedCeilings(starts)
+        self.budget = SlowStartBudget(
+            self._limits, UncoordinatedShare(1, 0, now), self._ceilings
+        )
         self.placement = LimitedPlacement(self.budget)
 
     def get(self, upstream: UpstreamId) -> RateLimit:
@@ -48,6 +54,10 @@
         """Whether a limit is in force at an upstream."""
         return self._limits.is_limited(upstream)
 
+    def needs_permit(self, upstream: UpstreamId) -> bool:
+        """Whether each request to an upstream needs a send permit."""
+        return self.is_limited(upstream) or self.starts.get(upstream) is not None
+
     def count_limited(self) -> int:
         """Number of upstreams with a limit in force."""
         return self._limits.count_limited()
@@ -76,6 +86,7 @@
         """Store the number that the leader assigned to this front."""
         self._fronts = position.fronts
         self._number = position.number
+        self._ceilings.set_position(position.fronts, position.number)
 
     def record_front_count(self, fronts: int) -> None:
         """Store how many fronts a control instance sees, until a number is assigned."""
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -95,6 +95,9 @@
         profile = table.find_engine(work.service)
         if profile is None or self.is_learning(now):
             return PlacementReply(work.job)
+        if not may_grant and self._limits.starts.applies_to(work.service):
+            # The front uses its own part of the ceilings.
+            return PlacementReply(work.job)
         endpoints = directory.list_usable(work.service)
         placed = self._limits.place(
             self.scheduler, work, endpoints, profile, now, may_grant=may_grant
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -21,8 +21,10 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from scalebend.core.gateway.slow_start import SlowStarts, build_no_slow_starts
+from scalebend.core.gateway.slow_start_budget import GrantedCeilings, SlowStartBudget
 from scalebend.core.rate_limits import RateLimits
-from scalebend.core.send_budget import LeaderShare, SendBudget
+from scalebend.core.send_budget import LeaderShare
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, Placement
@@ -51,9 +53,11 @@
 class LimitExchange:
     """Rate limits known to one control instance, and its grants while it leads."""
 
-    def __init__(self) -> None:
+    def __init__(self, starts: SlowStarts | None = None) -> None:
         self.limits = RateLimits()
-        self.budget = SendBudget(self.limits, LeaderShare(1.0))
+        self.starts = starts or build_no_slow_starts()
+        ceilings = GrantedCeilings(self.starts, -math.inf)
+        self.budget = SlowStartBudget(self.limits, LeaderShare(1.0), ceilings)
         self.placement = LimitedPlacement(self.budget)
         self._linked: dict[InstanceId, None] = {}
         self._lost: dict[InstanceId, float] = {}
@@ -144,7 +148,8 @@
         if not is_leader:
             self._changed.clear()
             return []
-        is_due = self._changed or (self._has_new_positions and self.has_limits)
+        needs_positions = self.has_limits or self.starts.has_any
+        is_due = self._changed or (self._has_new_positions and needs_positions)
         if not is_due or now < self._send_at:
             return []
         self._send_at = now + UPDATE_INTERVAL_S
@@ -164,9 +169,14 @@
     def _send_positions(self) -> list[ToFront]:
         self._has_new_positions = False
         fronts = len(self._linked) + len(self._lost)
+        numbered = list(self._linked)
+        if self.starts.has_any:
+            # Another leader gives the same fronts the same numbers.
+            numbered = sorted([*self._linked, *self._lost])
         return [
             ToFront(front, FrontNumber(fronts, number))
-            for number, front in enumerate(self._linked)
+            for number, front in enumerate(numbered)
+            if front in self._linked
         ]
 
     # Grants
--- a/src/scalebend/core/gateway/limited_placement.py
+++ b/src/scalebend/core/gateway/limited_placement.py
@@ -2,7 +2,8 @@
 
 A replica without a free send permit is excluded. Long prompts, which may start much
 later and are read by several replicas, avoid all rate-limited replicas as long as
-others can read them.
+others can read them. Replicas that are known to be cold are used if no other one has
+room in time.
 """
 
 from __future__ import annotations
@@ -17,8 +18,11 @@
 )
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
+from scalebend.core.gateway.slow_start_budget import (
+    NO_PERMIT_RETRY_S,
+    SlowStartBudget,
+)
 from scalebend.core.gateway.timeouts import ROOM_WAIT_SHARE
-from scalebend.core.send_budget import SendBudget
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
@@ -32,7 +36,7 @@
 class LimitedPlacement:
     """Places the work of one scheduler within one send budget."""
 
-    def __init__(self, budget: SendBudget) -> None:
+    def __init__(self, budget: SlowStartBudget) -> None:
         self._budget = budget
         self._pending: dict[JobId, tuple[UpstreamId, float]] = {}
         """Upstream and send time of prompts that were placed but not yet sent."""
@@ -47,17 +51,22 @@
     ) -> Placement | Declined:
         """Choose replicas within their limits; count the send at the lead replica."""
         limited = self._budget.list_limited()
-        if not limited:
+        if not limited and not self._budget.starts.applies_to(work.service):
             return scheduler.place(work, endpoints, profile, now)
         self._release(work.job, now)
-        exhausted = self._budget.list_exhausted(now)
+        exhausted = self._list_exhausted(endpoints, now)
+        cold = self._budget.starts.list_cold(now)
         is_quick = (
             compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
         )
-        avoided = exhausted if is_quick else limited
+        avoided = (*exhausted, *cold) if is_quick else (*exhausted, *limited, *cold)
         placed = scheduler.place(work, endpoints, profile, now, avoided)
-        if isinstance(placed, Declined) and not is_quick:
+        has_others = bool(cold) or not is_quick
+        if has_others and not _is_in_time(placed, work, has_cold=bool(cold)):
+            late = placed
             placed = scheduler.place(work, endpoints, profile, now, exhausted)
+            if isinstance(placed, Declined) and isinstance(late, Placement):
+                placed = scheduler.place(work, endpoints, profile, now, avoided)
         if isinstance(placed, Declined):
             placed = self._place_later(scheduler, work, endpoints, profile, now, placed)
         if isinstance(placed, Placement):
@@ -75,12 +84,12 @@
     ) -> Placement | Declined:
         """Wait for the first send permit if every usable replica lacks one."""
         usable = [e.upstream for e in endpoints if e.upstream not in work.excluded]
-        exhausted = set(self._budget.list_exhausted(now))
+        exhausted = set(self._list_exhausted(endpoints, now))
         if not usable or not exhausted.issuperset(usable):
             return declined
         soonest, wait = self._budget.find_soonest(usable, now)
         if wait > min(MAX_WAIT_S, ROOM_WAIT_SHARE * work.target):
-            return Declined(wait)
+            return Declined(min(wait, NO_PERMIT_RETRY_S) if soonest is None else wait)
         others = [one for one in exhausted if one != soonest]
         placed = scheduler.place(work, endpoints, profile, now, others)
         if isinstance(placed, Declined):
@@ -91,9 +100,18 @@
             first_token_in=placed.first_token_in + wait,
         )
 
+    def _list_exhausted(
+        self, endpoints: Sequence[Endpoint], now: float
+    ) -> tuple[UpstreamId, ...]:
+        return self._budget.list_unavailable([e.upstream for e in endpoints], now)
+
     def _count(self, job: JobId, placement: Placement, now: float) -> None:
         due = now + placement.start_in
         self._budget.spend(placement.upstream, due)
+        if placement.start_in <= REPLAN_INTERVAL_S:
+            # A prompt that starts later is placed anew before.
+            for upstream in placement.upstreams:
+                self._budget.ceilings.spend(upstream, due)
         if placement.start_in > 0.0:
             self._pending[job] = (placement.upstream, due)
 
@@ -107,3 +125,12 @@
         """Forget prompts whose send time has passed."""
         for job in [job for job, (_, due) in self._pending.items() if due <= now]:
             del self._pending[job]
+
+
+def _is_in_time(
+    placed: Placement | Declined, work: EngineWork, *, has_cold: bool
+) -> bool:
+    """Whether work was placed, and in time if cold replicas may still be tried."""
+    if isinstance(placed, Declined):
+        return False
+    return not has_cold or placed.first_token_in <= work.target
--- a/src/scalebend/core/send_budget.py
+++ b/src/scalebend/core/send_budget.py
@@ -59,7 +59,7 @@
 Share = LeaderShare | UncoordinatedShare
 
 
-class _Spacing(msgspec.Struct):
+class Spacing(msgspec.Struct):
     """Permits at equal intervals, with a burst after an idle time."""
 
     interval: float
@@ -112,7 +112,7 @@
 class _Pacer(msgspec.Struct):
     rate: float
     share: Share
-    permits: _Spacing | _ExpiringPermits
+    permits: Spacing | _ExpiringPermits
 
 
 class SendBudget:
@@ -213,13 +213,13 @@
 
 def _build_permits(
     upstream: UpstreamId, rate: float, share: Share, now: float
-) -> _Spacing | _ExpiringPermits:
+) -> Spacing | _ExpiringPermits:
     """Build permits of which none is free at once."""
     match share:
         case LeaderShare(granted):
             interval = 1.0 / (rate * granted)
             burst = max(BURST_S, interval)
-            return _Spacing(interval, burst, now + burst + interval)
+            return Spacing(interval, burst, now + burst + interval)
         case UncoordinatedShare(fronts, number, since):
             life = max(PERMIT_LIFETIME_S, 1.0 / rate)
             position = (number + zlib.crc32(upstream.encode())) % fronts
@@ -227,10 +227,10 @@
 
 
 def _carry_over(
-    before: _Spacing | _ExpiringPermits, after: _Spacing | _ExpiringPermits, now: float
+    before: Spacing | _ExpiringPermits, after: Spacing | _ExpiringPermits, now: float
 ) -> None:
     """Count recent sends in the new permits, at most until these are used up."""
     match before, after:
-        case _Spacing(), _Spacing():
+        case Spacing(), Spacing():
             used = max(0.0, before.due - now) / before.interval
             after.due = min(after.due, now + used * after.interval)
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -83,7 +83,10 @@
             voters_wanted=2 * settings.tolerated_losses + 1,
         )
         self.instance = ControlInstance(
-            member, settings.heartbeat_interval, now=self.now()
+            member,
+            settings.heartbeat_interval,
+            now=self.now(),
+            bounds=settings.bounds,
         )
         self.instance.upstreams.restore(read_upstreams(folder), self.now())
         self.instance.crashes.restore(read_crashes(folder), self.now())
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -305,6 +305,15 @@
                 revision=limit.revision,
                 sent_before=self.send_count,
             )
+        starts = runtime.instance.limits.starts
+        if starts.is_cold(target.upstream, runtime.now()):
+            runtime.metrics.count_cold_attempt()
+            logger.info(
+                "sent to a cold upstream",
+                request=self._call.headers.request,
+                upstream=target.upstream,
+                sent_before=self.send_count,
+            )
         self.send_count += 1
         self.upstream = target.upstream
         return limit
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -13,6 +13,7 @@
 
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.job_permits import JobPermits
 from scalebend.core.gateway.messages import (
     Heartbeat,
     Introduce,
@@ -26,6 +27,7 @@
     age_work,
 )
 from scalebend.core.gateway.placement_repair import drop_replicas
+from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -90,6 +92,7 @@
         self._unknown_headers: set[str] = set()
         self._jobs = 0
         self._sends = 0
+        self._permits = JobPermits()
         self._heartbeat_at = 0.0
         self._tasks: set[asyncio.Task[object]] = set()
         self._first_lease = asyncio.Event()
@@ -131,7 +134,9 @@
         now = self.now()
         self._dialer.set_targets(self.instance.instances)
         self._execute(self.instance.advance(now))
-        self.metrics.set_rate_limited_upstreams(self.instance.limits.count_limited())
+        limits = self.instance.limits
+        self.metrics.set_rate_limited_upstreams(limits.count_limited())
+        self.metrics.set_cold_upstreams(len(limits.starts.list_cold(now)))
         self._dialer.close_unresponsive(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
@@ -199,6 +204,7 @@
         """Ask the leader for a placement; place uncoordinated if it does not reply."""
         work = self.instance.exclude_in_backoff(work, self.now())
         leader = self.instance.leader
+        asked_at = self.now()
         reply = await self._leader_calls.place(leader, work)
         placed: Placement | Declined | None = None
         if reply is not None:
@@ -206,8 +212,10 @@
         is_uncoordinated = placed is None
         if placed is None:
             leader = None
+            asked_at = self.now()
             placed = self.instance.place(work, self.now())
         if isinstance(placed, Placement):
+            self._permits.record(work.job, placed, asked_at)
             self._execute(
                 self.instance.open_job(
                     work, placed, self.now(), is_uncoordinated=is_uncoordinated
@@ -227,6 +235,7 @@
             started_at = self.now()
             await asyncio.sleep(REPLAN_INTERVAL_S)
             renewed = age_work(work, REPLAN_INTERVAL_S)
+            asked_at = self.now()
             reply = await self._leader_calls.place(
                 self.instance.leader,
                 self.instance.exclude_in_backoff(renewed, self.now()),
@@ -243,6 +252,7 @@
                 placement = age_placement(placement, waited)
                 continue
             placement = placed
+            self._permits.record(work.job, placement, asked_at)
             self.instance.record_replanned(work, placement, self.now())
         if placement.start_in >= MIN_START_DELAY_S:
             await asyncio.sleep(min(placement.start_in, max(0.0, work.remaining)))
@@ -256,7 +266,7 @@
         kept = drop_replicas(placement, unusable)
         if kept is not None and kept.upstream != placement.upstream:
             # There is no send permit for the new lead replica.
-            if self.instance.limits.is_limited(kept.upstream):
+            if self.instance.limits.needs_permit(kept.upstream):
                 kept = None
         logger.info(
             "replicas of a placement left",
@@ -287,6 +297,32 @@
             self._execute(self.instance.record_uncoordinated_send(grant.upstream))
         return grant
 
+    async def renew_send_permit(self, work: EngineWork, upstream: UpstreamId) -> bool:
+        """Get another permit for a prompt that is sent later than planned.
+
+        Returns whether the prompt may be sent now. Only replicas with a ceiling need
+        it; see :mod:`scalebend.core.gateway.job_permits`.
+        """
+        asked_at = self.now()
+        starts = self.instance.limits.starts
+        is_needed = starts.applies_to(work.service)
+        if not is_needed or self._permits.is_valid(work.job, asked_at):
+            return True
+        reply = await self.request_send_permit([upstream], REPLAN_INTERVAL_S)
+        is_granted = reply.upstream is not None
+        if is_granted:
+            await asyncio.sleep(reply.wait)
+            is_granted = self.now() <= asked_at + reply.wait + PERMIT_LIFETIME_S
+        logger.info(
+            "send permit renewed",
+            job=work.job,
+            upstream=upstream,
+            granted=is_granted,
+            waited=round(self.now() - asked_at, 3),
+        )
+        self.metrics.count_permit_renewal(is_granted=is_granted)
+        return is_granted
+
     def record_first_token(self, job: JobId, load: ReportedLoad | None) -> None:
         """Record the first event of a job, and the load that the replica reported."""
         count = load.running + load.waiting if load is not None else None
@@ -296,6 +332,7 @@
     def record_job_end(self, job: JobId) -> None:
         """Record that a job ended, with or without success."""
         stage = JobStage(job, is_ended=True)
+        self._permits.forget(job)
         self._execute(self.instance.record_stage(stage, self.now()))
 
     async def inspect(self, placement: Placement) -> list[UpstreamId]:
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -82,6 +82,22 @@
             "Requests refused since limited upstreams alone were left, without room",
             registry=registry,
         )
+        self._cold_upstreams = Gauge(
+            "scalebend_cold_upstreams",
+            "Upstreams of services with slow start that are cold, as known here",
+            registry=registry,
+        )
+        self._cold_attempts = Counter(
+            "scalebend_cold_attempts",
+            "Attempts at such upstreams while they were known to be cold",
+            registry=registry,
+        )
+        self._permit_renewals = Counter(
+            "scalebend_permit_renewals",
+            "Send permits asked anew for prompts sent later than planned, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
         self._backoffs = Counter(
             "scalebend_backoffs",
             "Answers with which upstreams asked for a pause",
@@ -145,6 +161,18 @@
         """Count a request for which only exhausted rate-limited upstreams were left."""
         self._rate_limit_rejections.inc()
 
+    def set_cold_upstreams(self, count: int) -> None:
+        """Set the number of upstreams that are known to be cold."""
+        self._cold_upstreams.set(count)
+
+    def count_cold_attempt(self) -> None:
+        """Count an attempt at an upstream that is known to be cold."""
+        self._cold_attempts.inc()
+
+    def count_permit_renewal(self, *, is_granted: bool) -> None:
+        """Count a request for another permit by its outcome."""
+        self._permit_renewals.labels("granted" if is_granted else "refused").inc()
+
     def count_backoff(self) -> None:
         """Count a rejection with which an upstream requested backoff."""
         self._backoffs.inc()
--- a/src/scalebend/edges/gateway/service_choice.py
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 
 import msgspec
 import structlog
 
+from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
 from scalebend.core.gateway.timeouts import compute_room_timeout
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.models.calls import Call
@@ -41,37 +43,58 @@
     while True:
         usable = instance.directory.list_usable(call.service)
         in_backoff = instance.backoffs.list_in_backoff(runtime.now())
-        endpoint = instance.balancer.choose(
-            usable,
-            excluded.union(full, in_backoff),
-            runtime.settings.availability_zone,
-            runtime.chooser,
-            runtime.now(),
-        )
+        cold = set(instance.limits.starts.list_cold(runtime.now()))
+        unavailable = excluded.union(in_backoff)
+        endpoint = _choose_warm_first(runtime, usable, unavailable | full, cold)
         if endpoint is None:
             if full:
                 _log_full(call, full, retry_after)
                 runtime.record_limit_refusal()
             return ServiceChoice(None, retry_after)
-        if not instance.limits.is_limited(endpoint.upstream):
+        if not instance.limits.needs_permit(endpoint.upstream):
             return ServiceChoice(endpoint)
-        unavailable = excluded.union(in_backoff)
         candidates = {
             one.upstream: one for one in usable if one.upstream not in unavailable
         }
-        limited = [one for one in candidates if instance.limits.is_limited(one)]
+        limited = [one for one in candidates if instance.limits.needs_permit(one)]
+        if endpoint.upstream not in cold:
+            limited = [one for one in limited if one not in cold]
         has_others = len(limited) < len(candidates)
         timeout_s = 0.0 if has_others else compute_room_timeout(call, runtime.now())
         requested = _sample_limited(runtime, limited, endpoint.upstream)
+        asked_at = runtime.now()
         permit = await runtime.request_send_permit(requested, timeout_s)
         if permit.upstream is not None:
             await asyncio.sleep(permit.wait)
+            is_late = runtime.now() > asked_at + permit.wait + PERMIT_LIFETIME_S
+            if is_late and instance.limits.starts.applies_to(call.service):
+                continue
             if instance.may_send(permit.upstream, runtime.now()):
                 return ServiceChoice(candidates[permit.upstream])
         full.update(limited)
         retry_after = permit.wait
 
 
+def _choose_warm_first(
+    runtime: FrontRuntime,
+    usable: Iterable[Endpoint],
+    excluded: set[UpstreamId],
+    cold: set[UpstreamId],
+) -> Endpoint | None:
+    """Return the least loaded upstream; a cold one if there is no other."""
+    for avoided in (excluded | cold, excluded):
+        endpoint = runtime.instance.balancer.choose(
+            usable,
+            avoided,
+            runtime.settings.availability_zone,
+            runtime.chooser,
+            runtime.now(),
+        )
+        if endpoint is not None:
+            return endpoint
+    return None
+
+
 def _sample_limited(
     runtime: FrontRuntime, limited: list[UpstreamId], first: UpstreamId
 ) -> list[UpstreamId]:
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -208,6 +208,9 @@
                 except HelperUnresponsiveError as error:
                     yield _build_unavailable_target(placement, error.upstream)
                     return
+                if not await runtime.renew_send_permit(work, placement.upstream):
+                    yield _build_unavailable_target(placement, placement.upstream)
+                    return
                 self._inspection_timer = asyncio.get_running_loop().call_later(
                     compute_inspection_delay(
                         placement.first_token_in - placement.start_in
--- a/tests/lib/gateway_builders.py
+++ b/tests/lib/gateway_builders.py
@@ -72,8 +72,8 @@
     return Route(**values)
 
 
-def build_service(name=SERVICE, engine=None):
-    return RoutedService(name, 100, "/health", engine)
+def build_service(name=SERVICE, engine=None, slow_start=None):
+    return RoutedService(name, 100, "/health", engine, slow_start)
 
 
 def build_routing(version=1, routes=None, services=None, customers=()):
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -38,9 +38,13 @@
 class Deployment:
     """One control instance that leads, its fronts, and replicas of one service."""
 
-    def __init__(self, fronts, replicas, engine=None):
+    def __init__(self, fronts, replicas, engine=None, slow_start=None):
         self.now = 0.0
         self.engine = engine
+        self.slow_start = slow_start
+        self.cold_until = {}
+        """Times until which replicas are cold, by upstream."""
+
         self.endpoints = [build_endpoint(number) for number in range(1, replicas + 1)]
         self.fronts = []
         self.names = []
@@ -59,7 +63,8 @@
             self.now = min(end, self.now + TICK)
             leader.advance(self.now)
             pump(leader, self.now)
-        routing = build_routing(services=[build_service(engine=self.engine)])
+        service = build_service(engine=self.engine, slow_start=self.slow_start)
+        routing = build_routing(services=[service])
         leader.propose_routing(pack_routing(routing, b"{}"), self.now, 0.0)
         pump(leader, self.now)
         for endpoint in self.endpoints:
@@ -144,7 +149,10 @@
     def renew(self):
         """Renew the registrations of all replicas."""
         for number, endpoint in enumerate(self.endpoints):
-            newer = msgspec.structs.replace(endpoint, sequence=endpoint.sequence + 1)
+            cold_s = max(0.0, self.cold_until.get(endpoint.upstream, 0.0) - self.now)
+            newer = msgspec.structs.replace(
+                endpoint, sequence=endpoint.sequence + 1, cold_s=cold_s
+            )
             self.endpoints[number] = newer
             self._deliver(self.leader.register(newer, self.now))
 
@@ -186,6 +194,7 @@
         return pump(self.leader, self.now)
 
 
-def build_deployment(fronts, replicas, *, has_engines=False):
+def build_deployment(fronts, replicas, *, has_engines=False, slow_start=None):
     """Build a leader with its fronts linked and all replicas registered."""
-    return Deployment(fronts, replicas, PROFILE if has_engines else None)
+    engine = PROFILE if has_engines else None
+    return Deployment(fronts, replicas, engine, slow_start)
