--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -23,9 +23,13 @@
 """Time after its planned start within which a permitted request is sent, or needs
 another permit: a front that was suspended would send all that it held at once."""
 
-UNCOORDINATED_SHARE = 0.2
-"""Share of the bound that is left to fronts without a reply of the leader. The rest
-still gives a cold replica most of its rate."""
+MIN_GRANTED_SHARE = 0.82
+"""Least share of the stated rate that the leader grants: cold replicas are to be used
+at four fifths of it under need. What remains of the bound is for fronts without a reply
+of the leader."""
+
+MAX_UNCOORDINATED_SHARE = 0.4
+"""Largest share of the bound that is left to fronts without a reply of the leader."""
 
 COLD_MARGIN_S = 1.2
 """Time beyond that of its service for which a stated cold time counts: a replica may
@@ -60,14 +64,13 @@
         slow_start.rate * bounds.slow_start_excess + bounds.slow_start_slack
     )
     # Half of the fronts' part is for the moment at which their numbers change.
-    uncoordinated = math.floor(UNCOORDINATED_SHARE * allowed / 2.0)
-    granted = allowed - 2 * uncoordinated
-    # Permits of a second and of the lifetime of one, the burst, and one more.
-    rate = min(
-        (granted - 1) / (1.0 + PERMIT_LIFETIME_S + BURST_S),
-        (granted - 2) / (1.0 + PERMIT_LIFETIME_S),
+    most = math.floor(MAX_UNCOORDINATED_SHARE * allowed / 2.0)
+    least_rate = MIN_GRANTED_SHARE * slow_start.rate
+    uncoordinated = max(
+        (n for n in range(most + 1) if _compute_rate(allowed - 2 * n) >= least_rate),
+        default=min(1, most),
     )
-    rate = max(MIN_RATE_PER_S, rate)
+    rate = max(MIN_RATE_PER_S, _compute_rate(allowed - 2 * uncoordinated))
     return Ceiling(
         rate,
         min(rate, slow_start.rate),
@@ -129,6 +132,18 @@
         return [one for one in reported if self.is_cold(one, now)]
 
 
+def _compute_rate(granted: int) -> float:
+    """Rate at which no second gets more than ``granted`` requests.
+
+    These are the permits of a second and of the lifetime of one, the burst, which is at
+    least one request, and one more.
+    """
+    return min(
+        (granted - 1) / (1.0 + PERMIT_LIFETIME_S + BURST_S),
+        (granted - 2) / (1.0 + PERMIT_LIFETIME_S),
+    )
+
+
 def build_no_slow_starts() -> SlowStarts:
     """Build ceilings of no replica at all."""
     return SlowStarts(EndpointDirectory(0.0), Bounds())
