--- /dev/null
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -0,0 +1,91 @@
+"""A front without a leader sends to replicas with ceilings only what it may."""
+
+import asyncio
+
+import pytest
+
+from scalebend.core.gateway.messages import FrontNumber
+from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
+from scalebend.models.placement import Placement
+from scalebend.models.slow_start import SlowStart
+from tests.lib.front import answer_sealed, run_front, serve
+from tests.lib.gateway_builders import (
+    PROFILE,
+    build_quick,
+    build_route,
+    build_routing,
+    build_service,
+)
+
+SLOW_START = SlowStart(cold_s=3.0, rate=5.0)
+
+
+def build_documents(engine=None):
+    service = build_service(engine=engine, slow_start=SLOW_START)
+    return build_routing(routes=[build_route(is_public=True)], services=[service])
+
+
+def assign_all(front, routing):
+    """Assign all replicas to the front, as the leader of a single one does."""
+    limits = front.runtime.instance.limits
+    limits.starts.apply(routing)
+    limits.record_position(FrontNumber(1, 0))
+
+
+async def fetch_status(front):
+    async with front.call(wait=2.0) as response:
+        await response.read()
+        return response.status, response.headers.get("Retry-After")
+
+
+async def test_plain_calls_stay_within_the_part_of_a_front():
+    routing = build_documents()
+    async with serve(answer_sealed) as address, run_front(routing) as front:
+        front.add(1, address)
+        assign_all(front, routing)
+        replies = await asyncio.gather(*(fetch_status(front) for _ in range(6)))
+    statuses = sorted(status for status, _ in replies)
+    assert statuses == [200, 503, 503, 503, 503, 503]
+    assert all(after is not None for status, after in replies if status == 503)
+
+
+async def test_warm_replica_of_a_plain_service_comes_first():
+    got = []
+
+    def name(replica):
+        async def answer(request):
+            got.append(replica)
+            return await answer_sealed(request)
+
+        return answer
+
+    routing = build_documents()
+    async with (
+        serve(name("cold")) as cold,
+        serve(name("warm")) as warm,
+        run_front(routing) as front,
+    ):
+        front.add(1, cold, cold_s=3.0)
+        front.add(2, warm)
+        assign_all(front, routing)
+        assert [(await fetch_status(front))[0] for _ in range(2)] == [200, 200]
+        metrics = front.runtime.metrics.render()
+    assert got == ["warm", "cold"]
+    assert b"scalebend_cold_attempts_total 1.0" in metrics
+
+
+@pytest.mark.parametrize("delay", [0.0, PERMIT_LIFETIME_S + 0.1])
+async def test_prompt_that_is_sent_late_needs_another_permit(delay):
+    routing = build_documents(PROFILE)
+    async with run_front(routing) as front:
+        endpoint = front.add(1, "127.0.0.1:9")
+        assign_all(front, routing)
+        runtime = front.runtime
+        work = build_quick(1)
+        placed = (await runtime.place(work)).placed
+        assert isinstance(placed, Placement)
+        await asyncio.sleep(delay)
+        # The only permit of this interval is that of the placement.
+        is_sent = await runtime.renew_send_permit(work, endpoint.upstream)
+        assert is_sent == (delay == 0.0)
+        runtime.record_job_end(work.job)
