--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -120,7 +120,7 @@
         self._was_leader = False
         self._proposals = 0
         self._documents.load(member.state.routing)
-        starts.apply(self.routing)
+        self.limits.apply_routing(self.routing)
 
     @property
     def me(self) -> InstanceId:
@@ -180,7 +180,7 @@
             else:
                 actions.append(action)
         if self._documents.load(self.member.state.routing):
-            self.limits.starts.apply(self.routing)
+            self.limits.apply_routing(self.routing)
             actions += self._documents.push.push(now)
         return actions
 
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -33,7 +33,7 @@
     RateLimit,
     describe_rate,
 )
-from scalebend.models.routing import EngineProfile
+from scalebend.models.routing import EngineProfile, Routing
 
 logger = structlog.get_logger(__name__)
 
@@ -72,6 +72,13 @@
         """Whether any upstream has a limit."""
         return self.limits.count_limited() > 0
 
+    def apply_routing(self, routing: Routing) -> None:
+        """Adopt the services of a routing document."""
+        had_starts = self.starts.has_any
+        self.starts.apply(routing)
+        if self.starts.has_any != had_starts:
+            self._has_new_positions = True
+
     # Fronts
 
     def add_front(self, front: InstanceId, now: float) -> None:
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
 from scalebend.core.gateway.slow_start import (
     UNCOORDINATED_INTERVAL_S,
     Ceiling,
@@ -24,6 +25,10 @@
 from scalebend.core.send_budget import BURST_S, SendBudget, Share, Spacing
 from scalebend.models.ids import UpstreamId
 
+MAX_WAIT_S = REPLAN_INTERVAL_S
+"""Time for which a permit may be planned ahead. The next leader does not know of it and
+grants nothing meanwhile, so it has to be short."""
+
 NO_PERMIT_RETRY_S = 0.4
 """Time after which to ask again where no permit is foreseen: another leader has usually
 been elected by then, or this front been assigned a number."""
@@ -34,14 +39,14 @@
 
     starts: SlowStarts
     began: float
-    """When this process began to lead; all permits were used up then."""
+    """When this process began to grant; all permits were used up then."""
 
     spacings: dict[UpstreamId, Spacing] = msgspec.field(default_factory=dict)
     """Of the replicas that were sent something within the last burst."""
 
     def restart(self, now: float) -> None:
         self.spacings.clear()
-        self.began = now
+        self.began = now + MAX_WAIT_S
 
     def compute_wait(self, upstream: UpstreamId, now: float) -> float:
         ceiling = self.starts.get(upstream)
@@ -153,7 +158,10 @@
         self, upstreams: Iterable[UpstreamId], max_wait: float, now: float
     ) -> tuple[UpstreamId | None, float]:
         """Take the first permit of any upstream within ``max_wait`` seconds."""
-        granted, wait = super().grant(upstreams, max_wait, now)
+        candidates = list(upstreams)
+        if any(self.starts.get(one) is not None for one in candidates):
+            max_wait = min(max_wait, MAX_WAIT_S)
+        granted, wait = super().grant(candidates, max_wait, now)
         if granted is not None:
             self.ceilings.spend(granted, now + wait)
         return granted, min(wait, NO_PERMIT_RETRY_S) if math.isinf(wait) else wait
