--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -95,7 +95,9 @@
         profile = table.find_engine(work.service)
         if profile is None or self.is_learning(now):
             return PlacementReply(work.job)
-        if not may_grant and self._limits.starts.applies_to(work.service):
+        if self._limits.starts.applies_to(work.service) and (
+            not may_grant or self._limits.ceilings.is_starting(now)
+        ):
             # The front uses its own part of the ceilings.
             return PlacementReply(work.job)
         endpoints = directory.list_usable(work.service)
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -57,6 +57,7 @@
         self.limits = RateLimits()
         self.starts = starts or build_no_slow_starts()
         ceilings = GrantedCeilings(self.starts, -math.inf)
+        self.ceilings = ceilings
         self.budget = SlowStartBudget(self.limits, LeaderShare(1.0), ceilings)
         self.placement = LimitedPlacement(self.budget)
         self._linked: dict[InstanceId, None] = {}
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -60,6 +60,10 @@
             spacing = self.spacings[upstream] = self._get(upstream, ceiling, at)
             spacing.spend(at)
 
+    def is_starting(self, now: float) -> bool:
+        """Whether some replicas that got nothing yet lack a permit."""
+        return now - self.began < self.starts.longest_interval
+
     def list_exhausted(
         self, upstreams: Iterable[UpstreamId], now: float
     ) -> list[UpstreamId]:
@@ -67,8 +71,7 @@
         for upstream in idle:
             del self.spacings[upstream]
         # Only just after the begin of a term, those that got nothing lack permits, too.
-        is_new = now - self.began < self.starts.longest_interval
-        candidates = upstreams if is_new else list(self.spacings)
+        candidates = upstreams if self.is_starting(now) else list(self.spacings)
         return [one for one in candidates if self.compute_wait(one, now) > 0.0]
 
     def _get(self, upstream: UpstreamId, ceiling: Ceiling, now: float) -> Spacing:
@@ -108,7 +111,9 @@
             return 0.0
         if not self._is_assigned(upstream, ceiling):
             return math.inf
-        return max(0.0, self.due.get(upstream, now) - now)
+        wait = max(0.0, self.due.get(upstream, now) - now)
+        # Before a later permit, a leader usually replies again.
+        return wait if wait <= NO_PERMIT_RETRY_S else math.inf
 
     def spend(self, upstream: UpstreamId, at: float) -> None:
         if self.starts.get(upstream) is not None:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -28,6 +28,7 @@
 )
 from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
+from scalebend.core.gateway.slow_start_budget import NO_PERMIT_RETRY_S
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -67,6 +68,10 @@
 MAX_HEADER_NAME_CHARS = 64
 """Bounds of header names in metrics and logs, since upstreams choose the names."""
 
+LEADER_RETRY_INTERVAL_S = 0.1
+"""Interval at which a front asks for a placement that it can't decide itself: a new
+leader begins to grant about twice this time after its election."""
+
 MIN_START_DELAY_S = 0.01
 """Shorter delays of a placement are skipped: not worth a timer."""
 
@@ -201,7 +206,25 @@
         return build_job_id(self.settings.instance, self._incarnation, self._jobs)
 
     async def place(self, work: EngineWork) -> Decision:
-        """Ask the leader for a placement; place uncoordinated if it does not reply."""
+        """Ask the leader for a placement; place uncoordinated if it does not reply.
+
+        Without the leader a front has few of the replicas with ceilings, so it asks
+        again for a short time rather than decline.
+        """
+        until = self.now() + NO_PERMIT_RETRY_S
+        decision = await self._place_once(work)
+        while (
+            decision.leader is None
+            and isinstance(decision.placed, Declined)
+            and self.instance.limits.starts.applies_to(work.service)
+            and self.now() + LEADER_RETRY_INTERVAL_S < until
+        ):
+            await asyncio.sleep(LEADER_RETRY_INTERVAL_S)
+            work = age_work(work, LEADER_RETRY_INTERVAL_S)
+            decision = await self._place_once(work)
+        return decision
+
+    async def _place_once(self, work: EngineWork) -> Decision:
         work = self.instance.exclude_in_backoff(work, self.now())
         leader = self.instance.leader
         asked_at = self.now()
--- a/tests/unit/gateway/test_slow_start_sending.py
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from scalebend.core.gateway.messages import FrontNumber
+from scalebend.core.gateway.messages import FrontNumber, PlacementReply
 from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
-from scalebend.models.placement import Placement
+from scalebend.models.placement import Declined, Placement
 from scalebend.models.slow_start import SlowStart
 from tests.lib.front import answer_sealed, run_front, serve
 from tests.lib.gateway_builders import (
@@ -89,3 +89,30 @@
         is_sent = await runtime.renew_send_permit(work, endpoint.upstream)
         assert is_sent == (delay == 0.0)
         runtime.record_job_end(work.job)
+
+
+@pytest.mark.parametrize("has_new_leader", [False, True])
+async def test_prompt_waits_shortly_for_a_leader_that_does_not_grant_yet(
+    has_new_leader, monkeypatch
+):
+    routing = build_documents(PROFILE)
+    async with run_front(routing) as front:
+        endpoint = front.add(1, "127.0.0.1:9")
+        front.runtime.instance.limits.starts.apply(routing)
+        work = build_quick(1)
+        placement = Placement(endpoint.upstream, endpoint.address, (), 0.2)
+        granted = PlacementReply(work.job, placement if has_new_leader else None)
+        replies = [PlacementReply(work.job), PlacementReply(work.job), granted]
+
+        async def place(_leader, _work):
+            return replies.pop(0) if len(replies) > 1 else replies[0]
+
+        monkeypatch.setattr(front.runtime._leader_calls, "place", place)
+        async with asyncio.timeout(1.0):
+            placed = (await front.runtime.place(work)).placed
+        if has_new_leader:
+            assert placed == placement
+        else:
+            assert isinstance(placed, Declined)
+            assert 0.0 < placed.retry_after < 1.0
+        front.runtime.record_job_end(work.job)
