Keep placements cheap where many replicas are cold or at their ceilings

A placement looked up each replica that had got something and each cold one. The list of cold ones is kept for 50 ms, ceilings are read from the permits alone, and where no replica is warm there is no first try without the cold ones.

--- a/src/scalebend/core/gateway/limited_placement.py
+++ b/src/scalebend/core/gateway/limited_placement.py
@@ -59,6 +59,8 @@
         is_quick = (
             compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
         )
+        if cold and not _has_others(endpoints, cold):
+            cold = ()
         avoided = (*exhausted, *cold) if is_quick else (*exhausted, *limited, *cold)
         placed = scheduler.place(work, endpoints, profile, now, avoided)
         has_others = bool(cold) or not is_quick
@@ -127,6 +129,15 @@
             del self._pending[job]
 
 
+def _has_others(
+    endpoints: Sequence[Endpoint], upstreams: tuple[UpstreamId, ...]
+) -> bool:
+    """Whether there are endpoints besides those of ``upstreams``."""
+    if len(endpoints) > len(upstreams):
+        return True
+    return not {one.upstream for one in endpoints}.issubset(upstreams)
+
+
 def _is_in_time(
     placed: Placement | Declined, work: EngineWork, *, has_cold: bool
 ) -> bool:
--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -35,6 +35,10 @@
 """Time beyond that of its service for which a stated cold time counts: a replica may
 say it with a registration that is late by a heartbeat."""
 
+COLD_LIST_S = 0.05
+"""Time for which a list of cold replicas is used: after a power loss it names all, and
+each placement asks for it."""
+
 
 class Ceiling(msgspec.Struct, frozen=True):
     """What each replica of a service may get; rates are requests per second."""
@@ -86,6 +90,8 @@
         self._directory = directory
         self._bounds = bounds
         self._ceilings: dict[ServiceName, Ceiling] = {}
+        self._cold: tuple[UpstreamId, ...] = ()
+        self._cold_listed_at = -math.inf
         self.longest_interval = 0.0
         """Longest interval of the leader's permits at one replica, in seconds."""
 
@@ -96,6 +102,7 @@
             for service in routing.services
             if service.slow_start is not None
         }
+        self._cold_listed_at = -math.inf
         self.longest_interval = max(
             (1.0 / one.cold_rate for one in self._ceilings.values()), default=0.0
         )
@@ -124,12 +131,15 @@
         reports = self._directory.cold
         return reports.compute_remaining(upstream, now, ceiling.max_cold_s) > 0.0
 
-    def list_cold(self, now: float) -> list[UpstreamId]:
-        """Replicas that are known to be cold."""
+    def list_cold(self, now: float) -> tuple[UpstreamId, ...]:
+        """Replicas that are known to be cold, or were :data:`COLD_LIST_S` ago."""
         if not self._ceilings:
-            return []
-        reported = self._directory.cold.list_reported()
-        return [one for one in reported if self.is_cold(one, now)]
+            return ()
+        if now - self._cold_listed_at >= COLD_LIST_S:
+            reported = self._directory.cold.list_reported()
+            self._cold = tuple(one for one in reported if self.is_cold(one, now))
+            self._cold_listed_at = now
+        return self._cold
 
 
 def _compute_rate(granted: int) -> float:
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -70,9 +70,11 @@
         idle = [one for one, spacing in self.spacings.items() if spacing.due <= now]
         for upstream in idle:
             del self.spacings[upstream]
-        # Only just after the begin of a term, those that got nothing lack permits, too.
-        candidates = upstreams if self.is_starting(now) else list(self.spacings)
-        return [one for one in candidates if self.compute_wait(one, now) > 0.0]
+        if self.is_starting(now):
+            # Just after the begin of a term, those that got nothing lack permits, too.
+            return [one for one in upstreams if self.compute_wait(one, now) > 0.0]
+        spacings = self.spacings.items()
+        return [one for one, spacing in spacings if spacing.due - spacing.burst > now]
 
     def _get(self, upstream: UpstreamId, ceiling: Ceiling, now: float) -> Spacing:
         is_cold = self.starts.is_cold(upstream, now)
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -127,15 +127,17 @@
         """Place a job by the leader, or uncoordinated if the front has none."""
         number = self.fronts.index(front)
         work = front.exclude_in_backoff(work, self.now)
-        if front.leader is None:
+        placed = None
+        if front.leader is not None:
+            request = PlacementRequest(work)
+            (action,) = self.leader.handle_front(self.names[number], request, self.now)
+            placed = action.message.placement or action.message.declined
+        if placed is None:
             placed = front.place(work, self.now)
             if isinstance(placed, Placement):
                 reports = front.open_job(work, placed, self.now, is_uncoordinated=True)
                 self._send(self.names[number], reports)
             return placed
-        request = PlacementRequest(work)
-        (action,) = self.leader.handle_front(self.names[number], request, self.now)
-        placed = action.message.placement or action.message.declined
         if isinstance(placed, Placement):
             reports = front.open_job(work, placed, self.now, is_uncoordinated=False)
             self._send(self.names[number], reports)
--- a/tests/unit/gateway/test_slow_start.py
+++ b/tests/unit/gateway/test_slow_start.py
@@ -136,6 +136,21 @@
     assert load.count_all_since(since) >= 0.8 * SLOW_START.rate * 6 * 3.0
 
 
+def test_new_leader_leaves_its_first_moments_to_the_fronts():
+    load = build_load()
+    since = load.now
+    for _ in range(8):
+        # As if elected again and again, without knowing its earlier grants.
+        load.deployment.leader.placement.start_term([], load.now)
+        load.run(0.3)
+    assert 0 < load.count_all_since(since)
+    assert load.count_worst() <= ALLOWED
+    load.run(1.0)
+    granted_since = load.now
+    load.run(1.0)
+    assert load.count_all_since(granted_since) >= 0.8 * SLOW_START.rate * 6
+
+
 def test_refused_callers_learn_when_to_return():
     load = build_load(rate=400.0, slow_start=LONG_SLOW_START)
     load.turn_cold(load.names, seconds=60.0)
@@ -190,7 +205,7 @@
     assert plain.count_worst() > ALLOWED
     front = plain.deployment.fronts[0]
     assert not front.limits.needs_permit(plain.names[0])
-    assert front.limits.starts.list_cold(plain.now) == []
+    assert front.limits.starts.list_cold(plain.now) == ()
 
 
 @given(
