Let the slots of fronts end, and list them anew only when old ones have ended

Cause: each change of the list of fronts changed who is assigned to a replica with a ceiling, and a front that is cut off keeps its number. Fronts with numbers of three and more lists sent up to 14 requests in a second where 12 are allowed.

Change: slots of their own for ceilings, used only after a lease that a quorum confirmed, and until 30 s after it; the leader lists them anew only when those of the list before the last have ended. Numbers of named limits are assigned as before. The test group's next leader has its predecessor's document when its term begins, as a real one has.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -217,6 +217,8 @@
             actions += self._send_updates(self.upstreams.expire(now))
         actions += self._send_updates(self.upstreams.pop_due(now))
         actions += self._send_crashes(now)
+        if self.member.replica.compute_confirmed_at(now) is not None:
+            self.limits.update_slots(now)
         actions += self.limits.send_due(now, is_leader=self.is_leader)
         return actions
 
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -170,6 +170,8 @@
 
     def remove_link(self, instance: InstanceId) -> None:
         """Remove a control instance whose link was lost."""
+        if instance == self.leader:
+            self.limits.end_leader()
         self._links.remove(instance)
 
     def handle(
@@ -187,6 +189,8 @@
             case RoutingUpdate():
                 return self._apply_routing(sender, message)
             case LeaseReply(asked_at, newest):
+                if sender == self.leader:
+                    self.limits.confirm_slot(asked_at)
                 held = self.table.routing.version
                 if not self.lease.confirm(asked_at, newest, held):
                     # The newer document may have been lost with a link.
@@ -260,6 +264,7 @@
             self.scheduler.record_busy_replicas(status.busy, now)
         if not is_new_leader:
             return []
+        self.limits.end_leader()
         # The new leader detects outliers anew and publishes them.
         self.balancer.set_ejected(())
         self._links.record_leader_contact(now)
--- a/src/scalebend/core/gateway/front_limits.py
+++ b/src/scalebend/core/gateway/front_limits.py
@@ -86,7 +86,15 @@
         """Store the number that the leader assigned to this front."""
         self._fronts = position.fronts
         self._number = position.number
-        self._ceilings.set_position(position.fronts, position.number)
+        self._ceilings.offer_slot(position.slots, position.slot)
+
+    def confirm_slot(self, asked_at: float) -> None:
+        """Record that a quorum confirmed the leader after a lease was asked for."""
+        self._ceilings.confirm_slot(asked_at)
+
+    def end_leader(self) -> None:
+        """Record that the leader was lost or replaced; another one knows no slots."""
+        self._ceilings.offer_slot(0, None)
 
     def record_front_count(self, fronts: int) -> None:
         """Store how many fronts a control instance sees, until a number is assigned."""
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -14,6 +14,7 @@
 
 from scalebend.core.gateway.control_actions import ToFront
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.front_slots import FrontSlots
 from scalebend.core.gateway.limited_placement import LimitedPlacement
 from scalebend.core.gateway.messages import (
     FrontNumber,
@@ -60,6 +61,7 @@
         self.ceilings = ceilings
         self.budget = SlowStartBudget(self.limits, LeaderShare(1.0), ceilings)
         self.placement = LimitedPlacement(self.budget)
+        self._slots = FrontSlots()
         self._linked: dict[InstanceId, None] = {}
         self._lost: dict[InstanceId, float] = {}
         self._changed: dict[UpstreamId, RateLimit] = {}
@@ -86,6 +88,7 @@
         """Count a front that was linked."""
         self._linked[front] = None
         self._lost.pop(front, None)
+        self._slots.record_change(now)
         self._update_share(now)
 
     def remove_front(self, front: InstanceId, now: float) -> None:
@@ -93,11 +96,19 @@
         if front in self._linked:
             del self._linked[front]
             self._lost[front] = now
+            self._slots.record_change(now)
             self._update_share(now)
 
     def start_term(self, now: float) -> None:
         """Begin to lead, without knowing what the previous leader granted."""
         self.budget.restart(now)
+        self._slots.restart(now)
+
+    def update_slots(self, now: float) -> None:
+        """List the slots of fronts, as a leader that a quorum confirmed."""
+        is_needed = self.starts.has_any
+        if self._slots.update(self._linked, self._lost, now, is_needed=is_needed):
+            self._has_new_positions = True
 
     def expire(self, now: float) -> None:
         """Release the shares of fronts that have been lost for long."""
@@ -177,14 +188,10 @@
     def _send_positions(self) -> list[ToFront]:
         self._has_new_positions = False
         fronts = len(self._linked) + len(self._lost)
-        numbered = list(self._linked)
-        if self.starts.has_any:
-            # Another leader gives the same fronts the same numbers.
-            numbered = sorted([*self._linked, *self._lost])
+        slots = self._slots
         return [
-            ToFront(front, FrontNumber(fronts, number))
-            for number, front in enumerate(numbered)
-            if front in self._linked
+            ToFront(front, FrontNumber(fronts, number, slots.count, slots.get(front)))
+            for number, front in enumerate(self._linked)
         ]
 
     # Grants
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -177,6 +177,11 @@
 
     fronts: int
     number: int
+    slots: int = 0
+    """Number of slots of fronts; 0 if no service has a slow start."""
+
+    slot: int | None = None
+    """Slot of this front, see :mod:`scalebend.core.gateway.front_slots`."""
 
 
 class SendPermitRequest(msgspec.Struct, frozen=True, tag="SendQuestion"):
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from scalebend.core.gateway.front_slots import SLOT_LIFETIME_S
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
 from scalebend.core.gateway.slow_start import (
     UNCOORDINATED_INTERVAL_S,
@@ -95,14 +96,29 @@
     starts: SlowStarts
     fronts: int = 1
     number: int | None = None
-    """Number that the leader assigned to this front; ``None`` before the first."""
+    """Slot that the leader assigned to this front; ``None`` before the first."""
+
+    valid_until: float = math.inf
+    """When the slot ends unless the leader confirms it again."""
+
+    offered: tuple[int, int] | None = None
+    """Number of slots and slot that the present leader named."""
 
     due: dict[UpstreamId, float] = msgspec.field(default_factory=dict)
 
-    def set_position(self, fronts: int, number: int) -> None:
-        """Store the number that the leader assigned to this front."""
-        self.fronts = fronts
-        self.number = number
+    def offer_slot(self, fronts: int, number: int | None) -> None:
+        """Store the slot that the leader named, ``None`` if it named none."""
+        self.offered = (fronts, number) if number is not None else None
+
+    def confirm_slot(self, asked_at: float) -> None:
+        """Adopt the slot that the leader named: a quorum confirmed that it leads.
+
+        A slot isn't used before, since a frozen leader might have named it, and not
+        long after the last time, since other fronts get it then.
+        """
+        if self.offered is not None:
+            self.fronts, self.number = self.offered
+            self.valid_until = asked_at + SLOT_LIFETIME_S
 
     def restart(self, now: float) -> None:
         """Keep what was sent: it counts until its interval has passed."""
@@ -111,7 +127,7 @@
         ceiling = self.starts.get(upstream)
         if ceiling is None:
             return 0.0
-        if not self._is_assigned(upstream, ceiling):
+        if now >= self.valid_until or not self._is_assigned(upstream, ceiling):
             return math.inf
         wait = max(0.0, self.due.get(upstream, now) - now)
         # Before a later permit, a leader usually replies again.
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -78,11 +78,16 @@
 
     def replace_leader(self):
         """Let another one lead after a second; it knows only what fronts report."""
-        self.leader = self._build_leader()
+        self.build_next_leader()
         for name, front in zip(self.names, self.fronts, strict=True):
             front.add_link(LEADER)
             self._deliver(self.leader.add_front(name, self.now))
 
+    def build_next_leader(self):
+        """Let another one lead, with the document of the previous one and no front."""
+        self.leader = self._build_leader()
+        self.leader.placement.start_term([], self.now)
+
     def cut_front(self, number, *, is_noticed):
         """Cut the link of a front; ``is_noticed``: the leader detects it, too."""
         self.fronts[number].remove_link(LEADER)
--- a/tests/unit/gateway/test_slow_start_sending.py
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -29,7 +29,8 @@
     """Assign all replicas to the front, as the leader of a single one does."""
     limits = front.runtime.instance.limits
     limits.starts.apply(routing)
-    limits.record_position(FrontNumber(1, 0))
+    limits.record_position(FrontNumber(1, 0, 1, 0))
+    limits.confirm_slot(front.runtime.now())
 
 
 async def fetch_status(front):
