Renew the permits of all replicas that read a late prompt, before memory is reserved

Change: one permit for each replica of the placement before memory is reserved, and again if the reservation took longer than permits count.

--- a/src/scalebend/core/gateway/job_permits.py
+++ b/src/scalebend/core/gateway/job_permits.py
@@ -28,6 +28,10 @@
         due = asked_at + placement.start_in
         self._valid_until[job] = due + PERMIT_LIFETIME_S
 
+    def renew(self, job: JobId, due: float) -> None:
+        """Record another permit, for a send at ``due``."""
+        self._valid_until[job] = due + PERMIT_LIFETIME_S
+
     def is_valid(self, job: JobId, now: float) -> bool:
         """Whether a job may be sent now on its permit."""
         return now <= self._valid_until.get(job, now - 1.0)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Coroutine, Iterable
+from collections.abc import AsyncIterator, Coroutine, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -27,7 +27,6 @@
     age_work,
 )
 from scalebend.core.gateway.placement_repair import drop_replicas
-from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
 from scalebend.core.gateway.slow_start_budget import NO_PERMIT_RETRY_S
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
@@ -320,26 +319,34 @@
             self._execute(self.instance.record_uncoordinated_send(grant.upstream))
         return grant
 
-    async def renew_send_permit(self, work: EngineWork, upstream: UpstreamId) -> bool:
+    async def renew_send_permit(
+        self, work: EngineWork, upstreams: Sequence[UpstreamId]
+    ) -> bool:
         """Get another permit for a prompt that is sent later than planned.
 
-        Returns whether the prompt may be sent now. Only replicas with a ceiling need
-        it; see :mod:`scalebend.core.gateway.job_permits`.
+        Each replica that takes part needs one. Returns whether the prompt may be sent
+        now. Only replicas with a ceiling need it; see
+        :mod:`scalebend.core.gateway.job_permits`.
         """
         asked_at = self.now()
         starts = self.instance.limits.starts
         is_needed = starts.applies_to(work.service)
         if not is_needed or self._permits.is_valid(work.job, asked_at):
             return True
-        reply = await self.request_send_permit([upstream], REPLAN_INTERVAL_S)
-        is_granted = reply.upstream is not None
+        asked = [
+            self.request_send_permit([one], REPLAN_INTERVAL_S) for one in upstreams
+        ]
+        replies = await asyncio.gather(*asked)
+        is_granted = all(reply.upstream is not None for reply in replies)
         if is_granted:
-            await asyncio.sleep(reply.wait)
-            is_granted = self.now() <= asked_at + reply.wait + PERMIT_LIFETIME_S
+            await asyncio.sleep(max(reply.wait for reply in replies))
+            due = asked_at + min(reply.wait for reply in replies)
+            self._permits.renew(work.job, due)
+            is_granted = self._permits.is_valid(work.job, self.now())
         logger.info(
             "send permit renewed",
             job=work.job,
-            upstream=upstream,
+            upstreams=list(upstreams),
             granted=is_granted,
             waited=round(self.now() - asked_at, 3),
         )
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -201,6 +201,9 @@
                 yield _build_unavailable_target(placement, placement.upstream)
                 return
             placement = kept
+            if not await runtime.renew_send_permit(work, placement.upstreams):
+                yield _build_unavailable_target(placement, placement.upstream)
+                return
             async with contextlib.AsyncExitStack() as stack:
                 reservation = reserve_memory(runtime, work, placement)
                 try:
@@ -208,7 +211,8 @@
                 except HelperUnresponsiveError as error:
                     yield _build_unavailable_target(placement, error.upstream)
                     return
-                if not await runtime.renew_send_permit(work, placement.upstream):
+                # The reservation may have taken longer than the permits count.
+                if not await runtime.renew_send_permit(work, placement.upstreams):
                     yield _build_unavailable_target(placement, placement.upstream)
                     return
                 self._inspection_timer = asyncio.get_running_loop().call_later(
--- a/tests/unit/gateway/test_slow_start_sending.py
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -6,7 +6,7 @@
 
 from scalebend.core.gateway.messages import FrontNumber, PlacementReply
 from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
-from scalebend.models.placement import Declined, Placement
+from scalebend.models.placement import Declined, Helper, Placement
 from scalebend.models.slow_start import SlowStart
 from tests.lib.front import answer_sealed, run_front, serve
 from tests.lib.gateway_builders import (
@@ -87,11 +87,35 @@
         assert isinstance(placed, Placement)
         await asyncio.sleep(delay)
         # The only permit of this interval is that of the placement.
-        is_sent = await runtime.renew_send_permit(work, endpoint.upstream)
+        is_sent = await runtime.renew_send_permit(work, [endpoint.upstream])
         assert is_sent == (delay == 0.0)
         runtime.record_job_end(work.job)
 
 
+@pytest.mark.parametrize("is_helper_used", [False, True])
+async def test_late_prompt_needs_a_permit_of_each_replica_that_reads_it(
+    is_helper_used,
+):
+    routing = build_documents(PROFILE)
+    async with run_front(routing) as front:
+        lead, helper = front.add(1, "127.0.0.1:9"), front.add(2, "127.0.0.1:10")
+        assign_all(front, routing)
+        runtime = front.runtime
+        budget = runtime.instance.limits.budget
+        if is_helper_used:
+            budget.ceilings.spend(helper.upstream, runtime.now())
+        helpers = (Helper(helper.upstream, helper.address),)
+        placement = Placement(lead.upstream, lead.address, helpers, 0.2)
+        work = build_quick(1)
+        is_sent = await runtime.renew_send_permit(work, placement.upstreams)
+        assert is_sent == (not is_helper_used)
+        for upstream in placement.upstreams:
+            assert budget.compute_wait(upstream, runtime.now()) > 0.0
+        # What was permitted once isn't asked for again.
+        assert await runtime.renew_send_permit(work, placement.upstreams) == is_sent
+        runtime.record_job_end(work.job)
+
+
 @pytest.mark.parametrize("has_new_leader", [False, True])
 async def test_prompt_waits_shortly_for_a_leader_that_does_not_grant_yet(
     has_new_leader, monkeypatch
