Grant no permit for an upstream that isn't registered while services have slow starts

Cause: a ceiling is found by the upstream's service, so that one that a directory doesn't know, or no longer, had none: a hundred permits at once for a replica that was gone.

Change: such an upstream gets no permit from the leader or a front. Without a slow start in the document all is as before.

--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -123,6 +123,10 @@
         endpoint = self._directory.get(upstream)
         return self._ceilings.get(endpoint.service) if endpoint is not None else None
 
+    def is_unknown(self, upstream: UpstreamId) -> bool:
+        """Whether an upstream may have a ceiling that this process doesn't know."""
+        return bool(self._ceilings) and self._directory.get(upstream) is None
+
     def is_cold(self, upstream: UpstreamId, now: float) -> bool:
         """Whether a replica is known to be cold."""
         ceiling = self.get(upstream)
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -52,7 +52,7 @@
     def compute_wait(self, upstream: UpstreamId, now: float) -> float:
         ceiling = self.starts.get(upstream)
         if ceiling is None:
-            return 0.0
+            return math.inf if self.starts.is_unknown(upstream) else 0.0
         return self._get(upstream, ceiling, now).compute_wait(now)
 
     def spend(self, upstream: UpstreamId, at: float) -> None:
@@ -126,7 +126,7 @@
     def compute_wait(self, upstream: UpstreamId, now: float) -> float:
         ceiling = self.starts.get(upstream)
         if ceiling is None:
-            return 0.0
+            return math.inf if self.starts.is_unknown(upstream) else 0.0
         if now >= self.valid_until or not self._is_assigned(upstream, ceiling):
             return math.inf
         wait = max(0.0, self.due.get(upstream, now) - now)
