Avoid only cold replicas of the service that is served

Cause: the list of cold replicas named those of all services; another service's changed how long prompts were placed where the service itself has no slow start.

Change: only cold ones among the service's replicas count, and only if it has a slow start. Shown against a document in which the other service has none, with and without a limit.

--- a/src/scalebend/core/gateway/limited_placement.py
+++ b/src/scalebend/core/gateway/limited_placement.py
@@ -55,12 +55,10 @@
             return scheduler.place(work, endpoints, profile, now)
         self._release(work.job, now)
         exhausted = self._list_exhausted(endpoints, now)
-        cold = self._budget.starts.list_cold(now)
+        cold = self._list_cold(work, endpoints, now)
         is_quick = (
             compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
         )
-        if cold and not _has_others(endpoints, cold):
-            cold = ()
         avoided = (*exhausted, *cold) if is_quick else (*exhausted, *limited, *cold)
         placed = scheduler.place(work, endpoints, profile, now, avoided)
         has_others = bool(cold) or not is_quick
@@ -102,6 +100,17 @@
             first_token_in=placed.first_token_in + wait,
         )
 
+    def _list_cold(
+        self, work: EngineWork, endpoints: Sequence[Endpoint], now: float
+    ) -> tuple[UpstreamId, ...]:
+        """Cold replicas to avoid: none if there are no others."""
+        starts = self._budget.starts
+        if not starts.applies_to(work.service):
+            return ()
+        reported = set(starts.list_cold(now))
+        cold = tuple(e.upstream for e in endpoints if e.upstream in reported)
+        return cold if len(cold) < len(endpoints) else ()
+
     def _list_exhausted(
         self, endpoints: Sequence[Endpoint], now: float
     ) -> tuple[UpstreamId, ...]:
@@ -129,15 +138,6 @@
             del self._pending[job]
 
 
-def _has_others(
-    endpoints: Sequence[Endpoint], upstreams: tuple[UpstreamId, ...]
-) -> bool:
-    """Whether there are endpoints besides those of ``upstreams``."""
-    if len(endpoints) > len(upstreams):
-        return True
-    return not {one.upstream for one in endpoints}.issubset(upstreams)
-
-
 def _is_in_time(
     placed: Placement | Declined, work: EngineWork, *, has_cold: bool
 ) -> bool:
--- a/tests/unit/gateway/test_slow_start_scope.py
+++ b/tests/unit/gateway/test_slow_start_scope.py
@@ -1,9 +1,30 @@
 """What ceilings apply to: replicas that are known, of services with slow start only."""
 
+import pytest
+
+from scalebend.core.gateway.endpoint_directory import EndpointDirectory
+from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import SendPermitRequest
-from scalebend.models.ids import UpstreamId
+from scalebend.core.gateway.slow_start import SlowStarts
+from scalebend.models.gateway_settings import Bounds
+from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
+from scalebend.models.rate_limits import ObservedLimit
+from scalebend.models.slow_start import SlowStart
+from tests.lib.gateway_builders import (
+    PROFILE,
+    SERVICE,
+    build_endpoint,
+    build_quick,
+    build_routing,
+    build_service,
+    build_work,
+)
 from tests.lib.slow_start_load import SlowStartLoad
 
+OTHER = ServiceName("other")
+FRONT = InstanceId("10.2.0.1:7000")
+
 
 def test_upstreams_that_are_not_registered_get_no_permit():
     load = SlowStartLoad(2, 2, rate=0.0)
@@ -27,3 +48,60 @@
     request = SendPermitRequest(1, [UpstreamId("i-99")], 0.0)
     limits = load.deployment.leader.limits
     assert limits.grant(request, load.now, may_grant=True).upstream == "i-99"
+
+
+def place_all(other, limit, *, tokens, front=FRONT):
+    """Place work of a service without slow start, beside ``other``; return results."""
+    directory = EndpointDirectory(60.0)
+    limits = LimitExchange(SlowStarts(directory, Bounds()))
+    limits.apply_routing(build_routing(services=[build_service(engine=PROFILE), other]))
+    limits.add_front(front, 0.0)
+    for number in range(1, 4):
+        directory.register(build_endpoint(number), 0.0)
+    for number in range(11, 15):
+        endpoint = build_endpoint(number, service=OTHER, cold_s=50.0)
+        directory.register(endpoint, 0.0)
+        limits.budget.spend(endpoint.upstream, 0.0)
+    if limit is not None:
+        limits.receive(front, [ObservedLimit(UpstreamId("i-1"), limit, 0)], 0.0)
+    scheduler = EngineScheduler("leader")
+    placed = []
+    for number in range(60):
+        now = 1.0 + 0.04 * number
+        work = build_work(number, tokens, target=0.3, event_gap=0.2)
+        usable = directory.list_usable(SERVICE)
+        placed.append(
+            limits.place(scheduler, work, usable, PROFILE, now, may_grant=True)
+        )
+    return placed
+
+
+@pytest.mark.parametrize("tokens", [2_000, 60_000])
+@pytest.mark.parametrize("limit", [None, 3.0])
+def test_service_without_slow_start_is_served_as_before_beside_one_that_has_it(
+    limit, tokens
+):
+    plain = build_service(OTHER, PROFILE)
+    slow = build_service(OTHER, PROFILE, SlowStart(60.0, 5.0))
+    assert place_all(slow, limit, tokens=tokens) == place_all(
+        plain, limit, tokens=tokens
+    )
+
+
+@pytest.mark.parametrize("warm", [1, 2])
+def test_cold_replicas_of_other_services_leave_the_choice_as_it_is(warm):
+    directory = EndpointDirectory(60.0)
+    limits = LimitExchange(SlowStarts(directory, Bounds()))
+    slow_start = SlowStart(60.0, 5.0)
+    services = [build_service(name, PROFILE, slow_start) for name in (SERVICE, OTHER)]
+    limits.apply_routing(build_routing(services=services))
+    for number in (1, 2):
+        cold_s = 0.0 if number == warm else 50.0
+        directory.register(build_endpoint(number, cold_s=cold_s), 0.0)
+    for number in range(11, 20):
+        directory.register(build_endpoint(number, service=OTHER, cold_s=50.0), 0.0)
+    usable = directory.list_usable(SERVICE)
+    placed = limits.place(
+        EngineScheduler("leader"), build_quick(1), usable, PROFILE, 1.0, may_grant=True
+    )
+    assert placed.upstream == f"i-{warm}"
