Leave only the begin of a service's own permits to the fronts

Cause: a new leader left all services with slow start to the fronts for the longest interval of any: 12 s for one at 17 a second beside one at 0.1.

Change: the longest interval is that of the service.

--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -96,7 +96,7 @@
         if profile is None or self.is_learning(now):
             return PlacementReply(work.job)
         if self._limits.starts.applies_to(work.service) and (
-            not may_grant or self._limits.ceilings.is_starting(now)
+            not may_grant or self._limits.ceilings.is_starting(work.service, now)
         ):
             # The front uses its own part of the ceilings.
             return PlacementReply(work.job)
--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -92,8 +92,7 @@
         self._ceilings: dict[ServiceName, Ceiling] = {}
         self._cold: tuple[UpstreamId, ...] = ()
         self._cold_listed_at = -math.inf
-        self.longest_interval = 0.0
-        """Longest interval of the leader's permits at one replica, in seconds."""
+        self._longest_interval = 0.0
 
     def apply(self, routing: Routing) -> None:
         """Adopt the services of a routing document."""
@@ -103,10 +102,20 @@
             if service.slow_start is not None
         }
         self._cold_listed_at = -math.inf
-        self.longest_interval = max(
+        self._longest_interval = max(
             (1.0 / one.cold_rate for one in self._ceilings.values()), default=0.0
         )
 
+    def compute_longest_interval(self, service: ServiceName | None = None) -> float:
+        """Longest interval in seconds of the leader's permits at one replica.
+
+        That of a service; without one, the longest of all.
+        """
+        if service is None:
+            return self._longest_interval
+        ceiling = self._ceilings.get(service)
+        return 1.0 / ceiling.cold_rate if ceiling is not None else 0.0
+
     @property
     def has_any(self) -> bool:
         """Whether any service has a slow start."""
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -24,7 +24,7 @@
 )
 from scalebend.core.rate_limits import RateLimits
 from scalebend.core.send_budget import BURST_S, SendBudget, Share, Spacing
-from scalebend.models.ids import UpstreamId
+from scalebend.models.ids import ServiceName, UpstreamId
 
 MAX_WAIT_S = REPLAN_INTERVAL_S
 """Time for which a permit may be planned ahead. The next leader does not know of it and
@@ -61,9 +61,9 @@
             spacing = self.spacings[upstream] = self._get(upstream, ceiling, at)
             spacing.spend(at)
 
-    def is_starting(self, now: float) -> bool:
-        """Whether some replicas that got nothing yet lack a permit."""
-        return now - self.began < self.starts.longest_interval
+    def is_starting(self, service: ServiceName | None, now: float) -> bool:
+        """Whether replicas of a service, or of any, lack a first permit."""
+        return now - self.began < self.starts.compute_longest_interval(service)
 
     def list_exhausted(
         self, upstreams: Iterable[UpstreamId], now: float
@@ -71,7 +71,7 @@
         idle = [one for one, spacing in self.spacings.items() if spacing.due <= now]
         for upstream in idle:
             del self.spacings[upstream]
-        if self.is_starting(now):
+        if self.is_starting(None, now):
             # Just after the begin of a term, those that got nothing lack permits, too.
             return [one for one in upstreams if self.compute_wait(one, now) > 0.0]
         spacings = self.spacings.items()
--- a/tests/unit/gateway/test_slow_start_scope.py
+++ b/tests/unit/gateway/test_slow_start_scope.py
@@ -105,3 +105,21 @@
         EngineScheduler("leader"), build_quick(1), usable, PROFILE, 1.0, may_grant=True
     )
     assert placed.upstream == f"i-{warm}"
+
+
+def test_slow_permits_of_one_service_leave_the_begin_of_another_as_it_is():
+    directory = EndpointDirectory(60.0)
+    limits = LimitExchange(SlowStarts(directory, Bounds()))
+    services = [
+        build_service(engine=PROFILE, slow_start=SlowStart(3.0, 17.0)),
+        build_service(OTHER, PROFILE, SlowStart(3.0, 0.1)),
+    ]
+    limits.apply_routing(build_routing(services=services))
+    limits.start_term(0.0)
+    assert limits.ceilings.is_starting(SERVICE, 0.15)
+    assert not limits.ceilings.is_starting(SERVICE, 0.5)
+    assert limits.ceilings.is_starting(OTHER, 0.5)
+    directory.register(build_endpoint(1), 0.0)
+    directory.register(build_endpoint(2, service=OTHER), 0.0)
+    exhausted = limits.ceilings.list_exhausted(["i-1", "i-2"], 0.5)
+    assert exhausted == ["i-2"]
