Let a new leader leave calls of plain services to the fronts until it may grant

Cause: its reply refused the permit, so that calls of plain services and late prompts were refused where engine prompts used the front's own part of the ceiling.

Change: the reply names such a request undecided, in a new field with a default; the front then grants its own part. Requests for replicas with named limits are refused as before.

--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -216,9 +216,24 @@
         self, request: SendPermitRequest, now: float, *, may_grant: bool
     ) -> SendPermitReply:
         """Grant a send to one of the upstreams within the requested wait."""
+        asked = request.request_id
         if not may_grant:
             _, wait = self.budget.find_soonest(request.upstreams, now)
             # After the lease time it is known which instance leads.
-            return SendPermitReply(request.request_id, None, max(wait, GRANT_LEASE_S))
+            wait = max(wait, GRANT_LEASE_S) if math.isfinite(wait) else GRANT_LEASE_S
+            is_undecided = self._are_left_to_fronts(request.upstreams)
+            return SendPermitReply(asked, None, wait, is_undecided)
         upstream, wait = self.budget.grant(request.upstreams, request.timeout_s, now)
-        return SendPermitReply(request.request_id, upstream, wait)
+        is_undecided = (
+            upstream is None
+            and self._are_left_to_fronts(request.upstreams)
+            and self.ceilings.is_starting(None, now)
+        )
+        return SendPermitReply(asked, upstream, wait, is_undecided)
+
+    def _are_left_to_fronts(self, upstreams: Iterable[UpstreamId]) -> bool:
+        """Whether fronts have parts of their own: of ceilings, not of named limits."""
+        return all(
+            self.starts.get(one) is not None and not self.limits.is_limited(one)
+            for one in upstreams
+        )
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -202,6 +202,8 @@
     request_id: SendPermitId = msgspec.field(name="question")
     upstream: UpstreamId | None
     wait: float
+    is_undecided: bool = False
+    """Whether the leader leaves it to the front: it may not grant yet, or no more."""
 
 
 class UncoordinatedSends(msgspec.Struct, frozen=True, tag="SentAlone"):
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -305,14 +305,15 @@
     ) -> SendPermitReply:
         """Ask the leader for a permit to send to one of some rate-limited upstreams.
 
-        Without a reply, grant it from the share of this front and report the send.
+        Without a reply, or if the leader may not grant yet, grant it from the share of
+        this front and report the send.
         """
         self._sends += 1
         request = SendPermitRequest(SendPermitId(self._sends), upstreams, timeout_s)
         reply = await self._leader_calls.request_send_permit(
             self.instance.leader, request
         )
-        if reply is not None:
+        if reply is not None and not reply.is_undecided:
             return reply
         grant = self.instance.limits.grant(request, self.now())
         if grant.upstream is not None:
--- a/tests/unit/gateway/test_slow_start_scope.py
+++ b/tests/unit/gateway/test_slow_start_scope.py
@@ -1,11 +1,12 @@
 """What ceilings apply to: replicas that are known, of services with slow start only."""
 
+import msgspec
 import pytest
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
-from scalebend.core.gateway.messages import SendPermitRequest
+from scalebend.core.gateway.messages import SendPermitReply, SendPermitRequest
 from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
@@ -123,3 +124,31 @@
     directory.register(build_endpoint(2, service=OTHER), 0.0)
     exhausted = limits.ceilings.list_exhausted(["i-1", "i-2"], 0.5)
     assert exhausted == ["i-2"]
+
+
+def test_leader_that_may_not_grant_leaves_replicas_with_ceilings_to_the_fronts():
+    load = SlowStartLoad(1, 2, rate=0.0)
+    leader = load.deployment.leader
+    limits = leader.limits
+    request = SendPermitRequest(1, load.names, 0.0)
+    refused = limits.grant(request, load.now, may_grant=False)
+    assert (refused.upstream, refused.is_undecided) == (None, True)
+    assert 0.0 < refused.wait < 1.0
+    limits.start_term(load.now)
+    assert limits.grant(request, load.now, may_grant=True).is_undecided
+    assert limits.grant(request, load.now + 2.0, may_grant=True).upstream is not None
+    limits.receive(FRONT, [ObservedLimit(load.names[0], 3.0, 0)], load.now)
+    assert not limits.grant(request, load.now, may_grant=False).is_undecided
+
+
+def test_versions_without_undecided_replies_read_them_as_refused():
+    class Before(msgspec.Struct, tag="SendAnswer"):
+        question: int
+        upstream: str | None
+        wait: float
+
+    newer = msgspec.msgpack.encode(SendPermitReply(7, None, 0.4, True))
+    assert msgspec.msgpack.decode(newer, type=Before) == Before(7, None, 0.4)
+    older = msgspec.msgpack.encode(Before(7, None, 0.4))
+    read = msgspec.msgpack.decode(older, type=SendPermitReply)
+    assert read == SendPermitReply(7, None, 0.4)
--- a/tests/unit/gateway/test_slow_start_sending.py
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from scalebend.core.gateway.messages import FrontNumber, PlacementReply
+from scalebend.core.gateway.messages import FrontNumber, PlacementReply, SendPermitReply
 from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
 from scalebend.models.placement import Declined, Helper, Placement
 from scalebend.models.slow_start import SlowStart
@@ -141,3 +141,21 @@
             assert isinstance(placed, Declined)
             assert 0.0 < placed.retry_after < 1.0
         front.runtime.record_job_end(work.job)
+
+
+@pytest.mark.parametrize("is_undecided", [False, True])
+async def test_plain_call_uses_the_part_of_a_front_while_a_leader_may_not_grant(
+    is_undecided, monkeypatch
+):
+    routing = build_documents()
+    async with serve(answer_sealed) as address, run_front(routing) as front:
+        front.add(1, address)
+        assign_all(front, routing)
+
+        async def refuse(_leader, request):
+            return SendPermitReply(request.request_id, None, 0.4, is_undecided)
+
+        calls = front.runtime._leader_calls
+        monkeypatch.setattr(calls, "request_send_permit", refuse)
+        status, _ = await fetch_status(front)
+    assert status == (200 if is_undecided else 503)
