Decode the stored routing document anew at each control instance

Cause: the log holds what the version decoded that stored it. After an upgrade, slow starts of the operator's document were unknown, and no ceiling held, until the next document.

Change: control instances decode the operator's document, which is stored beside it, by a decoder that the edge passes; one that can't be decoded is used as stored.

--- a/src/scalebend/core/gateway/control_documents.py
+++ b/src/scalebend/core/gateway/control_documents.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import structlog
 
 from scalebend.core.consensus.replica import Replica
@@ -14,9 +16,13 @@
 from scalebend.core.gateway.messages import LeaseReply, LeaseRequest
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_push import RoutingPush
-from scalebend.core.gateway.routing_store import unpack_routing
+from scalebend.core.gateway.routing_store import unpack_document, unpack_routing
+from scalebend.exceptions import DocumentError
 from scalebend.models.ids import InstanceId
-from scalebend.models.routing import EMPTY_ROUTING, StoredRouting
+from scalebend.models.routing import EMPTY_ROUTING, Routing, StoredRouting
+
+DecodeRouting = Callable[[bytes], Routing]
+"""Decodes an operator's document; raises :class:`DocumentError` if it is invalid."""
 
 logger = structlog.get_logger(__name__)
 
@@ -24,11 +30,12 @@
 class ControlDocuments:
     """The committed routing document, its fronts, and who waits for confirmation."""
 
-    def __init__(self, replica: Replica) -> None:
+    def __init__(self, replica: Replica, decode: DecodeRouting | None = None) -> None:
         self.routing = EMPTY_ROUTING
         self.table = RouteTable(EMPTY_ROUTING)
         self.push = RoutingPush()
         self._replica = replica
+        self._decode = decode
         self._requests = PendingFreshnessRequests()
         self._readers = 0
 
@@ -36,12 +43,24 @@
         """Adopt the committed document; return whether it is another one."""
         if stored is None or stored.version == self.routing.version:
             return False
-        self.routing = unpack_routing(stored)
+        self.routing = self._read(stored)
         self.table = RouteTable(self.routing)
         self.push.record_document(self.routing)
         logger.info("routing applied", version=self.routing.version)
         return True
 
+    def _read(self, stored: StoredRouting) -> Routing:
+        """Decode the document anew, which an earlier version read in part."""
+        if self._decode is None:
+            return unpack_routing(stored)
+        try:
+            return self._decode(unpack_document(stored))
+        except DocumentError as error:
+            logger.warning(
+                "stored document not decoded", version=stored.version, error=str(error)
+            )
+            return unpack_routing(stored)
+
     def request_lease(
         self, front: InstanceId, request: LeaseRequest, now: float
     ) -> None:
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -18,7 +18,7 @@
     ProposalEnded,
     ToFront,
 )
-from scalebend.core.gateway.control_documents import ControlDocuments
+from scalebend.core.gateway.control_documents import ControlDocuments, DecodeRouting
 from scalebend.core.gateway.crash_exchange import CrashExchange
 from scalebend.core.gateway.ejection_push import EjectionPush
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
@@ -100,6 +100,7 @@
         *,
         now: float,
         bounds: Bounds | None = None,
+        decode: DecodeRouting | None = None,
     ) -> None:
         self.member = member
         self.upstreams = UpstreamExchange(heartbeat_interval)
@@ -110,7 +111,7 @@
         self._ejections = EjectionPush()
 
         self._fronts: dict[InstanceId, None] = {}
-        self._documents = ControlDocuments(member.replica)
+        self._documents = ControlDocuments(member.replica, decode)
         self._catalogs = CatalogPush()
         self._relays: set[InstanceId] = set()
         self._heartbeat_at = now
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -87,6 +87,7 @@
             settings.heartbeat_interval,
             now=self.now(),
             bounds=settings.bounds,
+            decode=decode_routing,
         )
         self.instance.upstreams.restore(read_upstreams(folder), self.now())
         self.instance.crashes.restore(read_crashes(folder), self.now())
