Grant the stated rate of a replica with a ceiling at least

Cause: the leader granted 0.82 of the stated rate and more, to warm replicas, too.

Change: permits of ceilings live 0.15 s and their burst is 0.15 s, instead of 0.25 s both, so that the leader can grant the stated rate and fronts keep almost their part. The test of the bound counts the ceilings' own burst, with the same bound.

--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -13,20 +13,25 @@
 import msgspec
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
-from scalebend.core.send_budget import BURST_S, MIN_RATE_PER_S
+from scalebend.core.send_budget import MIN_RATE_PER_S
 from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import ServiceName, UpstreamId
 from scalebend.models.routing import Routing
 from scalebend.models.slow_start import SlowStart
 
-PERMIT_LIFETIME_S = 0.25
+PERMIT_LIFETIME_S = 0.15
 """Time after its planned start within which a permitted request is sent, or needs
-another permit: a front that was suspended would send all that it held at once."""
+another permit: a front that was suspended would send all that it held at once. The
+leader's reply takes some of it; each tenth of a second costs a tenth of the rate."""
 
-MIN_GRANTED_SHARE = 0.82
-"""Least share of the stated rate that the leader grants: cold replicas are to be used
-at four fifths of it under need. What remains of the bound is for fronts without a reply
-of the leader."""
+CEILING_BURST_S = 0.15
+"""Burst after an idle time, in seconds of the granted rate and at least one request. It
+is shorter than that of named limits, since it is taken from the same bound."""
+
+MIN_GRANTED_SHARE = 1.0
+"""Least share of the stated rate that the leader grants: warm replicas handle more than
+cold ones, and are not to get less. What remains of the bound is for fronts without a
+reply of the leader."""
 
 MAX_UNCOORDINATED_SHARE = 0.4
 """Largest share of the bound that is left to fronts without a reply of the leader."""
@@ -162,7 +167,7 @@
     least one request, and one more.
     """
     return min(
-        (granted - 1) / (1.0 + PERMIT_LIFETIME_S + BURST_S),
+        (granted - 1) / (1.0 + PERMIT_LIFETIME_S + CEILING_BURST_S),
         (granted - 2) / (1.0 + PERMIT_LIFETIME_S),
     )
 
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -18,12 +18,13 @@
 from scalebend.core.gateway.front_slots import SLOT_LIFETIME_S
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
 from scalebend.core.gateway.slow_start import (
+    CEILING_BURST_S,
     UNCOORDINATED_INTERVAL_S,
     Ceiling,
     SlowStarts,
 )
 from scalebend.core.rate_limits import RateLimits
-from scalebend.core.send_budget import BURST_S, SendBudget, Share, Spacing
+from scalebend.core.send_budget import SendBudget, Share, Spacing
 from scalebend.models.ids import ServiceName, UpstreamId
 
 MAX_WAIT_S = REPLAN_INTERVAL_S
@@ -83,7 +84,7 @@
         held = self.spacings.get(upstream)
         if held is not None and held.interval == interval:
             return held
-        burst = max(BURST_S, interval)
+        burst = max(CEILING_BURST_S, interval)
         if held is None:
             return Spacing(interval, burst, self.began + burst + interval)
         used = max(0.0, held.due - now) / held.interval
--- a/tests/unit/gateway/test_slow_start.py
+++ b/tests/unit/gateway/test_slow_start.py
@@ -13,13 +13,14 @@
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.job_permits import JobPermits
 from scalebend.core.gateway.slow_start import (
+    CEILING_BURST_S,
     PERMIT_LIFETIME_S,
     UNCOORDINATED_INTERVAL_S,
     SlowStarts,
     build_ceiling,
 )
 from scalebend.core.gateway.slow_start_budget import AssignedCeilings
-from scalebend.core.send_budget import BURST_S, MIN_RATE_PER_S
+from scalebend.core.send_budget import MIN_RATE_PER_S
 from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import JobId, Placement
@@ -221,7 +222,7 @@
         assert ceiling.uncoordinated_fronts == 0
         return
     window = 1.0 + PERMIT_LIFETIME_S
-    burst = max(BURST_S * ceiling.rate, 1.0)
+    burst = max(CEILING_BURST_S * ceiling.rate, 1.0)
     granted = ceiling.rate * window + burst + 1.0
     total = granted + 2 * ceiling.uncoordinated_fronts
     assert total <= rate * excess + slack + 1e-6
@@ -261,3 +262,23 @@
     assert not permits.is_valid(job, 5.2)
     permits.forget(job)
     assert not permits.is_valid(job, 5.2)
+
+
+@pytest.mark.parametrize("rate", [1.0, 2.0, 5.0, 10.0, 17.0, 20.0, 50.0, 100.0])
+def test_leader_grants_at_least_the_stated_rate(rate):
+    ceiling = build_ceiling(SlowStart(3.0, rate), Bounds())
+    assert ceiling.rate >= ceiling.cold_rate >= rate
+    assert ceiling.uncoordinated_fronts >= 1
+
+
+@pytest.mark.parametrize("is_cold", [False, True])
+def test_replicas_get_the_stated_rate_under_need(is_cold):
+    slow_start = SlowStart(cold_s=60.0, rate=17.0)
+    load = build_load(slow_start=slow_start)
+    if is_cold:
+        load.turn_cold(load.names, 60.0)
+        load.run(1.5)
+    since = load.now
+    load.run(3.0)
+    assert load.count_all_since(since) >= (0.9 if is_cold else 1.0) * 17.0 * 6 * 3.0
+    assert load.count_worst() <= 30
