Bound the changes that stated cold times cause

Cause: a replica that always states the same or a huge cold time was a change for all fronts with each registration, also where its service has no slow start. A negative one raised an error.

Change: a stated time counts up to that of its service, is no change without a slow start, and a longer one is passed on only when the known one ends within two heartbeats.

--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -106,6 +106,8 @@
             for service in routing.services
             if service.slow_start is not None
         }
+        max_cold_s = {name: one.max_cold_s for name, one in self._ceilings.items()}
+        self._directory.cold.set_services(max_cold_s)
         self._cold_listed_at = -math.inf
         self._longest_interval = max(
             (1.0 / one.cold_rate for one in self._ceilings.values()), default=0.0
--- a/tests/unit/gateway/test_cold_reports.py
+++ b/tests/unit/gateway/test_cold_reports.py
@@ -5,7 +5,9 @@
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.messages import EndpointChanges, LinkMessage
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.models.endpoints import Endpoint, EndpointUpdate
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.routing import RoutedService
 from scalebend.models.slow_start import SlowStart
 from scalebend.platform.registrations import decode_registration, encode_registration
@@ -124,3 +126,42 @@
     path.write_bytes(encode_gateway_settings(settings))
     assert b'"ColdExcess":2.0' in path.read_bytes()
     assert read_gateway_settings(path).bounds == changed
+
+
+def apply_services(directory, *services):
+    starts = SlowStarts(directory, Bounds())
+    starts.apply(build_routing(services=services))
+    return starts
+
+
+def test_constant_cold_time_is_a_change_only_when_it_would_end_soon():
+    directory = EndpointDirectory(10.0)
+    starts = apply_services(directory, build_service(slow_start=SlowStart(3.0, 5.0)))
+    changes = 0
+    for number in range(20):
+        now = 1.2 * number
+        changes += register(directory, number + 1, 1e9, now) is not None
+        assert starts.is_cold("i-1", now + 1.2)
+    assert changes <= 10
+    assert register(directory, 30, 0.0, 24.0) is not None
+    assert not starts.is_cold("i-1", 24.0)
+
+
+def test_cold_time_of_a_service_without_slow_start_is_no_change():
+    directory = EndpointDirectory(10.0)
+    apply_services(directory, build_service())
+    register(directory, 1, 0.0, 0.0)
+    assert register(directory, 2, 5.0, 1.2) is None
+    assert register(directory, 3, 5.0, 2.4) is None
+    # It counts as soon as a document names a slow start.
+    starts = apply_services(directory, build_service(slow_start=SlowStart(3.0, 5.0)))
+    assert starts.is_cold("i-1", 2.5)
+
+
+def test_negative_cold_time_is_none():
+    directory = EndpointDirectory(10.0)
+    register(directory, 1, -1.0, 0.0)
+    assert directory.cold.list_reported() == []
+    register(directory, 2, 3.0, 1.2)
+    assert register(directory, 3, -1.0, 2.4) is not None
+    assert directory.cold.list_reported() == []
