Forget the ceilings of replicas that are gone

Cause: entries were removed only when engine work was placed, so that those of plain services and of replicas that are gone stayed.

Change: they are removed with the other limits, periodically, when nothing is used up.

--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -62,6 +62,12 @@
             spacing = self.spacings[upstream] = self._get(upstream, ceiling, at)
             spacing.spend(at)
 
+    def expire(self, now: float) -> None:
+        """Forget replicas that have all their permits again."""
+        idle = [one for one, spacing in self.spacings.items() if spacing.due <= now]
+        for upstream in idle:
+            del self.spacings[upstream]
+
     def is_starting(self, service: ServiceName | None, now: float) -> bool:
         """Whether replicas of a service, or of any, lack a first permit."""
         return now - self.began < self.starts.compute_longest_interval(service)
@@ -69,9 +75,7 @@
     def list_exhausted(
         self, upstreams: Iterable[UpstreamId], now: float
     ) -> list[UpstreamId]:
-        idle = [one for one, spacing in self.spacings.items() if spacing.due <= now]
-        for upstream in idle:
-            del self.spacings[upstream]
+        self.expire(now)
         if self.is_starting(None, now):
             # Just after the begin of a term, those that got nothing lack permits, too.
             return [one for one in upstreams if self.compute_wait(one, now) > 0.0]
@@ -142,9 +146,13 @@
     def list_exhausted(
         self, upstreams: Iterable[UpstreamId], now: float
     ) -> list[UpstreamId]:
+        self.expire(now)
+        return [one for one in upstreams if self.compute_wait(one, now) > 0.0]
+
+    def expire(self, now: float) -> None:
+        """Forget replicas that may be sent another request."""
         for upstream in [one for one, due in self.due.items() if due <= now]:
             del self.due[upstream]
-        return [one for one in upstreams if self.compute_wait(one, now) > 0.0]
 
     def _is_assigned(self, upstream: UpstreamId, ceiling: Ceiling) -> bool:
         if self.number is None or ceiling.uncoordinated_fronts == 0:
@@ -173,6 +181,11 @@
         super().restart(now)
         self.ceilings.restart(now)
 
+    def refresh(self, now: float) -> None:
+        """Adopt new and changed limits; forget ceilings that are not reached."""
+        super().refresh(now)
+        self.ceilings.expire(now)
+
     def compute_wait(self, upstream: UpstreamId, now: float) -> float:
         """Seconds until a request may be sent; infinite if that is not foreseen."""
         named = super().compute_wait(upstream, now)
--- a/tests/unit/gateway/test_slow_start_scope.py
+++ b/tests/unit/gateway/test_slow_start_scope.py
@@ -152,3 +152,19 @@
     older = msgspec.msgpack.encode(Before(7, None, 0.4))
     read = msgspec.msgpack.decode(older, type=SendPermitReply)
     assert read == SendPermitReply(7, None, 0.4)
+
+
+def test_nothing_is_kept_of_replicas_that_are_gone():
+    load = SlowStartLoad(2, 2, rate=0.0)
+    load.run(2.0)
+    gone = load.names[0]
+    leader, front = load.deployment.leader, load.deployment.fronts[0]
+    for limits in (leader.limits, front.limits):
+        limits.budget.ceilings.spend(gone, load.now)
+    for directory in (leader.directory, front.directory):
+        directory.remove(gone, load.now)
+    later = load.now + 20.0
+    leader.limits.retain([], later)
+    front.limits.expire([], later)
+    assert not leader.limits.ceilings.spacings
+    assert not front.limits.budget.ceilings.due
