Name the constants of ceilings apart from those of limits, and log the slot of a front

Two constants had the names of others with another meaning; control instances took default bounds in silence where none were given, they are required now. A front logs which slot it holds, so that a refused prompt without a leader can be traced to it.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -99,13 +99,13 @@
         heartbeat_interval: float,
         *,
         now: float,
-        bounds: Bounds | None = None,
+        bounds: Bounds,
         decode: DecodeRouting | None = None,
     ) -> None:
         self.member = member
         self.upstreams = UpstreamExchange(heartbeat_interval)
         self.crashes = CrashExchange()
-        starts = SlowStarts(self.directory, bounds or Bounds())
+        starts = SlowStarts(self.directory, bounds)
         self.limits = LimitExchange(starts)
         self.placement = LeaderPlacement(self.limits, now)
         self._ejections = EjectionPush()
--- a/src/scalebend/core/gateway/job_permits.py
+++ b/src/scalebend/core/gateway/job_permits.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
-from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
+from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
 from scalebend.models.placement import JobId, Placement
 
 
@@ -16,6 +16,7 @@
 
     def __init__(self) -> None:
         self._valid_until: dict[JobId, float] = {}
+        """Latest send times on the permits held; jobs without one are absent."""
 
     def record(self, job: JobId, placement: Placement, asked_at: float) -> None:
         """Record a placement for which the decider was asked at ``asked_at``.
@@ -26,11 +27,11 @@
             self._valid_until.pop(job, None)
             return
         due = asked_at + placement.start_in
-        self._valid_until[job] = due + PERMIT_LIFETIME_S
+        self._valid_until[job] = due + CEILING_PERMIT_LIFETIME_S
 
     def renew(self, job: JobId, due: float) -> None:
         """Record another permit, for a send at ``due``."""
-        self._valid_until[job] = due + PERMIT_LIFETIME_S
+        self._valid_until[job] = due + CEILING_PERMIT_LIFETIME_S
 
     def is_valid(self, job: JobId, now: float) -> bool:
         """Whether a job may be sent now on its permit."""
--- a/src/scalebend/core/gateway/slow_start.py
+++ b/src/scalebend/core/gateway/slow_start.py
@@ -19,7 +19,7 @@
 from scalebend.models.routing import Routing
 from scalebend.models.slow_start import SlowStart
 
-PERMIT_LIFETIME_S = 0.15
+CEILING_PERMIT_LIFETIME_S = 0.15
 """Time after its planned start within which a permitted request is sent, or needs
 another permit: a front that was suspended would send all that it held at once. The
 leader's reply takes some of it; each tenth of a second costs a tenth of the rate."""
@@ -62,7 +62,7 @@
     """Longest time in seconds for which a stated cold time counts."""
 
 
-UNCOORDINATED_INTERVAL_S = 1.0 + PERMIT_LIFETIME_S
+UNCOORDINATED_INTERVAL_S = 1.0 + CEILING_PERMIT_LIFETIME_S
 """Interval of uncoordinated sends of one front to one replica: sent as late as allowed,
 two of them are still a second apart."""
 
@@ -169,8 +169,8 @@
     least one request, and one more.
     """
     return min(
-        (granted - 1) / (1.0 + PERMIT_LIFETIME_S + CEILING_BURST_S),
-        (granted - 2) / (1.0 + PERMIT_LIFETIME_S),
+        (granted - 1) / (1.0 + CEILING_PERMIT_LIFETIME_S + CEILING_BURST_S),
+        (granted - 2) / (1.0 + CEILING_PERMIT_LIFETIME_S),
     )
 
 
--- a/src/scalebend/core/gateway/slow_start_budget.py
+++ b/src/scalebend/core/gateway/slow_start_budget.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 
 import msgspec
+import structlog
 
 from scalebend.core.gateway.front_slots import SLOT_LIFETIME_S
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
@@ -27,7 +28,9 @@
 from scalebend.core.send_budget import SendBudget, Share, Spacing
 from scalebend.models.ids import ServiceName, UpstreamId
 
-MAX_WAIT_S = REPLAN_INTERVAL_S
+logger = structlog.get_logger(__name__)
+
+MAX_CEILING_WAIT_S = REPLAN_INTERVAL_S
 """Time for which a permit may be planned ahead. The next leader does not know of it and
 grants nothing meanwhile, so it has to be short."""
 
@@ -48,7 +51,7 @@
 
     def restart(self, now: float) -> None:
         self.spacings.clear()
-        self.began = now + MAX_WAIT_S
+        self.began = now + MAX_CEILING_WAIT_S
 
     def compute_wait(self, upstream: UpstreamId, now: float) -> float:
         ceiling = self.starts.get(upstream)
@@ -110,6 +113,7 @@
     """Number of slots and slot that the present leader named."""
 
     due: dict[UpstreamId, float] = msgspec.field(default_factory=dict)
+    """When the next request may be sent to a replica, for those sent one lately."""
 
     def offer_slot(self, fronts: int, number: int | None) -> None:
         """Store the slot that the leader named, ``None`` if it named none."""
@@ -121,9 +125,13 @@
         A slot isn't used before, since a frozen leader might have named it, and not
         long after the last time, since other fronts get it then.
         """
-        if self.offered is not None:
-            self.fronts, self.number = self.offered
-            self.valid_until = asked_at + SLOT_LIFETIME_S
+        if self.offered is None:
+            return
+        if self.offered != (self.fronts, self.number):
+            slots, slot = self.offered
+            logger.info("front slot changed", slot=slot, slots=slots, held=self.number)
+        self.fronts, self.number = self.offered
+        self.valid_until = asked_at + SLOT_LIFETIME_S
 
     def restart(self, now: float) -> None:
         """Keep what was sent: it counts until its interval has passed."""
@@ -197,7 +205,7 @@
         """Take the first permit of any upstream within ``max_wait`` seconds."""
         candidates = list(upstreams)
         if any(self.starts.get(one) is not None for one in candidates):
-            max_wait = min(max_wait, MAX_WAIT_S)
+            max_wait = min(max_wait, MAX_CEILING_WAIT_S)
         granted, wait = super().grant(candidates, max_wait, now)
         if granted is not None:
             self.ceilings.spend(granted, now + wait)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -27,7 +27,7 @@
     age_work,
 )
 from scalebend.core.gateway.placement_repair import drop_replicas
-from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
+from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
 from scalebend.core.gateway.slow_start_budget import NO_PERMIT_RETRY_S
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
@@ -336,7 +336,9 @@
         if not is_needed or self._permits.is_valid(work.job, asked_at):
             return True
         # Permits of several replicas have to be due at about the same time.
-        timeout_s = REPLAN_INTERVAL_S if len(upstreams) == 1 else PERMIT_LIFETIME_S / 2
+        timeout_s = (
+            REPLAN_INTERVAL_S if len(upstreams) == 1 else CEILING_PERMIT_LIFETIME_S / 2
+        )
         asked = [self.request_send_permit([one], timeout_s) for one in upstreams]
         replies = await asyncio.gather(*asked)
         is_granted = all(reply.upstream is not None for reply in replies)
--- a/src/scalebend/edges/gateway/service_choice.py
+++ b/src/scalebend/edges/gateway/service_choice.py
@@ -8,7 +8,7 @@
 import msgspec
 import structlog
 
-from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
+from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
 from scalebend.core.gateway.timeouts import compute_room_timeout
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.models.calls import Call
@@ -66,7 +66,7 @@
         permit = await runtime.request_send_permit(requested, timeout_s)
         if permit.upstream is not None:
             await asyncio.sleep(permit.wait)
-            is_late = runtime.now() > asked_at + permit.wait + PERMIT_LIFETIME_S
+            is_late = runtime.now() > asked_at + permit.wait + CEILING_PERMIT_LIFETIME_S
             if is_late and instance.limits.starts.applies_to(call.service):
                 continue
             if instance.may_send(permit.upstream, runtime.now()):
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -10,6 +10,7 @@
 from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.messages import PlacementRequest
 from scalebend.core.gateway.routing_store import pack_routing
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, Term
 from scalebend.models.placement import JobStage, Placement
 from tests.lib.gateway_builders import (
@@ -57,7 +58,7 @@
         """Build a leader with all replicas registered and no front."""
         recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
         member = ControlMember(LEADER, [], recovered, now=self.now)
-        leader = ControlInstance(member, 1.2, now=self.now)
+        leader = ControlInstance(member, 1.2, now=self.now, bounds=Bounds())
         end = self.now + 1.0
         while self.now < end - 1e-9:
             self.now = min(end, self.now + TICK)
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -25,6 +25,7 @@
 )
 from scalebend.core.gateway.routing_store import RoutingUpdate, pack_routing
 from scalebend.models.endpoints import EndpointUpdate
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, Term
 from scalebend.models.placement import JobStage, OpenJob, Placement
 from tests.lib.gateway_builders import (
@@ -48,7 +49,7 @@
     def __init__(self, peers=()):
         recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
         member = ControlMember(ME, list(peers), recovered, now=0.0)
-        self.instance = ControlInstance(member, 1.2, now=0.0)
+        self.instance = ControlInstance(member, 1.2, now=0.0, bounds=Bounds())
         self.now = 0.0
 
     def run(self, seconds=1.0):
--- a/tests/unit/gateway/test_slow_start.py
+++ b/tests/unit/gateway/test_slow_start.py
@@ -14,7 +14,7 @@
 from scalebend.core.gateway.job_permits import JobPermits
 from scalebend.core.gateway.slow_start import (
     CEILING_BURST_S,
-    PERMIT_LIFETIME_S,
+    CEILING_PERMIT_LIFETIME_S,
     UNCOORDINATED_INTERVAL_S,
     SlowStarts,
     build_ceiling,
@@ -221,7 +221,7 @@
         # Less than one in a long time, so that the replica is found warm some day.
         assert ceiling.uncoordinated_fronts == 0
         return
-    window = 1.0 + PERMIT_LIFETIME_S
+    window = 1.0 + CEILING_PERMIT_LIFETIME_S
     burst = max(CEILING_BURST_S * ceiling.rate, 1.0)
     granted = ceiling.rate * window + burst + 1.0
     total = granted + 2 * ceiling.uncoordinated_fronts
@@ -255,8 +255,8 @@
     job = JobId("front-1-1")
     placement = Placement(UpstreamId("i-1"), "10.0.0.1:80", (), 0.2, start_in=0.1)
     permits.record(job, placement, 5.0)
-    assert permits.is_valid(job, 5.1 + PERMIT_LIFETIME_S)
-    assert not permits.is_valid(job, 5.2 + PERMIT_LIFETIME_S)
+    assert permits.is_valid(job, 5.1 + CEILING_PERMIT_LIFETIME_S)
+    assert not permits.is_valid(job, 5.2 + CEILING_PERMIT_LIFETIME_S)
     later = msgspec.structs.replace(placement, start_in=1.0)
     permits.record(job, later, 5.2)
     assert not permits.is_valid(job, 5.2)
--- a/tests/unit/gateway/test_slow_start_sending.py
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -5,7 +5,7 @@
 import pytest
 
 from scalebend.core.gateway.messages import FrontNumber, PlacementReply, SendPermitReply
-from scalebend.core.gateway.slow_start import PERMIT_LIFETIME_S
+from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
 from scalebend.models.placement import Declined, Helper, Placement
 from scalebend.models.slow_start import SlowStart
 from tests.lib.front import answer_sealed, run_front, serve
@@ -75,7 +75,7 @@
     assert b"scalebend_cold_attempts_total 1.0" in metrics
 
 
-@pytest.mark.parametrize("delay", [0.0, PERMIT_LIFETIME_S + 0.1])
+@pytest.mark.parametrize("delay", [0.0, CEILING_PERMIT_LIFETIME_S + 0.1])
 async def test_prompt_that_is_sent_late_needs_another_permit(delay):
     routing = build_documents(PROFILE)
     async with run_front(routing) as front:
