--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -18,7 +18,7 @@
     ControlAction,
     ToFront,
 )
-from scalebend.core.gateway.control_documents import ControlDocuments
+from scalebend.core.gateway.control_documents import ControlDocuments, DecodeRouting
 from scalebend.core.gateway.crash_exchange import CrashExchange
 from scalebend.core.gateway.ejection_push import EjectionPush
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
@@ -51,6 +51,7 @@
 )
 from scalebend.core.gateway.proposals import Proposals, read_proposal_reply
 from scalebend.core.gateway.route_table import RouteTable
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.gateway.upstream_exchange import DirectoryUpdates, UpstreamExchange
 from scalebend.core.messages import (
     FoundGroup,
@@ -67,6 +68,7 @@
     UpstreamOutcomes,
 )
 from scalebend.models.evacuations import EvacuationOrder
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import (
     AvailabilityZone,
     InstanceId,
@@ -105,12 +107,15 @@
         heartbeat_interval: float,
         *,
         now: float,
+        bounds: Bounds,
+        decode: DecodeRouting | None = None,
         availability_zone: AvailabilityZone | None = None,
     ) -> None:
         self.member = member
         self.upstreams = UpstreamExchange(heartbeat_interval)
         self.crashes = CrashExchange()
-        self.limits = LimitExchange()
+        starts = SlowStarts(self.directory, bounds)
+        self.limits = LimitExchange(starts)
         self.placement = LeaderPlacement(self.limits, now)
         self.evacuations = EvacuationPush(
             self.directory, availability_zone, heartbeat_interval
@@ -118,7 +123,7 @@
         self._ejections = EjectionPush()
 
         self._fronts: dict[InstanceId, None] = {}
-        self._documents = ControlDocuments(member.replica)
+        self._documents = ControlDocuments(member.replica, decode)
         self._catalogs = CatalogPush()
         self._relays: set[InstanceId] = set()
         self._heartbeat_at = now
@@ -129,6 +134,7 @@
         self._proposals = Proposals(member)
         self._documents.load(member.state.routing)
         self.evacuations.load(member.state.evacuations)
+        self.limits.apply_routing(self.routing)
 
     @property
     def me(self) -> InstanceId:
@@ -188,6 +194,7 @@
             else:
                 actions.append(action)
         if self._documents.load(self.member.state.routing):
+            self.limits.apply_routing(self.routing)
             actions += self._documents.push.push(now)
         if self.evacuations.load(self.member.state.evacuations):
             actions += self._send_heartbeats(now)
@@ -225,6 +232,8 @@
             actions += self._send_updates(self.upstreams.expire(now))
         actions += self._send_updates(self.upstreams.pop_due(now))
         actions += self._send_crashes(now)
+        if self.member.replica.compute_confirmed_at(now) is not None:
+            self.limits.update_slots(now)
         actions += self.limits.send_due(now, is_leader=self.is_leader)
         return actions
 
@@ -244,7 +253,7 @@
         """
         if not self.is_leader or self.placement.is_learning(now):
             return False
-        if not self.limits.has_limits:
+        if not self.limits.has_limits and not self.limits.starts.has_any:
             return True
         confirmed_at = self.member.replica.compute_confirmed_at(now)
         return confirmed_at is not None and now - confirmed_at <= GRANT_LEASE_S
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -47,6 +47,7 @@
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -101,7 +102,8 @@
         self.evacuations = HeldEvacuations(self.directory)
         self.balancer = ServiceBalancer()
         self._crashes = FrontCrashes(self.directory)
-        self.limits = FrontLimits(settings.instance, now)
+        starts = SlowStarts(self.directory, bounds)
+        self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
         self._draining: dict[UpstreamId, None] = {}
         """Upstreams that announced a drain in a response, kept for a later leader."""
@@ -173,6 +175,8 @@
 
     def remove_link(self, instance: InstanceId) -> None:
         """Remove a control instance whose link was lost."""
+        if instance == self.leader:
+            self.limits.end_leader()
         self._links.remove(instance)
 
     def handle(
@@ -190,6 +194,8 @@
             case RoutingUpdate():
                 return self._apply_routing(sender, message)
             case LeaseReply(asked_at, newest):
+                if sender == self.leader:
+                    self.limits.confirm_slot(asked_at)
                 held = self.table.routing.version
                 if not self.lease.confirm(asked_at, newest, held):
                     # The newer document may have been lost with a link.
@@ -270,6 +276,7 @@
             self.paths.adopt(status.degraded_paths, now)
         if not is_new_leader:
             return []
+        self.limits.end_leader()
         # The new leader detects outliers anew and publishes them.
         self.balancer.set_ejected(())
         self._links.record_leader_contact(now)
@@ -295,6 +302,7 @@
             newer = apply_update(base, update)
             if newer is not None:
                 self.table = RouteTable(newer)
+                self.limits.starts.apply(newer)
                 self.lease.record_document(newer.version)
                 logger.info(
                     "routing applied",
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -14,6 +14,7 @@
 
 from scalebend.core.gateway.control_actions import ToFront
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.front_slots import FrontSlots
 from scalebend.core.gateway.limited_placement import LimitedPlacement
 from scalebend.core.gateway.messages import (
     FrontNumber,
@@ -21,8 +22,10 @@
     SendPermitReply,
     SendPermitRequest,
 )
+from scalebend.core.gateway.slow_start import SlowStarts, build_no_slow_starts
+from scalebend.core.gateway.slow_start_budget import GrantedCeilings, SlowStartBudget
 from scalebend.core.rate_limits import RateLimits
-from scalebend.core.send_budget import LeaderShare, SendBudget
+from scalebend.core.send_budget import LeaderShare
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, Placement
@@ -31,7 +34,7 @@
     RateLimit,
     describe_rate,
 )
-from scalebend.models.routing import EngineProfile
+from scalebend.models.routing import EngineProfile, Routing
 
 logger = structlog.get_logger(__name__)
 
@@ -51,10 +54,14 @@
 class LimitExchange:
     """Rate limits known to one control instance, and its grants while it leads."""
 
-    def __init__(self) -> None:
+    def __init__(self, starts: SlowStarts | None = None) -> None:
         self.limits = RateLimits()
-        self.budget = SendBudget(self.limits, LeaderShare(1.0))
+        self.starts = starts or build_no_slow_starts()
+        ceilings = GrantedCeilings(self.starts, -math.inf)
+        self.ceilings = ceilings
+        self.budget = SlowStartBudget(self.limits, LeaderShare(1.0), ceilings)
         self.placement = LimitedPlacement(self.budget)
+        self._slots = FrontSlots()
         self._linked: dict[InstanceId, None] = {}
         self._lost: dict[InstanceId, float] = {}
         self._changed: dict[UpstreamId, RateLimit] = {}
@@ -68,12 +75,20 @@
         """Whether any upstream has a limit."""
         return self.limits.count_limited() > 0
 
+    def apply_routing(self, routing: Routing) -> None:
+        """Adopt the services of a routing document."""
+        had_starts = self.starts.has_any
+        self.starts.apply(routing)
+        if self.starts.has_any != had_starts:
+            self._has_new_positions = True
+
     # Fronts
 
     def add_front(self, front: InstanceId, now: float) -> None:
         """Count a front that was linked."""
         self._linked[front] = None
         self._lost.pop(front, None)
+        self._slots.record_change(now)
         self._update_share(now)
 
     def remove_front(self, front: InstanceId, now: float) -> None:
@@ -81,11 +96,19 @@
         if front in self._linked:
             del self._linked[front]
             self._lost[front] = now
+            self._slots.record_change(now)
             self._update_share(now)
 
     def start_term(self, now: float) -> None:
         """Begin to lead, without knowing what the previous leader granted."""
         self.budget.restart(now)
+        self._slots.restart(now)
+
+    def update_slots(self, now: float) -> None:
+        """List the slots of fronts, as a leader that a quorum confirmed."""
+        is_needed = self.starts.has_any
+        if self._slots.update(self._linked, self._lost, now, is_needed=is_needed):
+            self._has_new_positions = True
 
     def expire(self, now: float) -> None:
         """Release the shares of fronts that have been lost for long."""
@@ -144,7 +167,8 @@
         if not is_leader:
             self._changed.clear()
             return []
-        is_due = self._changed or (self._has_new_positions and self.has_limits)
+        needs_positions = self.has_limits or self.starts.has_any
+        is_due = self._changed or (self._has_new_positions and needs_positions)
         if not is_due or now < self._send_at:
             return []
         self._send_at = now + UPDATE_INTERVAL_S
@@ -164,8 +188,9 @@
     def _send_positions(self) -> list[ToFront]:
         self._has_new_positions = False
         fronts = len(self._linked) + len(self._lost)
+        slots = self._slots
         return [
-            ToFront(front, FrontNumber(fronts, number))
+            ToFront(front, FrontNumber(fronts, number, slots.count, slots.get(front)))
             for number, front in enumerate(self._linked)
         ]
 
@@ -191,9 +216,24 @@
         self, request: SendPermitRequest, now: float, *, may_grant: bool
     ) -> SendPermitReply:
         """Grant a send to one of the upstreams within the requested wait."""
+        asked = request.request_id
         if not may_grant:
             _, wait = self.budget.find_soonest(request.upstreams, now)
             # After the lease time it is known which instance leads.
-            return SendPermitReply(request.request_id, None, max(wait, GRANT_LEASE_S))
+            wait = max(wait, GRANT_LEASE_S) if math.isfinite(wait) else GRANT_LEASE_S
+            is_undecided = self._are_left_to_fronts(request.upstreams)
+            return SendPermitReply(asked, None, wait, is_undecided)
         upstream, wait = self.budget.grant(request.upstreams, request.timeout_s, now)
-        return SendPermitReply(request.request_id, upstream, wait)
+        is_undecided = (
+            upstream is None
+            and self._are_left_to_fronts(request.upstreams)
+            and self.ceilings.is_starting(None, now)
+        )
+        return SendPermitReply(asked, upstream, wait, is_undecided)
+
+    def _are_left_to_fronts(self, upstreams: Iterable[UpstreamId]) -> bool:
+        """Whether fronts have parts of their own: of ceilings, not of named limits."""
+        return all(
+            self.starts.get(one) is not None and not self.limits.is_limited(one)
+            for one in upstreams
+        )
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -190,6 +190,11 @@
 
     fronts: int
     number: int
+    slots: int = 0
+    """Number of slots of fronts; 0 if no service has a slow start."""
+
+    slot: int | None = None
+    """Slot of this front, see :mod:`scalebend.core.gateway.front_slots`."""
 
 
 class SendPermitRequest(msgspec.Struct, frozen=True, tag="SendQuestion"):
@@ -210,6 +215,8 @@
     request_id: SendPermitId = msgspec.field(name="question")
     upstream: UpstreamId | None
     wait: float
+    is_undecided: bool = False
+    """Whether the leader leaves it to the front: it may not grant yet, or no more."""
 
 
 class UncoordinatedSends(msgspec.Struct, frozen=True, tag="SentAlone"):
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -90,6 +90,8 @@
             settings.heartbeat_interval,
             now=self.now(),
             availability_zone=settings.availability_zone,
+            bounds=settings.bounds,
+            decode=decode_routing,
         )
         self.instance.upstreams.restore(read_upstreams(folder), self.now())
         self.instance.crashes.restore(read_crashes(folder), self.now())
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -207,6 +207,9 @@
                 yield _build_unavailable_target(placement, placement.upstream)
                 return
             placement = kept
+            if not await runtime.renew_send_permit(work, placement.upstreams):
+                yield _build_unavailable_target(placement, placement.upstream)
+                return
             async with contextlib.AsyncExitStack() as stack:
                 reservation = reserve_memory(runtime, work, placement)
                 try:
@@ -214,6 +217,10 @@
                 except HelperUnresponsiveError as error:
                     yield _build_unavailable_target(placement, error.upstream)
                     return
+                # The reservation may have taken longer than the permits count.
+                if not await runtime.renew_send_permit(work, placement.upstreams):
+                    yield _build_unavailable_target(placement, placement.upstream)
+                    return
                 self._inspection_timer = asyncio.get_running_loop().call_later(
                     compute_inspection_delay(
                         placement.first_token_in - placement.start_in
--- a/tests/unit/gateway/test_evacuation_calls.py
+++ b/tests/unit/gateway/test_evacuation_calls.py
@@ -11,6 +11,7 @@
 from scalebend.core.gateway.control_instance import ControlInstance
 from scalebend.edges.gateway.control_calls import ControlHandler
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, Term
 from tests.lib.front import serve
 
@@ -24,7 +25,7 @@
         recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
         member = ControlMember(ME, [LEADER], recovered, now=0.0)
         monkeypatch.setattr(ControlMember, "leader", LEADER)
-        self.instance = ControlInstance(member, 1.2, now=0.0)
+        self.instance = ControlInstance(member, 1.2, now=0.0, bounds=Bounds())
         monkeypatch.setattr(ControlInstance, "is_leader", property(self._get_leads))
         self.leads = False
         # The group, as a follower knows it.
