Bound attempts that reached no engine by time, and inspect a group before the next try

Cause, from a trace that names the same replicas as the known failure: an inspection names all crashed replicas of the group that was placed, and the ports are closed, but the next group has a new member in the place of each, which may have crashed, too. Six such placements take some 30 ms and used up MAX_UNSENT.

Change: more than six unsent attempts are allowed in half of the time that was left at the first of them; after a failure, the next group is inspected before it is sent to.

The new tests fail without the change each time (count: plain service, group, decision; budget: group with one allowed retry). The test of the known failure now finds its closed ports after the engines listen: in one run an engine had taken one of them ("address taken over"). All dead replicas are now different, so it is no less strict.

--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -13,9 +13,17 @@
 """Upstreams that may reject a request without running it; trying more would only delay
 the caller's own retry."""
 
-MAX_UNSENT = 6
+FREE_UNSENT = 6
 """Placements of a request that may fail because a replica could not be reached, from
-here or from the lead replica."""
+here or from the lead replica, however long they took."""
+
+UNSENT_SHARE = 0.5
+"""Share of the time left at the first of these failures in which more are allowed:
+replicas crash together, and each new placement may draw another of them. The rest is
+for the caller's own retry, which may meet a front that knows more."""
+
+MAX_UNSENT = 24
+"""Bound on these placements where they fail at once: each of them asks the leader."""
 
 MIN_REMAINING_S = 0.05
 """Minimum time before the deadline for a new attempt: less would only add load."""
@@ -40,6 +48,9 @@
     def __init__(self, call: Call) -> None:
         self._call = call
         self._unsent = 0
+        self._unsent_until = 0.0
+        """Time until which more than ``FREE_UNSENT`` attempts may remain unsent."""
+
         self._rejections = 0
         self.runs = 0
         """Number of attempts that ran, or may have run."""
@@ -68,12 +79,10 @@
         self.excluded.add(upstream)
         match outcome:
             case Outcome.NOT_SENT | Outcome.WITHDRAWN:
-                self._unsent += 1
-                is_allowed = self._unsent < MAX_UNSENT
+                is_allowed = self._count_unsent(now)
                 return self._retry_or_refuse(is_allowed, retries, now, is_sent=False)
             case Outcome.REJECTED if is_helper:
-                self._unsent += 1
-                is_allowed = self._unsent < MAX_UNSENT
+                is_allowed = self._count_unsent(now)
                 return self._retry_or_refuse(is_allowed, retries, now)
             case Outcome.REJECTED:
                 self._rejections += 1
@@ -97,6 +106,15 @@
             return GiveUp(ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN)
         return GiveUp(kind, Ran.NO)
 
+    def _count_unsent(self, now: float) -> bool:
+        """Count an attempt that reached no engine; return whether another may start."""
+        if self._unsent == 0:
+            self._unsent_until = now + UNSENT_SHARE * (self._call.deadline - now)
+        self._unsent += 1
+        if self._unsent < FREE_UNSENT:
+            return True
+        return self._unsent < MAX_UNSENT and now < self._unsent_until
+
     def _retry_or_refuse(
         self,
         is_allowed: bool,
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -90,6 +90,9 @@
         self._call = call
         self._excluded = excluded
         self._inspection_timer: asyncio.TimerHandle | None = None
+        self._has_met_unavailable = False
+        """Whether a replica of an earlier group was unavailable."""
+
         self.load: ReportedLoad | None = None
         """The load that the chosen upstream reported in its response."""
 
@@ -106,8 +109,13 @@
         a long prompt would use up its attempts.
         """
         if target.placement is not None and target.placement.helpers:
-            unresponsive = await self._runtime.inspect(target.placement)
-            self._excluded.update(unresponsive)
+            self._has_met_unavailable = True
+            await self._inspect(target.placement)
+
+    async def _inspect(self, placement: Placement) -> list[UpstreamId]:
+        unresponsive = await self._runtime.inspect(placement)
+        self._excluded.update(unresponsive)
+        return unresponsive
 
     def record_first_token(self, target: Target) -> None:
         """Record the first event of a stream."""
@@ -201,6 +209,13 @@
                 yield _build_unavailable_target(placement, placement.upstream)
                 return
             placement = kept
+            if self._has_met_unavailable and placement.helpers:
+                # A new member may have crashed, too. The lead replica would find it at
+                # the cost of a retry.
+                unresponsive = await self._inspect(placement)
+                if unresponsive:
+                    yield _build_unavailable_target(placement, unresponsive[0])
+                    return
             async with contextlib.AsyncExitStack() as stack:
                 reservation = reserve_memory(runtime, work, placement)
                 try:
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -1,6 +1,14 @@
+import pytest
 from hypothesis import given, strategies as st
 
-from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
+from scalebend.core.gateway.attempts import (
+    FREE_UNSENT,
+    MAX_UNSENT,
+    UNSENT_SHARE,
+    Attempts,
+    GiveUp,
+    TryAgain,
+)
 from scalebend.core.gateway.retry_window import RetryWindow
 from scalebend.exceptions import ErrorKind, Ran
 from scalebend.models.calls import Outcome
@@ -105,3 +113,52 @@
     decision = attempts.decide(Outcome.WITHDRAWN, "i-1", build_budget(0.0), 0.0)
     assert decision == TryAgain()
     assert not attempts.may_have_run
+
+
+def count_unsent(outcome, interval, *, is_helper=False):
+    """Number of attempts, ``interval`` seconds apart, until the call is refused."""
+    attempts = Attempts(build_call(deadline=10.0))
+    budget = build_budget()
+    for number in range(200):
+        decision = attempts.decide(
+            outcome, f"i-{number}", budget, number * interval, is_helper=is_helper
+        )
+        if isinstance(decision, GiveUp):
+            assert decision == GiveUp(ErrorKind.OVERLOADED, Ran.NO)
+            return number + 1
+    raise AssertionError("the call never ends")
+
+
+UNSENT = [
+    (Outcome.NOT_SENT, False),
+    (Outcome.WITHDRAWN, False),
+    (Outcome.REJECTED, True),
+]
+
+
+@pytest.mark.parametrize(("outcome", "is_helper"), UNSENT)
+def test_crashed_replicas_that_are_found_quickly_do_not_use_up_a_call(
+    outcome, is_helper
+):
+    # Each attempt draws one more replica of those that crashed together.
+    assert count_unsent(outcome, 0.01, is_helper=is_helper) == MAX_UNSENT
+
+
+@pytest.mark.parametrize(("outcome", "is_helper"), UNSENT)
+def test_unsent_attempts_leave_time_for_the_retry_of_the_caller(outcome, is_helper):
+    used = count_unsent(outcome, 0.5, is_helper=is_helper)
+    assert FREE_UNSENT < used < MAX_UNSENT
+    assert (used - 2) * 0.5 < UNSENT_SHARE * 10.0 <= (used - 1) * 0.5
+
+
+@pytest.mark.parametrize(("outcome", "is_helper"), UNSENT)
+def test_few_unsent_attempts_are_allowed_however_long_they_took(outcome, is_helper):
+    assert count_unsent(outcome, 1.5, is_helper=is_helper) == FREE_UNSENT
+
+
+def test_time_before_the_first_unsent_attempt_does_not_count():
+    attempts = Attempts(build_call(deadline=10.0))
+    for number in range(FREE_UNSENT + 1):
+        now = 8.0 + 0.1 * number
+        decision = attempts.decide(Outcome.NOT_SENT, f"i-{number}", build_budget(), now)
+        assert decision == TryAgain()
--- a/tests/unit/gateway/test_lost_replicas.py
+++ b/tests/unit/gateway/test_lost_replicas.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import time
+from contextlib import AsyncExitStack
 
 import pytest
 from aiohttp import web
 
 from scalebend.core.gateway.messages import EndpointChanges
+from scalebend.core.gateway.retry_window import USED_SHARE, RetryWindow
 from scalebend.models.endpoints import EndpointUpdate, build_upstream_id
 from scalebend.models.routing import RouteKind
 from tests.lib.front import (
@@ -85,6 +87,18 @@
         assert seen[lost.upstream].failed >= 1
 
 
+async def test_request_is_served_though_many_replicas_crashed_one_by_one():
+    # The crashed ones are idle, so all of them are tried before the busy one.
+    async with run_front(build_plain()) as front, serve(answer_sealed) as good:
+        for number in range(1, 11):
+            front.add(number, find_closed_port())
+        busy = front.add(11, good)
+        for _ in range(4):
+            front.runtime.instance.balancer.record_sent(busy.upstream)
+        async with front.call() as response:
+            assert (response.status, await response.read()) == (200, b"done")
+
+
 def build_engines():
     route = build_route(
         kind=RouteKind.STREAMING,
@@ -128,7 +142,7 @@
 @pytest.mark.parametrize("dead", [1, 5, 9])
 async def test_long_prompt_is_read_though_several_of_its_group_crashed(dead):
     # A prefill group takes most of these replicas, so it meets several crashed ones.
-    closed = {find_closed_port() for _ in range(dead)}
+    closed = set()
     async with run_front(build_engines()) as front:
         alive = [Engine(closed.__contains__) for _ in range(24 - dead)]
         async with asyncio.TaskGroup() as group:
@@ -142,6 +156,9 @@
             for engine in alive:
                 group.create_task(run(engine))
             await wait_for(lambda: all(engine.address for engine in alive))
+            # Only now: else an engine may listen on a port that was found closed.
+            while len(closed) < dead:
+                closed.add(find_closed_port())
             addresses = [*closed, *(engine.address for engine in alive)]
             for number, address in enumerate(sorted(addresses), 1):
                 front.add(number, address)
@@ -155,6 +172,34 @@
         assert sum(engine.ran for engine in alive) == 2
 
 
+@pytest.mark.parametrize("allowed_retries", [1, 50])
+async def test_group_that_keeps_drawing_crashed_replicas_needs_one_retry(
+    allowed_retries,
+):
+    # Without load, replicas are taken in a fixed order: these are the first lead
+    # replica and those that take its place and each other's.
+    crashed = [24, 15, 19, 21, 23, 6]
+    closed = set()
+    async with run_front(build_engines()) as front, AsyncExitStack() as stack:
+        retries = RetryWindow(0.0, allowed_retries / USED_SHARE, 10.0)
+        retries.update_front_count(1, front.runtime.now() - 10.0)
+        front.runtime.instance.retries = retries
+        alive = {}
+        for number in set(range(1, 25)).difference(crashed):
+            engine = alive[number] = Engine(closed.__contains__)
+            engine.address = await stack.enter_async_context(serve(engine.handle))
+        while len(closed) < len(crashed):
+            closed.add(find_closed_port())
+        addresses = dict(zip(crashed, closed, strict=True))
+        addresses |= {number: engine.address for number, engine in alive.items()}
+        for number in sorted(addresses):
+            front.add(number, addresses[number])
+        async with front.call(prompt=400_000) as response:
+            assert response.status == 200, await response.text()
+            await response.read()
+    assert sum(engine.ran for engine in alive.values()) == 1
+
+
 async def test_replicas_that_drop_packets_are_found_within_the_connection_timeout():
     with drop_connections() as first, drop_connections() as second:
         async with run_front(build_engines()) as front, serve(answer_sealed) as good:
