Report a request that had no connection as not sent, whichever timer runs first

Cause: whether a request was sent was inferred from the connection's time-out ending before the deadline. Where the timer of the deadline ran first, a request to a replica that drops packets was reported as possibly run (504, `unknown`); likewise after a restart of that replica (502) and at the time-out of the first byte.

Change: the sessions report a connection, new or pooled, before the first byte is written. Without one the outcome is `not sent`, or `left` after a restart.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -246,7 +246,9 @@
             except aiohttp.ClientConnectorError as error:
                 return _AttemptResult(Outcome.NOT_SENT, detail=str(error))
             except UnresponsiveError:
-                return _AttemptResult(Outcome.UNRESPONSIVE)
+                if running.has_connection:
+                    return _AttemptResult(Outcome.UNRESPONSIVE)
+                return _AttemptResult(Outcome.NOT_SENT, detail="no connection")
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.timeout.expired():
                     detail = f"{type(error).__name__}: {error}"
@@ -257,8 +259,15 @@
                         is_connection_lost=is_connection_lost,
                     )
             if running.restarted_upstream is None:
-                return _AttemptResult(Outcome.TIMED_OUT)
+                if running.has_connection:
+                    return _AttemptResult(Outcome.TIMED_OUT)
+                detail = "no connection before the deadline"
+                return _AttemptResult(Outcome.NOT_SENT, detail=detail)
             detail = f"{running.restarted_upstream} started again"
+            if not running.has_connection:
+                return _AttemptResult(
+                    Outcome.WITHDRAWN, detail=detail, faulty=running.restarted_upstream
+                )
             return _AttemptResult(
                 Outcome.INTERRUPTED,
                 detail=detail,
@@ -281,6 +290,7 @@
             data=self._body or None,
             allow_redirects=False,
             timeout=build_timeout(call.deadline - self._runtime.now()),
+            trace_request_ctx=running.record_connection,
         )
         limit = self._record_sent(target)
         response = await self._wait_for_head(target, sending, read_timeout)
--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -28,6 +28,13 @@
         self.restarted_upstream: UpstreamId | None = None
         """The upstream whose restart ended the attempt."""
 
+        self.has_connection = False
+        """Whether the request had a connection: without one, it was not sent."""
+
+    def record_connection(self) -> None:
+        """Record that the request gets a connection, before anything is written."""
+        self.has_connection = True
+
     def keep_only(self, upstreams: Iterable[UpstreamId]) -> None:
         """Keep only the upstreams that the rest of the response depends on."""
         self.upstreams.intersection_update(upstreams)
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -14,6 +14,7 @@
 import math
 import socket
 from collections.abc import AsyncIterator
+from types import SimpleNamespace
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -25,7 +26,7 @@
 
 CONNECT_SHARE = 0.9
 """Share of the remaining time that a connection may take: its timeout comes before the
-deadline, so that an unsent request is never taken for one that may have run."""
+deadline, which leaves time to try another replica or to refuse the request."""
 
 IDLE_TIMEOUT_S = 4.0
 """Shorter than the idle timeout of the upstreams."""
@@ -120,6 +121,25 @@
     return aiohttp.ClientTimeout(total=total, sock_connect=connect)
 
 
+async def _report_connection(
+    session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+) -> None:
+    on_connection = context.trace_request_ctx
+    if on_connection is not None:
+        on_connection()
+
+
+def _build_trace() -> aiohttp.TraceConfig:
+    """Call the ``trace_request_ctx`` of a request, if any, once it has a connection.
+
+    The library does so before it writes: what had no connection was never sent.
+    """
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(_report_connection)
+    trace.on_connection_reuseconn.append(_report_connection)
+    return trace
+
+
 def _build_session(*, force_close: bool) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
         connector=_StrictConnector(force_close=force_close),
@@ -129,6 +149,7 @@
         timeout=build_timeout(math.inf),
         max_line_size=32 * 1024,
         max_field_size=32 * 1024,
+        trace_configs=[_build_trace()],
     )
     # The route and the retry budget decide on retries, never the library.
     session._retry_connection = False
--- a/tests/unit/gateway/test_lost_replicas.py
+++ b/tests/unit/gateway/test_lost_replicas.py
@@ -13,6 +13,7 @@
 
 from scalebend.core.gateway.messages import EndpointChanges
 from scalebend.core.gateway.retry_window import USED_SHARE, RetryWindow
+from scalebend.edges.gateway import upstream_client
 from scalebend.models.endpoints import EndpointUpdate, build_upstream_id
 from scalebend.models.routing import RouteKind
 from tests.lib.front import (
@@ -62,6 +63,54 @@
                 assert (response.status, document["ran"]) == (503, "no")
 
 
+@pytest.mark.parametrize("kind", [RouteKind.IDEMPOTENT, RouteKind.NON_IDEMPOTENT])
+async def test_unsent_request_has_not_run_though_its_deadline_comes_first(
+    kind, monkeypatch
+):
+    # The timer of the deadline runs before that of the connection.
+    monkeypatch.setattr(upstream_client, "CONNECT_SHARE", 10.0)
+    with drop_connections() as dropped:
+        async with run_front(build_plain(kind)) as front:
+            front.add(1, dropped)
+            async with front.call(wait=0.07) as response:
+                document = await response.json(content_type=None)
+            assert (response.status, document["ran"]) == (503, "no")
+
+
+async def test_unsent_request_goes_to_the_next_incarnation(monkeypatch):
+    monkeypatch.setattr(upstream_client, "CONNECT_TIMEOUT_S", 5.0)
+    routing = build_plain(RouteKind.NON_IDEMPOTENT)
+    with drop_connections() as dropped:
+        async with run_front(routing) as front, serve(answer_sealed) as after:
+            register(front, build_incarnation(1_000, dropped))
+            pending = asyncio.create_task(front.call(wait=8.0).__aenter__())
+            await wait_for(lambda: front.runtime.attempts._attempts)
+            began = time.monotonic()
+            register(front, build_incarnation(2_000, after))
+            async with await pending as response:
+                assert (response.status, await response.read()) == (200, b"done")
+            assert time.monotonic() - began < 1.0
+
+
+async def test_request_on_a_pooled_connection_may_have_run_at_its_deadline():
+    ports = []
+
+    async def hang_at_second(request):
+        ports.append(request.transport.get_extra_info("peername")[1])
+        if len(ports) > 1:
+            await asyncio.Event().wait()
+        return await answer_sealed(request)
+
+    async with run_front(build_plain()) as front, serve(hang_at_second) as address:
+        front.add(1, address)
+        async with front.call() as response:
+            assert response.status == 200
+        async with front.call(wait=0.3) as response:
+            document = await response.json(content_type=None)
+        assert ports[0] == ports[1]
+        assert (response.status, document["ran"]) == (504, "unknown")
+
+
 async def test_request_that_was_sent_may_have_run_at_its_deadline():
     async def hang(request):
         await asyncio.Event().wait()
