--- a/src/scalebend/core/control_state.py
+++ b/src/scalebend/core/control_state.py
@@ -18,16 +18,23 @@
     Settle,
     Withdraw,
 )
+from scalebend.core.evacuations import add_zones, apply_order
 from scalebend.models.configuration import (
     EMPTY_CONFIGURATION,
     AcceptedConfiguration,
     ConfigurationChange,
 )
+from scalebend.models.evacuations import (
+    NO_EVACUATIONS,
+    EvacuationOrder,
+    Evacuations,
+)
 from scalebend.models.ids import (
     AvailabilityZone,
     ChangeId,
     ConfigurationVersion,
     Epoch,
+    EvacuationRevision,
     InstanceId,
     Region,
     RoutingVersion,
@@ -85,7 +92,16 @@
 
 
 class Barrier(msgspec.Struct, frozen=True, tag=True):
-    """Command without effect; its commit proves that a quorum was reached."""
+    """Command that carries an evacuation order or known zones, or has no effect.
+
+    The commit of one without effect proves that a quorum was reached. The order is a
+    field of this command since members of an earlier version, which could not decode
+    an unknown one, ignore the field.
+    """
+
+    evacuation: EvacuationOrder | None = None
+    zones: tuple[AvailabilityZone, ...] = ()
+    """Zones to remember as known, named by upstreams or settings."""
 
 
 Command = (
@@ -119,8 +135,21 @@
     version: RoutingVersion
 
 
+class EvacuationResult(msgspec.Struct, frozen=True, tag=True):
+    """Result: revision of the evacuations that are stored now."""
+
+    revision: EvacuationRevision
+
+
 Result = (
-    Accepted | Conflict | Done | RoutingResult | ClaimTaken | ClaimKnown | ClaimConflict
+    Accepted
+    | Conflict
+    | Done
+    | RoutingResult
+    | ClaimTaken
+    | ClaimKnown
+    | ClaimConflict
+    | EvacuationResult
 )
 
 
@@ -133,6 +162,8 @@
     claims: list[ClaimRecord]
     clock: float
     routing: StoredRouting | None = None
+    evacuations: Evacuations = NO_EVACUATIONS
+    zones: tuple[AvailabilityZone, ...] = ()
 
 
 class ControlState:
@@ -142,6 +173,10 @@
         self.configuration = EMPTY_CONFIGURATION
         self.instances = EMPTY_LIST
         self.routing: StoredRouting | None = None
+        self.evacuations = NO_EVACUATIONS
+        self.zones: tuple[AvailabilityZone, ...] = ()
+        """Availability zones that orders may name, the newest last."""
+
         self.claims = ClaimTable()
         self._changes: dict[ChangeId, ConfigurationVersion] = {}
         self._clock = 0.0
@@ -157,8 +192,12 @@
                 self._set_instances(command)
             case PutRouting(routing):
                 return self._put_routing(routing)
-            case Barrier():
-                pass
+            case Barrier(EvacuationOrder() as order):
+                self.zones = add_zones(self.zones, [order.availability_zone])
+                self.evacuations = apply_order(self.evacuations, order, at)
+                return EvacuationResult(self.evacuations.revision)
+            case Barrier(zones=zones):
+                self.zones = add_zones(self.zones, zones)
             case Claim() | Settle() | Withdraw():
                 return self.claims.apply(command, self._clock)
         return Done(self.configuration.version, self.instances.epoch)
@@ -172,6 +211,8 @@
             self.claims.export(),
             self._clock,
             self.routing,
+            self.evacuations,
+            self.zones,
         )
         return msgspec.msgpack.encode(stored)
 
@@ -184,6 +225,8 @@
         self._changes = stored.changes
         self._clock = stored.clock
         self.routing = stored.routing
+        self.evacuations = stored.evacuations
+        self.zones = stored.zones
 
     def _apply_change(self, change: ConfigurationChange) -> Result:
         known = self._changes.get(change.change)
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -7,22 +7,23 @@
 
 from __future__ import annotations
 
+import msgspec
 import structlog
 
 from scalebend.core.consensus.messages import ConsensusMessage, Ready
 from scalebend.core.control_member import ControlMember, ToInstance
-from scalebend.core.control_state import PutRouting, RoutingResult, encode_command
+from scalebend.core.control_state import Barrier, PutRouting
 from scalebend.core.gateway.catalog_push import CatalogPush
 from scalebend.core.gateway.control_actions import (
     ControlAction,
-    ProposalEnded,
     ToFront,
 )
-from scalebend.core.gateway.control_documents import ControlDocuments
+from scalebend.core.gateway.control_documents import ControlDocuments, DecodeRouting
 from scalebend.core.gateway.crash_exchange import CrashExchange
 from scalebend.core.gateway.ejection_push import EjectionPush
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.evacuation_push import EvacuationPush
 from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.limit_exchange import GRANT_LEASE_S, LimitExchange
 from scalebend.core.gateway.messages import (
@@ -48,7 +49,9 @@
     Subscribe,
     UncoordinatedSends,
 )
+from scalebend.core.gateway.proposals import Proposals, read_proposal_reply
 from scalebend.core.gateway.route_table import RouteTable
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.gateway.upstream_exchange import DirectoryUpdates, UpstreamExchange
 from scalebend.core.messages import (
     FoundGroup,
@@ -56,7 +59,6 @@
     HelloReply,
     Join,
     ProposalReply,
-    Propose,
     RelayReply,
 )
 from scalebend.exceptions import ErrorKind, RequestError
@@ -65,7 +67,15 @@
     Endpoint,
     UpstreamOutcomes,
 )
-from scalebend.models.ids import InstanceId, ServiceName, UpstreamId, UpstreamName
+from scalebend.models.evacuations import EvacuationOrder
+from scalebend.models.gateway_settings import Bounds
+from scalebend.models.ids import (
+    AvailabilityZone,
+    InstanceId,
+    ServiceName,
+    UpstreamId,
+    UpstreamName,
+)
 from scalebend.models.placement import (
     EngineWork,
     ReplicaPace,
@@ -93,17 +103,28 @@
     """State and decisions of one control instance, without I/O."""
 
     def __init__(
-        self, member: ControlMember, heartbeat_interval: float, *, now: float
+        self,
+        member: ControlMember,
+        heartbeat_interval: float,
+        *,
+        now: float,
+        bounds: Bounds,
+        decode: DecodeRouting | None = None,
+        availability_zone: AvailabilityZone | None = None,
     ) -> None:
         self.member = member
         self.upstreams = UpstreamExchange(heartbeat_interval)
         self.crashes = CrashExchange()
-        self.limits = LimitExchange()
+        starts = SlowStarts(self.directory, bounds)
+        self.limits = LimitExchange(starts)
         self.placement = LeaderPlacement(self.limits, now)
+        self.evacuations = EvacuationPush(
+            self.directory, availability_zone, heartbeat_interval
+        )
         self._ejections = EjectionPush()
 
         self._fronts: dict[InstanceId, None] = {}
-        self._documents = ControlDocuments(member.replica)
+        self._documents = ControlDocuments(member.replica, decode)
         self._catalogs = CatalogPush()
         self._relays: set[InstanceId] = set()
         self._heartbeat_at = now
@@ -111,8 +132,10 @@
         self._expire_at = now
         self._leader: InstanceId | None = None
         self._was_leader = False
-        self._proposals = 0
+        self._proposals = Proposals(member)
         self._documents.load(member.state.routing)
+        self.evacuations.load(member.state.evacuations)
+        self.limits.apply_routing(self.routing)
 
     @property
     def me(self) -> InstanceId:
@@ -168,11 +191,14 @@
         actions: list[ControlAction] = []
         for action in self.member.finish(ready, now):
             if isinstance(action.message, ProposalReply):
-                actions.append(_read_proposal_reply(action.message))
+                actions.append(read_proposal_reply(action.message))
             else:
                 actions.append(action)
         if self._documents.load(self.member.state.routing):
+            self.limits.apply_routing(self.routing)
             actions += self._documents.push.push(now)
+        if self.evacuations.load(self.member.state.evacuations):
+            actions += self._send_heartbeats(now)
         return actions
 
     def advance(self, now: float) -> list[ControlAction]:
@@ -183,15 +209,14 @@
         if self.member.leader != self._leader or now >= self._heartbeat_at:
             self._leader = self.member.leader
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
-            heartbeat = self._build_heartbeat(now)
-            actions += [
-                ToFront(one, heartbeat) for one in (*self._fronts, *self._relays)
-            ]
+            actions += self._send_heartbeats(now)
             self.scheduler.expire(now)
             self.placement.queue.expire(now)
             self._ejections.expire(now)
             self.crashes.ledger.expire(now)
             self.limits.expire(now)
+        self._list_zones(now)
+        self.placement.paths.advance(now)
         if self.is_leader and now >= self._summary_at:
             self._summary_at = now + SUMMARY_INTERVAL_S
             self.placement.log_summary(len(self._fronts), now)
@@ -209,6 +234,8 @@
             actions += self._send_updates(self.upstreams.expire(now))
         actions += self._send_updates(self.upstreams.pop_due(now))
         actions += self._send_crashes(now)
+        if self.member.replica.compute_confirmed_at(now) is not None:
+            self.limits.update_slots(now)
         actions += self.limits.send_due(now, is_leader=self.is_leader)
         return actions + self._release_queued(now)
 
@@ -228,7 +255,7 @@
         """
         if not self.is_leader or self.placement.is_learning(now):
             return False
-        if not self.limits.has_limits:
+        if not self.limits.has_limits and not self.limits.starts.has_any:
             return True
         confirmed_at = self.member.replica.compute_confirmed_at(now)
         return confirmed_at is not None and now - confirmed_at <= GRANT_LEASE_S
@@ -295,6 +322,7 @@
             case ReplicaPaces(paces):
                 self.placement.record_inspection(paces, [], now)
             case AttemptOutcomes(outcomes):
+                self.placement.paths.record(front, message.paths, now)
                 return self._record_outcomes(outcomes, now)
             case CrashUpdates():
                 self.crashes.receive(message, now)
@@ -341,6 +369,10 @@
     def _list_peers(self) -> list[InstanceId]:
         return [one for one in self._list_instances() if one != self.me]
 
+    def _send_heartbeats(self, now: float) -> list[ControlAction]:
+        heartbeat = self._build_heartbeat(now)
+        return [ToFront(one, heartbeat) for one in (*self._fronts, *self._relays)]
+
     def _build_heartbeat(self, now: float) -> ControlStatus:
         return ControlStatus(
             self._list_instances(),
@@ -348,6 +380,8 @@
             self.member.replica.term,
             len(self._fronts),
             self.scheduler.list_busy(now, MAX_BUSY_REPLICAS) if self.is_leader else [],
+            self.evacuations.get_published(),
+            self.placement.paths.health.list_avoided_paths() if self.is_leader else [],
         )
 
     # Upstreams
@@ -438,11 +472,30 @@
 
     def propose_routing(self, stored: StoredRouting, now: float, at: float) -> str:
         """As leader, propose a document; :class:`ProposalEnded` returns the result."""
-        self._proposals += 1
-        name = f"routing/{self._proposals}"
-        command = encode_command(PutRouting(stored))
-        self.member.handle(self.me, Propose(name, command), now, at)
-        return name
+        return self._proposals.propose(PutRouting(stored), now, at)
+
+    def propose_evacuation(self, order: EvacuationOrder, now: float, at: float) -> str:
+        """As leader, propose an order; :class:`ProposalEnded` returns the result.
+
+        Raises the errors of :meth:`EvacuationPush.check`.
+        """
+        listed = self.member.state.zones
+        self.evacuations.check(order, self._list_instances(), listed, now)
+        held = self.evacuations.newest.revision
+        order = msgspec.structs.replace(order, held=held)
+        return self._proposals.propose(Barrier(order), now, at)
+
+    def check_evacuation_members(self) -> None:
+        """Raise the error of :meth:`EvacuationPush.check_members`, also as follower."""
+        self.evacuations.check_members(self._list_instances())
+
+    def _list_zones(self, now: float) -> None:
+        """As leader, add zones that are new here to those in the log."""
+        confirmed_at = self.member.replica.compute_confirmed_at(now)
+        self.evacuations.record_lead(is_confirmed=confirmed_at is not None, now=now)
+        if zones := self.evacuations.list_unlisted(self.member.state.zones, now):
+            # Without a wall clock: the entry leaves the state's clock as it is.
+            self._proposals.propose(Barrier(zones=zones), now, 0.0)
 
     def request_fresh_read(self, now: float) -> int:
         """Request a confirmed read; :class:`ReadConfirmed` names the returned id."""
@@ -476,9 +529,3 @@
             for front in self._fronts
             if is_job_of(front, reply.job)
         ]
-
-
-def _read_proposal_reply(reply: ProposalReply) -> ProposalEnded:
-    result = reply.result
-    held = result.version if isinstance(result, RoutingResult) else None
-    return ProposalEnded(reply.proposal, held)
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -19,13 +19,20 @@
 import msgspec
 import structlog
 
+from scalebend.core.evacuations import MAX_ZONES
+from scalebend.core.gateway.cold_reports import ColdReports
 from scalebend.models.endpoints import (
     Deregistration,
     Endpoint,
     EndpointUpdate,
     build_upstream_id,
 )
-from scalebend.models.ids import ServiceName, UpstreamId, UpstreamName
+from scalebend.models.ids import (
+    AvailabilityZone,
+    ServiceName,
+    UpstreamId,
+    UpstreamName,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -71,6 +78,13 @@
         self._usable: dict[ServiceName, tuple[Endpoint, ...]] = {}
         """Cache of :meth:`list_usable`, until the upstreams of a service change."""
 
+        self.zones: set[AvailabilityZone] = set()
+        """Zones of all upstreams ever known, also of those that are forgotten."""
+
+        self._evacuated: frozenset[AvailabilityZone] = frozenset()
+        self.cold = ColdReports()
+        """Which upstreams stated that they are cold, and for how long."""
+
     def get(self, upstream: UpstreamId) -> Endpoint | None:
         """Return the endpoint, or ``None`` if it is unknown or gone."""
         known = self._known.get(upstream)
@@ -79,7 +93,25 @@
     def is_usable(self, upstream: UpstreamId) -> bool:
         """Whether new requests may be sent to the upstream."""
         endpoint = self.get(upstream)
-        return endpoint is not None and not endpoint.is_draining
+        if endpoint is None or endpoint.is_draining:
+            return False
+        return endpoint.availability_zone not in self._evacuated
+
+    def set_evacuated(self, zones: frozenset[AvailabilityZone]) -> None:
+        """Replace the zones whose upstreams get no new requests."""
+        self._evacuated = zones
+        self._usable.clear()
+
+    def is_evacuated(self, service: ServiceName) -> bool:
+        """Whether only the evacuation of zones keeps a service from new requests."""
+        return not self.list_usable(service) and bool(self._by_service.get(service))
+
+    def has_zone(self, zone: AvailabilityZone) -> bool:
+        """Whether any upstream was in the zone, also if :attr:`zones` is full."""
+        return zone in self.zones or any(
+            not known.is_gone and known.endpoint.availability_zone == zone
+            for known in self._known.values()
+        )
 
     def is_lost(self, upstream: UpstreamId) -> bool:
         """Whether the upstream is gone without having announced that it drains."""
@@ -97,7 +129,11 @@
         """
         usable = self._usable.get(service)
         if usable is None:
-            usable = tuple(self._by_service.get(service, {}).values())
+            usable = tuple(
+                endpoint
+                for endpoint in self._by_service.get(service, {}).values()
+                if endpoint.availability_zone not in self._evacuated
+            )
             self._usable[service] = usable
         return usable
 
@@ -130,6 +166,7 @@
         if known is None:
             self._start_incarnation(endpoint, now)
             self._known[endpoint.upstream] = _Known(endpoint, now)
+            self.cold.record(endpoint, now)
             self._assign_address(endpoint)
             return self._publish(endpoint, is_gone=False)
         if known.takeover_registrations is not None and not self._regains_address(
@@ -148,9 +185,10 @@
             return None
         is_draining = known.endpoint.is_draining or endpoint.is_draining
         merged = msgspec.structs.replace(endpoint, is_draining=is_draining)
-        has_changed = has_timed_out or not _is_same_but_for_sequence(
-            merged, known.endpoint
-        )
+        is_newer = endpoint.sequence > known.endpoint.sequence
+        has_cold_changed = is_newer and self.cold.record(endpoint, now)
+        is_same = _is_same_but_for_sequence(merged, known.endpoint)
+        has_changed = has_timed_out or has_cold_changed or not is_same
         known.endpoint = merged
         known.is_gone = False
         return self._publish(merged, is_gone=False) if has_changed else None
@@ -261,6 +299,7 @@
         if known is None:
             self._start_incarnation(update.endpoint, now)
             self._known[upstream] = _Known(update.endpoint, now, is_gone=True)
+            self._record_zone(update.endpoint)
             return update
         if update.endpoint.is_draining:
             return self.remove(upstream, now)
@@ -290,12 +329,14 @@
         ]
         for upstream in old:
             endpoint = self._known.pop(upstream).endpoint
+            self.cold.forget(upstream)
             if self._by_address.get(endpoint.address) == upstream:
                 del self._by_address[endpoint.address]
             if self._newest.get(endpoint.name) == upstream:
                 del self._newest[endpoint.name]
 
     def _publish(self, endpoint: Endpoint, *, is_gone: bool) -> EndpointUpdate:
+        self._record_zone(endpoint)
         self._usable.pop(endpoint.service, None)
         usable = self._by_service.setdefault(endpoint.service, {})
         if is_gone or endpoint.is_draining:
@@ -304,7 +345,12 @@
             usable[endpoint.upstream] = endpoint
         return EndpointUpdate(endpoint, is_gone)
 
+    def _record_zone(self, endpoint: Endpoint) -> None:
+        if len(self.zones) < MAX_ZONES:
+            self.zones.add(endpoint.availability_zone)
+
 
 def _is_same_but_for_sequence(one: Endpoint, other: Endpoint) -> bool:
-    """Whether two registrations differ at most in their sequence number."""
-    return msgspec.structs.replace(one, sequence=other.sequence) == other
+    """Whether two registrations differ at most in sequence number and cold time."""
+    same = msgspec.structs.replace(one, sequence=other.sequence, cold_s=other.cold_s)
+    return same == other
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -13,6 +13,7 @@
     UNCOORDINATED_MAX_PART_S,
     EngineScheduler,
 )
+from scalebend.core.gateway.evacuations import HeldEvacuations
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_crashes import FrontCrashes
 from scalebend.core.gateway.front_jobs import FrontJobs
@@ -40,11 +41,13 @@
     Subscribe,
     UncoordinatedSends,
 )
+from scalebend.core.gateway.path_evidence import FrontPaths
 from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.retry_window import RetryWindow
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
+from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -96,9 +99,11 @@
         self.directory = EndpointDirectory(
             ENDPOINT_TIMEOUT_S, registrations_to_regain_address=1
         )
+        self.evacuations = HeldEvacuations(self.directory)
         self.balancer = ServiceBalancer()
         self._crashes = FrontCrashes(self.directory)
-        self.limits = FrontLimits(settings.instance, now)
+        starts = SlowStarts(self.directory, bounds)
+        self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
         self._draining: dict[UpstreamId, None] = {}
         """Upstreams that announced a drain in a response, kept for a later leader."""
@@ -107,6 +112,8 @@
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
         self.scheduler = EngineScheduler(settings.instance, UNCOORDINATED_MAX_PART_S)
+        self.paths = FrontPaths(settings.availability_zone, now)
+        self.scheduler.paths = self.paths.health
         self._links = FrontLinks(settings.seeds, now)
         self.is_draining = False
         self._jobs = FrontJobs(self.scheduler)
@@ -168,6 +175,8 @@
 
     def remove_link(self, instance: InstanceId) -> None:
         """Remove a control instance whose link was lost."""
+        if instance == self.leader:
+            self.limits.end_leader()
         self._links.remove(instance)
 
     def handle(
@@ -185,6 +194,8 @@
             case RoutingUpdate():
                 return self._apply_routing(sender, message)
             case LeaseReply(asked_at, newest):
+                if sender == self.leader:
+                    self.limits.confirm_slot(asked_at)
                 held = self.table.routing.version
                 if not self.lease.confirm(asked_at, newest, held):
                     # The newer document may have been lost with a link.
@@ -208,10 +219,14 @@
         if self.leader is not None and now >= self._next_lease_request_at:
             self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
             actions.append(ToControl(self.leader, self._build_lease_request(now)))
-        if self._outcomes and now >= self._next_outcome_report_at:
+        has_news = bool(self._outcomes) or self.paths.has_news
+        if has_news and now >= self._next_outcome_report_at:
             self._next_outcome_report_at = now + OUTCOME_REPORT_INTERVAL_S
-            actions += self._report(AttemptOutcomes(list(self._outcomes.values())))
+            paths = self.paths.build_report(now)
+            outcomes = AttemptOutcomes(list(self._outcomes.values()), paths)
+            actions += self._report(outcomes)
             self._outcomes.clear()
+        self.paths.advance(now)
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
             self.has_been_ready = True
@@ -252,12 +267,16 @@
     ) -> list[ToControl]:
         self.retries.update_front_count(status.fronts, now)
         self.limits.record_front_count(status.fronts)
+        self.evacuations.learn(status.evacuations)
         is_outdated = self._links.is_outdated(status)
         is_new_leader = self._links.apply_status(sender, status)
         if status.busy and not is_outdated:
             self.scheduler.record_busy_replicas(status.busy, now)
+        if sender == status.leader and not is_outdated:
+            self.paths.adopt(status.degraded_paths, now)
         if not is_new_leader:
             return []
+        self.limits.end_leader()
         # The new leader detects outliers anew and publishes them.
         self.balancer.set_ejected(())
         self._links.record_leader_contact(now)
@@ -283,6 +302,7 @@
             newer = apply_update(base, update)
             if newer is not None:
                 self.table = RouteTable(newer)
+                self.limits.starts.apply(newer)
                 self.lease.record_document(newer.version)
                 logger.info(
                     "routing applied",
@@ -401,6 +421,23 @@
             upstream, seen.answered + (not has_failed), seen.failed + has_failed
         )
 
+    # Paths between zones
+
+    def record_path(
+        self, upstream: UpstreamId, observed: int, lost: int, now: float
+    ) -> None:
+        """Count pieces of data of an upstream, and those of them lost on the way."""
+        endpoint = self.directory.get(upstream)
+        if endpoint is not None:
+            self.paths.record(endpoint.availability_zone, observed, lost, now)
+
+    def record_failed_connection(self, upstream: UpstreamId, now: float) -> None:
+        """Count a connection to an upstream that timed out."""
+        endpoint = self.directory.get(upstream)
+        if endpoint is not None:
+            zone = endpoint.availability_zone
+            self.paths.record_failed_connection(zone, upstream, now)
+
     # Rate limits
 
     def record_limit(self, observed: ObservedLimit, now: float) -> list[ToControl]:
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -14,6 +14,7 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
+from scalebend.core.gateway.path_evidence import LeaderPaths
 from scalebend.core.gateway.queued_placement import QueuedPlacement
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.service_room import EngineRoom
@@ -41,6 +42,7 @@
     def __init__(self, limits: LimitExchange, now: float) -> None:
         self.scheduler = EngineScheduler()
         self.queue = QueuedPlacement()
+        self.paths = LeaderPaths()
         self._limits = limits
         self._unreported: set[InstanceId] = set()
         self._learning_until = now
@@ -49,6 +51,8 @@
         """Begin or end leading; ``fronts`` are expected to report their open jobs."""
         self.scheduler = EngineScheduler()
         self.queue = QueuedPlacement()
+        self.paths = LeaderPaths()
+        self.scheduler.paths = self.paths.health
         self._limits.start_term(now)
         self._unreported = set(fronts)
         self._learning_until = now + LEARNING_TIMEOUT_S
@@ -63,6 +67,7 @@
         It reports its jobs anew if it still runs.
         """
         self._unreported.discard(front)
+        self.paths.remove_front(front)
         self.scheduler.forget_front(lambda job: is_job_of(front, job))
         self.queue.remove_front(front)
 
@@ -117,6 +122,11 @@
         room = self._find_room(work.service, table, directory, now, may_grant=may_grant)
         if room is None or self.is_learning(now):
             return PlacementReply(work.job)
+        if self._limits.starts.applies_to(work.service) and (
+            not may_grant or self._limits.ceilings.is_starting(work.service, now)
+        ):
+            # The front uses its own part of the ceilings.
+            return PlacementReply(work.job)
         if table.has_ranked_customers:
             return self._place_in_order(work, room, may_wait=may_wait)
         placed = room.place(work)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -9,6 +9,7 @@
 from scalebend.core.messages import FoundGroup, Hello, HelloReply, Join, RelayReply
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
+from scalebend.models.evacuations import Evacuations
 from scalebend.models.gateway_settings import GatewayRole
 from scalebend.models.ids import (
     Fingerprint,
@@ -18,6 +19,7 @@
     Term,
     UpstreamId,
 )
+from scalebend.models.paths import PathReport, ZonePath
 from scalebend.models.placement import (
     BusyReplica,
     Declined,
@@ -37,6 +39,8 @@
     instance: InstanceId
     incarnation: int
     role: GatewayRole
+    knows_evacuations: bool = False
+    """Whether its version applies the evacuation orders in the replicated log."""
 
 
 class ControlStatus(msgspec.Struct, frozen=True, tag="ControlNews"):
@@ -49,6 +53,12 @@
     busy: list[BusyReplica] = msgspec.field(default_factory=list)
     """From the leader: the busiest replicas, for uncoordinated placement."""
 
+    evacuations: Evacuations | None = None
+    """The committed evacuations; ``None`` before the first."""
+
+    degraded_paths: list[ZonePath] = msgspec.field(default_factory=list)
+    """From the leader: paths between zones that it avoids, for the same."""
+
 
 class KnownInstances(msgspec.Struct, frozen=True, tag=True):
     """Relay to its peer, also as a heartbeat: control instances that have a disk."""
@@ -138,6 +148,9 @@
     """Front to leader: outcomes of attempts since the last such message."""
 
     outcomes: list[UpstreamOutcomes]
+    paths: PathReport | None = None
+    """Evidence on paths between zones: in a field, since instances of older versions
+    close links on which they receive a message that they don't know."""
 
 
 class EjectedUpstreams(msgspec.Struct, frozen=True, tag=True):
@@ -185,6 +198,11 @@
 
     fronts: int
     number: int
+    slots: int = 0
+    """Number of slots of fronts; 0 if no service has a slow start."""
+
+    slot: int | None = None
+    """Slot of this front, see :mod:`scalebend.core.gateway.front_slots`."""
 
 
 class SendPermitRequest(msgspec.Struct, frozen=True, tag="SendQuestion"):
@@ -205,6 +223,8 @@
     request_id: SendPermitId = msgspec.field(name="question")
     upstream: UpstreamId | None
     wait: float
+    is_undecided: bool = False
+    """Whether the leader leaves it to the front: it may not grant yet, or no more."""
 
 
 class UncoordinatedSends(msgspec.Struct, frozen=True, tag="SentAlone"):
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -6,13 +6,14 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Coroutine, Iterable
+from collections.abc import AsyncIterator, Coroutine, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
 import structlog
 
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.job_permits import JobPermits
 from scalebend.core.gateway.messages import (
     Heartbeat,
     Introduce,
@@ -28,6 +29,9 @@
 )
 from scalebend.core.gateway.placement_queue import compute_wait_limit
 from scalebend.core.gateway.placement_repair import drop_replicas
+from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
+from scalebend.core.gateway.slow_start_budget import NO_PERMIT_RETRY_S
+from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -71,6 +75,10 @@
 """Time after which the leader is asked again about a job that waits there, which also
 tells a new leader: short against the wait, with few messages while many wait."""
 
+LEADER_RETRY_INTERVAL_S = 0.1
+"""Interval at which a front asks for a placement that it can't decide itself: a new
+leader begins to grant about twice this time after its election."""
+
 MIN_START_DELAY_S = 0.01
 """Shorter delays of a placement are skipped: not worth a timer."""
 
@@ -89,6 +97,7 @@
         self._dialer = Dialer(
             introduction, self._receive, self._add_link, self._remove_link, metrics
         )
+        self._evacuations = EvacuationWatch(metrics)
         self.attempts = RunningAttempts()
         self._leader_calls = LeaderCalls(self._dialer.send)
         self._sessions: UpstreamSessions | None = None
@@ -96,6 +105,7 @@
         self._unknown_headers: set[str] = set()
         self._jobs = 0
         self._sends = 0
+        self._permits = JobPermits()
         self._heartbeat_at = 0.0
         self._tasks: set[asyncio.Task[object]] = set()
         self._first_lease = asyncio.Event()
@@ -137,7 +147,11 @@
         now = self.now()
         self._dialer.set_targets(self.instance.instances)
         self._execute(self.instance.advance(now))
-        self.metrics.set_rate_limited_upstreams(self.instance.limits.count_limited())
+        limits = self.instance.limits
+        self.metrics.set_rate_limited_upstreams(limits.count_limited())
+        self.metrics.set_cold_upstreams(len(limits.starts.list_cold(now)))
+        degraded = self.instance.paths.health.list_degraded()
+        self.metrics.set_degraded_paths(len(degraded))
         self._dialer.close_unresponsive(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
@@ -148,6 +162,7 @@
             return
         leader = self.instance.leader
         self._execute(self.instance.handle(sender, message, self.now()))
+        self._evacuations.report(self.instance.evacuations.newest)
         if self.instance.leader != leader:
             self._leader_calls.record_new_leader()
         if self.instance.may_admit(self.now()):
@@ -202,10 +217,29 @@
         return build_job_id(self.settings.instance, self._incarnation, self._jobs)
 
     async def place(self, work: EngineWork) -> Decision:
-        """Ask the leader for a placement; place uncoordinated if it does not reply."""
+        """Ask the leader for a placement; place uncoordinated if it does not reply.
+
+        Without the leader a front has few of the replicas with ceilings, so it asks
+        again for a short time rather than decline.
+        """
+        until = self.now() + NO_PERMIT_RETRY_S
+        decision = await self._place_once(work)
+        while (
+            decision.leader is None
+            and isinstance(decision.placed, Declined)
+            and self.instance.limits.starts.applies_to(work.service)
+            and self.now() + LEADER_RETRY_INTERVAL_S < until
+        ):
+            await asyncio.sleep(LEADER_RETRY_INTERVAL_S)
+            work = age_work(work, LEADER_RETRY_INTERVAL_S)
+            decision = await self._place_once(work)
+        return decision
+
+    async def _place_once(self, work: EngineWork) -> Decision:
         work = self.instance.exclude_in_backoff(work, self.now())
         before = work.waited
         leader = self.instance.leader
+        asked_at = self.now()
         reply = await self._leader_calls.place(leader, work)
         placed: Placement | Declined | None = None
         if reply is not None:
@@ -216,8 +250,10 @@
         is_uncoordinated = placed is None
         if placed is None:
             leader = None
+            asked_at = self.now()
             placed = self.instance.place(work, self.now())
         if isinstance(placed, Placement):
+            self._permits.record(work.job, placed, asked_at)
             self._execute(
                 self.instance.open_job(
                     work, placed, self.now(), is_uncoordinated=is_uncoordinated
@@ -288,8 +324,9 @@
             if self._leader_calls.is_queued(work.job):
                 interval = min(QUEUE_RENEWAL_S, placement.start_in)
             reply = await self._leader_calls.await_release(work.job, interval)
+            asked_at = self.now()
             if reply is None:
-                renewed = age_work(work, self.now() - started_at)
+                renewed = age_work(work, asked_at - started_at)
                 reply = await self._leader_calls.place(
                     self.instance.leader,
                     self.instance.exclude_in_backoff(renewed, self.now()),
@@ -309,6 +346,7 @@
                     placement = postpone_placement(placement, QUEUE_RENEWAL_S)
                 continue
             placement = placed
+            self._permits.record(work.job, placement, asked_at)
             self.instance.record_replanned(work, placement, self.now())
         if self._leader_calls.is_queued(work.job):
             # The leader is lost or silent: the prompt starts as it was planned.
@@ -326,7 +364,7 @@
         kept = drop_replicas(placement, unusable)
         if kept is not None and kept.upstream != placement.upstream:
             # There is no send permit for the new lead replica.
-            if self.instance.limits.is_limited(kept.upstream):
+            if self.instance.limits.needs_permit(kept.upstream):
                 kept = None
         logger.info(
             "replicas of a placement left",
@@ -343,20 +381,57 @@
     ) -> SendPermitReply:
         """Ask the leader for a permit to send to one of some rate-limited upstreams.
 
-        Without a reply, grant it from the share of this front and report the send.
+        Without a reply, or if the leader may not grant yet, grant it from the share of
+        this front and report the send.
         """
         self._sends += 1
         request = SendPermitRequest(SendPermitId(self._sends), upstreams, timeout_s)
         reply = await self._leader_calls.request_send_permit(
             self.instance.leader, request
         )
-        if reply is not None:
+        if reply is not None and not reply.is_undecided:
             return reply
         grant = self.instance.limits.grant(request, self.now())
         if grant.upstream is not None:
             self._execute(self.instance.record_uncoordinated_send(grant.upstream))
         return grant
 
+    async def renew_send_permit(
+        self, work: EngineWork, upstreams: Sequence[UpstreamId]
+    ) -> bool:
+        """Get another permit for a prompt that is sent later than planned.
+
+        Each replica that takes part needs one. Returns whether the prompt may be sent
+        now. Only replicas with a ceiling need it; see
+        :mod:`scalebend.core.gateway.job_permits`.
+        """
+        asked_at = self.now()
+        starts = self.instance.limits.starts
+        is_needed = starts.applies_to(work.service)
+        if not is_needed or self._permits.is_valid(work.job, asked_at):
+            return True
+        # Permits of several replicas have to be due at about the same time.
+        timeout_s = (
+            REPLAN_INTERVAL_S if len(upstreams) == 1 else CEILING_PERMIT_LIFETIME_S / 2
+        )
+        asked = [self.request_send_permit([one], timeout_s) for one in upstreams]
+        replies = await asyncio.gather(*asked)
+        is_granted = all(reply.upstream is not None for reply in replies)
+        if is_granted:
+            await asyncio.sleep(max(reply.wait for reply in replies))
+            due = asked_at + min(reply.wait for reply in replies)
+            self._permits.renew(work.job, due)
+            is_granted = self._permits.is_valid(work.job, self.now())
+        logger.info(
+            "send permit renewed",
+            job=work.job,
+            upstreams=list(upstreams),
+            granted=is_granted,
+            waited=round(self.now() - asked_at, 3),
+        )
+        self.metrics.count_permit_renewal(is_granted=is_granted)
+        return is_granted
+
     def record_first_token(self, job: JobId, load: ReportedLoad | None) -> None:
         """Record the first event of a job, and the load that the replica reported."""
         count = load.running + load.waiting if load is not None else None
@@ -366,6 +441,7 @@
     def record_job_end(self, job: JobId, *, has_failed: bool = True) -> None:
         """Record that a job ended, with or without success."""
         self._leader_calls.forget_queued(job)
+        self._permits.forget(job)
         stage = JobStage(job, is_ended=True, has_failed=has_failed)
         self._execute(self.instance.record_stage(stage, self.now()))
 
@@ -433,6 +509,15 @@
         """Record that an upstream sent a complete response to the request."""
         self._execute(self.instance.record_completed(fingerprint, self.now()))
 
+    def record_path(self, upstream: UpstreamId, observed: int, lost: int) -> None:
+        """Count pieces of data of an upstream, and those of them lost on the way."""
+        self.instance.record_path(upstream, observed, lost, self.now())
+        self.metrics.count_path_losses(lost)
+
+    def record_failed_connection(self, upstream: UpstreamId) -> None:
+        """Count a connection to an upstream that timed out."""
+        self.instance.record_failed_connection(upstream, self.now())
+
     def record_rejection(self, upstream: UpstreamId) -> None:
         """Record that an engine rejected a request without running it."""
         self._execute(self.instance.record_rejection(upstream, self.now()))
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -93,6 +93,22 @@
             "Requests refused since limited upstreams alone were left, without room",
             registry=registry,
         )
+        self._cold_upstreams = Gauge(
+            "scalebend_cold_upstreams",
+            "Upstreams of services with slow start that are cold, as known here",
+            registry=registry,
+        )
+        self._cold_attempts = Counter(
+            "scalebend_cold_attempts",
+            "Attempts at such upstreams while they were known to be cold",
+            registry=registry,
+        )
+        self._permit_renewals = Counter(
+            "scalebend_permit_renewals",
+            "Send permits asked anew for prompts sent later than planned, by outcome",
+            ["outcome"],
+            registry=registry,
+        )
         self._backoffs = Counter(
             "scalebend_backoffs",
             "Answers with which upstreams asked for a pause",
@@ -125,10 +141,42 @@
             ["outcome"],
             registry=registry,
         )
+        self._path_losses = Counter(
+            "scalebend_path_losses",
+            "Pieces of data on connections to upstreams that were lost first",
+            registry=registry,
+        )
+        self._degraded_paths = Gauge(
+            "scalebend_degraded_paths",
+            "Paths between zones that are avoided or on trial, as known here",
+            registry=registry,
+        )
         self._open_requests = Gauge(
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
 
+        self._evacuated_zones = Gauge(
+            "scalebend_evacuated_zones",
+            "Availability zones whose upstreams get nothing new from this process",
+            registry=registry,
+        )
+        self._evacuation_revision = Gauge(
+            "scalebend_evacuation_revision",
+            "Number of the last change of these zones that this process applied",
+            registry=registry,
+        )
+        self._evacuation_orders = Counter(
+            "scalebend_evacuation_orders",
+            "Orders of operators at the leader, by outcome",
+            ["order", "outcome"],
+            registry=registry,
+        )
+        self._evacuation_refusals = Counter(
+            "scalebend_evacuation_refusals",
+            "Requests refused since all upstreams are in evacuated zones",
+            registry=registry,
+        )
+
     def count_request(self, kind: str, status: int, duration: float) -> None:
         """Count a completed request that took ``duration`` seconds."""
         self._requests.labels(kind, str(status)).inc()
@@ -170,6 +218,18 @@
         """Count a request for which only exhausted rate-limited upstreams were left."""
         self._rate_limit_rejections.inc()
 
+    def set_cold_upstreams(self, count: int) -> None:
+        """Set the number of upstreams that are known to be cold."""
+        self._cold_upstreams.set(count)
+
+    def count_cold_attempt(self) -> None:
+        """Count an attempt at an upstream that is known to be cold."""
+        self._cold_attempts.inc()
+
+    def count_permit_renewal(self, *, is_granted: bool) -> None:
+        """Count a request for another permit by its outcome."""
+        self._permit_renewals.labels("granted" if is_granted else "refused").inc()
+
     def count_backoff(self) -> None:
         """Count a rejection with which an upstream requested backoff."""
         self._backoffs.inc()
@@ -194,6 +254,27 @@
         """Count a prompt that had no room when the leader was asked."""
         self._prompts_without_room.labels(outcome).inc()
 
+    def set_evacuations(self, zones: int, revision: int) -> None:
+        """Set the number of evacuated zones and the revision in force."""
+        self._evacuated_zones.set(zones)
+        self._evacuation_revision.set(revision)
+
+    def count_evacuation_order(self, order: str, outcome: str) -> None:
+        """Count an operator's order by its outcome."""
+        self._evacuation_orders.labels(order, outcome).inc()
+
+    def count_evacuation_refusal(self) -> None:
+        """Count a request whose service has upstreams in evacuated zones alone."""
+        self._evacuation_refusals.inc()
+
+    def count_path_losses(self, count: int) -> None:
+        """Count pieces of data that were lost and sent again."""
+        self._path_losses.inc(count)
+
+    def set_degraded_paths(self, count: int) -> None:
+        """Set the number of paths between zones that are not healthy."""
+        self._degraded_paths.set(count)
+
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
         """Record the time to the first event of a stream."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -14,6 +14,7 @@
     compute_inspection_delay,
     compute_room_timeout,
 )
+from scalebend.edges.gateway.evacuated_services import refuse_evacuated
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.reservations import HelperUnresponsiveError, reserve_memory
 from scalebend.edges.gateway.service_choice import choose_within_limits
@@ -91,6 +92,9 @@
         self._call = call
         self._excluded = excluded
         self._inspection_timer: asyncio.TimerHandle | None = None
+        self._has_met_unavailable = False
+        """Whether a replica of an earlier group was unavailable."""
+
         self.load: ReportedLoad | None = None
         """The load that the chosen upstream reported in its response."""
 
@@ -110,8 +114,13 @@
         a long prompt would use up its attempts.
         """
         if target.placement is not None and target.placement.helpers:
-            unresponsive = await self._runtime.inspect(target.placement)
-            self._excluded.update(unresponsive)
+            self._has_met_unavailable = True
+            await self._inspect(target.placement)
+
+    async def _inspect(self, placement: Placement) -> list[UpstreamId]:
+        unresponsive = await self._runtime.inspect(placement)
+        self._excluded.update(unresponsive)
+        return unresponsive
 
     def record_first_token(self, target: Target) -> None:
         """Record the first event of a stream."""
@@ -125,6 +134,11 @@
         if not await self._wait_for_backoff():
             yield None
             return
+        retry_after_s = refuse_evacuated(self._runtime, self._call)
+        if retry_after_s is not None:
+            self.retry_after = retry_after_s
+            yield None
+            return
         profile = self._runtime.instance.table.find_engine(self._call.service)
         if profile is not None and self._call.headers.prompt is not None:
             async with self._choose_engines() as target:
@@ -207,6 +221,16 @@
                 yield _build_unavailable_target(placement, placement.upstream)
                 return
             placement = kept
+            if self._has_met_unavailable and placement.helpers:
+                # A new member may have crashed, too. The lead replica would find it at
+                # the cost of a retry.
+                unresponsive = await self._inspect(placement)
+                if unresponsive:
+                    yield _build_unavailable_target(placement, unresponsive[0])
+                    return
+            if not await runtime.renew_send_permit(work, placement.upstreams):
+                yield _build_unavailable_target(placement, placement.upstream)
+                return
             async with contextlib.AsyncExitStack() as stack:
                 reservation = reserve_memory(runtime, work, placement)
                 try:
@@ -214,6 +238,10 @@
                 except HelperUnresponsiveError as error:
                     yield _build_unavailable_target(placement, error.upstream)
                     return
+                # The reservation may have taken longer than the permits count.
+                if not await runtime.renew_send_permit(work, placement.upstreams):
+                    yield _build_unavailable_target(placement, placement.upstream)
+                    return
                 self._inspection_timer = asyncio.get_running_loop().call_later(
                     compute_inspection_delay(
                         placement.first_token_in - placement.start_in
--- a/tests/lib/gateway_group.py
+++ b/tests/lib/gateway_group.py
@@ -10,6 +10,7 @@
 from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.messages import PlacementRequest
 from scalebend.core.gateway.routing_store import pack_routing
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, Term
 from scalebend.models.placement import JobStage, Placement
 from tests.lib.gateway_builders import (
@@ -38,10 +39,14 @@
 class Deployment:
     """One control instance that leads, its fronts, and replicas of one service."""
 
-    def __init__(self, fronts, replicas, engine=None, *, customers=()):
+    def __init__(self, fronts, replicas, engine=None, slow_start=None, *, customers=()):
         self.now = 0.0
         self.engine = engine
         self.customers = customers
+        self.slow_start = slow_start
+        self.cold_until = {}
+        """Times until which replicas are cold, by upstream."""
+
         self.endpoints = [build_endpoint(number) for number in range(1, replicas + 1)]
         self.fronts = []
         self.names = []
@@ -54,13 +59,13 @@
         """Build a leader with all replicas registered and no front."""
         recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
         member = ControlMember(LEADER, [], recovered, now=self.now)
-        leader = ControlInstance(member, 1.2, now=self.now)
+        leader = ControlInstance(member, 1.2, now=self.now, bounds=Bounds())
         end = self.now + 1.0
         while self.now < end - 1e-9:
             self.now = min(end, self.now + TICK)
             leader.advance(self.now)
             pump(leader, self.now)
-        services = [build_service(engine=self.engine)]
+        services = [build_service(engine=self.engine, slow_start=self.slow_start)]
         routing = build_routing(services=services, customers=self.customers)
         leader.propose_routing(pack_routing(routing, b"{}"), self.now, 0.0)
         pump(leader, self.now)
@@ -75,11 +80,16 @@
 
     def replace_leader(self):
         """Let another one lead after a second; it knows only what fronts report."""
-        self.leader = self._build_leader()
+        self.build_next_leader()
         for name, front in zip(self.names, self.fronts, strict=True):
             front.add_link(LEADER)
             self._deliver(self.leader.add_front(name, self.now))
 
+    def build_next_leader(self):
+        """Let another one lead, with the document of the previous one and no front."""
+        self.leader = self._build_leader()
+        self.leader.placement.start_term([], self.now)
+
     def cut_front(self, number, *, is_noticed):
         """Cut the link of a front; ``is_noticed``: the leader detects it, too."""
         self.fronts[number].remove_link(LEADER)
@@ -124,15 +134,17 @@
         """Place a job by the leader, or uncoordinated if the front has none."""
         number = self.fronts.index(front)
         work = front.exclude_in_backoff(work, self.now)
-        if front.leader is None:
+        placed = None
+        if front.leader is not None:
+            request = PlacementRequest(work)
+            (action,) = self.leader.handle_front(self.names[number], request, self.now)
+            placed = action.message.placement or action.message.declined
+        if placed is None:
             placed = front.place(work, self.now)
             if isinstance(placed, Placement):
                 reports = front.open_job(work, placed, self.now, is_uncoordinated=True)
                 self._send(self.names[number], reports)
             return placed
-        request = PlacementRequest(work)
-        (action,) = self.leader.handle_front(self.names[number], request, self.now)
-        placed = action.message.placement or action.message.declined
         if isinstance(placed, Placement):
             reports = front.open_job(work, placed, self.now, is_uncoordinated=False)
             self._send(self.names[number], reports)
@@ -146,7 +158,10 @@
     def renew(self):
         """Renew the registrations of all replicas."""
         for number, endpoint in enumerate(self.endpoints):
-            newer = msgspec.structs.replace(endpoint, sequence=endpoint.sequence + 1)
+            cold_s = max(0.0, self.cold_until.get(endpoint.upstream, 0.0) - self.now)
+            newer = msgspec.structs.replace(
+                endpoint, sequence=endpoint.sequence + 1, cold_s=cold_s
+            )
             self.endpoints[number] = newer
             self._deliver(self.leader.register(newer, self.now))
 
@@ -188,6 +203,7 @@
         return pump(self.leader, self.now)
 
 
-def build_deployment(fronts, replicas, *, has_engines=False):
+def build_deployment(fronts, replicas, *, has_engines=False, slow_start=None):
     """Build a leader with its fronts linked and all replicas registered."""
-    return Deployment(fronts, replicas, PROFILE if has_engines else None)
+    engine = PROFILE if has_engines else None
+    return Deployment(fronts, replicas, engine, slow_start)
--- a/tests/unit/gateway/test_control_instance.py
+++ b/tests/unit/gateway/test_control_instance.py
@@ -4,6 +4,7 @@
 
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.control_member import ControlMember
+from scalebend.core.control_state import RoutingResult
 from scalebend.core.gateway.control_actions import (
     ProposalEnded,
     ReadConfirmed,
@@ -25,6 +26,7 @@
 )
 from scalebend.core.gateway.routing_store import RoutingUpdate, pack_routing
 from scalebend.models.endpoints import EndpointUpdate
+from scalebend.models.gateway_settings import Bounds
 from scalebend.models.ids import InstanceId, Term
 from scalebend.models.placement import JobStage, OpenJob, Placement
 from tests.lib.gateway_builders import (
@@ -48,7 +50,7 @@
     def __init__(self, peers=()):
         recovered = Recovered(DiskId("d"), HardState(Term(0), None), None, [])
         member = ControlMember(ME, list(peers), recovered, now=0.0)
-        self.instance = ControlInstance(member, 1.2, now=0.0)
+        self.instance = ControlInstance(member, 1.2, now=0.0, bounds=Bounds())
         self.now = 0.0
 
     def run(self, seconds=1.0):
@@ -148,7 +150,7 @@
 def test_older_document_is_not_applied(group):
     ends = [a for a in group.put(build_routing(5)) if isinstance(a, ProposalEnded)]
     ends += [a for a in group.put(build_routing(3)) if isinstance(a, ProposalEnded)]
-    assert [end.held for end in ends] == [5, 5]
+    assert [end.result for end in ends] == [RoutingResult(5), RoutingResult(5)]
     assert group.instance.routing.version == 5
 
 
