Decide when a first token is overdue, and leave out replicas that hang

A replica may hang and report that it is well; neither its report nor its connections show it, and the timeout of the first byte is several times the target of a quick prompt.

The leader gives second attempts idle room only, and leaves a replica out after two overdue first tokens with none in between. Both travel as defaulted fields.

--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -91,6 +91,15 @@
         passes_response = outcome is Outcome.FAILED
         return GiveUp(ErrorKind.UPSTREAM_FAILED, Ran.UNKNOWN, passes_response)
 
+    def record_lost(self, outcome: Outcome | None, upstream: UpstreamId) -> None:
+        """Record one of two attempts at once that the other one outlived.
+
+        ``outcome`` is ``None`` if it was cancelled.
+        """
+        self.excluded.add(upstream)
+        if outcome not in (Outcome.NOT_SENT, Outcome.WITHDRAWN, Outcome.REJECTED):
+            self.runs += 1
+
     def refuse(self, kind: ErrorKind) -> GiveUp:
         """Fail the call, saying whether an upstream may have run it."""
         if self.may_have_run:
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -288,8 +288,9 @@
             case JobStages(stages):
                 for stage in stages:
                     self.scheduler.record_stage(stage, now)
-            case ReplicaFailures(upstreams):
+            case ReplicaFailures(upstreams, overdue):
                 self.placement.record_inspection([], upstreams, now)
+                self.placement.record_overdue(overdue, now)
             case ReplicaPaces(paces):
                 self.placement.record_inspection(paces, [], now)
             case AttemptOutcomes(outcomes):
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -18,6 +18,7 @@
     compute_batch_step_time,
     compute_prefill_time,
 )
+from scalebend.core.gateway.overdue_tokens import MAX_EXCLUDED_SHARE, OverdueTokens
 from scalebend.core.gateway.placement_choice import choose_isolated, choose_replicas
 from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, Plan
 from scalebend.core.gateway.replica_load import Job, JobPart, ReplicaLoad
@@ -110,6 +111,7 @@
             self._remove_job(stage.job)
         elif not job.is_decoding:
             job.is_decoding = True
+            self._edit_load(job.upstreams[0]).overdue = None
             if stage.load is not None:
                 self._edit_load(job.upstreams[0]).record_load(stage.load, now)
             for upstream in job.upstreams:
@@ -121,6 +123,17 @@
         """Record that a replica could not be reached or was unresponsive."""
         self._edit_load(upstream).record_failure(now)
 
+    def record_overdue(self, upstream: UpstreamId, now: float) -> bool:
+        """Record an overdue first token; return whether its replica is now left out."""
+        load = self._edit_load(upstream)
+        load.overdue = load.overdue or OverdueTokens()
+        left_out = sum(one.is_left_out(now) for one in self._replicas.values())
+        limit = max(1, int(MAX_EXCLUDED_SHARE * len(self._replicas)))
+        if not load.overdue.record(now) or left_out >= limit:
+            return False
+        load.overdue.exclude(now)
+        return True
+
     def record_rejection(self, upstream: UpstreamId, now: float) -> None:
         """Record that a replica rejected a request without running it."""
         self.avoid(upstream, now + REJECTION_AVOID_S)
@@ -170,7 +183,11 @@
             len(self._jobs),
             decoding,
             [u for u, r in self._replicas.items() if r.get_pace(now) > 1.0],
-            [u for u, r in self._replicas.items() if now < r.avoid_until],
+            [
+                u
+                for u, r in self._replicas.items()
+                if now < r.avoid_until or r.is_left_out(now)
+            ],
         )
 
     def list_busy(self, now: float, max_count: int) -> list[BusyReplica]:
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -18,6 +18,7 @@
 from scalebend.core.gateway.front_jobs import FrontJobs
 from scalebend.core.gateway.front_limits import FrontLimits
 from scalebend.core.gateway.front_links import FrontLinks
+from scalebend.core.gateway.hedging import Hedging
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
     AttemptOutcomes,
@@ -106,6 +107,7 @@
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
+        self.hedging = Hedging()
         self.scheduler = EngineScheduler(settings.instance, UNCOORDINATED_MAX_PART_S)
         self._links = FrontLinks(settings.seeds, now)
         self.is_draining = False
@@ -452,6 +454,11 @@
         self.scheduler.record_failure(upstream, now)
         return self._report(ReplicaFailures([upstream]))
 
+    def record_overdue(self, upstream: UpstreamId, now: float) -> list[ToControl]:
+        """Record and report a replica at which a first token is overdue."""
+        self.scheduler.record_overdue(upstream, now)
+        return self._report(ReplicaFailures([], [upstream]))
+
     def record_rejection(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report that an engine rejected a request without running it."""
         self.scheduler.record_rejection(upstream, now)
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -6,23 +6,28 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import structlog
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.hedging import Room, is_fit
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
+from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.route_table import RouteTable
+from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
     OpenJob,
+    Placement,
     ReplicaPace,
     is_job_of,
 )
+from scalebend.models.routing import EngineProfile
 
 logger = structlog.get_logger(__name__)
 
@@ -96,6 +101,10 @@
         if profile is None or self.is_learning(now):
             return PlacementReply(work.job)
         endpoints = directory.list_usable(work.service)
+        if work.is_second:
+            return self._place_second(
+                work, endpoints, profile, now, may_grant=may_grant
+            )
         placed = self._limits.place(
             self.scheduler, work, endpoints, profile, now, may_grant=may_grant
         )
@@ -103,6 +112,38 @@
             return self._decline(work, placed)
         return PlacementReply(work.job, placed)
 
+    def _place_second(
+        self,
+        work: EngineWork,
+        endpoints: Sequence[Endpoint],
+        profile: EngineProfile,
+        now: float,
+        *,
+        may_grant: bool,
+    ) -> PlacementReply:
+        """Place a second attempt into idle room; it never waits and moves nothing."""
+        room = Room(self.scheduler.open_jobs, profile.slots * len(endpoints))
+        if room.is_idle:
+            placed = self._limits.place(
+                self.scheduler, work, endpoints, profile, now, may_grant=may_grant
+            )
+            if isinstance(placed, Placement) and is_fit(work, placed):
+                return PlacementReply(work.job, placed)
+            self.scheduler.forget(work.job)
+        logger.info(
+            "no room for a second attempt",
+            job=work.job,
+            open=room.jobs,
+            slots=room.slots,
+        )
+        return PlacementReply(work.job, declined=Declined(NO_REPLICA_RETRY_S))
+
+    def record_overdue(self, upstreams: Iterable[UpstreamId], now: float) -> None:
+        """Record replicas at which a front waits for an overdue first token."""
+        for upstream in upstreams:
+            if self.scheduler.record_overdue(upstream, now):
+                logger.info("replica left out for overdue tokens", upstream=upstream)
+
     def _decline(self, work: EngineWork, declined: Declined) -> PlacementReply:
         """Reply that no replica may take the work now."""
         return PlacementReply(work.job, declined=declined)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -118,6 +118,8 @@
     """Front to leader: replicas that are unreachable or unresponsive."""
 
     upstreams: list[UpstreamId]
+    overdue: list[UpstreamId] = msgspec.field(default_factory=list)
+    """Replicas at which a first token is overdue."""
 
 
 class ReplicaPaces(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/gateway/replica_load.py
+++ b/src/scalebend/core/gateway/replica_load.py
@@ -14,6 +14,7 @@
     compute_batch_step_time,
 )
 from scalebend.core.gateway.engine_view import EngineView, Occupancy, PrefillInterval
+from scalebend.core.gateway.overdue_tokens import OverdueTokens
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import BusyReplica, EngineWork, JobId
@@ -107,6 +108,8 @@
     """Requests there that this scheduler did not place, by the replica's own count."""
 
     unknown_until: float = 0.0
+    overdue: OverdueTokens | None = None
+    """First tokens overdue there; ``None`` if the last one came."""
 
     def get_pace(self, now: float) -> float:
         """Return the reported pace while it counts, else 1."""
@@ -114,8 +117,14 @@
 
     def is_healthy(self, now: float) -> bool:
         """Whether it responds, at about its usual pace."""
+        if self.is_left_out(now):
+            return False
         return now >= self.avoid_until and self.get_pace(now) < UNHEALTHY_PACE
 
+    def is_left_out(self, now: float) -> bool:
+        """Whether it is left out for first tokens that did not come."""
+        return self.overdue is not None and now < self.overdue.excluded_until
+
     def record_load(self, load: int, now: float) -> None:
         """Record the replica's count of its requests.
 
@@ -231,6 +240,8 @@
     def _find_next_change(self, now: float) -> float:
         """Find when the view changes through time alone, apart from its prefill."""
         times = [self.avoid_until, self.pace_until, self.unknown_until]
+        if self.overdue is not None:
+            times.append(self.overdue.excluded_until)
         if self.reported is not None:
             times.append(self.reported_at + REPORTED_LOAD_LIFETIME_S)
         times += [part.prefill_until for part in self.parts.values()]
--- a/src/scalebend/models/placement.py
+++ b/src/scalebend/models/placement.py
@@ -70,6 +70,9 @@
     waited: float = 0.0
     """Seconds since the request arrived at the front."""
 
+    is_second: bool = False
+    """Whether it is a second attempt while the first one runs: only into idle room."""
+
 
 class Helper(msgspec.Struct, frozen=True, array_like=True):
     """A prefill helper: computes a part, and reserves ``tokens`` of memory if not 0."""
