Start a second attempt when a first token is overdue

Requests at a replica that hangs waited for the timeout of the first byte, far beyond the target of a quick prompt. A second forwarder now tries another replica; the first of the two with an event is forwarded, the other one is cancelled at once and its job ended. Bytes of two runs are never joined: each has its own event cursor, and the stream opens only after one has won.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -77,6 +77,9 @@
     is_connection_lost: bool = False
     """Whether the connection was lost before the response was complete."""
 
+    target: Target | None = None
+    """Where it ran, if not at the target first chosen."""
+
     @property
     def has_unavailable_member(self) -> bool:
         """Whether an upstream of the placement is unavailable; others may be, too."""
@@ -141,6 +144,7 @@
                     refusal = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
                     return self._give_up(refusal, None)
                 result = await self._attempt(target)
+            target = result.target or target
             runtime.metrics.count_attempt(result.outcome.value)
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
@@ -167,7 +171,8 @@
         runtime = self._runtime
         return runtime.instance.compute_backoff(self._call.service, (), runtime.now())
 
-    def _decide(self, target: Target, result: _AttemptResult) -> TryAgain | GiveUp:
+    def _record_failure(self, target: Target, result: _AttemptResult) -> UpstreamId:
+        """Record a failed attempt; return the upstream at fault."""
         runtime = self._runtime
         faulty = result.faulty or target.upstream
         if result.is_connection_lost:
@@ -183,6 +188,11 @@
             runtime.record_rejection(faulty)
         if result.outcome in (Outcome.FAILED, Outcome.INTERRUPTED, Outcome.NOT_SENT):
             runtime.instance.record_outcome(faulty, has_failed=True)
+        return faulty
+
+    def _decide(self, target: Target, result: _AttemptResult) -> TryAgain | GiveUp:
+        runtime = self._runtime
+        faulty = self._record_failure(target, result)
         decision = self._attempts.decide(
             result.outcome,
             faulty,
@@ -399,7 +409,7 @@
             elif is_first:
                 running.keep_only(target.decode_upstreams)
             if is_first:
-                self._choice.record_first_token(target)
+                self._record_first_token(target)
             is_first = False
             read_timeout = event_timeout
             self._record_event_time()
@@ -415,6 +425,9 @@
         await stream.write_eof()
         return _AttemptResult(Outcome.ANSWERED, stream)
 
+    def _record_first_token(self, target: Target) -> None:
+        self._choice.record_first_token(target)
+
     def _record_event_time(self) -> None:
         now = self._runtime.now()
         if self.first_event is None:
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -14,6 +14,7 @@
 from scalebend.core.gateway.key_lease import LEASE_MARGIN_S
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.edges.gateway.http_listener import listen, serve_metrics
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import DEFAULT_RETRY_AFTER_S
@@ -82,7 +83,9 @@
             arrival.fingerprint = compute_fingerprint(
                 call.customer, call.method, request.host, call.target, body
             )
-            forwarder = Forwarder(runtime, call, request, body, arrival.fingerprint)
+            forwarder = HedgedForwarder(
+                runtime, call, request, body, arrival.fingerprint
+            )
             arrival.forwarder = forwarder
             response = await forwarder.forward()
             self._log(arrival, response.status, None, forwarder)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -13,6 +13,7 @@
 
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.hedging import is_fit
 from scalebend.core.gateway.messages import (
     Heartbeat,
     Introduce,
@@ -216,6 +217,20 @@
         self.metrics.count_placement("front" if is_uncoordinated else "leader")
         return Decision(placed, leader)
 
+    async def place_second(self, work: EngineWork) -> Placement | None:
+        """Ask the leader for idle room; ``None`` without any, or without a leader."""
+        work = self.instance.exclude_in_backoff(work, self.now())
+        reply = await self._leader_calls.place(
+            self.instance.leader, work, may_back_off=False
+        )
+        placement = reply.placement if reply is not None else None
+        if placement is None or not is_fit(work, placement):
+            return None
+        self._execute(
+            self.instance.open_job(work, placement, self.now(), is_uncoordinated=False)
+        )
+        return placement
+
     async def wait_for_start(
         self, work: EngineWork, placement: Placement
     ) -> Placement | Declined:
@@ -366,6 +381,10 @@
         """Record that an engine rejected a request without running it."""
         self._execute(self.instance.record_rejection(upstream, self.now()))
 
+    def record_overdue(self, upstream: UpstreamId) -> None:
+        """Record that a first token of a replica is overdue."""
+        self._execute(self.instance.record_overdue(upstream, self.now()))
+
     def record_replica_failure(self, upstream: UpstreamId) -> None:
         """Record that a replica is unreachable or unresponsive."""
         self._execute(self.instance.record_failure(upstream, self.now()))
--- /dev/null
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -0,0 +1,286 @@
+"""Forwards a request; starts a second attempt when a first token is overdue.
+
+Both attempts have a forwarder of their own, so that a stream never joins bytes of two
+runs. The first with an event goes on, and the other one is cancelled.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import structlog
+from aiohttp import web
+
+from scalebend.core.gateway.hedging import Refusal
+from scalebend.edges.gateway.forwarder import Forwarder, _AttemptResult
+from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.response_reading import wait_for_task
+from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
+from scalebend.models.calls import Call, Outcome
+from scalebend.models.ids import Fingerprint
+from scalebend.models.rate_limits import RateLimit
+
+logger = structlog.get_logger(__name__)
+
+
+CANCELLED = "cancelled"
+"""Outcome in the metrics of an attempt that another one was faster than."""
+
+
+class _Overdue(msgspec.Struct, frozen=True):
+    """An attempt whose first token was overdue ``delay`` seconds after its start."""
+
+    target: Target
+    delay: float
+
+
+class _Race:
+    """Attempts that run at the same time, until one of them is the first."""
+
+    def __init__(self) -> None:
+        self.winner: Forwarder | None = None
+        self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        """Done once there is a winner, or the first attempt ended without any event."""
+
+        self.failed: Forwarder | None = None
+        """The attempt that failed while the other went on."""
+
+        self._tasks: dict[Forwarder, asyncio.Task[_AttemptResult | None]] = {}
+
+    def add(self, runner: Forwarder, task: asyncio.Task[_AttemptResult | None]) -> None:
+        """Add an attempt that has just started."""
+        self._tasks[runner] = task
+        task.add_done_callback(lambda _: self._decide())
+
+    def claim(self, runner: Forwarder) -> None:
+        """Make ``runner`` the winner and cancel the others; raise if it is too late."""
+        if self.winner is runner:
+            return
+        if self.winner is not None:
+            raise asyncio.CancelledError
+        self.winner = runner
+        self._decide()
+        for other, task in self._tasks.items():
+            if other is not runner:
+                task.cancel()
+
+    def _decide(self) -> None:
+        if not self.decided.done():
+            self.decided.set_result(None)
+
+    async def wait_for_next(
+        self,
+    ) -> tuple[Forwarder, asyncio.Task[_AttemptResult | None]] | None:
+        """Wait for an attempt to end and remove it; ``None`` if none is left."""
+        if not self._tasks:
+            return None
+        tasks = self._tasks.values()
+        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        runner = next(one for one, task in self._tasks.items() if task.done())
+        return runner, self._tasks.pop(runner)
+
+    @property
+    def has_sent(self) -> bool:
+        """Whether an attempt still runs that has been sent."""
+        return any(runner.send_count for runner in self._tasks)
+
+    async def close(self) -> None:
+        """Cancel all attempts that still run, and wait until they have let go."""
+        for task in self._tasks.values():
+            task.cancel()
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+
+
+class HedgedForwarder(Forwarder):
+    """Forwards one request, with up to two attempts at once before its first event."""
+
+    def __init__(
+        self,
+        runtime: FrontRuntime,
+        call: Call,
+        request: web.BaseRequest,
+        body: bytes,
+        fingerprint: Fingerprint,
+    ) -> None:
+        super().__init__(runtime, call, request, body, fingerprint)
+        self._hedging = runtime.instance.hedging
+        self._race: _Race | None = None
+        self._sent_at: float | None = None
+        self._overdue: _Overdue | None = None
+        """The first attempt, if this is the second one."""
+
+    async def _attempt(self, target: Target) -> _AttemptResult:
+        if not self._may_hedge(target):
+            return await super()._attempt(target)
+        self._hedging.record_request(self._runtime.now())
+        race = self._race = _Race()
+        first = asyncio.create_task(self._run_first(target))
+        race.add(self, first)
+        second = None
+        try:
+            assert target.predicted is not None
+            delay = self._hedging.compute_delay(target.predicted, self._runtime.now())
+            if not await wait_for_task(race.decided, delay):
+                second = self._start_second(race, target, delay)
+            return await self._wait_for_result(race, target)
+        finally:
+            await race.close()
+            self._race = None
+            if second is not None:
+                self._finish_second(race, target, second)
+
+    def _may_hedge(self, target: Target) -> bool:
+        """Whether a second attempt is thinkable: one replica, and no event so far."""
+        routing = self._runtime.instance.table.routing
+        return (
+            self._stream is None
+            and target.unavailable is None
+            and target.predicted is not None
+            and not target.helpers
+            and self._hedging.is_called_for(self._call, routing)
+        )
+
+    async def _run_first(self, target: Target) -> _AttemptResult | None:
+        return await super()._attempt(target)
+
+    def _record_sent(self, target: Target) -> RateLimit:
+        self._sent_at = self._runtime.now()
+        return super()._record_sent(target)
+
+    def _record_first_token(self, target: Target) -> None:
+        if self._race is not None:
+            self._race.claim(self)
+            now = self._runtime.now()
+            if target.predicted is not None and self._sent_at is not None:
+                observed = now - self._sent_at
+                self._hedging.record_first_token(target.predicted, observed, now)
+        if self._overdue is not None:
+            self._end_first(self._overdue)
+        super()._record_first_token(target)
+
+    def _end_first(self, overdue: _Overdue) -> None:
+        """End the job of the first attempt, which has just been cancelled."""
+        runtime, target = self._runtime, overdue.target
+        if target.job is not None:
+            runtime.record_job_end(target.job)
+        if target.predicted is not None:
+            # How late it would have been is unknown. Left out, cancelled attempts would
+            # make the limit ever shorter.
+            self._hedging.record_first_token(
+                target.predicted, overdue.delay, runtime.now()
+            )
+
+    # The second attempt
+
+    def _start_second(
+        self, race: _Race, target: Target, delay: float
+    ) -> HedgedForwarder | None:
+        """Report the overdue replica; start a second attempt if it is allowed."""
+        runtime, call = self._runtime, self._call
+        is_queueing = runtime.is_queueing(target.upstream)
+        if self._sent_at is not None and not is_queueing:
+            runtime.record_overdue(target.upstream)
+        refusal = self._hedging.check(
+            call,
+            self._attempts.runs,
+            runtime.now(),
+            is_suspect=runtime.instance.crashes.is_suspect(self._fingerprint),
+            is_queueing=is_queueing,
+        )
+        self._log_overdue(target, delay, refusal)
+        if refusal is not None:
+            return None
+        second = HedgedForwarder(
+            runtime, call, self._request, self._body, self._fingerprint
+        )
+        second._attempts = self._attempts
+        excluded = {*self._attempts.excluded, target.upstream}
+        second._choice = UpstreamChoice(runtime, call, self._fingerprint, excluded)
+        second._race = race
+        second._overdue = _Overdue(target, delay)
+        race.add(second, asyncio.create_task(second._run_second(target, delay)))
+        return second
+
+    async def _run_second(self, overdue: Target, delay: float) -> _AttemptResult | None:
+        """Run the second attempt; return ``None`` if it was not sent."""
+        runtime = self._runtime
+        async with self._choice.choose_second() as target:
+            refusal: Refusal | None = Refusal.NO_ROOM
+            if target is not None:
+                refusal = self._hedging.spend(
+                    self._call.service, runtime.instance.retries, runtime.now()
+                )
+            if target is None or refusal is not None:
+                self._log_overdue(overdue, delay, refusal)
+                return None
+            runtime.metrics.count_overdue_first_token("second attempt")
+            result = await super()._attempt(target)
+            return msgspec.structs.replace(result, target=target)
+
+    def _log_overdue(
+        self, target: Target, delay: float, refusal: Refusal | None
+    ) -> None:
+        """Log an overdue first token, and count it if nothing follows."""
+        if refusal is not None:
+            self._runtime.metrics.count_overdue_first_token(refusal.value)
+        logger.info(
+            "first token overdue",
+            request=self._call.headers.request,
+            job=target.job,
+            upstream=target.upstream,
+            predicted=round(target.predicted or 0.0, 3),
+            overdue_after=round(delay, 3),
+            runs=self._attempts.runs,
+            refusal=refusal.value if refusal is not None else None,
+        )
+
+    # The result
+
+    async def _wait_for_result(self, race: _Race, target: Target) -> _AttemptResult:
+        """Return the result of the attempt that is forwarded, or of the last one."""
+        while (ended := await race.wait_for_next()) is not None:
+            runner, task = ended
+            result = None if task.cancelled() else task.result()
+            if result is None:
+                continue
+            if result.outcome is Outcome.ANSWERED:
+                race.claim(runner)
+            if race.winner is runner or not race.has_sent:
+                return result
+            # The other one goes on, as after a retry.
+            faulty = self._record_failure(result.target or target, result)
+            self._attempts.record_lost(result.outcome, faulty)
+            self._runtime.metrics.count_attempt(result.outcome.value)
+            race.failed = runner
+        raise asyncio.CancelledError
+
+    def _finish_second(
+        self, race: _Race, target: Target, second: HedgedForwarder
+    ) -> None:
+        """Take over the state of a second attempt that was sent."""
+        if not second.send_count or second.upstream is None:
+            return
+        self.send_count += second.send_count
+        forwarded, loser = "none", None
+        if race.winner is self:
+            forwarded, loser = "first", second.upstream
+        elif race.winner is second:
+            forwarded, loser = "second", target.upstream
+            self._cursor = second._cursor
+            self._stream = second._stream
+            self._event_at = second._event_at
+            self.first_event = second.first_event
+            self.longest_gap = second.longest_gap
+            self.upstream = second.upstream
+        if loser is not None and race.failed is None:
+            self._attempts.record_lost(None, loser)
+            self._runtime.metrics.count_attempt(CANCELLED)
+        self._runtime.metrics.count_second_attempt(forwarded)
+        logger.info(
+            "second attempt ended",
+            request=self._call.headers.request,
+            first=target.upstream,
+            second=second.upstream,
+            forwarded=forwarded,
+        )
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -108,6 +108,18 @@
             "Times that one peer's links came up more often than is usual",
             registry=registry,
         )
+        self._overdue_first_tokens = Counter(
+            "scalebend_overdue_first_tokens",
+            "First tokens that were overdue, by what followed",
+            ["decision"],
+            registry=registry,
+        )
+        self._second_attempts = Counter(
+            "scalebend_second_attempts",
+            "Second attempts that were sent, by the attempt that was forwarded",
+            ["forwarded"],
+            registry=registry,
+        )
         self._open_requests = Gauge(
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
@@ -169,6 +181,14 @@
         """Record the time to the first event of a stream."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
 
+    def count_overdue_first_token(self, decision: str) -> None:
+        """Count an overdue first token by the decision on a second attempt."""
+        self._overdue_first_tokens.labels(decision).inc()
+
+    def count_second_attempt(self, forwarded: str) -> None:
+        """Count a second attempt by the one that was forwarded."""
+        self._second_attempts.labels(forwarded).inc()
+
     def set_open_requests(self, count: int) -> None:
         """Set the number of requests in progress."""
         self._open_requests.set(count)
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -226,6 +226,28 @@
             self._cancel_inspection()
             runtime.record_job_end(work.job)
 
+    @contextlib.asynccontextmanager
+    async def choose_second(self) -> AsyncIterator[Target | None]:
+        """Choose a replica for a second attempt; ``None`` if there is no idle room."""
+        runtime = self._runtime
+        work = msgspec.structs.replace(self._build_work(), is_second=True)
+        try:
+            placement = await runtime.place_second(work)
+            if placement is None:
+                yield None
+                return
+            self._log_placement(work, placement, runtime.instance.leader)
+            yield Target(
+                placement.upstream,
+                placement.address,
+                [],
+                placement.first_token_in,
+                work.job,
+                placement,
+            )
+        finally:
+            runtime.record_job_end(work.job)
+
     def _cancel_inspection(self) -> None:
         if self._inspection_timer is not None:
             self._inspection_timer.cancel()
