--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -199,20 +199,28 @@
         second._choice = UpstreamChoice(runtime, call, self._fingerprint, excluded)
         second._race = race
         second._overdue = _Overdue(target, delay)
-        race.add(second, asyncio.create_task(second._run_second(target, delay)))
+        race.add(second, asyncio.create_task(second._run_second()))
         return second
 
-    async def _run_second(self, overdue: Target, delay: float) -> _AttemptResult | None:
+    async def _run_second(self) -> _AttemptResult | None:
         """Run the second attempt; return ``None`` if it was not sent."""
         runtime = self._runtime
         async with self._choice.choose_second() as target:
-            refusal: Refusal | None = Refusal.NO_ROOM
-            if target is not None:
-                refusal = self._hedging.spend(
-                    self._call.service, runtime.instance.retries, runtime.now()
+            if target is None:
+                runtime.metrics.count_overdue_first_token(Refusal.NO_ROOM.value)
+                return None
+            refusal = self._hedging.spend(
+                self._call.service, runtime.instance.retries, runtime.now()
+            )
+            if refusal is not None:
+                runtime.metrics.count_overdue_first_token(refusal.value)
+                logger.info(
+                    "second attempt not sent",
+                    request=self._call.headers.request,
+                    job=target.job,
+                    upstream=target.upstream,
+                    refusal=refusal.value,
                 )
-            if target is None or refusal is not None:
-                self._log_overdue(overdue, delay, refusal)
                 return None
             runtime.metrics.count_overdue_first_token("second attempt")
             result = await super()._attempt(target)
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -234,6 +234,12 @@
         try:
             placement = await runtime.place_second(work)
             if placement is None:
+                logger.info(
+                    "no replica for a second attempt",
+                    request=self._call.headers.request,
+                    job=work.job,
+                    leader=runtime.instance.leader,
+                )
                 yield None
                 return
             self._log_placement(work, placement, runtime.instance.leader)
