Start second attempts earlier, and at the replica that starts soonest

The limit is now the 95th percentile, or 1.5 times the prediction until it is known; a second attempt gets the replica that starts soonest.

--- a/src/scalebend/core/gateway/hedging.py
+++ b/src/scalebend/core/gateway/hedging.py
@@ -20,9 +20,9 @@
 from scalebend.models.placement import EngineWork, Placement
 from scalebend.models.routing import EMPTY_ROUTING, Route, RouteKind, Routing
 
-OVERDUE_QUANTILE = 0.98
-"""Share of first tokens that come before one counts as overdue: callers on time must
-not pay for copies of requests that are about to answer."""
+OVERDUE_QUANTILE = 0.95
+"""Share of first tokens that come before one counts as overdue: later, a second attempt
+could seldom be on time; earlier, most copies would be of requests about to answer."""
 
 MAX_RATIOS = 256
 RATIO_LIFETIME_S = 30.0
@@ -31,8 +31,9 @@
 MIN_RATIOS = 20
 """First tokens to have seen before their distribution is used."""
 
-DEFAULT_RATIO = 2.0
-"""Overdue ratio until then: a placement plans to use about half of the target."""
+DEFAULT_RATIO = 1.5
+"""Overdue ratio until then: placements plan with 0.6 of the target, so that a token as
+late as this is still about on time."""
 
 MIN_RATIO = 1.2
 """Lower bound of the overdue ratio: a token that comes as predicted is not overdue."""
--- a/tests/unit/gateway/test_hedging.py
+++ b/tests/unit/gateway/test_hedging.py
@@ -74,7 +74,7 @@
     hedging = Hedging()
     for number in range(100):
         hedging.record_first_token(1.0, 1.5 + 0.01 * number, NOW)
-    assert hedging.compute_delay(1.0, NOW) == pytest.approx(1.5 + 0.97)
+    assert hedging.compute_delay(1.0, NOW) == pytest.approx(1.5 + 0.94)
 
 
 def test_one_late_token_in_many_does_not_move_the_limit():
--- a/tests/unit/gateway/test_overdue_tokens.py
+++ b/tests/unit/gateway/test_overdue_tokens.py
@@ -161,6 +161,21 @@
     assert second.upstream != first.upstream
 
 
+def test_second_attempt_gets_an_idle_replica():
+    deployment = build_group()
+    front = deployment.fronts[0]
+    used = set()
+    for number in range(12):
+        placed = deployment.place(front, build_quick(number))
+        deployment.record_stage(front, build_quick(number).job, is_ended=False)
+        used.add(placed.upstream)
+    usual = deployment.place(front, build_quick(100))
+    second = deployment.place(front, build_quick(101, is_second=True))
+    assert usual.upstream in used
+    assert second.upstream not in used
+    assert second.first_token_in < usual.first_token_in
+
+
 def test_there_are_no_copies_under_overload():
     deployment = build_group()
     front = deployment.fronts[0]
