Keep the forwarded stream when the other attempt answers in the same turn

An attempt that ended with a complete response was claimed after its end, by the handler. If the other one had claimed a first event meanwhile, the handler itself was cancelled. Now an attempt claims its response itself, and a later result is dropped.

--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -57,7 +57,7 @@
         """Make ``runner`` the winner and cancel the others; raise if it is too late."""
         if self.winner is runner:
             return
-        if self.winner is not None:
+        if self.has_other_winner(runner):
             raise asyncio.CancelledError
         self.winner = runner
         self._decide()
@@ -65,6 +65,10 @@
             if other is not runner:
                 task.cancel()
 
+    def has_other_winner(self, runner: Forwarder) -> bool:
+        """Whether another attempt than ``runner`` is the winner."""
+        return self.winner is not None and self.winner is not runner
+
     def _decide(self) -> None:
         if not self.decided.done():
             self.decided.set_result(None)
@@ -142,7 +146,14 @@
         )
 
     async def _run_first(self, target: Target) -> _AttemptResult | None:
-        return await super()._attempt(target)
+        result = await super()._attempt(target)
+        self._claim_answer(result)
+        return result
+
+    def _claim_answer(self, result: _AttemptResult) -> None:
+        """Claim a complete response before the other attempt can go on."""
+        if self._race is not None and result.outcome is Outcome.ANSWERED:
+            self._race.claim(self)
 
     def _record_sent(self, target: Target) -> RateLimit:
         self._sent_at = self._runtime.now()
@@ -224,6 +235,7 @@
                 return None
             runtime.metrics.count_overdue_first_token("second attempt")
             result = await super()._attempt(target)
+            self._claim_answer(result)
             return msgspec.structs.replace(result, target=target)
 
     def _log_overdue(
@@ -250,10 +262,8 @@
         while (ended := await race.wait_for_next()) is not None:
             runner, task = ended
             result = None if task.cancelled() else task.result()
-            if result is None:
+            if result is None or race.has_other_winner(runner):
                 continue
-            if result.outcome is Outcome.ANSWERED:
-                race.claim(runner)
             if race.winner is runner or not race.has_sent:
                 return result
             # The other one goes on, as after a retry.
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -12,6 +12,8 @@
 from scalebend.core.gateway.messages import PlacementReply
 from scalebend.core.gateway.overdue_tokens import MIN_OVERDUE
 from scalebend.core.gateway.retry_window import RetryWindow
+from scalebend.edges.gateway import forwarder
+from scalebend.models.calls import Outcome
 from scalebend.models.placement import Declined, Placement
 from scalebend.models.routing import RouteKind
 from scalebend.platform.reports import REPORT_PATH
@@ -311,3 +313,36 @@
         instance = front.runtime.instance
         left_out = instance.scheduler.summarise(front.runtime.now()).suspect
         assert left_out == [front.leader.endpoints[0].upstream]
+
+
+async def test_answer_without_events_does_not_cut_off_the_one_that_is_forwarded(
+    monkeypatch,
+):
+    gate = asyncio.Event()
+    started = []
+
+    async def attempt(self, target):
+        started.append(self)
+        is_first = len(started) == 1
+        self.send_count += 1
+        self.upstream = target.upstream
+        await gate.wait()
+        if is_first:
+            response = web.Response(status=404, text="first")
+        else:
+            self._record_first_token(target)
+            await asyncio.sleep(0.05)
+            response = web.Response(text="second")
+        return forwarder._AttemptResult(Outcome.ANSWERED, response)
+
+    monkeypatch.setattr(forwarder.Forwarder, "_attempt", attempt)
+    async with run_engines(Engine("one"), Engine("other")) as front:
+
+        async def fetch():
+            async with front.call(prompt=1_000) as response:
+                return response.status, await response.text()
+
+        calling = asyncio.create_task(fetch())
+        await wait_for(lambda: len(started) == 2)
+        gate.set()
+        assert await calling in ((404, "first"), (200, "second"))
