Claim a response without events before it is opened

Its head was sent before the claim: while it was written, the other attempt could become the winner, and head and body be those of two runs.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -421,6 +421,7 @@
                 detail="ended inside an event",
                 is_connection_lost=True,
             )
+        self._claim_response()
         stream = self._stream or await self._open_stream(response)
         await stream.write_eof()
         return _AttemptResult(Outcome.ANSWERED, stream)
@@ -428,6 +429,9 @@
     def _record_first_token(self, target: Target) -> None:
         self._choice.record_first_token(target)
 
+    def _claim_response(self) -> None:
+        """Called before a response without events is opened for the caller."""
+
     def _record_event_time(self) -> None:
         now = self._runtime.now()
         if self.first_event is None:
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -147,12 +147,12 @@
 
     async def _run_first(self, target: Target) -> _AttemptResult | None:
         result = await super()._attempt(target)
-        self._claim_answer(result)
+        if result.outcome is Outcome.ANSWERED:
+            self._claim_response()
         return result
 
-    def _claim_answer(self, result: _AttemptResult) -> None:
-        """Claim a complete response before the other attempt can go on."""
-        if self._race is not None and result.outcome is Outcome.ANSWERED:
+    def _claim_response(self) -> None:
+        if self._race is not None:
             self._race.claim(self)
 
     def _record_sent(self, target: Target) -> RateLimit:
@@ -235,7 +235,8 @@
                 return None
             runtime.metrics.count_overdue_first_token("second attempt")
             result = await super()._attempt(target)
-            self._claim_answer(result)
+            if result.outcome is Outcome.ANSWERED:
+                self._claim_response()
             return msgspec.structs.replace(result, target=target)
 
     def _log_overdue(
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -72,7 +72,11 @@
         }
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
+        if self.mode == "empty":
+            response.content_length = 0
         await response.prepare(request)
+        if self.mode == "empty":
+            return response
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENTS + 1):
             event = f"id: {number}\ndata: {self.name}\n\n"
@@ -346,3 +350,29 @@
         await wait_for(lambda: len(started) == 2)
         gate.set()
         assert await calling in ((404, "first"), (200, "second"))
+
+
+async def test_response_without_events_is_claimed_before_it_is_opened(monkeypatch):
+    open_stream = forwarder.Forwarder._open_stream
+    winners = []
+
+    async def open_slowly(self, response):
+        winners.append(self._race.winner is self)
+        await asyncio.sleep(0.02)
+        return await open_stream(self, response)
+
+    monkeypatch.setattr(forwarder.Forwarder, "_open_stream", open_slowly)
+    empty, other = Engine("empty"), Engine("other", 0.01)
+    empty.mode = "empty"
+    empty.gate = other.gate = asyncio.Event()
+    async with run_engines(empty, other) as front:
+
+        async def fetch():
+            async with front.call(prompt=1_000) as response:
+                return response.headers["X-Server-Seal"], await response.read()
+
+        calling = asyncio.create_task(fetch())
+        await wait_for(lambda: empty.runs and other.runs)
+        empty.gate.set()
+        assert await calling == ("empty", b"")
+        assert winners == [True]
