Hold the share of second attempts in a burst

The share was tested only before the leader was asked, and counted after its reply: many at once passed the test. It is tested again before a second attempt is sent.

--- a/src/scalebend/core/gateway/hedging.py
+++ b/src/scalebend/core/gateway/hedging.py
@@ -175,19 +175,30 @@
             return Refusal.SUSPECT
         if is_queueing:
             return Refusal.QUEUEING
+        return Refusal.TOO_MANY if self._is_share_used(now) else None
+
+    def _is_share_used(self, now: float) -> bool:
+        """Whether one more second attempt would exceed their share."""
+        self._purge(now)
+        allowed = SECOND_ALLOWANCE + MAX_SECOND_SHARE * len(self._requests)
+        return len(self._seconds) + 1 > allowed
+
+    def _purge(self, now: float) -> None:
+        """Forget requests and second attempts that no longer count."""
         horizon = now - SHARE_WINDOW_S
         for times in (self._requests, self._seconds):
             while times and times[0] <= horizon:
                 times.popleft()
-        allowed = SECOND_ALLOWANCE + MAX_SECOND_SHARE * len(self._requests)
-        if len(self._seconds) + 1 > allowed:
-            return Refusal.TOO_MANY
-        return None
 
     def spend(
         self, service: ServiceName, retries: RetryWindow, now: float
     ) -> Refusal | None:
-        """Count a second attempt about to be sent; return why it must not be."""
+        """Count a second attempt about to be sent; return why it must not be.
+
+        Others may have been sent while this one was placed.
+        """
+        if self._is_share_used(now):
+            return Refusal.TOO_MANY
         if not retries.spend(service, now):
             return Refusal.NO_BUDGET
         self._seconds.append(now)
--- a/tests/unit/gateway/test_hedging.py
+++ b/tests/unit/gateway/test_hedging.py
@@ -202,6 +202,16 @@
     assert hedging.check(call, 0, later, is_suspect=False, is_queueing=False) is None
 
 
+def test_share_holds_for_second_attempts_that_are_placed_at_the_same_time():
+    hedging, retries = Hedging(), build_retries(slack=10_000.0)
+    service = build_call().service
+    burst = 20
+    assert [check(hedging) for _ in range(burst)] == [None] * burst
+    refusals = [hedging.spend(service, retries, NOW) for _ in range(burst)]
+    sent = int(SECOND_ALLOWANCE)
+    assert refusals == [None] * sent + [Refusal.TOO_MANY] * (burst - sent)
+
+
 # Where
 
 
