--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -102,9 +102,7 @@
             return PlacementReply(work.job)
         endpoints = directory.list_usable(work.service)
         if work.is_second:
-            return self._place_second(
-                work, endpoints, profile, now, may_grant=may_grant
-            )
+            return self._place_second(work, endpoints, profile, now)
         placed = self._limits.place(
             self.scheduler, work, endpoints, profile, now, may_grant=may_grant
         )
@@ -118,15 +116,15 @@
         endpoints: Sequence[Endpoint],
         profile: EngineProfile,
         now: float,
-        *,
-        may_grant: bool,
     ) -> PlacementReply:
-        """Place a second attempt into idle room; it never waits and moves nothing."""
+        """Place a second attempt into idle room; it never waits and moves nothing.
+
+        Rate-limited replicas are left out: their permits are for first attempts.
+        """
         room = Room(self.scheduler.open_jobs, profile.slots * len(endpoints))
         if room.is_idle:
-            placed = self._limits.place(
-                self.scheduler, work, endpoints, profile, now, may_grant=may_grant
-            )
+            limited = self._limits.budget.list_limited()
+            placed = self.scheduler.place(work, endpoints, profile, now, limited)
             if isinstance(placed, Placement) and is_fit(work, placed):
                 return PlacementReply(work.job, placed)
             self.scheduler.forget(work.job)
--- a/tests/unit/gateway/test_overdue_tokens.py
+++ b/tests/unit/gateway/test_overdue_tokens.py
@@ -14,11 +14,14 @@
 )
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobStage, Placement
+from scalebend.models.rate_limits import ObservedLimit
 from tests.lib.gateway_builders import PROFILE, build_endpoint, build_quick
 from tests.lib.gateway_group import build_deployment
 
 ENDPOINTS = [build_endpoint(number) for number in range(1, 10)]
 NOW = 100.0
+FREE_PERMITS_S = 2.0
+"""Time in which permits of a limited replica become free."""
 
 
 def place(scheduler, number, now):
@@ -201,3 +204,30 @@
     work = build_quick(2, is_second=True, excluded=(first.upstream,))
     assert isinstance(deployment.place(front, work), Declined)
     assert deployment.leader.scheduler.open_jobs == 1
+
+
+def test_second_attempt_does_not_go_to_a_limited_replica():
+    deployment = build_group(replicas=2)
+    front = deployment.fronts[0]
+    limited = [endpoint.upstream for endpoint in deployment.endpoints]
+    for upstream in limited:
+        deployment.record_limit(front, ObservedLimit(upstream, 5.0, 0))
+    deployment.run(FREE_PERMITS_S)
+    copy = build_quick(1, is_second=True)
+    assert isinstance(deployment.place(front, copy), Declined)
+    assert deployment.leader.scheduler.open_jobs == 0
+
+
+def test_second_attempts_leave_the_send_permits_to_first_ones():
+    deployment = build_group(replicas=1)
+    front = deployment.fronts[0]
+    limit = ObservedLimit(deployment.endpoints[0].upstream, 5.0, 0)
+    deployment.record_limit(front, limit)
+    deployment.run(FREE_PERMITS_S)
+    for number in range(20):
+        copy = build_quick(100 + number, is_second=True)
+        deployment.place(front, copy)
+        deployment.record_stage(front, copy.job, is_ended=True)
+    first = deployment.place(front, build_quick(1))
+    assert isinstance(first, Placement)
+    assert first.start_in == 0.0
