Ask a replica for its report before its first token counts as overdue

Reports were fetched after the limit of an overdue token, so that a replica with queued requests was taken for one that hangs: it was left out, and got copies. The report is now fetched, or waited for if another request fetches it, for up to 30 ms. A stall of the front is no longer taken for a hung replica either: what it left unread is read meanwhile. Overdue tokens count only with a report that shows no queue.

--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -170,11 +170,12 @@
                 case EndAttempts(upstreams):
                     self.attempts.end(upstreams)
 
-    def spawn(self, work: Coroutine[Any, Any, object]) -> None:
-        """Run ``work`` as a background task."""
+    def spawn(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
+        """Run ``work`` as a background task, and return it."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def close(self) -> None:
         """Close all links."""
@@ -324,6 +325,18 @@
             self.record_replica_failure(upstream)
         return self._inspector.list_unresponsive(addresses, self.now())
 
+    async def fetch_report(self, placement: Placement) -> None:
+        """Fetch reports of the replicas, or wait for those being fetched."""
+        await self.inspect(placement)
+        assert self._inspector is not None
+        await self._inspector.wait_for_report(placement.upstream)
+
+    def has_report(self, upstream: UpstreamId) -> bool:
+        """Whether the replica has just sent its report."""
+        if self._inspector is None:
+            return False
+        return self._inspector.has_report(upstream, self.now())
+
     def is_queueing(self, upstream: UpstreamId) -> bool:
         """Whether a recent report of the replica explains a wait by queued requests."""
         if self._inspector is None:
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -28,6 +28,11 @@
 """Outcome in the metrics of an attempt that another one was faster than."""
 
 
+REPORT_WAIT_S = 0.03
+"""Time to wait for the report of a replica whose first token is late: some round trips,
+and little of the target of a quick prompt."""
+
+
 class _Overdue(msgspec.Struct, frozen=True):
     """An attempt whose first token was overdue ``delay`` seconds after its start."""
 
@@ -125,7 +130,7 @@
         try:
             assert target.predicted is not None
             delay = self._hedging.compute_delay(target.predicted, self._runtime.now())
-            if not await wait_for_task(race.decided, delay):
+            if await self._is_overdue(race, target, delay):
                 second = self._start_second(race, target, delay)
             return await self._wait_for_result(race, target)
         finally:
@@ -184,13 +189,33 @@
 
     # The second attempt
 
+    async def _is_overdue(self, race: _Race, target: Target, delay: float) -> bool:
+        """Wait for the first token; return whether it is overdue.
+
+        A replica whose first token is late is asked for its report, which may explain
+        it by queued requests. Data that waits in the sockets after a stall of this
+        process is read meanwhile.
+        """
+        if await wait_for_task(race.decided, delay):
+            return False
+        if target.placement is None:
+            return True
+        fetching = self._runtime.spawn(self._runtime.fetch_report(target.placement))
+        await asyncio.wait(
+            {fetching, race.decided},
+            timeout=REPORT_WAIT_S,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        return not race.decided.done()
+
     def _start_second(
         self, race: _Race, target: Target, delay: float
     ) -> HedgedForwarder | None:
         """Report the overdue replica; start a second attempt if it is allowed."""
         runtime, call = self._runtime, self._call
         is_queueing = runtime.is_queueing(target.upstream)
-        if self._sent_at is not None and not is_queueing:
+        has_report = runtime.has_report(target.upstream)
+        if self._sent_at is not None and has_report and not is_queueing:
             runtime.record_overdue(target.upstream)
         refusal = self._hedging.check(
             call,
--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -79,6 +79,7 @@
         self._session = session
         self._fetched_at: dict[UpstreamId, float] = {}
         self._reports: dict[UpstreamId, _Report] = {}
+        self._pending: dict[UpstreamId, asyncio.Event] = {}
 
     def is_queueing(self, upstream: UpstreamId, now: float) -> bool:
         """Whether a recent report explains a wait by queued requests, not slowness."""
@@ -91,6 +92,19 @@
             return False
         return report.waiting > 0 and report.pace < UNHEALTHY_PACE
 
+    def has_report(self, upstream: UpstreamId, now: float) -> bool:
+        """Whether the last fetch of a report, if recent, had one."""
+        fetched_at = self._fetched_at.get(upstream, -REPEAT_INTERVAL_S)
+        is_recent = now - fetched_at < REPEAT_INTERVAL_S
+        if not is_recent or upstream in self._pending:
+            return False
+        return isinstance(self._reports.get(upstream), ReplicaReport)
+
+    async def wait_for_report(self, upstream: UpstreamId) -> None:
+        """Wait until no report of the replica is being fetched."""
+        while (pending := self._pending.get(upstream)) is not None:
+            await pending.wait()
+
     def list_unresponsive(
         self, upstreams: Iterable[UpstreamId], now: float
     ) -> list[UpstreamId]:
@@ -112,8 +126,15 @@
         }
         for upstream in due:
             self._fetched_at[upstream] = now
-        reports = await asyncio.gather(*(self._fetch_report(a) for a in due.values()))
-        self._reports.update(zip(due, reports, strict=True))
+            self._pending[upstream] = asyncio.Event()
+        try:
+            reports = await asyncio.gather(
+                *(self._fetch_report(a) for a in due.values())
+            )
+            self._reports.update(zip(due, reports, strict=True))
+        finally:
+            for upstream in due:
+                self._pending.pop(upstream).set()
         inspection = _summarise(dict(zip(due, reports, strict=True)))
         if inspection.unresponsive or any(pace.pace > 1.0 for pace in inspection.paces):
             logger.info(
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import contextlib
+import queue
 import re
+import threading
+import time
 
 import aiohttp
 import pytest
@@ -43,12 +46,15 @@
         self.interval = interval
         self.mode = "answer"
         self.gate = None
+        self.waiting = 0
         self.runs = []
         self.cancelled = 0
 
     async def handle(self, request):
         if request.path == REPORT_PATH:
-            return web.json_response({"pace": 1.0, "Waiting": 0, "Running": 0})
+            return web.json_response(
+                {"pace": 1.0, "Waiting": self.waiting, "Running": 0}
+            )
         await request.read()
         if self.mode == "full":
             return web.Response(status=503, headers={"X-Not-Executed": "true"})
@@ -135,6 +141,27 @@
         yield front
 
 
+@contextlib.contextmanager
+def run_in_thread(engine):
+    """Serve an engine from another thread; yield its address."""
+    started = queue.Queue()
+    stopped = threading.Event()
+
+    async def run():
+        async with serve(engine.handle) as address:
+            started.put(address)
+            while not stopped.is_set():
+                await asyncio.sleep(0.01)
+
+    thread = threading.Thread(target=lambda: asyncio.run(run()))
+    thread.start()
+    try:
+        yield started.get(timeout=5.0)
+    finally:
+        stopped.set()
+        thread.join()
+
+
 async def read(response):
     """Return the names of the engines of the events, which must come in order."""
     body = (await response.read()).decode()
@@ -376,3 +403,32 @@
         empty.gate.set()
         assert await calling == ("empty", b"")
         assert winners == [True]
+
+
+async def test_queueing_replica_is_neither_reported_nor_copied():
+    queueing, other = Engine("queueing", 0.25), Engine("other")
+    queueing.waiting = 3
+    async with run_engines(queueing, other) as front:
+        await asyncio.gather(*(call(front) for _ in range(2 * MIN_OVERDUE)))
+        instance = front.runtime.instance
+        assert instance.scheduler.summarise(front.runtime.now()).suspect == []
+        assert other.runs == []
+        assert len(queueing.runs) == 2 * MIN_OVERDUE
+        line = 'scalebend_overdue_first_tokens_total{decision="queueing"}'
+        assert count_metric(front, line) == 2 * MIN_OVERDUE
+
+
+async def test_stall_of_the_front_is_not_taken_for_a_hung_replica():
+    # The engine answers in time, from another thread, while this loop stands still.
+    engine = Engine("sound", 0.04)
+    with run_in_thread(engine) as address:
+        async with run_front(build_ranked_routing()) as front:
+            endpoints = [front.add(1, address)]
+            front.leader = front.runtime._leader_calls = Leader(endpoints)
+            calls = [asyncio.create_task(call(front)) for _ in range(MIN_OVERDUE)]
+            await wait_for(lambda: len(engine.runs) == MIN_OVERDUE)
+            time.sleep(0.15)
+            await asyncio.gather(*calls)
+            instance = front.runtime.instance
+            assert instance.scheduler.summarise(front.runtime.now()).suspect == []
+            assert front.leader.seconds == 0
