--- a/src/scalebend/core/gateway/placement_choice.py
+++ b/src/scalebend/core/gateway/placement_choice.py
@@ -39,8 +39,10 @@
 def choose_replicas(plan: Plan, pool: ReplicaPool) -> Placement | Declined:
     """Choose replicas for the plan's work, or say when to retry."""
     if plan.work.is_second:
-        # Packed among other requests, its first token would hardly come on time.
-        single = choose_least_wait(plan, pool)
+        # Packed among other requests, its first token would hardly come on time. An
+        # unhealthy replica is the last resort of requests that run nowhere else.
+        is_possible = next(sample_by_jobs(plan, pool), None) is not None
+        single = choose_least_wait(plan, pool) if is_possible else None
         return place_single(plan, single) if single else Declined(NO_REPLICA_RETRY_S)
     if plan.prefill_time <= max(
         MIN_SPLIT_PREFILL_S, min(MAX_UNSPLIT_PREFILL_S, plan.max_part_s)
--- a/tests/unit/gateway/test_overdue_tokens.py
+++ b/tests/unit/gateway/test_overdue_tokens.py
@@ -231,3 +231,16 @@
     first = deployment.place(front, build_quick(1))
     assert isinstance(first, Placement)
     assert first.start_in == 0.0
+
+
+def test_second_attempt_does_not_go_to_a_replica_that_is_left_out():
+    scheduler = EngineScheduler()
+    first, hung = ENDPOINTS[:2]
+    assert record_overdue(scheduler, hung.upstream, NOW)
+    work = build_quick(1, is_second=True, excluded=(first.upstream,))
+    placed = scheduler.place(work, [first, hung], PROFILE, NOW)
+    assert isinstance(placed, Declined)
+    assert scheduler.open_jobs == 0
+    # Other work goes there if no other replica is left.
+    usual = build_quick(2, excluded=(first.upstream,))
+    assert isinstance(scheduler.place(usual, [first, hung], PROFILE, NOW), Placement)
