Test that overdue tokens of one moment need a report to count

Two tokens that are overdue at once may have one cause, a lost packet or a stall. They count only with a report that shows no queue; the test fails without that condition.

--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -47,11 +47,13 @@
         self.mode = "answer"
         self.gate = None
         self.waiting = 0
+        self.report_delay = 0.0
         self.runs = []
         self.cancelled = 0
 
     async def handle(self, request):
         if request.path == REPORT_PATH:
+            await asyncio.sleep(self.report_delay)
             return web.json_response(
                 {"pace": 1.0, "Waiting": self.waiting, "Running": 0}
             )
@@ -432,3 +434,12 @@
             instance = front.runtime.instance
             assert instance.scheduler.summarise(front.runtime.now()).suspect == []
             assert front.leader.seconds == 0
+
+
+async def test_overdue_tokens_of_one_moment_do_not_count_without_a_report():
+    late, other = Engine("late", NEVER_S), Engine("other")
+    late.report_delay = 0.3
+    async with run_engines(late, other) as front:
+        await asyncio.gather(*(call(front) for _ in range(MIN_OVERDUE)))
+        instance = front.runtime.instance
+        assert instance.scheduler.summarise(front.runtime.now()).suspect == []
