--- a/src/scalebend/core/gateway/hedging.py
+++ b/src/scalebend/core/gateway/hedging.py
@@ -144,6 +144,7 @@
 
     def record_request(self, now: float) -> None:
         """Count a request that may get a second attempt."""
+        self._purge(now)
         self._requests.append(now)
 
     def record_first_token(self, predicted: float, observed: float, now: float) -> None:
--- a/tests/unit/gateway/test_hedging.py
+++ b/tests/unit/gateway/test_hedging.py
@@ -212,6 +212,13 @@
     assert refusals == [None] * sent + [Refusal.TOO_MANY] * (burst - sent)
 
 
+def test_requests_are_forgotten_though_no_token_is_overdue():
+    hedging = Hedging()
+    for second in range(10_000):
+        hedging.record_request(float(second))
+    assert len(hedging._requests) <= SHARE_WINDOW_S + 1
+
+
 # Where
 
 
