Judge overdue tokens by floored times and the call's own rank

Ratios of tiny predictions, mostly round trips, made tokens of longer prompts overdue too late. Whether the document calls for second attempts now follows the call's priority: a customer may rank lower than the route. The builder of test calls gave them priority 0 whatever their route; it now takes the route's, as fronts do.

--- a/src/scalebend/core/gateway/hedging.py
+++ b/src/scalebend/core/gateway/hedging.py
@@ -18,7 +18,7 @@
 from scalebend.models.calls import Call
 from scalebend.models.ids import ServiceName
 from scalebend.models.placement import EngineWork, Placement
-from scalebend.models.routing import EMPTY_ROUTING, Route, RouteKind, Routing
+from scalebend.models.routing import EMPTY_ROUTING, RouteKind, Routing
 
 OVERDUE_QUANTILE = 0.95
 """Share of first tokens that come before one counts as overdue: later, a second attempt
@@ -80,9 +80,12 @@
         self._ratios: deque[tuple[float, float]] = deque(maxlen=MAX_RATIOS)
 
     def record(self, predicted: float, observed: float, now: float) -> None:
-        """Add a first token that came ``observed`` seconds after the send."""
-        if predicted > 0.0:
-            self._ratios.append((now, observed / predicted))
+        """Add a first token that came ``observed`` seconds after the send.
+
+        Times below the round trips say nothing about the predictions of longer ones.
+        """
+        ratio = max(observed, MIN_DELAY_S) / max(predicted, MIN_DELAY_S)
+        self._ratios.append((now, ratio))
 
     def compute_overdue_ratio(self, now: float) -> float:
         """Return the ratio from which on a first token is overdue."""
@@ -107,9 +110,9 @@
         self._lowest: dict[ServiceName, int] = {}
 
     def outranks_another(
-        self, route: Route, service: ServiceName, routing: Routing
+        self, priority: int, service: ServiceName, routing: Routing
     ) -> bool:
-        """Whether a less urgent route of the document leads to the same service."""
+        """Whether a route less urgent than ``priority`` leads to the same service."""
         if routing is not self._routing:
             self._routing = routing
             self._lowest = {}
@@ -117,7 +120,7 @@
                 for split in one.services:
                     lowest = self._lowest.get(split.service, one.priority)
                     self._lowest[split.service] = max(lowest, one.priority)
-        return route.priority < self._lowest.get(service, route.priority)
+        return priority < self._lowest.get(service, priority)
 
 
 class Hedging:
@@ -139,7 +142,7 @@
             route.kind is RouteKind.STREAMING
             and route.is_idempotent
             and route.max_attempts > 1
-            and self._ranked.outranks_another(route, call.service, routing)
+            and self._ranked.outranks_another(call.priority, call.service, routing)
         )
 
     def record_request(self, now: float) -> None:
--- a/tests/lib/gateway_builders.py
+++ b/tests/lib/gateway_builders.py
@@ -116,6 +116,7 @@
         target="/x",
         arrived=0.0,
         deadline=deadline,
+        priority=route.priority,
     )
 
 
--- a/tests/unit/gateway/test_hedging.py
+++ b/tests/unit/gateway/test_hedging.py
@@ -104,6 +104,16 @@
     assert Hedging().compute_delay(0.0001, NOW) == MIN_DELAY_S
 
 
+def test_tiny_predictions_do_not_move_the_limit_of_longer_ones():
+    hedging = Hedging()
+    for number in range(100):
+        if number % 10:
+            hedging.record_first_token(0.1, 0.1, NOW)
+        else:
+            hedging.record_first_token(0.01, 0.03, NOW)
+    assert hedging.compute_delay(0.1, NOW) == pytest.approx(0.1 * MIN_RATIO)
+
+
 # The document
 
 
@@ -147,6 +157,13 @@
     assert hedging.is_called_for(build_call(route), build_ranked_routing(route))
 
 
+def test_rank_is_that_of_the_call():
+    # A customer may rank lower than the route.
+    route = build_stream()
+    call = msgspec.structs.replace(build_call(route), priority=1)
+    assert not Hedging().is_called_for(call, build_ranked_routing(route))
+
+
 # Whether one may start
 
 
