--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -287,8 +287,10 @@
         """Return the result of the attempt that is forwarded, or of the last one."""
         while (ended := await race.wait_for_next()) is not None:
             runner, task = ended
-            result = None if task.cancelled() else task.result()
-            if result is None or race.has_other_winner(runner):
+            if race.has_other_winner(runner):
+                continue
+            result = self._get_result(runner, task, race)
+            if result is None:
                 continue
             if race.winner is runner or not race.has_sent:
                 return result
@@ -299,6 +301,28 @@
             race.failed = runner
         raise asyncio.CancelledError
 
+    def _get_result(
+        self,
+        runner: Forwarder,
+        task: asyncio.Task[_AttemptResult | None],
+        race: _Race,
+    ) -> _AttemptResult | None:
+        """Return the result of an attempt that ended; ``None`` if there is none.
+
+        A fault of the second attempt is only logged while the first goes on.
+        """
+        if task.cancelled():
+            return None
+        error = task.exception()
+        if error is None or runner is self or not race.has_sent:
+            return task.result()
+        logger.error(
+            "second attempt failed unexpectedly",
+            request=self._call.headers.request,
+            exc_info=error,
+        )
+        return None
+
     def _finish_second(
         self, race: _Race, target: Target, second: HedgedForwarder
     ) -> None:
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -443,3 +443,17 @@
         await asyncio.gather(*(call(front) for _ in range(MIN_OVERDUE)))
         instance = front.runtime.instance
         assert instance.scheduler.summarise(front.runtime.now()).suspect == []
+
+
+async def test_fault_of_the_second_attempt_does_not_fail_the_request():
+    late, other = Engine("late", 3 * OVERDUE_S), Engine("other")
+    async with run_engines(late, other) as front:
+
+        async def fail(work):
+            raise ValueError
+
+        front.runtime.place_second = fail
+        _, names = await call(front)
+        assert names == ["late"] * EVENTS
+        assert other.runs == []
+        assert list_open_jobs(front) == []
