Make three tests of second attempts test what they say

The replica where a copy would wait was excluded, so anything was declined: now it has room and prefills a long prompt. That the second is rejected once, and that the leader was asked once and the retry budget decided, is asserted.

--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -50,6 +50,7 @@
         self.report_delay = 0.0
         self.runs = []
         self.cancelled = 0
+        self.rejected = 0
 
     async def handle(self, request):
         if request.path == REPORT_PATH:
@@ -59,6 +60,7 @@
             )
         await request.read()
         if self.mode == "full":
+            self.rejected += 1
             return web.Response(status=503, headers={"X-Not-Executed": "true"})
         self.runs.append(request.headers.get("Last-Event-Id"))
         try:
@@ -297,7 +299,10 @@
         _, names = await call(front)
         assert names == ["late"] * EVENTS
         assert other.runs == []
+        assert front.leader.seconds == 1
         assert list_open_jobs(front) == []
+        line = 'scalebend_overdue_first_tokens_total{decision="budget"}'
+        assert count_metric(front, line) == 1
 
 
 async def test_first_goes_on_if_the_second_is_rejected():
@@ -306,6 +311,10 @@
     async with run_engines(late, full) as front:
         _, names = await call(front)
         assert names == ["late"] * EVENTS
+        assert full.rejected == 1
+        line = 'scalebend_attempts_total{outcome="rejected"}'
+        assert count_metric(front, line) == 1
+        assert list_open_jobs(front) == []
 
 
 @pytest.mark.parametrize("crash_after", [OVERDUE_S / 2, 1.5 * OVERDUE_S])
--- a/tests/unit/gateway/test_overdue_tokens.py
+++ b/tests/unit/gateway/test_overdue_tokens.py
@@ -15,7 +15,7 @@
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobStage, Placement
 from scalebend.models.rate_limits import ObservedLimit
-from tests.lib.gateway_builders import PROFILE, build_endpoint, build_quick
+from tests.lib.gateway_builders import PROFILE, build_endpoint, build_quick, build_work
 from tests.lib.gateway_group import build_deployment
 
 ENDPOINTS = [build_endpoint(number) for number in range(1, 10)]
@@ -198,12 +198,19 @@
 
 
 def test_second_attempt_is_not_placed_where_it_would_wait():
-    deployment = build_group(replicas=1)
+    deployment = build_group(replicas=2)
     front = deployment.fronts[0]
     first = deployment.place(front, build_quick(1))
-    work = build_quick(2, is_second=True, excluded=(first.upstream,))
-    assert isinstance(deployment.place(front, work), Declined)
-    assert deployment.leader.scheduler.open_jobs == 1
+    # The other one has room, but prefills a long prompt.
+    long = build_work(2, 100_000, excluded=(first.upstream,))
+    busy = deployment.place(front, long)
+    assert isinstance(busy, Placement)
+    usual = deployment.place(front, build_quick(3, excluded=(first.upstream,)))
+    assert isinstance(usual, Placement)
+    assert usual.upstream == busy.upstream
+    copy = build_quick(4, is_second=True, excluded=(first.upstream,))
+    assert isinstance(deployment.place(front, copy), Declined)
+    assert deployment.leader.scheduler.open_jobs == 3
 
 
 def test_second_attempt_does_not_go_to_a_limited_replica():
