Name the place where waiting work declines second attempts

Nothing waits at this leader yet; one with a queue answers there. Second attempts are placed by the scheduler itself, so that they never enter a queue.

--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -122,7 +122,7 @@
         Rate-limited replicas are left out: their permits are for first attempts.
         """
         room = Room(self.scheduler.open_jobs, profile.slots * len(endpoints))
-        if room.is_idle:
+        if room.is_idle and not self._is_work_waiting():
             limited = self._limits.budget.list_limited()
             placed = self.scheduler.place(work, endpoints, profile, now, limited)
             if isinstance(placed, Placement) and is_fit(work, placed):
@@ -136,6 +136,13 @@
         )
         return PlacementReply(work.job, declined=Declined(NO_REPLICA_RETRY_S))
 
+    def _is_work_waiting(self) -> bool:
+        """Whether work waits at the leader, which a second attempt must not overtake.
+
+        Nothing does: what finds no room is declined.
+        """
+        return False
+
     def record_overdue(self, upstreams: Iterable[UpstreamId], now: float) -> None:
         """Record replicas at which a front waits for an overdue first token."""
         for upstream in upstreams:
--- a/tests/unit/gateway/test_overdue_tokens.py
+++ b/tests/unit/gateway/test_overdue_tokens.py
@@ -4,6 +4,7 @@
 
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.hedging import MAX_LOAD, is_fit
+from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.messages import LinkMessage, ReplicaFailures
 from scalebend.core.gateway.overdue_tokens import (
     FIRST_EXCLUSION_S,
@@ -251,3 +252,13 @@
     # Other work goes there if no other replica is left.
     usual = build_quick(2, excluded=(first.upstream,))
     assert isinstance(scheduler.place(usual, [first, hung], PROFILE, NOW), Placement)
+
+
+def test_second_attempt_does_not_overtake_waiting_work(monkeypatch):
+    deployment = build_group()
+    front = deployment.fronts[0]
+    monkeypatch.setattr(LeaderPlacement, "_is_work_waiting", lambda self: True)
+    copy = build_quick(1, is_second=True)
+    assert isinstance(deployment.place(front, copy), Declined)
+    assert isinstance(deployment.place(front, build_quick(2)), Placement)
+    assert deployment.leader.scheduler.open_jobs == 1
