--- a/src/scalebend/core/gateway/hedging.py
+++ b/src/scalebend/core/gateway/hedging.py
@@ -73,11 +73,18 @@
     NO_BUDGET = "budget"
 
 
+class _Ratio(msgspec.Struct, frozen=True):
+    """Ratio of observed to predicted time of a first token, and when it came."""
+
+    at: float
+    ratio: float
+
+
 class FirstTokenRatios:
     """Recent ratios of observed to predicted time to the first token."""
 
     def __init__(self) -> None:
-        self._ratios: deque[tuple[float, float]] = deque(maxlen=MAX_RATIOS)
+        self._ratios: deque[_Ratio] = deque(maxlen=MAX_RATIOS)
 
     def record(self, predicted: float, observed: float, now: float) -> None:
         """Add a first token that came ``observed`` seconds after the send.
@@ -85,15 +92,15 @@
         Times below the round trips say nothing about the predictions of longer ones.
         """
         ratio = max(observed, MIN_DELAY_S) / max(predicted, MIN_DELAY_S)
-        self._ratios.append((now, ratio))
+        self._ratios.append(_Ratio(now, ratio))
 
     def compute_overdue_ratio(self, now: float) -> float:
         """Return the ratio from which on a first token is overdue."""
-        while self._ratios and now - self._ratios[0][0] > RATIO_LIFETIME_S:
+        while self._ratios and now - self._ratios[0].at > RATIO_LIFETIME_S:
             self._ratios.popleft()
         if len(self._ratios) < MIN_RATIOS:
             return DEFAULT_RATIO
-        ratios = sorted(ratio for _, ratio in self._ratios)
+        ratios = sorted(one.ratio for one in self._ratios)
         rank = math.ceil(OVERDUE_QUANTILE * len(ratios)) - 1
         return max(MIN_RATIO, ratios[rank])
 
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -65,7 +65,7 @@
     """A stream broke after a part of it had been forwarded to the caller."""
 
 
-class _AttemptResult(msgspec.Struct, frozen=True):
+class AttemptResult(msgspec.Struct, frozen=True):
     """Result of one attempt; ``response`` is that of the upstream, if there was one."""
 
     outcome: Outcome
@@ -171,7 +171,7 @@
         runtime = self._runtime
         return runtime.instance.compute_backoff(self._call.service, (), runtime.now())
 
-    def _record_failure(self, target: Target, result: _AttemptResult) -> UpstreamId:
+    def _record_failure(self, target: Target, result: AttemptResult) -> UpstreamId:
         """Record a failed attempt; return the upstream at fault."""
         runtime = self._runtime
         faulty = result.faulty or target.upstream
@@ -190,7 +190,7 @@
             runtime.instance.record_outcome(faulty, has_failed=True)
         return faulty
 
-    def _decide(self, target: Target, result: _AttemptResult) -> TryAgain | GiveUp:
+    def _decide(self, target: Target, result: AttemptResult) -> TryAgain | GiveUp:
         runtime = self._runtime
         faulty = self._record_failure(target, result)
         decision = self._attempts.decide(
@@ -234,17 +234,17 @@
 
     # One attempt
 
-    async def _attempt(self, target: Target) -> _AttemptResult:
+    async def _attempt(self, target: Target) -> AttemptResult:
         if target.unavailable is not None:
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.WITHDRAWN, detail="not sent", faulty=target.unavailable
             )
         if self._compute_quarantine() > 0.0:
             # The quarantine began while the request waited to be sent.
-            return _AttemptResult(Outcome.WITHDRAWN, detail="held back")
+            return AttemptResult(Outcome.WITHDRAWN, detail="held back")
         if not self._runtime.instance.may_send(target.upstream, self._runtime.now()):
             # Backoff or draining began after the upstream was chosen.
-            return _AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
+            return AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
         attempts = self._runtime.attempts
         with attempts.watch(self._call.deadline, target.upstreams) as running:
             try:
@@ -252,33 +252,31 @@
                     return await self._exchange(target, running)
             # Also a TimeoutError, but of the connector, before the deadline.
             except aiohttp.ConnectionTimeoutError:
-                return _AttemptResult(Outcome.NOT_SENT, detail="connection timed out")
+                return AttemptResult(Outcome.NOT_SENT, detail="connection timed out")
             except aiohttp.ClientConnectorError as error:
-                return _AttemptResult(Outcome.NOT_SENT, detail=str(error))
+                return AttemptResult(Outcome.NOT_SENT, detail=str(error))
             except UnresponsiveError:
-                return _AttemptResult(Outcome.UNRESPONSIVE)
+                return AttemptResult(Outcome.UNRESPONSIVE)
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.timeout.expired():
                     detail = f"{type(error).__name__}: {error}"
                     is_connection_lost = isinstance(error, _CONNECTION_ERRORS)
-                    return _AttemptResult(
+                    return AttemptResult(
                         Outcome.INTERRUPTED,
                         detail=detail,
                         is_connection_lost=is_connection_lost,
                     )
             if running.restarted_upstream is None:
-                return _AttemptResult(Outcome.TIMED_OUT)
+                return AttemptResult(Outcome.TIMED_OUT)
             detail = f"{running.restarted_upstream} started again"
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.INTERRUPTED,
                 detail=detail,
                 faulty=running.restarted_upstream,
                 is_connection_lost=True,
             )
 
-    async def _exchange(
-        self, target: Target, running: RunningAttempt
-    ) -> _AttemptResult:
+    async def _exchange(self, target: Target, running: RunningAttempt) -> AttemptResult:
         call = self._call
         # After a broken or unresponsive connection, pooled ones may be dead, too.
         may_pool = call.route.is_idempotent and not self._attempts.may_have_run
@@ -360,18 +358,18 @@
         response: aiohttp.ClientResponse,
         head: ResponseHeaders,
         read_timeout: float | None,
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         self._choice.load = head.load
         if head.request is not None and head.request != self._call.headers.request:
             response.close()
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.INTERRUPTED, detail="answer to another request"
             )
         if head.has_not_run and response.status >= 400:
             await read_body(response, read_timeout)
             detail = f"status {response.status}"
             faulty = target.find_helper(head.faulty_address)
-            return _AttemptResult(Outcome.REJECTED, None, detail, faulty)
+            return AttemptResult(Outcome.REJECTED, None, detail, faulty)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and response.status == 200:
             return await self._forward_events(target, running, response)
@@ -383,15 +381,15 @@
             body=body,
         )
         if response.status >= 500:
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.FAILED, forwarded, detail=f"status {response.status}"
             )
         self._choice.has_failed = False
-        return _AttemptResult(Outcome.ANSWERED, forwarded)
+        return AttemptResult(Outcome.ANSWERED, forwarded)
 
     async def _forward_events(
         self, target: Target, running: RunningAttempt, response: aiohttp.ClientResponse
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         cursor = self._cursor
         cursor.restart()
         event_timeout = compute_event_timeout(self._call.route)
@@ -416,7 +414,7 @@
             stream = self._stream or await self._open_stream(response)
             await stream.write(forwarded.data)
         if cursor.has_partial:
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.INTERRUPTED,
                 detail="ended inside an event",
                 is_connection_lost=True,
@@ -424,7 +422,7 @@
         self._claim_response()
         stream = self._stream or await self._open_stream(response)
         await stream.write_eof()
-        return _AttemptResult(Outcome.ANSWERED, stream)
+        return AttemptResult(Outcome.ANSWERED, stream)
 
     def _record_first_token(self, target: Target) -> None:
         self._choice.record_first_token(target)
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -7,13 +7,14 @@
 from __future__ import annotations
 
 import asyncio
+from typing import Any
 
 import msgspec
 import structlog
 from aiohttp import web
 
 from scalebend.core.gateway.hedging import Refusal
-from scalebend.edges.gateway.forwarder import Forwarder, _AttemptResult
+from scalebend.edges.gateway.forwarder import AttemptResult, Forwarder
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.response_reading import wait_for_task
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
@@ -40,6 +41,13 @@
     delay: float
 
 
+class _Ended(msgspec.Struct, frozen=True):
+    """An attempt that has ended, and its task."""
+
+    runner: Forwarder
+    task: asyncio.Task[AttemptResult | None]
+
+
 class _Race:
     """Attempts that run at the same time, until one of them is the first."""
 
@@ -51,9 +59,9 @@
         self.failed: Forwarder | None = None
         """The attempt that failed while the other went on."""
 
-        self._tasks: dict[Forwarder, asyncio.Task[_AttemptResult | None]] = {}
+        self._tasks: dict[Forwarder, asyncio.Task[AttemptResult | None]] = {}
 
-    def add(self, runner: Forwarder, task: asyncio.Task[_AttemptResult | None]) -> None:
+    def add(self, runner: Forwarder, task: asyncio.Task[AttemptResult | None]) -> None:
         """Add an attempt that has just started."""
         self._tasks[runner] = task
         task.add_done_callback(lambda _: self._decide())
@@ -78,16 +86,14 @@
         if not self.decided.done():
             self.decided.set_result(None)
 
-    async def wait_for_next(
-        self,
-    ) -> tuple[Forwarder, asyncio.Task[_AttemptResult | None]] | None:
+    async def wait_for_next(self) -> _Ended | None:
         """Wait for an attempt to end and remove it; ``None`` if none is left."""
         if not self._tasks:
             return None
         tasks = self._tasks.values()
         await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
         runner = next(one for one, task in self._tasks.items() if task.done())
-        return runner, self._tasks.pop(runner)
+        return _Ended(runner, self._tasks.pop(runner))
 
     @property
     def has_sent(self) -> bool:
@@ -119,7 +125,7 @@
         self._overdue: _Overdue | None = None
         """The first attempt, if this is the second one."""
 
-    async def _attempt(self, target: Target) -> _AttemptResult:
+    async def _attempt(self, target: Target) -> AttemptResult:
         if not self._may_hedge(target):
             return await super()._attempt(target)
         self._hedging.record_request(self._runtime.now())
@@ -150,7 +156,7 @@
             and self._hedging.is_called_for(self._call, routing)
         )
 
-    async def _run_first(self, target: Target) -> _AttemptResult | None:
+    async def _run_first(self, target: Target) -> AttemptResult | None:
         result = await super()._attempt(target)
         if result.outcome is Outcome.ANSWERED:
             self._claim_response()
@@ -201,10 +207,9 @@
         if target.placement is None:
             return True
         fetching = self._runtime.spawn(self._runtime.fetch_report(target.placement))
+        either: set[asyncio.Future[Any]] = {fetching, race.decided}
         await asyncio.wait(
-            {fetching, race.decided},
-            timeout=REPORT_WAIT_S,
-            return_when=asyncio.FIRST_COMPLETED,
+            either, timeout=REPORT_WAIT_S, return_when=asyncio.FIRST_COMPLETED
         )
         return not race.decided.done()
 
@@ -238,7 +243,7 @@
         race.add(second, asyncio.create_task(second._run_second()))
         return second
 
-    async def _run_second(self) -> _AttemptResult | None:
+    async def _run_second(self) -> AttemptResult | None:
         """Run the second attempt; return ``None`` if it was not sent."""
         runtime = self._runtime
         async with self._choice.choose_second() as target:
@@ -283,13 +288,13 @@
 
     # The result
 
-    async def _wait_for_result(self, race: _Race, target: Target) -> _AttemptResult:
+    async def _wait_for_result(self, race: _Race, target: Target) -> AttemptResult:
         """Return the result of the attempt that is forwarded, or of the last one."""
         while (ended := await race.wait_for_next()) is not None:
-            runner, task = ended
+            runner = ended.runner
             if race.has_other_winner(runner):
                 continue
-            result = self._get_result(runner, task, race)
+            result = self._get_result(ended, race)
             if result is None:
                 continue
             if race.winner is runner or not race.has_sent:
@@ -301,20 +306,16 @@
             race.failed = runner
         raise asyncio.CancelledError
 
-    def _get_result(
-        self,
-        runner: Forwarder,
-        task: asyncio.Task[_AttemptResult | None],
-        race: _Race,
-    ) -> _AttemptResult | None:
+    def _get_result(self, ended: _Ended, race: _Race) -> AttemptResult | None:
         """Return the result of an attempt that ended; ``None`` if there is none.
 
         A fault of the second attempt is only logged while the first goes on.
         """
+        task = ended.task
         if task.cancelled():
             return None
         error = task.exception()
-        if error is None or runner is self or not race.has_sent:
+        if error is None or ended.runner is self or not race.has_sent:
             return task.result()
         logger.error(
             "second attempt failed unexpectedly",
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -375,7 +375,7 @@
             self._record_first_token(target)
             await asyncio.sleep(0.05)
             response = web.Response(text="second")
-        return forwarder._AttemptResult(Outcome.ANSWERED, response)
+        return forwarder.AttemptResult(Outcome.ANSWERED, response)
 
     monkeypatch.setattr(forwarder.Forwarder, "_attempt", attempt)
     async with run_engines(Engine("one"), Engine("other")) as front:
