--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -394,15 +394,18 @@
     open_stream = forwarder.Forwarder._open_stream
     winners = []
 
+    empty, other = Engine("empty"), Engine("other")
+    empty.mode = "empty"
+    empty.gate, other.gate = asyncio.Event(), asyncio.Event()
+
     async def open_slowly(self, response):
         winners.append(self._race.winner is self)
-        await asyncio.sleep(0.02)
+        # The other one answers meanwhile.
+        other.gate.set()
+        await asyncio.sleep(0.05)
         return await open_stream(self, response)
 
     monkeypatch.setattr(forwarder.Forwarder, "_open_stream", open_slowly)
-    empty, other = Engine("empty"), Engine("other", 0.01)
-    empty.mode = "empty"
-    empty.gate = other.gate = asyncio.Event()
     async with run_engines(empty, other) as front:
 
         async def fetch():
