--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -317,8 +317,9 @@
             case JobStages(stages):
                 self.placement.record_stages(stages, now)
                 return self._release_queued(now)
-            case ReplicaFailures(upstreams):
+            case ReplicaFailures(upstreams, overdue):
                 self.placement.record_inspection([], upstreams, now)
+                self.placement.record_overdue(overdue, now)
             case ReplicaPaces(paces):
                 self.placement.record_inspection(paces, [], now)
             case AttemptOutcomes(outcomes):
--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -6,28 +6,33 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 import structlog
 
 from scalebend.core.gateway.endpoint_directory import EndpointDirectory
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.hedging import Room, is_fit
 from scalebend.core.gateway.limit_exchange import LimitExchange
 from scalebend.core.gateway.messages import PlacementReply
 from scalebend.core.gateway.path_evidence import LeaderPaths
+from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.queued_placement import QueuedPlacement
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.service_room import EngineRoom
 from scalebend.core.gateway.waiting_line import Queued
+from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import InstanceId, ServiceName, UpstreamId
 from scalebend.models.placement import (
     Declined,
     EngineWork,
     JobStage,
     OpenJob,
+    Placement,
     ReplicaPace,
     is_job_of,
 )
+from scalebend.models.routing import EngineProfile
 
 logger = structlog.get_logger(__name__)
 
@@ -127,6 +132,8 @@
         ):
             # The front uses its own part of the ceilings.
             return PlacementReply(work.job)
+        if work.is_second:
+            return self._place_second(work, room.endpoints, room.profile, now)
         if table.has_ranked_customers:
             return self._place_in_order(work, room, may_wait=may_wait)
         placed = room.place(work)
@@ -190,6 +197,44 @@
             may_grant,
         )
 
+    def _place_second(
+        self,
+        work: EngineWork,
+        endpoints: Sequence[Endpoint],
+        profile: EngineProfile,
+        now: float,
+    ) -> PlacementReply:
+        """Place a second attempt into idle room; it never waits and moves nothing.
+
+        Rate-limited and cold replicas are left out: their permits are for first
+        attempts.
+        """
+        room = Room(self.scheduler.open_jobs, profile.slots * len(endpoints))
+        if room.is_idle and not self._is_work_waiting():
+            avoided = self._limits.list_reserved(endpoints, now)
+            placed = self.scheduler.place(work, endpoints, profile, now, avoided)
+            if isinstance(placed, Placement) and is_fit(work, placed):
+                self._limits.ceilings.spend(placed.upstream, now)
+                return PlacementReply(work.job, placed)
+            self.scheduler.forget(work.job)
+        logger.info(
+            "no room for a second attempt",
+            job=work.job,
+            open=room.jobs,
+            slots=room.slots,
+        )
+        return PlacementReply(work.job, declined=Declined(NO_REPLICA_RETRY_S))
+
+    def _is_work_waiting(self) -> bool:
+        """Whether work waits, which a second attempt must not overtake."""
+        return bool(self.queue.waiting)
+
+    def record_overdue(self, upstreams: Iterable[UpstreamId], now: float) -> None:
+        """Record replicas at which a front waits for an overdue first token."""
+        for upstream in upstreams:
+            if self.scheduler.record_overdue(upstream, now):
+                logger.info("replica left out for overdue tokens", upstream=upstream)
+
     def _decline(self, work: EngineWork, declined: Declined) -> PlacementReply:
         """Reply that no replica may take the work now."""
         return PlacementReply(work.job, declined=declined)
--- a/src/scalebend/core/gateway/limit_exchange.py
+++ b/src/scalebend/core/gateway/limit_exchange.py
@@ -217,6 +217,17 @@
         scheduler.forget(job)
         self.placement.withdraw(job, now)
 
+    def list_reserved(
+        self, endpoints: Sequence[Endpoint], now: float
+    ) -> tuple[UpstreamId, ...]:
+        """Replicas whose permits are for first attempts: limited, cold or exhausted."""
+        upstreams = [endpoint.upstream for endpoint in endpoints]
+        return (
+            *self.budget.list_limited(),
+            *self.starts.list_cold(now),
+            *self.budget.list_unavailable(upstreams, now),
+        )
+
     def grant(
         self, request: SendPermitRequest, now: float, *, may_grant: bool
     ) -> SendPermitReply:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -66,7 +66,7 @@
     """A stream broke after a part of it had been forwarded to the caller."""
 
 
-class _AttemptResult(msgspec.Struct, frozen=True):
+class AttemptResult(msgspec.Struct, frozen=True):
     """Result of one attempt; ``response`` is that of the upstream, if there was one."""
 
     outcome: Outcome
@@ -81,6 +81,9 @@
     is_connection_timeout: bool = False
     """Whether no connection came about in time."""
 
+    target: Target | None = None
+    """Where it ran, if not at the target first chosen."""
+
     @property
     def has_unavailable_member(self) -> bool:
         """Whether an upstream of the placement is unavailable; others may be, too."""
@@ -147,6 +150,7 @@
                     return self._give_up(refusal, None)
                 result = await self._attempt(target)
                 self._choice.is_complete = result.outcome is Outcome.ANSWERED
+            target = result.target or target
             runtime.metrics.count_attempt(result.outcome.value)
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
@@ -173,7 +177,8 @@
         runtime = self._runtime
         return runtime.instance.compute_backoff(self._call.service, (), runtime.now())
 
-    def _decide(self, target: Target, result: _AttemptResult) -> TryAgain | GiveUp:
+    def _record_failure(self, target: Target, result: AttemptResult) -> UpstreamId:
+        """Record a failed attempt; return the upstream at fault."""
         runtime = self._runtime
         faulty = result.faulty or target.upstream
         if result.is_connection_lost:
@@ -191,6 +196,11 @@
             runtime.record_rejection(faulty)
         if result.outcome in (Outcome.FAILED, Outcome.INTERRUPTED, Outcome.NOT_SENT):
             runtime.instance.record_outcome(faulty, has_failed=True)
+        return faulty
+
+    def _decide(self, target: Target, result: AttemptResult) -> TryAgain | GiveUp:
+        runtime = self._runtime
+        faulty = self._record_failure(target, result)
         decision = self._attempts.decide(
             result.outcome,
             faulty,
@@ -232,17 +242,17 @@
 
     # One attempt
 
-    async def _attempt(self, target: Target) -> _AttemptResult:
+    async def _attempt(self, target: Target) -> AttemptResult:
         if target.unavailable is not None:
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.WITHDRAWN, detail="not sent", faulty=target.unavailable
             )
         if self._compute_quarantine() > 0.0:
             # The quarantine began while the request waited to be sent.
-            return _AttemptResult(Outcome.WITHDRAWN, detail="held back")
+            return AttemptResult(Outcome.WITHDRAWN, detail="held back")
         if not self._runtime.instance.may_send(target.upstream, self._runtime.now()):
             # Backoff or draining began after the upstream was chosen.
-            return _AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
+            return AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
         attempts = self._runtime.attempts
         with attempts.watch(self._call.deadline, target.upstreams) as running:
             try:
@@ -250,46 +260,44 @@
                     return await self._exchange(target, running)
             # Also a TimeoutError, but of the connector, before the deadline.
             except aiohttp.ConnectionTimeoutError:
-                return _AttemptResult(
+                return AttemptResult(
                     Outcome.NOT_SENT,
                     detail="connection timed out",
                     is_connection_timeout=True,
                 )
             except aiohttp.ClientConnectorError as error:
-                return _AttemptResult(Outcome.NOT_SENT, detail=str(error))
+                return AttemptResult(Outcome.NOT_SENT, detail=str(error))
             except UnresponsiveError:
                 if running.has_connection:
-                    return _AttemptResult(Outcome.UNRESPONSIVE)
-                return _AttemptResult(Outcome.NOT_SENT, detail="no connection")
+                    return AttemptResult(Outcome.UNRESPONSIVE)
+                return AttemptResult(Outcome.NOT_SENT, detail="no connection")
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.timeout.expired():
                     detail = f"{type(error).__name__}: {error}"
                     is_connection_lost = isinstance(error, _CONNECTION_ERRORS)
-                    return _AttemptResult(
+                    return AttemptResult(
                         Outcome.INTERRUPTED,
                         detail=detail,
                         is_connection_lost=is_connection_lost,
                     )
             if running.restarted_upstream is None:
                 if running.has_connection:
-                    return _AttemptResult(Outcome.TIMED_OUT)
+                    return AttemptResult(Outcome.TIMED_OUT)
                 detail = "no connection before the deadline"
-                return _AttemptResult(Outcome.NOT_SENT, detail=detail)
+                return AttemptResult(Outcome.NOT_SENT, detail=detail)
             detail = f"{running.restarted_upstream} started again"
             if not running.has_connection:
-                return _AttemptResult(
+                return AttemptResult(
                     Outcome.WITHDRAWN, detail=detail, faulty=running.restarted_upstream
                 )
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.INTERRUPTED,
                 detail=detail,
                 faulty=running.restarted_upstream,
                 is_connection_lost=True,
             )
 
-    async def _exchange(
-        self, target: Target, running: RunningAttempt
-    ) -> _AttemptResult:
+    async def _exchange(self, target: Target, running: RunningAttempt) -> AttemptResult:
         call = self._call
         # After a broken or unresponsive connection, pooled ones may be dead, too.
         may_pool = call.route.is_idempotent and not self._attempts.may_have_run
@@ -385,18 +393,18 @@
         response: aiohttp.ClientResponse,
         head: ResponseHeaders,
         read_timeout: float | None,
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         self._choice.load = head.load
         if head.request is not None and head.request != self._call.headers.request:
             response.close()
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.INTERRUPTED, detail="answer to another request"
             )
         if head.has_not_run and response.status >= 400:
             await read_body(response, read_timeout)
             detail = f"status {response.status}"
             faulty = target.find_helper(head.faulty_address)
-            return _AttemptResult(Outcome.REJECTED, None, detail, faulty)
+            return AttemptResult(Outcome.REJECTED, None, detail, faulty)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and response.status == 200:
             return await self._forward_events(target, running, response)
@@ -408,15 +416,15 @@
             body=body,
         )
         if response.status >= 500:
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.FAILED, forwarded, detail=f"status {response.status}"
             )
         self._choice.has_failed = False
-        return _AttemptResult(Outcome.ANSWERED, forwarded)
+        return AttemptResult(Outcome.ANSWERED, forwarded)
 
     async def _forward_events(
         self, target: Target, running: RunningAttempt, response: aiohttp.ClientResponse
-    ) -> _AttemptResult:
+    ) -> AttemptResult:
         cursor = self._cursor
         cursor.restart()
         event_timeout = compute_event_timeout(self._call.route)
@@ -437,21 +445,28 @@
             elif is_first:
                 running.keep_only(target.decode_upstreams)
             if is_first:
-                self._choice.record_first_token(target)
+                self._record_first_token(target)
             is_first = False
             read_timeout = event_timeout
             self._record_event_time()
             stream = self._stream or await self._open_stream(response)
             await stream.write(forwarded.data)
         if cursor.has_partial:
-            return _AttemptResult(
+            return AttemptResult(
                 Outcome.INTERRUPTED,
                 detail="ended inside an event",
                 is_connection_lost=True,
             )
+        self._claim_response()
         stream = self._stream or await self._open_stream(response)
         await stream.write_eof()
-        return _AttemptResult(Outcome.ANSWERED, stream)
+        return AttemptResult(Outcome.ANSWERED, stream)
+
+    def _record_first_token(self, target: Target) -> None:
+        self._choice.record_first_token(target)
+
+    def _claim_response(self) -> None:
+        """Called before a response without events is opened for the caller."""
 
     def _record_event_time(self) -> None:
         now = self._runtime.now()
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -13,6 +13,7 @@
 
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.core.gateway.hedging import is_fit
 from scalebend.core.gateway.job_permits import JobPermits
 from scalebend.core.gateway.messages import (
     Heartbeat,
@@ -190,11 +191,12 @@
                 case EndAttempts(upstreams):
                     self.attempts.end(upstreams)
 
-    def spawn(self, work: Coroutine[Any, Any, object]) -> None:
-        """Run ``work`` as a background task."""
+    def spawn(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
+        """Run ``work`` as a background task, and return it."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
     async def close(self) -> None:
         """Close all links."""
@@ -311,6 +313,20 @@
             return False
         return not self.instance.has_room(work, self.now())
 
+    async def place_second(self, work: EngineWork) -> Placement | None:
+        """Ask the leader for idle room; ``None`` without any, or without a leader."""
+        work = self.instance.exclude_in_backoff(work, self.now())
+        reply = await self._leader_calls.place(
+            self.instance.leader, work, may_back_off=False
+        )
+        placement = reply.placement if reply is not None else None
+        if placement is None or not is_fit(work, placement):
+            return None
+        self._execute(
+            self.instance.open_job(work, placement, self.now(), is_uncoordinated=False)
+        )
+        return placement
+
     async def wait_for_start(
         self, work: EngineWork, placement: Placement
     ) -> Placement | Declined:
@@ -456,6 +472,18 @@
             self.record_replica_failure(upstream)
         return self._inspector.list_unresponsive(addresses, self.now())
 
+    async def fetch_report(self, placement: Placement) -> None:
+        """Fetch reports of the replicas, or wait for those being fetched."""
+        await self.inspect(placement)
+        assert self._inspector is not None
+        await self._inspector.wait_for_report(placement.upstream)
+
+    def has_report(self, upstream: UpstreamId) -> bool:
+        """Whether the replica has just sent its report."""
+        if self._inspector is None:
+            return False
+        return self._inspector.has_report(upstream, self.now())
+
     def is_queueing(self, upstream: UpstreamId) -> bool:
         """Whether a recent report of the replica explains a wait by queued requests."""
         if self._inspector is None:
@@ -522,6 +550,10 @@
         """Record that an engine rejected a request without running it."""
         self._execute(self.instance.record_rejection(upstream, self.now()))
 
+    def record_overdue(self, upstream: UpstreamId) -> None:
+        """Record that a first token of a replica is overdue."""
+        self._execute(self.instance.record_overdue(upstream, self.now()))
+
     def record_replica_failure(self, upstream: UpstreamId) -> None:
         """Record that a replica is unreachable or unresponsive."""
         self._execute(self.instance.record_failure(upstream, self.now()))
