--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -116,6 +116,12 @@
         placement = Placement(endpoint.upstream, endpoint.address, (), PREDICTED_S)
         return PlacementReply(work.job, placement)
 
+    def is_queued(self, job):
+        return False
+
+    def forget_queued(self, job):
+        pass
+
 
 def build_ranked_routing(*, is_ranked=True, **changes):
     values = {
