Set the engines' priority from customers' and routes' ranks

A rank read from the routing document had no effect at engines: only the latency target set X-Request-Priority. Where customers are ranked, each level of a service now takes two of the engines' ten priorities, and age raises a request level by level. Documents with one level, or without ranked customers, send what they sent before.

--- a/src/scalebend/core/gateway/route_table.py
+++ b/src/scalebend/core/gateway/route_table.py
@@ -4,6 +4,7 @@
 
 import random
 
+from scalebend.core.gateway.priorities import list_levels
 from scalebend.exceptions import DocumentError, ErrorKind, Fault
 from scalebend.models.ids import CustomerId, ServiceName
 from scalebend.models.routing import (
@@ -36,6 +37,9 @@
         )
         """Whether the document ranks customers, so that the leader queues requests."""
 
+        self.priority_levels = list_levels(routing)
+        """Priorities that requests to a service can have, if customers are ranked."""
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route by the longest path prefix; ``host`` may name a port."""
         name = host.partition(":")[0].lower()
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -17,6 +17,7 @@
     compute_event_timeout,
     compute_first_byte_timeout,
 )
+from scalebend.edges.gateway.engine_priorities import choose_urgency
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.path_watch import PathWatch, watch_path
 from scalebend.edges.gateway.response_headers import apply_response_head
@@ -43,13 +44,6 @@
 
 logger = structlog.get_logger(__name__)
 
-QUICK_TARGET_S = 0.5
-"""Requests with a latency target up to this get the higher priority at engines."""
-
-QUICK_URGENCY = 3
-DEFAULT_URGENCY = 5
-"""Priority at the engines, 0 to 9, the lowest first; 5 is their default."""
-
 _REFUSAL_KINDS = (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.ENDS_UPSTREAMS)
 """Error kinds of requests that no upstream accepted."""
 
@@ -367,10 +361,6 @@
 
     def _build_headers(self, target: Target) -> CIMultiDict[str]:
         call = self._call
-        urgency = None
-        if target.job is not None:
-            is_quick = call.route.target_latency <= QUICK_TARGET_S
-            urgency = QUICK_URGENCY if is_quick else DEFAULT_URGENCY
         return build_upstream_headers(
             self._request.headers,
             call,
@@ -378,7 +368,7 @@
             remaining=call.deadline - self._runtime.now(),
             last_event=self._cursor.last_event,
             helpers=target.helpers,
-            urgency=urgency,
+            urgency=choose_urgency(self._runtime, call, target),
         )
 
     def _compute_read_timeout(self, target: Target) -> float | None:
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -163,6 +163,12 @@
             ["forwarded"],
             registry=registry,
         )
+        self._engine_priorities = Counter(
+            "scalebend_engine_priorities",
+            "Attempts at engines by the priority sent to them, 0 first",
+            ["priority"],
+            registry=registry,
+        )
         self._open_requests = Gauge(
             "scalebend_open_requests", "Requests not answered yet", registry=registry
         )
@@ -226,6 +232,10 @@
         """Count an attempt at a rate-limited upstream."""
         self._rate_limited_attempts.labels("first" if is_first else "again").inc()
 
+    def count_engine_priority(self, priority: int) -> None:
+        """Count an attempt at engines by its priority there."""
+        self._engine_priorities.labels(str(priority)).inc()
+
     def count_rate_limit_rejection(self) -> None:
         """Count a request for which only exhausted rate-limited upstreams were left."""
         self._rate_limit_rejections.inc()
