Count permits from the leader's later reply; leave queued work to fronts while the leader may not grant

A reply that released a queued job counted its permit from the first question, so that the permit had lapsed and was taken twice; and a leader that may not grant for replicas with ceilings released queued work to them. Time spent on asking again counts as waited. The replicas kept free for the first in the queue have a module of their own.

--- a/src/scalebend/core/gateway/leader_placement.py
+++ b/src/scalebend/core/gateway/leader_placement.py
@@ -127,10 +127,7 @@
         room = self._find_room(work.service, table, directory, now, may_grant=may_grant)
         if room is None or self.is_learning(now):
             return PlacementReply(work.job)
-        if self._limits.starts.applies_to(work.service) and (
-            not may_grant or self._limits.ceilings.is_starting(work.service, now)
-        ):
-            # The front uses its own part of the ceilings.
+        if self._is_left_to_fronts(work.service, now, may_grant=may_grant):
             return PlacementReply(work.job)
         if work.is_second:
             return self._place_second(work, room.endpoints, room.profile, now)
@@ -165,6 +162,8 @@
             return []
 
         def find_room(service: ServiceName) -> EngineRoom | None:
+            if self._is_left_to_fronts(service, now, may_grant=may_grant):
+                return None
             return self._find_room(service, table, directory, now, may_grant=may_grant)
 
         return [
@@ -174,6 +173,15 @@
             for one in self.queue.advance(find_room, now)
         ]
 
+    def _is_left_to_fronts(
+        self, service: ServiceName, now: float, *, may_grant: bool
+    ) -> bool:
+        """Whether fronts use their own parts of the ceilings of a service for now."""
+        limits = self._limits
+        if not limits.starts.applies_to(service):
+            return False
+        return not may_grant or limits.ceilings.is_starting(service, now)
+
     def _find_room(
         self,
         service: ServiceName,
--- a/src/scalebend/core/gateway/queued_placement.py
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Callable
 
-import msgspec
 import structlog
 
 from scalebend.core.gateway.admission import Admission, can_be_served
+from scalebend.core.gateway.kept_replicas import keep_free, place_around
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S, age_placement
 from scalebend.core.gateway.placement_plan import NO_MEMORY_RETRY_S
 from scalebend.core.gateway.placement_queue import (
@@ -61,10 +61,6 @@
 MAX_PLAN_INTERVAL_S = REPLAN_INTERVAL_S
 """Time after which to plan anew without a change: prefills end by the clock, too."""
 
-KEEP_FREE_S = 2.0
-"""Time for which replicas are kept free before they are chosen anew: about the duration
-of a response, so that memory adds up there, and lost replicas are replaced."""
-
 ANSWER_LIFETIME_S = 1.5
 """Time for which an answer is repeated to a front that asks again: several intervals at
 which fronts ask, so that no reply lost with a link makes a second placement."""
@@ -156,7 +152,7 @@
             waits = self._let_wait(line, work, None, room, now, booking, is_tried=False)
             if waits is not None:
                 return waits
-        placed, is_restricted = _place_around(line, work, rank, room, now)
+        placed, is_restricted = place_around(line, work, rank, room, now)
         if may_wait and (
             placed.start_in > REPLAN_INTERVAL_S
             if isinstance(placed, Placement)
@@ -353,7 +349,7 @@
                 break
             queue.remove(entry.work.job)
             work = entry.build_work(now)
-            placed, is_restricted = _place_around(
+            placed, is_restricted = place_around(
                 line, work, entry.rank, room, now, entry
             )
             if isinstance(placed, Declined):
@@ -380,7 +376,7 @@
                     room.withdraw(work.job)
             elif placed.lacks_memory and not lacks_any:
                 lacks_any = True
-                _keep_free(line, entry, room, now)
+                keep_free(line, entry, room, now)
         if not lacks_any:
             line.stop_keeping()
         for entry in kept:
@@ -422,7 +418,7 @@
             if entry is None or entry is line.kept_for or entry.plan is not None:
                 break
             work = entry.build_work(now)
-            placed, _ = _place_around(line, work, entry.rank, room, now, entry)
+            placed, _ = place_around(line, work, entry.rank, room, now, entry)
             if isinstance(placed, Declined):
                 break
             if placed.start_in > REPLAN_INTERVAL_S:
@@ -467,39 +463,3 @@
             if now - line.answers[job].at <= ANSWER_LIFETIME_S:
                 return
             del line.answers[job]
-
-
-def _place_around(
-    line: WaitingLine,
-    work: EngineWork,
-    rank: float,
-    room: EngineRoom,
-    now: float,
-    entry: Waiting | None = None,
-) -> tuple[Placement | Declined, bool]:
-    """Place a request outside the replicas kept free, and return whether any were.
-
-    Quick prompts may use them: they take little memory and end soon.
-    """
-    kept_for = line.kept_for
-    is_restricted = (
-        kept_for is not None
-        and kept_for is not entry
-        and not is_quick(work, room.profile)
-        and line.is_behind(work, rank, kept_for, now)
-    )
-    if is_restricted:
-        excluded = (*work.excluded, *line.kept_free)
-        work = msgspec.structs.replace(work, excluded=excluded)
-    return room.place(work), is_restricted
-
-
-def _keep_free(line: WaitingLine, entry: Waiting, room: EngineRoom, now: float) -> None:
-    """Keep replicas free until they can hold the first request that lacks memory."""
-    if line.kept_for is entry and now - line.kept_since < KEEP_FREE_S:
-        return
-    line.stop_keeping()
-    line.kept_for = entry
-    entry.is_kept = True
-    line.kept_since = now
-    line.kept_free = tuple(room.list_freest(compute_memory(entry.work)))
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -9,6 +9,7 @@
 from collections.abc import AsyncIterator, Coroutine, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
+import msgspec
 import structlog
 
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
@@ -225,6 +226,7 @@
         again for a short time rather than decline.
         """
         until = self.now() + NO_PERMIT_RETRY_S
+        waited_before = work.waited
         decision = await self._place_once(work)
         while (
             decision.leader is None
@@ -233,9 +235,10 @@
             and self.now() + LEADER_RETRY_INTERVAL_S < until
         ):
             await asyncio.sleep(LEADER_RETRY_INTERVAL_S)
-            work = age_work(work, LEADER_RETRY_INTERVAL_S)
+            work = age_work(work, decision.waited + LEADER_RETRY_INTERVAL_S)
             decision = await self._place_once(work)
-        return decision
+        waited = work.waited - waited_before + decision.waited
+        return msgspec.structs.replace(decision, waited=waited)
 
     async def _place_once(self, work: EngineWork) -> Decision:
         work = self.instance.exclude_in_backoff(work, self.now())
@@ -249,6 +252,8 @@
             if placed is None and reply.is_queued:
                 work, placed = await self._wait_in_queue(work)
                 leader = self.instance.leader
+                # The permit of what the leader released is as old as its reply.
+                asked_at = self.now()
         is_uncoordinated = placed is None
         if placed is None:
             leader = None
