--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -9,12 +9,10 @@
 from collections.abc import AsyncIterator, Coroutine, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 import structlog
 
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_instance import FrontInstance
-from scalebend.core.gateway.hedging import is_fit
 from scalebend.core.gateway.job_permits import JobPermits
 from scalebend.core.gateway.messages import (
     Heartbeat,
@@ -25,25 +23,18 @@
 )
 from scalebend.core.gateway.placement_aging import (
     REPLAN_INTERVAL_S,
-    age_placement,
-    age_work,
-    postpone_placement,
 )
-from scalebend.core.gateway.placement_queue import compute_wait_limit
-from scalebend.core.gateway.placement_repair import drop_replicas
 from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
-from scalebend.core.gateway.slow_start_budget import NO_PERMIT_RETRY_S
 from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.placement_calls import PlacementCalls
 from scalebend.edges.gateway.running_attempts import RunningAttempts
 from scalebend.models.calls import ReportedLoad
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import Fingerprint, InstanceId, SendPermitId, UpstreamId
 from scalebend.models.placement import (
-    Decision,
-    Declined,
     EngineWork,
     JobId,
     JobStage,
@@ -73,17 +64,6 @@
 MAX_HEADER_NAME_CHARS = 64
 """Bounds of header names in metrics and logs, since upstreams choose the names."""
 
-QUEUE_RENEWAL_S = 0.5
-"""Time after which the leader is asked again about a job that waits there, which also
-tells a new leader: short against the wait, with few messages while many wait."""
-
-LEADER_RETRY_INTERVAL_S = 0.1
-"""Interval at which a front asks for a placement that it can't decide itself: a new
-leader begins to grant about twice this time after its election."""
-
-MIN_START_DELAY_S = 0.01
-"""Shorter delays of a placement are skipped: not worth a timer."""
-
 
 class FrontRuntime:
     """One running front."""
@@ -101,13 +81,14 @@
         )
         self._evacuations = EvacuationWatch(metrics)
         self.attempts = RunningAttempts()
-        self._leader_calls = LeaderCalls(self._dialer.send)
+        self.leader_calls = LeaderCalls(self._dialer.send)
+        self.placements = PlacementCalls(self)
         self._sessions: UpstreamSessions | None = None
         self._inspector: Inspector | None = None
         self._unknown_headers: set[str] = set()
         self._jobs = 0
         self._sends = 0
-        self._permits = JobPermits()
+        self.permits = JobPermits()
         self._heartbeat_at = 0.0
         self._tasks: set[asyncio.Task[object]] = set()
         self._first_lease = asyncio.Event()
@@ -148,7 +129,7 @@
     def _tick(self) -> None:
         now = self.now()
         self._dialer.set_targets(self.instance.instances)
-        self._execute(self.instance.advance(now))
+        self.execute(self.instance.advance(now))
         limits = self.instance.limits
         self.metrics.set_rate_limited_upstreams(limits.count_limited())
         self.metrics.set_cold_upstreams(len(limits.starts.list_cold(now)))
@@ -160,13 +141,13 @@
             self._dialer.send_to_all(Heartbeat())
 
     def _receive(self, sender: InstanceId, message: LinkMessage) -> None:
-        if self._leader_calls.receive(message):
+        if self.leader_calls.receive(message):
             return
         leader = self.instance.leader
-        self._execute(self.instance.handle(sender, message, self.now()))
+        self.execute(self.instance.handle(sender, message, self.now()))
         self._evacuations.report(self.instance.evacuations.newest)
         if self.instance.leader != leader:
-            self._leader_calls.record_new_leader()
+            self.leader_calls.record_new_leader()
         if self.instance.may_admit(self.now()):
             self._first_lease.set()
 
@@ -184,7 +165,8 @@
     def _remove_link(self, instance: InstanceId) -> None:
         self.instance.remove_link(instance)
 
-    def _execute(self, actions: Iterable[FrontAction]) -> None:
+    def execute(self, actions: Iterable[FrontAction]) -> None:
+        """Perform actions that the core decided on."""
         for action in actions:
             match action:
                 case ToControl(instance, message):
@@ -219,184 +201,6 @@
         self._jobs += 1
         return build_job_id(self.settings.instance, self._incarnation, self._jobs)
 
-    async def place(self, work: EngineWork) -> Decision:
-        """Ask the leader for a placement; place uncoordinated if it does not reply.
-
-        Without the leader a front has few of the replicas with ceilings, so it asks
-        again for a short time rather than decline.
-        """
-        until = self.now() + NO_PERMIT_RETRY_S
-        waited_before = work.waited
-        decision = await self._place_once(work)
-        while (
-            decision.leader is None
-            and isinstance(decision.placed, Declined)
-            and self.instance.limits.starts.applies_to(work.service)
-            and self.now() + LEADER_RETRY_INTERVAL_S < until
-        ):
-            await asyncio.sleep(LEADER_RETRY_INTERVAL_S)
-            work = age_work(work, decision.waited + LEADER_RETRY_INTERVAL_S)
-            decision = await self._place_once(work)
-        waited = work.waited - waited_before + decision.waited
-        return msgspec.structs.replace(decision, waited=waited)
-
-    async def _place_once(self, work: EngineWork) -> Decision:
-        work = self.instance.exclude_in_backoff(work, self.now())
-        before = work.waited
-        leader = self.instance.leader
-        asked_at = self.now()
-        reply = await self._leader_calls.place(leader, work)
-        placed: Placement | Declined | None = None
-        if reply is not None:
-            placed = reply.placement or reply.declined
-            if placed is None and reply.is_queued:
-                work, placed = await self._wait_in_queue(work)
-                leader = self.instance.leader
-                # The permit of what the leader released is as old as its reply.
-                asked_at = self.now()
-        is_uncoordinated = placed is None
-        if placed is None:
-            leader = None
-            asked_at = self.now()
-            placed = self.instance.place(work, self.now())
-        if isinstance(placed, Placement):
-            self._permits.record(work.job, placed, asked_at)
-            self._execute(
-                self.instance.open_job(
-                    work, placed, self.now(), is_uncoordinated=is_uncoordinated
-                )
-            )
-        elif is_uncoordinated:
-            # A leader whose reply came late may hold the job or count it.
-            self.record_job_end(work.job)
-        self.metrics.count_placement("front" if is_uncoordinated else "leader")
-        return Decision(placed, leader, work.waited - before)
-
-    async def _wait_in_queue(
-        self, work: EngineWork
-    ) -> tuple[EngineWork, Placement | Declined | None]:
-        """Wait until the leader has room; ``None`` if this front has to decide.
-
-        The leader is asked again at an interval, which announces the work to a new one.
-        """
-        outcome = "left"
-        try:
-            while True:
-                started_at = self.now()
-                reply = await self._leader_calls.await_release(
-                    work.job, min(QUEUE_RENEWAL_S, work.remaining)
-                )
-                work = age_work(work, self.now() - started_at)
-                if reply is None:
-                    reply = await self._leader_calls.place(
-                        self.instance.leader,
-                        self.instance.exclude_in_backoff(work, self.now()),
-                        may_back_off=False,
-                    )
-                placed = None
-                if reply is not None:
-                    placed = reply.placement or reply.declined
-                if placed is not None:
-                    is_placed = isinstance(placed, Placement)
-                    outcome = "placed" if is_placed else "declined"
-                    return work, placed
-                is_queued = reply is not None and reply.is_queued
-                if not is_queued and not self._may_keep_waiting(work):
-                    outcome = "alone"
-                    return work, None
-        finally:
-            self.metrics.count_queued_request(outcome)
-            if outcome in ("left", "alone"):
-                self.record_job_end(work.job)
-
-    def _may_keep_waiting(self, work: EngineWork) -> bool:
-        """Whether to wait for the next leader, because this front has no room either.
-
-        The front knows less than a leader, but places in its stead.
-        """
-        if compute_wait_limit(work) <= 0.0:
-            return False
-        return not self.instance.has_room(work, self.now())
-
-    async def place_second(self, work: EngineWork) -> Placement | None:
-        """Ask the leader for idle room; ``None`` without any, or without a leader."""
-        work = self.instance.exclude_in_backoff(work, self.now())
-        reply = await self._leader_calls.place(
-            self.instance.leader, work, may_back_off=False
-        )
-        placement = reply.placement if reply is not None else None
-        if placement is None or not is_fit(work, placement):
-            return None
-        self._execute(
-            self.instance.open_job(work, placement, self.now(), is_uncoordinated=False)
-        )
-        return placement
-
-    async def wait_for_start(
-        self, work: EngineWork, placement: Placement
-    ) -> Placement | Declined:
-        """Wait until the prompt may be sent.
-
-        Meanwhile, ask the leader periodically for a new placement.
-        """
-        while placement.start_in > REPLAN_INTERVAL_S:
-            started_at = self.now()
-            interval = REPLAN_INTERVAL_S
-            if self._leader_calls.is_queued(work.job):
-                interval = min(QUEUE_RENEWAL_S, placement.start_in)
-            reply = await self._leader_calls.await_release(work.job, interval)
-            asked_at = self.now()
-            if reply is None:
-                renewed = age_work(work, asked_at - started_at)
-                reply = await self._leader_calls.place(
-                    self.instance.leader,
-                    self.instance.exclude_in_backoff(renewed, self.now()),
-                    may_back_off=False,
-                )
-            waited = self.now() - started_at
-            work = age_work(work, waited)
-            placed = None
-            if reply is not None:
-                placed = reply.placement or reply.declined
-            if isinstance(placed, Declined):
-                return placed
-            if placed is None:
-                placement = age_placement(placement, waited)
-                if reply is not None and reply.is_queued:
-                    # The leader gave the planned room to a more urgent job.
-                    placement = postpone_placement(placement, QUEUE_RENEWAL_S)
-                continue
-            placement = placed
-            self._permits.record(work.job, placement, asked_at)
-            self.instance.record_replanned(work, placement, self.now())
-        if self._leader_calls.is_queued(work.job):
-            # The leader is lost or silent: the prompt starts as it was planned.
-            self._leader_calls.forget_queued(work.job)
-            self._execute(self.instance.replace_job(work.job, placement, self.now()))
-        if placement.start_in >= MIN_START_DELAY_S:
-            await asyncio.sleep(min(placement.start_in, max(0.0, work.remaining)))
-        return placement
-
-    def drop_unusable(self, work: EngineWork, placement: Placement) -> Placement | None:
-        """Return the placement without unusable replicas; ``None`` to place anew."""
-        unusable = self.instance.list_unusable(placement, self.now())
-        if not unusable:
-            return placement
-        kept = drop_replicas(placement, unusable)
-        if kept is not None and kept.upstream != placement.upstream:
-            # There is no send permit for the new lead replica.
-            if self.instance.limits.needs_permit(kept.upstream):
-                kept = None
-        logger.info(
-            "replicas of a placement left",
-            job=work.job,
-            left=sorted(unusable),
-            staying=len(kept.upstreams) if kept is not None else 0,
-        )
-        if kept is not None:
-            self._execute(self.instance.replace_job(work.job, kept, self.now()))
-        return kept
-
     async def request_send_permit(
         self, upstreams: list[UpstreamId], timeout_s: float
     ) -> SendPermitReply:
@@ -407,14 +211,14 @@
         """
         self._sends += 1
         request = SendPermitRequest(SendPermitId(self._sends), upstreams, timeout_s)
-        reply = await self._leader_calls.request_send_permit(
+        reply = await self.leader_calls.request_send_permit(
             self.instance.leader, request
         )
         if reply is not None and not reply.is_undecided:
             return reply
         grant = self.instance.limits.grant(request, self.now())
         if grant.upstream is not None:
-            self._execute(self.instance.record_uncoordinated_send(grant.upstream))
+            self.execute(self.instance.record_uncoordinated_send(grant.upstream))
         return grant
 
     async def renew_send_permit(
@@ -429,7 +233,7 @@
         asked_at = self.now()
         starts = self.instance.limits.starts
         is_needed = starts.applies_to(work.service)
-        if not is_needed or self._permits.is_valid(work.job, asked_at):
+        if not is_needed or self.permits.is_valid(work.job, asked_at):
             return True
         # Permits of several replicas have to be due at about the same time.
         timeout_s = (
@@ -441,8 +245,8 @@
         if is_granted:
             await asyncio.sleep(max(reply.wait for reply in replies))
             due = asked_at + min(reply.wait for reply in replies)
-            self._permits.renew(work.job, due)
-            is_granted = self._permits.is_valid(work.job, self.now())
+            self.permits.renew(work.job, due)
+            is_granted = self.permits.is_valid(work.job, self.now())
         logger.info(
             "send permit renewed",
             job=work.job,
@@ -457,14 +261,14 @@
         """Record the first event of a job, and the load that the replica reported."""
         count = load.running + load.waiting if load is not None else None
         stage = JobStage(job, is_ended=False, load=count)
-        self._execute(self.instance.record_stage(stage, self.now()))
+        self.execute(self.instance.record_stage(stage, self.now()))
 
     def record_job_end(self, job: JobId, *, has_failed: bool = True) -> None:
         """Record that a job ended, with or without success."""
-        self._leader_calls.forget_queued(job)
-        self._permits.forget(job)
+        self.leader_calls.forget_queued(job)
+        self.permits.forget(job)
         stage = JobStage(job, is_ended=True, has_failed=has_failed)
-        self._execute(self.instance.record_stage(stage, self.now()))
+        self.execute(self.instance.record_stage(stage, self.now()))
 
     async def inspect(self, placement: Placement) -> list[UpstreamId]:
         """Fetch and record reports of the replicas; return the unresponsive ones."""
@@ -472,7 +276,7 @@
         addresses[placement.upstream] = placement.address
         assert self._inspector is not None
         inspection = await self._inspector.inspect(addresses, self.now())
-        self._execute(self.instance.record_paces(inspection.paces, self.now()))
+        self.execute(self.instance.record_paces(inspection.paces, self.now()))
         for upstream in inspection.unresponsive:
             self.record_replica_failure(upstream)
         return self._inspector.list_unresponsive(addresses, self.now())
@@ -497,7 +301,7 @@
 
     def record_limit(self, observed: ObservedLimit) -> None:
         """Record the rate limit, or its absence, that a response named."""
-        self._execute(self.instance.record_limit(observed, self.now()))
+        self.execute(self.instance.record_limit(observed, self.now()))
 
     def record_backoff(self, upstream: UpstreamId, seconds: float) -> None:
         """Record that an upstream rejected a request and asked for a backoff."""
@@ -507,7 +311,7 @@
     def record_draining(self, upstream: UpstreamId) -> bool:
         """Record that an upstream is draining; return whether this was unknown."""
         actions = self.instance.record_draining(upstream)
-        self._execute(actions or [])
+        self.execute(actions or [])
         return actions is not None
 
     def record_unknown_header(self, upstream: UpstreamId, name: str) -> None:
@@ -532,7 +336,7 @@
     def record_crash(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
         """Record that an upstream crashed or was disconnected during a request."""
         self.metrics.count_lost_request()
-        self._execute(self.instance.record_crash(fingerprint, upstream, self.now()))
+        self.execute(self.instance.record_crash(fingerprint, upstream, self.now()))
 
     def record_unanswered(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
         """Record an attempt that timed out while its connection stayed open."""
@@ -540,7 +344,7 @@
 
     def record_completed(self, fingerprint: Fingerprint) -> None:
         """Record that an upstream sent a complete response to the request."""
-        self._execute(self.instance.record_completed(fingerprint, self.now()))
+        self.execute(self.instance.record_completed(fingerprint, self.now()))
 
     def record_path(self, upstream: UpstreamId, observed: int, lost: int) -> None:
         """Count pieces of data of an upstream, and those of them lost on the way."""
@@ -553,15 +357,15 @@
 
     def record_rejection(self, upstream: UpstreamId) -> None:
         """Record that an engine rejected a request without running it."""
-        self._execute(self.instance.record_rejection(upstream, self.now()))
+        self.execute(self.instance.record_rejection(upstream, self.now()))
 
     def record_overdue(self, upstream: UpstreamId) -> None:
         """Record that a first token of a replica is overdue."""
-        self._execute(self.instance.record_overdue(upstream, self.now()))
+        self.execute(self.instance.record_overdue(upstream, self.now()))
 
     def record_replica_failure(self, upstream: UpstreamId) -> None:
         """Record that a replica is unreachable or unresponsive."""
-        self._execute(self.instance.record_failure(upstream, self.now()))
+        self.execute(self.instance.record_failure(upstream, self.now()))
 
 
 @contextlib.asynccontextmanager
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -196,7 +196,7 @@
     async def _choose_engines(self) -> AsyncIterator[Target | None]:
         runtime = self._runtime
         work = self._build_work()
-        decision = await runtime.place(work)
+        decision = await runtime.placements.place(work)
         if decision.waited > 0.0:
             work = age_work(work, decision.waited)
         placement = decision.placed
@@ -207,7 +207,7 @@
             return
         self._log_placement(work, placement, decision.leader)
         try:
-            renewed = await runtime.wait_for_start(work, placement)
+            renewed = await runtime.placements.wait_for_start(work, placement)
             if isinstance(renewed, Declined):
                 self._log_declined(work, renewed, decision.leader)
                 self.retry_after = renewed.retry_after
@@ -216,7 +216,7 @@
             if renewed.upstreams != placement.upstreams:
                 self._log_placement(work, renewed, decision.leader)
             placement = renewed
-            kept = runtime.drop_unusable(work, placement)
+            kept = runtime.placements.drop_unusable(work, placement)
             if kept is None:
                 yield _build_unavailable_target(placement, placement.upstream)
                 return
@@ -266,7 +266,7 @@
         runtime = self._runtime
         work = msgspec.structs.replace(self._build_work(), is_second=True)
         try:
-            placement = await runtime.place_second(work)
+            placement = await runtime.placements.place_second(work)
             if placement is None:
                 logger.info(
                     "no replica for a second attempt",
--- a/tests/unit/gateway/test_evacuated_requests.py
+++ b/tests/unit/gateway/test_evacuated_requests.py
@@ -161,7 +161,7 @@
             await started.wait()
             return placement
 
-        runtime.wait_for_start = wait_for_start
+        runtime.placements.wait_for_start = wait_for_start
         near.allow_all()
         call = asyncio.create_task(front.call(prompt=5_000).__aenter__())
         await placed.wait()
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -147,7 +147,7 @@
         for number, engine in enumerate(engines, 1):
             address = await stack.enter_async_context(serve(engine.handle))
             endpoints.append(front.add(number, address))
-        front.leader = front.runtime._leader_calls = Leader(endpoints)
+        front.leader = front.runtime.leader_calls = Leader(endpoints)
         yield front
 
 
@@ -444,7 +444,7 @@
     with run_in_thread(engine) as address:
         async with run_front(build_ranked_routing()) as front:
             endpoints = [front.add(1, address)]
-            front.leader = front.runtime._leader_calls = Leader(endpoints)
+            front.leader = front.runtime.leader_calls = Leader(endpoints)
             calls = [asyncio.create_task(call(front)) for _ in range(MIN_OVERDUE)]
             await wait_for(lambda: len(engine.runs) == MIN_OVERDUE)
             time.sleep(0.15)
@@ -470,7 +470,7 @@
         async def fail(work):
             raise ValueError
 
-        front.runtime.place_second = fail
+        front.runtime.placements.place_second = fail
         _, names = await call(front)
         assert names == ["late"] * EVENTS
         assert other.runs == []
--- a/tests/unit/gateway/test_queue_messages.py
+++ b/tests/unit/gateway/test_queue_messages.py
@@ -168,7 +168,7 @@
         self.asked = []
         self.stages = []
         self.answers = []
-        runtime._leader_calls._send = self.send
+        runtime.leader_calls._send = self.send
 
     def send(self, _, message):
         match message:
@@ -226,7 +226,7 @@
         runtime, leader = build_front()
         leader.answers = [QUEUED]
         work = build_work(1, 200_000)
-        placing = asyncio.create_task(runtime.place(work))
+        placing = asyncio.create_task(runtime.placements.place(work))
         await asyncio.sleep(0.1)
         assert not placing.done()
         leader.push(build_reply(work.job))
@@ -235,7 +235,7 @@
         assert decision.placed.upstream == "i-1"
         assert 0.09 <= decision.waited < 0.4
         assert len(leader.asked) == 1
-        assert not runtime._leader_calls.is_queued(work.job)
+        assert not runtime.leader_calls.is_queued(work.job)
 
     run(test)
 
@@ -244,7 +244,9 @@
     async def test():
         runtime, leader = build_front()
         leader.answers = [QUEUED, QUEUED, build_reply("")]
-        decision = await runtime.place(build_work(1, 200_000, remaining=10.0))
+        decision = await runtime.placements.place(
+            build_work(1, 200_000, remaining=10.0)
+        )
         first, second, third = leader.asked
         assert first.waited == 0.0
         assert 0.4 <= second.waited < third.waited
@@ -259,7 +261,7 @@
         runtime, leader = build_front()
         leader.answers = [QUEUED]
         work = build_work(1, 200_000)
-        placing = asyncio.create_task(runtime.place(work))
+        placing = asyncio.create_task(runtime.placements.place(work))
         await asyncio.sleep(0.05)
         leader.push(PlacementReply(work.job, declined=Declined(2.0)))
         assert (await placing).placed == Declined(2.0)
@@ -273,7 +275,7 @@
         leader.answers = [QUEUED]
         ends = count_ends(runtime)
         work = build_work(1, 100_000)
-        decision = await runtime.place(work)
+        decision = await runtime.placements.place(work)
         assert decision.leader is None
         assert isinstance(decision.placed, Placement)
         assert work.job in ends
@@ -285,9 +287,9 @@
     async def test():
         runtime, leader = build_front()
         leader.answers = [QUEUED, build_reply("")]
-        placing = asyncio.create_task(runtime.place(build_work(1, 200_000)))
+        placing = asyncio.create_task(runtime.placements.place(build_work(1, 200_000)))
         await asyncio.sleep(0.05)
-        runtime._leader_calls.record_new_leader()
+        runtime.leader_calls.record_new_leader()
         decision = await asyncio.wait_for(placing, 0.2)
         assert isinstance(decision.placed, Placement)
         assert len(leader.asked) == 2
@@ -299,7 +301,9 @@
     async def test():
         runtime, leader = build_front()
         leader.answers = [QUEUED, None, None, build_reply("")]
-        decision = await runtime.place(build_work(1, 200_000, remaining=20.0))
+        decision = await runtime.placements.place(
+            build_work(1, 200_000, remaining=20.0)
+        )
         assert isinstance(decision.placed, Placement)
         assert decision.leader == LEADER
         assert len(leader.asked) == 4
@@ -312,7 +316,7 @@
         runtime, leader = build_front()
         leader.answers = [QUEUED]
         started = runtime.now()
-        decision = await runtime.place(build_work(1, 200_000, remaining=2.0))
+        decision = await runtime.placements.place(build_work(1, 200_000, remaining=2.0))
         assert isinstance(decision.placed, Declined)
         assert runtime.now() - started < 1.7
 
@@ -325,13 +329,13 @@
         leader.answers = [QUEUED]
         ends = count_ends(runtime)
         work = build_work(1, 200_000)
-        placing = asyncio.create_task(runtime.place(work))
+        placing = asyncio.create_task(runtime.placements.place(work))
         await asyncio.sleep(0.05)
         placing.cancel()
         with pytest.raises(asyncio.CancelledError):
             await placing
         assert ends == [work.job]
-        assert not runtime._leader_calls.is_queued(work.job)
+        assert not runtime.leader_calls.is_queued(work.job)
 
     run(test)
 
@@ -341,8 +345,10 @@
         runtime, leader = build_front(replicas=1)
         leader.answers = [build_reply("", 3.0, is_queued=True, queued=3.0)]
         work = build_work(1, 200_000)
-        decision = await runtime.place(work)
-        waiting = asyncio.create_task(runtime.wait_for_start(work, decision.placed))
+        decision = await runtime.placements.place(work)
+        waiting = asyncio.create_task(
+            runtime.placements.wait_for_start(work, decision.placed)
+        )
         await asyncio.sleep(0.05)
         leader.push(build_reply(work.job))
         placed = await asyncio.wait_for(waiting, 0.2)
@@ -357,13 +363,13 @@
         runtime, leader = build_front(replicas=1)
         leader.answers = [build_reply("", 0.4, is_queued=True, queued=0.4)]
         work = build_work(1, 200_000)
-        decision = await runtime.place(work)
+        decision = await runtime.placements.place(work)
         ends = count_ends(runtime)
         started = runtime.now()
-        placed = await runtime.wait_for_start(work, decision.placed)
+        placed = await runtime.placements.wait_for_start(work, decision.placed)
         assert placed.upstream == "i-1"
         assert 0.3 <= runtime.now() - started < 0.8
-        assert not runtime._leader_calls.is_queued(work.job)
+        assert not runtime.leader_calls.is_queued(work.job)
         assert ends == []
 
     run(test)
@@ -375,9 +381,9 @@
         planned = build_reply("", 0.3, is_queued=True, queued=0.3)
         leader.answers = [planned, QUEUED, build_reply("")]
         work = build_work(1, 200_000)
-        decision = await runtime.place(work)
+        decision = await runtime.placements.place(work)
         started = runtime.now()
-        await runtime.wait_for_start(work, decision.placed)
+        await runtime.placements.wait_for_start(work, decision.placed)
         assert len(leader.asked) == 3
         assert runtime.now() - started > 0.7
 
@@ -388,9 +394,9 @@
     async def test():
         runtime, leader = build_front(replicas=1)
         work = build_quick(1)
-        decision = await runtime.place(work)
+        decision = await runtime.placements.place(work)
         assert decision.leader is None
         leader.push(msgspec.structs.replace(QUEUED, job=work.job))
-        assert not runtime._leader_calls.is_queued(work.job)
+        assert not runtime.leader_calls.is_queued(work.job)
 
     run(test)
--- a/tests/unit/gateway/test_silent_ends.py
+++ b/tests/unit/gateway/test_silent_ends.py
@@ -27,7 +27,7 @@
     actions = runtime.instance.handle(
         "control", EndpointChanges([*news]), runtime.now()
     )
-    runtime._execute(actions)
+    runtime.execute(actions)
 
 
 def run_plain_front():
--- a/tests/unit/gateway/test_slow_start_sending.py
+++ b/tests/unit/gateway/test_slow_start_sending.py
@@ -83,7 +83,7 @@
         assign_all(front, routing)
         runtime = front.runtime
         work = build_quick(1)
-        placed = (await runtime.place(work)).placed
+        placed = (await runtime.placements.place(work)).placed
         assert isinstance(placed, Placement)
         await asyncio.sleep(delay)
         # The only permit of this interval is that of the placement.
@@ -132,9 +132,9 @@
         async def place(_leader, _work):
             return replies.pop(0) if len(replies) > 1 else replies[0]
 
-        monkeypatch.setattr(front.runtime._leader_calls, "place", place)
+        monkeypatch.setattr(front.runtime.leader_calls, "place", place)
         async with asyncio.timeout(1.0):
-            placed = (await front.runtime.place(work)).placed
+            placed = (await front.runtime.placements.place(work)).placed
         if has_new_leader:
             assert placed == placement
         else:
@@ -155,7 +155,7 @@
         async def refuse(_leader, request):
             return SendPermitReply(request.request_id, None, 0.4, is_undecided)
 
-        calls = front.runtime._leader_calls
+        calls = front.runtime.leader_calls
         monkeypatch.setattr(calls, "request_send_permit", refuse)
         status, _ = await fetch_status(front)
     assert status == (200 if is_undecided else 503)
