Ask the leader again through one function in both waits

Cause: the wait in the queue and the wait for a planned start each wrote the same question to the leader, and three places read its reply alike. Change: one function asks, one reads; no decision differs. Checked: ruff, mypy, test_queue_messages and test_slow_start_sending (29 passed).

--- a/src/scalebend/edges/gateway/placement_calls.py
+++ b/src/scalebend/edges/gateway/placement_calls.py
@@ -9,6 +9,7 @@
 import structlog
 
 from scalebend.core.gateway.hedging import is_fit
+from scalebend.core.gateway.messages import PlacementReply
 from scalebend.core.gateway.placement_aging import (
     REPLAN_INTERVAL_S,
     age_placement,
@@ -83,14 +84,12 @@
         leader = self._instance.leader
         asked_at = self._now()
         reply = await self._runtime.leader_calls.place(leader, work)
-        placed: Placement | Declined | None = None
-        if reply is not None:
-            placed = reply.placement or reply.declined
-            if placed is None and reply.is_queued:
-                work, placed = await self._wait_in_queue(work)
-                leader = self._instance.leader
-                # The permit of what the leader released is as old as its reply.
-                asked_at = self._now()
+        placed = _read_placed(reply)
+        if placed is None and reply is not None and reply.is_queued:
+            work, placed = await self._wait_in_queue(work)
+            leader = self._instance.leader
+            # The permit of what the leader released is as old as its reply.
+            asked_at = self._now()
         is_uncoordinated = placed is None
         if placed is None:
             leader = None
@@ -125,14 +124,8 @@
                 )
                 work = age_work(work, self._now() - started_at)
                 if reply is None:
-                    reply = await self._runtime.leader_calls.place(
-                        self._instance.leader,
-                        self._instance.exclude_in_backoff(work, self._now()),
-                        may_back_off=False,
-                    )
-                placed = None
-                if reply is not None:
-                    placed = reply.placement or reply.declined
+                    reply = await self._ask_again(work)
+                placed = _read_placed(reply)
                 if placed is not None:
                     is_placed = isinstance(placed, Placement)
                     outcome = "placed" if is_placed else "declined"
@@ -146,6 +139,14 @@
             if outcome in ("left", "alone"):
                 self._runtime.record_job_end(work.job)
 
+    async def _ask_again(self, work: EngineWork) -> PlacementReply | None:
+        """Ask the leader anew about work that waits; ``None`` without its reply."""
+        return await self._runtime.leader_calls.place(
+            self._instance.leader,
+            self._instance.exclude_in_backoff(work, self._now()),
+            may_back_off=False,
+        )
+
     def _may_keep_waiting(self, work: EngineWork) -> bool:
         """Whether to wait for the next leader, because this front has no room either.
 
@@ -186,17 +187,10 @@
             reply = await self._runtime.leader_calls.await_release(work.job, interval)
             asked_at = self._now()
             if reply is None:
-                renewed = age_work(work, asked_at - started_at)
-                reply = await self._runtime.leader_calls.place(
-                    self._instance.leader,
-                    self._instance.exclude_in_backoff(renewed, self._now()),
-                    may_back_off=False,
-                )
+                reply = await self._ask_again(age_work(work, asked_at - started_at))
             waited = self._now() - started_at
             work = age_work(work, waited)
-            placed = None
-            if reply is not None:
-                placed = reply.placement or reply.declined
+            placed = _read_placed(reply)
             if isinstance(placed, Declined):
                 return placed
             if placed is None:
@@ -239,3 +233,8 @@
                 self._instance.replace_job(work.job, kept, self._now())
             )
         return kept
+
+
+def _read_placed(reply: PlacementReply | None) -> Placement | Declined | None:
+    """Return what the leader decided, if it did."""
+    return reply.placement or reply.declined if reply is not None else None
