Compute the memory of work and the free permits of replicas once

Cause: the queue and the scheduler each wrote the memory that a prompt needs with its margin; a placement that found no room listed the replicas without a permit a second time, and wrote the test for quick prompts again. Change: compute_memory stands beside the margin and serves both; the list is passed on; is_quick is called. No decision differs.

--- a/src/scalebend/core/gateway/admission.py
+++ b/src/scalebend/core/gateway/admission.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from scalebend.core.gateway.engine_costs import compute_prefill_time
-from scalebend.core.gateway.placement_queue import compute_memory, compute_rank
+from scalebend.core.gateway.placement_plan import compute_memory
+from scalebend.core.gateway.placement_queue import compute_rank
 from scalebend.core.gateway.return_schedule import Outcome, ReturnSchedule
 from scalebend.core.gateway.room_forecast import (
     EngineFleet,
--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -21,7 +21,7 @@
 from scalebend.core.gateway.overdue_tokens import MAX_EXCLUDED_SHARE, OverdueTokens
 from scalebend.core.gateway.path_health import RETRANSMISSION_S, PathHealth
 from scalebend.core.gateway.placement_choice import choose_isolated, choose_replicas
-from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, Plan
+from scalebend.core.gateway.placement_plan import Plan, compute_memory
 from scalebend.core.gateway.replica_load import Job, JobPart, ReplicaLoad
 from scalebend.core.gateway.replica_pool import ReplicaPool
 from scalebend.core.gateway.room_forecast import DecodeTimes, EngineFleet
@@ -310,7 +310,7 @@
             profile,
             compute_prefill_time(profile, work.prompt_tokens),
             step_time,
-            work.prompt_tokens + work.output_tokens + MEMORY_MARGIN_TOKENS,
+            compute_memory(work),
             self._max_part_s,
             self._quick.read(now) + QUICK_SPARE_SLOTS,
             frozenset((*work.excluded, *in_backoff)),
--- a/src/scalebend/core/gateway/kept_replicas.py
+++ b/src/scalebend/core/gateway/kept_replicas.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from scalebend.core.gateway.placement_queue import Waiting, compute_memory
+from scalebend.core.gateway.placement_plan import compute_memory
+from scalebend.core.gateway.placement_queue import Waiting
 from scalebend.core.gateway.service_room import EngineRoom
 from scalebend.core.gateway.waiting_line import WaitingLine
 from scalebend.core.gateway.work_kinds import is_quick
--- a/src/scalebend/core/gateway/limited_placement.py
+++ b/src/scalebend/core/gateway/limited_placement.py
@@ -12,10 +12,6 @@
 
 import msgspec
 
-from scalebend.core.gateway.engine_costs import (
-    MIN_SPLIT_PREFILL_S,
-    compute_prefill_time,
-)
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S
 from scalebend.core.gateway.slow_start_budget import (
@@ -23,6 +19,7 @@
     SlowStartBudget,
 )
 from scalebend.core.gateway.timeouts import ROOM_WAIT_SHARE
+from scalebend.core.gateway.work_kinds import is_quick
 from scalebend.models.endpoints import Endpoint
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
@@ -56,19 +53,19 @@
         self.withdraw(work.job, now)
         exhausted = self._list_exhausted(endpoints, now)
         cold = self._list_cold(work, endpoints, now)
-        is_quick = (
-            compute_prefill_time(profile, work.prompt_tokens) <= MIN_SPLIT_PREFILL_S
-        )
-        avoided = (*exhausted, *cold) if is_quick else (*exhausted, *limited, *cold)
+        is_long = not is_quick(work, profile)
+        avoided = (*exhausted, *limited, *cold) if is_long else (*exhausted, *cold)
         placed = scheduler.place(work, endpoints, profile, now, avoided)
-        has_others = bool(cold) or not is_quick
+        has_others = bool(cold) or is_long
         if has_others and not _is_in_time(placed, work, has_cold=bool(cold)):
             late = placed
             placed = scheduler.place(work, endpoints, profile, now, exhausted)
             if isinstance(placed, Declined) and isinstance(late, Placement):
                 placed = scheduler.place(work, endpoints, profile, now, avoided)
         if isinstance(placed, Declined):
-            placed = self._place_later(scheduler, work, endpoints, profile, now, placed)
+            placed = self._place_later(
+                scheduler, work, endpoints, profile, now, placed, set(exhausted)
+            )
         if isinstance(placed, Placement):
             self._count(work.job, placed, now)
         return placed
@@ -81,10 +78,10 @@
         profile: EngineProfile,
         now: float,
         declined: Declined,
+        exhausted: set[UpstreamId],
     ) -> Placement | Declined:
         """Wait for the first send permit if every usable replica lacks one."""
         usable = [e.upstream for e in endpoints if e.upstream not in work.excluded]
-        exhausted = set(self._list_exhausted(endpoints, now))
         if not usable or not exhausted.issuperset(usable):
             return declined
         soonest, wait = self._budget.find_soonest(usable, now)
--- a/src/scalebend/core/gateway/placement_plan.py
+++ b/src/scalebend/core/gateway/placement_plan.py
@@ -35,6 +35,11 @@
 """`Retry-After` of a declined request if no replica is known or no memory is free."""
 
 
+def compute_memory(work: EngineWork) -> int:
+    """Compute the KV cache memory of a prompt and its response, with the margin."""
+    return work.prompt_tokens + work.output_tokens + MEMORY_MARGIN_TOKENS
+
+
 class Plan(msgspec.Struct, frozen=True):
     """One piece of work and what is computed from it alone; times in seconds."""
 
--- a/src/scalebend/core/gateway/placement_queue.py
+++ b/src/scalebend/core/gateway/placement_queue.py
@@ -16,7 +16,7 @@
 
 from scalebend.core.gateway.customer_use import CustomerUse
 from scalebend.core.gateway.placement_aging import age_work
-from scalebend.core.gateway.placement_plan import MEMORY_MARGIN_TOKENS, TARGET_SHARE
+from scalebend.core.gateway.placement_plan import TARGET_SHARE, compute_memory
 from scalebend.models.ids import CustomerId
 from scalebend.models.placement import EngineWork, JobId, Placement
 
@@ -78,11 +78,6 @@
     return now + slack + PRIORITY_STEP_S * work.priority
 
 
-def compute_memory(work: EngineWork) -> int:
-    """Compute the memory of a prompt and its response, in tokens."""
-    return work.prompt_tokens + work.output_tokens + MEMORY_MARGIN_TOKENS
-
-
 class Position(msgspec.Struct, frozen=True):
     """Place in the order of a request that was refused before; clock times in seconds.
 
--- a/src/scalebend/core/gateway/queued_placement.py
+++ b/src/scalebend/core/gateway/queued_placement.py
@@ -13,10 +13,9 @@
 from scalebend.core.gateway.admission import Admission, can_be_served
 from scalebend.core.gateway.kept_replicas import keep_free, place_around
 from scalebend.core.gateway.placement_aging import REPLAN_INTERVAL_S, age_placement
-from scalebend.core.gateway.placement_plan import NO_MEMORY_RETRY_S
+from scalebend.core.gateway.placement_plan import NO_MEMORY_RETRY_S, compute_memory
 from scalebend.core.gateway.placement_queue import (
     Waiting,
-    compute_memory,
     compute_rank,
     compute_wait_limit,
 )
--- a/src/scalebend/core/gateway/return_schedule.py
+++ b/src/scalebend/core/gateway/return_schedule.py
@@ -19,12 +19,15 @@
 import structlog
 
 from scalebend.core.gateway.engine_costs import compute_prefill_time
-from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S, TARGET_SHARE
+from scalebend.core.gateway.placement_plan import (
+    NO_REPLICA_RETRY_S,
+    TARGET_SHARE,
+    compute_memory,
+)
 from scalebend.core.gateway.placement_queue import (
     LATE_SHARE,
     PRIORITY_STEP_S,
     Position,
-    compute_memory,
 )
 from scalebend.core.gateway.room_forecast import (
     EngineFleet,
--- a/src/scalebend/core/gateway/waiting_line.py
+++ b/src/scalebend/core/gateway/waiting_line.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from scalebend.core.gateway.customer_use import CustomerUse
+from scalebend.core.gateway.placement_plan import compute_memory
 from scalebend.core.gateway.placement_queue import (
     PlacementQueue,
     Waiting,
-    compute_memory,
 )
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
