Elect a leader where votes take longer than the election timeout

Cause: a candidate went back to a pre-vote after 0.12 to 0.24 s (no leader known since the start) or 0.45 to 0.9 s, and dropped votes that came later; the next term made them void. No term succeeds while the delay of message, both loops and the write of the vote lasts. Members that ask for pre-votes at once also split the votes, and a leader stepped down 0.6 s after the last reply, before the first reply over a longer round trip.

Why it holds: a vote counts as long as its term lasts, of concurrent candidates the highest in rank goes first, for a round trip as measured, and the timeout doubles with each term without a leader. One vote a term and the write before the reply are as they were.

--- a/src/scalebend/core/consensus/messages.py
+++ b/src/scalebend/core/consensus/messages.py
@@ -50,7 +50,10 @@
 
 
 class VoteRequest(msgspec.Struct, frozen=True, tag=True):
-    """Candidate to voter; a pre-vote changes neither term nor vote on either side."""
+    """Candidate to voter; a pre-vote changes neither term nor vote on either side.
+
+    ``sent_at`` is on the sender's clock, in seconds; the reply returns it.
+    """
 
     sender: Member
     term: Term
@@ -58,6 +61,7 @@
     last_term: Term
     is_pre_vote: bool
     is_transfer: bool = False
+    sent_at: float = 0.0
 
 
 class VoteReply(msgspec.Struct, frozen=True, tag=True):
@@ -67,6 +71,7 @@
     term: Term
     is_granted: bool
     is_pre_vote: bool
+    request_sent_at: float = 0.0
 
 
 class Append(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/consensus/progress.py
+++ b/src/scalebend/core/consensus/progress.py
@@ -30,7 +30,8 @@
 class Progress(msgspec.Struct):
     """How far one member's log is known to match the leader's; times in seconds.
 
-    ``confirmed_at`` is the *send* time of the newest append replied to in this term.
+    ``confirmed_at`` is the *send* time of the newest append replied to in this term,
+    and ``round_trip`` the time its reply took.
     """
 
     next_index: LogIndex
@@ -39,6 +40,7 @@
     last_sent_at: float = 0.0
     pending_rounds: deque[_PendingRound] = msgspec.field(default_factory=deque)
     confirmed_at: float = -1e9
+    round_trip: float = 0.0
     is_awaiting_reply: bool = False
     snapshot_offset: int | None = None
     """Bytes of the snapshot that the member has; ``None`` when none is being sent."""
@@ -54,10 +56,11 @@
         self.last_reply_at = now
         self.is_awaiting_reply = False
 
-    def record_round_reply(self, number: int) -> None:
+    def record_round_reply(self, number: int, now: float) -> None:
         """Record a reply to this append, which also counts for those before it."""
         while self.pending_rounds and self.pending_rounds[0].round <= number:
             self.confirmed_at = self.pending_rounds.popleft().sent_at
+            self.round_trip = now - self.confirmed_at
 
     def record_match(self, index: LogIndex) -> None:
         """Record that the member's log matches and is durable up to ``index``."""
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -11,6 +11,9 @@
 import random
 from enum import Enum
 
+import structlog
+
+from scalebend.core.consensus.election import ELECTION_TIMEOUT_S, Election
 from scalebend.core.consensus.log import EntryLog
 from scalebend.core.consensus.messages import (
     Append,
@@ -34,6 +37,8 @@
 from scalebend.core.consensus.progress import Progress, find_quorum_value
 from scalebend.models.ids import InstanceId, LogIndex, Term
 
+logger = structlog.get_logger(__name__)
+
 HEARTBEAT_INTERVAL_S = 0.1
 """Maximum time between two messages from a leader to each member."""
 
@@ -41,24 +46,18 @@
 """Minimum time between two messages to a member while a leadership confirmation is
 pending, so that one round serves several callers."""
 
-ELECTION_TIMEOUT_S = 0.45
-"""Time without a leader before a member starts an election, randomized up to twice.
-
-Covers several heartbeats: packet loss delays some of them by a retransmission."""
-
 LINK_LOSS_TIMEOUT_S = 0.25
 """Time after the link to the leader breaks before a member starts an election,
 randomized up to twice: a live leader reconnects and sends a heartbeat within it."""
 
-STARTUP_ELECTION_TIMEOUT_S = 0.12
-"""Time between pre-votes of a member that has known no leader since its start,
-randomized up to twice.
+QUORUM_TIMEOUT_S = 0.6
+"""Minimum time without replies from a quorum before a leader steps down."""
 
-An existing leader sends a heartbeat within this time, and a pre-vote does not disturb
-it; without a leader, as after a restart of all members, waiting longer is useless."""
+MAX_QUORUM_TIMEOUT_S = 3.0
+"""Maximum of the same time, which grows with the round trips to the members."""
 
-QUORUM_TIMEOUT_S = 0.6
-"""Time without replies from a quorum before a leader steps down."""
+QUORUM_TIMEOUT_ROUND_TRIPS = 2.0
+"""Round trips to a quorum that the same time covers."""
 
 MAX_ENTRIES_PER_APPEND = 256
 """Entries in one append message."""
@@ -95,7 +94,7 @@
         self._random = random.Random(f"{seed}/{me.instance}/{me.disk}")
         self._members = self.log.find_members()
         self._progress: dict[Member, Progress] = {}
-        self._votes: set[Member] = set()
+        self._election = Election(me, self.term)
         self._round = 0
         self._leader_contact_at = -1e9
         self._has_known_leader = False
@@ -229,6 +228,8 @@
             self._advance_leader(now)
         elif now >= self._election_deadline and self.is_voter:
             self._start_election(now, is_pre_vote=True)
+        elif self.role is ReplicaRole.PRE_CANDIDATE:
+            self._count_votes(now)
 
     # Messages
 
@@ -310,15 +311,20 @@
     ) -> None:
         assert self._members is not None
         self.leader = None
-        self._reset_election_deadline(now)
-        self._votes = {self.me}
+        term = Term(self.term + 1)
         if is_pre_vote:
+            self._log_unsuccessful_election()
             self.role = ReplicaRole.PRE_CANDIDATE
-            term = Term(self.term + 1)
         else:
             self.role = ReplicaRole.CANDIDATE
-            self._set_term(Term(self.term + 1), voted_for=self.me)
-            term = self.term
+            self._set_term(term, voted_for=self.me)
+            self._election.start_candidacy(now)
+            logger.info(
+                "election started",
+                term=term,
+                failed_terms=self._election.count_failed_terms(term) - 1,
+            )
+        self._reset_election_deadline(now)
         request = VoteRequest(
             self.me,
             term,
@@ -326,19 +332,31 @@
             self.log.last_term,
             is_pre_vote,
             is_transfer,
+            now,
         )
         for member in self._members.voters - {self.me}:
             self._send(member, request)
         self._count_votes(now)
 
+    def _log_unsuccessful_election(self) -> None:
+        if self.role in (ReplicaRole.PRE_CANDIDATE, ReplicaRole.CANDIDATE):
+            logger.info(
+                "election without result",
+                role=self.role.value,
+                term=self.term,
+                votes=self._election.list_votes(),
+                pre_votes=self._election.list_pre_votes(),
+                refused_by=self._election.list_refusals(),
+            )
+
     def _count_votes(self, now: float) -> None:
         assert self._members is not None
-        if not self._members.is_quorum(self._votes):
-            return
-        if self.role is ReplicaRole.PRE_CANDIDATE:
-            self._start_election(now, is_pre_vote=False)
-        elif self.role is ReplicaRole.CANDIDATE:
+        if self._election.is_won(self._members):
             self._become_leader(now)
+        elif self.role is ReplicaRole.PRE_CANDIDATE:
+            timeout = self._compute_election_timeout()
+            if self._election.may_start(self._members, timeout, now):
+                self._start_election(now, is_pre_vote=False)
 
     def _handle_vote_request(self, request: VoteRequest, now: float) -> None:
         # Ignores elections while a leader is known, so that a member which returns
@@ -360,11 +378,18 @@
             self._voted_for = request.sender
             self._is_hard_state_dirty = True
             self._reset_election_deadline(now)
+        if is_granted and request.is_pre_vote:
+            if self.role is ReplicaRole.PRE_CANDIDATE:
+                self._election.record_rival(
+                    request, self.log.last_term, self.log.last_index
+                )
         self._reply_vote(request, is_granted=is_granted)
 
     def _reply_vote(self, request: VoteRequest, *, is_granted: bool) -> None:
         term = request.term if is_granted else self.term
-        reply = VoteReply(self.me, term, is_granted, request.is_pre_vote)
+        reply = VoteReply(
+            self.me, term, is_granted, request.is_pre_vote, request.sent_at
+        )
         self._send(request.sender, reply)
 
     def _is_up_to_date(self, request: VoteRequest) -> bool:
@@ -375,21 +400,32 @@
         if reply.term > self.term and not reply.is_granted:
             self._become_follower(reply.term, None, now)
             return
-        expected = {
-            ReplicaRole.PRE_CANDIDATE: (True, self.term + 1),
-            ReplicaRole.CANDIDATE: (False, self.term),
-        }.get(self.role)
-        if reply.is_granted and expected == (reply.is_pre_vote, reply.term):
-            self._votes.add(reply.sender)
-            self._count_votes(now)
+        if self.role not in (ReplicaRole.PRE_CANDIDATE, ReplicaRole.CANDIDATE):
+            return
+        if reply.is_pre_vote:
+            if not reply.is_granted or reply.term == self.term + 1:
+                self._election.record_pre_vote(reply, now)
+        elif reply.term == self.term:
+            self._election.record_vote(reply)
+        self._count_votes(now)
 
     def _become_leader(self, now: float) -> None:
         assert self._members is not None
         self.role = ReplicaRole.LEADER
         self._has_known_leader = True
+        seconds = now - self._election.candidate_since
+        logger.info(
+            "elected",
+            term=self.term,
+            seconds=round(seconds, 3),
+            votes=self._election.list_votes(),
+        )
+        self._election.record_leader(self.term)
         self.leader = self.me
         self._progress = {}
         self._sync_progress(now)
+        for progress in self._progress.values():
+            progress.round_trip = seconds
         # An entry of its own term lets the leader commit entries of earlier terms.
         self._append_to_log(LogEntry(self._next_index(), self.term, 0.0))
         self._broadcast(now)
@@ -399,10 +435,13 @@
         self.leader = leader
         if term > self.term:
             self._set_term(term, voted_for=None)
+        if leader is not None:
+            self._election.record_leader(term)
         self._reset_election_deadline(now)
 
     def _set_term(self, term: Term, voted_for: Member | None) -> None:
         self.term = term
+        self._election.start_term()
         self._voted_for = voted_for
         self._is_hard_state_dirty = True
 
@@ -411,21 +450,34 @@
             # The only voter has no other leader to wait for.
             self._election_deadline = now
             return
-        timeout = (
-            ELECTION_TIMEOUT_S if self._has_known_leader else STARTUP_ELECTION_TIMEOUT_S
-        )
+        timeout = self._compute_election_timeout()
         self._election_deadline = now + timeout * self._random.uniform(1.0, 2.0)
 
+    def _compute_election_timeout(self) -> float:
+        return self._election.compute_timeout(
+            self.term, has_known_leader=self._has_known_leader
+        )
+
     # Leading
 
     def _advance_leader(self, now: float) -> None:
         assert self._members is not None
-        last_reply_at = {
+        timeout = self._compute_quorum_timeout()
+        responsive = {
             member
             for member, progress in self._progress.items()
-            if now - progress.last_reply_at < QUORUM_TIMEOUT_S
+            if now - progress.last_reply_at < timeout
         }
-        if not self._members.is_quorum(last_reply_at | {self.me}):
+        if not self._members.is_quorum(responsive | {self.me}):
+            logger.warning(
+                "leadership lost without a quorum",
+                term=self.term,
+                timeout=round(timeout, 3),
+                seconds_since_reply={
+                    member.instance: round(now - progress.last_reply_at, 3)
+                    for member, progress in self._progress.items()
+                },
+            )
             self._become_follower(self.term, None, now)
             return
         is_removed = self.me not in self._members.voters
@@ -434,6 +486,15 @@
             return
         self._broadcast(now)
 
+    def _compute_quorum_timeout(self) -> float:
+        """Time without replies from a quorum before this leader steps down."""
+        assert self._members is not None
+        speeds = {m: -progress.round_trip for m, progress in self._progress.items()}
+        speeds[self.me] = 0.0
+        slowest = -(find_quorum_value(speeds, self._members) or 0.0)
+        timeout = max(QUORUM_TIMEOUT_S, QUORUM_TIMEOUT_ROUND_TRIPS * slowest)
+        return min(timeout, MAX_QUORUM_TIMEOUT_S)
+
     def _broadcast(self, now: float) -> None:
         for member, progress in self._progress.items():
             is_due = now - progress.last_sent_at >= HEARTBEAT_INTERVAL_S
@@ -491,7 +552,7 @@
         if not self.is_leader or progress is None or reply.term < self.term:
             return
         progress.record_reply(now)
-        progress.record_round_reply(reply.round)
+        progress.record_round_reply(reply.round, now)
         if reply.is_accepted:
             progress.record_match(reply.index)
             self._advance_commit()
--- a/tests/unit/test_consensus_rules.py
+++ b/tests/unit/test_consensus_rules.py
@@ -1,5 +1,6 @@
 """Safety and liveness rules of the replicated log, one at a time."""
 
+from scalebend.core.consensus.election import ELECTION_TIMEOUT_S
 from scalebend.core.consensus.messages import (
     Append,
     AppendReply,
@@ -12,7 +13,6 @@
     VoteRequest,
 )
 from scalebend.core.consensus.replica import (
-    ELECTION_TIMEOUT_S,
     LINK_LOSS_TIMEOUT_S,
     MIN_ROUND_INTERVAL_S,
     Replica,
