Read waiting messages after a stall before timers act on silence

Cause: after a stall the event loop runs expired timers before it reads the sockets. The leader compared the present with the last reply that it had handled, while newer replies lay unread; the write step of the log made the same check between two reads.

Ruled out: that asyncio reads first (a continued process gets expired timers alone from its first poll).

Why it holds: the first tick after a stall is skipped, never two in a row, so each socket is read before a timer concludes from silence, and a host on which every tick is late still runs them. The guard is at the ticks of control instances, fronts, relays and cluster instances: links, registrations and the front's leader had the same fault.

--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -231,6 +231,15 @@
         elif self.role is ReplicaRole.PRE_CANDIDATE:
             self._count_votes(now)
 
+    def send_due(self, now: float) -> None:
+        """As leader, send new entries and heartbeats that are due.
+
+        Concludes nothing from missing messages: unlike :meth:`advance`, it may run
+        before the messages that wait in the sockets are read.
+        """
+        if self.is_leader:
+            self._broadcast(now)
+
     # Messages
 
     def handle(self, message: ConsensusMessage, now: float) -> None:
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -203,7 +203,7 @@
 
     def collect_ready(self, now: float) -> Ready:
         """Return the work that must be durable before :meth:`finish`."""
-        self.replica.advance(now)
+        self.replica.send_due(now)
         return self.replica.collect_ready()
 
     @property
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -38,6 +38,7 @@
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer, LinkServer
 from scalebend.edges.gateway.list_writer import ListWriter
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.stalls import StallGuard
 from scalebend.exceptions import ErrorKind, RefusedError
 from scalebend.models.evacuations import EvacuationOrder
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
@@ -130,18 +131,23 @@
 
     async def run(self) -> None:
         """Run the timers until cancelled."""
+        guard = StallGuard(TICK_INTERVAL_S, self.now(), self.metrics.count_stall)
         while True:
-            self.execute(self.instance.advance(self.now()))
-            self.dialer.close_unresponsive(self.now())
-            self.server.close_unresponsive(self.now())
-            self._send_heartbeats()
-            self.metrics.set_waiting_requests(self.instance.placement.queue.waiting)
-            self._write_lists()
-            for outcome in self.instance.placement.queue.returns.pop_outcomes():
-                self.metrics.count_prompt_without_room(outcome.value)
-            self.schedule_pump()
+            if guard.may_run(self.now()):
+                self._tick()
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _tick(self) -> None:
+        self.execute(self.instance.advance(self.now()))
+        self.dialer.close_unresponsive(self.now())
+        self.server.close_unresponsive(self.now())
+        self._send_heartbeats()
+        self.metrics.set_waiting_requests(self.instance.placement.queue.waiting)
+        self._write_lists()
+        for outcome in self.instance.placement.queue.returns.pop_outcomes():
+            self.metrics.count_prompt_without_room(outcome.value)
+        self.schedule_pump()
+
     def _write_lists(self) -> None:
         instance = self.instance
         self._upstream_writer.write_if_due(instance.upstreams.changes, self.now())
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -31,6 +31,7 @@
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.placement_calls import PlacementCalls
 from scalebend.edges.gateway.running_attempts import RunningAttempts
+from scalebend.edges.stalls import StallGuard
 from scalebend.models.calls import ReportedLoad
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import Fingerprint, InstanceId, SendPermitId, UpstreamId
@@ -122,8 +123,10 @@
 
     async def run(self) -> None:
         """Run the timers until cancelled."""
+        guard = StallGuard(TICK_S, self.now(), self.metrics.count_stall)
         while True:
-            self._tick()
+            if guard.may_run(self.now()):
+                self._tick()
             await asyncio.sleep(TICK_S)
 
     def _tick(self) -> None:
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -125,6 +125,11 @@
             ["name"],
             registry=registry,
         )
+        self._stalls = Counter(
+            "scalebend_event_loop_stalls",
+            "Stalls of the event loop, after which timers waited for unread data",
+            registry=registry,
+        )
         self._link_starts = Counter(
             "scalebend_link_starts",
             "Links to or from other processes that came up",
@@ -264,6 +269,10 @@
         """Count a response with an unknown header of the upstreams' namespace."""
         self._unknown_headers.labels(name).inc()
 
+    def count_stall(self) -> None:
+        """Count a stall of the event loop."""
+        self._stalls.inc()
+
     def count_link_start(self) -> None:
         """Count a link that came up."""
         self._link_starts.inc()
--- a/src/scalebend/edges/gateway/relay_server.py
+++ b/src/scalebend/edges/gateway/relay_server.py
@@ -29,6 +29,7 @@
 from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.problems import build_response
+from scalebend.edges.stalls import StallGuard
 from scalebend.exceptions import ErrorKind, RefusedError
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId
@@ -45,6 +46,7 @@
     def __init__(self, settings: GatewaySettings, metrics: GatewayMetrics) -> None:
         self._settings = settings
         self._metrics = metrics
+        self._next_heartbeat_at = 0.0
         own_id = settings.instance
         seeds = [InstanceId(seed) for seed in settings.seeds]
         self.instance = RelayInstance(
@@ -65,18 +67,21 @@
     async def run(self) -> None:
         """Run the timers until cancelled."""
         loop = asyncio.get_running_loop()
-        next_heartbeat_at = 0.0
+        guard = StallGuard(TICK_INTERVAL_S, loop.time(), self._metrics.count_stall)
         while True:
-            now = loop.time()
-            self.dialer.set_targets(self.instance.instances)
-            self.dialer.close_unresponsive(now)
-            self.server.close_unresponsive(now)
-            if now >= next_heartbeat_at:
-                next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
-                self.dialer.send_to_all(Heartbeat())
-                self.server.send_to_all(self._build_known_instances())
+            if guard.may_run(loop.time()):
+                self._tick(loop.time())
             await asyncio.sleep(TICK_INTERVAL_S)
 
+    def _tick(self, now: float) -> None:
+        self.dialer.set_targets(self.instance.instances)
+        self.dialer.close_unresponsive(now)
+        self.server.close_unresponsive(now)
+        if now >= self._next_heartbeat_at:
+            self._next_heartbeat_at = now + HEARTBEAT_INTERVAL_S
+            self.dialer.send_to_all(Heartbeat())
+            self.server.send_to_all(self._build_known_instances())
+
     def _build_known_instances(self) -> KnownInstances:
         return KnownInstances(self.instance.list_members())
 
--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -14,13 +14,11 @@
 
 import aiohttp
 
+from scalebend.edges.stalls import MIN_STALL_S
+
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Maximum size of a response body that is buffered before it is forwarded."""
 
-MIN_STALL_S = 0.2
-"""Delay of a timer that shows a stall: far more than one busy iteration of the event
-loop."""
-
 EXTRA_READ_TIMEOUT_S = 0.3
 """Second timeout after a stall: pending data is read within an iteration or two."""
 
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -48,6 +48,7 @@
 from scalebend.edges.gossip import GossipSocket, open_gossip
 from scalebend.edges.metrics import Metrics, build_metrics
 from scalebend.edges.peers import PeerTransport, serve_peers
+from scalebend.edges.stalls import StallGuard
 from scalebend.edges.tls import build_client_context
 from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
 from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
@@ -102,6 +103,7 @@
         self._scheme = "https" if instance.settings.upstream_tls else "http"
         self._is_pump_scheduled = False
         self._next_gauges_at = 0.0
+        self._stalls = StallGuard(TICK_INTERVAL_S, self.now(), self._count_stall)
         self._request_count = 0
         self.announcements.subscribe(on_next=self._receive_announcement)
 
@@ -181,6 +183,8 @@
 
     def tick(self) -> None:
         """Run the core's timers."""
+        if not self._stalls.may_run(self.now()):
+            return
         try:
             self.execute(self.instance.advance(self.now(), time.time()))
             self._schedule_pump()
@@ -189,6 +193,9 @@
             # The timer must keep running: all timeouts depend on it.
             logger.exception("tick failed")
 
+    def _count_stall(self) -> None:
+        self.metrics.incr("event_loop.stalls")
+
     def _report_gauges(self) -> None:
         now = self.now()
         if now < self._next_gauges_at:
--- a/tests/unit/gateway/test_response_reading.py
+++ b/tests/unit/gateway/test_response_reading.py
@@ -7,12 +7,12 @@
 import pytest
 
 from scalebend.edges.gateway.response_reading import (
-    MIN_STALL_S,
     UnresponsiveError,
     cancel_on_failure,
     read_available,
     wait_for_task,
 )
+from scalebend.edges.stalls import MIN_STALL_S
 
 TIMEOUT_S = 0.05
 
