--- a/src/scalebend/core/consensus/progress.py
+++ b/src/scalebend/core/consensus/progress.py
@@ -17,6 +17,9 @@
 MAX_PROMOTION_LAG_ENTRIES = 16
 """Entries by which a learner may lag and still become a voter."""
 
+CHUNK_TIMEOUT_S = 2.0
+"""Time without a reply after which a chunk of a snapshot is sent again."""
+
 T = TypeVar("T", bound=float)
 
 
@@ -35,16 +38,32 @@
     """
 
     next_index: LogIndex
+    """The first entry that the member may lack."""
+
+    sent_index: LogIndex = LogIndex(0)
+    """The last entry sent since the last rejection.
+
+    Messages to a member stay in order, so what is on its way is not sent again; a
+    heartbeat behind it finds what was lost."""
+
     match_index: LogIndex = LogIndex(0)
     last_reply_at: float = 0.0
     last_sent_at: float = 0.0
     pending_rounds: deque[_PendingRound] = msgspec.field(default_factory=deque)
     confirmed_at: float = -1e9
     round_trip: float = 0.0
-    is_awaiting_reply: bool = False
+    resent_round: int = 0
+    """The last round before entries were sent again. Rejections of it and of earlier
+    rounds are outdated."""
+
     snapshot_offset: int | None = None
     """Bytes of the snapshot that the member has; ``None`` when none is being sent."""
 
+    chunk_end: int = 0
+    """End in bytes of the last chunk that was sent."""
+
+    chunk_sent_at: float = -1e9
+
     def record_sent(self, number: int, now: float) -> None:
         """Record that the append with this round number was sent."""
         self.pending_rounds.append(_PendingRound(number, now))
@@ -54,7 +73,6 @@
     def record_reply(self, now: float) -> None:
         """Record that the member replied to any message."""
         self.last_reply_at = now
-        self.is_awaiting_reply = False
 
     def record_round_reply(self, number: int, now: float) -> None:
         """Record a reply to this append, which also counts for those before it."""
@@ -67,10 +85,40 @@
         self.match_index = max(self.match_index, index)
         self.next_index = LogIndex(self.match_index + 1)
 
-    def record_mismatch(self, index: LogIndex) -> None:
-        """Record a rejected append; the member's log may match up to ``index``."""
-        retry_from = min(index + 1, self.next_index - 1)
+    def record_mismatch(self, index: LogIndex, number: int, last_round: int) -> None:
+        """Record a rejected append; the member's log may match up to ``index``.
+
+        ``number`` is the round of that append, ``last_round`` the last one sent. What
+        was sent since is sent again, once.
+        """
+        if number <= self.resent_round:
+            return
+        self.resent_round = last_round
+        retry_from = min(index + 1, max(self.next_index, self.sent_index + 1) - 1)
         self.next_index = LogIndex(max(self.match_index + 1, retry_from))
+        self.sent_index = LogIndex(self.next_index - 1)
+
+    @property
+    def first_unsent(self) -> LogIndex:
+        """The first entry to send next."""
+        return LogIndex(max(self.next_index, self.sent_index + 1))
+
+    def is_awaiting_reply(self, now: float) -> bool:
+        """Whether entries or a chunk were sent that the member has not replied to."""
+        return self.sent_index > self.match_index or self.is_chunk_on_the_way(now)
+
+    def record_chunk_sent(self, end: int, now: float) -> None:
+        """Record that the chunk of the snapshot up to ``end`` was sent."""
+        self.chunk_end = end
+        self.chunk_sent_at = now
+
+    def is_chunk_on_the_way(self, now: float) -> bool:
+        """Whether the member may still reply to the last chunk."""
+        return (
+            self.snapshot_offset is not None
+            and self.chunk_end > self.snapshot_offset
+            and now - self.chunk_sent_at < CHUNK_TIMEOUT_S
+        )
 
     def is_caught_up(self, last_index: LogIndex) -> bool:
         """Whether the member has nearly the whole log."""
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -507,22 +507,24 @@
     def _broadcast(self, now: float) -> None:
         for member, progress in self._progress.items():
             is_due = now - progress.last_sent_at >= HEARTBEAT_INTERVAL_S
-            has_entries = progress.next_index <= self.log.last_index
-            if is_due or (has_entries and not progress.is_awaiting_reply):
+            has_entries = progress.first_unsent <= self.log.last_index
+            if is_due or (has_entries and not progress.is_awaiting_reply(now)):
                 self._replicate(member, progress, now)
 
     def _replicate(self, member: Member, progress: Progress, now: float) -> None:
         progress.last_sent_at = now
-        progress.is_awaiting_reply = True
-        previous = LogIndex(progress.next_index - 1)
+        first = progress.first_unsent
+        previous = LogIndex(first - 1)
         previous_term = self.log.get_term(previous)
         if previous_term is None:
-            self._send_snapshot(member, progress)
+            self._send_snapshot(member, progress, now)
             return
         progress.snapshot_offset = None
         self._round += 1
         progress.record_sent(self._round, now)
-        entries = self.log.read(progress.next_index, MAX_ENTRIES_PER_APPEND)
+        entries = self.log.read(first, MAX_ENTRIES_PER_APPEND)
+        if entries:
+            progress.sent_index = entries[-1].index
         message = Append(
             self.me,
             self.term,
@@ -534,13 +536,23 @@
         )
         self._send(member, message)
 
-    def _send_snapshot(self, member: Member, progress: Progress) -> None:
+    def _send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
+        """Send the next chunk, or an empty one behind a chunk that is on its way.
+
+        Each chunk sent twice would bring two replies, and each of them the next chunk.
+        """
         snapshot = self._snapshot
         assert snapshot is not None
-        offset = progress.snapshot_offset or 0
-        if offset > len(snapshot.state):
-            offset = 0
-        progress.snapshot_offset = offset
+        if progress.is_chunk_on_the_way(now):
+            offset = progress.chunk_end
+            data = b""
+        else:
+            offset = progress.snapshot_offset or 0
+            if offset > len(snapshot.state):
+                offset = 0
+            progress.snapshot_offset = offset
+            data = snapshot.state[offset : offset + SNAPSHOT_CHUNK_BYTES]
+            progress.record_chunk_sent(offset + len(data), now)
         message = InstallSnapshot(
             self.me,
             self.term,
@@ -549,7 +561,7 @@
             snapshot.members,
             offset,
             len(snapshot.state),
-            snapshot.state[offset : offset + SNAPSHOT_CHUNK_BYTES],
+            data,
         )
         self._send(member, message)
 
@@ -566,8 +578,8 @@
             progress.record_match(reply.index)
             self._advance_commit()
         else:
-            progress.record_mismatch(reply.index)
-        if progress.next_index <= self.log.last_index:
+            progress.record_mismatch(reply.index, reply.round, self._round)
+        if progress.first_unsent <= self.log.last_index:
             self._replicate(reply.sender, progress, now)
 
     def _handle_snapshot_reply(self, reply: SnapshotReply, now: float) -> None:
@@ -580,12 +592,14 @@
         progress.record_reply(now)
         if self._snapshot is None or reply.index != self._snapshot.index:
             progress.snapshot_offset = 0
+            progress.chunk_end = 0
         elif reply.offset >= len(self._snapshot.state):
             progress.snapshot_offset = None
             progress.record_match(reply.index)
         else:
             progress.snapshot_offset = reply.offset
-        if progress.next_index <= self.log.last_index:
+        has_entries = progress.first_unsent <= self.log.last_index
+        if has_entries and not progress.is_chunk_on_the_way(now):
             self._replicate(reply.sender, progress, now)
 
     def _advance_commit(self) -> None:
