Judge the losses of paths that share a zone together

Cause: three recent losses are needed on each pair of zones, so a fault of a zone waits for three on each of its pairs.

Change: two recent losses on each of several pairs that share a zone count together, at the leader, under the same bounds for their sum.

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -36,6 +36,10 @@
 """Minimum decayed number of losses, three recent ones: healthy links lose single
 packets."""
 
+MIN_LOST_TOGETHER = 1.5
+"""The same on each of several paths that share a zone, two recent ones: single losses
+on a healthy path must not count with those on a degraded one."""
+
 MIN_LOST_AT_ONE_FRONT = 8.0
 """The same, if a single front observed them and others would be bound by it."""
 
@@ -208,6 +212,8 @@
             )
             if has_failed or self._is_lossy(path, sums, now):
                 self._degrade(path, found, now)
+        for path in self._list_lossy_together(sums):
+            self._degrade(path, sums[path], now)
         for path in self._lone_since.keys() - sums.keys():
             del self._lone_since[path]
         for path, judged in list(self._judged.items()):
@@ -243,6 +249,39 @@
         limit = RELATIVE_LOSS_RATE * _find_usual_rate(path, sums)
         return found.lost >= limit * found.observed + MIN_LOST
 
+    def _list_lossy_together(self, sums: Mapping[ZonePath, PathSum]) -> list[ZonePath]:
+        """List paths that together show a fault at the zone that they share.
+
+        If all links of a zone lose data, each path alone has enough evidence later.
+        """
+        if self._min_fronts == 1:
+            # A front that stalls loses data on all its paths.
+            return []
+        lossy = [
+            path
+            for path, found in sums.items()
+            if path.first != path.second
+            and found.lost >= MIN_LOST_TOGETHER
+            and found.loss_rate >= MIN_LOSS_RATE
+        ]
+        together: list[ZonePath] = []
+        for zone in {zone for path in lossy for zone in (path.first, path.second)}:
+            paths = [path for path in lossy if path.has(zone)]
+            if len(paths) > 1 and self._are_worse_than_others(paths, sums):
+                together += paths
+        return together
+
+    def _are_worse_than_others(
+        self, paths: list[ZonePath], sums: Mapping[ZonePath, PathSum]
+    ) -> bool:
+        found = [sums[path] for path in paths]
+        if sum(one.fronts for one in found) < self._min_fronts:
+            return False
+        others = {path: one for path, one in sums.items() if path not in paths}
+        usual = max(_find_usual_rate(path, others) for path in paths)
+        limit = RELATIVE_LOSS_RATE * usual * sum(one.observed for one in found)
+        return sum(one.lost for one in found) >= limit + MIN_LOST
+
     def _is_evident(self, path: ZonePath, found: PathSum, now: float) -> bool:
         """Whether there are enough losses, at several fronts or at one for a while."""
         if found.fronts >= self._min_fronts:
--- a/tests/unit/gateway/test_path_model.py
+++ b/tests/unit/gateway/test_path_model.py
@@ -9,6 +9,7 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.path_evidence import FrontPaths, LeaderPaths
 from scalebend.models.ids import AvailabilityZone, InstanceId
+from scalebend.models.paths import build_zone_path
 from scalebend.models.placement import Declined, JobStage
 from tests.lib.gateway_builders import (
     PROFILE,
@@ -157,6 +158,31 @@
     assert len(after.list_crossing(BEGIN, END)) < TARGET_SHARE * crossing
 
 
+class LossyPair(LossyZone):
+    """Only the links between zones A and C lose packets."""
+
+    def is_bad(self, stream, now):
+        zones = {self.front_zones[stream.front], stream.zone}
+        return BEGIN <= now < END and zones == {ZONES[0], C}
+
+
+# Guards against evidence of several paths together that blames a healthy one.
+@pytest.mark.parametrize("arrivals", [1, 2])
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_lossy_pair_degrades_no_other_path(seed, arrivals):
+    degraded = set()
+    model = LossyPair(seed, has_paths=True, arrivals=arrivals)
+    advance = model.leader.advance
+
+    def observe(now):
+        advance(now)
+        degraded.update(model.leader.health.list_avoided_paths())
+
+    model.leader.advance = observe
+    model.run(20.0)
+    assert degraded == {build_zone_path(ZONES[0], C)}
+
+
 @pytest.mark.parametrize("seed", [1, 2, 3, 4])
 def test_quick_streams_leave_lossy_links_and_return(seed):
     before = LossyZone(seed, has_paths=False).run(40.0)
