Name replication in flight by the usual terms; let a sole voter defer to nobody

Read as a newcomer: "on its way" is "in flight" in code, the negated round trips say why, and the longest round trip of no pre-votes is zero. That last one is unreachable as far as known: a sole voter has no other candidate, but an exception there would end the timers. No behaviour changed.

--- a/src/scalebend/core/consensus/election.py
+++ b/src/scalebend/core/consensus/election.py
@@ -114,7 +114,7 @@
         if self._has_rival and self._defer_until is None:
             # The rival's requests arrive within about the time that these took. It may
             # fail to reach a quorum itself, so this member defers only once in a term.
-            slowest = max(grant.round_trip for grant in valid.values())
+            slowest = max((one.round_trip for one in valid.values()), default=0.0)
             self._defer_until = now + min(slowest, 2.0 * ELECTION_TIMEOUT_S)
         return self._defer_until is None or now >= self._defer_until
 
--- a/src/scalebend/core/consensus/progress.py
+++ b/src/scalebend/core/consensus/progress.py
@@ -43,8 +43,8 @@
     sent_index: LogIndex = LogIndex(0)
     """The last entry sent since the last rejection.
 
-    Messages to a member stay in order, so what is on its way is not sent again; a
-    heartbeat behind it finds what was lost."""
+    Messages to a member stay in order, so entries in flight are not sent again; the
+    next heartbeat is rejected if they were lost."""
 
     match_index: LogIndex = LogIndex(0)
     last_reply_at: float = 0.0
@@ -105,14 +105,14 @@
 
     def is_awaiting_reply(self, now: float) -> bool:
         """Whether entries or a chunk were sent that the member has not replied to."""
-        return self.sent_index > self.match_index or self.is_chunk_on_the_way(now)
+        return self.sent_index > self.match_index or self.is_chunk_in_flight(now)
 
     def record_chunk_sent(self, end: int, now: float) -> None:
         """Record that the chunk of the snapshot up to ``end`` was sent."""
         self.chunk_end = end
         self.chunk_sent_at = now
 
-    def is_chunk_on_the_way(self, now: float) -> bool:
+    def is_chunk_in_flight(self, now: float) -> bool:
         """Whether the member may still reply to the last chunk."""
         return (
             self.snapshot_offset is not None
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -498,10 +498,11 @@
     def _compute_quorum_timeout(self) -> float:
         """Time without replies from a quorum before this leader steps down."""
         assert self._members is not None
-        speeds = {m: -progress.round_trip for m, progress in self._progress.items()}
-        speeds[self.me] = 0.0
-        slowest = -(find_quorum_value(speeds, self._members) or 0.0)
-        timeout = max(QUORUM_TIMEOUT_S, QUORUM_TIMEOUT_ROUND_TRIPS * slowest)
+        # Negative, since the quorum with the largest values is found.
+        negated = {m: -progress.round_trip for m, progress in self._progress.items()}
+        negated[self.me] = 0.0
+        round_trip = -(find_quorum_value(negated, self._members) or 0.0)
+        timeout = max(QUORUM_TIMEOUT_S, QUORUM_TIMEOUT_ROUND_TRIPS * round_trip)
         return min(timeout, MAX_QUORUM_TIMEOUT_S)
 
     def _broadcast(self, now: float) -> None:
@@ -537,13 +538,13 @@
         self._send(member, message)
 
     def _send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
-        """Send the next chunk, or an empty one behind a chunk that is on its way.
+        """Send the next chunk, or an empty one as a heartbeat while one is in flight.
 
-        Each chunk sent twice would bring two replies, and each of them the next chunk.
+        A chunk that is sent twice gets two replies, each of which sends the next chunk.
         """
         snapshot = self._snapshot
         assert snapshot is not None
-        if progress.is_chunk_on_the_way(now):
+        if progress.is_chunk_in_flight(now):
             offset = progress.chunk_end
             data = b""
         else:
@@ -599,7 +600,7 @@
         else:
             progress.snapshot_offset = reply.offset
         has_entries = progress.first_unsent <= self.log.last_index
-        if has_entries and not progress.is_chunk_on_the_way(now):
+        if has_entries and not progress.is_chunk_in_flight(now):
             self._replicate(reply.sender, progress, now)
 
     def _advance_commit(self) -> None:
