Reproduce fronts partitioned from all replicas on real processes, failing

Callers of such a front fail although all replicas are up and the other front serves them. Real processes: two fronts, three control instances, four replicas behind proxies; new connections fail inside the front's process (refused, or without a reply), open ones are reset, silent or live on.

The soak's launcher makes the faults, so that the soak can use them, too.

--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -117,6 +117,7 @@
                     "-m",
                     "scalebend.soak.misbehaving",
                     str(folder),
+                    host,
                     "gateway",
                     "--link-listen",
                     f"{host}:{self._link_port}",
--- a/src/scalebend/soak/misbehaving.py
+++ b/src/scalebend/soak/misbehaving.py
@@ -1,17 +1,21 @@
-"""Runs ``scalebend gateway`` with faults injected into its clock and disk.
+"""Runs ``scalebend gateway`` with faults injected into its clock, disk and network.
 
-Run as ``python -m scalebend.soak.misbehaving FOLDER ARGUMENTS``: the process reads its
-faults from a file in the folder; the other arguments are those of the command line.
-Only the soak uses this module.
+Run as ``python -m scalebend.soak.misbehaving FOLDER HOST ARGUMENTS``: the process reads
+its faults from a file in the folder, and connects to others from the loopback address
+``HOST``, by which proxies identify it. The other arguments are those of the command
+line. Only the soak and tests use this module.
 """
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
+import socket
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -24,13 +28,26 @@
 SYNCED_FILE = "synced"
 
 
+BACKLOG_CONNECTIONS = 2
+"""Connections that fill the queue of a listener with the smallest backlog."""
+
+
+class Partition(msgspec.Struct, frozen=True):
+    """New connections to ``host`` fail; proxies impair those that are open."""
+
+    host: str
+    is_refused: bool
+    """Whether they are refused; otherwise the first packet gets no reply."""
+
+
 class ProcessFaults(msgspec.Struct, frozen=True):
-    """How the clock and the disk of a process behave."""
+    """How the clock, the disk and the network of a process behave."""
 
     clock_step: float = 0.0
     """Seconds by which the time of day is ahead."""
 
     disk: DiskMode = DiskMode.HEALTHY
+    partition: Partition | None = None
 
 
 def write_process_faults(folder: Path, process_faults: ProcessFaults) -> None:
@@ -46,11 +63,28 @@
     return msgspec.json.decode(path.read_bytes()) if path.exists() else {}
 
 
+class _Blackhole:
+    """A listener that replies to no connection attempt, since its queue is full."""
+
+    def __init__(self) -> None:
+        self._listener = socket.socket()
+        self._listener.bind(("127.0.0.1", 0))
+        self._listener.listen(0)
+        self.address: tuple[str, int] = self._listener.getsockname()
+        self._waiting = [socket.socket() for _ in range(BACKLOG_CONNECTIONS)]
+        for sock in self._waiting:
+            sock.setblocking(False)
+            sock.connect_ex(self.address)
+
+
 class _Misbehaviour:
-    """Replaces the clock and the sync calls of the process."""
+    """Replaces the clock, the sync calls and the connects of the process."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, host: str) -> None:
         self._folder = folder
+        self._host = host
+        self._connect = socket.socket.connect
+        self._blackhole: _Blackhole | None = None
         self._time = time.time
         self._fdatasync = os.fdatasync
         # Data that an earlier process synced stays durable.
@@ -63,6 +97,28 @@
         os.fdatasync = self._sync  # type: ignore[assignment]
         os.fsync = self._sync  # type: ignore[assignment]
 
+        def connect(sock: socket.socket, address: Any) -> None:
+            if sock.family is socket.AF_INET:
+                address = self._find_peer(sock, address)
+            self._connect(sock, address)
+
+        socket.socket.connect = connect  # type: ignore[assignment]
+
+    def _find_peer(
+        self, sock: socket.socket, address: tuple[str, int]
+    ) -> tuple[str, int]:
+        """Return the address to connect to in place of ``address``."""
+        partition = self._read_faults().partition
+        if partition is None or address[0] != partition.host:
+            with contextlib.suppress(OSError):
+                sock.bind((self._host, 0))
+            return address
+        if partition.is_refused:
+            raise ConnectionRefusedError(errno.ECONNREFUSED, "partitioned")
+        if self._blackhole is None:
+            self._blackhole = _Blackhole()
+        return self._blackhole.address
+
     def _read_faults(self) -> ProcessFaults:
         try:
             data = (self._folder / FAULTS_FILE).read_bytes()
@@ -86,7 +142,8 @@
 
 def main() -> None:
     """Install the replaced calls, then run the command line."""
-    _Misbehaviour(Path(sys.argv.pop(1))).install()
+    folder, host = Path(sys.argv.pop(1)), sys.argv.pop(1)
+    _Misbehaviour(folder, host).install()
     from scalebend.cli.main import main as run_command_line
 
     run_command_line()
--- a/src/scalebend/standins/ports.py
+++ b/src/scalebend/standins/ports.py
@@ -39,6 +39,14 @@
     raise OSError(f"{host}: no {count} free ports")
 
 
+def find_port_range(count: int, host: str = "127.0.0.1") -> list[int]:
+    """Return consecutive ports that were free when checked, in ascending order."""
+    while True:
+        ports = find_free_ports(count, host)
+        if ports[-1] - ports[0] == count - 1 and ports == sorted(ports):
+            return ports
+
+
 @cache
 def _open_claims(process: int) -> int:
     """Open the file of claims, once in each process: locks are not inherited."""
--- a/src/scalebend/standins/proxy.py
+++ b/src/scalebend/standins/proxy.py
@@ -42,7 +42,8 @@
     """An impairment of some or all connections."""
 
     client: str | None
-    """Client whose connections match, by its :data:`Identify` name; ``None``: all."""
+    """Client whose connections match, by its :data:`Identify` name, or by the host it
+    connects from if the proxy has no such function; ``None``: all."""
 
     blocked: Direction | None = None
     """Direction whose bytes are blocked."""
@@ -89,10 +90,11 @@
             self._changed.set()
             self._changed = asyncio.Event()
 
-    def reset_all(self) -> None:
-        """Reset all open connections."""
+    def reset_all(self, client: str | None = None) -> None:
+        """Reset all open connections, or those of one client."""
         for connection in list(self._connections):
-            connection.reset()
+            if client is None or client == connection.client:
+                connection.reset()
 
     def serve_connection(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -122,6 +124,8 @@
             _reset(writer)
             return
         connection = _Connection(writer, far_writer)
+        if self._identify is None:
+            connection.client = writer.get_extra_info("peername")[0]
         self._connections.add(connection)
         try:
             await asyncio.gather(
--- a/tests/lib/platform_processes.py
+++ b/tests/lib/platform_processes.py
@@ -7,7 +7,8 @@
 import subprocess
 import sys
 
-from scalebend.standins.ports import find_free_ports
+from scalebend.soak.misbehaving import ProcessFaults, write_process_faults
+from scalebend.standins.ports import find_free_ports, find_port_range
 
 CONTROLS = 3
 FRONTS = 2
@@ -18,8 +19,9 @@
 
     def __init__(self, folder):
         self.folder = folder
-        link, metrics, front, ready, control = find_free_ports(5, "0.0.0.0")
-        self.ports = {"link": link, "metrics": metrics}
+        front, ready, control = find_free_ports(3, "0.0.0.0")
+        ports = find_port_range(3, "0.0.0.0")
+        self.ports = {"link": ports[0], "metrics": ports[-1]}
         self.front_port, self.ready_port, self.control_port = front, ready, control
         self.running = {}
         self.starts = {}
@@ -75,12 +77,22 @@
         path.write_text(json.dumps(settings))
         with (folder / f"log-{starts}").open("wb") as log:
             self.running[name] = subprocess.Popen(
-                [sys.executable, "-m", "scalebend", "gateway"],
+                [
+                    sys.executable,
+                    "-m",
+                    "scalebend.soak.misbehaving",
+                    str(folder),
+                    ip,
+                    "gateway",
+                ],
                 env={**os.environ, "SCALEBEND_CONFIG": str(path)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
 
+    def set_faults(self, name, **faults):
+        write_process_faults(self.folder / name, ProcessFaults(**faults))
+
     def signal(self, name, number):
         self.running[name].send_signal(number)
 
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -84,6 +84,11 @@
         await response.write_eof()
         return response
 
+    @contextlib.asynccontextmanager
+    async def listen(self):
+        """Listen elsewhere, too, and advertise that address."""
+        yield
+
     async def register(self, session, state="ready"):
         self.sequence += 1
         document = {
@@ -124,14 +129,37 @@
     await site.start()
     port = site._server.sockets[0].getsockname()[1]
     replica.address = f"127.0.0.1:{port}"
-    await replica.register(session)
     try:
-        yield replica
+        async with replica.listen():
+            await replica.register(session)
+            yield replica
     finally:
         await runner.cleanup()
 
 
-def build_document(version, services, keys=("key-1",), **route_changes):
+ENGINE = {
+    "Slots": 8,
+    "KvCapacity": 450000,
+    "KvTokenBytes": 327680,
+    "LinkMbps": 400000.0,
+    "Stride": 46,
+    "Models": [{"Name": "m"}],
+    "step_ms": 0.925,
+    "per_seq_ms": 0.00966,
+    "context_per_k": 0.00254,
+    "read_per_s": 256000.0,
+    "pairs_per_m": 0.0917,
+    "chunk": 2048,
+    "report_lag_ms": 200.0,
+    "LoadsPerS": 0.0,
+    "loads_at_once": 8,
+    "delays": [],
+    "usual": {"prompt": 13239, "answer": 1540},
+    "HopMs": 0.1,
+}
+
+
+def build_document(version, services, keys=("key-1",), engines=(), **route_changes):
     """Return a configuration document as the platform's operators send it."""
     routes = []
     for service in services:
@@ -161,7 +189,12 @@
         "Version": version,
         "Routes": routes,
         "Services": [
-            {"Name": service, "HealthPath": "/health", "MaxConnections": 50}
+            {
+                "Name": service,
+                "HealthPath": "/health",
+                "MaxConnections": 50,
+                **({"Engine": ENGINE} if service in engines else {}),
+            }
             for service in services
         ],
         "Limits": {
--- a/tests/unit/soak/test_misbehaving.py
+++ b/tests/unit/soak/test_misbehaving.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from scalebend.soak.misbehaving import _Misbehaviour
 real = time.time()
-_Misbehaviour(Path(sys.argv[1])).install()
+_Misbehaviour(Path(sys.argv[1]), "127.0.0.1").install()
 file = open(sys.argv[2], "wb")
 file.write(b"synced"); file.flush()
 try:
