--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -49,6 +49,7 @@
     Subscribe,
     UncoordinatedSends,
 )
+from scalebend.core.gateway.peer_assignment import PeerAssignment
 from scalebend.core.gateway.proposals import Proposals, read_proposal_reply
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.core.gateway.slow_start import SlowStarts
@@ -82,6 +83,7 @@
     is_job_of,
 )
 from scalebend.models.routing import Routing, StoredRouting
+from scalebend.models.tunnels import FrontPeer
 
 logger = structlog.get_logger(__name__)
 
@@ -124,6 +126,7 @@
         self._ejections = EjectionPush()
 
         self._fronts: dict[InstanceId, None] = {}
+        self._peers = PeerAssignment()
         self._documents = ControlDocuments(member.replica, decode)
         self._catalogs = CatalogPush()
         self._relays: set[InstanceId] = set()
@@ -237,6 +240,8 @@
         if self.member.replica.compute_confirmed_at(now) is not None:
             self.limits.update_slots(now)
         actions += self.limits.send_due(now, is_leader=self.is_leader)
+        if self.is_leader:
+            actions += self._peers.send_due(now)
         return actions + self._release_queued(now)
 
     def _update_leadership(self, now: float) -> None:
@@ -246,6 +251,7 @@
         # Fronts report their open jobs again to a new leader.
         self._ejections = EjectionPush()
         self.placement.start_term(self._fronts, now)
+        self._peers.resend_all()
         logger.info("leadership changed", leads=self.is_leader)
 
     def _may_grant(self, now: float) -> bool:
@@ -262,9 +268,16 @@
 
     # Fronts
 
-    def add_front(self, front: InstanceId, now: float) -> list[ControlAction]:
-        """Add a newly linked front and return the initial state to send it."""
+    def add_front(
+        self, front: InstanceId, now: float, peer: FrontPeer | None = None
+    ) -> list[ControlAction]:
+        """Add a newly linked front and return the initial state to send it.
+
+        ``peer`` is what others need to open tunnels through it, if it accepts any.
+        """
         self._fronts[front] = None
+        if peer is not None:
+            self._peers.add(peer)
         self._documents.push.add_front(front)
         self._catalogs.add_front(front, now)
         self.crashes.add_front(front)
@@ -291,6 +304,7 @@
         A front that still runs reports its open jobs again over its next link.
         """
         self._fronts.pop(front, None)
+        self._peers.remove(front)
         self._documents.push.remove_front(front)
         self._catalogs.remove_front(front)
         self.crashes.remove_front(front)
--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -113,6 +113,20 @@
             for known in self._known.values()
         )
 
+    def has_address(self, address: str) -> bool:
+        """Whether a known upstream has this address."""
+        return address in self._by_address
+
+    def find_zone(self, address: str) -> AvailabilityZone | None:
+        """Return the zone of the upstream at an address, if known."""
+        endpoint = self.find_at(address)
+        return endpoint.availability_zone if endpoint is not None else None
+
+    def find_at(self, address: str) -> Endpoint | None:
+        """Return the upstream at an address, if known."""
+        upstream = self._by_address.get(address)
+        return self.get(upstream) if upstream is not None else None
+
     def is_lost(self, upstream: UpstreamId) -> bool:
         """Whether the upstream is gone without having announced that it drains."""
         known = self._known.get(upstream)
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -29,6 +29,7 @@
     EjectedUpstreams,
     EndpointChanges,
     FrontNumber,
+    FrontPeers,
     JobStages,
     KnownInstances,
     LeaseReply,
@@ -49,6 +50,7 @@
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.core.gateway.slow_start import SlowStarts
+from scalebend.core.gateway.upstream_reach import FailureKind, UpstreamReach
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
@@ -116,6 +118,7 @@
         self.scheduler = EngineScheduler(settings.instance, UNCOORDINATED_MAX_PART_S)
         self.paths = FrontPaths(settings.availability_zone, now)
         self.scheduler.paths = self.paths.health
+        self.reach = UpstreamReach(settings.availability_zone)
         self._links = FrontLinks(settings.seeds, now)
         self.is_draining = False
         self._jobs = FrontJobs(self.scheduler)
@@ -134,9 +137,10 @@
 
         A front that is cut off from the leader still serves, but it places engine work
         without knowing that of other fronts, so new connections should go to those.
+        The same holds for one that reaches no upstream by any way.
         """
-        is_led = not self.is_cut_off(now)
-        return not self.is_draining and is_led and self.may_admit(now)
+        is_able = not self.is_cut_off(now) and not self.reach.is_stranded(now)
+        return not self.is_draining and is_able and self.may_admit(now)
 
     def is_cut_off(self, now: float) -> bool:
         """Whether the leader has sent nothing for longer than most elections take.
@@ -209,6 +213,9 @@
                 return self._apply_endpoints(changes, now)
             case LimitUpdates():
                 self.limits.apply_updates(message, now)
+            case FrontPeers(peers):
+                self.reach.set_peers(peers)
+                logger.info("peers assigned", peers=len(peers), source=sender)
             case FrontNumber() if sender == self.leader:
                 self.limits.record_position(message)
             case CrashUpdates():
@@ -242,6 +249,7 @@
         if now >= self._next_expiry_at:
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             self.scheduler.expire(now)
+            self.reach.expire(now)
             self._crashes.expire(now)
             known = self.directory.list_ids()
             self.scheduler.retain(known)
@@ -416,13 +424,43 @@
         self._jobs.record_stage(stage, now)
         return self._report(JobStages([stage]))
 
-    def record_outcome(self, upstream: UpstreamId, *, has_failed: bool) -> None:
+    def record_outcome(
+        self, upstream: UpstreamId, now: float, *, has_failed: bool
+    ) -> None:
         """Count a response or a failure of an upstream."""
+        if has_failed and not self._may_blame(upstream, now):
+            return
         seen = self._outcomes.get(upstream) or UpstreamOutcomes(upstream, 0, 0)
         self._outcomes[upstream] = UpstreamOutcomes(
             upstream, seen.answered + (not has_failed), seen.failed + has_failed
         )
 
+    # Ways to upstreams
+
+    def record_direct_failure(
+        self, address: str, kind: FailureKind, now: float
+    ) -> None:
+        """Record that a direct connection to an upstream failed."""
+        was_isolated = self.reach.is_isolated
+        self.reach.record_failure(address, kind, now)
+        if self.reach.is_isolated and not was_isolated:
+            # Failures that were not reported yet are likely to be of this front.
+            self._outcomes = {
+                one.upstream: UpstreamOutcomes(one.upstream, one.answered, 0)
+                for one in self._outcomes.values()
+                if one.answered
+            }
+
+    def record_silence(self, address: str, now: float) -> None:
+        """Record that an upstream sent nothing within the timeout of a response."""
+        if not self.reach.is_behind_tunnel(address):
+            self.record_direct_failure(address, FailureKind.EARLY_LOSS, now)
+
+    def _may_blame(self, upstream: UpstreamId, now: float) -> bool:
+        """Whether a failure at an upstream may count against it, here and elsewhere."""
+        endpoint = self.directory.get(upstream)
+        return endpoint is None or self.reach.may_blame(endpoint.address, now)
+
     # Paths between zones
 
     def record_path(
@@ -436,7 +474,7 @@
     def record_failed_connection(self, upstream: UpstreamId, now: float) -> None:
         """Count a connection to an upstream that timed out."""
         endpoint = self.directory.get(upstream)
-        if endpoint is not None:
+        if endpoint is not None and self._may_blame(upstream, now):
             zone = endpoint.availability_zone
             self.paths.record_failed_connection(zone, upstream, now)
 
@@ -495,6 +533,8 @@
 
     def record_failure(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report a replica that is unreachable or unresponsive."""
+        if not self._may_blame(upstream, now):
+            return []
         self.scheduler.record_failure(upstream, now)
         return self._report(ReplicaFailures([upstream]))
 
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -31,6 +31,7 @@
     ReplicaPace,
 )
 from scalebend.models.rate_limits import ObservedLimit, RateLimit
+from scalebend.models.tunnels import FrontPeer
 
 
 class Introduce(msgspec.Struct, frozen=True, tag=True):
@@ -42,6 +43,9 @@
     knows_evacuations: bool = False
     """Whether its version applies the evacuation orders in the replicated log."""
 
+    peer: FrontPeer | None = None
+    """Of a front that opens tunnels for others: where, and in which zone."""
+
 
 class ControlStatus(msgspec.Struct, frozen=True, tag="ControlNews"):
     """Control instance to front, also as a heartbeat: the leader and the instances."""
@@ -207,6 +211,15 @@
     """Slot of this front, see :mod:`scalebend.core.gateway.front_slots`."""
 
 
+class FrontPeers(msgspec.Struct, frozen=True, tag=True):
+    """Leader to a front that accepts tunnels: all fronts that open some for it.
+
+    Fronts of older versions accept none and would close the link.
+    """
+
+    peers: list[FrontPeer]
+
+
 class SendPermitRequest(msgspec.Struct, frozen=True, tag="SendQuestion"):
     """Front to leader: request to send to one of these rate-limited upstreams."""
 
@@ -267,6 +280,7 @@
     | RejectionReport
     | DrainingReport
     | FrontNumber
+    | FrontPeers
     | SendPermitRequest
     | SendPermitReply
     | UncoordinatedSends
--- /dev/null
+++ b/src/scalebend/core/gateway/upstream_reach.py
@@ -0,0 +1,349 @@
+"""Decides how a front connects to upstreams: directly, or through a peer.
+
+A failed connection alone does not tell a dead upstream from a partition of this front.
+A recent direct connection that delivered data does: it proves the network of the front.
+Without this proof, failures at several upstreams make the front *isolated*, and the
+connections of peers, which are other fronts, tell which upstreams are alive.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+from enum import Enum
+
+import msgspec
+import structlog
+
+from scalebend.models.ids import AvailabilityZone, InstanceId
+from scalebend.models.tunnels import FrontPeer, TunnelReply
+
+logger = structlog.get_logger(__name__)
+
+PROOF_LIFETIME_S = 1.0
+"""Time for which a direct connection proves the network of the front after it was
+opened. Short against a partition, so that few requests blame an upstream for it."""
+
+FAILURE_WINDOW_S = 3.0
+"""Time in which failures at several upstreams count together: with few requests they
+are far apart."""
+
+ISOLATION_WEIGHT = 3.0
+"""Sum of the weights of failing upstreams that makes a front isolated."""
+
+PEER_AVOIDANCE_S = 1.0
+"""Time for which a peer that could not help is asked last."""
+
+UNREACHABLE_LIFETIME_S = 1.0
+"""Time for which an upstream that peers could not reach either gets no tunnels."""
+
+CONFIRMATIONS = 2
+"""Peers that must fail to reach an upstream before an isolated front believes it."""
+
+TRIAL_INTERVAL_S = 1.0
+"""Minimum time between two direct trials of an upstream behind tunnels."""
+
+UNREPEATABLE_TRIAL_INTERVAL_S = 5.0
+"""The same for requests that may not be repeated: a partition may also break new
+connections after the request was written."""
+
+RECENT_FAILURE_S = 1.0
+"""Time after a failure for which the front does not connect for others."""
+
+CHECK_INTERVAL_S = 1.0
+"""Minimum time between two background checks of an upstream through a peer."""
+
+RETENTION_S = 30.0
+"""Time without events after which the record of an upstream is removed."""
+
+
+class FailureKind(Enum):
+    """How a direct connection failed; the value is its weight as evidence."""
+
+    CONNECT = 1.5
+    """It did not come about. Nothing of the request was sent."""
+
+    EARLY_LOSS = 1.0
+    """It was lost or silent before any data arrived, as also in a crash."""
+
+
+class Direct(msgspec.Struct, frozen=True):
+    """Plan: connect directly."""
+
+
+class Tunnel(msgspec.Struct, frozen=True):
+    """Plan: connect through a peer, after a short direct trial if ``is_trial``."""
+
+    is_trial: bool
+
+
+ConnectionPlan = Direct | Tunnel
+
+
+class _Record(msgspec.Struct):
+    """What is known of the way to one upstream; clock times in seconds."""
+
+    failed_at: float = -math.inf
+    weight: float = 0.0
+    """Weight of the last direct failure."""
+
+    is_tunnelled: bool = False
+    """Whether a peer got through after a direct failure."""
+
+    unreachable_until: float = -math.inf
+    """Time until which peers are known not to reach it either."""
+
+    refusals: int = 0
+    """Peers in a row that could not reach it."""
+
+    trial_at: float = -math.inf
+    check_at: float = -math.inf
+    changed_at: float = 0.0
+
+
+class UpstreamReach:
+    """Evidence of one front on its ways to upstreams, by their addresses."""
+
+    def __init__(self, availability_zone: AvailabilityZone) -> None:
+        self.is_isolated = False
+        """Whether no direct way to any upstream is known."""
+
+        self._zone = availability_zone
+        self._records: dict[str, _Record] = {}
+        self._worked_at = -math.inf
+        """When the newest direct connection that delivered data was opened."""
+
+        self._failed_at = -math.inf
+        """When a direct connection to any upstream failed last."""
+
+        self._isolated_at = -math.inf
+        self._peer_connected_at = -math.inf
+        """When a peer last told that it reaches an upstream, or that it does not."""
+
+        self._peer_failed_at = -math.inf
+        self._peers: dict[InstanceId, FrontPeer] = {}
+        self._avoided_until: dict[InstanceId, float] = {}
+
+    # Decisions
+
+    def plan(self, address: str, now: float, *, may_repeat: bool) -> ConnectionPlan:
+        """Plan a new connection; ``may_repeat`` if its request may be repeated."""
+        record = self._records.get(address)
+        if not self._is_behind_tunnel(record) or not self._peers:
+            return Direct()
+        record = self._get(address, now)
+        if now < record.unreachable_until:
+            return Direct()
+        interval = TRIAL_INTERVAL_S if may_repeat else UNREPEATABLE_TRIAL_INTERVAL_S
+        is_trial = now - record.trial_at >= interval
+        if is_trial:
+            record.trial_at = now
+        return Tunnel(is_trial)
+
+    def is_behind_tunnel(self, address: str) -> bool:
+        """Whether new connections to an upstream are made through peers."""
+        return self._is_behind_tunnel(self._records.get(address))
+
+    def may_reuse(self, address: str, opened_at: float, *, is_tunnel: bool) -> bool:
+        """Whether an idle connection may be reused.
+
+        A direct one may have died in silence with the way; one of a peer is a detour
+        once the direct way works again.
+        """
+        record = self._records.get(address)
+        if is_tunnel:
+            return self._is_behind_tunnel(record)
+        if self.is_isolated and opened_at <= self._isolated_at:
+            return False
+        return record is None or opened_at > record.failed_at
+
+    def asks_peers_now(self, address: str, now: float) -> bool:
+        """Whether a request whose direct connection just failed should use a peer.
+
+        With proof of its own network, the front places it elsewhere instead, which is
+        faster if the upstream is dead.
+        """
+        record = self._records.get(address)
+        if record is not None and now < record.unreachable_until:
+            return False
+        return self.is_isolated or not self._has_proof(now)
+
+    def is_check_due(self, address: str, now: float) -> bool:
+        """Whether to check through a peer if the upstream is alive; counts the check.
+
+        It decides whether the next requests there use a tunnel.
+        """
+        record = self._get(address, now)
+        if not self._peers or now < record.unreachable_until:
+            return False
+        if now - record.check_at < CHECK_INTERVAL_S:
+            return False
+        record.check_at = now
+        return True
+
+    def may_blame(self, address: str, now: float) -> bool:
+        """Whether a failure at an upstream says something about the upstream.
+
+        An isolated front needs the word of peers.
+        """
+        if not self.is_isolated:
+            return True
+        record = self._records.get(address)
+        return record is not None and now < record.unreachable_until
+
+    def is_stranded(self, now: float) -> bool:
+        """Whether the front is isolated, and so are the peers that it asked last."""
+        is_recent = now - self._peer_failed_at < PEER_AVOIDANCE_S
+        return (
+            self.is_isolated
+            and is_recent
+            and self._peer_failed_at > self._peer_connected_at
+        )
+
+    def needs_more_replies(self, address: str, now: float) -> bool:
+        """Whether to ask another peer after one that did not reach the upstream."""
+        record = self._get(address, now)
+        return now >= record.unreachable_until
+
+    def check_for_peer(self, address: str, now: float) -> TunnelReply | None:
+        """Return why this front should not connect for another; ``None`` if it may.
+
+        What failed just now is not tried again.
+        """
+        if self.is_isolated and now - self._failed_at < RECENT_FAILURE_S:
+            return TunnelReply.ISOLATED
+        record = self._records.get(address)
+        if record is not None and now - record.failed_at < RECENT_FAILURE_S:
+            return TunnelReply.UNREACHABLE
+        return None
+
+    def list_peers(
+        self, upstream_zone: AvailabilityZone | None, now: float
+    ) -> list[FrontPeer]:
+        """List peers in the order in which to ask them.
+
+        A peer in the zone of either end adds no crossing between zones.
+        """
+
+        def rank(peer: FrontPeer) -> tuple[bool, bool]:
+            is_avoided = now < self._avoided_until.get(peer.instance, -math.inf)
+            is_near = peer.availability_zone in (self._zone, upstream_zone)
+            return (is_avoided, not is_near)
+
+        return sorted(self._peers.values(), key=rank)
+
+    # Events
+
+    def set_peers(self, peers: Iterable[FrontPeer]) -> None:
+        """Replace the peers, as the leader assigned them."""
+        self._peers = {peer.instance: peer for peer in peers}
+        avoided = self._avoided_until
+        self._avoided_until = {
+            one: avoided[one] for one in self._peers & avoided.keys()
+        }
+
+    def record_failure(self, address: str, kind: FailureKind, now: float) -> None:
+        """Record that a direct connection failed."""
+        record = self._get(address, now)
+        record.failed_at = self._failed_at = now
+        record.weight = kind.value
+        if not self.is_isolated and self._sum_failures(now) >= ISOLATION_WEIGHT:
+            self.is_isolated = True
+            self._isolated_at = now
+            logger.warning(
+                "front is isolated",
+                failing=self._list_failing(now),
+                last_success=_round_age(now - self._worked_at),
+                peers=len(self._peers),
+            )
+
+    def record_data(self, address: str, opened_at: float, now: float) -> None:
+        """Record data over a direct connection that was opened at ``opened_at``.
+
+        Connections opened before a failure may outlive the way on which they came.
+        """
+        self._worked_at = max(self._worked_at, opened_at)
+        record = self._records.get(address)
+        if record is not None and opened_at > record.failed_at:
+            if record.is_tunnelled:
+                logger.info("upstream is reached directly again", address=address)
+            del self._records[address]
+        if self.is_isolated and opened_at > self._isolated_at:
+            self.is_isolated = False
+            # Other upstreams have to fail anew: most often all heal at once.
+            self._records.clear()
+            logger.warning(
+                "front is no longer isolated",
+                address=address,
+                lasted=round(now - self._isolated_at, 3),
+            )
+
+    def record_reply(
+        self, address: str, peer: InstanceId, reply: TunnelReply | None, now: float
+    ) -> None:
+        """Record the reply of a peer; ``None`` if there was none."""
+        record = self._get(address, now)
+        match reply:
+            case TunnelReply.OPENED:
+                self._peer_connected_at = now
+                self._avoided_until.pop(peer, None)
+                record.refusals = 0
+                record.unreachable_until = -math.inf
+                if not record.is_tunnelled:
+                    record.is_tunnelled = True
+                    record.trial_at = now
+                    logger.info(
+                        "upstream is reached through a peer", address=address, peer=peer
+                    )
+                return
+            case TunnelReply.UNREACHABLE:
+                self._peer_connected_at = now
+                record.refusals += 1
+                needed = min(CONFIRMATIONS, len(self._peers)) if self.is_isolated else 1
+                if record.refusals >= needed:
+                    record.refusals = 0
+                    record.is_tunnelled = False
+                    record.unreachable_until = now + UNREACHABLE_LIFETIME_S
+                    logger.info(
+                        "upstream is unreachable for a peer, too",
+                        address=address,
+                        peer=peer,
+                    )
+            case _:
+                self._peer_failed_at = now
+        self._avoided_until[peer] = now + PEER_AVOIDANCE_S
+
+    def expire(self, now: float) -> None:
+        """Remove records of upstreams without recent events."""
+        for address, record in list(self._records.items()):
+            if now - record.changed_at >= RETENTION_S:
+                del self._records[address]
+
+    # Evidence
+
+    def _is_behind_tunnel(self, record: _Record | None) -> bool:
+        return self.is_isolated or (record is not None and record.is_tunnelled)
+
+    def _has_proof(self, now: float) -> bool:
+        return now - self._worked_at < PROOF_LIFETIME_S
+
+    def _list_failing(self, now: float) -> list[str]:
+        """List the upstreams that failed since the last success of any."""
+        since = max(self._worked_at, now - FAILURE_WINDOW_S)
+        return [
+            address
+            for address, record in self._records.items()
+            if record.failed_at > since
+        ]
+
+    def _sum_failures(self, now: float) -> float:
+        return sum(self._records[one].weight for one in self._list_failing(now))
+
+    def _get(self, address: str, now: float) -> _Record:
+        record = self._records.setdefault(address, _Record())
+        record.changed_at = now
+        return record
+
+
+def _round_age(seconds: float) -> float | None:
+    return round(seconds, 3) if math.isfinite(seconds) else None
--- a/src/scalebend/core/rendezvous.py
+++ b/src/scalebend/core/rendezvous.py
@@ -22,10 +22,11 @@
 
 
 def _find_highest(name: str, instances: Iterable[InstanceId]) -> Weight | None:
-    return max((_weigh(name, instance) for instance in instances), default=None)
+    return max((weigh_instance(name, instance) for instance in instances), default=None)
 
 
-def _weigh(name: str, instance: InstanceId) -> Weight:
+def weigh_instance(name: str, instance: InstanceId) -> Weight:
+    """Return the weight of an instance for ``name``; the highest is responsible."""
     digest = xxhash.xxh3_64_intdigest(f"{name}\0{instance}".encode())
     return (digest, instance)
 
@@ -53,7 +54,7 @@
             if highest is None or highest[1] not in self._instances:
                 self._highest[name] = _find_highest(name, self._instances)
                 continue
-            candidates = [_weigh(name, instance) for instance in added]
+            candidates = [weigh_instance(name, instance) for instance in added]
             self._highest[name] = max([highest, *candidates])
 
     def forget(self, name: str) -> None:
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -184,7 +184,8 @@
     def _handle_link_up(self, peer: Introduce) -> None:
         match peer.role:
             case GatewayRole.FRONT:
-                self.execute(self.instance.add_front(peer.instance, self.now()))
+                now = self.now()
+                self.execute(self.instance.add_front(peer.instance, now, peer.peer))
             case GatewayRole.RELAY:
                 self.execute(self.instance.add_relay(peer.instance, self.now()))
             case GatewayRole.CONTROL:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -30,10 +30,10 @@
 )
 from scalebend.edges.gateway.running_attempts import RunningAttempt
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
-from scalebend.edges.gateway.upstream_client import build_timeout
+from scalebend.edges.gateway.upstream_client import build_timeout, find_peer
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import Call, Outcome, ResponseHeaders
-from scalebend.models.ids import Fingerprint, UpstreamId
+from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
 from scalebend.models.rate_limits import UNLIMITED, RateLimit
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
@@ -122,6 +122,9 @@
         self.upstream: UpstreamId | None = None
         """The upstream of the last attempt."""
 
+        self.peer: InstanceId | None = None
+        """The front through which its response came, if not directly."""
+
     async def forward(self) -> web.StreamResponse:
         """Return the response for the caller.
 
@@ -150,7 +153,9 @@
                 # Even a complete error response shows that the request crashed nothing.
                 runtime.record_completed(self._fingerprint)
             if result.outcome is Outcome.ANSWERED:
-                runtime.instance.record_outcome(target.upstream, has_failed=False)
+                runtime.instance.record_outcome(
+                    target.upstream, runtime.now(), has_failed=False
+                )
                 assert result.response is not None
                 return result.response
             decision = self._decide(target, result)
@@ -179,6 +184,7 @@
             runtime.record_crash(self._fingerprint, faulty)
         if result.outcome in (Outcome.UNRESPONSIVE, Outcome.TIMED_OUT):
             runtime.record_unanswered(self._fingerprint, target.upstream)
+            runtime.instance.record_silence(target.address, runtime.now())
         if result.outcome in (Outcome.NOT_SENT, Outcome.UNRESPONSIVE):
             runtime.instance.balancer.record_unreachable(target.upstream, runtime.now())
         # A timeout alone may mean a queue: reports tell whether the replica is alive.
@@ -189,7 +195,7 @@
         if result.outcome is Outcome.REJECTED and target.job is not None:
             runtime.record_rejection(faulty)
         if result.outcome in (Outcome.FAILED, Outcome.INTERRUPTED, Outcome.NOT_SENT):
-            runtime.instance.record_outcome(faulty, has_failed=True)
+            runtime.instance.record_outcome(faulty, runtime.now(), has_failed=True)
         return faulty
 
     def _decide(self, target: Target, result: AttemptResult) -> TryAgain | GiveUp:
@@ -202,6 +208,10 @@
             runtime.now(),
             is_helper=faulty != target.upstream,
         )
+        is_stranded = runtime.instance.reach.is_stranded(runtime.now())
+        if result.outcome is Outcome.NOT_SENT and is_stranded:
+            # Every other upstream is out of reach, too.
+            decision = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
         logger.info(
             "attempt ended",
             request=self._call.headers.request,
@@ -310,6 +320,7 @@
         sent_at = self._runtime.now()
         response = await self._wait_for_head(target, sending, read_timeout)
         waited = self._runtime.now() - sent_at
+        self.peer = find_peer(response)
         watching = watch_path(self._runtime, call, target.upstream, response, waited)
         async with response:
             with watching as self._path:
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -19,6 +19,7 @@
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import DEFAULT_RETRY_AFTER_S
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
+from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
 from scalebend.edges.problems import build_problem_response
 from scalebend.exceptions import (
     ErrorKind,
@@ -244,7 +245,11 @@
     """Return the log fields of the attempts; none if the request was not admitted."""
     if forwarder is None:
         return {}
-    return {"upstream": forwarder.upstream, "sent": forwarder.send_count}
+    return {
+        "upstream": forwarder.upstream,
+        "sent": forwarder.send_count,
+        "peer": forwarder.peer,
+    }
 
 
 def _build_too_large_error(max_bytes: int) -> RequestError:
@@ -285,7 +290,7 @@
     callers = listeners.pop(settings.callers_address)
     readiness = listeners.pop(settings.readiness_address)
     async with (
-        open_upstream_sessions() as sessions,
+        open_upstream_sessions(UpstreamDialer(runtime)) as sessions,
         runtime.use_sessions(sessions),
         listen(callers, handler.handle) as site,
         listen(readiness, answer_ready),
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import random
+import secrets
 import time
 from collections.abc import AsyncIterator, Coroutine, Iterable, Sequence
 from typing import TYPE_CHECKING, Any
@@ -31,6 +32,7 @@
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.placement_calls import PlacementCalls
 from scalebend.edges.gateway.running_attempts import RunningAttempts
+from scalebend.edges.gateway.tunnel_server import TunnelServer, listen_for_tunnels
 from scalebend.edges.stalls import StallGuard
 from scalebend.models.calls import ReportedLoad
 from scalebend.models.gateway_settings import GatewaySettings
@@ -43,6 +45,7 @@
     build_job_id,
 )
 from scalebend.models.rate_limits import ObservedLimit
+from scalebend.models.tunnels import FrontPeer, TunnelKey
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.inspection import Inspector
@@ -61,6 +64,9 @@
 all, control processes are ready about a second after the first fronts, and callers on
 their last retry would fail if they were refused."""
 
+TUNNEL_KEY_BYTES = 16
+"""Size of the random key that other fronts need to open tunnels through this one."""
+
 MAX_UNKNOWN_HEADERS = 32
 MAX_HEADER_NAME_CHARS = 64
 """Bounds of header names in metrics and logs, since upstreams choose the names."""
@@ -76,7 +82,14 @@
         self._loop = asyncio.get_running_loop()
         self.instance = FrontInstance(settings, now=self.now())
         self._incarnation = time.time_ns()
-        introduction = Introduce(settings.instance, self._incarnation, settings.role)
+        tunnel_key = TunnelKey(secrets.token_hex(TUNNEL_KEY_BYTES))
+        self.tunnels = TunnelServer(settings, self.instance, tunnel_key, metrics)
+        introduction = Introduce(
+            settings.instance,
+            self._incarnation,
+            settings.role,
+            peer=_build_peer(settings, tunnel_key),
+        )
         self._dialer = Dialer(
             introduction, self._receive, self._add_link, self._remove_link, metrics
         )
@@ -138,6 +151,7 @@
         self.metrics.set_cold_upstreams(len(limits.starts.list_cold(now)))
         degraded = self.instance.paths.health.list_degraded()
         self.metrics.set_degraded_paths(len(degraded))
+        self.metrics.set_isolated(is_isolated=self.instance.reach.is_isolated)
         self._dialer.close_unresponsive(now)
         if now >= self._heartbeat_at:
             self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
@@ -195,7 +209,9 @@
 
     def is_closing_connections(self) -> bool:
         """Whether responses should close the connections of callers."""
-        return self.instance.is_draining or self.instance.is_cut_off(self.now())
+        instance, now = self.instance, self.now()
+        is_unable = instance.is_cut_off(now) or instance.reach.is_stranded(now)
+        return instance.is_draining or is_unable
 
     # Placement
 
@@ -371,17 +387,30 @@
         self.execute(self.instance.record_failure(upstream, self.now()))
 
 
+def _build_peer(settings: GatewaySettings, key: TunnelKey) -> FrontPeer | None:
+    """Return what other fronts need to open tunnels; ``None`` without an address."""
+    if settings.tunnel_address is None:
+        return None
+    return FrontPeer(
+        settings.instance, settings.availability_zone, settings.tunnel_address, key
+    )
+
+
 @contextlib.asynccontextmanager
 async def run_front(
     settings: GatewaySettings, metrics: GatewayMetrics
 ) -> AsyncIterator[FrontRuntime]:
     """Run the links and timers of a front."""
     runtime = FrontRuntime(settings, metrics)
-    task = asyncio.create_task(runtime.run())
-    try:
-        yield runtime
-    finally:
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
-        await runtime.close()
+    async with contextlib.AsyncExitStack() as stack:
+        if settings.tunnel_address is not None:
+            listening = listen_for_tunnels(settings.tunnel_address, runtime.tunnels)
+            await stack.enter_async_context(listening)
+        task = asyncio.create_task(runtime.run())
+        try:
+            yield runtime
+        finally:
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await task
+            await runtime.close()
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -59,10 +59,15 @@
     started = runtime.now()
     runtime.drain_began = started
     runtime.instance.is_draining = True
+    runtime.tunnels.begin_leaving()
     logger.info("drain begins", open=runtime.open_requests)
     end = started + runtime.settings.bounds.drain_grace - STOP_MARGIN_S
     await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, end - started))
     await site.stop()
-    while runtime.open_requests and runtime.now() < end:
+    while _has_work(runtime) and runtime.now() < end:
         await asyncio.sleep(POLL_INTERVAL_S)
-    logger.info("drain ends", open=runtime.open_requests)
+    logger.info("drain ends", open=runtime.open_requests, tunnels=runtime.tunnels.open)
+
+
+def _has_work(runtime: FrontRuntime) -> bool:
+    return bool(runtime.open_requests or runtime.tunnels.open)
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -342,6 +342,7 @@
             self.first_event = second.first_event
             self.longest_gap = second.longest_gap
             self.upstream = second.upstream
+            self.peer = second.peer
         if loser is not None and race.failed is None:
             self._attempts.record_lost(None, loser)
             self._runtime.metrics.count_attempt(CANCELLED)
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -14,6 +14,8 @@
     generate_latest,
 )
 
+from scalebend.models.tunnels import TunnelReply
+
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 5.0, 10.0, 15.0)
 """Bounds in seconds; they include the latency targets of the deployments."""
 
@@ -156,6 +158,28 @@
             "Paths between zones that are avoided or on trial, as known here",
             registry=registry,
         )
+        self._isolated = Gauge(
+            "scalebend_isolated",
+            "Whether this front knows no direct way to any upstream",
+            registry=registry,
+        )
+        self._tunnels_used = Counter(
+            "scalebend_tunnels_used",
+            "Tunnels that this front asked peers for, by their replies",
+            ["reply"],
+            registry=registry,
+        )
+        self._tunnels_served = Counter(
+            "scalebend_tunnels_served",
+            "Tunnels that other fronts asked this one for, by its replies",
+            ["reply"],
+            registry=registry,
+        )
+        self._open_tunnels = Gauge(
+            "scalebend_open_tunnels",
+            "Connections of other fronts that want or have a tunnel here",
+            registry=registry,
+        )
         self._overdue_first_tokens = Counter(
             "scalebend_overdue_first_tokens",
             "First tokens that were overdue, by what followed",
@@ -306,6 +330,22 @@
         """Set the number of paths between zones that are not healthy."""
         self._degraded_paths.set(count)
 
+    def set_isolated(self, *, is_isolated: bool) -> None:
+        """Set whether this front knows no direct way to any upstream."""
+        self._isolated.set(is_isolated)
+
+    def count_tunnel_used(self, reply: TunnelReply | None) -> None:
+        """Count the reply of a peer; ``None`` if there was none."""
+        self._tunnels_used.labels("none" if reply is None else reply.value).inc()
+
+    def count_tunnel_served(self, reply: TunnelReply) -> None:
+        """Count a reply to another front."""
+        self._tunnels_served.labels(reply.value).inc()
+
+    def set_open_tunnels(self, count: int) -> None:
+        """Set the number of connections of other fronts."""
+        self._open_tunnels.set(count)
+
     def observe_first_event(self, prompt_tokens: int, seconds: float) -> None:
         """Record the time to the first event of a stream."""
         self._first_event.labels(_name_size(prompt_tokens)).observe(seconds)
--- a/src/scalebend/edges/gateway/path_watch.py
+++ b/src/scalebend/edges/gateway/path_watch.py
@@ -160,16 +160,20 @@
     upstream: UpstreamId,
     response: aiohttp.ClientResponse,
     waited: float = 0.0,
-) -> Iterator[PathWatch]:
+) -> Iterator[PathWatch | None]:
     """Watch the connection of a response until the block ends.
 
-    ``waited`` is the time from sending the request to the head, in seconds.
+    ``waited`` is the time from sending the request to the head, in seconds. A
+    connection through a peer is not watched: it takes other paths.
     """
     # The connection itself may be in the pool again when the head of a short response
     # is read, but its protocol is still known.
     protocol = response._protocol
     is_strict = isinstance(protocol, StrictResponseHandler)
     known: Any = protocol if is_strict else None
+    if known is not None and known.peer is not None:
+        yield None
+        return
     watch = PathWatch(runtime, call, upstream, known, waited)
     try:
         yield watch
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -13,13 +13,17 @@
 import functools
 import math
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from types import SimpleNamespace
+from typing import Any, cast
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
 from scalebend.edges.gateway.socket_statistics import SocketCounts
+from scalebend.edges.gateway.tunnel_client import TunnelLostError
+from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
+from scalebend.models.ids import InstanceId
 
 CONNECT_TIMEOUT_S = 0.1
 """Many round trips between the availability zones of a region, but short enough for
@@ -46,13 +50,64 @@
         self.counts = SocketCounts()
         """Segments of this connection that were evaluated; see ``path_watch.py``."""
 
+        self.peer: InstanceId | None = None
+        """The peer through which the connection was opened; ``None`` if direct."""
+
+        self._dialer: UpstreamDialer | None = None
+        self._address = ""
+        self._opened_at = 0.0
+        self._has_data = False
+        self._awaits_data = False
+        """Whether no data arrived since a request was sent."""
+
+    def watch(
+        self,
+        dialer: UpstreamDialer,
+        address: str,
+        opened_at: float,
+        peer: InstanceId | None,
+    ) -> None:
+        """Report to ``dialer`` what the connection shows of its way."""
+        self._dialer = dialer
+        self._address = address
+        self._opened_at = opened_at
+        self.peer = peer
+
+    def is_connected(self) -> bool:
+        """Whether the connection may be used for a request (called by the pool)."""
+        if not super().is_connected():
+            return False
+        return self._dialer is None or self._dialer.may_reuse(
+            self._address, self._opened_at, is_tunnel=self.peer is not None
+        )
+
     def set_response_params(self, **params: object) -> None:
         """Begin a new request (called by aiohttp)."""
         self._previous_payload = self._payload
+        self._awaits_data = True
         super().set_response_params(**params)  # type: ignore[arg-type]
 
+    def close(self) -> None:
+        """Close the connection, which then says nothing of its way."""
+        self._awaits_data = False
+        super().close()
+
+    def abort(self) -> None:
+        """Close the connection at once."""
+        self._awaits_data = False
+        super().abort()
+
+    def end_after_response(self) -> None:
+        """Close the connection once no response is awaited any more."""
+        self.force_close()
+        is_idle = self._payload is None or self._payload.is_eof()
+        if is_idle and not self._awaits_data:
+            self.close()
+
     def data_received(self, data: bytes) -> None:
         """Abort on data after a complete response (called by asyncio)."""
+        if data:
+            self._record_data()
         payload = self._payload
         is_current_payload = payload is not self._previous_payload
         if data and is_current_payload and payload is not None and payload.is_eof():
@@ -62,16 +117,38 @@
             return
         super().data_received(data)
 
-    def connection_lost(self, exc: BaseException | None) -> None:
+    def connection_lost(self, exc: Exception | None) -> None:  # type: ignore[override]
         """Fail a response without a length after a reset (called by asyncio)."""
         payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError(f"reset: {exc}"))
+        is_incomplete = payload is not None and not payload.is_eof()
+        if self._awaits_data and self._dialer is not None and self.peer is None:
+            self._dialer.record_early_loss(self._address)
+        failure: Exception | None = None
+        if exc is not None and is_incomplete:
+            # The library would take the end of a response without a length for regular.
+            is_lost_tunnel = isinstance(exc, TunnelLostError)
+            failure = (
+                exc if is_lost_tunnel else aiohttp.ClientPayloadError(f"reset: {exc}")
+            )
+        if payload is not None and failure is not None:
+            payload.set_exception(failure)
         super().connection_lost(exc)
+        if payload is not None and failure is not None:
+            # The library replaces the error of a response with a length by its own.
+            payload.set_exception(failure)
+
+    def _record_data(self) -> None:
+        self._awaits_data = False
+        if self._has_data or self._dialer is None:
+            return
+        self._has_data = True
+        if self.peer is None:
+            self._dialer.record_data(self._address, self._opened_at)
 
 
 class _StrictConnector(aiohttp.TCPConnector):
-    def __init__(self, *, force_close: bool) -> None:
+    def __init__(self, dialer: UpstreamDialer | None, *, force_close: bool) -> None:
+        self._dialer = dialer
         keepalive = None if force_close else IDLE_TIMEOUT_S
         options = {} if force_close else {"keepalive_timeout": keepalive}
         super().__init__(
@@ -86,6 +163,31 @@
             StrictResponseHandler, loop=loop
         )
 
+    async def _create_connection(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Any],
+        timeout: aiohttp.ClientTimeout,
+    ) -> ResponseHandler:
+        """Open a connection directly or through a peer (called by aiohttp)."""
+        create = super()._create_connection
+
+        async def connect_directly(limit_s: float | None) -> StrictResponseHandler:
+            limited = timeout
+            if limit_s is not None:
+                limited = aiohttp.ClientTimeout(total=None, sock_connect=limit_s)
+            handler = await create(req, traces, limited)
+            return cast(StrictResponseHandler, handler)
+
+        if self._dialer is None:
+            return await connect_directly(None)
+        return await self._dialer.connect(
+            f"{req.url.raw_host}:{req.port}",
+            connect_directly,
+            cast(Callable[[], StrictResponseHandler], self._factory),
+            may_repeat=not self._force_close,
+        )
+
 
 def _build_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = address
@@ -113,6 +215,13 @@
         return self.pooled if may_pool else self._single
 
 
+def find_peer(response: aiohttp.ClientResponse) -> InstanceId | None:
+    """Return the peer through which a response comes; ``None`` if it comes directly."""
+    # The connection itself may be in the pool again, but its protocol is still known.
+    protocol = response._protocol
+    return protocol.peer if isinstance(protocol, StrictResponseHandler) else None
+
+
 def build_timeout(
     remaining: float, total: float | None = None
 ) -> aiohttp.ClientTimeout:
@@ -144,9 +253,11 @@
     return trace
 
 
-def _build_session(*, force_close: bool) -> aiohttp.ClientSession:
+def _build_session(
+    dialer: UpstreamDialer | None, *, force_close: bool
+) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=_StrictConnector(force_close=force_close),
+        connector=_StrictConnector(dialer, force_close=force_close),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
@@ -161,10 +272,12 @@
 
 
 @contextlib.asynccontextmanager
-async def open_upstream_sessions() -> AsyncIterator[UpstreamSessions]:
-    """Open both sessions until the block ends."""
+async def open_upstream_sessions(
+    dialer: UpstreamDialer | None = None,
+) -> AsyncIterator[UpstreamSessions]:
+    """Open both sessions until the block ends; without a dialer, connect directly."""
     async with (
-        _build_session(force_close=False) as pooled,
-        _build_session(force_close=True) as single,
+        _build_session(dialer, force_close=False) as pooled,
+        _build_session(dialer, force_close=True) as single,
     ):
         yield UpstreamSessions(pooled, single)
--- a/src/scalebend/models/gateway_settings.py
+++ b/src/scalebend/models/gateway_settings.py
@@ -78,6 +78,9 @@
     link_listen: str | None = None
     """Address to accept links on, if different from the one that others dial."""
 
+    tunnel_address: str | None = None
+    """Address of a front for tunnels of other fronts; ``None`` if there is no port."""
+
     callers_address: str | None = None
     readiness_address: str | None = None
     control_address: str | None = None
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -45,7 +45,8 @@
     ip: str
     zone: str
     listen: _Listen
-    # The first port is for links between processes, the second for metrics.
+    # The first port is for links between processes, the next for tunnels through
+    # fronts, the last for metrics.
     port_range: tuple[int, int]
     # Control addresses; the port for links is the same on every instance.
     seeds: list[str]
@@ -105,7 +106,10 @@
     if "control" in read.serves:
         role = GatewayRole.CONTROL if read.data_dir is not None else GatewayRole.RELAY
     bounds = read.bounds
-    link_port = read.port_range[0]
+    link_port, last_port = read.port_range
+    tunnel_address = None
+    if role is GatewayRole.FRONT and link_port + 1 < last_port:
+        tunnel_address = f"{read.ip}:{link_port + 1}"
     return GatewaySettings(
         name=read.node_name,
         role=role,
@@ -126,10 +130,11 @@
             slow_start_excess=bounds.cold_excess,
             slow_start_slack=bounds.cold_slack,
         ),
+        tunnel_address=tunnel_address,
         callers_address=read.listen.front,
         readiness_address=read.listen.ready,
         control_address=read.listen.control,
-        metrics_port=read.port_range[1],
+        metrics_port=last_port,
         data_folder=read.data_dir,
         max_open_files=read.limits.max_fds,
         memory_mib=read.limits.memory_mb,
--- a/tests/unit/gateway/test_outlier_detector.py
+++ b/tests/unit/gateway/test_outlier_detector.py
@@ -113,7 +113,7 @@
         deployment.run(1 / 15)
         front = chooser.choice(deployment.fronts)
         chosen = deployment.choose_upstream(front, chooser)
-        front.record_outcome(chosen, has_failed=chosen == failing)
+        front.record_outcome(chosen, deployment.now, has_failed=chosen == failing)
         lost += chosen == failing
     # Three failures lead to the ejection, and some more happen meanwhile; if fronts did
     # not report, it would be one in five of 112 calls.
--- /dev/null
+++ b/tests/unit/gateway/test_tunnels.py
@@ -0,0 +1,317 @@
+"""Connections to upstreams through a peer, on sockets.
+
+Guards against responses that end with the peer but look complete, against processes
+that use the port without belonging to the system, and against work that goes on after
+its caller left.
+"""
+
+import asyncio
+import contextlib
+import socket
+import struct
+
+import aiohttp
+import msgspec
+import pytest
+
+from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.tunnel_client import TunnelLostError, open_tunnel
+from scalebend.edges.gateway.tunnel_frames import (
+    FrameError,
+    FrameKind,
+    FrameReader,
+    build_frame,
+    build_opening,
+    read_opening,
+)
+from scalebend.edges.gateway.tunnel_server import TunnelServer, listen_for_tunnels
+from scalebend.edges.gateway.upstream_client import find_peer, open_upstream_sessions
+from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
+from scalebend.models.tunnels import FrontPeer, OpenTunnel, TunnelReply
+from scalebend.standins.ports import find_free_ports
+from tests.lib.gateway_builders import build_endpoint, build_settings
+
+COMPLETE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+WITHOUT_LENGTH = b"HTTP/1.1 200 OK\r\n\r\nhalf"
+KEY = "key-of-the-peer"
+
+
+class Tunnelled:
+    """A peer with a tunnel listener, and sessions that connect through it."""
+
+    def __init__(self, address, server, peer, runtime, sessions):
+        self.address = address
+        self.server = server
+        self.peer = peer
+        self.runtime = runtime
+        self.sessions = sessions
+        self.connections = []
+
+    async def fetch(self, *, may_pool=True):
+        session = self.sessions.choose(may_pool=may_pool)
+        async with session.get(f"http://{self.address}/") as response:
+            return find_peer(response), await response.read()
+
+
+@contextlib.asynccontextmanager
+async def run_tunnelled(respond, **changes):
+    """An upstream whose connections ``respond(reader, writer)`` handles."""
+    connections = []
+
+    async def handle(reader, writer):
+        connections.append(writer)
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            await respond(reader, writer)
+        writer.close()
+
+    upstream = await asyncio.start_server(handle, "127.0.0.1", 0)
+    address = f"127.0.0.1:{upstream.sockets[0].getsockname()[1]}"
+    now = asyncio.get_running_loop().time()
+    (port,) = find_free_ports(1)
+    settings = msgspec.structs.replace(build_settings(), **changes)
+    instance = FrontInstance(settings, now=now)
+    instance.directory.register(build_endpoint(1, address=address), now)
+    server = TunnelServer(settings, instance, KEY, GatewayMetrics())
+    peer = FrontPeer("front-2", "z", f"127.0.0.1:{port}", KEY)
+    runtime = FrontRuntime(build_settings(), GatewayMetrics())
+    runtime.instance.reach.set_peers([peer])
+    runtime.instance.reach.record_reply(
+        address, peer.instance, TunnelReply.OPENED, runtime.now()
+    )
+    async with (
+        listen_for_tunnels(peer.tunnel_address, server),
+        open_upstream_sessions(UpstreamDialer(runtime)) as sessions,
+    ):
+        tunnelled = Tunnelled(address, server, peer, runtime, sessions)
+        tunnelled.connections = connections
+        yield tunnelled
+    upstream.close()
+    await runtime.close()
+
+
+async def respond_always(reader, writer):
+    while True:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(COMPLETE)
+
+
+def reset(writer):
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def test_response_comes_through_the_peer_and_its_connection_is_reused():
+    async with run_tunnelled(respond_always) as tunnelled:
+        for _ in range(3):
+            assert await tunnelled.fetch() == ("front-2", b"ok")
+        assert len(tunnelled.connections) == 1
+        assert tunnelled.server.open == 1
+
+
+async def test_request_that_may_not_be_repeated_gets_its_own_tunnel():
+    async with run_tunnelled(respond_always) as tunnelled:
+        for _ in range(2):
+            assert await tunnelled.fetch(may_pool=False) == ("front-2", b"ok")
+        assert len(tunnelled.connections) == 2
+
+
+async def test_response_without_a_length_is_complete_at_the_end_of_the_upstream():
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(WITHOUT_LENGTH)
+
+    async with run_tunnelled(respond) as tunnelled:
+        assert await tunnelled.fetch() == ("front-2", b"half")
+
+
+async def test_reset_of_the_upstream_is_no_end():
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(WITHOUT_LENGTH)
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        reset(writer)
+
+    async with run_tunnelled(respond) as tunnelled:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await tunnelled.fetch()
+
+
+@pytest.mark.parametrize("sent", [WITHOUT_LENGTH, COMPLETE[:-1], b""])
+async def test_end_of_the_peer_is_no_end_and_no_crash_of_the_upstream(sent):
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        await asyncio.sleep(10.0)
+
+    async with run_tunnelled(respond) as tunnelled:
+        fetching = asyncio.create_task(tunnelled.fetch())
+        await asyncio.sleep(0.1)
+        # As when the process of the peer is killed.
+        tunnelled.server.close()
+        with pytest.raises(TunnelLostError):
+            await fetching
+
+
+async def test_upstream_sees_at_once_that_the_caller_left():
+    ended = asyncio.Event()
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        assert await reader.read() == b""
+        ended.set()
+
+    async with run_tunnelled(respond) as tunnelled:
+        fetching = asyncio.create_task(tunnelled.fetch())
+        await asyncio.sleep(0.1)
+        fetching.cancel()
+        async with asyncio.timeout(0.3):
+            await ended.wait()
+
+
+async def test_slow_reader_stops_the_upstream():
+    sent = 0
+
+    async def respond(reader, writer):
+        nonlocal sent
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+            writer.write(bytes(64 * 1024))
+            await writer.drain()
+            sent += 64 * 1024
+
+    async with run_tunnelled(respond) as tunnelled:
+        url = f"http://{tunnelled.address}/"
+        async with tunnelled.sessions.choose(may_pool=False).get(url):
+            await asyncio.sleep(0.5)
+            before = sent
+            await asyncio.sleep(0.3)
+            assert sent == before < 64 * 1024 * 1024
+
+
+async def test_peer_that_stops_ends_its_tunnels_after_the_current_response():
+    release = asyncio.Event()
+
+    async def respond(reader, writer):
+        while True:
+            await reader.readuntil(b"\r\n\r\n")
+            await release.wait()
+            writer.write(COMPLETE)
+
+    async with run_tunnelled(respond) as tunnelled:
+        fetching = asyncio.create_task(tunnelled.fetch())
+        await asyncio.sleep(0.1)
+        tunnelled.server.begin_leaving()
+        release.set()
+        assert await fetching == ("front-2", b"ok")
+        async with asyncio.timeout(0.5):
+            while tunnelled.server.open:
+                await asyncio.sleep(0.01)
+        # The upstream is reached directly, too: the only peer opens nothing more.
+        assert await tunnelled.fetch() == (None, b"ok")
+
+
+async def test_idle_tunnels_end_when_the_peer_stops():
+    async with run_tunnelled(respond_always) as tunnelled:
+        await tunnelled.fetch()
+        tunnelled.server.begin_leaving()
+        async with asyncio.timeout(0.5):
+            while tunnelled.server.open:
+                await asyncio.sleep(0.01)
+
+
+async def ask(tunnelled, **changes):
+    peer = msgspec.structs.replace(tunnelled.peer, **changes.pop("peer", {}))
+    address = changes.pop("address", tunnelled.address)
+    runtime = tunnelled.runtime
+    connector = tunnelled.sessions.pooled.connector
+    reply = await open_tunnel(peer, address, connector._factory())
+    assert runtime.now() > 0.0
+    return reply
+
+
+async def test_tunnel_needs_the_key_and_a_known_upstream():
+    async with run_tunnelled(respond_always) as tunnelled:
+        denied = await ask(tunnelled, peer={"tunnel_key": "guessed"})
+        assert denied is TunnelReply.DENIED
+        assert await ask(tunnelled, address="127.0.0.1:22") is TunnelReply.UNKNOWN
+        assert not tunnelled.connections
+        assert await ask(tunnelled) is TunnelReply.OPENED
+
+
+async def test_number_of_tunnels_is_limited():
+    async with run_tunnelled(respond_always, max_open_files=16) as tunnelled:
+        replies = [await ask(tunnelled) for _ in range(4)]
+        assert replies == [TunnelReply.OPENED] * 2 + [TunnelReply.BUSY] * 2
+
+
+async def test_dead_upstream_is_told_from_a_dead_peer():
+    async with run_tunnelled(respond_always) as tunnelled:
+        tunnelled.server._instance.directory.register(
+            build_endpoint(2, address=f"127.0.0.1:{find_free_ports(1)[0]}"), 0.0
+        )
+        (dead,) = tunnelled.server._instance.directory._by_address.keys() - {
+            tunnelled.address
+        }
+        assert await ask(tunnelled, address=dead) is TunnelReply.UNREACHABLE
+        # What just failed is not tried again.
+        assert await ask(tunnelled, address=dead) is TunnelReply.UNREACHABLE
+        closed = {"tunnel_address": f"127.0.0.1:{find_free_ports(1)[0]}"}
+        assert await ask(tunnelled, peer=closed) is None
+
+
+async def test_malformed_opening_message_ends_the_connection():
+    async with run_tunnelled(respond_always) as tunnelled:
+        host, port = tunnelled.peer.tunnel_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(b"GET / HTTP/1.1\r\nHost: a.example\r\n\r\n")
+        async with asyncio.timeout(0.5):
+            assert await reader.read() == b""
+        writer.close()
+        assert not tunnelled.connections
+
+
+# Frames
+
+
+def test_frames_arrive_in_any_pieces():
+    data = b"".join(
+        [
+            build_frame(FrameKind.REPLY, b"opened"),
+            build_frame(FrameKind.DATA, b"abcdef"),
+            build_frame(FrameKind.LEAVING),
+            build_frame(FrameKind.DATA, b"gh"),
+            build_frame(FrameKind.END),
+        ]
+    )
+    for size in (1, 2, 3, 5, len(data)):
+        reader = FrameReader()
+        frames = [
+            frame
+            for start in range(0, len(data), size)
+            for frame in reader.feed(data[start : start + size])
+        ]
+        payloads = [one.payload for one in frames if one.kind is FrameKind.DATA]
+        assert b"".join(payloads) == b"abcdefgh"
+        others = [one.kind for one in frames if one.kind is not FrameKind.DATA]
+        assert others == [FrameKind.REPLY, FrameKind.LEAVING, FrameKind.END]
+
+
+def test_unknown_or_large_frames_are_errors():
+    for data in (b"\xff\x00\x00\x00\x00", b"\x01\x00\x10\x00\x00"):
+        with pytest.raises(FrameError):
+            list(FrameReader().feed(data))
+
+
+def test_opening_message_arrives_in_pieces():
+    opening = OpenTunnel("10.0.0.1:80", KEY)
+    data = build_opening(opening)
+    buffer = bytearray(data[:-1])
+    assert read_opening(buffer) is None
+    buffer += data[-1:]
+    assert read_opening(buffer) == opening
+    assert not buffer
