Try the direct way again although tunnels are kept open

Callers went on being served through a peer for 2 s and more after a partition had ended: pooled tunnels were reused, and only new connections try the direct way. A tunnel is not reused when a trial of its upstream is due.

Seen before, real processes: 2 of 15 requests still through the peer in the third second after the end (first direct one after 2.2 s). With it tests of the other paths: all fronts partitioned, a caller that leaves, peers that are killed or stopped, calls that may run at most once; and two older tests follow a changed signature and setting.

--- a/src/scalebend/core/gateway/upstream_reach.py
+++ b/src/scalebend/core/gateway/upstream_reach.py
@@ -144,14 +144,18 @@
         """Whether new connections to an upstream are made through peers."""
         return self._is_behind_tunnel(self._records.get(address))
 
-    def may_reuse(self, address: str, opened_at: float, *, is_tunnel: bool) -> bool:
+    def may_reuse(
+        self, address: str, opened_at: float, now: float, *, is_tunnel: bool
+    ) -> bool:
         """Whether an idle connection may be reused.
 
-        A direct one may have died in silence with the way; one of a peer is a detour
-        once the direct way works again.
+        A direct one may have died in silence with the way. One of a peer is a detour
+        once the direct way works again, which only new connections find out.
         """
         record = self._records.get(address)
         if is_tunnel:
+            if record is None or now - record.trial_at >= TRIAL_INTERVAL_S:
+                return False
             return self._is_behind_tunnel(record)
         if self.is_isolated and opened_at <= self._isolated_at:
             return False
--- a/src/scalebend/edges/gateway/upstream_dialer.py
+++ b/src/scalebend/edges/gateway/upstream_dialer.py
@@ -160,7 +160,8 @@
 
     def may_reuse(self, address: str, opened_at: float, *, is_tunnel: bool) -> bool:
         """Whether an idle connection may be reused."""
-        return self._reach.may_reuse(address, opened_at, is_tunnel=is_tunnel)
+        now = self._runtime.now()
+        return self._reach.may_reuse(address, opened_at, now, is_tunnel=is_tunnel)
 
     def record_data(self, address: str, opened_at: float) -> None:
         """Record the first data on a direct connection."""
--- a/tests/functional/test_partitioned_fronts.py
+++ b/tests/functional/test_partitioned_fronts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import signal
 import time
 
 import pytest
@@ -12,6 +13,7 @@
 from tests.lib.gateway_load import keep_registered
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.partitions import (
+    KINDS_AT_MOST_ONCE,
     Callers,
     OpenConnections,
     ProxiedReplica,
@@ -58,3 +60,112 @@
     failed = list_failed(attempts)
     assert len(failed) <= MAX_FAILED_SHARE * len(attempts), failed
     assert not list_failed(other.list_since(began))
+
+
+async def run_callers(callers, seconds):
+    async with asyncio.TaskGroup() as group:
+        for one in callers:
+            group.create_task(one.run(seconds))
+
+
+async def count_direct_and_tunnelled(system, seconds):
+    """Return how many requests of front 0 came directly, and through a peer."""
+    before = len(system.processes.read_log("front-0"))
+    await Callers(system, 0).run(seconds)
+    lines = system.processes.read_log("front-0")[before:]
+    answered = [line for line in lines if line["event"] == "request answered"]
+    tunnelled = sum(line["peer"] is not None for line in answered)
+    return len(answered) - tunnelled, tunnelled
+
+
+async def test_front_returns_to_the_direct_way_soon_after_a_partition(system):
+    with partition(system, 0, SHAPES["refused"]):
+        await Callers(system, 0).run(2.0)
+        direct, tunnelled = await count_direct_and_tunnelled(system, 1.0)
+        assert direct == 0
+        assert tunnelled > 10
+    await Callers(system, 0).run(2.0)
+    direct, tunnelled = await count_direct_and_tunnelled(system, 1.0)
+    assert tunnelled == 0
+    assert direct > 10
+
+
+async def test_callers_of_isolated_fronts_are_refused_at_once_while_all_are(system):
+    callers = [Callers(system, 0), Callers(system, 1)]
+    shape = SHAPES["silent-open-reset"]
+    with partition(system, 0, shape), partition(system, 1, shape):
+        await run_callers(callers, 3.0)
+        began = time.monotonic()
+        await run_callers(callers, 3.0)
+        for front in (0, 1):
+            await system.wait_ready(is_ready=False, front=front, seconds=2.0)
+        attempts = [one for each in callers for one in each.list_since(began)]
+        assert {one.status for one in attempts} == {503}
+        assert max(one.elapsed for one in attempts) < 0.5
+    # Both try directly again without any healthy peer.
+    await run_callers(callers, 2.0)
+    began = time.monotonic()
+    await run_callers(callers, 1.0)
+    for one in callers:
+        assert not list_failed(one.list_since(began))
+    for front in (0, 1):
+        await system.wait_ready(front=front, seconds=2.0)
+
+
+async def test_replica_of_a_caller_that_leaves_stops_through_a_tunnel(system):
+    for replica in system.replicas:
+        replica.event_interval_s = 0.5
+    with partition(system, 0, SHAPES["refused"]):
+        await Callers(system, 0).run(2.0)
+        for replica in system.replicas:
+            replica.ran.clear()
+            replica.cancelled_at.clear()
+        calling = asyncio.create_task(system.call("stream", front=0))
+        await asyncio.sleep(0.7)
+        calling.cancel()
+        left_at = time.monotonic()
+        async with asyncio.timeout(2.0):
+            while not any(replica.cancelled_at for replica in system.replicas):
+                await asyncio.sleep(0.01)
+        (cancelled_at,) = [at for one in system.replicas for at in one.cancelled_at]
+        assert cancelled_at - left_at < 0.5
+
+
+async def test_no_call_runs_twice_and_none_that_ran_is_reported_as_not_run(system):
+    """Peers are killed while they carry calls that may run at most once."""
+    callers = Callers(system, 0, KINDS_AT_MOST_ONCE)
+    async with asyncio.TaskGroup() as group:
+        group.create_task(callers.run(8.0))
+        await asyncio.sleep(1.0)
+        with partition(system, 0, SHAPES["refused"]):
+            for _ in range(2):
+                await asyncio.sleep(2.0)
+                system.processes.kill("front-1")
+                system.processes.start("front-1")
+            await asyncio.sleep(2.0)
+    ran = [request.headers["X-Request-Id"] for request in list_requests(system)]
+    assert len(ran) == len(set(ran))
+    refused = {one.request for one in callers.answered if one.status == 503}
+    assert not refused & set(ran)
+
+
+async def test_planned_stop_of_a_peer_cuts_nothing_off(system):
+    callers = Callers(system, 0)
+    with partition(system, 0, SHAPES["refused"]):
+        await callers.run(2.0)
+        began = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(callers.run(1.0))
+            await asyncio.sleep(0.5)
+            # The only peer stops: what it carries goes on to its end.
+            system.processes.signal("front-1", signal.SIGTERM)
+        failed = {
+            one.status
+            for one in callers.list_since(began)
+            if one.status != 200 or not one.is_complete
+        }
+    assert failed <= {503}
+
+
+def list_requests(system):
+    return [request for replica in system.replicas for request, _ in replica.ran]
--- a/tests/lib/partitions.py
+++ b/tests/lib/partitions.py
@@ -80,6 +80,7 @@
 class Answered(msgspec.Struct, frozen=True):
     """The first attempt of one caller."""
 
+    request: str
     kind: str
     asked_at: float
     status: int
@@ -87,20 +88,23 @@
     elapsed: float
 
 
+KINDS = (
+    ("idempotent", {}),
+    ("stream", {}),
+    ("non_idempotent", {}),
+    ("stream", QUICK_PROMPT),
+    ("stream", LONG_PROMPT),
+)
+KINDS_AT_MOST_ONCE = (("non_idempotent", {}),)
+
+
 class Callers:
     """Callers of one front at a steady rate, each with a single attempt."""
 
-    KINDS = (
-        ("idempotent", {}),
-        ("stream", {}),
-        ("non_idempotent", {}),
-        ("stream", QUICK_PROMPT),
-        ("stream", LONG_PROMPT),
-    )
-
-    def __init__(self, system, front):
+    def __init__(self, system, front, kinds=KINDS):
         self.system = system
         self.front = front
+        self.kinds = kinds
         self.answered = []
 
     async def run(self, seconds):
@@ -108,7 +112,7 @@
         number = 0
         async with asyncio.TaskGroup() as group:
             while time.monotonic() < end:
-                kind, headers = self.KINDS[number % len(self.KINDS)]
+                kind, headers = self.kinds[number % len(self.kinds)]
                 group.create_task(self._call(kind, number, headers))
                 number += 1
                 await asyncio.sleep(CALL_INTERVAL_S)
@@ -116,15 +120,21 @@
     async def _call(self, kind, number, headers):
         asked_at = time.monotonic()
         status, body = 0, b""
+        request = f"caller-{self.front}-{len(self.answered)}-{number}"
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             status, body, _ = await self.system.call(
-                kind, front=self.front, body=b"%d" % number, **headers
+                kind,
+                front=self.front,
+                body=b"%d" % number,
+                **{"X-Request-Id": request, **headers},
             )
         is_stream = kind == "stream"
         is_complete = body == COMPLETE_STREAM if is_stream else b"done by" in body
         elapsed = time.monotonic() - asked_at
         name = f"{kind} {headers.get('X-Token-Counts', '')}".strip()
-        self.answered.append(Answered(name, asked_at, status, is_complete, elapsed))
+        self.answered.append(
+            Answered(request, name, asked_at, status, is_complete, elapsed)
+        )
 
     def list_since(self, at):
         return [one for one in self.answered if one.asked_at >= at]
--- a/tests/unit/gateway/test_platform.py
+++ b/tests/unit/gateway/test_platform.py
@@ -219,7 +219,7 @@
 
 
 def test_encoded_messages_decode_to_the_same_values(tmp_path):
-    settings = build_settings()
+    settings = build_settings(tunnel_address="127.0.0.1:7341")
     path = tmp_path / "node.json"
     path.write_bytes(encode_gateway_settings(settings))
     assert read_gateway_settings(path) == settings
--- a/tests/unit/gateway/test_upstream_reach.py
+++ b/tests/unit/gateway/test_upstream_reach.py
@@ -174,18 +174,29 @@
 
 
 def test_idle_connections_of_the_other_way_are_not_reused(reach):
-    assert reach.may_reuse(A, 9.0, is_tunnel=False)
+    assert reach.may_reuse(A, 9.0, 9.5, is_tunnel=False)
     isolate(reach, 10.0)
-    assert not reach.may_reuse(C, 9.0, is_tunnel=False)
-    assert reach.may_reuse(C, 10.1, is_tunnel=True)
+    assert not reach.may_reuse(C, 9.0, 10.1, is_tunnel=False)
+    reach.record_reply(C, "front-1", TunnelReply.OPENED, 10.1)
+    assert reach.may_reuse(C, 10.1, 10.2, is_tunnel=True)
     reach.record_data(C, 10.2, 10.3)
-    assert reach.may_reuse(C, 10.2, is_tunnel=False)
-    assert not reach.may_reuse(C, 10.1, is_tunnel=True)
+    assert reach.may_reuse(C, 10.2, 10.4, is_tunnel=False)
+    assert not reach.may_reuse(C, 10.1, 10.4, is_tunnel=True)
+
+
+def test_tunnel_is_not_reused_when_a_trial_is_due(reach):
+    reach.record_failure(A, FailureKind.CONNECT, 10.0)
+    reach.record_reply(A, "front-1", TunnelReply.OPENED, 10.0)
+    due = 10.0 + TRIAL_INTERVAL_S
+    assert reach.may_reuse(A, 10.0, due - 0.1, is_tunnel=True)
+    assert not reach.may_reuse(A, 10.0, due, is_tunnel=True)
+    reach.plan(A, due, may_repeat=True)
+    assert reach.may_reuse(A, 10.0, due, is_tunnel=True)
 
 
 def test_connection_older_than_a_failure_is_not_reused(reach):
     reach.record_failure(A, FailureKind.CONNECT, 10.0)
-    assert not reach.may_reuse(A, 9.0, is_tunnel=False)
+    assert not reach.may_reuse(A, 9.0, 10.1, is_tunnel=False)
 
 
 # Peers
