Let a leader that reaches no engine blame itself

The same cause elsewhere: the leader asks all engines for reports and has those that are silent avoided by everybody; when it was partitioned from all of them, that were all. Test red before: 18 of 18 engines avoided, after: none; with one reply the other 17 count as before.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -468,7 +468,14 @@
     def record_inspection(
         self, paces: list[ReplicaPace], unresponsive: list[UpstreamId], now: float
     ) -> None:
-        """Record the paces that replicas reported and the unresponsive replicas."""
+        """Record the paces that replicas reported and the unresponsive replicas.
+
+        If none of several replied, this instance is more likely to be partitioned from
+        them than all of them are to be dead, which fronts would notice.
+        """
+        if not paces and len(unresponsive) > 1:
+            logger.warning("no engine replied", asked=len(unresponsive))
+            return
         self.placement.record_inspection(paces, unresponsive, now)
 
     def _record_outcomes(
