Soak: partition fronts from all replicas

The soak could tell processes apart on links only, so no run ever had a front that reaches no replica. Each series now has such a partition of some or all fronts, of any shape, and after the recovery one front is partitioned alone: there a new promise holds the users' bound, 1 in 50 failed from 3 s on, with one more for small counts.

--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -17,6 +17,7 @@
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
+import msgspec
 import structlog
 
 from scalebend.edges.gateway.links import read_introduction
@@ -31,7 +32,7 @@
     write_process_faults,
 )
 from scalebend.soak.observations import Exit, Observations
-from scalebend.standins.ports import find_free_ports
+from scalebend.standins.ports import find_free_ports, find_port_range
 from scalebend.standins.proxy import Proxy, run_proxy
 
 logger = structlog.get_logger(__name__)
@@ -66,14 +67,12 @@
         self._stopping_pids: set[int] = set()
         # Concurrent runs use separate loopback networks.
         self._network = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
-        ports = find_free_ports(5, "0.0.0.0")
-        (
-            self._link_port,
-            self._control_port,
-            self._callers_port,
-            self._readiness_port,
-            self._metrics_port,
-        ) = ports
+        # Between the two, fronts accept tunnels.
+        self._link_port, _, self._metrics_port = find_port_range(3, "0.0.0.0")
+        self._control_port, self._callers_port, self._readiness_port = find_free_ports(
+            3, "0.0.0.0"
+        )
+        self._process_faults: dict[ProcessName, ProcessFaults] = {}
         self.link_proxies: dict[ProcessName, Proxy] = {}
         self.call_proxies: dict[ProcessName, Proxy] = {}
 
@@ -213,11 +212,16 @@
                 self._record_exit(name, process.returncode)
         return True
 
-    def set_process_faults(
-        self, name: ProcessName, process_faults: ProcessFaults
-    ) -> None:
-        """Set how the clock and the disk of a process misbehave."""
-        write_process_faults(self.folder / name, process_faults)
+    def get_listen_host(self, name: ProcessName) -> str:
+        """Return the host from which a process connects to others."""
+        return self._get_host(name, _FIRST_LISTEN_HOST)
+
+    def change_process_faults(self, name: ProcessName, **changes: object) -> None:
+        """Change fields of :class:`ProcessFaults` of a process; keep the others."""
+        before = self._process_faults.get(name, ProcessFaults())
+        changed = msgspec.structs.replace(before, **changes)
+        self._process_faults[name] = changed
+        write_process_faults(self.folder / name, changed)
 
     async def watch(self) -> None:
         """Restart processes that ended unexpectedly and record their exits."""
--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -131,6 +131,22 @@
     lasts: float
 
 
+class PartitionFronts(msgspec.Struct, frozen=True, tag=True):
+    """Partitions fronts from all replicas for ``lasts`` seconds.
+
+    Callers, control instances and other fronts still reach them.
+    """
+
+    fronts: tuple[ProcessName, ...]
+    is_refused: bool
+    """Whether new connections are refused; otherwise they get no reply."""
+
+    is_reset: bool
+    """Whether open connections are reset; otherwise they fall silent."""
+
+    lasts: float
+
+
 class Impair(msgspec.Struct, frozen=True, tag=True):
     """Holds back or delays the bytes on connections to ``target``.
 
@@ -223,6 +239,7 @@
     Kill
     | Stop
     | Pause
+    | PartitionFronts
     | Impair
     | Reset
     | Disorder
@@ -257,6 +274,7 @@
     rate_limit_random = random.Random(f"{seed}/limits")
     response_fault_random = random.Random(f"{seed}/words")
     evacuation_random = random.Random(f"{seed}/evacuations")
+    partition_random = random.Random(f"{seed}/partitions")
     drawer = _Drawer(chooser, layout)
     faults: list[ScheduledFault] = []
     at = FIRST_SERIES_AT_S
@@ -278,6 +296,8 @@
         zone = evacuation_random.choice(layout.replica_zones)
         evacuation = Evacuate(zone, EVACUATION_DURATION_S)
         faults.append(ScheduledFault(begins, evacuation))
+        begins = at + partition_random.uniform(0.0, SERIES_DURATION_S)
+        faults.append(ScheduledFault(begins, draw_partition(partition_random, layout)))
         planned_at = at + SERIES_DURATION_S + PLANNED_WORK_DELAY_S
         # Both services: before a delayed send, a front checks only engines again.
         for numbers in (layout.engine_replicas, layout.plain_replicas):
@@ -311,6 +331,19 @@
     ]
 
 
+def draw_partition(
+    chooser: random.Random, layout: Layout, lasts: float | None = None
+) -> PartitionFronts:
+    """Draw a partition of some or all fronts; one if its duration is given."""
+    count = 1 if lasts is not None else chooser.randint(1, len(layout.fronts))
+    fronts = chooser.sample(layout.fronts, count)
+    is_refused, is_reset = chooser.random() < 0.5, chooser.random() < 0.5
+    drawn_lasts = chooser.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    return PartitionFronts(
+        tuple(fronts), is_refused, is_reset, drawn_lasts if lasts is None else lasts
+    )
+
+
 def _draw_rate_limit(chooser: random.Random, layout: Layout) -> RateLimitFault:
     rate = round(chooser.uniform(MIN_RATE_LIMIT_PER_S, MAX_RATE_LIMIT_PER_S), 2)
     replicas = chooser.choice((layout.engine_replicas, layout.plain_replicas))
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -15,11 +15,11 @@
 from scalebend.soak import faults
 from scalebend.soak.deployment import Deployment, build_kept_bytes_chooser
 from scalebend.soak.layout import ProcessName
-from scalebend.soak.misbehaving import ProcessFaults
+from scalebend.soak.misbehaving import Partition
 from scalebend.soak.observations import Disturbance, Observations
 from scalebend.soak.operator import Operator
-from scalebend.soak.replicas import Fleet, Replica
-from scalebend.standins.proxy import Proxy, Rule
+from scalebend.soak.replicas import REPLICA_HOST, Fleet, Replica
+from scalebend.standins.proxy import Direction, Proxy, Rule
 
 logger = structlog.get_logger(__name__)
 
@@ -71,11 +71,15 @@
                         proxy.reset_all()
             case faults.Disorder(process, disk, clock_step, lasts):
                 with self._disturb(process):
-                    self._deployment.set_process_faults(
-                        process, ProcessFaults(clock_step, disk)
+                    self._deployment.change_process_faults(
+                        process, clock_step=clock_step, disk=disk
                     )
                     await asyncio.sleep(lasts)
-                    self._deployment.set_process_faults(process, ProcessFaults())
+                    self._deployment.change_process_faults(
+                        process, clock_step=0.0, disk=faults.DiskMode.HEALTHY
+                    )
+            case faults.PartitionFronts():
+                await self._partition(fault)
             case faults.Change(count, revokes):
                 for _ in range(count):
                     await self._operator.change(session, revokes=revokes)
@@ -142,6 +146,29 @@
             if paused is not None:
                 self._deployment.signal(process, signal.SIGCONT)
 
+    async def _partition(self, fault: faults.PartitionFronts) -> None:
+        deployment = self._deployment
+        partition = Partition(REPLICA_HOST, fault.is_refused)
+        proxies = [one.proxy for one in self._fleet.replicas if one.proxy is not None]
+        now = asyncio.get_running_loop().time
+        partitions = [Disturbance(one, now(), float("inf")) for one in fault.fronts]
+        self._observations.partitions += partitions
+        with contextlib.ExitStack() as stack:
+            for front in fault.fronts:
+                deployment.change_process_faults(front, partition=partition)
+                host = deployment.get_listen_host(front)
+                for proxy in proxies:
+                    if fault.is_reset:
+                        proxy.reset_all(host)
+                    else:
+                        rule = Rule(host, Direction.BOTH)
+                        stack.enter_context(proxy.apply(rule))
+            await asyncio.sleep(fault.lasts)
+            for front in fault.fronts:
+                deployment.change_process_faults(front, partition=None)
+        for one in partitions:
+            one.until = now()
+
     async def _impair(self, fault: faults.Impair) -> None:
         target, dialler = fault.target, fault.dialler
         proxies = self._list_proxies(target)
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -210,6 +210,9 @@
     evacuation_reads: list[EvacuationRead] = msgspec.field(default_factory=list)
     reservations: list[Reservation] = msgspec.field(default_factory=list)
     disturbances: list[Disturbance] = msgspec.field(default_factory=list)
+    partitions: list[Disturbance] = msgspec.field(default_factory=list)
+    """Partitions of fronts from all replicas."""
+
     exits: list[Exit] = msgspec.field(default_factory=list)
     stops: list[Disturbance] = msgspec.field(default_factory=list)
     """Planned stops, from the signal to the end of the process."""
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -22,6 +22,7 @@
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
     CallerRequest,
+    Disturbance,
     DrainAcknowledgement,
     Execution,
     Observations,
@@ -57,6 +58,13 @@
 STOP_ACCEPT_S = 2.5
 """Seconds after the signal in which a stopping front still completes new requests."""
 
+PARTITION_DETECTION_S = 3.0
+"""Seconds from the start of a partition in which a front may fail requests."""
+
+MAX_PARTITIONED_FAILURES = 1
+MAX_FAILED_SHARE = 1 / 50
+"""Requests that may fail at a partitioned front afterwards: a number, and a share."""
+
 MAX_REJECTED_SHARE = 0.05
 """Share of the requests in calm periods that may be rejected."""
 
@@ -113,12 +121,28 @@
 
         Planned stops count as faults, except those of the process ``excluding``.
         """
+        if not self.is_calm_but_for_partitions(since, until, excluding):
+            return False
+        return not self._list_active(self.observations.partitions, since, until)
+
+    def is_calm_but_for_partitions(
+        self, since: float, until: float, excluding: ProcessName | None = None
+    ) -> bool:
+        """The same, apart from partitions of fronts from replicas."""
         observations = self.observations
-        return not any(
-            one.since <= until and one.until >= since - SETTLE_S
-            for one in [*observations.disturbances, *observations.stops]
-            if one.process != excluding or one in observations.disturbances
-        )
+        if self._list_active(observations.disturbances, since, until):
+            return False
+        stops = self._list_active(observations.stops, since, until)
+        return all(one.process == excluding for one in stops)
+
+    def _list_active(
+        self, disturbances: list[Disturbance], since: float, until: float
+    ) -> list[Disturbance]:
+        return [
+            one
+            for one in disturbances
+            if one.since <= until and one.until >= since - SETTLE_S
+        ]
 
     def is_disturbed(self, process: ProcessName, since: float, until: float) -> bool:
         """Whether a fault affected the process itself in that time."""
@@ -402,6 +426,39 @@
         yield f"{len(rejected)} of {count} rejected, such as {_describe(rejected[0])}"
 
 
+def _check_partitioned_service(evidence: Evidence) -> Iterator[str]:
+    """Fronts partitioned from replicas serve their callers, if other fronts are not."""
+    partitions = evidence.observations.partitions
+    for partition in partitions:
+        since = partition.since + PARTITION_DETECTION_S
+        if not evidence.is_calm_but_for_partitions(partition.since, partition.until):
+            continue
+        if len(_list_overlapping(partitions, partition)) > 1:
+            continue
+        calls = [
+            call
+            for call in evidence.observations.caller_requests.values()
+            if call.front == partition.process
+            and call.ended_at is not None
+            and not call.is_cancelled
+            and not call.version
+            and since <= call.sent_at
+            and call.ended_at <= partition.until
+        ]
+        failed = [call for call in calls if call.status != 200]
+        if len(failed) > MAX_PARTITIONED_FAILURES + MAX_FAILED_SHARE * len(calls):
+            first = _describe(failed[0])
+            yield f"{len(failed)} of {len(calls)} failed, such as {first}"
+
+
+def _list_overlapping(
+    partitions: list[Disturbance], other: Disturbance
+) -> list[Disturbance]:
+    return [
+        one for one in partitions if one.since < other.until and one.until > other.since
+    ]
+
+
 def _check_in_time(evidence: Evidence) -> Iterator[str]:
     """In calm periods every request ends within its timeout."""
     for call in evidence.observations.caller_requests.values():
@@ -483,6 +540,7 @@
     check_evacuations_kept,
     _check_exits,
     _check_calm_service,
+    _check_partitioned_service,
     _check_in_time,
     _check_in_force,
     _check_drained,
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -60,6 +60,9 @@
 
 logger = structlog.get_logger(__name__)
 
+REPLICA_HOST = "127.0.0.1"
+"""Host of the addresses of all replicas, and of no gateway process."""
+
 CALL_TIMEOUT_S = 1.0
 """Timeout of one call to a control instance in seconds, as on the platform."""
 
@@ -445,7 +448,7 @@
 ) -> AsyncIterator[Replica]:
     """Run a registered replica behind a proxy until the block ends."""
     target, proxied = find_free_ports(2)
-    replica = Replica(fleet, service, f"127.0.0.1:{proxied}")
+    replica = Replica(fleet, service, f"{REPLICA_HOST}:{proxied}")
     runner = web.ServerRunner(web.Server(replica.handle, handler_cancellation=True))
     await runner.setup()
     await web.TCPSite(runner, "127.0.0.1", target).start()
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -14,7 +15,7 @@
 from scalebend.soak.callers import run_callers
 from scalebend.soak.deployment import HEARTBEAT_INTERVAL_S, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
-from scalebend.soak.faults import Evacuate, build_schedule
+from scalebend.soak.faults import Evacuate, build_schedule, draw_partition
 from scalebend.soak.injector import Injector
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.observations import Observations
@@ -33,6 +34,9 @@
 RECOVERY_S = 12.0
 """Seconds after the last fault within which service must recover."""
 
+CALM_PARTITION_S = 8.0
+"""Seconds for which one front is partitioned from replicas after the recovery."""
+
 CALM_EVACUATION_S = 5.0
 """Seconds for which a zone is evacuated after the recovery."""
 
@@ -87,6 +91,11 @@
             await injector.follow(schedule, session)
             observations.load_ended_at = asyncio.get_running_loop().time()
             await asyncio.sleep(RECOVERY_S)
+            if len(options.layout.fronts) > 1:
+                chooser = random.Random(f"{options.seed}/calm partition")
+                partition = draw_partition(chooser, options.layout, CALM_PARTITION_S)
+                await injector.inject(partition, session)
+                await asyncio.sleep(SETTLE_S)
             # Without any fault, the strictest bound holds.
             evacuation = Evacuate(options.layout.replica_zones[0], CALM_EVACUATION_S)
             await injector.inject(evacuation, session)
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -329,3 +329,42 @@
     observations = build_observations()
     observations.evacuations.append(Evacuation(ZONE, 150.0, 160.0))
     assert list_broken(observations) == {"evacuations_kept"}
+
+
+def build_partition(failed, calls=20):
+    """Build calls at a partitioned front, of which the last ones fail."""
+    observations = build_observations()
+    observations.partitions.append(Disturbance(FRONT, 99.0, 110.0))
+    for number in range(calls):
+        has_failed = number >= calls - failed
+        call = build_call(
+            f"p-{number}",
+            sent_at=102.5 + number / 10,
+            status=503 if has_failed else 200,
+        )
+        call.seal = f"{UPSTREAM}/{call.request_id}"
+        observations.caller_requests[call.request_id] = call
+    return observations
+
+
+def list_promises(observations):
+    return {violation.promise for violation in check_promises(observations)}
+
+
+def test_partitioned_front_must_serve_its_callers():
+    assert "partitioned_service" not in list_promises(build_partition(failed=1))
+    assert "partitioned_service" in list_promises(build_partition(failed=2))
+
+
+def test_partition_of_all_fronts_or_beside_faults_promises_nothing():
+    observations = build_partition(failed=20)
+    observations.partitions.append(Disturbance(ProcessName("front-1"), 98.0, 105.0))
+    assert "partitioned_service" not in list_promises(observations)
+    observations = build_partition(failed=20)
+    observations.disturbances.append(Disturbance(ProcessName("control-0"), 96.0, 97.0))
+    assert "partitioned_service" not in list_promises(observations)
+
+
+def test_no_calm_while_a_front_is_partitioned():
+    observations = build_partition(failed=1)
+    assert "calm_service" not in list_promises(observations)
