One place for resets and for the timeouts of upstream connections

The proxy of the stand-ins and the tunnels had the same way to reset a connection, and tunnels had copies of two timeouts of upstream connections. No behaviour changes.

--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -113,10 +113,6 @@
             for known in self._known.values()
         )
 
-    def has_address(self, address: str) -> bool:
-        """Whether a known upstream has this address."""
-        return address in self._by_address
-
     def find_zone(self, address: str) -> AvailabilityZone | None:
         """Return the zone of the upstream at an address, if known."""
         endpoint = self.find_at(address)
--- a/src/scalebend/edges/gateway/tunnel_client.py
+++ b/src/scalebend/edges/gateway/tunnel_client.py
@@ -15,7 +15,7 @@
     FrameReader,
     build_opening,
 )
-from scalebend.edges.gateway.tunnel_sockets import set_options
+from scalebend.edges.gateway.upstream_sockets import CONNECT_TIMEOUT_S, set_options
 from scalebend.models.tunnels import FrontPeer, OpenTunnel, TunnelReply
 from scalebend.utils.addresses import parse_address
 
@@ -24,9 +24,6 @@
 
 logger = structlog.get_logger(__name__)
 
-PEER_CONNECT_TIMEOUT_S = 0.1
-"""Time for a connection to a peer, as for one to an upstream."""
-
 REPLY_TIMEOUT_S = 0.2
 """Time for the reply of a peer: it connects to the upstream meanwhile."""
 
@@ -128,7 +125,7 @@
     client = TunnelClient(handler, OpenTunnel(address, peer.tunnel_key))
     reply = None
     try:
-        async with asyncio.timeout(PEER_CONNECT_TIMEOUT_S):
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
             await loop.create_connection(lambda: client, target.host, target.port)
         async with asyncio.timeout(REPLY_TIMEOUT_S):
             reply = await asyncio.shield(client.reply)
--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -19,16 +19,14 @@
     build_frame,
     read_opening,
 )
-from scalebend.edges.gateway.tunnel_sockets import reset, set_options
+from scalebend.edges.gateway.upstream_sockets import CONNECT_TIMEOUT_S, set_options
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.tunnels import OpenTunnel, TunnelKey, TunnelReply
 from scalebend.utils.addresses import parse_address
+from scalebend.utils.resets import reset_connection
 
 logger = structlog.get_logger(__name__)
 
-CONNECT_TIMEOUT_S = 0.1
-"""Time for a connection to an upstream, as for those of this front's own requests."""
-
 OPENING_TIMEOUT_S = 1.0
 """Time in which a front must send its opening message."""
 
@@ -88,7 +86,7 @@
             return TunnelReply.DENIED
         if self._is_leaving or self.open > self._max_open:
             return TunnelReply.BUSY
-        if not self._instance.directory.has_address(opening.address):
+        if self._instance.directory.find_at(opening.address) is None:
             return TunnelReply.UNKNOWN
         return self._instance.reach.check_for_peer(opening.address, now)
 
@@ -341,7 +339,7 @@
         if self._transport is None:
             return
         if is_reset:
-            reset(self._transport)
+            reset_connection(self._transport)
         else:
             self._transport.abort()
 
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -23,13 +23,12 @@
 from scalebend.edges.gateway.socket_statistics import SocketCounts
 from scalebend.edges.gateway.tunnel_client import TunnelLostError
 from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
+from scalebend.edges.gateway.upstream_sockets import (
+    CONNECT_TIMEOUT_S,
+    UNACKED_TIMEOUT_MS,
+)
 from scalebend.models.ids import InstanceId
 
-CONNECT_TIMEOUT_S = 0.1
-"""Many round trips between the availability zones of a region, but short enough for
-another replica to respond within a short latency target. The kernel resends a lost SYN
-only after a second."""
-
 CONNECT_SHARE = 0.9
 """Share of the remaining time that a connection may take: its timeout comes before the
 deadline, which leaves time to try another replica or to refuse the request."""
@@ -37,9 +36,6 @@
 IDLE_TIMEOUT_S = 4.0
 """Shorter than the idle timeout of the upstreams."""
 
-UNACKED_TIMEOUT_MS = 3000
-"""Time after which the kernel closes a connection with unacknowledged data."""
-
 
 class StrictResponseHandler(ResponseHandler):
     """The client protocol of aiohttp with the two checks of this module."""
--- a/src/scalebend/standins/proxy.py
+++ b/src/scalebend/standins/proxy.py
@@ -8,8 +8,6 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from collections.abc import AsyncIterator, Callable, Iterator
 from enum import Enum
 
@@ -17,6 +15,7 @@
 import structlog
 
 from scalebend.utils.addresses import parse_address
+from scalebend.utils.resets import reset_connection
 
 logger = structlog.get_logger(__name__)
 
@@ -26,9 +25,6 @@
 CONNECT_TIMEOUT_S = 2.0
 """Timeout of a connection attempt to the target."""
 
-_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""``SO_LINGER`` value (enabled, zero seconds) that makes a close send a reset."""
-
 
 class Direction(Enum):
     """Direction of the blocked bytes of a connection, as seen from its client."""
@@ -65,7 +61,7 @@
 
     def reset(self) -> None:
         for writer in self.writers:
-            _reset(writer)
+            reset_connection(writer.transport)
 
 
 class Proxy:
@@ -121,7 +117,7 @@
                 )
         except (OSError, TimeoutError):
             # The client must see a reset, as if nothing listened, not a regular close.
-            _reset(writer)
+            reset_connection(writer.transport)
             return
         connection = _Connection(writer, far_writer)
         if self._identify is None:
@@ -176,14 +172,6 @@
         ]
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    if sock is not None:
-        with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
-    writer.transport.abort()
-
-
 @contextlib.asynccontextmanager
 async def run_proxy(
     address: str, target: str, identify: Identify | None = None
