--- a/src/scalebend/soak/misbehaving.py
+++ b/src/scalebend/soak/misbehaving.py
@@ -39,6 +39,14 @@
     is_refused: bool
     """Whether they are refused; otherwise the first packet gets no reply."""
 
+    ports: tuple[int, ...] = ()
+    """Ports to which they fail; all if empty."""
+
+    def covers(self, address: tuple[str, int]) -> bool:
+        """Whether new connections to an address fail."""
+        host, port = address
+        return host == self.host and (not self.ports or port in self.ports)
+
 
 class ProcessFaults(msgspec.Struct, frozen=True):
     """How the clock, the disk and the network of a process behave."""
@@ -109,7 +117,7 @@
     ) -> tuple[str, int]:
         """Return the address to connect to in place of ``address``."""
         partition = self._read_faults().partition
-        if partition is None or address[0] != partition.host:
+        if partition is None or not partition.covers(address):
             with contextlib.suppress(OSError):
                 sock.bind((self._host, 0))
             return address
--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -12,6 +12,7 @@
 
 from scalebend.models.configuration import ConfigurationChange
 from scalebend.models.upstream import LoadedModel
+from scalebend.soak.misbehaving import ProcessFaults, write_process_faults
 from scalebend.standins.engine_server import EngineOptions, serve_engine
 from scalebend.standins.ports import find_free_ports
 from scalebend.standins.service_server import ServiceOptions, serve_service
@@ -70,9 +71,24 @@
         path = self.write_settings(name)
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "scalebend", "run", str(path), stderr=log
+                sys.executable,
+                "-m",
+                "scalebend.soak.misbehaving",
+                str(self.find_faults_folder(name)),
+                "127.0.0.1",
+                "run",
+                str(path),
+                stderr=log,
             )
 
+    def find_faults_folder(self, name):
+        folder = self.folder / f"{name}-faults"
+        folder.mkdir(exist_ok=True)
+        return folder
+
+    def set_faults(self, name, **faults):
+        write_process_faults(self.find_faults_folder(name), ProcessFaults(**faults))
+
     async def kill(self, name, number=signal.SIGKILL):
         process = self.processes[name]
         os.kill(process.pid, number)
