Own interface: connect to upstreams through other instances while the direct way fails

What callers saw: an instance partitioned from all upstreams failed 20 of 40 calls with 502, while the others served all. The same cause as at the gateway's fronts: the instance that admitted a request opened the connection itself, and had no other way.

One dialer and one set of decisions now stand behind both interfaces (core/upstream_reach.py, edges/upstream_dialer.py, moved out of the gateway's folders). Between instances a tunnel is a gRPC stream on the port of their other messages, with the same certificates; a regular end is told by its status, so a lost tunnel never looks like the end of a response.

--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -83,7 +83,7 @@
     is_job_of,
 )
 from scalebend.models.routing import Routing, StoredRouting
-from scalebend.models.tunnels import FrontPeer
+from scalebend.models.tunnels import TunnelPeer
 
 logger = structlog.get_logger(__name__)
 
@@ -269,7 +269,7 @@
     # Fronts
 
     def add_front(
-        self, front: InstanceId, now: float, peer: FrontPeer | None = None
+        self, front: InstanceId, now: float, peer: TunnelPeer | None = None
     ) -> list[ControlAction]:
         """Add a newly linked front and return the initial state to send it.
 
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -50,8 +50,8 @@
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.core.gateway.slow_start import SlowStarts
-from scalebend.core.gateway.upstream_reach import FailureKind, UpstreamReach
 from scalebend.core.upstream_backoff import UpstreamBackoffs
+from scalebend.core.upstream_reach import FailureKind, UpstreamReach
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import (
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -31,7 +31,7 @@
     ReplicaPace,
 )
 from scalebend.models.rate_limits import ObservedLimit, RateLimit
-from scalebend.models.tunnels import FrontPeer
+from scalebend.models.tunnels import TunnelPeer
 
 
 class Introduce(msgspec.Struct, frozen=True, tag=True):
@@ -43,7 +43,7 @@
     knows_evacuations: bool = False
     """Whether its version applies the evacuation orders in the replicated log."""
 
-    peer: FrontPeer | None = None
+    peer: TunnelPeer | None = None
     """Of a front that opens tunnels for others: where, and in which zone."""
 
 
@@ -217,7 +217,7 @@
     Fronts of older versions accept none and would close the link.
     """
 
-    peers: list[FrontPeer]
+    peers: list[TunnelPeer]
 
 
 class SendPermitRequest(msgspec.Struct, frozen=True, tag="SendQuestion"):
--- a/src/scalebend/core/gateway/peer_assignment.py
+++ b/src/scalebend/core/gateway/peer_assignment.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 import msgspec
 
 from scalebend.core.gateway.control_actions import ToFront
 from scalebend.core.gateway.messages import FrontPeers
 from scalebend.core.rendezvous import Weight, weigh_instance
 from scalebend.models.ids import InstanceId
-from scalebend.models.tunnels import FrontPeer
+from scalebend.models.tunnels import TunnelPeer
 
 PEERS_IN_ZONE = 4
 PEERS_ELSEWHERE = 8
@@ -24,26 +26,48 @@
 """Minimum time between two sends: fronts that start together cause few lists."""
 
 
+def choose_peers(me: TunnelPeer, others: Iterable[TunnelPeer]) -> list[TunnelPeer]:
+    """Choose the peers of one process among all others."""
+    assignment = _Assignment()
+    for other in others:
+        if other.instance != me.instance:
+            assignment.offer(me, other)
+    return assignment.list_peers()
+
+
 class _Assignment(msgspec.Struct):
-    near: list[tuple[Weight, FrontPeer]] = msgspec.field(default_factory=list)
+    near: list[tuple[Weight, TunnelPeer]] = msgspec.field(default_factory=list)
     """Peers in the zone of the front, of highest weight first."""
 
-    far: list[tuple[Weight, FrontPeer]] = msgspec.field(default_factory=list)
+    far: list[tuple[Weight, TunnelPeer]] = msgspec.field(default_factory=list)
 
-    def list_peers(self) -> list[FrontPeer]:
+    def list_peers(self) -> list[TunnelPeer]:
         return [peer for _, peer in (*self.near, *self.far)]
 
+    def offer(self, me: TunnelPeer, other: TunnelPeer) -> bool:
+        """Add ``other`` to the peers of ``me`` if it is among the highest."""
+        is_near = other.availability_zone == me.availability_zone
+        chosen = self.near if is_near else self.far
+        limit = PEERS_IN_ZONE if is_near else PEERS_ELSEWHERE
+        weight = weigh_instance(me.instance, other.instance)
+        if len(chosen) >= limit and weight < chosen[-1][0]:
+            return False
+        chosen.append((weight, other))
+        chosen.sort(key=lambda one: one[0], reverse=True)
+        del chosen[limit:]
+        return True
+
 
 class PeerAssignment:
     """Peers of all fronts that accept tunnels, and which of them must be told."""
 
     def __init__(self) -> None:
-        self._fronts: dict[InstanceId, FrontPeer] = {}
+        self._fronts: dict[InstanceId, TunnelPeer] = {}
         self._assignments: dict[InstanceId, _Assignment] = {}
         self._unsent: set[InstanceId] = set()
         self._send_at = 0.0
 
-    def add(self, peer: FrontPeer) -> None:
+    def add(self, peer: TunnelPeer) -> None:
         """Add a front that accepts tunnels, or replace its earlier incarnation."""
         self.remove(peer.instance)
         for front in self._fronts.values():
@@ -77,7 +101,7 @@
             for front in sorted(due)
         ]
 
-    def _choose_all(self, front: FrontPeer) -> None:
+    def _choose_all(self, front: TunnelPeer) -> None:
         """Choose the peers of one front among all others."""
         self._assignments[front.instance] = _Assignment()
         self._unsent.add(front.instance)
@@ -85,16 +109,6 @@
             if other.instance != front.instance:
                 self._offer(front, other)
 
-    def _offer(self, front: FrontPeer, other: FrontPeer) -> None:
-        """Add ``other`` to the peers of ``front`` if it is among the highest."""
-        assignment = self._assignments[front.instance]
-        is_near = other.availability_zone == front.availability_zone
-        chosen = assignment.near if is_near else assignment.far
-        limit = PEERS_IN_ZONE if is_near else PEERS_ELSEWHERE
-        weight = weigh_instance(front.instance, other.instance)
-        if len(chosen) >= limit and weight < chosen[-1][0]:
-            return
-        chosen.append((weight, other))
-        chosen.sort(key=lambda one: one[0], reverse=True)
-        del chosen[limit:]
-        self._unsent.add(front.instance)
+    def _offer(self, front: TunnelPeer, other: TunnelPeer) -> None:
+        if self._assignments[front.instance].offer(front, other):
+            self._unsent.add(front.instance)
--- a/src/scalebend/core/gateway/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -1,9 +1,10 @@
-"""Decides how a front connects to upstreams: directly, or through a peer.
+"""Decides how a process connects to upstreams: directly, or through a peer.
 
-A failed connection alone does not tell a dead upstream from a partition of this front.
-A recent direct connection that delivered data does: it proves the network of the front.
-Without this proof, failures at several upstreams make the front *isolated*, and the
-connections of peers, which are other fronts, tell which upstreams are alive.
+A failed connection alone does not tell a dead upstream from a partition of this
+process. A recent direct connection that delivered data does: it proves the network of
+the process. Without this proof, failures at several upstreams make the process
+*isolated*, and the connections of peers, which are other processes, tell which
+upstreams are alive.
 """
 
 from __future__ import annotations
@@ -16,12 +17,12 @@
 import structlog
 
 from scalebend.models.ids import AvailabilityZone, InstanceId
-from scalebend.models.tunnels import FrontPeer, TunnelReply
+from scalebend.models.tunnels import TunnelPeer, TunnelReply
 
 logger = structlog.get_logger(__name__)
 
 PROOF_LIFETIME_S = 1.0
-"""Time for which a direct connection proves the network of the front after it was
+"""Time for which a direct connection proves the network of the process after it was
 opened. Short against a partition, so that few requests blame an upstream for it."""
 
 FAILURE_WINDOW_S = 3.0
@@ -29,7 +30,7 @@
 are far apart."""
 
 ISOLATION_WEIGHT = 3.0
-"""Sum of the weights of failing upstreams that makes a front isolated."""
+"""Sum of the weights of failing upstreams that makes a process isolated."""
 
 PEER_AVOIDANCE_S = 1.0
 """Time for which a peer that could not help is asked last."""
@@ -38,7 +39,7 @@
 """Time for which an upstream that peers could not reach either gets no tunnels."""
 
 CONFIRMATIONS = 2
-"""Peers that must fail to reach an upstream before an isolated front believes it."""
+"""Peers that must fail to reach an upstream before an isolated process believes it."""
 
 TRIAL_INTERVAL_S = 1.0
 """Minimum time between two direct trials of an upstream behind tunnels."""
@@ -48,7 +49,7 @@
 connections after the request was written."""
 
 RECENT_FAILURE_S = 1.0
-"""Time after a failure for which the front does not connect for others."""
+"""Time after a failure for which the process does not connect for others."""
 
 CHECK_INTERVAL_S = 1.0
 """Minimum time between two background checks of an upstream through a peer."""
@@ -102,7 +103,7 @@
 
 
 class UpstreamReach:
-    """Evidence of one front on its ways to upstreams, by their addresses."""
+    """Evidence of one process on its ways to upstreams, by their addresses."""
 
     def __init__(self, availability_zone: AvailabilityZone) -> None:
         self.is_isolated = False
@@ -121,7 +122,7 @@
         """When a peer last told that it reaches an upstream, or that it does not."""
 
         self._peer_failed_at = -math.inf
-        self._peers: dict[InstanceId, FrontPeer] = {}
+        self._peers: dict[InstanceId, TunnelPeer] = {}
         self._avoided_until: dict[InstanceId, float] = {}
 
     # Decisions
@@ -164,7 +165,7 @@
     def asks_peers_now(self, address: str, now: float) -> bool:
         """Whether a request whose direct connection just failed should use a peer.
 
-        With proof of its own network, the front places it elsewhere instead, which is
+        With proof of its own network, the process places it elsewhere instead, which is
         faster if the upstream is dead.
         """
         record = self._records.get(address)
@@ -188,7 +189,7 @@
     def may_blame(self, address: str, now: float) -> bool:
         """Whether a failure at an upstream says something about the upstream.
 
-        An isolated front needs the word of peers.
+        An isolated process needs the word of peers.
         """
         if not self.is_isolated:
             return True
@@ -196,7 +197,7 @@
         return record is not None and now < record.unreachable_until
 
     def is_stranded(self, now: float) -> bool:
-        """Whether the front is isolated, and so are the peers that it asked last."""
+        """Whether the process is isolated, and so are the peers that it asked last."""
         is_recent = now - self._peer_failed_at < PEER_AVOIDANCE_S
         return (
             self.is_isolated
@@ -210,7 +211,7 @@
         return now >= record.unreachable_until
 
     def check_for_peer(self, address: str, now: float) -> TunnelReply | None:
-        """Return why this front should not connect for another; ``None`` if it may.
+        """Return why this process should not connect for another; ``None`` if it may.
 
         What failed just now is not tried again.
         """
@@ -223,13 +224,13 @@
 
     def list_peers(
         self, upstream_zone: AvailabilityZone | None, now: float
-    ) -> list[FrontPeer]:
+    ) -> list[TunnelPeer]:
         """List peers in the order in which to ask them.
 
         A peer in the zone of either end adds no crossing between zones.
         """
 
-        def rank(peer: FrontPeer) -> tuple[bool, bool]:
+        def rank(peer: TunnelPeer) -> tuple[bool, bool]:
             is_avoided = now < self._avoided_until.get(peer.instance, -math.inf)
             is_near = peer.availability_zone in (self._zone, upstream_zone)
             return (is_avoided, not is_near)
@@ -238,7 +239,7 @@
 
     # Events
 
-    def set_peers(self, peers: Iterable[FrontPeer]) -> None:
+    def set_peers(self, peers: Iterable[TunnelPeer]) -> None:
         """Replace the peers, as the leader assigned them."""
         self._peers = {peer.instance: peer for peer in peers}
         avoided = self._avoided_until
@@ -255,7 +256,7 @@
             self.is_isolated = True
             self._isolated_at = now
             logger.warning(
-                "front is isolated",
+                "process is isolated",
                 failing=self._list_failing(now),
                 last_success=_round_age(now - self._worked_at),
                 peers=len(self._peers),
@@ -277,7 +278,7 @@
             # Other upstreams have to fail anew: most often all heal at once.
             self._records.clear()
             logger.warning(
-                "front is no longer isolated",
+                "process is no longer isolated",
                 address=address,
                 lasted=round(now - self._isolated_at, 3),
             )
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -13,14 +13,15 @@
 from scalebend.core.fingerprints import compute_fingerprint
 from scalebend.core.gateway.key_lease import LEASE_MARGIN_S
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
+from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.edges.gateway.http_listener import listen, serve_metrics
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import DEFAULT_RETRY_AFTER_S
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
-from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
 from scalebend.edges.problems import build_problem_response
+from scalebend.edges.upstream_dialer import UpstreamDialer
 from scalebend.exceptions import (
     ErrorKind,
     Ran,
@@ -290,7 +291,7 @@
     callers = listeners.pop(settings.callers_address)
     readiness = listeners.pop(settings.readiness_address)
     async with (
-        open_upstream_sessions(UpstreamDialer(runtime)) as sessions,
+        open_upstream_sessions(UpstreamDialer(FrontDialing(runtime))) as sessions,
         runtime.use_sessions(sessions),
         listen(callers, handler.handle) as site,
         listen(readiness, answer_ready),
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -45,7 +45,7 @@
     build_job_id,
 )
 from scalebend.models.rate_limits import ObservedLimit
-from scalebend.models.tunnels import FrontPeer, TunnelKey
+from scalebend.models.tunnels import TunnelKey, TunnelPeer
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.inspection import Inspector
@@ -387,11 +387,11 @@
         self.execute(self.instance.record_failure(upstream, self.now()))
 
 
-def _build_peer(settings: GatewaySettings, key: TunnelKey) -> FrontPeer | None:
+def _build_peer(settings: GatewaySettings, key: TunnelKey) -> TunnelPeer | None:
     """Return what other fronts need to open tunnels; ``None`` without an address."""
     if settings.tunnel_address is None:
         return None
-    return FrontPeer(
+    return TunnelPeer(
         settings.instance, settings.availability_zone, settings.tunnel_address, key
     )
 
--- a/src/scalebend/edges/gateway/tunnel_client.py
+++ b/src/scalebend/edges/gateway/tunnel_client.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import TYPE_CHECKING, cast
 
-import aiohttp
 import structlog
 
 from scalebend.edges.gateway.tunnel_frames import (
@@ -16,7 +15,8 @@
     build_opening,
 )
 from scalebend.edges.gateway.upstream_sockets import CONNECT_TIMEOUT_S, set_options
-from scalebend.models.tunnels import FrontPeer, OpenTunnel, TunnelReply
+from scalebend.edges.tunnel_errors import TunnelLostError
+from scalebend.models.tunnels import OpenTunnel, TunnelPeer, TunnelReply
 from scalebend.utils.addresses import parse_address
 
 if TYPE_CHECKING:
@@ -28,10 +28,6 @@
 """Time for the reply of a peer: it connects to the upstream meanwhile."""
 
 
-class TunnelLostError(aiohttp.ClientConnectionError):
-    """A tunnel ended before the response; the upstream may still run the request."""
-
-
 class TunnelClient(asyncio.Protocol):
     """Unpacks the frames of a tunnel for the protocol of a direct connection."""
 
@@ -113,7 +109,7 @@
 
 
 async def open_tunnel(
-    peer: FrontPeer, address: str, handler: StrictResponseHandler
+    peer: TunnelPeer, address: str, handler: StrictResponseHandler
 ) -> TunnelReply | None:
     """Connect ``handler`` to the upstream at ``address`` through a peer.
 
--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -11,7 +11,7 @@
 import structlog
 
 from scalebend.core.gateway.front_instance import FrontInstance
-from scalebend.core.gateway.upstream_reach import FailureKind
+from scalebend.core.upstream_reach import FailureKind
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.tunnel_frames import (
     FrameError,
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -13,6 +13,7 @@
 import functools
 import math
 import socket
+import ssl
 from collections.abc import AsyncIterator, Callable
 from types import SimpleNamespace
 from typing import Any, cast
@@ -21,12 +22,12 @@
 from aiohttp.client_proto import ResponseHandler
 
 from scalebend.edges.gateway.socket_statistics import SocketCounts
-from scalebend.edges.gateway.tunnel_client import TunnelLostError
-from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
 from scalebend.edges.gateway.upstream_sockets import (
     CONNECT_TIMEOUT_S,
     UNACKED_TIMEOUT_MS,
 )
+from scalebend.edges.tunnel_errors import TunnelLostError
+from scalebend.edges.upstream_dialer import UpstreamDialer
 from scalebend.models.ids import InstanceId
 
 CONNECT_SHARE = 0.9
@@ -93,6 +94,13 @@
         self._awaits_data = False
         super().abort()
 
+    def lose_tunnel(self, error: Exception) -> None:
+        """End the connection, whose own socket shows nothing of the error."""
+        transport = self.transport
+        self.connection_lost(error)
+        if transport is not None:
+            transport.abort()
+
     def end_after_response(self) -> None:
         """Close the connection once no response is awaited any more."""
         self.force_close()
@@ -142,14 +150,30 @@
             self._dialer.record_data(self._address, self._opened_at)
 
 
-class _StrictConnector(aiohttp.TCPConnector):
-    def __init__(self, dialer: UpstreamDialer | None, *, force_close: bool) -> None:
+class StrictConnector(aiohttp.TCPConnector):
+    """Opens connections with :class:`StrictResponseHandler`, also through peers."""
+
+    def __init__(
+        self,
+        dialer: UpstreamDialer | None,
+        *,
+        force_close: bool,
+        may_repeat: bool,
+        idle_timeout_s: float = IDLE_TIMEOUT_S,
+        context: ssl.SSLContext | None = None,
+    ) -> None:
+        """``may_repeat``: whether all requests over it may be repeated.
+
+        ``context`` is that of TLS connections; ``None`` for the default.
+        """
         self._dialer = dialer
-        keepalive = None if force_close else IDLE_TIMEOUT_S
+        self._may_repeat = may_repeat
+        keepalive = None if force_close else idle_timeout_s
         options = {} if force_close else {"keepalive_timeout": keepalive}
         super().__init__(
             limit=0,
             force_close=force_close,
+            ssl=context or True,
             use_dns_cache=False,
             socket_factory=_build_socket,
             **options,  # type: ignore[arg-type]
@@ -181,7 +205,7 @@
             f"{req.url.raw_host}:{req.port}",
             connect_directly,
             cast(Callable[[], StrictResponseHandler], self._factory),
-            may_repeat=not self._force_close,
+            may_repeat=self._may_repeat,
         )
 
 
@@ -253,7 +277,9 @@
     dialer: UpstreamDialer | None, *, force_close: bool
 ) -> aiohttp.ClientSession:
     session = aiohttp.ClientSession(
-        connector=_StrictConnector(dialer, force_close=force_close),
+        connector=StrictConnector(
+            dialer, force_close=force_close, may_repeat=not force_close
+        ),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
--- a/src/scalebend/edges/peers.py
+++ b/src/scalebend/edges/peers.py
@@ -19,6 +19,7 @@
 from grpc import aio
 
 from scalebend.core.messages import Envelope, PeerMessage
+from scalebend.edges.peer_tunnels import TUNNEL_METHOD, TunnelCarrier
 from scalebend.models.ids import InstanceId
 from scalebend.models.settings import Tls
 
@@ -97,14 +98,16 @@
             yield frame
 
 
+def build_channel(address: str, tls: Tls | None) -> aio.Channel:
+    """Return a channel to another instance; the caller closes it."""
+    if tls is None:
+        return aio.insecure_channel(address, options=_OPTIONS)
+    return aio.secure_channel(address, _load_client_credentials(tls), options=_OPTIONS)
+
+
 @contextlib.asynccontextmanager
 async def _open_channel(address: str, tls: Tls | None) -> AsyncIterator[aio.Channel]:
-    if tls is None:
-        channel = aio.insecure_channel(address, options=_OPTIONS)
-    else:
-        channel = aio.secure_channel(
-            address, _load_client_credentials(tls), options=_OPTIONS
-        )
+    channel = build_channel(address, tls)
     try:
         yield channel
     finally:
@@ -151,7 +154,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def _build_handler(receive: Receiver) -> grpc.GenericRpcHandler:
+def _build_handler(
+    receive: Receiver, carrier: TunnelCarrier | None
+) -> grpc.GenericRpcHandler:
     async def receive_frames(frames: AsyncIterator[bytes], context: Any) -> bytes:
         async for frame in frames:
             try:
@@ -171,16 +176,28 @@
         request_deserializer=_identity,
         response_serializer=_identity,
     )
-    return grpc.method_handlers_generic_handler(SERVICE, {METHOD: method})
+    methods = {METHOD: method}
+    if carrier is not None:
+        methods[TUNNEL_METHOD] = grpc.stream_stream_rpc_method_handler(
+            carrier.carry, request_deserializer=bytes, response_serializer=bytes
+        )
+    return grpc.method_handlers_generic_handler(SERVICE, methods)
 
 
 @contextlib.asynccontextmanager
 async def serve_peers(
-    me: InstanceId, address: str, tls: Tls | None, receive: Receiver
+    me: InstanceId,
+    address: str,
+    tls: Tls | None,
+    receive: Receiver,
+    carrier: TunnelCarrier | None = None,
 ) -> AsyncIterator[PeerTransport]:
-    """Accept messages of other instances; yield the transport to send to them."""
+    """Accept messages of other instances; yield the transport to send to them.
+
+    With a ``carrier``, accept tunnels as well.
+    """
     server = aio.server(options=_OPTIONS)
-    server.add_generic_rpc_handlers((_build_handler(receive),))
+    server.add_generic_rpc_handlers((_build_handler(receive, carrier),))
     if tls is None:
         bound = server.add_insecure_port(address)
     else:
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -45,11 +45,15 @@
 from scalebend.core.owner import CancelOnEngine
 from scalebend.edges.control_pump import pump_control
 from scalebend.edges.exchange import AttemptReporter, Exchange
+from scalebend.edges.gateway.upstream_client import StrictConnector
 from scalebend.edges.gossip import GossipSocket, open_gossip
+from scalebend.edges.instance_dialing import InstanceDialing
 from scalebend.edges.metrics import Metrics, build_metrics
-from scalebend.edges.peers import PeerTransport, serve_peers
+from scalebend.edges.peer_tunnels import TUNNEL_METHOD, TunnelCarrier, TunnelOpener
+from scalebend.edges.peers import SERVICE, PeerTransport, build_channel, serve_peers
 from scalebend.edges.stalls import StallGuard
 from scalebend.edges.tls import build_client_context
+from scalebend.edges.upstream_dialer import UpstreamDialer
 from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
 from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
 from scalebend.models.orders import Order, SendOrder
@@ -62,6 +66,12 @@
 TICK_INTERVAL_S = 0.05
 """Time between two runs of the core's timers."""
 
+PEERS_INTERVAL_S = 1.0
+"""Time between two updates of the instances that open tunnels for this one."""
+
+IDLE_TIMEOUT_S = 15.0
+"""Time after which an idle connection to an upstream is closed."""
+
 GAUGE_INTERVAL_S = 5.0
 CONNECT_TIMEOUT_S = 3.0
 CLAIM_TIMEOUT_S = 2.0
@@ -84,12 +94,21 @@
         self,
         instance: Instance,
         journal: Journal | None,
-        session: aiohttp.ClientSession,
         metrics: Metrics,
     ) -> None:
         self.instance = instance
         self.metrics = metrics
-        self.session = session
+        opener = TunnelOpener(
+            f"/{SERVICE}/{TUNNEL_METHOD}",
+            lambda address: build_channel(address, instance.settings.peer_tls),
+            self._spawn,
+            build_client_context(instance.settings.upstream_tls),
+        )
+        self._opener = opener
+        self.dialing = InstanceDialing(
+            instance.membership.me, instance.catalog, opener, self._spawn, metrics
+        )
+        self._session: aiohttp.ClientSession | None = None
         self.journal = journal
         self.announcements: Subject[Announcement] = Subject()
         self.peers: PeerTransport | None = None
@@ -103,6 +122,7 @@
         self._scheme = "https" if instance.settings.upstream_tls else "http"
         self._is_pump_scheduled = False
         self._next_gauges_at = 0.0
+        self._next_peers_at = 0.0
         self._stalls = StallGuard(TICK_INTERVAL_S, self.now(), self._count_stall)
         self._request_count = 0
         self.announcements.subscribe(on_next=self._receive_announcement)
@@ -111,6 +131,30 @@
         """Return the seconds of the monotonic clock."""
         return self._loop.time()
 
+    @property
+    def session(self) -> aiohttp.ClientSession:
+        """HTTP session to upstreams; set while the core runs."""
+        assert self._session is not None
+        return self._session
+
+    @contextlib.asynccontextmanager
+    async def open_session(self) -> AsyncIterator[None]:
+        """Open the HTTP session to upstreams until the block ends."""
+        connector = StrictConnector(
+            UpstreamDialer(self.dialing),
+            force_close=False,
+            may_repeat=False,
+            idle_timeout_s=IDLE_TIMEOUT_S,
+            context=build_client_context(self.instance.settings.upstream_tls),
+        )
+        async with aiohttp.ClientSession(
+            connector=connector,
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            auto_decompress=False,
+            read_bufsize=2**16,
+        ) as self._session:
+            yield
+
     # Requests
 
     def build_request_id(self) -> RequestId:
@@ -188,6 +232,7 @@
         try:
             self.execute(self.instance.advance(self.now(), time.time()))
             self._schedule_pump()
+            self._update_peers()
             self._report_gauges()
         except Exception:
             # The timer must keep running: all timeouts depend on it.
@@ -196,6 +241,13 @@
     def _count_stall(self) -> None:
         self.metrics.incr("event_loop.stalls")
 
+    def _update_peers(self) -> None:
+        now = self.now()
+        if now >= self._next_peers_at:
+            self._next_peers_at = now + PEERS_INTERVAL_S
+            self.dialing.update_peers(self.instance.membership.list_live())
+            self.dialing.reach.expire(now)
+
     def _report_gauges(self) -> None:
         now = self.now()
         if now < self._next_gauges_at:
@@ -368,6 +420,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._opener.close()
 
 
 def _build_claim_error(result: Result | None) -> ScalebendError | None:
@@ -416,20 +469,6 @@
         key = Path(settings.gossip_key_file).read_bytes().strip()
     async with contextlib.AsyncExitStack() as stack:
         journal, recovered = stack.enter_context(_open_control_journal(settings))
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=15.0,
-            ssl=build_client_context(settings.upstream_tls) or True,
-        )
-        timeout = aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S)
-        session = await stack.enter_async_context(
-            aiohttp.ClientSession(
-                connector=connector,
-                timeout=timeout,
-                auto_decompress=False,
-                read_bufsize=2**16,
-            )
-        )
         instance = Instance(
             settings,
             recovered,
@@ -437,14 +476,19 @@
             incarnation=int(time.time() * 1000),
             seed=seed,
         )
-        runtime = Runtime(instance, journal, session, build_metrics(settings.statsd))
+        runtime = Runtime(instance, journal, build_metrics(settings.statsd))
+        await stack.enter_async_context(runtime.open_session())
         stack.push_async_callback(runtime.close)
+        carrier = TunnelCarrier(
+            runtime.dialing.reach, runtime.dialing.knows_address, runtime.now
+        )
         runtime.peers = await stack.enter_async_context(
             serve_peers(
                 settings.instance,
                 settings.listen.peers,
                 settings.peer_tls,
                 runtime.receive_message,
+                carrier,
             )
         )
         runtime.gossip = await stack.enter_async_context(
--- a/src/scalebend/edges/gateway/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 import errno
-from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import TYPE_CHECKING, Any, Protocol
 
 import aiohttp
 import structlog
 
-from scalebend.core.gateway.upstream_reach import Direct, FailureKind, Tunnel
-from scalebend.edges.gateway.tunnel_client import open_tunnel
-from scalebend.models.tunnels import FrontPeer, TunnelReply
+from scalebend.core.upstream_reach import Direct, FailureKind, Tunnel, UpstreamReach
+from scalebend.models.ids import AvailabilityZone
+from scalebend.models.tunnels import TunnelPeer, TunnelReply
 
 if TYPE_CHECKING:
-    from scalebend.edges.gateway.front_runtime import FrontRuntime
     from scalebend.edges.gateway.upstream_client import StrictResponseHandler
 
 logger = structlog.get_logger(__name__)
@@ -38,12 +37,38 @@
 """Builds the protocol of a connection that is not open yet."""
 
 
+class DialerHost(Protocol):
+    """What a process provides for its dialer."""
+
+    reach: UpstreamReach
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds."""
+
+    def spawn(self, work: Coroutine[Any, Any, object]) -> object:
+        """Run ``work`` as a background task."""
+
+    def find_zone(self, address: str) -> AvailabilityZone | None:
+        """Return the zone of the upstream at an address, if known."""
+
+    def record_direct_failure(self, address: str, kind: FailureKind) -> None:
+        """Record that a direct connection failed."""
+
+    def count_reply(self, reply: TunnelReply | None) -> None:
+        """Count the reply of a peer; ``None`` if there was none."""
+
+    async def open_tunnel(
+        self, peer: TunnelPeer, address: str, handler: StrictResponseHandler
+    ) -> TunnelReply | None:
+        """Connect ``handler`` through a peer; ``None`` if it did not reply."""
+
+
 class UpstreamDialer:
-    """Opens the upstream connections of one front."""
+    """Opens the upstream connections of one process."""
 
-    def __init__(self, runtime: FrontRuntime) -> None:
-        self._runtime = runtime
-        self._reach = runtime.instance.reach
+    def __init__(self, host: DialerHost) -> None:
+        self._host = host
+        self._reach = host.reach
 
     async def connect(
         self,
@@ -57,7 +82,7 @@
 
         ``may_repeat``: whether the request of the connection may be repeated.
         """
-        plan = self._reach.plan(address, self._runtime.now(), may_repeat=may_repeat)
+        plan = self._reach.plan(address, self._host.now(), may_repeat=may_repeat)
         match plan:
             case Direct():
                 return await self._connect_direct_first(
@@ -77,12 +102,12 @@
         try:
             return await self._connect_directly(address, connect_directly, None)
         except (aiohttp.ClientConnectorError, TimeoutError):
-            if self._reach.asks_peers_now(address, self._runtime.now()):
+            if self._reach.asks_peers_now(address, self._host.now()):
                 handler = await self._connect_through_peers(address, build_handler)
                 if handler is not None:
                     return handler
-            elif self._reach.is_check_due(address, self._runtime.now()):
-                self._runtime.spawn(self._check(address, build_handler))
+            elif self._reach.is_check_due(address, self._host.now()):
+                self._host.spawn(self._check(address, build_handler))
             raise
 
     async def _connect_tunnel_first(
@@ -111,14 +136,12 @@
     async def _connect_directly(
         self, address: str, connect_directly: ConnectDirectly, timeout_s: float | None
     ) -> StrictResponseHandler:
-        opened_at = self._runtime.now()
+        opened_at = self._host.now()
         try:
             handler = await connect_directly(timeout_s)
         except (aiohttp.ClientConnectorError, TimeoutError) as error:
             if not _is_local(error):
-                self._runtime.instance.record_direct_failure(
-                    address, FailureKind.CONNECT, self._runtime.now()
-                )
+                self._host.record_direct_failure(address, FailureKind.CONNECT)
             raise
         handler.watch(self, address, opened_at, None)
         return handler
@@ -127,12 +150,12 @@
         self, address: str, build_handler: BuildHandler
     ) -> StrictResponseHandler | None:
         """Ask peers one after the other; ``None`` if none of them gets through."""
-        started_at = self._runtime.now()
-        zone = self._runtime.instance.directory.find_zone(address)
+        started_at = self._host.now()
+        zone = self._host.find_zone(address)
         for peer in self._reach.list_peers(zone, started_at):
             handler = build_handler()
             reply = await self._ask(peer, address, handler)
-            now = self._runtime.now()
+            now = self._host.now()
             if reply is TunnelReply.OPENED:
                 handler.watch(self, address, now, peer.instance)
                 return handler
@@ -143,11 +166,11 @@
         return None
 
     async def _ask(
-        self, peer: FrontPeer, address: str, handler: StrictResponseHandler
+        self, peer: TunnelPeer, address: str, handler: StrictResponseHandler
     ) -> TunnelReply | None:
-        reply = await open_tunnel(peer, address, handler)
-        self._reach.record_reply(address, peer.instance, reply, self._runtime.now())
-        self._runtime.metrics.count_tunnel_used(reply)
+        reply = await self._host.open_tunnel(peer, address, handler)
+        self._reach.record_reply(address, peer.instance, reply, self._host.now())
+        self._host.count_reply(reply)
         return reply
 
     async def _check(self, address: str, build_handler: BuildHandler) -> None:
@@ -160,18 +183,16 @@
 
     def may_reuse(self, address: str, opened_at: float, *, is_tunnel: bool) -> bool:
         """Whether an idle connection may be reused."""
-        now = self._runtime.now()
+        now = self._host.now()
         return self._reach.may_reuse(address, opened_at, now, is_tunnel=is_tunnel)
 
     def record_data(self, address: str, opened_at: float) -> None:
         """Record the first data on a direct connection."""
-        self._reach.record_data(address, opened_at, self._runtime.now())
+        self._reach.record_data(address, opened_at, self._host.now())
 
     def record_early_loss(self, address: str) -> None:
         """Record that a direct connection was lost before the response began."""
-        self._runtime.instance.record_direct_failure(
-            address, FailureKind.EARLY_LOSS, self._runtime.now()
-        )
+        self._host.record_direct_failure(address, FailureKind.EARLY_LOSS)
 
 
 def _is_local(error: Exception) -> bool:
--- a/src/scalebend/models/tunnels.py
+++ b/src/scalebend/models/tunnels.py
@@ -1,4 +1,4 @@
-"""Tunnels: connections of one front to an upstream that another front opens for it."""
+"""Tunnels: connections of one process to an upstream that another one opens for it."""
 
 from __future__ import annotations
 
@@ -10,25 +10,26 @@
 from scalebend.models.ids import AvailabilityZone, InstanceId
 
 TunnelKey = NewType("TunnelKey", str)
-"""Secret of one start of a front; without it, the front opens no tunnel."""
+"""Secret of one start of a process; without it, the process opens no tunnel."""
 
 
-class FrontPeer(msgspec.Struct, frozen=True):
-    """A front as other fronts see it."""
+class TunnelPeer(msgspec.Struct, frozen=True):
+    """A process that opens tunnels, as others see it."""
 
     instance: InstanceId
     availability_zone: AvailabilityZone
     tunnel_address: str
     """Address of its tunnel listener, ``IP:port``."""
 
-    tunnel_key: TunnelKey
+    tunnel_key: TunnelKey = TunnelKey("")
+    """Empty where the connection to the peer itself is authenticated."""
 
 
 class OpenTunnel(msgspec.Struct, frozen=True):
     """First message of a tunnel: connect to the upstream at ``address``."""
 
     address: str
-    key: TunnelKey
+    key: TunnelKey = TunnelKey("")
 
 
 class TunnelReply(Enum):
@@ -36,16 +37,16 @@
 
     OPENED = "opened"
     UNREACHABLE = "unreachable"
-    """The front could not connect to the upstream, now or just before."""
+    """The peer could not connect to the upstream, now or just before."""
 
     ISOLATED = "isolated"
-    """The front itself reaches no upstream."""
+    """The peer itself reaches no upstream."""
 
     BUSY = "busy"
-    """The front stops, or has as many tunnels as it may have."""
+    """The peer stops, or has as many tunnels as it may have."""
 
     UNKNOWN = "unknown"
-    """No upstream that the front knows has this address."""
+    """No upstream that the peer knows has this address."""
 
     DENIED = "denied"
-    """The key is not that of the front."""
+    """The key is not that of the peer."""
--- a/tests/lib/front.py
+++ b/tests/lib/front.py
@@ -9,10 +9,11 @@
 
 from scalebend.core.gateway.route_table import RouteTable
 from scalebend.edges.gateway.front_calls import CallerHandler
+from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
-from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
+from scalebend.edges.upstream_dialer import UpstreamDialer
 from tests.lib.gateway_builders import build_endpoint, build_settings
 
 HOST = "a.example"
@@ -69,7 +70,7 @@
     instance.retries.update_front_count(1, now - 10.0)
     runtime._first_lease.set()
     async with (
-        open_upstream_sessions(UpstreamDialer(runtime)) as sessions,
+        open_upstream_sessions(UpstreamDialer(FrontDialing(runtime))) as sessions,
         runtime.use_sessions(sessions),
         serve(CallerHandler(runtime).handle) as address,
         aiohttp.ClientSession() as session,
--- a/tests/unit/gateway/test_partitioned_reports.py
+++ b/tests/unit/gateway/test_partitioned_reports.py
@@ -6,13 +6,13 @@
 
 import pytest
 
-from scalebend.core.gateway.upstream_reach import FailureKind
+from scalebend.core.upstream_reach import FailureKind
 from scalebend.models.placement import ReplicaPace
-from scalebend.models.tunnels import FrontPeer, TunnelReply
+from scalebend.models.tunnels import TunnelPeer, TunnelReply
 from tests.lib.gateway_group import build_deployment
 
 PARTITIONED = 5
-PEER = FrontPeer("front-peer", "z", "10.2.0.99:7001", "key")
+PEER = TunnelPeer("front-peer", "z", "10.2.0.99:7001", "key")
 
 
 @pytest.fixture
--- a/tests/unit/gateway/test_peer_assignment.py
+++ b/tests/unit/gateway/test_peer_assignment.py
@@ -11,12 +11,12 @@
     PeerAssignment,
 )
 from scalebend.models.gateway_settings import GatewayRole
-from scalebend.models.tunnels import FrontPeer
+from scalebend.models.tunnels import TunnelPeer
 
 
 def build_peer(number, key="key"):
     zone = f"zone-{number % 3}"
-    return FrontPeer(f"front-{number:03}", zone, f"10.0.0.{number}:7341", key)
+    return TunnelPeer(f"front-{number:03}", zone, f"10.0.0.{number}:7341", key)
 
 
 def collect(assignment, now):
--- a/tests/unit/gateway/test_tunnels.py
+++ b/tests/unit/gateway/test_tunnels.py
@@ -15,6 +15,7 @@
 import pytest
 
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.tunnel_client import TunnelLostError, open_tunnel
@@ -28,8 +29,8 @@
 )
 from scalebend.edges.gateway.tunnel_server import TunnelServer, listen_for_tunnels
 from scalebend.edges.gateway.upstream_client import find_peer, open_upstream_sessions
-from scalebend.edges.gateway.upstream_dialer import UpstreamDialer
-from scalebend.models.tunnels import FrontPeer, OpenTunnel, TunnelReply
+from scalebend.edges.upstream_dialer import UpstreamDialer
+from scalebend.models.tunnels import OpenTunnel, TunnelPeer, TunnelReply
 from scalebend.standins.ports import find_free_ports
 from tests.lib.gateway_builders import build_endpoint, build_settings
 
@@ -74,7 +75,7 @@
     instance = FrontInstance(settings, now=now)
     instance.directory.register(build_endpoint(1, address=address), now)
     server = TunnelServer(settings, instance, KEY, GatewayMetrics())
-    peer = FrontPeer("front-2", "z", f"127.0.0.1:{port}", KEY)
+    peer = TunnelPeer("front-2", "z", f"127.0.0.1:{port}", KEY)
     runtime = FrontRuntime(build_settings(), GatewayMetrics())
     runtime.instance.reach.set_peers([peer])
     runtime.instance.reach.record_reply(
@@ -82,7 +83,7 @@
     )
     async with (
         listen_for_tunnels(peer.tunnel_address, server),
-        open_upstream_sessions(UpstreamDialer(runtime)) as sessions,
+        open_upstream_sessions(UpstreamDialer(FrontDialing(runtime))) as sessions,
     ):
         tunnelled = Tunnelled(address, server, peer, runtime, sessions)
         tunnelled.connections = connections
--- a/tests/unit/gateway/test_upstream_reach.py
+++ b/tests/unit/test_upstream_reach.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from scalebend.core.gateway.upstream_reach import (
+from scalebend.core.upstream_reach import (
     CHECK_INTERVAL_S,
     FAILURE_WINDOW_S,
     PEER_AVOIDANCE_S,
@@ -15,13 +15,13 @@
     Tunnel,
     UpstreamReach,
 )
-from scalebend.models.tunnels import FrontPeer, TunnelReply
+from scalebend.models.tunnels import TunnelPeer, TunnelReply
 
 A, B, C = "10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80"
 
 
 def build_peer(number, zone="z"):
-    return FrontPeer(f"front-{number}", zone, f"10.1.0.{number}:7341", f"key-{number}")
+    return TunnelPeer(f"front-{number}", zone, f"10.1.0.{number}:7341", f"key-{number}")
 
 
 PEERS = [build_peer(number) for number in range(1, 4)]
