Keep the tunnels to upstreams that stay out of reach when others are back

By reading: the end of an isolation dropped all tunnels, so an upstream whose way stayed broken failed anew (0.1 s, and a report to the leader) each time another one answered. Now its next request tries the direct way for 20 ms and keeps the tunnel.

--- a/src/scalebend/core/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -244,7 +244,7 @@
         self._peers = {peer.instance: peer for peer in peers}
         avoided = self._avoided_until
         self._avoided_until = {
-            one: avoided[one] for one in self._peers & avoided.keys()
+            one: avoided[one] for one in self._peers.keys() & avoided.keys()
         }
 
     def record_failure(self, address: str, kind: FailureKind, now: float) -> None:
@@ -275,8 +275,10 @@
             del self._records[address]
         if self.is_isolated and opened_at > self._isolated_at:
             self.is_isolated = False
-            # Other upstreams have to fail anew: most often all heal at once.
-            self._records.clear()
+            # Most often all ways heal at once; an upstream behind a tunnel whose way
+            # does not costs one short trial.
+            for record in self._records.values():
+                record.trial_at = -math.inf
             logger.warning(
                 "process is no longer isolated",
                 address=address,
--- a/tests/unit/test_upstream_reach.py
+++ b/tests/unit/test_upstream_reach.py
@@ -165,6 +165,16 @@
     assert plan(reach, A, 10.3) == Direct()
 
 
+def test_upstreams_that_stay_out_of_reach_keep_their_tunnels(reach):
+    isolate(reach, 10.0)
+    reach.record_reply(A, "front-1", TunnelReply.OPENED, 10.0)
+    reach.record_data(C, 10.2, 10.3)
+    assert plan(reach, A, 10.3) == Tunnel(is_trial=True)
+    reach.record_failure(A, FailureKind.CONNECT, 10.32)
+    assert plan(reach, A, 10.4) == Tunnel(is_trial=False)
+    assert plan(reach, B, 10.4) == Direct()
+
+
 def test_data_of_one_upstream_leaves_the_tunnels_to_others(reach):
     for address in (A, B):
         reach.record_reply(address, "front-1", TunnelReply.OPENED, 10.0)
