--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -43,6 +43,7 @@
     Subscribe,
     UncoordinatedSends,
 )
+from scalebend.core.gateway.outcome_counts import OutcomeCounts
 from scalebend.core.gateway.path_evidence import FrontPaths
 from scalebend.core.gateway.placement_plan import NO_REPLICA_RETRY_S
 from scalebend.core.gateway.retry_window import RetryWindow
@@ -52,7 +53,7 @@
 from scalebend.core.gateway.slow_start import SlowStarts
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.core.upstream_reach import FailureKind, UpstreamReach
-from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
+from scalebend.models.endpoints import EndpointUpdate
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import (
     Fingerprint,
@@ -122,7 +123,7 @@
         self._links = FrontLinks(settings.seeds, now)
         self.is_draining = False
         self._jobs = FrontJobs(self.scheduler)
-        self._outcomes: dict[UpstreamId, UpstreamOutcomes] = {}
+        self._outcomes = OutcomeCounts()
         self._next_outcome_report_at = now
         self._next_lease_request_at = now
         self._next_expiry_at = now
@@ -228,13 +229,12 @@
         if self.leader is not None and now >= self._next_lease_request_at:
             self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
             actions.append(ToControl(self.leader, self._build_lease_request(now)))
-        has_news = bool(self._outcomes) or self.paths.has_news
+        has_news = self._outcomes.has_any or self.paths.has_news
         if has_news and now >= self._next_outcome_report_at:
             self._next_outcome_report_at = now + OUTCOME_REPORT_INTERVAL_S
             paths = self.paths.build_report(now)
-            outcomes = AttemptOutcomes(list(self._outcomes.values()), paths)
+            outcomes = AttemptOutcomes(self._outcomes.pop_all(), paths)
             actions += self._report(outcomes)
-            self._outcomes.clear()
         self.paths.advance(now)
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
@@ -428,12 +428,8 @@
         self, upstream: UpstreamId, now: float, *, has_failed: bool
     ) -> None:
         """Count a response or a failure of an upstream."""
-        if has_failed and not self._may_blame(upstream, now):
-            return
-        seen = self._outcomes.get(upstream) or UpstreamOutcomes(upstream, 0, 0)
-        self._outcomes[upstream] = UpstreamOutcomes(
-            upstream, seen.answered + (not has_failed), seen.failed + has_failed
-        )
+        if not has_failed or self._may_blame(upstream, now):
+            self._outcomes.record(upstream, has_failed=has_failed)
 
     # Ways to upstreams
 
@@ -444,12 +440,8 @@
         was_isolated = self.reach.is_isolated
         self.reach.record_failure(address, kind, now)
         if self.reach.is_isolated and not was_isolated:
-            # Failures that were not reported yet are likely to be of this front.
-            self._outcomes = {
-                one.upstream: UpstreamOutcomes(one.upstream, one.answered, 0)
-                for one in self._outcomes.values()
-                if one.answered
-            }
+            # They are likely to be failures of this front's network.
+            self._outcomes.drop_failures()
 
     def record_silence(self, address: str, now: float) -> None:
         """Record that an upstream sent nothing within the timeout of a response."""
--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -126,13 +126,35 @@
             tunnel.close()
 
 
-class _FrontSide(asyncio.Protocol):
+class _Side(asyncio.Protocol):
+    """Connection at one end of a tunnel."""
+
+    def __init__(self) -> None:
+        self._transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Store the transport (called by asyncio)."""
+        self._transport = cast(asyncio.Transport, transport)
+        set_options(transport)
+
+    def pause_reading(self) -> None:
+        """Stop reading, because the other end reads slowly."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read again."""
+        if self._transport is not None:
+            self._transport.resume_reading()
+
+
+class _FrontSide(_Side):
     """Connection from a front that wants a tunnel."""
 
     def __init__(self, server: TunnelServer) -> None:
+        super().__init__()
         self._server = server
         self._loop = asyncio.get_running_loop()
-        self._transport: asyncio.Transport | None = None
         self._front = ""
         self._opening: OpenTunnel | None = None
         self._received = bytearray()
@@ -145,9 +167,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Wait for the opening message (called by asyncio)."""
-        self._transport = cast(asyncio.Transport, transport)
+        super().connection_made(transport)
         self._front = transport.get_extra_info("peername")[0]
-        set_options(transport)
         self._server.add(self)
         self._opening_timer = self._loop.call_later(OPENING_TIMEOUT_S, self.close)
 
@@ -251,16 +272,6 @@
         if self._upstream is not None:
             self._upstream.resume_reading()
 
-    def pause_reading(self) -> None:
-        """Stop reading from the front."""
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read from the front again."""
-        if self._transport is not None:
-            self._transport.resume_reading()
-
     def record_activity(self) -> None:
         """Record that bytes passed."""
         self._active_at = self._loop.time()
@@ -277,20 +288,15 @@
             self._transport.abort()
 
 
-class _UpstreamSide(asyncio.Protocol):
+class _UpstreamSide(_Side):
     """Connection to the upstream of a tunnel."""
 
     def __init__(self, front: _FrontSide, on_first_data: Callable[[], None]) -> None:
+        super().__init__()
         self._front = front
         self._on_first_data: Callable[[], None] | None = on_first_data
-        self._transport: asyncio.Transport | None = None
         self._has_ended = False
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport (called by asyncio)."""
-        self._transport = cast(asyncio.Transport, transport)
-        set_options(transport)
-
     def data_received(self, data: bytes) -> None:
         """Pass bytes on to the front (called by asyncio)."""
         if self._on_first_data is not None:
@@ -318,16 +324,6 @@
         """Read from the front again (called by asyncio)."""
         self._front.resume_reading()
 
-    def pause_reading(self) -> None:
-        """Stop reading from the upstream."""
-        if self._transport is not None:
-            self._transport.pause_reading()
-
-    def resume_reading(self) -> None:
-        """Read from the upstream again."""
-        if self._transport is not None:
-            self._transport.resume_reading()
-
     def write(self, data: bytes) -> None:
         """Send bytes to the upstream."""
         if self._transport is not None:
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -63,6 +63,14 @@
     seal: str | None = None
 
 
+def describe_call(call: CallerRequest) -> str:
+    """Return a request and its outcome in one line."""
+    return (
+        f"{call.request_id} ({call.kind.value}) at {call.front}, "
+        f"sent at {call.sent_at:.3f}: status {call.status} {call.detail}"
+    )
+
+
 class Execution(msgspec.Struct, frozen=True):
     """A replica executed a request."""
 
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -28,7 +28,9 @@
     Observations,
     RateLimitPeriod,
     RequestKind,
+    describe_call,
 )
+from scalebend.soak.partition_promises import check_partitioned_service
 
 SETTLE_S = 4.0
 """Seconds after the last fault until a calm period begins."""
@@ -58,13 +60,6 @@
 STOP_ACCEPT_S = 2.5
 """Seconds after the signal in which a stopping front still completes new requests."""
 
-PARTITION_DETECTION_S = 3.0
-"""Seconds from the start of a partition in which a front may fail requests."""
-
-MAX_PARTITIONED_FAILURES = 1
-MAX_FAILED_SHARE = 1 / 50
-"""Requests that may fail at a partitioned front afterwards: a number, and a share."""
-
 MAX_REJECTED_SHARE = 0.05
 """Share of the requests in calm periods that may be rejected."""
 
@@ -162,13 +157,6 @@
     ]
 
 
-def _describe(call: CallerRequest) -> str:
-    return (
-        f"{call.request_id} ({call.kind.value}) at {call.front}, "
-        f"sent at {call.sent_at:.3f}: status {call.status} {call.detail}"
-    )
-
-
 # Promises that always hold
 
 
@@ -176,7 +164,7 @@
     """A successful response is complete and belongs to its request."""
     for call in evidence.observations.caller_requests.values():
         if call.mismatch:
-            yield f"{_describe(call)}: {call.mismatch}"
+            yield f"{describe_call(call)}: {call.mismatch}"
 
 
 def _check_own_status(evidence: Evidence) -> Iterator[str]:
@@ -188,7 +176,7 @@
         if call.seal is None or call.status is None or call.status == 200:
             continue
         if call.status not in given[call.request_id]:
-            yield f"{_describe(call)}: the replica sent {given[call.request_id]}"
+            yield f"{describe_call(call)}: the replica sent {given[call.request_id]}"
 
 
 def _check_unasked(evidence: Evidence) -> Iterator[str]:
@@ -205,21 +193,21 @@
     for call in evidence.observations.caller_requests.values():
         runs = evidence.runs[call.request_id]
         if call.kind is RequestKind.NON_IDEMPOTENT and len(runs) > 1:
-            yield f"{_describe(call)}: ran at {[run.upstream for run in runs]}"
+            yield f"{describe_call(call)}: ran at {[run.upstream for run in runs]}"
 
 
 def _check_refused_did_not_run(evidence: Evidence) -> Iterator[str]:
     """Requests with a status that means "not run" never ran."""
     for call in evidence.observations.caller_requests.values():
         if call.status in NOT_RUN_STATUSES and evidence.runs[call.request_id]:
-            yield _describe(call)
+            yield describe_call(call)
 
 
 def _check_not_denied(evidence: Evidence) -> Iterator[str]:
     """Requests with the lasting key, on routes of all versions, are never denied."""
     for call in evidence.observations.caller_requests.values():
         if call.version == 0 and call.status in (400, 401, 403, 404):
-            yield _describe(call)
+            yield describe_call(call)
 
 
 def _check_revoked(evidence: Evidence) -> Iterator[str]:
@@ -231,7 +219,8 @@
     for call in evidence.observations.caller_requests.values():
         limit = revoked_at.get(call.version, math.inf) + BOUNDS.key_revocation
         if call.sent_at > limit and evidence.runs[call.request_id]:
-            yield f"{_describe(call)}: {call.sent_at - limit:.2f} s after revocation"
+            late = call.sent_at - limit
+            yield f"{describe_call(call)}: {late:.2f} s after revocation"
 
 
 def _check_no_way_back(evidence: Evidence) -> Iterator[str]:
@@ -244,7 +233,7 @@
         for earlier in seen_versions[call.front, call.front_start]:
             is_later = call.sent_at > earlier.at + STALE_CONFIGURATION_S
             if is_later and run.version < earlier.version:
-                yield f"{_describe(call)}: {run.version} after {earlier.version}"
+                yield f"{describe_call(call)}: {run.version} after {earlier.version}"
                 break
         known = seen_versions[call.front, call.front_start]
         if not known or run.version > known[-1].version:
@@ -379,7 +368,8 @@
             continue
         if not evidence.is_disturbed(call.front, informed, arrival.at):
             late = call.sent_at - informed
-            yield f"{_describe(call)}: reached {arrival.upstream} {late:.2f} s after"
+            detail = f"reached {arrival.upstream} {late:.2f} s after"
+            yield f"{describe_call(call)}: {detail}"
 
 
 def _list_arrivals(
@@ -421,42 +411,10 @@
         if call.status == 503:
             rejected.append(call)
         elif call.status != 200:
-            yield _describe(call)
+            yield describe_call(call)
     if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
-        yield f"{len(rejected)} of {count} rejected, such as {_describe(rejected[0])}"
-
-
-def _check_partitioned_service(evidence: Evidence) -> Iterator[str]:
-    """Fronts partitioned from replicas serve their callers, if other fronts are not."""
-    partitions = evidence.observations.partitions
-    for partition in partitions:
-        since = partition.since + PARTITION_DETECTION_S
-        if not evidence.is_calm_but_for_partitions(partition.since, partition.until):
-            continue
-        if len(_list_overlapping(partitions, partition)) > 1:
-            continue
-        calls = [
-            call
-            for call in evidence.observations.caller_requests.values()
-            if call.front == partition.process
-            and call.ended_at is not None
-            and not call.is_cancelled
-            and not call.version
-            and since <= call.sent_at
-            and call.ended_at <= partition.until
-        ]
-        failed = [call for call in calls if call.status != 200]
-        if len(failed) > MAX_PARTITIONED_FAILURES + MAX_FAILED_SHARE * len(calls):
-            first = _describe(failed[0])
-            yield f"{len(failed)} of {len(calls)} failed, such as {first}"
-
-
-def _list_overlapping(
-    partitions: list[Disturbance], other: Disturbance
-) -> list[Disturbance]:
-    return [
-        one for one in partitions if one.since < other.until and one.until > other.since
-    ]
+        first = describe_call(rejected[0])
+        yield f"{len(rejected)} of {count} rejected, such as {first}"
 
 
 def _check_in_time(evidence: Evidence) -> Iterator[str]:
@@ -466,7 +424,7 @@
         if end is None or not evidence.is_calm(call.sent_at, end):
             continue
         if end - call.sent_at > call.timeout_s + RESPONSE_DELAY_S:
-            yield f"{_describe(call)}: ended after {end - call.sent_at:.2f} s"
+            yield f"{describe_call(call)}: ended after {end - call.sent_at:.2f} s"
 
 
 def _check_in_force(evidence: Evidence) -> Iterator[str]:
@@ -479,7 +437,7 @@
             if run.version >= expected:
                 continue
             if evidence.is_calm(call.sent_at, run.at):
-                yield f"{_describe(call)}: {run.version} used, not {expected}"
+                yield f"{describe_call(call)}: {run.version} used, not {expected}"
 
 
 def _check_drained(evidence: Evidence) -> Iterator[str]:
@@ -517,7 +475,7 @@
                 continue
             has_run = bool(evidence.runs[call.request_id])
             if call.status is None and has_run and call.ended_at > stop.since:
-                yield _describe(call)
+                yield describe_call(call)
 
 
 CHECKS: tuple[Callable[[Evidence], Iterator[str]], ...] = (
@@ -540,7 +498,7 @@
     check_evacuations_kept,
     _check_exits,
     _check_calm_service,
-    _check_partitioned_service,
+    check_partitioned_service,
     _check_in_time,
     _check_in_force,
     _check_drained,
