Soak: compare a partitioned front with the others

The check was wrong there: it took refusals of the whole fleet for the partition's. It now has both halves of the users' rule, less than two thirds of the others' share served and more than 1 (the users: 10) and 1 in 50 failed.

--- a/src/scalebend/soak/partition_promises.py
+++ b/src/scalebend/soak/partition_promises.py
@@ -21,6 +21,10 @@
 MAX_FAILED_SHARE = 1 / 50
 """Requests that may fail at a partitioned front afterwards: a number, and a share."""
 
+MIN_SERVED_RATIO = 2 / 3
+"""Share of requests served there, relative to the other fronts, below which more
+failures break the promise: replicas without room refuse everywhere."""
+
 
 def check_partitioned_service(evidence: Evidence) -> Iterator[str]:
     """Fronts partitioned from replicas serve their callers, if other fronts are not."""
@@ -31,20 +35,34 @@
         if len(_list_overlapping(partitions, partition)) > 1:
             continue
         calls = _list_calls(evidence, partition)
-        failed = [call for call in calls if call.status != 200]
-        if len(failed) > MAX_PARTITIONED_FAILURES + MAX_FAILED_SHARE * len(calls):
+        there = [call for call in calls if call.front == partition.process]
+        elsewhere = [call for call in calls if call.front != partition.process]
+        failed = [call for call in there if call.status != 200]
+        if len(failed) <= MAX_PARTITIONED_FAILURES + MAX_FAILED_SHARE * len(there):
+            continue
+        expected = _compute_served(elsewhere)
+        if _compute_served(there) < MIN_SERVED_RATIO * expected:
             first = describe_call(failed[0])
-            yield f"{len(failed)} of {len(calls)} failed, such as {first}"
+            yield (
+                f"{len(failed)} of {len(there)} failed, such as {first}; at the "
+                f"others {expected:.0%} were served"
+            )
+
+
+def _compute_served(calls: list[CallerRequest]) -> float:
+    """Return the share of calls that were served; 1 without any."""
+    if not calls:
+        return 1.0
+    return sum(call.status == 200 for call in calls) / len(calls)
 
 
 def _list_calls(evidence: Evidence, partition: Disturbance) -> list[CallerRequest]:
-    """List the calls at a partitioned front for which the promise holds."""
+    """List the calls during a partition for which the promise holds."""
     since = partition.since + PARTITION_DETECTION_S
     return [
         call
         for call in evidence.observations.caller_requests.values()
-        if call.front == partition.process
-        and call.ended_at is not None
+        if call.ended_at is not None
         and not call.is_cancelled
         and not call.version
         and since <= call.sent_at
