Take no timer that fired late for a partition; refuse only if peers say so

Its logs: sixty callers began at once, both fronts' loops stood still, so connections that the kernel had long opened ran into their timers; within 63 ms each front took itself for partitioned, each told the other so, and both refused.

--- a/src/scalebend/core/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -32,6 +32,10 @@
 ISOLATION_WEIGHT = 3.0
 """Sum of the weights of failing upstreams that makes a process isolated."""
 
+MIN_ISOLATION_S = 0.5
+"""Time for which a process must be isolated before it refuses requests for it: all
+processes of a busy host may fail to connect for a moment."""
+
 PEER_AVOIDANCE_S = 1.0
 """Time for which a peer that could not help is asked last."""
 
@@ -121,7 +125,7 @@
         self._peer_connected_at = -math.inf
         """When a peer last told that it reaches an upstream, or that it does not."""
 
-        self._peer_failed_at = -math.inf
+        self._peer_isolated_at = -math.inf
         self._peers: dict[InstanceId, TunnelPeer] = {}
         self._avoided_until: dict[InstanceId, float] = {}
 
@@ -197,13 +201,14 @@
         return record is not None and now < record.unreachable_until
 
     def is_stranded(self, now: float) -> bool:
-        """Whether the process is isolated, and so are the peers that it asked last."""
-        is_recent = now - self._peer_failed_at < PEER_AVOIDANCE_S
-        return (
-            self.is_isolated
-            and is_recent
-            and self._peer_failed_at > self._peer_connected_at
-        )
+        """Whether the process is isolated, and so is the peer that replied last.
+
+        A peer that does not reply may be slow or restarting.
+        """
+        if not self.is_isolated or now - self._isolated_at < MIN_ISOLATION_S:
+            return False
+        is_recent = now - self._peer_isolated_at < PEER_AVOIDANCE_S
+        return is_recent and self._peer_isolated_at > self._peer_connected_at
 
     def needs_more_replies(self, address: str, now: float) -> bool:
         """Whether to ask another peer after one that did not reach the upstream."""
@@ -316,8 +321,8 @@
                         address=address,
                         peer=peer,
                     )
-            case _:
-                self._peer_failed_at = now
+            case TunnelReply.ISOLATED:
+                self._peer_isolated_at = now
         self._avoided_until[peer] = now + PEER_AVOIDANCE_S
 
     def expire(self, now: float) -> None:
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -27,7 +27,7 @@
     UNACKED_TIMEOUT_MS,
 )
 from scalebend.edges.tunnel_errors import TunnelLostError
-from scalebend.edges.upstream_dialer import UpstreamDialer
+from scalebend.edges.upstream_dialer import NewConnection, UpstreamDialer
 from scalebend.models.ids import InstanceId
 
 CONNECT_SHARE = 0.9
@@ -192,21 +192,22 @@
         """Open a connection directly or through a peer (called by aiohttp)."""
         create = super()._create_connection
 
-        async def connect_directly(limit_s: float | None) -> StrictResponseHandler:
-            limited = timeout
-            if limit_s is not None:
-                limited = aiohttp.ClientTimeout(total=None, sock_connect=limit_s)
+        if self._dialer is None or timeout.sock_connect is None:
+            return await create(req, traces, timeout)
+
+        async def connect_directly(timeout_s: float) -> StrictResponseHandler:
+            limited = aiohttp.ClientTimeout(total=None, sock_connect=timeout_s)
             handler = await create(req, traces, limited)
             return cast(StrictResponseHandler, handler)
 
-        if self._dialer is None:
-            return await connect_directly(None)
-        return await self._dialer.connect(
+        needed = NewConnection(
             f"{req.url.raw_host}:{req.port}",
             connect_directly,
             cast(Callable[[], StrictResponseHandler], self._factory),
+            timeout_s=timeout.sock_connect,
             may_repeat=self._may_repeat,
         )
+        return await self._dialer.connect(needed)
 
 
 def _build_socket(address: aiohttp.AddrInfoType) -> socket.socket:
--- a/src/scalebend/edges/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Any, Protocol
 
 import aiohttp
+import msgspec
 import structlog
 
 from scalebend.core.upstream_reach import Direct, FailureKind, Tunnel, UpstreamReach
@@ -28,13 +29,29 @@
 LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
 """Errors of this process, which say nothing about a way."""
 
-ConnectDirectly = Callable[[float | None], Awaitable["StrictResponseHandler"]]
-"""Connects to the upstream within a timeout in seconds, ``None`` for the usual one.
+MAX_TIMER_DELAY_S = 0.03
+"""Time by which a timer may be late. One that is later shows that this process stood
+still, so that a connection may have come about without being noticed."""
+
+ConnectDirectly = Callable[[float], Awaitable["StrictResponseHandler"]]
+"""Connects to the upstream within a timeout in seconds.
 
 Raises :class:`aiohttp.ClientConnectorError` or :class:`TimeoutError`."""
 
-BuildHandler = Callable[[], "StrictResponseHandler"]
-"""Builds the protocol of a connection that is not open yet."""
+
+class NewConnection(msgspec.Struct, frozen=True):
+    """A connection that is needed."""
+
+    address: str
+    connect_directly: ConnectDirectly
+    build_handler: Callable[[], StrictResponseHandler]
+    """Builds the protocol of a connection that is not open yet."""
+
+    timeout_s: float
+    """Timeout of the direct way."""
+
+    may_repeat: bool
+    """Whether its request may be repeated."""
 
 
 class DialerHost(Protocol):
@@ -70,90 +87,73 @@
         self._host = host
         self._reach = host.reach
 
-    async def connect(
-        self,
-        address: str,
-        connect_directly: ConnectDirectly,
-        build_handler: BuildHandler,
-        *,
-        may_repeat: bool,
-    ) -> StrictResponseHandler:
-        """Connect to the upstream at ``address``; raise the error of the direct way.
-
-        ``may_repeat``: whether the request of the connection may be repeated.
-        """
-        plan = self._reach.plan(address, self._host.now(), may_repeat=may_repeat)
+    async def connect(self, needed: NewConnection) -> StrictResponseHandler:
+        """Open a connection; raise the error of the direct way if none comes about."""
+        plan = self._reach.plan(
+            needed.address, self._host.now(), may_repeat=needed.may_repeat
+        )
         match plan:
             case Direct():
-                return await self._connect_direct_first(
-                    address, connect_directly, build_handler
-                )
+                return await self._connect_direct_first(needed)
             case Tunnel(is_trial):
-                return await self._connect_tunnel_first(
-                    address, connect_directly, build_handler, is_trial=is_trial
-                )
+                return await self._connect_tunnel_first(needed, is_trial=is_trial)
 
     async def _connect_direct_first(
-        self,
-        address: str,
-        connect_directly: ConnectDirectly,
-        build_handler: BuildHandler,
+        self, needed: NewConnection
     ) -> StrictResponseHandler:
         try:
-            return await self._connect_directly(address, connect_directly, None)
+            return await self._connect_directly(needed, needed.timeout_s)
         except (aiohttp.ClientConnectorError, TimeoutError):
-            if self._reach.asks_peers_now(address, self._host.now()):
-                handler = await self._connect_through_peers(address, build_handler)
+            if self._reach.asks_peers_now(needed.address, self._host.now()):
+                handler = await self._connect_through_peers(needed)
                 if handler is not None:
                     return handler
-            elif self._reach.is_check_due(address, self._host.now()):
-                self._host.spawn(self._check(address, build_handler))
+            elif self._reach.is_check_due(needed.address, self._host.now()):
+                self._host.spawn(self._check(needed))
             raise
 
     async def _connect_tunnel_first(
-        self,
-        address: str,
-        connect_directly: ConnectDirectly,
-        build_handler: BuildHandler,
-        *,
-        is_trial: bool,
+        self, needed: NewConnection, *, is_trial: bool
     ) -> StrictResponseHandler:
-        error: Exception | None = None
         if is_trial:
             try:
                 return await self._connect_directly(
-                    address, connect_directly, TRIAL_TIMEOUT_S
+                    needed, min(TRIAL_TIMEOUT_S, needed.timeout_s)
                 )
-            except (aiohttp.ClientConnectorError, TimeoutError) as failure:
-                error = failure
-        handler = await self._connect_through_peers(address, build_handler)
+            except (aiohttp.ClientConnectorError, TimeoutError) as error:
+                logger.debug("direct trial failed", error=str(error))
+        handler = await self._connect_through_peers(needed)
         if handler is not None:
             return handler
-        if error is not None:
-            raise error
-        return await self._connect_directly(address, connect_directly, TRIAL_TIMEOUT_S)
+        timeout_s = needed.timeout_s
+        if self._reach.is_stranded(self._host.now()):
+            timeout_s = min(TRIAL_TIMEOUT_S, timeout_s)
+        # The direct way may work again, or just be slower than a trial.
+        return await self._connect_directly(needed, timeout_s)
 
     async def _connect_directly(
-        self, address: str, connect_directly: ConnectDirectly, timeout_s: float | None
+        self, needed: NewConnection, timeout_s: float
     ) -> StrictResponseHandler:
-        opened_at = self._host.now()
+        began = self._host.now()
         try:
-            handler = await connect_directly(timeout_s)
+            handler = await needed.connect_directly(timeout_s)
         except (aiohttp.ClientConnectorError, TimeoutError) as error:
-            if not _is_local(error):
-                self._host.record_direct_failure(address, FailureKind.CONNECT)
+            elapsed = self._host.now() - began
+            if not _is_local(error) and elapsed < timeout_s + MAX_TIMER_DELAY_S:
+                self._host.record_direct_failure(needed.address, FailureKind.CONNECT)
             raise
-        handler.watch(self, address, opened_at, None)
+        handler.watch(self, needed.address, began, None)
         return handler
 
     async def _connect_through_peers(
-        self, address: str, build_handler: BuildHandler
+        self, needed: NewConnection
     ) -> StrictResponseHandler | None:
         """Ask peers one after the other; ``None`` if none of them gets through."""
+        address = needed.address
         started_at = self._host.now()
         zone = self._host.find_zone(address)
         for peer in self._reach.list_peers(zone, started_at):
-            handler = build_handler()
+            handler = needed.build_handler()
             reply = await self._ask(peer, address, handler)
             now = self._host.now()
             if reply is TunnelReply.OPENED:
@@ -173,9 +173,9 @@
         self._host.count_reply(reply)
         return reply
 
-    async def _check(self, address: str, build_handler: BuildHandler) -> None:
+    async def _check(self, needed: NewConnection) -> None:
         """Find out whether an upstream is alive that was not reached directly."""
-        handler = await self._connect_through_peers(address, build_handler)
+        handler = await self._connect_through_peers(needed)
         if handler is not None:
             handler.close()
 
