Soak: count no time under a partition for memory that is set aside

Traced in its logs: the front (front-0, job ...-4) sent a renewal 1.1 s after the reservation, on a connection that a silent partition held back; its request ended, the four releases found no connection, and the renewal arrived when the partition ended 1.8 s later.

--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -130,6 +130,17 @@
         stops = self._list_active(observations.stops, since, until)
         return all(one.process == excluding for one in stops)
 
+    def compute_partitioned(self, since: float, until: float) -> float:
+        """Return the seconds of a period in which any front was partitioned."""
+        total, counted_until = 0.0, since
+        for one in sorted(self.observations.partitions, key=lambda one: one.since):
+            begin = max(one.since, counted_until)
+            end = min(one.until, until)
+            if end > begin:
+                total += end - begin
+                counted_until = end
+        return total
+
     def _list_active(
         self, disturbances: list[Disturbance], since: float, until: float
     ) -> list[Disturbance]:
@@ -261,12 +272,17 @@
 
 
 def _check_memory(evidence: Evidence) -> Iterator[str]:
-    """Reservations are released soon after their last use, or if they stay unused."""
+    """Reservations are released soon after their last use, or if they stay unused.
+
+    An order that a partition holds back may arrive after the release, so the platform
+    counts no time in which a link was cut.
+    """
     for reservation in evidence.observations.reservations:
+        since, bound = reservation.since, IDLE_RESERVATION_S
         if reservation.used_until > reservation.since:
-            spare = reservation.until - reservation.used_until - RESERVATION_RELEASE_S
-        else:
-            spare = reservation.until - reservation.since - IDLE_RESERVATION_S
+            since, bound = reservation.used_until, RESERVATION_RELEASE_S
+        held = reservation.until - since
+        spare = held - evidence.compute_partitioned(since, reservation.until) - bound
         if spare > CLOCK_MARGIN_S:
             yield (
                 f"{reservation.name} at {reservation.upstream}, {spare:.1f} s too long"
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -383,3 +383,16 @@
 def test_no_calm_while_a_front_is_partitioned():
     observations = build_partition(failed=1)
     assert "calm_service" not in list_promises(observations)
+
+
+def test_memory_is_not_judged_while_a_front_is_partitioned():
+    observations = build_observations()
+    reservation = Reservation(UPSTREAM, "job", 100.0, 106.0, 101.0)
+    observations.reservations.append(reservation)
+    assert "memory" in list_promises(observations)
+    observations.partitions.append(Disturbance(FRONT, 100.5, 102.0))
+    assert "memory" not in list_promises(observations)
+    # Overlapping partitions are one time, and the rest counts as before.
+    observations.partitions.append(Disturbance(ProcessName("front-1"), 100.7, 101.5))
+    reservation.until = 107.0
+    assert "memory" in list_promises(observations)
