Look an upstream up, read its certificates and name a host in one place each

No behaviour changes. Linter and types are clean; tests/unit/soak, test_peer_tunnels.py and functional/test_keys.py (TLS): 73 passed.

--- a/src/scalebend/edges/instance_dialing.py
+++ b/src/scalebend/edges/instance_dialing.py
@@ -13,6 +13,7 @@
 from scalebend.edges.metrics import Metrics
 from scalebend.models.ids import AvailabilityZone
 from scalebend.models.tunnels import TunnelPeer, TunnelReply
+from scalebend.models.upstream import Announcement
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.upstream_client import StrictResponseHandler
@@ -54,13 +55,17 @@
 
     def knows_address(self, address: str) -> bool:
         """Whether a known upstream has this address."""
-        return any(one.announcement.address == address for one in self._catalog)
+        return self._find_at(address) is not None
 
     def find_zone(self, address: str) -> AvailabilityZone | None:
         """Return the zone of the upstream at an address, if known."""
+        announcement = self._find_at(address)
+        return announcement.availability_zone if announcement is not None else None
+
+    def _find_at(self, address: str) -> Announcement | None:
         for record in self._catalog:
             if record.announcement.address == address:
-                return record.announcement.availability_zone
+                return record.announcement
         return None
 
     def record_direct_failure(self, address: str, kind: FailureKind) -> None:
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -98,11 +98,12 @@
     ) -> None:
         self.instance = instance
         self.metrics = metrics
+        self._upstream_context = build_client_context(instance.settings.upstream_tls)
         opener = TunnelOpener(
             f"/{SERVICE}/{TUNNEL_METHOD}",
             lambda address: build_channel(address, instance.settings.peer_tls),
             self._spawn,
-            build_client_context(instance.settings.upstream_tls),
+            self._upstream_context,
         )
         self._opener = opener
         self.dialing = InstanceDialing(
@@ -145,7 +146,7 @@
             force_close=False,
             may_repeat=False,
             idle_timeout_s=IDLE_TIMEOUT_S,
-            context=build_client_context(self.instance.settings.upstream_tls),
+            context=self._upstream_context,
         )
         async with aiohttp.ClientSession(
             connector=connector,
--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -94,7 +94,7 @@
 
     def get_readiness_address(self, name: ProcessName) -> str:
         """Return the address of a front's readiness endpoint, which has no proxy."""
-        return f"{self._get_host(name, _FIRST_LISTEN_HOST)}:{self._readiness_port}"
+        return f"{self.get_listen_host(name)}:{self._readiness_port}"
 
     # Processes
 
@@ -108,7 +108,7 @@
         path = folder / "settings.json"
         path.write_bytes(encode_gateway_settings(self._build_settings(name)))
         self.starts[name] = number + 1
-        host = self._get_host(name, _FIRST_LISTEN_HOST)
+        host = self.get_listen_host(name)
         with (folder / f"log-{number}").open("wb") as log:
             self._running[name] = subprocess.Popen(
                 [
@@ -128,7 +128,7 @@
 
     def _build_settings(self, name: ProcessName) -> GatewaySettings:
         is_control = name in self.layout.controls
-        host = self._get_host(name, _FIRST_LISTEN_HOST)
+        host = self.get_listen_host(name)
         position = self.layout.processes.index(name)
         return GatewaySettings(
             name=name,
@@ -260,7 +260,7 @@
     deployment = Deployment(folder, layout, observations)
     async with contextlib.AsyncExitStack() as stack:
         for name in layout.processes:
-            host = deployment._get_host(name, _FIRST_LISTEN_HOST)
+            host = deployment.get_listen_host(name)
             call_address = deployment.get_call_address(name)
             port = call_address.rpartition(":")[2]
             deployment.call_proxies[name] = await stack.enter_async_context(
