Reproduce prompts that hang on dead connections of a partitioned front, failing

Its logs: the partitioned front sends a prompt of 200,000 tokens over a pooled connection 0.26 s after the partition began, takes itself for isolated 70 ms later, gets through to the replica by a peer at once, and still waits for the first byte on the dead connection: six times the prediction, 16.7 s, so until the deadline. Streams that had begun wait 1.0 s. All that time their jobs hold room at the leader, which declines prompts of everybody (room_in 2.3 to 2.8 s).

Ruled out: a false isolation of the other front (it never was), a lost leader (it led throughout), replicas that were avoided (excluded 0).

--- a/tests/functional/test_partitioned_fronts.py
+++ b/tests/functional/test_partitioned_fronts.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import signal
 import time
 
@@ -13,7 +14,10 @@
 from tests.lib.gateway_load import keep_registered
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.partitions import (
+    COMPLETE_STREAM,
     KINDS_AT_MOST_ONCE,
+    KINDS_QUICK,
+    LONG_PROMPT,
     Callers,
     OpenConnections,
     ProxiedReplica,
@@ -169,3 +173,43 @@
 
 def list_requests(system):
     return [request for replica in system.replicas for request, _ in replica.ran]
+
+
+async def open_connections_to_all(system):
+    """Have front 0 send a long prompt to each engine, over a connection it keeps."""
+    for _ in range(2):
+        calls = [system.call("stream", **LONG_PROMPT) for _ in system.replicas]
+        assert {status for status, _, _ in await asyncio.gather(*calls)} == {200}
+
+
+@contextlib.asynccontextmanager
+async def hang_long_prompts(system):
+    """Send long prompts over connections that fall silent; yield their calls.
+
+    Other callers of the front go on meanwhile, so it notices the partition.
+    """
+    await open_connections_to_all(system)
+    with partition(system, 0, SHAPES["silent"]):
+        async with asyncio.TaskGroup() as group:
+            calls = [
+                group.create_task(system.call("stream", **LONG_PROMPT))
+                for _ in system.replicas
+            ]
+            group.create_task(Callers(system, 0, KINDS_QUICK).run(DETECTION_S))
+            yield calls
+
+
+async def test_long_prompts_sent_as_a_partition_begins_are_served(system):
+    """Guards against waiting on dead connections until the deadline."""
+    async with hang_long_prompts(system) as calls:
+        async with asyncio.timeout(DETECTION_S):
+            results = await asyncio.gather(*calls)
+    assert {(status, body) for status, body, _ in results} == {(200, COMPLETE_STREAM)}
+
+
+async def test_hung_prompts_of_a_partitioned_front_leave_room_for_others(system):
+    """Guards against prompts on dead connections holding engines that others need."""
+    async with hang_long_prompts(system):
+        await asyncio.sleep(1.0)
+        status, body, _ = await system.call("stream", front=1, **LONG_PROMPT)
+    assert (status, body) == (200, COMPLETE_STREAM)
--- a/tests/lib/partitions.py
+++ b/tests/lib/partitions.py
@@ -95,6 +95,7 @@
     ("stream", QUICK_PROMPT),
     ("stream", LONG_PROMPT),
 )
+KINDS_QUICK = KINDS[:-1]
 KINDS_AT_MOST_ONCE = (("non_idempotent", {}),)
 
 
