End requests on dead connections of an isolated process, and send them again

What callers saw: prompts sent in the first moments of a silent partition waited for the first byte on a dead pooled connection until their deadline (200,000 tokens: 16.7 s or the deadline), streams that had begun for 1.0 s, on the own interface until the deadline as well.

The process knew after 0.3 s that its own network was partitioned, used that for new connections only, and went on trusting those that were open.

Change: once a process is isolated, a peer got through, and no direct connection carried data for 0.25 s, those from before are ended and their requests sent again, if they may be. Data on any of them after the first failure shows that open ones live on (new ones being refused), and nothing is given up; nor while no peer gets through, since then the upstreams may all be down. Requests that may run at most once wait on.

Ruled out: keep-alive probes (a dead path shows after two seconds at best, since the kernel counts in whole seconds) and a shorter timeout for first bytes (repeats long prompts at busy engines).

--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -62,6 +62,12 @@
         """Whether any upstream may have executed the request."""
         return self.runs > 0
 
+    @property
+    def allows_another_run(self) -> bool:
+        """Whether the route allows one more run than the next one."""
+        route = self._call.route
+        return route.is_idempotent and self.runs + 1 < route.max_attempts
+
     def decide(
         self,
         outcome: Outcome,
@@ -91,9 +97,8 @@
             case Outcome.TIMED_OUT:
                 self.runs += 1
                 return GiveUp(ErrorKind.TIME_LIMIT, Ran.UNKNOWN)
+        is_allowed = self.allows_another_run
         self.runs += 1
-        is_allowed = self._call.route.is_idempotent
-        is_allowed &= self.runs < self._call.route.max_attempts
         if is_allowed and self._has_time(now):
             if retries.spend(self._call.service, now):
                 return TryAgain()
--- a/src/scalebend/core/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -58,6 +58,13 @@
 CHECK_INTERVAL_S = 1.0
 """Minimum time between two background checks of an upstream through a peer."""
 
+MIN_SILENCE_S = 0.25
+"""Time without data on all direct connections after which an isolated process takes
+those that were open before for lost, too."""
+
+DATA_IN_FLIGHT_S = 0.05
+"""Time for which data that was sent before a partition may still arrive."""
+
 RETENTION_S = 30.0
 """Time without events after which the record of an upstream is removed."""
 
@@ -72,6 +79,15 @@
     """It was lost or silent before any data arrived, as also in a crash."""
 
 
+class OpenConnections(Enum):
+    """What became of direct connections that are older than an isolation."""
+
+    ALIVE = "alive"
+    LOST = "lost"
+    UNKNOWN = "unknown"
+    """There has not been enough time to tell."""
+
+
 class Direct(msgspec.Struct, frozen=True):
     """Plan: connect directly."""
 
@@ -122,6 +138,13 @@
         """When a direct connection to any upstream failed last."""
 
         self._isolated_at = -math.inf
+        self._failing_since = -math.inf
+        """When the first of the failures occurred that made the process isolated."""
+
+        self._active_at = -math.inf
+        """When data arrived last on any direct connection."""
+
+        self._tunnel_opened_at = -math.inf
         self._peer_connected_at = -math.inf
         """When a peer last told that it reaches an upstream, or that it does not."""
 
@@ -162,10 +185,29 @@
             if record is None or now - record.trial_at >= TRIAL_INTERVAL_S:
                 return False
             return self._is_behind_tunnel(record)
-        if self.is_isolated and opened_at <= self._isolated_at:
+        if self.is_older_than_isolation(opened_at):
             return False
         return record is None or opened_at > record.failed_at
 
+    def is_older_than_isolation(self, opened_at: float) -> bool:
+        """Whether a connection was opened before the current isolation, if any."""
+        return self.is_isolated and opened_at <= self._isolated_at
+
+    def judge_open_connections(self, now: float) -> OpenConnections:
+        """Tell whether direct connections from before an isolation still carry data.
+
+        They may do so while new ones are refused. They are not given up before a peer
+        got through: while all upstreams are down, there is nothing to gain.
+        """
+        if not self.is_isolated:
+            return OpenConnections.ALIVE
+        if self._active_at > self._failing_since + DATA_IN_FLIGHT_S:
+            return OpenConnections.ALIVE
+        is_silent = now - self._active_at >= MIN_SILENCE_S
+        if is_silent and self._tunnel_opened_at >= self._isolated_at:
+            return OpenConnections.LOST
+        return OpenConnections.UNKNOWN
+
     def asks_peers_now(self, address: str, now: float) -> bool:
         """Whether a request whose direct connection just failed should use a peer.
 
@@ -258,11 +300,13 @@
         record.failed_at = self._failed_at = now
         record.weight = kind.value
         if not self.is_isolated and self._sum_failures(now) >= ISOLATION_WEIGHT:
+            failing = self._list_failing(now)
             self.is_isolated = True
             self._isolated_at = now
+            self._failing_since = min(self._records[one].failed_at for one in failing)
             logger.warning(
                 "process is isolated",
-                failing=self._list_failing(now),
+                failing=failing,
                 last_success=_round_age(now - self._worked_at),
                 peers=len(self._peers),
             )
@@ -290,6 +334,10 @@
                 lasted=round(now - self._isolated_at, 3),
             )
 
+    def record_activity(self, now: float) -> None:
+        """Record data on a direct connection, however old."""
+        self._active_at = now
+
     def record_reply(
         self, address: str, peer: InstanceId, reply: TunnelReply | None, now: float
     ) -> None:
@@ -297,7 +345,7 @@
         record = self._get(address, now)
         match reply:
             case TunnelReply.OPENED:
-                self._peer_connected_at = now
+                self._peer_connected_at = self._tunnel_opened_at = now
                 self._avoided_until.pop(peer, None)
                 record.refusals = 0
                 record.unreachable_until = -math.inf
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -31,7 +31,7 @@
     list_payloads,
     read_usage,
 )
-from scalebend.edges.tunnel_errors import TunnelLostError
+from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.exceptions import ScalebendError
 from scalebend.models.ids import AttemptId, RequestId, UpstreamId
 from scalebend.models.work import Request
@@ -202,7 +202,7 @@
             return NeverStarted(detail, may_hold_memory=has_prefill_helpers)
         except InvalidStreamError as error:
             return InvalidResponse(str(error))
-        except TunnelLostError as error:
+        except PathLostError as error:
             return Interrupted(str(error), may_have_crashed=False)
         except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
             return Interrupted(f"connection lost: {type(error).__name__}")
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -30,7 +30,11 @@
 )
 from scalebend.edges.gateway.running_attempts import RunningAttempt
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
-from scalebend.edges.gateway.upstream_client import build_timeout, find_peer
+from scalebend.edges.gateway.upstream_client import (
+    allow_repetition,
+    build_timeout,
+    find_peer,
+)
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import Call, Outcome, ResponseHeaders
 from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
@@ -87,6 +91,15 @@
         return is_unused and self.faulty is not None
 
 
+def _build_interrupted(error: Exception) -> AttemptResult:
+    """Return the result of an attempt that an error of its connection ended."""
+    detail = f"{type(error).__name__}: {error}"
+    is_connection_lost = isinstance(error, _CONNECTION_ERRORS)
+    return AttemptResult(
+        Outcome.INTERRUPTED, detail=detail, is_connection_lost=is_connection_lost
+    )
+
+
 class Forwarder:
     """Forwards one request of a caller."""
 
@@ -277,13 +290,7 @@
                 return AttemptResult(Outcome.NOT_SENT, detail="no connection")
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.timeout.expired():
-                    detail = f"{type(error).__name__}: {error}"
-                    is_connection_lost = isinstance(error, _CONNECTION_ERRORS)
-                    return AttemptResult(
-                        Outcome.INTERRUPTED,
-                        detail=detail,
-                        is_connection_lost=is_connection_lost,
-                    )
+                    return _build_interrupted(error)
             if running.restarted_upstream is None:
                 if running.has_connection:
                     return AttemptResult(Outcome.TIMED_OUT)
@@ -318,7 +325,8 @@
         )
         limit = self._record_sent(target)
         sent_at = self._runtime.now()
-        response = await self._wait_for_head(target, sending, read_timeout)
+        with allow_repetition(is_allowed=self._attempts.allows_another_run):
+            response = await self._wait_for_head(target, sending, read_timeout)
         waited = self._runtime.now() - sent_at
         self.peer = find_peer(response)
         watching = watch_path(self._runtime, call, target.upstream, response, waited)
--- a/src/scalebend/edges/gateway/front_dialing.py
+++ b/src/scalebend/edges/gateway/front_dialing.py
@@ -42,6 +42,10 @@
         """Count the reply of a peer; ``None`` if there was none."""
         self._runtime.metrics.count_tunnel_used(reply)
 
+    def count_abandoned(self, connections: int) -> None:
+        """Count open connections that were given up."""
+        self._runtime.metrics.count_abandoned(connections)
+
     async def open_tunnel(
         self, peer: TunnelPeer, address: str, handler: StrictResponseHandler
     ) -> TunnelReply | None:
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -169,6 +169,11 @@
             ["reply"],
             registry=registry,
         )
+        self._abandoned_connections = Counter(
+            "scalebend_abandoned_connections",
+            "Connections to upstreams given up because their path was lost",
+            registry=registry,
+        )
         self._tunnels_served = Counter(
             "scalebend_tunnels_served",
             "Tunnels that other fronts asked this one for, by its replies",
@@ -342,6 +347,10 @@
         """Count a reply to another front."""
         self._tunnels_served.labels(reply.value).inc()
 
+    def count_abandoned(self, connections: int) -> None:
+        """Count connections to upstreams that were given up with their path."""
+        self._abandoned_connections.inc(connections)
+
     def set_open_tunnels(self, count: int) -> None:
         """Set the number of connections of other fronts."""
         self._open_tunnels.set(count)
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -14,7 +14,8 @@
 import math
 import socket
 import ssl
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextvars import ContextVar
 from types import SimpleNamespace
 from typing import Any, cast
 
@@ -26,7 +27,7 @@
     CONNECT_TIMEOUT_S,
     UNACKED_TIMEOUT_MS,
 )
-from scalebend.edges.tunnel_errors import TunnelLostError
+from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.edges.upstream_dialer import NewConnection, UpstreamDialer
 from scalebend.models.ids import InstanceId
 
@@ -37,6 +38,19 @@
 IDLE_TIMEOUT_S = 4.0
 """Shorter than the idle timeout of the upstreams."""
 
+_may_repeat: ContextVar[bool] = ContextVar("may_repeat", default=False)
+"""Whether the request that is being sent may be sent again if its path is lost."""
+
+
+@contextlib.contextmanager
+def allow_repetition(*, is_allowed: bool) -> Iterator[None]:
+    """Send requests in the block that may, or may not, be sent again."""
+    token = _may_repeat.set(is_allowed)
+    try:
+        yield
+    finally:
+        _may_repeat.reset(token)
+
 
 class StrictResponseHandler(ResponseHandler):
     """The client protocol of aiohttp with the two checks of this module."""
@@ -52,11 +66,17 @@
 
         self._dialer: UpstreamDialer | None = None
         self._address = ""
-        self._opened_at = 0.0
+        self.opened_at = 0.0
         self._has_data = False
         self._awaits_data = False
         """Whether no data arrived since a request was sent."""
 
+        self._may_repeat = False
+        """Whether the current request may be sent again."""
+
+        self._loss: PathLostError | None = None
+        """Why this process ended the connection, if it did."""
+
     def watch(
         self,
         dialer: UpstreamDialer,
@@ -67,7 +87,7 @@
         """Report to ``dialer`` what the connection shows of its way."""
         self._dialer = dialer
         self._address = address
-        self._opened_at = opened_at
+        self.opened_at = opened_at
         self.peer = peer
 
     def is_connected(self) -> bool:
@@ -75,13 +95,14 @@
         if not super().is_connected():
             return False
         return self._dialer is None or self._dialer.may_reuse(
-            self._address, self._opened_at, is_tunnel=self.peer is not None
+            self._address, self.opened_at, is_tunnel=self.peer is not None
         )
 
     def set_response_params(self, **params: object) -> None:
         """Begin a new request (called by aiohttp)."""
         self._previous_payload = self._payload
         self._awaits_data = True
+        self._may_repeat = _may_repeat.get()
         super().set_response_params(**params)  # type: ignore[arg-type]
 
     def close(self) -> None:
@@ -104,10 +125,25 @@
     def end_after_response(self) -> None:
         """Close the connection once no response is awaited any more."""
         self.force_close()
-        is_idle = self._payload is None or self._payload.is_eof()
-        if is_idle and not self._awaits_data:
+        if not self._is_busy():
             self.close()
 
+    def _is_busy(self) -> bool:
+        """Whether a response is awaited or incomplete."""
+        is_incomplete = self._payload is not None and not self._payload.is_eof()
+        return self._awaits_data or is_incomplete
+
+    def may_abandon(self) -> bool:
+        """Whether the current request, if any, may be sent again elsewhere."""
+        return self._may_repeat and self._is_busy()
+
+    def abandon(self) -> None:
+        """End the connection because its path is lost."""
+        self._loss = PathLostError("the path to the upstream was lost")
+        self._awaits_data = False
+        if self.transport is not None:
+            self.transport.abort()
+
     def data_received(self, data: bytes) -> None:
         """Abort on data after a complete response (called by asyncio)."""
         if data:
@@ -123,6 +159,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:  # type: ignore[override]
         """Fail a response without a length after a reset (called by asyncio)."""
+        if self._dialer is not None:
+            self._dialer.remove(self)
+        exc = self._loss or exc
         payload = self._payload
         is_incomplete = payload is not None and not payload.is_eof()
         if self._awaits_data and self._dialer is not None and self.peer is None:
@@ -130,9 +169,9 @@
         failure: Exception | None = None
         if exc is not None and is_incomplete:
             # The library would take the end of a response without a length for regular.
-            is_lost_tunnel = isinstance(exc, TunnelLostError)
+            is_path_lost = isinstance(exc, PathLostError)
             failure = (
-                exc if is_lost_tunnel else aiohttp.ClientPayloadError(f"reset: {exc}")
+                exc if is_path_lost else aiohttp.ClientPayloadError(f"reset: {exc}")
             )
         if payload is not None and failure is not None:
             payload.set_exception(failure)
@@ -143,11 +182,12 @@
 
     def _record_data(self) -> None:
         self._awaits_data = False
-        if self._has_data or self._dialer is None:
+        if self._dialer is None or self.peer is not None:
             return
-        self._has_data = True
-        if self.peer is None:
-            self._dialer.record_data(self._address, self._opened_at)
+        self._dialer.record_activity()
+        if not self._has_data:
+            self._has_data = True
+            self._dialer.record_data(self._address, self.opened_at)
 
 
 class StrictConnector(aiohttp.TCPConnector):
--- a/src/scalebend/edges/instance_dialing.py
+++ b/src/scalebend/edges/instance_dialing.py
@@ -77,6 +77,10 @@
         name = "none" if reply is None else reply.value
         self._metrics.incr(f"tunnels.used.{name}")
 
+    def count_abandoned(self, connections: int) -> None:
+        """Count open connections that were given up."""
+        self._metrics.incr("connections.abandoned", connections)
+
     async def open_tunnel(
         self, peer: TunnelPeer, address: str, handler: StrictResponseHandler
     ) -> TunnelReply | None:
--- a/src/scalebend/edges/tunnel_errors.py
+++ b/src/scalebend/edges/tunnel_errors.py
@@ -1,9 +1,13 @@
-"""Errors of connections through peers."""
+"""Errors of connections whose path failed, which say nothing about the upstream."""
 
 from __future__ import annotations
 
 import aiohttp
 
 
-class TunnelLostError(aiohttp.ClientConnectionError):
-    """A tunnel ended before the response; the upstream may still run the request."""
+class PathLostError(aiohttp.ClientConnectionError):
+    """The path failed before the response; the upstream may still run the request."""
+
+
+class TunnelLostError(PathLostError):
+    """A tunnel ended before the response."""
--- a/src/scalebend/edges/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import errno
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import TYPE_CHECKING, Any, Protocol
@@ -10,7 +11,13 @@
 import msgspec
 import structlog
 
-from scalebend.core.upstream_reach import Direct, FailureKind, Tunnel, UpstreamReach
+from scalebend.core.upstream_reach import (
+    Direct,
+    FailureKind,
+    OpenConnections,
+    Tunnel,
+    UpstreamReach,
+)
 from scalebend.models.ids import AvailabilityZone
 from scalebend.models.tunnels import TunnelPeer, TunnelReply
 
@@ -33,6 +40,9 @@
 """Time by which a timer may be late. One that is later shows that this process stood
 still, so that a connection may have come about without being noticed."""
 
+JUDGE_INTERVAL_S = 0.05
+"""Interval at which it is checked what became of open connections."""
+
 ConnectDirectly = Callable[[float], Awaitable["StrictResponseHandler"]]
 """Connects to the upstream within a timeout in seconds.
 
@@ -74,6 +84,9 @@
     def count_reply(self, reply: TunnelReply | None) -> None:
         """Count the reply of a peer; ``None`` if there was none."""
 
+    def count_abandoned(self, connections: int) -> None:
+        """Count open connections that were given up."""
+
     async def open_tunnel(
         self, peer: TunnelPeer, address: str, handler: StrictResponseHandler
     ) -> TunnelReply | None:
@@ -86,6 +99,8 @@
     def __init__(self, host: DialerHost) -> None:
         self._host = host
         self._reach = host.reach
+        self._direct: set[StrictResponseHandler] = set()
+        self._is_judging = False
 
     async def connect(self, needed: NewConnection) -> StrictResponseHandler:
         """Open a connection; raise the error of the direct way if none comes about."""
@@ -143,6 +158,7 @@
                 self._host.record_direct_failure(needed.address, FailureKind.CONNECT)
             raise
         handler.watch(self, needed.address, began, None)
+        self._direct.add(handler)
         return handler
 
     async def _connect_through_peers(
@@ -171,6 +187,8 @@
         reply = await self._host.open_tunnel(peer, address, handler)
         self._reach.record_reply(address, peer.instance, reply, self._host.now())
         self._host.count_reply(reply)
+        if reply is TunnelReply.OPENED and self._reach.is_isolated:
+            self._begin_judging()
         return reply
 
     async def _check(self, needed: NewConnection) -> None:
@@ -179,6 +197,45 @@
         if handler is not None:
             handler.close()
 
+    # Open connections
+
+    def _begin_judging(self) -> None:
+        if not self._is_judging:
+            self._is_judging = True
+            self._host.spawn(self._judge_open_connections())
+
+    async def _judge_open_connections(self) -> None:
+        """End direct connections if they turn out to be lost with the path."""
+        try:
+            while True:
+                state = self._reach.judge_open_connections(self._host.now())
+                if state is not OpenConnections.UNKNOWN:
+                    break
+                await asyncio.sleep(JUDGE_INTERVAL_S)
+        finally:
+            self._is_judging = False
+        if state is OpenConnections.LOST:
+            self._abandon_lost()
+
+    def _abandon_lost(self) -> None:
+        """End the connections whose requests may be sent again through a peer."""
+        lost = [
+            handler
+            for handler in self._direct
+            if handler.may_abandon()
+            and self._reach.is_older_than_isolation(handler.opened_at)
+        ]
+        if not lost:
+            return
+        logger.warning("lost connections abandoned", connections=len(lost))
+        self._host.count_abandoned(len(lost))
+        for handler in lost:
+            handler.abandon()
+
+    def remove(self, handler: StrictResponseHandler) -> None:
+        """Remove a connection that has ended."""
+        self._direct.discard(handler)
+
     # Evidence of open connections
 
     def may_reuse(self, address: str, opened_at: float, *, is_tunnel: bool) -> bool:
@@ -186,6 +243,10 @@
         now = self._host.now()
         return self._reach.may_reuse(address, opened_at, now, is_tunnel=is_tunnel)
 
+    def record_activity(self) -> None:
+        """Record data on a direct connection."""
+        self._reach.record_activity(self._host.now())
+
     def record_data(self, address: str, opened_at: float) -> None:
         """Record the first data on a direct connection."""
         self._reach.record_data(address, opened_at, self._host.now())
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -162,3 +162,13 @@
         now = 8.0 + 0.1 * number
         decision = attempts.decide(Outcome.NOT_SENT, f"i-{number}", build_budget(), now)
         assert decision == TryAgain()
+
+
+def test_request_is_given_up_for_its_path_only_if_another_run_is_allowed():
+    call = build_call(build_route(max_attempts=2))
+    attempts = Attempts(call)
+    assert attempts.allows_another_run
+    attempts.decide(Outcome.INTERRUPTED, "i-1", build_budget(), 0.0)
+    assert not attempts.allows_another_run
+    route = build_route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=3)
+    assert not Attempts(build_call(route)).allows_another_run
--- a/tests/unit/test_peer_tunnels.py
+++ b/tests/unit/test_peer_tunnels.py
@@ -75,6 +75,9 @@
     def count_reply(self, reply):
         self.replies.append(reply)
 
+    def count_abandoned(self, connections):
+        pass
+
     async def open_tunnel(self, peer, address, handler):
         return await self.opener.open(peer, address, handler)
 
--- a/tests/unit/test_upstream_dialer.py
+++ b/tests/unit/test_upstream_dialer.py
@@ -42,6 +42,7 @@
         self.replies = list(replies)
         self.timeouts = []
         self.spawned = []
+        self.abandoned = 0
 
     def now(self):
         return self.time
@@ -59,6 +60,9 @@
     def count_reply(self, reply):
         pass
 
+    def count_abandoned(self, connections):
+        self.abandoned += connections
+
     async def open_tunnel(self, peer, address, handler):
         return self.replies.pop(0) if self.replies else None
 
--- a/tests/unit/test_upstream_reach.py
+++ b/tests/unit/test_upstream_reach.py
@@ -4,8 +4,10 @@
 
 from scalebend.core.upstream_reach import (
     CHECK_INTERVAL_S,
+    DATA_IN_FLIGHT_S,
     FAILURE_WINDOW_S,
     MIN_ISOLATION_S,
+    MIN_SILENCE_S,
     PEER_AVOIDANCE_S,
     PROOF_LIFETIME_S,
     RECENT_FAILURE_S,
@@ -13,6 +15,7 @@
     UNREACHABLE_LIFETIME_S,
     Direct,
     FailureKind,
+    OpenConnections,
     Tunnel,
     UpstreamReach,
 )
@@ -265,3 +268,43 @@
     assert reach.check_for_peer(C, 10.3) is TunnelReply.ISOLATED
     # Without requests of its own it would not notice that the partition ended.
     assert reach.check_for_peer(C, 10.2 + RECENT_FAILURE_S) is None
+
+
+# Connections from before an isolation
+
+
+def test_open_connections_are_lost_if_silent_while_a_peer_gets_through(reach):
+    reach.record_activity(9.9)
+    isolate(reach, 10.0)
+    assert reach.judge_open_connections(10.0) is OpenConnections.UNKNOWN
+    reach.record_reply(A, "front-1", TunnelReply.OPENED, 10.0)
+    assert reach.judge_open_connections(10.0) is OpenConnections.UNKNOWN
+    later = 9.9 + MIN_SILENCE_S
+    assert reach.judge_open_connections(later) is OpenConnections.LOST
+    assert reach.is_older_than_isolation(10.0)
+    assert not reach.is_older_than_isolation(10.1)
+
+
+def test_open_connections_live_on_if_data_follows_the_failures(reach):
+    """New connections may be refused while open ones still carry data."""
+    isolate(reach, 10.0)
+    reach.record_reply(A, "front-1", TunnelReply.OPENED, 10.0)
+    reach.record_activity(10.0 + DATA_IN_FLIGHT_S)
+    assert reach.judge_open_connections(11.0) is OpenConnections.LOST
+    reach.record_activity(10.0 + DATA_IN_FLIGHT_S + 0.01)
+    assert reach.judge_open_connections(11.0) is OpenConnections.ALIVE
+
+
+def test_open_connections_are_kept_while_no_peer_gets_through(reach):
+    """While all upstreams are down, giving up a connection gains nothing."""
+    reach.record_reply(A, "front-1", TunnelReply.OPENED, 5.0)
+    isolate(reach, 10.0)
+    reach.record_reply(A, "front-1", TunnelReply.UNREACHABLE, 10.1)
+    assert reach.judge_open_connections(20.0) is OpenConnections.UNKNOWN
+
+
+def test_open_connections_are_alive_without_an_isolation(reach):
+    reach.record_failure(A, FailureKind.CONNECT, 10.0)
+    reach.record_reply(A, "front-1", TunnelReply.OPENED, 10.0)
+    assert reach.judge_open_connections(20.0) is OpenConnections.ALIVE
+    assert not reach.is_older_than_isolation(1.0)
