Hold the loss of a path against no upstream

What callers saw: four prompts that were given up together for their path were all refused their retry (502), while four engines were idle: each had excluded the engine whose room it had just given back, and the leader still counted the others' jobs.

Cause: an attempt that ended with its tunnel or its path counted as a failure of the replica: left out of the retry, and a failure in the outlier detection of a front that is not isolated (a killed peer, a way to one replica alone). The same class: a local failure judged as a remote one.

Change: an outcome of its own, "path lost". The request may have run, as with a broken response, so nothing else differs: runs, the retry budget, at most once.

The property tests of attempts take the new outcome as one that may have run.

--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -82,7 +82,8 @@
         ``upstream`` is the one at fault. ``is_helper`` if it is a prefill helper that
         the lead replica reported, which may still take the request without it.
         """
-        self.excluded.add(upstream)
+        if outcome is not Outcome.PATH_LOST:
+            self.excluded.add(upstream)
         match outcome:
             case Outcome.NOT_SENT | Outcome.WITHDRAWN:
                 is_allowed = self._count_unsent(now)
@@ -110,7 +111,8 @@
 
         ``outcome`` is ``None`` if it was cancelled.
         """
-        self.excluded.add(upstream)
+        if outcome is not Outcome.PATH_LOST:
+            self.excluded.add(upstream)
         if outcome not in (Outcome.NOT_SENT, Outcome.WITHDRAWN, Outcome.REJECTED):
             self.runs += 1
 
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -35,6 +35,7 @@
     build_timeout,
     find_peer,
 )
+from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import Call, Outcome, ResponseHeaders
 from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
@@ -94,6 +95,8 @@
 def _build_interrupted(error: Exception) -> AttemptResult:
     """Return the result of an attempt that an error of its connection ended."""
     detail = f"{type(error).__name__}: {error}"
+    if isinstance(error, PathLostError):
+        return AttemptResult(Outcome.PATH_LOST, detail=detail)
     is_connection_lost = isinstance(error, _CONNECTION_ERRORS)
     return AttemptResult(
         Outcome.INTERRUPTED, detail=detail, is_connection_lost=is_connection_lost
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -109,6 +109,9 @@
     INTERRUPTED = "broken"
     """The response is missing or incomplete; the request may have run."""
 
+    PATH_LOST = "path lost"
+    """The same, but the network between this process and the upstream failed."""
+
     TIMED_OUT = "timed out"
     UNRESPONSIVE = "silent"
     """No bytes arrived within the timeout for a healthy upstream."""
--- a/tests/unit/gateway/test_attempts.py
+++ b/tests/unit/gateway/test_attempts.py
@@ -18,6 +18,7 @@
 MAY_HAVE_RUN = {
     Outcome.FAILED,
     Outcome.INTERRUPTED,
+    Outcome.PATH_LOST,
     Outcome.UNRESPONSIVE,
     Outcome.TIMED_OUT,
 }
@@ -164,11 +165,25 @@
         assert decision == TryAgain()
 
 
+def test_upstream_behind_a_lost_path_may_take_the_request_again():
+    """Guards against a prompt being refused the room that its own attempt gave back."""
+    call = build_call(build_route(max_attempts=3))
+    attempts = Attempts(call)
+    for outcome, excluded in (
+        (Outcome.PATH_LOST, set()),
+        (Outcome.INTERRUPTED, {"i-1"}),
+    ):
+        decision = attempts.decide(outcome, "i-1", build_budget(), 0.0)
+        assert isinstance(decision, TryAgain)
+        assert attempts.excluded == excluded
+    assert attempts.runs == 2
+
+
 def test_request_is_given_up_for_its_path_only_if_another_run_is_allowed():
     call = build_call(build_route(max_attempts=2))
     attempts = Attempts(call)
     assert attempts.allows_another_run
-    attempts.decide(Outcome.INTERRUPTED, "i-1", build_budget(), 0.0)
+    attempts.decide(Outcome.PATH_LOST, "i-1", build_budget(), 0.0)
     assert not attempts.allows_another_run
     route = build_route(kind=RouteKind.NON_IDEMPOTENT, max_attempts=3)
     assert not Attempts(build_call(route)).allows_another_run
