--- a/tests/lib/cluster.py
+++ b/tests/lib/cluster.py
@@ -15,14 +15,18 @@
 from scalebend.soak.misbehaving import ProcessFaults, write_process_faults
 from scalebend.standins.engine_server import EngineOptions, serve_engine
 from scalebend.standins.ports import find_free_ports
+from scalebend.standins.proxy import run_proxy
 from scalebend.standins.service_server import ServiceOptions, serve_service
 from tests.lib.builders import MODEL, ZONE
 from tests.lib.fleet import CONFIGURATION, PARAMETERS, SERVICE
 
 
 class Cluster:
-    def __init__(self, folder, count, control, **settings):
+    def __init__(self, folder, count, control, hosts, **settings):
         self.folder = folder
+        self.hosts = hosts
+        """Loopback addresses that instances connect from, by name."""
+
         self.names = [f"instance-{number}" for number in range(count)]
         self.control = self.names[:control]
         ports = iter(find_free_ports(3 * count))
@@ -33,6 +37,7 @@
         self.processes = {}
         self.session = None
         self.engines = []
+        self.proxies = []
         self.service = None
 
     def url(self, name):
@@ -75,7 +80,7 @@
                 "-m",
                 "scalebend.soak.misbehaving",
                 str(self.find_faults_folder(name)),
-                "127.0.0.1",
+                self.hosts.get(name, "127.0.0.1"),
                 "run",
                 str(path),
                 stderr=log,
@@ -193,8 +198,19 @@
 
 
 @contextlib.asynccontextmanager
-async def run_cluster(folder, count=5, control=3, engines=2, **settings):
-    cluster = Cluster(folder, count, control, **settings)
+async def put_proxy_before(engine):
+    """Have an engine announce the address of a proxy, and run this."""
+    (port,) = find_free_ports(1)
+    target, engine.address = engine.address, f"127.0.0.1:{port}"
+    async with run_proxy(engine.address, target) as proxy:
+        yield proxy
+
+
+@contextlib.asynccontextmanager
+async def run_cluster(
+    folder, count=5, control=3, engines=2, hosts=None, has_proxies=False, **settings
+):
+    cluster = Cluster(folder, count, control, hosts or {}, **settings)
     async with contextlib.AsyncExitStack() as stack:
         cluster.session = await stack.enter_async_context(aiohttp.ClientSession())
         for name in cluster.names:
@@ -212,6 +228,9 @@
                 context = serve_engine(options, urls[number:] + urls[:number])
                 engine = await stack.enter_async_context(context)
                 cluster.engines.append(engine)
+                if has_proxies:
+                    proxy = await stack.enter_async_context(put_proxy_before(engine))
+                    cluster.proxies.append(proxy)
             service = serve_service(ServiceOptions("orders-1", ZONE, SERVICE), urls)
             cluster.service = await stack.enter_async_context(service)
             await cluster.wait_ready(upstreams=engines + 1)
