Own interface: end requests on dead connections of an isolated instance

What callers saw: responses under way when the partition began stood still until their deadline; the own interface has no timeout for a first byte. What engines run goes on: the attempt is resumed through a peer from its last event.

--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -23,6 +23,7 @@
     Prefilled,
     StartAttempt,
 )
+from scalebend.edges.gateway.upstream_client import allow_repetition
 from scalebend.edges.problems import build_problem
 from scalebend.edges.sse import (
     EventFramer,
@@ -187,13 +188,16 @@
                     1.0,
                     may_hold_memory=True,
                 )
-            async with self._send_request(
-                start, lead, is_resumed=is_resumed
-            ) as response:
-                backoff_s = _read_retry_after(response)
-                if response.status == 503 and backoff_s is not None:
-                    self._reporter.backoff_requested(start.upstreams[0], backoff_s)
-                return await self._read_response(start, response, is_resumed=is_resumed)
+            with allow_repetition(is_allowed=self.request.is_idempotent):
+                async with self._send_request(
+                    start, lead, is_resumed=is_resumed
+                ) as response:
+                    backoff_s = _read_retry_after(response)
+                    if response.status == 503 and backoff_s is not None:
+                        self._reporter.backoff_requested(start.upstreams[0], backoff_s)
+                    return await self._read_response(
+                        start, response, is_resumed=is_resumed
+                    )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             # Nothing of the request was sent, so it cannot have run.
             detail = f"cannot connect: {error}"
