Own interface: hold the loss of a path against no upstream

The same as at the fronts: an attempt that ended with its tunnel or its path excluded the engine from the retry and counted for the outlier detection. With one engine that serves a model, its caller was refused for a fault of the network.

test_upstream_behind_a_lost_path_may_take_the_request_again[True] failed before; [False] holds what a failure of the upstream itself does.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -455,20 +455,34 @@
         if may_resume and attempt.resumes < MAX_RESUMES:
             attempt.resumes += 1
             return [ResumeAttempt(attempt.attempt)]
-        self._record_failure(attempt.lead, now)
+        if not interrupted.is_path_lost:
+            self._record_failure(attempt.lead, now)
         if interrupted.may_have_crashed:
             lead, incarnation = attempt.lead, attempt.incarnation
             self.crashes.record_crash(flow.request, lead, incarnation, now)
         error = UpstreamError(interrupted.detail)
-        return self._fail_attempt(flow, error, now, Outcome.ABANDONED)
+        return self._fail_attempt(
+            flow,
+            error,
+            now,
+            Outcome.ABANDONED,
+            excludes_lead=not interrupted.is_path_lost,
+        )
 
     def _fail_attempt(
-        self, flow: Flow, error: UpstreamError, now: float, outcome: Outcome
+        self,
+        flow: Flow,
+        error: UpstreamError,
+        now: float,
+        outcome: Outcome,
+        *,
+        excludes_lead: bool = True,
     ) -> list[EntryAction]:
         attempt = flow.attempt
         assert attempt is not None
         flow.last_error = error
-        flow.excluded.add(attempt.lead)
+        if excludes_lead:
+            flow.excluded.add(attempt.lead)
         actions = self._release_attempt(flow, outcome)
         is_safe = attempt.never_started or flow.request.is_idempotent
         if not is_safe or flow.has_delivered:
--- a/src/scalebend/core/flow.py
+++ b/src/scalebend/core/flow.py
@@ -46,11 +46,14 @@
 class Interrupted(msgspec.Struct, frozen=True):
     """Result: the request was sent, but the response is missing or incomplete.
 
-    ``may_have_crashed`` is false if the upstream itself reported the failure.
+    ``may_have_crashed`` is false if the upstream itself reported the failure, or if
+    only the path to it was lost.
     """
 
     detail: str
     may_have_crashed: bool = True
+    is_path_lost: bool = False
+    """Whether the network failed, which says nothing about the upstream."""
 
 
 class InvalidResponse(msgspec.Struct, frozen=True):
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -207,7 +207,7 @@
         except InvalidStreamError as error:
             return InvalidResponse(str(error))
         except PathLostError as error:
-            return Interrupted(str(error), may_have_crashed=False)
+            return Interrupted(str(error), may_have_crashed=False, is_path_lost=True)
         except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
             return Interrupted(f"connection lost: {type(error).__name__}")
 
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -1,5 +1,6 @@
 """Entry: retries, claims, KV cache transfers, time limits and crashes."""
 
+import pytest
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
@@ -142,6 +143,17 @@
     assert list_released(actions) == {work.upstream: Outcome.ABANDONED}
 
 
+@pytest.mark.parametrize("is_path_lost", [True, False])
+def test_upstream_behind_a_lost_path_may_take_the_request_again(is_path_lost):
+    """Guards against the only engine being left out for a fault of the network."""
+    entry = build_entry(engines=1)
+    work, _ = start_request(entry, build_request("r"))
+    lost = Interrupted("lost", may_have_crashed=False, is_path_lost=is_path_lost)
+    actions = entry.handle_result(work.attempt, lost, 0.0) + entry.advance(1.0)
+    reserved = [one.upstream for one in list_reserved(actions)]
+    assert reserved == ([work.upstream] if is_path_lost else [])
+
+
 def test_time_limit_gives_back_what_was_held():
     entry = build_entry()
     work, _ = start_request(entry, build_request("r", deadline=5.0))
