--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -215,7 +215,7 @@
             case LimitUpdates():
                 self.limits.apply_updates(message, now)
             case FrontPeers(peers):
-                self.reach.set_peers(peers)
+                self.reach.peers.replace(peers)
                 logger.info("peers assigned", peers=len(peers), source=sender)
             case FrontNumber() if sender == self.leader:
                 self.limits.record_position(message)
--- a/src/scalebend/core/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -10,14 +10,14 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 from enum import Enum
 
 import msgspec
 import structlog
 
+from scalebend.core.tunnel_peers import TunnelPeers
 from scalebend.models.ids import AvailabilityZone, InstanceId
-from scalebend.models.tunnels import TunnelPeer, TunnelReply
+from scalebend.models.tunnels import TunnelReply
 
 logger = structlog.get_logger(__name__)
 
@@ -36,9 +36,6 @@
 """Time for which a process must be isolated before it refuses requests for it: all
 processes of a busy host may fail to connect for a moment."""
 
-PEER_AVOIDANCE_S = 1.0
-"""Time for which a peer that could not help is asked last."""
-
 UNREACHABLE_LIFETIME_S = 1.0
 """Time for which an upstream that peers could not reach either gets no tunnels."""
 
@@ -129,7 +126,7 @@
         self.is_isolated = False
         """Whether no direct way to any upstream is known."""
 
-        self._zone = availability_zone
+        self.peers = TunnelPeers(availability_zone)
         self._records: dict[str, _Record] = {}
         self._worked_at = -math.inf
         """When the newest direct connection that delivered data was opened."""
@@ -144,20 +141,12 @@
         self._active_at = -math.inf
         """When data arrived last on any direct connection."""
 
-        self._tunnel_opened_at = -math.inf
-        self._peer_connected_at = -math.inf
-        """When a peer last told that it reaches an upstream, or that it does not."""
-
-        self._peer_isolated_at = -math.inf
-        self._peers: dict[InstanceId, TunnelPeer] = {}
-        self._avoided_until: dict[InstanceId, float] = {}
-
     # Decisions
 
     def plan(self, address: str, now: float, *, may_repeat: bool) -> ConnectionPlan:
         """Plan a new connection; ``may_repeat`` if its request may be repeated."""
         record = self._records.get(address)
-        if not self._is_behind_tunnel(record) or not self._peers:
+        if not self._is_behind_tunnel(record) or not self.peers.count:
             return Direct()
         record = self._get(address, now)
         if now < record.unreachable_until:
@@ -204,7 +193,7 @@
         if self._active_at > self._failing_since + DATA_IN_FLIGHT_S:
             return OpenConnections.ALIVE
         is_silent = now - self._active_at >= MIN_SILENCE_S
-        if is_silent and self._tunnel_opened_at >= self._isolated_at:
+        if is_silent and self.peers.opened_at >= self._isolated_at:
             return OpenConnections.LOST
         return OpenConnections.UNKNOWN
 
@@ -225,7 +214,7 @@
         It decides whether the next requests there use a tunnel.
         """
         record = self._get(address, now)
-        if not self._peers or now < record.unreachable_until:
+        if not self.peers.count or now < record.unreachable_until:
             return False
         if now - record.check_at < CHECK_INTERVAL_S:
             return False
@@ -249,8 +238,7 @@
         """
         if not self.is_isolated or now - self._isolated_at < MIN_ISOLATION_S:
             return False
-        is_recent = now - self._peer_isolated_at < PEER_AVOIDANCE_S
-        return is_recent and self._peer_isolated_at > self._peer_connected_at
+        return self.peers.are_isolated(now)
 
     def needs_more_replies(self, address: str, now: float) -> bool:
         """Whether to ask another peer after one that did not reach the upstream."""
@@ -269,31 +257,8 @@
             return TunnelReply.UNREACHABLE
         return None
 
-    def list_peers(
-        self, upstream_zone: AvailabilityZone | None, now: float
-    ) -> list[TunnelPeer]:
-        """List peers in the order in which to ask them.
-
-        A peer in the zone of either end adds no crossing between zones.
-        """
-
-        def rank(peer: TunnelPeer) -> tuple[bool, bool]:
-            is_avoided = now < self._avoided_until.get(peer.instance, -math.inf)
-            is_near = peer.availability_zone in (self._zone, upstream_zone)
-            return (is_avoided, not is_near)
-
-        return sorted(self._peers.values(), key=rank)
-
     # Events
 
-    def set_peers(self, peers: Iterable[TunnelPeer]) -> None:
-        """Replace the peers, as the leader assigned them."""
-        self._peers = {peer.instance: peer for peer in peers}
-        avoided = self._avoided_until
-        self._avoided_until = {
-            one: avoided[one] for one in self._peers.keys() & avoided.keys()
-        }
-
     def record_failure(self, address: str, kind: FailureKind, now: float) -> None:
         """Record that a direct connection failed."""
         record = self._get(address, now)
@@ -308,7 +273,7 @@
                 "process is isolated",
                 failing=failing,
                 last_success=_round_age(now - self._worked_at),
-                peers=len(self._peers),
+                peers=self.peers.count,
             )
 
     def record_data(self, address: str, opened_at: float, now: float) -> None:
@@ -343,10 +308,9 @@
     ) -> None:
         """Record the reply of a peer; ``None`` if there was none."""
         record = self._get(address, now)
+        self.peers.record_reply(peer, reply, now)
         match reply:
             case TunnelReply.OPENED:
-                self._peer_connected_at = self._tunnel_opened_at = now
-                self._avoided_until.pop(peer, None)
                 record.refusals = 0
                 record.unreachable_until = -math.inf
                 if not record.is_tunnelled:
@@ -355,11 +319,9 @@
                     logger.info(
                         "upstream is reached through a peer", address=address, peer=peer
                     )
-                return
             case TunnelReply.UNREACHABLE:
-                self._peer_connected_at = now
                 record.refusals += 1
-                needed = min(CONFIRMATIONS, len(self._peers)) if self.is_isolated else 1
+                needed = min(CONFIRMATIONS, self.peers.count) if self.is_isolated else 1
                 if record.refusals >= needed:
                     record.refusals = 0
                     record.is_tunnelled = False
@@ -369,9 +331,6 @@
                         address=address,
                         peer=peer,
                     )
-            case TunnelReply.ISOLATED:
-                self._peer_isolated_at = now
-        self._avoided_until[peer] = now + PEER_AVOIDANCE_S
 
     def expire(self, now: float) -> None:
         """Remove records of upstreams without recent events."""
--- a/src/scalebend/edges/instance_dialing.py
+++ b/src/scalebend/edges/instance_dialing.py
@@ -41,7 +41,7 @@
 
     def update_peers(self, live: list[ListedInstance]) -> None:
         """Replace the instances through which tunnels may be opened."""
-        self.reach.set_peers(
+        self.reach.peers.replace(
             choose_peers(_build_peer(self._me), map(_build_peer, live))
         )
 
--- a/src/scalebend/edges/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -168,7 +168,7 @@
         address = needed.address
         started_at = self._host.now()
         zone = self._host.find_zone(address)
-        for peer in self._reach.list_peers(zone, started_at):
+        for peer in self._reach.peers.list_by_preference(zone, started_at):
             handler = needed.build_handler()
             reply = await self._ask(peer, address, handler)
             now = self._host.now()
--- a/tests/unit/gateway/test_partitioned_reports.py
+++ b/tests/unit/gateway/test_partitioned_reports.py
@@ -19,7 +19,7 @@
 def deployment():
     deployment = build_deployment(fronts=8, replicas=18, has_engines=True)
     for front in deployment.fronts:
-        front.reach.set_peers([PEER])
+        front.reach.peers.replace([PEER])
     return deployment
 
 
--- a/tests/unit/gateway/test_tunnels.py
+++ b/tests/unit/gateway/test_tunnels.py
@@ -96,7 +96,7 @@
     server = TunnelServer(settings, instance, KEY, GatewayMetrics())
     peer = TunnelPeer("front-2", "z", f"127.0.0.1:{port}", KEY)
     runtime = FrontRuntime(build_settings(), GatewayMetrics())
-    runtime.instance.reach.set_peers([peer])
+    runtime.instance.reach.peers.replace([peer])
     runtime.instance.reach.record_reply(
         address, peer.instance, TunnelReply.OPENED, runtime.now()
     )
--- a/tests/unit/test_abandoned_connections.py
+++ b/tests/unit/test_abandoned_connections.py
@@ -38,7 +38,7 @@
 
     def __init__(self):
         self.reach = UpstreamReach("z")
-        self.reach.set_peers([PEER])
+        self.reach.peers.replace([PEER])
         self.tasks = []
         self.abandoned = 0
 
--- a/tests/unit/test_peer_tunnels.py
+++ b/tests/unit/test_peer_tunnels.py
@@ -115,7 +115,7 @@
         host.spawn,
         context,
     )
-    host.reach.set_peers([TunnelPeer("instance-2", "z", listen)])
+    host.reach.peers.replace([TunnelPeer("instance-2", "z", listen)])
     host.reach.record_reply(address, "instance-2", TunnelReply.OPENED, host.now())
     connector = StrictConnector(
         UpstreamDialer(host), force_close=False, may_repeat=False, context=context
--- a/tests/unit/test_upstream_dialer.py
+++ b/tests/unit/test_upstream_dialer.py
@@ -36,7 +36,7 @@
 
     def __init__(self, *outcomes, replies=()):
         self.reach = UpstreamReach("z")
-        self.reach.set_peers([TunnelPeer(f"front-{n}", "z", "") for n in range(3)])
+        self.reach.peers.replace([TunnelPeer(f"front-{n}", "z", "") for n in range(3)])
         self.time = 100.0
         self.outcomes = list(outcomes)
         self.replies = list(replies)
--- a/tests/unit/test_upstream_reach.py
+++ b/tests/unit/test_upstream_reach.py
@@ -2,13 +2,13 @@
 
 import pytest
 
+from scalebend.core.tunnel_peers import PEER_AVOIDANCE_S
 from scalebend.core.upstream_reach import (
     CHECK_INTERVAL_S,
     DATA_IN_FLIGHT_S,
     FAILURE_WINDOW_S,
     MIN_ISOLATION_S,
     MIN_SILENCE_S,
-    PEER_AVOIDANCE_S,
     PROOF_LIFETIME_S,
     RECENT_FAILURE_S,
     TRIAL_INTERVAL_S,
@@ -34,7 +34,7 @@
 @pytest.fixture
 def reach():
     reach = UpstreamReach("z")
-    reach.set_peers(PEERS)
+    reach.peers.replace(PEERS)
     return reach
 
 
@@ -218,16 +218,16 @@
 
 def test_peers_that_add_no_crossing_between_zones_come_first(reach):
     peers = [build_peer(1, "x"), build_peer(2, "y"), build_peer(3, "z")]
-    reach.set_peers(peers)
-    listed = [peer.instance for peer in reach.list_peers("y", 0.0)]
+    reach.peers.replace(peers)
+    listed = [peer.instance for peer in reach.peers.list_by_preference("y", 0.0)]
     assert listed == ["front-2", "front-3", "front-1"]
 
 
 def test_peer_that_could_not_help_comes_last_for_a_while(reach):
     reach.record_reply(A, "front-1", TunnelReply.ISOLATED, 10.0)
-    assert reach.list_peers(None, 10.1)[-1].instance == "front-1"
+    assert reach.peers.list_by_preference(None, 10.1)[-1].instance == "front-1"
     later = 10.0 + PEER_AVOIDANCE_S
-    assert reach.list_peers(None, later)[0].instance == "front-1"
+    assert reach.peers.list_by_preference(None, later)[0].instance == "front-1"
 
 
 def test_front_is_stranded_while_its_peers_are_isolated_too(reach):
