--- a/src/scalebend/core/gateway/attempts.py
+++ b/src/scalebend/core/gateway/attempts.py
@@ -64,7 +64,7 @@
 
     @property
     def allows_another_run(self) -> bool:
-        """Whether the route allows one more run than the next one."""
+        """Whether the route allows another run after one that begins now."""
         route = self._call.route
         return route.is_idempotent and self.runs + 1 < route.max_attempts
 
