Reset connections that are given up for their path

Cause: a connection that is closed regularly keeps its unacknowledged bytes in the kernel, which delivers them if the path is back soon. A reset discards them, and the upstream never runs what was given up.

Evidence: test_lost_connection_is_reset_so_that_its_request_is_not_delivered_later saw a regular end before (b''), now a reset. Ruled out: a backoff that was not heeded (`backoff heard` three times, nothing chosen for that replica afterwards).

--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -30,6 +30,7 @@
 from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.edges.upstream_dialer import NewConnection, UpstreamDialer
 from scalebend.models.ids import InstanceId
+from scalebend.utils.resets import reset_connection
 
 CONNECT_SHARE = 0.9
 """Share of the remaining time that a connection may take: its timeout comes before the
@@ -138,11 +139,14 @@
         return self._may_repeat and self._is_busy()
 
     def abandon(self) -> None:
-        """End the connection because its path is lost."""
+        """End the connection because its path is lost.
+
+        The reset keeps the kernel from delivering the request once the path is back.
+        """
         self._loss = PathLostError("the path to the upstream was lost")
         self._awaits_data = False
         if self.transport is not None:
-            self.transport.abort()
+            reset_connection(self.transport)
 
     def data_received(self, data: bytes) -> None:
         """Abort on data after a complete response (called by asyncio)."""
--- a/tests/unit/test_abandoned_connections.py
+++ b/tests/unit/test_abandoned_connections.py
@@ -133,6 +133,30 @@
         assert not client.host.reach.may_blame(UNREACHABLE[0], client.host.now())
 
 
+async def test_lost_connection_is_reset_so_that_its_request_is_not_delivered_later():
+    """Guards against a request arriving after the partition, when it ran elsewhere."""
+    began = asyncio.Semaphore(0)
+    ends = []
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        began.release()
+        try:
+            ends.append(await reader.read())
+        except ConnectionResetError as error:
+            ends.append(error)
+
+    async with run_client(respond) as client:
+        fetching = asyncio.create_task(client.fetch())
+        await began.acquire()
+        await client.isolate()
+        await asyncio.wait([fetching], timeout=BOUND_S)
+        async with asyncio.timeout(BOUND_S):
+            while not ends:
+                await asyncio.sleep(0.01)
+    assert isinstance(ends[0], ConnectionResetError)
+
+
 async def test_request_that_may_run_at_most_once_waits_on():
     began = asyncio.Semaphore(0)
     async with run_client(build_silent(b"", began)) as client:
