Soak: lose held bytes whose sender resets the connection

The proxies delivered what they had held up even if its sender had reset the connection meanwhile, unlike the users' network (bytes that a partition holds up are lost then). The test failed before.

--- a/src/scalebend/standins/proxy.py
+++ b/src/scalebend/standins/proxy.py
@@ -147,6 +147,9 @@
                 if direction is Direction.REQUESTS:
                     connection.client = self._identify(data)
             await self._wait_until_unblocked(connection, direction)
+            # Bytes that are held up are lost if their sender resets the connection.
+            if (error := reader.exception()) is not None:
+                raise error
             writer.write(data)
             await writer.drain()
         await self._wait_until_unblocked(connection, direction)
--- a/tests/unit/test_proxy.py
+++ b/tests/unit/test_proxy.py
@@ -7,6 +7,7 @@
 
 from scalebend.standins.ports import find_free_ports
 from scalebend.standins.proxy import Direction, Rule, run_proxy
+from scalebend.utils.resets import reset_connection
 
 DELAY_S = 0.1
 
@@ -52,6 +53,28 @@
         assert await pending == b"hello"
 
 
+async def test_held_bytes_are_lost_if_their_sender_resets_the_connection():
+    received = []
+
+    async def record(reader, writer):
+        with contextlib.suppress(ConnectionError):
+            received.append(await reader.read(100))
+        writer.close()
+
+    target, proxied = find_free_ports(2)
+    server = await asyncio.start_server(record, "127.0.0.1", target)
+    async with run_proxy(f"127.0.0.1:{proxied}", f"127.0.0.1:{target}") as proxy:
+        _, writer = await asyncio.open_connection("127.0.0.1", proxied)
+        with proxy.apply(Rule(None, blocked=Direction.REQUESTS)):
+            writer.write(b"hello")
+            await asyncio.sleep(DELAY_S)
+            reset_connection(writer.transport)
+            await asyncio.sleep(DELAY_S)
+        await asyncio.sleep(DELAY_S)
+    server.close()
+    assert b"hello" not in received
+
+
 async def test_bytes_are_delayed_in_both_directions():
     async with run_echo() as (proxy, reader, writer):
         started = asyncio.get_running_loop().time()
