Give a call time to be sent in a test of what may have run

Its log: no connection before the deadline of 0.3 s, the answer came after 0.46 s. So the test's own process had stood still, nothing had been sent, and "not run" was true. The deadline is 1.5 s now, and the test also checks that the request had arrived, which it took for granted; what it demands of the answer is the same.

--- a/tests/unit/gateway/test_lost_replicas.py
+++ b/tests/unit/gateway/test_lost_replicas.py
@@ -112,14 +112,18 @@
 
 
 async def test_request_that_was_sent_may_have_run_at_its_deadline():
+    arrived = asyncio.Event()
+
     async def hang(request):
+        arrived.set()
         await asyncio.Event().wait()
 
     routing = build_plain(RouteKind.NON_IDEMPOTENT)
     async with run_front(routing) as front, serve(hang) as unresponsive:
         front.add(1, unresponsive)
-        async with front.call(wait=0.3) as response:
+        async with front.call(wait=1.5) as response:
             document = await response.json(content_type=None)
+        assert arrived.is_set()
         assert (response.status, document["ran"]) == (504, "unknown")
 
 
