--- a/tests/lib/raw_upstream.py
+++ b/tests/lib/raw_upstream.py
@@ -38,6 +38,18 @@
     writer.write(WITHOUT_LENGTH)
 
 
+def hang_after(sent, on_sent):
+    """Return a handler that sends ``sent``, calls ``on_sent``, then sends nothing."""
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(sent)
+        on_sent()
+        await asyncio.sleep(30.0)
+
+    return respond
+
+
 async def respond_and_reset(reader, writer):
     """Send a part of a response without a length, then reset the connection."""
     await respond_without_length(reader, writer)
--- a/tests/unit/gateway/test_tunnels.py
+++ b/tests/unit/gateway/test_tunnels.py
@@ -34,6 +34,7 @@
 from tests.lib.raw_upstream import (
     COMPLETE,
     WITHOUT_LENGTH,
+    hang_after,
     respond_always,
     respond_and_reset,
     respond_without_length,
@@ -137,14 +138,7 @@
 @pytest.mark.parametrize("sent", [WITHOUT_LENGTH, COMPLETE[:-1], b""])
 async def test_end_of_the_peer_is_no_end_and_no_crash_of_the_upstream(sent):
     responded = asyncio.Event()
-
-    async def respond(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(sent)
-        responded.set()
-        await asyncio.sleep(10.0)
-
-    async with run_tunnelled(respond) as tunnelled:
+    async with run_tunnelled(hang_after(sent, responded.set)) as tunnelled:
         fetching = asyncio.create_task(tunnelled.fetch())
         await responded.wait()
         # As when the process of the peer is killed.
--- a/tests/unit/test_abandoned_connections.py
+++ b/tests/unit/test_abandoned_connections.py
@@ -19,7 +19,12 @@
 from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.edges.upstream_dialer import NewConnection, UpstreamDialer
 from scalebend.models.tunnels import TunnelPeer, TunnelReply
-from tests.lib.raw_upstream import COMPLETE, WITHOUT_LENGTH, run_upstream
+from tests.lib.raw_upstream import (
+    COMPLETE,
+    WITHOUT_LENGTH,
+    hang_after,
+    run_upstream,
+)
 
 PEER = TunnelPeer("front-2", "z", "")
 UNREACHABLE = ("10.0.0.1:80", "10.0.0.2:80")
@@ -106,22 +111,10 @@
     await asyncio.gather(*host.tasks, return_exceptions=True)
 
 
-def build_silent(sent, began):
-    """Return a handler that sends ``sent``, then nothing."""
-
-    async def respond(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(sent)
-        began.release()
-        await asyncio.sleep(30.0)
-
-    return respond
-
-
 @pytest.mark.parametrize("sent", [b"", COMPLETE[:-1], WITHOUT_LENGTH])
 async def test_request_on_a_lost_connection_ends_soon_and_blames_nobody(sent):
     began = asyncio.Semaphore(0)
-    async with run_client(build_silent(sent, began)) as client:
+    async with run_client(hang_after(sent, began.release)) as client:
         fetching = asyncio.create_task(client.fetch())
         await began.acquire()
         await client.isolate()
@@ -159,7 +152,7 @@
 
 async def test_request_that_may_run_at_most_once_waits_on():
     began = asyncio.Semaphore(0)
-    async with run_client(build_silent(b"", began)) as client:
+    async with run_client(hang_after(b"", began.release)) as client:
         repeatable = asyncio.create_task(client.fetch())
         once = asyncio.create_task(client.fetch(may_repeat=False))
         for _ in range(2):
--- a/tests/unit/test_peer_tunnels.py
+++ b/tests/unit/test_peer_tunnels.py
@@ -27,6 +27,7 @@
 from tests.lib.raw_upstream import (
     COMPLETE,
     WITHOUT_LENGTH,
+    hang_after,
     respond_always,
     respond_and_reset,
     respond_without_length,
@@ -168,14 +169,7 @@
 @pytest.mark.parametrize("ends_here", [False, True], ids=["peer", "channel"])
 async def test_lost_tunnel_is_no_end_and_no_crash_of_the_upstream(sent, ends_here):
     responded = asyncio.Event()
-
-    async def respond(reader, writer):
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(sent)
-        responded.set()
-        await asyncio.sleep(10.0)
-
-    async with run_tunnelled(respond) as tunnelled:
+    async with run_tunnelled(hang_after(sent, responded.set)) as tunnelled:
         fetching = asyncio.create_task(tunnelled.fetch())
         await responded.wait()
         if ends_here:
