Log the parts of prompts, and how far each attempt got

What callers saw: engines crash one after the other under requests that are all different. The lines of requests and attempts could not tell whether those requests share a part, nor whether an attempt had begun to write when its replica crashed (last_event counts earlier attempts, too).

The header is decoded in the adapter, the last part of a prompt is left out.

--- a/src/scalebend/core/fingerprints.py
+++ b/src/scalebend/core/fingerprints.py
@@ -1,4 +1,4 @@
-"""Fingerprints, which identify repeated requests across attempts and processes.
+"""Fingerprints and part ids, which identify what different attempts have in common.
 
 Callers use a new id for each attempt and send it to any process. So log lines and
 messages between processes identify a request by its customer and content.
@@ -8,12 +8,16 @@
 
 import hashlib
 
-from scalebend.models.ids import CustomerId, Fingerprint
+from scalebend.models.ids import CustomerId, Fingerprint, PartId
 
 _DIGEST_BYTES = 12
 """96 bits, which make accidental collisions negligible and a second request with the
 fingerprint of a given one infeasible to find."""
 
+MAX_PART_ID_CHARACTERS = 96
+"""Maximum length of a part id. Longer ones are hashed: their number is bounded in
+memory and in messages, their length must be, too."""
+
 
 def compute_fingerprint(
     customer: CustomerId | None, method: str, host: str, target: str, body: bytes
@@ -30,3 +34,16 @@
         digest.update(encoded)
     digest.update(body)
     return Fingerprint(digest.digest()[:_DIGEST_BYTES].hex())
+
+
+def build_part_id(model: str, part: str) -> PartId:
+    """Build the id of a part of prompts for a model, which may be unnamed.
+
+    The same text is read by different code for each model, so one model may fail on it
+    while others don't.
+    """
+    name = f"{model}/{part}"
+    if len(name) <= MAX_PART_ID_CHARACTERS:
+        return PartId(name)
+    digest = hashlib.sha256(name.encode(errors="surrogateescape"))
+    return PartId(digest.digest()[:_DIGEST_BYTES].hex())
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from scalebend.core.gateway.attempt_progress import AttemptProgress
 from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
 from scalebend.core.gateway.event_cursor import EventCursor, GarbledEventsError
 from scalebend.core.gateway.timeouts import (
@@ -38,7 +39,8 @@
 from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import Call, Outcome, ResponseHeaders
-from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
+from scalebend.models.crashes import RequestIdentity
+from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.rate_limits import UNLIMITED, RateLimit
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
@@ -83,6 +85,8 @@
     target: Target | None = None
     """Where it ran, if not at the target first chosen."""
 
+    progress: AttemptProgress = msgspec.field(default_factory=AttemptProgress)
+
     @property
     def has_unavailable_member(self) -> bool:
         """Whether an upstream of the placement is unavailable; others may be, too."""
@@ -112,17 +116,18 @@
         call: Call,
         request: web.BaseRequest,
         body: bytes,
-        fingerprint: Fingerprint,
+        identity: RequestIdentity,
     ) -> None:
         self._runtime = runtime
         self._call = call
-        self._fingerprint = fingerprint
+        self._identity = identity
         self._request = request
         self._body = body
         self._attempts = Attempts(call)
         excluded = self._attempts.excluded
-        self._choice = UpstreamChoice(runtime, call, fingerprint, excluded)
+        self._choice = UpstreamChoice(runtime, call, identity, excluded)
         self._cursor = EventCursor(call.headers.last_event)
+        self._progress = AttemptProgress()
         self._stream: web.StreamResponse | None = None
         self._path: PathWatch | None = None
         self._event_at = 0.0
@@ -167,7 +172,7 @@
             runtime.metrics.count_attempt(result.outcome.value)
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
-                runtime.record_completed(self._fingerprint)
+                runtime.record_completed(self._identity.fingerprint)
             if result.outcome is Outcome.ANSWERED:
                 runtime.instance.record_outcome(
                     target.upstream, runtime.now(), has_failed=False
@@ -184,7 +189,7 @@
         """Return the seconds until the quarantine of the request ends, or 0."""
         runtime = self._runtime
         return runtime.instance.crashes.compute_quarantine(
-            self._fingerprint, runtime.now()
+            self._identity.fingerprint, runtime.now()
         )
 
     def _compute_backoff(self) -> float:
@@ -197,9 +202,9 @@
         runtime = self._runtime
         faulty = result.faulty or target.upstream
         if result.is_connection_lost:
-            runtime.record_crash(self._fingerprint, faulty)
+            runtime.record_crash(self._identity.fingerprint, faulty)
         if result.outcome in (Outcome.UNRESPONSIVE, Outcome.TIMED_OUT):
-            runtime.record_unanswered(self._fingerprint, target.upstream)
+            runtime.record_unanswered(self._identity.fingerprint, target.upstream)
             runtime.instance.record_silence(target.address, runtime.now())
         if result.outcome in (Outcome.NOT_SENT, Outcome.UNRESPONSIVE):
             runtime.instance.balancer.record_unreachable(target.upstream, runtime.now())
@@ -231,13 +236,16 @@
         logger.info(
             "attempt ended",
             request=self._call.headers.request,
-            fingerprint=self._fingerprint,
+            fingerprint=self._identity.fingerprint,
             upstream=target.upstream,
             address=target.address,
             outcome=result.outcome.value,
             faulty=faulty,
             detail=result.detail,
             last_event=self._cursor.last_event,
+            parts=self._identity.logged_parts,
+            events=result.progress.events,
+            streamed_for=round(result.progress.streamed_for, 3),
             decision=type(decision).__name__,
         )
         return decision
@@ -263,6 +271,11 @@
     # One attempt
 
     async def _attempt(self, target: Target) -> AttemptResult:
+        self._progress = AttemptProgress()
+        result = await self._send(target)
+        return msgspec.structs.replace(result, progress=self._progress)
+
+    async def _send(self, target: Target) -> AttemptResult:
         if target.unavailable is not None:
             return AttemptResult(
                 Outcome.WITHDRAWN, detail="not sent", faulty=target.unavailable
@@ -460,7 +473,7 @@
                 self._record_first_token(target)
             is_first = False
             read_timeout = event_timeout
-            self._record_event_time()
+            self._record_event_time(forwarded.events)
             stream = self._stream or await self._open_stream(response)
             await stream.write(forwarded.data)
         if cursor.has_partial:
@@ -480,8 +493,9 @@
     def _claim_response(self) -> None:
         """Called before a response without events is opened for the caller."""
 
-    def _record_event_time(self) -> None:
+    def _record_event_time(self, events: int) -> None:
         now = self._runtime.now()
+        self._progress.record_events(events, now)
         if self.first_event is None:
             self.first_event = now - self._call.arrived
         else:
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -10,7 +10,7 @@
 import structlog
 from aiohttp import web
 
-from scalebend.core.fingerprints import compute_fingerprint
+from scalebend.core.fingerprints import build_part_id, compute_fingerprint
 from scalebend.core.gateway.key_lease import LEASE_MARGIN_S
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_dialing import FrontDialing
@@ -30,8 +30,8 @@
     ScalebendError,
 )
 from scalebend.models.calls import Call, CallerHeaders
+from scalebend.models.crashes import RequestIdentity
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import Fingerprint
 from scalebend.models.routing import Route, RoutedCustomer
 from scalebend.platform.headers import (
     REQUEST_ID,
@@ -60,7 +60,7 @@
     headers: CallerHeaders
     at: float
     route: Route | None = None
-    fingerprint: Fingerprint | None = None
+    identity: RequestIdentity | None = None
     forwarder: Forwarder | None = None
 
 
@@ -82,12 +82,8 @@
             arrival.route = self._find_route(request)
             call = self._admit(request, arrival, arrival.route)
             body = await self._read_body(request, call)
-            arrival.fingerprint = compute_fingerprint(
-                call.customer, call.method, request.host, call.target, body
-            )
-            forwarder = HedgedForwarder(
-                runtime, call, request, body, arrival.fingerprint
-            )
+            identity = arrival.identity = _identify_request(call, request.host, body)
+            forwarder = HedgedForwarder(runtime, call, request, body, identity)
             arrival.forwarder = forwarder
             response = await forwarder.forward()
             self._log(arrival, response.status, None, forwarder)
@@ -104,7 +100,7 @@
             logger.info(
                 "caller left",
                 request=arrival.headers.request,
-                fingerprint=arrival.fingerprint,
+                **_describe_identity(arrival.identity),
             )
             raise
         finally:
@@ -211,7 +207,7 @@
         logger.info(
             "request answered",
             request=arrival.headers.request,
-            fingerprint=arrival.fingerprint,
+            **_describe_identity(arrival.identity),
             route=route.name if route is not None else None,
             status=status,
             kind=error.kind.value if error is not None else None,
@@ -232,6 +228,21 @@
     return route.priority
 
 
+def _identify_request(call: Call, host: str, body: bytes) -> RequestIdentity:
+    headers = call.headers
+    return RequestIdentity(
+        compute_fingerprint(call.customer, call.method, host, call.target, body),
+        tuple(build_part_id(headers.model, part) for part in headers.shared_parts),
+    )
+
+
+def _describe_identity(identity: RequestIdentity | None) -> dict[str, object]:
+    """Return the log fields that tell which requests have something in common."""
+    if identity is None:
+        return {"fingerprint": None}
+    return {"fingerprint": identity.fingerprint, "parts": identity.logged_parts}
+
+
 def _describe_events(forwarder: Forwarder | None) -> dict[str, float]:
     """Return the log fields of the timing of a stream; none for other responses."""
     if forwarder is None or forwarder.first_event is None:
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -19,7 +19,7 @@
 from scalebend.edges.gateway.response_reading import wait_for_task
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.models.calls import Call, Outcome
-from scalebend.models.ids import Fingerprint
+from scalebend.models.crashes import RequestIdentity
 from scalebend.models.rate_limits import RateLimit
 
 logger = structlog.get_logger(__name__)
@@ -116,9 +116,9 @@
         call: Call,
         request: web.BaseRequest,
         body: bytes,
-        fingerprint: Fingerprint,
+        identity: RequestIdentity,
     ) -> None:
-        super().__init__(runtime, call, request, body, fingerprint)
+        super().__init__(runtime, call, request, body, identity)
         self._hedging = runtime.instance.hedging
         self._race: _Race | None = None
         self._sent_at: float | None = None
@@ -226,18 +226,18 @@
             call,
             self._attempts.runs,
             runtime.now(),
-            is_suspect=runtime.instance.crashes.is_suspect(self._fingerprint),
+            is_suspect=runtime.instance.crashes.is_suspect(self._identity.fingerprint),
             is_queueing=is_queueing,
         )
         self._log_overdue(target, delay, refusal)
         if refusal is not None:
             return None
         second = HedgedForwarder(
-            runtime, call, self._request, self._body, self._fingerprint
+            runtime, call, self._request, self._body, self._identity
         )
         second._attempts = self._attempts
         excluded = {*self._attempts.excluded, target.upstream}
-        second._choice = UpstreamChoice(runtime, call, self._fingerprint, excluded)
+        second._choice = UpstreamChoice(runtime, call, self._identity, excluded)
         second._race = race
         second._overdue = _Overdue(target, delay)
         race.add(second, asyncio.create_task(second._run_second()))
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -19,7 +19,8 @@
 from scalebend.edges.gateway.reservations import HelperUnresponsiveError, reserve_memory
 from scalebend.edges.gateway.service_choice import choose_within_limits
 from scalebend.models.calls import Call, ReportedLoad
-from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
+from scalebend.models.crashes import RequestIdentity
+from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 
 logger = structlog.get_logger(__name__)
@@ -83,11 +84,11 @@
         self,
         runtime: FrontRuntime,
         call: Call,
-        fingerprint: Fingerprint,
+        identity: RequestIdentity,
         excluded: set[UpstreamId],
     ) -> None:
         """``excluded`` is shared: it grows as attempts fail."""
-        self._fingerprint = fingerprint
+        self._identity = identity
         self._runtime = runtime
         self._call = call
         self._excluded = excluded
@@ -308,11 +309,13 @@
             event_gap=route.event_gap or route.target_latency,
             remaining=call.deadline - now,
             excluded=tuple(self._excluded),
-            is_suspect=self._runtime.instance.crashes.is_suspect(self._fingerprint),
+            is_suspect=self._runtime.instance.crashes.is_suspect(
+                self._identity.fingerprint
+            ),
             priority=call.priority,
             customer=call.customer,
             availability_zone=self._runtime.settings.availability_zone,
-            fingerprint=self._fingerprint,
+            fingerprint=self._identity.fingerprint,
             waited=now - call.arrived,
         )
 
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -32,6 +32,11 @@
     """Id of the last event that the caller received, if it resumes a stream."""
 
     prompt: PromptSize | None
+    model: str = ""
+    """Name of the model, as the caller states it; empty if it states none."""
+
+    shared_parts: tuple[str, ...] = ()
+    """Ids of the parts of the prompt that other requests may share, in its order."""
 
 
 class Call(msgspec.Struct, frozen=True):
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -40,6 +40,10 @@
 """Hash that all arrivals of the same request share, in hexadecimal; see
 :func:`scalebend.core.fingerprints.compute_fingerprint`."""
 
+PartId = NewType("PartId", str)
+"""Name of a part of prompts that several requests share, together with the model that
+reads it; see :func:`scalebend.core.fingerprints.build_part_id`."""
+
 AttemptId = NewType("AttemptId", str)
 """Id of one attempt to run a request on one upstream, unique in the system."""
 
--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -41,6 +41,13 @@
 
 _TOKENS = "X-Token-Counts"
 _LENGTH_HINT = "X-Length-Hint"
+_MODEL = "X-Model"
+_PARTS = "X-Prompt-Prefix"
+"""Parts of the prompt in order, as ``ID:TOKENS`` joined by commas. The last one belongs
+to the request or its session alone."""
+
+MAX_PARTS = 64
+"""Maximum number of parts that are read, the first ones. Prompts have a few."""
 
 MAX_COUNT_DIGITS = 6
 """Maximum digits of a count in a load header; a replica with a larger, bogus count
@@ -98,6 +105,8 @@
         key=key.strip() if scheme.lower() == "bearer" and key.strip() else None,
         last_event=_read_integer(headers.get(LAST_EVENT)),
         prompt=_read_prompt(headers),
+        model=headers.get(_MODEL, ""),
+        shared_parts=_read_shared_parts(headers.get(_PARTS, "")),
     )
 
 
@@ -112,6 +121,12 @@
     return PromptSize(prompt_tokens, max_output_tokens, expected)
 
 
+def _read_shared_parts(text: str) -> tuple[str, ...]:
+    parts = text.split(",", MAX_PARTS + 1)
+    names = (part.partition(":")[0].strip() for part in parts[:-1])
+    return tuple(dict.fromkeys(name for name in names if name))[:MAX_PARTS]
+
+
 def build_upstream_headers(
     received: CIMultiDictProxy[str],
     call: Call,
@@ -163,6 +178,8 @@
         headers["Authorization"] = f"Bearer {call.key}"
     if call.prompt is not None:
         headers[_TOKENS] = f"{call.prompt.prompt},{call.prompt.max_output_tokens}"
+    if call.model:
+        headers[_MODEL] = call.model
     if resume_after is not None:
         headers[LAST_EVENT] = str(resume_after)
     return headers
--- a/tests/unit/gateway/test_platform.py
+++ b/tests/unit/gateway/test_platform.py
@@ -132,6 +132,22 @@
     assert read.prompt.expected_output_tokens == 80
 
 
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+        ("a:1, b:2 ,a:1,c:1", ("a", "b")),
+        ("e4402b7d:250", ()),
+        (",:,;:x,,", (";",)),
+        ("", ()),
+        (",".join(f"{n:x}:1" for n in range(999)), tuple(f"{n:x}" for n in range(64))),
+    ],
+)
+def test_parts_of_a_prompt_are_read_without_the_last(text, parts):
+    read = read_caller_headers(CIMultiDict({"X-Model": "m", "X-Prompt-Prefix": text}))
+    assert (read.model, read.shared_parts) == ("m", parts)
+
+
 def test_malformed_numbers_count_as_absent():
     read = read_caller_headers(
         CIMultiDict({"X-Deadline-Ms": "soon", "X-Token-Counts": "1,", "Host": "h"})
--- a/tests/unit/test_fingerprints.py
+++ b/tests/unit/test_fingerprints.py
@@ -2,7 +2,11 @@
 
 import itertools
 
-from scalebend.core.fingerprints import compute_fingerprint
+from scalebend.core.fingerprints import (
+    MAX_PART_ID_CHARACTERS,
+    build_part_id,
+    compute_fingerprint,
+)
 from scalebend.models.ids import CustomerId
 
 REQUEST = (CustomerId("crew"), "POST", "a.example", "/x/1?y=2", b"body")
@@ -31,3 +35,14 @@
     assert compute_fingerprint(None, "GET", "h", "/", b"/") != (
         compute_fingerprint(None, "GET", "h", "//", b"")
     )
+
+
+def test_part_ids_tell_models_apart_and_are_bounded():
+    names = {
+        build_part_id("m", "5c1e07a2"),
+        build_part_id("n", "5c1e07a2"),
+        build_part_id("m", "a" * 1000),
+        build_part_id("m" * 1000, "a"),
+    }
+    assert len(names) == 4
+    assert all(len(name) <= MAX_PART_ID_CHARACTERS for name in names)
