Reproduce a part of prompts that crashes replica after replica, failing

Real processes: two fronts, ten replicas that crash when they begin a prompt with one part and are back after 3 s; 25 sound requests a second, 3 with the part, no two alike.

--- /dev/null
+++ b/tests/functional/test_crashing_parts.py
@@ -0,0 +1,172 @@
+"""A part of prompts that crashes every replica which begins to write a response on it.
+
+Guards against quarantines that recognize only repetitions of the same request, so that
+ever new requests with the part crash the replicas of a service one by one, and against
+verdicts on parts that sound requests share.
+"""
+
+import asyncio
+import contextlib
+import itertools
+import time
+
+import aiohttp
+import msgspec
+import pytest
+
+from tests.lib.fragile_replicas import PartFragileReplica
+from tests.lib.gateway_load import keep_registered
+from tests.lib.gateway_system import SERVICE, run_system
+from tests.lib.partitions import COMPLETE_STREAM
+from tests.lib.platform_replicas import build_document
+
+REPLICAS = 10
+CRASHES_UNTIL_VERDICT = 5
+CONTACT_S = 3.0
+"""Seconds after the fifth crash from which few requests with the part may be sent."""
+
+MAX_LATE_ARRIVALS = 3
+MIN_SERVED_SHARE = 0.9
+
+SOUND_INTERVAL_S = 0.04
+GUILTY_INTERVAL_S = 0.33
+QUIET_S = 3.0
+GUILTY_S = 14.0
+
+GUILTY = PartFragileReplica.guilty_part
+COMMON = "5c1e07a2"
+"""The part that all requests share."""
+
+
+class Shape(msgspec.Struct, frozen=True):
+    """What the requests look like that are sent."""
+
+    kind: str
+    has_engines: bool
+    guilty: tuple[str, ...]
+    """Shared parts of the guilty requests, in order."""
+
+    sound: tuple[tuple[str, ...], ...]
+    """Shared parts of the sound requests, one choice for each in turn."""
+
+    prompt_tokens: int = 5000
+
+
+SOUND_BEHIND_COMMON = ((COMMON, "91bd3f06"), (COMMON, "0dd0beef"))
+SHAPES = {
+    "engines": Shape("stream", True, (COMMON, GUILTY), SOUND_BEHIND_COMMON),
+    "engines-guilty-first": Shape(
+        "stream", True, (GUILTY, COMMON), ((COMMON,), ("91bd3f06", COMMON))
+    ),
+    "engines-long": Shape(
+        "stream", True, (COMMON, GUILTY, "91bd3f06"), SOUND_BEHIND_COMMON, 200_000
+    ),
+    "plain": Shape("idempotent", False, (COMMON, GUILTY), SOUND_BEHIND_COMMON),
+    "plain-at-most-once": Shape(
+        "non_idempotent", False, (COMMON, GUILTY), SOUND_BEHIND_COMMON
+    ),
+}
+
+
+class Sent(msgspec.Struct, frozen=True):
+    """One attempt of a caller."""
+
+    at: float
+    is_served: bool
+    status: int
+    body: bytes
+    retry_after: str | None
+
+
+class PartCallers:
+    """Callers whose requests all differ in body and last part, at either front."""
+
+    def __init__(self, system, shape):
+        self.system = system
+        self.shape = shape
+        self.number = itertools.count()
+
+    async def run(self, prompts, interval_s, seconds):
+        """Send requests with the parts of ``prompts`` in turn; return the attempts."""
+        end = time.monotonic() + seconds
+        async with asyncio.TaskGroup() as group:
+            tasks = []
+            for parts in itertools.cycle(prompts):
+                if time.monotonic() >= end:
+                    break
+                tasks.append(group.create_task(self.send(parts)))
+                await asyncio.sleep(interval_s)
+        return [task.result() for task in tasks]
+
+    async def send(self, parts):
+        number = next(self.number)
+        tokens = self.shape.prompt_tokens
+        prefix = ",".join(f"{part}:{tokens // 4}" for part in parts)
+        at = time.monotonic()
+        status, body, headers = 0, b"", {}
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            status, body, headers = await self.system.call(
+                self.shape.kind,
+                front=number % 2,
+                body=b"%d" % number,
+                **{
+                    "X-Model": "m",
+                    "X-Token-Counts": f"{tokens},100",
+                    "X-Prompt-Prefix": f"{prefix},{number:08x}:{tokens // 4}",
+                },
+            )
+        is_whole = body == COMPLETE_STREAM or body.startswith(b"done by")
+        is_served = status == 200 and is_whole
+        return Sent(at, is_served, status, body, headers.get("Retry-After"))
+
+
+@contextlib.asynccontextmanager
+async def run_fragile_system(folder, has_engines):
+    async with run_system(folder, REPLICAS, PartFragileReplica) as system:
+        engines = [SERVICE] if has_engines else []
+        document = build_document(2, [SERVICE], engines=engines)
+        assert await system.put(document) == 200
+        async with keep_registered(system):
+            yield system
+
+
+def list_late_arrivals(system):
+    """List when guilty requests arrived that were sent after the fifth crash."""
+    crashes = sorted(at for replica in system.replicas for at in replica.crashed_at)
+    assert len(crashes) >= CRASHES_UNTIL_VERDICT
+    since = crashes[CRASHES_UNTIL_VERDICT - 1] + CONTACT_S
+    arrivals = (at for replica in system.replicas for at in replica.guilty_at)
+    return since, [at for at in arrivals if at > since]
+
+
+def compute_served_share(attempts):
+    assert len(attempts) >= 20
+    return sum(attempt.is_served for attempt in attempts) / len(attempts)
+
+
+@pytest.mark.parametrize("shape", SHAPES.values(), ids=SHAPES)
+async def test_part_that_crashes_replicas_is_quarantined_and_others_are_served(
+    tmp_path, shape
+):
+    async with run_fragile_system(tmp_path, shape.has_engines) as system:
+        callers = PartCallers(system, shape)
+        async with asyncio.TaskGroup() as group:
+            running = group.create_task(
+                callers.run(shape.sound, SOUND_INTERVAL_S, QUIET_S + GUILTY_S)
+            )
+            await asyncio.sleep(QUIET_S)
+            began = time.monotonic()
+            guilty = await callers.run([shape.guilty], GUILTY_INTERVAL_S, GUILTY_S)
+        sound = running.result()
+        since, late = list_late_arrivals(system)
+        assert compute_served_share([one for one in sound if one.at < began]) == 1.0
+        share = compute_served_share(
+            [one for one in sound if one.at > since + CONTACT_S]
+        )
+        assert len(late) <= MAX_LATE_ARRIVALS, (len(late), share)
+        assert share >= MIN_SERVED_SHARE
+        refused = [one for one in guilty if one.at > since + CONTACT_S]
+        assert {one.status for one in refused} == {503}
+        assert all(b'"type":"ends-upstreams"' in one.body for one in refused)
+        assert all(b'"ran":"no"' in one.body for one in refused)
+        assert all(float(one.retry_after) > 0.0 for one in refused)
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -6,12 +6,10 @@
 
 import asyncio
 
-import aiohttp
 import pytest
-from aiohttp import web
 
+from tests.lib.fragile_replicas import FragileReplica
 from tests.lib.gateway_system import run_system
-from tests.lib.platform_replicas import Replica
 
 POISON = b"a prompt that no engine survives"
 
@@ -22,53 +20,16 @@
 """Seconds until a crashed replica is back under another name."""
 
 
-class FragileReplica(Replica):
-    """Crashes when it starts a certain request, and aborts all others it runs."""
-
-    def __init__(self, number, service, controls):
-        super().__init__(number, service, controls)
-        self.open_transports = set()
-        self.restarts = 0
-        self.is_up = True
-        self.tasks = set()
-
-    async def handle(self, request):
-        if not self.is_up:
-            request.transport.abort()
-            return web.Response()
-        body = await request.read()
-        self.open_transports.add(request.transport)
-        if body == POISON:
-            self.ran.append((request, body))
-            await asyncio.sleep(0.03)
-            self.crash()
-            return web.Response()
-        response = await super().handle(request)
-        self.open_transports.discard(request.transport)
-        return response
-
-    def crash(self):
-        self.is_up = False
-        for transport in self.open_transports:
-            transport.abort()
-        self.open_transports.clear()
-        task = asyncio.create_task(self.restart())
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def restart(self):
-        await asyncio.sleep(RESTART_DELAY_S)
-        self.restarts += 1
-        self.id = f"{self.id.partition('-of-')[0]}-of-{self.restarts}"
-        self.sequence = 0
-        self.is_up = True
-        async with aiohttp.ClientSession() as session:
-            await self.register(session)
+class PoisonedReplica(FragileReplica):
+    restart_delay_s = RESTART_DELAY_S
+
+    def is_crashed_by(self, request, body):
+        return body == POISON
 
 
 @pytest.fixture
 async def system(tmp_path):
-    async with run_system(tmp_path, 6, FragileReplica) as system:
+    async with run_system(tmp_path, 6, PoisonedReplica) as system:
         yield system
 
 
