Quarantine parts of prompts that crash replica after replica

Cause: only repetitions of a whole request were recognized. Each new request with the part got its own three crashes, for ever. Its class: evidence kept under a key that is finer than the cause.

Now crashes count against the parts of all prompts that had not got past the start of their response, and a response voids those that were known when its attempt was sent. The fewest parts that explain what stands are refused.

--- a/src/scalebend/core/gateway/attempt_progress.py
+++ b/src/scalebend/core/gateway/attempt_progress.py
@@ -4,10 +4,19 @@
 
 import msgspec
 
+from scalebend.core.part_ledger import NO_PARTS, SentParts
+
+UNDER_WAY_S = 0.25
+"""Seconds of events after which a response counts as under way. What crashes a replica
+when it begins to write may still let the first events through."""
+
 
 class AttemptProgress(msgspec.Struct):
     """The events of one attempt's stream; times are in monotonic seconds."""
 
+    parts: SentParts = NO_PARTS
+    """The parts of the prompt, as they were known when the attempt was sent."""
+
     events: int = 0
     first_event_at: float = 0.0
     last_event_at: float = 0.0
@@ -17,6 +26,16 @@
         """Seconds between the first and the last event."""
         return self.last_event_at - self.first_event_at
 
+    @property
+    def is_under_way(self) -> bool:
+        """Whether the response got past its start."""
+        return self.streamed_for >= UNDER_WAY_S
+
+    @property
+    def suspected_parts(self) -> SentParts:
+        """The parts that may be the cause if the upstream crashes now."""
+        return NO_PARTS if self.is_under_way else self.parts
+
     def record_events(self, count: int, now: float) -> None:
         """Record events that have just arrived."""
         if not self.events:
--- a/src/scalebend/core/gateway/control_instance.py
+++ b/src/scalebend/core/gateway/control_instance.py
@@ -216,7 +216,7 @@
             self.scheduler.expire(now)
             self.placement.queue.expire(now)
             self._ejections.expire(now)
-            self.crashes.ledger.expire(now)
+            self.crashes.expire(now)
             self.limits.expire(now)
         self._list_zones(now)
         self.placement.paths.advance(now)
--- a/src/scalebend/core/gateway/crash_exchange.py
+++ b/src/scalebend/core/gateway/crash_exchange.py
@@ -16,8 +16,9 @@
 from scalebend.core.crash_ledger import CrashLedger
 from scalebend.core.gateway.control_actions import ControlAction, ToFront
 from scalebend.core.gateway.messages import CrashUpdates
-from scalebend.models.crashes import CrashRecord
-from scalebend.models.ids import Fingerprint, InstanceId
+from scalebend.core.part_ledger import PartLedger
+from scalebend.models.crashes import CrashRecord, PartRecord
+from scalebend.models.ids import Fingerprint, InstanceId, PartId
 
 SEND_INTERVAL_S = 0.02
 """Minimum interval of messages to all fronts. One crash makes all requests on the
@@ -27,10 +28,12 @@
 
 
 class CrashExchange:
-    """The crash ledger of one control instance, and the pending updates."""
+    """The crash ledgers of one control instance, and the pending updates."""
 
     def __init__(self) -> None:
         self.ledger = CrashLedger()
+        self.parts = PartLedger()
+        self._pending_parts: dict[PartId, PartRecord] = {}
         self._pending: dict[Fingerprint, CrashRecord] = {}
         self._pending_cleared: dict[Fingerprint, None] = {}
         self._uninformed_fronts: dict[InstanceId, None] = {}
@@ -42,6 +45,15 @@
         """Restore records from before a restart; quarantines start again in full."""
         self.ledger.merge(records, now)
 
+    def restore_parts(self, records: list[PartRecord], now: float) -> None:
+        """The same for parts of prompts."""
+        self.parts.merge(records, now)
+
+    def expire(self, now: float) -> None:
+        """Forget old records."""
+        self.ledger.expire(now)
+        self.parts.expire(now)
+
     def add_front(self, front: InstanceId) -> None:
         """Add a newly linked front."""
         self._uninformed_fronts[front] = None
@@ -57,18 +69,22 @@
         for fingerprint in self.ledger.clear(updates.cleared):
             self._pending.pop(fingerprint, None)
             self._pending_cleared[fingerprint] = None
+        for part in self.parts.merge(updates.parts, now):
+            self._pending_parts[part.part] = part
 
     def receive_from_peer(self, updates: CrashUpdates, now: float) -> None:
         """Apply an update of a peer, which sends it to the fronts itself."""
         self.ledger.merge(updates.records, now)
         self.ledger.clear(updates.cleared)
+        self.parts.merge(updates.parts, now)
 
     def is_due(self, now: float) -> bool:
         """Whether there is anything to send now."""
         return self._may_send_updates(now) or bool(self._uninformed_fronts)
 
     def _may_send_updates(self, now: float) -> bool:
-        return bool(self._pending or self._pending_cleared) and now >= self._send_at
+        has_any = self._pending or self._pending_cleared or self._pending_parts
+        return bool(has_any) and now >= self._send_at
 
     def send_due(
         self,
@@ -83,16 +99,18 @@
         if self._may_send_updates(now):
             self._send_at = now + SEND_INTERVAL_S
             updates = CrashUpdates(
-                list(self._pending.values()), list(self._pending_cleared)
+                list(self._pending.values()),
+                list(self._pending_cleared),
+                list(self._pending_parts.values()),
             )
             self._pending.clear()
+            self._pending_parts.clear()
             self._pending_cleared.clear()
             actions += [ToFront(front, updates) for front in fronts]
             actions += [ToInstance(peer, updates) for peer in peers]  # type: ignore[arg-type]
         if is_leader and self._uninformed_fronts:
-            records = self.ledger.list_records()
-            if records:
-                everything = CrashUpdates(records, [])
+            everything = self._list_everything()
+            if everything is not None:
                 actions += [
                     ToFront(front, everything) for front in self._uninformed_fronts
                 ]
@@ -101,7 +119,12 @@
 
     def sync_peer(self, peer: InstanceId) -> list[ControlAction]:
         """Return all records to send over a new link to a control instance."""
-        records = self.ledger.list_records()
-        if not records:
+        everything = self._list_everything()
+        if everything is None:
             return []
-        return [ToInstance(peer, CrashUpdates(records, []))]  # type: ignore[arg-type]
+        return [ToInstance(peer, everything)]  # type: ignore[arg-type]
+
+    def _list_everything(self) -> CrashUpdates | None:
+        records = self.ledger.list_records()
+        parts = self.parts.list_records()
+        return CrashUpdates(records, [], parts) if records or parts else None
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -51,13 +51,16 @@
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.core.gateway.slow_start import SlowStarts
+from scalebend.core.part_ledger import NO_PARTS, PartLedger, SentParts
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.core.upstream_reach import FailureKind, UpstreamReach
+from scalebend.models.crashes import RequestIdentity
 from scalebend.models.endpoints import EndpointUpdate
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import (
     Fingerprint,
     InstanceId,
+    PartId,
     ServiceName,
     UpstreamId,
 )
@@ -105,7 +108,7 @@
         )
         self.evacuations = HeldEvacuations(self.directory)
         self.balancer = ServiceBalancer()
-        self._crashes = FrontCrashes(self.directory)
+        self._crashes = FrontCrashes(self.directory, settings.instance)
         starts = SlowStarts(self.directory, bounds)
         self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
@@ -167,6 +170,11 @@
         """Requests during which upstreams crashed, from all fronts."""
         return self._crashes.ledger
 
+    @property
+    def parts(self) -> PartLedger:
+        """Parts of prompts under which upstreams crashed, from all fronts."""
+        return self._crashes.parts
+
     @property
     def instances(self) -> set[InstanceId]:
         """Control instances to keep a link to."""
@@ -500,21 +508,49 @@
 
     # Crashes and suspect requests
 
+    def is_suspect(self, identity: RequestIdentity) -> bool:
+        """Whether the request may be what crashes upstreams."""
+        return self._crashes.is_suspect(identity)
+
+    def compute_quarantine(self, identity: RequestIdentity, now: float) -> float:
+        """Return the seconds of quarantine left; 0 if the request may be sent."""
+        return self._crashes.compute_quarantine(identity, now)
+
+    def begin_trial(self, parts: tuple[PartId, ...], now: float) -> list[ToControl]:
+        """Record that a request whose quarantine has ended is sent."""
+        return self._report(self._crashes.begin_trial(parts, now))
+
     def record_crash(
-        self, fingerprint: Fingerprint, upstream: UpstreamId, now: float
+        self,
+        fingerprint: Fingerprint,
+        upstream: UpstreamId,
+        now: float,
+        parts: SentParts = NO_PARTS,
     ) -> list[ToControl]:
-        """Record that an upstream crashed or disconnected during a request."""
-        return self._report(self._crashes.record_crash(fingerprint, upstream, now))
+        """Record that an upstream crashed or disconnected during a request.
+
+        ``parts`` are those that may be the cause.
+        """
+        update = self._crashes.record_crash(fingerprint, parts, upstream, now)
+        return self._report(update)
+
+    def record_under_way(self, parts: SentParts, now: float) -> list[ToControl]:
+        """Record that a response got past its start, so its parts are harmless."""
+        return self._report(self._crashes.record_under_way(parts, now))
 
     def record_completed(self, fingerprint: Fingerprint, now: float) -> list[ToControl]:
         """Record that an upstream gave a complete response to the request."""
         return self._report(self._crashes.record_completed(fingerprint, now))
 
     def record_unanswered(
-        self, fingerprint: Fingerprint, upstream: UpstreamId, now: float
+        self,
+        fingerprint: Fingerprint,
+        upstream: UpstreamId,
+        now: float,
+        parts: SentParts = NO_PARTS,
     ) -> None:
         """Record an attempt without a response whose connection did not break."""
-        self._crashes.record_unanswered(fingerprint, upstream, now)
+        self._crashes.record_unanswered(fingerprint, parts, upstream, now)
 
     def _apply_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
         logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
--- a/src/scalebend/core/gateway/messages.py
+++ b/src/scalebend/core/gateway/messages.py
@@ -7,7 +7,7 @@
 from scalebend.core.consensus.messages import ConsensusMessage
 from scalebend.core.gateway.routing_store import RoutingUpdate
 from scalebend.core.messages import FoundGroup, Hello, HelloReply, Join, RelayReply
-from scalebend.models.crashes import CrashRecord
+from scalebend.models.crashes import CrashRecord, PartRecord
 from scalebend.models.endpoints import EndpointUpdate, UpstreamOutcomes
 from scalebend.models.evacuations import Evacuations
 from scalebend.models.gateway_settings import GatewayRole
@@ -166,13 +166,14 @@
 
 
 class CrashUpdates(msgspec.Struct, frozen=True, tag="CrashNews"):
-    """Any process to another: requests during which upstreams crashed.
+    """Any process to another: requests and parts under which upstreams crashed.
 
     ``cleared`` are requests that an upstream completed later.
     """
 
     records: list[CrashRecord]
     cleared: list[Fingerprint]
+    parts: list[PartRecord] = msgspec.field(default_factory=list)
 
 
 class ObservedLimits(msgspec.Struct, frozen=True, tag="LimitsHeard"):
--- a/src/scalebend/core/gateway/unanswered_attempts.py
+++ b/src/scalebend/core/gateway/unanswered_attempts.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from scalebend.core.part_ledger import SentParts
 from scalebend.models.ids import Fingerprint, UpstreamId
 
 RETENTION_S = 15.0
@@ -20,8 +21,11 @@
 """Attempts kept for one replica: several times its concurrent requests."""
 
 
-class _Attempt(msgspec.Struct, frozen=True):
+class UnansweredAttempt(msgspec.Struct, frozen=True):
+    """An attempt without a response, at ``at``."""
+
     fingerprint: Fingerprint
+    parts: SentParts
     at: float
 
 
@@ -29,21 +33,27 @@
     """Recent attempts without a response, by replica."""
 
     def __init__(self) -> None:
-        self._attempts: dict[UpstreamId, list[_Attempt]] = {}
+        self._attempts: dict[UpstreamId, list[UnansweredAttempt]] = {}
 
-    def add(self, upstream: UpstreamId, fingerprint: Fingerprint, now: float) -> None:
+    def add(
+        self,
+        upstream: UpstreamId,
+        fingerprint: Fingerprint,
+        parts: SentParts,
+        now: float,
+    ) -> None:
         """Store an attempt that ended without any response."""
         attempts = self._attempts.setdefault(upstream, [])
-        attempts.append(_Attempt(fingerprint, now))
+        attempts.append(UnansweredAttempt(fingerprint, parts, now))
         del attempts[:-MAX_PER_REPLICA]
 
     def list_upstreams(self) -> list[UpstreamId]:
         """Replicas with attempts that got no response."""
         return list(self._attempts)
 
-    def pop(self, upstream: UpstreamId) -> list[Fingerprint]:
-        """Remove and return the unanswered requests of a replica that crashed."""
-        return [one.fingerprint for one in self._attempts.pop(upstream, ())]
+    def pop(self, upstream: UpstreamId) -> list[UnansweredAttempt]:
+        """Remove and return the unanswered attempts at a replica that crashed."""
+        return self._attempts.pop(upstream, [])
 
     def expire(self, now: float) -> None:
         """Forget attempts at replicas that did not crash soon after."""
--- /dev/null
+++ b/src/scalebend/core/part_ledger.py
@@ -0,0 +1,423 @@
+"""Quarantine of parts of prompts that crash every upstream that reads them.
+
+Requests that share such a part may differ in everything else, so each of them is new to
+:mod:`scalebend.core.crash_ledger`. Every process records, by part, which upstreams
+crashed and which of these crashes a later response voided. Processes exchange these
+records, and each derives from them which parts are the causes.
+
+A crash is voided only by a response whose attempt was sent when the crash was known.
+Then the order of the two is certain without a common clock: a part that became harmful
+a moment ago is not cleared by a response that began before. Voided crashes stay in the
+record, so that a process that missed the response can't bring them back.
+"""
+
+from __future__ import annotations
+
+import math
+import zlib
+from collections.abc import Iterable, Sequence
+
+import msgspec
+import structlog
+
+from scalebend.core.crash_causes import (
+    QUARANTINE,
+    SUSPICION,
+    PartEvidence,
+    find_causes,
+)
+from scalebend.models.crashes import MAX_LOGGED_PARTS, PartCrash, PartRecord
+from scalebend.models.ids import PartId, UpstreamId
+
+logger = structlog.get_logger(__name__)
+
+FIRST_QUARANTINE_S = 60.0
+QUARANTINE_GROWTH = 4.0
+MAX_QUARANTINE_S = 86_400.0
+MAX_GROWTH_STEPS = 8
+"""Length of a quarantine, and its growth with each trial that crashed an upstream. The
+first trial comes soon: a verdict on a part that others share is expensive if wrong."""
+
+TRIAL_TIMEOUT_S = 30.0
+"""Time in which no second trial begins, while the first may wait for its response."""
+
+TRIAL_SPREAD_S = 20.0
+"""Range of additional delays, different at each process, before a process may begin a
+trial. The others hear of it meanwhile."""
+
+RECORD_RETENTION_S = 1800.0
+"""How long a record is kept after its last crash or the end of its quarantine."""
+
+MAX_RECORDS = 4096
+"""Maximum number of records, of up to 2 KB each. Those with a single crash are evicted
+first, so parts that occur once don't displace the cause."""
+
+MAX_CRASHES_PER_RECORD = 32
+
+INFERENCE_INTERVAL_S = 0.1
+"""Minimum interval of inferences without new evidence."""
+
+SOUND_RETENTION_S = 60.0
+MAX_SOUND_PARTS = 4096
+"""How long, and for how many parts, the last response is remembered."""
+
+
+class SentParts(msgspec.Struct, frozen=True):
+    """The parts of one attempt, and the crashes known when it was sent.
+
+    What comes of the attempt is evidence against or for the part only in this order.
+    """
+
+    parts: tuple[PartId, ...] = ()
+    known: dict[PartId, tuple[UpstreamId, ...]] = {}
+    depths: dict[PartId, int] = {}
+
+
+NO_PARTS = SentParts()
+
+
+class _Crash(msgspec.Struct):
+    depth: int
+    known_since: float
+
+
+class _Record(msgspec.Struct):
+    crashes: dict[UpstreamId, _Crash] = {}
+
+    voided: dict[UpstreamId, None] = {}
+    was_sound: bool = False
+    position: int = 0
+    trials: int = 0
+    updated_at: float = -math.inf
+    quarantined_until: float = -math.inf
+    is_observed_here: bool = False
+    """Whether this process observed one of the crashes."""
+
+    @property
+    def standing(self) -> list[UpstreamId]:
+        """Crashes that are not voided."""
+        return [one for one in self.crashes if one not in self.voided]
+
+    @property
+    def depth(self) -> int:
+        """Length of the longest chain of standing crashes."""
+        return max((self.crashes[one].depth for one in self.standing), default=0)
+
+    def merge(self, record: PartRecord, now: float) -> bool:
+        """Merge another record of the same part; return whether anything changed."""
+        before = self._get_content()
+        for crash in record.crashes:
+            known = self.crashes.setdefault(crash.upstream, _Crash(crash.depth, now))
+            known.depth = max(known.depth, crash.depth)
+        self.voided.update(dict.fromkeys(record.voided))
+        self.was_sound = self.was_sound or record.was_sound
+        self.position = max(self.position, record.position)
+        self.trials = max(self.trials, record.trials)
+        self._drop_excess()
+        return before != self._get_content()
+
+    def export(self, part: PartId) -> PartRecord:
+        """Return the record in the form that processes exchange."""
+        return PartRecord(
+            part,
+            tuple(PartCrash(name, one.depth) for name, one in self.crashes.items()),
+            tuple(self.voided),
+            self.was_sound,
+            self.position,
+            self.trials,
+        )
+
+    def build_evidence(self, part: PartId, now: float) -> PartEvidence:
+        """Return what the record says about the part."""
+        standing = [self.crashes[one] for one in self.standing]
+        return PartEvidence(
+            part,
+            frozenset(self.standing),
+            self.depth,
+            now - min((one.known_since for one in standing), default=now),
+            self.was_sound,
+            bool(self.voided),
+            self.position,
+        )
+
+    def _get_content(self) -> tuple[object, ...]:
+        return (
+            {name: one.depth for name, one in self.crashes.items()},
+            set(self.voided),
+            self.was_sound,
+            self.position,
+            self.trials,
+        )
+
+    def _drop_excess(self) -> None:
+        """Drop voided crashes, oldest first, then the newest of the others."""
+        for upstream in list(self.voided):
+            if len(self.crashes) <= MAX_CRASHES_PER_RECORD:
+                break
+            self.crashes.pop(upstream, None)
+            del self.voided[upstream]
+        while len(self.crashes) > MAX_CRASHES_PER_RECORD:
+            self.crashes.popitem()
+        for upstream in [one for one in self.voided if one not in self.crashes]:
+            if len(self.voided) <= MAX_CRASHES_PER_RECORD:
+                break
+            del self.voided[upstream]
+
+
+class PartLedger:
+    """The parts of prompts that are known to one process as involved in crashes."""
+
+    def __init__(self, salt: str = "") -> None:
+        """``salt`` differs between processes and spreads their trials."""
+        self._salt = salt.encode()
+        self._records: dict[PartId, _Record] = {}
+        self._repeated: dict[PartId, _Record] = {}
+        """Records with several standing crashes."""
+
+        self._causes: set[PartId] = set()
+        self._suspects: set[PartId] = set()
+        self._inferred_at = -math.inf
+        self._sound_at: dict[PartId, float] = {}
+        self.changes = 0
+        """Number of changes so far; a new value outdates stored copies."""
+
+    # Local observations
+
+    def record_sent(self, parts: tuple[PartId, ...]) -> SentParts:
+        """Return what is known of the parts of an attempt that is sent now."""
+        records = {one: self._records[one] for one in parts if one in self._records}
+        return SentParts(
+            parts,
+            {part: tuple(record.standing) for part, record in records.items()},
+            {part: record.depth for part, record in records.items()},
+        )
+
+    def record_crash(
+        self, sent: SentParts, upstream: UpstreamId, now: float
+    ) -> list[PartRecord]:
+        """Record that an upstream crashed before the response was under way.
+
+        Returns the records to publish.
+        """
+        changed = []
+        for position, part in enumerate(sent.parts):
+            depth = sent.depths.get(part, 0) + 1
+            sound_at = self._sound_at.get(part, -math.inf)
+            record = PartRecord(
+                part,
+                (PartCrash(upstream, depth),),
+                (),
+                now - sound_at < SOUND_RETENTION_S,
+                position,
+                0,
+            )
+            if self._merge_record(record, now):
+                changed.append(part)
+                self._records[part].is_observed_here = True
+        if changed:
+            self._log_crash(sent.parts, upstream)
+            self._infer(now)
+        return self._export(changed)
+
+    def record_sound(self, sent: SentParts, now: float) -> list[PartRecord]:
+        """Record a response that got past its start; return the records to publish."""
+        changed = []
+        for part in sent.parts:
+            self._sound_at.pop(part, None)
+            self._sound_at[part] = now
+            known = sent.known.get(part, ())
+            record = self._records.get(part)
+            if record is None or not known:
+                continue
+            if record.merge(PartRecord(part, (), known, True, 0, 0), now):
+                record.updated_at = now
+                self._count_change(part, record)
+                changed.append(part)
+                logger.info(
+                    "crashes voided", part=part, left=len(record.standing), voided=known
+                )
+        while len(self._sound_at) > MAX_SOUND_PARTS:
+            del self._sound_at[next(iter(self._sound_at))]
+        if changed:
+            self._infer(now)
+        return self._export(changed)
+
+    # Updates of other processes
+
+    def merge(self, records: Iterable[PartRecord], now: float) -> list[PartRecord]:
+        """Merge records of another process; return in full those that changed."""
+        changed = [one.part for one in records if self._merge_record(one, now)]
+        if changed:
+            self._infer(now)
+        return self._export(changed)
+
+    # Decisions
+
+    def is_suspect(self, parts: Iterable[PartId]) -> bool:
+        """Whether one of the parts is a likely cause of crashes, or known as one."""
+        return any(one in self._suspects or one in self._causes for one in parts)
+
+    def find_cause(self, parts: Iterable[PartId]) -> PartId | None:
+        """Return the first part that is known as a cause of crashes, if any."""
+        return next((one for one in parts if one in self._causes), None)
+
+    @property
+    def causes(self) -> frozenset[PartId]:
+        """All parts that are known as causes of crashes."""
+        return frozenset(self._causes)
+
+    def compute_quarantine(self, parts: Iterable[PartId], now: float) -> float:
+        """Return the seconds of quarantine left; 0 if a trial may begin.
+
+        The delay of this process is included.
+        """
+        parts = tuple(parts)
+        is_involved = any(one in self._repeated for one in parts)
+        if is_involved and now - self._inferred_at >= INFERENCE_INTERVAL_S:
+            # Evidence against a part that was sound counts from a certain age.
+            self._infer(now)
+        ends = (self._compute_trial_time(one) for one in parts if one in self._causes)
+        return max(0.0, max(ends, default=-math.inf) - now)
+
+    def begin_trial(self, parts: Sequence[PartId], now: float) -> list[PartRecord]:
+        """Let one request through after its quarantine; return what to publish.
+
+        Nothing if no part is known as a cause of crashes.
+        """
+        tried = [one for one in parts if one in self._causes]
+        for part in tried:
+            record = self._records[part]
+            record.trials += 1
+            record.updated_at = now
+            record.quarantined_until = now + TRIAL_TIMEOUT_S
+            self.changes += 1
+            logger.warning("trial of a part", part=part, trials=record.trials)
+        return self._export(tried)
+
+    # Records
+
+    def list_records(self) -> list[PartRecord]:
+        """List all records, for a process that has none yet."""
+        return self._export(self._records)
+
+    def list_to_publish(self) -> list[PartRecord]:
+        """List the records that a new leader may lack.
+
+        These are the crashes observed here and all causes; other crashes are published
+        by the processes that observed them.
+        """
+        return self._export(
+            part
+            for part, record in self._records.items()
+            if record.is_observed_here or part in self._causes
+        )
+
+    def expire(self, now: float) -> None:
+        """Remove records without recent crashes."""
+        old = [
+            part
+            for part, record in self._records.items()
+            if now - max(record.updated_at, record.quarantined_until)
+            >= RECORD_RETENTION_S
+        ]
+        for part in old:
+            self._remove(part)
+        if old:
+            self._infer(now)
+
+    # Inference
+
+    def _merge_record(self, update: PartRecord, now: float) -> bool:
+        part = update.part
+        record = self._records.get(part)
+        if record is None:
+            if not update.crashes:
+                return False
+            self._evict_if_full()
+            record = self._records[part] = _Record()
+        trials = record.trials
+        crashes = len(record.crashes)
+        if not record.merge(update, now):
+            return False
+        record.updated_at = now
+        if record.trials > trials and part in self._causes:
+            record.quarantined_until = now + TRIAL_TIMEOUT_S
+        if len(record.crashes) > crashes and part in self._causes:
+            self._extend_quarantine(record, now)
+        self._count_change(part, record)
+        return True
+
+    def _count_change(self, part: PartId, record: _Record) -> None:
+        self.changes += 1
+        if len(record.standing) >= SUSPICION.crashes:
+            self._repeated[part] = record
+        else:
+            self._repeated.pop(part, None)
+
+    def _infer(self, now: float) -> None:
+        """Derive the causes and the suspects from the records."""
+        self._inferred_at = now
+        evidence = [
+            record.build_evidence(part, now) for part, record in self._repeated.items()
+        ]
+        causes = find_causes(evidence, QUARANTINE)
+        self._suspects = find_causes(evidence, SUSPICION)
+        for part in causes - self._causes:
+            record = self._records[part]
+            self._extend_quarantine(record, now)
+            logger.warning(
+                "part held back",
+                part=part,
+                crashed=record.standing,
+                depth=record.depth,
+                seconds=round(record.quarantined_until - now),
+            )
+        for part in self._causes - causes:
+            if part in self._records:
+                self._records[part].quarantined_until = -math.inf
+            logger.warning("part released", part=part)
+        self._causes = causes
+
+    def _extend_quarantine(self, record: _Record, now: float) -> None:
+        growth = QUARANTINE_GROWTH ** min(record.trials, MAX_GROWTH_STEPS)
+        length = min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * growth)
+        record.quarantined_until = now + length
+
+    def _compute_trial_time(self, part: PartId) -> float:
+        """Return when this process may begin a trial of a part in quarantine."""
+        record = self._records[part]
+        key = f"{part}/{record.trials}".encode()
+        share = zlib.crc32(key, zlib.crc32(self._salt)) / 2**32
+        return record.quarantined_until + share * TRIAL_SPREAD_S
+
+    def _log_crash(self, parts: Sequence[PartId], upstream: UpstreamId) -> None:
+        logged = parts[:MAX_LOGGED_PARTS]
+        logger.info(
+            "crash counted against parts",
+            upstream=upstream,
+            parts=logged,
+            counts=[len(self._records[one].standing) for one in logged],
+            depths=[self._records[one].depth for one in logged],
+        )
+
+    # Storage
+
+    def _export(self, parts: Iterable[PartId]) -> list[PartRecord]:
+        # A full ledger may have evicted one of them meanwhile.
+        known = (part for part in parts if part in self._records)
+        return [self._records[part].export(part) for part in known]
+
+    def _remove(self, part: PartId) -> None:
+        del self._records[part]
+        self._repeated.pop(part, None)
+        self.changes += 1
+
+    def _evict_if_full(self) -> None:
+        """If the ledger is full, remove the oldest record without repeated crashes."""
+        if len(self._records) < MAX_RECORDS:
+            return
+        for part in self._records:
+            if part not in self._repeated:
+                self._remove(part)
+                return
+        self._remove(next(iter(self._records)))
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -44,7 +44,12 @@
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.models.ids import EvacuationRevision, InstanceId, RoutingVersion
 from scalebend.platform.routing import decode_routing
-from scalebend.storage.crash_file import read_crashes, write_crashes
+from scalebend.storage.crash_file import (
+    read_crashes,
+    read_part_crashes,
+    write_crashes,
+    write_part_crashes,
+)
 from scalebend.storage.journal import Journal
 from scalebend.storage.upstream_file import read_upstreams, write_upstreams
 
@@ -96,12 +101,17 @@
         )
         self.instance.upstreams.restore(read_upstreams(folder), self.now())
         self.instance.crashes.restore(read_crashes(folder), self.now())
+        self.instance.crashes.restore_parts(read_part_crashes(folder), self.now())
         self._upstream_writer = ListWriter(
             self.instance.directory.list_updates, partial(write_upstreams, folder)
         )
         self._crash_writer = ListWriter(
             self.instance.crashes.ledger.list_records, partial(write_crashes, folder)
         )
+        self._part_writer = ListWriter(
+            self.instance.crashes.parts.list_records,
+            partial(write_part_crashes, folder),
+        )
         introduction = Introduce(
             own_id, time.time_ns(), settings.role, knows_evacuations=True
         )
@@ -152,6 +162,7 @@
         instance = self.instance
         self._upstream_writer.write_if_due(instance.upstreams.changes, self.now())
         self._crash_writer.write_if_due(instance.crashes.ledger.changes, self.now())
+        self._part_writer.write_if_due(instance.crashes.parts.changes, self.now())
 
     def _send_heartbeats(self) -> None:
         if self.now() >= self._next_heartbeat_at:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -18,6 +18,7 @@
     compute_event_timeout,
     compute_first_byte_timeout,
 )
+from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.engine_priorities import choose_urgency
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.path_watch import PathWatch, watch_path
@@ -173,6 +174,7 @@
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
                 runtime.record_completed(self._identity.fingerprint)
+                self._record_response(result)
             if result.outcome is Outcome.ANSWERED:
                 runtime.instance.record_outcome(
                     target.upstream, runtime.now(), has_failed=False
@@ -188,9 +190,19 @@
     def _compute_quarantine(self) -> float:
         """Return the seconds until the quarantine of the request ends, or 0."""
         runtime = self._runtime
-        return runtime.instance.crashes.compute_quarantine(
-            self._identity.fingerprint, runtime.now()
-        )
+        return runtime.instance.compute_quarantine(self._identity, runtime.now())
+
+    def _record_response(self, result: AttemptResult) -> None:
+        """Record what a complete response says about the parts of the prompt.
+
+        An error may come before the prompt is read, an empty stream before a crash.
+        """
+        response, progress = result.response, result.progress
+        if response is None or response.status >= 400:
+            return
+        is_stream = self._call.route.kind is RouteKind.STREAMING
+        if progress.events or not is_stream:
+            self._runtime.record_under_way(progress.parts)
 
     def _compute_backoff(self) -> float:
         """Return the seconds until an upstream of the service leaves backoff."""
@@ -202,9 +214,14 @@
         runtime = self._runtime
         faulty = result.faulty or target.upstream
         if result.is_connection_lost:
-            runtime.record_crash(self._identity.fingerprint, faulty)
+            suspected = result.progress.suspected_parts
+            runtime.record_crash(self._identity.fingerprint, faulty, suspected)
         if result.outcome in (Outcome.UNRESPONSIVE, Outcome.TIMED_OUT):
-            runtime.record_unanswered(self._identity.fingerprint, target.upstream)
+            runtime.record_unanswered(
+                self._identity.fingerprint,
+                target.upstream,
+                result.progress.suspected_parts,
+            )
             runtime.instance.record_silence(target.address, runtime.now())
         if result.outcome in (Outcome.NOT_SENT, Outcome.UNRESPONSIVE):
             runtime.instance.balancer.record_unreachable(target.upstream, runtime.now())
@@ -286,6 +303,7 @@
         if not self._runtime.instance.may_send(target.upstream, self._runtime.now()):
             # Backoff or draining began after the upstream was chosen.
             return AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
+        self._progress.parts = self._begin_send()
         attempts = self._runtime.attempts
         with attempts.watch(self._call.deadline, target.upstreams) as running:
             try:
@@ -324,6 +342,13 @@
                 is_connection_lost=True,
             )
 
+    def _begin_send(self) -> SentParts:
+        """Record what is known of the parts now, before the request is sent."""
+        runtime, parts = self._runtime, self._identity.parts
+        if runtime.instance.parts.find_cause(parts) is not None:
+            runtime.begin_trial(parts)
+        return runtime.instance.parts.record_sent(parts)
+
     async def _exchange(self, target: Target, running: RunningAttempt) -> AttemptResult:
         call = self._call
         # After a broken or unresponsive connection, pooled ones may be dead, too.
@@ -495,7 +520,10 @@
 
     def _record_event_time(self, events: int) -> None:
         now = self._runtime.now()
+        was_under_way = self._progress.is_under_way
         self._progress.record_events(events, now)
+        if self._progress.is_under_way and not was_under_way:
+            self._runtime.record_under_way(self._progress.parts)
         if self.first_event is None:
             self.first_event = now - self._call.arrived
         else:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -26,6 +26,7 @@
     REPLAN_INTERVAL_S,
 )
 from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
+from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
@@ -36,7 +37,13 @@
 from scalebend.edges.stalls import StallGuard
 from scalebend.models.calls import ReportedLoad
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import Fingerprint, InstanceId, SendPermitId, UpstreamId
+from scalebend.models.ids import (
+    Fingerprint,
+    InstanceId,
+    PartId,
+    SendPermitId,
+    UpstreamId,
+)
 from scalebend.models.placement import (
     EngineWork,
     JobId,
@@ -352,14 +359,27 @@
         """Count a request refused since all upstreams are at their rate limits."""
         self.metrics.count_rate_limit_rejection()
 
-    def record_crash(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
+    def record_crash(
+        self, fingerprint: Fingerprint, upstream: UpstreamId, parts: SentParts
+    ) -> None:
         """Record that an upstream crashed or was disconnected during a request."""
         self.metrics.count_lost_request()
-        self.execute(self.instance.record_crash(fingerprint, upstream, self.now()))
+        now = self.now()
+        self.execute(self.instance.record_crash(fingerprint, upstream, now, parts))
+
+    def record_under_way(self, parts: SentParts) -> None:
+        """Record that a response got past its start."""
+        self.execute(self.instance.record_under_way(parts, self.now()))
+
+    def begin_trial(self, parts: tuple[PartId, ...]) -> None:
+        """Record that a request whose quarantine has ended is sent."""
+        self.execute(self.instance.begin_trial(parts, self.now()))
 
-    def record_unanswered(self, fingerprint: Fingerprint, upstream: UpstreamId) -> None:
+    def record_unanswered(
+        self, fingerprint: Fingerprint, upstream: UpstreamId, parts: SentParts
+    ) -> None:
         """Record an attempt that timed out while its connection stayed open."""
-        self.instance.record_unanswered(fingerprint, upstream, self.now())
+        self.instance.record_unanswered(fingerprint, upstream, self.now(), parts)
 
     def record_completed(self, fingerprint: Fingerprint) -> None:
         """Record that an upstream sent a complete response to the request."""
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -226,7 +226,7 @@
             call,
             self._attempts.runs,
             runtime.now(),
-            is_suspect=runtime.instance.crashes.is_suspect(self._identity.fingerprint),
+            is_suspect=runtime.instance.is_suspect(self._identity),
             is_queueing=is_queueing,
         )
         self._log_overdue(target, delay, refusal)
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -309,9 +309,7 @@
             event_gap=route.event_gap or route.target_latency,
             remaining=call.deadline - now,
             excluded=tuple(self._excluded),
-            is_suspect=self._runtime.instance.crashes.is_suspect(
-                self._identity.fingerprint
-            ),
+            is_suspect=self._runtime.instance.is_suspect(self._identity),
             priority=call.priority,
             customer=call.customer,
             availability_zone=self._runtime.settings.availability_zone,
--- a/src/scalebend/models/crashes.py
+++ b/src/scalebend/models/crashes.py
@@ -34,3 +34,34 @@
 
     fingerprint: Fingerprint
     upstreams: tuple[UpstreamId, ...] = msgspec.field(name="ended")
+
+
+class PartCrash(msgspec.Struct, frozen=True, array_like=True):
+    """A crash of an upstream during a request with a part."""
+
+    upstream: UpstreamId
+    depth: int
+    """One more than that of the crashes known when the attempt was sent; 1 without."""
+
+
+class PartRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A part of prompts and the crashes under it.
+
+    Merging takes the union or the maximum of each field, so it is commutative and
+    idempotent.
+    """
+
+    part: PartId
+    crashes: tuple[PartCrash, ...]
+    voided: tuple[UpstreamId, ...]
+    """Those after which an attempt began that got a response: the part is not their
+    cause."""
+
+    was_sound: bool
+    """Whether a response on the part was seen shortly before a crash."""
+
+    position: int
+    """Highest position in a prompt at which it was seen; the first part has 0."""
+
+    trials: int
+    """Number of requests that were let through after a quarantine."""
--- /dev/null
+++ b/tests/unit/gateway/test_part_exchange.py
@@ -0,0 +1,124 @@
+"""Crashes under a part of prompts are counted over all fronts, and told to all."""
+
+import pytest
+
+from scalebend.core.fingerprints import compute_fingerprint
+from scalebend.core.gateway.crash_exchange import CrashExchange
+from scalebend.core.gateway.messages import CrashUpdates
+from scalebend.models.crashes import RequestIdentity
+from scalebend.models.ids import UpstreamId
+from scalebend.storage.crash_file import read_part_crashes, write_part_crashes
+from tests.lib.gateway_group import LEADER, build_deployment
+
+CRASHES = 5
+COMMON, CAUSE, OTHER = "m/common", "m/cause", "m/other"
+
+
+def identify(number, *parts):
+    body = b"%d" % number
+    return RequestIdentity(compute_fingerprint(None, "POST", "h", "/", body), parts)
+
+
+def crash(deployment, number, parts=(COMMON, CAUSE)):
+    """Crash an upstream under a request of its own at one of the fronts."""
+    front = number % len(deployment.fronts)
+    instance = deployment.fronts[front]
+    sent = instance.parts.record_sent(parts)
+    fingerprint = identify(number, *parts).fingerprint
+    upstream = UpstreamId(f"i-{number}")
+    actions = instance.record_crash(fingerprint, upstream, deployment.now, sent)
+    deployment._send(deployment.names[front], actions)
+    deployment.run(0.05)
+
+
+def respond(deployment, front, parts):
+    instance = deployment.fronts[front]
+    sent = instance.parts.record_sent(parts)
+    actions = instance.record_under_way(sent, deployment.now)
+    deployment._send(deployment.names[front], actions)
+    deployment.run(0.05)
+
+
+def list_refusing(deployment, *parts):
+    identity = identify(999, *parts)
+    return [
+        front.compute_quarantine(identity, deployment.now) > 0.0
+        for front in deployment.fronts
+    ]
+
+
+def test_crashes_at_different_fronts_quarantine_the_part_at_all():
+    deployment = build_deployment(fronts=4, replicas=6)
+    respond(deployment, 0, (COMMON,))
+    for number in range(CRASHES):
+        assert list_refusing(deployment, CAUSE) == [False] * 4
+        crash(deployment, number)
+        # Only the front that has seen responses knows that the part is sound.
+        respond(deployment, 0, (COMMON,))
+    assert list_refusing(deployment, COMMON, CAUSE) == [True] * 4
+    assert list_refusing(deployment, COMMON, OTHER) == [False] * 4
+
+
+def test_starting_front_receives_the_quarantined_parts():
+    deployment = build_deployment(fronts=2, replicas=6)
+    for number in range(CRASHES):
+        crash(deployment, number, (CAUSE,))
+    deployment.add_front(7)
+    deployment.run(0.05)
+    assert list_refusing(deployment, CAUSE) == [True] * 3
+
+
+def test_new_leader_receives_the_parts_from_the_fronts():
+    deployment = build_deployment(fronts=2, replicas=6)
+    for number in range(CRASHES - 1):
+        crash(deployment, number, (CAUSE,))
+    deployment.leader.crashes = CrashExchange()
+    for name, front in zip(deployment.names, deployment.fronts, strict=True):
+        front.remove_link(LEADER)
+        deployment.leader.remove_front(name, deployment.now)
+        front.add_link(LEADER)
+        deployment._deliver(deployment.leader.add_front(name, deployment.now))
+    deployment.run(0.6)
+    assert deployment.leader.crashes.parts.list_records()
+    crash(deployment, 90, (CAUSE,))
+    assert list_refusing(deployment, CAUSE) == [True] * 2
+
+
+def test_response_at_one_front_ends_the_quarantine_at_all():
+    deployment = build_deployment(fronts=3, replicas=6)
+    for number in range(CRASHES):
+        crash(deployment, number, (CAUSE,))
+    respond(deployment, 2, (CAUSE,))
+    assert list_refusing(deployment, CAUSE) == [False] * 3
+
+
+def test_front_without_a_leader_counts_its_own_crashes():
+    deployment = build_deployment(fronts=1, replicas=6)
+    deployment.fronts[0].remove_link(LEADER)
+    for number in range(CRASHES):
+        crash(deployment, number, (CAUSE,))
+    assert list_refusing(deployment, CAUSE) == [True]
+
+
+def test_quarantined_parts_survive_on_disk(tmp_path):
+    exchange, restarted = CrashExchange(), CrashExchange()
+    deployment = build_deployment(fronts=2, replicas=6)
+    for number in range(CRASHES):
+        crash(deployment, number, (CAUSE,))
+    records = deployment.leader.crashes.parts.list_records()
+    write_part_crashes(tmp_path, records)
+    restarted.restore_parts(read_part_crashes(tmp_path), 0.0)
+    assert restarted.parts.causes == {CAUSE}
+    exchange.receive_from_peer(CrashUpdates([], [], records), 0.0)
+    assert exchange.parts.causes == {CAUSE}
+
+
+@pytest.mark.parametrize("count", [1, 2])
+def test_requests_with_the_likely_cause_are_suspect_before_the_verdict(count):
+    deployment = build_deployment(fronts=2, replicas=6)
+    respond(deployment, 0, (COMMON,))
+    for number in range(count):
+        crash(deployment, 2 * number)
+    for front in deployment.fronts:
+        assert front.is_suspect(identify(900, COMMON, CAUSE)) == (count == 2)
+        assert not front.is_suspect(identify(901, COMMON, OTHER))
--- a/tests/unit/gateway/test_silent_ends.py
+++ b/tests/unit/gateway/test_silent_ends.py
@@ -9,6 +9,7 @@
 from scalebend.core.crash_ledger import CRASHES_UNTIL_QUARANTINE
 from scalebend.core.gateway.messages import EndpointChanges
 from scalebend.core.gateway.unanswered_attempts import RETENTION_S, UnansweredAttempts
+from scalebend.core.part_ledger import NO_PARTS
 from scalebend.models.endpoints import EndpointUpdate
 from scalebend.models.ids import Fingerprint
 from scalebend.models.routing import RouteKind
@@ -108,8 +109,8 @@
     attempts = UnansweredAttempts()
     early, late = Fingerprint("early"), Fingerprint("late")
     name = build_endpoint(1).upstream
-    attempts.add(name, early, 0.0)
-    attempts.add(name, late, RETENTION_S / 2)
+    attempts.add(name, early, NO_PARTS, 0.0)
+    attempts.add(name, late, NO_PARTS, RETENTION_S / 2)
     attempts.expire(RETENTION_S)
-    assert attempts.pop(name) == [late]
+    assert [one.fingerprint for one in attempts.pop(name)] == [late]
     assert attempts.list_upstreams() == []
