Own interface: quarantine messages and beginnings that crash engine after engine

The cause is that of the gateway: only repetitions of a whole request were recognized. Entries now keep the same ledger of parts. A part is a message of a chat but the last, or a beginning of a text. Instances spread it by rumor, in pieces of four crashes, inside the rumor that older versions know.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -33,6 +33,7 @@
     StartAttempt,
     ToOwner,
 )
+from scalebend.core.part_ledger import NO_PARTS
 from scalebend.core.placement import MAX_GROUP_REPLICAS, Placement
 from scalebend.core.queueing import FirstCome, Strategy, compute_size_class
 from scalebend.core.retries import RetryBudget, compute_delay
@@ -103,7 +104,7 @@
         self._strategy = options.strategy
         self._random = random.Random(options.seed)
         self._retry_budget = RetryBudget()
-        self.crashes = CrashWatch()
+        self.crashes = CrashWatch(options.instance)
         self._flows: dict[RequestId, Flow] = {}
         self._request_ids: dict[AttemptId, RequestId] = {}
         self._attempt_count = 0
@@ -200,6 +201,14 @@
             for upstream in current.upstreams
         ]
 
+    def handle_under_way(self, attempt: AttemptId, now: float) -> None:
+        """Handle events of an attempt some time after its first token."""
+        flow = self._find_flow(attempt)
+        if flow is None or flow.attempt is None:
+            return
+        self.crashes.record_under_way(flow.attempt.parts, now)
+        flow.attempt.parts = NO_PARTS
+
     def handle_result(
         self, attempt: AttemptId, result: AttemptResult, now: float
     ) -> list[EntryAction]:
@@ -215,6 +224,7 @@
                 self.placement.outliers.record_success(lead)
                 self._record_prefix(flow)
                 self.crashes.record_completed(flow.request, now)
+                self.crashes.record_under_way(flow.attempt.parts, now)
                 return self._conclude(flow, None, result.output_tokens)
             case NeverStarted(detail) if flow.attempt.phase is Phase.DECODE:
                 self._record_failure(lead, now)
@@ -360,6 +370,7 @@
             flow.excluded.update(in_backoff)
             actions = self._release_attempt(flow, Outcome.UNUSED)
             return actions + self._retry(flow, now, delay=0.0)
+        attempt.parts = self.crashes.record_sent(flow.request, now)
         attempt.state = AttemptState.SENT
         attempt.incarnation = self._find_incarnation(attempt.lead)
         flow.state = FlowState.RUNNING
@@ -459,7 +470,8 @@
             self._record_failure(attempt.lead, now)
         if interrupted.may_have_crashed:
             lead, incarnation = attempt.lead, attempt.incarnation
-            self.crashes.record_crash(flow.request, lead, incarnation, now)
+            parts = attempt.parts
+            self.crashes.record_crash(flow.request, lead, incarnation, now, parts)
         error = UpstreamError(interrupted.detail)
         return self._fail_attempt(
             flow,
--- a/src/scalebend/core/flow.py
+++ b/src/scalebend/core/flow.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from scalebend.core.part_ledger import NO_PARTS, SentParts
 from scalebend.exceptions import Ran, ScalebendError
 from scalebend.models.ids import AttemptId, Incarnation, RequestId, UpstreamId
 from scalebend.models.work import (
@@ -160,6 +161,8 @@
     """Incarnation of the lead replica; ``None`` before the request was sent."""
 
     reserve_sent_at: float = 0.0
+    parts: SentParts = NO_PARTS
+    """The parts of the prompt that may still be what crashes the lead replica."""
 
     def has_all_grants(self) -> bool:
         """Whether all reservations are granted."""
--- a/src/scalebend/core/gateway/attempt_progress.py
+++ b/src/scalebend/core/gateway/attempt_progress.py
@@ -4,11 +4,7 @@
 
 import msgspec
 
-from scalebend.core.part_ledger import NO_PARTS, SentParts
-
-UNDER_WAY_S = 0.25
-"""Seconds of events after which a response counts as under way. What crashes a replica
-when it begins to write may still let the first events through."""
+from scalebend.core.part_ledger import NO_PARTS, UNDER_WAY_S, SentParts
 
 
 class AttemptProgress(msgspec.Struct):
--- a/src/scalebend/core/messages.py
+++ b/src/scalebend/core/messages.py
@@ -9,7 +9,7 @@
 from scalebend.core.list_history import ListUpdate
 from scalebend.core.shares import Usage
 from scalebend.models.configuration import AcceptedConfiguration
-from scalebend.models.crashes import CrashRecord
+from scalebend.models.crashes import CrashRecord, PartRecord
 from scalebend.models.ids import (
     ConfigurationVersion,
     CustomerId,
@@ -148,6 +148,8 @@
     crashes: list[CrashRecord] = msgspec.field(default_factory=list)
     """Suspect requests: those during which upstreams crashed."""
 
+    parts: list[PartRecord] = msgspec.field(default_factory=list)
+
 
 PeerMessage = (
     ConsensusMessage
@@ -211,9 +213,14 @@
 
 
 class CrashRumor(msgspec.Struct, frozen=True, tag="x", array_like=True):
-    """A suspect request and the upstreams that crashed; none if it succeeded later."""
+    """A suspect request and the upstreams that crashed; none if it succeeded later.
+
+    Or a part of prompts: in a field, since instances of older versions drop datagrams
+    with rumors that they don't know. The record is then empty.
+    """
 
     record: CrashRecord
+    part: PartRecord | None = None
 
 
 Rumor = MemberRumor | UpstreamRumor | DigestRumor | CacheRumor | CrashRumor
--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -57,6 +57,10 @@
 INFERENCE_INTERVAL_S = 0.1
 """Minimum interval of inferences without new evidence."""
 
+UNDER_WAY_S = 0.25
+"""Seconds of events after which a response counts as under way. What crashes an
+upstream when it begins to write may still let the first events through."""
+
 SOUND_RETENTION_S = 60.0
 MAX_SOUND_PARTS = 4096
 """How long, and for how many parts, the last response is remembered."""
--- a/src/scalebend/core/upstream_updates.py
+++ b/src/scalebend/core/upstream_updates.py
@@ -19,8 +19,8 @@
 )
 from scalebend.core.owner import OwnerAction, ReplicaOwner
 from scalebend.core.ownership import ReplicaOwners
-from scalebend.models.crashes import CrashRecord
-from scalebend.models.ids import UpstreamId
+from scalebend.models.crashes import CrashRecord, PartRecord
+from scalebend.models.ids import Fingerprint, UpstreamId
 from scalebend.models.upstream import Announcement, CacheEvent, Load
 from scalebend.models.work import LoadDigest
 
@@ -36,6 +36,11 @@
 """Maximum number of hashes in a cache event that is sent. A longer one is not sent, and
 the other instances see a gap in the sequence."""
 
+CRASHES_PER_RUMOR = 4
+"""Crashes of a part of prompts in one rumor, so that it fits a datagram."""
+
+_NO_CRASH = CrashRecord(Fingerprint(""), ())
+
 UpdateAction = EntryAction | OwnerAction
 
 
@@ -91,7 +96,9 @@
         actions: list[UpdateAction] = []
         for record in self._entry.crashes.pop_updates():
             self._spread_crash(record)
-        self._entry.crashes.ledger.expire(now)
+        for part in self._entry.crashes.pop_part_updates():
+            self._spread_part(part)
+        self._entry.crashes.expire(now)
         for upstream, owner in self._owners:
             if self._catalog.is_expired(upstream, now):
                 actions += self._handle_expired_upstream(upstream, now)
@@ -155,6 +162,9 @@
                 self._apply_digest_rumor(rumor)
             case CacheRumor(upstream, event):
                 self._entry.placement.prefixes.apply_event(upstream, event)
+            case CrashRumor(part=PartRecord() as part):
+                for merged in self._entry.crashes.parts.merge([part], now):
+                    self._spread_part(merged)
             case CrashRumor(record):
                 self._apply_crash(record, now)
         return []
@@ -171,6 +181,11 @@
     def _spread_crash(self, record: CrashRecord) -> None:
         self._membership.spread(f"x/{record.fingerprint}", CrashRumor(record))
 
+    def _spread_part(self, record: PartRecord) -> None:
+        for number, piece in enumerate(record.split(CRASHES_PER_RUMOR)):
+            rumor = CrashRumor(_NO_CRASH, piece)
+            self._membership.spread(f"y/{record.part}/{number}", rumor)
+
     def _apply_upstream_rumor(
         self, announcement: Announcement, is_gone: bool, now: float
     ) -> list[UpdateAction]:
@@ -234,6 +249,7 @@
             ],
             [record.digest for record in self._catalog],
             self._entry.crashes.ledger.list_records(),
+            self._entry.crashes.parts.list_records(),
         )
 
     def apply_page(self, page: CatalogPage, now: float) -> list[UpdateAction]:
@@ -243,6 +259,7 @@
         for announcement in page.announcements:
             actions += self._apply_upstream_rumor(announcement, False, now)
         self._entry.crashes.ledger.merge(page.crashes, now)
+        self._entry.crashes.parts.merge(page.parts, now)
         for digest in page.digests:
             if not self._owners.is_local(digest.upstream):
                 self._entry.apply_digest(digest)
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -23,6 +23,7 @@
     Prefilled,
     StartAttempt,
 )
+from scalebend.core.part_ledger import UNDER_WAY_S
 from scalebend.edges.gateway.upstream_client import allow_repetition
 from scalebend.edges.problems import build_problem
 from scalebend.edges.sse import (
@@ -67,6 +68,7 @@
     """
 
     started: Callable[[AttemptId], None]
+    under_way: Callable[[AttemptId], None]
     ended: Callable[[AttemptId, AttemptResult], None]
     caller_disconnected: Callable[[RequestId], None]
     backoff_requested: Callable[[UpstreamId, float], None]
@@ -307,16 +309,20 @@
         self, start: StartAttempt, response: aiohttp.ClientResponse
     ) -> AttemptResult:
         framer = self._framer
-        is_first = True
+        began: float | None = None
+        is_under_way = False
         async for data in response.content.iter_any():
             forwardable = framer.feed(data)
             if not forwardable:
                 continue
-            if is_first:
-                is_first = False
-                now = asyncio.get_running_loop().time()
+            now = asyncio.get_running_loop().time()
+            if began is None:
+                began = now
                 self.first_token_at = self.first_token_at or now
                 self._reporter.started(start.attempt)
+            if not is_under_way and now - began >= UNDER_WAY_S:
+                is_under_way = True
+                self._reporter.under_way(start.attempt)
             if self.request.is_streamed:
                 await self._write_events(forwardable)
             else:
--- a/src/scalebend/edges/request_parser.py
+++ b/src/scalebend/edges/request_parser.py
@@ -12,6 +12,7 @@
 from scalebend.core.fingerprints import compute_fingerprint
 from scalebend.core.instance import Instance
 from scalebend.core.prefixes import compute_prefixes
+from scalebend.core.prompt_parts import split_messages, split_text
 from scalebend.edges.exchange import OutgoingCall
 from scalebend.exceptions import ErrorKind, RequestError
 from scalebend.models.configuration import Service
@@ -19,6 +20,7 @@
     CustomerId,
     IdempotencyKey,
     ModelName,
+    PartId,
     RequestId,
     ServiceName,
 )
@@ -101,7 +103,8 @@
 ) -> ParsedCall:
     """Parse a request to ``/v1/completions`` or ``/v1/chat/completions``."""
     raw, fields = _decode_fields(body)
-    prompt_field = "messages" if "/chat/" in http_request.path else "prompt"
+    is_chat = "/chat/" in http_request.path
+    prompt_field = "messages" if is_chat else "prompt"
     prompt = raw.get(prompt_field)
     if prompt is None or bytes(prompt) in (b'""', b"[]", b"null"):
         raise RequestError(f"$.{prompt_field}: expected a prompt that is not empty")
@@ -142,6 +145,7 @@
         fingerprint=_compute_body_fingerprint(http_request.path, body) if key else "",
         content=compute_fingerprint(customer, "POST", "", http_request.path, body),
         prefixes=compute_prefixes(data),
+        parts=_split_prompt(model.model, data, is_chat=is_chat),
     )
     if not fields.stream:
         raw["stream"] = msgspec.Raw(b"true")
@@ -208,6 +212,17 @@
     return method in SAFE_METHODS
 
 
+def _split_prompt(
+    model: ModelName, prompt: bytes, *, is_chat: bool
+) -> tuple[PartId, ...]:
+    if not is_chat:
+        return split_text(model, prompt)
+    try:
+        return split_messages(model, prompt)
+    except msgspec.MsgspecError as error:
+        raise RequestError(f"$.messages: {error}") from None
+
+
 def _decode_fields(body: bytes) -> tuple[dict[str, msgspec.Raw], _CompletionFields]:
     try:
         raw = _RAW_FIELDS.decode(body)
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -192,6 +192,7 @@
         """Return the callbacks for an exchange."""
         return AttemptReporter(
             self._report_started,
+            self._report_under_way,
             self._report_ended,
             self.cancel,
             self._report_backoff,
@@ -205,6 +206,9 @@
     def _report_started(self, attempt: AttemptId) -> None:
         self.execute(self.instance.handle_started(attempt, self.now()))
 
+    def _report_under_way(self, attempt: AttemptId) -> None:
+        self.instance.entry.handle_under_way(attempt, self.now())
+
     def _report_ended(self, attempt: AttemptId, result: AttemptResult) -> None:
         self.execute(self.instance.handle_result(attempt, result, self.now()))
 
--- a/src/scalebend/models/crashes.py
+++ b/src/scalebend/models/crashes.py
@@ -65,3 +65,19 @@
 
     trials: int
     """Number of requests that were let through after a quarantine."""
+
+    def split(self, size: int) -> list[PartRecord]:
+        """Return records of at most ``size`` crashes that merge into this one."""
+        voided = set(self.voided)
+        chunks = [
+            self.crashes[start : start + size]
+            for start in range(0, len(self.crashes), size)
+        ]
+        return [
+            msgspec.structs.replace(
+                self,
+                crashes=chunk,
+                voided=tuple(one.upstream for one in chunk if one.upstream in voided),
+            )
+            for chunk in chunks
+        ]
--- a/src/scalebend/models/work.py
+++ b/src/scalebend/models/work.py
@@ -14,6 +14,7 @@
     IdempotencyKey,
     InstanceId,
     ModelName,
+    PartId,
     RequestId,
     ServiceName,
     UpstreamId,
@@ -41,7 +42,8 @@
     ``prefixes`` are the block hashes of the prompt, longest prefix last;
     ``fingerprint`` is a hash of the whole content, kept with claimed idempotency keys;
     ``content`` identifies the request at all instances, see
-    :mod:`scalebend.core.fingerprints`.
+    :mod:`scalebend.core.fingerprints`. ``parts`` are those of its prompt that other
+    requests may share, in order.
     """
 
     request: RequestId
@@ -61,6 +63,7 @@
     fingerprint: str = ""
     content: Fingerprint | None = None
     prefixes: tuple[int, ...] = ()
+    parts: tuple[PartId, ...] = ()
 
     @property
     def memory_tokens(self) -> int:
--- a/tests/unit/test_entry.py
+++ b/tests/unit/test_entry.py
@@ -5,7 +5,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
 from scalebend.core.catalog import Catalog
-from scalebend.core.entry import MAX_ATTEMPTS, Entry, EntryOptions
+from scalebend.core.entry import MAX_ATTEMPTS, MAX_RESUMES, Entry, EntryOptions
 from scalebend.core.flow import (
     AbortAttempt,
     ClaimKey,
@@ -444,3 +444,23 @@
     assert find_action(actions, StartAttempt) is None
     assert find_action(actions, Conclude).error.ran is Ran.NO
     assert list_released(actions) == {work.upstream: Outcome.UNUSED}
+
+
+def test_crash_after_the_start_of_a_response_does_not_count_against_its_parts():
+    for is_under_way in (False, True):
+        entry = build_entry(8)
+        for number in range(5):
+            request = build_request(
+                f"r{number}",
+                is_idempotent=False,
+                content=f"content {number}",
+                parts=("m/shared",),
+            )
+            work, _ = start_request(entry, request)
+            entry.handle_claim(request.request, None, 0.0)
+            if is_under_way:
+                entry.handle_started(work.attempt, 0.0)
+                entry.handle_under_way(work.attempt, 0.3)
+            for _ in range(MAX_RESUMES + 1):
+                entry.handle_result(work.attempt, Interrupted("lost"), 0.4)
+        assert bool(entry.crashes.parts.causes) != is_under_way
--- a/tests/unit/test_instance.py
+++ b/tests/unit/test_instance.py
@@ -1,11 +1,15 @@
 """One instance as a whole: control proposals and the spread of crash records."""
 
+import msgspec
+
 from scalebend.core.claims import Claim
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
 from scalebend.core.crash_ledger import CRASHES_UNTIL_QUARANTINE
 from scalebend.core.instance import Instance
-from scalebend.core.messages import Datagram
+from scalebend.core.membership import MAX_RUMOR_BYTES
+from scalebend.core.messages import CrashRumor, Datagram
 from scalebend.exceptions import ErrorKind
+from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import Incarnation, InstanceId, Region, UpstreamId
 from scalebend.models.settings import Listen, Role, Settings
 from tests.lib.builders import ENTRY, ZONE, build_request
@@ -87,3 +91,54 @@
     crash_engines(first, request)
     starting.upstream_updates.apply_page(first.upstream_updates.build_page(), 2.0)
     assert starting.entry.crashes.find_quarantine(request, 2.0) is not None
+
+
+def crash_engines_under_part(instance, count=5):
+    request = build_request("r", parts=("m/cause",))
+    for number in range(count):
+        sent = instance.entry.crashes.record_sent(request, 1.0)
+        name = UpstreamId(f"engine-with-a-long-name-in-some-zone-{number}")
+        instance.entry.crashes.record_crash(request, name, Incarnation(1), 1.0, sent)
+
+
+def test_crashes_under_a_part_spread_to_all_instances_in_small_rumors():
+    request = build_request("other", parts=("m/cause",))
+    first, second, third = (build_instance(name) for name in ("a", "b", "c"))
+    crash_engines_under_part(first)
+    first.advance(1.0, 0.0)
+    assert all(
+        len(msgspec.msgpack.encode(rumor)) < MAX_RUMOR_BYTES
+        for _, rumor, _ in first.membership.rumors._queue.values()
+    )
+    send_rumors(first, second)
+    send_rumors(second, third)
+    for instance in (first, second, third):
+        error = instance.entry.crashes.find_quarantine(request, 1.0)
+        assert error.kind is ErrorKind.ENDS_UPSTREAMS
+    # A later response clears the part at all instances.
+    sent = third.entry.crashes.record_sent(request, 200.0)
+    third.entry.crashes.record_under_way(sent, 201.0)
+    send_rumors(third, first)
+    assert first.entry.crashes.find_quarantine(request, 201.0) is None
+
+
+def test_catalog_page_carries_the_parts_under_which_engines_crashed():
+    first, starting = build_instance("a"), build_instance("b")
+    crash_engines_under_part(first)
+    starting.upstream_updates.apply_page(first.upstream_updates.build_page(), 2.0)
+    assert starting.entry.crashes.parts.causes == {"m/cause"}
+
+
+def test_instance_of_an_older_version_ignores_rumors_of_parts():
+    class OlderRumor(msgspec.Struct, frozen=True, tag="x", array_like=True):
+        record: CrashRecord
+
+    first = build_instance("a")
+    crash_engines_under_part(first)
+    first.advance(1.0, 0.0)
+    rumors = first.membership.rumors.pop_batch(10_000)
+    decoder = msgspec.msgpack.Decoder(OlderRumor)
+    for rumor in rumors:
+        if isinstance(rumor, CrashRumor):
+            decoded = decoder.decode(msgspec.msgpack.encode(rumor))
+            assert not decoded.record.upstreams
