End requests in progress when a part of their prompt is quarantined

What callers saw: a request that had been sent before the verdict went on to crash its replica, and one that waited for an upstream waited until its turn or its deadline to be refused.

Both are ended now: what was not sent is refused at once (503, not run), what was sent is cancelled at its replica (502, unknown). A response that has begun goes on, and so does a trial.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -21,6 +21,7 @@
 from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.engine_priorities import choose_urgency
 from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.held_requests import HeldRequest
 from scalebend.edges.gateway.path_watch import PathWatch, watch_path
 from scalebend.edges.gateway.response_headers import apply_response_head
 from scalebend.edges.gateway.response_reading import (
@@ -129,6 +130,7 @@
         self._choice = UpstreamChoice(runtime, call, identity, excluded)
         self._cursor = EventCursor(call.headers.last_event)
         self._progress = AttemptProgress()
+        self._held = HeldRequest()
         self._stream: web.StreamResponse | None = None
         self._path: PathWatch | None = None
         self._event_at = 0.0
@@ -163,13 +165,13 @@
                 self._choice.retry_after = quarantine_s
                 refusal = self._attempts.refuse(ErrorKind.ENDS_UPSTREAMS)
                 return self._give_up(refusal, None)
-            async with self._choice.choose() as target:
-                if target is None:
-                    refusal = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
-                    return self._give_up(refusal, None)
-                result = await self._attempt(target)
-                self._choice.is_complete = result.outcome is Outcome.ANSWERED
-            target = result.target or target
+            result = await self._attempt_once()
+            if result is None:
+                continue
+            target = result.target
+            if target is None:
+                refusal = self._attempts.refuse(ErrorKind.NO_UPSTREAM)
+                return self._give_up(refusal, None)
             runtime.metrics.count_attempt(result.outcome.value)
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
@@ -187,6 +189,30 @@
             if result.has_unavailable_member:
                 await self._choice.exclude_unresponsive(target)
 
+    async def _attempt_once(self) -> AttemptResult | None:
+        """Choose an upstream and run one attempt there.
+
+        The result has no target if there is no upstream. Returns ``None`` if a part of
+        the prompt was quarantined meanwhile.
+        """
+        sent_before = self.send_count
+        with self._runtime.held_requests.watch(self._identity.parts) as self._held:
+            try:
+                async with self._held.timeout, self._choice.choose() as target:
+                    if target is None:
+                        return AttemptResult(Outcome.NOT_SENT)
+                    result = await self._attempt(target)
+                    self._choice.is_complete = result.outcome is Outcome.ANSWERED
+                    return msgspec.structs.replace(
+                        result, target=result.target or target
+                    )
+            except TimeoutError:
+                if not self._held.is_ended:
+                    raise
+        if self.send_count > sent_before and self.upstream is not None:
+            self._attempts.record_lost(None, self.upstream)
+        return None
+
     def _compute_quarantine(self) -> float:
         """Return the seconds until the quarantine of the request ends, or 0."""
         runtime = self._runtime
@@ -346,6 +372,7 @@
         """Record what is known of the parts now, before the request is sent."""
         runtime, parts = self._runtime, self._identity.parts
         if runtime.instance.parts.find_cause(parts) is not None:
+            self._held.release()
             runtime.begin_trial(parts)
         return runtime.instance.parts.record_sent(parts)
 
@@ -495,6 +522,7 @@
             elif is_first:
                 running.keep_only(target.decode_upstreams)
             if is_first:
+                self._held.release()
                 self._record_first_token(target)
             is_first = False
             read_timeout = event_timeout
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -28,6 +28,7 @@
 from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
 from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
+from scalebend.edges.gateway.held_requests import HeldRequests
 from scalebend.edges.gateway.leader_calls import LeaderCalls
 from scalebend.edges.gateway.links import HEARTBEAT_INTERVAL_S, Dialer
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -102,6 +103,7 @@
         )
         self._evacuations = EvacuationWatch(metrics)
         self.attempts = RunningAttempts()
+        self.held_requests = HeldRequests()
         self.leader_calls = LeaderCalls(self._dialer.send)
         self.placements = PlacementCalls(self)
         self._sessions: UpstreamSessions | None = None
@@ -169,6 +171,7 @@
             return
         leader = self.instance.leader
         self.execute(self.instance.handle(sender, message, self.now()))
+        self.held_requests.end(self.instance.parts.causes)
         self._evacuations.report(self.instance.evacuations.newest)
         if self.instance.leader != leader:
             self.leader_calls.record_new_leader()
@@ -366,6 +369,7 @@
         self.metrics.count_lost_request()
         now = self.now()
         self.execute(self.instance.record_crash(fingerprint, upstream, now, parts))
+        self.held_requests.end(self.instance.parts.causes)
 
     def record_under_way(self, parts: SentParts) -> None:
         """Record that a response got past its start."""
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -239,6 +239,7 @@
         excluded = {*self._attempts.excluded, target.upstream}
         second._choice = UpstreamChoice(runtime, call, self._identity, excluded)
         second._race = race
+        second._held = self._held
         second._overdue = _Overdue(target, delay)
         race.add(second, asyncio.create_task(second._run_second()))
         return second
