Try parts that were sound before again after 15 s

Its first trial now comes after 15 s instead of 60; trials stay within the three requests that may reach replicas after a verdict (15, 60 and 240 s).

--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -32,11 +32,13 @@
 logger = structlog.get_logger(__name__)
 
 FIRST_QUARANTINE_S = 60.0
+FIRST_QUARANTINE_IF_SOUND_S = 15.0
 QUARANTINE_GROWTH = 4.0
 MAX_QUARANTINE_S = 86_400.0
 MAX_GROWTH_STEPS = 8
 """Length of a quarantine, and its growth with each trial that crashed an upstream. The
-first trial comes soon: a verdict on a part that others share is expensive if wrong."""
+first trial of a part on which there were responses comes soon: many requests may share
+it, and the verdict may be wrong."""
 
 TRIAL_TIMEOUT_S = 30.0
 """Time in which no second trial begins, while the first may wait for its response."""
@@ -384,7 +386,8 @@
 
     def _extend_quarantine(self, record: _Record, now: float) -> None:
         growth = QUARANTINE_GROWTH ** min(record.trials, MAX_GROWTH_STEPS)
-        length = min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * growth)
+        first = FIRST_QUARANTINE_IF_SOUND_S if record.was_sound else FIRST_QUARANTINE_S
+        length = min(MAX_QUARANTINE_S, first * growth)
         record.quarantined_until = now + length
 
     def _compute_trial_time(self, part: PartId) -> float:
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 
 from scalebend.core.part_ledger import (
+    FIRST_QUARANTINE_IF_SOUND_S,
     FIRST_QUARANTINE_S,
     MAX_CRASHES_PER_RECORD,
     MAX_RECORDS,
@@ -142,6 +143,16 @@
     assert not other.causes
 
 
+def test_part_that_was_sound_is_tried_again_soon():
+    ledger = PartLedger()
+    respond(ledger, (CAUSE,))
+    for number in range(CRASHES):
+        crash(ledger, (CAUSE,), number, 0.5 * number)
+    assert ledger.causes == {CAUSE}
+    left = ledger.compute_quarantine((CAUSE,), 0.5 * CRASHES)
+    assert 0.0 < left <= FIRST_QUARANTINE_IF_SOUND_S + TRIAL_SPREAD_S
+
+
 def test_processes_begin_trials_at_different_times():
     ends = set()
     for number in range(20):
