Treat streams that end with their connection before any event as broken

What callers saw: an empty 200 where a replica had crashed before its first event, if its stream had neither a length nor chunks; nothing was tried elsewhere, and the crash counted against nothing. So a part that crashes such replicas was never held back.

Test before: an empty body instead of five events, and six times 200 instead of five times 502 and a refusal. Streams that end between events stay complete, those that end inside an event are resumed as before (tests).

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -65,6 +65,10 @@
 which only a running upstream sends."""
 
 
+_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+"""Headers of responses whose end does not depend on that of the connection."""
+
+
 class StreamBrokenError(Exception):
     """A stream broke after a part of it had been forwarded to the caller."""
 
@@ -535,11 +539,26 @@
                 detail="ended inside an event",
                 is_connection_lost=True,
             )
+        if self._is_cut_off(response):
+            return AttemptResult(
+                Outcome.INTERRUPTED,
+                detail="ended before any event",
+                is_connection_lost=True,
+            )
         self._claim_response()
         stream = self._stream or await self._open_stream(response)
         await stream.write_eof()
         return AttemptResult(Outcome.ANSWERED, stream)
 
+    def _is_cut_off(self, response: aiohttp.ClientResponse) -> bool:
+        """Whether a stream without an event ended because its connection did.
+
+        With neither a length nor chunks, the end of the connection ends the response,
+        also if the replica crashed.
+        """
+        is_framed = any(name in response.headers for name in _FRAMING_HEADERS)
+        return not is_framed and self._cursor.last_event is None
+
     def _record_first_token(self, target: Target) -> None:
         self._choice.record_first_token(target)
 
--- a/tests/lib/front.py
+++ b/tests/lib/front.py
@@ -33,7 +33,7 @@
         self.runtime.instance.directory.register(endpoint, self.runtime.now())
         return endpoint
 
-    def call(self, path="/", wait=10.0, prompt=None, parts=()):
+    def call(self, path="/", wait=10.0, prompt=None, parts=(), body=b"body"):
         self.requests += 1
         headers = {
             "Host": HOST,
@@ -45,7 +45,7 @@
         if parts:
             shared = "".join(f"{part}:100," for part in parts)
             headers["X-Prompt-Prefix"] = f"{shared}{self.requests:x}:100"
-        return self.session.post(f"{self.url}{path}", headers=headers, data=b"body")
+        return self.session.post(f"{self.url}{path}", headers=headers, data=body)
 
 
 @contextlib.asynccontextmanager
