Split crash evidence and attempt results off the forwarder

No decision differs. The forwarder asks one object for the quarantine of its request and tells it what became of attempts; FrontInstance and FrontRuntime lose seven methods that only passed arguments on.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -51,16 +51,13 @@
 from scalebend.core.gateway.routing_store import RoutingUpdate, apply_update
 from scalebend.core.gateway.service_balancer import ServiceBalancer
 from scalebend.core.gateway.slow_start import SlowStarts
-from scalebend.core.part_ledger import NO_PARTS, PartLedger, SentParts
+from scalebend.core.part_ledger import PartLedger
 from scalebend.core.upstream_backoff import UpstreamBackoffs
 from scalebend.core.upstream_reach import FailureKind, UpstreamReach
-from scalebend.models.crashes import RequestIdentity
 from scalebend.models.endpoints import EndpointUpdate
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import (
-    Fingerprint,
     InstanceId,
-    PartId,
     ServiceName,
     UpstreamId,
 )
@@ -108,7 +105,7 @@
         )
         self.evacuations = HeldEvacuations(self.directory)
         self.balancer = ServiceBalancer()
-        self._crashes = FrontCrashes(self.directory, settings.instance)
+        self.crash_reports = FrontCrashes(self.directory, settings.instance)
         starts = SlowStarts(self.directory, bounds)
         self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
@@ -168,12 +165,12 @@
     @property
     def crashes(self) -> CrashLedger:
         """Requests during which upstreams crashed, from all fronts."""
-        return self._crashes.ledger
+        return self.crash_reports.ledger
 
     @property
     def parts(self) -> PartLedger:
         """Parts of prompts under which upstreams crashed, from all fronts."""
-        return self._crashes.parts
+        return self.crash_reports.parts
 
     @property
     def instances(self) -> set[InstanceId]:
@@ -228,7 +225,7 @@
             case FrontNumber() if sender == self.leader:
                 self.limits.record_position(message)
             case CrashUpdates():
-                self._crashes.merge(message, now)
+                self.crash_reports.merge(message, now)
         return []
 
     def advance(self, now: float) -> list[ToControl]:
@@ -242,7 +239,7 @@
             self._next_outcome_report_at = now + OUTCOME_REPORT_INTERVAL_S
             paths = self.paths.build_report(now)
             outcomes = AttemptOutcomes(self._outcomes.pop_all(), paths)
-            actions += self._report(outcomes)
+            actions += self.report(outcomes)
         self.paths.advance(now)
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
@@ -258,7 +255,7 @@
             self._next_expiry_at = now + EXPIRY_INTERVAL_S
             self.scheduler.expire(now)
             self.reach.expire(now)
-            self._crashes.expire(now)
+            self.crash_reports.expire(now)
             known = self.directory.list_ids()
             self.scheduler.retain(known)
             self.limits.expire(known, now)
@@ -276,8 +273,8 @@
             self.directory.merge(change, now)
             if before is not None and before != self.directory.get_newest(name):
                 ended.append(before)
-        crashed = self._crashes.record_ended_upstreams(ended, now)
-        actions: list[FrontAction] = [*self._report(crashed)]
+        crashed = self.crash_reports.record_ended_upstreams(ended, now)
+        actions: list[FrontAction] = [*self.report(crashed)]
         return [EndAttempts(ended), *actions] if ended else actions
 
     def _apply_control_status(
@@ -300,12 +297,12 @@
         self._links.record_leader_contact(now)
         self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
         return [
-            *self._report(self.limits.build_updates()),
+            *self.report(self.limits.build_updates()),
             *self._report_draining(list(self._draining)),
-            *self._report(Subscribe(self.table.routing.version)),
-            *self._report(OpenJobs(self._jobs.list_open(now))),
-            *self._report(self._build_lease_request(now)),
-            *self._report(self._crashes.build_updates(now)),
+            *self.report(Subscribe(self.table.routing.version)),
+            *self.report(OpenJobs(self._jobs.list_open(now))),
+            *self.report(self._build_lease_request(now)),
+            *self.report(self.crash_reports.build_updates(now)),
         ]
 
     def _build_lease_request(self, now: float) -> LeaseRequest:
@@ -423,14 +420,14 @@
         ended = JobStage(opened.work.job, is_ended=True)
         # The end comes first: the leader ignores reports of jobs that it knows.
         return [
-            *self._report(JobStages([ended])),
-            *self._report(OpenJobs([opened])),
+            *self.report(JobStages([ended])),
+            *self.report(OpenJobs([opened])),
         ]
 
     def record_stage(self, stage: JobStage, now: float) -> list[ToControl]:
         """Record the first token or the end of a job."""
         self._jobs.record_stage(stage, now)
-        return self._report(JobStages([stage]))
+        return self.report(JobStages([stage]))
 
     def record_outcome(
         self, upstream: UpstreamId, now: float, *, has_failed: bool
@@ -483,13 +480,13 @@
     def record_limit(self, observed: ObservedLimit, now: float) -> list[ToControl]:
         """Record the rate limit in an upstream's response, or that there is none."""
         has_leader = self.leader is not None
-        return self._report(self.limits.receive(observed, now, has_leader=has_leader))
+        return self.report(self.limits.receive(observed, now, has_leader=has_leader))
 
     def record_uncoordinated_send(self, upstream: UpstreamId) -> list[ToControl]:
         """Report a request that is sent to a rate-limited upstream without a permit."""
         if not self.limits.is_limited(upstream):
             return []
-        return self._report(UncoordinatedSends([upstream]))
+        return self.report(UncoordinatedSends([upstream]))
 
     # Draining upstreams
 
@@ -504,53 +501,9 @@
         return self._report_draining([upstream])
 
     def _report_draining(self, upstreams: list[UpstreamId]) -> list[ToControl]:
-        return self._report(DrainingReport(upstreams) if upstreams else None)
+        return self.report(DrainingReport(upstreams) if upstreams else None)
 
-    # Crashes and suspect requests
-
-    def is_suspect(self, identity: RequestIdentity) -> bool:
-        """Whether the request may be what crashes upstreams."""
-        return self._crashes.is_suspect(identity)
-
-    def compute_quarantine(self, identity: RequestIdentity, now: float) -> float:
-        """Return the seconds of quarantine left; 0 if the request may be sent."""
-        return self._crashes.compute_quarantine(identity, now)
-
-    def begin_trial(self, parts: tuple[PartId, ...], now: float) -> list[ToControl]:
-        """Record that a request whose quarantine has ended is sent."""
-        return self._report(self._crashes.begin_trial(parts, now))
-
-    def record_crash(
-        self,
-        fingerprint: Fingerprint,
-        upstream: UpstreamId,
-        now: float,
-        parts: SentParts = NO_PARTS,
-    ) -> list[ToControl]:
-        """Record that an upstream crashed or disconnected during a request.
-
-        ``parts`` are those that may be the cause.
-        """
-        update = self._crashes.record_crash(fingerprint, parts, upstream, now)
-        return self._report(update)
-
-    def record_under_way(self, parts: SentParts, now: float) -> list[ToControl]:
-        """Record that a response got past its start, so its parts are harmless."""
-        return self._report(self._crashes.record_under_way(parts, now))
-
-    def record_completed(self, fingerprint: Fingerprint, now: float) -> list[ToControl]:
-        """Record that an upstream gave a complete response to the request."""
-        return self._report(self._crashes.record_completed(fingerprint, now))
-
-    def record_unanswered(
-        self,
-        fingerprint: Fingerprint,
-        upstream: UpstreamId,
-        now: float,
-        parts: SentParts = NO_PARTS,
-    ) -> None:
-        """Record an attempt without a response whose connection did not break."""
-        self._crashes.record_unanswered(fingerprint, parts, upstream, now)
+    # Failed upstreams
 
     def _apply_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
         logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
@@ -564,25 +517,25 @@
         if not self._may_blame(upstream, now):
             return []
         self.scheduler.record_failure(upstream, now)
-        return self._report(ReplicaFailures([upstream]))
+        return self.report(ReplicaFailures([upstream]))
 
     def record_overdue(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report a replica at which a first token is overdue."""
         self.scheduler.record_overdue(upstream, now)
-        return self._report(ReplicaFailures([], [upstream]))
+        return self.report(ReplicaFailures([], [upstream]))
 
     def record_rejection(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report that an engine rejected a request without running it."""
         self.scheduler.record_rejection(upstream, now)
-        return self._report(RejectionReport(upstream))
+        return self.report(RejectionReport(upstream))
 
     def record_paces(self, paces: list[ReplicaPace], now: float) -> list[ToControl]:
         """Record the paces that replicas reported, and send them to the leader."""
         for pace in paces:
             self.scheduler.record_pace(pace, now)
-        return self._report(ReplicaPaces(paces) if paces else None)
+        return self.report(ReplicaPaces(paces) if paces else None)
 
-    def _report(self, message: LinkMessage | None) -> list[ToControl]:
+    def report(self, message: LinkMessage | None) -> list[ToControl]:
         """Send a report to the leader, if there are both."""
         if message is None or self.leader is None:
             return []
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -18,7 +18,8 @@
     compute_event_timeout,
     compute_first_byte_timeout,
 )
-from scalebend.core.part_ledger import SentParts
+from scalebend.edges.gateway.attempt_result import AttemptResult, build_interrupted
+from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.engine_priorities import choose_urgency
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.held_requests import HeldRequest
@@ -38,10 +39,8 @@
     build_timeout,
     find_peer,
 )
-from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import Call, Outcome, ResponseHeaders
-from scalebend.models.crashes import RequestIdentity
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.rate_limits import UNLIMITED, RateLimit
 from scalebend.models.routing import RouteKind
@@ -56,14 +55,6 @@
 _REFUSAL_KINDS = (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.ENDS_UPSTREAMS)
 """Error kinds of requests that no upstream accepted."""
 
-_CONNECTION_ERRORS = (
-    aiohttp.ServerDisconnectedError,
-    aiohttp.ClientPayloadError,
-    OSError,
-)
-"""The connection was lost, as in a crash. Other client errors are malformed responses,
-which only a running upstream sends."""
-
 
 _FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
 """Headers of responses whose end does not depend on that of the connection."""
@@ -73,46 +64,6 @@
     """A stream broke after a part of it had been forwarded to the caller."""
 
 
-class AttemptResult(msgspec.Struct, frozen=True):
-    """Result of one attempt; ``response`` is that of the upstream, if there was one."""
-
-    outcome: Outcome
-    response: web.StreamResponse | None = None
-    detail: str = ""
-    faulty: UpstreamId | None = None
-    """The upstream at fault, if it is not the one that was sent the request."""
-
-    is_connection_lost: bool = False
-    """Whether the connection was lost before the response was complete."""
-
-    is_connection_timeout: bool = False
-    """Whether no connection came about in time."""
-
-    target: Target | None = None
-    """Where it ran, if not at the target first chosen."""
-
-    progress: AttemptProgress = msgspec.field(default_factory=AttemptProgress)
-
-    @property
-    def has_unavailable_member(self) -> bool:
-        """Whether an upstream of the placement is unavailable; others may be, too."""
-        if self.outcome is Outcome.NOT_SENT:
-            return True
-        is_unused = self.outcome in (Outcome.REJECTED, Outcome.WITHDRAWN)
-        return is_unused and self.faulty is not None
-
-
-def _build_interrupted(error: Exception) -> AttemptResult:
-    """Return the result of an attempt that an error of its connection ended."""
-    detail = f"{type(error).__name__}: {error}"
-    if isinstance(error, PathLostError):
-        return AttemptResult(Outcome.PATH_LOST, detail=detail)
-    is_connection_lost = isinstance(error, _CONNECTION_ERRORS)
-    return AttemptResult(
-        Outcome.INTERRUPTED, detail=detail, is_connection_lost=is_connection_lost
-    )
-
-
 class Forwarder:
     """Forwards one request of a caller."""
 
@@ -122,16 +73,16 @@
         call: Call,
         request: web.BaseRequest,
         body: bytes,
-        identity: RequestIdentity,
+        evidence: CrashEvidence,
     ) -> None:
         self._runtime = runtime
         self._call = call
-        self._identity = identity
+        self._evidence = evidence
         self._request = request
         self._body = body
         self._attempts = Attempts(call)
         excluded = self._attempts.excluded
-        self._choice = UpstreamChoice(runtime, call, identity, excluded)
+        self._choice = UpstreamChoice(runtime, call, evidence, excluded)
         self._cursor = EventCursor(call.headers.last_event)
         self._progress = AttemptProgress()
         self._held = HeldRequest()
@@ -163,7 +114,7 @@
         runtime, call = self._runtime, self._call
         runtime.instance.retries.record_request(call.service, runtime.now())
         while True:
-            quarantine_s = self._compute_quarantine()
+            quarantine_s = self._evidence.compute_quarantine()
             if quarantine_s > 0.0:
                 runtime.metrics.count_quarantined_request()
                 self._choice.retry_after = quarantine_s
@@ -179,7 +130,7 @@
             runtime.metrics.count_attempt(result.outcome.value)
             if result.outcome in (Outcome.ANSWERED, Outcome.FAILED):
                 # Even a complete error response shows that the request crashed nothing.
-                runtime.record_completed(self._identity.fingerprint)
+                self._evidence.record_completed()
                 self._record_response(result)
             if result.outcome is Outcome.ANSWERED:
                 runtime.instance.record_outcome(
@@ -200,7 +151,9 @@
         the prompt was quarantined meanwhile.
         """
         sent_before = self.send_count
-        with self._runtime.held_requests.watch(self._identity.parts) as self._held:
+        with self._runtime.held_requests.watch(
+            self._evidence.identity.parts
+        ) as self._held:
             try:
                 async with self._held.timeout, self._choice.choose() as target:
                     if target is None:
@@ -217,11 +170,6 @@
             self._attempts.record_lost(None, self.upstream)
         return None
 
-    def _compute_quarantine(self) -> float:
-        """Return the seconds until the quarantine of the request ends, or 0."""
-        runtime = self._runtime
-        return runtime.instance.compute_quarantine(self._identity, runtime.now())
-
     def _record_response(self, result: AttemptResult) -> None:
         """Record what a complete response says about the parts of the prompt.
 
@@ -232,7 +180,7 @@
             return
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if progress.events or not is_stream:
-            self._runtime.record_under_way(progress.parts)
+            self._evidence.record_under_way(progress)
 
     def _compute_backoff(self) -> float:
         """Return the seconds until an upstream of the service leaves backoff."""
@@ -244,14 +192,9 @@
         runtime = self._runtime
         faulty = result.faulty or target.upstream
         if result.is_connection_lost:
-            suspected = result.progress.suspected_parts
-            runtime.record_crash(self._identity.fingerprint, faulty, suspected)
+            self._evidence.record_crash(faulty, result.progress)
         if result.outcome in (Outcome.UNRESPONSIVE, Outcome.TIMED_OUT):
-            runtime.record_unanswered(
-                self._identity.fingerprint,
-                target.upstream,
-                result.progress.suspected_parts,
-            )
+            self._evidence.record_unanswered(target.upstream, result.progress)
             runtime.instance.record_silence(target.address, runtime.now())
         if result.outcome in (Outcome.NOT_SENT, Outcome.UNRESPONSIVE):
             runtime.instance.balancer.record_unreachable(target.upstream, runtime.now())
@@ -283,14 +226,14 @@
         logger.info(
             "attempt ended",
             request=self._call.headers.request,
-            fingerprint=self._identity.fingerprint,
+            fingerprint=self._evidence.identity.fingerprint,
             upstream=target.upstream,
             address=target.address,
             outcome=result.outcome.value,
             faulty=faulty,
             detail=result.detail,
             last_event=self._cursor.last_event,
-            parts=self._identity.logged_parts,
+            parts=self._evidence.identity.logged_parts,
             events=result.progress.events,
             streamed_for=round(result.progress.streamed_for, 3),
             decision=type(decision).__name__,
@@ -327,13 +270,15 @@
             return AttemptResult(
                 Outcome.WITHDRAWN, detail="not sent", faulty=target.unavailable
             )
-        if self._compute_quarantine() > 0.0:
+        if self._evidence.compute_quarantine() > 0.0:
             # The quarantine began while the request waited to be sent.
             return AttemptResult(Outcome.WITHDRAWN, detail="held back")
         if not self._runtime.instance.may_send(target.upstream, self._runtime.now()):
             # Backoff or draining began after the upstream was chosen.
             return AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
-        self._progress.parts = self._begin_send()
+        if self._evidence.is_trial():
+            self._held.release()
+        self._progress.parts = self._evidence.record_sent()
         attempts = self._runtime.attempts
         with attempts.watch(self._call.deadline, target.upstreams) as running:
             try:
@@ -354,7 +299,7 @@
                 return AttemptResult(Outcome.NOT_SENT, detail="no connection")
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.timeout.expired():
-                    return _build_interrupted(error)
+                    return build_interrupted(error)
             if running.restarted_upstream is None:
                 if running.has_connection:
                     return AttemptResult(Outcome.TIMED_OUT)
@@ -372,14 +317,6 @@
                 is_connection_lost=True,
             )
 
-    def _begin_send(self) -> SentParts:
-        """Record what is known of the parts now, before the request is sent."""
-        runtime, parts = self._runtime, self._identity.parts
-        if runtime.instance.parts.find_cause(parts) is not None:
-            self._held.release()
-            runtime.begin_trial(parts)
-        return runtime.instance.parts.record_sent(parts)
-
     async def _exchange(self, target: Target, running: RunningAttempt) -> AttemptResult:
         call = self._call
         # After a broken or unresponsive connection, pooled ones may be dead, too.
@@ -567,10 +504,7 @@
 
     def _record_event_time(self, events: int) -> None:
         now = self._runtime.now()
-        was_under_way = self._progress.is_under_way
-        self._progress.record_events(events, now)
-        if self._progress.is_under_way and not was_under_way:
-            self._runtime.record_under_way(self._progress.parts)
+        self._evidence.record_events(self._progress, events)
         if self.first_event is None:
             self.first_event = now - self._call.arrived
         else:
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -12,6 +12,7 @@
 
 from scalebend.core.fingerprints import build_part_id, compute_fingerprint
 from scalebend.core.gateway.key_lease import LEASE_MARGIN_S
+from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
 from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
@@ -83,7 +84,9 @@
             call = self._admit(request, arrival, arrival.route)
             body = await self._read_body(request, call)
             identity = arrival.identity = _identify_request(call, request.host, body)
-            forwarder = HedgedForwarder(runtime, call, request, body, identity)
+            forwarder = HedgedForwarder(
+                runtime, call, request, body, CrashEvidence(runtime, identity)
+            )
             arrival.forwarder = forwarder
             response = await forwarder.forward()
             self._log(arrival, response.status, None, forwarder)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -26,7 +26,6 @@
     REPLAN_INTERVAL_S,
 )
 from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
-from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.held_requests import HeldRequests
 from scalebend.edges.gateway.leader_calls import LeaderCalls
@@ -39,9 +38,7 @@
 from scalebend.models.calls import ReportedLoad
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import (
-    Fingerprint,
     InstanceId,
-    PartId,
     SendPermitId,
     UpstreamId,
 )
@@ -201,6 +198,10 @@
                 case EndAttempts(upstreams):
                     self.attempts.end(upstreams)
 
+    def report(self, message: LinkMessage | None) -> None:
+        """Send a report to the leader, if there are both."""
+        self.execute(self.instance.report(message))
+
     def spawn(self, work: Coroutine[Any, Any, object]) -> asyncio.Task[object]:
         """Run ``work`` as a background task, and return it."""
         task = asyncio.create_task(work)
@@ -362,33 +363,6 @@
         """Count a request refused since all upstreams are at their rate limits."""
         self.metrics.count_rate_limit_rejection()
 
-    def record_crash(
-        self, fingerprint: Fingerprint, upstream: UpstreamId, parts: SentParts
-    ) -> None:
-        """Record that an upstream crashed or was disconnected during a request."""
-        self.metrics.count_lost_request()
-        now = self.now()
-        self.execute(self.instance.record_crash(fingerprint, upstream, now, parts))
-        self.held_requests.end(self.instance.parts.causes)
-
-    def record_under_way(self, parts: SentParts) -> None:
-        """Record that a response got past its start."""
-        self.execute(self.instance.record_under_way(parts, self.now()))
-
-    def begin_trial(self, parts: tuple[PartId, ...]) -> None:
-        """Record that a request whose quarantine has ended is sent."""
-        self.execute(self.instance.begin_trial(parts, self.now()))
-
-    def record_unanswered(
-        self, fingerprint: Fingerprint, upstream: UpstreamId, parts: SentParts
-    ) -> None:
-        """Record an attempt that timed out while its connection stayed open."""
-        self.instance.record_unanswered(fingerprint, upstream, self.now(), parts)
-
-    def record_completed(self, fingerprint: Fingerprint) -> None:
-        """Record that an upstream sent a complete response to the request."""
-        self.execute(self.instance.record_completed(fingerprint, self.now()))
-
     def record_path(self, upstream: UpstreamId, observed: int, lost: int) -> None:
         """Count pieces of data of an upstream, and those of them lost on the way."""
         self.instance.record_path(upstream, observed, lost, self.now())
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -14,12 +14,13 @@
 from aiohttp import web
 
 from scalebend.core.gateway.hedging import Refusal
-from scalebend.edges.gateway.forwarder import AttemptResult, Forwarder
+from scalebend.edges.gateway.attempt_result import AttemptResult
+from scalebend.edges.gateway.crash_evidence import CrashEvidence
+from scalebend.edges.gateway.forwarder import Forwarder
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.response_reading import wait_for_task
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.models.calls import Call, Outcome
-from scalebend.models.crashes import RequestIdentity
 from scalebend.models.rate_limits import RateLimit
 
 logger = structlog.get_logger(__name__)
@@ -116,9 +117,9 @@
         call: Call,
         request: web.BaseRequest,
         body: bytes,
-        identity: RequestIdentity,
+        evidence: CrashEvidence,
     ) -> None:
-        super().__init__(runtime, call, request, body, identity)
+        super().__init__(runtime, call, request, body, evidence)
         self._hedging = runtime.instance.hedging
         self._race: _Race | None = None
         self._sent_at: float | None = None
@@ -226,18 +227,18 @@
             call,
             self._attempts.runs,
             runtime.now(),
-            is_suspect=runtime.instance.is_suspect(self._identity),
+            is_suspect=self._evidence.is_suspect(),
             is_queueing=is_queueing,
         )
         self._log_overdue(target, delay, refusal)
         if refusal is not None:
             return None
         second = HedgedForwarder(
-            runtime, call, self._request, self._body, self._identity
+            runtime, call, self._request, self._body, self._evidence
         )
         second._attempts = self._attempts
         excluded = {*self._attempts.excluded, target.upstream}
-        second._choice = UpstreamChoice(runtime, call, self._identity, excluded)
+        second._choice = UpstreamChoice(runtime, call, self._evidence, excluded)
         second._race = race
         second._held = self._held
         second._overdue = _Overdue(target, delay)
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -14,12 +14,12 @@
     compute_inspection_delay,
     compute_room_timeout,
 )
+from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.evacuated_services import refuse_evacuated
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.reservations import HelperUnresponsiveError, reserve_memory
 from scalebend.edges.gateway.service_choice import choose_within_limits
 from scalebend.models.calls import Call, ReportedLoad
-from scalebend.models.crashes import RequestIdentity
 from scalebend.models.ids import InstanceId, UpstreamId
 from scalebend.models.placement import Declined, EngineWork, JobId, Placement
 
@@ -84,11 +84,11 @@
         self,
         runtime: FrontRuntime,
         call: Call,
-        identity: RequestIdentity,
+        evidence: CrashEvidence,
         excluded: set[UpstreamId],
     ) -> None:
         """``excluded`` is shared: it grows as attempts fail."""
-        self._identity = identity
+        self._evidence = evidence
         self._runtime = runtime
         self._call = call
         self._excluded = excluded
@@ -309,11 +309,11 @@
             event_gap=route.event_gap or route.target_latency,
             remaining=call.deadline - now,
             excluded=tuple(self._excluded),
-            is_suspect=self._runtime.instance.is_suspect(self._identity),
+            is_suspect=self._evidence.is_suspect(),
             priority=call.priority,
             customer=call.customer,
             availability_zone=self._runtime.settings.availability_zone,
-            fingerprint=self._identity.fingerprint,
+            fingerprint=self._evidence.identity.fingerprint,
             waited=now - call.arrived,
         )
 
--- a/tests/unit/gateway/test_crash_exchange.py
+++ b/tests/unit/gateway/test_crash_exchange.py
@@ -3,6 +3,7 @@
 from scalebend.core.crash_ledger import CRASHES_UNTIL_QUARANTINE
 from scalebend.core.gateway.crash_exchange import SEND_INTERVAL_S, CrashExchange
 from scalebend.core.gateway.messages import CrashUpdates
+from scalebend.core.part_ledger import NO_PARTS
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
 from tests.lib.gateway_group import LEADER, build_deployment
@@ -12,8 +13,10 @@
 
 def record_crash(deployment, number, upstream, fingerprint=CAUSE):
     front = deployment.fronts[number]
-    actions = front.record_crash(fingerprint, UpstreamId(upstream), deployment.now)
-    deployment._send(deployment.names[number], actions)
+    report = front.crash_reports.record_crash(
+        fingerprint, NO_PARTS, UpstreamId(upstream), deployment.now
+    )
+    deployment._send(deployment.names[number], front.report(report))
 
 
 def list_quarantined(deployment):
@@ -69,8 +72,9 @@
     deployment = build_deployment(fronts=2, replicas=6)
     record_crash(deployment, 0, "i-1")
     deployment.run(0.05)
-    actions = deployment.fronts[1].record_completed(CAUSE, deployment.now)
-    deployment._send(deployment.names[1], actions)
+    front = deployment.fronts[1]
+    report = front.crash_reports.record_completed(CAUSE, deployment.now)
+    deployment._send(deployment.names[1], front.report(report))
     deployment.run(0.05)
     assert not any(front.crashes.is_suspect(CAUSE) for front in deployment.fronts)
 
--- a/tests/unit/gateway/test_part_exchange.py
+++ b/tests/unit/gateway/test_part_exchange.py
@@ -26,23 +26,25 @@
     sent = instance.parts.record_sent(parts)
     fingerprint = identify(number, *parts).fingerprint
     upstream = UpstreamId(f"i-{number}")
-    actions = instance.record_crash(fingerprint, upstream, deployment.now, sent)
-    deployment._send(deployment.names[front], actions)
+    report = instance.crash_reports.record_crash(
+        fingerprint, sent, upstream, deployment.now
+    )
+    deployment._send(deployment.names[front], instance.report(report))
     deployment.run(0.05)
 
 
 def respond(deployment, front, parts):
     instance = deployment.fronts[front]
     sent = instance.parts.record_sent(parts)
-    actions = instance.record_under_way(sent, deployment.now)
-    deployment._send(deployment.names[front], actions)
+    report = instance.crash_reports.record_under_way(sent, deployment.now)
+    deployment._send(deployment.names[front], instance.report(report))
     deployment.run(0.05)
 
 
 def list_refusing(deployment, *parts):
     identity = identify(999, *parts)
     return [
-        front.compute_quarantine(identity, deployment.now) > 0.0
+        front.crash_reports.compute_quarantine(identity, deployment.now) > 0.0
         for front in deployment.fronts
     ]
 
@@ -120,5 +122,7 @@
     for number in range(count):
         crash(deployment, 2 * number)
     for front in deployment.fronts:
-        assert front.is_suspect(identify(900, COMMON, CAUSE)) == (count == 2)
-        assert not front.is_suspect(identify(901, COMMON, OTHER))
+        assert front.crash_reports.is_suspect(identify(900, COMMON, CAUSE)) == (
+            count == 2
+        )
+        assert not front.crash_reports.is_suspect(identify(901, COMMON, OTHER))
