--- a/src/scalebend/soak/misbehaving.py
+++ b/src/scalebend/soak/misbehaving.py
@@ -13,6 +13,7 @@
 import os
 import socket
 import sys
+import threading
 import time
 from pathlib import Path
 from typing import Any
@@ -97,6 +98,7 @@
         self._fdatasync = os.fdatasync
         # Data that an earlier process synced stays durable.
         self._synced = read_synced(folder)
+        self._lock = threading.Lock()
 
     def install(self) -> None:
         """Patch the calls in this process."""
@@ -142,10 +144,11 @@
         self._fdatasync(descriptor)
         path = os.readlink(f"/proc/self/fd/{descriptor}")
         if os.path.isfile(path):
-            self._synced[path] = os.fstat(descriptor).st_size
-            temporary = self._folder / "synced.new"
-            temporary.write_bytes(msgspec.json.encode(self._synced))
-            temporary.replace(self._folder / SYNCED_FILE)
+            with self._lock:
+                self._synced[path] = os.fstat(descriptor).st_size
+                temporary = self._folder / "synced.new"
+                temporary.write_bytes(msgspec.json.encode(self._synced))
+                temporary.replace(self._folder / SYNCED_FILE)
 
 
 def main() -> None:
--- a/src/scalebend/storage/crash_file.py
+++ b/src/scalebend/storage/crash_file.py
@@ -19,9 +19,9 @@
 _PARTS_DECODER = msgspec.msgpack.Decoder(PartRecord)
 
 
-def write_crashes(folder: Path, records: list[CrashRecord]) -> None:
-    """Replace the stored records; peers have copies, so an error is only logged."""
-    write_hints(folder / _NAME, records)
+def write_crashes(folder: Path, records: list[CrashRecord]) -> bool:
+    """Replace the stored records; return whether that succeeded."""
+    return write_hints(folder / _NAME, records)
 
 
 def read_crashes(folder: Path) -> list[CrashRecord]:
@@ -29,9 +29,9 @@
     return read_hints(folder / _NAME, _DECODER)
 
 
-def write_part_crashes(folder: Path, records: list[PartRecord]) -> None:
-    """Replace the stored records of parts of prompts."""
-    write_hints(folder / _PARTS_NAME, records)
+def write_part_crashes(folder: Path, records: list[PartRecord]) -> bool:
+    """Replace the stored records of parts; return whether that succeeded."""
+    return write_hints(folder / _PARTS_NAME, records)
 
 
 def read_part_crashes(folder: Path) -> list[PartRecord]:
--- a/src/scalebend/storage/hint_file.py
+++ b/src/scalebend/storage/hint_file.py
@@ -24,14 +24,19 @@
 _LIST_DECODER = msgspec.msgpack.Decoder(list[msgspec.Raw])
 
 
-def write_hints(path: Path, entries: Sequence[object]) -> None:
-    """Replace the stored list by ``entries``; an I/O error is logged."""
+def write_hints(path: Path, entries: Sequence[object]) -> bool:
+    """Replace the stored list by ``entries``; return whether it is stored.
+
+    An I/O error is logged.
+    """
     data = _ENCODER.encode(entries)
     checksum = zlib.crc32(data).to_bytes(_CHECKSUM_BYTES, "big")
     try:
         replace_file(path, checksum + data)
     except OSError as error:
         logger.warning("hints not written", file=path.name, error=str(error))
+        return False
+    return True
 
 
 def read_hints(path: Path, decoder: msgspec.msgpack.Decoder[Entry]) -> list[Entry]:
--- a/src/scalebend/storage/upstream_file.py
+++ b/src/scalebend/storage/upstream_file.py
@@ -17,9 +17,9 @@
 _DECODER = msgspec.msgpack.Decoder(EndpointUpdate)
 
 
-def write_upstreams(folder: Path, updates: list[EndpointUpdate]) -> None:
-    """Replace the stored upstreams; an I/O error is only logged."""
-    write_hints(folder / _NAME, updates)
+def write_upstreams(folder: Path, updates: list[EndpointUpdate]) -> bool:
+    """Replace the stored upstreams; return whether that succeeded."""
+    return write_hints(folder / _NAME, updates)
 
 
 def read_upstreams(folder: Path) -> list[EndpointUpdate]:
