Soak: prompts with a part that crashes replicas

Each series and, once without faults, eleven seconds have requests with a part that crashes each replica which begins to respond to one; all prompts share another part. Two new promises: at most three such requests reach replicas later than 3 s after the fifth crash, without faults of processes; others are served beside them.

--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -180,6 +180,9 @@
         headers[_TOKENS] = f"{call.prompt.prompt},{call.prompt.max_output_tokens}"
     if call.model:
         headers[_MODEL] = call.model
+    if call.shared_parts:
+        parts = (*call.shared_parts, call.request)
+        headers[_PARTS] = ",".join(f"{part}:1" for part in parts)
     if resume_after is not None:
         headers[LAST_EVENT] = str(resume_after)
     return headers
--- a/src/scalebend/soak/callers.py
+++ b/src/scalebend/soak/callers.py
@@ -38,6 +38,13 @@
 EXTRA_KEY_SHARE = 0.3
 """Share of the requests that use a key which may have been revoked."""
 
+COMMON_PART = "c0220000"
+TOPICS = 6
+"""The part that all prompts share, and the number of those of which each has one."""
+
+GUILTY_INTERVAL_S = 0.3
+"""Mean seconds between two requests with a part that crashes replicas."""
+
 RESPONSE_MARGIN_S = 2.0
 """Seconds beyond the timeout of a request after which its caller disconnects."""
 
@@ -114,23 +121,21 @@
 
     def __init__(
         self,
-        number: int,
+        name: str,
         deployment: Deployment,
-        balancer: Balancer,
         observations: Observations,
         seed: int,
     ) -> None:
-        self._number = number
+        self._name = name
         self._deployment = deployment
-        self._balancer = balancer
         self._observations = observations
-        self._chooser = random.Random(f"{seed}/{number}")
+        self._chooser = random.Random(f"{seed}/{name}")
         self._requests = 0
 
-    async def call_forever(self) -> None:
+    async def call_forever(self, balancer: Balancer) -> None:
         """Send requests until cancelled."""
         while True:
-            front = self._balancer.choose()
+            front = balancer.choose()
             async with _open_session() as session:
                 for _ in range(self._chooser.randint(1, MAX_REQUESTS_PER_CONNECTION)):
                     call = await self.call(session, front)
@@ -140,16 +145,35 @@
                     if call.status != 200:
                         break
 
+    async def send_guilty(self, part: str, kind: RequestKind, lasts: float) -> None:
+        """Send requests with a guilty part at any front for ``lasts`` seconds."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + lasts
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < end:
+                group.create_task(self._send_guilty(part, kind))
+                await asyncio.sleep(self._chooser.expovariate(1.0 / GUILTY_INTERVAL_S))
+
+    async def _send_guilty(self, part: str, kind: RequestKind) -> None:
+        front = self._chooser.choice(self._deployment.layout.fronts)
+        async with _open_session() as session:
+            await self.call(session, front, kind, part)
+
     async def call(
-        self, session: aiohttp.ClientSession, front: ProcessName
+        self,
+        session: aiohttp.ClientSession,
+        front: ProcessName,
+        kind: RequestKind | None = None,
+        guilty_part: str = "",
     ) -> CallerRequest:
-        """Send one request and record its outcome."""
-        kind = self._chooser.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
+        """Send one request, of a random kind if none is given; record its outcome."""
+        if kind is None:
+            kind = self._chooser.choices(list(WEIGHTS), list(WEIGHTS.values()))[0]
         shape = SHAPES[kind]
         self._requests += 1
         loop = asyncio.get_running_loop()
         call = CallerRequest(
-            request_id=f"r-{self._number}-{self._requests}",
+            request_id=f"r-{self._name}-{self._requests}",
             kind=kind,
             front=front,
             front_start=self._deployment.starts[front],
@@ -157,6 +181,7 @@
             sent_at=loop.time(),
             timeout_s=shape.timeout_s,
             events=shape.events,
+            guilty_part=guilty_part,
         )
         self._observations.caller_requests[call.request_id] = call
         sending = asyncio.ensure_future(self._send(session, call, shape))
@@ -189,7 +214,16 @@
             PromptSize(shape.prompt_tokens, 500, 500) if shape.prompt_tokens else None
         )
         key = documents.build_key(call.version)
-        headers = CallerHeaders(call.request_id, shape.timeout_s, key, None, prompt)
+        second = call.guilty_part or f"{self._requests % TOPICS:08x}"
+        headers = CallerHeaders(
+            call.request_id,
+            shape.timeout_s,
+            key,
+            None,
+            prompt,
+            documents.MODEL,
+            (COMMON_PART, second),
+        )
         async with session.post(
             URL(f"http://{address}{path}", encoded=True),
             headers=build_caller_headers(headers, documents.HOST),
@@ -238,7 +272,7 @@
         checking = asyncio.create_task(balancer.check(session))
         callers = [
             asyncio.create_task(
-                Caller(n, deployment, balancer, observations, seed).call_forever()
+                Caller(str(n), deployment, observations, seed).call_forever(balancer)
             )
             for n in range(count)
         ]
--- a/src/scalebend/soak/documents.py
+++ b/src/scalebend/soak/documents.py
@@ -20,6 +20,7 @@
 )
 
 HOST = "soak.example"
+MODEL = "m"
 ENGINES = ServiceName("engines")
 PLAIN = ServiceName("plain")
 
--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -15,6 +15,7 @@
 
 from scalebend.models.ids import AvailabilityZone
 from scalebend.soak.layout import Layout, ProcessName
+from scalebend.soak.observations import RequestKind
 from scalebend.standins.proxy import Direction
 
 FIRST_SERIES_AT_S = 2.0
@@ -66,6 +67,17 @@
 LONG_EVACUATION_SERIES_S = 28.0
 """Duration of that series with the calm after it, in seconds."""
 
+GUILTY_START_S = 1.5
+GUILTY_DURATION_S = 4.0
+"""Latest start of prompts with a guilty part in a series, and how long they are sent,
+in seconds: replicas are back before the next calm period is checked."""
+
+GUILTY_KINDS = (
+    RequestKind.IDEMPOTENT,
+    RequestKind.NON_IDEMPOTENT,
+    RequestKind.QUICK_STREAM,
+)
+
 MIN_LONG_EVACUATION_LENGTH_S = 60.0
 """Length in seconds from which a run has this series; those of the tests are short."""
 
@@ -228,6 +240,17 @@
     lasts: float
 
 
+class GuiltyPrompts(msgspec.Struct, frozen=True, tag=True):
+    """Sends requests whose prompts share a part that crashes replicas.
+
+    A replica crashes when it begins to respond to one of them.
+    """
+
+    part: str
+    kind: RequestKind
+    lasts: float
+
+
 class Change(msgspec.Struct, frozen=True, tag=True):
     """Sends ``count`` new routing documents in quick succession."""
 
@@ -250,6 +273,7 @@
     | Reject
     | Change
     | Evacuate
+    | GuiltyPrompts
 )
 
 
@@ -275,6 +299,7 @@
     response_fault_random = random.Random(f"{seed}/words")
     evacuation_random = random.Random(f"{seed}/evacuations")
     partition_random = random.Random(f"{seed}/partitions")
+    guilty_random = random.Random(f"{seed}/guilty")
     drawer = _Drawer(chooser, layout)
     faults: list[ScheduledFault] = []
     at = FIRST_SERIES_AT_S
@@ -298,6 +323,9 @@
         faults.append(ScheduledFault(begins, evacuation))
         begins = at + partition_random.uniform(0.0, SERIES_DURATION_S)
         faults.append(ScheduledFault(begins, draw_partition(partition_random, layout)))
+        begins = at + guilty_random.uniform(0.0, GUILTY_START_S)
+        prompts = draw_guilty_prompts(guilty_random, GUILTY_DURATION_S)
+        faults.append(ScheduledFault(begins, prompts))
         planned_at = at + SERIES_DURATION_S + PLANNED_WORK_DELAY_S
         # Both services: before a delayed send, a front checks only engines again.
         for numbers in (layout.engine_replicas, layout.plain_replicas):
@@ -344,6 +372,12 @@
     )
 
 
+def draw_guilty_prompts(chooser: random.Random, lasts: float) -> GuiltyPrompts:
+    """Draw prompts with a part of their own that crashes replicas."""
+    part = f"{chooser.getrandbits(32):08x}"
+    return GuiltyPrompts(part, chooser.choice(GUILTY_KINDS), lasts)
+
+
 def _draw_rate_limit(chooser: random.Random, layout: Layout) -> RateLimitFault:
     rate = round(chooser.uniform(MIN_RATE_LIMIT_PER_S, MAX_RATE_LIMIT_PER_S), 2)
     replicas = chooser.choice((layout.engine_replicas, layout.plain_replicas))
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -13,12 +13,13 @@
 import structlog
 
 from scalebend.soak import faults
+from scalebend.soak.callers import Caller
 from scalebend.soak.deployment import Deployment, build_kept_bytes_chooser
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.misbehaving import Partition
-from scalebend.soak.observations import Disturbance, Observations
+from scalebend.soak.observations import GUILTY_PROMPTS, Disturbance, Observations
 from scalebend.soak.operator import Operator
-from scalebend.soak.replicas import REPLICA_HOST, Fleet, Replica
+from scalebend.soak.replicas import GUILTY_DOWN_S, REPLICA_HOST, Fleet, Replica
 from scalebend.standins.proxy import Direction, Proxy, Rule
 
 logger = structlog.get_logger(__name__)
@@ -40,6 +41,7 @@
         self._operator = operator
         self._observations = observations
         self._chooser = random.Random(f"{seed}/injector")
+        self._seed = seed
 
     async def follow(
         self, schedule: faults.Schedule, session: aiohttp.ClientSession
@@ -91,6 +93,8 @@
                 await self._limit_rate(replicas, rate, lasts)
             case faults.Reject(replicas, backoff, lasts):
                 await self._reject(replicas, backoff, lasts)
+            case faults.GuiltyPrompts():
+                await self._send_guilty(fault)
             case faults.Misbehave() | faults.Drain() | faults.Crash():
                 await self._inject_replica_fault(fault, session)
 
@@ -202,6 +206,13 @@
             # Fronts keep the last backoff for its whole duration.
             await asyncio.sleep(backoff)
 
+    async def _send_guilty(self, fault: faults.GuiltyPrompts) -> None:
+        self._fleet.guilty_parts.add(fault.part)
+        caller = Caller(fault.part, self._deployment, self._observations, self._seed)
+        with self._disturb(GUILTY_PROMPTS):
+            await caller.send_guilty(fault.part, fault.kind, fault.lasts)
+            await asyncio.sleep(GUILTY_DOWN_S)
+
     async def _inject_replica_fault(
         self,
         fault: faults.Misbehave | faults.Drain | faults.Crash,
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -17,6 +17,9 @@
 )
 from scalebend.soak.layout import ProcessName
 
+GUILTY_PROMPTS = ProcessName("guilty-prompts")
+"""Process that counts as disturbed while prompts crash replicas."""
+
 
 class RequestKind(Enum):
     """Kind of a request, which decides its route."""
@@ -61,6 +64,8 @@
     """Whether no complete response came until well after the timeout."""
 
     seal: str | None = None
+    guilty_part: str = ""
+    """Part of its prompt that crashes replicas; empty if there is none."""
 
 
 def describe_call(call: CallerRequest) -> str:
@@ -121,6 +126,14 @@
     at: float
 
 
+class PartCrash(msgspec.Struct, frozen=True):
+    """A replica crashed since it began to respond to a prompt with a certain part."""
+
+    part: str
+    upstream: UpstreamId
+    at: float
+
+
 class SentResponse(msgspec.Struct, frozen=True):
     """A replica sent a complete response."""
 
@@ -208,6 +221,7 @@
     rate_limit_periods: list[RateLimitPeriod] = msgspec.field(default_factory=list)
     rejections: list[Rejection] = msgspec.field(default_factory=list)
     drain_notices: list[DrainNotice] = msgspec.field(default_factory=list)
+    part_crashes: list[PartCrash] = msgspec.field(default_factory=list)
     sent_responses: list[SentResponse] = msgspec.field(default_factory=list)
     drain_acknowledgements: list[DrainAcknowledgement] = msgspec.field(
         default_factory=list
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -21,6 +21,7 @@
 )
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
+    GUILTY_PROMPTS,
     CallerRequest,
     Disturbance,
     DrainAcknowledgement,
@@ -30,6 +31,10 @@
     RequestKind,
     describe_call,
 )
+from scalebend.soak.part_promises import (
+    check_guilty_parts,
+    check_served_beside_guilty_parts,
+)
 from scalebend.soak.partition_promises import check_partitioned_service
 
 SETTLE_S = 4.0
@@ -98,6 +103,9 @@
         self.runs: dict[str, list[Execution]] = defaultdict(list)
         for run in observations.executions:
             self.runs[run.request_id].append(run)
+        self.part_crashes: dict[str, list[float]] = defaultdict(list)
+        for crash in sorted(observations.part_crashes, key=lambda one: one.at):
+            self.part_crashes[crash.part].append(crash.at)
         self._accepted = sorted(observations.accepted, key=lambda accepted: accepted.at)
         self._newest: list[RoutingVersion] = []
         for accepted in self._accepted:
@@ -130,6 +138,34 @@
         stops = self._list_active(observations.stops, since, until)
         return all(one.process == excluding for one in stops)
 
+    def find_guilty_part(self, request_id: str) -> str:
+        """Return the part of a request that crashes replicas; empty without one."""
+        call = self.observations.caller_requests.get(request_id)
+        return call.guilty_part if call is not None else ""
+
+    def are_processes_calm(self, since: float, until: float) -> bool:
+        """Whether no fault of a gateway process was active from ``SETTLE_S`` before."""
+        observations = self.observations
+        active = self._list_active(
+            [
+                *observations.disturbances,
+                *observations.stops,
+                *observations.partitions,
+            ],
+            since,
+            until,
+        )
+        return all(
+            one.process == GUILTY_PROMPTS or one.process.startswith("replica-")
+            for one in active
+        )
+
+    def is_calm_but_for_parts(self, since: float, until: float) -> bool:
+        """Whether no fault was active but prompts that crash replicas."""
+        active = self._list_active(self.observations.disturbances, since, until)
+        is_only_parts = all(one.process == GUILTY_PROMPTS for one in active)
+        return is_only_parts and self.are_processes_calm(since, until)
+
     def compute_partitioned(self, since: float, until: float) -> float:
         """Return the seconds of a period in which any front was partitioned."""
         total, counted_until = 0.0, since
@@ -515,6 +551,8 @@
     _check_exits,
     _check_calm_service,
     check_partitioned_service,
+    check_guilty_parts,
+    check_served_beside_guilty_parts,
     _check_in_time,
     _check_in_force,
     _check_drained,
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -10,7 +10,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 
 import aiohttp
 import structlog
@@ -50,6 +50,7 @@
     DrainNotice,
     Execution,
     Observations,
+    PartCrash,
     RateLimitPeriod,
     Rejection,
     Reservation,
@@ -78,6 +79,9 @@
 EVENTS_BEFORE_RESET = 3
 """Complete events that a resetting replica sends before it resets the connection."""
 
+GUILTY_DOWN_S = 1.0
+"""Seconds until a replica is back that a part of a prompt has crashed."""
+
 SERVICE_TIME_S = 0.03
 """Duration of a call to the plain service in seconds."""
 
@@ -103,6 +107,16 @@
         self.chooser = random.Random(seed)
         self.replicas: list[Replica] = []
         self.incarnations = 0
+        self.guilty_parts: set[str] = set()
+        """Parts of prompts under which replicas crash when they begin to respond."""
+
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, work: Coroutine[None, None, None]) -> None:
+        """Run ``work`` as a background task."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     def find(self, address: str) -> Replica | None:
         """Return the running replica at ``address``, if any."""
@@ -243,6 +257,8 @@
             if self.mode is ReplicaMode.RESETTING:
                 return self._reset(request)
             await asyncio.sleep(SERVICE_TIME_S)
+            if self._find_guilty_part(request) is not None:
+                return self._crash_under(request)
             response = web.Response(headers=headers, body=build_body(request_id))
             if (
                 self.mode is ReplicaMode.EXTRA_RESPONSE
@@ -269,6 +285,8 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        if self._find_guilty_part(request) is not None:
+            return self._crash_under(request)
         first = int(request.headers.get(LAST_EVENT, "0")) + 1
         incarnation = self._id
         for number in range(first, events + 1):
@@ -286,6 +304,20 @@
         await response.write_eof()
         return response
 
+    def _find_guilty_part(self, request: web.BaseRequest) -> str | None:
+        parts = read_caller_headers(request.headers).shared_parts
+        return next((one for one in parts if one in self._fleet.guilty_parts), None)
+
+    def _crash_under(self, request: web.BaseRequest) -> web.Response:
+        """Crash, since the response to a guilty prompt begins."""
+        part = self._find_guilty_part(request)
+        if self.is_up and part is not None:
+            now = asyncio.get_running_loop().time()
+            crash = PartCrash(part, self._id, now)
+            self._fleet.observations.part_crashes.append(crash)
+            self._fleet.spawn(self.crash(GUILTY_DOWN_S))
+        return self._reset(request)
+
     def _reset(self, request: web.BaseRequest) -> web.Response:
         if request.transport is not None:
             request.transport.abort()
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -15,7 +15,12 @@
 from scalebend.soak.callers import run_callers
 from scalebend.soak.deployment import HEARTBEAT_INTERVAL_S, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
-from scalebend.soak.faults import Evacuate, build_schedule, draw_partition
+from scalebend.soak.faults import (
+    Evacuate,
+    build_schedule,
+    draw_guilty_prompts,
+    draw_partition,
+)
 from scalebend.soak.injector import Injector
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.observations import Observations
@@ -37,6 +42,9 @@
 CALM_PARTITION_S = 8.0
 """Seconds for which one front is partitioned from replicas after the recovery."""
 
+CALM_GUILTY_S = 11.0
+"""Seconds for which prompts that crash replicas are sent after the recovery."""
+
 CALM_EVACUATION_S = 5.0
 """Seconds for which a zone is evacuated after the recovery."""
 
@@ -96,6 +104,10 @@
                 partition = draw_partition(chooser, options.layout, CALM_PARTITION_S)
                 await injector.inject(partition, session)
                 await asyncio.sleep(SETTLE_S)
+            chooser = random.Random(f"{options.seed}/calm guilty")
+            prompts = draw_guilty_prompts(chooser, CALM_GUILTY_S)
+            await injector.inject(prompts, session)
+            await asyncio.sleep(SETTLE_S)
             # Without any fault, the strictest bound holds.
             evacuation = Evacuate(options.layout.replica_zones[0], CALM_EVACUATION_S)
             await injector.inject(evacuation, session)
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -13,6 +13,7 @@
     Change,
     Drain,
     Evacuate,
+    GuiltyPrompts,
     Kill,
     build_schedule,
 )
@@ -87,3 +88,14 @@
     (evacuation,) = list_evacuations(seed, 12.0)
     assert evacuation.fault.lasts == EVACUATION_DURATION_S
     assert build_schedule(seed, 12.0, LAYOUT).ends == FIRST_SERIES_AT_S + 17.0
+
+
+@given(st.integers(0, 10_000))
+def test_each_series_has_prompts_with_a_guilty_part_of_its_own(seed):
+    prompts = [
+        scheduled.fault
+        for scheduled in build_schedule(seed, 50.0, LAYOUT).faults
+        if isinstance(scheduled.fault, GuiltyPrompts)
+    ]
+    assert len(prompts) == 3
+    assert len({one.part for one in prompts}) == 3
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -13,6 +13,7 @@
 from scalebend.soak.deployment import BOUNDS
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
+    GUILTY_PROMPTS,
     AcceptedDocument,
     Arrival,
     CallerRequest,
@@ -24,6 +25,7 @@
     Execution,
     Exit,
     Observations,
+    PartCrash,
     RateLimitPeriod,
     ReadBack,
     Rejection,
@@ -396,3 +398,68 @@
     observations.partitions.append(Disturbance(ProcessName("front-1"), 100.7, 101.5))
     reservation.until = 107.0
     assert "memory" in list_promises(observations)
+
+
+GUILTY = "badc0de5"
+
+
+def send_guilty(observations, since, until):
+    """Send guilty requests twice a second that all reach replicas."""
+    for number in range(int(2 * (until - since))):
+        at = since + number / 2
+        arrive(observations, at)
+        request_id = observations.arrivals[-1].request_id
+        observations.caller_requests[request_id].guilty_part = GUILTY
+
+
+def crash_replicas(observations, count, since=100.0):
+    observations.disturbances.append(Disturbance(GUILTY_PROMPTS, since, since + 40.0))
+    for number in range(count):
+        upstream = UpstreamId(f"i-{number}")
+        crash = PartCrash(GUILTY, upstream, since + number / 10)
+        observations.part_crashes.append(crash)
+
+
+def send_sound(observations, since, until, status):
+    for number in range(int(10 * (until - since))):
+        request_id = f"sound-{since}-{number}"
+        call = build_call(request_id, sent_at=since + number / 10, status=status)
+        if status != 200:
+            call.seal = None
+        else:
+            observations.executions.append(build_execution(request_id, call.sent_at))
+        observations.caller_requests[request_id] = call
+
+
+@pytest.mark.parametrize("crashes", [4, 5])
+def test_guilty_requests_after_the_fifth_crash_are_reported(crashes):
+    observations = build_observations()
+    crash_replicas(observations, crashes)
+    send_guilty(observations, 100.0, 108.0)
+    assert ("guilty_parts" in list_broken(observations)) == (crashes == 5)
+
+
+def test_few_guilty_requests_or_faults_of_processes_break_nothing():
+    observations = build_observations()
+    crash_replicas(observations, 5)
+    send_guilty(observations, 100.0, 103.0)
+    assert "guilty_parts" not in list_broken(observations)
+    send_guilty(observations, 104.0, 108.0)
+    observations.disturbances.append(
+        Disturbance(ProcessName("control-0"), 101.0, 102.0)
+    )
+    assert "guilty_parts" not in list_broken(observations)
+
+
+@pytest.mark.parametrize("status", [200, 503])
+def test_sound_requests_must_be_served_beside_guilty_ones(status):
+    observations = build_observations()
+    send_sound(observations, 95.0, 99.0, 200)
+    crash_replicas(observations, 5)
+    send_guilty(observations, 100.0, 101.0)
+    send_sound(observations, 107.0, 112.0, status)
+    guilty = build_call("late", sent_at=112.0, status=503, seal=None)
+    guilty.guilty_part = GUILTY
+    observations.caller_requests["late"] = guilty
+    broken = list_broken(observations)
+    assert ("served_beside_guilty_parts" in broken) == (status == 503)
