Tell lost connections from crashes, and network failures from causes

The connections to all replicas had broken within 15 ms, every request was lost for 2 s, and a part that many shared had five 'crashed' upstreams in a chain of three.

Cause: nothing compared the requests with the part to others, and a lost connection was taken for a crash though the upstream responded afterwards.

Now a chain grows only after data has arrived from the same service again; a response of an upstream to an attempt that was sent after its crash was known voids the crash under all parts; crashes under parts without any response say nothing against one with responses.

--- a/src/scalebend/core/crash_causes.py
+++ b/src/scalebend/core/crash_causes.py
@@ -7,7 +7,8 @@
 most others lose theirs within one response time.
 
 What remains is explained by the fewest parts: the likeliest one first, then others only
-for crashes that the ones before don't explain.
+for crashes that the ones before don't explain. Crashes under parts without any response
+so far say nothing against one on which there were responses.
 """
 
 from __future__ import annotations
@@ -48,6 +49,11 @@
     position: int
     """Highest position in a prompt at which it was seen; the first part has 0."""
 
+    @property
+    def is_known_sound(self) -> bool:
+        """Whether there ever was a response on it."""
+        return self.was_sound or self.has_voided_crashes
+
     @property
     def score(self) -> int:
         """How likely it is the cause, in crashes."""
@@ -74,7 +80,7 @@
 
 
 QUARANTINE = Threshold(crashes=5, depth=3, age_if_sound=1.5, unexplained=3)
-SUSPICION = Threshold(crashes=2, depth=2, age_if_sound=0.75, unexplained=2)
+SUSPICION = Threshold(crashes=2, depth=1, age_if_sound=0.5, unexplained=2)
 
 
 def find_causes(evidence: Iterable[PartEvidence], threshold: Threshold) -> set[PartId]:
@@ -83,12 +89,20 @@
     The result depends on the evidence only, not on its order, so that processes with
     the same evidence agree.
     """
-    candidates = [one for one in evidence if _is_conclusive(one, threshold)]
+    known = list(evidence)
+    candidates = [one for one in known if _is_conclusive(one, threshold)]
     candidates.sort(key=lambda one: (-one.score, -one.position, one.part))
     explained: set[UpstreamId] = set()
+    explained_by_unknown: set[UpstreamId] = set()
+    for one in known:
+        if not one.is_known_sound:
+            explained_by_unknown |= one.crashes
     causes = set()
     for candidate in candidates:
-        if len(candidate.crashes - explained) < threshold.unexplained:
+        unexplained = candidate.crashes - explained
+        if candidate.is_known_sound:
+            unexplained -= explained_by_unknown
+        if len(unexplained) < threshold.unexplained:
             continue
         causes.add(candidate.part)
         explained |= candidate.crashes
@@ -98,5 +112,4 @@
 def _is_conclusive(evidence: PartEvidence, threshold: Threshold) -> bool:
     if len(evidence.crashes) < threshold.crashes or evidence.depth < threshold.depth:
         return False
-    is_known = evidence.was_sound or evidence.has_voided_crashes
-    return not is_known or evidence.age >= threshold.age_if_sound
+    return not evidence.is_known_sound or evidence.age >= threshold.age_if_sound
--- a/src/scalebend/core/crash_watch.py
+++ b/src/scalebend/core/crash_watch.py
@@ -6,7 +6,7 @@
 from scalebend.core.part_ledger import NO_PARTS, PartLedger, SentParts
 from scalebend.exceptions import ErrorKind, RefusedError
 from scalebend.models.crashes import CrashRecord, PartRecord
-from scalebend.models.ids import Incarnation, UpstreamId
+from scalebend.models.ids import Incarnation, PoolId, UpstreamId
 from scalebend.models.work import Request
 
 
@@ -53,14 +53,26 @@
             retry_after=quarantine,
         )
 
-    def record_sent(self, request: Request, now: float) -> SentParts:
+    def record_sent(
+        self,
+        request: Request,
+        upstream: UpstreamId,
+        incarnation: Incarnation | None,
+        now: float,
+    ) -> SentParts:
         """Return what is known of the parts of a request that is sent now.
 
         If one is a cause of crashes whose quarantine has ended, this is its trial.
         """
         if self.parts.find_cause(request.parts) is not None:
             self._add_part_updates(self.parts.begin_trial(request.parts, now))
-        return self.parts.record_sent(request.parts)
+        pool = PoolId(request.model or "")
+        lead = _name_incarnation(upstream, incarnation)
+        return self.parts.record_sent(request.parts, pool, lead)
+
+    def record_response(self, parts: SentParts, now: float) -> None:
+        """Record the first token of an attempt."""
+        self._add_part_updates(self.parts.record_response(parts, now))
 
     def record_crash(
         self,
@@ -74,8 +86,7 @@
 
         ``parts`` are those that may be the cause.
         """
-        # A restarted upstream keeps its id, but its crash counts separately.
-        ended = UpstreamId(f"{upstream}/{incarnation}")
+        ended = _name_incarnation(upstream, incarnation)
         self._add_part_updates(self.parts.record_crash(parts, ended, now))
         if request.content is None:
             return
@@ -96,3 +107,13 @@
     def _add_part_updates(self, records: list[PartRecord]) -> None:
         for record in records:
             self._part_updates[record.part] = record
+
+
+def _name_incarnation(
+    upstream: UpstreamId, incarnation: Incarnation | None
+) -> UpstreamId:
+    """Return the name under which a crash counts.
+
+    A restarted upstream keeps its id, but its crash counts separately.
+    """
+    return UpstreamId(f"{upstream}/{incarnation}")
--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -195,6 +195,7 @@
         if not current.was_sent or current.state is AttemptState.RUNNING:
             return []
         current.state = AttemptState.RUNNING
+        self.crashes.record_response(current.parts, now)
         flow.has_delivered = flow.request.is_streamed
         return [
             ToOwner(upstream, Started(attempt, upstream))
@@ -370,9 +371,11 @@
             flow.excluded.update(in_backoff)
             actions = self._release_attempt(flow, Outcome.UNUSED)
             return actions + self._retry(flow, now, delay=0.0)
-        attempt.parts = self.crashes.record_sent(flow.request, now)
         attempt.state = AttemptState.SENT
         attempt.incarnation = self._find_incarnation(attempt.lead)
+        attempt.parts = self.crashes.record_sent(
+            flow.request, attempt.lead, attempt.incarnation, now
+        )
         flow.state = FlowState.RUNNING
         priority = self._compute_engine_priority(attempt.works[0].prefill_tokens)
         return [
--- a/src/scalebend/core/gateway/front_crashes.py
+++ b/src/scalebend/core/gateway/front_crashes.py
@@ -76,6 +76,10 @@
         records = [record] if record is not None else []
         return _build_report(records, self.parts.record_crash(parts, upstream, now))
 
+    def record_response(self, parts: SentParts, now: float) -> CrashUpdates | None:
+        """Record that the head of a response arrived from an upstream itself."""
+        return _build_report([], self.parts.record_response(parts, now))
+
     def record_under_way(self, parts: SentParts, now: float) -> CrashUpdates | None:
         """Record that a response got past its start."""
         return _build_report([], self.parts.record_sound(parts, now))
--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -7,14 +7,21 @@
 
 A crash is voided only by a response whose attempt was sent when the crash was known.
 Then the order of the two is certain without a common clock: a part that became harmful
-a moment ago is not cleared by a response that began before. Voided crashes stay in the
-record, so that a process that missed the response can't bring them back.
+a moment ago is not cleared by a response that began before. A response on the part
+shows that the part was not the cause; any response of the upstream that it did not
+crash at all, but lost a connection. Voided crashes stay in the record, so that a
+process that missed the response can't bring them back.
+
+Where all connections break, no upstream has crashed, but every request is lost. So a
+chain of crashes grows only with attempts that were sent after something had arrived
+from the same pool of upstreams again.
 """
 
 from __future__ import annotations
 
 import math
 import zlib
+from collections import deque
 from collections.abc import Iterable, Sequence
 
 import msgspec
@@ -27,7 +34,7 @@
     find_causes,
 )
 from scalebend.models.crashes import MAX_LOGGED_PARTS, PartCrash, PartRecord
-from scalebend.models.ids import PartId, UpstreamId
+from scalebend.models.ids import PartId, PoolId, UpstreamId
 
 logger = structlog.get_logger(__name__)
 
@@ -63,6 +70,18 @@
 """Seconds of events after which a response counts as under way. What crashes an
 upstream when it begins to write may still let the first events through."""
 
+LOSS_WINDOW_S = 1.0
+"""Time before the first crash under a part in which losses under other parts may have
+the same cause, such as a network failure."""
+
+CONTRAST_S = 0.05
+"""Time after a crash from which arriving data shows that others fare better. When a
+network fails, its connections break one after the other."""
+
+MAX_LOST_ATTEMPTS = 64
+MAX_CRASHED_UPSTREAMS = 256
+"""Maximum number of upstreams that count as crashed until they respond."""
+
 SOUND_RETENTION_S = 60.0
 MAX_SOUND_PARTS = 4096
 """How long, and for how many parts, the last response is remembered."""
@@ -75,8 +94,13 @@
     """
 
     parts: tuple[PartId, ...] = ()
+    pool: PoolId = PoolId("")
     known: dict[PartId, tuple[UpstreamId, ...]] = {}
     depths: dict[PartId, int] = {}
+    """Depth of a crash under this attempt, by part; 1 without an earlier one."""
+
+    doubted: UpstreamId | None = None
+    """The upstream of the attempt, if it was known to have crashed."""
 
 
 NO_PARTS = SentParts()
@@ -87,11 +111,18 @@
     known_since: float
 
 
+class _LostAttempt(msgspec.Struct, frozen=True):
+    upstream: UpstreamId
+    parts: tuple[PartId, ...]
+    at: float
+
+
 class _Record(msgspec.Struct):
     crashes: dict[UpstreamId, _Crash] = {}
 
     voided: dict[UpstreamId, None] = {}
     was_sound: bool = False
+    was_cleared: bool = False
     position: int = 0
     trials: int = 0
     updated_at: float = -math.inf
@@ -117,6 +148,7 @@
             known.depth = max(known.depth, crash.depth)
         self.voided.update(dict.fromkeys(record.voided))
         self.was_sound = self.was_sound or record.was_sound
+        self.was_cleared = self.was_cleared or record.was_cleared
         self.position = max(self.position, record.position)
         self.trials = max(self.trials, record.trials)
         self._drop_excess()
@@ -129,6 +161,7 @@
             tuple(PartCrash(name, one.depth) for name, one in self.crashes.items()),
             tuple(self.voided),
             self.was_sound,
+            self.was_cleared,
             self.position,
             self.trials,
         )
@@ -142,7 +175,7 @@
             self.depth,
             now - min((one.known_since for one in standing), default=now),
             self.was_sound,
-            bool(self.voided),
+            self.was_cleared,
             self.position,
         )
 
@@ -151,6 +184,7 @@
             {name: one.depth for name, one in self.crashes.items()},
             set(self.voided),
             self.was_sound,
+            self.was_cleared,
             self.position,
             self.trials,
         )
@@ -182,6 +216,15 @@
 
         self._causes: set[PartId] = set()
         self._suspects: set[PartId] = set()
+        self._parts_by_upstream: dict[UpstreamId, dict[PartId, None]] = {}
+        """Parts under which each upstream counts as crashed, recent upstreams only."""
+
+        self._lost: deque[_LostAttempt] = deque(maxlen=MAX_LOST_ATTEMPTS)
+        """The last attempts here that were lost before they got under way."""
+
+        self._alive_at: dict[PoolId, float] = {}
+        """When data arrived last from any upstream of a pool."""
+
         self._inferred_at = -math.inf
         self._sound_at: dict[PartId, float] = {}
         self.changes = 0
@@ -189,13 +232,20 @@
 
     # Local observations
 
-    def record_sent(self, parts: tuple[PartId, ...]) -> SentParts:
+    def record_sent(
+        self, parts: tuple[PartId, ...], pool: PoolId, upstream: UpstreamId
+    ) -> SentParts:
         """Return what is known of the parts of an attempt that is sent now."""
         records = {one: self._records[one] for one in parts if one in self._records}
         return SentParts(
             parts,
+            pool,
             {part: tuple(record.standing) for part, record in records.items()},
-            {part: record.depth for part, record in records.items()},
+            {
+                part: record.depth + self._has_contrast(part, record, pool)
+                for part, record in records.items()
+            },
+            upstream if upstream in self._parts_by_upstream else None,
         )
 
     def record_crash(
@@ -205,15 +255,17 @@
 
         Returns the records to publish.
         """
+        self._lost.append(_LostAttempt(upstream, sent.parts, now))
         changed = []
         for position, part in enumerate(sent.parts):
-            depth = sent.depths.get(part, 0) + 1
+            depth = max(1, sent.depths.get(part, 1))
             sound_at = self._sound_at.get(part, -math.inf)
             record = PartRecord(
                 part,
                 (PartCrash(upstream, depth),),
                 (),
                 now - sound_at < SOUND_RETENTION_S,
+                False,
                 position,
                 0,
             )
@@ -235,7 +287,7 @@
             record = self._records.get(part)
             if record is None or not known:
                 continue
-            if record.merge(PartRecord(part, (), known, True, 0, 0), now):
+            if record.merge(PartRecord(part, (), known, True, True, 0, 0), now):
                 record.updated_at = now
                 self._count_change(part, record)
                 changed.append(part)
@@ -248,6 +300,30 @@
             self._infer(now)
         return self._export(changed)
 
+    def record_response(self, sent: SentParts, now: float) -> list[PartRecord]:
+        """Record the beginning of a response; return the records to publish."""
+        self.record_alive(sent.pool, now)
+        upstream = sent.doubted
+        if upstream is None or upstream not in self._parts_by_upstream:
+            return []
+        changed = []
+        for part in self._parts_by_upstream.pop(upstream):
+            record = self._records.get(part)
+            if record is None or upstream not in record.crashes:
+                continue
+            update = PartRecord(part, (), (upstream,), False, False, 0, 0)
+            if record.merge(update, now):
+                self._count_change(part, record)
+                changed.append(part)
+        if changed:
+            logger.info("upstream did not crash", upstream=upstream, parts=len(changed))
+            self._infer(now)
+        return self._export(changed)
+
+    def record_alive(self, pool: PoolId, now: float) -> None:
+        """Record that data arrived from an upstream of the pool."""
+        self._alive_at[pool] = now
+
     # Updates of other processes
 
     def merge(self, records: Iterable[PartRecord], now: float) -> list[PartRecord]:
@@ -346,6 +422,7 @@
         if not record.merge(update, now):
             return False
         record.updated_at = now
+        self._index(update)
         if record.trials > trials and part in self._causes:
             record.quarantined_until = now + TRIAL_TIMEOUT_S
         if len(record.crashes) > crashes and part in self._causes:
@@ -353,6 +430,35 @@
         self._count_change(part, record)
         return True
 
+    def _index(self, update: PartRecord) -> None:
+        for crash in update.crashes:
+            upstream = crash.upstream
+            if upstream in self._records[update.part].voided:
+                continue
+            parts = self._parts_by_upstream.setdefault(upstream, {})
+            parts[update.part] = None
+        while len(self._parts_by_upstream) > MAX_CRASHED_UPSTREAMS:
+            del self._parts_by_upstream[next(iter(self._parts_by_upstream))]
+
+    def _has_contrast(self, part: PartId, record: _Record, pool: PoolId) -> bool:
+        """Whether other requests fare better since the last crash under the part.
+
+        Without any other request since, a part that was never sound is the difference.
+        """
+        known = [record.crashes[one].known_since for one in record.standing]
+        if not known:
+            return True
+        if self._alive_at.get(pool, -math.inf) > max(known) + CONTRAST_S:
+            return True
+        if record.was_sound or record.was_cleared:
+            return False
+        since = min(known) - LOSS_WINDOW_S
+        return all(
+            part in lost.parts or lost.upstream in record.crashes
+            for lost in self._lost
+            if lost.at >= since
+        )
+
     def _count_change(self, part: PartId, record: _Record) -> None:
         self.changes += 1
         if len(record.standing) >= SUSPICION.crashes:
--- a/src/scalebend/edges/gateway/crash_evidence.py
+++ b/src/scalebend/edges/gateway/crash_evidence.py
@@ -6,7 +6,7 @@
 from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.models.crashes import RequestIdentity
-from scalebend.models.ids import UpstreamId
+from scalebend.models.ids import PoolId, UpstreamId
 
 
 class CrashEvidence:
@@ -29,18 +29,25 @@
         """Whether the request, if it is sent now, follows a quarantine as its trial."""
         return self._reports.parts.find_cause(self.identity.parts) is not None
 
-    def record_sent(self) -> SentParts:
+    def record_sent(self, pool: PoolId, upstream: UpstreamId) -> SentParts:
         """Return what is known of the parts, just before the request is sent."""
         parts = self.identity.parts
         if self.is_trial():
             now = self._runtime.now()
             self._runtime.report(self._reports.begin_trial(parts, now))
-        return self._reports.parts.record_sent(parts)
+        return self._reports.parts.record_sent(parts, pool, upstream)
+
+    def record_response(self, progress: AttemptProgress) -> None:
+        """Record that the head of a response arrived."""
+        now = self._runtime.now()
+        self._runtime.report(self._reports.record_response(progress.parts, now))
 
     def record_events(self, progress: AttemptProgress, events: int) -> None:
         """Record events of a stream that have just arrived."""
+        now = self._runtime.now()
+        self._reports.parts.record_alive(progress.parts.pool, now)
         was_under_way = progress.is_under_way
-        progress.record_events(events, self._runtime.now())
+        progress.record_events(events, now)
         if progress.is_under_way and not was_under_way:
             self.record_under_way(progress)
 
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -41,7 +41,7 @@
 )
 from scalebend.exceptions import ErrorKind, RefusedError, UpstreamError
 from scalebend.models.calls import Call, Outcome, ResponseHeaders
-from scalebend.models.ids import InstanceId, UpstreamId
+from scalebend.models.ids import InstanceId, PoolId, UpstreamId
 from scalebend.models.rate_limits import UNLIMITED, RateLimit
 from scalebend.models.routing import RouteKind
 from scalebend.platform.headers import (
@@ -278,7 +278,8 @@
             return AttemptResult(Outcome.WITHDRAWN, detail="takes nothing now")
         if self._evidence.is_trial():
             self._held.release()
-        self._progress.parts = self._evidence.record_sent()
+        pool = PoolId(self._call.service)
+        self._progress.parts = self._evidence.record_sent(pool, target.upstream)
         attempts = self._runtime.attempts
         with attempts.watch(self._call.deadline, target.upstreams) as running:
             try:
@@ -423,6 +424,7 @@
             detail = f"status {response.status}"
             faulty = target.find_helper(head.faulty_address)
             return AttemptResult(Outcome.REJECTED, None, detail, faulty)
+        self._evidence.record_response(self._progress)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and response.status == 200:
             return await self._forward_events(target, running, response)
--- a/src/scalebend/models/crashes.py
+++ b/src/scalebend/models/crashes.py
@@ -54,12 +54,15 @@
     part: PartId
     crashes: tuple[PartCrash, ...]
     voided: tuple[UpstreamId, ...]
-    """Those after which an attempt began that got a response: the part is not their
-    cause."""
+    """Those of which the part is not the cause: an attempt that was sent later got a
+    response, be it with the part or from the upstream."""
 
     was_sound: bool
     """Whether a response on the part was seen shortly before a crash."""
 
+    was_cleared: bool
+    """Whether a response on the part voided crashes."""
+
     position: int
     """Highest position in a prompt at which it was seen; the first part has 0."""
 
--- a/src/scalebend/models/ids.py
+++ b/src/scalebend/models/ids.py
@@ -44,6 +44,9 @@
 """Name of a part of prompts that several requests share, together with the model that
 reads it; see :func:`scalebend.core.fingerprints.build_part_id`."""
 
+PoolId = NewType("PoolId", str)
+"""Name of the service or model whose upstreams may take a request."""
+
 AttemptId = NewType("AttemptId", str)
 """Id of one attempt to run a request on one upstream, unique in the system."""
 
--- a/tests/lib/crash_model.py
+++ b/tests/lib/crash_model.py
@@ -45,6 +45,12 @@
     """Number of failures of half of the replicas one after the other, 0.1 s apart."""
 
     lone_failures: int = 0
+    outages: int = 0
+    """Number of times that connections to all replicas break, though none crashes."""
+
+    outage_length: float = 2.0
+    """Seconds of such an outage, in which new connections break, too."""
+
     is_guilty_sound_at_first: bool = False
     """Whether the guilty parts are harmless during the quiet time, and are sent."""
 
@@ -57,6 +63,7 @@
     sent: object
     left: int
     is_guilty: bool
+    has_begun: bool = False
     is_under_way: bool = False
     is_open: bool = True
 
@@ -75,6 +82,7 @@
 
 
 UNDER_WAY_S = 0.25
+POOL = "service"
 
 
 class Model:
@@ -90,6 +98,7 @@
         self.events = []
         self.order = itertools.count()
         self.now = 0.0
+        self.outage_until = 0.0
         self.run = Run()
 
     def build_name(self):
@@ -118,6 +127,8 @@
             self.at(self._draw_time(), self._fail, 1, 0.0)
         for _ in range(draw.group_failures):
             self.at(self._draw_time(), self._fail, draw.replicas // 2, 0.0)
+        for _ in range(draw.outages):
+            self.at(self._draw_time(), self._break_connections)
         for _ in range(draw.rolling_failures):
             self.at(self._draw_time(), self._fail, draw.replicas // 2, 0.1)
 
@@ -150,6 +161,8 @@
         if ledger.compute_quarantine(parts, self.now) > 0.0:
             self.run.sound_refused += not is_guilty
             return
+        if self._is_receiving(front):
+            ledger.record_alive(POOL, self.now)
         replica = self._choose(ledger.is_suspect(parts), excluded)
         if replica is None:
             return
@@ -163,14 +176,21 @@
             parts,
             replica,
             self.upstreams[replica],
-            ledger.record_sent(parts),
+            ledger.record_sent(parts, POOL, self.upstreams[replica]),
             left - 1,
             self._is_guilty(parts),
         )
         self.open[replica].append(attempt)
+        if self.now < self.outage_until:
+            self.at(0.005, self._lose, attempt)
         first_token = self.random.expovariate(1 / self.draw.first_token) + 0.02
         self.at(first_token, self._begin, attempt)
 
+    def _is_receiving(self, front):
+        """Whether events of a stream arrive at the front now."""
+        attempts = itertools.chain.from_iterable(self.open)
+        return any(one.front == front and one.has_begun for one in attempts)
+
     def _choose(self, is_suspect, excluded):
         up = [
             n for n, name in enumerate(self.upstreams) if name and name not in excluded
@@ -190,6 +210,9 @@
             self.run.crashes.append((self.now, guilty))
             self._crash(attempt.replica)
             return
+        attempt.has_begun = True
+        ledger = self.ledgers[attempt.front]
+        self._publish(attempt.front, ledger.record_response(attempt.sent, self.now))
         streamed = self.random.expovariate(1 / self.draw.streamed)
         if streamed > UNDER_WAY_S:
             self.at(UNDER_WAY_S, self._pass_start, attempt)
@@ -214,6 +237,18 @@
         ):
             self.at(number * gap, self._crash, replica)
 
+    def _break_connections(self):
+        self.outage_until = self.now + self.draw.outage_length
+        for attempts in list(self.open):
+            for attempt in list(attempts):
+                self._lose(attempt)
+
+    def _lose(self, attempt):
+        if attempt.is_open:
+            attempt.is_open = False
+            self.open[attempt.replica].remove(attempt)
+            self._record_lost(attempt)
+
     def _crash(self, replica):
         upstream = self.upstreams[replica]
         if upstream is None:
--- a/tests/unit/gateway/test_held_parts.py
+++ b/tests/unit/gateway/test_held_parts.py
@@ -28,7 +28,7 @@
 def hold(front):
     """Let control report enough crashes under the part."""
     crashes = tuple(PartCrash(f"i-{number}", number) for number in range(1, 6))
-    record = PartRecord(f"/{CAUSE}", crashes, (), False, 1, 0)
+    record = PartRecord(f"/{CAUSE}", crashes, (), False, False, 1, 0)
     runtime = front.runtime
     runtime._receive("control", CrashUpdates([], [], [record]))
 
--- a/tests/unit/gateway/test_part_exchange.py
+++ b/tests/unit/gateway/test_part_exchange.py
@@ -11,6 +11,7 @@
 from tests.lib.gateway_group import LEADER, build_deployment
 
 CRASHES = 5
+POOL = "service"
 COMMON, CAUSE, OTHER = "m/common", "m/cause", "m/other"
 
 
@@ -23,9 +24,9 @@
     """Crash an upstream under a request of its own at one of the fronts."""
     front = number % len(deployment.fronts)
     instance = deployment.fronts[front]
-    sent = instance.parts.record_sent(parts)
-    fingerprint = identify(number, *parts).fingerprint
     upstream = UpstreamId(f"i-{number}")
+    sent = instance.parts.record_sent(parts, POOL, upstream)
+    fingerprint = identify(number, *parts).fingerprint
     report = instance.crash_reports.record_crash(
         fingerprint, sent, upstream, deployment.now
     )
@@ -35,7 +36,7 @@
 
 def respond(deployment, front, parts):
     instance = deployment.fronts[front]
-    sent = instance.parts.record_sent(parts)
+    sent = instance.parts.record_sent(parts, POOL, UpstreamId("healthy"))
     report = instance.crash_reports.record_under_way(sent, deployment.now)
     deployment._send(deployment.names[front], instance.report(report))
     deployment.run(0.05)
--- a/tests/unit/test_instance.py
+++ b/tests/unit/test_instance.py
@@ -96,8 +96,8 @@
 def crash_engines_under_part(instance, count=5):
     request = build_request("r", parts=("m/cause",))
     for number in range(count):
-        sent = instance.entry.crashes.record_sent(request, 1.0)
         name = UpstreamId(f"engine-with-a-long-name-in-some-zone-{number}")
+        sent = instance.entry.crashes.record_sent(request, name, Incarnation(1), 1.0)
         instance.entry.crashes.record_crash(request, name, Incarnation(1), 1.0, sent)
 
 
@@ -116,7 +116,7 @@
         error = instance.entry.crashes.find_quarantine(request, 1.0)
         assert error.kind is ErrorKind.ENDS_UPSTREAMS
     # A later response clears the part at all instances.
-    sent = third.entry.crashes.record_sent(request, 200.0)
+    sent = third.entry.crashes.record_sent(request, "other", Incarnation(1), 200.0)
     third.entry.crashes.record_under_way(sent, 201.0)
     send_rumors(third, first)
     assert first.entry.crashes.find_quarantine(request, 201.0) is None
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -20,17 +20,19 @@
 from tests.lib.crash_model import Draw, Model, count_late
 
 CRASHES = 5
+POOL = "service"
 COMMON, CAUSE, OTHER = "m/common", "m/cause", "m/other"
 
 
 def crash(ledger, parts, number, now=0.0):
     """Crash one upstream under an attempt that is sent now; return the records."""
-    sent = ledger.record_sent(parts)
+    sent = ledger.record_sent(parts, POOL, f"i-{number}")
     return ledger.record_crash(sent, f"i-{number}", now)
 
 
 def respond(ledger, parts, now=0.0):
-    return ledger.record_sound(ledger.record_sent(parts), now)
+    sent = ledger.record_sent(parts, POOL, "healthy")
+    return ledger.record_response(sent, now) + ledger.record_sound(sent, now)
 
 
 def crash_repeatedly(ledger, parts, count=CRASHES, first=0, now=0.0):
@@ -51,7 +53,7 @@
 
 def test_failure_of_many_upstreams_at_once_names_no_part():
     ledger = PartLedger()
-    sent = [ledger.record_sent((COMMON, OTHER)) for _ in range(20)]
+    sent = [ledger.record_sent((COMMON, OTHER), POOL, "i") for _ in range(20)]
     for number, one in enumerate(sent):
         ledger.record_crash(one, f"i-{number}", 0.0)
     assert not ledger.causes
@@ -59,7 +61,7 @@
 
 def test_response_voids_only_crashes_known_when_it_was_sent():
     ledger = PartLedger()
-    early = ledger.record_sent((CAUSE,))
+    early = ledger.record_sent((CAUSE,), POOL, "i-99")
     crash_repeatedly(ledger, (CAUSE,))
     ledger.record_sound(early, 1.0)
     assert ledger.causes == {CAUSE}
@@ -112,8 +114,9 @@
 def test_two_causes_are_both_quarantined():
     ledger = PartLedger()
     for number in range(2 * CRASHES):
-        respond(ledger, (COMMON,))
-        crash(ledger, (COMMON, (CAUSE, OTHER)[number % 2]), number)
+        now = 0.3 * number
+        respond(ledger, (COMMON,), now)
+        crash(ledger, (COMMON, (CAUSE, OTHER)[number % 2]), number, now + 0.1)
     assert ledger.causes == {CAUSE, OTHER}
 
 
@@ -148,6 +151,7 @@
     respond(ledger, (CAUSE,))
     for number in range(CRASHES):
         crash(ledger, (CAUSE,), number, 0.5 * number)
+        respond(ledger, (OTHER,), 0.5 * number + 0.1)
     assert ledger.causes == {CAUSE}
     left = ledger.compute_quarantine((CAUSE,), 0.5 * CRASHES)
     assert 0.0 < left <= FIRST_QUARANTINE_IF_SOUND_S + TRIAL_SPREAD_S
@@ -191,7 +195,13 @@
 def build_record(number, depth, has_voided, was_sound):
     voided = (f"i-{number}",) if has_voided else ()
     return PartRecord(
-        CAUSE, (PartCrash(f"i-{number}", depth),), voided, was_sound, depth, number
+        CAUSE,
+        (PartCrash(f"i-{number}", depth),),
+        voided,
+        was_sound,
+        has_voided,
+        depth,
+        number,
     )
 
 
@@ -251,3 +261,30 @@
 
 def draw_fields(draw):
     return {name: getattr(draw, name) for name in Draw.__struct_fields__}
+
+
+def test_lost_connections_to_all_upstreams_name_no_part():
+    ledger = PartLedger()
+    for part in (COMMON, CAUSE, OTHER):
+        respond(ledger, (part,))
+    for number in range(30):
+        parts = (COMMON, (CAUSE, OTHER)[number % 2])
+        crash(ledger, parts, number, 1.0 + 0.1 * number)
+    assert not ledger.causes
+
+
+def test_response_of_an_upstream_voids_its_crash_under_all_parts():
+    ledger = PartLedger()
+    crash_repeatedly(ledger, (CAUSE,))
+    assert ledger.causes == {CAUSE}
+    sent = ledger.record_sent((OTHER,), POOL, "i-0")
+    ledger.record_response(sent, 1.0)
+    assert not ledger.causes
+
+
+def test_response_sent_before_the_crash_does_not_void_it():
+    ledger = PartLedger()
+    sent = ledger.record_sent((OTHER,), POOL, "i-0")
+    crash_repeatedly(ledger, (CAUSE,))
+    ledger.record_response(sent, 1.0)
+    assert ledger.causes == {CAUSE}
