--- a/tests/functional/test_crashing_parts.py
+++ b/tests/functional/test_crashing_parts.py
@@ -172,23 +172,13 @@
         assert all(float(one.retry_after) > 0.0 for one in refused)
 
 
-async def restart(system, names):
-    for name in names:
-        system.processes.kill(name)
-    for name in names:
-        system.processes.start(name)
-    for front in (0, 1):
-        await system.wait_ready(front=front, seconds=20.0)
-    await system.wait_served()
-
-
 async def test_quarantined_part_stays_held_when_all_processes_start_again(tmp_path):
     shape = SHAPES["plain"]
     async with run_fragile_system(tmp_path, shape.has_engines) as system:
         callers = PartCallers(system, shape)
         await callers.run([shape.guilty], GUILTY_INTERVAL_S, 3.0)
         await asyncio.sleep(PartFragileReplica.restart_delay_s)
-        await restart(system, system.processes.started)
+        await system.restart(system.processes.started)
         arrived = sum(len(replica.guilty_at) for replica in system.replicas)
         refused = [await callers.send(shape.guilty) for _ in range(4)]
         assert {one.status for one in refused} == {503}
--- a/tests/functional/test_crashing_requests.py
+++ b/tests/functional/test_crashing_requests.py
@@ -68,16 +68,6 @@
         assert status == 200
 
 
-async def restart(system, names):
-    for name in names:
-        system.processes.kill(name)
-    for name in names:
-        system.processes.start(name)
-    for front in (0, 1):
-        await system.wait_ready(front=front, seconds=20.0)
-    await system.wait_served()
-
-
 async def assert_quarantined(system):
     """Check that both fronts refuse the request and no replica crashes."""
     crashes = count_crashes(system)
@@ -96,16 +86,16 @@
     await send_poison(system, 4)
     await asyncio.sleep(RESTART_DELAY_S)
     await assert_quarantined(system)
-    await restart(system, [system.processes.find_leader()])
+    await system.restart([system.processes.find_leader()])
     await assert_quarantined(system)
-    await restart(system, ["front-0"])
+    await system.restart(["front-0"])
     await assert_quarantined(system)
-    await restart(system, system.processes.names[:3])
+    await system.restart(system.processes.names[:3])
     await assert_quarantined(system)
 
 
 async def test_request_stays_held_when_all_processes_start_again(system):
     await send_poison(system, 4)
     await asyncio.sleep(RESTART_DELAY_S)
-    await restart(system, system.processes.started)
+    await system.restart(system.processes.started)
     await assert_quarantined(system)
--- a/tests/lib/gateway_system.py
+++ b/tests/lib/gateway_system.py
@@ -74,6 +74,16 @@
             await asyncio.sleep(0.05)
         raise AssertionError("the process did not restart in time")
 
+    async def restart(self, names):
+        """Kill these processes together, start them again and wait for service."""
+        for name in names:
+            self.processes.kill(name)
+        for name in names:
+            self.processes.start(name)
+        for front in (0, 1):
+            await self.wait_ready(front=front, seconds=20.0)
+        await self.wait_served()
+
     async def wait_served(self, seconds=10.0):
         end = time.monotonic() + seconds
         while time.monotonic() < end:
