Soak: count no misdirected requests against a rate limit

Its trace: while no control instance could be reached, fronts sent 53 requests to an address as the replica i-3; i-8, which had taken the address and named a limit, answered 421 to each. That response names no limit, and no front ever sent anything to i-8 (no line names it). So the check took fronts for informed which were not. The requests are still arrivals for every other promise; those that a front sends to the limited replica itself count as before (test).

--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -98,6 +98,8 @@
     at: float
     upstream: UpstreamId
     availability_zone: AvailabilityZone | None = None
+    is_misdirected: bool = False
+    """Whether it was sent to an earlier replica at the address, and answered so."""
 
 
 class RateLimitPeriod(msgspec.Struct):
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -364,12 +364,15 @@
 
 
 def _list_informed_arrivals(evidence: Evidence, period: RateLimitPeriod) -> list[float]:
-    """List when a rate-limited replica got requests from fronts that knew the limit."""
+    """List when a rate-limited replica got requests from fronts that knew the limit.
+
+    The response to a misdirected request names no limit.
+    """
     informed_at: dict[tuple[ProcessName, int], float] = {}
     times = []
     for arrival in sorted(evidence.observations.arrivals, key=lambda one: one.at):
         call = evidence.observations.caller_requests.get(arrival.request_id)
-        is_there = arrival.upstream == period.upstream
+        is_there = arrival.upstream == period.upstream and not arrival.is_misdirected
         if call is None or not is_there:
             continue
         if not period.since <= arrival.at <= period.until:
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -178,11 +178,14 @@
         observations = self._fleet.observations
         request_id = request.headers[REQUEST_ID]
         now = asyncio.get_running_loop().time()
+        expected = request.headers.get(EXPECTED_UPSTREAM)
+        is_misdirected = expected not in (None, get_upstream_name(self._id))
         observations.arrivals.append(
-            Arrival(request_id, self._service, now, self._id, self._zone)
+            Arrival(
+                request_id, self._service, now, self._id, self._zone, is_misdirected
+            )
         )
-        expected = request.headers.get(EXPECTED_UPSTREAM)
-        if expected not in (None, get_upstream_name(self._id)):
+        if is_misdirected:
             return web.Response(
                 status=421, headers=build_response_headers(request_id, None)
             )
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -2,6 +2,7 @@
 
 import math
 
+import msgspec
 import pytest
 
 from scalebend.models.ids import (
@@ -252,6 +253,19 @@
     assert list_broken(observations) == set()
 
 
+def test_misdirected_requests_neither_name_a_rate_limit_nor_count():
+    observations = build_observations()
+    observations.rate_limit_periods.append(RateLimitPeriod(UPSTREAM, 0.4, 110.0, 120.0))
+    for step in range(20):
+        arrive(observations, 110.0 + step / 2)
+    assert list_broken(observations) == {"request_limits"}
+    observations.arrivals[1:] = [
+        msgspec.structs.replace(arrival, is_misdirected=True)
+        for arrival in observations.arrivals[1:]
+    ]
+    assert list_broken(observations) == set()
+
+
 def reject(observations, at, backoff=3.0):
     request_id = f"refused-{len(observations.rejections)}"
     observations.caller_requests[request_id] = build_call(
