--- a/src/scalebend/core/crash_causes.py
+++ b/src/scalebend/core/crash_causes.py
@@ -36,8 +36,8 @@
     """Upstreams that crashed under it, and after which no response on it began."""
 
     depth: int
-    """Length of the longest chain of these crashes in which each attempt was sent
-    after the crash before was known."""
+    """Length of the longest chain of these crashes. Each attempt was sent when the
+    crash before was known and data had arrived from the service since."""
 
     age: float
     """Seconds since the oldest of these crashes became known here."""
--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -27,12 +27,8 @@
 import msgspec
 import structlog
 
-from scalebend.core.crash_causes import (
-    QUARANTINE,
-    SUSPICION,
-    PartEvidence,
-    find_causes,
-)
+from scalebend.core.crash_causes import QUARANTINE, SUSPICION, find_causes
+from scalebend.core.part_history import PartHistory
 from scalebend.models.crashes import MAX_LOGGED_PARTS, PartCrash, PartRecord
 from scalebend.models.ids import PartId, PoolId, UpstreamId
 
@@ -61,8 +57,6 @@
 """Maximum number of records, of up to 2 KB each. Those with a single crash are evicted
 first, so parts that occur once don't displace the cause."""
 
-MAX_CRASHES_PER_RECORD = 32
-
 INFERENCE_INTERVAL_S = 0.1
 """Minimum interval of inferences without new evidence."""
 
@@ -106,112 +100,20 @@
 NO_PARTS = SentParts()
 
 
-class _Crash(msgspec.Struct):
-    depth: int
-    known_since: float
-
-
 class _LostAttempt(msgspec.Struct, frozen=True):
     upstream: UpstreamId
     parts: tuple[PartId, ...]
     at: float
 
 
-class _Record(msgspec.Struct):
-    crashes: dict[UpstreamId, _Crash] = {}
-
-    voided: dict[UpstreamId, None] = {}
-    was_sound: bool = False
-    was_cleared: bool = False
-    position: int = 0
-    trials: int = 0
-    updated_at: float = -math.inf
-    quarantined_until: float = -math.inf
-    is_observed_here: bool = False
-    """Whether this process observed one of the crashes."""
-
-    @property
-    def standing(self) -> list[UpstreamId]:
-        """Crashes that are not voided."""
-        return [one for one in self.crashes if one not in self.voided]
-
-    @property
-    def depth(self) -> int:
-        """Length of the longest chain of standing crashes."""
-        return max((self.crashes[one].depth for one in self.standing), default=0)
-
-    def merge(self, record: PartRecord, now: float) -> bool:
-        """Merge another record of the same part; return whether anything changed."""
-        before = self._get_content()
-        for crash in record.crashes:
-            known = self.crashes.setdefault(crash.upstream, _Crash(crash.depth, now))
-            known.depth = max(known.depth, crash.depth)
-        self.voided.update(dict.fromkeys(record.voided))
-        self.was_sound = self.was_sound or record.was_sound
-        self.was_cleared = self.was_cleared or record.was_cleared
-        self.position = max(self.position, record.position)
-        self.trials = max(self.trials, record.trials)
-        self._drop_excess()
-        return before != self._get_content()
-
-    def export(self, part: PartId) -> PartRecord:
-        """Return the record in the form that processes exchange."""
-        return PartRecord(
-            part,
-            tuple(PartCrash(name, one.depth) for name, one in self.crashes.items()),
-            tuple(self.voided),
-            self.was_sound,
-            self.was_cleared,
-            self.position,
-            self.trials,
-        )
-
-    def build_evidence(self, part: PartId, now: float) -> PartEvidence:
-        """Return what the record says about the part."""
-        standing = [self.crashes[one] for one in self.standing]
-        return PartEvidence(
-            part,
-            frozenset(self.standing),
-            self.depth,
-            now - min((one.known_since for one in standing), default=now),
-            self.was_sound,
-            self.was_cleared,
-            self.position,
-        )
-
-    def _get_content(self) -> tuple[object, ...]:
-        return (
-            {name: one.depth for name, one in self.crashes.items()},
-            set(self.voided),
-            self.was_sound,
-            self.was_cleared,
-            self.position,
-            self.trials,
-        )
-
-    def _drop_excess(self) -> None:
-        """Drop voided crashes, oldest first, then the newest of the others."""
-        for upstream in list(self.voided):
-            if len(self.crashes) <= MAX_CRASHES_PER_RECORD:
-                break
-            self.crashes.pop(upstream, None)
-            del self.voided[upstream]
-        while len(self.crashes) > MAX_CRASHES_PER_RECORD:
-            self.crashes.popitem()
-        for upstream in [one for one in self.voided if one not in self.crashes]:
-            if len(self.voided) <= MAX_CRASHES_PER_RECORD:
-                break
-            del self.voided[upstream]
-
-
 class PartLedger:
     """The parts of prompts that are known to one process as involved in crashes."""
 
     def __init__(self, salt: str = "") -> None:
         """``salt`` differs between processes and spreads their trials."""
         self._salt = salt.encode()
-        self._records: dict[PartId, _Record] = {}
-        self._repeated: dict[PartId, _Record] = {}
+        self._records: dict[PartId, PartHistory] = {}
+        self._repeated: dict[PartId, PartHistory] = {}
         """Records with several standing crashes."""
 
         self._causes: set[PartId] = set()
@@ -416,7 +318,7 @@
             if not update.crashes:
                 return False
             self._evict_if_full()
-            record = self._records[part] = _Record()
+            record = self._records[part] = PartHistory()
         trials = record.trials
         crashes = len(record.crashes)
         if not record.merge(update, now):
@@ -440,7 +342,7 @@
         while len(self._parts_by_upstream) > MAX_CRASHED_UPSTREAMS:
             del self._parts_by_upstream[next(iter(self._parts_by_upstream))]
 
-    def _has_contrast(self, part: PartId, record: _Record, pool: PoolId) -> bool:
+    def _has_contrast(self, part: PartId, record: PartHistory, pool: PoolId) -> bool:
         """Whether other requests fare better since the last crash under the part.
 
         Without any other request since, a part that was never sound is the difference.
@@ -459,7 +361,7 @@
             if lost.at >= since
         )
 
-    def _count_change(self, part: PartId, record: _Record) -> None:
+    def _count_change(self, part: PartId, record: PartHistory) -> None:
         self.changes += 1
         if len(record.standing) >= SUSPICION.crashes:
             self._repeated[part] = record
@@ -490,7 +392,7 @@
             logger.warning("part released", part=part)
         self._causes = causes
 
-    def _extend_quarantine(self, record: _Record, now: float) -> None:
+    def _extend_quarantine(self, record: PartHistory, now: float) -> None:
         growth = QUARANTINE_GROWTH ** min(record.trials, MAX_GROWTH_STEPS)
         first = FIRST_QUARANTINE_IF_SOUND_S if record.was_sound else FIRST_QUARANTINE_S
         length = min(MAX_QUARANTINE_S, first * growth)
--- a/src/scalebend/models/crashes.py
+++ b/src/scalebend/models/crashes.py
@@ -41,7 +41,8 @@
 
     upstream: UpstreamId
     depth: int
-    """One more than that of the crashes known when the attempt was sent; 1 without."""
+    """One more than that of the crashes known when the attempt was sent, if data had
+    arrived from the service since; the same otherwise, and 1 without any crash."""
 
 
 class PartRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -4,10 +4,10 @@
 import pytest
 from hypothesis import given
 
+from scalebend.core.part_history import MAX_CRASHES_PER_RECORD
 from scalebend.core.part_ledger import (
     FIRST_QUARANTINE_IF_SOUND_S,
     FIRST_QUARANTINE_S,
-    MAX_CRASHES_PER_RECORD,
     MAX_RECORDS,
     QUARANTINE_GROWTH,
     RECORD_RETENTION_S,
