Log crashes under a prompt of which a full ledger has evicted a part

Found in reading the change: with 4,096 parts known, a crash under two parts, of which the first was the oldest with a single crash and the second new, evicted the first and then failed with a KeyError where it was logged, in the request that was lost. The test failed so before; the other 31 of the file pass as before. Nothing else differs.

--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -406,7 +406,8 @@
         return record.quarantined_until + share * TRIAL_SPREAD_S
 
     def _log_crash(self, parts: Sequence[PartId], upstream: UpstreamId) -> None:
-        logged = parts[:MAX_LOGGED_PARTS]
+        # A full ledger may have evicted one of them meanwhile.
+        logged = [one for one in parts[:MAX_LOGGED_PARTS] if one in self._records]
         logger.info(
             "crash counted against parts",
             upstream=upstream,
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -288,3 +288,12 @@
     crash_repeatedly(ledger, (CAUSE,))
     ledger.record_response(sent, 1.0)
     assert ledger.causes == {CAUSE}
+
+
+def test_crash_is_counted_when_a_full_ledger_evicts_a_part_of_the_same_prompt():
+    ledger = PartLedger()
+    crash(ledger, (OTHER,), 0)
+    for number in range(MAX_RECORDS - 1):
+        crash(ledger, (f"m/{number}",), 0)
+    (record,) = crash(ledger, (OTHER, CAUSE), 0)
+    assert record.part == CAUSE
