--- a/src/scalebend/core/crash_watch.py
+++ b/src/scalebend/core/crash_watch.py
@@ -6,7 +6,7 @@
 from scalebend.core.part_ledger import NO_PARTS, PartLedger, SentParts
 from scalebend.exceptions import ErrorKind, RefusedError
 from scalebend.models.crashes import CrashRecord, PartRecord
-from scalebend.models.ids import Incarnation, PoolId, UpstreamId
+from scalebend.models.ids import Incarnation, PartId, PoolId, UpstreamId
 from scalebend.models.work import Request
 
 
@@ -18,7 +18,7 @@
         self.ledger = CrashLedger()
         self.parts = PartLedger(salt)
         self._updates: list[CrashRecord] = []
-        self._part_updates: dict[str, PartRecord] = {}
+        self._part_updates: dict[PartId, PartRecord] = {}
 
     def pop_updates(self) -> list[CrashRecord]:
         """Remove and return the local updates since the last call.
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -55,7 +55,6 @@
 _REFUSAL_KINDS = (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.ENDS_UPSTREAMS)
 """Error kinds of requests that no upstream accepted."""
 
-
 _FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
 """Headers of responses whose end does not depend on that of the connection."""
 
--- a/tests/lib/crash_model.py
+++ b/tests/lib/crash_model.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from scalebend.core.part_ledger import PartLedger
+from scalebend.core.part_ledger import UNDER_WAY_S, PartLedger
 
 
 class Draw(msgspec.Struct, frozen=True):
@@ -81,10 +81,14 @@
     sound_lost: int = 0
 
 
-UNDER_WAY_S = 0.25
 POOL = "service"
 
 
+def find_guilty(parts):
+    """Return the first part that crashes replicas; ``None`` without one."""
+    return next((one for one in parts if one.startswith("guilty")), None)
+
+
 class Model:
     """Plays one draw."""
 
@@ -152,11 +156,11 @@
 
     def _is_guilty(self, parts):
         is_harmless = self.draw.is_guilty_sound_at_first and self.now < self.draw.quiet
-        return not is_harmless and any(one.startswith("guilty") for one in parts)
+        return not is_harmless and find_guilty(parts) is not None
 
     def _send(self, front, parts, left, excluded):
         ledger = self.ledgers[front]
-        is_guilty = any(one.startswith("guilty") for one in parts)
+        is_guilty = find_guilty(parts) is not None
         self.run.sound_sent += not is_guilty
         if ledger.compute_quarantine(parts, self.now) > 0.0:
             self.run.sound_refused += not is_guilty
@@ -167,7 +171,7 @@
         if replica is None:
             return
         if is_guilty:
-            guilty = next(one for one in parts if one.startswith("guilty"))
+            guilty = find_guilty(parts)
             self.run.guilty_sent.append((self.now, guilty))
         if ledger.find_cause(parts) is not None:
             self._publish(front, ledger.begin_trial(parts, self.now))
@@ -206,7 +210,7 @@
         if not attempt.is_open:
             return
         if attempt.is_guilty:
-            guilty = next(one for one in attempt.parts if one.startswith("guilty"))
+            guilty = find_guilty(attempt.parts)
             self.run.crashes.append((self.now, guilty))
             self._crash(attempt.replica)
             return
@@ -268,7 +272,7 @@
         if not attempt.is_under_way:
             records = ledger.record_crash(attempt.sent, attempt.upstream, self.now)
             self._publish(attempt.front, records)
-        is_guilty = any(one.startswith("guilty") for one in attempt.parts)
+        is_guilty = find_guilty(attempt.parts) is not None
         if attempt.left:
             excluded = (attempt.upstream,)
             self._send(attempt.front, attempt.parts, attempt.left, excluded)
--- a/tests/unit/gateway/test_crash_exchange.py
+++ b/tests/unit/gateway/test_crash_exchange.py
@@ -6,7 +6,7 @@
 from scalebend.core.part_ledger import NO_PARTS
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import Fingerprint, InstanceId, UpstreamId
-from tests.lib.gateway_group import LEADER, build_deployment
+from tests.lib.gateway_group import build_deployment
 
 CAUSE = Fingerprint("cause")
 
@@ -57,11 +57,9 @@
         record_crash(deployment, number, f"i-{number}")
     deployment.run(0.05)
     deployment.leader.crashes = CrashExchange()
-    for name, front in zip(deployment.names, deployment.fronts, strict=True):
-        front.remove_link(LEADER)
-        deployment.leader.remove_front(name, deployment.now)
-        front.add_link(LEADER)
-        deployment._deliver(deployment.leader.add_front(name, deployment.now))
+    for number in range(len(deployment.fronts)):
+        deployment.cut_front(number, is_noticed=True)
+        deployment.link_front(number)
     deployment.run(0.6)
     record_crash(deployment, 1, "i-9")
     deployment.run(0.05)
--- a/tests/unit/gateway/test_part_exchange.py
+++ b/tests/unit/gateway/test_part_exchange.py
@@ -76,11 +76,9 @@
     for number in range(CRASHES - 1):
         crash(deployment, number, (CAUSE,))
     deployment.leader.crashes = CrashExchange()
-    for name, front in zip(deployment.names, deployment.fronts, strict=True):
-        front.remove_link(LEADER)
-        deployment.leader.remove_front(name, deployment.now)
-        front.add_link(LEADER)
-        deployment._deliver(deployment.leader.add_front(name, deployment.now))
+    for number in range(len(deployment.fronts)):
+        deployment.cut_front(number, is_noticed=True)
+        deployment.link_front(number)
     deployment.run(0.6)
     assert deployment.leader.crashes.parts.list_records()
     crash(deployment, 90, (CAUSE,))
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -17,7 +17,7 @@
     PartLedger,
 )
 from scalebend.models.crashes import PartCrash, PartRecord
-from tests.lib.crash_model import Draw, Model, count_late
+from tests.lib.crash_model import Draw, Model, count_late, find_guilty
 
 CRASHES = 5
 POOL = "service"
@@ -255,8 +255,7 @@
         run = Model(Draw(**{**draw_fields(draw), "seed": seed})).play()
         assert not run.false_causes, seed
         for parts in draw.guilty_parts:
-            guilty = next(one for one in parts if one.startswith("guilty"))
-            assert count_late(run, guilty) <= MAX_LATE, seed
+            assert count_late(run, find_guilty(parts)) <= MAX_LATE, seed
 
 
 def draw_fields(draw):
