Reproduce crashes that responses of restarted replicas void, failing

Hypothesis: a replica may restart under its name. Requests addressed to the incarnation before reach it until it registers, X-Expect-Instance holds the name only, and its response passes for proof that the earlier incarnation lost a connection but did not crash.

--- a/tests/functional/test_crashing_parts.py
+++ b/tests/functional/test_crashing_parts.py
@@ -14,13 +14,16 @@
 import msgspec
 import pytest
 
-from tests.lib.fragile_replicas import PartFragileReplica
+from tests.lib.fragile_replicas import PartFragileReplica, SameNamePartFragileReplica
 from tests.lib.gateway_load import keep_registered
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.partitions import COMPLETE_STREAM
 from tests.lib.platform_replicas import build_document
 
 REPLICAS = 10
+FEW_REPLICAS = 4
+"""Number with which callers' requests soon meet a replica that has just restarted."""
+
 CRASHES_UNTIL_VERDICT = 5
 CONTACT_S = 3.0
 """Seconds after the fifth crash from which few requests with the part may be sent."""
@@ -121,8 +124,10 @@
 
 
 @contextlib.asynccontextmanager
-async def run_fragile_system(folder, has_engines):
-    async with run_system(folder, REPLICAS, PartFragileReplica) as system:
+async def run_fragile_system(
+    folder, has_engines, build=PartFragileReplica, replicas=REPLICAS
+):
+    async with run_system(folder, replicas, build) as system:
         engines = [SERVICE] if has_engines else []
         document = build_document(2, [SERVICE], engines=engines)
         assert await system.put(document) == 200
@@ -172,6 +177,26 @@
         assert all(float(one.retry_after) > 0.0 for one in refused)
 
 
+@pytest.mark.parametrize("name", ["engines", "plain"])
+async def test_responses_of_restarted_replicas_void_no_crashes(tmp_path, name):
+    # A replica that restarts under its name serves requests sent to the one before.
+    shape = SHAPES[name]
+    build = SameNamePartFragileReplica
+    replicas = FEW_REPLICAS
+    async with run_fragile_system(
+        tmp_path, shape.has_engines, build, replicas
+    ) as system:
+        callers = PartCallers(system, shape)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                callers.run(shape.sound, SOUND_INTERVAL_S, QUIET_S + GUILTY_S)
+            )
+            await asyncio.sleep(QUIET_S)
+            await callers.run([shape.guilty], GUILTY_INTERVAL_S, GUILTY_S)
+        _, late = list_late_arrivals(system)
+        assert len(late) <= MAX_LATE_ARRIVALS
+
+
 async def test_quarantined_part_stays_held_when_all_processes_start_again(tmp_path):
     shape = SHAPES["plain"]
     async with run_fragile_system(tmp_path, shape.has_engines) as system:
--- a/tests/lib/fragile_replicas.py
+++ b/tests/lib/fragile_replicas.py
@@ -104,3 +104,20 @@
         if self.is_up:
             self.crashed_at.append(time.monotonic())
             super().crash()
+
+
+class SameNamePartFragileReplica(PartFragileReplica):
+    """Comes back soon under its own name, and registers only when it is due."""
+
+    restart_delay_s = 0.3
+
+    def __init__(self, number, service, controls):
+        super().__init__(number, service, controls)
+        self.born = time.time_ns() // 1_000_000
+
+    async def restart(self):
+        await asyncio.sleep(self.restart_delay_s)
+        self.restarts += 1
+        self.born = time.time_ns() // 1_000_000
+        self.sequence = 0
+        self.is_up = True
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -29,6 +29,9 @@
         self.mode = "answer"
         self.event_interval_s = 0.02
         self.sequence = 0
+        self.born = None
+        """Start in Unix milliseconds, if its registrations name it."""
+
         self.gate = asyncio.Event()
         self.gate.set()
 
@@ -101,6 +104,8 @@
             "ColdRemainingMs": 0,
             "Seq": self.sequence,
         }
+        if self.born is not None:
+            document["born"] = self.born
         await self.call_control(session, "PUT", document)
 
     async def deregister(self, session):
