Void a crash only if the upstream that responded has not restarted

Cause: X-Expect-Instance holds an upstream's name. Until it registers again, a restarted upstream responds to requests addressed to the incarnation before, and any response voided that incarnation's crashes, at all fronts and for good. In the test's logs 'upstream did not crash' precedes 'upstream started again' of the same incarnation by 0.3 to 0.9 s. Heads of guilty streams did the same, a moment before their crash. The own interface names incarnations, but the one known when the attempt is sent, so it had the same fault.

Ruled out: evicted records (few parts), requests of an unreached front (the verdict stood at all processes within 20 ms).

Now a response only marks the upstream. Its crash is void three heartbeats later (own interface: the timeout of announcements) if the same incarnation is still registered; a restart or another crash ends that.

Failed before: test_upstream_that_responds_under_ the_name_of_a_crashed_one_did_crash would not build, test_response_tells_a_ lost_connection_from_a_crash_unless_the_engine_restarted[True] failed.

--- a/src/scalebend/core/crash_watch.py
+++ b/src/scalebend/core/crash_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from scalebend.core.catalog import Catalog
 from scalebend.core.crash_ledger import CrashLedger
 from scalebend.core.part_ledger import NO_PARTS, PartLedger, SentParts
 from scalebend.exceptions import ErrorKind, RefusedError
@@ -72,7 +73,25 @@
 
     def record_response(self, parts: SentParts, now: float) -> None:
         """Record the first token of an attempt."""
-        self._add_part_updates(self.parts.record_response(parts, now))
+        self.parts.record_response(parts, now)
+
+    def void_lost_connections(self, catalog: Catalog, now: float) -> None:
+        """Void crashes of upstreams that have responded since and did not restart.
+
+        A restarted one has announced itself before its timeout.
+        """
+        answering = self.parts.list_answering(now - catalog.timeout)
+        if not answering:
+            return
+        running = {
+            _name_incarnation(one.upstream, one.incarnation)
+            for one in (record.announcement for record in catalog)
+        }
+        for upstream in answering:
+            if upstream in running:
+                self._add_part_updates(self.parts.void_crash(upstream, now))
+            else:
+                self.parts.record_restart(upstream)
 
     def record_crash(
         self,
--- a/src/scalebend/core/gateway/front_crashes.py
+++ b/src/scalebend/core/gateway/front_crashes.py
@@ -14,6 +14,10 @@
 from scalebend.models.crashes import CrashRecord, PartRecord, RequestIdentity
 from scalebend.models.ids import Fingerprint, InstanceId, PartId, UpstreamId
 
+CONFIRMATION_HEARTBEATS = 3
+"""Heartbeat intervals within which a restarted upstream has registered. If it has not,
+a response came from the same incarnation as before."""
+
 
 class FrontCrashes:
     """Requests and parts under which upstreams crashed, and what the leader must learn.
@@ -21,7 +25,14 @@
     Methods return the report for the leader, or ``None`` if nothing is new.
     """
 
-    def __init__(self, directory: EndpointDirectory, instance: InstanceId) -> None:
+    def __init__(
+        self,
+        directory: EndpointDirectory,
+        instance: InstanceId,
+        heartbeat_interval_s: float,
+    ) -> None:
+        """``heartbeat_interval_s`` is that of the upstreams."""
+        self._confirmation_s = CONFIRMATION_HEARTBEATS * heartbeat_interval_s
         self.ledger = CrashLedger()
         self.parts = PartLedger(instance)
         self._directory = directory
@@ -76,9 +87,20 @@
         records = [record] if record is not None else []
         return _build_report(records, self.parts.record_crash(parts, upstream, now))
 
-    def record_response(self, parts: SentParts, now: float) -> CrashUpdates | None:
+    def record_response(self, parts: SentParts, now: float) -> None:
         """Record that the head of a response arrived from an upstream itself."""
-        return _build_report([], self.parts.record_response(parts, now))
+        self.parts.record_response(parts, now)
+
+    def void_lost_connections(self, now: float) -> CrashUpdates | None:
+        """Void crashes of upstreams that have responded since and did not restart."""
+        records: dict[PartId, PartRecord] = {}
+        for upstream in self.parts.list_answering(now - self._confirmation_s):
+            if self._directory.get(upstream) is None:
+                self.parts.record_restart(upstream)
+                continue
+            for one in self.parts.void_crash(upstream, now):
+                records[one.part] = one
+        return _build_report([], list(records.values()))
 
     def record_under_way(self, parts: SentParts, now: float) -> CrashUpdates | None:
         """Record that a response got past its start."""
@@ -106,6 +128,8 @@
         self, superseded: list[UpstreamId], now: float
     ) -> CrashUpdates | None:
         """Record crashes of upstreams that ended with unanswered requests."""
+        for upstream in superseded:
+            self.parts.record_restart(upstream)
         ended = [
             upstream
             for upstream in self._unanswered.list_upstreams()
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -105,7 +105,9 @@
         )
         self.evacuations = HeldEvacuations(self.directory)
         self.balancer = ServiceBalancer()
-        self.crash_reports = FrontCrashes(self.directory, settings.instance)
+        self.crash_reports = FrontCrashes(
+            self.directory, settings.instance, settings.heartbeat_interval
+        )
         starts = SlowStarts(self.directory, bounds)
         self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
@@ -256,6 +258,7 @@
             self.scheduler.expire(now)
             self.reach.expire(now)
             self.crash_reports.expire(now)
+            actions += self.report(self.crash_reports.void_lost_connections(now))
             known = self.directory.list_ids()
             self.scheduler.retain(known)
             self.limits.expire(known, now)
--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -9,8 +9,9 @@
 Then the order of the two is certain without a common clock: a part that became harmful
 a moment ago is not cleared by a response that began before. A response on the part
 shows that the part was not the cause; any response of the upstream that it did not
-crash at all, but lost a connection. Voided crashes stay in the record, so that a
-process that missed the response can't bring them back.
+crash at all, but lost a connection. The latter is certain only some time later, since
+an upstream may restart under its name and respond before it registers. Voided crashes
+stay in the record, so that a process that missed the response can't bring them back.
 
 Where all connections break, no upstream has crashed, but every request is lost. So a
 chain of crashes grows only with attempts that were sent after something had arrived
@@ -121,6 +122,9 @@
         self._parts_by_upstream: dict[UpstreamId, dict[PartId, None]] = {}
         """Parts under which each upstream counts as crashed, recent upstreams only."""
 
+        self._answering: dict[UpstreamId, float] = {}
+        """Upstreams that count as crashed but have responded, and since when."""
+
         self._lost: deque[_LostAttempt] = deque(maxlen=MAX_LOST_ATTEMPTS)
         """The last attempts here that were lost before they got under way."""
 
@@ -158,6 +162,7 @@
         Returns the records to publish.
         """
         self._lost.append(_LostAttempt(upstream, sent.parts, now))
+        self._answering.pop(upstream, None)
         changed = []
         for position, part in enumerate(sent.parts):
             depth = max(1, sent.depths.get(part, 1))
@@ -202,14 +207,35 @@
             self._infer(now)
         return self._export(changed)
 
-    def record_response(self, sent: SentParts, now: float) -> list[PartRecord]:
-        """Record the beginning of a response; return the records to publish."""
+    def record_response(self, sent: SentParts, now: float) -> None:
+        """Record the beginning of a response.
+
+        If its upstream counted as crashed when the attempt was sent, see
+        :meth:`list_answering`.
+        """
         self.record_alive(sent.pool, now)
-        upstream = sent.doubted
-        if upstream is None or upstream not in self._parts_by_upstream:
-            return []
+        if sent.doubted is not None and sent.doubted in self._parts_by_upstream:
+            self._answering.setdefault(sent.doubted, now)
+
+    def list_answering(self, before: float) -> list[UpstreamId]:
+        """List upstreams that count as crashed but have responded since ``before``.
+
+        If they have not restarted meanwhile, they only lost a connection.
+        """
+        return [one for one, since in self._answering.items() if since <= before]
+
+    def record_restart(self, upstream: UpstreamId) -> None:
+        """Record that an upstream ended; what responded may be its successor."""
+        self._answering.pop(upstream, None)
+
+    def void_crash(self, upstream: UpstreamId, now: float) -> list[PartRecord]:
+        """Void the crash of an upstream that only lost a connection.
+
+        Returns the records to publish.
+        """
+        self._answering.pop(upstream, None)
         changed = []
-        for part in self._parts_by_upstream.pop(upstream):
+        for part in self._parts_by_upstream.pop(upstream, {}):
             record = self._records.get(part)
             if record is None or upstream not in record.crashes:
                 continue
@@ -340,7 +366,9 @@
             parts = self._parts_by_upstream.setdefault(upstream, {})
             parts[update.part] = None
         while len(self._parts_by_upstream) > MAX_CRASHED_UPSTREAMS:
-            del self._parts_by_upstream[next(iter(self._parts_by_upstream))]
+            oldest = next(iter(self._parts_by_upstream))
+            del self._parts_by_upstream[oldest]
+            self._answering.pop(oldest, None)
 
     def _has_contrast(self, part: PartId, record: PartHistory, pool: PoolId) -> bool:
         """Whether other requests fare better since the last crash under the part.
--- a/src/scalebend/core/upstream_updates.py
+++ b/src/scalebend/core/upstream_updates.py
@@ -94,6 +94,7 @@
     def advance(self, now: float) -> list[UpdateAction]:
         """Run the owners' timers; remove upstreams whose announcements expired."""
         actions: list[UpdateAction] = []
+        self._entry.crashes.void_lost_connections(self._catalog, now)
         for record in self._entry.crashes.pop_updates():
             self._spread_crash(record)
         for part in self._entry.crashes.pop_part_updates():
--- a/src/scalebend/edges/gateway/crash_evidence.py
+++ b/src/scalebend/edges/gateway/crash_evidence.py
@@ -39,8 +39,7 @@
 
     def record_response(self, progress: AttemptProgress) -> None:
         """Record that the head of a response arrived."""
-        now = self._runtime.now()
-        self._runtime.report(self._reports.record_response(progress.parts, now))
+        self._reports.record_response(progress.parts, self._runtime.now())
 
     def record_events(self, progress: AttemptProgress, events: int) -> None:
         """Record events of a stream that have just arrived."""
--- a/tests/lib/crash_model.py
+++ b/tests/lib/crash_model.py
@@ -36,6 +36,9 @@
     attempts: int = 2
     update_delay: float = 0.03
     restart_delay: float = 3.0
+    confirmation: float = 3.6
+    """Seconds after which an upstream that has responded did not restart before."""
+
     quiet: float = 10.0
     length: float = 30.0
     group_failures: int = 0
@@ -216,12 +219,22 @@
             return
         attempt.has_begun = True
         ledger = self.ledgers[attempt.front]
-        self._publish(attempt.front, ledger.record_response(attempt.sent, self.now))
+        ledger.record_response(attempt.sent, self.now)
+        self.at(self.draw.confirmation, self._confirm, attempt)
         streamed = self.random.expovariate(1 / self.draw.streamed)
         if streamed > UNDER_WAY_S:
             self.at(UNDER_WAY_S, self._pass_start, attempt)
         self.at(streamed, self._complete, attempt)
 
+    def _confirm(self, attempt):
+        """Void the crashes of upstreams that have responded and are still the same."""
+        ledger = self.ledgers[attempt.front]
+        for upstream in ledger.list_answering(self.now - self.draw.confirmation):
+            if upstream in self.upstreams:
+                self._publish(attempt.front, ledger.void_crash(upstream, self.now))
+            else:
+                ledger.record_restart(upstream)
+
     def _pass_start(self, attempt):
         if attempt.is_open and not attempt.is_under_way:
             attempt.is_under_way = True
--- a/tests/unit/gateway/test_part_exchange.py
+++ b/tests/unit/gateway/test_part_exchange.py
@@ -1,16 +1,21 @@
 """Crashes under a part of prompts are counted over all fronts, and told to all."""
 
+import msgspec
 import pytest
 
 from scalebend.core.fingerprints import compute_fingerprint
 from scalebend.core.gateway.crash_exchange import CrashExchange
+from scalebend.core.gateway.front_crashes import CONFIRMATION_HEARTBEATS
 from scalebend.core.gateway.messages import CrashUpdates
 from scalebend.models.crashes import RequestIdentity
+from scalebend.models.endpoints import build_upstream_id
 from scalebend.models.ids import UpstreamId
 from scalebend.storage.crash_file import read_part_crashes, write_part_crashes
+from tests.lib.gateway_builders import build_settings
 from tests.lib.gateway_group import LEADER, build_deployment
 
 CRASHES = 5
+HEARTBEAT_INTERVAL_S = build_settings().heartbeat_interval
 POOL = "service"
 COMMON, CAUSE, OTHER = "m/common", "m/cause", "m/other"
 
@@ -20,11 +25,11 @@
     return RequestIdentity(compute_fingerprint(None, "POST", "h", "/", body), parts)
 
 
-def crash(deployment, number, parts=(COMMON, CAUSE)):
+def crash(deployment, number, parts=(COMMON, CAUSE), upstream=None):
     """Crash an upstream under a request of its own at one of the fronts."""
     front = number % len(deployment.fronts)
     instance = deployment.fronts[front]
-    upstream = UpstreamId(f"i-{number}")
+    upstream = upstream or UpstreamId(f"i-{number}")
     sent = instance.parts.record_sent(parts, POOL, upstream)
     fingerprint = identify(number, *parts).fingerprint
     report = instance.crash_reports.record_crash(
@@ -101,6 +106,43 @@
     assert list_refusing(deployment, CAUSE) == [True]
 
 
+def respond_as(deployment, upstream):
+    """Let an upstream respond to a request of another part at the first front."""
+    instance = deployment.fronts[0]
+    sent = instance.parts.record_sent((OTHER,), POOL, upstream)
+    instance.crash_reports.record_response(sent, deployment.now)
+
+
+def crash_replicas(deployment):
+    """Break a connection to each replica under the cause; return their ids."""
+    for number in range(CRASHES):
+        crash(deployment, number, (CAUSE,), deployment.endpoints[number].upstream)
+    assert list_refusing(deployment, CAUSE) == [True] * len(deployment.fronts)
+    return [one.upstream for one in deployment.endpoints[:CRASHES]]
+
+
+def test_upstream_that_responds_and_stays_did_not_crash():
+    deployment = build_deployment(fronts=2, replicas=6)
+    upstreams = crash_replicas(deployment)
+    respond_as(deployment, upstreams[0])
+    deployment.run(CONFIRMATION_HEARTBEATS * HEARTBEAT_INTERVAL_S + 1.0)
+    assert list_refusing(deployment, CAUSE) == [False] * 2
+
+
+def test_upstream_that_responds_under_the_name_of_a_crashed_one_did_crash():
+    deployment = build_deployment(fronts=2, replicas=6)
+    crash_replicas(deployment)
+    before = deployment.endpoints[0]
+    respond_as(deployment, before.upstream)
+    restarted = msgspec.structs.replace(
+        before, upstream=build_upstream_id(before.name, 99), born=99, sequence=0
+    )
+    deployment.run(HEARTBEAT_INTERVAL_S)
+    deployment.register(restarted)
+    deployment.run(2 * CONFIRMATION_HEARTBEATS * HEARTBEAT_INTERVAL_S)
+    assert list_refusing(deployment, CAUSE) == [True] * 2
+
+
 def test_quarantined_parts_survive_on_disk(tmp_path):
     exchange, restarted = CrashExchange(), CrashExchange()
     deployment = build_deployment(fronts=2, replicas=6)
--- a/tests/unit/test_instance.py
+++ b/tests/unit/test_instance.py
@@ -1,6 +1,7 @@
 """One instance as a whole: control proposals and the spread of crash records."""
 
 import msgspec
+import pytest
 
 from scalebend.core.claims import Claim
 from scalebend.core.consensus.messages import DiskId, HardState, Recovered
@@ -12,7 +13,7 @@
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import Incarnation, InstanceId, Region, UpstreamId
 from scalebend.models.settings import Listen, Role, Settings
-from tests.lib.builders import ENTRY, ZONE, build_request
+from tests.lib.builders import ENTRY, ZONE, build_announcement, build_request
 
 
 def finish_all_ready(instance, now, wall):
@@ -122,6 +123,43 @@
     assert first.entry.crashes.find_quarantine(request, 201.0) is None
 
 
+def respond_to_another_request(instance, name, now):
+    request = build_request("sound", parts=("m/sound",))
+    sent = instance.entry.crashes.record_sent(request, name, Incarnation(1), now)
+    instance.entry.crashes.record_response(sent, now)
+
+
+@pytest.mark.parametrize("has_restarted", [False, True])
+def test_response_tells_a_lost_connection_from_a_crash_unless_the_engine_restarted(
+    has_restarted,
+):
+    request = build_request("other", parts=("m/cause",))
+    instance = build_instance("a")
+    announcements = [build_announcement(f"engine-{number}") for number in range(5)]
+    for one in announcements:
+        instance.upstream_updates.apply_announcement(one, 1.0)
+        sent = instance.entry.crashes.record_sent(
+            request, one.upstream, one.incarnation, 1.0
+        )
+        instance.entry.crashes.record_crash(
+            request, one.upstream, one.incarnation, 1.0, sent
+        )
+    assert instance.entry.crashes.find_quarantine(request, 1.0) is not None
+    now = 1.1
+    respond_to_another_request(instance, announcements[0].upstream, now)
+    incarnation = Incarnation(1 + has_restarted)
+    for sequence in range(1, 21):
+        now += 0.5
+        for one in announcements:
+            running = msgspec.structs.replace(
+                one, incarnation=incarnation, sequence=sequence
+            )
+            instance.upstream_updates.apply_announcement(running, now)
+        instance.advance(now, now)
+    quarantine = instance.entry.crashes.find_quarantine(request, now)
+    assert (quarantine is not None) == has_restarted
+
+
 def test_catalog_page_carries_the_parts_under_which_engines_crashed():
     first, starting = build_instance("a"), build_instance("b")
     crash_engines_under_part(first)
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -32,7 +32,8 @@
 
 def respond(ledger, parts, now=0.0):
     sent = ledger.record_sent(parts, POOL, "healthy")
-    return ledger.record_response(sent, now) + ledger.record_sound(sent, now)
+    ledger.record_response(sent, now)
+    return ledger.record_sound(sent, now)
 
 
 def crash_repeatedly(ledger, parts, count=CRASHES, first=0, now=0.0):
@@ -272,13 +273,17 @@
     assert not ledger.causes
 
 
-def test_response_of_an_upstream_voids_its_crash_under_all_parts():
+def test_upstream_that_responded_and_did_not_restart_voids_its_crash_under_all_parts():
     ledger = PartLedger()
     crash_repeatedly(ledger, (CAUSE,))
     assert ledger.causes == {CAUSE}
     sent = ledger.record_sent((OTHER,), POOL, "i-0")
     ledger.record_response(sent, 1.0)
+    assert not ledger.list_answering(0.9)
+    assert ledger.list_answering(1.0) == ["i-0"]
+    ledger.void_crash("i-0", 2.0)
     assert not ledger.causes
+    assert not ledger.list_answering(2.0)
 
 
 def test_response_sent_before_the_crash_does_not_void_it():
@@ -286,7 +291,21 @@
     sent = ledger.record_sent((OTHER,), POOL, "i-0")
     crash_repeatedly(ledger, (CAUSE,))
     ledger.record_response(sent, 1.0)
-    assert ledger.causes == {CAUSE}
+    assert not ledger.list_answering(1.0)
+
+
+def test_response_before_another_crash_or_a_restart_does_not_void_the_first():
+    ledger = PartLedger()
+    for end in (
+        lambda sent: ledger.record_crash(sent, "i-0", 1.0),
+        lambda sent: ledger.record_restart("i-0"),
+    ):
+        crash_repeatedly(ledger, (CAUSE,))
+        sent = ledger.record_sent((CAUSE,), POOL, "i-0")
+        ledger.record_response(sent, 1.0)
+        end(sent)
+        assert not ledger.list_answering(1.0)
+        assert ledger.causes == {CAUSE}
 
 
 def test_crash_is_counted_when_a_full_ledger_evicts_a_part_of_the_same_prompt():
