Settle lost connections in one place for fronts, instances and the test model

Which of the upstreams that answered are cleared of a crash was decided by the same loop in FrontCrashes, CrashWatch and the drawn sequences. It stands in PartLedger now; the callers only say whether an upstream is still running. No decision differs. In the drawn sequences, records of several upstreams are published together, so update delays are drawn fewer times.

--- a/src/scalebend/core/crash_watch.py
+++ b/src/scalebend/core/crash_watch.py
@@ -80,18 +80,16 @@
 
         A restarted one has announced itself before its timeout.
         """
-        answering = self.parts.list_answering(now - catalog.timeout)
-        if not answering:
+        before = now - catalog.timeout
+        if not self.parts.list_answering(before):
             return
         running = {
             _name_incarnation(one.upstream, one.incarnation)
             for one in (record.announcement for record in catalog)
         }
-        for upstream in answering:
-            if upstream in running:
-                self._add_part_updates(self.parts.void_crash(upstream, now))
-            else:
-                self.parts.record_restart(upstream)
+        self._add_part_updates(
+            self.parts.void_lost_connections(before, running.__contains__, now)
+        )
 
     def record_crash(
         self,
--- a/src/scalebend/core/gateway/front_crashes.py
+++ b/src/scalebend/core/gateway/front_crashes.py
@@ -93,14 +93,13 @@
 
     def void_lost_connections(self, now: float) -> CrashUpdates | None:
         """Void crashes of upstreams that have responded since and did not restart."""
-        records: dict[PartId, PartRecord] = {}
-        for upstream in self.parts.list_answering(now - self._confirmation_s):
-            if self._directory.get(upstream) is None:
-                self.parts.record_restart(upstream)
-                continue
-            for one in self.parts.void_crash(upstream, now):
-                records[one.part] = one
-        return _build_report([], list(records.values()))
+        records = self.parts.void_lost_connections(
+            now - self._confirmation_s, self._is_registered, now
+        )
+        return _build_report([], records)
+
+    def _is_registered(self, upstream: UpstreamId) -> bool:
+        return self._directory.get(upstream) is not None
 
     def record_under_way(self, parts: SentParts, now: float) -> CrashUpdates | None:
         """Record that a response got past its start."""
--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -23,7 +23,7 @@
 import math
 import zlib
 from collections import deque
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 import structlog
@@ -211,7 +211,7 @@
         """Record the beginning of a response.
 
         If its upstream counted as crashed when the attempt was sent, see
-        :meth:`list_answering`.
+        :meth:`void_lost_connections`.
         """
         self.record_alive(sent.pool, now)
         if sent.doubted is not None and sent.doubted in self._parts_by_upstream:
@@ -224,6 +224,23 @@
         """
         return [one for one, since in self._answering.items() if since <= before]
 
+    def void_lost_connections(
+        self, before: float, is_running: Callable[[UpstreamId], bool], now: float
+    ) -> list[PartRecord]:
+        """Settle the crashes of upstreams that have responded since ``before``.
+
+        ``is_running`` tells whether an upstream has not restarted. Returns the records
+        to publish.
+        """
+        changed: dict[PartId, PartRecord] = {}
+        for upstream in self.list_answering(before):
+            if not is_running(upstream):
+                self.record_restart(upstream)
+                continue
+            for record in self.void_crash(upstream, now):
+                changed[record.part] = record
+        return list(changed.values())
+
     def record_restart(self, upstream: UpstreamId) -> None:
         """Record that an upstream ended; what responded may be its successor."""
         self._answering.pop(upstream, None)
--- a/tests/lib/crash_model.py
+++ b/tests/lib/crash_model.py
@@ -229,11 +229,11 @@
     def _confirm(self, attempt):
         """Void the crashes of upstreams that have responded and are still the same."""
         ledger = self.ledgers[attempt.front]
-        for upstream in ledger.list_answering(self.now - self.draw.confirmation):
-            if upstream in self.upstreams:
-                self._publish(attempt.front, ledger.void_crash(upstream, self.now))
-            else:
-                ledger.record_restart(upstream)
+        before = self.now - self.draw.confirmation
+        running = self.upstreams.__contains__
+        self._publish(
+            attempt.front, ledger.void_lost_connections(before, running, self.now)
+        )
 
     def _pass_start(self, attempt):
         if attempt.is_open and not attempt.is_under_way:
