Keep crash records and successes of requests and parts by one rule

The ledger of parts had been given copies of what the ledger of requests does: when a record expires, how many there are, and the bounded list of the last successes, with the same figures under other names. Both call crash_retention now. No figure differs; of a prompt whose parts exceed the list, the same ones are kept, whether they are evicted one by one or at the end.

The tests import the constants from there; their assertions are as before.

--- a/src/scalebend/core/crash_ledger.py
+++ b/src/scalebend/core/crash_ledger.py
@@ -20,6 +20,11 @@
 import msgspec
 import structlog
 
+from scalebend.core.crash_retention import (
+    MAX_RECORDS,
+    RecentSuccesses,
+    list_expired,
+)
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import Fingerprint, UpstreamId
 
@@ -36,21 +41,9 @@
 """Length of a quarantine, which doubles with each further crash up to the longest. It
 ends by itself, so that a repaired upstream gets the request without an operator."""
 
-RECORD_RETENTION_S = 1800.0
-"""How long a record is kept after its last crash or the end of its quarantine."""
-
-MAX_RECORDS = 4096
-"""Maximum number of records, of some 400 bytes each, so that callers cannot exhaust the
-memory of a process. Records of a single crash are evicted first."""
-
 MAX_UPSTREAMS_PER_RECORD = 16
 """Maximum number of upstreams in a record; enough for the longest quarantine."""
 
-SUCCESS_RETENTION_S = 60.0
-MAX_SUCCESSES = 4096
-"""How long a complete response keeps a request from becoming suspect, and how many such
-requests are kept. Requests that are sent all the time recur within seconds."""
-
 
 class _Record(msgspec.Struct):
     crashed: dict[UpstreamId, None]
@@ -81,7 +74,7 @@
 
     def __init__(self) -> None:
         self._records: dict[Fingerprint, _Record] = {}
-        self._succeeded_at: dict[Fingerprint, float] = {}
+        self._succeeded_at = RecentSuccesses[Fingerprint]()
         self.changes = 0
         """Number of changes so far; a new value outdates stored copies."""
 
@@ -94,8 +87,7 @@
 
         Returns the record to publish if it changed.
         """
-        succeeded_at = self._succeeded_at.get(fingerprint, -math.inf)
-        if now - succeeded_at < SUCCESS_RETENTION_S:
+        if self._succeeded_at.has_recent(fingerprint, now):
             return None
         if not self._update_record(fingerprint, [upstream], now):
             return None
@@ -111,10 +103,7 @@
 
     def record_completed(self, fingerprint: Fingerprint, now: float) -> bool:
         """Record a complete response; return whether the request was suspect."""
-        self._succeeded_at.pop(fingerprint, None)
-        self._succeeded_at[fingerprint] = now
-        if len(self._succeeded_at) > MAX_SUCCESSES:
-            del self._succeeded_at[next(iter(self._succeeded_at))]
+        self._succeeded_at.record(fingerprint, now)
         return bool(self.clear([fingerprint]))
 
     # Updates of other processes
@@ -173,12 +162,7 @@
 
     def expire(self, now: float) -> None:
         """Remove records without recent crashes."""
-        old = [
-            fingerprint
-            for fingerprint, record in self._records.items()
-            if now - max(record.updated_at, record.quarantined_until)
-            >= RECORD_RETENTION_S
-        ]
+        old = list_expired(self._records, now)
         for fingerprint in old:
             del self._records[fingerprint]
         self.changes += len(old)
--- a/src/scalebend/core/part_ledger.py
+++ b/src/scalebend/core/part_ledger.py
@@ -29,6 +29,11 @@
 import structlog
 
 from scalebend.core.crash_causes import QUARANTINE, SUSPICION, find_causes
+from scalebend.core.crash_retention import (
+    MAX_RECORDS,
+    RecentSuccesses,
+    list_expired,
+)
 from scalebend.core.part_history import PartHistory
 from scalebend.models.crashes import MAX_LOGGED_PARTS, PartCrash, PartRecord
 from scalebend.models.ids import PartId, PoolId, UpstreamId
@@ -51,13 +56,6 @@
 """Range of additional delays, different at each process, before a process may begin a
 trial. The others hear of it meanwhile."""
 
-RECORD_RETENTION_S = 1800.0
-"""How long a record is kept after its last crash or the end of its quarantine."""
-
-MAX_RECORDS = 4096
-"""Maximum number of records, of up to 2 KB each. Those with a single crash are evicted
-first, so parts that occur once don't displace the cause."""
-
 INFERENCE_INTERVAL_S = 0.1
 """Minimum interval of inferences without new evidence."""
 
@@ -77,10 +75,6 @@
 MAX_CRASHED_UPSTREAMS = 256
 """Maximum number of upstreams that count as crashed until they respond."""
 
-SOUND_RETENTION_S = 60.0
-MAX_SOUND_PARTS = 4096
-"""How long, and for how many parts, the last response is remembered."""
-
 
 class SentParts(msgspec.Struct, frozen=True):
     """The parts of one attempt, and the crashes known when it was sent.
@@ -132,7 +126,7 @@
         """When data arrived last from any upstream of a pool."""
 
         self._inferred_at = -math.inf
-        self._sound_at: dict[PartId, float] = {}
+        self._sound = RecentSuccesses[PartId]()
         self.changes = 0
         """Number of changes so far; a new value outdates stored copies."""
 
@@ -166,12 +160,11 @@
         changed = []
         for position, part in enumerate(sent.parts):
             depth = max(1, sent.depths.get(part, 1))
-            sound_at = self._sound_at.get(part, -math.inf)
             record = PartRecord(
                 part,
                 (PartCrash(upstream, depth),),
                 (),
-                now - sound_at < SOUND_RETENTION_S,
+                self._sound.has_recent(part, now),
                 False,
                 position,
                 0,
@@ -188,8 +181,7 @@
         """Record a response that got past its start; return the records to publish."""
         changed = []
         for part in sent.parts:
-            self._sound_at.pop(part, None)
-            self._sound_at[part] = now
+            self._sound.record(part, now)
             known = sent.known.get(part, ())
             record = self._records.get(part)
             if record is None or not known:
@@ -201,8 +193,6 @@
                 logger.info(
                     "crashes voided", part=part, left=len(record.standing), voided=known
                 )
-        while len(self._sound_at) > MAX_SOUND_PARTS:
-            del self._sound_at[next(iter(self._sound_at))]
         if changed:
             self._infer(now)
         return self._export(changed)
@@ -341,12 +331,7 @@
 
     def expire(self, now: float) -> None:
         """Remove records without recent crashes."""
-        old = [
-            part
-            for part, record in self._records.items()
-            if now - max(record.updated_at, record.quarantined_until)
-            >= RECORD_RETENTION_S
-        ]
+        old = list_expired(self._records, now)
         for part in old:
             self._remove(part)
         if old:
--- a/tests/unit/test_crash_ledger.py
+++ b/tests/unit/test_crash_ledger.py
@@ -6,12 +6,14 @@
 from scalebend.core.crash_ledger import (
     CRASHES_UNTIL_QUARANTINE,
     FIRST_QUARANTINE_S,
+    MAX_UPSTREAMS_PER_RECORD,
+    CrashLedger,
+)
+from scalebend.core.crash_retention import (
     MAX_RECORDS,
     MAX_SUCCESSES,
-    MAX_UPSTREAMS_PER_RECORD,
     RECORD_RETENTION_S,
     SUCCESS_RETENTION_S,
-    CrashLedger,
 )
 from scalebend.models.crashes import CrashRecord
 from scalebend.models.ids import Fingerprint, UpstreamId
--- a/tests/unit/test_part_ledger.py
+++ b/tests/unit/test_part_ledger.py
@@ -4,14 +4,16 @@
 import pytest
 from hypothesis import given
 
+from scalebend.core.crash_retention import (
+    MAX_RECORDS,
+    RECORD_RETENTION_S,
+    SUCCESS_RETENTION_S,
+)
 from scalebend.core.part_history import MAX_CRASHES_PER_RECORD
 from scalebend.core.part_ledger import (
     FIRST_QUARANTINE_IF_SOUND_S,
     FIRST_QUARANTINE_S,
-    MAX_RECORDS,
     QUARANTINE_GROWTH,
-    RECORD_RETENTION_S,
-    SOUND_RETENTION_S,
     TRIAL_SPREAD_S,
     TRIAL_TIMEOUT_S,
     PartLedger,
@@ -85,10 +87,10 @@
 
 def test_part_that_most_requests_share_is_no_cause_between_two_responses():
     ledger = PartLedger()
-    respond(ledger, (COMMON,), SOUND_RETENTION_S)
+    respond(ledger, (COMMON,), SUCCESS_RETENTION_S)
     for number in range(20):
         crash(
-            ledger, (COMMON, f"m/{number}"), number, SOUND_RETENTION_S + 0.05 * number
+            ledger, (COMMON, f"m/{number}"), number, SUCCESS_RETENTION_S + 0.05 * number
         )
     assert not ledger.causes
 
