Find running attempts and held requests by their keys through one index

HeldRequests had been written after RunningAttempts, line by line: items under several keys while a block runs. KeyedItems does that for both; what ends an item, and the log lines, stay where they were.

--- a/src/scalebend/edges/gateway/held_requests.py
+++ b/src/scalebend/edges/gateway/held_requests.py
@@ -13,6 +13,7 @@
 import structlog
 
 from scalebend.models.ids import PartId
+from scalebend.utils.keyed_items import KeyedItems
 
 logger = structlog.get_logger(__name__)
 
@@ -43,32 +44,20 @@
     """All requests of a front without a response, by the parts of their prompts."""
 
     def __init__(self) -> None:
-        self._requests: dict[PartId, list[HeldRequest]] = {}
+        self._requests = KeyedItems[PartId, HeldRequest]()
 
     @contextlib.contextmanager
     def watch(self, parts: Iterable[PartId]) -> Iterator[HeldRequest]:
         """Track a request until the block ends."""
-        watched = tuple(parts)
         request = HeldRequest()
-        for part in watched:
-            self._requests.setdefault(part, []).append(request)
-        try:
+        with self._requests.hold(parts, request):
             yield request
-        finally:
-            for part in watched:
-                self._remove(part, request)
 
     def end(self, parts: Iterable[PartId]) -> None:
         """End the requests with one of these parts."""
         for part in parts:
-            requests = self._requests.get(part, ())
+            requests = self._requests.find(part)
             if requests:
                 logger.info("requests ended", part=part, open=len(requests))
-            for request in tuple(requests):
+            for request in requests:
                 request.end()
-
-    def _remove(self, part: PartId, request: HeldRequest) -> None:
-        requests = self._requests[part]
-        requests.remove(request)
-        if not requests:
-            del self._requests[part]
--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -14,6 +14,7 @@
 import structlog
 
 from scalebend.models.ids import UpstreamId
+from scalebend.utils.keyed_items import KeyedItems
 
 logger = structlog.get_logger(__name__)
 
@@ -52,7 +53,7 @@
     """All running attempts of a front, by the upstreams that they depend on."""
 
     def __init__(self) -> None:
-        self._attempts: dict[UpstreamId, list[RunningAttempt]] = {}
+        self._attempts = KeyedItems[UpstreamId, RunningAttempt]()
 
     @contextlib.contextmanager
     def watch(
@@ -61,25 +62,14 @@
         """Track an attempt that depends on ``upstreams`` until the block ends."""
         members = tuple(upstreams)
         attempt = RunningAttempt(deadline, members)
-        for upstream in members:
-            self._attempts.setdefault(upstream, []).append(attempt)
-        try:
+        with self._attempts.hold(members, attempt):
             yield attempt
-        finally:
-            for upstream in members:
-                self._remove(upstream, attempt)
 
     def end(self, upstreams: Iterable[UpstreamId]) -> None:
         """End the attempts that depend on these ended incarnations."""
         for upstream in upstreams:
-            attempts = self._attempts.get(upstream, ())
+            attempts = self._attempts.find(upstream)
             if attempts:
                 logger.info("attempts ended", upstream=upstream, open=len(attempts))
-            for attempt in tuple(attempts):
+            for attempt in attempts:
                 attempt.end(upstream)
-
-    def _remove(self, upstream: UpstreamId, attempt: RunningAttempt) -> None:
-        attempts = self._attempts[upstream]
-        attempts.remove(attempt)
-        if not attempts:
-            del self._attempts[upstream]
