Tell when a response got past its start in one place

The own interface had its own copy of what AttemptProgress knows. Both use it now, and it stands beside the ledger instead of in the gateway's folder; it tells itself when a response has just got past its start. No decision differs.

With it: the soak's replicas looked for the guilty part of a request twice, and one import was spread over five lines.

--- a/src/scalebend/core/gateway/attempt_progress.py
+++ b/src/scalebend/core/attempt_progress.py
@@ -32,9 +32,14 @@
         """The parts that may be the cause if the upstream crashes now."""
         return NO_PARTS if self.is_under_way else self.parts
 
-    def record_events(self, count: int, now: float) -> None:
-        """Record events that have just arrived."""
+    def record_events(self, count: int, now: float) -> bool:
+        """Record events that have just arrived.
+
+        Returns whether the response got past its start with them.
+        """
+        was_under_way = self.is_under_way
         if not self.events:
             self.first_event_at = now
         self.events += count
         self.last_event_at = now
+        return self.is_under_way and not was_under_way
--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -11,6 +11,7 @@
 import structlog
 from aiohttp import web
 
+from scalebend.core.attempt_progress import AttemptProgress
 from scalebend.core.catalog import UpstreamRecord
 from scalebend.core.claims import StoredResponse
 from scalebend.core.flow import (
@@ -23,7 +24,6 @@
     Prefilled,
     StartAttempt,
 )
-from scalebend.core.part_ledger import UNDER_WAY_S
 from scalebend.edges.gateway.upstream_client import allow_repetition
 from scalebend.edges.problems import build_problem
 from scalebend.edges.sse import (
@@ -309,19 +309,16 @@
         self, start: StartAttempt, response: aiohttp.ClientResponse
     ) -> AttemptResult:
         framer = self._framer
-        began: float | None = None
-        is_under_way = False
+        progress = AttemptProgress()
         async for data in response.content.iter_any():
             forwardable = framer.feed(data)
             if not forwardable:
                 continue
             now = asyncio.get_running_loop().time()
-            if began is None:
-                began = now
+            if not progress.events:
                 self.first_token_at = self.first_token_at or now
                 self._reporter.started(start.attempt)
-            if not is_under_way and now - began >= UNDER_WAY_S:
-                is_under_way = True
+            if progress.record_events(1, now):
                 self._reporter.under_way(start.attempt)
             if self.request.is_streamed:
                 await self._write_events(forwardable)
--- a/src/scalebend/edges/gateway/attempt_result.py
+++ b/src/scalebend/edges/gateway/attempt_result.py
@@ -6,7 +6,7 @@
 import msgspec
 from aiohttp import web
 
-from scalebend.core.gateway.attempt_progress import AttemptProgress
+from scalebend.core.attempt_progress import AttemptProgress
 from scalebend.edges.gateway.upstream_choice import Target
 from scalebend.edges.tunnel_errors import PathLostError
 from scalebend.models.calls import Outcome
--- a/src/scalebend/edges/gateway/crash_evidence.py
+++ b/src/scalebend/edges/gateway/crash_evidence.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from scalebend.core.gateway.attempt_progress import AttemptProgress
+from scalebend.core.attempt_progress import AttemptProgress
 from scalebend.core.part_ledger import SentParts
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.models.crashes import RequestIdentity
@@ -45,9 +45,7 @@
         """Record events of a stream that have just arrived."""
         now = self._runtime.now()
         self._reports.parts.record_alive(progress.parts.pool, now)
-        was_under_way = progress.is_under_way
-        progress.record_events(events, now)
-        if progress.is_under_way and not was_under_way:
+        if progress.record_events(events, now):
             self.record_under_way(progress)
 
     def record_under_way(self, progress: AttemptProgress) -> None:
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -11,7 +11,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from scalebend.core.gateway.attempt_progress import AttemptProgress
+from scalebend.core.attempt_progress import AttemptProgress
 from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
 from scalebend.core.gateway.event_cursor import EventCursor, GarbledEventsError
 from scalebend.core.gateway.timeouts import (
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -37,11 +37,7 @@
 from scalebend.edges.stalls import StallGuard
 from scalebend.models.calls import ReportedLoad
 from scalebend.models.gateway_settings import GatewaySettings
-from scalebend.models.ids import (
-    InstanceId,
-    SendPermitId,
-    UpstreamId,
-)
+from scalebend.models.ids import InstanceId, SendPermitId, UpstreamId
 from scalebend.models.placement import (
     EngineWork,
     JobId,
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -260,8 +260,9 @@
             if self.mode is ReplicaMode.RESETTING:
                 return self._reset(request)
             await asyncio.sleep(SERVICE_TIME_S)
-            if self._find_guilty_part(request) is not None:
-                return self._crash_under(request)
+            guilty = self._find_guilty_part(request)
+            if guilty is not None:
+                return self._crash_under(request, guilty)
             response = web.Response(headers=headers, body=build_body(request_id))
             if (
                 self.mode is ReplicaMode.EXTRA_RESPONSE
@@ -288,8 +289,9 @@
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
-        if self._find_guilty_part(request) is not None:
-            return self._crash_under(request)
+        guilty = self._find_guilty_part(request)
+        if guilty is not None:
+            return self._crash_under(request, guilty)
         first = int(request.headers.get(LAST_EVENT, "0")) + 1
         incarnation = self._id
         for number in range(first, events + 1):
@@ -311,10 +313,9 @@
         parts = read_caller_headers(request.headers).shared_parts
         return next((one for one in parts if one in self._fleet.guilty_parts), None)
 
-    def _crash_under(self, request: web.BaseRequest) -> web.Response:
-        """Crash, since the response to a guilty prompt begins."""
-        part = self._find_guilty_part(request)
-        if self.is_up and part is not None:
+    def _crash_under(self, request: web.BaseRequest, part: str) -> web.Response:
+        """Crash, since the response to a prompt with a guilty part begins."""
+        if self.is_up:
             now = asyncio.get_running_loop().time()
             crash = PartCrash(part, self._id, now)
             self._fleet.observations.part_crashes.append(crash)
