Tests: one steady sender, one play beside guilty requests, one restart of replicas

Three loops sent requests at an interval, two tests played sound requests beside guilty ones with the same lines, and the replica that keeps its name had copied the restart of the other. Assertions, rates and times are as before.

--- a/tests/functional/test_connection_surges.py
+++ b/tests/functional/test_connection_surges.py
@@ -4,16 +4,14 @@
 others: limits and budgets are divided by the number of fronts.
 """
 
-import asyncio
 import contextlib
-import itertools
 import time
 
 import aiohttp
 import msgspec
 import pytest
 
-from tests.lib.gateway_load import keep_registered
+from tests.lib.gateway_load import keep_registered, send_steadily
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.partitions import QUICK_PROMPT
 from tests.lib.platform_replicas import build_document
@@ -46,14 +44,10 @@
         self.attempts = []
 
     async def run(self, fronts, seconds):
-        end = time.monotonic() + seconds
-        async with asyncio.TaskGroup() as group:
-            for number in itertools.count():
-                if time.monotonic() >= end:
-                    break
-                front = fronts[number % len(fronts)]
-                group.create_task(self.call(front, number))
-                await asyncio.sleep(INTERVAL_S)
+        def call_next(number):
+            return self.call(fronts[number % len(fronts)], number)
+
+        await send_steadily(call_next, INTERVAL_S, seconds)
 
     async def call(self, front, number):
         at = time.monotonic()
--- a/tests/functional/test_crashing_parts.py
+++ b/tests/functional/test_crashing_parts.py
@@ -15,7 +15,7 @@
 import pytest
 
 from tests.lib.fragile_replicas import PartFragileReplica, SameNamePartFragileReplica
-from tests.lib.gateway_load import keep_registered
+from tests.lib.gateway_load import keep_registered, send_steadily
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.partitions import COMPLETE_STREAM
 from tests.lib.platform_replicas import build_document
@@ -91,15 +91,26 @@
 
     async def run(self, prompts, interval_s, seconds):
         """Send requests with the parts of ``prompts`` in turn; return the attempts."""
-        end = time.monotonic() + seconds
+
+        def send_next(number):
+            return self.send(prompts[number % len(prompts)])
+
+        return await send_steadily(send_next, interval_s, seconds)
+
+    async def run_beside_guilty(self):
+        """Send sound requests, from the end of the quiet time beside guilty ones.
+
+        Returns the attempts of both, and when the guilty ones began.
+        """
+        sound, guilty = self.shape.sound, [self.shape.guilty]
         async with asyncio.TaskGroup() as group:
-            tasks = []
-            for parts in itertools.cycle(prompts):
-                if time.monotonic() >= end:
-                    break
-                tasks.append(group.create_task(self.send(parts)))
-                await asyncio.sleep(interval_s)
-        return [task.result() for task in tasks]
+            running = group.create_task(
+                self.run(sound, SOUND_INTERVAL_S, QUIET_S + GUILTY_S)
+            )
+            await asyncio.sleep(QUIET_S)
+            began = time.monotonic()
+            crashing = await self.run(guilty, GUILTY_INTERVAL_S, GUILTY_S)
+        return running.result(), crashing, began
 
     async def send(self, parts):
         number = next(self.number)
@@ -155,14 +166,7 @@
 ):
     async with run_fragile_system(tmp_path, shape.has_engines) as system:
         callers = PartCallers(system, shape)
-        async with asyncio.TaskGroup() as group:
-            running = group.create_task(
-                callers.run(shape.sound, SOUND_INTERVAL_S, QUIET_S + GUILTY_S)
-            )
-            await asyncio.sleep(QUIET_S)
-            began = time.monotonic()
-            guilty = await callers.run([shape.guilty], GUILTY_INTERVAL_S, GUILTY_S)
-        sound = running.result()
+        sound, guilty, began = await callers.run_beside_guilty()
         since, late = list_late_arrivals(system)
         assert compute_served_share([one for one in sound if one.at < began]) == 1.0
         share = compute_served_share(
@@ -186,13 +190,7 @@
     async with run_fragile_system(
         tmp_path, shape.has_engines, build, replicas
     ) as system:
-        callers = PartCallers(system, shape)
-        async with asyncio.TaskGroup() as group:
-            group.create_task(
-                callers.run(shape.sound, SOUND_INTERVAL_S, QUIET_S + GUILTY_S)
-            )
-            await asyncio.sleep(QUIET_S)
-            await callers.run([shape.guilty], GUILTY_INTERVAL_S, GUILTY_S)
+        await PartCallers(system, shape).run_beside_guilty()
         _, late = list_late_arrivals(system)
         assert len(late) <= MAX_LATE_ARRIVALS
 
--- a/tests/lib/fragile_replicas.py
+++ b/tests/lib/fragile_replicas.py
@@ -1,4 +1,4 @@
-"""Replicas that crash when they start certain requests, and come back renamed."""
+"""Replicas that crash when they start certain requests, and come back."""
 
 import asyncio
 import contextlib
@@ -17,7 +17,9 @@
     """Crashes when it starts a certain request, and aborts all others it runs."""
 
     restart_delay_s = 0.8
-    """Seconds until a crashed replica is back under another name."""
+    """Seconds until a crashed replica is back."""
+
+    registers_at_start = True
 
     def __init__(self, number, service, controls):
         super().__init__(number, service, controls)
@@ -63,11 +65,15 @@
     async def restart(self):
         await asyncio.sleep(self.restart_delay_s)
         self.restarts += 1
-        self.id = f"{self.id.partition('-of-')[0]}-of-{self.restarts}"
+        self.begin_incarnation()
         self.sequence = 0
         self.is_up = True
-        async with aiohttp.ClientSession() as session:
-            await self.register(session)
+        if self.registers_at_start:
+            async with aiohttp.ClientSession() as session:
+                await self.register(session)
+
+    def begin_incarnation(self):
+        self.id = f"{self.id.partition('-of-')[0]}-of-{self.restarts}"
 
 
 class PartFragileReplica(FragileReplica):
@@ -110,14 +116,11 @@
     """Comes back soon under its own name, and registers only when it is due."""
 
     restart_delay_s = 0.3
+    registers_at_start = False
 
     def __init__(self, number, service, controls):
         super().__init__(number, service, controls)
-        self.born = time.time_ns() // 1_000_000
+        self.begin_incarnation()
 
-    async def restart(self):
-        await asyncio.sleep(self.restart_delay_s)
-        self.restarts += 1
+    def begin_incarnation(self):
         self.born = time.time_ns() // 1_000_000
-        self.sequence = 0
-        self.is_up = True
--- a/tests/lib/gateway_load.py
+++ b/tests/lib/gateway_load.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import time
 
 FRONT = "X-Of-Front"
@@ -51,6 +52,19 @@
             await asyncio.sleep(pause)
 
 
+async def send_steadily(send, interval_s, seconds):
+    """Call ``send`` with 0, 1, 2 and so on at an interval; return the results."""
+    end = time.monotonic() + seconds
+    tasks = []
+    async with asyncio.TaskGroup() as group:
+        for number in itertools.count():
+            if time.monotonic() >= end:
+                break
+            tasks.append(group.create_task(send(number)))
+            await asyncio.sleep(interval_s)
+    return [task.result() for task in tasks]
+
+
 @contextlib.asynccontextmanager
 async def keep_registered(system):
     """Renew the registrations of all replicas, which otherwise expire."""
--- a/tests/lib/partitions.py
+++ b/tests/lib/partitions.py
@@ -1,6 +1,5 @@
 """Partitions of fronts from replicas, and callers that count what is served."""
 
-import asyncio
 import contextlib
 import time
 from enum import Enum
@@ -11,6 +10,7 @@
 from scalebend.soak.misbehaving import Partition
 from scalebend.standins.ports import find_free_ports
 from scalebend.standins.proxy import Direction, Rule, run_proxy
+from tests.lib.gateway_load import send_steadily
 from tests.lib.platform_replicas import EVENTS, Replica
 
 REPLICA_HOST = "127.0.0.1"
@@ -109,14 +109,11 @@
         self.answered = []
 
     async def run(self, seconds):
-        end = time.monotonic() + seconds
-        number = 0
-        async with asyncio.TaskGroup() as group:
-            while time.monotonic() < end:
-                kind, headers = self.kinds[number % len(self.kinds)]
-                group.create_task(self._call(kind, number, headers))
-                number += 1
-                await asyncio.sleep(CALL_INTERVAL_S)
+        def call_next(number):
+            kind, headers = self.kinds[number % len(self.kinds)]
+            return self._call(kind, number, headers)
+
+        await send_steadily(call_next, CALL_INTERVAL_S, seconds)
 
     async def _call(self, kind, number, headers):
         asked_at = time.monotonic()
