--- a/review/1/case.py
+++ b/review/1/case.py
@@ -14,6 +14,7 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "lib"))
 
 from bed import (  # noqa: E402
+    ENGINE,
     Bed,
     Record,
     Replica,
@@ -51,6 +52,7 @@
 
     def __init__(self, bed, number):
         super().__init__(bed, number)
+        self.slots = ENGINE["Slots"]
         self.streams = 0
         self.cut_by_front = []
         """Requests whose channel was closed while this replica was at work."""
@@ -105,6 +107,11 @@
         reader, writer = await asyncio.open_connection(host, int(port))
         lines = [f"POST {path} HTTP/1.1"]
         headers = caller_headers(request, deadline_ms=10000)
+        headers += [
+            ("X-Model", "m"),
+            ("X-Token-Counts", f"5000,{46 * EVENTS}"),
+            ("X-Prompt-Prefix", f"5c1e07a2:40,{abs(hash(request)):x}:4960"),
+        ]
         lines += [f"{name}: {value}" for name, value in headers]
         writer.write("\r\n".join(lines).encode() + b"\r\nContent-Length: 6\r\n\r\n")
         writer.write(b"prompt")
@@ -144,6 +151,9 @@
 async def run(bed, has_trouble):
     bed.start_all()
     config = build_config(1)
+    config["Services"][0]["Engine"] = ENGINE
+    for route in config["Routes"]:
+        route["Sticky"] = True
     # As for the quick prompts on the users' sheet, and the same without resumption.
     quick = {"TimeoutMs": 10000, "TargetLatencyMs": 300, "GapAimMs": 200}
     resumable = next(r for r in config["Routes"] if r["PathPrefix"] == "/stream/")
@@ -152,7 +162,7 @@
     config["Routes"].append(resumable | other | {"MaxAttempts": 1})
     if not await put_config(bed, config):
         return 2
-    replicas = [StreamReplica(bed, number) for number in range(4)]
+    replicas = [StreamReplica(bed, number) for number in range(8)]
     for replica in replicas:
         await replica.start()
     if not await wait_ready(bed):
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,11 +22,11 @@
 )
 
 REPLICAS = 4
-GARBLING = 2
-"""Half of the replicas of the service."""
+GARBLING = 1
+"""A quarter of the replicas of the service."""
 
-SPOILED_EACH = 33
-"""Each such replica spoils one answer of so many: 3 in 100."""
+SPOILED_EACH = 50
+"""Each such replica spoils one answer of so many: 2 in 100."""
 
 REQUESTS = 600
 SPAN_S = 5.0
@@ -36,7 +36,7 @@
 
 
 async def garble(replica, request, writer):
-    """Send bytes that are no answer of the replica, in place of every 33rd answer."""
+    """Send bytes that are no answer of the replica, in place of every 50th answer."""
     replica.answers = getattr(replica, "answers", 0) + 1
     if replica.answers % SPOILED_EACH:
         return False
--- a/review/lib/bed.py
+++ b/review/lib/bed.py
@@ -62,12 +62,12 @@
         print(line, file=self._file)
 
 
-def find_free_ports(count):
-    """Return ports that are free on all loopback addresses."""
+def find_free_ports(count, ip):
+    """Return ports that are free at a loopback address."""
     sockets = []
     for _ in range(count):
         sock = socket.socket()
-        sock.bind(("0.0.0.0", 0))
+        sock.bind((ip, 0))
         sockets.append(sock)
     ports = [sock.getsockname()[1] for sock in sockets]
     for sock in sockets:
@@ -75,7 +75,7 @@
     return ports
 
 
-def find_port_range(size):
+def find_port_range(size, ip):
     """Return the first of ``size`` consecutive ports that are free."""
     while True:
         first = random.randint(20000, 31000)
@@ -84,7 +84,7 @@
             for port in range(first, first + size):
                 sock = socket.socket()
                 sockets.append(sock)
-                sock.bind(("0.0.0.0", port))
+                sock.bind((ip, port))
             return first
         except OSError:
             continue
@@ -100,8 +100,9 @@
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.net = f"127.{random.randint(10, 250)}.{random.randint(1, 250)}"
-        self.front_port, self.ready_port, self.control_port = find_free_ports(3)
-        self.first_port = find_port_range(16)
+        ip = f"{self.net}.1"
+        self.front_port, self.ready_port, self.control_port = find_free_ports(3, ip)
+        self.first_port = find_port_range(16, ip)
         self.controls = [f"control-{n}" for n in range(controls)]
         self.fronts = [f"front-{n}" for n in range(fronts)]
         self.memory_mb = memory_mb
@@ -361,6 +362,41 @@
     return False
 
 
+REPORT = {
+    "Stage": "unified",
+    "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
+    "Busy": False,
+    "Seq": 0,
+    "Waiting": 0,
+    "Running": 1,
+    "KvUsed": 5000,
+    "KvTotal": 450000,
+    "Handles": 0,
+}
+"""What an engine answers to ``GET /report``."""
+
+ENGINE = {
+    "Slots": 8,
+    "KvCapacity": 450000,
+    "KvTokenBytes": 327680,
+    "LinkMbps": 400000.0,
+    "Stride": 46,
+    "Models": [{"Name": "m"}],
+    "step_ms": 0.925,
+    "per_seq_ms": 0.00966,
+    "context_per_k": 0.00254,
+    "read_per_s": 256000.0,
+    "pairs_per_m": 0.0917,
+    "chunk": 2048,
+    "report_lag_ms": 200.0,
+    "LoadsPerS": 0.0,
+    "loads_at_once": 8,
+    "delays": [],
+    "usual": {"prompt": 13239, "answer": 1540},
+    "HopMs": 0.1,
+}
+"""The engines of the users' sheet."""
+
 HOST = "one.example"
 KEY = "k3yk3yk3yk3yk3yk3yk3"
 SERVICE = "svc-a"
@@ -443,6 +479,7 @@
         Returns whether it has answered in place of the sound answer."""
 
         self.work_s = 0.03
+        self.slots = 6
         self._server = None
         self._beats = None
 
@@ -462,9 +499,11 @@
             "Address": self.address,
             "Zone": "z1",
             "Version": "v1",
-            "Slots": 6,
+            "Slots": self.slots,
             "State": state,
             "ColdRemainingMs": 0,
+            "Stage": "unified",
+            "Models": [{"Name": "m", "Version": 1, "Adapters": []}],
             "Seq": self.sequence,
         }
 
@@ -503,6 +542,8 @@
         request = found.get("x-request-id", "")
         self.arrived.append((self.bed.record.now(), request))
         expected = found.get("x-expect-instance")
+        if path == "/report":
+            return await self._send(writer, 200, [], json.dumps(REPORT).encode())
         if path == "/health" or not request:
             return await self._send(writer, 200, [("X-Instance-Id", self.id)], b"ok")
         if expected not in (None, self.id):
