--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -4,11 +4,22 @@
 import contextlib
 import json
 import time
+from enum import Enum
 
 import aiohttp
 from aiohttp import web
 
 EVENTS = 5
+MIDWAY = 3
+"""The event in the middle of a stream."""
+
+
+class Place(Enum):
+    """A place in a response: what comes next."""
+
+    HEAD = "head"
+    FIRST_EVENT = "first event"
+    MIDWAY = "midway"
 
 
 class Replica:
@@ -63,6 +74,7 @@
             return web.Response()
         if self.mode == "fail":
             return web.Response(status=500, headers=echo, body=b"own failure")
+        await self.reach(request, Place.HEAD)
         if "stream" in request.path:
             try:
                 return await self.stream(request, echo)
@@ -71,13 +83,19 @@
                 raise
         return web.Response(headers=echo, body=b"done by " + self.id.encode())
 
+    async def reach(self, request, place):
+        """Called at each place of a response; tests override it."""
+
     async def stream(self, request, echo):
         response = web.StreamResponse(headers=echo)
         response.content_type = "text/event-stream"
         await response.prepare(request)
+        await self.reach(request, Place.FIRST_EVENT)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         for number in range(first, EVENTS + 1):
             await self.gate.wait()
+            if number == MIDWAY:
+                await self.reach(request, Place.MIDWAY)
             await response.write(f"id: {number}\ndata: {number}\n\n".encode())
             if self.mode == "break" and number == 2:
                 await response.write(b"id: 3\nda")
