Tell a caller who left from a handler that the front cancelled

The lines of the incident could not tell them apart, nor a silence of a replica that the leader knew of from a lost connection. New: the line 'request ended without a response' and a counter by who ended it; 'attempt ended' says how long nothing had come, and for how long the replica is known to prefill. Nothing is decided by them.

--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -220,6 +220,14 @@
         busy.sort(key=lambda one: (-one.pace, -one.prefill_s, -one.decoding))
         return busy[:max_count]
 
+    def compute_pending_prefill(self, upstream: UpstreamId, now: float) -> float:
+        """Return the seconds for which a replica is expected to prefill prompts.
+
+        Requests that decode there get few events meanwhile, or none.
+        """
+        load = self._replicas.get(upstream)
+        return load.compute_pending_prefill(now) if load is not None else 0.0
+
     def record_busy_replicas(self, busy: list[BusyReplica], now: float) -> None:
         """Replace the load that another scheduler reported."""
         for upstream, replica in self._replicas.items():
--- a/src/scalebend/core/gateway/replica_load.py
+++ b/src/scalebend/core/gateway/replica_load.py
@@ -178,6 +178,10 @@
             is_prefilling=queued.is_prefilling,
         )
 
+    def compute_pending_prefill(self, now: float) -> float:
+        """Return the seconds until all prefill that is known has ended."""
+        return self._sum_prefill(now).pending_prefill * self.get_pace(now)
+
     def _sum_prefill(self, now: float) -> _QueuedPrefill:
         """Sum up the prefill queued there, from own jobs and reported load."""
         queued = _QueuedPrefill()
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -88,6 +88,9 @@
         self._stream: web.StreamResponse | None = None
         self._path: PathWatch | None = None
         self._event_at = 0.0
+        self._heard_at = 0.0
+        """When the current attempt was sent, or got its last data."""
+
         self.first_event: float | None = None
         """Seconds from the arrival of the request to the first forwarded event."""
 
@@ -235,6 +238,8 @@
             parts=self._evidence.identity.logged_parts,
             events=result.progress.events,
             streamed_for=round(result.progress.streamed_for, 3),
+            silent_for=round(runtime.now() - self._heard_at, 3),
+            pending_prefill=round(runtime.compute_pending_prefill(target.upstream), 3),
             decision=type(decision).__name__,
         )
         return decision
@@ -333,7 +338,7 @@
             trace_request_ctx=running.record_connection,
         )
         limit = self._record_sent(target)
-        sent_at = self._runtime.now()
+        sent_at = self._heard_at = self._runtime.now()
         with allow_repetition(is_allowed=self._attempts.allows_another_run):
             response = await self._wait_for_head(target, sending, read_timeout)
         waited = self._runtime.now() - sent_at
@@ -454,8 +459,9 @@
             data = await read_available(response.content, read_timeout)
             if not data:
                 break
+            self._heard_at = self._runtime.now()
             if self._path is not None:
-                self._path.record_data(data, self._runtime.now() - asked_at)
+                self._path.record_data(data, self._heard_at - asked_at)
             forwarded = cursor.feed(data)
             if not forwarded.data:
                 continue
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import logging
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -99,12 +100,8 @@
             if request.transport is not None:
                 # Without its final chunk, the stream is incomplete for the caller.
                 request.transport.abort()
-        except (ConnectionError, asyncio.CancelledError):
-            logger.info(
-                "caller left",
-                request=arrival.headers.request,
-                **_describe_identity(arrival.identity),
-            )
+        except (ConnectionError, asyncio.CancelledError) as error:
+            self._log_end(request, arrival, error)
             raise
         finally:
             runtime.open_requests -= 1
@@ -113,6 +110,25 @@
             response.force_close()
         return response
 
+    def _log_end(
+        self, request: web.BaseRequest, arrival: _Arrival, error: BaseException
+    ) -> None:
+        """Log a request without a response, and whether its caller left."""
+        runtime = self._runtime
+        has_left = request.transport is None or request.transport.is_closing()
+        runtime.metrics.count_unanswered_request(has_caller_left=has_left)
+        logger.log(
+            logging.INFO if has_left else logging.ERROR,
+            "caller left" if has_left else "request ended without a response",
+            request=arrival.headers.request,
+            **_describe_identity(arrival.identity),
+            error=f"{type(error).__name__}: {error}",
+            draining=runtime.instance.is_draining,
+            elapsed=round(runtime.now() - arrival.at, 3),
+            **_describe_events(arrival.forwarder),
+            **_describe_attempts(arrival.forwarder),
+        )
+
     def _find_route(self, request: web.BaseRequest) -> Route:
         instance = self._runtime.instance
         self._check_admission(self._runtime.now())
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -313,6 +313,11 @@
         assert self._inspector is not None
         await self._inspector.wait_for_report(placement.upstream)
 
+    def compute_pending_prefill(self, upstream: UpstreamId) -> float:
+        """Return the seconds for which a replica is known to prefill prompts."""
+        scheduler = self.instance.scheduler
+        return scheduler.compute_pending_prefill(upstream, self.now())
+
     def has_report(self, upstream: UpstreamId) -> bool:
         """Whether the replica has just sent its report."""
         if self._inspector is None:
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -69,6 +69,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self._unanswered_requests = Counter(
+            "scalebend_unanswered_requests",
+            "Requests without a response, by who ended them",
+            ["ended_by"],
+            registry=registry,
+        )
         self._lost_requests = Counter(
             "scalebend_lost_requests",
             "Attempts that an upstream cut off, or that ended with it",
@@ -250,6 +256,11 @@
         """Set the number of requests that wait here."""
         self._waiting_requests.set(count)
 
+    def count_unanswered_request(self, *, has_caller_left: bool) -> None:
+        """Count a request that ended without a response."""
+        ended_by = "caller" if has_caller_left else "front"
+        self._unanswered_requests.labels(ended_by).inc()
+
     def count_lost_request(self) -> None:
         """Count an attempt whose upstream crashed or broke the connection."""
         self._lost_requests.inc()
