Wait for silent upstreams, and start second attempts beside them

What callers saw: streams that ended in the middle, or 502, a second after a sound replica sent its last event; resumable streams and idempotent calls ran twice.

Cause: fronts took the first-byte timeout and a second without an event for a lost connection and ended the attempt, also the last one and those that nobody else may run.

Change: a silence ends no attempt. A request that may run elsewhere gets a second attempt beside the silent one, and what sends the next event first goes on. It starts as soon as the silence is suspicious if the upstream accepts no connection, else as late as callers bear, and not before the end of a prefill that the leader or the front knows of. Others are waited for until their deadline. A write error of the caller no longer counts against the upstream, and no combination of cancelled attempts passes for a caller who left.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -451,11 +451,6 @@
             # They are likely to be failures of this front's network.
             self._outcomes.drop_failures()
 
-    def record_silence(self, address: str, now: float) -> None:
-        """Record that an upstream sent nothing within the timeout of a response."""
-        if not self.reach.is_behind_tunnel(address):
-            self.record_direct_failure(address, FailureKind.EARLY_LOSS, now)
-
     def _may_blame(self, upstream: UpstreamId, now: float) -> bool:
         """Whether a failure at an upstream may count against it, here and elsewhere."""
         endpoint = self.directory.get(upstream)
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
+import contextlib
+from collections.abc import Iterator
 
 import aiohttp
 import msgspec
@@ -14,10 +15,7 @@
 from scalebend.core.attempt_progress import AttemptProgress
 from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
 from scalebend.core.gateway.event_cursor import EventCursor, GarbledEventsError
-from scalebend.core.gateway.timeouts import (
-    compute_event_timeout,
-    compute_first_byte_timeout,
-)
+from scalebend.core.gateway.hedging import Refusal
 from scalebend.edges.gateway.attempt_result import AttemptResult, build_interrupted
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.engine_priorities import choose_urgency
@@ -25,14 +23,9 @@
 from scalebend.edges.gateway.held_requests import HeldRequest
 from scalebend.edges.gateway.path_watch import PathWatch, watch_path
 from scalebend.edges.gateway.response_headers import apply_response_head
-from scalebend.edges.gateway.response_reading import (
-    UnresponsiveError,
-    cancel_on_failure,
-    read_available,
-    read_body,
-    wait_for_task,
-)
+from scalebend.edges.gateway.response_reading import cancel_on_failure
 from scalebend.edges.gateway.running_attempts import RunningAttempt
+from scalebend.edges.gateway.silence_watch import SilenceWatch
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.edges.gateway.upstream_client import (
     allow_repetition,
@@ -63,6 +56,10 @@
     """A stream broke after a part of it had been forwarded to the caller."""
 
 
+class CallerLeftError(Exception):
+    """The connection of the caller broke while a stream was forwarded."""
+
+
 class Forwarder:
     """Forwards one request of a caller."""
 
@@ -88,8 +85,8 @@
         self._stream: web.StreamResponse | None = None
         self._path: PathWatch | None = None
         self._event_at = 0.0
-        self._heard_at = 0.0
-        """When the current attempt was sent, or got its last data."""
+        self._silences: SilenceWatch | None = None
+        """Waits for the data of the current attempt."""
 
         self.first_event: float | None = None
         """Seconds from the arrival of the request to the first forwarded event."""
@@ -195,13 +192,10 @@
         faulty = result.faulty or target.upstream
         if result.is_connection_lost:
             self._evidence.record_crash(faulty, result.progress)
-        if result.outcome in (Outcome.UNRESPONSIVE, Outcome.TIMED_OUT):
+        if result.outcome is Outcome.TIMED_OUT:
             self._evidence.record_unanswered(target.upstream, result.progress)
-            runtime.instance.record_silence(target.address, runtime.now())
-        if result.outcome in (Outcome.NOT_SENT, Outcome.UNRESPONSIVE):
-            runtime.instance.balancer.record_unreachable(target.upstream, runtime.now())
-        # A timeout alone may mean a queue: reports tell whether the replica is alive.
         if result.outcome is Outcome.NOT_SENT:
+            runtime.instance.balancer.record_unreachable(target.upstream, runtime.now())
             runtime.record_replica_failure(faulty)
         if result.is_connection_timeout:
             runtime.record_failed_connection(target.upstream)
@@ -238,12 +232,18 @@
             parts=self._evidence.identity.logged_parts,
             events=result.progress.events,
             streamed_for=round(result.progress.streamed_for, 3),
-            silent_for=round(runtime.now() - self._heard_at, 3),
+            silent_for=self._describe_silence(),
             pending_prefill=round(runtime.compute_pending_prefill(target.upstream), 3),
             decision=type(decision).__name__,
         )
         return decision
 
+    def _describe_silence(self) -> float | None:
+        """Return the seconds without data before the attempt ended."""
+        if self._silences is None:
+            return None
+        return round(self._runtime.now() - self._silences.heard_at, 3)
+
     def _give_up(
         self, decision: GiveUp, response: web.StreamResponse | None
     ) -> web.StreamResponse:
@@ -298,10 +298,6 @@
                 )
             except aiohttp.ClientConnectorError as error:
                 return AttemptResult(Outcome.NOT_SENT, detail=str(error))
-            except UnresponsiveError:
-                if running.has_connection:
-                    return AttemptResult(Outcome.UNRESPONSIVE)
-                return AttemptResult(Outcome.NOT_SENT, detail="no connection")
             except (aiohttp.ClientError, OSError, GarbledEventsError) as error:
                 if not running.timeout.expired():
                     return build_interrupted(error)
@@ -327,7 +323,6 @@
         # After a broken or unresponsive connection, pooled ones may be dead, too.
         may_pool = call.route.is_idempotent and not self._attempts.may_have_run
         session = self._runtime.sessions.choose(may_pool=may_pool)
-        read_timeout = self._compute_read_timeout(target)
         sending = session.request(
             call.method,
             URL(f"http://{target.address}{call.target}", encoded=True),
@@ -338,18 +333,22 @@
             trace_request_ctx=running.record_connection,
         )
         limit = self._record_sent(target)
-        sent_at = self._heard_at = self._runtime.now()
+        sent_at = self._runtime.now()
+        silences = self._silences = SilenceWatch(
+            self._runtime, call, target, lambda: self._start_beside(target)
+        )
         with allow_repetition(is_allowed=self._attempts.allows_another_run):
-            response = await self._wait_for_head(target, sending, read_timeout)
+            with cancel_on_failure(sending) as task:
+                response = await silences.wait_for_head(task)
         waited = self._runtime.now() - sent_at
-        self.peer = find_peer(response)
+        self.peer = silences.peer = find_peer(response)
         watching = watch_path(self._runtime, call, target.upstream, response, waited)
         async with response:
             with watching as self._path:
                 head = read_response_headers(response.status, response.headers)
                 apply_response_head(self._runtime, call, limit, head)
                 return await self._process_response(
-                    target, running, response, head, read_timeout
+                    target, running, response, head, silences
                 )
 
     def _record_sent(self, target: Target) -> RateLimit:
@@ -379,18 +378,9 @@
         self.upstream = target.upstream
         return limit
 
-    async def _wait_for_head(
-        self,
-        target: Target,
-        sending: Awaitable[aiohttp.ClientResponse],
-        read_timeout: float | None,
-    ) -> aiohttp.ClientResponse:
-        """Wait for the response head, longer if the replica reports queued requests."""
-        with cancel_on_failure(sending) as task:
-            while not await wait_for_task(task, read_timeout):
-                if not self._runtime.is_queueing(target.upstream):
-                    raise UnresponsiveError
-            return task.result()
+    def _start_beside(self, target: Target) -> Refusal | None:
+        """Start another attempt beside a silent one; return why not."""
+        return Refusal.NO_ATTEMPTS
 
     def _build_headers(self, target: Target) -> CIMultiDict[str]:
         call = self._call
@@ -404,18 +394,13 @@
             urgency=choose_urgency(self._runtime, call, target),
         )
 
-    def _compute_read_timeout(self, target: Target) -> float | None:
-        if not self._call.route.is_idempotent:
-            return None
-        return compute_first_byte_timeout(self._call.route, target.predicted)
-
     async def _process_response(
         self,
         target: Target,
         running: RunningAttempt,
         response: aiohttp.ClientResponse,
         head: ResponseHeaders,
-        read_timeout: float | None,
+        silences: SilenceWatch,
     ) -> AttemptResult:
         self._choice.load = head.load
         if head.request is not None and head.request != self._call.headers.request:
@@ -424,15 +409,15 @@
                 Outcome.INTERRUPTED, detail="answer to another request"
             )
         if head.has_not_run and response.status >= 400:
-            await read_body(response, read_timeout)
+            await silences.read_body(response)
             detail = f"status {response.status}"
             faulty = target.find_helper(head.faulty_address)
             return AttemptResult(Outcome.REJECTED, None, detail, faulty)
         self._evidence.record_response(self._progress)
         is_stream = self._call.route.kind is RouteKind.STREAMING
         if is_stream and response.status == 200:
-            return await self._forward_events(target, running, response)
-        body = await read_body(response, read_timeout)
+            return await self._forward_events(target, running, response, silences)
+        body = await silences.read_body(response)
         forwarded = web.Response(
             status=response.status,
             reason=response.reason,
@@ -447,24 +432,27 @@
         return AttemptResult(Outcome.ANSWERED, forwarded)
 
     async def _forward_events(
-        self, target: Target, running: RunningAttempt, response: aiohttp.ClientResponse
+        self,
+        target: Target,
+        running: RunningAttempt,
+        response: aiohttp.ClientResponse,
+        silences: SilenceWatch,
     ) -> AttemptResult:
         cursor = self._cursor
         cursor.restart()
-        event_timeout = compute_event_timeout(self._call.route)
-        read_timeout = compute_first_byte_timeout(self._call.route, target.predicted)
         is_first = True
         while True:
             asked_at = self._runtime.now()
-            data = await read_available(response.content, read_timeout)
+            read = silences.read_first if is_first else silences.read_next
+            data = await read(response.content)
             if not data:
                 break
-            self._heard_at = self._runtime.now()
             if self._path is not None:
-                self._path.record_data(data, self._heard_at - asked_at)
+                self._path.record_data(data, silences.heard_at - asked_at)
             forwarded = cursor.feed(data)
             if not forwarded.data:
                 continue
+            self._claim_response()
             if response.content.is_eof():
                 running.keep_only(())
             elif is_first:
@@ -473,10 +461,10 @@
                 self._held.release()
                 self._record_first_token(target)
             is_first = False
-            read_timeout = event_timeout
             self._record_event_time(forwarded.events)
             stream = self._stream or await self._open_stream(response)
-            await stream.write(forwarded.data)
+            with _write_to_caller():
+                await stream.write(forwarded.data)
         if cursor.has_partial:
             return AttemptResult(
                 Outcome.INTERRUPTED,
@@ -491,7 +479,8 @@
             )
         self._claim_response()
         stream = self._stream or await self._open_stream(response)
-        await stream.write_eof()
+        with _write_to_caller():
+            await stream.write_eof()
         return AttemptResult(Outcome.ANSWERED, stream)
 
     def _is_cut_off(self, response: aiohttp.ClientResponse) -> bool:
@@ -507,7 +496,7 @@
         self._choice.record_first_token(target)
 
     def _claim_response(self) -> None:
-        """Called before a response without events is opened for the caller."""
+        """Called before anything of a response is forwarded to the caller."""
 
     def _record_event_time(self, events: int) -> None:
         now = self._runtime.now()
@@ -530,10 +519,20 @@
         if self._runtime.is_closing_connections():
             stream.force_close()
         self._stream = stream
-        await stream.prepare(self._request)
+        with _write_to_caller():
+            await stream.prepare(self._request)
         if call.headers.prompt is not None:
             elapsed_s = self._runtime.now() - call.arrived
             self._runtime.metrics.observe_first_event(
                 call.headers.prompt.prompt, elapsed_s
             )
         return stream
+
+
+@contextlib.contextmanager
+def _write_to_caller() -> Iterator[None]:
+    """Keep errors of the caller's connection apart from those of the upstream's."""
+    try:
+        yield
+    except (aiohttp.ClientError, OSError) as error:
+        raise CallerLeftError from error
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -14,7 +14,11 @@
 from scalebend.core.fingerprints import build_part_id, compute_fingerprint
 from scalebend.core.gateway.key_lease import LEASE_MARGIN_S
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
-from scalebend.edges.gateway.forwarder import Forwarder, StreamBrokenError
+from scalebend.edges.gateway.forwarder import (
+    CallerLeftError,
+    Forwarder,
+    StreamBrokenError,
+)
 from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
@@ -100,7 +104,7 @@
             if request.transport is not None:
                 # Without its final chunk, the stream is incomplete for the caller.
                 request.transport.abort()
-        except (ConnectionError, asyncio.CancelledError) as error:
+        except (CallerLeftError, ConnectionError, asyncio.CancelledError) as error:
             self._log_end(request, arrival, error)
             raise
         finally:
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -1,7 +1,7 @@
-"""Forwards a request; starts a second attempt when a first token is overdue.
+"""Forwards a request; starts a second attempt beside one that is late or silent.
 
 Both attempts have a forwarder of their own, so that a stream never joins bytes of two
-runs. The first with an event goes on, and the other one is cancelled.
+runs. The first with the next event goes on, and the other one is cancelled.
 """
 
 from __future__ import annotations
@@ -13,6 +13,8 @@
 import structlog
 from aiohttp import web
 
+from scalebend.core.gateway.attempts import MIN_REMAINING_S
+from scalebend.core.gateway.event_cursor import EventCursor
 from scalebend.core.gateway.hedging import Refusal
 from scalebend.edges.gateway.attempt_result import AttemptResult
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
@@ -21,6 +23,7 @@
 from scalebend.edges.gateway.response_reading import wait_for_task
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.models.calls import Call, Outcome
+from scalebend.models.ids import UpstreamId
 from scalebend.models.rate_limits import RateLimit
 
 logger = structlog.get_logger(__name__)
@@ -57,14 +60,19 @@
         self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         """Done once there is a winner, or the first attempt ended without any event."""
 
-        self.failed: Forwarder | None = None
-        """The attempt that failed while the other went on."""
+        self.failed: set[Forwarder] = set()
+        """The attempts that failed while another went on."""
+
+        self.seconds: list[HedgedForwarder] = []
+        """The attempts that were started beside the first."""
 
         self._tasks: dict[Forwarder, asyncio.Task[AttemptResult | None]] = {}
+        self._added = asyncio.Event()
 
     def add(self, runner: Forwarder, task: asyncio.Task[AttemptResult | None]) -> None:
         """Add an attempt that has just started."""
         self._tasks[runner] = task
+        self._added.set()
         task.add_done_callback(lambda _: self._decide())
 
     def claim(self, runner: Forwarder) -> None:
@@ -79,6 +87,10 @@
             if other is not runner:
                 task.cancel()
 
+    def reopen(self) -> None:
+        """Let another attempt win after all, because the winner has fallen silent."""
+        self.winner = None
+
     def has_other_winner(self, runner: Forwarder) -> bool:
         """Whether another attempt than ``runner`` is the winner."""
         return self.winner is not None and self.winner is not runner
@@ -89,12 +101,27 @@
 
     async def wait_for_next(self) -> _Ended | None:
         """Wait for an attempt to end and remove it; ``None`` if none is left."""
-        if not self._tasks:
-            return None
-        tasks = self._tasks.values()
-        await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-        runner = next(one for one, task in self._tasks.items() if task.done())
-        return _Ended(runner, self._tasks.pop(runner))
+        while self._tasks:
+            for runner, task in self._tasks.items():
+                if task.done():
+                    return _Ended(runner, self._tasks.pop(runner))
+            self._added.clear()
+            adding = asyncio.ensure_future(self._added.wait())
+            try:
+                await asyncio.wait(
+                    {*self._tasks.values(), adding},
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                adding.cancel()
+        return None
+
+    @property
+    def runs(self) -> int:
+        """Number of attempts that were sent, or may still be."""
+        return 1 + sum(
+            bool(second.send_count) or second in self._tasks for second in self.seconds
+        )
 
     @property
     def has_sent(self) -> bool:
@@ -109,7 +136,7 @@
 
 
 class HedgedForwarder(Forwarder):
-    """Forwards one request, with up to two attempts at once before its first event."""
+    """Forwards one request, with up to two attempts at once."""
 
     def __init__(
         self,
@@ -123,29 +150,41 @@
         self._hedging = runtime.instance.hedging
         self._race: _Race | None = None
         self._sent_at: float | None = None
+        self._is_timed = False
+        """Whether the time to the first token is compared with the predicted one."""
+
         self._overdue: _Overdue | None = None
-        """The first attempt, if this is the second one."""
+        """The first attempt, if its first token was overdue when this one started."""
+
+        self._silent: Target | None = None
+        """The attempt that was silent when this one started."""
 
     async def _attempt(self, target: Target) -> AttemptResult:
-        if not self._may_hedge(target):
+        if not self._attempts.allows_another_run:
             return await super()._attempt(target)
-        self._hedging.record_request(self._runtime.now())
         race = self._race = _Race()
+        self._is_timed = self._may_hedge(target)
         first = asyncio.create_task(self._run_first(target))
         race.add(self, first)
-        second = None
         try:
-            assert target.predicted is not None
-            delay = self._hedging.compute_delay(target.predicted, self._runtime.now())
-            if await self._is_overdue(race, target, delay):
-                second = self._start_second(race, target, delay)
+            if self._is_timed:
+                await self._watch_first_token(race, target)
             return await self._wait_for_result(race, target)
         finally:
             await race.close()
             self._race = None
-            if second is not None:
+            for second in race.seconds:
                 self._finish_second(race, target, second)
 
+    async def _watch_first_token(self, race: _Race, target: Target) -> None:
+        """Start a second attempt if the first token is overdue."""
+        now = self._runtime.now()
+        self._hedging.record_request(now)
+        assert target.predicted is not None
+        delay = self._hedging.compute_delay(target.predicted, now)
+        if await self._is_overdue(race, target, delay):
+            self._start_second(race, target, delay)
+
     def _may_hedge(self, target: Target) -> bool:
         """Whether a second attempt is thinkable: one replica, and no event so far."""
         routing = self._runtime.instance.table.routing
@@ -172,14 +211,15 @@
         return super()._record_sent(target)
 
     def _record_first_token(self, target: Target) -> None:
-        if self._race is not None:
-            self._race.claim(self)
+        if self._is_timed:
             now = self._runtime.now()
             if target.predicted is not None and self._sent_at is not None:
                 observed = now - self._sent_at
                 self._hedging.record_first_token(target.predicted, observed, now)
         if self._overdue is not None:
             self._end_first(self._overdue)
+        if self._silent is not None and self._silent.job is not None:
+            self._runtime.record_job_end(self._silent.job)
         super()._record_first_token(target)
 
     def _end_first(self, overdue: _Overdue) -> None:
@@ -214,9 +254,7 @@
         )
         return not race.decided.done()
 
-    def _start_second(
-        self, race: _Race, target: Target, delay: float
-    ) -> HedgedForwarder | None:
+    def _start_second(self, race: _Race, target: Target, delay: float) -> None:
         """Report the overdue replica; start a second attempt if it is allowed."""
         runtime, call = self._runtime, self._call
         is_queueing = runtime.is_queueing(target.upstream)
@@ -231,8 +269,15 @@
             is_queueing=is_queueing,
         )
         self._log_overdue(target, delay, refusal)
-        if refusal is not None:
-            return None
+        if refusal is None:
+            second = self._build_second(race, target)
+            second._is_timed = True
+            second._overdue = _Overdue(target, delay)
+            race.add(second, asyncio.create_task(second._run_overdue_second()))
+
+    def _build_second(self, race: _Race, target: Target) -> HedgedForwarder:
+        """Build the forwarder of an attempt beside the one at ``target``."""
+        runtime, call = self._runtime, self._call
         second = HedgedForwarder(
             runtime, call, self._request, self._body, self._evidence
         )
@@ -241,11 +286,10 @@
         second._choice = UpstreamChoice(runtime, call, self._evidence, excluded)
         second._race = race
         second._held = self._held
-        second._overdue = _Overdue(target, delay)
-        race.add(second, asyncio.create_task(second._run_second()))
+        race.seconds.append(second)
         return second
 
-    async def _run_second(self) -> AttemptResult | None:
+    async def _run_overdue_second(self) -> AttemptResult | None:
         """Run the second attempt; return ``None`` if it was not sent."""
         runtime = self._runtime
         async with self._choice.choose_second() as target:
@@ -257,19 +301,58 @@
             )
             if refusal is not None:
                 runtime.metrics.count_overdue_first_token(refusal.value)
-                logger.info(
-                    "second attempt not sent",
-                    request=self._call.headers.request,
-                    job=target.job,
-                    upstream=target.upstream,
-                    refusal=refusal.value,
-                )
+                self._log_unsent(refusal, target)
                 return None
             runtime.metrics.count_overdue_first_token("second attempt")
-            result = await super()._attempt(target)
-            if result.outcome is Outcome.ANSWERED:
-                self._claim_response()
-            return msgspec.structs.replace(result, target=target)
+            return await self._run_second(target)
+
+    async def _run_second(self, target: Target) -> AttemptResult:
+        result = await super()._attempt(target)
+        if result.outcome is Outcome.ANSWERED:
+            self._claim_response()
+        self._choice.is_complete = result.outcome is Outcome.ANSWERED
+        return msgspec.structs.replace(result, target=target)
+
+    # A second attempt beside a silent one
+
+    def _start_beside(self, target: Target) -> Refusal | None:
+        """Start an attempt that goes on after the last event, or return why not."""
+        race, call = self._race, self._call
+        if race is None or self._attempts.runs + race.runs >= call.route.max_attempts:
+            return Refusal.NO_ATTEMPTS
+        if call.deadline - self._runtime.now() <= MIN_REMAINING_S:
+            return Refusal.NO_TIME
+        second = self._build_second(race, target)
+        second._silent = target
+        second._cursor = EventCursor(self._cursor.last_event)
+        second._stream = self._stream
+        second.first_event = self.first_event
+        second.longest_gap = self.longest_gap
+        second._event_at = self._event_at
+        race.reopen()
+        race.add(second, asyncio.create_task(second._run_beside()))
+        return None
+
+    async def _run_beside(self) -> AttemptResult | None:
+        """Run an attempt beside a silent one; return ``None`` if it was not sent."""
+        runtime, service = self._runtime, self._call.service
+        async with self._choice.choose() as target:
+            if target is None:
+                self._log_unsent(Refusal.NO_ROOM, None)
+                return None
+            if not runtime.instance.retries.spend(service, runtime.now()):
+                self._log_unsent(Refusal.NO_BUDGET, target)
+                return None
+            return await self._run_second(target)
+
+    def _log_unsent(self, refusal: Refusal, target: Target | None) -> None:
+        logger.info(
+            "second attempt not sent",
+            request=self._call.headers.request,
+            job=target.job if target is not None else None,
+            upstream=target.upstream if target is not None else None,
+            refusal=refusal.value,
+        )
 
     def _log_overdue(
         self, target: Target, delay: float, refusal: Refusal | None
@@ -305,8 +388,9 @@
             faulty = self._record_failure(result.target or target, result)
             self._attempts.record_lost(result.outcome, faulty)
             self._runtime.metrics.count_attempt(result.outcome.value)
-            race.failed = runner
-        raise asyncio.CancelledError
+            race.failed.add(runner)
+        logger.error("no attempt has a result", request=self._call.headers.request)
+        return AttemptResult(Outcome.INTERRUPTED, detail="all attempts were cancelled")
 
     def _get_result(self, ended: _Ended, race: _Race) -> AttemptResult | None:
         """Return the result of an attempt that ended; ``None`` if there is none.
@@ -317,7 +401,8 @@
         if task.cancelled():
             return None
         error = task.exception()
-        if error is None or ended.runner is self or not race.has_sent:
+        is_decisive = ended.runner in (self, race.winner) or not race.has_sent
+        if error is None or is_decisive:
             return task.result()
         logger.error(
             "second attempt failed unexpectedly",
@@ -333,21 +418,16 @@
         if not second.send_count or second.upstream is None:
             return
         self.send_count += second.send_count
-        forwarded, loser = "none", None
-        if race.winner is self:
-            forwarded, loser = "first", second.upstream
-        elif race.winner is second:
-            forwarded, loser = "second", target.upstream
-            self._cursor = second._cursor
-            self._stream = second._stream
-            self._event_at = second._event_at
-            self.first_event = second.first_event
-            self.longest_gap = second.longest_gap
-            self.upstream = second.upstream
-            self.peer = second.peer
-        if loser is not None and race.failed is None:
-            self._attempts.record_lost(None, loser)
-            self._runtime.metrics.count_attempt(CANCELLED)
+        forwarded = "none"
+        if race.winner is second:
+            forwarded = "second"
+            self._adopt(second)
+            if self not in race.failed:
+                self._record_outlived(target.upstream, second._silent)
+        elif race.winner is not None:
+            forwarded = "first" if race.winner is self else "another"
+            if second not in race.failed:
+                self._record_outlived(second.upstream, None)
         self._runtime.metrics.count_second_attempt(forwarded)
         logger.info(
             "second attempt ended",
@@ -355,4 +435,28 @@
             first=target.upstream,
             second=second.upstream,
             forwarded=forwarded,
+            silent=second._silent is not None,
         )
+
+    def _adopt(self, second: HedgedForwarder) -> None:
+        """Go on from where the second attempt got to."""
+        self._cursor = second._cursor
+        self._stream = second._stream
+        self._event_at = second._event_at
+        self.first_event = second.first_event
+        self.longest_gap = second.longest_gap
+        self.upstream = second.upstream
+        self.peer = second.peer
+
+    def _record_outlived(self, upstream: UpstreamId, silent: Target | None) -> None:
+        """Record an attempt that was cancelled because another one was faster.
+
+        ``silent`` is its target if it had fallen silent: should its replica turn out to
+        have crashed, the request is a suspect.
+        """
+        self._attempts.record_lost(None, upstream)
+        outcome = CANCELLED
+        if silent is not None:
+            outcome = Outcome.UNRESPONSIVE.value
+            self._evidence.record_unanswered(upstream, self._progress)
+        self._runtime.metrics.count_attempt(outcome)
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -69,6 +69,12 @@
             buckets=LATENCY_BUCKETS_S,
             registry=registry,
         )
+        self._silences = Counter(
+            "scalebend_upstream_silences",
+            "Suspicious silences of upstreams, by whether they accept connections",
+            ["reachability", "follow_up"],
+            registry=registry,
+        )
         self._unanswered_requests = Counter(
             "scalebend_unanswered_requests",
             "Requests without a response, by who ended them",
@@ -256,6 +262,10 @@
         """Set the number of requests that wait here."""
         self._waiting_requests.set(count)
 
+    def count_silence(self, reachability: str, follow_up: str) -> None:
+        """Count a suspicious silence and what followed it."""
+        self._silences.labels(reachability, follow_up).inc()
+
     def count_unanswered_request(self, *, has_caller_left: bool) -> None:
         """Count a request that ended without a response."""
         ended_by = "caller" if has_caller_left else "front"
--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -78,19 +78,3 @@
             if loop.time() - due < MIN_STALL_S:
                 raise UnresponsiveError from None
             timeout = EXTRA_READ_TIMEOUT_S
-
-
-async def read_body(response: aiohttp.ClientResponse, timeout: float | None) -> bytes:
-    """Return the whole body.
-
-    Raises :class:`UnresponsiveError` when no bytes come for ``timeout`` seconds, and
-    :class:`aiohttp.ClientPayloadError` for a body over ``MAX_RESPONSE_BYTES``.
-    """
-    parts: list[bytes] = []
-    size = 0
-    while data := await read_available(response.content, timeout):
-        parts.append(data)
-        size += len(data)
-        if size > MAX_RESPONSE_BYTES:
-            raise aiohttp.ClientPayloadError("the response is too large")
-    return b"".join(parts)
--- /dev/null
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -0,0 +1,165 @@
+"""Waits for the data of one attempt, and follows up on each silence of its upstream."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import aiohttp
+import structlog
+
+from scalebend.core.gateway.hedging import Refusal
+from scalebend.core.gateway.silences import (
+    CheckUpstream,
+    KeepWaiting,
+    Reachability,
+    SilenceLimits,
+    SilenceState,
+    StartSecond,
+    compute_event_limits,
+    compute_first_byte_limits,
+    decide,
+)
+from scalebend.edges.gateway.front_runtime import FrontRuntime
+from scalebend.edges.gateway.reachability import check_reachability
+from scalebend.edges.gateway.response_reading import (
+    MAX_RESPONSE_BYTES,
+    UnresponsiveError,
+    read_available,
+    wait_for_task,
+)
+from scalebend.edges.gateway.upstream_choice import Target
+from scalebend.models.calls import Call
+from scalebend.models.ids import InstanceId
+
+logger = structlog.get_logger(__name__)
+
+T = TypeVar("T")
+
+StartBeside = Callable[[], Refusal | None]
+"""Starts another attempt beside a silent one; returns why it does not."""
+
+
+class SilenceWatch:
+    """Waits for data of one attempt, for as long as its deadline allows."""
+
+    def __init__(
+        self,
+        runtime: FrontRuntime,
+        call: Call,
+        target: Target,
+        start_beside: StartBeside,
+    ) -> None:
+        self._runtime = runtime
+        self._call = call
+        self._target = target
+        self._start_beside = start_beside
+        self.peer: InstanceId | None = None
+        """The front through which the response comes, if not directly."""
+
+        self._sent_at = self.heard_at = runtime.now()
+        """When the request was sent, or its last data arrived."""
+
+    async def wait_for_head(
+        self, task: asyncio.Future[aiohttp.ClientResponse]
+    ) -> aiohttp.ClientResponse:
+        """Wait for the head of the response."""
+
+        async def wait(timeout: float | None) -> aiohttp.ClientResponse:
+            if not await wait_for_task(task, timeout):
+                raise UnresponsiveError
+            return task.result()
+
+        return await self._wait(wait, self._compute_first_byte_limits())
+
+    async def read_first(self, content: aiohttp.StreamReader) -> bytes:
+        """Return the first bytes after the head; empty at the end."""
+        return await self._read(content, self._compute_first_byte_limits())
+
+    async def read_next(self, content: aiohttp.StreamReader) -> bytes:
+        """Return the next bytes of a stream that has begun; empty at the end."""
+        now = self._runtime.now()
+        limits = compute_event_limits(self._call, self._target.predicted, now)
+        return await self._read(content, limits)
+
+    async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
+        """Return the whole body.
+
+        Raises :class:`aiohttp.ClientPayloadError` for one over ``MAX_RESPONSE_BYTES``.
+        """
+        parts: list[bytes] = []
+        size = 0
+        while data := await self.read_first(response.content):
+            parts.append(data)
+            size += len(data)
+            if size > MAX_RESPONSE_BYTES:
+                raise aiohttp.ClientPayloadError("the response is too large")
+        return b"".join(parts)
+
+    def _compute_first_byte_limits(self) -> SilenceLimits:
+        now = self._runtime.now()
+        return compute_first_byte_limits(self._call, self._target.predicted, now)
+
+    async def _read(
+        self, content: aiohttp.StreamReader, limits: SilenceLimits
+    ) -> bytes:
+        return await self._wait(
+            lambda timeout: read_available(content, timeout), limits
+        )
+
+    async def _wait(
+        self, wait: Callable[[float | None], Awaitable[T]], limits: SilenceLimits
+    ) -> T:
+        began = self._runtime.now()
+        state = SilenceState()
+        while True:
+            match decide(limits, state):
+                case KeepWaiting(seconds):
+                    try:
+                        result = await wait(seconds)
+                    except UnresponsiveError:
+                        state.lasted = self._runtime.now() - began
+                        state.pause_left = self._compute_pause_left(limits)
+                    else:
+                        self.heard_at = self._runtime.now()
+                        return result
+                case CheckUpstream():
+                    state.is_checked = True
+                    self._runtime.spawn(self._check(state))
+                case StartSecond():
+                    state.is_acted_on = True
+                    self._follow_up(state)
+
+    async def _check(self, state: SilenceState) -> None:
+        address = self._target.address
+        state.reachability = await check_reachability(
+            self._runtime, address, self._sent_at
+        )
+
+    def _compute_pause_left(self, limits: SilenceLimits) -> float:
+        """Return the seconds for which the silence is known to last."""
+        upstream = self._target.upstream
+        if self._runtime.is_queueing(upstream):
+            return limits.suspect_after
+        return self._runtime.compute_pending_prefill(upstream)
+
+    def _follow_up(self, state: SilenceState) -> None:
+        """Start another attempt if that is allowed; log what is known."""
+        runtime, upstream = self._runtime, self._target.upstream
+        if state.reachability is Reachability.UNREACHED:
+            runtime.instance.balancer.record_unreachable(upstream, runtime.now())
+        refusal = self._start_beside()
+        follow_up = "second attempt" if refusal is None else refusal.value
+        runtime.metrics.count_silence(state.reachability.value, follow_up)
+        logger.info(
+            "upstream is silent",
+            request=self._call.headers.request,
+            upstream=upstream,
+            address=self._target.address,
+            lasted=round(state.lasted, 3),
+            reachability=state.reachability.value,
+            pause_left=round(state.pause_left, 3),
+            peer=self.peer,
+            follow_up=follow_up,
+        )
