Let a known pause explain a silence only while the caller waits

Change: a pause that ends after the caller's patience is no reason to wait; the second attempt starts in time, where the leader finds room.

--- a/src/scalebend/core/gateway/silences.py
+++ b/src/scalebend/core/gateway/silences.py
@@ -61,6 +61,9 @@
     second_after: float
     """Silence after which another attempt starts although it can be reached."""
 
+    patience: float = math.inf
+    """Silence after which the caller gives up: a longer pause explains nothing."""
+
     @property
     def check_after(self) -> float:
         """Silence after which the upstream is checked."""
@@ -112,7 +115,7 @@
     if state.reachability is Reachability.UNREACHED:
         return StartSecond()
     left = limits.second_after - state.lasted
-    if state.pause_left > 0.0:
+    if 0.0 < state.pause_left <= limits.patience - state.lasted:
         left = max(left, state.pause_left + PAUSE_MARGIN_S)
     return KeepWaiting(left) if left > 0.0 else StartSecond()
 
@@ -157,4 +160,4 @@
     longest = max(suspect_after, MAX_PAUSE_S)
     # Where a second attempt would come too late anyway, the first gets its time.
     second_after = min(left, longest) if left >= MIN_PAUSE_S else longest
-    return SilenceLimits(min(suspect_after, second_after), second_after)
+    return SilenceLimits(min(suspect_after, second_after), second_after, patience)
--- a/tests/unit/gateway/test_silences.py
+++ b/tests/unit/gateway/test_silences.py
@@ -71,6 +71,14 @@
     assert decide(LIMITS, paused) == KeepWaiting(0.8 + PAUSE_MARGIN_S)
 
 
+def test_known_pause_that_callers_do_not_bear_gets_a_second_attempt():
+    limits = SilenceLimits(suspect_after=1.0, second_after=1.5, patience=2.0)
+    assert decide(limits, checked(1.5, pause_left=0.6)) == StartSecond()
+    assert decide(limits, checked(1.5, pause_left=0.4)) == KeepWaiting(
+        pytest.approx(0.4 + PAUSE_MARGIN_S)
+    )
+
+
 def test_known_pause_says_nothing_of_an_unreachable_upstream():
     paused = checked(1.5, Reachability.UNREACHED, pause_left=0.8)
     assert decide(LIMITS, paused) == StartSecond()
