Check a silent upstream once for all requests that fall silent together

Each request whose first byte was late opened a connection of its own to its replica, where new connections are scarce and cost its slots.

--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -50,6 +50,7 @@
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.inspection import Inspector
+    from scalebend.edges.gateway.reachability import ReachabilityChecks
     from scalebend.edges.gateway.upstream_client import UpstreamSessions
 
 logger = structlog.get_logger(__name__)
@@ -101,6 +102,7 @@
         self.placements = PlacementCalls(self)
         self._sessions: UpstreamSessions | None = None
         self._inspector: Inspector | None = None
+        self._reachability: ReachabilityChecks | None = None
         self._unknown_headers: set[str] = set()
         self._jobs = 0
         self._sends = 0
@@ -121,14 +123,22 @@
         assert self._sessions is not None
         return self._sessions
 
+    @property
+    def reachability(self) -> ReachabilityChecks:
+        """Checks of silent upstreams; set only while callers are served."""
+        assert self._reachability is not None
+        return self._reachability
+
     @contextlib.asynccontextmanager
     async def use_sessions(self, sessions: UpstreamSessions) -> AsyncIterator[None]:
         """Use ``sessions`` for requests to upstreams until the block ends."""
         # The HTTP modules are loaded late, after the links are up.
         from scalebend.edges.gateway.inspection import Inspector
+        from scalebend.edges.gateway.reachability import ReachabilityChecks
 
         self._sessions = sessions
         self._inspector = Inspector(sessions.pooled)
+        self._reachability = ReachabilityChecks(self)
         try:
             yield
         finally:
--- a/src/scalebend/edges/gateway/silence_watch.py
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -22,7 +22,6 @@
     decide,
 )
 from scalebend.edges.gateway.front_runtime import FrontRuntime
-from scalebend.edges.gateway.reachability import check_reachability
 from scalebend.edges.gateway.response_reading import (
     MAX_RESPONSE_BYTES,
     UnresponsiveError,
@@ -132,10 +131,8 @@
                     self._follow_up(state)
 
     async def _check(self, state: SilenceState) -> None:
-        address = self._target.address
-        state.reachability = await check_reachability(
-            self._runtime, address, self._sent_at
-        )
+        checks = self._runtime.reachability
+        state.reachability = await checks.check(self._target.address, self._sent_at)
 
     def _compute_pause_left(self, limits: SilenceLimits) -> float:
         """Return the seconds for which the silence is known to last."""
