Explain losses: tell requests that a front ended from callers who left

explain-losses took every request without an answer for one whose caller left, which hid the drains of the incident. It now reads the line of the front; a silence counts as a lost attempt only where another one took over. Tests for both, which failed before (the line was not read).

--- a/src/scalebend/measuring/losses.py
+++ b/src/scalebend/measuring/losses.py
@@ -31,6 +31,7 @@
     ALL_IN_BACKOFF = "refused: all replicas asked for a pause"
     NOT_READY = "refused: no lease or stopping"
     CALLER_DISCONNECTED = "caller left or its connection was lost"
+    ENDED_BY_FRONT = "front ended it without a response"
     REPLICA_FAILED = "replicas failed it"
     REPLICA_LOST = "placed again after an attempt was lost"
     TIMED_OUT = "time limit reached"
@@ -63,6 +64,7 @@
     """Whether all remaining upstreams were in backoff."""
 
     has_disconnected: bool = False
+    was_ended_by_front: bool = False
     outcomes: list[str] = msgspec.field(default_factory=list)
 
 
@@ -132,6 +134,11 @@
             seen.met_backoff = True
         case "attempt ended":
             seen.outcomes.append(event["outcome"])
+        case "second attempt ended" if event.get("silent"):
+            if event["forwarded"] == "second":
+                seen.outcomes.append("silent")
+        case "request ended without a response":
+            seen.was_ended_by_front = True
         case "caller left":
             seen.has_disconnected = True
         case "request answered":
@@ -144,6 +151,8 @@
 
 def find_reason(seen: LoggedRequest) -> Reason | None:
     """Return why a request was not served in time; ``None`` if it was."""
+    if seen.was_ended_by_front:
+        return Reason.ENDED_BY_FRONT
     if seen.has_disconnected or seen.status is None:
         return Reason.CALLER_DISCONNECTED
     if seen.status >= 400 or seen.status == 0:
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -119,7 +119,7 @@
 
     TIMED_OUT = "timed out"
     UNRESPONSIVE = "silent"
-    """No bytes arrived within the timeout for a healthy upstream."""
+    """Another attempt, started because nothing had come for a while, went on."""
 
 
 class UpstreamTarget(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/unit/test_losses.py
+++ b/tests/unit/test_losses.py
@@ -34,6 +34,7 @@
         ({}, None),
         ({"has_disconnected": True}, Reason.CALLER_DISCONNECTED),
         ({"status": None}, Reason.CALLER_DISCONNECTED),
+        ({"status": None, "was_ended_by_front": True}, Reason.ENDED_BY_FRONT),
         ({"status": 503, "kind": "not-ready"}, Reason.NOT_READY),
         ({"status": 503, "kind": "no-upstream"}, Reason.REJECTED),
         (
@@ -61,6 +62,22 @@
     assert find_reason(LoggedRequest("r-1", 0.0, **{**BASE, **changes})) is reason
 
 
+def test_request_that_a_front_ended_is_not_taken_for_one_whose_caller_left():
+    lines = [
+        build_line("request ended without a response", 1.0, "a"),
+        build_line("caller left", 1.0, "b"),
+    ]
+    reasons = [find_reason(one) for one in read_requests(lines)]
+    assert reasons == [Reason.ENDED_BY_FRONT, Reason.CALLER_DISCONNECTED]
+
+
+@pytest.mark.parametrize("forwarded", ["first", "second"])
+def test_only_a_silence_that_another_attempt_ended_is_an_outcome(forwarded):
+    line = build_line("second attempt ended", 1.0, silent=True, forwarded=forwarded)
+    (seen,) = read_requests([line])
+    assert seen.outcomes == (["silent"] if forwarded == "second" else [])
+
+
 def test_counts_of_rows_and_windows_sum_up():
     lines = [
         "not a log line",
