Sync recovered records before they count as acknowledged

A member that was killed between the write and the sync of a record recovered that record and acknowledged it: it repeated the vote, or replied that it already had the entries, without another write. A loss of power right after it dropped the record, and with it, for lack of a majority that still had it, an accepted configuration or a vote.

It now syncs the file first. Renamed files were safe: the content is synced before the rename, and the folder at the end of the recovery.

--- a/src/scalebend/storage/journal.py
+++ b/src/scalebend/storage/journal.py
@@ -82,7 +82,7 @@
         self.bytes_written = 0
 
     def recover(self) -> Recovered:
-        """Read all acknowledged state and truncate a torn record at the end."""
+        """Read and sync all stored state; truncate a torn record at the end."""
         self._folder.mkdir(parents=True, exist_ok=True)
         disk = self._read_disk()
         snapshot = self._read_snapshot()
@@ -91,6 +91,9 @@
         records = self._read_records(path) if path.exists() else []
         hard_state, entries = _replay(records)
         self._file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND, 0o600)
+        # A killed process may have written a record, or renamed a file, without syncing
+        # it. What is recovered counts as acknowledged from here on.
+        os.fsync(self._file)
         sync_folder(self._folder)
         base = snapshot.index if snapshot else LogIndex(0)
         entries = [entry for entry in entries if entry.index > base]
