Tell restarted relays of the control group

Where all seeds are control processes without a disk (relays), a kill of all processes at once left the deployment without configuration for good: no front became ready, and a member with a new disk found no group. The acknowledged document itself was still there.

Cause: a relay stores nothing, and learned of members only by their question for a group. Members that find their old group on disk and elect a leader within two seconds never ask. Now members keep links to their seeds from the start (and to the seeds of reloaded settings), and a relay records who dialled it.

tests/functional/test_acknowledged_documents.py kills all processes after an acknowledgement, takes the disk of one control process or none, starts them again, reads the document at each control process and waits for both fronts, 12 s in all.

Added to tests/lib/platform_processes.py: an option to make a relay the only seed.

--- a/src/scalebend/core/gateway/relay_instance.py
+++ b/src/scalebend/core/gateway/relay_instance.py
@@ -53,6 +53,14 @@
             logger.info("leader lost", leader=instance, term=self._term)
             self._leader = None
 
+    def record_member(self, instance: InstanceId) -> None:
+        """Record a control instance with a disk that dialled this relay.
+
+        After a restart of all processes it may be the only sign of the group: members
+        that elect a leader at once do not ask for one.
+        """
+        self._known.add(instance)
+
     def handle(self, sender: InstanceId, message: LinkMessage) -> None:
         """Handle a message of a control process that this relay dialled."""
         match message:
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -139,8 +139,18 @@
         """Return the monotonic time in seconds."""
         return self._loop.time()
 
+    def set_seeds(self, seeds: list[InstanceId]) -> None:
+        """Keep links to the seeds, and ask them for the group if there is no leader.
+
+        A seed may be a relay that has restarted: it learns of the group by such links.
+        """
+        self.instance.member.record_control_instances(seeds)
+        for seed in seeds:
+            self.dialer.dial(seed)
+
     async def run(self) -> None:
         """Run the timers until cancelled."""
+        self.set_seeds([InstanceId(seed) for seed in self.settings.seeds])
         guard = StallGuard(TICK_INTERVAL_S, self.now(), self.metrics.count_stall)
         while True:
             if guard.may_run(self.now()):
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -54,8 +54,7 @@
             address = settings.link_listen or settings.link_address
             links = run_links(address, runtime.server, runtime.dialer, runtime.run())
             await stack.enter_async_context(links)
-            set_seeds = runtime.instance.member.record_control_instances
-            await stack.enter_async_context(watch.watch_seeds(set_seeds))
+            await stack.enter_async_context(watch.watch_seeds(runtime.set_seeds))
             # The member takes part in elections while the HTTP libraries load.
             calls = await load_http(
                 "scalebend.edges.gateway.control_calls",
--- a/src/scalebend/edges/gateway/relay_server.py
+++ b/src/scalebend/edges/gateway/relay_server.py
@@ -31,7 +31,7 @@
 from scalebend.edges.problems import build_response
 from scalebend.edges.stalls import StallGuard
 from scalebend.exceptions import ErrorKind, RefusedError
-from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.models.ids import InstanceId
 
 logger = structlog.get_logger(__name__)
@@ -86,6 +86,8 @@
         return KnownInstances(self.instance.list_members())
 
     def _handle_link_up(self, peer: Introduce) -> None:
+        if peer.role is GatewayRole.CONTROL:
+            self.instance.record_member(peer.instance)
         self.server.send(peer.instance, self._build_known_instances())
 
     def _receive(self, peer: Introduce, message: LinkMessage) -> None:
--- a/tests/lib/platform_processes.py
+++ b/tests/lib/platform_processes.py
@@ -119,9 +119,13 @@
 
 
 @contextlib.contextmanager
-def run_processes(folder):
+def run_processes(folder, *, has_only_relay_as_seed=False):
     """Start a deployment; kill the remaining processes at the end."""
     processes = Processes(folder)
+    if has_only_relay_as_seed:
+        processes.started = [*processes.started, "relay-0"]
+        seeds = [processes.find_control("relay-0")]
+        processes.seeds = dict.fromkeys(processes.names, seeds)
     for name in processes.started:
         processes.start(name)
     try:
