Give a successor its vote before another disk may be lost

A machine of a group of three was removed for good, and a new one joined at once. For 0.1 s (0.6 s if the removed one led) beyond the time in which a new machine counts as lost, the group still had the removed voter: the loss of one more disk then left one voter of three, and the acknowledged document could never be read again.

Cause: a learner replaced a voter only after 4 s without a reply, counted by a new leader from its election on, and the new machine counts as lost for just 4 s after its start.

Why it holds: a voter that was only paused is replaced only if a spare has the whole log, one change at a time, each committed by a quorum; when it is back, it is a spare itself.

--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -59,8 +59,12 @@
 """Time without a leader after which a member contacts its peers again: it may have
 been replaced while it was down."""
 
-VOTER_TIMEOUT_S = 4.0
-"""Time without a reply after which a learner may replace a voter."""
+VOTER_TIMEOUT_S = 2.5
+"""Time without a reply after which a learner may replace a voter.
+
+With an election before it, if the voter led, shorter than the time that the successor
+of a removed instance has to catch up (4 s): from then on another disk may be lost.
+"""
 
 LEARNER_TIMEOUT_S = 15.0
 """Time without a reply after which a learner is removed."""
--- a/tests/unit/gateway/test_acknowledged_documents.py
+++ b/tests/unit/gateway/test_acknowledged_documents.py
@@ -111,3 +111,18 @@
     put_until_acknowledged(group, 2, 0)
     strike(group, (lost,))
     assert_kept(group, 2)
+
+
+@pytest.mark.parametrize("pause", [0.0, 0.5, 1.0, 2.0])
+@pytest.mark.parametrize("removed", MEMBERS)
+@pytest.mark.parametrize("lost", [0, 1])
+def test_disk_is_lost_after_a_machine_was_replaced(removed, pause, lost):
+    group = build_group(MEMBERS)
+    put_until_acknowledged(group, 1, 0)
+    group.remove(removed)
+    run(group, pause)
+    group.add("d")
+    run(group, CATCH_UP_S)
+    put_until_acknowledged(group, 2, 0)
+    strike(group, (group.names[lost],))
+    assert_kept(group, 2)
