Remember SIGHUP from the first moment of a process

What operators saw: a process that gets SIGHUP while it starts ends with signal 1; its callers' connections, which wait in the backlog, are closed unanswered.

Cause: only SIGTERM was handled before the event loop ran. SIGHUP is now remembered, and the settings are reloaded once the loop runs, since they may have been read before the change. Signals are handled before sockets and settings are imported.

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -19,7 +19,7 @@
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.platform.early_settings import SETTINGS_VARIABLE
 from scalebend.platform.settings import read_gateway_settings
-from scalebend.utils.sigterm import exit_on_sigterm
+from scalebend.utils.early_signals import EarlySignals, handle_early_signals
 
 logger = structlog.get_logger(__name__)
 
@@ -37,12 +37,14 @@
     log_level: str,
     link_listen: str | None,
     listeners: Listeners | None = None,
+    signals: EarlySignals | None = None,
 ) -> int:
     """Run the process for the role in the settings until SIGTERM.
 
-    ``listeners`` are sockets that are already listening, if any.
+    ``listeners`` are sockets that are already listening, and ``signals`` those that
+    are already handled, if any.
     """
-    exit_on_sigterm()
+    signals = signals or handle_early_signals()
     path = settings or Path(os.environ.get(SETTINGS_VARIABLE, ""))
     try:
         gateway_settings = read_gateway_settings(path)
@@ -56,7 +58,7 @@
     configure_bounded_logs(log_level)
     try:
         listeners = open_listeners(gateway_settings, listeners or Listeners())
-        asyncio.run(_run(gateway_settings, listeners, path))
+        asyncio.run(_run(gateway_settings, listeners, path, signals))
     except StorageError as error:
         print(f"{path}: {error}", file=sys.stderr)
         return 2
@@ -66,13 +68,17 @@
     return 0
 
 
-async def _run(settings: GatewaySettings, listeners: Listeners, path: Path) -> None:
+async def _run(
+    settings: GatewaySettings, listeners: Listeners, path: Path, signals: EarlySignals
+) -> None:
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
     watch = SettingsWatch(path, settings)
     loop.add_signal_handler(signal.SIGHUP, watch.request_reload)
+    if signals.is_reload_requested:
+        watch.request_reload()
     logger.info("process starts", instance=settings.name, role=settings.role.value)
     match settings.role:
         case GatewayRole.FRONT:
--- a/src/scalebend/commands/start_gateway.py
+++ b/src/scalebend/commands/start_gateway.py
@@ -10,14 +10,19 @@
 import os
 import sys
 
-from scalebend.edges.gateway.sockets import Listeners
-from scalebend.platform.early_settings import SETTINGS_VARIABLE, read_callers_address
-from scalebend.utils.sigterm import exit_on_sigterm
+from scalebend.utils.early_signals import handle_early_signals
 
 
 def main() -> int:
     """Run the process for the role in the platform's settings until SIGTERM."""
-    exit_on_sigterm()
+    signals = handle_early_signals()
+    # Imported once signals are handled: until then they end the process.
+    from scalebend.edges.gateway.sockets import Listeners
+    from scalebend.platform.early_settings import (
+        SETTINGS_VARIABLE,
+        read_callers_address,
+    )
+
     listeners = Listeners()
     address = read_callers_address(os.environ.get(SETTINGS_VARIABLE, ""))
     if address is not None:
@@ -25,7 +30,13 @@
     # Imported after the port is open, because this takes most of the start.
     from scalebend.commands.gateway import run
 
-    return run(settings=None, log_level="info", link_listen=None, listeners=listeners)
+    return run(
+        settings=None,
+        log_level="info",
+        link_listen=None,
+        listeners=listeners,
+        signals=signals,
+    )
 
 
 if __name__ == "__main__":
--- a/tests/unit/gateway/test_start_gateway.py
+++ b/tests/unit/gateway/test_start_gateway.py
@@ -78,3 +78,38 @@
     with pytest.raises(OSError, match="in use"):
         second.open(f"127.0.0.1:{port}")
     first.pop(f"127.0.0.1:{port}").close()
+
+
+def test_reload_signal_while_libraries_load_is_not_lost(tmp_path):
+    """SIGHUP before the event loop ran ended the process with its default effect."""
+    code = (
+        "import os, signal\n"
+        "from scalebend.edges.gateway import sockets\n"
+        "open_listener = sockets.Listeners.try_open\n"
+        "def signal_and_open(*arguments):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    open_listener(*arguments)\n"
+        "sockets.Listeners.try_open = signal_and_open\n"
+        "from scalebend.commands.start_gateway import main\n"
+        "main()"
+    )
+    callers, readiness, metrics = find_free_ports(3)
+    settings = build_settings(
+        callers_address=f"127.0.0.1:{callers}",
+        readiness_address=f"127.0.0.1:{readiness}",
+        metrics_port=metrics,
+    )
+    path = tmp_path / "node.json"
+    path.write_bytes(encode_gateway_settings(settings))
+    with subprocess.Popen(
+        [sys.executable, "-c", code],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+    ) as process:
+        events = []
+        for line in process.stdout:
+            events.append(json.loads(line)["event"])
+            if events[-1] in ("settings reloaded", "process stops"):
+                process.terminate()
+    assert "settings reloaded" in events
+    assert process.returncode == 0
