Serve connections of the accept queue when a listener stops

Cause: closing a listening socket resets the connections that wait in its accept queue. They are now accepted in the same step in which the socket is closed, without waiting in between, and served like others; a front that stops refuses their requests.

Connections that were accepted before are not touched by the listener's stop (aiohttp keeps them until its cleanup).

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -22,7 +22,7 @@
 from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
-from scalebend.edges.gateway.http_listener import listen, serve_metrics
+from scalebend.edges.gateway.http_listener import Listener, listen, serve_metrics
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import DEFAULT_RETRY_AFTER_S
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
@@ -307,7 +307,7 @@
 @contextlib.asynccontextmanager
 async def serve_calls(
     settings: GatewaySettings, listeners: Listeners, runtime: FrontRuntime
-) -> AsyncIterator[web.SockSite]:
+) -> AsyncIterator[Listener]:
     """Serve callers, readiness and metrics.
 
     Yields the listener for callers, which is to be stopped first.
@@ -327,7 +327,7 @@
     async with (
         open_upstream_sessions(UpstreamDialer(FrontDialing(runtime))) as sessions,
         runtime.use_sessions(sessions),
-        listen(callers, handler.handle) as site,
+        listen(callers, handler.handle) as listener,
         listen(readiness, answer_ready),
     ):
-        yield site
+        yield listener
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -16,7 +16,7 @@
 from scalebend.models.gateway_settings import GatewaySettings
 
 if TYPE_CHECKING:
-    from aiohttp import web
+    from scalebend.edges.gateway.http_listener import Listener
 
 logger = structlog.get_logger(__name__)
 
@@ -47,15 +47,15 @@
             "scalebend.edges.gateway.front_calls",
             lambda: runtime.instance.may_admit(runtime.now()),
         )
-        site = await stack.enter_async_context(
+        listener = await stack.enter_async_context(
             calls.serve_calls(settings, listeners, runtime)
         )
         logger.info("front listens", instance=settings.name)
         await stopped.wait()
-        await _drain(runtime, site)
+        await _drain(runtime, listener)
 
 
-async def _drain(runtime: FrontRuntime, site: web.SockSite) -> None:
+async def _drain(runtime: FrontRuntime, listener: Listener) -> None:
     started = runtime.now()
     runtime.drain_began = started
     runtime.instance.is_draining = True
@@ -63,7 +63,7 @@
     logger.info("drain begins", open=runtime.open_requests)
     end = started + runtime.settings.bounds.drain_grace - STOP_MARGIN_S
     await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, end - started))
-    await site.stop()
+    await listener.stop()
     while _has_work(runtime) and runtime.now() < end:
         await asyncio.sleep(POLL_INTERVAL_S)
     logger.info("drain ends", open=runtime.open_requests, tunnels=runtime.tunnels.open)
--- a/src/scalebend/edges/gateway/http_listener.py
+++ b/src/scalebend/edges/gateway/http_listener.py
@@ -34,8 +34,40 @@
     )
 
 
+class Listener:
+    """A server that accepts connections until it is stopped."""
+
+    def __init__(
+        self, server: web.Server, site: web.SockSite, sock: socket.socket
+    ) -> None:
+        self._server = server
+        self._site = site
+        self._sock = sock
+
+    async def stop(self) -> None:
+        """Stop accepting; connections that were made before are still served."""
+        # Closing the socket resets the connections in its accept queue.
+        queued = _accept_queued(self._sock)
+        await self._site.stop()
+        loop = asyncio.get_running_loop()
+        for connection in queued:
+            with contextlib.suppress(OSError):
+                await loop.connect_accepted_socket(self._server, connection)
+
+
+def _accept_queued(sock: socket.socket) -> list[socket.socket]:
+    """Accept the connections that wait in the accept queue of a socket."""
+    queued: list[socket.socket] = []
+    with contextlib.suppress(OSError):
+        while len(queued) <= BACKLOG:
+            queued.append(sock.accept()[0])
+    for connection in queued:
+        connection.setblocking(False)
+    return queued
+
+
 @contextlib.asynccontextmanager
-async def listen(sock: socket.socket, handler: Handler) -> AsyncIterator[web.SockSite]:
+async def listen(sock: socket.socket, handler: Handler) -> AsyncIterator[Listener]:
     """Serve ``handler`` on a listening socket until the block ends."""
     server = web.Server(
         handler,
@@ -51,7 +83,7 @@
     site = web.SockSite(runner, sock, backlog=BACKLOG)
     await site.start()
     try:
-        yield site
+        yield Listener(server, site, sock)
     finally:
         await runner.cleanup()
 
