Answer what is open when a front stops

What callers saw: at the end of a drain the front closed their connections, with neither an answer nor a refusal, also of requests that no replica had got; a second of the grace was left unused. The log said 'caller left' of them.

A request that was not sent is refused (503, not run) as soon as it can't be completed any more; at the end, one that was sent gets 504 and a stream is aborted. Each has a log line, 'request ended by the stop', and a counter. Handlers that are cancelled nevertheless are logged as errors.

A request whose earlier attempts were all rejected counts as sent: 504 promises less than it could, but nothing wrong.

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -6,8 +6,8 @@
 import contextlib
 import logging
 from collections.abc import AsyncIterator
+from typing import NamedTuple
 
-import msgspec
 import structlog
 from aiohttp import web
 
@@ -23,6 +23,7 @@
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.edges.gateway.http_listener import Listener, listen, serve_metrics
+from scalebend.edges.gateway.open_requests import OpenRequest, OpenRequests
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.edges.gateway.upstream_choice import DEFAULT_RETRY_AFTER_S
 from scalebend.edges.gateway.upstream_client import open_upstream_sessions
@@ -34,6 +35,7 @@
     RefusedError,
     RequestError,
     ScalebendError,
+    UpstreamError,
 )
 from scalebend.models.calls import Call, CallerHeaders
 from scalebend.models.crashes import RequestIdentity
@@ -47,11 +49,6 @@
 
 logger = structlog.get_logger(__name__)
 
-LAST_ADMISSION_S = 2.8
-"""Seconds after the stop signal for which requests are still admitted: the load
-balancer probes every second and needs two failed probes. Later requests may not finish
-before the kill."""
-
 STOPPING_RETRY_AFTER_S = 0.05
 """``Retry-After`` while this front stops: another front takes the retry."""
 
@@ -60,79 +57,125 @@
 leader is elected and leases are granted within this time."""
 
 
-class _Arrival(msgspec.Struct):
-    """What is known so far of a received request; ``at`` is in monotonic seconds."""
-
-    headers: CallerHeaders
-    at: float
-    route: Route | None = None
-    identity: RequestIdentity | None = None
-    forwarder: Forwarder | None = None
-
-
 class CallerHandler:
     """Admits requests of callers and responds to them."""
 
     def __init__(self, runtime: FrontRuntime) -> None:
         self._runtime = runtime
+        self.requests = OpenRequests(runtime)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request."""
         runtime = self._runtime
-        arrived = runtime.now()
-        arrival = _Arrival(read_caller_headers(request.headers), arrived)
-        runtime.open_requests += 1
-        runtime.metrics.set_open_requests(runtime.open_requests)
+        opened = OpenRequest(read_caller_headers(request.headers), runtime.now())
+        with self.requests.hold(opened):
+            response = await self._respond(request, opened)
+        if runtime.is_closing_connections():
+            response.force_close()
+        return response
+
+    async def _respond(
+        self, request: web.BaseRequest, opened: OpenRequest
+    ) -> web.StreamResponse:
         try:
-            await runtime.wait_for_first_lease()
-            arrival.route = self._find_route(request)
-            call = self._admit(request, arrival, arrival.route)
-            body = await self._read_body(request, call)
-            identity = arrival.identity = _identify_request(call, request.host, body)
-            forwarder = HedgedForwarder(
-                runtime, call, request, body, CrashEvidence(runtime, identity)
-            )
-            arrival.forwarder = forwarder
-            response = await forwarder.forward()
-            self._log(arrival, response.status, None, forwarder)
+            async with opened.timeout:
+                response = await self._forward(request, opened)
+            self._log(opened, response.status, None, opened.forwarder)
+            return response
         except ScalebendError as error:
-            response = _build_error_response(error, arrival.headers)
-            self._log(arrival, response.status, error)
+            return self._build_failure(opened, error)
         except StreamBrokenError:
-            response = web.Response(status=502)
-            self._log(arrival, 0, None)
-            if request.transport is not None:
-                # Without its final chunk, the stream is incomplete for the caller.
-                request.transport.abort()
+            return self._break_off(request, opened)
+        except TimeoutError:
+            if not opened.timeout.expired():
+                raise
+            return self._end(request, opened)
         except (CallerLeftError, ConnectionError, asyncio.CancelledError) as error:
-            self._log_end(request, arrival, error)
+            self._log_end(request, opened, error)
             raise
-        finally:
-            runtime.open_requests -= 1
-            runtime.metrics.set_open_requests(runtime.open_requests)
-        if runtime.is_closing_connections():
-            response.force_close()
+
+    async def _forward(
+        self, request: web.BaseRequest, opened: OpenRequest
+    ) -> web.StreamResponse:
+        await self._runtime.wait_for_first_lease()
+        opened.route = self._find_route(request)
+        call = opened.call = self._admit(request, opened, opened.route)
+        body = await self._read_body(request, call)
+        identity = opened.identity = _identify_request(call, request.host, body)
+        evidence = CrashEvidence(self._runtime, identity)
+        forwarder = HedgedForwarder(self._runtime, call, request, body, evidence)
+        opened.forwarder = forwarder
+        return await forwarder.forward()
+
+    # Ends without a response of an upstream
+
+    def _build_failure(
+        self, opened: OpenRequest, error: ScalebendError
+    ) -> web.Response:
+        response = _build_error_response(error, opened.headers)
+        self._log(opened, response.status, error)
         return response
 
+    def _break_off(
+        self, request: web.BaseRequest, opened: OpenRequest
+    ) -> web.StreamResponse:
+        """End a stream that has begun; without its final chunk, it is incomplete."""
+        self._log(opened, 0, None)
+        if request.transport is not None:
+            request.transport.abort()
+        return web.Response(status=502)
+
+    def _end(self, request: web.BaseRequest, opened: OpenRequest) -> web.StreamResponse:
+        """Respond to a request that this front ended because it stops."""
+        has_begun = request.writer.output_size > 0
+        outcome = "refused" if not opened.is_sent else "failed"
+        self._runtime.metrics.count_stopped_request(
+            "broken off" if has_begun else outcome
+        )
+        logger.warning(
+            "request ended by the stop",
+            request=opened.headers.request,
+            **_describe_identity(opened.identity),
+            outcome="broken off" if has_begun else outcome,
+            elapsed=round(self._runtime.now() - opened.at, 3),
+            duration=opened.duration,
+            **_describe_events(opened.forwarder),
+            **_describe_attempts(opened.forwarder),
+        )
+        if has_begun:
+            return self._break_off(request, opened)
+        if not opened.is_sent:
+            return self._build_failure(opened, _build_stopping_error())
+        error = UpstreamError(
+            "this front stopped before the response",
+            kind=ErrorKind.TIME_LIMIT,
+            ran=Ran.UNKNOWN,
+        )
+        return self._build_failure(opened, error)
+
     def _log_end(
-        self, request: web.BaseRequest, arrival: _Arrival, error: BaseException
+        self, request: web.BaseRequest, opened: OpenRequest, error: BaseException
     ) -> None:
         """Log a request without a response, and whether its caller left."""
         runtime = self._runtime
         has_left = request.transport is None or request.transport.is_closing()
+        # The listener closes the connections of the handlers that it cancels.
+        has_left = has_left and not self.requests.is_closed
         runtime.metrics.count_unanswered_request(has_caller_left=has_left)
         logger.log(
             logging.INFO if has_left else logging.ERROR,
             "caller left" if has_left else "request ended without a response",
-            request=arrival.headers.request,
-            **_describe_identity(arrival.identity),
+            request=opened.headers.request,
+            **_describe_identity(opened.identity),
             error=f"{type(error).__name__}: {error}",
             draining=runtime.instance.is_draining,
-            elapsed=round(runtime.now() - arrival.at, 3),
-            **_describe_events(arrival.forwarder),
-            **_describe_attempts(arrival.forwarder),
+            elapsed=round(runtime.now() - opened.at, 3),
+            **_describe_events(opened.forwarder),
+            **_describe_attempts(opened.forwarder),
         )
 
+    # Admission
+
     def _find_route(self, request: web.BaseRequest) -> Route:
         instance = self._runtime.instance
         self._check_admission(self._runtime.now())
@@ -146,23 +189,24 @@
     def _admit(
         self,
         request: web.BaseRequest,
-        arrival: _Arrival,
+        opened: OpenRequest,
         route: Route,
     ) -> Call:
         table = self._runtime.instance.table
         timeout_s = route.timeout
-        if arrival.headers.wait is not None:
-            timeout_s = min(timeout_s, arrival.headers.wait)
-        customer = self._identify(arrival.headers, route)
+        if opened.headers.wait is not None:
+            timeout_s = min(timeout_s, opened.headers.wait)
+        deadline = opened.at + timeout_s
+        customer = self._identify(opened.headers, route)
         return Call(
-            headers=arrival.headers,
+            headers=opened.headers,
             route=route,
             service=table.choose_service(route, self._runtime.chooser),
             customer=customer.name if customer is not None else None,
             method=request.method,
             target=request.raw_path,
-            arrived=arrival.at,
-            deadline=arrival.at + timeout_s,
+            arrived=opened.at,
+            deadline=deadline,
             priority=_choose_priority(customer, route),
         )
 
@@ -194,13 +238,9 @@
         return body
 
     def _check_stopping(self, now: float) -> None:
-        drain_began = self._runtime.drain_began
-        if drain_began is not None and now - drain_began > LAST_ADMISSION_S:
-            raise RefusedError(
-                "this front is stopping",
-                kind=ErrorKind.NOT_READY,
-                retry_after=STOPPING_RETRY_AFTER_S,
-            )
+        drain = self._runtime.drain
+        if drain is not None and not drain.may_admit(now):
+            raise _build_stopping_error()
 
     def _check_admission(self, now: float) -> None:
         instance = self._runtime.instance
@@ -217,20 +257,20 @@
 
     def _log(
         self,
-        arrival: _Arrival,
+        opened: OpenRequest,
         status: int,
         error: ScalebendError | None,
         forwarder: Forwarder | None = None,
     ) -> None:
         runtime = self._runtime
-        route = arrival.route
-        elapsed = runtime.now() - arrival.at
+        route = opened.route
+        elapsed = runtime.now() - opened.at
         kind = route.kind.value if route is not None else "none"
         runtime.metrics.count_request(kind, status, elapsed)
         logger.info(
             "request answered",
-            request=arrival.headers.request,
-            **_describe_identity(arrival.identity),
+            request=opened.headers.request,
+            **_describe_identity(opened.identity),
             route=route.name if route is not None else None,
             status=status,
             kind=error.kind.value if error is not None else None,
@@ -239,7 +279,7 @@
             target=route.target_latency if route is not None else None,
             event_gap=route.event_gap if route is not None else None,
             **_describe_events(forwarder),
-            **_describe_attempts(arrival.forwarder),
+            **_describe_attempts(opened.forwarder),
             routing=runtime.instance.table.routing.version,
         )
 
@@ -287,6 +327,14 @@
     }
 
 
+def _build_stopping_error() -> RefusedError:
+    return RefusedError(
+        "this front is stopping",
+        kind=ErrorKind.NOT_READY,
+        retry_after=STOPPING_RETRY_AFTER_S,
+    )
+
+
 def _build_too_large_error(max_bytes: int) -> RequestError:
     return RequestError(
         f"the body may have {max_bytes} bytes", kind=ErrorKind.BODY_TOO_LARGE
@@ -304,13 +352,20 @@
     return response
 
 
+class Calls(NamedTuple):
+    """What serves the callers; ``listener`` is to be stopped first."""
+
+    listener: Listener
+    requests: OpenRequests
+
+
 @contextlib.asynccontextmanager
 async def serve_calls(
     settings: GatewaySettings, listeners: Listeners, runtime: FrontRuntime
-) -> AsyncIterator[Listener]:
+) -> AsyncIterator[Calls]:
     """Serve callers, readiness and metrics.
 
-    Yields the listener for callers, which is to be stopped first.
+    At the end of the block, requests that are still open are ended with a response.
     """
     assert settings.callers_address is not None
     assert settings.readiness_address is not None
@@ -330,4 +385,7 @@
         listen(callers, handler.handle) as listener,
         listen(readiness, answer_ready),
     ):
-        yield listener
+        try:
+            yield Calls(listener, handler.requests)
+        finally:
+            handler.requests.close()
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -12,6 +12,7 @@
 
 import structlog
 
+from scalebend.core.gateway.drain import Drain
 from scalebend.core.gateway.front_actions import EndAttempts, FrontAction, ToControl
 from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.gateway.job_permits import JobPermits
@@ -109,7 +110,7 @@
         self._tasks: set[asyncio.Task[object]] = set()
         self._first_lease = asyncio.Event()
         self.open_requests = 0
-        self.drain_began: float | None = None
+        self.drain: Drain | None = None
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -8,6 +8,7 @@
 
 import structlog
 
+from scalebend.core.gateway.drain import Drain
 from scalebend.edges.gateway.front_runtime import FrontRuntime, run_front
 from scalebend.edges.gateway.http_loading import load_http
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -16,7 +17,7 @@
 from scalebend.models.gateway_settings import GatewaySettings
 
 if TYPE_CHECKING:
-    from scalebend.edges.gateway.http_listener import Listener
+    from scalebend.edges.gateway.front_calls import Calls
 
 logger = structlog.get_logger(__name__)
 
@@ -24,11 +25,8 @@
 """Time after the stop signal for which connections are still accepted, so that late
 callers are redirected by a response instead of a refused connection."""
 
-STOP_MARGIN_S = 1.0
-"""Time before the kill at which draining ends, so that open requests can be closed."""
-
 POLL_INTERVAL_S = 0.05
-"""Interval of the checks for open requests while draining."""
+"""Interval of the checks of open requests while draining."""
 
 
 async def serve_front(
@@ -43,31 +41,42 @@
         runtime = await stack.enter_async_context(run_front(settings, metrics))
         await stack.enter_async_context(watch.watch_seeds(runtime.instance.set_seeds))
         # Meanwhile, links come up and the routing document arrives.
-        calls = await load_http(
+        front_calls = await load_http(
             "scalebend.edges.gateway.front_calls",
             lambda: runtime.instance.may_admit(runtime.now()),
         )
-        listener = await stack.enter_async_context(
-            calls.serve_calls(settings, listeners, runtime)
+        calls = await stack.enter_async_context(
+            front_calls.serve_calls(settings, listeners, runtime)
         )
         logger.info("front listens", instance=settings.name)
         await stopped.wait()
-        await _drain(runtime, listener)
+        await drain(runtime, calls)
 
 
-async def _drain(runtime: FrontRuntime, listener: Listener) -> None:
+async def drain(runtime: FrontRuntime, calls: Calls) -> None:
+    """Complete what can be completed until shortly before the process is killed."""
     started = runtime.now()
-    runtime.drain_began = started
+    planned = Drain(started, runtime.settings.bounds.drain_grace)
+    runtime.drain = planned
     runtime.instance.is_draining = True
     runtime.tunnels.begin_leaving()
     logger.info("drain begins", open=runtime.open_requests)
-    end = started + runtime.settings.bounds.drain_grace - STOP_MARGIN_S
-    await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, end - started))
-    await listener.stop()
-    while _has_work(runtime) and runtime.now() < end:
-        await asyncio.sleep(POLL_INTERVAL_S)
+    async with asyncio.TaskGroup() as group:
+        ending = group.create_task(_end_unsent(runtime, calls, planned))
+        await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, planned.end - started))
+        await calls.listener.stop()
+        while _has_work(runtime) and runtime.now() < planned.end:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        ending.cancel()
     logger.info("drain ends", open=runtime.open_requests, tunnels=runtime.tunnels.open)
 
 
+async def _end_unsent(runtime: FrontRuntime, calls: Calls, planned: Drain) -> None:
+    """Keep ending the requests that were not sent and can't be completed any more."""
+    while True:
+        calls.requests.end_unsent(planned, runtime.now())
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 def _has_work(runtime: FrontRuntime) -> bool:
     return bool(runtime.open_requests or runtime.tunnels.open)
--- a/src/scalebend/edges/gateway/metrics.py
+++ b/src/scalebend/edges/gateway/metrics.py
@@ -81,6 +81,12 @@
             ["ended_by"],
             registry=registry,
         )
+        self._stopped_requests = Counter(
+            "scalebend_stopped_requests",
+            "Requests that this front ended because it stopped, by their outcome",
+            ["outcome"],
+            registry=registry,
+        )
         self._lost_requests = Counter(
             "scalebend_lost_requests",
             "Attempts that an upstream cut off, or that ended with it",
@@ -271,6 +277,10 @@
         ended_by = "caller" if has_caller_left else "front"
         self._unanswered_requests.labels(ended_by).inc()
 
+    def count_stopped_request(self, outcome: str) -> None:
+        """Count a request that this front ended because it stopped."""
+        self._stopped_requests.labels(outcome).inc()
+
     def count_lost_request(self) -> None:
         """Count an attempt whose upstream crashed or broke the connection."""
         self._lost_requests.inc()
--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -8,7 +8,7 @@
 import aiohttp
 import pytest
 
-from scalebend.edges.gateway.front_calls import LAST_ADMISSION_S
+from scalebend.core.gateway.drain import LAST_ADMISSION_S
 from scalebend.platform.headers import EXPECTED_UPSTREAM
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.platform_replicas import EVENTS, build_document
