Admit while stopping only what can be completed before the end

Cause: requests were admitted for 2.8 s whatever they needed, and leader and replica were given the whole time of the caller (9,998 ms of 10 s in the test), not the time left here.

Change: while a front drains, the deadline of what it admits is the drain's end, so that placements and replicas plan with it; what idle replicas could not complete by then (shortest prefill, and decoding as learned from ended jobs) is refused at once, 503, not run, Retry-After 0.05 s, also after its body was read. Requests of plain services tell no duration: a second is kept for them.

Queueing at the replica that nobody predicted still admits too much; such a request now gets 504 at the end of the drain.

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -100,6 +100,7 @@
         await self._runtime.wait_for_first_lease()
         opened.route = self._find_route(request)
         call = opened.call = self._admit(request, opened, opened.route)
+        self._check_time_left(call)
         body = await self._read_body(request, call)
         identity = opened.identity = _identify_request(call, request.host, body)
         evidence = CrashEvidence(self._runtime, identity)
@@ -197,6 +198,9 @@
         if opened.headers.wait is not None:
             timeout_s = min(timeout_s, opened.headers.wait)
         deadline = opened.at + timeout_s
+        if self._runtime.drain is not None:
+            # Placements and upstreams plan with the time that is left.
+            deadline = min(deadline, self._runtime.drain.end)
         customer = self._identify(opened.headers, route)
         return Call(
             headers=opened.headers,
@@ -233,6 +237,7 @@
             raise RequestError("the body did not arrive in time") from None
         if len(body) > max_bytes:
             raise _build_too_large_error(max_bytes)
+        self._check_time_left(call)
         # The API key may have been revoked while the body arrived.
         self._check_admission(self._runtime.now() + LEASE_MARGIN_S / 2)
         return body
@@ -242,6 +247,15 @@
         if drain is not None and not drain.may_admit(now):
             raise _build_stopping_error()
 
+    def _check_time_left(self, call: Call) -> None:
+        """Refuse a request that can't be completed before this front ends."""
+        drain, now = self._runtime.drain, self._runtime.now()
+        if drain is None:
+            return
+        duration_s = self.requests.estimate(call, now)
+        if not drain.has_time(duration_s, now):
+            raise _build_stopping_error()
+
     def _check_admission(self, now: float) -> None:
         instance = self._runtime.instance
         if instance.may_admit(now):
--- a/tests/unit/gateway/test_planned_stops.py
+++ b/tests/unit/gateway/test_planned_stops.py
@@ -17,8 +17,10 @@
 from scalebend.models.routing import RouteKind
 from tests.lib.front import answer_sealed, serve, wait_for
 from tests.lib.gateway_builders import (
+    PROFILE,
     build_route,
     build_routing,
+    build_service,
 )
 from tests.lib.stopping_front import GRACE_S, run_stopping_front
 
@@ -150,6 +152,43 @@
         assert b'"ran":"no"' in body
 
 
+@contextlib.asynccontextmanager
+async def run_engine(upstream):
+    services = [build_service(engine=PROFILE)]
+    changes = {"kind": RouteKind.STREAMING, "event_gap": 0.2, "timeout": 30.0}
+    async with run_upstream(upstream, services, **changes) as front:
+        yield front
+
+
+async def test_prompt_that_can_not_be_completed_is_refused_at_once():
+    """It was admitted, and cut off at the end."""
+    upstream = Upstream(is_stream=True)
+    async with run_engine(upstream) as front:
+        front.stop()
+        await asyncio.sleep(0.2)
+        started = front.now()
+        response, body = await read(front, prompt=400_000)
+        assert response.status == 503
+        assert b'"ran":"no"' in body
+        assert float(response.headers["Retry-After"]) < 0.2
+        assert front.now() - started < 0.5
+        assert upstream.deadlines == []
+
+
+async def test_prompt_that_can_be_completed_is_admitted_with_the_time_that_is_left():
+    """Its replica and the leader were given all the time that its caller has."""
+    upstream = Upstream(is_stream=True)
+    upstream.gate.set()
+    async with run_engine(upstream) as front:
+        front.stop()
+        await asyncio.sleep(0.2)
+        response, body = await read(front, prompt=1_000)
+        assert response.status == 200
+        assert body.endswith(b"id: 2\ndata: x\n\n")
+        (given,) = upstream.deadlines
+        assert given <= END_S - 0.15
+
+
 async def test_new_connections_are_answered_until_the_end():
     async with (
         run_stopping_front(build_routing()) as front,
