Answer requests that fail for a reason that nobody foresaw

What callers saw: an attempt's cancellation that reached the handler closed the connection without an answer and was logged as 'request ended without a response', or as 'caller left'; other unexpected errors got the library's plain 500 or 504 and no line of the request's log.

Change: whatever is raised, the caller gets 500 ('internal', ran 'no' or 'unknown') if nothing was sent to it, and an aborted stream otherwise; 'request failed unexpectedly' has the error. A cancellation counts as the handler's own only if its task is being cancelled (Task.cancelling), not one that it waits for. A broken connection of the caller is no error of the library any more. Bodies that can't be read get 400, too long ones of unknown length 413 beyond the library's limit, too.

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -86,13 +86,21 @@
             return self._build_failure(opened, error)
         except StreamBrokenError:
             return self._break_off(request, opened)
-        except TimeoutError:
-            if not opened.timeout.expired():
-                raise
-            return self._end(request, opened)
-        except (CallerLeftError, ConnectionError, asyncio.CancelledError) as error:
+        except CallerLeftError as error:
+            self._log_end(request, opened, error)
+            return _abort(request)
+        except asyncio.CancelledError as error:
+            if not _is_cancelled():
+                return self._fail(request, opened, error)
             self._log_end(request, opened, error)
             raise
+        except Exception as error:
+            if opened.timeout.expired() and isinstance(error, TimeoutError):
+                return self._end(request, opened)
+            if isinstance(error, ConnectionError) and _is_closed(request):
+                self._log_end(request, opened, error)
+                return _abort(request)
+            return self._fail(request, opened, error)
 
     async def _forward(
         self, request: web.BaseRequest, opened: OpenRequest
@@ -122,13 +130,29 @@
     ) -> web.StreamResponse:
         """End a stream that has begun; without its final chunk, it is incomplete."""
         self._log(opened, 0, None)
-        if request.transport is not None:
-            request.transport.abort()
-        return web.Response(status=502)
+        return _abort(request)
+
+    def _fail(
+        self, request: web.BaseRequest, opened: OpenRequest, error: BaseException
+    ) -> web.StreamResponse:
+        """Respond to a request that failed for a reason that nobody foresaw."""
+        logger.error(
+            "request failed unexpectedly",
+            request=opened.headers.request,
+            **_describe_identity(opened.identity),
+            exc_info=error,
+            **_describe_events(opened.forwarder),
+            **_describe_attempts(opened.forwarder),
+        )
+        if _has_begun(request):
+            return self._break_off(request, opened)
+        ran = Ran.UNKNOWN if opened.is_sent else Ran.NO
+        internal = ScalebendError("an unexpected error", ran=ran)
+        return self._build_failure(opened, internal)
 
     def _end(self, request: web.BaseRequest, opened: OpenRequest) -> web.StreamResponse:
         """Respond to a request that this front ended because it stops."""
-        has_begun = request.writer.output_size > 0
+        has_begun = _has_begun(request)
         outcome = "refused" if not opened.is_sent else "failed"
         self._runtime.metrics.count_stopped_request(
             "broken off" if has_begun else outcome
@@ -159,9 +183,8 @@
     ) -> None:
         """Log a request without a response, and whether its caller left."""
         runtime = self._runtime
-        has_left = request.transport is None or request.transport.is_closing()
         # The listener closes the connections of the handlers that it cancels.
-        has_left = has_left and not self.requests.is_closed
+        has_left = _is_closed(request) and not self.requests.is_closed
         runtime.metrics.count_unanswered_request(has_caller_left=has_left)
         logger.log(
             logging.INFO if has_left else logging.ERROR,
@@ -235,6 +258,10 @@
                 body = await request.read()
         except TimeoutError:
             raise RequestError("the body did not arrive in time") from None
+        except web.HTTPRequestEntityTooLarge:
+            raise _build_too_large_error(max_bytes) from None
+        except web.RequestPayloadError:
+            raise RequestError("the body can't be read") from None
         if len(body) > max_bytes:
             raise _build_too_large_error(max_bytes)
         self._check_time_left(call)
@@ -298,6 +325,29 @@
         )
 
 
+def _abort(request: web.BaseRequest) -> web.StreamResponse:
+    """Reset the connection of a caller; the response returned is not sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=502)
+
+
+def _is_closed(request: web.BaseRequest) -> bool:
+    """Whether the connection of the caller is closed."""
+    return request.transport is None or request.transport.is_closing()
+
+
+def _has_begun(request: web.BaseRequest) -> bool:
+    """Whether a part of a response has been sent."""
+    return request.writer.output_size > 0
+
+
+def _is_cancelled() -> bool:
+    """Whether the running task is being cancelled, not only one that it waits for."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _choose_priority(customer: RoutedCustomer | None, route: Route) -> int:
     """Return the rank of the customer; that of the route if the customer has none."""
     if customer is not None and customer.priority is not None:
