Ignore signals once a process has stopped

What operators saw: a signal that reached a process in its last milliseconds, after it had stopped as planned, ended it with signal 1 or 15, like a crash.

Cause: closing the event loop gives its signals their default effect back, for as long as the interpreter takes to end. They are ignored from just before 'process stops' on.

A moment of some instructions is left between the two handlers.

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -93,4 +93,12 @@
             from scalebend.edges.gateway.relay_server import serve_relay
 
             await serve_relay(settings, stopped, watch)
+    _ignore_signals(loop)
     logger.info("process stops", instance=settings.name)
+
+
+def _ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore signals until the end; closing the loop would let them end the process."""
+    for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.remove_signal_handler(signal_number)
+        signal.signal(signal_number, signal.SIG_IGN)
--- a/tests/unit/gateway/test_start_gateway.py
+++ b/tests/unit/gateway/test_start_gateway.py
@@ -2,12 +2,15 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
 from scalebend.edges.gateway.sockets import Listeners
+from scalebend.models.gateway_settings import Bounds
 from scalebend.platform.early_settings import SETTINGS_VARIABLE, read_callers_address
 from scalebend.platform.settings import encode_gateway_settings
 from scalebend.standins.ports import find_free_ports
@@ -80,6 +83,20 @@
     first.pop(f"127.0.0.1:{port}").close()
 
 
+def write_settings(folder):
+    """Write settings of a front with free ports, and a short grace."""
+    callers, readiness, metrics = find_free_ports(3)
+    settings = build_settings(
+        callers_address=f"127.0.0.1:{callers}",
+        readiness_address=f"127.0.0.1:{readiness}",
+        metrics_port=metrics,
+        bounds=Bounds(drain_grace=1.0),
+    )
+    path = folder / "node.json"
+    path.write_bytes(encode_gateway_settings(settings))
+    return path
+
+
 def test_reload_signal_while_libraries_load_is_not_lost(tmp_path):
     """SIGHUP before the event loop ran ended the process with its default effect."""
     code = (
@@ -93,14 +110,7 @@
         "from scalebend.commands.start_gateway import main\n"
         "main()"
     )
-    callers, readiness, metrics = find_free_ports(3)
-    settings = build_settings(
-        callers_address=f"127.0.0.1:{callers}",
-        readiness_address=f"127.0.0.1:{readiness}",
-        metrics_port=metrics,
-    )
-    path = tmp_path / "node.json"
-    path.write_bytes(encode_gateway_settings(settings))
+    path = write_settings(tmp_path)
     with subprocess.Popen(
         [sys.executable, "-c", code],
         env={**os.environ, SETTINGS_VARIABLE: str(path)},
@@ -113,3 +123,23 @@
                 process.terminate()
     assert "settings reloaded" in events
     assert process.returncode == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signal_while_a_process_ends_is_no_crash(tmp_path, number):
+    """The event loop gave signals their default effect back before the end."""
+    path = write_settings(tmp_path)
+    with subprocess.Popen(
+        [sys.executable, "-m", "scalebend.commands.start_gateway"],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+    ) as process:
+        for line in process.stdout:
+            event = json.loads(line)["event"]
+            if event == "front listens":
+                process.terminate()
+            if event == "process stops":
+                while process.poll() is None:
+                    process.send_signal(number)
+                    time.sleep(0.001)
+    assert process.returncode == 0
