--- a/tests/unit/gateway/test_start_gateway.py
+++ b/tests/unit/gateway/test_start_gateway.py
@@ -2,12 +2,15 @@
 
 import json
 import os
+import signal
 import subprocess
 import sys
+import time
 
 import pytest
 
 from scalebend.edges.gateway.sockets import Listeners
+from scalebend.models.gateway_settings import Bounds
 from scalebend.platform.early_settings import SETTINGS_VARIABLE, read_callers_address
 from scalebend.platform.settings import encode_gateway_settings
 from scalebend.standins.ports import find_free_ports
@@ -78,3 +81,65 @@
     with pytest.raises(OSError, match="in use"):
         second.open(f"127.0.0.1:{port}")
     first.pop(f"127.0.0.1:{port}").close()
+
+
+def write_settings(folder):
+    """Write settings of a front with free ports, and a short grace."""
+    callers, readiness, metrics = find_free_ports(3)
+    settings = build_settings(
+        callers_address=f"127.0.0.1:{callers}",
+        readiness_address=f"127.0.0.1:{readiness}",
+        metrics_port=metrics,
+        bounds=Bounds(drain_grace=1.0),
+    )
+    path = folder / "node.json"
+    path.write_bytes(encode_gateway_settings(settings))
+    return path
+
+
+def test_reload_signal_while_libraries_load_is_not_lost(tmp_path):
+    """SIGHUP before the event loop ran ended the process with its default effect."""
+    code = (
+        "import os, signal\n"
+        "from scalebend.edges.gateway import sockets\n"
+        "open_listener = sockets.Listeners.try_open\n"
+        "def signal_and_open(*arguments):\n"
+        "    os.kill(os.getpid(), signal.SIGHUP)\n"
+        "    open_listener(*arguments)\n"
+        "sockets.Listeners.try_open = signal_and_open\n"
+        "from scalebend.commands.start_gateway import main\n"
+        "main()"
+    )
+    path = write_settings(tmp_path)
+    with subprocess.Popen(
+        [sys.executable, "-c", code],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+    ) as process:
+        events = []
+        for line in process.stdout:
+            events.append(json.loads(line)["event"])
+            if events[-1] in ("settings reloaded", "process stops"):
+                process.terminate()
+    assert "settings reloaded" in events
+    assert process.returncode == 0
+
+
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signal_while_a_process_ends_is_no_crash(tmp_path, number):
+    """The event loop gave signals their default effect back before the end."""
+    path = write_settings(tmp_path)
+    with subprocess.Popen(
+        [sys.executable, "-m", "scalebend.commands.start_gateway"],
+        env={**os.environ, SETTINGS_VARIABLE: str(path)},
+        stdout=subprocess.PIPE,
+    ) as process:
+        for line in process.stdout:
+            event = json.loads(line)["event"]
+            if event == "front listens":
+                process.terminate()
+            if event == "process stops":
+                while process.poll() is None:
+                    process.send_signal(number)
+                    time.sleep(0.001)
+    assert process.returncode == 0
