Tell a paused replica from a dead one when a report doesn't come

What callers saw: for two seconds all fronts avoided a sound replica whose process had paused for half a second, and long prompts were placed anew without it.

Cause: a report that had not come within 0.4 s made a replica unresponsive, at the front as in the leader's own inspections. A pooled connection that had died made it unresponsive, too.

Change: a report that doesn't come over the pooled connection within 0.25 s, or whose connection breaks, is requested over a new one as well. A replica that accepts no connection, or breaks the new one, counts as before, and within the same 0.4 s. One that accepts it and sends nothing counts as unresponsive only if two seconds of inspections in a row show the same. `replicas inspected` names both kinds.

Weighed: reports over new connections only, which costs the leader a connection for each engine and inspection. A process that hangs for good and accepts connections is now found by its reports after two seconds in place of 0.4 s; its first tokens show it earlier.

--- a/src/scalebend/edges/gateway/control_calls.py
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -148,7 +148,7 @@
 async def _inspect_engines(runtime: ControlRuntime) -> None:
     """Request reports of all engines at intervals while this member leads."""
     async with open_upstream_sessions() as sessions:
-        inspector = Inspector(sessions.pooled)
+        inspector = Inspector(sessions)
         while True:
             await asyncio.sleep(INSPECTION_INTERVAL_S)
             if not runtime.instance.is_leader:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -128,7 +128,7 @@
         from scalebend.edges.gateway.inspection import Inspector
 
         self._sessions = sessions
-        self._inspector = Inspector(sessions.pooled)
+        self._inspector = Inspector(sessions)
         try:
             yield
         finally:
--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -8,24 +8,25 @@
 
 import asyncio
 from collections.abc import Iterable
-from enum import Enum
 
-import aiohttp
 import msgspec
 import structlog
 
 from scalebend.core.gateway.replica_load import UNHEALTHY_PACE
-from scalebend.edges.gateway.upstream_client import build_timeout
+from scalebend.core.gateway.silences import MAX_PAUSE_S
+from scalebend.edges.gateway.report_requests import (
+    REPORT_TIMEOUT_S,
+    NoReport,
+    Report,
+    fetch_report,
+)
+from scalebend.edges.gateway.upstream_client import UpstreamSessions
 from scalebend.models.endpoints import get_upstream_born
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import ReplicaPace, ReplicaReport
-from scalebend.platform.reports import REPORT_PATH, decode_report
 
 logger = structlog.get_logger(__name__)
 
-REPORT_TIMEOUT_S = 0.4
-"""Timeout of a report, which needs no slot at the replica."""
-
 REPEAT_INTERVAL_S = 0.9
 """Minimum time between two reports of the same replica to this front."""
 
@@ -33,39 +34,26 @@
 """Time after which a report is stale."""
 
 
-class _NoReport(Enum):
-    """Why there is no report of a replica."""
+MAX_SILENT_INTERVAL_S = 3.5
+"""Time between two reports that did not come up to which the silence was one: somewhat
+longer than the interval of the leader's inspections."""
 
-    UNANSWERED = "unanswered"
-    UNREADABLE = "unreadable"
-    """The response is not a report, which says nothing about the replica."""
 
+class _Silence(msgspec.Struct):
+    """Requests for reports in a row to which a replica sent nothing."""
 
-_Report = ReplicaReport | _NoReport
+    since: float
+    last_at: float
 
 
 class Inspection(msgspec.Struct, frozen=True):
-    """Paces that replicas reported, and the replicas that did not respond."""
+    """Paces that replicas reported, and the replicas that can't be reached or are
+    silent for longer than a pause."""
 
     paces: list[ReplicaPace]
     unresponsive: list[UpstreamId]
 
 
-def _summarise(reports: dict[UpstreamId, _Report]) -> Inspection:
-    paces = []
-    unresponsive = []
-    for upstream, report in reports.items():
-        match report:
-            case ReplicaReport(pace=pace, born=born):
-                if _may_match_incarnation(upstream, born):
-                    paces.append(ReplicaPace(upstream, pace))
-                else:
-                    unresponsive.append(upstream)
-            case _NoReport.UNANSWERED:
-                unresponsive.append(upstream)
-    return Inspection(paces, unresponsive)
-
-
 def _may_match_incarnation(upstream: UpstreamId, born: int | None) -> bool:
     """Whether a report may be of this incarnation; either start may be unknown."""
     known = get_upstream_born(upstream)
@@ -75,10 +63,14 @@
 class Inspector:
     """Fetches reports, limited to one per replica and interval."""
 
-    def __init__(self, session: aiohttp.ClientSession) -> None:
-        self._session = session
+    def __init__(self, sessions: UpstreamSessions) -> None:
+        self._sessions = sessions
         self._fetched_at: dict[UpstreamId, float] = {}
-        self._reports: dict[UpstreamId, _Report] = {}
+        self._reports: dict[UpstreamId, Report] = {}
+        self._silences: dict[UpstreamId, _Silence] = {}
+        self._unresponsive: set[UpstreamId] = set()
+        """Replicas that the last fetch found unresponsive."""
+
         self._pending: dict[UpstreamId, asyncio.Event] = {}
 
     def is_queueing(self, upstream: UpstreamId, now: float) -> bool:
@@ -108,11 +100,11 @@
     def list_unresponsive(
         self, upstreams: Iterable[UpstreamId], now: float
     ) -> list[UpstreamId]:
-        """Return the replicas that did not respond to the last fetch, if recent."""
+        """Return the replicas that the last fetch, if recent, found unresponsive."""
         return [
             upstream
             for upstream in upstreams
-            if self._reports.get(upstream) is _NoReport.UNANSWERED
+            if upstream in self._unresponsive
             and now - self._fetched_at[upstream] < REPEAT_INTERVAL_S
         ]
 
@@ -128,33 +120,55 @@
             self._fetched_at[upstream] = now
             self._pending[upstream] = asyncio.Event()
         try:
-            reports = await asyncio.gather(
-                *(self._fetch_report(a) for a in due.values())
+            fetched = await asyncio.gather(
+                *(fetch_report(self._sessions, a) for a in due.values())
             )
-            self._reports.update(zip(due, reports, strict=True))
+            reports = dict(zip(due, fetched, strict=True))
+            inspection = self._evaluate(reports, now)
         finally:
             for upstream in due:
                 self._pending.pop(upstream).set()
-        inspection = _summarise(dict(zip(due, reports, strict=True)))
-        if inspection.unresponsive or any(pace.pace > 1.0 for pace in inspection.paces):
+        silent = [one for one in due if reports[one] is NoReport.SILENT]
+        slow = [pace.upstream for pace in inspection.paces if pace.pace > 1.0]
+        if inspection.unresponsive or silent or slow:
             logger.info(
                 "replicas inspected",
                 asked=len(due),
-                silent=inspection.unresponsive,
-                slow=[pace.upstream for pace in inspection.paces if pace.pace > 1.0],
+                unresponsive=inspection.unresponsive,
+                silent=silent,
+                slow=slow,
             )
         return inspection
 
-    async def _fetch_report(self, address: str) -> _Report:
-        timeout = build_timeout(REPORT_TIMEOUT_S, REPORT_TIMEOUT_S)
-        url = f"http://{address}{REPORT_PATH}"
-        try:
-            async with self._session.get(url, timeout=timeout) as response:
-                report = decode_report(await response.read())
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            logger.info("report request failed", address=address, error=str(error))
-            return _NoReport.UNANSWERED
-        if report is None:
-            logger.info("report not readable", address=address)
-            return _NoReport.UNREADABLE
-        return report
+    def _evaluate(self, reports: dict[UpstreamId, Report], now: float) -> Inspection:
+        """Store reports that were requested at ``now``, and summarise them."""
+        paces = []
+        unresponsive = []
+        for upstream, report in reports.items():
+            if self._is_unresponsive(upstream, report, now):
+                unresponsive.append(upstream)
+            elif isinstance(report, ReplicaReport):
+                paces.append(ReplicaPace(upstream, report.pace))
+        self._reports.update(reports)
+        self._unresponsive.difference_update(reports)
+        self._unresponsive.update(unresponsive)
+        return Inspection(paces, unresponsive)
+
+    def _is_unresponsive(
+        self, upstream: UpstreamId, report: Report, now: float
+    ) -> bool:
+        """Whether a report, or its absence, shows more than a pause."""
+        if report is not NoReport.SILENT:
+            self._silences.pop(upstream, None)
+        match report:
+            case ReplicaReport(born=born):
+                return not _may_match_incarnation(upstream, born)
+            case NoReport.SILENT:
+                silence = self._silences.get(upstream)
+                if silence is None or now - silence.last_at > MAX_SILENT_INTERVAL_S:
+                    silence = self._silences[upstream] = _Silence(now, now)
+                silence.last_at = now
+                return now + REPORT_TIMEOUT_S - silence.since >= MAX_PAUSE_S
+            case NoReport.UNREADABLE:
+                return False
+        return True
--- /dev/null
+++ b/src/scalebend/edges/gateway/report_requests.py
@@ -0,0 +1,104 @@
+"""Requests a load report from a replica, and tells a paused replica from a dead one.
+
+A dead host accepts no new connection, which a paused process still does, by its kernel.
+An open connection shows neither, and may itself be dead. So a report that does not
+come over a pooled connection is requested over a new one as well.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import Enum
+
+import aiohttp
+import structlog
+
+from scalebend.edges.gateway.upstream_client import UpstreamSessions, build_timeout
+from scalebend.models.placement import ReplicaReport
+from scalebend.platform.reports import REPORT_PATH, decode_report
+
+logger = structlog.get_logger(__name__)
+
+REPORT_TIMEOUT_S = 0.4
+"""Timeout of a report, which needs no slot at the replica."""
+
+SECOND_REQUEST_AFTER_S = 0.25
+"""Time after which the report is requested over a new connection as well, which leaves
+that one time to come about."""
+
+
+class NoReport(Enum):
+    """Why there is no report of a replica."""
+
+    UNREACHED = "unreached"
+    """It accepted no connection."""
+
+    BROKEN = "broken"
+    """The connection ended before the response."""
+
+    SILENT = "silent"
+    """It accepted the connection, and sent nothing yet."""
+
+    UNREADABLE = "unreadable"
+    """The response is not a report, which says nothing about the replica."""
+
+
+Report = ReplicaReport | NoReport
+
+
+_WITHOUT_RESPONSE = (NoReport.UNREACHED, NoReport.BROKEN, NoReport.SILENT)
+
+
+async def fetch_report(sessions: UpstreamSessions, address: str) -> Report:
+    """Return the report of the replica at an address, or why there is none."""
+    until = asyncio.get_running_loop().time() + REPORT_TIMEOUT_S
+    pooled = asyncio.create_task(_request(sessions, address, until, may_pool=True))
+    tasks = [pooled]
+    try:
+        await asyncio.wait(tasks, timeout=SECOND_REQUEST_AFTER_S)
+        if pooled.done() and pooled.result() is not NoReport.BROKEN:
+            return pooled.result()
+        single = asyncio.create_task(_request(sessions, address, until, may_pool=False))
+        tasks.append(single)
+        for ended in asyncio.as_completed(tasks):
+            report = await ended
+            if report not in _WITHOUT_RESPONSE:
+                return report
+        return single.result()
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def _request(
+    sessions: UpstreamSessions, address: str, until: float, *, may_pool: bool
+) -> Report:
+    """Request a report until a point in time of the event loop's clock."""
+    session = sessions.choose(may_pool=may_pool)
+    left = max(0.001, until - asyncio.get_running_loop().time())
+    connected = asyncio.Event()
+    try:
+        async with session.get(
+            f"http://{address}{REPORT_PATH}",
+            timeout=build_timeout(REPORT_TIMEOUT_S, left),
+            trace_request_ctx=connected.set,
+        ) as response:
+            report = decode_report(await response.read())
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        result = NoReport.UNREACHED
+        if connected.is_set():
+            is_timeout = isinstance(error, TimeoutError)
+            result = NoReport.SILENT if is_timeout else NoReport.BROKEN
+        logger.info(
+            "report request failed",
+            address=address,
+            error=str(error),
+            result=result.value,
+            is_new_connection=not may_pool,
+        )
+        return result
+    if report is None:
+        logger.info("report not readable", address=address)
+        return NoReport.UNREADABLE
+    return report
