Don't leave replicas out for first tokens that a long prefill delays

What callers saw: an engine on which a long prompt had just been placed was left out for a second or more by the leader and the fronts, as if it hung.

Cause: two overdue first tokens in 5 s count unless the replica reports requests that wait. An engine that prefills a long prompt takes the quick ones into its batch, so none waits, and their tokens were predicted before the long prompt was placed.

Change: an overdue token doesn't count while the scheduler, or the one whose load it heard, expects a prompt of more than 0.1 s to be prefilled there. Afterwards it does, so a replica that hangs with a long prompt is left out from the end of its prefill, with the margin that it has anyway.

Tests: in test_overdue_tokens, two of three new ones failed before and pass now; the third bounds the change (quick prompts explain nothing) and passed before. Its others, test_placement_under_load and test_engine_scheduler pass unchanged.

--- a/src/scalebend/core/gateway/engine_scheduler.py
+++ b/src/scalebend/core/gateway/engine_scheduler.py
@@ -134,8 +134,13 @@
         self._edit_load(upstream).record_failure(now)
 
     def record_overdue(self, upstream: UpstreamId, now: float) -> bool:
-        """Record an overdue first token; return whether its replica is now left out."""
+        """Record an overdue first token; return whether its replica is now left out.
+
+        One that a long prefill explains does not count.
+        """
         load = self._edit_load(upstream)
+        if load.has_long_prefill(now):
+            return False
         load.overdue = load.overdue or OverdueTokens()
         left_out = sum(one.is_left_out(now) for one in self._replicas.values())
         limit = max(1, int(MAX_EXCLUDED_SHARE * len(self._replicas)))
--- a/src/scalebend/core/gateway/replica_load.py
+++ b/src/scalebend/core/gateway/replica_load.py
@@ -182,6 +182,21 @@
         """Return the seconds until all prefill that is known has ended."""
         return self._sum_prefill(now).pending_prefill * self.get_pace(now)
 
+    def has_long_prefill(self, now: float) -> bool:
+        """Whether it is expected to prefill a long prompt now.
+
+        Requests that decode there, and quick prompts, get few events meanwhile.
+        """
+        reported = self._find_reported(now)
+        if reported is not None and reported.prefill_s > MIN_SPLIT_PREFILL_S:
+            if now < self.reported_at + reported.prefill_s:
+                return True
+        return any(
+            part.prefill_time > MIN_SPLIT_PREFILL_S
+            and part.prefill_from <= now < part.prefill_until
+            for part in self.parts.values()
+        )
+
     def _sum_prefill(self, now: float) -> _QueuedPrefill:
         """Sum up the prefill queued there, from own jobs and reported load."""
         queued = _QueuedPrefill()
--- a/tests/unit/gateway/test_overdue_tokens.py
+++ b/tests/unit/gateway/test_overdue_tokens.py
@@ -2,7 +2,10 @@
 
 import msgspec
 
-from scalebend.core.gateway.engine_scheduler import EngineScheduler
+from scalebend.core.gateway.engine_scheduler import (
+    PREFILL_OVERRUN_FACTOR,
+    EngineScheduler,
+)
 from scalebend.core.gateway.hedging import MAX_LOAD, is_fit
 from scalebend.core.gateway.leader_placement import LeaderPlacement
 from scalebend.core.gateway.messages import LinkMessage, ReplicaFailures
@@ -14,7 +17,13 @@
     OVERDUE_WINDOW_S,
 )
 from scalebend.models.ids import UpstreamId
-from scalebend.models.placement import Declined, EngineWork, JobStage, Placement
+from scalebend.models.placement import (
+    BusyReplica,
+    Declined,
+    EngineWork,
+    JobStage,
+    Placement,
+)
 from scalebend.models.rate_limits import ObservedLimit
 from tests.lib.gateway_builders import PROFILE, build_endpoint, build_quick, build_work
 from tests.lib.gateway_group import build_deployment
@@ -81,6 +90,37 @@
     assert hung in list_chosen(scheduler, NOW)
 
 
+def test_known_long_prefill_explains_overdue_tokens():
+    """Guards against leaving a replica out because of prefill that was placed there."""
+    scheduler = build_scheduler()
+    quick = place(scheduler, 1, NOW)
+    others = tuple(one.upstream for one in ENDPOINTS if one.upstream != quick.upstream)
+    work = build_work(2, 200_000, excluded=others)
+    long = scheduler.place(work, ENDPOINTS, PROFILE, NOW + 0.01)
+    assert long.upstreams == [quick.upstream]
+    assert long.first_token_in > 1.0
+    assert not record_overdue(scheduler, quick.upstream, NOW + 0.1)
+    assert quick.upstream not in scheduler.summarise(NOW + 0.1).suspect
+    # It hangs if that prefill doesn't end either.
+    late = NOW + 0.02 + PREFILL_OVERRUN_FACTOR * long.first_token_in
+    assert record_overdue(scheduler, quick.upstream, late)
+
+
+def test_long_prefill_that_another_scheduler_reports_explains_overdue_tokens():
+    scheduler = build_scheduler()
+    hung = UpstreamId("i-1")
+    scheduler.record_busy_replicas([BusyReplica(hung, 1.5, 1, 0.8)], NOW)
+    assert not record_overdue(scheduler, hung, NOW + 1.0)
+    assert record_overdue(scheduler, hung, NOW + 1.6)
+
+
+def test_quick_prompts_explain_no_overdue_tokens():
+    scheduler = build_scheduler()
+    for number in range(4):
+        hung = place(scheduler, number, NOW).upstream
+    assert record_overdue(scheduler, hung, NOW + 0.01)
+
+
 def test_overdue_tokens_long_apart_do_not_add_up():
     scheduler = build_scheduler()
     hung = UpstreamId("i-1")
