Keep connections of paused upstreams while other upstreams are dead

What callers saw: requests of sound upstreams ended and ran again through a peer, or got a second attempt early, when two other upstreams were dead while nothing else sent data.

Cause: two refused connections and no data make a process isolated, and then 0.25 s of silence on the direct connections that were open before made all of them lost. A check of a silent upstream took them for lost without a look.

So that lost ones are still given up 0.25 s after the last data, the check begins after 0.15 s (`MIN_SILENCE_S`). A check in which the process itself stood still is repeated.

The upstream of test_abandoned_connections accepts connections, which that of a lost path doesn't: its fake process now says so, what is asserted is unchanged.

--- a/src/scalebend/core/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -55,9 +55,9 @@
 CHECK_INTERVAL_S = 1.0
 """Minimum time between two background checks of an upstream through a peer."""
 
-MIN_SILENCE_S = 0.25
+MIN_SILENCE_S = 0.15
 """Time without data on all direct connections after which an isolated process takes
-those that were open before for lost, too."""
+those that were open before for lost, too, unless their hosts accept new ones."""
 
 DATA_IN_FLIGHT_S = 0.05
 """Time for which data that was sent before a partition may still arrive."""
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -66,7 +66,7 @@
         """The peer through which the connection was opened; ``None`` if direct."""
 
         self._dialer: UpstreamDialer | None = None
-        self._address = ""
+        self.address = ""
         self.opened_at = 0.0
         self._has_data = False
         self._awaits_data = False
@@ -87,7 +87,7 @@
     ) -> None:
         """Report to ``dialer`` what the connection shows of its way."""
         self._dialer = dialer
-        self._address = address
+        self.address = address
         self.opened_at = opened_at
         self.peer = peer
 
@@ -96,7 +96,7 @@
         if not super().is_connected():
             return False
         return self._dialer is None or self._dialer.may_reuse(
-            self._address, self.opened_at, is_tunnel=self.peer is not None
+            self.address, self.opened_at, is_tunnel=self.peer is not None
         )
 
     def set_response_params(self, **params: object) -> None:
@@ -169,7 +169,7 @@
         payload = self._payload
         is_incomplete = payload is not None and not payload.is_eof()
         if self._awaits_data and self._dialer is not None and self.peer is None:
-            self._dialer.record_early_loss(self._address)
+            self._dialer.record_early_loss(self.address)
         failure: Exception | None = None
         if exc is not None and is_incomplete:
             # The library would take the end of a response without a length for regular.
@@ -191,7 +191,7 @@
         self._dialer.record_activity()
         if not self._has_data:
             self._has_data = True
-            self._dialer.record_data(self._address, self.opened_at)
+            self._dialer.record_data(self.address, self.opened_at)
 
 
 class StrictConnector(aiohttp.TCPConnector):
--- a/src/scalebend/edges/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import TYPE_CHECKING, Any, Protocol
 
@@ -18,6 +17,12 @@
     Tunnel,
     UpstreamReach,
 )
+from scalebend.edges.connection_checks import (
+    LOCAL_ERRORS,
+    MAX_TIMER_DELAY_S,
+    Acceptance,
+    check_acceptance,
+)
 from scalebend.models.ids import AvailabilityZone
 from scalebend.models.tunnels import TunnelPeer, TunnelReply
 
@@ -33,13 +38,6 @@
 PEERS_TIMEOUT_S = 0.3
 """Time after which no further peer is asked for a request."""
 
-LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
-"""Errors of this process, which say nothing about a way."""
-
-MAX_TIMER_DELAY_S = 0.03
-"""Time by which a timer may be late. One that is later shows that this process stood
-still, so that a connection may have come about without being noticed."""
-
 JUDGE_INTERVAL_S = 0.05
 """Interval at which it is checked what became of open connections."""
 
@@ -49,6 +47,10 @@
 Raises :class:`aiohttp.ClientConnectorError` or :class:`TimeoutError`."""
 
 
+CheckAcceptance = Callable[[str], Awaitable[Acceptance]]
+"""Finds out whether the host at an address accepts connections."""
+
+
 class NewConnection(msgspec.Struct, frozen=True):
     """A connection that is needed."""
 
@@ -96,8 +98,11 @@
 class UpstreamDialer:
     """Opens the upstream connections of one process."""
 
-    def __init__(self, host: DialerHost) -> None:
+    def __init__(
+        self, host: DialerHost, check: CheckAcceptance = check_acceptance
+    ) -> None:
         self._host = host
+        self._check_acceptance = check
         self._reach = host.reach
         self._direct: set[StrictResponseHandler] = set()
         self._is_judging = False
@@ -208,29 +213,52 @@
         """End direct connections if they turn out to be lost with the path."""
         try:
             while True:
-                state = self._reach.judge_open_connections(self._host.now())
-                if state is not OpenConnections.UNKNOWN:
-                    break
+                match self._reach.judge_open_connections(self._host.now()):
+                    case OpenConnections.ALIVE:
+                        return
+                    case OpenConnections.LOST:
+                        if await self._abandon_lost():
+                            return
                 await asyncio.sleep(JUDGE_INTERVAL_S)
         finally:
             self._is_judging = False
-        if state is OpenConnections.LOST:
-            self._abandon_lost()
 
-    def _abandon_lost(self) -> None:
-        """End the connections whose requests may be sent again through a peer."""
+    async def _abandon_lost(self) -> bool:
+        """End the connections whose requests may be sent again through a peer.
+
+        Those to hosts that accept connections are kept: their upstreams pause. Return
+        whether it is known what became of all of them.
+        """
+        addresses = list({handler.address for handler in self._list_doubtful()})
+        found = await asyncio.gather(*map(self._check_acceptance, addresses))
+        state = self._reach.judge_open_connections(self._host.now())
+        if state is not OpenConnections.LOST:
+            return False
+        acceptances = dict(zip(addresses, found, strict=True))
         lost = [
+            handler
+            for handler in self._list_doubtful()
+            if acceptances.get(handler.address) is Acceptance.NOT_ACCEPTED
+        ]
+        if lost:
+            logger.warning(
+                "lost connections abandoned",
+                connections=len(lost),
+                kept=found.count(Acceptance.ACCEPTED),
+            )
+            self._host.count_abandoned(len(lost))
+        for handler in lost:
+            handler.abandon()
+        return Acceptance.UNKNOWN not in found
+
+    def _list_doubtful(self) -> list[StrictResponseHandler]:
+        """List connections from before the isolation that may be given up."""
+        return [
             handler
             for handler in self._direct
             if handler.may_abandon()
             and self._reach.is_older_than_isolation(handler.opened_at)
         ]
-        if not lost:
-            return
-        logger.warning("lost connections abandoned", connections=len(lost))
-        self._host.count_abandoned(len(lost))
-        for handler in lost:
-            handler.abandon()
 
     def remove(self, handler: StrictResponseHandler) -> None:
         """Remove a connection that has ended."""
--- a/tests/unit/test_abandoned_connections.py
+++ b/tests/unit/test_abandoned_connections.py
@@ -11,6 +11,7 @@
 import pytest
 
 from scalebend.core.upstream_reach import MIN_SILENCE_S, UpstreamReach
+from scalebend.edges.connection_checks import Acceptance, check_acceptance
 from scalebend.edges.gateway.upstream_client import (
     StrictConnector,
     allow_repetition,
@@ -46,6 +47,8 @@
         self.reach.peers.replace([PEER])
         self.tasks = []
         self.abandoned = 0
+        self.is_partitioned = True
+        """Whether new connections fail, apart from those of a client."""
 
     def now(self):
         return asyncio.get_running_loop().time()
@@ -59,6 +62,11 @@
     def record_direct_failure(self, address, kind):
         self.reach.record_failure(address, kind, self.now())
 
+    async def check_acceptance(self, address):
+        if self.is_partitioned:
+            return Acceptance.NOT_ACCEPTED
+        return await check_acceptance(address)
+
     def count_reply(self, reply):
         pass
 
@@ -98,7 +106,7 @@
 @contextlib.asynccontextmanager
 async def run_client(respond):
     host = Host()
-    dialer = UpstreamDialer(host)
+    dialer = UpstreamDialer(host, host.check_acceptance)
     connector = StrictConnector(dialer, force_close=False, may_repeat=True)
     timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0)
     async with (
@@ -182,3 +190,28 @@
         await client.isolate()
         assert await fetching == (None, b"x" * count)
         assert client.host.abandoned == 0
+
+
+async def test_requests_at_paused_upstreams_wait_on_though_others_are_dead():
+    """Guards against ending connections to sound upstreams that fall silent together.
+
+    Two dead upstreams look like a partition while no other one sends anything.
+    """
+    began = asyncio.Semaphore(0)
+    gate = asyncio.Event()
+
+    async def respond(reader, writer):
+        if await reader.read(1):
+            began.release()
+            await gate.wait()
+            writer.write(COMPLETE)
+
+    async with run_client(respond) as client:
+        client.host.is_partitioned = False
+        fetching = asyncio.create_task(client.fetch())
+        await began.acquire()
+        await client.isolate()
+        await asyncio.sleep(4 * MIN_SILENCE_S)
+        gate.set()
+        assert await fetching == (None, b"ok")
+        assert client.host.abandoned == 0
