Count accepted connections as proof of the own network

What callers saw: a front took itself for isolated when two upstreams were dead while the others paused; it sent requests through peers, and refused them where those said the same.

Cause: only data on a new connection ended the count of failed connections. While upstreams pause none comes, though they accept connections.

Change: a direct connection that didn't come about counts towards isolation only if none that was begun later came about; checks of silent upstreams count as such. Connections that were lost before their first data count until data comes, as before, since a way may be lost just after a connection came about.

Tests: in test_upstream_dialer and test_reachability one new test each, both failed before and pass now.

--- a/src/scalebend/core/upstream_reach.py
+++ b/src/scalebend/core/upstream_reach.py
@@ -2,9 +2,9 @@
 
 A failed connection alone does not tell a dead upstream from a partition of this
 process. A recent direct connection that delivered data does: it proves the network of
-the process. Without this proof, failures at several upstreams make the process
-*isolated*, and the connections of peers, which are other processes, tell which
-upstreams are alive.
+the process. One that came about shows that earlier ones failed because of their
+upstreams. Without either, failures at several upstreams make the process *isolated*,
+and the connections of peers, which are other processes, tell which upstreams are alive.
 """
 
 from __future__ import annotations
@@ -102,8 +102,8 @@
     """What is known of the way to one upstream; clock times in seconds."""
 
     failed_at: float = -math.inf
-    weight: float = 0.0
-    """Weight of the last direct failure."""
+    failure: FailureKind = FailureKind.CONNECT
+    """The last direct failure."""
 
     is_tunnelled: bool = False
     """Whether a peer got through after a direct failure."""
@@ -141,6 +141,9 @@
         self._active_at = -math.inf
         """When data arrived last on any direct connection."""
 
+        self._connected_at = -math.inf
+        """When the newest direct connection that came about was begun."""
+
     # Decisions
 
     def plan(self, address: str, now: float, *, may_repeat: bool) -> ConnectionPlan:
@@ -263,7 +266,7 @@
         """Record that a direct connection failed."""
         record = self._get(address, now)
         record.failed_at = self._failed_at = now
-        record.weight = kind.value
+        record.failure = kind
         if not self.is_isolated and self._sum_failures(now) >= ISOLATION_WEIGHT:
             failing = self._list_failing(now)
             self.is_isolated = True
@@ -276,6 +279,10 @@
                 peers=self.peers.count,
             )
 
+    def record_connection(self, began: float) -> None:
+        """Record that a direct connection came about that was begun at ``began``."""
+        self._connected_at = max(self._connected_at, began)
+
     def record_data(self, address: str, opened_at: float, now: float) -> None:
         """Record data over a direct connection that was opened at ``opened_at``.
 
@@ -347,16 +354,22 @@
         return now - self._worked_at < PROOF_LIFETIME_S
 
     def _list_failing(self, now: float) -> list[str]:
-        """List the upstreams that failed since the last success of any."""
+        """List the upstreams that failed since the last success of any.
+
+        Where connections come about, one that does not is due to its upstream, though
+        the others send nothing yet. One that was lost takes data to make up for it.
+        """
         since = max(self._worked_at, now - FAILURE_WINDOW_S)
+        connected_since = max(since, self._connected_at)
         return [
             address
             for address, record in self._records.items()
-            if record.failed_at > since
+            if record.failed_at
+            > (connected_since if record.failure is FailureKind.CONNECT else since)
         ]
 
     def _sum_failures(self, now: float) -> float:
-        return sum(self._records[one].weight for one in self._list_failing(now))
+        return sum(self._records[one].failure.value for one in self._list_failing(now))
 
     def _get(self, address: str, now: float) -> _Record:
         record = self._records.setdefault(address, _Record())
--- a/src/scalebend/edges/gateway/reachability.py
+++ b/src/scalebend/edges/gateway/reachability.py
@@ -26,8 +26,12 @@
     reach = runtime.instance.reach
     if reach.is_behind_tunnel(address) and not reach.is_older_than_isolation(sent_at):
         return Reachability.REACHED
+    began = runtime.now()
     acceptance = await check_acceptance(address)
-    if acceptance is Acceptance.NOT_ACCEPTED:
-        now = runtime.now()
-        runtime.instance.record_direct_failure(address, FailureKind.CONNECT, now)
+    match acceptance:
+        case Acceptance.ACCEPTED:
+            reach.record_connection(began)
+        case Acceptance.NOT_ACCEPTED:
+            now = runtime.now()
+            runtime.instance.record_direct_failure(address, FailureKind.CONNECT, now)
     return _REACHABILITIES[acceptance]
--- a/src/scalebend/edges/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -162,6 +162,7 @@
             if not _is_local(error) and elapsed < timeout_s + MAX_TIMER_DELAY_S:
                 self._host.record_direct_failure(needed.address, FailureKind.CONNECT)
             raise
+        self._reach.record_connection(began)
         handler.watch(self, needed.address, began, None)
         self._direct.add(handler)
         return handler
--- a/tests/unit/gateway/test_reachability.py
+++ b/tests/unit/gateway/test_reachability.py
@@ -48,6 +48,16 @@
     assert not instance.failed
 
 
+async def test_paused_upstream_shows_that_the_network_works():
+    """Guards against isolation while two upstreams are dead and the others pause."""
+    instance = Instance()
+    instance.reach.record_failure(DEAD[0], FailureKind.CONNECT, ISOLATED_AT)
+    async with run_upstream(hang_after(b"", print)) as (address, _):
+        await check(instance, address)
+    instance.reach.record_failure(DEAD[1], FailureKind.CONNECT, LATER + 0.1)
+    assert not instance.reach.is_isolated
+
+
 @pytest.mark.parametrize("is_isolated", [False, True])
 async def test_dead_upstream_is_not_reached(is_isolated):
     instance = Instance()
--- a/tests/unit/test_upstream_dialer.py
+++ b/tests/unit/test_upstream_dialer.py
@@ -140,3 +140,24 @@
     with pytest.raises(asyncio.CancelledError):
         await host.connect()
     assert not host.reach.is_isolated
+
+
+async def test_accepted_connections_show_that_the_network_works_though_all_are_silent():
+    """Guards against isolation while two upstreams are dead and the others pause."""
+    third = "10.0.0.3:80"
+    host = Host((0.001, build_refusal()), (0.001, None), (0.001, build_refusal()))
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await host.connect(ADDRESS)
+    await host.connect(OTHER)
+    with pytest.raises(aiohttp.ClientConnectorError):
+        await host.connect(third)
+    assert not host.reach.is_isolated
+
+
+async def test_accepted_connection_from_before_the_failures_shows_nothing():
+    host = Host((0.001, None), (0.001, build_refusal()), (0.001, build_refusal()))
+    await host.connect(OTHER)
+    for address in (ADDRESS, "10.0.0.3:80"):
+        with pytest.raises(aiohttp.ClientConnectorError):
+            await host.connect(address)
+    assert host.reach.is_isolated
--- a/tests/unit/test_upstream_reach.py
+++ b/tests/unit/test_upstream_reach.py
@@ -270,6 +270,15 @@
     assert reach.check_for_peer(C, 10.2 + RECENT_FAILURE_S) is None
 
 
+def test_accepted_connections_do_not_make_up_for_lost_ones(reach):
+    """A way may be lost between the connection and its first data."""
+    for number, address in enumerate((A, B, C)):
+        at = 10.0 + number / 10
+        reach.record_connection(at)
+        reach.record_failure(address, FailureKind.EARLY_LOSS, at + 0.01)
+    assert reach.is_isolated
+
+
 # Connections from before an isolation
 
 
