--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -138,7 +138,7 @@
         from scalebend.edges.gateway.reachability import ReachabilityChecks
 
         self._sessions = sessions
-        self._inspector = Inspector(sessions.pooled)
+        self._inspector = Inspector(sessions)
         self._reachability = ReachabilityChecks(self)
         try:
             yield
--- a/src/scalebend/edges/gateway/reachability.py
+++ b/src/scalebend/edges/gateway/reachability.py
@@ -6,18 +6,19 @@
 from typing import TYPE_CHECKING
 
 import msgspec
-import structlog
 
 from scalebend.core.gateway.silences import Reachability
 from scalebend.core.upstream_reach import FailureKind
-from scalebend.edges.gateway.upstream_sockets import CONNECT_TIMEOUT_S
-from scalebend.edges.upstream_dialer import LOCAL_ERRORS, MAX_TIMER_DELAY_S
-from scalebend.utils.addresses import parse_address
+from scalebend.edges.connection_checks import Acceptance, check_acceptance
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.front_runtime import FrontRuntime
 
-logger = structlog.get_logger(__name__)
+_REACHABILITIES = {
+    Acceptance.ACCEPTED: Reachability.REACHED,
+    Acceptance.NOT_ACCEPTED: Reachability.UNREACHED,
+    Acceptance.UNKNOWN: Reachability.UNKNOWN,
+}
 
 CHECK_LIFETIME_S = 0.4
 """Time for which a check counts: requests at the same upstream fall silent together."""
@@ -40,13 +41,12 @@
     async def check(self, address: str, sent_at: float) -> Reachability:
         """Tell whether an upstream accepts a new connection.
 
-        A request that was sent at ``sent_at``, since the direct way is lost, went
+        A request that was sent at ``sent_at``, after the direct way was lost, went
         through a peer, which closes its tunnels if it ends.
         """
         reach = self._runtime.instance.reach
-        if reach.is_older_than_isolation(sent_at):
-            return Reachability.UNREACHED
-        if reach.is_behind_tunnel(address):
+        is_direct = reach.is_older_than_isolation(sent_at)
+        if reach.is_behind_tunnel(address) and not is_direct:
             return Reachability.REACHED
         self._expire(self._runtime.now())
         check = self._checks.get(address)
@@ -68,25 +68,12 @@
 
     The kernel of a host accepts it even if the upstream itself pauses.
     """
-    parsed = parse_address(address)
     began = runtime.now()
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(parsed.host, parsed.port)
-    except (OSError, TimeoutError) as error:
-        is_late = runtime.now() - began >= CONNECT_TIMEOUT_S + MAX_TIMER_DELAY_S
-        is_local = error.errno in LOCAL_ERRORS
-        logger.info(
-            "silent upstream not reached",
-            address=address,
-            error=f"{type(error).__name__}: {error}",
-            stalled=is_late,
-        )
-        if is_late or is_local:
-            return Reachability.UNKNOWN
-        runtime.instance.record_direct_failure(
-            address, FailureKind.CONNECT, runtime.now()
-        )
-        return Reachability.UNREACHED
-    writer.close()
-    return Reachability.REACHED
+    acceptance = await check_acceptance(address)
+    match acceptance:
+        case Acceptance.ACCEPTED:
+            runtime.instance.reach.record_connection(began)
+        case Acceptance.NOT_ACCEPTED:
+            now = runtime.now()
+            runtime.instance.record_direct_failure(address, FailureKind.CONNECT, now)
+    return _REACHABILITIES[acceptance]
