Split the soak's faults and promises by topic

Evidence, the promises of calm periods, schedules and the memory of replicas get modules of their own; nothing else changes, tests/unit/soak passes with imports adapted.

--- a/src/scalebend/soak/evacuation_promises.py
+++ b/src/scalebend/soak/evacuation_promises.py
@@ -9,7 +9,7 @@
 from scalebend.soak.observations import Arrival, Evacuation
 
 if TYPE_CHECKING:
-    from scalebend.soak.promises import Evidence
+    from scalebend.soak.evidence import Evidence
 
 CALM_DELAY_S = 2.5
 """Seconds from an acknowledgement until all fronts obey it if no fault is near: a
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -20,6 +20,7 @@
 from scalebend.soak.observations import GUILTY_PROMPTS, Disturbance, Observations
 from scalebend.soak.operator import Operator
 from scalebend.soak.replicas import GUILTY_DOWN_S, REPLICA_HOST, Fleet, Replica
+from scalebend.soak.schedules import Schedule
 from scalebend.standins.proxy import Direction, Proxy, Rule
 
 logger = structlog.get_logger(__name__)
@@ -43,9 +44,7 @@
         self._chooser = random.Random(f"{seed}/injector")
         self._seed = seed
 
-    async def follow(
-        self, schedule: faults.Schedule, session: aiohttp.ClientSession
-    ) -> None:
+    async def follow(self, schedule: Schedule, session: aiohttp.ClientSession) -> None:
         """Inject all faults at their times; return when the load ends."""
         loop = asyncio.get_running_loop()
         began = loop.time()
--- a/src/scalebend/soak/part_promises.py
+++ b/src/scalebend/soak/part_promises.py
@@ -8,7 +8,7 @@
 from scalebend.soak.observations import CallerRequest, describe_call
 
 if TYPE_CHECKING:
-    from scalebend.soak.promises import Evidence
+    from scalebend.soak.evidence import Evidence
 
 CRASHES_UNTIL_VERDICT = 5
 """Crashed replicas after which all processes must soon know the part."""
--- a/src/scalebend/soak/partition_promises.py
+++ b/src/scalebend/soak/partition_promises.py
@@ -12,7 +12,7 @@
 )
 
 if TYPE_CHECKING:
-    from scalebend.soak.promises import Evidence
+    from scalebend.soak.evidence import Evidence
 
 PARTITION_DETECTION_S = 3.0
 """Seconds from the start of a partition in which a front may fail requests."""
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -14,17 +14,24 @@
 import msgspec
 
 from scalebend.models.ids import RoutingVersion, UpstreamId
+from scalebend.soak.calm_promises import (
+    CLOCK_MARGIN_S,
+    CONFIGURATION_DELAY_S,
+    DRAIN_DELAY_S,
+    check_calm_service,
+    check_drained,
+    check_in_force,
+    check_in_time,
+    check_planned_stop,
+)
 from scalebend.soak.deployment import BOUNDS
 from scalebend.soak.evacuation_promises import (
     check_evacuated,
     check_evacuations_kept,
 )
+from scalebend.soak.evidence import Evidence
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
-    GUILTY_PROMPTS,
-    CallerRequest,
-    Disturbance,
-    DrainAcknowledgement,
     Execution,
     Observations,
     RateLimitPeriod,
@@ -37,37 +44,16 @@
 )
 from scalebend.soak.partition_promises import check_partitioned_service
 
-SETTLE_S = 4.0
-"""Seconds after the last fault until a calm period begins."""
-
-CONFIGURATION_DELAY_S = 2.0
-"""Seconds from the acknowledgement of a document until all processes use it."""
-
 STALE_CONFIGURATION_S = 2.0
 """Seconds after which a process that used a version uses no older one. Longer than the
 platform allows, since it also applies to disturbed processes."""
 
-DRAIN_DELAY_S = 2.0
-"""Seconds from the acknowledgement of a drain until the replica gets no new request."""
-
-RESPONSE_DELAY_S = 1.0
-"""Seconds beyond its timeout within which a request must have ended."""
-
 RESERVATION_RELEASE_S = 4.0
 """Seconds after its last use within which a reservation must be released."""
 
 IDLE_RESERVATION_S = 9.0
 """Seconds within which an unused reservation must be released."""
 
-CLOCK_MARGIN_S = 0.5
-"""Seconds of tolerance for times that this process measures."""
-
-STOP_ACCEPT_S = 2.5
-"""Seconds after the signal in which a stopping front still completes new requests."""
-
-MAX_REJECTED_SHARE = 0.05
-"""Share of the requests in calm periods that may be rejected."""
-
 RATE_WINDOW_S = 4.0
 RATE_EXCESS_FACTOR = 1.5
 RATE_SLACK_REQUESTS = 5.0
@@ -95,105 +81,6 @@
     detail: str
 
 
-class Evidence:
-    """Observations with indexes for the checks."""
-
-    def __init__(self, observations: Observations) -> None:
-        self.observations = observations
-        self.runs: dict[str, list[Execution]] = defaultdict(list)
-        for run in observations.executions:
-            self.runs[run.request_id].append(run)
-        self.part_crashes: dict[str, list[float]] = defaultdict(list)
-        for crash in sorted(observations.part_crashes, key=lambda one: one.at):
-            self.part_crashes[crash.part].append(crash.at)
-        self._accepted = sorted(observations.accepted, key=lambda accepted: accepted.at)
-        self._newest: list[RoutingVersion] = []
-        for accepted in self._accepted:
-            newest = max([accepted.version, *self._newest[-1:]])
-            self._newest.append(newest)
-
-    def find_version(self, at: float) -> RoutingVersion:
-        """Return the newest version that was acknowledged before ``at``, or 0."""
-        place = bisect_left(self._accepted, at, key=lambda accepted: accepted.at)
-        return self._newest[place - 1] if place else RoutingVersion(0)
-
-    def is_calm(
-        self, since: float, until: float, excluding: ProcessName | None = None
-    ) -> bool:
-        """Whether no fault was active from ``SETTLE_S`` before ``since`` to ``until``.
-
-        Planned stops count as faults, except those of the process ``excluding``.
-        """
-        if not self.is_calm_but_for_partitions(since, until, excluding):
-            return False
-        return not self._list_active(self.observations.partitions, since, until)
-
-    def is_calm_but_for_partitions(
-        self, since: float, until: float, excluding: ProcessName | None = None
-    ) -> bool:
-        """The same, apart from partitions of fronts from replicas."""
-        observations = self.observations
-        if self._list_active(observations.disturbances, since, until):
-            return False
-        stops = self._list_active(observations.stops, since, until)
-        return all(one.process == excluding for one in stops)
-
-    def find_guilty_part(self, request_id: str) -> str:
-        """Return the part of a request that crashes replicas; empty without one."""
-        call = self.observations.caller_requests.get(request_id)
-        return call.guilty_part if call is not None else ""
-
-    def are_processes_calm(self, since: float, until: float) -> bool:
-        """Whether no fault of a gateway process was active from ``SETTLE_S`` before."""
-        observations = self.observations
-        active = self._list_active(
-            [
-                *observations.disturbances,
-                *observations.stops,
-                *observations.partitions,
-            ],
-            since,
-            until,
-        )
-        return all(
-            one.process == GUILTY_PROMPTS or one.process.startswith("replica-")
-            for one in active
-        )
-
-    def is_calm_but_for_parts(self, since: float, until: float) -> bool:
-        """Whether no fault was active but prompts that crash replicas."""
-        active = self._list_active(self.observations.disturbances, since, until)
-        is_only_parts = all(one.process == GUILTY_PROMPTS for one in active)
-        return is_only_parts and self.are_processes_calm(since, until)
-
-    def compute_partitioned(self, since: float, until: float) -> float:
-        """Return the seconds of a period in which any front was partitioned."""
-        total, counted_until = 0.0, since
-        for one in sorted(self.observations.partitions, key=lambda one: one.since):
-            begin = max(one.since, counted_until)
-            end = min(one.until, until)
-            if end > begin:
-                total += end - begin
-                counted_until = end
-        return total
-
-    def _list_active(
-        self, disturbances: list[Disturbance], since: float, until: float
-    ) -> list[Disturbance]:
-        return [
-            one
-            for one in disturbances
-            if one.since <= until and one.until >= since - SETTLE_S
-        ]
-
-    def is_disturbed(self, process: ProcessName, since: float, until: float) -> bool:
-        """Whether a fault affected the process itself in that time."""
-        return any(
-            one.process == process and one.since <= until and one.until >= since
-            for one in self.observations.disturbances
-        )
-
-
 def check_promises(observations: Observations) -> list[Violation]:
     """Return every violation of every promise."""
     evidence = Evidence(observations)
@@ -450,89 +337,6 @@
         yield f"{one.process} at {one.at:.3f} with code {one.code}"
 
 
-# Promises that hold only in calm periods
-
-
-def _check_calm_service(evidence: Evidence) -> Iterator[str]:
-    """In calm periods few requests are rejected, and all others succeed."""
-    rejected: list[CallerRequest] = []
-    count = 0
-    for call in evidence.observations.caller_requests.values():
-        if call.ended_at is None or call.is_cancelled or call.version:
-            continue
-        if not evidence.is_calm(call.sent_at, call.ended_at):
-            continue
-        count += 1
-        if call.status == 503:
-            rejected.append(call)
-        elif call.status != 200:
-            yield describe_call(call)
-    if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
-        first = describe_call(rejected[0])
-        yield f"{len(rejected)} of {count} rejected, such as {first}"
-
-
-def _check_in_time(evidence: Evidence) -> Iterator[str]:
-    """In calm periods every request ends within its timeout."""
-    for call in evidence.observations.caller_requests.values():
-        end = call.ended_at
-        if end is None or not evidence.is_calm(call.sent_at, end):
-            continue
-        if end - call.sent_at > call.timeout_s + RESPONSE_DELAY_S:
-            yield f"{describe_call(call)}: ended after {end - call.sent_at:.2f} s"
-
-
-def _check_in_force(evidence: Evidence) -> Iterator[str]:
-    """In calm periods all processes use the acknowledged document."""
-    for call in evidence.observations.caller_requests.values():
-        expected = evidence.find_version(
-            call.sent_at - CONFIGURATION_DELAY_S - CLOCK_MARGIN_S
-        )
-        for run in evidence.runs[call.request_id]:
-            if run.version >= expected:
-                continue
-            if evidence.is_calm(call.sent_at, run.at):
-                yield f"{describe_call(call)}: {run.version} used, not {expected}"
-
-
-def _check_drained(evidence: Evidence) -> Iterator[str]:
-    """In calm periods a draining replica gets no new requests."""
-    acknowledged_by_upstream: dict[UpstreamId, DrainAcknowledgement] = {}
-    for one in evidence.observations.drain_acknowledgements:
-        acknowledged_by_upstream.setdefault(one.upstream, one)
-    for run in evidence.observations.executions:
-        acknowledged = acknowledged_by_upstream.get(run.upstream)
-        if (
-            acknowledged is None
-            or run.at <= acknowledged.at + DRAIN_DELAY_S + CLOCK_MARGIN_S
-        ):
-            continue
-        if evidence.is_calm(acknowledged.at, run.at):
-            yield (
-                f"{run.request_id} reached {run.upstream} "
-                f"{run.at - acknowledged.at:.2f} s after"
-            )
-
-
-def _check_planned_stop(evidence: Evidence) -> Iterator[str]:
-    """A planned stop breaks off no request that is running at a replica."""
-    for stop in evidence.observations.stops:
-        if not evidence.is_calm(stop.since, stop.until, excluding=stop.process):
-            continue
-        if stop in evidence.observations.overdue_stops:
-            yield f"{stop.process} did not end within its grace period"
-        for call in evidence.observations.caller_requests.values():
-            is_there = call.front == stop.process and not call.is_cancelled
-            sent_in = (
-                stop.since - call.timeout_s < call.sent_at < stop.since + STOP_ACCEPT_S
-            )
-            if not (is_there and sent_in) or call.ended_at is None:
-                continue
-            has_run = bool(evidence.runs[call.request_id])
-            if call.status is None and has_run and call.ended_at > stop.since:
-                yield describe_call(call)
-
-
 CHECKS: tuple[Callable[[Evidence], Iterator[str]], ...] = (
     _check_whole_answers,
     _check_own_status,
@@ -552,12 +356,12 @@
     check_evacuated,
     check_evacuations_kept,
     _check_exits,
-    _check_calm_service,
+    check_calm_service,
     check_partitioned_service,
     check_guilty_parts,
     check_served_beside_guilty_parts,
-    _check_in_time,
-    _check_in_force,
-    _check_drained,
-    _check_planned_stop,
+    check_in_time,
+    check_in_force,
+    check_drained,
+    check_planned_stop,
 )
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -38,7 +38,7 @@
     build_response_headers,
     read_caller_headers,
 )
-from scalebend.platform.orders import ORDER_PATH, MemoryOrder, decode_order
+from scalebend.platform.orders import ORDER_PATH, decode_order
 from scalebend.platform.registrations import REGISTRATION_PREFIX, encode_registration
 from scalebend.platform.reports import REPORT_PATH, encode_report
 from scalebend.soak.documents import ENGINE, read_version
@@ -56,6 +56,7 @@
     Reservation,
     SentResponse,
 )
+from scalebend.soak.replica_memory import ReplicaMemory
 from scalebend.standins.ports import find_free_ports
 from scalebend.standins.proxy import Proxy, run_proxy
 
@@ -158,8 +159,7 @@
         """Whether its responses announce that it drains."""
 
         self._running = 0
-        self._reservations: dict[str, Reservation] = {}
-        self._memory: dict[str, int] = {}
+        self._memory = ReplicaMemory(fleet.observations)
 
     # Requests
 
@@ -171,7 +171,9 @@
             report = ReplicaReport(1.0, 0, self._running)
             return web.Response(body=encode_report(report))
         if request.path == ORDER_PATH:
-            return self._apply_memory_order(decode_order(await request.read()))
+            order = decode_order(await request.read())
+            now = asyncio.get_running_loop().time()
+            return self._memory.apply(order, self._id, now)
         return await self._serve(request)
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -327,8 +329,6 @@
             request.transport.abort()
         return web.Response(status=500)
 
-    # Memory
-
     def _find_reservations(self, request: web.BaseRequest) -> list[Reservation] | None:
         """Return the reservations that a request names; ``None`` if one is missing."""
         found = []
@@ -340,34 +340,12 @@
                 return None
             if not reservation_name:
                 continue
-            reservation = helper._reservations.get(reservation_name)
-            if reservation is None or reservation.until <= now:
+            reservation = helper._memory.find(reservation_name, now)
+            if reservation is None:
                 return None
             found.append(reservation)
         return found
 
-    def _apply_memory_order(self, order: MemoryOrder) -> web.Response:
-        now = asyncio.get_running_loop().time()
-        for name, reservation in list(self._reservations.items()):
-            if reservation.until <= now:
-                del self._reservations[name]
-        known = self._reservations.get(order.reservation)
-        if order.tokens == 0:
-            if known is not None:
-                known.until = now
-                del self._reservations[order.reservation]
-            return web.json_response({})
-        used = sum(self._memory[name] for name in self._reservations)
-        if known is None and used + order.tokens > ENGINE.memory_tokens:
-            return web.json_response({}, status=409)
-        if known is None:
-            known = Reservation(self._id, order.reservation, now, now, now)
-            self._reservations[order.reservation] = known
-            self._memory[order.reservation] = order.tokens
-            self._fleet.observations.reservations.append(known)
-        known.until = now + order.lifetime_s
-        return web.json_response({})
-
     async def limit_rate(self, rate: float, lasts: float) -> None:
         """Announce a rate limit for ``lasts`` seconds or until the incarnation ends."""
         now = asyncio.get_running_loop().time
@@ -461,10 +439,7 @@
         if not self.is_up:
             return
         self.is_up = False
-        now = asyncio.get_running_loop().time()
-        for reservation in self._reservations.values():
-            reservation.until = min(reservation.until, now)
-        self._reservations.clear()
+        self._memory.clear(asyncio.get_running_loop().time())
         if self.proxy is not None:
             self.proxy.reset_all()
         await asyncio.sleep(down)
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -15,18 +15,19 @@
 from scalebend.soak.callers import run_callers
 from scalebend.soak.deployment import HEARTBEAT_INTERVAL_S, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
-from scalebend.soak.faults import (
-    Evacuate,
-    build_schedule,
-    draw_guilty_prompts,
-    draw_partition,
-)
+from scalebend.soak.evidence import SETTLE_S
+from scalebend.soak.faults import Evacuate
 from scalebend.soak.injector import Injector
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.observations import Observations
 from scalebend.soak.operator import CALL_TIMEOUT_S, Operator
-from scalebend.soak.promises import SETTLE_S, Violation, check_promises
+from scalebend.soak.promises import Violation, check_promises
 from scalebend.soak.replicas import Fleet, run_replica
+from scalebend.soak.schedules import (
+    build_schedule,
+    draw_guilty_prompts,
+    draw_partition,
+)
 
 logger = structlog.get_logger(__name__)
 
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -3,21 +3,17 @@
 from hypothesis import given, strategies as st
 
 from scalebend.soak.evacuation_promises import FINITE_LIMITS_S
-from scalebend.soak.faults import (
+from scalebend.soak.faults import Change, Drain, Evacuate, GuiltyPrompts, Kill
+from scalebend.soak.layout import build_layout
+from scalebend.soak.schedules import (
     CALM_S,
     DISK_RECOVERY_S,
     EVACUATION_DURATION_S,
     FIRST_SERIES_AT_S,
     LONG_EVACUATION_SERIES_S,
     SERIES_DURATION_S,
-    Change,
-    Drain,
-    Evacuate,
-    GuiltyPrompts,
-    Kill,
     build_schedule,
 )
-from scalebend.soak.layout import build_layout
 
 LAYOUT = build_layout(3, 3, 6)
 
