Soak: sound replicas fall silent, and their requests are answered or refused

What it finds: streams that fronts end because a sound replica sent nothing for a second. A new fault keeps replicas, or single responses, silent for 0.5 to 1.9 s, in each series beside a configuration, SIGHUP, a planned stop or the loss of a control instance, and once beside no unplanned fault. Two promises judge it, silences and second_runs; streams that may run at most once are new among the requests.

Callers wait as on the platform: streams are given up after two seconds, four targets or eight gaps without an event; a refused caller keeps its connection (it closed it before); a request that outlasts its time counts as timed out (TimeoutError is an OSError, so it never did).

--- a/src/scalebend/soak/callers.py
+++ b/src/scalebend/soak/callers.py
@@ -18,7 +18,7 @@
 from scalebend.soak.deployment import Deployment
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import CallerRequest, Observations, RequestKind
-from scalebend.soak.replicas import build_body, build_event
+from scalebend.soak.responses import find_mismatch
 
 CHECK_INTERVAL_S = 1.0
 """Seconds between two readiness checks of a front, and the timeout of each."""
@@ -45,6 +45,12 @@
 GUILTY_INTERVAL_S = 0.3
 """Mean seconds between two requests with a part that crashes replicas."""
 
+MIN_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+PATIENCE_GAPS = 8.0
+"""A caller gives a stream up after the longest of this time in seconds, so many target
+latencies and so many event gaps without an event, as on the platform."""
+
 RESPONSE_MARGIN_S = 2.0
 """Seconds beyond the timeout of a request after which its caller disconnects."""
 
@@ -58,6 +64,15 @@
     events: int = 0
     event_gap_s: float = 0.0
 
+    @property
+    def patience_s(self) -> float | None:
+        """Seconds without an event after which its caller gives a stream up."""
+        if not self.events:
+            return None
+        gap = self.route.event_gap_s or 0.0
+        targets = PATIENCE_TARGETS * self.route.target_latency_s
+        return max(MIN_PATIENCE_S, targets, PATIENCE_GAPS * gap)
+
 
 SHAPES = {
     RequestKind.IDEMPOTENT: _RequestShape(documents.IDEMPOTENT, 3.0),
@@ -65,6 +80,9 @@
     RequestKind.QUICK_STREAM: _RequestShape(
         documents.QUICK, 4.0, documents.QUICK_PROMPT_TOKENS, 10, 0.02
     ),
+    RequestKind.ONCE_STREAM: _RequestShape(
+        documents.ONCE, 4.0, documents.QUICK_PROMPT_TOKENS, 10, 0.02
+    ),
     RequestKind.LONG_STREAM: _RequestShape(
         documents.LONG, 5.0, documents.LONG_PROMPT_TOKENS, 12, 0.1
     ),
@@ -74,6 +92,7 @@
     RequestKind.IDEMPOTENT: 10,
     RequestKind.NON_IDEMPOTENT: 10,
     RequestKind.QUICK_STREAM: 14,
+    RequestKind.ONCE_STREAM: 6,
     RequestKind.LONG_STREAM: 1,
 }
 """Relative frequency of each kind; long prompts are rare so that none is rejected while
@@ -142,7 +161,7 @@
                     await asyncio.sleep(
                         self._chooser.expovariate(1.0 / MEAN_REQUEST_GAP_S)
                     )
-                    if call.status != 200:
+                    if call.status is None:
                         break
 
     async def send_guilty(self, part: str, kind: RequestKind, lasts: float) -> None:
@@ -184,18 +203,20 @@
             guilty_part=guilty_part,
         )
         self._observations.caller_requests[call.request_id] = call
-        sending = asyncio.ensure_future(self._send(session, call, shape))
         give_up_after_s = shape.timeout_s + RESPONSE_MARGIN_S
         if self._chooser.random() < CANCELLED_SHARE:
             call.is_cancelled = True
             give_up_after_s = self._chooser.uniform(0.0, shape.timeout_s / 4.0)
+        limit = asyncio.timeout(give_up_after_s)
         try:
-            async with asyncio.timeout(give_up_after_s):
-                await sending
+            async with limit:
+                await self._send(session, call, shape)
+        except _EventTimeoutError as error:
+            call.has_given_up = True
+            call.detail = str(error)
         except (aiohttp.ClientError, OSError) as error:
             call.detail = f"{type(error).__name__}: {error}"
-        except TimeoutError:
-            call.has_timed_out = not call.is_cancelled
+            call.has_timed_out = limit.expired() and not call.is_cancelled
         call.ended_at = loop.time()
         return call
 
@@ -224,29 +245,45 @@
             documents.MODEL,
             (COMMON_PART, second),
         )
-        async with session.post(
-            URL(f"http://{address}{path}", encoded=True),
-            headers=build_caller_headers(headers, documents.HOST),
-            data=call.request_id.encode(),
-        ) as response:
-            body = await response.read()
+        async with (
+            _limit_silence(call, shape.patience_s) as limit,
+            session.post(
+                URL(f"http://{address}{path}", encoded=True),
+                headers=build_caller_headers(headers, documents.HOST),
+                data=call.request_id.encode(),
+            ) as response,
+        ):
+            body = b""
+            async for data in response.content.iter_any():
+                body += data
+                call.data_at = asyncio.get_running_loop().time()
+                if shape.patience_s is not None:
+                    limit.reschedule(call.data_at + shape.patience_s)
             call.seal = response.headers.get(SEAL)
             call.status = response.status
             if response.status == 200:
-                call.mismatch = _find_mismatch(call, body)
-
-
-def _find_mismatch(call: CallerRequest, body: bytes) -> str:
-    """Return how a successful response differs from the expected one, or ``""``."""
-    expected = build_body(call.request_id)
-    if call.events:
-        numbers = range(1, call.events + 1)
-        expected = b"".join(build_event(call.request_id, number) for number in numbers)
-    if body != expected:
-        return f"body of {len(body)} bytes, not {len(expected)}: {body[-60:]!r}"
-    if call.seal is None or not call.seal.endswith(f"/{call.request_id}"):
-        return f"seal {call.seal}"
-    return ""
+                call.mismatch = find_mismatch(call, body)
+
+
+class _EventTimeoutError(Exception):
+    """No event came for longer than a caller waits."""
+
+
+@contextlib.asynccontextmanager
+async def _limit_silence(
+    call: CallerRequest, patience_s: float | None
+) -> AsyncIterator[asyncio.Timeout]:
+    """Raise :class:`_EventTimeoutError` once the time that it yields is over."""
+    try:
+        async with asyncio.timeout(patience_s) as limit:
+            yield limit
+    except TimeoutError as error:
+        if not limit.expired():
+            raise
+        since = call.sent_at if call.data_at is None else call.data_at
+        waited = asyncio.get_running_loop().time() - since
+        detail = f"no event for {waited:.2f} s"
+        raise _EventTimeoutError(detail) from error
 
 
 @contextlib.asynccontextmanager
--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -14,6 +14,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -46,6 +47,9 @@
 WATCH_INTERVAL_S = 0.05
 """Seconds between two checks for processes that ended."""
 
+START_DURATION_S = 3.0
+"""Seconds after its start in which a process may not handle SIGHUP yet."""
+
 RESTART_DELAY_S = 0.3
 """Seconds after an unexpected exit until the process is restarted."""
 
@@ -64,6 +68,7 @@
         self.starts = dict.fromkeys(layout.processes, 0)
         self._observations = observations
         self._running: dict[ProcessName, subprocess.Popen[bytes]] = {}
+        self._started_at: dict[ProcessName, float] = {}
         self._stopping_pids: set[int] = set()
         # Concurrent runs use separate loopback networks.
         self._network = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
@@ -108,6 +113,7 @@
         path = folder / "settings.json"
         path.write_bytes(encode_gateway_settings(self._build_settings(name)))
         self.starts[name] = number + 1
+        self._started_at[name] = time.monotonic()
         host = self.get_listen_host(name)
         with (folder / f"log-{number}").open("wb") as log:
             self._running[name] = subprocess.Popen(
@@ -191,6 +197,11 @@
         process.send_signal(number)
         return process.pid
 
+    def reload(self, name: ProcessName) -> None:
+        """Make a process read its settings again, unless it may still be starting."""
+        if time.monotonic() - self._started_at.get(name, 0.0) >= START_DURATION_S:
+            self.signal(name, signal.SIGHUP)
+
     async def stop(self, name: ProcessName) -> bool:
         """Terminate a process; return whether it ended within its grace period."""
         process = self._running.get(name)
--- a/src/scalebend/soak/documents.py
+++ b/src/scalebend/soak/documents.py
@@ -57,12 +57,16 @@
     kind: RouteKind
     service: ServiceName
     target_latency_s: float
+    is_resumable: bool = False
+    event_gap_s: float | None = None
 
 
 IDEMPOTENT = RoutePath("/repeatable/", RouteKind.IDEMPOTENT, PLAIN, 0.3)
 NON_IDEMPOTENT = RoutePath("/once/", RouteKind.NON_IDEMPOTENT, PLAIN, 0.3)
-QUICK = RoutePath("/quick/", RouteKind.STREAMING, ENGINES, 0.3)
-LONG = RoutePath("/long/", RouteKind.STREAMING, ENGINES, 3.0)
+QUICK = RoutePath("/quick/", RouteKind.STREAMING, ENGINES, 0.3, True, 0.2)
+ONCE = RoutePath("/once-stream/", RouteKind.STREAMING, ENGINES, 0.3, False, 0.2)
+LONG = RoutePath("/long/", RouteKind.STREAMING, ENGINES, 3.0, True, 0.2)
+ROUTES = (IDEMPOTENT, NON_IDEMPOTENT, QUICK, ONCE, LONG)
 
 
 def build_key(version: RoutingVersion) -> str:
@@ -83,7 +87,7 @@
     keys = (LASTING_KEY, *(build_key(key_version) for key_version in extra_keys))
     return Routing(
         version,
-        tuple(_build_route(path) for path in (IDEMPOTENT, NON_IDEMPOTENT, QUICK, LONG)),
+        tuple(_build_route(path) for path in ROUTES),
         (
             RoutedService(ENGINES, 200, "/health", ENGINE),
             RoutedService(PLAIN, 100, "/health", None),
@@ -94,7 +98,7 @@
 
 
 def _build_route(path: RoutePath) -> Route:
-    is_idempotent = path.kind is not RouteKind.NON_IDEMPOTENT
+    may_repeat = path.is_resumable or path.kind is RouteKind.IDEMPOTENT
     return Route(
         name=path.prefix.strip("/"),
         host=HOST,
@@ -104,8 +108,8 @@
         target_latency=path.target_latency_s,
         priority=1,
         services=(WeightedService(path.service, 1.0),),
-        max_attempts=2 if is_idempotent else 1,
+        max_attempts=2 if may_repeat else 1,
         is_public=False,
-        is_resumable=path.kind is RouteKind.STREAMING,
-        event_gap=0.2 if path.kind is RouteKind.STREAMING else None,
+        is_resumable=path.is_resumable,
+        event_gap=path.event_gap_s,
     )
--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -40,6 +40,19 @@
     """Responds with the id of another request."""
 
 
+class SilencePlace(Enum):
+    """Where a single response falls silent."""
+
+    HEAD = "head"
+    """Before its head."""
+
+    FIRST_EVENT = "first-event"
+    """Between the head and the first event."""
+
+    MIDWAY = "midway"
+    """Between two events."""
+
+
 class Kill(msgspec.Struct, frozen=True, tag=True):
     """Kills processes together and restarts them after ``down`` seconds."""
 
@@ -64,6 +77,12 @@
     lasts: float
 
 
+class Reload(msgspec.Struct, frozen=True, tag=True):
+    """Makes a process read its settings file again, by SIGHUP."""
+
+    process: ProcessName
+
+
 class PartitionFronts(msgspec.Struct, frozen=True, tag=True):
     """Partitions fronts from all replicas for ``lasts`` seconds.
 
@@ -120,6 +139,25 @@
     lasts: float
 
 
+class Silence(msgspec.Struct, frozen=True, tag=True):
+    """Makes sound replicas do nothing for ``lasts`` seconds and then go on."""
+
+    replicas: tuple[int, ...]
+    lasts: float
+
+
+class SilentResponses(msgspec.Struct, frozen=True, tag=True):
+    """Makes single responses of a sound replica silent for ``lasts`` seconds each.
+
+    Affected are the next ``count`` responses that reach ``place`` within a second.
+    """
+
+    replica: int
+    place: SilencePlace
+    count: int
+    lasts: float
+
+
 class Drain(msgspec.Struct, frozen=True, tag="Leave"):
     """Drains and deregisters a replica; a new incarnation takes its place."""
 
@@ -195,4 +233,7 @@
     | Change
     | Evacuate
     | GuiltyPrompts
+    | Reload
+    | Silence
+    | SilentResponses
 )
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import signal
 from collections.abc import Iterator
@@ -25,6 +26,9 @@
 
 logger = structlog.get_logger(__name__)
 
+SILENT_RESPONSES_S = 1.0
+"""Seconds within which responses begin that fall silent by themselves."""
+
 
 class Injector:
     """Injects the faults of one run."""
@@ -62,6 +66,8 @@
                 await self._kill(fault)
             case faults.Stop(process):
                 await self._stop(process)
+            case faults.Reload(process):
+                self._deployment.reload(process)
             case faults.Pause(process, lasts):
                 await self._suspend(process, lasts)
             case faults.Impair():
@@ -71,7 +77,9 @@
                     for proxy in self._list_proxies(target):
                         proxy.reset_all()
             case faults.Disorder(process, disk, clock_step, lasts):
-                with self._disturb(process):
+                with self._disturb(process) as disturbances:
+                    if clock_step:
+                        self._observations.clock_steps += disturbances
                     self._deployment.change_process_faults(
                         process, clock_step=clock_step, disk=disk
                     )
@@ -94,16 +102,20 @@
                 await self._reject(replicas, backoff, lasts)
             case faults.GuiltyPrompts():
                 await self._send_guilty(fault)
+            case faults.Silence(replicas, lasts):
+                await self._silence(replicas, lasts)
+            case faults.SilentResponses():
+                await self._silence_responses(fault)
             case faults.Misbehave() | faults.Drain() | faults.Crash():
                 await self._inject_replica_fault(fault, session)
 
     @contextlib.contextmanager
-    def _disturb(self, *processes: ProcessName) -> Iterator[None]:
+    def _disturb(self, *processes: ProcessName) -> Iterator[list[Disturbance]]:
         now = asyncio.get_running_loop().time
         started = [Disturbance(process, now(), float("inf")) for process in processes]
         self._observations.disturbances += started
         try:
-            yield
+            yield started
         finally:
             for disturbance in started:
                 disturbance.until = now()
@@ -230,9 +242,34 @@
             if isinstance(fault, faults.Crash):
                 await replica.crash(fault.down)
                 return
-            replica.mode = fault.mode
+            await replica.misbehave(fault.mode, fault.lasts)
+
+    @contextlib.contextmanager
+    def _record_silence(self, *numbers: int) -> Iterator[list[Replica]]:
+        now = asyncio.get_running_loop().time
+        started = [
+            Disturbance(ProcessName(f"replica-{number}"), now(), math.inf)
+            for number in numbers
+        ]
+        self._observations.silences += started
+        try:
+            yield [self._fleet.replicas[number] for number in numbers]
+        finally:
+            for silence in started:
+                silence.until = now()
+
+    async def _silence(self, numbers: tuple[int, ...], lasts: float) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            for replica in stack.enter_context(self._record_silence(*numbers)):
+                await stack.enter_async_context(replica.silences.silence_all())
+            await asyncio.sleep(lasts)
+
+    async def _silence_responses(self, fault: faults.SilentResponses) -> None:
+        with self._record_silence(fault.replica) as (replica,):
+            silences = replica.silences
+            with silences.silence_next(fault.place, fault.lasts, fault.count):
+                await asyncio.sleep(SILENT_RESPONSES_S)
             await asyncio.sleep(fault.lasts)
-            replica.mode = faults.ReplicaMode.HEALTHY
 
     def _list_proxies(self, process: ProcessName) -> list[Proxy]:
         proxies = [self._deployment.call_proxies[process]]
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -27,9 +27,16 @@
     IDEMPOTENT = "repeatable"
     NON_IDEMPOTENT = "once"
     QUICK_STREAM = "quick-stream"
+    ONCE_STREAM = "once-stream"
+    """A stream that may run at most once."""
+
     LONG_STREAM = "long-stream"
 
 
+AT_MOST_ONCE = frozenset({RequestKind.NON_IDEMPOTENT, RequestKind.ONCE_STREAM})
+"""Kinds whose requests may run at most once."""
+
+
 class CallerRequest(msgspec.Struct):
     """One request of a caller, and its outcome."""
 
@@ -63,6 +70,12 @@
     has_timed_out: bool = False
     """Whether no complete response came until well after the timeout."""
 
+    data_at: float | None = None
+    """When the last bytes of the body came; ``None`` if there were none."""
+
+    has_given_up: bool = False
+    """Whether its caller gave the stream up since no event came."""
+
     seal: str | None = None
     guilty_part: str = ""
     """Part of its prompt that crashes replicas; empty if there is none."""
@@ -128,6 +141,14 @@
     at: float
 
 
+class MisbehaviourPeriod(msgspec.Struct):
+    """A period in which a replica mishandled requests."""
+
+    upstream: UpstreamId
+    since: float
+    until: float
+
+
 class PartCrash(msgspec.Struct, frozen=True):
     """A replica crashed since it began to respond to a prompt with a certain part."""
 
@@ -206,6 +227,22 @@
     until: float
 
 
+class SilentRequest(msgspec.Struct):
+    """A replica was silent for a request; ``until`` is ``None`` until it goes on."""
+
+    request_id: str
+    upstream: UpstreamId
+    since: float
+    until: float | None
+
+
+class IncarnationEnd(msgspec.Struct, frozen=True):
+    """An incarnation of a replica ended; requests that were there broke off."""
+
+    upstream: UpstreamId
+    at: float
+
+
 class Exit(msgspec.Struct, frozen=True):
     """A process ended unexpectedly, or failed when it was terminated."""
 
@@ -237,6 +274,15 @@
     partitions: list[Disturbance] = msgspec.field(default_factory=list)
     """Partitions of fronts from all replicas."""
 
+    silences: list[Disturbance] = msgspec.field(default_factory=list)
+    """Silences of sound replicas."""
+
+    silent_requests: list[SilentRequest] = msgspec.field(default_factory=list)
+    misbehaviours: list[MisbehaviourPeriod] = msgspec.field(default_factory=list)
+    incarnation_ends: list[IncarnationEnd] = msgspec.field(default_factory=list)
+    clock_steps: list[Disturbance] = msgspec.field(default_factory=list)
+    """Those of the disturbances in which only the time of day of a process jumps."""
+
     exits: list[Exit] = msgspec.field(default_factory=list)
     stops: list[Disturbance] = msgspec.field(default_factory=list)
     """Planned stops, from the signal to the end of the process."""
--- a/src/scalebend/soak/promises.py
+++ b/src/scalebend/soak/promises.py
@@ -32,10 +32,10 @@
 from scalebend.soak.evidence import Evidence
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
+    AT_MOST_ONCE,
     Execution,
     Observations,
     RateLimitPeriod,
-    RequestKind,
     describe_call,
 )
 from scalebend.soak.part_promises import (
@@ -43,6 +43,7 @@
     check_served_beside_guilty_parts,
 )
 from scalebend.soak.partition_promises import check_partitioned_service
+from scalebend.soak.silence_promises import check_second_runs, check_silences
 
 STALE_CONFIGURATION_S = 2.0
 """Seconds after which a process that used a version uses no older one. Longer than the
@@ -123,10 +124,10 @@
 
 
 def _check_at_most_once(evidence: Evidence) -> Iterator[str]:
-    """Non-idempotent calls run at most once."""
+    """Non-idempotent calls, and streams that cannot be resumed, run at most once."""
     for call in evidence.observations.caller_requests.values():
         runs = evidence.runs[call.request_id]
-        if call.kind is RequestKind.NON_IDEMPOTENT and len(runs) > 1:
+        if call.kind in AT_MOST_ONCE and len(runs) > 1:
             yield f"{describe_call(call)}: ran at {[run.upstream for run in runs]}"
 
 
@@ -356,6 +357,8 @@
     check_evacuated,
     check_evacuations_kept,
     _check_exits,
+    check_silences,
+    check_second_runs,
     check_calm_service,
     check_partitioned_service,
     check_guilty_parts,
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import time
 from collections.abc import AsyncIterator, Coroutine
@@ -42,13 +43,15 @@
 from scalebend.platform.registrations import REGISTRATION_PREFIX, encode_registration
 from scalebend.platform.reports import REPORT_PATH, encode_report
 from scalebend.soak.documents import ENGINE, read_version
-from scalebend.soak.faults import ReplicaMode
+from scalebend.soak.faults import ReplicaMode, SilencePlace
 from scalebend.soak.layout import ProcessName, get_replica_zone
 from scalebend.soak.observations import (
     Arrival,
     DrainAcknowledgement,
     DrainNotice,
     Execution,
+    IncarnationEnd,
+    MisbehaviourPeriod,
     Observations,
     PartCrash,
     RateLimitPeriod,
@@ -57,6 +60,8 @@
     SentResponse,
 )
 from scalebend.soak.replica_memory import ReplicaMemory
+from scalebend.soak.responses import build_body, build_event
+from scalebend.soak.silences import Silences
 from scalebend.standins.ports import find_free_ports
 from scalebend.standins.proxy import Proxy, run_proxy
 
@@ -87,16 +92,6 @@
 """Duration of a call to the plain service in seconds."""
 
 
-def build_event(request_id: str, number: int) -> bytes:
-    """Build event ``number`` of the response to ``request_id``."""
-    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
-
-
-def build_body(request_id: str) -> bytes:
-    """Build the response body of the plain service to ``request_id``."""
-    return f"done {request_id}".encode()
-
-
 class Fleet:
     """All replicas of a run."""
 
@@ -160,6 +155,7 @@
 
         self._running = 0
         self._memory = ReplicaMemory(fleet.observations)
+        self.silences = Silences(fleet.observations, lambda: self._id)
 
     # Requests
 
@@ -167,6 +163,14 @@
         """Handle one request from a front or a control instance."""
         if not self.is_up:
             return self._reset(request)
+        request_id = request.headers.get(REQUEST_ID)
+        incarnation = self._id
+        if request_id is None:
+            await self.silences.wait()
+        else:
+            await self.silences.pass_place(request_id, None)
+        if not self.is_up or self._id != incarnation:
+            return self._reset(request)
         if request.path == REPORT_PATH:
             report = ReplicaReport(1.0, 0, self._running)
             return web.Response(body=encode_report(report))
@@ -262,6 +266,7 @@
             if self.mode is ReplicaMode.RESETTING:
                 return self._reset(request)
             await asyncio.sleep(SERVICE_TIME_S)
+            await self.silences.pass_place(request_id, SilencePlace.HEAD)
             guilty = self._find_guilty_part(request)
             if guilty is not None:
                 return self._crash_under(request, guilty)
@@ -288,6 +293,7 @@
         parts = 1 + len([helper for helper in helpers if helper])
         if prompt is not None:
             await asyncio.sleep(compute_prefill_time(ENGINE, prompt.prompt) / parts)
+        await self.silences.pass_place(request_id, SilencePlace.HEAD)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
@@ -297,6 +303,9 @@
         first = int(request.headers.get(LAST_EVENT, "0")) + 1
         incarnation = self._id
         for number in range(first, events + 1):
+            is_first = number == first
+            place = SilencePlace.FIRST_EVENT if is_first else SilencePlace.MIDWAY
+            await self.silences.pass_place(request_id, place)
             if not self.is_up or self._id != incarnation:
                 return self._reset(request)
             event = build_event(request_id, number)
@@ -308,6 +317,7 @@
                 return self._reset(request)
             await response.write(event)
             await asyncio.sleep(float(request.query["gap"]))
+        await self.silences.pass_place(request_id, None)
         await response.write_eof()
         return response
 
@@ -356,6 +366,16 @@
         period.until = now()
         self.rate_limit = None
 
+    async def misbehave(self, mode: ReplicaMode, lasts: float) -> None:
+        """Mishandle requests for ``lasts`` seconds."""
+        now = asyncio.get_running_loop().time
+        period = MisbehaviourPeriod(self._id, now(), math.inf)
+        self._fleet.observations.misbehaviours.append(period)
+        self.mode = mode
+        await asyncio.sleep(lasts)
+        self.mode = ReplicaMode.HEALTHY
+        period.until = now()
+
     async def reject_requests(self, backoff: float, lasts: float) -> None:
         """Reject all requests for ``lasts`` seconds or until the incarnation ends."""
         self.backoff = backoff
@@ -377,6 +397,7 @@
     ) -> None:
         """Register periodically until cancelled."""
         while True:
+            await self.silences.wait()
             if self.is_up:
                 await self._call(session, "PUT")
             await asyncio.sleep(interval)
@@ -439,7 +460,10 @@
         if not self.is_up:
             return
         self.is_up = False
-        self._memory.clear(asyncio.get_running_loop().time())
+        now = asyncio.get_running_loop().time()
+        end = IncarnationEnd(self._id, now)
+        self._fleet.observations.incarnation_ends.append(end)
+        self._memory.clear(now)
         if self.proxy is not None:
             self.proxy.reset_all()
         await asyncio.sleep(down)
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -25,6 +25,7 @@
 from scalebend.soak.replicas import Fleet, run_replica
 from scalebend.soak.schedules import (
     build_schedule,
+    build_silent_series,
     draw_guilty_prompts,
     draw_partition,
 )
@@ -115,6 +116,10 @@
             await asyncio.sleep(SETTLE_S)
             await operator.change(session)
             await asyncio.sleep(FINAL_LOAD_S)
+            # Last, so that the checks of calm periods need no further time.
+            await injector.follow(
+                build_silent_series(options.seed, options.layout), session
+            )
         reading.cancel()
         await operator.read(session)
         await operator.read_evacuated(session, ())
--- a/src/scalebend/soak/schedules.py
+++ b/src/scalebend/soak/schedules.py
@@ -28,8 +28,12 @@
     Pause,
     RateLimitFault,
     Reject,
+    Reload,
     ReplicaMode,
     Reset,
+    Silence,
+    SilencePlace,
+    SilentResponses,
     Stop,
 )
 from scalebend.soak.layout import Layout
@@ -82,6 +86,9 @@
 """Duration of the evacuation in the last series, in seconds: longer than any limit of
 what is promised, so that late requests show also if control was disturbed."""
 
+SILENT_SERIES_S = 8.0
+"""Duration in seconds of the series of silences beside no unplanned fault."""
+
 LONG_EVACUATION_SERIES_S = 28.0
 """Duration of that series with the calm after it, in seconds."""
 
@@ -96,6 +103,22 @@
     RequestKind.QUICK_STREAM,
 )
 
+MIN_SILENCE_S = 0.5
+MAX_SILENCE_S = 1.9
+"""Bounds in seconds of the silence of a sound replica: callers of most streams wait for
+two seconds."""
+
+SILENCE_START_S = 4.0
+"""Latest start of a silence in a series in seconds: it is over before the next calm
+period is checked."""
+
+MIN_SILENCES = 3
+MAX_SILENCES = 6
+"""Bounds of the number of silences in one series."""
+
+MAX_SILENT_RESPONSES = 3
+"""Largest number of responses that fall silent by themselves because of one fault."""
+
 MIN_LONG_EVACUATION_LENGTH_S = 60.0
 """Length in seconds from which a run has this series; those of the tests are short."""
 
@@ -132,6 +155,7 @@
     evacuation_random = random.Random(f"{seed}/evacuations")
     partition_random = random.Random(f"{seed}/partitions")
     guilty_random = random.Random(f"{seed}/guilty")
+    silence_random = random.Random(f"{seed}/silences")
     drawer = _Drawer(chooser, layout)
     faults: list[ScheduledFault] = []
     at = FIRST_SERIES_AT_S
@@ -158,6 +182,7 @@
         begins = at + guilty_random.uniform(0.0, GUILTY_START_S)
         prompts = draw_guilty_prompts(guilty_random, GUILTY_DURATION_S)
         faults.append(ScheduledFault(begins, prompts))
+        faults += draw_silences(silence_random, at, layout)
         planned_at = at + SERIES_DURATION_S + PLANNED_WORK_DELAY_S
         # Both services: before a delayed send, a front checks only engines again.
         for numbers in (layout.engine_replicas, layout.plain_replicas):
@@ -191,6 +216,76 @@
     ]
 
 
+def draw_silences(
+    chooser: random.Random, at: float, layout: Layout
+) -> list[ScheduledFault]:
+    """Draw silences of a series that starts at ``at``, and a fault beside one."""
+    begins = at + chooser.uniform(0.0, SILENCE_START_S / 2.0)
+    lasts = chooser.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+    replicas = chooser.sample(
+        range(layout.replicas), chooser.randint(1, layout.replicas)
+    )
+    beside = _draw_beside_silence(chooser, layout)
+    drawn = [
+        ScheduledFault(begins, Silence(tuple(replicas), lasts)),
+        ScheduledFault(begins + chooser.uniform(0.0, lasts), beside),
+    ]
+    for _ in range(chooser.randint(MIN_SILENCES, MAX_SILENCES) - 1):
+        begins = at + chooser.uniform(0.0, SILENCE_START_S)
+        drawn.append(ScheduledFault(begins, _draw_silence(chooser, layout)))
+    return drawn
+
+
+def build_silent_series(seed: int, layout: Layout) -> Schedule:
+    """Draw silences beside no other fault, then beside planned work alone."""
+    chooser = random.Random(f"{seed}/calm silences")
+
+    def silence_all() -> Silence:
+        replicas = tuple(range(layout.replicas))
+        return Silence(replicas, chooser.uniform(MIN_SILENCE_S, MAX_SILENCE_S))
+
+    planned: list[Fault] = [
+        Change(2, revokes=False),
+        *(Reload(front) for front in layout.fronts),
+        Stop(chooser.choice(layout.fronts)),
+    ]
+    drawn = [
+        ScheduledFault(0.0, silence_all()),
+        *(
+            ScheduledFault(chooser.uniform(1.0, 3.0), _draw_silence(chooser, layout))
+            for _ in range(MAX_SILENCES)
+        ),
+        ScheduledFault(4.0, silence_all()),
+        *(ScheduledFault(4.0 + chooser.uniform(0.0, 0.5), one) for one in planned),
+        ScheduledFault(5.0, _draw_silence(chooser, layout)),
+    ]
+    drawn.sort(key=lambda scheduled: scheduled.at)
+    return Schedule(drawn, SILENT_SERIES_S)
+
+
+def _draw_silence(chooser: random.Random, layout: Layout) -> Silence | SilentResponses:
+    replica = chooser.randrange(layout.replicas)
+    lasts = chooser.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
+    if chooser.random() < 0.4:
+        return Silence((replica,), lasts)
+    place = chooser.choice(list(SilencePlace))
+    count = chooser.randint(1, MAX_SILENT_RESPONSES)
+    return SilentResponses(replica, place, count, lasts)
+
+
+def _draw_beside_silence(chooser: random.Random, layout: Layout) -> Fault:
+    """Draw planned work, or the loss of a control instance, beside a silence."""
+    match chooser.randrange(4):
+        case 0:
+            return Change(chooser.randint(1, 3), chooser.random() < 0.5)
+        case 1:
+            return Reload(chooser.choice(layout.processes))
+        case 2:
+            return Stop(chooser.choice(layout.fronts))
+    down = chooser.uniform(MIN_FAULT_S, MAX_FAULT_S)
+    return Kill((chooser.choice(layout.controls),), down)
+
+
 def draw_partition(
     chooser: random.Random, layout: Layout, lasts: float | None = None
 ) -> PartitionFronts:
--- /dev/null
+++ b/src/scalebend/soak/silence_promises.py
@@ -0,0 +1,191 @@
+"""Promises about sound replicas that fall silent, checked from outside."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from scalebend.models.ids import UpstreamId
+from scalebend.soak.callers import SHAPES
+from scalebend.soak.observations import (
+    AT_MOST_ONCE,
+    CallerRequest,
+    Disturbance,
+    SilentRequest,
+    describe_call,
+)
+from scalebend.soak.partition_promises import PARTITION_DETECTION_S
+
+if TYPE_CHECKING:
+    from scalebend.soak.evidence import Evidence
+
+REFUSAL_STATUSES = frozenset({401, 403, 404, 408, 421, 429, 503})
+"""Statuses of a refusal; whether it ran nevertheless is a promise of its own."""
+
+MARGIN_S = 0.5
+"""Seconds for work at front and replica, on a busy host, beside the silences."""
+
+RESTART_DELAY_S = 0.2
+"""Seconds from the end of a planned stop within which the process is started again."""
+
+SHORT_SILENCE_S = 1.3
+"""Silence up to which a sound replica is waited for, and nothing runs again."""
+
+MAX_REPEATED_SHARE = 0.1
+REPEATED_SLACK = 2
+"""Share and number of the requests with such a silence that may run again."""
+
+
+class _Silenced(msgspec.Struct, frozen=True):
+    """A call, and its silences at replicas that were sound."""
+
+    call: CallerRequest
+    ended_at: float
+    silences: list[SilentRequest]
+
+
+def check_silences(evidence: Evidence) -> Iterator[str]:
+    """A request at a sound, silent replica is answered or refused in time."""
+    for one in _list_silenced(evidence):
+        if not _is_answered(one) and not _has_no_time_left(one):
+            yield _describe(evidence, one)
+
+
+def check_second_runs(evidence: Evidence) -> Iterator[str]:
+    """Short silences of sound replicas cause few second runs."""
+    compared = [
+        one
+        for one in _list_silenced(evidence)
+        if one.call.kind not in AT_MOST_ONCE
+        and _compute_silent(one, one.call.sent_at) <= SHORT_SILENCE_S
+        and all(
+            _is_sound(evidence, run.upstream, one.call.sent_at, one.ended_at)
+            for run in evidence.runs[one.call.request_id]
+        )
+    ]
+    repeated = [one for one in compared if len(evidence.runs[one.call.request_id]) > 1]
+    if len(repeated) > REPEATED_SLACK + MAX_REPEATED_SHARE * len(compared):
+        first = _describe(evidence, repeated[0])
+        yield f"{len(repeated)} of {len(compared)} ran again, such as {first}"
+
+
+def _list_silenced(evidence: Evidence) -> list[_Silenced]:
+    """List the calls for which sound replicas were silent while their front ran on."""
+    silences: dict[str, list[SilentRequest]] = defaultdict(list)
+    for silent in evidence.observations.silent_requests:
+        silences[silent.request_id].append(silent)
+    found = []
+    for request_id, of_request in silences.items():
+        call = evidence.observations.caller_requests.get(request_id)
+        if call is None or call.ended_at is None or call.is_cancelled:
+            continue
+        sound = [
+            silent
+            for silent in of_request
+            if _is_sound(evidence, silent.upstream, call.sent_at, call.ended_at)
+        ]
+        if sound and _has_front_run_on(evidence, call, call.ended_at):
+            found.append(_Silenced(call, call.ended_at, sound))
+    return found
+
+
+def _is_sound(
+    evidence: Evidence, upstream: UpstreamId, since: float, until: float
+) -> bool:
+    """Whether a replica neither mishandled requests nor ended in that time."""
+    observations = evidence.observations
+    has_misbehaved = any(
+        one.upstream == upstream and one.since <= until and one.until >= since
+        for one in observations.misbehaviours
+    )
+    has_ended = any(
+        one.upstream == upstream and since <= one.at <= until
+        for one in observations.incarnation_ends
+    )
+    return not has_misbehaved and not has_ended
+
+
+def _has_front_run_on(evidence: Evidence, call: CallerRequest, until: float) -> bool:
+    """Whether no fault affected the front of a call; a planned stop is none."""
+    observations = evidence.observations
+
+    def is_planned(one: Disturbance) -> bool:
+        return one in observations.clock_steps or any(
+            stop.process == one.process
+            and stop.until <= one.since <= stop.until + RESTART_DELAY_S
+            for stop in observations.stops
+        )
+
+    unplanned = [one for one in observations.disturbances if not is_planned(one)]
+    for one in _list_overlapping(unplanned, call.sent_at, until):
+        if one.process == call.front:
+            return False
+    for one in _list_overlapping(observations.partitions, call.sent_at, until):
+        if one.process != call.front:
+            continue
+        is_steady = (
+            one.since + PARTITION_DETECTION_S <= call.sent_at and until <= one.until
+        )
+        # Its requests pass other fronts.
+        disturbed = [*unplanned, *observations.stops, *observations.partitions]
+        if not is_steady or any(
+            other.process.startswith("front-") and other is not one
+            for other in _list_overlapping(disturbed, call.sent_at, until)
+        ):
+            return False
+    return True
+
+
+def _list_overlapping(
+    disturbances: list[Disturbance], since: float, until: float
+) -> list[Disturbance]:
+    return [one for one in disturbances if one.since <= until and one.until >= since]
+
+
+def _is_answered(one: _Silenced) -> bool:
+    call = one.call
+    if call.status == 200:
+        return not call.mismatch
+    return call.seal is not None or call.status in REFUSAL_STATUSES
+
+
+def _has_no_time_left(one: _Silenced) -> bool:
+    """Whether the silences took the time that the caller gave the request."""
+    call = one.call
+    shape = SHAPES[call.kind]
+    if call.has_given_up:
+        since = call.sent_at if call.data_at is None else call.data_at
+        return one.ended_at - since - _compute_silent(one, since) < MARGIN_S
+    if call.status != 504 or one.ended_at - call.sent_at < call.timeout_s - MARGIN_S:
+        return False
+    needed = MARGIN_S + shape.route.target_latency_s + shape.events * shape.event_gap_s
+    left = one.ended_at - call.sent_at - _compute_silent(one, call.sent_at)
+    return left < needed
+
+
+def _compute_silent(one: _Silenced, since: float) -> float:
+    """Return the seconds from ``since`` on in which a replica was silent for a call."""
+    total, counted_until = 0.0, since
+    for silent in sorted(one.silences, key=lambda silent: silent.since):
+        end = one.ended_at if silent.until is None else min(silent.until, one.ended_at)
+        begin = max(silent.since, counted_until)
+        if end > begin:
+            total += end - begin
+            counted_until = end
+    return total
+
+
+def _describe(evidence: Evidence, one: _Silenced) -> str:
+    silences = ", ".join(
+        f"{silent.upstream} silent from {silent.since:.3f} to "
+        f"{one.ended_at if silent.until is None else silent.until:.3f}"
+        for silent in one.silences
+    )
+    runs = [run.upstream for run in evidence.runs[one.call.request_id]]
+    return (
+        f"{describe_call(one.call)}, ended at {one.ended_at:.3f}; {silences}; "
+        f"ran at {runs}"
+    )
--- a/tests/unit/soak/test_faults.py
+++ b/tests/unit/soak/test_faults.py
@@ -1,9 +1,24 @@
 """Fault schedules: deterministic, and within what the system must tolerate."""
 
+import random
+
 from hypothesis import given, strategies as st
 
 from scalebend.soak.evacuation_promises import FINITE_LIMITS_S
-from scalebend.soak.faults import Change, Drain, Evacuate, GuiltyPrompts, Kill
+from scalebend.soak.evidence import SETTLE_S
+from scalebend.soak.faults import (
+    Change,
+    Drain,
+    Evacuate,
+    GuiltyPrompts,
+    Kill,
+    Reload,
+    Silence,
+    SilencePlace,
+    SilentResponses,
+    Stop,
+)
+from scalebend.soak.injector import SILENT_RESPONSES_S
 from scalebend.soak.layout import build_layout
 from scalebend.soak.schedules import (
     CALM_S,
@@ -11,8 +26,14 @@
     EVACUATION_DURATION_S,
     FIRST_SERIES_AT_S,
     LONG_EVACUATION_SERIES_S,
+    MAX_SILENCE_S,
+    MIN_SILENCE_S,
+    MIN_SILENCES,
+    PLANNED_WORK_DELAY_S,
     SERIES_DURATION_S,
     build_schedule,
+    build_silent_series,
+    draw_silences,
 )
 
 LAYOUT = build_layout(3, 3, 6)
@@ -95,3 +116,46 @@
     ]
     assert len(prompts) == 3
     assert len({one.part for one in prompts}) == 3
+
+
+def list_silences(seed):
+    return [
+        scheduled
+        for scheduled in build_schedule(seed, 50.0, LAYOUT).faults
+        if isinstance(scheduled.fault, Silence | SilentResponses)
+    ]
+
+
+@given(st.integers(0, 10_000))
+def test_silences_are_as_long_as_callers_bear_and_over_before_the_calm(seed):
+    silences = list_silences(seed)
+    assert len(silences) >= 3 * MIN_SILENCES
+    for one in silences:
+        assert MIN_SILENCE_S <= one.fault.lasts <= MAX_SILENCE_S
+        in_series = (one.at - FIRST_SERIES_AT_S) % (SERIES_DURATION_S + CALM_S)
+        begins_within = SILENT_RESPONSES_S if one.fault.__class__ is not Silence else 0
+        ends = in_series + begins_within + one.fault.lasts
+        assert ends <= SERIES_DURATION_S + PLANNED_WORK_DELAY_S - SETTLE_S
+
+
+def test_all_sorts_of_silences_are_drawn_beside_all_that_may_overlap_them():
+    faults = [one.fault for seed in range(40) for one in list_silences(seed)]
+    counts = {len(one.replicas) for one in faults if isinstance(one, Silence)}
+    assert counts == set(range(1, LAYOUT.replicas + 1))
+    single = [one for one in faults if isinstance(one, SilentResponses)]
+    assert {one.place for one in single} == set(SilencePlace)
+    beside = {
+        type(one.fault)
+        for seed in range(40)
+        for one in draw_silences(random.Random(seed), 0.0, LAYOUT)
+    }
+    assert beside == {Silence, SilentResponses, Change, Reload, Stop, Kill}
+
+
+@given(st.integers(0, 10_000))
+def test_silent_series_has_no_unplanned_fault(seed):
+    schedule = build_silent_series(seed, LAYOUT)
+    kinds = {type(one.fault) for one in schedule.faults}
+    assert kinds - {SilentResponses} == {Silence, Change, Reload, Stop}
+    for one in schedule.faults:
+        assert one.at + MAX_SILENCE_S + SILENT_RESPONSES_S <= schedule.ends
