Soak: a stream that its deadline cuts is excused if silences took its time

As with 504, it is excused only if the rest was too short for its target and events; cut earlier, or with time left, it is reported (three cases in test_silence_promises).

--- a/src/scalebend/soak/schedules.py
+++ b/src/scalebend/soak/schedules.py
@@ -252,11 +252,12 @@
     drawn = [
         ScheduledFault(0.0, silence_all()),
         *(
-            ScheduledFault(chooser.uniform(1.0, 3.0), _draw_silence(chooser, layout))
-            for _ in range(MAX_SILENCES)
+            ScheduledFault(chooser.uniform(0.0, 4.0), _draw_silence(chooser, layout))
+            for _ in range(2 * MAX_SILENCES)
         ),
-        ScheduledFault(4.0, silence_all()),
-        *(ScheduledFault(4.0 + chooser.uniform(0.0, 0.5), one) for one in planned),
+        ScheduledFault(2.1, silence_all()),
+        ScheduledFault(4.2, silence_all()),
+        *(ScheduledFault(4.2 + chooser.uniform(0.0, 0.5), one) for one in planned),
         ScheduledFault(5.0, _draw_silence(chooser, layout)),
     ]
     drawn.sort(key=lambda scheduled: scheduled.at)
@@ -268,7 +269,8 @@
     lasts = chooser.uniform(MIN_SILENCE_S, MAX_SILENCE_S)
     if chooser.random() < 0.4:
         return Silence((replica,), lasts)
-    place = chooser.choice(list(SilencePlace))
+    is_plain = replica in layout.plain_replicas
+    place = SilencePlace.HEAD if is_plain else chooser.choice(list(SilencePlace))
     count = chooser.randint(1, MAX_SILENT_RESPONSES)
     return SilentResponses(replica, place, count, lasts)
 
--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -28,6 +28,9 @@
 MARGIN_S = 0.5
 """Seconds for work at front and replica, on a busy host, beside the silences."""
 
+CLOCK_MARGIN_S = 0.1
+"""Seconds by which the deadline is earlier at a front than at its caller, at most."""
+
 RESTART_DELAY_S = 0.2
 """Seconds from the end of a planned stop within which the process is started again."""
 
@@ -159,7 +162,11 @@
     if call.has_given_up:
         since = call.sent_at if call.data_at is None else call.data_at
         return one.ended_at - since - _compute_silent(one, since) < MARGIN_S
-    if call.status != 504 or one.ended_at - call.sent_at < call.timeout_s - MARGIN_S:
+    # At its deadline, a stream that has begun is cut.
+    has_reached_deadline = one.ended_at - call.sent_at > call.timeout_s - CLOCK_MARGIN_S
+    if call.status not in (None, 504) or not has_reached_deadline:
+        return False
+    if call.has_timed_out:
         return False
     needed = MARGIN_S + shape.route.target_latency_s + shape.events * shape.event_gap_s
     left = one.ended_at - call.sent_at - _compute_silent(one, call.sent_at)
--- a/tests/unit/soak/test_silence_promises.py
+++ b/tests/unit/soak/test_silence_promises.py
@@ -79,6 +79,10 @@
         ({"status": 504}, True),
         ({"status": 504, "kind": RequestKind.LONG_STREAM, "ended_at": 104.0}, False),
         ({"status": 504, "ended_at": 104.0}, True),
+        # A stream that the deadline cuts, the same though there was time left.
+        ({"kind": RequestKind.LONG_STREAM, "ended_at": 104.0}, False),
+        ({"kind": RequestKind.LONG_STREAM, "ended_at": 103.8}, True),
+        ({"ended_at": 104.0}, True),
         # Given up because of the silence, and though the replica had gone on.
         ({"has_given_up": True, "data_at": 100.1, "ended_at": 101.8}, False),
         ({"has_given_up": True, "data_at": 100.1, "ended_at": 102.1}, True),
