--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -15,18 +15,20 @@
 from scalebend.soak.callers import run_callers
 from scalebend.soak.deployment import HEARTBEAT_INTERVAL_S, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
-from scalebend.soak.faults import (
-    Evacuate,
-    build_schedule,
-    draw_guilty_prompts,
-    draw_partition,
-)
+from scalebend.soak.evidence import SETTLE_S
+from scalebend.soak.faults import Evacuate
 from scalebend.soak.injector import Injector
 from scalebend.soak.layout import Layout, ProcessName
 from scalebend.soak.observations import Observations
 from scalebend.soak.operator import CALL_TIMEOUT_S, Operator
-from scalebend.soak.promises import SETTLE_S, Violation, check_promises
+from scalebend.soak.promises import Violation, check_promises
 from scalebend.soak.replicas import Fleet, run_replica
+from scalebend.soak.schedules import (
+    build_schedule,
+    build_silent_series,
+    draw_guilty_prompts,
+    draw_partition,
+)
 
 logger = structlog.get_logger(__name__)
 
@@ -48,6 +50,9 @@
 CALM_EVACUATION_S = 5.0
 """Seconds for which a zone is evacuated after the recovery."""
 
+SILENT_SERIES_CALLERS = 2
+"""Further callers per caller in the series of silences: more requests meet one."""
+
 FINAL_LOAD_S = 4.0
 """Seconds of load after the recovery."""
 
@@ -114,6 +119,16 @@
             await asyncio.sleep(SETTLE_S)
             await operator.change(session)
             await asyncio.sleep(FINAL_LOAD_S)
+            # Last, so that the checks of calm periods need no further time.
+            async with run_callers(
+                SILENT_SERIES_CALLERS * options.callers,
+                deployment,
+                observations,
+                options.seed,
+                "more-",
+            ):
+                silences = build_silent_series(options.seed, options.layout)
+                await injector.follow(silences, session)
         reading.cancel()
         await operator.read(session)
         await operator.read_evacuated(session, ())
