Pass on only responses with the replica's seal and the request id

What callers saw: wrong bytes of a replica (200, an HTML page) as a success; on a kept connection also the late answer to another request.

Cause: _process_response compared the request id only if there was one, and nothing read the seal. Besides, closing a response whose body was already complete left its connection in the pool: with one answer too many, each later request there got the answer before it.

Change: the typed headers tell whether a response has the seal, and judge_response decides whose it is. What is not proven ends the attempt as interrupted, as for garbled bytes: the request is sent again where its route allows it, else 502. Its connection is closed for good, its line is 'response not proven', and its headers change nothing that is known of the upstream (before, a page without a limit lifted a rate limit).

Failures are judged alike: the platform counts a 4xx without a seal as the front's own word, and 429 or 503 promise that nothing ran, which only the replica can know. A sealed failure keeps its status. Rejections (X-Not-Executed with 4xx or 5xx, or 421) need no seal and no id, as before; a success with X-Not-Executed does.

Stand-ins that sent no seal send one now, as replicas do: test_unframed_streams, test_held_parts and the head of a part-fragile replica; no check was changed.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -16,6 +16,7 @@
 from scalebend.core.gateway.attempts import Attempts, GiveUp, TryAgain
 from scalebend.core.gateway.event_cursor import EventCursor, GarbledEventsError
 from scalebend.core.gateway.hedging import Refusal
+from scalebend.core.gateway.response_proof import judge_response
 from scalebend.edges.gateway.attempt_result import AttemptResult, build_interrupted
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.engine_priorities import choose_urgency
@@ -26,6 +27,7 @@
 from scalebend.edges.gateway.response_reading import cancel_on_failure
 from scalebend.edges.gateway.running_attempts import RunningAttempt
 from scalebend.edges.gateway.silence_watch import SilenceWatch
+from scalebend.edges.gateway.unproven_responses import discard_response
 from scalebend.edges.gateway.upstream_choice import Target, UpstreamChoice
 from scalebend.edges.gateway.upstream_client import (
     allow_repetition,
@@ -346,6 +348,9 @@
         async with response:
             with watching as self._path:
                 head = read_response_headers(response.status, response.headers)
+                verdict = judge_response(head, call.headers.request)
+                if not verdict.is_of_upstream:
+                    return discard_response(call, target.upstream, response, verdict)
                 apply_response_head(self._runtime, call, limit, head)
                 return await self._process_response(
                     target, running, response, head, silences
@@ -403,12 +408,7 @@
         silences: SilenceWatch,
     ) -> AttemptResult:
         self._choice.load = head.load
-        if head.request is not None and head.request != self._call.headers.request:
-            response.close()
-            return AttemptResult(
-                Outcome.INTERRUPTED, detail="answer to another request"
-            )
-        if head.has_not_run and response.status >= 400:
+        if head.has_not_run:
             await silences.read_body(response)
             detail = f"status {response.status}"
             faulty = target.find_helper(head.faulty_address)
--- a/src/scalebend/edges/gateway/response_headers.py
+++ b/src/scalebend/edges/gateway/response_headers.py
@@ -15,13 +15,10 @@
 def apply_response_head(
     runtime: FrontRuntime, call: Call, known: RateLimit, headers: ResponseHeaders
 ) -> None:
-    """Apply the head of a response to ``call``.
+    """Apply the head of the upstream's own response to ``call``.
 
-    ``known`` is the rate limit known when the request was sent. A response to another
-    request is ignored: it may be older than what is known.
+    ``known`` is the rate limit known when the request was sent.
     """
-    if headers.request not in (None, call.headers.request):
-        return
     for name in headers.unknown_headers:
         runtime.record_unknown_header(known.upstream, name)
     _record_limit(runtime, known, headers)
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -287,6 +287,16 @@
     return protocol.peer if isinstance(protocol, StrictResponseHandler) else None
 
 
+def close_connection(response: aiohttp.ClientResponse) -> None:
+    """Close the connection of a response, also if it is in the pool again."""
+    response.close()
+    protocol = response._protocol
+    if protocol is not None and protocol.transport is not None:
+        # Not by the protocol itself: a request that has just taken the connection from
+        # the pool has to learn of it.
+        protocol.transport.close()
+
+
 def build_timeout(
     remaining: float, total: float | None = None
 ) -> aiohttp.ClientTimeout:
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -72,6 +72,9 @@
     request: str | None
     """Echoed request id; a different id marks the response to another request."""
 
+    has_seal: bool
+    """Whether it carries the signature that the upstream gives its own responses."""
+
     has_not_run: bool
     """Whether the upstream declares that it did not run the request."""
 
--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -221,7 +221,8 @@
     seconds = parse_decimal(backoff)
     return ResponseHeaders(
         request=headers.get(REQUEST_ID),
-        has_not_run=is_misdirected or _NOT_EXECUTED in headers,
+        has_seal=bool(headers.get(SEAL)),
+        has_not_run=is_misdirected or (status >= 400 and _NOT_EXECUTED in headers),
         load=_read_load(headers.get(_LOAD)),
         faulty_address=headers.get(_FAULTY_ADDRESS),
         rate_limit=None if is_misdirected else _read_rate_limit(headers),
--- a/tests/lib/fragile_replicas.py
+++ b/tests/lib/fragile_replicas.py
@@ -7,6 +7,7 @@
 import aiohttp
 from aiohttp import web
 
+from scalebend.platform.headers import build_response_headers
 from tests.lib.platform_replicas import Replica
 
 WRITE_DELAY_S = 0.03
@@ -99,7 +100,7 @@
         await super().begin_to_write(request)
 
     async def write_head(self, request):
-        echo = {"X-Request-Id": request.headers["X-Request-Id"]}
+        echo = build_response_headers(request.headers["X-Request-Id"], "s")
         response = web.StreamResponse(headers=echo)
         response.content_type = "text/event-stream"
         with contextlib.suppress(ConnectionError):
--- a/tests/unit/gateway/test_held_parts.py
+++ b/tests/unit/gateway/test_held_parts.py
@@ -14,6 +14,7 @@
 from scalebend.core.gateway.messages import CrashUpdates
 from scalebend.models.crashes import PartCrash, PartRecord
 from scalebend.models.routing import RouteKind
+from scalebend.platform.headers import build_response_headers
 from tests.lib.front import run_front, serve, wait_for
 from tests.lib.gateway_builders import build_route, build_routing
 
@@ -91,7 +92,7 @@
 
     async def stream(request):
         response = web.StreamResponse(
-            headers={"X-Request-Id": request.headers["X-Request-Id"]}
+            headers=build_response_headers(request.headers["X-Request-Id"], "s")
         )
         response.content_type = "text/event-stream"
         await response.prepare(request)
--- a/tests/unit/gateway/test_unframed_streams.py
+++ b/tests/unit/gateway/test_unframed_streams.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from scalebend.models.routing import RouteKind
+from scalebend.platform.headers import build_response_headers
 from tests.lib.front import run_front, serve
 from tests.lib.gateway_builders import build_route, build_routing
 from tests.lib.raw_upstream import run_upstream
@@ -28,7 +29,7 @@
         )
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"X-Request-Id: " + request + b"\r\n\r\n"
+            b"X-Server-Seal: s\r\nX-Request-Id: " + request + b"\r\n\r\n"
         )
         for piece in pieces:
             writer.write(piece)
@@ -45,7 +46,7 @@
 async def respond_from_last_event(request):
     """Respond as a replica that resumes a stream."""
     first = int(request.headers.get("Last-Event-Id", "0"))
-    headers = {"X-Request-Id": request.headers["X-Request-Id"]}
+    headers = build_response_headers(request.headers["X-Request-Id"], "s")
     response = web.StreamResponse(headers=headers)
     response.content_type = "text/event-stream"
     await response.prepare(request)
