Send second attempts beside silent ones over new connections

Cause: a new connection is used once an attempt may have run, and a silent first attempt, which goes on, didn't count.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -87,6 +87,9 @@
         self._stream: web.StreamResponse | None = None
         self._path: PathWatch | None = None
         self._event_at = 0.0
+        self._is_beside_silent = False
+        """Whether another attempt was silent when this one started."""
+
         self._silences: SilenceWatch | None = None
         """Waits for the data of the current attempt."""
 
@@ -322,8 +325,9 @@
 
     async def _exchange(self, target: Target, running: RunningAttempt) -> AttemptResult:
         call = self._call
-        # After a broken or unresponsive connection, pooled ones may be dead, too.
-        may_pool = call.route.is_idempotent and not self._attempts.may_have_run
+        # After a broken or silent connection, pooled ones may be dead, too.
+        is_first = not self._attempts.may_have_run and not self._is_beside_silent
+        may_pool = call.route.is_idempotent and is_first
         session = self._runtime.sessions.choose(may_pool=may_pool)
         sending = session.request(
             call.method,
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -324,6 +324,7 @@
             return Refusal.NO_TIME
         second = self._build_second(race, target)
         second._silent = target
+        second._is_beside_silent = True
         second._cursor = EventCursor(self._cursor.last_event)
         second._stream = self._stream
         second.first_event = self.first_event
--- a/tests/unit/gateway/test_silent_attempts.py
+++ b/tests/unit/gateway/test_silent_attempts.py
@@ -256,3 +256,32 @@
         response, body = await read(front)
         assert (response.status, body) == (200, b"done")
         assert len(silent.runs) == len(other.runs) == 1
+
+
+async def test_second_attempt_takes_no_pooled_connection():
+    """Guards against second attempts on connections that died with the first's."""
+    muted = set()
+
+    class Plain(Upstream):
+        async def handle(self, request):
+            if request.transport in muted:
+                await asyncio.Event().wait()
+            self.runs.append(request.transport)
+            return await answer_sealed(request)
+
+    upstreams = Plain("one"), Plain("two")
+    changes = {"kind": RouteKind.IDEMPOTENT, "is_resumable": False}
+    async with run_upstreams(*upstreams, **changes) as front:
+        await wait_for_pooled(front, upstreams)
+        muted.update(one for upstream in upstreams for one in upstream.runs)
+        response, _ = await read(front, wait=2.0)
+        assert response.status == 200
+
+
+async def wait_for_pooled(front, upstreams):
+    """Send calls until the front has a pooled connection to each upstream."""
+    balancer = front.runtime.instance.balancer
+    while not all(upstream.runs for upstream in upstreams):
+        await read(front)
+        # The next call goes to the other one.
+        balancer.record_sent(front.runtime.instance.directory.list_ids()[0])
