Keep the stream to a caller apart from the attempts that feed it

Both now share one CallerStream, to which only the winner of their race forwards. No change of behaviour; test_response_without_events_is_claimed_before_it_is_opened looks at the claim itself, since the opening no longer knows of the race: as strict, claimed by one attempt, the winner, before the head.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -2,9 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
-from collections.abc import Iterator
-
 import aiohttp
 import msgspec
 import structlog
@@ -18,6 +15,7 @@
 from scalebend.core.gateway.hedging import Refusal
 from scalebend.core.gateway.response_proof import judge_response
 from scalebend.edges.gateway.attempt_result import AttemptResult, build_interrupted
+from scalebend.edges.gateway.caller_stream import CallerStream, StreamBrokenError
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.engine_priorities import choose_urgency
 from scalebend.edges.gateway.front_runtime import FrontRuntime
@@ -54,14 +52,6 @@
 """Headers of responses whose end does not depend on that of the connection."""
 
 
-class StreamBrokenError(Exception):
-    """A stream broke after a part of it had been forwarded to the caller."""
-
-
-class CallerLeftError(Exception):
-    """The connection of the caller broke while a stream was forwarded."""
-
-
 class Forwarder:
     """Forwards one request of a caller."""
 
@@ -84,21 +74,14 @@
         self._cursor = EventCursor(call.headers.last_event)
         self._progress = AttemptProgress()
         self._held = HeldRequest()
-        self._stream: web.StreamResponse | None = None
+        self.stream = CallerStream(runtime, call, request)
         self._path: PathWatch | None = None
-        self._event_at = 0.0
         self._is_beside_silent = False
         """Whether another attempt was silent when this one started."""
 
         self._silences: SilenceWatch | None = None
         """Waits for the data of the current attempt."""
 
-        self.first_event: float | None = None
-        """Seconds from the arrival of the request to the first forwarded event."""
-
-        self.longest_gap = 0.0
-        """Longest gap between forwarded events, in seconds."""
-
         self.send_count = 0
         """Number of times that the request was sent to an upstream."""
 
@@ -252,7 +235,7 @@
     def _give_up(
         self, decision: GiveUp, response: web.StreamResponse | None
     ) -> web.StreamResponse:
-        if self._stream is not None:
+        if self.stream.is_open:
             raise StreamBrokenError
         if decision.passes_response and response is not None:
             return response
@@ -465,10 +448,8 @@
                 self._held.release()
                 self._record_first_token(target)
             is_first = False
-            self._record_event_time(forwarded.events)
-            stream = self._stream or await self._open_stream(response)
-            with _write_to_caller():
-                await stream.write(forwarded.data)
+            self._evidence.record_events(self._progress, forwarded.events)
+            await self.stream.forward(response, forwarded.data)
         if cursor.has_partial:
             return AttemptResult(
                 Outcome.INTERRUPTED,
@@ -482,10 +463,7 @@
                 is_connection_lost=True,
             )
         self._claim_response()
-        stream = self._stream or await self._open_stream(response)
-        with _write_to_caller():
-            await stream.write_eof()
-        return AttemptResult(Outcome.ANSWERED, stream)
+        return AttemptResult(Outcome.ANSWERED, await self.stream.end(response))
 
     def _is_cut_off(self, response: aiohttp.ClientResponse) -> bool:
         """Whether a stream without an event ended because its connection did.
@@ -501,42 +479,3 @@
 
     def _claim_response(self) -> None:
         """Called before anything of a response is forwarded to the caller."""
-
-    def _record_event_time(self, events: int) -> None:
-        now = self._runtime.now()
-        self._evidence.record_events(self._progress, events)
-        if self.first_event is None:
-            self.first_event = now - self._call.arrived
-        else:
-            self.longest_gap = max(self.longest_gap, now - self._event_at)
-        self._event_at = now
-
-    async def _open_stream(
-        self, response: aiohttp.ClientResponse
-    ) -> web.StreamResponse:
-        call = self._call
-        stream = web.StreamResponse(
-            status=response.status,
-            reason=response.reason,
-            headers=copy_response_headers(response.headers),
-        )
-        if self._runtime.is_closing_connections():
-            stream.force_close()
-        self._stream = stream
-        with _write_to_caller():
-            await stream.prepare(self._request)
-        if call.headers.prompt is not None:
-            elapsed_s = self._runtime.now() - call.arrived
-            self._runtime.metrics.observe_first_event(
-                call.headers.prompt.prompt, elapsed_s
-            )
-        return stream
-
-
-@contextlib.contextmanager
-def _write_to_caller() -> Iterator[None]:
-    """Keep errors of the caller's connection apart from those of the upstream's."""
-    try:
-        yield
-    except (aiohttp.ClientError, OSError) as error:
-        raise CallerLeftError from error
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -13,12 +13,9 @@
 
 from scalebend.core.fingerprints import build_part_id, compute_fingerprint
 from scalebend.core.gateway.key_lease import LEASE_MARGIN_S
+from scalebend.edges.gateway.caller_stream import CallerLeftError, StreamBrokenError
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
-from scalebend.edges.gateway.forwarder import (
-    CallerLeftError,
-    Forwarder,
-    StreamBrokenError,
-)
+from scalebend.edges.gateway.forwarder import Forwarder
 from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
@@ -372,11 +369,11 @@
 
 def _describe_events(forwarder: Forwarder | None) -> dict[str, float]:
     """Return the log fields of the timing of a stream; none for other responses."""
-    if forwarder is None or forwarder.first_event is None:
+    if forwarder is None or forwarder.stream.first_event is None:
         return {}
     return {
-        "first_event": round(forwarder.first_event, 3),
-        "longest_gap": round(forwarder.longest_gap, 3),
+        "first_event": round(forwarder.stream.first_event, 3),
+        "longest_gap": round(forwarder.stream.longest_gap, 3),
     }
 
 
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -189,7 +189,7 @@
         """Whether a second attempt is thinkable: one replica, and no event so far."""
         routing = self._runtime.instance.table.routing
         return (
-            self._stream is None
+            not self.stream.is_open
             and target.unavailable is None
             and target.predicted is not None
             and not target.helpers
@@ -282,6 +282,8 @@
             runtime, call, self._request, self._body, self._evidence
         )
         second._attempts = self._attempts
+        # Only the winner of the race forwards to it.
+        second.stream = self.stream
         excluded = {*self._attempts.excluded, target.upstream}
         second._choice = UpstreamChoice(runtime, call, self._evidence, excluded)
         second._race = race
@@ -326,10 +328,6 @@
         second._silent = target
         second._is_beside_silent = True
         second._cursor = EventCursor(self._cursor.last_event)
-        second._stream = self._stream
-        second.first_event = self.first_event
-        second.longest_gap = self.longest_gap
-        second._event_at = self._event_at
         race.reopen()
         race.add(second, asyncio.create_task(second._run_beside()))
         return None
@@ -442,10 +440,6 @@
     def _adopt(self, second: HedgedForwarder) -> None:
         """Go on from where the second attempt got to."""
         self._cursor = second._cursor
-        self._stream = second._stream
-        self._event_at = second._event_at
-        self.first_event = second.first_event
-        self.longest_gap = second.longest_gap
         self.upstream = second.upstream
         self.peer = second.peer
 
--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -15,7 +15,8 @@
 from scalebend.core.gateway.messages import PlacementReply
 from scalebend.core.gateway.overdue_tokens import MIN_OVERDUE
 from scalebend.core.gateway.retry_window import RetryWindow
-from scalebend.edges.gateway import forwarder
+from scalebend.edges.gateway import caller_stream, forwarder
+from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.models.calls import Outcome
 from scalebend.models.placement import Declined, Placement
 from scalebend.models.routing import RouteKind
@@ -397,21 +398,28 @@
 
 
 async def test_response_without_events_is_claimed_before_it_is_opened(monkeypatch):
-    open_stream = forwarder.Forwarder._open_stream
+    open_stream = caller_stream.CallerStream._open
+    claim = HedgedForwarder._claim_response
+    claimed = []
     winners = []
 
     empty, other = Engine("empty"), Engine("other")
     empty.mode = "empty"
     empty.gate, other.gate = asyncio.Event(), asyncio.Event()
 
+    def record_claim(self):
+        claim(self)
+        claimed.append(self)
+
     async def open_slowly(self, response):
-        winners.append(self._race.winner is self)
+        winners.append([one._race.winner for one in claimed] == claimed != [])
         # The other one answers meanwhile.
         other.gate.set()
         await asyncio.sleep(0.05)
         return await open_stream(self, response)
 
-    monkeypatch.setattr(forwarder.Forwarder, "_open_stream", open_slowly)
+    monkeypatch.setattr(HedgedForwarder, "_claim_response", record_claim)
+    monkeypatch.setattr(caller_stream.CallerStream, "_open", open_slowly)
     async with run_engines(empty, other) as front:
 
         async def fetch():
