Tests: a busy host may delay the report of a hung replica

Trace: a replica counts as overdue only if its report comes within 30 ms; with a report delayed by 45 ms the test fails in the same way ([] instead of ['i-1']). The test now allows a second for the report; what it checks is as before.

--- a/tests/unit/gateway/test_hedged_forwarder.py
+++ b/tests/unit/gateway/test_hedged_forwarder.py
@@ -15,7 +15,7 @@
 from scalebend.core.gateway.messages import PlacementReply
 from scalebend.core.gateway.overdue_tokens import MIN_OVERDUE
 from scalebend.core.gateway.retry_window import RetryWindow
-from scalebend.edges.gateway import caller_stream, forwarder
+from scalebend.edges.gateway import caller_stream, forwarder, hedged_forwarder
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.models.calls import Outcome
 from scalebend.models.placement import Declined, Placement
@@ -354,7 +354,9 @@
         assert third.runs == []
 
 
-async def test_hung_replica_is_reported():
+async def test_hung_replica_is_reported(monkeypatch):
+    # A busy host may delay the report of the replica.
+    monkeypatch.setattr(hedged_forwarder, "REPORT_WAIT_S", 1.0)
     hung, sound = Engine("hung", NEVER_S), Engine("sound")
     async with run_engines(hung, sound) as front:
         for _ in range(MIN_OVERDUE):
