Count all attempts of a race, and go on from the one forwarded last

Callers of routes with three attempts could get events twice, and their requests run four times. Cause: a race forgot its winner when that fell silent in turn. If it then broke, its position in the stream was dropped, and the retry began at the last event of the first attempt; the cancelled first attempt was not counted either. A third attempt could also go to the replica that was silent first, and an overdue first token start one beyond the limit, since attempts beside silent ones were left out. The connection of the last run was marked as one that may be abandoned for a lost path, which ends its request.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -343,7 +343,7 @@
         silences = self._silences = SilenceWatch(
             self._runtime, call, target, lambda: self._start_beside(target)
         )
-        with allow_repetition(is_allowed=self._attempts.allows_another_run):
+        with allow_repetition(is_allowed=self._allows_another_run()):
             with cancel_on_failure(sending) as task:
                 response = await silences.wait_for_head(task)
         waited = self._runtime.now() - sent_at
@@ -387,6 +387,10 @@
         self.upstream = target.upstream
         return limit
 
+    def _allows_another_run(self) -> bool:
+        """Whether the request may run once more besides this attempt."""
+        return self._attempts.allows_another_run
+
     def _start_beside(self, target: Target) -> Refusal | None:
         """Start another attempt beside a silent one; return why not."""
         return Refusal.NO_ATTEMPTS
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -55,17 +55,24 @@
 class _Race:
     """Attempts that run at the same time, until one of them is the first."""
 
-    def __init__(self) -> None:
+    def __init__(self, first: Forwarder) -> None:
         self.winner: Forwarder | None = None
+        self.forwarded: Forwarder | None = None
+        """The attempt of which something was forwarded last."""
+
+        self.upstreams: set[UpstreamId] = set()
+        """Where attempts were sent."""
+
         self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         """Done once there is a winner, or the first attempt ended without any event."""
 
         self.failed: set[Forwarder] = set()
-        """The attempts that failed while another went on."""
+        """The attempts that failed; they are counted elsewhere."""
 
         self.seconds: list[HedgedForwarder] = []
         """The attempts that were started beside the first."""
 
+        self._first = first
         self._tasks: dict[Forwarder, asyncio.Task[AttemptResult | None]] = {}
         self._added = asyncio.Event()
 
@@ -81,7 +88,7 @@
             return
         if self.has_other_winner(runner):
             raise asyncio.CancelledError
-        self.winner = runner
+        self.winner = self.forwarded = runner
         self._decide()
         for other, task in self._tasks.items():
             if other is not runner:
@@ -118,10 +125,9 @@
 
     @property
     def runs(self) -> int:
-        """Number of attempts that were sent, or may still be."""
-        return 1 + sum(
-            bool(second.send_count) or second in self._tasks for second in self.seconds
-        )
+        """Number of attempts that were sent, or may still be, and have not failed."""
+        sent = [one for one in self.seconds if one.send_count or one in self._tasks]
+        return len({self._first, *sent} - self.failed)
 
     @property
     def has_sent(self) -> bool:
@@ -162,7 +168,7 @@
     async def _attempt(self, target: Target) -> AttemptResult:
         if not self._attempts.allows_another_run:
             return await super()._attempt(target)
-        race = self._race = _Race()
+        race = self._race = _Race(self)
         self._is_timed = self._may_hedge(target)
         first = asyncio.create_task(self._run_first(target))
         race.add(self, first)
@@ -206,8 +212,16 @@
         if self._race is not None:
             self._race.claim(self)
 
+    def _allows_another_run(self) -> bool:
+        if self._race is None:
+            return super()._allows_another_run()
+        runs = self._attempts.runs + self._race.runs
+        return runs < self._call.route.max_attempts
+
     def _record_sent(self, target: Target) -> RateLimit:
         self._sent_at = self._runtime.now()
+        if self._race is not None:
+            self._race.upstreams.add(target.upstream)
         return super()._record_sent(target)
 
     def _record_first_token(self, target: Target) -> None:
@@ -263,7 +277,7 @@
             runtime.record_overdue(target.upstream)
         refusal = self._hedging.check(
             call,
-            self._attempts.runs,
+            self._attempts.runs + race.runs - 1,
             runtime.now(),
             is_suspect=self._evidence.is_suspect(),
             is_queueing=is_queueing,
@@ -282,7 +296,7 @@
             runtime, call, self._request, self._body, self._evidence
         )
         second._attempts = self._attempts
-        excluded = {*self._attempts.excluded, target.upstream}
+        excluded = {*self._attempts.excluded, *race.upstreams, target.upstream}
         second._choice = UpstreamChoice(runtime, call, self._evidence, excluded)
         second._race = race
         second._held = self._held
@@ -318,7 +332,7 @@
     def _start_beside(self, target: Target) -> Refusal | None:
         """Start an attempt that goes on after the last event, or return why not."""
         race, call = self._race, self._call
-        if race is None or self._attempts.runs + race.runs >= call.route.max_attempts:
+        if race is None or not self._allows_another_run():
             return Refusal.NO_ATTEMPTS
         if call.deadline - self._runtime.now() <= MIN_REMAINING_S:
             return Refusal.NO_TIME
@@ -384,6 +398,8 @@
             if result is None:
                 continue
             if race.winner is runner or not race.has_sent:
+                # The caller of this method records its failure, if any.
+                race.failed.add(runner)
                 return result
             # The other one goes on, as after a retry.
             faulty = self._record_failure(result.target or target, result)
@@ -420,13 +436,13 @@
             return
         self.send_count += second.send_count
         forwarded = "none"
-        if race.winner is second:
+        if race.forwarded is second:
             forwarded = "second"
             self._adopt(second)
             if self not in race.failed:
                 self._record_outlived(target.upstream, second._silent)
-        elif race.winner is not None:
-            forwarded = "first" if race.winner is self else "another"
+        elif race.forwarded is not None:
+            forwarded = "first" if race.forwarded is self else "another"
             if second not in race.failed:
                 self._record_outlived(second.upstream, None)
         self._runtime.metrics.count_second_attempt(forwarded)
