Release what a silent attempt holds when another one goes on

The slot, the job and the reserved memory of the first attempt were held, and the memory renewed, until the end of the stream that another attempt forwarded: its choice belonged to the request. It now ends with the attempt.

Evidence: the tests of the slot and the memory in test_silent_races.py failed before and pass; test_silent_attempts.py and test_hedged_forwarder.py pass.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -81,6 +81,9 @@
         self._attempts = Attempts(call)
         excluded = self._attempts.excluded
         self._choice = UpstreamChoice(runtime, call, evidence, excluded)
+        self._chosen = contextlib.AsyncExitStack()
+        """Holds slots, reservations and the job of the current attempt."""
+
         self._cursor = EventCursor(call.headers.last_event)
         self._progress = AttemptProgress()
         self._held = HeldRequest()
@@ -159,7 +162,12 @@
             self._evidence.identity.parts
         ) as self._held:
             try:
-                async with self._held.timeout, self._choice.choose() as target:
+                async with (
+                    self._held.timeout,
+                    contextlib.AsyncExitStack() as self._chosen,
+                ):
+                    choosing = self._choice.choose()
+                    target = await self._chosen.enter_async_context(choosing)
                     if target is None:
                         return AttemptResult(Outcome.NOT_SENT)
                     result = await self._attempt(target)
