Replace a second attempt that did not run

A stream at a silent upstream got one attempt beside it, even if that was rejected or reached nobody: hosts go dark together, and full replicas reject. Callers then waited at the silent one until their deadline, though others had room.

--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -13,7 +13,7 @@
 import structlog
 from aiohttp import web
 
-from scalebend.core.gateway.attempts import MIN_REMAINING_S
+from scalebend.core.gateway.attempts import FREE_UNSENT, MIN_REMAINING_S
 from scalebend.core.gateway.event_cursor import EventCursor
 from scalebend.core.gateway.hedging import Refusal
 from scalebend.edges.gateway.attempt_result import AttemptResult
@@ -38,6 +38,10 @@
 and little of the target of a quick prompt."""
 
 
+_UNSENT = (Outcome.NOT_SENT, Outcome.WITHDRAWN)
+"""Outcomes of attempts that used nothing of the retry budget."""
+
+
 class _Overdue(msgspec.Struct, frozen=True):
     """An attempt whose first token was overdue ``delay`` seconds after its start."""
 
@@ -165,6 +169,9 @@
         self._silent: Target | None = None
         """The attempt that was silent when this one started."""
 
+        self._has_budget = False
+        """Whether the retry budget was spent on this attempt by one before it."""
+
     async def _attempt(self, target: Target) -> AttemptResult:
         if not self._attempts.allows_another_run:
             return await super()._attempt(target)
@@ -334,7 +341,9 @@
 
     # A second attempt beside a silent one
 
-    def _start_beside(self, target: Target) -> Refusal | None:
+    def _start_beside(
+        self, target: Target, *, has_budget: bool = False
+    ) -> Refusal | None:
         """Start an attempt that goes on after the last event, or return why not."""
         race, call = self._race, self._call
         if race is None or not self._allows_another_run():
@@ -343,6 +352,7 @@
             return Refusal.NO_TIME
         second = self._build_second(race, target)
         second._silent = target
+        second._has_budget = has_budget
         second._is_beside_silent = True
         second._cursor = EventCursor(self._cursor.last_event)
         second._stream = self._stream
@@ -360,11 +370,19 @@
             if target is None:
                 self._log_unsent(Refusal.NO_ROOM, None)
                 return None
-            if not runtime.instance.retries.spend(service, runtime.now()):
+            retries = runtime.instance.retries
+            if not self._has_budget and not retries.spend(service, runtime.now()):
                 self._log_unsent(Refusal.NO_BUDGET, target)
                 return None
             return await self._run_second(target)
 
+    def _replace(self, race: _Race, outcome: Outcome) -> None:
+        """Start another attempt if this one, beside a silent one, did not run."""
+        if self._silent is None or len(race.seconds) >= FREE_UNSENT:
+            return
+        if outcome in _UNSENT or outcome is Outcome.REJECTED:
+            self._start_beside(self._silent, has_budget=outcome in _UNSENT)
+
     def _log_unsent(self, refusal: Refusal, target: Target | None) -> None:
         logger.info(
             "second attempt not sent",
@@ -411,6 +429,8 @@
             self._attempts.record_lost(result.outcome, faulty)
             self._runtime.metrics.count_attempt(result.outcome.value)
             race.failed.add(runner)
+            if isinstance(runner, HedgedForwarder):
+                runner._replace(race, result.outcome)
         logger.error("no attempt has a result", request=self._call.headers.request)
         return AttemptResult(Outcome.INTERRUPTED, detail="all attempts were cancelled")
 
