Try a second attempt again where there was no room

A silence asked once for an attempt beside it. If nothing had room at that moment, as in a burst, the caller waited at the silent upstream until the deadline, also after others had room again. It is now tried again after the time that callers would be told.

Evidence: the test of room that comes later in test_silent_races.py failed before and passes; test_silent_attempts.py passes.

--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -364,17 +364,24 @@
         return None
 
     async def _run_beside(self) -> AttemptResult | None:
-        """Run an attempt beside a silent one; return ``None`` if it was not sent."""
-        runtime, service = self._runtime, self._call.service
-        async with self._choice.choose() as target:
-            if target is None:
-                self._log_unsent(Refusal.NO_ROOM, None)
-                return None
-            retries = runtime.instance.retries
-            if not self._has_budget and not retries.spend(service, runtime.now()):
-                self._log_unsent(Refusal.NO_BUDGET, target)
+        """Run an attempt beside a silent one; return ``None`` if it was not sent.
+
+        Where there is no room, try again as late as callers are told to.
+        """
+        runtime, call = self._runtime, self._call
+        retries = runtime.instance.retries
+        while True:
+            async with self._choice.choose() as target:
+                if target is not None:
+                    if self._has_budget or retries.spend(call.service, runtime.now()):
+                        return await self._run_second(target)
+                    self._log_unsent(Refusal.NO_BUDGET, target)
+                    return None
+            self._log_unsent(Refusal.NO_ROOM, None)
+            left = call.deadline - runtime.now() - MIN_REMAINING_S
+            if left <= self._choice.retry_after:
                 return None
-            return await self._run_second(target)
+            await asyncio.sleep(self._choice.retry_after)
 
     def _replace(self, race: _Race, outcome: Outcome) -> None:
         """Start another attempt if this one, beside a silent one, did not run."""
