--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -16,6 +16,7 @@
 from scalebend.core.gateway.attempts import FREE_UNSENT, MIN_REMAINING_S
 from scalebend.core.gateway.event_cursor import EventCursor
 from scalebend.core.gateway.hedging import Refusal
+from scalebend.edges.gateway.attempt_race import EndedAttempt, Race
 from scalebend.edges.gateway.attempt_result import AttemptResult
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.forwarder import Forwarder
@@ -49,102 +50,6 @@
     delay: float
 
 
-class _Ended(msgspec.Struct, frozen=True):
-    """An attempt that has ended, and its task."""
-
-    runner: Forwarder
-    task: asyncio.Task[AttemptResult | None]
-
-
-class _Race:
-    """Attempts that run at the same time, until one of them is the first."""
-
-    def __init__(self, first: Forwarder) -> None:
-        self.winner: Forwarder | None = None
-        self.forwarded: Forwarder | None = None
-        """The attempt of which something was forwarded last."""
-
-        self.upstreams: set[UpstreamId] = set()
-        """Where attempts were sent."""
-
-        self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        """Done once there is a winner, or the first attempt ended without any event."""
-
-        self.failed: set[Forwarder] = set()
-        """The attempts that failed; they are counted elsewhere."""
-
-        self.seconds: list[HedgedForwarder] = []
-        """The attempts that were started beside the first."""
-
-        self._first = first
-        self._tasks: dict[Forwarder, asyncio.Task[AttemptResult | None]] = {}
-        self._added = asyncio.Event()
-
-    def add(self, runner: Forwarder, task: asyncio.Task[AttemptResult | None]) -> None:
-        """Add an attempt that has just started."""
-        self._tasks[runner] = task
-        self._added.set()
-        task.add_done_callback(lambda _: self._decide())
-
-    def claim(self, runner: Forwarder) -> None:
-        """Make ``runner`` the winner and cancel the others; raise if it is too late."""
-        if self.winner is runner:
-            return
-        if self.has_other_winner(runner):
-            raise asyncio.CancelledError
-        self.winner = self.forwarded = runner
-        self._decide()
-        for other, task in self._tasks.items():
-            if other is not runner:
-                task.cancel()
-
-    def reopen(self) -> None:
-        """Let another attempt win after all, because the winner has fallen silent."""
-        self.winner = None
-
-    def has_other_winner(self, runner: Forwarder) -> bool:
-        """Whether another attempt than ``runner`` is the winner."""
-        return self.winner is not None and self.winner is not runner
-
-    def _decide(self) -> None:
-        if not self.decided.done():
-            self.decided.set_result(None)
-
-    async def wait_for_next(self) -> _Ended | None:
-        """Wait for an attempt to end and remove it; ``None`` if none is left."""
-        while self._tasks:
-            for runner, task in self._tasks.items():
-                if task.done():
-                    return _Ended(runner, self._tasks.pop(runner))
-            self._added.clear()
-            adding = asyncio.ensure_future(self._added.wait())
-            try:
-                await asyncio.wait(
-                    {*self._tasks.values(), adding},
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-            finally:
-                adding.cancel()
-        return None
-
-    @property
-    def runs(self) -> int:
-        """Number of attempts that were sent, or may still be, and have not failed."""
-        sent = [one for one in self.seconds if one.send_count or one in self._tasks]
-        return len({self._first, *sent} - self.failed)
-
-    @property
-    def has_sent(self) -> bool:
-        """Whether an attempt still runs that has been sent."""
-        return any(runner.send_count for runner in self._tasks)
-
-    async def close(self) -> None:
-        """Cancel all attempts that still run, and wait until they have let go."""
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
-
-
 class HedgedForwarder(Forwarder):
     """Forwards one request, with up to two attempts at once."""
 
@@ -158,7 +63,7 @@
     ) -> None:
         super().__init__(runtime, call, request, body, evidence)
         self._hedging = runtime.instance.hedging
-        self._race: _Race | None = None
+        self._race: Race | None = None
         self._sent_at: float | None = None
         self._is_timed = False
         """Whether the time to the first token is compared with the predicted one."""
@@ -175,7 +80,7 @@
     async def _attempt(self, target: Target) -> AttemptResult:
         if not self._attempts.allows_another_run:
             return await super()._attempt(target)
-        race = self._race = _Race(self)
+        race = self._race = Race(self)
         self._is_timed = self._may_hedge(target)
         first = asyncio.create_task(self._run_first(target))
         race.add(self, first)
@@ -189,7 +94,7 @@
             for second in race.seconds:
                 self._finish_second(race, target, second)
 
-    async def _watch_first_token(self, race: _Race, target: Target) -> None:
+    async def _watch_first_token(self, race: Race, target: Target) -> None:
         """Start a second attempt if the first token is overdue."""
         now = self._runtime.now()
         self._hedging.record_request(now)
@@ -262,7 +167,7 @@
 
     # The second attempt
 
-    async def _is_overdue(self, race: _Race, target: Target, delay: float) -> bool:
+    async def _is_overdue(self, race: Race, target: Target, delay: float) -> bool:
         """Wait for the first token; return whether it is overdue.
 
         A replica whose first token is late is asked for its report, which may explain
@@ -280,7 +185,7 @@
         )
         return not race.decided.done()
 
-    def _start_second(self, race: _Race, target: Target, delay: float) -> None:
+    def _start_second(self, race: Race, target: Target, delay: float) -> None:
         """Report the overdue replica; start a second attempt if it is allowed."""
         runtime, call = self._runtime, self._call
         is_queueing = runtime.is_queueing(target.upstream)
@@ -301,7 +206,7 @@
             second._overdue = _Overdue(target, delay)
             race.add(second, asyncio.create_task(second._run_overdue_second()))
 
-    def _build_second(self, race: _Race, target: Target) -> HedgedForwarder:
+    def _build_second(self, race: Race, target: Target) -> HedgedForwarder:
         """Build the forwarder of an attempt beside the one at ``target``."""
         runtime, call = self._runtime, self._call
         second = HedgedForwarder(
@@ -383,7 +288,7 @@
                 return None
             await asyncio.sleep(self._choice.retry_after)
 
-    def _replace(self, race: _Race, outcome: Outcome) -> None:
+    def _replace(self, race: Race, outcome: Outcome) -> None:
         """Start another attempt if this one, beside a silent one, did not run."""
         if self._silent is None or len(race.seconds) >= FREE_UNSENT:
             return
@@ -418,7 +323,7 @@
 
     # The result
 
-    async def _wait_for_result(self, race: _Race, target: Target) -> AttemptResult:
+    async def _wait_for_result(self, race: Race, target: Target) -> AttemptResult:
         """Return the result of the attempt that is forwarded, or of the last one."""
         while (ended := await race.wait_for_next()) is not None:
             runner = ended.runner
@@ -441,7 +346,7 @@
         logger.error("no attempt has a result", request=self._call.headers.request)
         return AttemptResult(Outcome.INTERRUPTED, detail="all attempts were cancelled")
 
-    def _get_result(self, ended: _Ended, race: _Race) -> AttemptResult | None:
+    def _get_result(self, ended: EndedAttempt, race: Race) -> AttemptResult | None:
         """Return the result of an attempt that ended; ``None`` if there is none.
 
         A fault of the second attempt is only logged while the first goes on.
@@ -461,7 +366,7 @@
         return None
 
     def _finish_second(
-        self, race: _Race, target: Target, second: HedgedForwarder
+        self, race: Race, target: Target, second: HedgedForwarder
     ) -> None:
         """Take over the state of a second attempt that was sent."""
         if not second.send_count or second.upstream is None:
