--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -71,6 +71,9 @@
         self._attempts = Attempts(call)
         excluded = self._attempts.excluded
         self._choice = UpstreamChoice(runtime, call, evidence, excluded)
+        self._chosen = contextlib.AsyncExitStack()
+        """Holds slots, reservations and the job of the current attempt."""
+
         self._cursor = EventCursor(call.headers.last_event)
         self._progress = AttemptProgress()
         self._held = HeldRequest()
@@ -142,7 +145,12 @@
             self._evidence.identity.parts
         ) as self._held:
             try:
-                async with self._held.timeout, self._choice.choose() as target:
+                async with (
+                    self._held.timeout,
+                    contextlib.AsyncExitStack() as self._chosen,
+                ):
+                    choosing = self._choice.choose()
+                    target = await self._chosen.enter_async_context(choosing)
                     if target is None:
                         return AttemptResult(Outcome.NOT_SENT)
                     result = await self._attempt(target)
@@ -326,7 +334,7 @@
         silences = self._silences = SilenceWatch(
             self._runtime, call, target, lambda: self._start_beside(target)
         )
-        with allow_repetition(is_allowed=self._attempts.allows_another_run):
+        with allow_repetition(is_allowed=self._allows_another_run()):
             with cancel_on_failure(sending) as task:
                 response = await silences.wait_for_head(task)
         waited = self._runtime.now() - sent_at
@@ -370,6 +378,10 @@
         self.upstream = target.upstream
         return limit
 
+    def _allows_another_run(self) -> bool:
+        """Whether the request may run once more besides this attempt."""
+        return self._attempts.allows_another_run
+
     def _start_beside(self, target: Target) -> Refusal | None:
         """Start another attempt beside a silent one; return why not."""
         return Refusal.NO_ATTEMPTS
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -13,9 +13,10 @@
 import structlog
 from aiohttp import web
 
-from scalebend.core.gateway.attempts import MIN_REMAINING_S
+from scalebend.core.gateway.attempts import FREE_UNSENT, MIN_REMAINING_S
 from scalebend.core.gateway.event_cursor import EventCursor
 from scalebend.core.gateway.hedging import Refusal
+from scalebend.edges.gateway.attempt_race import EndedAttempt, Race
 from scalebend.edges.gateway.attempt_result import AttemptResult
 from scalebend.edges.gateway.crash_evidence import CrashEvidence
 from scalebend.edges.gateway.forwarder import Forwarder
@@ -38,6 +39,10 @@
 and little of the target of a quick prompt."""
 
 
+_UNSENT = (Outcome.NOT_SENT, Outcome.WITHDRAWN)
+"""Outcomes of attempts that used nothing of the retry budget."""
+
+
 class _Overdue(msgspec.Struct, frozen=True):
     """An attempt whose first token was overdue ``delay`` seconds after its start."""
 
@@ -45,96 +50,6 @@
     delay: float
 
 
-class _Ended(msgspec.Struct, frozen=True):
-    """An attempt that has ended, and its task."""
-
-    runner: Forwarder
-    task: asyncio.Task[AttemptResult | None]
-
-
-class _Race:
-    """Attempts that run at the same time, until one of them is the first."""
-
-    def __init__(self) -> None:
-        self.winner: Forwarder | None = None
-        self.decided: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        """Done once there is a winner, or the first attempt ended without any event."""
-
-        self.failed: set[Forwarder] = set()
-        """The attempts that failed while another went on."""
-
-        self.seconds: list[HedgedForwarder] = []
-        """The attempts that were started beside the first."""
-
-        self._tasks: dict[Forwarder, asyncio.Task[AttemptResult | None]] = {}
-        self._added = asyncio.Event()
-
-    def add(self, runner: Forwarder, task: asyncio.Task[AttemptResult | None]) -> None:
-        """Add an attempt that has just started."""
-        self._tasks[runner] = task
-        self._added.set()
-        task.add_done_callback(lambda _: self._decide())
-
-    def claim(self, runner: Forwarder) -> None:
-        """Make ``runner`` the winner and cancel the others; raise if it is too late."""
-        if self.winner is runner:
-            return
-        if self.has_other_winner(runner):
-            raise asyncio.CancelledError
-        self.winner = runner
-        self._decide()
-        for other, task in self._tasks.items():
-            if other is not runner:
-                task.cancel()
-
-    def reopen(self) -> None:
-        """Let another attempt win after all, because the winner has fallen silent."""
-        self.winner = None
-
-    def has_other_winner(self, runner: Forwarder) -> bool:
-        """Whether another attempt than ``runner`` is the winner."""
-        return self.winner is not None and self.winner is not runner
-
-    def _decide(self) -> None:
-        if not self.decided.done():
-            self.decided.set_result(None)
-
-    async def wait_for_next(self) -> _Ended | None:
-        """Wait for an attempt to end and remove it; ``None`` if none is left."""
-        while self._tasks:
-            for runner, task in self._tasks.items():
-                if task.done():
-                    return _Ended(runner, self._tasks.pop(runner))
-            self._added.clear()
-            adding = asyncio.ensure_future(self._added.wait())
-            try:
-                await asyncio.wait(
-                    {*self._tasks.values(), adding},
-                    return_when=asyncio.FIRST_COMPLETED,
-                )
-            finally:
-                adding.cancel()
-        return None
-
-    @property
-    def runs(self) -> int:
-        """Number of attempts that were sent, or may still be."""
-        return 1 + sum(
-            bool(second.send_count) or second in self._tasks for second in self.seconds
-        )
-
-    @property
-    def has_sent(self) -> bool:
-        """Whether an attempt still runs that has been sent."""
-        return any(runner.send_count for runner in self._tasks)
-
-    async def close(self) -> None:
-        """Cancel all attempts that still run, and wait until they have let go."""
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
-
-
 class HedgedForwarder(Forwarder):
     """Forwards one request, with up to two attempts at once."""
 
@@ -148,7 +63,7 @@
     ) -> None:
         super().__init__(runtime, call, request, body, evidence)
         self._hedging = runtime.instance.hedging
-        self._race: _Race | None = None
+        self._race: Race | None = None
         self._sent_at: float | None = None
         self._is_timed = False
         """Whether the time to the first token is compared with the predicted one."""
@@ -159,10 +74,13 @@
         self._silent: Target | None = None
         """The attempt that was silent when this one started."""
 
+        self._has_budget = False
+        """Whether the retry budget was spent on this attempt by one before it."""
+
     async def _attempt(self, target: Target) -> AttemptResult:
         if not self._attempts.allows_another_run:
             return await super()._attempt(target)
-        race = self._race = _Race()
+        race = self._race = Race(self)
         self._is_timed = self._may_hedge(target)
         first = asyncio.create_task(self._run_first(target))
         race.add(self, first)
@@ -176,7 +94,7 @@
             for second in race.seconds:
                 self._finish_second(race, target, second)
 
-    async def _watch_first_token(self, race: _Race, target: Target) -> None:
+    async def _watch_first_token(self, race: Race, target: Target) -> None:
         """Start a second attempt if the first token is overdue."""
         now = self._runtime.now()
         self._hedging.record_request(now)
@@ -197,17 +115,30 @@
         )
 
     async def _run_first(self, target: Target) -> AttemptResult | None:
-        result = await super()._attempt(target)
-        if result.outcome is Outcome.ANSWERED:
-            self._claim_response()
-        return result
+        try:
+            result = await super()._attempt(target)
+            if result.outcome is Outcome.ANSWERED:
+                self._claim_response()
+            self._choice.is_complete = result.outcome is Outcome.ANSWERED
+            return result
+        finally:
+            # Another attempt may go on for long.
+            await self._chosen.aclose()
 
     def _claim_response(self) -> None:
         if self._race is not None:
             self._race.claim(self)
 
+    def _allows_another_run(self) -> bool:
+        if self._race is None:
+            return super()._allows_another_run()
+        runs = self._attempts.runs + self._race.runs
+        return runs < self._call.route.max_attempts
+
     def _record_sent(self, target: Target) -> RateLimit:
         self._sent_at = self._runtime.now()
+        if self._race is not None:
+            self._race.upstreams.add(target.upstream)
         return super()._record_sent(target)
 
     def _record_first_token(self, target: Target) -> None:
@@ -236,7 +167,7 @@
 
     # The second attempt
 
-    async def _is_overdue(self, race: _Race, target: Target, delay: float) -> bool:
+    async def _is_overdue(self, race: Race, target: Target, delay: float) -> bool:
         """Wait for the first token; return whether it is overdue.
 
         A replica whose first token is late is asked for its report, which may explain
@@ -254,7 +185,7 @@
         )
         return not race.decided.done()
 
-    def _start_second(self, race: _Race, target: Target, delay: float) -> None:
+    def _start_second(self, race: Race, target: Target, delay: float) -> None:
         """Report the overdue replica; start a second attempt if it is allowed."""
         runtime, call = self._runtime, self._call
         is_queueing = runtime.is_queueing(target.upstream)
@@ -263,7 +194,7 @@
             runtime.record_overdue(target.upstream)
         refusal = self._hedging.check(
             call,
-            self._attempts.runs,
+            self._attempts.runs + race.runs - 1,
             runtime.now(),
             is_suspect=self._evidence.is_suspect(),
             is_queueing=is_queueing,
@@ -275,7 +206,7 @@
             second._overdue = _Overdue(target, delay)
             race.add(second, asyncio.create_task(second._run_overdue_second()))
 
-    def _build_second(self, race: _Race, target: Target) -> HedgedForwarder:
+    def _build_second(self, race: Race, target: Target) -> HedgedForwarder:
         """Build the forwarder of an attempt beside the one at ``target``."""
         runtime, call = self._runtime, self._call
         second = HedgedForwarder(
@@ -284,7 +215,7 @@
         second._attempts = self._attempts
         # Only the winner of the race forwards to it.
         second.stream = self.stream
-        excluded = {*self._attempts.excluded, target.upstream}
+        excluded = {*self._attempts.excluded, *race.upstreams, target.upstream}
         second._choice = UpstreamChoice(runtime, call, self._evidence, excluded)
         second._race = race
         second._held = self._held
@@ -317,15 +248,18 @@
 
     # A second attempt beside a silent one
 
-    def _start_beside(self, target: Target) -> Refusal | None:
+    def _start_beside(
+        self, target: Target, *, has_budget: bool = False
+    ) -> Refusal | None:
         """Start an attempt that goes on after the last event, or return why not."""
         race, call = self._race, self._call
-        if race is None or self._attempts.runs + race.runs >= call.route.max_attempts:
+        if race is None or not self._allows_another_run():
             return Refusal.NO_ATTEMPTS
         if call.deadline - self._runtime.now() <= MIN_REMAINING_S:
             return Refusal.NO_TIME
         second = self._build_second(race, target)
         second._silent = target
+        second._has_budget = has_budget
         second._is_beside_silent = True
         second._cursor = EventCursor(self._cursor.last_event)
         race.reopen()
@@ -333,16 +267,31 @@
         return None
 
     async def _run_beside(self) -> AttemptResult | None:
-        """Run an attempt beside a silent one; return ``None`` if it was not sent."""
-        runtime, service = self._runtime, self._call.service
-        async with self._choice.choose() as target:
-            if target is None:
-                self._log_unsent(Refusal.NO_ROOM, None)
-                return None
-            if not runtime.instance.retries.spend(service, runtime.now()):
-                self._log_unsent(Refusal.NO_BUDGET, target)
+        """Run an attempt beside a silent one; return ``None`` if it was not sent.
+
+        Where there is no room, try again as late as callers are told to.
+        """
+        runtime, call = self._runtime, self._call
+        retries = runtime.instance.retries
+        while True:
+            async with self._choice.choose() as target:
+                if target is not None:
+                    if self._has_budget or retries.spend(call.service, runtime.now()):
+                        return await self._run_second(target)
+                    self._log_unsent(Refusal.NO_BUDGET, target)
+                    return None
+            self._log_unsent(Refusal.NO_ROOM, None)
+            left = call.deadline - runtime.now() - MIN_REMAINING_S
+            if left <= self._choice.retry_after:
                 return None
-            return await self._run_second(target)
+            await asyncio.sleep(self._choice.retry_after)
+
+    def _replace(self, race: Race, outcome: Outcome) -> None:
+        """Start another attempt if this one, beside a silent one, did not run."""
+        if self._silent is None or len(race.seconds) >= FREE_UNSENT:
+            return
+        if outcome in _UNSENT or outcome is Outcome.REJECTED:
+            self._start_beside(self._silent, has_budget=outcome in _UNSENT)
 
     def _log_unsent(self, refusal: Refusal, target: Target | None) -> None:
         logger.info(
@@ -372,7 +321,7 @@
 
     # The result
 
-    async def _wait_for_result(self, race: _Race, target: Target) -> AttemptResult:
+    async def _wait_for_result(self, race: Race, target: Target) -> AttemptResult:
         """Return the result of the attempt that is forwarded, or of the last one."""
         while (ended := await race.wait_for_next()) is not None:
             runner = ended.runner
@@ -382,16 +331,20 @@
             if result is None:
                 continue
             if race.winner is runner or not race.has_sent:
+                # The caller of this method records its failure, if any.
+                race.failed.add(runner)
                 return result
             # The other one goes on, as after a retry.
             faulty = self._record_failure(result.target or target, result)
             self._attempts.record_lost(result.outcome, faulty)
             self._runtime.metrics.count_attempt(result.outcome.value)
             race.failed.add(runner)
+            if isinstance(runner, HedgedForwarder):
+                runner._replace(race, result.outcome)
         logger.error("no attempt has a result", request=self._call.headers.request)
         return AttemptResult(Outcome.INTERRUPTED, detail="all attempts were cancelled")
 
-    def _get_result(self, ended: _Ended, race: _Race) -> AttemptResult | None:
+    def _get_result(self, ended: EndedAttempt, race: Race) -> AttemptResult | None:
         """Return the result of an attempt that ended; ``None`` if there is none.
 
         A fault of the second attempt is only logged while the first goes on.
@@ -411,20 +364,20 @@
         return None
 
     def _finish_second(
-        self, race: _Race, target: Target, second: HedgedForwarder
+        self, race: Race, target: Target, second: HedgedForwarder
     ) -> None:
         """Take over the state of a second attempt that was sent."""
         if not second.send_count or second.upstream is None:
             return
         self.send_count += second.send_count
         forwarded = "none"
-        if race.winner is second:
+        if race.forwarded is second:
             forwarded = "second"
             self._adopt(second)
             if self not in race.failed:
                 self._record_outlived(target.upstream, second._silent)
-        elif race.winner is not None:
-            forwarded = "first" if race.winner is self else "another"
+        elif race.forwarded is not None:
+            forwarded = "first" if race.forwarded is self else "another"
             if second not in race.failed:
                 self._record_outlived(second.upstream, None)
         self._runtime.metrics.count_second_attempt(forwarded)
