Count the grace from the stop signal while a front starts

What callers saw: nothing yet, found by reading. A front that gets SIGTERM while it starts serves, then drains; its drain counted from the end of the start, so the kill came first, and whatever was open then ended unanswered.

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -20,6 +20,7 @@
 from scalebend.platform.early_settings import SETTINGS_VARIABLE
 from scalebend.platform.settings import read_gateway_settings
 from scalebend.utils.early_signals import EarlySignals, handle_early_signals
+from scalebend.utils.stop_signal import StopSignal
 
 logger = structlog.get_logger(__name__)
 
@@ -71,7 +72,7 @@
 async def _run(
     settings: GatewaySettings, listeners: Listeners, path: Path, signals: EarlySignals
 ) -> None:
-    stopped = asyncio.Event()
+    stopped = StopSignal()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.front_calls import Calls
+    from scalebend.utils.stop_signal import StopSignal
 
 logger = structlog.get_logger(__name__)
 
@@ -32,7 +33,7 @@
 async def serve_front(
     settings: GatewaySettings,
     listeners: Listeners,
-    stopped: asyncio.Event,
+    stopped: StopSignal,
     watch: SettingsWatch,
 ) -> None:
     """Run a front until ``stopped`` is set, then drain it."""
@@ -50,20 +51,25 @@
         )
         logger.info("front listens", instance=settings.name)
         await stopped.wait()
-        await drain(runtime, calls)
+        assert stopped.came_at is not None
+        await drain(runtime, calls, stopped.came_at)
 
 
-async def drain(runtime: FrontRuntime, calls: Calls) -> None:
-    """Complete what can be completed until shortly before the process is killed."""
-    started = runtime.now()
-    planned = Drain(started, runtime.settings.bounds.drain_grace)
+async def drain(runtime: FrontRuntime, calls: Calls, began: float) -> None:
+    """Complete what can be completed until shortly before the process is killed.
+
+    ``began`` is the time of the stop signal, which may have come before callers were
+    served.
+    """
+    planned = Drain(began, runtime.settings.bounds.drain_grace)
     runtime.drain = planned
     runtime.instance.is_draining = True
     runtime.tunnels.begin_leaving()
     logger.info("drain begins", open=runtime.open_requests)
     async with asyncio.TaskGroup() as group:
         ending = group.create_task(_end_unsent(runtime, calls, planned))
-        await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, planned.end - started))
+        accept_until = min(began + ACCEPT_AFTER_STOP_S, planned.end)
+        await asyncio.sleep(max(0.0, accept_until - runtime.now()))
         await calls.listener.stop()
         while _has_work(runtime) and runtime.now() < planned.end:
             await asyncio.sleep(POLL_INTERVAL_S)
--- a/tests/lib/stopping_front.py
+++ b/tests/lib/stopping_front.py
@@ -13,6 +13,7 @@
 from scalebend.edges.gateway.sockets import Listeners
 from scalebend.models.gateway_settings import Bounds
 from scalebend.standins.ports import find_free_ports
+from scalebend.utils.stop_signal import StopSignal
 from tests.lib.front import Front
 from tests.lib.gateway_builders import build_settings
 
@@ -25,7 +26,7 @@
 
     def __init__(self, runtime, url, session):
         super().__init__(runtime, url, session)
-        self._stopped = asyncio.Event()
+        self._stopped = StopSignal()
 
     def now(self):
         return self.runtime.now()
@@ -33,11 +34,11 @@
     def stop(self):
         """Begin the planned stop; return when the process would be killed."""
         self._stopped.set()
-        return self.now() + GRACE_S
+        return self._stopped.came_at + GRACE_S
 
     async def drain(self, calls):
         await self._stopped.wait()
-        await front_server.drain(self.runtime, calls)
+        await front_server.drain(self.runtime, calls, self._stopped.came_at)
 
     def read_metric(self, text):
         """Return the value of a metric, with its labels as text; 0 if unknown."""
@@ -48,8 +49,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_stopping_front(routing):
-    """Run a front; at the end of the block its planned stop has to be complete."""
+async def run_stopping_front(routing, start_s=0.0):
+    """Run a front; at the end of the block its planned stop has to be complete.
+
+    It can be stopped ``start_s`` seconds before it serves callers.
+    """
     callers, readiness = (f"127.0.0.1:{port}" for port in find_free_ports(2))
     settings = build_settings(
         callers_address=callers,
@@ -65,9 +69,10 @@
     async with aiohttp.ClientSession() as session:
         front = StoppingFront(runtime, f"http://{callers}", session)
         ready = asyncio.Event()
-        running = asyncio.create_task(_serve(front, settings, ready))
+        running = asyncio.create_task(_serve(front, settings, ready, start_s))
         try:
-            await ready.wait()
+            if not start_s:
+                await ready.wait()
             yield front
             front.stop()
             await running
@@ -77,7 +82,8 @@
             await runtime.close()
 
 
-async def _serve(front, settings, ready):
+async def _serve(front, settings, ready, start_s):
+    await asyncio.sleep(start_s)
     async with serve_calls(settings, Listeners(), front.runtime) as calls:
         ready.set()
         await front.drain(calls)
--- a/tests/unit/gateway/test_planned_stops.py
+++ b/tests/unit/gateway/test_planned_stops.py
@@ -189,6 +189,16 @@
         assert given <= END_S - 0.15
 
 
+async def test_grace_counts_from_the_signal_while_the_process_starts():
+    """It counted from the end of the start: the kill came before the drain's end."""
+    async with run_stopping_front(build_routing(), start_s=0.6) as front:
+        killed_at = front.stop()
+        await wait_for(lambda: front.runtime.drain)
+        assert front.now() > killed_at - GRACE_S + 0.6
+        assert front.runtime.drain.end < killed_at
+    assert front.now() < killed_at
+
+
 async def test_new_connections_are_answered_until_the_end():
     async with (
         run_stopping_front(build_routing()) as front,
