Wait for the last requests before a front without work ends

What callers saw: connections that were accepted at the last moment of a planned stop were closed unanswered, for the front ended in the same step if it had no open request.

It now waits 0.3 s for what comes on them; idle connections of callers gain the same.

test_request_on_a_connection_made_at_the_last_moment_is_answered failed before and passes after, 12 of 12 of the file.

--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -26,6 +26,10 @@
 """Time after the stop signal for which connections are still accepted, so that late
 callers are redirected by a response instead of a refused connection."""
 
+LAST_REQUEST_WAIT_S = 0.3
+"""Time after the last connection was accepted for its request to arrive and to be
+answered: some round trips of a caller, and a stall of this process."""
+
 POLL_INTERVAL_S = 0.05
 """Interval of the checks of open requests while draining."""
 
@@ -71,6 +75,8 @@
         accept_until = min(began + ACCEPT_AFTER_STOP_S, planned.end)
         await asyncio.sleep(max(0.0, accept_until - runtime.now()))
         await calls.listener.stop()
+        last_request = min(runtime.now() + LAST_REQUEST_WAIT_S, planned.end)
+        await asyncio.sleep(max(0.0, last_request - runtime.now()))
         while _has_work(runtime) and runtime.now() < planned.end:
             await asyncio.sleep(POLL_INTERVAL_S)
         ending.cancel()
--- a/tests/unit/gateway/test_planned_stops.py
+++ b/tests/unit/gateway/test_planned_stops.py
@@ -13,9 +13,10 @@
 from aiohttp import web
 
 from scalebend.core.gateway.drain import Drain
+from scalebend.edges.gateway import front_server
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.models.routing import RouteKind
-from tests.lib.front import answer_sealed, serve, wait_for
+from tests.lib.front import HOST, answer_sealed, serve, wait_for
 from tests.lib.gateway_builders import (
     PROFILE,
     build_route,
@@ -218,6 +219,24 @@
         assert 200 in statuses
 
 
+async def test_request_on_a_connection_made_at_the_last_moment_is_answered(monkeypatch):
+    """A front without open requests ended before it had read this one."""
+    accept_s = 0.4
+    monkeypatch.setattr(front_server, "ACCEPT_AFTER_STOP_S", accept_s)
+    async with run_stopping_front(build_routing()) as front:
+        stopped_at = front.stop() - GRACE_S
+        await asyncio.sleep(accept_s - 0.02)
+        host, port = front.url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        await asyncio.sleep(stopped_at + accept_s + 0.1 - front.now())
+        writer.write(f"GET / HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+        status_line = await reader.readline()
+        writer.close()
+        # No upstream is known: either way, a refusal.
+        assert status_line.startswith(b"HTTP/1.1 503 ")
+    assert front.now() < stopped_at + 1.0
+
+
 async def ignore_cancellation(self):
     """Stand in for a request that doesn't end when it is cancelled."""
     self.send_count = 1
