Count a request as open until its response is written

What callers saw: a large response was cut off at a planned stop if its caller had not read it all (6.0 of 12.6 MB in the test), although four seconds of the grace were left.

Cause: the handler returned its response to the library, which wrote it when the request no longer counted as open; the drain ended, and with the process what it had buffered.

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -80,6 +80,7 @@
         try:
             async with opened.timeout:
                 response = await self._forward(request, opened)
+                await self._write(request, response)
             self._log(opened, response.status, None, opened.forwarder)
             return response
         except ScalebendError as error:
@@ -116,6 +117,15 @@
         opened.forwarder = forwarder
         return await forwarder.forward()
 
+    async def _write(
+        self, request: web.BaseRequest, response: web.StreamResponse
+    ) -> None:
+        """Write a response; the library would, after the request counts as done."""
+        if self._runtime.is_closing_connections():
+            response.force_close()
+        await response.prepare(request)
+        await response.write_eof()
+
     # Ends without a response of an upstream
 
     def _build_failure(
--- a/tests/functional/test_planned_stop.py
+++ b/tests/functional/test_planned_stop.py
@@ -18,6 +18,8 @@
 OPEN = 5
 """Open requests of each kind."""
 
+LONG_BYTES = 12 * 1024 * 1024
+
 
 class HoldingReplica(Replica):
     """Sends no head of plain responses, and one event of streams."""
@@ -75,3 +77,34 @@
         assert events.count("request ended by the stop") == 2 * OPEN
         assert "request ended without a response" not in events
         assert "caller left" not in events
+
+
+class LongReplica(Replica):
+    """Its responses are larger than what connections buffer."""
+
+    async def handle(self, request):
+        response = await super().handle(request)
+        if "idempotent" in request.path and self.mode == "long":
+            response.body = bytes(LONG_BYTES)
+        return response
+
+
+async def test_response_that_a_caller_still_reads_is_completed(tmp_path):
+    """A request no longer counted as open while its response was written."""
+    async with run_system(tmp_path, build_replica=LongReplica) as system:
+        for replica in system.replicas:
+            replica.mode = "long"
+        url = f"http://{system.processes.find_front(0)}/{SERVICE}/idempotent/x"
+        headers = {
+            "Host": "test.example",
+            "X-Request-Id": "long",
+            "X-Deadline-Ms": "4000",
+            "Authorization": "Bearer key-1",
+        }
+        async with system.session.post(url, headers=headers) as response:
+            assert response.status == 200
+            system.processes.signal("front-0", signal.SIGTERM)
+            await asyncio.sleep(Drain(0.0, GRACE_S).end - 1.0)
+            assert len(await response.read()) == LONG_BYTES
+        process = system.processes.running["front-0"]
+        assert await asyncio.to_thread(process.wait, 2.0) == 0
