--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -18,6 +18,7 @@
 
 if TYPE_CHECKING:
     from scalebend.edges.gateway.front_calls import Calls
+    from scalebend.utils.stop_signal import StopSignal
 
 logger = structlog.get_logger(__name__)
 
@@ -25,6 +26,10 @@
 """Time after the stop signal for which connections are still accepted, so that late
 callers are redirected by a response instead of a refused connection."""
 
+LAST_REQUEST_WAIT_S = 0.3
+"""Time after the last connection was accepted for its request to arrive and to be
+answered: some round trips of a caller, and a stall of this process."""
+
 POLL_INTERVAL_S = 0.05
 """Interval of the checks of open requests while draining."""
 
@@ -32,7 +37,7 @@
 async def serve_front(
     settings: GatewaySettings,
     listeners: Listeners,
-    stopped: asyncio.Event,
+    stopped: StopSignal,
     watch: SettingsWatch,
 ) -> None:
     """Run a front until ``stopped`` is set, then drain it."""
@@ -50,21 +55,28 @@
         )
         logger.info("front listens", instance=settings.name)
         await stopped.wait()
-        await drain(runtime, calls)
+        assert stopped.came_at is not None
+        await drain(runtime, calls, stopped.came_at)
+
 
+async def drain(runtime: FrontRuntime, calls: Calls, began: float) -> None:
+    """Complete what can be completed until shortly before the process is killed.
 
-async def drain(runtime: FrontRuntime, calls: Calls) -> None:
-    """Complete what can be completed until shortly before the process is killed."""
-    started = runtime.now()
-    planned = Drain(started, runtime.settings.bounds.drain_grace)
+    ``began`` is the time of the stop signal, which may have come before callers were
+    served.
+    """
+    planned = Drain(began, runtime.settings.bounds.drain_grace)
     runtime.drain = planned
     runtime.instance.is_draining = True
     runtime.tunnels.begin_leaving()
     logger.info("drain begins", open=runtime.open_requests)
     async with asyncio.TaskGroup() as group:
         ending = group.create_task(_end_unsent(runtime, calls, planned))
-        await asyncio.sleep(min(ACCEPT_AFTER_STOP_S, planned.end - started))
+        accept_until = min(began + ACCEPT_AFTER_STOP_S, planned.end)
+        await asyncio.sleep(max(0.0, accept_until - runtime.now()))
         await calls.listener.stop()
+        last_request = min(runtime.now() + LAST_REQUEST_WAIT_S, planned.end)
+        await asyncio.sleep(max(0.0, last_request - runtime.now()))
         while _has_work(runtime) and runtime.now() < planned.end:
             await asyncio.sleep(POLL_INTERVAL_S)
         ending.cancel()
