Don't count cancelled attempts as failures of their upstreams

What callers saw: for three seconds a front passed over sound upstreams of a plain service because their callers had left, because they had paused while another attempt was faster, or just because they had completed a stream.

Cause: the balancer took each attempt for failed that had not set the success of a whole response itself: a cancelled one as well, and every stream.

A complete stream no longer counts as failed (nor as a success, which would have to be set where its events are forwarded). Refused, broken and failed attempts count as before.

--- a/src/scalebend/core/gateway/service_balancer.py
+++ b/src/scalebend/core/gateway/service_balancer.py
@@ -96,14 +96,19 @@
         reading: ReportedLoad | None,
         now: float,
         *,
-        has_failed: bool,
+        has_failed: bool | None,
     ) -> None:
-        """Record the end of a request that was sent to an upstream."""
+        """Record the end of a request that was sent to an upstream.
+
+        ``has_failed`` is ``None`` if that says nothing about the upstream.
+        """
         record = self._get(upstream)
         record.open = max(0, record.open - 1)
         if reading is not None:
             record.reading = reading
             record.read_at = now
+        if has_failed is None:
+            return
         outcome = 1.0 if has_failed else 0.0
         if has_failed:
             record.failed_at = now
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -10,6 +10,7 @@
 import structlog
 
 from scalebend.core.gateway.placement_aging import age_work
+from scalebend.core.gateway.silences import MAX_PAUSE_S
 from scalebend.core.gateway.timeouts import (
     compute_inspection_delay,
     compute_room_timeout,
@@ -103,7 +104,10 @@
         """Whether the attempt failed; true until a response succeeded."""
 
         self.is_complete = False
-        """Whether the attempt ended with a complete response."""
+        """Whether the attempt, or another one beside it, had a complete response."""
+
+        self._has_first_event = False
+        """Whether the upstream that was chosen sent an event."""
 
         self.retry_after = DEFAULT_RETRY_AFTER_S
         """Seconds after which the caller may retry, if nothing is chosen."""
@@ -125,6 +129,7 @@
 
     def record_first_token(self, target: Target) -> None:
         """Record the first event of a stream."""
+        self._has_first_event = True
         if target.job is not None:
             self._cancel_inspection()
             self._runtime.record_first_token(target.job, self.load)
@@ -183,16 +188,32 @@
         instance.balancer.record_sent(endpoint.upstream)
         self.load = None
         self.has_failed = True
+        self.is_complete = self._has_first_event = False
+        chosen_at = runtime.now()
+        is_cancelled = False
         try:
             yield Target(endpoint.upstream, endpoint.address, [])
+        except asyncio.CancelledError:
+            is_cancelled = True
+            raise
         finally:
+            has_failed: bool | None = self.has_failed
+            # Its caller left, or another attempt was faster.
+            is_undecided = has_failed and (is_cancelled or self.is_complete)
+            if is_undecided and not self._is_silent_for_long(chosen_at):
+                has_failed = None
             instance.balancer.record_ended(
                 endpoint.upstream,
                 self.load,
                 runtime.now(),
-                has_failed=self.has_failed,
+                has_failed=has_failed,
             )
 
+    def _is_silent_for_long(self, chosen_at: float) -> bool:
+        """Whether no event came for longer than a sound upstream pauses."""
+        is_long = self._runtime.now() - chosen_at >= MAX_PAUSE_S
+        return is_long and not self._has_first_event
+
     @contextlib.asynccontextmanager
     async def _choose_engines(self) -> AsyncIterator[Target | None]:
         runtime = self._runtime
