Place a long prompt around all members of its group that pause

What callers saw, since reports tell a pause from a failure: a long prompt met the paused members of its prefill groups one by one, 0.5 s for the reservation at each.

Cause: only replicas that count as unresponsive were excluded from the next group.

Change: all members that sent no report are excluded from this request's next groups, paused ones as well, as they were before. Nobody else is told, and nothing is kept of it.

--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -297,7 +297,7 @@
         self.execute(self.instance.record_stage(stage, self.now()))
 
     async def inspect(self, placement: Placement) -> list[UpstreamId]:
-        """Fetch and record reports of the replicas; return the unresponsive ones."""
+        """Fetch and record reports of the replicas; return those that sent none."""
         addresses = {helper.upstream: helper.address for helper in placement.helpers}
         addresses[placement.upstream] = placement.address
         assert self._inspector is not None
@@ -305,7 +305,7 @@
         self.execute(self.instance.record_paces(inspection.paces, self.now()))
         for upstream in inspection.unresponsive:
             self.record_replica_failure(upstream)
-        return self._inspector.list_unresponsive(addresses, self.now())
+        return self._inspector.list_unanswered(addresses, self.now())
 
     async def fetch_report(self, placement: Placement) -> None:
         """Fetch reports of the replicas, or wait for those being fetched."""
--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -16,6 +16,7 @@
 from scalebend.core.gateway.silences import MAX_PAUSE_S
 from scalebend.edges.gateway.report_requests import (
     REPORT_TIMEOUT_S,
+    WITHOUT_RESPONSE,
     NoReport,
     Report,
     fetch_report,
@@ -68,9 +69,6 @@
         self._fetched_at: dict[UpstreamId, float] = {}
         self._reports: dict[UpstreamId, Report] = {}
         self._silences: dict[UpstreamId, _Silence] = {}
-        self._unresponsive: set[UpstreamId] = set()
-        """Replicas that the last fetch found unresponsive."""
-
         self._pending: dict[UpstreamId, asyncio.Event] = {}
 
     def is_queueing(self, upstream: UpstreamId, now: float) -> bool:
@@ -97,14 +95,17 @@
         while (pending := self._pending.get(upstream)) is not None:
             await pending.wait()
 
-    def list_unresponsive(
+    def list_unanswered(
         self, upstreams: Iterable[UpstreamId], now: float
     ) -> list[UpstreamId]:
-        """Return the replicas that the last fetch, if recent, found unresponsive."""
+        """Return the replicas that did not respond to the last fetch, if recent.
+
+        They may pause: nothing is concluded but that a prompt had better go elsewhere.
+        """
         return [
             upstream
             for upstream in upstreams
-            if upstream in self._unresponsive
+            if self._reports.get(upstream) in WITHOUT_RESPONSE
             and now - self._fetched_at[upstream] < REPEAT_INTERVAL_S
         ]
 
@@ -150,8 +151,6 @@
             elif isinstance(report, ReplicaReport):
                 paces.append(ReplicaPace(upstream, report.pace))
         self._reports.update(reports)
-        self._unresponsive.difference_update(reports)
-        self._unresponsive.update(unresponsive)
         return Inspection(paces, unresponsive)
 
     def _is_unresponsive(
--- a/src/scalebend/edges/gateway/report_requests.py
+++ b/src/scalebend/edges/gateway/report_requests.py
@@ -46,7 +46,7 @@
 Report = ReplicaReport | NoReport
 
 
-_WITHOUT_RESPONSE = (NoReport.UNREACHED, NoReport.BROKEN, NoReport.SILENT)
+WITHOUT_RESPONSE = (NoReport.UNREACHED, NoReport.BROKEN, NoReport.SILENT)
 
 
 async def fetch_report(sessions: UpstreamSessions, address: str) -> Report:
@@ -62,7 +62,7 @@
         tasks.append(single)
         for ended in asyncio.as_completed(tasks):
             report = await ended
-            if report not in _WITHOUT_RESPONSE:
+            if report not in WITHOUT_RESPONSE:
                 return report
         return single.result()
     finally:
--- a/src/scalebend/edges/gateway/upstream_choice.py
+++ b/src/scalebend/edges/gateway/upstream_choice.py
@@ -115,8 +115,8 @@
     async def exclude_unresponsive(self, target: Target) -> None:
         """Exclude all replicas of a prefill group that do not respond now.
 
-        Several often crash together. If they were found one by one, by failed attempts,
-        a long prompt would use up its attempts.
+        Several often crash or pause together. If they were found one by one, by failed
+        attempts, a long prompt would use up its attempts.
         """
         if target.placement is not None and target.placement.helpers:
             self._has_met_unavailable = True
--- a/tests/unit/gateway/test_silent_reports.py
+++ b/tests/unit/gateway/test_silent_reports.py
@@ -54,9 +54,9 @@
         """Return the paces, whether the replica counts as failed, and the time."""
         began = time.monotonic()
         found = await self._inspector.inspect(self._addresses, now)
-        listed = self._inspector.list_unresponsive(self._addresses, now)
-        assert listed == found.unresponsive
-        return found.paces, bool(listed), time.monotonic() - began
+        unanswered = self._inspector.list_unanswered(self._addresses, now)
+        assert bool(unanswered) == (not found.paces)
+        return found.paces, bool(found.unresponsive), time.monotonic() - began
 
 
 @contextlib.asynccontextmanager
