Don't accuse a prompt of a crash after its replica has answered others

What callers saw: a request during which a sound replica had paused counted as a suspect for a crash if that replica was restarted within the next 15 s.

Cause: attempts without a response are kept for 15 s and accused once their replica ends, also if it had given whole responses to others since.

Change: a whole response of a replica clears the attempts that were without one before.

--- a/src/scalebend/core/gateway/front_crashes.py
+++ b/src/scalebend/core/gateway/front_crashes.py
@@ -123,6 +123,10 @@
         """Record an attempt without a response whose connection did not break."""
         self._unanswered.add(upstream, fingerprint, parts, now)
 
+    def record_answered(self, upstream: UpstreamId) -> None:
+        """Record a whole response: until now no attempt there ended in a crash."""
+        self._unanswered.record_alive(upstream)
+
     def record_ended_upstreams(
         self, superseded: list[UpstreamId], now: float
     ) -> CrashUpdates | None:
--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -436,6 +436,8 @@
         self, upstream: UpstreamId, now: float, *, has_failed: bool
     ) -> None:
         """Count a response or a failure of an upstream."""
+        if not has_failed:
+            self.crash_reports.record_answered(upstream)
         if not has_failed or self._may_blame(upstream, now):
             self._outcomes.record(upstream, has_failed=has_failed)
 
--- a/src/scalebend/core/gateway/unanswered_attempts.py
+++ b/src/scalebend/core/gateway/unanswered_attempts.py
@@ -55,6 +55,10 @@
         """Remove and return the unanswered attempts at a replica that crashed."""
         return self._attempts.pop(upstream, [])
 
+    def record_alive(self, upstream: UpstreamId) -> None:
+        """Forget the attempts at a replica that has responded since."""
+        self._attempts.pop(upstream, None)
+
     def expire(self, now: float) -> None:
         """Forget attempts at replicas that did not crash soon after."""
         for upstream, attempts in list(self._attempts.items()):
