--- a/src/scalebend/soak/callers.py
+++ b/src/scalebend/soak/callers.py
@@ -299,9 +299,16 @@
 
 @contextlib.asynccontextmanager
 async def run_callers(
-    count: int, deployment: Deployment, observations: Observations, seed: int
+    count: int,
+    deployment: Deployment,
+    observations: Observations,
+    seed: int,
+    prefix: str = "",
 ) -> AsyncIterator[None]:
-    """Run ``count`` callers until the block ends, then cancel and await them."""
+    """Run ``count`` callers until the block ends, then cancel and await them.
+
+    ``prefix`` tells their names from those of others.
+    """
     balancer = Balancer(deployment, random.Random(f"{seed}/balancer"))
     timeout = aiohttp.ClientTimeout(total=CHECK_INTERVAL_S)
     connector = aiohttp.TCPConnector(force_close=True)
@@ -309,7 +316,9 @@
         checking = asyncio.create_task(balancer.check(session))
         callers = [
             asyncio.create_task(
-                Caller(str(n), deployment, observations, seed).call_forever(balancer)
+                Caller(f"{prefix}{n}", deployment, observations, seed).call_forever(
+                    balancer
+                )
             )
             for n in range(count)
         ]
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -50,6 +50,9 @@
 CALM_EVACUATION_S = 5.0
 """Seconds for which a zone is evacuated after the recovery."""
 
+SILENT_SERIES_CALLERS = 2
+"""Further callers per caller in the series of silences: more requests meet one."""
+
 FINAL_LOAD_S = 4.0
 """Seconds of load after the recovery."""
 
@@ -117,9 +120,15 @@
             await operator.change(session)
             await asyncio.sleep(FINAL_LOAD_S)
             # Last, so that the checks of calm periods need no further time.
-            await injector.follow(
-                build_silent_series(options.seed, options.layout), session
-            )
+            async with run_callers(
+                SILENT_SERIES_CALLERS * options.callers,
+                deployment,
+                observations,
+                options.seed,
+                "more-",
+            ):
+                silences = build_silent_series(options.seed, options.layout)
+                await injector.follow(silences, session)
         reading.cancel()
         await operator.read(session)
         await operator.read_evacuated(session, ())
