--- a/src/scalebend/soak/schedules.py
+++ b/src/scalebend/soak/schedules.py
@@ -86,7 +86,7 @@
 """Duration of the evacuation in the last series, in seconds: longer than any limit of
 what is promised, so that late requests show also if control was disturbed."""
 
-SILENT_SERIES_S = 8.0
+SILENT_SERIES_S = 9.0
 """Duration in seconds of the series of silences beside no unplanned fault."""
 
 LONG_EVACUATION_SERIES_S = 28.0
@@ -255,10 +255,10 @@
             ScheduledFault(chooser.uniform(0.0, 4.0), _draw_silence(chooser, layout))
             for _ in range(2 * MAX_SILENCES)
         ),
-        ScheduledFault(2.1, silence_all()),
-        ScheduledFault(4.2, silence_all()),
-        *(ScheduledFault(4.2 + chooser.uniform(0.0, 0.5), one) for one in planned),
-        ScheduledFault(5.0, _draw_silence(chooser, layout)),
+        ScheduledFault(2.6, silence_all()),
+        ScheduledFault(5.2, silence_all()),
+        *(ScheduledFault(5.2 + chooser.uniform(0.0, 0.5), one) for one in planned),
+        ScheduledFault(5.9, _draw_silence(chooser, layout)),
     ]
     drawn.sort(key=lambda scheduled: scheduled.at)
     return Schedule(drawn, SILENT_SERIES_S)
--- a/src/scalebend/soak/silences.py
+++ b/src/scalebend/soak/silences.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import AsyncIterator, Callable, Iterator
 
 import msgspec
@@ -16,6 +17,10 @@
 from scalebend.soak.faults import SilencePlace
 from scalebend.soak.observations import Observations, SilentRequest
 
+RECOVERY_S = 0.6
+"""Seconds after a silence of a replica as a whole without another there: one after the
+other would be a longer silence than sound replicas have."""
+
 
 class _Expected(msgspec.Struct):
     """Silences of the next responses that reach a place."""
@@ -35,12 +40,18 @@
         self._get_upstream = get_upstream
         self._ended = asyncio.Event()
         self._ended.set()
+        self._sounds_since = -math.inf
+        """End of the last silence of the replica as a whole."""
+
         self._expected: list[_Expected] = []
 
     @contextlib.asynccontextmanager
     async def silence_all(self) -> AsyncIterator[None]:
-        """Keep everything silent until the block ends; nothing if it already is."""
-        if not self._ended.is_set():
+        """Keep everything silent until the block ends.
+
+        Does nothing if the replica already is silent, or has just been.
+        """
+        if not self._ended.is_set() or self._has_just_been_silent():
             yield
             return
         self._ended.clear()
@@ -48,6 +59,7 @@
             yield
         finally:
             self._ended.set()
+            self._sounds_since = asyncio.get_running_loop().time()
 
     @contextlib.contextmanager
     def silence_next(
@@ -80,7 +92,13 @@
         finally:
             silent.until = loop.time()
 
+    def _has_just_been_silent(self) -> bool:
+        now = asyncio.get_running_loop().time()
+        return now < self._sounds_since + RECOVERY_S
+
     def _take(self, place: SilencePlace | None) -> float | None:
+        if not self._ended.is_set() or self._has_just_been_silent():
+            return None
         for expected in self._expected:
             if expected.place is place and expected.count:
                 expected.count -= 1
--- a/tests/unit/soak/test_silences.py
+++ b/tests/unit/soak/test_silences.py
@@ -1,6 +1,7 @@
 """Silences of stand-in replicas: who falls silent, and for how long."""
 
 import asyncio
+import math
 import time
 
 from scalebend.models.ids import UpstreamId
@@ -44,6 +45,20 @@
     assert await measure(silences.pass_place("r-3", None)) < SILENCE_S
 
 
+async def test_silences_do_not_follow_each_other_at_once():
+    observations, silences = build_silences()
+    async with silences.silence_all():
+        pass
+    with silences.silence_next(SilencePlace.HEAD, SILENCE_S, 1):
+        async with silences.silence_all():
+            assert await measure(silences.pass_place("r-1", None)) < SILENCE_S
+        assert await measure(silences.pass_place("r-1", SilencePlace.HEAD)) < SILENCE_S
+        assert observations.silent_requests == []
+        silences._sounds_since = -math.inf
+        await silences.pass_place("r-1", SilencePlace.HEAD)
+    assert len(observations.silent_requests) == 1
+
+
 async def test_only_the_next_responses_at_a_place_fall_silent():
     observations, silences = build_silences()
     with silences.silence_next(SilencePlace.FIRST_EVENT, SILENCE_S, 1):
