Resume founding after a kill of all during the first start

If all control processes were killed within about 0.6 s of the very first start, no configuration was ever acknowledged: only the first start may form the control group, the settings say so once, and that was kept in memory.

A founder now stores its intention, with the founders of that start, synced with its folder, before the process loads its libraries (70 to 80 ms after the start on this machine), and forms the group after a restart. A second group: the intention is on the disk that the group would be on, so a new disk has none. A founder that never heard of the group and was down while the others lost their disks can't tell; more than 5 s after the first start it forms a group only if each founder still has its own intention.

Open: killed before any process has stored (Python's own start, a few hundredths of a second), nobody forms the group, as before.

tests/lib/platform_processes.py: processes may run without injected faults, by the entry point of the deployments.

--- a/src/scalebend/commands/start_gateway.py
+++ b/src/scalebend/commands/start_gateway.py
@@ -2,16 +2,26 @@
 
 After a power loss callers return while processes start. A refused connection uses up
 one of a caller's two attempts, whereas an accepted connection waits for the response.
-A front therefore imports only what it needs to listen first.
+A front therefore imports only what it needs to listen first. A founder of the control
+group stores that it is one: later starts no longer say so.
 """
 
 from __future__ import annotations
 
+import contextlib
 import os
 import sys
+import time
 
 from scalebend.edges.gateway.sockets import Listeners
-from scalebend.platform.early_settings import SETTINGS_VARIABLE, read_callers_address
+from scalebend.models.founding import StoredFounding
+from scalebend.models.ids import InstanceId
+from scalebend.platform.early_settings import (
+    SETTINGS_VARIABLE,
+    read_callers_address,
+    read_founders,
+)
+from scalebend.storage.founding_file import store_founding
 from scalebend.utils.sigterm import exit_on_sigterm
 
 
@@ -19,7 +29,9 @@
     """Run the process for the role in the platform's settings until SIGTERM."""
     exit_on_sigterm()
     listeners = Listeners()
-    address = read_callers_address(os.environ.get(SETTINGS_VARIABLE, ""))
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    _store_founding(path)
+    address = read_callers_address(path)
     if address is not None:
         listeners.try_open(address)
     # Imported after the port is open, because this takes most of the start.
@@ -28,5 +40,16 @@
     return run(settings=None, log_level="info", link_listen=None, listeners=listeners)
 
 
+def _store_founding(path: str) -> None:
+    read = read_founders(path)
+    if read is None:
+        return
+    folder, addresses = read
+    founders = [InstanceId(address) for address in addresses]
+    # The control instance stores it again, and restarts until its disk works.
+    with contextlib.suppress(OSError):
+        store_founding(folder, StoredFounding(founders, time.time()))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -100,6 +100,7 @@
         now: float,
         seed: int = 0,
         may_found: bool = True,
+        needs_all_founders: bool = False,
         may_be_sole_founder: bool = False,
         voters_wanted: int | None = None,
     ) -> None:
@@ -108,6 +109,7 @@
         ``voters_wanted``: number of voters in a group that replaces unresponsive
         voters by itself; without it, the configured peers stay the voters.
         ``may_found``: whether this instance may form a group.
+        ``needs_all_founders``: whether it may do so only if all founders may.
         ``may_be_sole_founder``: whether a relay may name this instance as founder
         where no configured peer has a disk.
         """
@@ -119,6 +121,7 @@
         self._peers = list(peers)
         self._founders = set(peers)
         self._may_found = may_found
+        self._needs_all_founders = needs_all_founders
         self._may_be_sole_founder = may_be_sole_founder
         self._relays: set[InstanceId] = set()
         self._voters_wanted = voters_wanted
@@ -291,10 +294,10 @@
         founders = self._founders - self._relays
         if any(reply.has_group for reply in self._hellos.values()):
             return
-        if any(
-            self._hellos[peer].may_found and peer < self.me.instance
-            for peer in founders
-        ):
+        willing = {peer for peer in founders if self._hellos[peer].may_found}
+        if self._needs_all_founders and willing != founders:
+            return
+        if any(peer < self.me.instance for peer in willing):
             return
         self._form_group({self._hellos[peer].member for peer in founders} | {self.me})
 
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -41,6 +41,7 @@
 from scalebend.edges.stalls import StallGuard
 from scalebend.exceptions import ErrorKind, RefusedError
 from scalebend.models.evacuations import EvacuationOrder
+from scalebend.models.founding import Founding
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
 from scalebend.models.ids import EvacuationRevision, InstanceId, RoutingVersion
 from scalebend.platform.routing import decode_routing
@@ -71,6 +72,7 @@
         self,
         settings: GatewaySettings,
         folder: Path,
+        founding: Founding | None,
         journal: Journal,
         recovered: Recovered,
         metrics: GatewayMetrics,
@@ -80,15 +82,17 @@
         self._journal = journal
         self._loop = asyncio.get_running_loop()
         own_id = settings.instance
-        peers = [InstanceId(seed) for seed in settings.seeds if seed != own_id]
+        founders = founding.founders if founding is not None else settings.seeds
+        peers = [InstanceId(seed) for seed in founders if seed != own_id]
         member = ControlMember(
             own_id,
             peers,
             recovered,
             now=self.now(),
             seed=time.time_ns(),
-            may_found=settings.is_first_start and own_id in settings.seeds,
-            may_be_sole_founder=settings.is_first_start,
+            may_found=founding is not None and own_id in founding.founders,
+            needs_all_founders=founding is not None and founding.needs_all,
+            may_be_sole_founder=founding is not None,
             voters_wanted=2 * settings.tolerated_losses + 1,
         )
         self.instance = ControlInstance(
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -4,16 +4,22 @@
 
 import asyncio
 import contextlib
+import time
 from pathlib import Path
 
 import structlog
 
+from scalebend.core.consensus.messages import Recovered
+from scalebend.core.gateway.founding import plan_founding
 from scalebend.edges.gateway.control_runtime import ControlRuntime
 from scalebend.edges.gateway.http_loading import load_http
 from scalebend.edges.gateway.links import run_links
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.settings_watch import SettingsWatch
+from scalebend.models.founding import Founding, StoredFounding
 from scalebend.models.gateway_settings import GatewaySettings
+from scalebend.models.ids import InstanceId
+from scalebend.storage.founding_file import read_founding, store_founding
 from scalebend.storage.journal import open_journal
 
 logger = structlog.get_logger(__name__)
@@ -48,8 +54,13 @@
 ) -> None:
     assert settings.data_folder is not None
     folder = Path(settings.data_folder)
+    if settings.is_first_start:
+        store_founding(folder, StoredFounding(_list_seeds(settings), time.time()))
     with open_journal(folder) as (journal, recovered):
-        runtime = ControlRuntime(settings, folder, journal, recovered, metrics)
+        founding = _plan_founding(settings, folder, recovered, time.time())
+        runtime = ControlRuntime(
+            settings, folder, founding, journal, recovered, metrics
+        )
         async with contextlib.AsyncExitStack() as stack:
             address = settings.link_listen or settings.link_address
             links = run_links(address, runtime.server, runtime.dialer, runtime.run())
@@ -70,6 +81,29 @@
                 await _hand_over_leadership(runtime)
 
 
+def _plan_founding(
+    settings: GatewaySettings, folder: Path, recovered: Recovered, now: float
+) -> Founding | None:
+    founding = plan_founding(
+        _list_seeds(settings),
+        read_founding(folder),
+        is_first_start=settings.is_first_start,
+        now=now,
+    )
+    has_group = recovered.snapshot is not None or bool(recovered.entries)
+    if founding is not None and not has_group and not settings.is_first_start:
+        logger.info(
+            "founding resumed",
+            founders=founding.founders,
+            needs_all=founding.needs_all,
+        )
+    return founding
+
+
+def _list_seeds(settings: GatewaySettings) -> list[InstanceId]:
+    return [InstanceId(seed) for seed in settings.seeds]
+
+
 async def _wait_until_set(event: asyncio.Event) -> None:
     await event.wait()
 
--- a/src/scalebend/platform/early_settings.py
+++ b/src/scalebend/platform/early_settings.py
@@ -1,8 +1,9 @@
-"""Reads the one setting that is needed before a process loads its libraries."""
+"""Reads the settings that are needed before a process loads its libraries."""
 
 from __future__ import annotations
 
 import json
+from pathlib import Path
 
 SETTINGS_VARIABLE = "SCALEBEND_CONFIG"
 """Environment variable that holds the path of the settings file."""
@@ -19,3 +20,20 @@
     except (OSError, ValueError, LookupError, TypeError):
         return None
     return address if isinstance(address, str) else None
+
+
+def read_founders(path: str) -> tuple[Path, list[str]] | None:
+    """Return the data folder and the founders' link addresses on the first start.
+
+    ``None`` on later starts, without a data folder, or if the file is invalid.
+    """
+    try:
+        with open(path, "rb") as file:
+            settings = json.load(file)
+        if settings["Bootstrap"] is not True or "control" not in settings["Serves"]:
+            return None
+        port = int(settings["PortRange"][0])
+        founders = [f"{seed.rpartition(':')[0]}:{port}" for seed in settings["Seeds"]]
+        return Path(settings["DataDir"]), founders
+    except (OSError, ValueError, LookupError, TypeError, AttributeError):
+        return None
--- a/tests/lib/platform_processes.py
+++ b/tests/lib/platform_processes.py
@@ -31,6 +31,8 @@
         self.names += ["relay-0", "front-9"]
         self.started = self.names[: CONTROLS + FRONTS]
         self.seeds = {}
+        self.has_faults = True
+        """Whether processes run with faults that a test injects."""
 
     def find_ip(self, name):
         return f"127.0.0.{20 + self.names.index(name)}"
@@ -75,16 +77,12 @@
         }
         path = folder / "node.json"
         path.write_text(json.dumps(settings))
+        command = ["scalebend.commands.start_gateway"]
+        if self.has_faults:
+            command = ["scalebend.soak.misbehaving", str(folder), ip, "gateway"]
         with (folder / f"log-{starts}").open("wb") as log:
             self.running[name] = subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "scalebend.soak.misbehaving",
-                    str(folder),
-                    ip,
-                    "gateway",
-                ],
+                [sys.executable, "-m", *command],
                 env={**os.environ, "SCALEBEND_CONFIG": str(path)},
                 stdout=log,
                 stderr=subprocess.STDOUT,
