Wait for upstreams that announce nothing for some seconds

Own interface: an engine or service that was paused for a little over two seconds (no announcement for 2.5 s, they come each 0.5 s) cost every caller whose request it ran: an error event in the middle of a stream, 502 for completions and calls that may run once, 502 also where it was the only one. All of these runs went on and completed unseen. The pause also counted as a crash, against the parts of the prompt and the replica.

Cause: Entry.handle_upstream_gone took missing announcements for an interrupted attempt, and the upstream was out of the catalog by then, so that nothing was resumed. Now a request that another upstream may run is sent there (within the attempts and the retry budget, as before); any other is waited for until its connection ends or its deadline passes. A silence accuses nobody. Connections to upstreams are now probed by the kernel after 5 s of silence, which ends those to a machine without power within about 7 s; a paused process still replies. Read, not shown: loopback loses no packets. Before, such requests ended after 2.5 s with the announcements; those that may run elsewhere still do.

The stand-ins can fall silent; changes no existing test.

--- a/src/scalebend/commands/measure_overhead.py
+++ b/src/scalebend/commands/measure_overhead.py
@@ -43,7 +43,7 @@
 )
 from scalebend.models.settings import Listen, LogFormat, Logging, Role, Settings
 from scalebend.models.upstream import Announcement, LoadedModel, UpstreamFamily
-from scalebend.standins.announcer import announce_periodically
+from scalebend.standins.announcer import Silence, announce_periodically
 from scalebend.standins.ports import find_free_ports
 from scalebend.utils.keys import hash_key
 
@@ -300,7 +300,7 @@
             prefill_rate=1e9,
         )
 
-    await announce_periodically(build, [url], "")
+    await announce_periodically(build, [url], "", Silence())
 
 
 async def _wait_and_configure(runtime: Runtime, url: str) -> None:
--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -37,6 +37,7 @@
 from scalebend.core.placement import MAX_GROUP_REPLICAS, Placement
 from scalebend.core.queueing import FirstCome, Strategy, compute_size_class
 from scalebend.core.retries import RetryBudget, compute_delay
+from scalebend.core.upstream_silence import may_send_again
 from scalebend.exceptions import (
     ErrorKind,
     Ran,
@@ -261,7 +262,10 @@
     def handle_upstream_gone(
         self, upstream: UpstreamId, now: float
     ) -> list[EntryAction]:
-        """Handle an unresponsive upstream: attempts not sent yet are routed again."""
+        """Handle an upstream that announces nothing any more; it may be paused.
+
+        Attempts that were not sent yet are routed again.
+        """
         self.placement.prefixes.forget_replica(upstream)
         self.placement.pending.forget(upstream)
         actions: list[EntryAction] = []
@@ -272,8 +276,7 @@
             if flow.state is FlowState.TRANSFERRING and upstream != attempt.lead:
                 actions += self._reserve_other_decode(flow, upstream, now)
             elif attempt.was_sent:
-                interrupted = Interrupted(f"{upstream} became unresponsive")
-                actions += self._handle_interrupted(flow, interrupted, now)
+                actions += self._handle_silence(flow, upstream, now)
             elif flow.state is FlowState.RESERVING:
                 flow.last_error = UpstreamError(f"{upstream} became unresponsive")
                 actions += self._release_attempt(flow, Outcome.UNUSED)
@@ -484,6 +487,34 @@
             excludes_lead=not interrupted.is_path_lost,
         )
 
+    def _handle_silence(
+        self, flow: Flow, upstream: UpstreamId, now: float
+    ) -> list[EntryAction]:
+        """Send a request again if another upstream may run it; otherwise wait on.
+
+        A silence alone accuses neither the upstream nor the request.
+        """
+        attempt = flow.attempt
+        assert attempt is not None
+        excluded = flow.excluded | {attempt.lead}
+        others = self.catalog.list_candidates(flow.request, excluded)
+        is_sent_again = (
+            may_send_again(flow, others, MAX_ATTEMPTS) and self._retry_budget.spend()
+        )
+        logger.info(
+            "upstream silent during attempt",
+            attempt=attempt.attempt,
+            upstream=upstream,
+            is_sent_again=is_sent_again,
+        )
+        if not is_sent_again:
+            return []
+        flow.excluded = excluded
+        flow.last_error = UpstreamError(f"{upstream} became unresponsive")
+        actions = self._release_attempt(flow, Outcome.ABANDONED)
+        delay = compute_delay(flow.try_count, self._random)
+        return actions + self._retry(flow, now, delay=delay)
+
     def _fail_attempt(
         self,
         flow: Flow,
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -36,6 +36,12 @@
 """Share of the remaining time that a connection may take: its timeout comes before the
 deadline, which leaves time to try another replica or to refuse the request."""
 
+PROBE_AFTER_S = 5
+"""Silence of a connection after which the kernel probes it; ``UNACKED_TIMEOUT_MS`` has
+passed by then, so that a second without a reply ends the connection."""
+
+PROBE_INTERVAL_S = 1
+
 IDLE_TIMEOUT_S = 4.0
 """Shorter than the idle timeout of the upstreams."""
 
@@ -204,10 +210,13 @@
         force_close: bool,
         may_repeat: bool,
         idle_timeout_s: float = IDLE_TIMEOUT_S,
+        is_probed: bool = False,
         context: ssl.SSLContext | None = None,
     ) -> None:
         """``may_repeat``: whether all requests over it may be repeated.
 
+        ``is_probed``: whether the kernel probes silent connections, which finds those
+        that died without a sign. A paused process still replies.
         ``context`` is that of TLS connections; ``None`` for the default.
         """
         self._dialer = dialer
@@ -219,7 +228,7 @@
             force_close=force_close,
             ssl=context or True,
             use_dns_cache=False,
-            socket_factory=_build_socket,
+            socket_factory=_build_probed_socket if is_probed else _build_socket,
             **options,  # type: ignore[arg-type]
         )
         loop = asyncio.get_running_loop()
@@ -261,6 +270,14 @@
     return sock
 
 
+def _build_probed_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    sock = _build_socket(address)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_AFTER_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S)
+    return sock
+
+
 class UpstreamSessions:
     """A session with pooled connections, and one with a connection per request.
 
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -146,6 +146,7 @@
             force_close=False,
             may_repeat=False,
             idle_timeout_s=IDLE_TIMEOUT_S,
+            is_probed=True,
             context=self._upstream_context,
         )
         async with aiohttp.ClientSession(
--- a/src/scalebend/standins/announcer.py
+++ b/src/scalebend/standins/announcer.py
@@ -15,18 +15,40 @@
 ANNOUNCE_TIMEOUT_S = 1.0
 
 
+class Silence:
+    """A pause of a stand-in, in which its connections stay open."""
+
+    def __init__(self) -> None:
+        self._ends_at = 0.0
+
+    def begin(self, seconds: float) -> None:
+        """Send nothing for ``seconds``."""
+        self._ends_at = asyncio.get_running_loop().time() + seconds
+
+    async def wait_for_end(self) -> None:
+        """Return at once without a silence, otherwise at its end."""
+        now = asyncio.get_running_loop().time()
+        while now < self._ends_at:
+            await asyncio.sleep(self._ends_at - now)
+            now = asyncio.get_running_loop().time()
+
+
 async def announce_periodically(
-    build: Callable[[], Announcement], urls: list[str], key: str
+    build: Callable[[], Announcement],
+    urls: list[str],
+    key: str,
+    silence: Silence,
 ) -> None:
     """Send an announcement at a fixed interval, to the next URL that accepts it.
 
-    ``build`` returns the announcement to send.
+    ``build`` returns the announcement to send; none is sent during a ``silence``.
     """
     headers = {"Authorization": f"Bearer {key}"}
     timeout = aiohttp.ClientTimeout(total=ANNOUNCE_TIMEOUT_S)
     url_index = 0
     async with aiohttp.ClientSession(headers=headers, timeout=timeout) as session:
         while True:
+            await silence.wait_for_end()
             body = msgspec.json.encode(build())
             for _ in urls:
                 url_index += 1
--- a/src/scalebend/standins/engine_server.py
+++ b/src/scalebend/standins/engine_server.py
@@ -32,7 +32,7 @@
     UpstreamFamily,
     UpstreamState,
 )
-from scalebend.standins.announcer import announce_periodically
+from scalebend.standins.announcer import Silence, announce_periodically
 from scalebend.standins.engine_model import (
     EngineModel,
     EngineParameters,
@@ -90,6 +90,7 @@
         self.fencing_number = 0
         self.address = ""
         self._announcements = 0
+        self.silence = Silence()
         self.started: list[str] = []
         self.imported: list[str] = []
         self.drop_after: int | None = None
@@ -166,6 +167,7 @@
                 await self._work_added.wait()
                 continue
             await asyncio.sleep(max(0.0, (end - now) * scale))
+            await self.silence.wait_for_end()
             self._apply_events(self.model.complete(max(end, loop.time() / scale)))
 
     def _apply_events(self, events: list[FirstToken | Finished]) -> None:
@@ -387,7 +389,7 @@
     await site.start()
     engine.address = f"127.0.0.1:{runner.addresses[0][1]}"
     announcing = announce_periodically(
-        engine.build_announcement, urls, options.announce_key
+        engine.build_announcement, urls, options.announce_key, engine.silence
     )
     tasks = [asyncio.create_task(engine.run_steps()), asyncio.create_task(announcing)]
     try:
--- a/src/scalebend/standins/service_server.py
+++ b/src/scalebend/standins/service_server.py
@@ -16,7 +16,7 @@
     UpstreamId,
 )
 from scalebend.models.upstream import Announcement, UpstreamFamily, UpstreamState
-from scalebend.standins.announcer import announce_periodically
+from scalebend.standins.announcer import Silence, announce_periodically
 
 
 class ServiceOptions(msgspec.Struct, frozen=True):
@@ -39,6 +39,7 @@
         self._announcements = 0
         self.state = UpstreamState.SERVING
         self.calls: dict[str, int] = {}
+        self.silence = Silence()
         self.responses_to_drop = 0
         """Number of executed calls whose response is still to be dropped."""
 
@@ -68,6 +69,7 @@
         self.calls[order] = self.calls.get(order, 0) + 1
         await request.read()
         await asyncio.sleep(self.options.delay)
+        await self.silence.wait_for_end()
         if self.responses_to_drop:
             self.responses_to_drop -= 1
             assert request.transport is not None
@@ -87,7 +89,9 @@
     await site.start()
     service.address = f"127.0.0.1:{runner.addresses[0][1]}"
     task = asyncio.create_task(
-        announce_periodically(service.build_announcement, urls, options.announce_key)
+        announce_periodically(
+            service.build_announcement, urls, options.announce_key, service.silence
+        )
     )
     try:
         yield service
