--- a/src/scalebend/commands/start_gateway.py
+++ b/src/scalebend/commands/start_gateway.py
@@ -2,13 +2,16 @@
 
 After a power loss callers return while processes start. A refused connection uses up
 one of a caller's two attempts, whereas an accepted connection waits for the response.
-A front therefore imports only what it needs to listen first.
+A front therefore imports only what it needs to listen first. A founder of the control
+group stores that it is one: later starts no longer say so.
 """
 
 from __future__ import annotations
 
+import contextlib
 import os
 import sys
+import time
 
 from scalebend.utils.early_signals import handle_early_signals
 
@@ -24,7 +27,9 @@
     )
 
     listeners = Listeners()
-    address = read_callers_address(os.environ.get(SETTINGS_VARIABLE, ""))
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    _store_founding(path)
+    address = read_callers_address(path)
     if address is not None:
         listeners.try_open(address)
     # Imported after the port is open, because this takes most of the start.
@@ -39,5 +44,22 @@
     )
 
 
+def _store_founding(path: str) -> None:
+    """Store that this process founds the control group, if its settings say so."""
+    from scalebend.models.founding import StoredFounding
+    from scalebend.models.ids import InstanceId
+    from scalebend.platform.early_settings import read_founders
+    from scalebend.storage.founding_file import store_founding
+
+    read = read_founders(path)
+    if read is None:
+        return
+    folder, addresses = read
+    founders = [InstanceId(address) for address in addresses]
+    # The control instance stores it again, and restarts until its disk works.
+    with contextlib.suppress(OSError):
+        store_founding(folder, StoredFounding(founders, time.time()))
+
+
 if __name__ == "__main__":
     sys.exit(main())
