Take a rejection for one even if its body does not come

Callers of requests that may run once got 502 or 504 although their replica had said in the head of its response that the request had not run: the body was awaited, until the deadline if need be, and its failure counted as that of the request. It is now read for 0.1 s at most, only to keep the connection.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -24,7 +24,10 @@
 from scalebend.edges.gateway.held_requests import HeldRequest
 from scalebend.edges.gateway.path_watch import PathWatch, watch_path
 from scalebend.edges.gateway.response_headers import apply_response_head
-from scalebend.edges.gateway.response_reading import cancel_on_failure
+from scalebend.edges.gateway.response_reading import (
+    cancel_on_failure,
+    skip_rejection_body,
+)
 from scalebend.edges.gateway.running_attempts import RunningAttempt
 from scalebend.edges.gateway.silence_watch import SilenceWatch
 from scalebend.edges.gateway.unproven_responses import discard_response
@@ -425,7 +428,7 @@
     ) -> AttemptResult:
         self._choice.load = head.load
         if head.has_not_run:
-            await silences.read_body(response)
+            await skip_rejection_body(response)
             detail = f"status {response.status}"
             faulty = target.find_helper(head.faulty_address)
             return AttemptResult(Outcome.REJECTED, None, detail, faulty)
--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -19,6 +19,9 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Maximum size of a response body that is buffered before it is forwarded."""
 
+REJECTION_BODY_TIMEOUT_S = 0.1
+"""Time for the body of a rejection, which most often comes with its head."""
+
 EXTRA_READ_TIMEOUT_S = 0.3
 """Second timeout after a stall: pending data is read within an iteration or two."""
 
@@ -78,3 +81,13 @@
             if loop.time() - due < MIN_STALL_S:
                 raise UnresponsiveError from None
             timeout = EXTRA_READ_TIMEOUT_S
+
+
+async def skip_rejection_body(response: aiohttp.ClientResponse) -> None:
+    """Read the body of a rejection, so that its connection may be used again.
+
+    The head alone says that the request has not run; the rest may fail or not come.
+    """
+    with contextlib.suppress(aiohttp.ClientError, OSError):
+        async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
+            await response.read()
--- a/tests/unit/gateway/test_silent_races.py
+++ b/tests/unit/gateway/test_silent_races.py
@@ -13,7 +13,8 @@
 from scalebend.edges.gateway.upstream_client import StrictResponseHandler
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Helper
-from tests.lib.front import find_closed_port, serve, wait_for
+from scalebend.models.routing import RouteKind
+from tests.lib.front import answer_sealed, find_closed_port, serve, wait_for
 from tests.unit.gateway.test_hedged_forwarder import (
     NEVER_S,
     Engine,
@@ -206,3 +207,27 @@
             await asyncio.sleep(0.3)
             assert orders[-1] == "release"
             await response.read()
+
+
+@pytest.mark.parametrize("seconds", [0.02, 30.0])
+async def test_rejection_counts_without_its_body(seconds):
+    """Guards against failures of requests that a replica said it had not run."""
+
+    class Stalled(Full):
+        async def handle(self, request):
+            await request.read()
+            response = web.StreamResponse(status=503, headers={"X-Not-Executed": "1"})
+            response.content_length = 10
+            await response.prepare(request)
+            await asyncio.sleep(seconds)
+            request.transport.abort()
+            return response
+
+    class Plain(Upstream):
+        async def handle(self, request):
+            return await answer_sealed(request)
+
+    changes = {"kind": RouteKind.NON_IDEMPOTENT, "is_resumable": False}
+    async with run_upstreams(Stalled("one"), Plain("two"), **changes) as front:
+        response, body = await read(front, wait=2.0)
+        assert (response.status, body) == (200, b"done")
