Keep responses of a new incarnation when its registration comes late

Cause: a later incarnation's registration ended every attempt that was sent to the earlier one by name, though its connection was younger than the restart.

Ruled out: the second attempt, which did not run for these. Attempts that were sent after the restart and have no data yet are still ended; they show nothing that tells them from those at the dead one.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -451,6 +451,7 @@
             data = await read(response.content)
             if not data:
                 break
+            running.record_data(silences.heard_at)
             if self._path is not None:
                 self._path.record_data(data, silences.heard_at - asked_at)
             forwarded = cursor.feed(data)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -203,7 +203,7 @@
                 case ToControl(instance, message):
                     self._dialer.send(instance, message)
                 case EndAttempts(upstreams):
-                    self.attempts.end(upstreams)
+                    self.attempts.end(upstreams, self.now())
 
     def report(self, message: LinkMessage | None) -> None:
         """Send a report to the leader, if there are both."""
--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from scalebend.core.gateway.silences import MAX_PAUSE_S
 from scalebend.models.ids import UpstreamId
 from scalebend.utils.keyed_items import KeyedItems
 
@@ -32,6 +33,11 @@
         self.has_connection = False
         """Whether the request had a connection: without one, it was not sent."""
 
+        self._heard_at: float | None = None
+        """When data arrived last, clock time in seconds."""
+
+        self._recheck: asyncio.TimerHandle | None = None
+
     def record_connection(self) -> None:
         """Record that the request gets a connection, before anything is written."""
         self.has_connection = True
@@ -40,8 +46,34 @@
         """Keep only the upstreams that the rest of the response depends on."""
         self.upstreams.intersection_update(upstreams)
 
-    def end(self, upstream: UpstreamId) -> None:
-        """End the attempt, unless it no longer needs the restarted ``upstream``."""
+    def record_data(self, now: float) -> None:
+        """Record that data of the response arrived."""
+        self._heard_at = now
+
+    def end(self, upstream: UpstreamId, now: float) -> None:
+        """End the attempt, unless it no longer needs the restarted ``upstream``.
+
+        One that got data just now may be one of the new incarnation: it goes on if more
+        data comes.
+        """
+        if self._heard_at is None or now - self._heard_at >= MAX_PAUSE_S:
+            self._end(upstream)
+        elif self._recheck is None:
+            self._recheck = asyncio.get_running_loop().call_later(
+                MAX_PAUSE_S, self._end_if_silent, upstream, now
+            )
+
+    def close(self) -> None:
+        """Forget what was planned, once the attempt has ended."""
+        if self._recheck is not None:
+            self._recheck.cancel()
+
+    def _end_if_silent(self, upstream: UpstreamId, since: float) -> None:
+        self._recheck = None
+        if self._heard_at is None or self._heard_at <= since:
+            self._end(upstream)
+
+    def _end(self, upstream: UpstreamId) -> None:
         if upstream not in self.upstreams or self.restarted_upstream is not None:
             return
         self.restarted_upstream = upstream
@@ -63,13 +95,16 @@
         members = tuple(upstreams)
         attempt = RunningAttempt(deadline, members)
         with self._attempts.hold(members, attempt):
-            yield attempt
+            try:
+                yield attempt
+            finally:
+                attempt.close()
 
-    def end(self, upstreams: Iterable[UpstreamId]) -> None:
+    def end(self, upstreams: Iterable[UpstreamId], now: float) -> None:
         """End the attempts that depend on these ended incarnations."""
         for upstream in upstreams:
             attempts = self._attempts.find(upstream)
             if attempts:
                 logger.info("attempts ended", upstream=upstream, open=len(attempts))
             for attempt in attempts:
-                attempt.end(upstream)
+                attempt.end(upstream, now)
