Keep attempts that were sent after the restart of their upstream

A connection that came about within the last second is younger than the restart: a process that crashes closes its connections, and a host that loses power is away for longer. New test in test_running_attempts, which failed before.

Also: test_unexpected_errors imports CallerLeftError from its new module.

--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections.abc import Iterable, Iterator
 
 import structlog
@@ -19,6 +20,10 @@
 
 logger = structlog.get_logger(__name__)
 
+MIN_RESTART_S = 1.0
+"""Shortest time in which a host that lost power is back. A process that crashes alone is
+back sooner, but its connections are closed."""
+
 
 class RunningAttempt:
     """One attempt, until its deadline or the restart of an upstream it needs."""
@@ -33,7 +38,8 @@
         self.has_connection = False
         """Whether the request had a connection: without one, it was not sent."""
 
-        self._heard_at: float | None = None
+        self._connected_at = -math.inf
+        self._heard_at = -math.inf
         """When data arrived last, clock time in seconds."""
 
         self._recheck: asyncio.TimerHandle | None = None
@@ -53,10 +59,11 @@
     def end(self, upstream: UpstreamId, now: float) -> None:
         """End the attempt, unless it no longer needs the restarted ``upstream``.
 
-        One that got data just now may be one of the new incarnation: it goes on if more
-        data comes.
+        One that was sent or got data just now may be one of the new incarnation: it
+        goes on if more data comes.
         """
-        if self._heard_at is None or now - self._heard_at >= MAX_PAUSE_S:
+        is_new = now - self._connected_at < MIN_RESTART_S
+        if not is_new and now - self._heard_at >= MAX_PAUSE_S:
             self._end(upstream)
         elif self._recheck is None:
             self._recheck = asyncio.get_running_loop().call_later(
@@ -70,7 +77,7 @@
 
     def _end_if_silent(self, upstream: UpstreamId, since: float) -> None:
         self._recheck = None
-        if self._heard_at is None or self._heard_at <= since:
+        if self._heard_at <= since:
             self._end(upstream)
 
     def _end(self, upstream: UpstreamId) -> None:
--- a/tests/unit/gateway/test_running_attempts.py
+++ b/tests/unit/gateway/test_running_attempts.py
@@ -53,6 +53,18 @@
     assert asyncio.get_running_loop().time() - began >= PAUSE_S
 
 
+async def test_attempt_that_was_just_sent_goes_on():
+    attempts = RunningAttempts()
+    loop = asyncio.get_running_loop()
+    with attempts.watch(loop.time() + 10.0, ["i-1"]) as running:
+        async with running.timeout:
+            running.record_connection()
+            attempts.end(["i-1"], loop.time())
+            await asyncio.sleep(PAUSE_S / 2)
+            running.record_data(loop.time())
+            await asyncio.sleep(2 * PAUSE_S)
+
+
 async def test_attempt_without_data_is_ended_at_once():
     running, began = await start(RunningAttempts(), 0)
     assert await running
--- a/tests/unit/gateway/test_unexpected_errors.py
+++ b/tests/unit/gateway/test_unexpected_errors.py
@@ -12,7 +12,8 @@
 import structlog
 from aiohttp import web
 
-from scalebend.edges.gateway.forwarder import CallerLeftError, Forwarder
+from scalebend.edges.gateway.caller_stream import CallerLeftError
+from scalebend.edges.gateway.forwarder import Forwarder
 from scalebend.edges.gateway.hedged_forwarder import HedgedForwarder
 from scalebend.models.routing import RouteKind
 from tests.lib.front import HOST, run_front, serve, wait_for
