--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -21,8 +21,8 @@
 logger = structlog.get_logger(__name__)
 
 MIN_RESTART_S = 1.0
-"""Shortest time in which a host that lost power is back. A process that crashes alone is
-back sooner, but its connections are closed."""
+"""Shortest time in which a host that lost power is back. A process that crashes alone
+is back sooner, but its connections are closed."""
 
 
 class RunningAttempt:
