Keep past routing documents packed, and bound them by bytes

Cause: RoutingPush kept the last 64 documents decoded, whatever their size, as bases for sending only the changes; decoded anew, they share no objects.

Change: RoutingHistory keeps the newest two documents decoded, which nearly all fronts hold, and older ones as compressed MessagePack, at most 64 and 4 MiB. A front whose base is no longer kept gets the whole document, as before.

--- a/src/scalebend/core/gateway/routing_push.py
+++ b/src/scalebend/core/gateway/routing_push.py
@@ -13,13 +13,11 @@
 import msgspec
 
 from scalebend.core.gateway.control_actions import ToFront
+from scalebend.core.gateway.routing_history import RoutingHistory
 from scalebend.core.gateway.routing_store import RoutingUpdate, build_update
 from scalebend.models.ids import InstanceId, RoutingVersion
 from scalebend.models.routing import EMPTY_ROUTING, Routing
 
-MAX_KEPT_VERSIONS = 64
-"""Past routing documents kept as a base for sending only the changes."""
-
 PUSH_INTERVAL_S = 0.02
 """Interval in which a limited number of bytes is sent."""
 
@@ -42,10 +40,7 @@
     """The newest routing document, and the versions that fronts hold."""
 
     def __init__(self) -> None:
-        self.routing = EMPTY_ROUTING
-        self._history: dict[RoutingVersion, Routing] = {
-            EMPTY_ROUTING.version: EMPTY_ROUTING
-        }
+        self.history = RoutingHistory()
         self._updates_by_base: dict[RoutingVersion, RoutingUpdate] = {}
         """Packed updates to the newest document, by the version that a front holds."""
 
@@ -56,6 +51,11 @@
         self._send_at = 0.0
         self._interval_bytes = PUSH_INTERVAL_BYTES
 
+    @property
+    def routing(self) -> Routing:
+        """The newest document."""
+        return self.history.newest
+
     def add_front(self, front: InstanceId) -> None:
         """Add a newly linked front, which holds no document yet."""
         self._fronts[front] = _Front()
@@ -67,12 +67,8 @@
 
     def record_document(self, routing: Routing) -> None:
         """Set the newest document."""
-        self.routing = routing
-        self._history[routing.version] = routing
+        self.history.add(routing)
         self._updates_by_base.clear()
-        while len(self._history) > MAX_KEPT_VERSIONS:
-            oldest = min(v for v in self._history if v != EMPTY_ROUTING.version)
-            del self._history[oldest]
 
     def subscribe(
         self, front: InstanceId, held_version: RoutingVersion, *, is_wanted: bool
@@ -135,10 +131,11 @@
         return [ToFront(front, self._get_update(state))]
 
     def _get_update(self, state: _Front) -> RoutingUpdate:
-        base = self._history.get(state.held_version, EMPTY_ROUTING)
-        update = self._updates_by_base.get(base.version)
+        held, empty = state.held_version, EMPTY_ROUTING.version
+        base = held if held in self.history else empty
+        update = self._updates_by_base.get(base)
         if update is None:
-            update = self._updates_by_base[base.version] = build_update(
-                base, self.routing
+            update = self._updates_by_base[base] = build_update(
+                self.history.read(base), self.routing
             )
         return update
