--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -47,6 +47,7 @@
     def record_connection(self) -> None:
         """Record that the request gets a connection, before anything is written."""
         self.has_connection = True
+        self._connected_at = asyncio.get_running_loop().time()
 
     def keep_only(self, upstreams: Iterable[UpstreamId]) -> None:
         """Keep only the upstreams that the rest of the response depends on."""
--- a/tests/unit/gateway/test_unexpected_errors.py
+++ b/tests/unit/gateway/test_unexpected_errors.py
@@ -74,7 +74,7 @@
 
     async def fail(self):
         forwarding = asyncio.create_task(forward(self))
-        await wait_for(lambda: self.first_event is not None)
+        await wait_for(lambda: self.stream.first_event is not None)
         await asyncio.sleep(0.02)
         forwarding.cancel()
         raise error
