--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -115,15 +115,13 @@
         )
 
     async def _run_first(self, target: Target) -> AttemptResult | None:
-        try:
+        # What it holds is released with it: another attempt may go on for long.
+        async with self._chosen:
             result = await super()._attempt(target)
             if result.outcome is Outcome.ANSWERED:
                 self._claim_response()
             self._choice.is_complete = result.outcome is Outcome.ANSWERED
             return result
-        finally:
-            # Another attempt may go on for long.
-            await self._chosen.aclose()
 
     def _claim_response(self) -> None:
         if self._race is not None:
