End attempts at once where the new incarnation has another address

test_request_on_a_restarted_replica_is_handled_as_after_a_crash failed for both kinds since attempts that were just sent are kept (2.0 s until their end, 1.0 allowed): its new incarnation is elsewhere, so that nothing of the old address can come from it. Only attempts at the address of the new incarnation may be its own. Both pass again, and a new test in test_running_attempts.

--- a/src/scalebend/core/gateway/endpoint_directory.py
+++ b/src/scalebend/core/gateway/endpoint_directory.py
@@ -26,6 +26,7 @@
     Endpoint,
     EndpointUpdate,
     build_upstream_id,
+    get_upstream_name,
 )
 from scalebend.models.ids import (
     AvailabilityZone,
@@ -132,6 +133,11 @@
         """Return the latest known incarnation of an upstream, even if it is gone."""
         return self._newest.get(name)
 
+    def find_successor(self, upstream: UpstreamId) -> Endpoint | None:
+        """Return the latest incarnation of an upstream; ``None`` if that is gone."""
+        newest = self.get_newest(get_upstream_name(upstream))
+        return self.get(newest) if newest is not None else None
+
     def list_usable(self, service: ServiceName) -> tuple[Endpoint, ...]:
         """Return the endpoints of a service that may receive new requests.
 
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -286,7 +286,8 @@
         pool = PoolId(self._call.service)
         self._progress.parts = self._evidence.record_sent(pool, target.upstream)
         attempts = self._runtime.attempts
-        with attempts.watch(self._call.deadline, target.upstreams) as running:
+        watching = attempts.watch(self._call.deadline, target.upstreams, target.address)
+        with watching as running:
             try:
                 async with running.timeout:
                     return await self._exchange(target, running)
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -203,7 +203,14 @@
                 case ToControl(instance, message):
                     self._dialer.send(instance, message)
                 case EndAttempts(upstreams):
-                    self.attempts.end(upstreams, self.now())
+                    self._end_attempts(upstreams)
+
+    def _end_attempts(self, upstreams: Iterable[UpstreamId]) -> None:
+        """End the attempts on incarnations that have ended."""
+        for upstream in upstreams:
+            successor = self.instance.directory.find_successor(upstream)
+            address = successor.address if successor is not None else None
+            self.attempts.end(upstream, address, self.now())
 
     def report(self, message: LinkMessage | None) -> None:
         """Send a report to the leader, if there are both."""
--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -28,8 +28,11 @@
 class RunningAttempt:
     """One attempt, until its deadline or the restart of an upstream it needs."""
 
-    def __init__(self, deadline: float, upstreams: Iterable[UpstreamId]) -> None:
-        """``upstreams`` are those that the response depends on."""
+    def __init__(
+        self, deadline: float, upstreams: Iterable[UpstreamId], address: str
+    ) -> None:
+        """``upstreams`` are those that the response from ``address`` depends on."""
+        self.address = address
         self.timeout = asyncio.timeout_at(deadline)
         self.upstreams = set(upstreams)
         self.restarted_upstream: UpstreamId | None = None
@@ -57,14 +60,16 @@
         """Record that data of the response arrived."""
         self._heard_at = now
 
-    def end(self, upstream: UpstreamId, now: float) -> None:
+    def end(self, upstream: UpstreamId, address: str | None, now: float) -> None:
         """End the attempt, unless it no longer needs the restarted ``upstream``.
 
-        One that was sent or got data just now may be one of the new incarnation: it
-        goes on if more data comes.
+        ``address`` is that of the new incarnation. An attempt that was just sent there,
+        or just got data from there, may be one of the new incarnation: it goes on if
+        more data comes.
         """
-        is_new = now - self._connected_at < MIN_RESTART_S
-        if not is_new and now - self._heard_at >= MAX_PAUSE_S:
+        is_recent = now - self._connected_at < MIN_RESTART_S
+        is_recent |= now - self._heard_at < MAX_PAUSE_S
+        if address != self.address or not is_recent:
             self._end(upstream)
         elif self._recheck is None:
             self._recheck = asyncio.get_running_loop().call_later(
@@ -97,22 +102,27 @@
 
     @contextlib.contextmanager
     def watch(
-        self, deadline: float, upstreams: Iterable[UpstreamId]
+        self, deadline: float, upstreams: Iterable[UpstreamId], address: str
     ) -> Iterator[RunningAttempt]:
-        """Track an attempt that depends on ``upstreams`` until the block ends."""
+        """Track an attempt that depends on ``upstreams`` until the block ends.
+
+        It was sent to ``address``.
+        """
         members = tuple(upstreams)
-        attempt = RunningAttempt(deadline, members)
+        attempt = RunningAttempt(deadline, members, address)
         with self._attempts.hold(members, attempt):
             try:
                 yield attempt
             finally:
                 attempt.close()
 
-    def end(self, upstreams: Iterable[UpstreamId], now: float) -> None:
-        """End the attempts that depend on these ended incarnations."""
-        for upstream in upstreams:
-            attempts = self._attempts.find(upstream)
-            if attempts:
-                logger.info("attempts ended", upstream=upstream, open=len(attempts))
-            for attempt in attempts:
-                attempt.end(upstream, now)
+    def end(self, upstream: UpstreamId, address: str | None, now: float) -> None:
+        """End the attempts on an incarnation that has ended.
+
+        ``address`` is that of the new incarnation, if there is one.
+        """
+        attempts = self._attempts.find(upstream)
+        if attempts:
+            logger.info("attempts ended", upstream=upstream, open=len(attempts))
+        for attempt in attempts:
+            attempt.end(upstream, address, now)
--- a/tests/unit/gateway/test_running_attempts.py
+++ b/tests/unit/gateway/test_running_attempts.py
@@ -12,6 +12,7 @@
 from scalebend.edges.gateway.running_attempts import RunningAttempts
 
 PAUSE_S = 0.1
+ADDRESS = "10.0.0.1:80"
 
 
 @pytest.fixture(autouse=True)
@@ -22,7 +23,7 @@
 async def run_attempt(attempts, events, interval=PAUSE_S / 2):
     """Receive events, then wait; return whether the attempt was ended."""
     loop = asyncio.get_running_loop()
-    with attempts.watch(loop.time() + 10.0, ["i-1"]) as running:
+    with attempts.watch(loop.time() + 10.0, ["i-1"], ADDRESS) as running:
         try:
             async with running.timeout:
                 for _ in range(events):
@@ -38,7 +39,7 @@
     running = asyncio.create_task(run_attempt(attempts, events))
     await asyncio.sleep(0.01)
     began = asyncio.get_running_loop().time()
-    attempts.end(["i-1"], began)
+    attempts.end("i-1", ADDRESS, began)
     return running, began
 
 
@@ -56,15 +57,27 @@
 async def test_attempt_that_was_just_sent_goes_on():
     attempts = RunningAttempts()
     loop = asyncio.get_running_loop()
-    with attempts.watch(loop.time() + 10.0, ["i-1"]) as running:
+    with attempts.watch(loop.time() + 10.0, ["i-1"], ADDRESS) as running:
         async with running.timeout:
             running.record_connection()
-            attempts.end(["i-1"], loop.time())
+            attempts.end("i-1", ADDRESS, loop.time())
             await asyncio.sleep(PAUSE_S / 2)
             running.record_data(loop.time())
             await asyncio.sleep(2 * PAUSE_S)
 
 
+async def test_attempt_elsewhere_than_the_new_incarnation_is_ended_at_once():
+    attempts = RunningAttempts()
+    loop = asyncio.get_running_loop()
+    with attempts.watch(loop.time() + 10.0, ["i-1"], "10.0.0.2:80") as running:
+        with pytest.raises(TimeoutError):
+            async with running.timeout:
+                running.record_connection()
+                running.record_data(loop.time())
+                attempts.end("i-1", ADDRESS, loop.time())
+                await asyncio.sleep(PAUSE_S / 2)
+
+
 async def test_attempt_without_data_is_ended_at_once():
     running, began = await start(RunningAttempts(), 0)
     assert await running
@@ -74,9 +87,9 @@
 async def test_attempt_that_has_ended_is_left_alone():
     attempts = RunningAttempts()
     loop = asyncio.get_running_loop()
-    with attempts.watch(loop.time() + 10.0, ["i-1"]) as running:
+    with attempts.watch(loop.time() + 10.0, ["i-1"], ADDRESS) as running:
         async with running.timeout:
             running.record_data(loop.time())
-            attempts.end(["i-1"], loop.time())
+            attempts.end("i-1", ADDRESS, loop.time())
     await asyncio.sleep(2 * PAUSE_S)
     assert running.restarted_upstream is None
