Derive whether an attempt is beside a silent one

A flag repeated what the silent attempt's target already tells; the target now stands in Forwarder, which asks for it. No change of behaviour: test_silent_races, test_silent_attempts, test_hedged_forwarder, test_cancelled_attempts, the functional test of pooled connections, lint and types pass. Other tests were not run again.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -84,8 +84,8 @@
         self._held = HeldRequest()
         self.stream = CallerStream(runtime, call, request)
         self._path: PathWatch | None = None
-        self._is_beside_silent = False
-        """Whether another attempt was silent when this one started."""
+        self._silent: Target | None = None
+        """The attempt that was silent when this one started."""
 
         self._silences: SilenceWatch | None = None
         """Waits for the data of the current attempt."""
@@ -323,7 +323,7 @@
     async def _exchange(self, target: Target, running: RunningAttempt) -> AttemptResult:
         call = self._call
         # After a broken or silent connection, pooled ones may be dead, too.
-        is_first = not self._attempts.may_have_run and not self._is_beside_silent
+        is_first = not self._attempts.may_have_run and self._silent is None
         may_pool = call.route.is_idempotent and is_first
         session = self._runtime.sessions.choose(may_pool=may_pool)
         sending = session.request(
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -71,9 +71,6 @@
         self._overdue: _Overdue | None = None
         """The first attempt, if its first token was overdue when this one started."""
 
-        self._silent: Target | None = None
-        """The attempt that was silent when this one started."""
-
         self._has_budget = False
         """Whether the retry budget was spent on this attempt by one before it."""
 
@@ -258,7 +255,6 @@
         second = self._build_second(race, target)
         second._silent = target
         second._has_budget = has_budget
-        second._is_beside_silent = True
         second._cursor = EventCursor(self._cursor.last_event)
         race.reopen()
         race.add(second, asyncio.create_task(second._run_beside()))
