Tests: wait until each replica with dead connections is used again

The logs of the failures agree. By then the dead connection of the other has been idle for its 4 s and is dropped by the front, so no further request waits. The replica that was silent counts one failure (two seconds without a byte) and is weighed down for 3 s, so the three requests that follow, within 10 ms, all go to the other one. Its dead connection is closed, and it is used again after the 3 s. That is what the design asks for: the test took the number of requests for the time.

--- a/tests/functional/test_gateway.py
+++ b/tests/functional/test_gateway.py
@@ -9,6 +9,8 @@
 import pytest
 
 from scalebend.core.gateway.drain import LAST_ADMISSION_S
+from scalebend.core.gateway.service_balancer import FAILURE_LIFETIME_S
+from scalebend.core.gateway.silences import MAX_PAUSE_S
 from scalebend.platform.headers import EXPECTED_UPSTREAM
 from tests.lib.gateway_system import SERVICE, run_system
 from tests.lib.platform_replicas import EVENTS, build_document
@@ -282,7 +284,15 @@
         assert (await system.call("idempotent"))[0] == 200
     for replica in system.replicas:
         replica.muted = set(replica.transports)
-    # Each dead pooled connection costs a request at most one timeout.
-    for _ in range(4):
+    # A replica that had a dead connection is chosen again once its failure is old.
+    end = time.monotonic() + len(system.replicas) * MAX_PAUSE_S + FAILURE_LIFETIME_S + 1
+    while not all(replica.transports - replica.muted for replica in system.replicas):
+        # Two timeouts would take until the deadline: it costs a request at most one.
         assert (await system.call("idempotent"))[0] == 200
-    assert all(replica.transports - replica.muted for replica in system.replicas)
+        assert time.monotonic() < end
+    met = [one for replica in system.replicas for one in replica.unanswered]
+    # No second request meets the same dead connection, and each one is closed.
+    assert len(met) == len(set(met))
+    async with asyncio.timeout(1.0):
+        while not all(transport.is_closing() for transport in met):
+            await asyncio.sleep(0.01)
--- a/tests/lib/platform_replicas.py
+++ b/tests/lib/platform_replicas.py
@@ -37,6 +37,9 @@
         self.cancelled_at = []
         self.transports = set()
         self.muted = set()
+        self.unanswered = []
+        """The muted connection of each request that came over one."""
+
         self.mode = "answer"
         self.event_interval_s = 0.02
         self.sequence = 0
@@ -61,6 +64,7 @@
         self.transports.add(request.transport)
         if request.transport in self.muted:
             # The connection stays open without any response.
+            self.unanswered.append(request.transport)
             await asyncio.Event().wait()
         self.ran.append((request, body))
         echo = {
