Start second attempts beside silent ones once there is budget

Callers at an upstream that is silent for good stayed there until their deadline if the retry budget happened to be used up when the silence was noticed: the second attempt was given up for good, although the budget is a window of some seconds and others return what they used.

Now it tries again as late as it does where there is no room. The budget is asked first, so that the leader isn't asked for places that can't be used while a whole fleet pauses; it is spent only on an attempt that has a place, as before.

The tests of silent attempts, races, hedging and the retry window pass.

--- a/src/scalebend/core/gateway/retry_window.py
+++ b/src/scalebend/core/gateway/retry_window.py
@@ -60,16 +60,20 @@
         """Count a request of a caller for ``service``."""
         self._get(service, now).requests.append(now)
 
-    def spend(self, service: ServiceName, now: float) -> bool:
-        """Count one retry; return ``False`` if the budget of the window is used up."""
+    def allows(self, service: ServiceName, now: float) -> bool:
+        """Whether the budget of the window has room for one more retry."""
         counts = self._get(service, now)
         allowance = (
             self._allowance / self._fronts if now >= self._allowance_from else 0.0
         )
         allowed = USED_SHARE * (self._ratio * len(counts.requests) + allowance)
-        if len(counts.retries) + 1 > allowed:
+        return len(counts.retries) + 1 <= allowed
+
+    def spend(self, service: ServiceName, now: float) -> bool:
+        """Count one retry; return ``False`` if the budget of the window is used up."""
+        if not self.allows(service, now):
             return False
-        counts.retries.append(now)
+        self._get(service, now).retries.append(now)
         return True
 
     def _get(self, service: ServiceName, now: float) -> _Counts:
--- a/src/scalebend/edges/gateway/hedged_forwarder.py
+++ b/src/scalebend/edges/gateway/hedged_forwarder.py
@@ -263,23 +263,34 @@
     async def _run_beside(self) -> AttemptResult | None:
         """Run an attempt beside a silent one; return ``None`` if it was not sent.
 
-        Where there is no room, try again as late as callers are told to.
+        Where there is no room, or no budget, try again as late as callers are told to.
         """
-        runtime, call = self._runtime, self._call
-        retries = runtime.instance.retries
+        call, now = self._call, self._runtime.now
         while True:
-            async with self._choice.choose() as target:
-                if target is not None:
-                    if self._has_budget or retries.spend(call.service, runtime.now()):
+            if not self._may_spend():
+                # The leader is not asked for a place that can't be used.
+                self._log_unsent(Refusal.NO_BUDGET, None)
+            else:
+                async with self._choice.choose() as target:
+                    if target is not None and self._spend():
                         return await self._run_second(target)
-                    self._log_unsent(Refusal.NO_BUDGET, target)
-                    return None
-            self._log_unsent(Refusal.NO_ROOM, None)
-            left = call.deadline - runtime.now() - MIN_REMAINING_S
+                    refusal = Refusal.NO_ROOM if target is None else Refusal.NO_BUDGET
+                    self._log_unsent(refusal, target)
+            left = call.deadline - now() - MIN_REMAINING_S
             if left <= self._choice.retry_after:
                 return None
             await asyncio.sleep(self._choice.retry_after)
 
+    def _may_spend(self) -> bool:
+        """Whether the retry budget has room for this attempt."""
+        retries, service = self._runtime.instance.retries, self._call.service
+        return self._has_budget or retries.allows(service, self._runtime.now())
+
+    def _spend(self) -> bool:
+        """Spend retry budget on this attempt; others may have used it up meanwhile."""
+        retries, service = self._runtime.instance.retries, self._call.service
+        return self._has_budget or retries.spend(service, self._runtime.now())
+
     def _replace(self, race: Race, outcome: Outcome) -> None:
         """Start another attempt if this one, beside a silent one, did not run."""
         if self._silent is None or len(race.seconds) >= FREE_UNSENT:
--- a/tests/unit/gateway/test_silent_races.py
+++ b/tests/unit/gateway/test_silent_races.py
@@ -162,6 +162,21 @@
         assert body == build_body("silent", "silent", "other", "other")
 
 
+async def test_second_attempt_starts_once_there_is_budget():
+    """Guards against a caller kept at a silent upstream after others got the budget."""
+    silent, other = Upstream("silent", 3), Upstream("other")
+    async with run_upstreams(silent, other) as front:
+        retries = front.runtime.instance.retries
+        allows, retries.allows = retries.allows, lambda service, now: False
+        reading = asyncio.create_task(read(front, wait=3.0))
+        await wait_for(lambda: silent.runs)
+        await asyncio.sleep(3 * LIMITS.second_after)
+        assert other.runs == []
+        retries.allows = allows
+        _, body = await reading
+        assert body == build_body("silent", "silent", "other", "other")
+
+
 async def test_overdue_attempt_counts_one_beside_a_silent_one():
     """Guards against more runs than the route allows."""
     engines = [Engine(name, delay=1.0) for name in ("one", "two", "three")]
