Forward encoded request bodies as they were received

A request with Content-Encoding reached its replica decoded, but with the header: no replica that believes the header could read it. Responses were already passed on untouched.

The limit on bodies now counts the bytes that arrive, which is what it protects. Control processes still decode what operators send.

--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -453,7 +453,7 @@
     async with (
         open_upstream_sessions(UpstreamDialer(FrontDialing(runtime))) as sessions,
         runtime.use_sessions(sessions),
-        listen(callers, handler.handle) as listener,
+        listen(callers, handler.handle, decodes_bodies=False) as listener,
         listen(readiness, answer_ready),
     ):
         try:
--- a/src/scalebend/edges/gateway/http_listener.py
+++ b/src/scalebend/edges/gateway/http_listener.py
@@ -67,13 +67,19 @@
 
 
 @contextlib.asynccontextmanager
-async def listen(sock: socket.socket, handler: Handler) -> AsyncIterator[Listener]:
-    """Serve ``handler`` on a listening socket until the block ends."""
+async def listen(
+    sock: socket.socket, handler: Handler, *, decodes_bodies: bool = True
+) -> AsyncIterator[Listener]:
+    """Serve ``handler`` on a listening socket until the block ends.
+
+    ``decodes_bodies``: whether ``Content-Encoding`` is undone. A proxy must not.
+    """
     server = web.Server(
         handler,
         request_factory=_build_request,
         handler_cancellation=True,
         access_log=None,
+        auto_decompress=decodes_bodies,
         keepalive_timeout=KEEPALIVE_TIMEOUT_S,
         max_line_size=MAX_HEADER_LINE_BYTES,
         max_field_size=MAX_HEADER_LINE_BYTES,
--- a/tests/lib/front.py
+++ b/tests/lib/front.py
@@ -33,13 +33,17 @@
         self.runtime.instance.directory.register(endpoint, self.runtime.now())
         return endpoint
 
-    def call(self, path="/", wait=10.0, prompt=None, parts=(), body=b"body"):
+    def call(
+        self, path="/", wait=10.0, prompt=None, parts=(), body=b"body", encoding=None
+    ):
         self.requests += 1
         headers = {
             "Host": HOST,
             "X-Request-Id": f"r-{self.requests}",
             "X-Deadline-Ms": str(int(wait * 1000)),
         }
+        if encoding is not None:
+            headers["Content-Encoding"] = encoding
         if prompt is not None:
             headers["X-Token-Counts"] = f"{prompt},100"
         if parts:
@@ -49,9 +53,9 @@
 
 
 @contextlib.asynccontextmanager
-async def serve(handler):
+async def serve(handler, **options):
     """Serve a handler on a loopback port; yield the address."""
-    server = web.Server(handler, handler_cancellation=True)
+    server = web.Server(handler, handler_cancellation=True, **options)
     # Some handlers never respond: the library would wait a minute for them.
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
