Refuse requests that were only rejected when a front stops

At the end of a stop, a request whose attempts had all been rejected, or had reached no replica, got 504 with "ran": "unknown" and no Retry-After: its caller could not send it again, though nothing had run. The handler asked whether the request had been sent, not whether it may have run.

The forwarder now tells the sends that are settled from those that are open. Such a request is refused with 503 and "ran": "no", and as soon as it couldn't be completed in time, like one that was never sent. While an attempt is open, or a race of attempts, the answer stays 504.

test_request_that_was_only_rejected_is_refused failed before (504 at the end of the grace). The tests of stops, drains and unexpected errors pass, and tests/functional/test_planned_stop.py.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -93,12 +93,21 @@
         self.send_count = 0
         """Number of times that the request was sent to an upstream."""
 
+        self._settled_count = 0
+        """How many of these are known to have run or not; ``Attempts`` has the runs."""
+
         self.upstream: UpstreamId | None = None
         """The upstream of the last attempt."""
 
         self.peer: InstanceId | None = None
         """The front through which its response came, if not directly."""
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an upstream may have run the request, or may still do so."""
+        is_open = self.send_count > self._settled_count
+        return is_open or self._attempts.may_have_run
+
     async def forward(self) -> web.StreamResponse:
         """Return the response for the caller.
 
@@ -216,6 +225,7 @@
             runtime.now(),
             is_helper=faulty != target.upstream,
         )
+        self._settled_count = self.send_count
         is_stranded = runtime.instance.reach.is_stranded(runtime.now())
         if result.outcome is Outcome.NOT_SENT and is_stranded:
             # Every other upstream is out of reach, too.
--- a/src/scalebend/edges/gateway/front_calls.py
+++ b/src/scalebend/edges/gateway/front_calls.py
@@ -153,14 +153,14 @@
         )
         if _has_begun(request):
             return self._break_off(request, opened)
-        ran = Ran.UNKNOWN if opened.is_sent else Ran.NO
+        ran = Ran.UNKNOWN if opened.may_have_run else Ran.NO
         internal = ScalebendError("an unexpected error", ran=ran)
         return self._build_failure(opened, internal)
 
     def _end(self, request: web.BaseRequest, opened: OpenRequest) -> web.StreamResponse:
         """Respond to a request that this front ended because it stops."""
         has_begun = _has_begun(request)
-        outcome = "refused" if not opened.is_sent else "failed"
+        outcome = "refused" if not opened.may_have_run else "failed"
         self._runtime.metrics.count_stopped_request(
             "broken off" if has_begun else outcome
         )
@@ -176,7 +176,7 @@
         )
         if has_begun:
             return self._break_off(request, opened)
-        if not opened.is_sent:
+        if not opened.may_have_run:
             return self._build_failure(opened, _build_stopping_error())
         error = UpstreamError(
             "this front stopped before the response",
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -71,7 +71,7 @@
     runtime.tunnels.begin_leaving()
     logger.info("drain begins", open=runtime.open_requests)
     async with asyncio.TaskGroup() as group:
-        ending = group.create_task(_end_unsent(runtime, calls, planned))
+        ending = group.create_task(_end_waiting(runtime, calls, planned))
         accept_until = min(began + ACCEPT_AFTER_STOP_S, planned.end)
         await asyncio.sleep(max(0.0, accept_until - runtime.now()))
         await calls.listener.stop()
@@ -83,10 +83,10 @@
     logger.info("drain ends", open=runtime.open_requests, tunnels=runtime.tunnels.open)
 
 
-async def _end_unsent(runtime: FrontRuntime, calls: Calls, planned: Drain) -> None:
+async def _end_waiting(runtime: FrontRuntime, calls: Calls, planned: Drain) -> None:
     """Keep ending the requests that were not sent and can't be completed any more."""
     while True:
-        calls.requests.end_unsent(planned, runtime.now())
+        calls.requests.end_waiting(planned, runtime.now())
         await asyncio.sleep(POLL_INTERVAL_S)
 
 
--- a/src/scalebend/edges/gateway/open_requests.py
+++ b/src/scalebend/edges/gateway/open_requests.py
@@ -36,9 +36,9 @@
         self.is_ended = False
 
     @property
-    def is_sent(self) -> bool:
-        """Whether a replica may have got it."""
-        return self.forwarder is not None and self.forwarder.send_count > 0
+    def may_have_run(self) -> bool:
+        """Whether a replica may have run it, or may still do so."""
+        return self.forwarder is not None and self.forwarder.may_have_run
 
     def end(self) -> None:
         """End the request; its handler responds with what is true of it."""
@@ -81,10 +81,10 @@
             fleet = instance.scheduler.describe_fleet(usable, profile)
         return estimate_duration(call, fleet, now)
 
-    def end_unsent(self, drain: Drain, now: float) -> None:
-        """End the requests that were not sent and can't be completed any more."""
+    def end_waiting(self, drain: Drain, now: float) -> None:
+        """End the requests that no replica runs and that can't be completed in time."""
         for request in self._requests:
-            if request.is_sent or request.call is None:
+            if request.may_have_run or request.call is None:
                 continue
             if request.duration is None:
                 request.duration = self.estimate(request.call, now)
--- a/tests/unit/gateway/test_planned_stops.py
+++ b/tests/unit/gateway/test_planned_stops.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import functools
 
 import aiohttp
 import pytest
@@ -58,6 +59,13 @@
         return response
 
 
+async def reject(rejections, request):
+    """Respond that the request has not run."""
+    await request.read()
+    rejections.append(request.headers["X-Request-Id"])
+    return web.Response(status=503, headers={"X-Not-Executed": "1"})
+
+
 @contextlib.asynccontextmanager
 async def run_upstream(upstream, services=None, **changes):
     routing = build_routing(1, [build_route(**changes)], services)
@@ -137,6 +145,25 @@
         assert front.read_metric('scalebend_stopped_requests_total{outcome="refused"}')
 
 
+async def test_request_that_was_only_rejected_is_refused():
+    """It got 504, as if an upstream might have run it."""
+    upstream, rejections = Upstream(), []
+    async with (
+        run_upstream(upstream, target_latency=20.0) as front,
+        serve(functools.partial(reject, rejections)) as address,
+    ):
+        front.runtime.record_backoff(front.endpoint.upstream, 5.0)
+        front.add(2, address)
+        calling = asyncio.create_task(read(front))
+        await wait_for(lambda: rejections)
+        front.stop()
+        response, body = await calling
+        assert response.status == 503
+        assert b'"ran":"no"' in body
+        assert "Retry-After" in response.headers
+        assert upstream.deadlines == []
+
+
 async def test_request_whose_body_still_arrives_is_refused():
     upstream = Upstream()
 
