Keep the framing of responses with what reads them

Whether a response is framed is a question about a response, not about forwarding one; and the time until a service leaves backoff was asked in one place only. No change of behaviour; the tests of unframed streams, backoff and stops pass.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -26,6 +26,7 @@
 from scalebend.edges.gateway.response_headers import apply_response_head
 from scalebend.edges.gateway.response_reading import (
     cancel_on_failure,
+    is_framed,
     skip_rejection_body,
 )
 from scalebend.edges.gateway.running_attempts import RunningAttempt
@@ -53,9 +54,6 @@
 _REFUSAL_KINDS = (ErrorKind.OVERLOADED, ErrorKind.NO_UPSTREAM, ErrorKind.ENDS_UPSTREAMS)
 """Error kinds of requests that no upstream accepted."""
 
-_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
-"""Headers of responses whose end does not depend on that of the connection."""
-
 
 class Forwarder:
     """Forwards one request of a caller."""
@@ -191,11 +189,6 @@
         if progress.events or not is_stream:
             self._evidence.record_under_way(progress)
 
-    def _compute_backoff(self) -> float:
-        """Return the seconds until an upstream of the service leaves backoff."""
-        runtime = self._runtime
-        return runtime.instance.compute_backoff(self._call.service, (), runtime.now())
-
     def _record_failure(self, target: Target, result: AttemptResult) -> UpstreamId:
         """Record a failed attempt; return the upstream at fault."""
         runtime = self._runtime
@@ -263,11 +256,13 @@
         if decision.passes_response and response is not None:
             return response
         if decision.kind in _REFUSAL_KINDS:
+            instance, now = self._runtime.instance, self._runtime.now()
+            backoff_s = instance.compute_backoff(self._call.service, (), now)
             raise RefusedError(
                 "no upstream took the request",
                 kind=decision.kind,
                 ran=decision.ran,
-                retry_after=max(self._choice.retry_after, self._compute_backoff()),
+                retry_after=max(self._choice.retry_after, backoff_s),
             )
         raise UpstreamError(
             "no upstream sent a complete response", kind=decision.kind, ran=decision.ran
@@ -500,8 +495,7 @@
         With neither a length nor chunks, the end of the connection ends the response,
         also if the replica crashed.
         """
-        is_framed = any(name in response.headers for name in _FRAMING_HEADERS)
-        return not is_framed and self._cursor.last_event is None
+        return not is_framed(response) and self._cursor.last_event is None
 
     def _record_first_token(self, target: Target) -> None:
         self._choice.record_first_token(target)
--- a/src/scalebend/edges/gateway/front_server.py
+++ b/src/scalebend/edges/gateway/front_server.py
@@ -84,7 +84,7 @@
 
 
 async def _end_waiting(runtime: FrontRuntime, calls: Calls, planned: Drain) -> None:
-    """Keep ending the requests that were not sent and can't be completed any more."""
+    """Keep ending the requests that no replica runs and that can't be completed."""
     while True:
         calls.requests.end_waiting(planned, runtime.now())
         await asyncio.sleep(POLL_INTERVAL_S)
--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -26,6 +26,9 @@
 """Second timeout after a stall: pending data is read within an iteration or two."""
 
 
+_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
+
+
 class UnresponsiveError(Exception):
     """The upstream sent no bytes within the timeout."""
 
@@ -83,6 +86,11 @@
             timeout = EXTRA_READ_TIMEOUT_S
 
 
+def is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether the end of a response does not depend on that of its connection."""
+    return any(name in response.headers for name in _FRAMING_HEADERS)
+
+
 async def skip_rejection_body(response: aiohttp.ClientResponse) -> None:
     """Read the body of a rejection, so that its connection may be used again.
 
