--- a/tests/unit/gateway/test_silent_races.py
+++ b/tests/unit/gateway/test_silent_races.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from scalebend.core.gateway import silences
-from scalebend.edges.gateway import reservations
+from scalebend.edges.gateway import attempt_race, reservations
 from scalebend.edges.gateway.upstream_client import StrictResponseHandler
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Helper
@@ -246,3 +246,23 @@
     async with run_upstreams(Stalled("one"), Plain("two"), **changes) as front:
         response, body = await read(front, wait=2.0)
         assert (response.status, body) == (200, b"done")
+
+
+class Runner:
+    """A forwarder of an attempt, as far as a race counts it."""
+
+    def __init__(self, send_count):
+        self.send_count = send_count
+
+
+async def test_attempts_that_wait_for_a_place_count_as_runs():
+    """Guards against more runs than allowed, and against fewer where none was sent."""
+    first, waiting = Runner(1), Runner(0)
+    placing = asyncio.get_running_loop().create_future()
+    race = attempt_race.Race(first)
+    race.seconds.append(waiting)
+    race.add(waiting, asyncio.ensure_future(placing))
+    assert race.runs == 2
+    placing.set_result(None)
+    assert (await race.wait_for_next()).runner is waiting
+    assert race.runs == 1
