Split open requests and refusals off the entry

core/entry.py held 640 lines and three jobs; it is 495 now.

To core/open_requests.py (OpenRequests): the open requests by id and by attempt, the reservations of their attempts (send the next one, send again, renew, release), the release of the prefill engine after a transfer, and the conclusion. They belong together because they share one state, and because an attempt that ends must leave the table and release each reservation in one step. The entry keeps the choice of a replica, the start, the transfer and the retries. RESERVE_RESEND_INTERVAL_S moved with them.

To core/refusals.py: the errors for callers whose request no replica takes, which depend on the request and on what is known of replicas, not on the state of the entry.

No change of behaviour; renew() expires backoffs before it builds the renewals, not between them, and neither reads what the other writes. No test changed.

--- a/src/scalebend/core/entry.py
+++ b/src/scalebend/core/entry.py
@@ -15,12 +15,10 @@
 from scalebend.core.catalog import Catalog
 from scalebend.core.crash_watch import CrashWatch
 from scalebend.core.flow import (
-    AbortAttempt,
     Attempt,
     AttemptResult,
     ClaimKey,
     Completed,
-    Conclude,
     EntryAction,
     Flow,
     FlowState,
@@ -33,14 +31,15 @@
     StartAttempt,
     ToOwner,
 )
+from scalebend.core.open_requests import OpenRequests
 from scalebend.core.part_ledger import NO_PARTS
-from scalebend.core.placement import MAX_GROUP_REPLICAS, Placement
+from scalebend.core.placement import Placement
 from scalebend.core.queueing import FirstCome, Strategy, compute_size_class
+from scalebend.core.refusals import explain_refusal, explain_unroutable
 from scalebend.core.retries import RetryBudget, compute_delay
 from scalebend.core.upstream_silence import may_send_again
 from scalebend.exceptions import (
     ErrorKind,
-    Ran,
     RefusedError,
     ScalebendError,
     TimeLimitError,
@@ -62,11 +61,8 @@
     Refusal,
     RefusalReason,
     Release,
-    Renew,
     Request,
-    Reserve,
     Started,
-    Work,
 )
 
 logger = structlog.get_logger(__name__)
@@ -77,9 +73,6 @@
 """Delay before a request is routed again after an instance that does not own the
 replica (any more, or yet) refused it."""
 
-RESERVE_RESEND_INTERVAL_S = 1.0
-"""Time without a reply after which a reservation is sent again."""
-
 
 class EntryOptions(msgspec.Struct, frozen=True):
     """Identity and scheduling strategy of an entry."""
@@ -106,19 +99,16 @@
         self._random = random.Random(options.seed)
         self._retry_budget = RetryBudget()
         self.crashes = CrashWatch(options.instance)
-        self._flows: dict[RequestId, Flow] = {}
-        self._request_ids: dict[AttemptId, RequestId] = {}
+        self._requests = OpenRequests(self.placement.outliers)
         self._attempt_count = 0
 
     def __len__(self) -> int:
-        return len(self._flows)
+        return len(self._requests)
 
     def admit(self, request: Request, now: float) -> list[EntryAction]:
         """Register an admitted request and route it."""
         self._retry_budget.earn()
-        flow = Flow(request)
-        self._flows[request.request] = flow
-        return self._route(flow, now)
+        return self._route(self._requests.add(request), now)
 
     def apply_digest(self, digest: LoadDigest) -> None:
         """Apply a newer load digest of a replica."""
@@ -127,7 +117,7 @@
 
     def handle_grant(self, grant: Grant, now: float) -> list[EntryAction]:
         """Handle the owner's permission to start an attempt."""
-        flow = self._find_flow(grant.attempt)
+        flow = self._requests.find_by_attempt(grant.attempt)
         if flow is None or flow.attempt is None:
             release = Release(grant.attempt, grant.upstream, Outcome.UNUSED)
             return [ToOwner(grant.upstream, release)]
@@ -138,7 +128,7 @@
             return []
         attempt.granted_count += 1
         if not attempt.has_all_grants():
-            return [self._reserve_next(flow, now)]
+            return [self._requests.reserve_next(flow, now)]
         if flow.state is FlowState.TRANSFERRING:
             return self._start_decode(flow)
         attempt.state = AttemptState.GRANTED
@@ -149,7 +139,7 @@
 
     def handle_refusal(self, refusal: Refusal, now: float) -> list[EntryAction]:
         """Handle an owner's refusal: the attempt did not run."""
-        flow = self._find_flow(refusal.attempt)
+        flow = self._requests.find_by_attempt(refusal.attempt)
         if flow is None or flow.attempt is None or flow.attempt.has_all_grants():
             return []
         if flow.state is FlowState.TRANSFERRING:
@@ -157,7 +147,7 @@
                 # renew() or handle_owner_changed() sends the reservation again.
                 return []
             return self._reserve_other_decode(flow, refusal.upstream, now)
-        actions = self._release_attempt(flow, Outcome.UNUSED)
+        actions = self._requests.release_attempt(flow, Outcome.UNUSED)
         delay = 0.0
         if refusal.reason is RefusalReason.NOT_OWNER:
             # Ownership is moving to another instance: the replica is not at fault, and
@@ -166,33 +156,29 @@
             delay = OWNER_CHANGE_DELAY_S
         else:
             flow.excluded.add(refusal.upstream)
-        flow.last_error = RefusedError(
-            f"{refusal.upstream} refused the request: {refusal.reason.value}",
-            kind=_REFUSAL_KINDS[refusal.reason],
-            retry_after=max(1.0, refusal.retry_after),
-        )
+        flow.last_error = explain_refusal(refusal)
         return actions + self._retry(flow, now, delay=delay)
 
     def handle_claim(
         self, request: RequestId, error: ScalebendError | None, now: float
     ) -> list[EntryAction]:
         """Handle the result of a claim; ``error`` tells why it was rejected."""
-        flow = self._flows.get(request)
+        flow = self._requests.get(request)
         if flow is None or flow.state is not FlowState.CLAIMING:
             return []
         if error is not None:
-            return self._conclude(flow, error)
+            return self._requests.conclude(flow, error)
         flow.is_claimed = True
         return self._start(flow, now)
 
     def handle_started(self, attempt: AttemptId, now: float) -> list[EntryAction]:
         """Handle the arrival of an attempt's first token."""
-        flow = self._find_flow(attempt)
+        flow = self._requests.find_by_attempt(attempt)
         if flow is None or flow.attempt is None:
             return []
         current = flow.attempt
         if current.phase is Phase.DECODE:
-            return self._finish_transfer(flow)
+            return self._requests.release_source(flow)
         if not current.was_sent or current.state is AttemptState.RUNNING:
             return []
         current.state = AttemptState.RUNNING
@@ -205,7 +191,7 @@
 
     def handle_under_way(self, attempt: AttemptId, now: float) -> None:
         """Handle events of an attempt some time after its first token."""
-        flow = self._find_flow(attempt)
+        flow = self._requests.find_by_attempt(attempt)
         if flow is None or flow.attempt is None:
             return
         self.crashes.record_under_way(flow.attempt.parts, now)
@@ -215,7 +201,7 @@
         self, attempt: AttemptId, result: AttemptResult, now: float
     ) -> list[EntryAction]:
         """Handle the end of an attempt as the connection to the upstream shows it."""
-        flow = self._find_flow(attempt)
+        flow = self._requests.find_by_attempt(attempt)
         if flow is None or flow.attempt is None:
             return []
         lead = flow.attempt.lead
@@ -227,7 +213,7 @@
                 self._record_prefix(flow)
                 self.crashes.record_completed(flow.request, now)
                 self.crashes.record_under_way(flow.attempt.parts, now)
-                return self._conclude(flow, None, result.output_tokens)
+                return self._requests.conclude(flow, None, result.output_tokens)
             case NeverStarted(detail) if flow.attempt.phase is Phase.DECODE:
                 self._record_failure(lead, now)
                 return self._reserve_other_decode(flow, lead, now)
@@ -252,10 +238,10 @@
 
     def cancel(self, request: RequestId, now: float) -> list[EntryAction]:
         """Conclude the request of a caller that disconnected."""
-        flow = self._flows.get(request)
+        flow = self._requests.get(request)
         if flow is None:
             return []
-        return self._conclude(
+        return self._requests.conclude(
             flow, ScalebendError("cancelled", kind=ErrorKind.CANCELLED)
         )
 
@@ -269,7 +255,7 @@
         self.placement.prefixes.forget_replica(upstream)
         self.placement.pending.forget(upstream)
         actions: list[EntryAction] = []
-        for flow in list(self._flows.values()):
+        for flow in self._requests.list_all():
             attempt = flow.attempt
             if attempt is None or upstream not in attempt.upstreams:
                 continue
@@ -279,56 +265,27 @@
                 actions += self._handle_silence(flow, upstream, now)
             elif flow.state is FlowState.RESERVING:
                 flow.last_error = UpstreamError(f"{upstream} became unresponsive")
-                actions += self._release_attempt(flow, Outcome.UNUSED)
+                actions += self._requests.release_attempt(flow, Outcome.UNUSED)
                 actions += self._retry(flow, now, delay=0.0)
         return actions
 
     def renew(self, now: float) -> list[EntryAction]:
         """Renew granted reservations, resend those without a reply; once a second."""
-        actions = self._renew_granted(None)
         self.placement.backoffs.expire(now)
-        for flow in self._flows.values():
-            attempt = flow.attempt
-            if attempt is None or attempt.has_all_grants():
-                continue
-            if now - attempt.reserve_sent_at >= RESERVE_RESEND_INTERVAL_S:
-                actions.append(self._reserve_next(flow, now))
-        return actions
+        return self._requests.renew(now)
 
     def handle_owner_changed(
         self, upstreams: set[UpstreamId], now: float
     ) -> list[EntryAction]:
         """Send the new owners at once the granted and the pending reservations."""
-        actions = self._renew_granted(upstreams)
-        for flow in self._flows.values():
-            attempt = flow.attempt
-            if attempt is None or attempt.has_all_grants():
-                continue
-            if attempt.works[attempt.granted_count].upstream in upstreams:
-                actions.append(self._reserve_next(flow, now))
-        return actions
-
-    def _renew_granted(self, upstreams: set[UpstreamId] | None) -> list[EntryAction]:
-        """Build one renewal for each of ``upstreams``; for all if it is ``None``."""
-        granted: dict[UpstreamId, list[Work]] = {}
-        for flow in self._flows.values():
-            attempt = flow.attempt
-            if attempt is None:
-                continue
-            for work in attempt.works[: attempt.granted_count]:
-                if upstreams is None or work.upstream in upstreams:
-                    granted.setdefault(work.upstream, []).append(work)
-        return [
-            ToOwner(upstream, Renew(upstream, works))
-            for upstream, works in granted.items()
-        ]
+        return self._requests.renew_at(upstreams, now)
 
     def advance(self, now: float) -> list[EntryAction]:
         """Conclude requests past their time limit; start retries that are due."""
         actions: list[EntryAction] = []
-        for flow in list(self._flows.values()):
+        for flow in self._requests.list_all():
             if now >= flow.request.deadline:
-                actions += self._conclude(
+                actions += self._requests.conclude(
                     flow, TimeLimitError("the time limit passed", retry_after=1.0)
                 )
             elif flow.state is FlowState.WAITING_TO_RETRY and now >= flow.retry_at:
@@ -339,25 +296,19 @@
         request = flow.request
         quarantine_error = self.crashes.find_quarantine(request, now)
         if quarantine_error is not None:
-            return self._conclude(flow, flow.last_error or quarantine_error)
+            return self._requests.conclude(flow, flow.last_error or quarantine_error)
         self._attempt_count += 1
         name = AttemptId(f"{request.request}.{self._attempt_count}")
         placed = self.placement.place(request, name, flow.excluded, now)
         if placed is None:
-            return self._refuse_unroutable(flow, now)
+            error = flow.last_error
+            if error is None:
+                error = explain_unroutable(request, self.catalog, self.placement, now)
+            return self._requests.conclude(flow, error)
         flow.try_count += 1
         phase = Phase.PREFILL if placed.is_split else Phase.WHOLE
-        flow.attempt = Attempt(name, placed.works, phase)
-        flow.state = FlowState.RESERVING
-        self._request_ids[name] = request.request
-        return [self._reserve_next(flow, now)]
-
-    def _reserve_next(self, flow: Flow, now: float) -> ToOwner:
-        attempt = flow.attempt
-        assert attempt is not None
-        attempt.reserve_sent_at = now
-        work = attempt.works[attempt.granted_count]
-        return ToOwner(work.upstream, Reserve(work))
+        attempt = Attempt(name, placed.works, phase)
+        return [self._requests.begin_attempt(flow, attempt, now)]
 
     def _start(self, flow: Flow, now: float) -> list[EntryAction]:
         attempt = flow.attempt
@@ -365,14 +316,14 @@
         quarantine_error = self.crashes.find_quarantine(flow.request, now)
         if quarantine_error is not None:
             # The quarantine began while the request waited for its grant.
-            return self._conclude(flow, flow.last_error or quarantine_error)
+            return self._requests.conclude(flow, flow.last_error or quarantine_error)
         in_backoff = [
             u for u in attempt.upstreams if not self.placement.may_send(u, now)
         ]
         if in_backoff:
             # Their backoff began while the request waited for its grant.
             flow.excluded.update(in_backoff)
-            actions = self._release_attempt(flow, Outcome.UNUSED)
+            actions = self._requests.release_attempt(flow, Outcome.UNUSED)
             return actions + self._retry(flow, now, delay=0.0)
         attempt.state = AttemptState.SENT
         attempt.incarnation = self._find_incarnation(attempt.lead)
@@ -407,7 +358,7 @@
         attempt.granted_count = 1
         attempt.phase = Phase.PREFILL
         flow.state = FlowState.TRANSFERRING
-        return [self._reserve_next(flow, now)]
+        return [self._requests.reserve_next(flow, now)]
 
     def _reserve_other_decode(
         self, flow: Flow, upstream: UpstreamId, now: float
@@ -436,21 +387,6 @@
             )
         ]
 
-    def _finish_transfer(self, flow: Flow) -> list[EntryAction]:
-        """Release the prefill engine: the decode engine has imported the KV cache."""
-        attempt = flow.attempt
-        assert attempt is not None
-        if len(attempt.works) == 1:
-            return []
-        source, target = attempt.works
-        attempt.works = [target]
-        attempt.granted_count = 1
-        name = attempt.attempt
-        return [
-            ToOwner(source.upstream, Release(name, source.upstream, Outcome.ABANDONED)),
-            ToOwner(target.upstream, Started(name, target.upstream)),
-        ]
-
     def _compute_engine_priority(self, prefill_tokens: int) -> int:
         match self._strategy.queue:
             case FirstCome():
@@ -511,7 +447,7 @@
             return []
         flow.excluded = excluded
         flow.last_error = UpstreamError(f"{upstream} became unresponsive")
-        actions = self._release_attempt(flow, Outcome.ABANDONED)
+        actions = self._requests.release_attempt(flow, Outcome.ABANDONED)
         delay = compute_delay(flow.try_count, self._random)
         return actions + self._retry(flow, now, delay=delay)
 
@@ -529,86 +465,25 @@
         flow.last_error = error
         if excludes_lead:
             flow.excluded.add(attempt.lead)
-        actions = self._release_attempt(flow, outcome)
+        actions = self._requests.release_attempt(flow, outcome)
         is_safe = attempt.never_started or flow.request.is_idempotent
         if not is_safe or flow.has_delivered:
-            return actions + self._conclude(flow, error)
+            return actions + self._requests.conclude(flow, error)
         if not self._retry_budget.spend():
-            return actions + self._conclude(flow, error)
+            return actions + self._requests.conclude(flow, error)
         delay = compute_delay(flow.try_count, self._random)
         return actions + self._retry(flow, now, delay=delay)
 
     def _retry(self, flow: Flow, now: float, *, delay: float) -> list[EntryAction]:
         if flow.try_count >= MAX_ATTEMPTS:
             error = flow.last_error or RefusedError("no replica accepted the request")
-            return self._conclude(flow, error)
+            return self._requests.conclude(flow, error)
         flow.state = FlowState.WAITING_TO_RETRY
         flow.retry_at = now + delay
         if delay > 0.0:
             return []
         return self._route(flow, now)
 
-    def _refuse_unroutable(self, flow: Flow, now: float) -> list[EntryAction]:
-        if flow.last_error is not None:
-            return self._conclude(flow, flow.last_error)
-        request = flow.request
-        serving = self.catalog.list_candidates(request, set())
-        backoff = self.placement.compute_backoff(request, now)
-        if backoff > 0.0:
-            error = RefusedError(
-                "all upstreams that serve this request are in backoff",
-                kind=ErrorKind.OVERLOADED,
-                retry_after=backoff,
-            )
-        elif serving and request.model is not None:
-            error = RefusedError(
-                f"{request.memory_tokens} tokens do not fit into "
-                f"{MAX_GROUP_REPLICAS} engines",
-                kind=ErrorKind.PROMPT_TOO_LONG,
-            )
-        else:
-            error = RefusedError(
-                "no upstream serves this request now",
-                kind=ErrorKind.NO_UPSTREAM,
-                retry_after=1.0,
-            )
-        return self._conclude(flow, error)
-
-    def _conclude(
-        self, flow: Flow, error: ScalebendError | None, output_tokens: int = 0
-    ) -> list[EntryAction]:
-        self._flows.pop(flow.request.request, None)
-        outcome = Outcome.FINISHED if error is None else Outcome.ABANDONED
-        actions = self._release_attempt(flow, outcome, output_tokens)
-        if error is not None and error.ran is Ran.NO:
-            error.ran = flow.ran
-        return [*actions, Conclude(flow.request.request, error)]
-
-    def _release_attempt(
-        self, flow: Flow, outcome: Outcome, output_tokens: int = 0
-    ) -> list[EntryAction]:
-        attempt = flow.attempt
-        if attempt is None:
-            return []
-        flow.attempt = None
-        flow.ran = _combine_ran(flow.ran, attempt)
-        del self._request_ids[attempt.attempt]
-        actions: list[EntryAction] = []
-        if not attempt.was_sent:
-            outcome = Outcome.UNUSED
-        elif outcome is not Outcome.FINISHED:
-            actions.append(AbortAttempt(attempt.attempt))
-        # The reservation after the granted ones may be pending at its owner.
-        for work in attempt.works[: attempt.granted_count + 1]:
-            self.placement.outliers.release_probe(work.upstream)
-            # Memory on other engines than the lead is released by cancelling the
-            # attempt there, however it ended.
-            is_helper = work.upstream != attempt.lead and attempt.was_sent
-            ended = Outcome.ABANDONED if is_helper else outcome
-            release = Release(attempt.attempt, work.upstream, ended, output_tokens)
-            actions.append(ToOwner(work.upstream, release))
-        return actions
-
     def _record_prefix(self, flow: Flow) -> None:
         request = flow.request
         attempt = flow.attempt
@@ -618,23 +493,3 @@
     def _record_failure(self, upstream: UpstreamId, now: float) -> None:
         if self.placement.outliers.record_failure(upstream, now):
             logger.warning("replica set aside", upstream=upstream)
-
-    def _find_flow(self, attempt: AttemptId) -> Flow | None:
-        request = self._request_ids.get(attempt)
-        return self._flows.get(request) if request is not None else None
-
-
-def _combine_ran(earlier: Ran, attempt: Attempt) -> Ran:
-    if attempt.never_started or not attempt.was_sent:
-        return earlier
-    if earlier is Ran.YES or attempt.state is AttemptState.RUNNING:
-        return Ran.YES
-    return Ran.UNKNOWN
-
-
-_REFUSAL_KINDS = {
-    RefusalReason.TOO_LARGE: ErrorKind.PROMPT_TOO_LONG,
-    RefusalReason.TOO_LATE: ErrorKind.OVERLOADED,
-    RefusalReason.DRAINING: ErrorKind.NO_UPSTREAM,
-    RefusalReason.NOT_OWNER: ErrorKind.NO_UPSTREAM,
-}
