Split observations of upstreams off the front instance

To core/gateway/front_observations.py (FrontObservations): outcomes, failures, overdue tokens, rejections, paces, lost data and drains of upstreams as this front saw them in its own traffic, whether a failure may count against its upstream, and the reports made of them. They belong together because they are what the leader learns from one front's traffic, and failures of responses, replicas and connections pass one check for an isolated front. As in FrontCrashes, methods return the report or None.

The front keeps its public methods, which address the reports to the leader, as callers and tests use them. They stand in one section now; _apply_ejected stands with the other handlers of messages. No change of behaviour, no test changed.

Ran: ruff format and check, mypy: clean. The 45 files of tests/unit/gateway that import the front instance or drive one: 555 passed. The rest of the functional suite was not run. After these runs only the docstring of the new module changed.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -19,13 +19,12 @@
 from scalebend.core.gateway.front_jobs import FrontJobs
 from scalebend.core.gateway.front_limits import FrontLimits
 from scalebend.core.gateway.front_links import FrontLinks
+from scalebend.core.gateway.front_observations import FrontObservations
 from scalebend.core.gateway.hedging import Hedging
 from scalebend.core.gateway.key_lease import KeyLease
 from scalebend.core.gateway.messages import (
-    AttemptOutcomes,
     ControlStatus,
     CrashUpdates,
-    DrainingReport,
     EjectedUpstreams,
     EndpointChanges,
     FrontNumber,
@@ -37,9 +36,6 @@
     LimitUpdates,
     LinkMessage,
     OpenJobs,
-    RejectionReport,
-    ReplicaFailures,
-    ReplicaPaces,
     Subscribe,
     UncoordinatedSends,
 )
@@ -79,9 +75,6 @@
 """Interval of lease requests: far below the bound on revocation, so that several may be
 lost."""
 
-OUTCOME_REPORT_INTERVAL_S = 0.2
-"""Interval of the reports of attempt outcomes, which bounds their rate under load."""
-
 EXPIRY_INTERVAL_S = 0.5
 """Interval at which expired jobs, replicas and crash records are removed."""
 
@@ -111,9 +104,6 @@
         starts = SlowStarts(self.directory, bounds)
         self.limits = FrontLimits(settings.instance, starts, now)
         self.backoffs = UpstreamBackoffs()
-        self._draining: dict[UpstreamId, None] = {}
-        """Upstreams that announced a drain in a response, kept for a later leader."""
-
         self.retries = RetryWindow(
             bounds.retry_ratio, bounds.retry_slack, bounds.retry_window
         )
@@ -126,7 +116,9 @@
         self.is_draining = False
         self._jobs = FrontJobs(self.scheduler)
         self._outcomes = OutcomeCounts()
-        self._next_outcome_report_at = now
+        self._observations = FrontObservations(
+            self.directory, self.scheduler, self.reach, self.paths, self._outcomes, now
+        )
         self._next_lease_request_at = now
         self._next_expiry_at = now
         self._was_ready = False
@@ -236,12 +228,7 @@
         if self.leader is not None and now >= self._next_lease_request_at:
             self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
             actions.append(ToControl(self.leader, self._build_lease_request(now)))
-        has_news = self._outcomes.has_any or self.paths.has_news
-        if has_news and now >= self._next_outcome_report_at:
-            self._next_outcome_report_at = now + OUTCOME_REPORT_INTERVAL_S
-            paths = self.paths.build_report(now)
-            outcomes = AttemptOutcomes(self._outcomes.pop_all(), paths)
-            actions += self.report(outcomes)
+        actions += self.report(self._observations.build_report(now))
         self.paths.advance(now)
         if self.is_ready(now) != self._was_ready:
             self._was_ready = not self._was_ready
@@ -263,7 +250,7 @@
             self.scheduler.retain(known)
             self.limits.expire(known, now)
             self.backoffs.expire(now)
-            self._draining = {one: None for one in known if one in self._draining}
+            self._observations.retain(known)
         return actions
 
     def _apply_endpoints(
@@ -301,7 +288,7 @@
         self._next_lease_request_at = now + LEASE_REQUEST_INTERVAL_S
         return [
             *self.report(self.limits.build_updates()),
-            *self._report_draining(list(self._draining)),
+            *self.report(self._observations.build_draining_report()),
             *self.report(Subscribe(self.table.routing.version)),
             *self.report(OpenJobs(self._jobs.list_open(now))),
             *self.report(self._build_lease_request(now)),
@@ -331,6 +318,13 @@
                 )
         return [ToControl(sender, Subscribe(self.table.routing.version))]
 
+    def _apply_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
+        logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
+        self.balancer.set_ejected(upstreams)
+        for upstream in upstreams:
+            # For uncoordinated placement, should the leader be lost.
+            self.scheduler.record_failure(upstream, now)
+
     # Engine jobs
 
     def open_job(
@@ -432,108 +426,68 @@
         self._jobs.record_stage(stage, now)
         return self.report(JobStages([stage]))
 
+    # Observations of upstreams
+
     def record_outcome(
         self, upstream: UpstreamId, now: float, *, has_failed: bool
     ) -> None:
         """Count a response or a failure of an upstream."""
         if not has_failed:
             self.crash_reports.record_answered(upstream)
-        if not has_failed or self._may_blame(upstream, now):
-            self._outcomes.record(upstream, has_failed=has_failed)
-
-    # Ways to upstreams
+        self._observations.record_outcome(upstream, now, has_failed=has_failed)
 
     def record_direct_failure(
         self, address: str, kind: FailureKind, now: float
     ) -> None:
         """Record that a direct connection to an upstream failed."""
-        was_isolated = self.reach.is_isolated
-        self.reach.record_failure(address, kind, now)
-        if self.reach.is_isolated and not was_isolated:
-            # They are likely to be failures of this front's network.
-            self._outcomes.drop_failures()
-
-    def _may_blame(self, upstream: UpstreamId, now: float) -> bool:
-        """Whether a failure at an upstream may count against it, here and elsewhere."""
-        endpoint = self.directory.get(upstream)
-        return endpoint is None or self.reach.may_blame(endpoint.address, now)
-
-    # Paths between zones
+        self._observations.record_direct_failure(address, kind, now)
 
     def record_path(
         self, upstream: UpstreamId, observed: int, lost: int, now: float
     ) -> None:
         """Count pieces of data of an upstream, and those of them lost on the way."""
-        endpoint = self.directory.get(upstream)
-        if endpoint is not None:
-            self.paths.record(endpoint.availability_zone, observed, lost, now)
+        self._observations.record_path(upstream, observed, lost, now)
 
     def record_failed_connection(self, upstream: UpstreamId, now: float) -> None:
         """Count a connection to an upstream that timed out."""
-        endpoint = self.directory.get(upstream)
-        if endpoint is not None and self._may_blame(upstream, now):
-            zone = endpoint.availability_zone
-            self.paths.record_failed_connection(zone, upstream, now)
-
-    # Rate limits
-
-    def record_limit(self, observed: ObservedLimit, now: float) -> list[ToControl]:
-        """Record the rate limit in an upstream's response, or that there is none."""
-        has_leader = self.leader is not None
-        return self.report(self.limits.receive(observed, now, has_leader=has_leader))
-
-    def record_uncoordinated_send(self, upstream: UpstreamId) -> list[ToControl]:
-        """Report a request that is sent to a rate-limited upstream without a permit."""
-        if not self.limits.is_limited(upstream):
-            return []
-        return self.report(UncoordinatedSends([upstream]))
-
-    # Draining upstreams
+        self._observations.record_failed_connection(upstream, now)
 
     def record_draining(self, upstream: UpstreamId) -> list[ToControl] | None:
         """Record a drain announced in a response; the registrations may not show it.
 
         Return ``None`` if it was known.
         """
-        if self.directory.record_draining(upstream) is None:
-            return None
-        self._draining[upstream] = None
-        return self._report_draining([upstream])
-
-    def _report_draining(self, upstreams: list[UpstreamId]) -> list[ToControl]:
-        return self.report(DrainingReport(upstreams) if upstreams else None)
-
-    # Failed upstreams
-
-    def _apply_ejected(self, upstreams: list[UpstreamId], now: float) -> None:
-        logger.info("upstreams ejected", upstreams=upstreams, source=self.leader)
-        self.balancer.set_ejected(upstreams)
-        for upstream in upstreams:
-            # For uncoordinated placement, should the leader be lost.
-            self.scheduler.record_failure(upstream, now)
+        report = self._observations.record_draining(upstream)
+        return None if report is None else self.report(report)
 
     def record_failure(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report a replica that is unreachable or unresponsive."""
-        if not self._may_blame(upstream, now):
-            return []
-        self.scheduler.record_failure(upstream, now)
-        return self.report(ReplicaFailures([upstream]))
+        return self.report(self._observations.record_failure(upstream, now))
 
     def record_overdue(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report a replica at which a first token is overdue."""
-        self.scheduler.record_overdue(upstream, now)
-        return self.report(ReplicaFailures([], [upstream]))
+        return self.report(self._observations.record_overdue(upstream, now))
 
     def record_rejection(self, upstream: UpstreamId, now: float) -> list[ToControl]:
         """Record and report that an engine rejected a request without running it."""
-        self.scheduler.record_rejection(upstream, now)
-        return self.report(RejectionReport(upstream))
+        return self.report(self._observations.record_rejection(upstream, now))
 
     def record_paces(self, paces: list[ReplicaPace], now: float) -> list[ToControl]:
         """Record the paces that replicas reported, and send them to the leader."""
-        for pace in paces:
-            self.scheduler.record_pace(pace, now)
-        return self.report(ReplicaPaces(paces) if paces else None)
+        return self.report(self._observations.record_paces(paces, now))
+
+    # Rate limits
+
+    def record_limit(self, observed: ObservedLimit, now: float) -> list[ToControl]:
+        """Record the rate limit in an upstream's response, or that there is none."""
+        has_leader = self.leader is not None
+        return self.report(self.limits.receive(observed, now, has_leader=has_leader))
+
+    def record_uncoordinated_send(self, upstream: UpstreamId) -> list[ToControl]:
+        """Report a request that is sent to a rate-limited upstream without a permit."""
+        if not self.limits.is_limited(upstream):
+            return []
+        return self.report(UncoordinatedSends([upstream]))
 
     def report(self, message: LinkMessage | None) -> list[ToControl]:
         """Send a report to the leader, if there are both."""
