Keep other responses out of streams that have begun

What callers saw: a stream whose first part had come went on with the head and body of a second response, or stayed open without an end. This happened when an attempt after the first, beside a silent one or after a broken one, was answered with a status below 500 other than 200. A silent first attempt that would have gone on was cancelled.

Cause: such a response counted as the answer to the request, also where the caller had the head of a stream already. It then won the race, and was written to the connection as if nothing had been sent.

It now counts as a failure of its attempt, as statuses from 500 on do: the attempt that is silent goes on, or the stream ends visibly incomplete.

All responses to streams pass this one place; those without a stream open are unchanged.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -429,7 +429,8 @@
             headers=copy_response_headers(response.headers),
             body=body,
         )
-        if response.status >= 500:
+        # A stream that has begun has no place for another response.
+        if response.status >= 500 or self.stream.is_open:
             return AttemptResult(
                 Outcome.FAILED, forwarded, detail=f"status {response.status}"
             )
