Keep attempts that got their connection just before a registration

What callers saw: a prompt on a replica that had just restarted was ended two seconds after its registration became known if it had sent nothing by then, as in a long prefill. The work was lost, run again elsewhere, or answered with 502 if it may run once.

Cause: an attempt that had its connection for less than a second was known to be one of the new incarnation (no host that lost power is back sooner; a process that crashes alone closes its connections), and was nevertheless ended for a silence.

test_long_prefill_of_a_late_registration_goes_on failed before and holds now; the other six of test_running_attempts hold, those for attempts that were sent earlier as well. An attempt that this keeps wrongly has its deadline, and second attempts beside it.

--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -63,13 +63,14 @@
     def end(self, upstream: UpstreamId, address: str | None, now: float) -> None:
         """End the attempt, unless it no longer needs the restarted ``upstream``.
 
-        ``address`` is that of the new incarnation. An attempt that was just sent there,
-        or just got data from there, may be one of the new incarnation: it goes on if
-        more data comes.
+        ``address`` is that of the new incarnation. An attempt that just got its
+        connection there is one of the new incarnation, however long it takes to its
+        first data. One that just got data from there may be: it goes on if more comes.
         """
-        is_recent = now - self._connected_at < MIN_RESTART_S
-        is_recent |= now - self._heard_at < MAX_PAUSE_S
-        if address != self.address or not is_recent:
+        is_there = address == self.address
+        if is_there and now - self._connected_at < MIN_RESTART_S:
+            return
+        if not is_there or now - self._heard_at >= MAX_PAUSE_S:
             self._end(upstream)
         elif self._recheck is None:
             self._recheck = asyncio.get_running_loop().call_later(
--- a/tests/unit/gateway/test_running_attempts.py
+++ b/tests/unit/gateway/test_running_attempts.py
@@ -93,3 +93,15 @@
             attempts.end("i-1", ADDRESS, loop.time())
     await asyncio.sleep(2 * PAUSE_S)
     assert running.restarted_upstream is None
+
+
+async def test_long_prefill_of_a_late_registration_goes_on():
+    """Guards against ending work of the new incarnation that has sent nothing yet."""
+    attempts = RunningAttempts()
+    loop = asyncio.get_running_loop()
+    with attempts.watch(loop.time() + 10.0, ["i-1"], ADDRESS) as running:
+        async with running.timeout:
+            running.record_connection()
+            attempts.end("i-1", ADDRESS, loop.time())
+            await asyncio.sleep(3 * PAUSE_S)
+            running.record_data(loop.time())
