Don't take a stall of the front for an unreachable replica

What callers saw: prompts placed around a sound replica that paused. After a stall of 0.15 s or more just after the second request for its report, the front told the leader that the replica could not be reached.

Cause: the timer of the connection ran before the event of its socket was seen. A report that does not come accuses a replica at once if there was no connection; whether the timer was late was not checked, as it is where upstreams are checked and dialled.

A timeout that late now counts as a silence, which accuses nobody before two seconds of inspections in a row.

--- a/src/scalebend/edges/gateway/report_requests.py
+++ b/src/scalebend/edges/gateway/report_requests.py
@@ -13,6 +13,7 @@
 import aiohttp
 import structlog
 
+from scalebend.edges.connection_checks import MAX_TIMER_DELAY_S
 from scalebend.edges.gateway.upstream_client import UpstreamSessions, build_timeout
 from scalebend.models.placement import ReplicaReport
 from scalebend.platform.reports import REPORT_PATH, decode_report
@@ -37,7 +38,8 @@
     """The connection ended before the response."""
 
     SILENT = "silent"
-    """It accepted the connection, and sent nothing yet."""
+    """It accepted the connection, or may have while this process stood still, and sent
+    nothing yet."""
 
     UNREADABLE = "unreadable"
     """The response is not a report, which says nothing about the replica."""
@@ -76,19 +78,25 @@
 ) -> Report:
     """Request a report until a point in time of the event loop's clock."""
     session = sessions.choose(may_pool=may_pool)
-    left = max(0.001, until - asyncio.get_running_loop().time())
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    left = max(0.001, until - began)
+    timeout = build_timeout(REPORT_TIMEOUT_S, left)
+    assert timeout.sock_connect is not None
+    connect_until = began + min(timeout.sock_connect, left)
     connected = asyncio.Event()
     try:
         async with session.get(
             f"http://{address}{REPORT_PATH}",
-            timeout=build_timeout(REPORT_TIMEOUT_S, left),
+            timeout=timeout,
             trace_request_ctx=connected.set,
         ) as response:
             report = decode_report(await response.read())
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         result = NoReport.UNREACHED
-        if connected.is_set():
-            is_timeout = isinstance(error, TimeoutError)
+        is_timeout = isinstance(error, TimeoutError)
+        has_stalled = loop.time() >= connect_until + MAX_TIMER_DELAY_S
+        if connected.is_set() or (is_timeout and has_stalled):
             result = NoReport.SILENT if is_timeout else NoReport.BROKEN
         logger.info(
             "report request failed",
