Open no tunnel if the stop began while it connected

What callers saw: nothing on the platform was seen. Requests of another front could go through such a tunnel until the process of the peer ended, and were cut off with it.

Cause: a peer that stops tells the fronts of its open tunnels so. One whose connection to the upstream had not come about yet was passed over, opened, and never told.

The peer now replies that it is busy, as it does to later ones; the front asks another.

test_tunnel_is_not_opened_if_the_peer_begins_to_stop_meanwhile failed before: the tunnel served the request and was open 0.5 s later.

--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -59,7 +59,8 @@
             MAX_DESCRIPTOR_SHARE * settings.max_open_files / DESCRIPTORS_PER_TUNNEL
         )
         self._tunnels: set[_FrontSide] = set()
-        self._is_leaving = False
+        self.is_leaving = False
+        """Whether this process stops."""
 
     @property
     def open(self) -> int:
@@ -84,7 +85,7 @@
         """Return why a tunnel may not be opened; ``None`` if it may."""
         if not hmac.compare_digest(opening.key.encode(), self._key.encode()):
             return TunnelReply.DENIED
-        if self._is_leaving or self.open > self._max_open:
+        if self.is_leaving or self.open > self._max_open:
             return TunnelReply.BUSY
         if self._instance.directory.find_at(opening.address) is None:
             return TunnelReply.UNKNOWN
@@ -111,7 +112,7 @@
 
     def begin_leaving(self) -> None:
         """Open no more tunnels; fronts end theirs after the current responses."""
-        self._is_leaving = True
+        self.is_leaving = True
         for tunnel in self._tunnels:
             tunnel.announce_leaving()
 
@@ -220,6 +221,10 @@
         if self._transport is None:
             upstream.close(is_reset=False)
             return
+        if self._server.is_leaving:
+            upstream.close(is_reset=False)
+            self._reply(TunnelReply.BUSY)
+            return
         self._upstream = upstream
         self._reply(TunnelReply.OPENED)
 
--- a/tests/unit/gateway/test_tunnels.py
+++ b/tests/unit/gateway/test_tunnels.py
@@ -217,6 +217,25 @@
                 await asyncio.sleep(0.01)
 
 
+async def test_tunnel_is_not_opened_if_the_peer_begins_to_stop_meanwhile():
+    """Guards against requests on a tunnel that ends with the process of the peer."""
+    async with run_tunnelled(respond_always) as tunnelled:
+        check = tunnelled.server.check
+
+        def leave_meanwhile(opening, now):
+            refusal = check(opening, now)
+            # It connects to the upstream next.
+            asyncio.get_running_loop().call_soon(tunnelled.server.begin_leaving)
+            return refusal
+
+        tunnelled.server.check = leave_meanwhile
+        # The upstream is reached directly, too.
+        assert await tunnelled.fetch() == (None, b"ok")
+        async with asyncio.timeout(0.5):
+            while tunnelled.server.open:
+                await asyncio.sleep(0.01)
+
+
 async def ask(tunnelled, **changes):
     peer = msgspec.structs.replace(tunnelled.peer, **changes.pop("peer", {}))
     address = changes.pop("address", tunnelled.address)
