--- a/src/scalebend/models/tunnels.py
+++ b/src/scalebend/models/tunnels.py
@@ -43,7 +43,7 @@
     """The peer itself reaches no upstream."""
 
     BUSY = "busy"
-    """The peer stops, or has as many tunnels as it may have."""
+    """The peer stops, stood still, or has as many tunnels as it may have."""
 
     UNKNOWN = "unknown"
     """No upstream that the peer knows has this address."""
--- a/tests/unit/gateway/test_tunnels.py
+++ b/tests/unit/gateway/test_tunnels.py
@@ -7,12 +7,14 @@
 
 import asyncio
 import contextlib
+import time
 
 import aiohttp
 import msgspec
 import pytest
 
 from scalebend.core.gateway.front_instance import FrontInstance
+from scalebend.edges.gateway import tunnel_server
 from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -246,6 +248,25 @@
     return reply
 
 
+async def test_stall_of_the_peer_accuses_no_upstream(monkeypatch):
+    """Guards against sound upstreams passing for dead because a peer stood still."""
+    monkeypatch.setattr(tunnel_server, "CONNECT_TIMEOUT_S", 0.1)
+    async with run_tunnelled(respond_always) as tunnelled:
+        server, loop = tunnelled.server, asyncio.get_running_loop()
+        failures = []
+        server.record_failure = lambda *failure: failures.append(failure)
+        check = server.check
+
+        def stall_next(opening, now):
+            # The connection is begun before.
+            loop.call_soon(loop.call_soon, time.sleep, 0.3)
+            return check(opening, now)
+
+        server.check = stall_next
+        assert await ask(tunnelled) is TunnelReply.BUSY
+        assert failures == []
+
+
 async def test_tunnel_needs_the_key_and_a_known_upstream():
     async with run_tunnelled(respond_always) as tunnelled:
         denied = await ask(tunnelled, peer={"tunnel_key": "guessed"})
