--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -12,6 +12,7 @@
 
 from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.upstream_reach import FailureKind
+from scalebend.edges.connection_checks import LOCAL_ERRORS, MAX_TIMER_DELAY_S
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.tunnel_frames import (
     FrameError,
@@ -59,7 +60,8 @@
             MAX_DESCRIPTOR_SHARE * settings.max_open_files / DESCRIPTORS_PER_TUNNEL
         )
         self._tunnels: set[_FrontSide] = set()
-        self._is_leaving = False
+        self.is_leaving = False
+        """Whether this process stops."""
 
     @property
     def open(self) -> int:
@@ -84,7 +86,7 @@
         """Return why a tunnel may not be opened; ``None`` if it may."""
         if not hmac.compare_digest(opening.key.encode(), self._key.encode()):
             return TunnelReply.DENIED
-        if self._is_leaving or self.open > self._max_open:
+        if self.is_leaving or self.open > self._max_open:
             return TunnelReply.BUSY
         if self._instance.directory.find_at(opening.address) is None:
             return TunnelReply.UNKNOWN
@@ -111,7 +113,7 @@
 
     def begin_leaving(self) -> None:
         """Open no more tunnels; fronts end theirs after the current responses."""
-        self._is_leaving = True
+        self.is_leaving = True
         for tunnel in self._tunnels:
             tunnel.announce_leaving()
 
@@ -213,13 +215,23 @@
                 await self._loop.create_connection(
                     lambda: upstream, target.host, target.port
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as error:
+            waited = self._loop.time() - opened_at
+            is_late = waited >= CONNECT_TIMEOUT_S + MAX_TIMER_DELAY_S
+            if is_late or error.errno in LOCAL_ERRORS:
+                # Nothing is known of the upstream.
+                self._reply(TunnelReply.BUSY)
+                return
             self._server.record_failure(address, self._loop.time())
             self._reply(TunnelReply.UNREACHABLE)
             return
         if self._transport is None:
             upstream.close(is_reset=False)
             return
+        if self._server.is_leaving:
+            upstream.close(is_reset=False)
+            self._reply(TunnelReply.BUSY)
+            return
         self._upstream = upstream
         self._reply(TunnelReply.OPENED)
 
