--- a/src/scalebend/edges/gateway/report_requests.py
+++ b/src/scalebend/edges/gateway/report_requests.py
@@ -53,14 +53,21 @@
 
 async def fetch_report(sessions: UpstreamSessions, address: str) -> Report:
     """Return the report of the replica at an address, or why there is none."""
-    until = asyncio.get_running_loop().time() + REPORT_TIMEOUT_S
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    until = began + REPORT_TIMEOUT_S
     pooled = asyncio.create_task(_request(sessions, address, until, may_pool=True))
     tasks = [pooled]
     try:
         await asyncio.wait(tasks, timeout=SECOND_REQUEST_AFTER_S)
         if pooled.done() and pooled.result() is not NoReport.BROKEN:
             return pooled.result()
-        single = asyncio.create_task(_request(sessions, address, until, may_pool=False))
+        # A stall of this process may leave too little time for a connection.
+        is_late = loop.time() - began >= SECOND_REQUEST_AFTER_S + MAX_TIMER_DELAY_S
+        requesting = _request(
+            sessions, address, until, may_pool=False, has_stalled=is_late
+        )
+        single = asyncio.create_task(requesting)
         tasks.append(single)
         for ended in asyncio.as_completed(tasks):
             report = await ended
@@ -74,9 +81,17 @@
 
 
 async def _request(
-    sessions: UpstreamSessions, address: str, until: float, *, may_pool: bool
+    sessions: UpstreamSessions,
+    address: str,
+    until: float,
+    *,
+    may_pool: bool,
+    has_stalled: bool = False,
 ) -> Report:
-    """Request a report until a point in time of the event loop's clock."""
+    """Request a report until a point in time of the event loop's clock.
+
+    ``has_stalled``: whether this process stood still just before.
+    """
     session = sessions.choose(may_pool=may_pool)
     loop = asyncio.get_running_loop()
     began = loop.time()
@@ -95,7 +110,7 @@
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         result = NoReport.UNREACHED
         is_timeout = isinstance(error, TimeoutError)
-        has_stalled = loop.time() >= connect_until + MAX_TIMER_DELAY_S
+        has_stalled |= loop.time() >= connect_until + MAX_TIMER_DELAY_S
         if connected.is_set() or (is_timeout and has_stalled):
             result = NoReport.SILENT if is_timeout else NoReport.BROKEN
         logger.info(
