Answer the requests that are open when an instance's drain time ends

Callers saw: an instance of the own interface gets SIGTERM, drains for limits.drain_time, and then closes the connections of all that is still open: plain calls end with "server disconnected", streams break off in the middle. Nothing in the log names them.

Cause: drain() only waited. The server's clean-up then cancelled the handlers, and a cancelled handler writes nothing.

Now the drain ends open requests through the core, as a cancellation does (abort, release of memory, ran), with the stop as the error: 503 not-ready if nothing was sent, else 504 time-limit, for a stream as its last event.

Ruled out: the caller's own disconnect, and requests that arrive while the instance drains, which were refused before as well.

Not covered: the key of a call that was claimed and not sent is withdrawn only if the control group commits it before the process has ended.

--- a/src/scalebend/edges/http_server.py
+++ b/src/scalebend/edges/http_server.py
@@ -283,11 +283,16 @@
 
 
 async def drain(runtime: Runtime, max_wait_s: float) -> bool:
-    """Drain for up to ``max_wait_s`` seconds; return whether all requests ended."""
+    """Drain for up to ``max_wait_s`` seconds; return whether all requests ended.
+
+    Those that did not are ended with an answer.
+    """
     runtime.drain()
     deadline = runtime.now() + max_wait_s
     while runtime.count_open() and runtime.now() < deadline:
         await asyncio.sleep(0.05)
+    is_clean = runtime.count_open() == 0
+    runtime.end_open()
     # Peers must receive the hand-over before this process exits.
     await asyncio.sleep(1.0 if runtime.instance.settings.peers else 0.0)
-    return runtime.count_open() == 0
+    return is_clean
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -54,7 +54,14 @@
 from scalebend.edges.stalls import StallGuard
 from scalebend.edges.tls import build_client_context
 from scalebend.edges.upstream_dialer import UpstreamDialer
-from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
+from scalebend.exceptions import (
+    ClaimError,
+    ErrorKind,
+    Ran,
+    RefusedError,
+    ScalebendError,
+    TimeLimitError,
+)
 from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
 from scalebend.models.orders import Order, SendOrder
 from scalebend.models.settings import Settings
@@ -189,6 +196,12 @@
         """Return the number of requests in progress."""
         return len(self._exchanges)
 
+    def end_open(self) -> None:
+        """End each open request with an error, because the process is about to end."""
+        for request in list(self._exchanges):
+            actions = self.instance.cancel(request, self.now())
+            self.execute([_replace_cause(action) for action in actions])
+
     def build_reporter(self) -> AttemptReporter:
         """Return the callbacks for an exchange."""
         return AttemptReporter(
@@ -429,6 +442,25 @@
         await self._opener.close()
 
 
+def _replace_cause(action: InstanceAction) -> InstanceAction:
+    """Return ``action`` with the stop in place of the cancellation as its error."""
+    match action:
+        case Conclude(request, ScalebendError(ran=ran)):
+            logger.info("request ended by the stop", request=request, ran=ran.value)
+            return Conclude(request, _build_stop_error(ran))
+    return action
+
+
+def _build_stop_error(ran: Ran) -> ScalebendError:
+    if ran is Ran.NO:
+        return RefusedError(
+            "the instance stops", kind=ErrorKind.NOT_READY, retry_after=1.0
+        )
+    return TimeLimitError(
+        "the instance stopped before the response was complete", ran=ran
+    )
+
+
 def _build_claim_error(result: Result | None) -> ScalebendError | None:
     match result:
         case ClaimTaken():
