Refuse the calls that wait at a control member which stops

Callers saw: a PUT of a document is being written when the leader's disk fails. The connection is closed after 0.2 s without a byte; whether the document will be in force is open, and nothing says so.

Cause: a disk error (and the end of a planned stop) closes the listener, which gives handlers 0.2 s and then cancels them; a proposal or a confirmed read waits up to 0.8 s for a decision that this member makes no more.

Now the member refuses what waits before the listener closes: 503 no-quorum, as after the timeout. Calls that reach that point later are refused at once.

The new test stalls the disk of the leader, sends the PUT and lets the write fail. Before: the response is b"". It sends the bytes itself, since aiohttp's client repeats a PUT whose connection was closed.

--- a/src/scalebend/edges/gateway/control_calls.py
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -170,7 +170,11 @@
     task = asyncio.create_task(_inspect_engines(runtime))
     try:
         async with listen(sock, ControlHandler(runtime).handle):
-            yield
+            try:
+                yield
+            finally:
+                # The listener soon cancels handlers that still wait.
+                runtime.refuse_pending()
     finally:
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -135,6 +135,7 @@
         ] = {}
         self._pending_reads: dict[int, asyncio.Future[None]] = {}
         self._is_pumping = False
+        self._is_closing = False
         self._next_heartbeat_at = 0.0
         self._evacuations = EvacuationWatch(metrics)
         self._evacuations.report(self.instance.evacuations.newest)
@@ -274,6 +275,16 @@
         self.execute(self.instance.finish(ready, self.now()))
         self._evacuations.report(self.instance.evacuations.newest)
 
+    def refuse_pending(self) -> None:
+        """End the calls that wait for a decision, which this member makes no more."""
+        self._is_closing = True
+        for proposal in self._pending_proposals.values():
+            if not proposal.done():
+                proposal.set_result(None)
+        for read in self._pending_reads.values():
+            if not read.done():
+                read.set_exception(build_no_quorum_error())
+
     async def put_routing(self, data: bytes) -> RoutingVersion:
         """As leader, propose a document; return the version that is in force."""
         routing = decode_routing(data)
@@ -295,6 +306,8 @@
 
     async def _wait_for_proposal(self, name: str) -> RoutingResult | EvacuationResult:
         """Return the result of a proposal once a quorum has it on disk."""
+        if self._is_closing:
+            raise build_no_quorum_error()
         future: asyncio.Future[RoutingResult | EvacuationResult | None]
         future = self._loop.create_future()
         self._pending_proposals[name] = future
@@ -320,6 +333,8 @@
 
     async def confirm_lead(self) -> None:
         """Wait until a quorum confirms that this member leads, or raise an error."""
+        if self._is_closing:
+            raise build_no_quorum_error()
         reader = self.instance.request_fresh_read(self.now())
         future: asyncio.Future[None] = self._loop.create_future()
         self._pending_reads[reader] = future
