Reopen an instance's log after a disk error

Operators saw nothing at first: a control instance of the own interface whose disk fails once (full for a moment) goes on and acknowledges changes. At its next start it ends with "damaged record", and what it acknowledged is lost to the group, or to everybody if it is the only one.

Cause: an error of a write left the event loop's callback, and the next pump wrote the same entries again behind the torn record, which recovery takes for damage. An fsync that fails, too, may succeed the next time without the data; a truncation that failed wasn't tried again.

Now the member stops at the first error and starts again from what can be read back, as control members of the gateway do (those restart as a whole). Meanwhile the instance serves callers, and proposals go to other members.

Ruled out: recovery itself. It truncates a torn record at the end, and it must not skip one before the end.

--- a/src/scalebend/core/instance.py
+++ b/src/scalebend/core/instance.py
@@ -187,10 +187,9 @@
         )
         control = [peer.instance for peer in settings.peers if peer.control]
         self.control: ControlMember | None = None
+        self._seed = seed
         if recovered is not None:
-            self.control = ControlMember(
-                self.me, control, recovered, now=now, seed=seed
-            )
+            self.start_control(recovered, now)
             control = [self.me, *control]
         self.client = ControlClient(self.me, control)
         self._control_names = control
@@ -205,6 +204,17 @@
         # Instances that start together compare with different peers first.
         self._compare_index = zlib.crc32(self.me.encode())
 
+    def start_control(self, recovered: Recovered, now: float) -> None:
+        """Start the control member with what its disk holds."""
+        peers = [peer.instance for peer in self.settings.peers if peer.control]
+        self.control = ControlMember(
+            self.me, peers, recovered, now=now, seed=self._seed
+        )
+
+    def stop_control(self) -> None:
+        """Stop the control member without writing anything more."""
+        self.control = None
+
     # State
 
     def read_readiness(self, now: float) -> Readiness:
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -43,7 +43,7 @@
 from scalebend.core.messages import Datagram, PeerMessage
 from scalebend.core.orders import ORDER_TIMEOUT_S
 from scalebend.core.owner import CancelOnEngine
-from scalebend.edges.control_pump import pump_control
+from scalebend.edges.control_log import ControlLog
 from scalebend.edges.exchange import AttemptReporter, Exchange
 from scalebend.edges.gateway.upstream_client import StrictConnector
 from scalebend.edges.gossip import GossipSocket, open_gossip
@@ -117,7 +117,11 @@
             instance.membership.me, instance.catalog, opener, self._spawn, metrics
         )
         self._session: aiohttp.ClientSession | None = None
-        self.journal = journal
+        self._control_log: ControlLog | None = None
+        if journal is not None:
+            self._control_log = ControlLog(
+                instance, journal, self._finish_control, self.now, self._spawn
+            )
         self.announcements: Subject[Announcement] = Subject()
         self.peers: PeerTransport | None = None
         self.gossip: GossipSocket | None = None
@@ -425,11 +429,8 @@
 
     def _pump_control(self) -> None:
         self._is_pump_scheduled = False
-        control = self.instance.control
-        journal = self.journal
-        if control is None or journal is None:
-            return
-        pump_control(control, journal, self._finish_control, self.now())
+        if self._control_log is not None:
+            self._control_log.pump()
 
     def _finish_control(self, ready: Ready) -> None:
         self.execute(self.instance.finish_control(ready, self.now(), time.time()))
