Keep a granted attempt that its engine runs through a pause of its entry

Callers would see: their instance pauses for two seconds just after it sent a request. The owner of the replica, another instance, cancels the attempt at the engine, although both are sound; the instance finds its stream gone and runs the whole prompt a second time, or runs out of attempts.

Cause: a grant that is neither renewed nor started within 2 s counted as unused. The messages may only be late: the engine's announcements say that it runs the attempt.

Now such an announcement gives the grant the lease of a started attempt, 8 s from the grant. A grant that nobody used still expires after 2 s, and the attempts of a crashed entry after 8 s.

Shown at the owner alone, not on real processes.

--- a/src/scalebend/core/owner.py
+++ b/src/scalebend/core/owner.py
@@ -38,10 +38,12 @@
 )
 
 GRANT_LIFETIME_S = 2.0
-"""Time within which a granted attempt must be renewed, started or released."""
+"""Time within which a granted attempt must be renewed, started or released, or be
+reported by its engine."""
 
 RESERVATION_LEASE_S = 8.0
-"""Time a started attempt keeps its memory without a renewal by its entry."""
+"""Time a started attempt keeps its memory without a renewal by its entry: an entry may
+pause for a few seconds and go on."""
 
 UNCLAIMED_GRACE_S = 5.0
 """Time after which an attempt that an engine runs and no entry claims is cancelled."""
@@ -154,6 +156,7 @@
             actions += self._refuse_all(RefusalReason.DRAINING)
         elif announcement.state is UpstreamState.SERVING:
             self.is_draining = False
+        self._extend_used_grants(announcement.running)
         self._record_unclaimed(announcement.running, now)
         return actions + self.advance(now)
 
@@ -419,6 +422,17 @@
                 self._add_reservation(work, 0.0, now + RESERVATION_LEASE_S, now)
         return []
 
+    def _extend_used_grants(self, running: list[str]) -> None:
+        """Give the full lease to grants that, as the engine shows, were used.
+
+        It counts from the grant, so that an entry that crashed is noticed as soon.
+        """
+        for name in running:
+            reservation = self._reservations.get(AttemptId(name))
+            if reservation is not None:
+                used_until = reservation.granted + RESERVATION_LEASE_S
+                reservation.lease_until = max(reservation.lease_until, used_until)
+
     def _expire_leases(self, now: float) -> None:
         expired = [
             attempt
--- a/tests/unit/test_owner.py
+++ b/tests/unit/test_owner.py
@@ -111,6 +111,18 @@
     assert list_cancelled(owner.advance(GRANT_LIFETIME_S)) == ["r1"]
 
 
+# Guards against work that is cancelled at a sound engine because its entry paused.
+def test_attempt_that_its_engine_runs_outlasts_a_silence_of_its_entry():
+    owner = build_owner()
+    send_reserve(owner, "r1")
+    owner.apply_announcement(build_announcement(running=["r1"]), 0.5)
+    assert list_cancelled(owner.advance(GRANT_LIFETIME_S + 1.0)) == []
+    announcement = build_announcement(running=["r1"])
+    actions = owner.apply_announcement(announcement, RESERVATION_LEASE_S - 0.1)
+    assert list_cancelled(actions) == []
+    assert list_cancelled(owner.advance(RESERVATION_LEASE_S)) == ["r1"]
+
+
 def test_reservation_of_a_crashed_entry_expires():
     owner = build_owner()
     send_reserve(owner, "r1")
