Say that a proposal without a quorum may have run

Callers saw: a document or an evacuation that no quorum confirmed in 0.8 s is refused with "ran": "no", yet it may be in the logs of others, and come into force under a later leader.

Cause: the error of a proposal was that of a read, which changes nothing. The own interface's configuration says "unknown" in the same case.

Status and kind stay as they were (503 no-quorum). The test of a member whose disk fails checks it; before: "ran":"no".

--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -39,7 +39,7 @@
 from scalebend.edges.gateway.list_writer import ListWriter
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.stalls import StallGuard
-from scalebend.exceptions import ErrorKind, RefusedError
+from scalebend.exceptions import ErrorKind, Ran, RefusedError
 from scalebend.models.evacuations import EvacuationOrder
 from scalebend.models.founding import Founding
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
@@ -306,11 +306,11 @@
 
     async def _wait_for_proposal(self, name: str) -> RoutingResult | EvacuationResult:
         """Return the result of a proposal once a quorum has it on disk."""
-        if self._is_closing:
-            raise build_no_quorum_error()
         future: asyncio.Future[RoutingResult | EvacuationResult | None]
         future = self._loop.create_future()
         self._pending_proposals[name] = future
+        if self._is_closing:
+            future.set_result(None)
         self.schedule_pump()
         try:
             async with asyncio.timeout(QUORUM_TIMEOUT_S):
@@ -320,7 +320,10 @@
         finally:
             self._pending_proposals.pop(name, None)
         if result is None:
-            raise build_no_quorum_error()
+            # Its entry may be in the log of others, and be committed by a later leader.
+            error = build_no_quorum_error()
+            error.ran = Ran.UNKNOWN
+            raise error
         return result
 
     async def read_document(self) -> bytes:
--- a/tests/functional/test_stopping_control.py
+++ b/tests/functional/test_stopping_control.py
@@ -18,7 +18,8 @@
 
 
 # Guards against a configuration that gets neither an acknowledgement nor a refusal,
-# because its handler is cancelled with the member that should have decided.
+# because its handler is cancelled with the member that should have decided; and
+# against a refusal that promises more than the member knows.
 async def test_configuration_is_refused_by_a_member_whose_disk_fails(tmp_path):
     with run_processes(tmp_path) as processes:
         async with aiohttp.ClientSession() as session:
@@ -34,6 +35,7 @@
         response = await putting
     assert response.startswith(b"HTTP/1.1 503 "), response
     assert b'"type":"no-quorum"' in response
+    assert b'"ran":"unknown"' in response
 
 
 async def put(address, document):
