Answer and log unexpected errors of an instance's handlers

Callers saw: an error that nobody foresaw in a handler of the own interface is answered by the library with a text page, without kind, ran or request problem document, and logged outside the structured log. If admission raised it, the request counted as open for good, so that the next planned stop waited for its whole drain time.

Cause: only the project's own errors were converted, and admission removed the request for these only.

Now the middleware logs `request failed unexpectedly` with the traceback and answers 500 internal, ran unknown. If the response has begun, the library closes the connection, as before.

Ruled out: a connection closed without an answer, which this wasn't.

--- a/src/scalebend/edges/http_server.py
+++ b/src/scalebend/edges/http_server.py
@@ -23,6 +23,7 @@
 from scalebend.edges.tls import build_server_context
 from scalebend.exceptions import (
     ErrorKind,
+    Ran,
     RefusedError,
     RequestError,
     ScalebendError,
@@ -38,6 +39,9 @@
 
 MAX_ANNOUNCEMENT_BYTES = 1024 * 1024
 
+_HAS_RESPONSE = web.RequestKey("has_response", bool)
+"""Key of a request whose response has begun."""
+
 Parser = Callable[..., ParsedCall]
 
 
@@ -241,6 +245,21 @@
         return build_response(RequestError(detail, kind=ErrorKind.NOT_FOUND))
     except ScalebendError as error:
         return build_response(error, RequestId(""))
+    except web.HTTPException:
+        raise
+    except Exception as error:
+        logger.exception(
+            "request failed unexpectedly", method=request.method, path=request.path
+        )
+        if _HAS_RESPONSE in request:
+            # A second response can't follow: the library closes the connection.
+            raise
+        detail = f"internal: {type(error).__name__}"
+        return build_response(ScalebendError(detail, ran=Ran.UNKNOWN))
+
+
+async def _record_response(request: web.Request, response: web.StreamResponse) -> None:
+    request[_HAS_RESPONSE] = True
 
 
 def build_app(runtime: Runtime) -> web.Application:
@@ -249,6 +268,7 @@
     app = web.Application(
         client_max_size=limits.body_bytes, middlewares=[_convert_errors]
     )
+    app.on_response_prepare.append(_record_response)
     CallerHandlers(runtime).add_routes(app)
     AdminHandlers(runtime).add_routes(app)
     return app
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -182,7 +182,7 @@
         self._exchanges[request.request] = exchange
         try:
             self.execute(self.instance.admit(request, self.now()))
-        except ScalebendError:
+        except Exception:
             del self._exchanges[request.request]
             raise
 
