--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -39,7 +39,7 @@
 from scalebend.edges.gateway.list_writer import ListWriter
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.stalls import StallGuard
-from scalebend.exceptions import ErrorKind, RefusedError
+from scalebend.exceptions import ErrorKind, Ran, RefusedError
 from scalebend.models.evacuations import EvacuationOrder
 from scalebend.models.founding import Founding
 from scalebend.models.gateway_settings import GatewayRole, GatewaySettings
@@ -135,6 +135,7 @@
         ] = {}
         self._pending_reads: dict[int, asyncio.Future[None]] = {}
         self._is_pumping = False
+        self._is_closing = False
         self._next_heartbeat_at = 0.0
         self._evacuations = EvacuationWatch(metrics)
         self._evacuations.report(self.instance.evacuations.newest)
@@ -274,6 +275,16 @@
         self.execute(self.instance.finish(ready, self.now()))
         self._evacuations.report(self.instance.evacuations.newest)
 
+    def refuse_pending(self) -> None:
+        """End the calls that wait for a decision, which this member makes no more."""
+        self._is_closing = True
+        for proposal in self._pending_proposals.values():
+            if not proposal.done():
+                proposal.set_result(None)
+        for read in self._pending_reads.values():
+            if not read.done():
+                read.set_exception(build_no_quorum_error())
+
     async def put_routing(self, data: bytes) -> RoutingVersion:
         """As leader, propose a document; return the version that is in force."""
         routing = decode_routing(data)
@@ -298,6 +309,8 @@
         future: asyncio.Future[RoutingResult | EvacuationResult | None]
         future = self._loop.create_future()
         self._pending_proposals[name] = future
+        if self._is_closing:
+            future.set_result(None)
         self.schedule_pump()
         try:
             async with asyncio.timeout(QUORUM_TIMEOUT_S):
@@ -307,7 +320,10 @@
         finally:
             self._pending_proposals.pop(name, None)
         if result is None:
-            raise build_no_quorum_error()
+            # Its entry may be in the log of others, and be committed by a later leader.
+            error = build_no_quorum_error()
+            error.ran = Ran.UNKNOWN
+            raise error
         return result
 
     async def read_document(self) -> bytes:
@@ -320,6 +336,8 @@
 
     async def confirm_lead(self) -> None:
         """Wait until a quorum confirms that this member leads, or raise an error."""
+        if self._is_closing:
+            raise build_no_quorum_error()
         reader = self.instance.request_fresh_read(self.now())
         future: asyncio.Future[None] = self._loop.create_future()
         self._pending_reads[reader] = future
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -43,7 +43,7 @@
 from scalebend.core.messages import Datagram, PeerMessage
 from scalebend.core.orders import ORDER_TIMEOUT_S
 from scalebend.core.owner import CancelOnEngine
-from scalebend.edges.control_pump import pump_control
+from scalebend.edges.control_log import ControlLog
 from scalebend.edges.exchange import AttemptReporter, Exchange
 from scalebend.edges.gateway.upstream_client import StrictConnector
 from scalebend.edges.gossip import GossipSocket, open_gossip
@@ -54,7 +54,14 @@
 from scalebend.edges.stalls import StallGuard
 from scalebend.edges.tls import build_client_context
 from scalebend.edges.upstream_dialer import UpstreamDialer
-from scalebend.exceptions import ClaimError, ErrorKind, Ran, ScalebendError
+from scalebend.exceptions import (
+    ClaimError,
+    ErrorKind,
+    Ran,
+    RefusedError,
+    ScalebendError,
+    TimeLimitError,
+)
 from scalebend.models.ids import AttemptId, InstanceId, RequestId, UpstreamId
 from scalebend.models.orders import Order, SendOrder
 from scalebend.models.settings import Settings
@@ -110,7 +117,11 @@
             instance.membership.me, instance.catalog, opener, self._spawn, metrics
         )
         self._session: aiohttp.ClientSession | None = None
-        self.journal = journal
+        self._control_log: ControlLog | None = None
+        if journal is not None:
+            self._control_log = ControlLog(
+                instance, journal, self._finish_control, self.now, self._spawn
+            )
         self.announcements: Subject[Announcement] = Subject()
         self.peers: PeerTransport | None = None
         self.gossip: GossipSocket | None = None
@@ -171,7 +182,7 @@
         self._exchanges[request.request] = exchange
         try:
             self.execute(self.instance.admit(request, self.now()))
-        except ScalebendError:
+        except Exception:
             del self._exchanges[request.request]
             raise
 
@@ -189,6 +200,12 @@
         """Return the number of requests in progress."""
         return len(self._exchanges)
 
+    def end_open(self) -> None:
+        """End each open request with an error, because the process is about to end."""
+        for request in list(self._exchanges):
+            actions = self.instance.cancel(request, self.now())
+            self.execute([_replace_cause(action) for action in actions])
+
     def build_reporter(self) -> AttemptReporter:
         """Return the callbacks for an exchange."""
         return AttemptReporter(
@@ -412,11 +429,8 @@
 
     def _pump_control(self) -> None:
         self._is_pump_scheduled = False
-        control = self.instance.control
-        journal = self.journal
-        if control is None or journal is None:
-            return
-        pump_control(control, journal, self._finish_control, self.now())
+        if self._control_log is not None:
+            self._control_log.pump()
 
     def _finish_control(self, ready: Ready) -> None:
         self.execute(self.instance.finish_control(ready, self.now(), time.time()))
@@ -429,6 +443,25 @@
         await self._opener.close()
 
 
+def _replace_cause(action: InstanceAction) -> InstanceAction:
+    """Return ``action`` with the stop in place of the cancellation as its error."""
+    match action:
+        case Conclude(request, ScalebendError(ran=ran)):
+            logger.info("request ended by the stop", request=request, ran=ran.value)
+            return Conclude(request, _build_stop_error(ran))
+    return action
+
+
+def _build_stop_error(ran: Ran) -> ScalebendError:
+    if ran is Ran.NO:
+        return RefusedError(
+            "the instance stops", kind=ErrorKind.NOT_READY, retry_after=1.0
+        )
+    return TimeLimitError(
+        "the instance stopped before the response was complete", ran=ran
+    )
+
+
 def _build_claim_error(result: Result | None) -> ScalebendError | None:
     match result:
         case ClaimTaken():
