Don't take the last report for the one being fetched

What callers saw: a long prompt that went around sound replicas, or was placed anew, because they had paused once, however long ago.

Cause: the age of a report was counted from the last request for one. While that was under way, or after it was cancelled, the report before it counted as just fetched. All prompts but the one that asks first read it then.

--- a/src/scalebend/edges/gateway/inspection.py
+++ b/src/scalebend/edges/gateway/inspection.py
@@ -68,24 +68,27 @@
         self._sessions = sessions
         self._fetched_at: dict[UpstreamId, float] = {}
         self._reports: dict[UpstreamId, Report] = {}
+        self._reported_at: dict[UpstreamId, float] = {}
+        """When the last reports that came, or didn't come, were requested."""
+
         self._silences: dict[UpstreamId, _Silence] = {}
         self._pending: dict[UpstreamId, asyncio.Event] = {}
 
     def is_queueing(self, upstream: UpstreamId, now: float) -> bool:
         """Whether a recent report explains a wait by queued requests, not slowness."""
-        fetched_at = self._fetched_at.get(upstream, -REPORT_LIFETIME_S)
+        reported_at = self._reported_at.get(upstream, -REPORT_LIFETIME_S)
         report = self._reports.get(upstream)
         if (
             not isinstance(report, ReplicaReport)
-            or now - fetched_at > REPORT_LIFETIME_S
+            or now - reported_at > REPORT_LIFETIME_S
         ):
             return False
         return report.waiting > 0 and report.pace < UNHEALTHY_PACE
 
     def has_report(self, upstream: UpstreamId, now: float) -> bool:
         """Whether the last fetch of a report, if recent, had one."""
-        fetched_at = self._fetched_at.get(upstream, -REPEAT_INTERVAL_S)
-        is_recent = now - fetched_at < REPEAT_INTERVAL_S
+        reported_at = self._reported_at.get(upstream, -REPEAT_INTERVAL_S)
+        is_recent = now - reported_at < REPEAT_INTERVAL_S
         if not is_recent or upstream in self._pending:
             return False
         return isinstance(self._reports.get(upstream), ReplicaReport)
@@ -106,7 +109,7 @@
             upstream
             for upstream in upstreams
             if self._reports.get(upstream) in WITHOUT_RESPONSE
-            and now - self._fetched_at[upstream] < REPEAT_INTERVAL_S
+            and now - self._reported_at[upstream] < REPEAT_INTERVAL_S
         ]
 
     async def inspect(self, addresses: dict[UpstreamId, str], now: float) -> Inspection:
@@ -151,6 +154,7 @@
             elif isinstance(report, ReplicaReport):
                 paces.append(ReplicaPace(upstream, report.pace))
         self._reports.update(reports)
+        self._reported_at.update(dict.fromkeys(reports, now))
         return Inspection(paces, unresponsive)
 
     def _is_unresponsive(
--- a/tests/unit/gateway/test_silent_reports.py
+++ b/tests/unit/gateway/test_silent_reports.py
@@ -136,3 +136,23 @@
                 paces, has_failed, elapsed = await inspecting.inspect(0.0)
                 assert (paces, has_failed) == ([], True)
                 assert elapsed < 0.25
+
+
+async def test_old_silence_is_not_taken_for_the_report_that_is_being_fetched():
+    """Guards against prompts that go around a replica which paused long ago."""
+    replica = PausingReplica()
+    async with (
+        run_upstream(replica.respond) as (address, _),
+        open_upstream_sessions() as sessions,
+    ):
+        inspector = Inspector(sessions)
+        replica.gate.clear()
+        await inspector.inspect({"i-1": address}, 0.0)
+        assert inspector.list_unanswered(["i-1"], REPORT_TIMEOUT_S) == ["i-1"]
+        replica.gate.set()
+        fetching = asyncio.create_task(inspector.inspect({"i-1": address}, 60.0))
+        await asyncio.sleep(0)
+        assert inspector.list_unanswered(["i-1"], 60.0) == []
+        fetching.cancel()
+        await asyncio.wait([fetching])
+        assert inspector.list_unanswered(["i-1"], 60.0) == []
