Soak: silences of sound replicas end no calm

Since the soak has silences, is_calm and is_calm_but_for_parts left out each period within four seconds of one. That narrowed calm_service, in_time, in_force, drained, planned_stop, partitioned_service and served_beside_guilty_parts for all requests, without a trace. They judge these periods again, as before; the record of the periods had no other use.

--- a/src/scalebend/soak/evidence.py
+++ b/src/scalebend/soak/evidence.py
@@ -56,8 +56,7 @@
     ) -> bool:
         """The same, apart from partitions of fronts from replicas."""
         observations = self.observations
-        disturbances = [*observations.disturbances, *observations.silences]
-        if self._list_active(disturbances, since, until):
+        if self._list_active(observations.disturbances, since, until):
             return False
         stops = self._list_active(observations.stops, since, until)
         return all(one.process == excluding for one in stops)
@@ -86,9 +85,7 @@
 
     def is_calm_but_for_parts(self, since: float, until: float) -> bool:
         """Whether no fault was active but prompts that crash replicas."""
-        observations = self.observations
-        disturbances = [*observations.disturbances, *observations.silences]
-        active = self._list_active(disturbances, since, until)
+        active = self._list_active(self.observations.disturbances, since, until)
         is_only_parts = all(one.process == GUILTY_PROMPTS for one in active)
         return is_only_parts and self.are_processes_calm(since, until)
 
--- a/src/scalebend/soak/injector.py
+++ b/src/scalebend/soak/injector.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import math
 import random
 import signal
 from collections.abc import Iterator
@@ -244,32 +243,17 @@
                 return
             await replica.misbehave(fault.mode, fault.lasts)
 
-    @contextlib.contextmanager
-    def _record_silence(self, *numbers: int) -> Iterator[list[Replica]]:
-        now = asyncio.get_running_loop().time
-        started = [
-            Disturbance(ProcessName(f"replica-{number}"), now(), math.inf)
-            for number in numbers
-        ]
-        self._observations.silences += started
-        try:
-            yield [self._fleet.replicas[number] for number in numbers]
-        finally:
-            for silence in started:
-                silence.until = now()
-
     async def _silence(self, numbers: tuple[int, ...], lasts: float) -> None:
         async with contextlib.AsyncExitStack() as stack:
-            for replica in stack.enter_context(self._record_silence(*numbers)):
-                await stack.enter_async_context(replica.silences.silence_all())
+            for number in numbers:
+                silences = self._fleet.replicas[number].silences
+                await stack.enter_async_context(silences.silence_all())
             await asyncio.sleep(lasts)
 
     async def _silence_responses(self, fault: faults.SilentResponses) -> None:
-        with self._record_silence(fault.replica) as (replica,):
-            silences = replica.silences
-            with silences.silence_next(fault.place, fault.lasts, fault.count):
-                await asyncio.sleep(SILENT_RESPONSES_S)
-            await asyncio.sleep(fault.lasts)
+        silences = self._fleet.replicas[fault.replica].silences
+        with silences.silence_next(fault.place, fault.lasts, fault.count):
+            await asyncio.sleep(SILENT_RESPONSES_S)
 
     def _list_proxies(self, process: ProcessName) -> list[Proxy]:
         proxies = [self._deployment.call_proxies[process]]
--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -274,9 +274,6 @@
     partitions: list[Disturbance] = msgspec.field(default_factory=list)
     """Partitions of fronts from all replicas."""
 
-    silences: list[Disturbance] = msgspec.field(default_factory=list)
-    """Silences of sound replicas."""
-
     silent_requests: list[SilentRequest] = msgspec.field(default_factory=list)
     misbehaviours: list[MisbehaviourPeriod] = msgspec.field(default_factory=list)
     incarnation_ends: list[IncarnationEnd] = msgspec.field(default_factory=list)
--- a/tests/unit/soak/test_promises.py
+++ b/tests/unit/soak/test_promises.py
@@ -33,6 +33,7 @@
     RequestKind,
     Reservation,
     SentResponse,
+    SilentRequest,
 )
 from scalebend.soak.promises import check_promises
 
@@ -221,6 +222,25 @@
     )
 
 
+@pytest.mark.parametrize(
+    "break_promise",
+    [
+        break_calm_service,
+        break_in_time,
+        break_in_force,
+        break_drained,
+        break_planned_stop,
+    ],
+)
+def test_silences_of_sound_replicas_end_no_calm(break_promise):
+    observations = build_observations()
+    break_promise(observations)
+    for request_id in ("r-1", "r-2"):
+        silent = SilentRequest(request_id, UPSTREAM, 100.02, 100.09)
+        observations.silent_requests.append(silent)
+    assert break_promise.__name__.removeprefix("break_") in list_broken(observations)
+
+
 def arrive(observations, at, front=FRONT):
     request_id = f"limited-{len(observations.arrivals)}"
     observations.caller_requests[request_id] = build_call(
