Soak: SIGHUP reaches processes as soon as they handle it

The fault was left out for three seconds after each start. Processes handle SIGHUP from their first moment, and the kernel tells when: only before that, while the interpreter loads, would it end them.

--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -14,7 +14,6 @@
 import signal
 import subprocess
 import sys
-import time
 from collections.abc import AsyncIterator, Callable
 from pathlib import Path
 
@@ -47,9 +46,6 @@
 WATCH_INTERVAL_S = 0.05
 """Seconds between two checks for processes that ended."""
 
-START_DURATION_S = 3.0
-"""Seconds after its start in which a process may not handle SIGHUP yet."""
-
 RESTART_DELAY_S = 0.3
 """Seconds after an unexpected exit until the process is restarted."""
 
@@ -68,7 +64,6 @@
         self.starts = dict.fromkeys(layout.processes, 0)
         self._observations = observations
         self._running: dict[ProcessName, subprocess.Popen[bytes]] = {}
-        self._started_at: dict[ProcessName, float] = {}
         self._stopping_pids: set[int] = set()
         # Concurrent runs use separate loopback networks.
         self._network = f"127.{1 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
@@ -113,7 +108,6 @@
         path = folder / "settings.json"
         path.write_bytes(encode_gateway_settings(self._build_settings(name)))
         self.starts[name] = number + 1
-        self._started_at[name] = time.monotonic()
         host = self.get_listen_host(name)
         with (folder / f"log-{number}").open("wb") as log:
             self._running[name] = subprocess.Popen(
@@ -198,8 +192,9 @@
         return process.pid
 
     def reload(self, name: ProcessName) -> None:
-        """Make a process read its settings again, unless it may still be starting."""
-        if time.monotonic() - self._started_at.get(name, 0.0) >= START_DURATION_S:
+        """Make a process read its settings again, once it handles SIGHUP."""
+        process = self._running.get(name)
+        if process is not None and handles_signal(process.pid, signal.SIGHUP):
             self.signal(name, signal.SIGHUP)
 
     async def stop(self, name: ProcessName) -> bool:
@@ -258,6 +253,19 @@
             self.kill(name)
 
 
+def handles_signal(pid: int, number: int) -> bool:
+    """Whether a process has installed a handler for a signal.
+
+    Without one, as while the interpreter loads, most signals end the process.
+    """
+    try:
+        lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    except OSError:
+        return False
+    caught = next((line for line in lines if line.startswith("SigCgt:")), "SigCgt: 0")
+    return bool(int(caught.split()[1], 16) >> (number - 1) & 1)
+
+
 def build_kept_bytes_chooser(chooser: random.Random) -> Callable[[int], int]:
     """Return a function that draws how many unsynced bytes survive a power loss."""
     return lambda size: chooser.choice((0, size, chooser.randint(0, size)))
