Soak: a caller who gave up while all its replicas were silent is no failure in calm

Judged is each request by itself: all replicas that it reached were silent, but for the target before the first event or the event gap after one, and one that may be repeated reached two of them. Anything else in calm is reported as before (test_calm_silences, both sides).

--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -11,6 +11,7 @@
     DrainAcknowledgement,
     describe_call,
 )
+from scalebend.soak.silence_promises import has_waited_in_silence
 
 RESPONSE_DELAY_S = 1.0
 """Seconds beyond its timeout within which a request must have ended."""
@@ -32,7 +33,11 @@
 
 
 def check_calm_service(evidence: Evidence) -> Iterator[str]:
-    """In calm periods few requests are rejected, and all others succeed."""
+    """In calm periods few requests are rejected, and all others succeed.
+
+    A caller who gave up while all replicas of its stream were silent was not failed by
+    the gateway.
+    """
     rejected: list[CallerRequest] = []
     count = 0
     for call in evidence.observations.caller_requests.values():
@@ -43,7 +48,7 @@
         count += 1
         if call.status == 503:
             rejected.append(call)
-        elif call.status != 200:
+        elif call.status != 200 and not has_waited_in_silence(evidence, call):
             yield describe_call(call)
     if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
         first = describe_call(rejected[0])
--- a/src/scalebend/soak/evidence.py
+++ b/src/scalebend/soak/evidence.py
@@ -12,6 +12,7 @@
     Disturbance,
     Execution,
     Observations,
+    SilentRequest,
 )
 
 SETTLE_S = 4.0
@@ -26,6 +27,9 @@
         self.runs: dict[str, list[Execution]] = defaultdict(list)
         for run in observations.executions:
             self.runs[run.request_id].append(run)
+        self.silences: dict[str, list[SilentRequest]] = defaultdict(list)
+        for silent in sorted(observations.silent_requests, key=lambda one: one.since):
+            self.silences[silent.request_id].append(silent)
         self.part_crashes: dict[str, list[float]] = defaultdict(list)
         for crash in sorted(observations.part_crashes, key=lambda one: one.at):
             self.part_crashes[crash.part].append(crash.at)
--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -63,7 +62,8 @@
         one
         for one in _list_silenced(evidence)
         if one.call.kind not in AT_MOST_ONCE
-        and _compute_silent(one, one.call.sent_at) <= SHORT_SILENCE_S
+        and _compute_silent(one.silences, one.call.sent_at, one.ended_at)
+        <= SHORT_SILENCE_S
         and all(
             _is_sound(evidence, run.upstream, one.call.sent_at, one.ended_at)
             for run in evidence.runs[one.call.request_id]
@@ -77,11 +77,8 @@
 
 def _list_silenced(evidence: Evidence) -> list[_Silenced]:
     """List the calls for which sound replicas were silent while their front ran on."""
-    silences: dict[str, list[SilentRequest]] = defaultdict(list)
-    for silent in evidence.observations.silent_requests:
-        silences[silent.request_id].append(silent)
     found = []
-    for request_id, of_request in silences.items():
+    for request_id, of_request in evidence.silences.items():
         call = evidence.observations.caller_requests.get(request_id)
         if call is None or call.ended_at is None or call.is_cancelled:
             continue
@@ -161,7 +158,8 @@
     shape = SHAPES[call.kind]
     if call.has_given_up:
         since = call.sent_at if call.data_at is None else call.data_at
-        return one.ended_at - since - _compute_silent(one, since) < MARGIN_S
+        silent = _compute_silent(one.silences, since, one.ended_at)
+        return one.ended_at - since - silent < MARGIN_S
     # At its deadline, a stream that has begun is cut.
     has_reached_deadline = one.ended_at - call.sent_at > call.timeout_s - CLOCK_MARGIN_S
     if call.status not in (None, 504) or not has_reached_deadline:
@@ -169,15 +167,45 @@
     if call.has_timed_out:
         return False
     needed = MARGIN_S + shape.route.target_latency_s + shape.events * shape.event_gap_s
-    left = one.ended_at - call.sent_at - _compute_silent(one, call.sent_at)
-    return left < needed
+    silent = _compute_silent(one.silences, call.sent_at, one.ended_at)
+    return one.ended_at - call.sent_at - silent < needed
 
 
-def _compute_silent(one: _Silenced, since: float) -> float:
-    """Return the seconds from ``since`` on in which a replica was silent for a call."""
+def has_waited_in_silence(evidence: Evidence, call: CallerRequest) -> bool:
+    """Whether the caller of a stream gave up since all its replicas were silent.
+
+    They may have sounded for the route's target before the first event, or its event
+    gap after one. A stream that may be repeated must have reached two of them.
+    """
+    if not call.has_given_up or call.ended_at is None:
+        return False
+    route = SHAPES[call.kind].route
+    since, allowed = call.sent_at, route.target_latency_s
+    if call.data_at is not None:
+        since, allowed = call.data_at, route.event_gap_s or 0.0
+    silences = evidence.silences[call.request_id]
+    reached_at = {silent.upstream: silent.since for silent in reversed(silences)}
+    for run in evidence.runs[call.request_id]:
+        reached_at[run.upstream] = min(run.at, reached_at.get(run.upstream, run.at))
+    if len(reached_at) < (1 if call.kind in AT_MOST_ONCE else 2):
+        return False
+    silent = _compute_silent(silences, since, call.ended_at)
+    if call.ended_at - since - silent > allowed:
+        return False
+    for upstream, at in reached_at.items():
+        begin = max(since, at)
+        there = [one for one in silences if one.upstream == upstream]
+        silent = _compute_silent(there, begin, call.ended_at)
+        if call.ended_at - begin - silent > allowed:
+            return False
+    return True
+
+
+def _compute_silent(silences: list[SilentRequest], since: float, until: float) -> float:
+    """Return the seconds of a period in which any of the silences lasted."""
     total, counted_until = 0.0, since
-    for silent in sorted(one.silences, key=lambda silent: silent.since):
-        end = one.ended_at if silent.until is None else min(silent.until, one.ended_at)
+    for silent in sorted(silences, key=lambda silent: silent.since):
+        end = until if silent.until is None else min(silent.until, until)
         begin = max(silent.since, counted_until)
         if end > begin:
             total += end - begin
--- /dev/null
+++ b/tests/unit/soak/test_calm_silences.py
@@ -0,0 +1,88 @@
+"""Calm service beside silences: which callers that gave up the gateway has failed."""
+
+import pytest
+
+from scalebend.models.ids import RoutingVersion, UpstreamId
+from scalebend.soak.calm_promises import check_calm_service
+from scalebend.soak.evidence import Evidence
+from scalebend.soak.layout import ProcessName
+from scalebend.soak.observations import (
+    CallerRequest,
+    Execution,
+    Observations,
+    RequestKind,
+    SilentRequest,
+)
+
+
+def build_evidence(silences, runs=(("i-1", 100.1),), **changes):
+    """Build a stream that was given up 2 s after its last event, at 102.3.
+
+    ``silences`` has replica, begin and end of each, ``runs`` replica and begin.
+    """
+    call = CallerRequest(
+        "r-1",
+        RequestKind.QUICK_STREAM,
+        ProcessName("front-0"),
+        1,
+        RoutingVersion(0),
+        sent_at=100.0,
+        timeout_s=4.0,
+        events=10,
+        ended_at=102.3,
+        data_at=100.3,
+        has_given_up=True,
+    )
+    for name, value in changes.items():
+        setattr(call, name, value)
+    observations = Observations()
+    observations.caller_requests["r-1"] = call
+    observations.silent_requests += [
+        SilentRequest("r-1", UpstreamId(name), since, until)
+        for name, since, until in silences
+    ]
+    observations.executions += [
+        Execution("r-1", UpstreamId(name), at, RoutingVersion(1), False)
+        for name, at in runs
+    ]
+    return Evidence(observations)
+
+
+FIRST = ("i-1", 100.32, None)
+SECOND = ("i-2", 102.0, 102.4)
+ONCE = {"kind": RequestKind.ONCE_STREAM}
+
+
+@pytest.mark.parametrize(
+    ("silences", "changes", "is_broken"),
+    [
+        # Both of its replicas were silent; the one of a request that runs once was.
+        ([FIRST, SECOND], {}, False),
+        ([FIRST], ONCE, False),
+        # As above, in two silences that meet.
+        ([("i-1", 100.32, 101.0), ("i-1", 101.1, 102.3), SECOND], {}, False),
+        # No second attempt was made.
+        ([FIRST], {}, True),
+        # The first replica went on for longer than an event may take.
+        ([("i-1", 100.32, 102.05), SECOND], {}, True),
+        ([("i-1", 100.52, None), SECOND], {}, True),
+        ([("i-1", 100.52, None)], ONCE, True),
+        # The second one was silent only later, or not at all.
+        ([FIRST, SECOND], {"runs": (("i-1", 100.1), ("i-2", 101.7))}, True),
+        ([FIRST], {"runs": (("i-1", 100.1), ("i-2", 101.7))}, True),
+        # It reached the first replica too late.
+        ([("i-1", 101.0, None), SECOND], {"runs": ()}, True),
+        # Before the first event, its target counts.
+        ([FIRST, SECOND], {"data_at": None}, True),
+        ([("i-1", 100.25, None), SECOND], {"data_at": None}, False),
+        # It ended otherwise.
+        ([FIRST, SECOND], {"has_given_up": False}, True),
+        ([FIRST, SECOND], {"has_given_up": False, "status": 502}, True),
+        ([], {}, True),
+    ],
+)
+def test_caller_who_gave_up_counts_unless_all_its_replicas_were_silent(
+    silences, changes, is_broken
+):
+    evidence = build_evidence(silences, **changes)
+    assert bool(list(check_calm_service(evidence))) == is_broken
