Soak: a stop breaks off no stream that silences kept until its deadline

Only a stream cut at its deadline is left out, and only if silences left less than its own work takes; the wait for a replica counts as time left. Others in that stop are judged as before (test_calm_silences, both sides).

--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -11,7 +11,10 @@
     DrainAcknowledgement,
     describe_call,
 )
-from scalebend.soak.silence_promises import has_waited_in_silence
+from scalebend.soak.silence_promises import (
+    has_silence_until_deadline,
+    has_waited_in_silence,
+)
 
 RESPONSE_DELAY_S = 1.0
 """Seconds beyond its timeout within which a request must have ended."""
@@ -98,7 +101,10 @@
 
 
 def check_planned_stop(evidence: Evidence) -> Iterator[str]:
-    """A planned stop breaks off no request that is running at a replica."""
+    """A planned stop breaks off no request that is running at a replica.
+
+    Streams that silences alone keep until their deadline are not broken off by it.
+    """
     for stop in evidence.observations.stops:
         if not evidence.is_calm(stop.since, stop.until, excluding=stop.process):
             continue
@@ -112,5 +118,7 @@
             if not (is_there and sent_in) or call.ended_at is None:
                 continue
             has_run = bool(evidence.runs[call.request_id])
-            if call.status is None and has_run and call.ended_at > stop.since:
+            if call.status is not None or not has_run or call.ended_at <= stop.since:
+                continue
+            if not has_silence_until_deadline(evidence, call):
                 yield describe_call(call)
--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -7,7 +7,9 @@
 
 import msgspec
 
+from scalebend.core.gateway.engine_costs import compute_prefill_time
 from scalebend.models.ids import UpstreamId
+from scalebend.soak import documents
 from scalebend.soak.callers import SHAPES
 from scalebend.soak.observations import (
     AT_MOST_ONCE,
@@ -201,6 +203,24 @@
     return True
 
 
+def has_silence_until_deadline(evidence: Evidence, call: CallerRequest) -> bool:
+    """Whether silences left a stream that its deadline cut too little time.
+
+    Too little is less than a single replica takes for its prompt and its events.
+    """
+    is_cut = call.status is None and bool(call.events) and not call.has_given_up
+    if not is_cut or call.has_timed_out or call.ended_at is None:
+        return False
+    lasted = call.ended_at - call.sent_at
+    if lasted <= call.timeout_s - CLOCK_MARGIN_S:
+        return False
+    shape = SHAPES[call.kind]
+    prefill = compute_prefill_time(documents.ENGINE, shape.prompt_tokens)
+    silences = evidence.silences[call.request_id]
+    silent = _compute_silent(silences, call.sent_at, call.ended_at)
+    return lasted - silent < prefill + shape.events * shape.event_gap_s
+
+
 def _compute_silent(silences: list[SilentRequest], since: float, until: float) -> float:
     """Return the seconds of a period in which any of the silences lasted."""
     total, counted_until = 0.0, since
