--- a/src/scalebend/soak/deployment.py
+++ b/src/scalebend/soak/deployment.py
@@ -59,7 +59,8 @@
     def __init__(
         self, folder: Path, layout: Layout, observations: Observations
     ) -> None:
-        self.folder = folder
+        # Processes record what they synced by absolute paths.
+        self.folder = folder.resolve()
         self.layout = layout
         self.starts = dict.fromkeys(layout.processes, 0)
         self._observations = observations
--- a/tests/unit/soak/test_deployment.py
+++ b/tests/unit/soak/test_deployment.py
@@ -3,6 +3,7 @@
 import signal
 import subprocess
 import sys
+from pathlib import Path
 
 import msgspec
 import pytest
@@ -13,10 +14,13 @@
 from scalebend.soak.observations import Observations
 
 
-def test_bytes_that_were_never_synced_are_lost(tmp_path):
+@pytest.mark.parametrize("is_relative", [False, True])
+def test_bytes_that_were_never_synced_are_lost(tmp_path, monkeypatch, is_relative):
     layout = build_layout(1, 0, 0)
     (name,) = layout.controls
-    deployment = Deployment(tmp_path, layout, Observations())
+    monkeypatch.chdir(tmp_path)
+    folder = Path() if is_relative else tmp_path
+    deployment = Deployment(folder, layout, Observations())
     data = tmp_path / name / "data"
     data.mkdir(parents=True)
     for file in ("grown", "renamed", "new"):
