Soak: calm counts no stream that silences kept until its deadline

calm_service leaves out the same requests as planned_stop, one by one; a stream that had time, or was cut before its deadline, is reported (both sides in test_calm_silences).

--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -38,8 +38,8 @@
 def check_calm_service(evidence: Evidence) -> Iterator[str]:
     """In calm periods few requests are rejected, and all others succeed.
 
-    A caller who gave up while all replicas of its stream were silent was not failed by
-    the gateway.
+    Streams whose callers gave up while all their replicas were silent were not failed
+    by the gateway, nor those that silences kept until their deadline.
     """
     rejected: list[CallerRequest] = []
     count = 0
@@ -51,7 +51,10 @@
         count += 1
         if call.status == 503:
             rejected.append(call)
-        elif call.status != 200 and not has_waited_in_silence(evidence, call):
+        elif call.status != 200 and not (
+            has_waited_in_silence(evidence, call)
+            or has_silence_until_deadline(evidence, call)
+        ):
             yield describe_call(call)
     if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
         first = describe_call(rejected[0])
