--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -206,7 +207,8 @@
 def has_silence_until_deadline(evidence: Evidence, call: CallerRequest) -> bool:
     """Whether silences left a stream that its deadline cut too little time.
 
-    Too little is less than a single replica takes for its prompt and its events.
+    Too little is less than a single replica takes for its prompt and its events, after
+    the wait for it that the target of the route allows.
     """
     is_cut = call.status is None and bool(call.events) and not call.has_given_up
     if not is_cut or call.has_timed_out or call.ended_at is None:
@@ -218,7 +220,11 @@
     prefill = compute_prefill_time(documents.ENGINE, shape.prompt_tokens)
     silences = evidence.silences[call.request_id]
     silent = _compute_silent(silences, call.sent_at, call.ended_at)
-    return lasted - silent < prefill + shape.events * shape.event_gap_s
+    run_at = min((run.at for run in evidence.runs[call.request_id]), default=math.inf)
+    waited = run_at - call.sent_at
+    if waited > shape.route.target_latency_s - prefill:
+        return False
+    return lasted - silent < waited + prefill + shape.events * shape.event_gap_s
 
 
 def _compute_silent(silences: list[SilentRequest], since: float, until: float) -> float:
