--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -11,6 +11,10 @@
     DrainAcknowledgement,
     describe_call,
 )
+from scalebend.soak.silence_promises import (
+    has_silence_until_deadline,
+    has_waited_in_silence,
+)
 
 RESPONSE_DELAY_S = 1.0
 """Seconds beyond its timeout within which a request must have ended."""
@@ -32,7 +36,11 @@
 
 
 def check_calm_service(evidence: Evidence) -> Iterator[str]:
-    """In calm periods few requests are rejected, and all others succeed."""
+    """In calm periods few requests are rejected, and all others succeed.
+
+    Streams whose callers gave up while all their replicas were silent were not failed
+    by the gateway, nor those that silences kept until their deadline.
+    """
     rejected: list[CallerRequest] = []
     count = 0
     for call in evidence.observations.caller_requests.values():
@@ -43,7 +51,10 @@
         count += 1
         if call.status == 503:
             rejected.append(call)
-        elif call.status != 200:
+        elif call.status != 200 and not (
+            has_waited_in_silence(evidence, call)
+            or has_silence_until_deadline(evidence, call)
+        ):
             yield describe_call(call)
     if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
         first = describe_call(rejected[0])
@@ -93,7 +104,10 @@
 
 
 def check_planned_stop(evidence: Evidence) -> Iterator[str]:
-    """A planned stop breaks off no request that is running at a replica."""
+    """A planned stop breaks off no request that is running at a replica.
+
+    Streams that silences alone keep until their deadline are not broken off by it.
+    """
     for stop in evidence.observations.stops:
         if not evidence.is_calm(stop.since, stop.until, excluding=stop.process):
             continue
@@ -107,5 +121,7 @@
             if not (is_there and sent_in) or call.ended_at is None:
                 continue
             has_run = bool(evidence.runs[call.request_id])
-            if call.status is None and has_run and call.ended_at > stop.since:
+            if call.status is not None or not has_run or call.ended_at <= stop.since:
+                continue
+            if not has_silence_until_deadline(evidence, call):
                 yield describe_call(call)
--- a/src/scalebend/soak/evidence.py
+++ b/src/scalebend/soak/evidence.py
@@ -12,6 +12,7 @@
     Disturbance,
     Execution,
     Observations,
+    SilentRequest,
 )
 
 SETTLE_S = 4.0
@@ -26,6 +27,9 @@
         self.runs: dict[str, list[Execution]] = defaultdict(list)
         for run in observations.executions:
             self.runs[run.request_id].append(run)
+        self.silences: dict[str, list[SilentRequest]] = defaultdict(list)
+        for silent in sorted(observations.silent_requests, key=lambda one: one.since):
+            self.silences[silent.request_id].append(silent)
         self.part_crashes: dict[str, list[float]] = defaultdict(list)
         for crash in sorted(observations.part_crashes, key=lambda one: one.at):
             self.part_crashes[crash.part].append(crash.at)
@@ -56,8 +60,7 @@
     ) -> bool:
         """The same, apart from partitions of fronts from replicas."""
         observations = self.observations
-        disturbances = [*observations.disturbances, *observations.silences]
-        if self._list_active(disturbances, since, until):
+        if self._list_active(observations.disturbances, since, until):
             return False
         stops = self._list_active(observations.stops, since, until)
         return all(one.process == excluding for one in stops)
@@ -86,9 +89,7 @@
 
     def is_calm_but_for_parts(self, since: float, until: float) -> bool:
         """Whether no fault was active but prompts that crash replicas."""
-        observations = self.observations
-        disturbances = [*observations.disturbances, *observations.silences]
-        active = self._list_active(disturbances, since, until)
+        active = self._list_active(self.observations.disturbances, since, until)
         is_only_parts = all(one.process == GUILTY_PROMPTS for one in active)
         return is_only_parts and self.are_processes_calm(since, until)
 
