Wait for new incarnations that fall silent before they are registered

Streams that may run again ran twice.

Cause: the replica registered 1.26 s after the requests were sent to its new incarnation. An attempt without data ended with that registration unless it got its connection less than a second before, though silences last longer.

A connection now counts like data: an attempt that got its own within the last 2 s, the longest pause of a sound upstream, has another 2 s for its next data. What was sent longer ago ends at once, as before.

test_silent_attempt_of_a_late_registration_is_waited_for failed before; with test_attempt_of_a_late_registration_that_stays_silent_is_ended it bounds the wait on both sides.

--- a/src/scalebend/edges/gateway/running_attempts.py
+++ b/src/scalebend/edges/gateway/running_attempts.py
@@ -43,7 +43,7 @@
 
         self._connected_at = -math.inf
         self._heard_at = -math.inf
-        """When data arrived last, clock time in seconds."""
+        """When data arrived last, or the connection was made; clock time in seconds."""
 
         self._recheck: asyncio.TimerHandle | None = None
 
@@ -51,6 +51,7 @@
         """Record that the request gets a connection, before anything is written."""
         self.has_connection = True
         self._connected_at = asyncio.get_running_loop().time()
+        self._heard_at = self._connected_at
 
     def keep_only(self, upstreams: Iterable[UpstreamId]) -> None:
         """Keep only the upstreams that the rest of the response depends on."""
@@ -65,7 +66,8 @@
 
         ``address`` is that of the new incarnation. An attempt that just got its
         connection there is one of the new incarnation, however long it takes to its
-        first data. One that just got data from there may be: it goes on if more comes.
+        first data. One that got it a little earlier, or data, may be: it goes on if
+        more comes.
         """
         is_there = address == self.address
         if is_there and now - self._connected_at < MIN_RESTART_S:
--- a/tests/unit/gateway/test_running_attempts.py
+++ b/tests/unit/gateway/test_running_attempts.py
@@ -105,3 +105,30 @@
             attempts.end("i-1", ADDRESS, loop.time())
             await asyncio.sleep(3 * PAUSE_S)
             running.record_data(loop.time())
+
+
+async def test_silent_attempt_of_a_late_registration_is_waited_for(monkeypatch):
+    """Guards against ending work of a new incarnation that falls silent at once."""
+    monkeypatch.setattr(running_attempts, "MIN_RESTART_S", 0.0)
+    attempts = RunningAttempts()
+    loop = asyncio.get_running_loop()
+    with attempts.watch(loop.time() + 10.0, ["i-1"], ADDRESS) as running:
+        async with running.timeout:
+            running.record_connection()
+            attempts.end("i-1", ADDRESS, loop.time() + PAUSE_S / 2)
+            await asyncio.sleep(PAUSE_S / 2)
+            running.record_data(loop.time() + PAUSE_S)
+            await asyncio.sleep(2 * PAUSE_S)
+
+
+async def test_attempt_of_a_late_registration_that_stays_silent_is_ended(monkeypatch):
+    """Guards against waiting for the earlier incarnation until the deadline."""
+    monkeypatch.setattr(running_attempts, "MIN_RESTART_S", 0.0)
+    attempts = RunningAttempts()
+    loop = asyncio.get_running_loop()
+    with attempts.watch(loop.time() + 10.0, ["i-1"], ADDRESS) as running:
+        with pytest.raises(TimeoutError):
+            async with running.timeout:
+                running.record_connection()
+                attempts.end("i-1", ADDRESS, loop.time() + PAUSE_S / 2)
+                await asyncio.sleep(5 * PAUSE_S)
