Tests of stops: wait for what has to have begun

On a busy host a call may take more than 0.1 s to arrive, and two requests more than 0.5 s to start: the tests would have judged something else.

--- a/tests/functional/test_stopping_instance.py
+++ b/tests/functional/test_stopping_instance.py
@@ -46,6 +46,9 @@
             queued = asyncio.create_task(
                 read_problem(cluster, "queue", EXCESSIVE_TOKENS)
             )
+            async with asyncio.timeout(5.0):
+                while len(cluster.engines[0].started) < 2:
+                    await asyncio.sleep(0.01)
             await asyncio.sleep(0.5)
             assert len(cluster.engines[0].started) == 2
             stopping = asyncio.create_task(cluster.kill(NAME, signal.SIGTERM))
