Soak: what a silent replica rejected and another one lost is no broken silence

Such a call is left out now if it got 502, all silences had ended, none of the silent replicas ran it, and a replica that got it ended or mishandled requests before the response.

Both sides of each bound are in the tests.

--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -39,7 +39,7 @@
     """In calm periods few requests are rejected, and all others succeed.
 
     Streams whose callers gave up while all their replicas were silent were not failed
-    by the gateway, nor those that silences kept until their deadline.
+    by the gateway, nor what silences kept until its deadline.
     """
     rejected: list[CallerRequest] = []
     count = 0
--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -16,6 +16,7 @@
     AT_MOST_ONCE,
     CallerRequest,
     Disturbance,
+    RequestKind,
     SilentRequest,
     describe_call,
 )
@@ -55,7 +56,9 @@
 def check_silences(evidence: Evidence) -> Iterator[str]:
     """A request at a sound, silent replica is answered or refused in time."""
     for one in _list_silenced(evidence):
-        if not _is_answered(one) and not _has_no_time_left(one):
+        if _is_answered(one) or _has_no_time_left(one):
+            continue
+        if not _was_lost_elsewhere(evidence, one):
             yield _describe(evidence, one)
 
 
@@ -155,6 +158,27 @@
     return call.seal is not None or call.status in REFUSAL_STATUSES
 
 
+def _was_lost_elsewhere(evidence: Evidence, one: _Silenced) -> bool:
+    """Whether the silent replicas rejected a call that an unsound one lost.
+
+    Their silences had ended, and none of them ran it.
+    """
+    silent = {silence.upstream for silence in one.silences}
+    has_run = any(run.upstream in silent for run in evidence.runs[one.call.request_id])
+    is_over = all(
+        silence.until is not None and silence.until <= one.ended_at
+        for silence in one.silences
+    )
+    if one.call.status != 502 or has_run or not is_over:
+        return False
+    return any(
+        arrival.request_id == one.call.request_id
+        and arrival.upstream not in silent
+        and not _is_sound(evidence, arrival.upstream, arrival.at, one.ended_at)
+        for arrival in evidence.observations.arrivals
+    )
+
+
 def _has_no_time_left(one: _Silenced) -> bool:
     """Whether the silences took the time that the caller gave the request."""
     call = one.call
@@ -205,18 +229,24 @@
 
 
 def has_silence_until_deadline(evidence: Evidence, call: CallerRequest) -> bool:
-    """Whether silences left a stream that its deadline cut too little time.
+    """Whether silences left a request that its deadline ended too little time.
 
-    Too little is less than a single replica takes for its prompt and its events, after
-    the wait for it that the target of the route allows.
+    Too little for a call that may run once is less than its target. For a stream it is
+    less than a single replica takes for its prompt and its events, after the wait for
+    it that the target of the route allows.
     """
-    is_cut = call.status is None and bool(call.events) and not call.has_given_up
-    if not is_cut or call.has_timed_out or call.ended_at is None:
+    if call.has_given_up or call.has_timed_out or call.ended_at is None:
         return False
     lasted = call.ended_at - call.sent_at
     if lasted <= call.timeout_s - CLOCK_MARGIN_S:
         return False
     shape = SHAPES[call.kind]
+    if call.kind is RequestKind.NON_IDEMPOTENT:
+        silences = evidence.silences[call.request_id]
+        silent = _compute_silent(silences, call.sent_at, call.ended_at)
+        return call.status == 504 and lasted - silent < shape.route.target_latency_s
+    if call.status is not None or not call.events:
+        return False
     prefill = compute_prefill_time(documents.ENGINE, shape.prompt_tokens)
     silences = evidence.silences[call.request_id]
     silent = _compute_silent(silences, call.sent_at, call.ended_at)
--- a/tests/unit/soak/test_calm_silences.py
+++ b/tests/unit/soak/test_calm_silences.py
@@ -129,3 +129,33 @@
     stop = Disturbance(ProcessName("front-0"), 103.9, 108.9)
     evidence.observations.stops.append(stop)
     assert bool(list(check_planned_stop(evidence))) == is_broken
+
+
+@pytest.mark.parametrize(
+    ("silences", "changes", "is_broken"),
+    [
+        # 0.2 s were left, less than its target of 0.3 s.
+        ([("i-1", 100.1, 101.0), ("i-1", 101.1, None)], {}, False),
+        # There was time for it.
+        ([("i-1", 100.1, 101.0), ("i-1", 101.25, None)], {}, True),
+        ([], {}, True),
+        # It ended before its deadline, or otherwise; it may be repeated.
+        ([("i-1", 100.0, None)], {"ended_at": 102.8}, True),
+        ([("i-1", 100.0, None)], {"status": 502}, True),
+        ([("i-1", 100.0, None)], {"kind": RequestKind.IDEMPOTENT}, True),
+    ],
+)
+def test_call_that_may_run_once_counts_unless_silences_took_its_time(
+    silences, changes, is_broken
+):
+    call = {
+        "kind": RequestKind.NON_IDEMPOTENT,
+        "timeout_s": 3.0,
+        "events": 0,
+        "data_at": None,
+        "ended_at": 103.0,
+        "has_given_up": False,
+        "status": 504,
+    }
+    evidence = build_evidence(silences, **{**call, **changes})
+    assert bool(list(check_calm_service(evidence))) == is_broken
--- a/tests/unit/soak/test_silence_promises.py
+++ b/tests/unit/soak/test_silence_promises.py
@@ -3,10 +3,11 @@
 import msgspec
 import pytest
 
-from scalebend.models.ids import RoutingVersion, UpstreamId
+from scalebend.models.ids import RoutingVersion, ServiceName, UpstreamId
 from scalebend.soak.evidence import Evidence
 from scalebend.soak.layout import ProcessName
 from scalebend.soak.observations import (
+    Arrival,
     CallerRequest,
     Disturbance,
     Execution,
@@ -136,6 +137,42 @@
     assert list_broken(observations)
 
 
+OTHER = UpstreamId("i-2")
+
+
+@pytest.mark.parametrize(
+    ("changes", "silent_until", "has_run", "lost_at", "is_broken"),
+    [
+        # The silent replica rejected it, another one ended with it.
+        ({"status": 502}, 101.5, False, 101.55, False),
+        # The other one ended before it got the request, or after the response.
+        ({"status": 502}, 101.5, False, 101.45, True),
+        ({"status": 502}, 101.5, False, 101.7, True),
+        # The silent one ran it, or was still silent when its front gave up.
+        ({"status": 502}, 101.5, True, 101.55, True),
+        ({"status": 502}, 101.7, False, 101.55, True),
+        ({"status": 502}, None, False, 101.55, True),
+        # Not answered by the front.
+        ({"status": None}, 101.5, False, 101.55, True),
+    ],
+)
+def test_request_that_another_replica_lost_is_excused_if_the_silent_one_rejected_it(
+    changes, silent_until, has_run, lost_at, is_broken
+):
+    observations = build_observations(**changes)
+    observations.silent_requests[0].until = silent_until
+    if not has_run:
+        observations.executions.clear()
+    service = ServiceName("s")
+    observations.arrivals += [
+        Arrival("r-1", service, 100.1, UPSTREAM),
+        Arrival("r-1", service, 101.52, OTHER),
+    ]
+    assert list_broken(observations)
+    observations.incarnation_ends.append(IncarnationEnd(OTHER, lost_at))
+    assert bool(list_broken(observations)) == is_broken
+
+
 def test_partition_excuses_a_front_unless_it_was_found_before():
     observations = build_observations()
     partition = Disturbance(FRONT, 100.5, 103.0)
