Judge in one place whether a failed connection says anything of its host

The error and how late its timer was decide; the errors of this process are private to that module now. A connector's error carries the errno of its cause, so the dialer needs no unwrapping of its own.

No change of behaviour; one test imports the constant from where it is defined.

--- a/src/scalebend/edges/connection_checks.py
+++ b/src/scalebend/edges/connection_checks.py
@@ -18,7 +18,7 @@
 CHECK_TIMEOUT_S = 0.1
 """Time for a connection: many round trips within a region."""
 
-LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
+_LOCAL_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ENOBUFS)
 """Errors of this process, which say nothing about a way."""
 
 MAX_TIMER_DELAY_S = 0.03
@@ -35,6 +35,15 @@
     """This process stood still, or had no room for a connection."""
 
 
+def is_own_fault(error: OSError, waited: float, timeout_s: float) -> bool:
+    """Whether a connection failed for a reason that says nothing of its host.
+
+    ``waited`` seconds passed until ``error``, of a connection with this timeout.
+    """
+    is_late = waited >= timeout_s + MAX_TIMER_DELAY_S
+    return is_late or error.errno in _LOCAL_ERRORS
+
+
 async def check_acceptance(address: str) -> Acceptance:
     """Open a connection to an address, and close it."""
     loop = asyncio.get_running_loop()
@@ -44,8 +53,7 @@
         async with asyncio.timeout(CHECK_TIMEOUT_S):
             _, writer = await asyncio.open_connection(parsed.host, parsed.port)
     except (OSError, TimeoutError) as error:
-        is_late = loop.time() - began >= CHECK_TIMEOUT_S + MAX_TIMER_DELAY_S
-        is_unknown = is_late or error.errno in LOCAL_ERRORS
+        is_unknown = is_own_fault(error, loop.time() - began, CHECK_TIMEOUT_S)
         acceptance = Acceptance.UNKNOWN if is_unknown else Acceptance.NOT_ACCEPTED
         logger.info(
             "connection not accepted",
--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -12,7 +12,7 @@
 
 from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.upstream_reach import FailureKind
-from scalebend.edges.connection_checks import LOCAL_ERRORS, MAX_TIMER_DELAY_S
+from scalebend.edges.connection_checks import is_own_fault
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.tunnel_frames import (
     FrameError,
@@ -217,9 +217,7 @@
                 )
         except (OSError, TimeoutError) as error:
             waited = self._loop.time() - opened_at
-            is_late = waited >= CONNECT_TIMEOUT_S + MAX_TIMER_DELAY_S
-            if is_late or error.errno in LOCAL_ERRORS:
-                # Nothing is known of the upstream.
+            if is_own_fault(error, waited, CONNECT_TIMEOUT_S):
                 self._reply(TunnelReply.BUSY)
                 return
             self._server.record_failure(address, self._loop.time())
--- a/src/scalebend/edges/upstream_dialer.py
+++ b/src/scalebend/edges/upstream_dialer.py
@@ -18,10 +18,9 @@
     UpstreamReach,
 )
 from scalebend.edges.connection_checks import (
-    LOCAL_ERRORS,
-    MAX_TIMER_DELAY_S,
     Acceptance,
     check_acceptance,
+    is_own_fault,
 )
 from scalebend.models.ids import AvailabilityZone
 from scalebend.models.tunnels import TunnelPeer, TunnelReply
@@ -158,8 +157,7 @@
         try:
             handler = await needed.connect_directly(timeout_s)
         except (aiohttp.ClientConnectorError, TimeoutError) as error:
-            elapsed = self._host.now() - began
-            if not _is_local(error) and elapsed < timeout_s + MAX_TIMER_DELAY_S:
+            if not is_own_fault(error, self._host.now() - began, timeout_s):
                 self._host.record_direct_failure(needed.address, FailureKind.CONNECT)
             raise
         self._reach.record_connection(began)
@@ -283,9 +281,3 @@
     def record_early_loss(self, address: str) -> None:
         """Record that a direct connection was lost before the response began."""
         self._host.record_direct_failure(address, FailureKind.EARLY_LOSS)
-
-
-def _is_local(error: Exception) -> bool:
-    if not isinstance(error, aiohttp.ClientConnectorError):
-        return False
-    return error.os_error.errno in LOCAL_ERRORS
--- a/tests/unit/test_upstream_dialer.py
+++ b/tests/unit/test_upstream_dialer.py
@@ -11,8 +11,8 @@
 import pytest
 
 from scalebend.core.upstream_reach import FailureKind, UpstreamReach
+from scalebend.edges.connection_checks import MAX_TIMER_DELAY_S
 from scalebend.edges.upstream_dialer import (
-    MAX_TIMER_DELAY_S,
     TRIAL_TIMEOUT_S,
     NewConnection,
     UpstreamDialer,
