--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -241,20 +241,18 @@
     if lasted <= call.timeout_s - CLOCK_MARGIN_S:
         return False
     shape = SHAPES[call.kind]
+    silences = evidence.silences[call.request_id]
+    left = lasted - _compute_silent(silences, call.sent_at, call.ended_at)
     if call.kind is RequestKind.NON_IDEMPOTENT:
-        silences = evidence.silences[call.request_id]
-        silent = _compute_silent(silences, call.sent_at, call.ended_at)
-        return call.status == 504 and lasted - silent < shape.route.target_latency_s
+        return call.status == 504 and left < shape.route.target_latency_s
     if call.status is not None or not call.events:
         return False
     prefill = compute_prefill_time(documents.ENGINE, shape.prompt_tokens)
-    silences = evidence.silences[call.request_id]
-    silent = _compute_silent(silences, call.sent_at, call.ended_at)
     run_at = min((run.at for run in evidence.runs[call.request_id]), default=math.inf)
     waited = run_at - call.sent_at
     if waited > shape.route.target_latency_s - prefill:
         return False
-    return lasted - silent < waited + prefill + shape.events * shape.event_gap_s
+    return left < waited + prefill + shape.events * shape.event_gap_s
 
 
 def _compute_silent(silences: list[SilentRequest], since: float, until: float) -> float:
