Wait for progress of a response, not for any bytes

What callers saw: streams of an engine that sends a comment now and then and no event, or an event that never ends, got nothing until their deadline, also where another engine could run them; calls waited for the trickle of a body until theirs.

Cause: SilenceWatch began its wait anew with whatever came, so the silence never grew old and no second attempt started.

Change: one silence lasts until the response makes progress: its head, an event that is forwarded, or a body at 16 KiB/s or more. Until then all waits add up. A silence still ends no attempt: a request that nobody else may run is waited for, keepalives or not. `silent_for` in the log counts from the last progress. Time beyond a timer of this process is a stall and doesn't count, as before.

Not changed by it: two slow replicas in a row use up both attempts of a route, as two silent ones do.

--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -243,10 +243,10 @@
         return decision
 
     def _describe_silence(self) -> float | None:
-        """Return the seconds without data before the attempt ended."""
+        """Return the seconds without progress before the attempt ended."""
         if self._silences is None:
             return None
-        return round(self._runtime.now() - self._silences.heard_at, 3)
+        return round(self._runtime.now() - self._silences.progress_at, 3)
 
     def _give_up(
         self, decision: GiveUp, response: web.StreamResponse | None
@@ -454,8 +454,7 @@
         is_first = True
         while True:
             asked_at = self._runtime.now()
-            read = silences.read_first if is_first else silences.read_next
-            data = await read(response.content)
+            data = await silences.read_next(response.content)
             if not data:
                 break
             running.record_data(silences.heard_at)
@@ -464,6 +463,7 @@
             forwarded = cursor.feed(data)
             if not forwarded.data:
                 continue
+            silences.record_events()
             self._claim_response()
             if response.content.is_eof():
                 running.keep_only(())
--- a/src/scalebend/edges/gateway/silence_watch.py
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 import aiohttp
+import msgspec
 import structlog
 
 from scalebend.core.gateway.hedging import Refusal
@@ -34,14 +35,28 @@
 
 logger = structlog.get_logger(__name__)
 
+MIN_BODY_RATE = 16 * 1024
+"""Rate in bytes per second from which on a body makes progress."""
+
 T = TypeVar("T")
 
 StartBeside = Callable[[], Refusal | None]
 """Starts another attempt beside a silent one; returns why it does not."""
 
 
+class _Silence(msgspec.Struct):
+    """Time since the last progress of a response, in the parts spent waiting."""
+
+    limits: SilenceLimits
+    state: SilenceState
+
+
 class SilenceWatch:
-    """Waits for data of one attempt, for as long as its deadline allows."""
+    """Waits for data of one attempt, for as long as its deadline allows.
+
+    A silence ends with progress of the response, not with any bytes: comments, repeated
+    events and a trickle of a body bring the caller nothing.
+    """
 
     def __init__(
         self,
@@ -60,6 +75,15 @@
         self._sent_at = self.heard_at = runtime.now()
         """When the request was sent, or its last data arrived."""
 
+        self.progress_at = self._sent_at
+        """When the request was sent, or its response last made progress."""
+
+        self._silence: _Silence | None = None
+        """The current silence; ``None`` until the response is waited for again."""
+
+        self._has_begun = False
+        """Whether an event has been forwarded."""
+
     async def wait_for_head(
         self, task: asyncio.Future[aiohttp.ClientResponse]
     ) -> aiohttp.ClientResponse:
@@ -70,17 +94,18 @@
                 raise UnresponsiveError
             return task.result()
 
-        return await self._wait(wait, self._compute_first_byte_limits())
-
-    async def read_first(self, content: aiohttp.StreamReader) -> bytes:
-        """Return the first bytes after the head; empty at the end."""
-        return await self._read(content, self._compute_first_byte_limits())
+        response = await self._wait(wait)
+        self._end_silence()
+        return response
 
     async def read_next(self, content: aiohttp.StreamReader) -> bytes:
-        """Return the next bytes of a stream that has begun; empty at the end."""
-        now = self._runtime.now()
-        limits = compute_event_limits(self._call, self._target.predicted, now)
-        return await self._read(content, limits)
+        """Return the next bytes of a stream; empty at the end."""
+        return await self._wait(lambda timeout: read_available(content, timeout))
+
+    def record_events(self) -> None:
+        """Record that events of a stream are forwarded."""
+        self._has_begun = True
+        self._end_silence()
 
     async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the whole body.
@@ -89,40 +114,51 @@
         """
         parts: list[bytes] = []
         size = 0
-        while data := await self.read_first(response.content):
+        while data := await self.read_next(response.content):
             parts.append(data)
             size += len(data)
             if size > MAX_RESPONSE_BYTES:
                 raise aiohttp.ClientPayloadError("the response is too large")
+            self._record_body(len(data))
         return b"".join(parts)
 
-    def _compute_first_byte_limits(self) -> SilenceLimits:
-        now = self._runtime.now()
-        return compute_first_byte_limits(self._call, self._target.predicted, now)
-
-    async def _read(
-        self, content: aiohttp.StreamReader, limits: SilenceLimits
-    ) -> bytes:
-        return await self._wait(
-            lambda timeout: read_available(content, timeout), limits
-        )
-
-    async def _wait(
-        self, wait: Callable[[float | None], Awaitable[T]], limits: SilenceLimits
-    ) -> T:
-        began = self._runtime.now()
-        state = SilenceState()
+    def _record_body(self, size: int) -> None:
+        """Shorten the silence by the time that so many bytes may take."""
+        assert self._silence is not None
+        state = self._silence.state
+        state.lasted -= size / MIN_BODY_RATE
+        if state.lasted <= 0.0:
+            self._end_silence()
+
+    def _end_silence(self) -> None:
+        self.progress_at = self._runtime.now()
+        self._silence = None
+
+    def _begin_silence(self) -> _Silence:
+        now, predicted = self._runtime.now(), self._target.predicted
+        compute = compute_event_limits if self._has_begun else compute_first_byte_limits
+        return _Silence(compute(self._call, predicted, now), SilenceState())
+
+    async def _wait(self, wait: Callable[[float | None], Awaitable[T]]) -> T:
+        if self._silence is None:
+            self._silence = self._begin_silence()
+        limits, state = self._silence.limits, self._silence.state
         while True:
             match decide(limits, state):
                 case KeepWaiting(seconds):
+                    began = self._runtime.now()
                     try:
                         result = await wait(seconds)
                     except UnresponsiveError:
-                        state.lasted = self._runtime.now() - began
+                        state.lasted += self._runtime.now() - began
                         state.pause_left = self._compute_pause_left(limits)
-                    else:
-                        self.heard_at = self._runtime.now()
-                        return result
+                        continue
+                    self.heard_at = self._runtime.now()
+                    waited = self.heard_at - began
+                    # Time beyond the timeout is a stall of this process.
+                    state.lasted += waited if seconds is None else min(waited, seconds)
+                    state.pause_left = self._compute_pause_left(limits)
+                    return result
                 case CheckUpstream():
                     state.is_checked = True
                     self._runtime.spawn(self._check(state))
--- a/tests/unit/gateway/test_endless_bytes.py
+++ b/tests/unit/gateway/test_endless_bytes.py
@@ -24,6 +24,8 @@
 """Far below the deadline of 10 s of these calls."""
 
 STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+UNFRAMED = b""
 
 
 @pytest.fixture(autouse=True)
@@ -87,6 +89,20 @@
     ),
     "trailers": Pouring(STREAM, b"X-More: more\r\n" * 1000, b"0\r\n"),
 }
+SLOW_SHAPES = {
+    "comments": Pouring(STREAM, build_chunk(b": ping\n\n"), interval_s=0.02),
+    "comments after an event": Pouring(
+        STREAM,
+        build_chunk(b": ping\n\n"),
+        build_chunk(b"id: 1\ndata: pouring\n\n"),
+        interval_s=0.02,
+    ),
+    "event without end": Pouring(STREAM, build_chunk(b"data: x\n"), interval_s=0.02),
+    "repeated event": Pouring(
+        STREAM, build_chunk(b"id: 1\ndata: pouring\n\n"), interval_s=0.02
+    ),
+    "chunk extension": Pouring(STREAM, b"x", b"5;", interval_s=0.02),
+}
 
 
 @contextlib.asynccontextmanager
@@ -152,6 +168,17 @@
         await wait_for(lambda: pouring.ended == 1, SOON_S)
 
 
+@pytest.mark.parametrize("shape", SLOW_SHAPES.values(), ids=SLOW_SHAPES)
+async def test_slow_bytes_that_are_no_event_are_a_silence(shape):
+    """Guards against second attempts that never start because some bytes come."""
+    pouring = build_pouring(shape)
+    async with run_beside_sound(pouring) as front:
+        status, body, elapsed = await read_timed(front)
+        assert (status, body.split(b"\n\n")[-2]) == (200, b"id: 4\ndata: sound")
+        assert elapsed < SOON_S
+        assert pouring.requests == 1
+
+
 async def test_keepalive_comments_end_no_stream_that_may_run_once():
     """Guards against taking the keepalives of a busy replica for bytes without end."""
     ending = build_chunk(b"id: 1\ndata: late\n\n") + build_chunk(b": end\n\n")
@@ -168,3 +195,24 @@
         assert status == 200
         assert body.startswith(b": ping\n\n")
         assert body.endswith(b"id: 1\ndata: late\n\n: end\n\n")
+
+
+@pytest.mark.parametrize("framing", [UNFRAMED, CHUNKED], ids=["unframed", "chunked"])
+async def test_slow_body_without_end_is_a_silence(framing):
+    """Guards against calls that wait for a trickle until their deadline."""
+    block = build_chunk(b"more") if framing else b"more"
+    pouring = Pouring(framing, block, interval_s=0.02)
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        assert (await read_timed(front))[:2] == (200, b"done")
+        assert pouring.requests == 1
+
+
+async def test_body_at_a_sound_rate_is_no_silence():
+    """Guards against second attempts beside a large response that is on its way."""
+    pouring = Pouring(b"", b"m" * 4096, interval_s=0.02)
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        reading = asyncio.create_task(read_timed(front))
+        await asyncio.sleep(4 * LIMITS.second_after)
+        assert not reading.done()
+        assert pouring.requests == 1
+        reading.cancel()
