End responses that are hardly anything but framing

What callers saw: a chunk extension that never ends was read at full rate until the deadline of its request; a stream that nobody else may run got 504 after all its time, or stayed open in the middle.

Cause: the parser drops extensions, trailers and interim responses, so no limit on bodies or events sees them.

Change: StrictResponseHandler compares what a connection received since the last request with the body that came of it. More than 256 KiB beside it end the connection with an error of its own, which counts as malformed and not as a crash. Small chunks are allowed for: eight bytes received for each of the body.

Tests, before: 2 of the 4 endless extensions in streams failed, at their deadline of 10 s (the ones that may run once; the others went on at another upstream as after a silence, while the pour was read). Now: all pass. Interim responses without end, an extension in a body that may run again, and a body in chunks of one byte passed before, too, and guard the limit from both sides.

--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -33,6 +33,13 @@
     """The upstream sent no bytes within the timeout."""
 
 
+class OversizedResponseError(aiohttp.ClientError):
+    """The upstream sends more bytes than a response of its kind may have.
+
+    No error of the connection: a crashed upstream sends nothing.
+    """
+
+
 @contextlib.contextmanager
 def cancel_on_failure(
     sending: Awaitable[aiohttp.ClientResponse],
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -1,9 +1,11 @@
-"""HTTP sessions to upstreams that reject unsolicited and truncated responses.
+"""HTTP sessions to upstreams that reject unsolicited, truncated and endless responses.
 
 aiohttp pools connections. A faulty upstream may send a second response after a complete
 one; in a pooled connection it would be taken for the response to the next request.
 Also, a response without a length ends with its connection, and a reset must not count
-as its end. Both are handled here, in the protocol class of the connector.
+as its end. And the parser drops chunk extensions, trailers and interim responses,
+however many come, unseen by the reader of the body. All three are handled here, in the
+protocol class of the connector.
 """
 
 from __future__ import annotations
@@ -22,6 +24,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from scalebend.edges.gateway.response_reading import OversizedResponseError
 from scalebend.edges.gateway.socket_statistics import SocketCounts
 from scalebend.edges.gateway.upstream_sockets import (
     CONNECT_TIMEOUT_S,
@@ -45,6 +48,12 @@
 IDLE_TIMEOUT_S = 4.0
 """Shorter than the idle timeout of the upstreams."""
 
+MAX_FRAMING_BYTES = 256 * 1024
+"""Bytes of a response beside its body: heads, chunk sizes and extensions, trailers."""
+
+FRAMING_FACTOR = 8
+"""Bytes received for each byte of the body that are framing of small chunks."""
+
 _may_repeat: ContextVar[bool] = ContextVar("may_repeat", default=False)
 """Whether the request that is being sent may be sent again if its path is lost."""
 
@@ -60,7 +69,7 @@
 
 
 class StrictResponseHandler(ResponseHandler):
-    """The client protocol of aiohttp with the two checks of this module."""
+    """The client protocol of aiohttp with the checks of this module."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
@@ -81,6 +90,9 @@
         self._may_repeat = False
         """Whether the current request may be sent again."""
 
+        self._received_bytes = 0
+        """Bytes received since the last request was sent."""
+
         self._loss: PathLostError | None = None
         """Why this process ended the connection, if it did."""
 
@@ -108,6 +120,7 @@
     def set_response_params(self, **params: object) -> None:
         """Begin a new request (called by aiohttp)."""
         self._previous_payload = self._payload
+        self._received_bytes = 0
         self._awaits_data = True
         self._may_repeat = _may_repeat.get()
         super().set_response_params(**params)  # type: ignore[arg-type]
@@ -155,7 +168,7 @@
             reset_connection(self.transport)
 
     def data_received(self, data: bytes) -> None:
-        """Abort on data after a complete response (called by asyncio)."""
+        """Abort on data that is no response (called by asyncio)."""
         if data:
             self._record_data()
         payload = self._payload
@@ -166,6 +179,27 @@
                 self.transport.abort()
             return
         super().data_received(data)
+        self._received_bytes += len(data)
+        if self._is_framing_excessive():
+            self._reject_response()
+
+    def _is_framing_excessive(self) -> bool:
+        """Whether too little of what was received is a part of a body."""
+        payload, body_bytes = self._payload, 0
+        if payload is not None and payload is not self._previous_payload:
+            body_bytes = payload.total_bytes
+        framing = self._received_bytes - FRAMING_FACTOR * body_bytes
+        return framing > MAX_FRAMING_BYTES
+
+    def _reject_response(self) -> None:
+        """End the connection and fail its request."""
+        error = OversizedResponseError(f"{self._received_bytes} bytes, hardly any body")
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: Exception | None) -> None:  # type: ignore[override]
         """Fail a response without a length after a reset (called by asyncio)."""
--- a/tests/unit/gateway/test_endless_bytes.py
+++ b/tests/unit/gateway/test_endless_bytes.py
@@ -40,7 +40,16 @@
 class Pouring:
     """An upstream that sends a head, a beginning, and then a block without end."""
 
-    def __init__(self, headers, block, begin=b"", *, interval_s=0.0, ending=b""):
+    def __init__(
+        self,
+        headers,
+        block,
+        begin=b"",
+        *,
+        interval_s=0.0,
+        ending=b"",
+        status=b"200 OK",
+    ):
         self.headers = headers
         self.beginning = begin
         self.block = block
@@ -48,7 +57,7 @@
         self.ending = ending
         """Sent once the gate opens, in place of more blocks."""
 
-        self.status = b"200 OK"
+        self.status = status
         self.gate = asyncio.Event()
         self.requests = 0
         self.ended = 0
@@ -87,6 +96,10 @@
     "number without end": Pouring(
         STREAM, build_chunk(b"5" * 4500 + b"\n\n"), build_chunk(b"id: ")
     ),
+    "chunk extension": Pouring(STREAM, b"x" * 10_000, b"5;"),
+    "chunk extension after an event": Pouring(
+        STREAM, b"x" * 10_000, build_chunk(b"id: 1\ndata: pouring\n\n") + b"5;"
+    ),
     "trailers": Pouring(STREAM, b"X-More: more\r\n" * 1000, b"0\r\n"),
 }
 SLOW_SHAPES = {
@@ -216,3 +229,33 @@
         assert not reading.done()
         assert pouring.requests == 1
         reading.cancel()
+
+
+async def test_extension_without_end_in_a_body_ends_its_attempt():
+    """Guards against calls that wait at their upstream until their deadline."""
+    pouring = Pouring(CHUNKED, b"x" * 10_000, b"5;")
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        status, body, elapsed = await read_timed(front)
+        assert (status, body) == (200, b"done")
+        assert pouring.requests == 1
+        assert elapsed < SOON_S
+        await wait_for(lambda: pouring.ended == 1, SOON_S)
+
+
+async def test_interim_responses_without_end_end_their_attempt():
+    """Guards against heads that the parser drops, however many come."""
+    interim = b"HTTP/1.1 102 Processing\r\n\r\n"
+    pouring = Pouring(b"", interim * 1000, status=b"102 Processing")
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        status, body, elapsed = await read_timed(front)
+        assert (status, body) == (200, b"done")
+        assert pouring.requests == 1
+        assert elapsed < SOON_S
+
+
+async def test_body_in_small_chunks_is_passed_on():
+    """Guards against taking the sizes of small chunks for bytes without a body."""
+    chunks = build_chunk(b"m") * 100_000 + build_chunk(b"")
+    pouring = Pouring(CHUNKED, b"", chunks, interval_s=0.02)
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        assert (await read_timed(front))[:2] == (200, b"m" * 100_000)
