Don't take a response that is too large for a crash

What callers could see: a request whose replica poured a body without end was suspected of crashing replicas; after some of these it is held back everywhere.

Cause: the error of a body over the limit was ClientPayloadError, which stands for a lost connection. Only a replica that runs sends too much.

Change: it is the error of malformed responses, as for framing without a body.

Tests, before: test_body_without_end_is_no_crash, 2 of 2 failed (one recorded crash each). Now both pass.

--- a/src/scalebend/edges/gateway/silence_watch.py
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -25,6 +25,7 @@
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.response_reading import (
     MAX_RESPONSE_BYTES,
+    OversizedResponseError,
     UnresponsiveError,
     read_available,
     wait_for_task,
@@ -110,7 +111,7 @@
     async def read_body(self, response: aiohttp.ClientResponse) -> bytes:
         """Return the whole body.
 
-        Raises :class:`aiohttp.ClientPayloadError` for one over ``MAX_RESPONSE_BYTES``.
+        Raises :class:`OversizedResponseError` for one over ``MAX_RESPONSE_BYTES``.
         """
         parts: list[bytes] = []
         size = 0
@@ -118,7 +119,7 @@
             parts.append(data)
             size += len(data)
             if size > MAX_RESPONSE_BYTES:
-                raise aiohttp.ClientPayloadError("the response is too large")
+                raise OversizedResponseError("the response is too large")
             self._record_body(len(data))
         return b"".join(parts)
 
--- a/tests/unit/gateway/test_endless_bytes.py
+++ b/tests/unit/gateway/test_endless_bytes.py
@@ -259,3 +259,17 @@
     pouring = Pouring(CHUNKED, b"", chunks, interval_s=0.02)
     async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
         assert (await read_timed(front))[:2] == (200, b"m" * 100_000)
+
+
+@pytest.mark.parametrize("framing", [UNFRAMED, CHUNKED], ids=["unframed", "chunked"])
+async def test_body_without_end_is_no_crash(framing, monkeypatch):
+    """Guards against suspecting a request because of an upstream that still runs."""
+    block = b"m" * 65_536
+    pouring = Pouring(framing, build_chunk(block) if framing else block)
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        recorded = []
+        crashes = front.runtime.instance.crashes
+        monkeypatch.setattr(crashes, "record_crash", lambda *a: recorded.append(a))
+        assert (await read_timed(front))[:2] == (200, b"done")
+        assert pouring.requests == 1
+        assert recorded == []
