Limit the bodies of rejections and reports by bytes, too

What callers could see: a front killed for memory. The body of a rejection was kept for 0.1 s and that of a report for 0.4 s, as fast as they came, from several replicas at once; the latter was then decoded in one piece.

Change: read_whole reads up to a limit; both stop at 64 KiB. A longer report is unreadable, which says nothing about the replica; a rejection is one by its head, and only its connection is closed.

--- a/src/scalebend/edges/gateway/report_requests.py
+++ b/src/scalebend/edges/gateway/report_requests.py
@@ -14,6 +14,10 @@
 import structlog
 
 from scalebend.edges.connection_checks import MAX_TIMER_DELAY_S
+from scalebend.edges.gateway.response_reading import (
+    OversizedResponseError,
+    read_whole,
+)
 from scalebend.edges.gateway.upstream_client import UpstreamSessions, build_timeout
 from scalebend.models.placement import ReplicaReport
 from scalebend.platform.reports import REPORT_PATH, decode_report
@@ -23,6 +27,9 @@
 REPORT_TIMEOUT_S = 0.4
 """Timeout of a report, which needs no slot at the replica."""
 
+MAX_REPORT_BYTES = 64 * 1024
+"""Maximum size of a report, which lists few figures for each reservation."""
+
 SECOND_REQUEST_AFTER_S = 0.25
 """Time after which the report is requested over a new connection as well, which leaves
 that one time to come about."""
@@ -107,7 +114,9 @@
             timeout=timeout,
             trace_request_ctx=connected.set,
         ) as response:
-            report = decode_report(await response.read())
+            report = decode_report(await read_whole(response.content, MAX_REPORT_BYTES))
+    except OversizedResponseError:
+        report = None
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
         result = NoReport.UNREACHED
         is_timeout = isinstance(error, TimeoutError)
--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -19,6 +19,9 @@
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 """Maximum size of a response body that is buffered before it is forwarded."""
 
+MAX_REJECTION_BYTES = 64 * 1024
+"""Maximum size of the body of a rejection that is read to keep its connection."""
+
 REJECTION_BODY_TIMEOUT_S = 0.1
 """Time for the body of a rejection, which most often comes with its head."""
 
@@ -98,6 +101,21 @@
     return any(name in response.headers for name in _FRAMING_HEADERS)
 
 
+async def read_whole(content: aiohttp.StreamReader, limit: int) -> bytes:
+    """Return a whole body.
+
+    Raises :class:`OversizedResponseError` for one of more than ``limit`` bytes.
+    """
+    parts: list[bytes] = []
+    size = 0
+    while data := await content.readany():
+        parts.append(data)
+        size += len(data)
+        if size > limit:
+            raise OversizedResponseError(f"a body of more than {limit} bytes")
+    return b"".join(parts)
+
+
 async def skip_rejection_body(response: aiohttp.ClientResponse) -> None:
     """Read the body of a rejection, so that its connection may be used again.
 
@@ -105,4 +123,4 @@
     """
     with contextlib.suppress(aiohttp.ClientError, OSError):
         async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
-            await response.read()
+            await read_whole(response.content, MAX_REJECTION_BYTES)
--- a/tests/unit/gateway/test_endless_bytes.py
+++ b/tests/unit/gateway/test_endless_bytes.py
@@ -12,6 +12,9 @@
 import pytest
 
 from scalebend.core.gateway import silences
+from scalebend.edges.gateway import forwarder
+from scalebend.edges.gateway.report_requests import NoReport, fetch_report
+from scalebend.edges.gateway.upstream_client import open_upstream_sessions
 from scalebend.models.routing import RouteKind
 from tests.lib.front import answer_sealed, run_front, serve, wait_for
 from tests.lib.gateway_builders import build_route, build_routing
@@ -23,6 +26,9 @@
 SOON_S = 1.5
 """Far below the deadline of 10 s of these calls."""
 
+MAX_KEPT_BYTES = 1024 * 1024
+"""Of the body of a rejection, of which only the head matters."""
+
 STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 UNFRAMED = b""
@@ -273,3 +279,33 @@
         assert (await read_timed(front))[:2] == (200, b"done")
         assert pouring.requests == 1
         assert recorded == []
+
+
+async def test_rejection_without_end_keeps_little_in_memory(monkeypatch):
+    """Guards against the body of a rejection that is kept as fast as it comes."""
+    sizes = []
+    skip = forwarder.skip_rejection_body
+
+    async def observe(response):
+        content = response.content
+        await skip(response)
+        sizes.append(content.total_bytes)
+
+    monkeypatch.setattr(forwarder, "skip_rejection_body", observe)
+    pouring = Pouring(b"X-Not-Executed: 1\r\n", b"m" * 65_536)
+    pouring.status = b"503 Busy"
+    async with run_beside_sound(pouring, kind=RouteKind.IDEMPOTENT) as front:
+        assert (await read_timed(front))[:2] == (200, b"done")
+        assert len(sizes) == 1
+        assert sizes[0] < MAX_KEPT_BYTES
+
+
+async def test_report_without_end_is_unreadable():
+    """Guards against reports that are kept as fast as they come, until a timeout."""
+    pouring = Pouring(b"", b"m" * 65_536)
+    async with (
+        run_upstream(pouring.respond) as (address, _),
+        open_upstream_sessions() as sessions,
+    ):
+        assert await fetch_report(sessions, address) is NoReport.UNREADABLE
+        await wait_for(lambda: pouring.ended == 1, SOON_S)
