Own interface: limit what is kept or dropped of one response

What callers could see: an instance killed for memory, with all its requests. A service that poured a body was read, and kept, until the time limit of its call.

Cause: _forward_whole and the events of a completion that is not streamed were kept without a limit; repeated events were read and dropped without one.

Change: 64 MiB of a body or a completion, 16 MiB of events between two that are delivered; more is a garbled response (502), as malformed events are.

--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -24,6 +24,10 @@
     Prefilled,
     StartAttempt,
 )
+from scalebend.edges.gateway.response_reading import (
+    OversizedResponseError,
+    read_whole,
+)
 from scalebend.edges.gateway.upstream_client import allow_repetition
 from scalebend.edges.problems import build_problem
 from scalebend.edges.sse import (
@@ -43,7 +47,9 @@
 logger = structlog.get_logger(__name__)
 
 CLOSE_TIMEOUT_S = 1.0
-FIRST_READ_BYTES = 64 * 1024 * 1024
+MAX_BODY_BYTES = 64 * 1024 * 1024
+"""Maximum size of a response that is kept until it is complete."""
+
 EVENT_STREAM = "text/event-stream"
 
 
@@ -101,6 +107,7 @@
         self._reporter = reporter
         self._framer = EventFramer()
         self._collected: list[bytes] = []
+        self._collected_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._start: StartAttempt | None = None
 
@@ -112,6 +119,7 @@
         if start.phase is not Phase.DECODE:
             self._framer = EventFramer()
             self._collected = []
+            self._collected_bytes = 0
         self._task = asyncio.create_task(self._run(is_resumed=False))
 
     def resume(self) -> None:
@@ -206,7 +214,7 @@
             if is_resumed:
                 return Interrupted(detail)
             return NeverStarted(detail, may_hold_memory=has_prefill_helpers)
-        except InvalidStreamError as error:
+        except (InvalidStreamError, OversizedResponseError) as error:
             return InvalidResponse(str(error))
         except PathLostError as error:
             return Interrupted(str(error), may_have_crashed=False, is_path_lost=True)
@@ -295,9 +303,7 @@
         return Completed()
 
     async def _forward_whole(self, response: aiohttp.ClientResponse) -> None:
-        body = await response.content.read(FIRST_READ_BYTES)
-        if not response.content.at_eof():
-            body += await response.read()
+        body = await read_whole(response.content, MAX_BODY_BYTES)
         self.response = web.Response(
             status=response.status,
             body=body,
@@ -323,7 +329,7 @@
             if self.request.is_streamed:
                 await self._write_events(forwardable)
             else:
-                self._collected.append(forwardable)
+                self._collect(forwardable)
         if start.phase is Phase.PREFILL and framer.next_offset == 1:
             return Prefilled()
         if not framer.is_complete:
@@ -343,6 +349,12 @@
             usage.prompt_tokens_details.cached_tokens,
         )
 
+    def _collect(self, events: bytes) -> None:
+        self._collected.append(events)
+        self._collected_bytes += len(events)
+        if self._collected_bytes > MAX_BODY_BYTES:
+            raise OversizedResponseError(f"events of more than {MAX_BODY_BYTES} bytes")
+
     async def _write_events(self, data: bytes) -> None:
         if self.response is None:
             self.response = web.StreamResponse(headers={"Cache-Control": "no-store"})
--- a/src/scalebend/edges/sse.py
+++ b/src/scalebend/edges/sse.py
@@ -19,6 +19,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 """A stream with a longer event is rejected as invalid."""
 
+MAX_UNDELIVERED_BYTES = 16 * 1024 * 1024
+"""Maximum size of repeated and early events between two that are delivered."""
+
 
 class InvalidStreamError(Exception):
     """The upstream's stream is not a valid stream of numbered events."""
@@ -30,6 +33,7 @@
     def __init__(self) -> None:
         self._assembler = StreamAssembler()
         self._pending = b""
+        self._undelivered_bytes = 0
         self.tail = b""
 
     @property
@@ -83,7 +87,11 @@
             forwardable = events
         else:
             forwardable = self._deliver_one_by_one(events)
+        self._undelivered_bytes += len(events)
+        if self._undelivered_bytes > MAX_UNDELIVERED_BYTES:
+            raise InvalidStreamError("too many bytes without a new event")
         if forwardable:
+            self._undelivered_bytes = 0
             self.tail = (
                 (self.tail + forwardable)[-4096:]
                 if len(forwardable) < 4096
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -4,7 +4,12 @@
 from hypothesis import given, strategies as st
 
 from scalebend.core.streams import Chunk, StreamAssembler
-from scalebend.edges.sse import EventFramer, InvalidStreamError, read_usage
+from scalebend.edges.sse import (
+    MAX_UNDELIVERED_BYTES,
+    EventFramer,
+    InvalidStreamError,
+    read_usage,
+)
 
 
 def build_events(count):
@@ -72,3 +77,21 @@
     usage = read_usage(tail + b"id: 4\ndata: [DONE]\n\n")
     assert (usage.prompt_tokens, usage.completion_tokens) == (7, 3)
     assert read_usage(b"id: 4\ndata: [DONE]\n\n").prompt_tokens == 0
+
+
+def test_repeated_event_without_end_is_rejected():
+    """Guards against events that are read and dropped until the deadline."""
+    event = build_events(1)[0]
+    framer = EventFramer()
+    framer.feed(event)
+    with pytest.raises(InvalidStreamError):
+        for _ in range(MAX_UNDELIVERED_BYTES // 65_536 + 1):
+            framer.feed(event * (65_536 // len(event) + 1))
+
+
+def test_long_response_may_be_repeated_from_its_start():
+    events = build_events(200)
+    framer = EventFramer()
+    assert framer.feed(b"".join(events[:150])) == b"".join(events[:150])
+    framer.restart()
+    assert framer.feed(b"".join(events)) == b"".join(events[150:])
