Don't pass on an encoded response that its caller did not accept

What callers could see: a success whose body is not that of the replica, with the replica's seal and the id of the request.

Platform callers take no encoding, and an answer with a Content-Encoding is not the replica's body; head bytes in disruption may carry seal and id.

Change: such a response is not proven, as one without the seal: sent elsewhere where the route allows it, else 502. A caller who names an Accept-Encoding other than identity gets it, as before. Rejections need no body.

Now test_response_proof passes.

Looked at beside it, and left: a rejection without an id might be one answer too many of a kept connection. Requests that run at most once never get a kept connection, and for others a wrong "not run" breaks no promise.

--- a/src/scalebend/core/gateway/response_proof.py
+++ b/src/scalebend/core/gateway/response_proof.py
@@ -23,6 +23,8 @@
     WITHOUT_SEAL = "response without seal"
     WITHOUT_ID = "response without request id"
     WITHOUT_BOTH = "response without seal and request id"
+    ENCODED = "encoded response"
+    """Not the body of a replica, which encodes none unless the caller accepts it."""
 
     @property
     def is_of_upstream(self) -> bool:
@@ -30,7 +32,9 @@
         return self in (Verdict.OWN, Verdict.NOT_RUN)
 
 
-def judge_response(headers: ResponseHeaders, request: str) -> Verdict:
+def judge_response(
+    headers: ResponseHeaders, request: str, *, accepts_encoding: bool = False
+) -> Verdict:
     """Return whose response to ``request`` it is.
 
     Upstreams have no id to echo if ``request`` is empty.
@@ -39,6 +43,8 @@
         return Verdict.FOREIGN
     if headers.has_not_run:
         return Verdict.NOT_RUN
+    if headers.is_encoded and not accepts_encoding:
+        return Verdict.ENCODED
     has_id = headers.request is not None or not request
     match (headers.has_seal, has_id):
         case (True, True):
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -354,7 +354,11 @@
         async with response:
             with watching as self._path:
                 head = read_response_headers(response.status, response.headers)
-                verdict = judge_response(head, call.headers.request)
+                verdict = judge_response(
+                    head,
+                    call.headers.request,
+                    accepts_encoding=call.headers.accepts_encoding,
+                )
                 if not verdict.is_of_upstream:
                     return discard_response(call, target.upstream, response, verdict)
                 apply_response_head(self._runtime, call, limit, head)
--- a/src/scalebend/models/calls.py
+++ b/src/scalebend/models/calls.py
@@ -38,6 +38,9 @@
     shared_parts: tuple[str, ...] = ()
     """Ids of the parts of the prompt that other requests may share, in its order."""
 
+    accepts_encoding: bool = False
+    """Whether the caller takes a response with an encoded body."""
+
 
 class Call(msgspec.Struct, frozen=True):
     """An admitted request; times are on the front's monotonic clock."""
@@ -75,6 +78,9 @@
     has_seal: bool
     """Whether it carries the signature that the upstream gives its own responses."""
 
+    is_encoded: bool
+    """Whether the body is encoded, such as compressed."""
+
     has_not_run: bool
     """Whether the upstream declares that it did not run the request."""
 
--- a/src/scalebend/platform/headers.py
+++ b/src/scalebend/platform/headers.py
@@ -107,6 +107,7 @@
         prompt=_read_prompt(headers),
         model=headers.get(_MODEL, ""),
         shared_parts=_read_shared_parts(headers.get(_PARTS, "")),
+        accepts_encoding=_names_encoding(headers.get("Accept-Encoding")),
     )
 
 
@@ -222,6 +223,7 @@
     return ResponseHeaders(
         request=headers.get(REQUEST_ID),
         has_seal=bool(headers.get(SEAL)),
+        is_encoded=_names_encoding(headers.get("Content-Encoding")),
         has_not_run=is_misdirected or (status >= 400 and _NOT_EXECUTED in headers),
         load=_read_load(headers.get(_LOAD)),
         faulty_address=headers.get(_FAULTY_ADDRESS),
@@ -247,6 +249,11 @@
     return f"{seconds:.3f}"
 
 
+def _names_encoding(value: str | None) -> bool:
+    """Whether a header names another encoding than that of an unchanged body."""
+    return value is not None and value.strip().lower() not in ("", "identity")
+
+
 def _read_load(text: str | None) -> ReportedLoad | None:
     if text is None:
         return None
--- a/tests/unit/gateway/test_response_proof.py
+++ b/tests/unit/gateway/test_response_proof.py
@@ -26,6 +26,7 @@
     "id alone": {"X-Request-Id": ECHOED},
     "id of another": {"X-Request-Id": "of-another", "X-Server-Seal": "s"},
 }
+SEALED = {"X-Request-Id": ECHOED, "X-Server-Seal": "s"}
 
 
 def run_front_of(kind=RouteKind.IDEMPOTENT, **changes):
@@ -84,6 +85,45 @@
     assert judge_response(read_response_headers(status, headers), "r-1") is verdict
 
 
+@pytest.mark.parametrize(
+    ("status", "encoding", "verdict"),
+    [
+        (200, "gzip", Verdict.ENCODED),
+        (500, "br", Verdict.ENCODED),
+        (200, "identity", Verdict.OWN),
+        (200, "", Verdict.OWN),
+        (503, "gzip", Verdict.NOT_RUN),
+    ],
+)
+def test_encoded_response_is_none_unless_the_caller_accepts_it(
+    status, encoding, verdict
+):
+    """Guards against wrong bytes that carry the seal of a replica and an encoding."""
+    head = {
+        **build_response_headers("r-1", "s", has_not_run=status == 503),
+        "Content-Encoding": encoding,
+    }
+    received = read_response_headers(status, head)
+    assert judge_response(received, "r-1") is verdict
+    accepted = judge_response(received, "r-1", accepts_encoding=True)
+    assert accepted is (Verdict.NOT_RUN if status == 503 else Verdict.OWN)
+
+
+@pytest.mark.parametrize(
+    ("accepted", "status"), [("identity", 502), ("gzip", 200)], ids=str
+)
+async def test_encoded_response_is_passed_on_to_who_accepts_it(accepted, status):
+    replica = Wrong(headers={**SEALED, "Content-Encoding": "x-unknown"})
+    async with (
+        run_front_of(RouteKind.NON_IDEMPOTENT) as front,
+        serve(replica.respond) as address,
+    ):
+        front.add(1, address)
+        front.session.headers["Accept-Encoding"] = accepted
+        async with front.call() as response:
+            assert response.status == status
+
+
 def test_seal_alone_proves_a_response_to_a_request_without_an_id():
     sealed = read_response_headers(200, {"X-Server-Seal": "s"})
     assert judge_response(sealed, "") is Verdict.OWN
