Tests: check a host again if this process stood still meanwhile

The test took for granted that no timer is late.

Now a second timer of the test tells whether the process stood still; only then is the check made again, as a front would. Without a stall, unknown fails as before.

--- a/tests/unit/gateway/test_reachability.py
+++ b/tests/unit/gateway/test_reachability.py
@@ -5,12 +5,14 @@
 """
 
 import asyncio
+from functools import partial
 from types import SimpleNamespace
 
 import pytest
 
 from scalebend.core.gateway.silences import Reachability
 from scalebend.core.upstream_reach import FailureKind, UpstreamReach
+from scalebend.edges.connection_checks import CHECK_TIMEOUT_S, MAX_TIMER_DELAY_S
 from scalebend.edges.gateway.reachability import CHECK_LIFETIME_S, ReachabilityChecks
 from scalebend.models.routing import RouteKind
 from scalebend.models.tunnels import TunnelPeer
@@ -18,6 +20,9 @@
 from tests.lib.gateway_builders import build_route, build_routing
 from tests.lib.raw_upstream import hang_after, run_upstream
 
+STALLED_S = CHECK_TIMEOUT_S + MAX_TIMER_DELAY_S
+"""Time of a check whose timer came too late."""
+
 
 def run_plain_front():
     return run_front(build_routing(1, [build_route(kind=RouteKind.IDEMPOTENT)]))
@@ -28,6 +33,24 @@
     return await runtime.reachability.check(address, runtime.now())
 
 
+async def check_without_stall(check_once):
+    """Check again while this process demonstrably stood still during a check.
+
+    The result is then unknown by design; without a stall it has to be known.
+    """
+    loop = asyncio.get_running_loop()
+    while True:
+        began = loop.time()
+        timer = asyncio.create_task(asyncio.sleep(CHECK_TIMEOUT_S))
+        result = await check_once()
+        await timer
+        waited = loop.time() - began
+        if result is not Reachability.UNKNOWN or waited < STALLED_S:
+            return result
+        # The result of the stalled check counts for a while.
+        await asyncio.sleep(CHECK_LIFETIME_S)
+
+
 async def listen(accepted):
     """Listen without ever reading, as a process that stands still."""
 
@@ -54,7 +77,8 @@
     async with run_plain_front() as front:
         assert await check(front, find_closed_port()) is Reachability.UNREACHED
         with drop_connections() as address:
-            assert await check(front, address) is Reachability.UNREACHED
+            result = await check_without_stall(lambda: check(front, address))
+            assert result is Reachability.UNREACHED
 
 
 async def test_caller_who_leaves_does_not_end_the_check_of_others():
@@ -123,7 +147,8 @@
         instance.isolate()
     with drop_connections() as dropping:
         for address in (dropping, find_closed_port()):
-            assert await check_at(instance, address) is Reachability.UNREACHED
+            result = await check_without_stall(partial(check_at, instance, address))
+            assert result is Reachability.UNREACHED
             assert instance.failed[-1] == address
 
 
