Don't explain a silence by a prefill that began during it

What callers saw: the caller of a quick stream left after 2 s at a silent replica, and no second attempt had started.

Cause: any known pause counted, also a prompt that was placed at the replica 1.6 s into its silence. The front then waited for the end of that prefill, with a margin, beyond what the caller bears.

Change: a pause explains a silence if it was known before that became suspicious, or follows one that was.

Tests, before: test_prefill_placed_at_a_silent_upstream_explains_no_silence failed (the stream was cut at its deadline). Now it passes.

--- a/src/scalebend/core/gateway/silences.py
+++ b/src/scalebend/core/gateway/silences.py
@@ -79,11 +79,20 @@
     """Whether a check has been started."""
 
     pause_left: float = 0.0
-    """Further time for which a known pause lasts; 0 if none is known."""
+    """Further time for which a pause lasts that explains the silence, or 0."""
 
     is_acted_on: bool = False
     """Whether a second attempt was started, or is out of the question."""
 
+    def record_pause(self, limits: SilenceLimits, left: float) -> None:
+        """Record that a known pause lasts ``left`` more seconds; 0 if none is known.
+
+        One that follows no other and is known only once the silence is suspicious began
+        during it, and so does not explain it.
+        """
+        is_explained = self.pause_left > 0.0 or self.lasted < limits.suspect_after
+        self.pause_left = left if is_explained else 0.0
+
 
 class KeepWaiting(msgspec.Struct, frozen=True):
     """Decision: wait for data; ``seconds`` until the next decision, if any is due."""
--- a/src/scalebend/edges/gateway/silence_watch.py
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -152,13 +152,13 @@
                         result = await wait(seconds)
                     except UnresponsiveError:
                         state.lasted += self._runtime.now() - began
-                        state.pause_left = self._compute_pause_left(limits)
+                        state.record_pause(limits, self._compute_pause_left(limits))
                         continue
                     self.heard_at = self._runtime.now()
                     waited = self.heard_at - began
                     # Time beyond the timeout is a stall of this process.
                     state.lasted += waited if seconds is None else min(waited, seconds)
-                    state.pause_left = self._compute_pause_left(limits)
+                    state.record_pause(limits, self._compute_pause_left(limits))
                     return result
                 case CheckUpstream():
                     state.is_checked = True
--- a/tests/unit/gateway/test_silences.py
+++ b/tests/unit/gateway/test_silences.py
@@ -79,6 +79,23 @@
     )
 
 
+def test_pause_that_begins_during_a_silence_does_not_explain_it():
+    """Guards against waiting for a prefill placed at a replica that is silent."""
+    state = checked(0.6)
+    state.record_pause(LIMITS, 0.0)
+    state.lasted = 1.5
+    state.record_pause(LIMITS, 0.8)
+    assert decide(LIMITS, state) == StartSecond()
+
+
+def test_pauses_one_after_the_other_explain_a_silence():
+    state = checked(0.6)
+    state.record_pause(LIMITS, 0.5)
+    state.lasted = 1.5
+    state.record_pause(LIMITS, 0.8)
+    assert decide(LIMITS, state) == KeepWaiting(0.8 + PAUSE_MARGIN_S)
+
+
 def test_known_pause_says_nothing_of_an_unreachable_upstream():
     paused = checked(1.5, Reachability.UNREACHED, pause_left=0.8)
     assert decide(LIMITS, paused) == StartSecond()
--- a/tests/unit/gateway/test_silent_attempts.py
+++ b/tests/unit/gateway/test_silent_attempts.py
@@ -285,3 +285,20 @@
         await read(front)
         # The next call goes to the other one.
         balancer.record_sent(front.runtime.instance.directory.list_ids()[0])
+
+
+async def test_prefill_placed_at_a_silent_upstream_explains_no_silence():
+    """Guards against callers who leave while their silent upstream gets more work."""
+    silent, other = Upstream("silent", 3), Upstream("other")
+    async with run_upstreams(silent, other) as front:
+        runtime = front.runtime
+
+        def compute_pending_prefill(upstream):
+            is_placed = runtime.now() - began > LIMITS.suspect_after + 0.05
+            return 5.0 if is_placed else 0.0
+
+        runtime.compute_pending_prefill = compute_pending_prefill
+        began = runtime.now()
+        _, body = await read(front, wait=3.0)
+        assert body == build_body("silent", "silent", "other", "other")
+        assert runtime.now() - began < 1.0
