Forward the events that came before garbled bytes

Cause: feed advanced the position past the events of a read, then raised for the comments behind them, so those events were never forwarded, and the next replica went on after them.

Change: the events are returned; the fault is kept and raised with the next read, and a stream with a fault has no regular end.

Test, before: test_event_before_too_many_comments_is_forwarded failed (the event was lost with the exception). Now it passes.

--- a/src/scalebend/core/gateway/event_cursor.py
+++ b/src/scalebend/core/gateway/event_cursor.py
@@ -52,10 +52,13 @@
         self._skipped_bytes = 0
         """Bytes since the last event that are none themselves."""
 
+        self._fault = ""
+        """Why nothing more of this replica is read; empty if it is."""
+
     @property
     def has_partial(self) -> bool:
-        """Whether bytes of an incomplete event are buffered."""
-        return bool(self._pending)
+        """Whether the stream may not end here."""
+        return bool(self._pending or self._fault)
 
     def restart(self) -> None:
         """Drop what is incomplete, before another replica resumes the stream."""
@@ -63,18 +66,22 @@
         self._comments.clear()
         self._last_received = None
         self._skipped_bytes = 0
+        self._fault = ""
 
     def feed(self, data: bytes) -> ForwardableEvents:
         """Add bytes; return the new events that are complete.
 
         Raises :class:`GarbledEventsError` if an event, or what comes between two
-        events, exceeds its size limit.
+        events, exceeds its size limit. Events before that are returned first, since
+        another replica goes on after them.
         """
         data = self._pending + data
         accepted = []
         events = 0
         start = 0
         for event_end in _EVENT_END.finditer(data):
+            if self._fault:
+                break
             event = data[start : event_end.end()]
             start = event_end.end()
             if self._accept(event):
@@ -84,7 +91,9 @@
                 self._skipped_bytes = 0
         self._pending = data[start:]
         if len(self._pending) > MAX_EVENT_BYTES:
-            raise GarbledEventsError("an event exceeds the size limit")
+            self._fault = "an event exceeds the size limit"
+        if self._fault and not accepted:
+            raise GarbledEventsError(self._fault)
         return ForwardableEvents(b"".join(accepted), events)
 
     def take_comments(self) -> bytes:
@@ -107,7 +116,8 @@
 
     def _accept_number(self, event: bytes, digits: bytes) -> bool:
         if len(digits) > MAX_NUMBER_DIGITS:
-            raise GarbledEventsError("the number of an event is too long")
+            self._fault = "the number of an event is too long"
+            return False
         number = int(digits)
         if self.last_event is None or number > self.last_event:
             self.last_event = self._last_received = number
@@ -123,4 +133,4 @@
         """Count bytes that are not forwarded by themselves."""
         self._skipped_bytes += len(event)
         if self._skipped_bytes > MAX_BYTES_BETWEEN_EVENTS:
-            raise GarbledEventsError("too many bytes without an event")
+            self._fault = "too many bytes without an event"
--- a/tests/unit/gateway/test_event_cursor.py
+++ b/tests/unit/gateway/test_event_cursor.py
@@ -107,3 +107,16 @@
     """Guards against an unexpected error in place of another attempt."""
     with pytest.raises(GarbledEventsError):
         EventCursor().feed(b"id: " + b"5" * 5000 + b"\n\n")
+
+
+def test_event_before_too_many_comments_is_forwarded():
+    """Guards against a gap in a stream that goes on elsewhere after garbled bytes."""
+    cursor = EventCursor()
+    comments = COMMENT * (MAX_BYTES_BETWEEN_EVENTS // len(COMMENT) + 1)
+    assert cursor.feed(build_event(1) + comments).data == build_event(1)
+    # The end of the stream is no regular one either.
+    assert cursor.has_partial
+    with pytest.raises(GarbledEventsError):
+        cursor.feed(build_event(2))
+    cursor.restart()
+    assert cursor.feed(build_event(2)).data == build_event(2)
