Soak: replicas that send bytes without end

One replica of each series sends comments in its streams, or bodies of its calls, that do not end, for 0.3 to 2 s. It is drawn by a generator of its own, so the other faults of a seed stay as they are.

--- a/src/scalebend/soak/faults.py
+++ b/src/scalebend/soak/faults.py
@@ -39,6 +39,9 @@
     FOREIGN_ID = "foreign"
     """Responds with the id of another request."""
 
+    POURING = "pouring"
+    """Runs the request and sends bytes without end that are no answer."""
+
 
 class SilencePlace(Enum):
     """Where a single response falls silent."""
--- a/src/scalebend/soak/replicas.py
+++ b/src/scalebend/soak/replicas.py
@@ -59,6 +59,7 @@
     Reservation,
     SentResponse,
 )
+from scalebend.soak.pouring import pour
 from scalebend.soak.replica_memory import ReplicaMemory
 from scalebend.soak.responses import build_body, build_event
 from scalebend.soak.silences import Silences
@@ -261,6 +262,8 @@
             )
         if self.mode is ReplicaMode.FAILING:
             return web.Response(status=500, headers=headers, body=b"own failure")
+        if self.mode is ReplicaMode.POURING:
+            return await pour(request, headers, self._is_pouring)
         events = int(request.query.get("events", "0"))
         if not events:
             if self.mode is ReplicaMode.RESETTING:
@@ -321,6 +324,9 @@
         await response.write_eof()
         return response
 
+    def _is_pouring(self) -> bool:
+        return self.is_up and self.mode is ReplicaMode.POURING
+
     def _find_guilty_part(self, request: web.BaseRequest) -> str | None:
         parts = read_caller_headers(request.headers).shared_parts
         return next((one for one in parts if one in self._fleet.guilty_parts), None)
--- a/src/scalebend/soak/schedules.py
+++ b/src/scalebend/soak/schedules.py
@@ -62,6 +62,16 @@
 MAX_FAULT_S = 4.0
 """Bounds in seconds of the duration of most faults."""
 
+MAX_POUR_S = 2.0
+"""Maximum seconds for which a replica sends bytes without end."""
+
+_DRAWN_MODES = [
+    mode
+    for mode in ReplicaMode
+    if mode not in (ReplicaMode.HEALTHY, ReplicaMode.POURING)
+]
+"""Modes of the randomly drawn faults; pours are drawn apart from them."""
+
 RATE_LIMIT_DURATION_S = 4.0
 """Seconds for which all replicas of a service, so also those in use, announce a rate
 limit. It ends before the next calm period is checked."""
@@ -156,6 +166,7 @@
     partition_random = random.Random(f"{seed}/partitions")
     guilty_random = random.Random(f"{seed}/guilty")
     silence_random = random.Random(f"{seed}/silences")
+    pour_random = random.Random(f"{seed}/pours")
     drawer = _Drawer(chooser, layout)
     faults: list[ScheduledFault] = []
     at = FIRST_SERIES_AT_S
@@ -183,6 +194,7 @@
         prompts = draw_guilty_prompts(guilty_random, GUILTY_DURATION_S)
         faults.append(ScheduledFault(begins, prompts))
         faults += draw_silences(silence_random, at, layout)
+        faults.append(_draw_pour(pour_random, at, layout))
         planned_at = at + SERIES_DURATION_S + PLANNED_WORK_DELAY_S
         # Both services: before a delayed send, a front checks only engines again.
         for numbers in (layout.engine_replicas, layout.plain_replicas):
@@ -198,6 +210,14 @@
     return Schedule(faults, at)
 
 
+def _draw_pour(chooser: random.Random, at: float, layout: Layout) -> ScheduledFault:
+    """Draw a replica that sends bytes without end in a series from ``at`` on."""
+    begins = at + chooser.uniform(0.0, SERIES_DURATION_S)
+    lasts = chooser.uniform(MIN_FAULT_S, MAX_POUR_S)
+    replica = chooser.randrange(layout.replicas)
+    return ScheduledFault(begins, Misbehave(replica, ReplicaMode.POURING, lasts))
+
+
 def _draw_long_evacuation(
     chooser: random.Random, at: float, layout: Layout
 ) -> list[ScheduledFault]:
@@ -407,5 +427,5 @@
                 return Drain(replica)
             case 1:
                 return Crash(replica, self._draw_length())
-        modes = [mode for mode in ReplicaMode if mode is not ReplicaMode.HEALTHY]
-        return Misbehave(replica, chooser.choice(modes), self._draw_length())
+        mode = chooser.choice(_DRAWN_MODES)
+        return Misbehave(replica, mode, self._draw_length())
