Compute a pause only while a response makes no progress

Each read of a sound stream asked for the prefill that is pending at its replica, which only matters once a silence goes on. Besides, a stream with a fault is named incomplete rather than partial. No change of behaviour; the tests of silences, races, cursors and endless bytes pass.

--- a/src/scalebend/core/gateway/event_cursor.py
+++ b/src/scalebend/core/gateway/event_cursor.py
@@ -22,7 +22,7 @@
 """Maximum length of the number of an event."""
 
 MAX_BYTES_BETWEEN_EVENTS = 64 * 1024
-"""Maximum size of comments and of events without order between two events."""
+"""Maximum size of comments and of events out of order between two new events."""
 
 
 class GarbledEventsError(Exception):
@@ -50,14 +50,14 @@
         """Number of the last event of this replica, forwarded or not."""
 
         self._skipped_bytes = 0
-        """Bytes since the last event that are none themselves."""
+        """Bytes since the last new event that were not forwarded with it."""
 
         self._fault = ""
         """Why nothing more of this replica is read; empty if it is."""
 
     @property
-    def has_partial(self) -> bool:
-        """Whether the stream may not end here."""
+    def is_incomplete(self) -> bool:
+        """Whether the stream can't be complete, should it end here."""
         return bool(self._pending or self._fault)
 
     def restart(self) -> None:
@@ -103,7 +103,7 @@
         return comments
 
     def _accept(self, event: bytes) -> bool:
-        """Return whether to forward this event now; hold it if it is a comment."""
+        """Return whether to forward this event now; keep it if it is a comment."""
         found = _EVENT_ID.search(event)
         if found is not None:
             return self._accept_number(event, found[1])
@@ -130,7 +130,7 @@
         return False
 
     def _skip(self, event: bytes) -> None:
-        """Count bytes that are not forwarded by themselves."""
+        """Count a comment or an event out of order against the limit."""
         self._skipped_bytes += len(event)
         if self._skipped_bytes > MAX_BYTES_BETWEEN_EVENTS:
             self._fault = "too many bytes without an event"
--- a/src/scalebend/edges/gateway/silence_watch.py
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -46,7 +46,7 @@
 
 
 class _Silence(msgspec.Struct):
-    """Time since the last progress of a response, in the parts spent waiting."""
+    """The wait for the next progress of a response, over any number of reads."""
 
     limits: SilenceLimits
     state: SilenceState
@@ -141,9 +141,12 @@
         return _Silence(compute(self._call, predicted, now), SilenceState())
 
     async def _wait(self, wait: Callable[[float | None], Awaitable[T]]) -> T:
-        if self._silence is None:
-            self._silence = self._begin_silence()
-        limits, state = self._silence.limits, self._silence.state
+        silence = self._silence
+        if silence is None:
+            silence = self._silence = self._begin_silence()
+        else:
+            self._record_pause(silence)
+        limits, state = silence.limits, silence.state
         while True:
             match decide(limits, state):
                 case KeepWaiting(seconds):
@@ -152,13 +155,12 @@
                         result = await wait(seconds)
                     except UnresponsiveError:
                         state.lasted += self._runtime.now() - began
-                        state.record_pause(limits, self._compute_pause_left(limits))
+                        self._record_pause(silence)
                         continue
                     self.heard_at = self._runtime.now()
                     waited = self.heard_at - began
                     # Time beyond the timeout is a stall of this process.
                     state.lasted += waited if seconds is None else min(waited, seconds)
-                    state.record_pause(limits, self._compute_pause_left(limits))
                     return result
                 case CheckUpstream():
                     state.is_checked = True
@@ -167,6 +169,10 @@
                     state.is_acted_on = True
                     self._follow_up(state)
 
+    def _record_pause(self, silence: _Silence) -> None:
+        pause_left = self._compute_pause_left(silence.limits)
+        silence.state.record_pause(silence.limits, pause_left)
+
     async def _check(self, state: SilenceState) -> None:
         checks = self._runtime.reachability
         state.reachability = await checks.check(self._target.address, self._sent_at)
--- a/tests/unit/gateway/test_event_cursor.py
+++ b/tests/unit/gateway/test_event_cursor.py
@@ -26,7 +26,7 @@
     )
     assert forwarded == WHOLE
     assert cursor.last_event == 29
-    assert not cursor.has_partial
+    assert not cursor.is_incomplete
 
 
 @given(broken_at=st.integers(0, len(WHOLE)), repeats=st.integers(0, 5))
@@ -47,7 +47,7 @@
 def test_end_inside_an_event_is_detected():
     cursor = EventCursor()
     cursor.feed(build_event(1)[:-1])
-    assert cursor.has_partial
+    assert cursor.is_incomplete
 
 
 def test_too_long_event_is_rejected():
@@ -115,7 +115,7 @@
     comments = COMMENT * (MAX_BYTES_BETWEEN_EVENTS // len(COMMENT) + 1)
     assert cursor.feed(build_event(1) + comments).data == build_event(1)
     # The end of the stream is no regular one either.
-    assert cursor.has_partial
+    assert cursor.is_incomplete
     with pytest.raises(GarbledEventsError):
         cursor.feed(build_event(2))
     cursor.restart()
