Read whole bodies in one place

SilenceWatch.read_body and read_whole were the same loop with another read and another message. read_whole now takes the read; SilenceWatch passes one that counts towards its silence. In test_endless_bytes the same four assertions stood twice; they are one function, with every assertion kept.

No change of behaviour.

--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -303,7 +303,7 @@
         return Completed()
 
     async def _forward_whole(self, response: aiohttp.ClientResponse) -> None:
-        body = await read_whole(response.content, MAX_BODY_BYTES)
+        body = await read_whole(response.content.readany, MAX_BODY_BYTES)
         self.response = web.Response(
             status=response.status,
             body=body,
--- a/src/scalebend/edges/gateway/report_requests.py
+++ b/src/scalebend/edges/gateway/report_requests.py
@@ -114,7 +114,8 @@
             timeout=timeout,
             trace_request_ctx=connected.set,
         ) as response:
-            report = decode_report(await read_whole(response.content, MAX_REPORT_BYTES))
+            body = await read_whole(response.content.readany, MAX_REPORT_BYTES)
+            report = decode_report(body)
     except OversizedResponseError:
         report = None
     except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/src/scalebend/edges/gateway/response_reading.py
+++ b/src/scalebend/edges/gateway/response_reading.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
 import aiohttp
@@ -101,14 +101,14 @@
     return any(name in response.headers for name in _FRAMING_HEADERS)
 
 
-async def read_whole(content: aiohttp.StreamReader, limit: int) -> bytes:
-    """Return a whole body.
+async def read_whole(read: Callable[[], Awaitable[bytes]], limit: int) -> bytes:
+    """Return a whole body; ``read`` returns the next bytes, and none at the end.
 
     Raises :class:`OversizedResponseError` for one of more than ``limit`` bytes.
     """
     parts: list[bytes] = []
     size = 0
-    while data := await content.readany():
+    while data := await read():
         parts.append(data)
         size += len(data)
         if size > limit:
@@ -123,4 +123,4 @@
     """
     with contextlib.suppress(aiohttp.ClientError, OSError):
         async with asyncio.timeout(REJECTION_BODY_TIMEOUT_S):
-            await read_whole(response.content, MAX_REJECTION_BYTES)
+            await read_whole(response.content.readany, MAX_REJECTION_BYTES)
--- a/src/scalebend/edges/gateway/silence_watch.py
+++ b/src/scalebend/edges/gateway/silence_watch.py
@@ -25,9 +25,9 @@
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.response_reading import (
     MAX_RESPONSE_BYTES,
-    OversizedResponseError,
     UnresponsiveError,
     read_available,
+    read_whole,
     wait_for_task,
 )
 from scalebend.edges.gateway.upstream_choice import Target
@@ -113,15 +113,13 @@
 
         Raises :class:`OversizedResponseError` for one over ``MAX_RESPONSE_BYTES``.
         """
-        parts: list[bytes] = []
-        size = 0
-        while data := await self.read_next(response.content):
-            parts.append(data)
-            size += len(data)
-            if size > MAX_RESPONSE_BYTES:
-                raise OversizedResponseError("the response is too large")
+
+        async def read() -> bytes:
+            data = await self.read_next(response.content)
             self._record_body(len(data))
-        return b"".join(parts)
+            return data
+
+        return await read_whole(read, MAX_RESPONSE_BYTES)
 
     def _record_body(self, size: int) -> None:
         """Shorten the silence by the time that so many bytes may take."""
--- a/tests/unit/gateway/test_endless_bytes.py
+++ b/tests/unit/gateway/test_endless_bytes.py
@@ -161,16 +161,22 @@
     return response.status, body, time.monotonic() - began
 
 
+async def read_elsewhere(front, pouring):
+    """Return a stream that the sound upstream completes soon, after one attempt."""
+    status, body, elapsed = await read_timed(front)
+    assert (status, body.split(b"\n\n")[-2]) == (200, b"id: 4\ndata: sound")
+    assert elapsed < SOON_S
+    assert pouring.requests == 1
+    return body
+
+
 @pytest.mark.parametrize("shape", SHAPES.values(), ids=SHAPES)
 async def test_endless_stream_ends_its_attempt_and_is_served_elsewhere(shape):
     """Guards against a pour that is read and dropped until the deadline."""
     pouring = build_pouring(shape)
     async with run_beside_sound(pouring) as front:
-        status, body, elapsed = await read_timed(front)
-        assert (status, body.split(b"\n\n")[-2]) == (200, b"id: 4\ndata: sound")
-        assert elapsed < SOON_S
+        body = await read_elsewhere(front, pouring)
         assert b"ping" not in body
-        assert pouring.requests == 1
         await wait_for(lambda: pouring.ended == pouring.requests, SOON_S)
 
 
@@ -192,10 +198,7 @@
     """Guards against second attempts that never start because some bytes come."""
     pouring = build_pouring(shape)
     async with run_beside_sound(pouring) as front:
-        status, body, elapsed = await read_timed(front)
-        assert (status, body.split(b"\n\n")[-2]) == (200, b"id: 4\ndata: sound")
-        assert elapsed < SOON_S
-        assert pouring.requests == 1
+        await read_elsewhere(front, pouring)
 
 
 async def test_keepalive_comments_end_no_stream_that_may_run_once():
