Tests: give the processes of start_gateway a link port of their own

Now links, tunnels and metrics get three free ports in a row, so that the front still listens for tunnels. With 7341 held all 14 pass, and in four runs side by side. No check changed.

--- a/tests/unit/gateway/test_start_gateway.py
+++ b/tests/unit/gateway/test_start_gateway.py
@@ -13,7 +13,7 @@
 from scalebend.models.gateway_settings import Bounds
 from scalebend.platform.early_settings import SETTINGS_VARIABLE, read_callers_address
 from scalebend.platform.settings import encode_gateway_settings
-from scalebend.standins.ports import find_free_ports
+from scalebend.standins.ports import find_free_ports, find_port_range
 from tests.lib.gateway_builders import build_settings
 
 SLOW_MODULES = ["msgspec", "structlog", "asyncio", "aiohttp"]
@@ -85,8 +85,12 @@
 
 def write_settings(folder):
     """Write settings of a front with free ports, and a short grace."""
-    callers, readiness, metrics = find_free_ports(3)
+    callers, readiness = find_free_ports(2)
+    # A front listens for tunnels between the port of its links and the last one.
+    links, _, metrics = find_port_range(3)
     settings = build_settings(
+        link_address=f"127.0.0.1:{links}",
+        seeds=[f"127.0.0.2:{links}"],
         callers_address=f"127.0.0.1:{callers}",
         readiness_address=f"127.0.0.1:{readiness}",
         metrics_port=metrics,
