End an attempt as soon as the events before garbled bytes are forwarded

What a caller could see: keeps the fault for the next read, so a stream that may run once, whose replica sends an event and too many comments in one read and then nothing, waited until its deadline.

Change: the forwarder raises the fault once it has forwarded those events.

Tests, before: test_too_many_comments_behind_an_event_end_the_attempt_at_once failed (10 s, bound 1.5 s). Now it passes, with the tests of cursors, endless bytes, silences, races and tunnels. test_pour_through_the_peer_ends_at_the_upstream passed before, too: a pour through a tunnel, which had been read and not run.

--- a/src/scalebend/core/gateway/event_cursor.py
+++ b/src/scalebend/core/gateway/event_cursor.py
@@ -92,10 +92,18 @@
         self._pending = data[start:]
         if len(self._pending) > MAX_EVENT_BYTES:
             self._fault = "an event exceeds the size limit"
-        if self._fault and not accepted:
-            raise GarbledEventsError(self._fault)
+        if not accepted:
+            self.raise_fault()
         return ForwardableEvents(b"".join(accepted), events)
 
+    def raise_fault(self) -> None:
+        """Raise :class:`GarbledEventsError` if garbled bytes were received.
+
+        Called once the events before them have been forwarded.
+        """
+        if self._fault:
+            raise GarbledEventsError(self._fault)
+
     def take_comments(self) -> bytes:
         """Return the comments after the last event, at the end of a stream."""
         comments = b"".join(self._comments)
--- a/src/scalebend/edges/gateway/forwarder.py
+++ b/src/scalebend/edges/gateway/forwarder.py
@@ -479,6 +479,7 @@
             is_first = False
             self._evidence.record_events(self._progress, forwarded.events)
             await self.stream.forward(response, forwarded.data)
+            cursor.raise_fault()
         if cursor.is_incomplete:
             return AttemptResult(
                 Outcome.INTERRUPTED,
--- a/tests/unit/gateway/test_tunnels.py
+++ b/tests/unit/gateway/test_tunnels.py
@@ -18,6 +18,7 @@
 from scalebend.edges.gateway.front_dialing import FrontDialing
 from scalebend.edges.gateway.front_runtime import FrontRuntime
 from scalebend.edges.gateway.metrics import GatewayMetrics
+from scalebend.edges.gateway.response_reading import OversizedResponseError
 from scalebend.edges.gateway.tunnel_client import TunnelLostError, open_tunnel
 from scalebend.edges.gateway.tunnel_frames import (
     FrameError,
@@ -187,6 +188,27 @@
             assert sent == before < 64 * 1024 * 1024
 
 
+async def test_pour_through_the_peer_ends_at_the_upstream():
+    """Guards against a peer that goes on reading what its front has given up."""
+    ended = asyncio.Event()
+
+    async def respond(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;")
+        try:
+            while True:
+                writer.write(b"x" * 64 * 1024)
+                await writer.drain()
+        finally:
+            ended.set()
+
+    async with run_tunnelled(respond) as tunnelled:
+        with pytest.raises(OversizedResponseError):
+            await tunnelled.fetch()
+        async with asyncio.timeout(CANCEL_BOUND_S):
+            await ended.wait()
+
+
 async def test_peer_that_stops_ends_its_tunnels_after_the_current_response():
     began, release = asyncio.Event(), asyncio.Event()
 
