Tests: wait for the end of the connection of an upstream that sends nothing

The test's last check, that the connection is closed, could not be met: the stand-in wrote empty blocks, which never meet a closed connection. It now waits for the end of the connection. The checks and the bound are as they were.

--- a/tests/unit/gateway/test_endless_bytes.py
+++ b/tests/unit/gateway/test_endless_bytes.py
@@ -317,7 +317,9 @@
 async def test_too_many_comments_behind_an_event_end_the_attempt_at_once():
     """Guards against waiting for more of a replica that has sent garbled bytes."""
     data = build_chunk(b"id: 1\ndata: pouring\n\n" + b": ping\n\n" * 10_000)
-    pouring = Pouring(STREAM, b"", data, interval_s=0.02)
+    pouring = Pouring(STREAM, b"", data)
+    # Nothing more is sent, and the end of the connection is waited for.
+    pouring.gate.set()
     async with run_beside_sound(pouring, is_resumable=False) as front:
         began = time.monotonic()
         with pytest.raises(aiohttp.ClientPayloadError):
