Own interface: deliver a new event that comes behind many repeated ones

What a caller could see: a garbled response (502) though its upstream had just sent the next event. Found on reading.

Cause: the limit of 16 MiB between two delivered events was checked before the events of the same read were known to be delivered.

Change: only reads that deliver nothing count; one that delivers begins anew. The limit is as it was.

Tests, before: test_new_event_after_many_repeated_ones_is_delivered failed (too many bytes without a new event). Now it passes, with test_streams, test_oversized_responses and test_requests: 38 passed.

--- a/src/scalebend/edges/sse.py
+++ b/src/scalebend/edges/sse.py
@@ -87,10 +87,9 @@
             forwardable = events
         else:
             forwardable = self._deliver_one_by_one(events)
-        self._undelivered_bytes += len(events)
-        if self._undelivered_bytes > MAX_UNDELIVERED_BYTES:
-            raise InvalidStreamError("too many bytes without a new event")
-        if forwardable:
+        if not forwardable:
+            self._count_undelivered(len(events))
+        else:
             self._undelivered_bytes = 0
             self.tail = (
                 (self.tail + forwardable)[-4096:]
@@ -102,6 +101,11 @@
             self._assembler.record_end(int(last[1]) + 1)
         return forwardable
 
+    def _count_undelivered(self, size: int) -> None:
+        self._undelivered_bytes += size
+        if self._undelivered_bytes > MAX_UNDELIVERED_BYTES:
+            raise InvalidStreamError("too many bytes without a new event")
+
     def _deliver_one_by_one(self, events: bytes) -> bytes:
         forwardable = []
         for event in events.split(_SEPARATOR)[:-1]:
--- a/tests/unit/test_streams.py
+++ b/tests/unit/test_streams.py
@@ -95,3 +95,12 @@
     assert framer.feed(b"".join(events[:150])) == b"".join(events[:150])
     framer.restart()
     assert framer.feed(b"".join(events)) == b"".join(events[150:])
+
+
+def test_new_event_after_many_repeated_ones_is_delivered():
+    """Guards against an event that is lost because the limit is checked too late."""
+    repeated, new = build_events(1)
+    framer = EventFramer()
+    framer.feed(repeated)
+    framer.feed(repeated * (MAX_UNDELIVERED_BYTES // len(repeated) - 1))
+    assert framer.feed(repeated * 2 + new) == new
