Soak: a planned stop is not charged with what silences alone ended

`planned_stop` only knew streams that their deadline cut.

Both promises use the same judgement now. The cases of the test, either way, are judged by both: the four allowed ones fail for `planned_stop` without the change; the others still break it, such as a stream without a second attempt.

--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -51,10 +51,7 @@
         count += 1
         if call.status == 503:
             rejected.append(call)
-        elif call.status != 200 and not (
-            has_waited_in_silence(evidence, call)
-            or has_silence_until_deadline(evidence, call)
-        ):
+        elif call.status != 200 and not _is_ended_by_silences(evidence, call):
             yield describe_call(call)
     if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
         first = describe_call(rejected[0])
@@ -106,7 +103,8 @@
 def check_planned_stop(evidence: Evidence) -> Iterator[str]:
     """A planned stop breaks off no request that is running at a replica.
 
-    Streams that silences alone keep until their deadline are not broken off by it.
+    Streams that silences alone keep until their deadline, or until their callers give
+    up, are not broken off by it.
     """
     for stop in evidence.observations.stops:
         if not evidence.is_calm(stop.since, stop.until, excluding=stop.process):
@@ -123,5 +121,12 @@
             has_run = bool(evidence.runs[call.request_id])
             if call.status is not None or not has_run or call.ended_at <= stop.since:
                 continue
-            if not has_silence_until_deadline(evidence, call):
+            if not _is_ended_by_silences(evidence, call):
                 yield describe_call(call)
+
+
+def _is_ended_by_silences(evidence: Evidence, call: CallerRequest) -> bool:
+    """Whether silences of replicas alone kept a request from its response."""
+    return has_waited_in_silence(evidence, call) or has_silence_until_deadline(
+        evidence, call
+    )
--- a/tests/unit/soak/test_calm_silences.py
+++ b/tests/unit/soak/test_calm_silences.py
@@ -87,6 +87,14 @@
 ):
     evidence = build_evidence(silences, **changes)
     assert bool(list(check_calm_service(evidence))) == is_broken
+    stop = Disturbance(ProcessName("front-0"), 101.9, 106.9)
+    evidence.observations.stops.append(stop)
+    # A stop breaks off only what a replica runs and what ends without a response.
+    has_run = bool(evidence.runs["r-1"])
+    is_cut = changes.get("status") is None
+    assert bool(list(check_planned_stop(evidence))) == (
+        is_broken and has_run and is_cut
+    )
 
 
 LONG_SILENCE = ("i-1", 100.3, 102.8)
