Soak: say what a broken promise rests on

Calm promises now name silences and runs, as `silences` did; the soak logs stalls of its own event loop with the guard that the gateway uses; a failing test prints the lines of the logs that name its requests, and the stalls (with a test of its own).

--- a/src/scalebend/soak/calm_promises.py
+++ b/src/scalebend/soak/calm_promises.py
@@ -12,6 +12,7 @@
     describe_call,
 )
 from scalebend.soak.silence_promises import (
+    describe_with_silences,
     has_silence_until_deadline,
     has_waited_in_silence,
 )
@@ -52,7 +53,7 @@
         if call.status == 503:
             rejected.append(call)
         elif call.status != 200 and not _is_ended_by_silences(evidence, call):
-            yield describe_call(call)
+            yield describe_with_silences(evidence, call)
     if len(rejected) > max(2.0, MAX_REJECTED_SHARE * count):
         first = describe_call(rejected[0])
         yield f"{len(rejected)} of {count} rejected, such as {first}"
@@ -122,7 +123,7 @@
             if call.status is not None or not has_run or call.ended_at <= stop.since:
                 continue
             if not _is_ended_by_silences(evidence, call):
-                yield describe_call(call)
+                yield describe_with_silences(evidence, call)
 
 
 def _is_ended_by_silences(evidence: Evidence, call: CallerRequest) -> bool:
--- a/src/scalebend/soak/runner.py
+++ b/src/scalebend/soak/runner.py
@@ -12,6 +12,7 @@
 import msgspec
 import structlog
 
+from scalebend.edges.stalls import StallGuard
 from scalebend.soak.callers import run_callers
 from scalebend.soak.deployment import HEARTBEAT_INTERVAL_S, run_deployment
 from scalebend.soak.documents import ENGINES, PLAIN
@@ -57,6 +58,10 @@
 """Seconds of load after the recovery."""
 
 
+STALL_CHECK_INTERVAL_S = 0.05
+"""Seconds between two checks whether this process itself was held up."""
+
+
 class SoakOptions(msgspec.Struct, frozen=True):
     """Options of one run; ``length`` is the approximate load in seconds."""
 
@@ -100,6 +105,7 @@
         await asyncio.sleep(START_SETTLE_S)
         injector = Injector(deployment, fleet, operator, observations, options.seed)
         reading = asyncio.create_task(operator.read_forever(session))
+        await stack.enter_async_context(_log_stalls())
         async with run_callers(options.callers, deployment, observations, options.seed):
             await injector.follow(schedule, session)
             observations.load_ended_at = asyncio.get_running_loop().time()
@@ -157,6 +163,25 @@
     )
 
 
+@contextlib.asynccontextmanager
+async def _log_stalls() -> AsyncIterator[None]:
+    """Log stalls of this process, which callers see as silences of all replicas."""
+    checking = asyncio.create_task(_check_stalls_forever())
+    try:
+        yield
+    finally:
+        checking.cancel()
+        await asyncio.gather(checking, return_exceptions=True)
+
+
+async def _check_stalls_forever() -> None:
+    loop = asyncio.get_running_loop()
+    guard = StallGuard(STALL_CHECK_INTERVAL_S, loop.time())
+    while True:
+        guard.may_run(loop.time())
+        await asyncio.sleep(STALL_CHECK_INTERVAL_S)
+
+
 @contextlib.asynccontextmanager
 async def _open_session() -> AsyncIterator[aiohttp.ClientSession]:
     connector = aiohttp.TCPConnector(force_close=True)
--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -59,7 +59,7 @@
         if _is_answered(one) or _has_no_time_left(one):
             continue
         if not _was_lost_elsewhere(evidence, one):
-            yield _describe(evidence, one)
+            yield describe_with_silences(evidence, one.call)
 
 
 def check_second_runs(evidence: Evidence) -> Iterator[str]:
@@ -77,7 +77,7 @@
     ]
     repeated = [one for one in compared if len(evidence.runs[one.call.request_id]) > 1]
     if len(repeated) > REPEATED_SLACK + MAX_REPEATED_SHARE * len(compared):
-        first = _describe(evidence, repeated[0])
+        first = describe_with_silences(evidence, repeated[0].call)
         yield f"{len(repeated)} of {len(compared)} ran again, such as {first}"
 
 
@@ -267,14 +267,17 @@
     return total
 
 
-def _describe(evidence: Evidence, one: _Silenced) -> str:
+def describe_with_silences(evidence: Evidence, call: CallerRequest) -> str:
+    """Return a request, its outcome, its silences and its runs in one line."""
     silences = ", ".join(
         f"{silent.upstream} silent from {silent.since:.3f} to "
-        f"{one.ended_at if silent.until is None else silent.until:.3f}"
-        for silent in one.silences
+        f"{'its end' if silent.until is None else format(silent.until, '.3f')}"
+        for silent in evidence.silences[call.request_id]
     )
-    runs = [run.upstream for run in evidence.runs[one.call.request_id]]
+    runs = ", ".join(
+        f"{run.upstream} at {run.at:.3f}" for run in evidence.runs[call.request_id]
+    )
+    ended = "not ended" if call.ended_at is None else f"ended at {call.ended_at:.3f}"
     return (
-        f"{describe_call(one.call)}, ended at {one.ended_at:.3f}; {silences}; "
-        f"ran at {runs}"
+        f"{describe_call(call)}, {ended}; {silences or 'no silence'}; ran at [{runs}]"
     )
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -1,6 +1,7 @@
 """Short soak runs: a fixed seed, and the seeds that have failed."""
 
 import contextlib
+import re
 import subprocess
 import sys
 import time
@@ -14,17 +15,22 @@
 DURATION_S = 12.0
 
 MAX_LINES = 8
+MAX_REQUESTS = 5
+"""Number of requests whose log lines are printed if a run fails."""
 
 
 @contextlib.contextmanager
 def show_logs_of_failure(folder):
-    """Print the end of each process's last log if the block fails.
+    """Print what the block's logs say of its error, and the end of each one.
 
     Later runs delete the folder; the printed lines stay in the test report.
     """
     try:
         yield
-    except BaseException:
+    except BaseException as error:
+        named = dict.fromkeys(re.findall(r"\br-[\w-]*\d", str(error)))
+        show_lines(folder, [f'"{name}"' for name in list(named)[:MAX_REQUESTS]])
+        show_lines(folder, ["event loop stalled"])
         for process in sorted(path for path in folder.iterdir() if path.is_dir()):
             logs = sorted(process.glob("log-*"), key=lambda path: path.stat().st_mtime)
             lines = logs[-1].read_text().splitlines()[-MAX_LINES:] if logs else []
@@ -32,6 +38,33 @@
         raise
 
 
+def show_lines(folder, texts):
+    """Print the lines of all logs that contain one of the texts."""
+    for path in sorted(folder.glob("*/log-*")):
+        for line in path.read_text().splitlines():
+            if any(text in line for text in texts):
+                print(path.parent.name, line)
+
+
+def test_logs_of_requests_that_broke_a_promise_are_shown(tmp_path, capsys):
+    (tmp_path / "front-0").mkdir()
+    lines = [
+        '{"request":"r-more-0-6"}',
+        '{"request":"r-more-0-60"}',
+        "event loop stalled",
+    ]
+    (tmp_path / "front-0" / "log-0").write_text(
+        "\n".join([*lines, *["end"] * MAX_LINES])
+    )
+    broken = "r-more-0-6 (quick-stream) at front-0"
+    with pytest.raises(AssertionError), show_logs_of_failure(tmp_path):
+        raise AssertionError(broken)
+    shown = capsys.readouterr().out
+    assert f"front-0 {lines[0]}" in shown
+    assert lines[1] not in shown
+    assert f"front-0 {lines[2]}" in shown
+
+
 # Keep every seed that has failed; docs/soak.md describes the causes. 11001 guards
 # against streams cut when a restart of their replica, before them, becomes known, 11017
 # against calls that may run once and are cut so.
@@ -40,7 +73,9 @@
     options = SoakOptions(seed, DURATION_S, build_layout(3, 2, 6), 8, tmp_path)
     with show_logs_of_failure(tmp_path):
         report = await run_soak(options)
-        assert report.violations == []
+        # The message names all requests, also where pytest shortens the lists.
+        details = "\n".join(one.detail for one in report.violations)
+        assert report.violations == [], details
         assert report.served > 100
 
 
