Apply a backoff requested before a registration to the new incarnation

Cause: backoffs belong to one incarnation, and the front names the sender of a response by what is registered at its address, which was the incarnation before. With the registration that name was gone, and the backoff with it.

Now a backoff requested in the last second before the registration of a new incarnation at the same address applies to that one as well. Who asked cannot be told then; in most cases a restart takes longer than a second, and what an ended incarnation asked for before binds nobody, as until now. The own interface had the same fault: its entry names backoffs by the incarnation that was announced last.

Without the change two tests, one for each interface, fail: the new incarnation may be sent requests at once, where 1.88 s of its backoff are left.

--- a/src/scalebend/core/gateway/front_instance.py
+++ b/src/scalebend/core/gateway/front_instance.py
@@ -260,9 +260,14 @@
         for change in changes:
             name = change.endpoint.name
             before = self.directory.get_newest(name)
+            former = self.directory.get(before) if before is not None else None
             self.directory.merge(change, now)
-            if before is not None and before != self.directory.get_newest(name):
-                ended.append(before)
+            if before is None or before == self.directory.get_newest(name):
+                continue
+            ended.append(before)
+            if former is not None and former.address == change.endpoint.address:
+                successor = change.endpoint.upstream
+                self.backoffs.apply_to_successor(before, successor, now)
         crashed = self.crash_reports.record_ended_upstreams(ended, now)
         actions: list[FrontAction] = [*self.report(crashed)]
         return [EndAttempts(ended), *actions] if ended else actions
--- a/src/scalebend/core/placement.py
+++ b/src/scalebend/core/placement.py
@@ -33,6 +33,7 @@
     UpstreamId,
     UpstreamName,
 )
+from scalebend.models.upstream import Announcement
 from scalebend.models.work import Request, Work
 from scalebend.utils.division import divide_up
 
@@ -165,6 +166,17 @@
         """Record that a replica rejected a request of this instance for ``seconds``."""
         self.backoffs.record(self._build_incarnation_name(upstream), seconds, now)
 
+    def record_restart(
+        self, known: Announcement, announcement: Announcement, now: float
+    ) -> None:
+        """Record an announcement from the address of the one that was known."""
+        if announcement.incarnation == known.incarnation:
+            return
+        name = UpstreamName(announcement.upstream)
+        ended = build_upstream_id(name, known.incarnation)
+        successor = build_upstream_id(name, announcement.incarnation)
+        self.backoffs.apply_to_successor(ended, successor, now)
+
     def may_send(self, upstream: UpstreamId, now: float) -> bool:
         """Whether the replica is not in backoff for this instance."""
         if not self.backoffs.has_any:
--- a/src/scalebend/core/upstream_updates.py
+++ b/src/scalebend/core/upstream_updates.py
@@ -70,7 +70,7 @@
         self, announcement: Announcement, now: float
     ) -> list[UpdateAction]:
         """Apply an announcement of an upstream that this instance owns."""
-        if not self._catalog.apply_announcement(announcement, now):
+        if not self._apply_to_catalog(announcement, now):
             return []
         for event in announcement.cache_events:
             self._apply_cache_event(announcement.upstream, event)
@@ -202,7 +202,7 @@
             # The owner relies on announcements; a rumor only adds an upstream that
             # has not announced itself here yet.
             if record is None and not is_gone:
-                self._catalog.apply_announcement(announcement, now)
+                self._apply_to_catalog(announcement, now)
             return []
         if is_gone:
             if record is None:
@@ -210,10 +210,19 @@
             self._spread_upstream_rumor(announcement, is_gone=True)
             return self._remove(upstream, now)
         if update > known:
-            self._catalog.apply_announcement(announcement, now)
+            self._apply_to_catalog(announcement, now)
             self._spread_upstream_rumor(announcement, is_gone=False)
         return []
 
+    def _apply_to_catalog(self, announcement: Announcement, now: float) -> bool:
+        """Apply an announcement; return ``False`` if a newer one is known."""
+        record = self._catalog.get(announcement.upstream)
+        known = record.announcement if record is not None else None
+        is_applied = self._catalog.apply_announcement(announcement, now)
+        if is_applied and known is not None and known.address == announcement.address:
+            self._entry.placement.record_restart(known, announcement, now)
+        return is_applied
+
     def _apply_digest_rumor(self, rumor: DigestRumor) -> None:
         upstream = rumor.digest.upstream
         if self._owners.is_local(upstream):
--- a/tests/unit/gateway/test_backoff.py
+++ b/tests/unit/gateway/test_backoff.py
@@ -3,12 +3,15 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 from aiohttp import web
 from structlog.testing import capture_logs
 
+from scalebend.core.gateway.messages import EndpointChanges
 from scalebend.core.upstream_backoff import MAX_BACKOFF_S, UpstreamBackoffs
 from scalebend.edges.gateway.upstream_choice import RETRY_AFTER_SPREAD_S
+from scalebend.models.endpoints import EndpointUpdate, build_upstream_id
 from scalebend.models.ids import UpstreamId
 from scalebend.models.placement import Declined
 from scalebend.models.routing import RouteKind
@@ -22,7 +25,7 @@
     build_service,
     build_work,
 )
-from tests.lib.gateway_group import build_deployment
+from tests.lib.gateway_group import LEADER, build_deployment
 
 ONE = UpstreamId("i-1")
 OTHER = UpstreamId("i-2")
@@ -66,7 +69,7 @@
     backoffs.record(ONE, 3.0, 10.0)
     backoffs.record(OTHER, 9.0, 10.0)
     backoffs.expire(14.0)
-    assert list(backoffs._until) == [OTHER]
+    assert list(backoffs._backoffs) == [OTHER]
 
 
 async def test_backoff_and_draining_are_logged():
@@ -237,3 +240,45 @@
     assert isinstance(deployment.place(front, build_quick(1)), Declined)
     assert front.compute_backoff(build_quick(1).service, (), deployment.now) == 3.0
     assert front.backoffs.may_send(UpstreamId(f"{in_backoff}/2"), deployment.now)
+
+
+# Rejections of a new incarnation that came before its registration were kept for the
+# one before, and requests followed during the backoff.
+@pytest.mark.parametrize(
+    ("requested", "registered_at", "expected"),
+    [
+        ([(10.0, 3.0)], 10.5, 2.5),
+        # Requested too long before, or over already.
+        ([(10.0, 3.0)], 11.0, 0.0),
+        ([(10.0, 0.2)], 10.5, 0.0),
+        # The one before requested a long one, and the new one a short one.
+        ([(10.0, 9.0), (12.0, 2.0)], 12.5, 1.5),
+        # Either may have requested the first one.
+        ([(10.0, 9.0), (10.8, 2.0)], 11.0, 8.0),
+    ],
+)
+def test_backoff_just_requested_applies_to_the_new_incarnation(
+    requested, registered_at, expected
+):
+    backoffs = UpstreamBackoffs()
+    for at, seconds in requested:
+        backoffs.record(ONE, seconds, at)
+    backoffs.apply_to_successor(ONE, OTHER, registered_at)
+    assert backoffs.compute_wait(OTHER, registered_at) == expected
+
+
+@pytest.mark.parametrize(("at_same_address", "expected"), [(True, 1.88), (False, 0.0)])
+def test_front_applies_a_backoff_to_the_new_incarnation(at_same_address, expected):
+    deployment = build_deployment(1, 1, has_engines=True)
+    (front,) = deployment.fronts
+    ended = deployment.endpoints[0]
+    front.backoffs.record(ended.upstream, 2.1, deployment.now)
+    new = msgspec.structs.replace(
+        ended,
+        upstream=build_upstream_id(ended.name, 2),
+        address=ended.address if at_same_address else "10.1.64.99:8000",
+    )
+    changes = EndpointChanges([EndpointUpdate(new, is_gone=False)])
+    front.handle(LEADER, changes, deployment.now + 0.22)
+    waited = front.backoffs.compute_wait(new.upstream, deployment.now + 0.22)
+    assert waited == pytest.approx(expected)
--- a/tests/unit/test_instance.py
+++ b/tests/unit/test_instance.py
@@ -180,3 +180,21 @@
         if isinstance(rumor, CrashRumor):
             decoded = decoder.decode(msgspec.msgpack.encode(rumor))
             assert not decoded.record.upstreams
+
+
+@pytest.mark.parametrize(
+    ("at_same_address", "may_send"), [(True, False), (False, True)]
+)
+def test_entry_applies_a_backoff_to_the_new_incarnation(at_same_address, may_send):
+    instance = build_instance("a")
+    first = build_announcement("engine-1")
+    instance.upstream_updates.apply_announcement(first, 1.0)
+    instance.entry.record_backoff(first.upstream, 2.1, 1.5)
+    again = msgspec.structs.replace(
+        first,
+        incarnation=Incarnation(2),
+        address=first.address if at_same_address else "10.1.64.99:8000",
+    )
+    instance.upstream_updates.apply_announcement(again, 1.72)
+    assert instance.entry.placement.may_send(first.upstream, 1.8) == may_send
+    assert instance.entry.placement.may_send(first.upstream, 3.7)
