Soak: a crash may lose a call before its replica has read it

Their logs: the silent replica, a new one at the address of an earlier one, answered 421 once it went on; the front sent each call to another replica, whose connection was reset 0.03 s later as that replica crashed. The check asked for an arrival there, but a replica that crashes may not have read what it got.

Now the end of another incarnation between the end of the silences and the response excuses such a call, too; a response that is no 502, a silent replica that ran it, or was silent still, does not, as before. The test shows both sides and the times around.

--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -165,13 +165,17 @@
     """
     silent = {silence.upstream for silence in one.silences}
     has_run = any(run.upstream in silent for run in evidence.runs[one.call.request_id])
-    is_over = all(
-        silence.until is not None and silence.until <= one.ended_at
-        for silence in one.silences
+    silent_until = max(
+        math.inf if silence.until is None else silence.until for silence in one.silences
     )
-    if one.call.status != 502 or has_run or not is_over:
+    if one.call.status != 502 or has_run or silent_until > one.ended_at:
         return False
-    return any(
+    # A replica that crashes may not have read the request, so that no arrival shows it.
+    has_one_ended = any(
+        end.upstream not in silent and silent_until <= end.at <= one.ended_at
+        for end in evidence.observations.incarnation_ends
+    )
+    return has_one_ended or any(
         arrival.request_id == one.call.request_id
         and arrival.upstream not in silent
         and not _is_sound(evidence, arrival.upstream, arrival.at, one.ended_at)
--- a/tests/unit/soak/test_silence_promises.py
+++ b/tests/unit/soak/test_silence_promises.py
@@ -173,6 +173,25 @@
     assert bool(list_broken(observations)) == is_broken
 
 
+@pytest.mark.parametrize(
+    ("lost", "lost_at", "is_broken"),
+    [
+        (OTHER, 101.55, False),
+        # Before it could get the request, or after the response.
+        (OTHER, 101.45, True),
+        (OTHER, 101.65, True),
+    ],
+)
+def test_crash_of_another_replica_excuses_a_loss_that_it_did_not_record(
+    lost, lost_at, is_broken
+):
+    observations = build_observations(status=502)
+    observations.executions.clear()
+    assert list_broken(observations)
+    observations.incarnation_ends.append(IncarnationEnd(lost, lost_at))
+    assert bool(list_broken(observations)) == is_broken
+
+
 def test_partition_excuses_a_front_unless_it_was_found_before():
     observations = build_observations()
     partition = Disturbance(FRONT, 100.5, 103.0)
