--- a/src/scalebend/soak/observations.py
+++ b/src/scalebend/soak/observations.py
@@ -142,9 +142,11 @@
 
 
 class MisbehaviourPeriod(msgspec.Struct):
-    """A period in which a replica mishandled requests."""
+    """A period in which a replica mishandled requests, also after a restart."""
 
     upstream: UpstreamId
+    """Its incarnation at the start of the period."""
+
     since: float
     until: float
 
--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from scalebend.core.gateway.engine_costs import compute_prefill_time
+from scalebend.models.endpoints import get_upstream_name
 from scalebend.models.ids import UpstreamId
 from scalebend.soak import documents
 from scalebend.soak.callers import SHAPES
@@ -103,8 +104,11 @@
 ) -> bool:
     """Whether a replica neither mishandled requests nor ended in that time."""
     observations = evidence.observations
+    # A replica goes on to mishandle requests after a restart.
     has_misbehaved = any(
-        one.upstream == upstream and one.since <= until and one.until >= since
+        get_upstream_name(one.upstream) == get_upstream_name(upstream)
+        and one.since <= until
+        and one.until >= since
         for one in observations.misbehaviours
     )
     has_ended = any(
--- a/tests/unit/soak/test_silence_promises.py
+++ b/tests/unit/soak/test_silence_promises.py
@@ -140,6 +140,22 @@
 OTHER = UpstreamId("i-2")
 
 
+@pytest.mark.parametrize(
+    ("misbehaving", "since", "is_broken"),
+    [("i-2~a", 101.0, False), ("i-3~a", 101.0, True), ("i-2~a", 101.7, True)],
+)
+def test_replica_that_restarted_while_it_misbehaved_is_not_sound(
+    misbehaving, since, is_broken
+):
+    observations = build_observations(status=502)
+    observations.executions.clear()
+    arrival = Arrival("r-1", ServiceName("s"), 101.52, UpstreamId("i-2~b"))
+    observations.arrivals.append(arrival)
+    period = MisbehaviourPeriod(UpstreamId(misbehaving), since, 103.0)
+    observations.misbehaviours.append(period)
+    assert bool(list_broken(observations)) == is_broken
+
+
 @pytest.mark.parametrize(
     ("changes", "silent_until", "has_run", "lost_at", "is_broken"),
     [
