Soak: streams that silences keep from beginning end at their deadline, too

The check already left out such a stream if its deadline cut it after its first event. One that has not begun is answered with 504 at the same moment and for the same reason. The test shows it, and that 504 still counts if there was time, if the wait was longer than the target allows, before the deadline, and without a silence.

--- a/src/scalebend/soak/silence_promises.py
+++ b/src/scalebend/soak/silence_promises.py
@@ -253,7 +253,8 @@
     left = lasted - _compute_silent(silences, call.sent_at, call.ended_at)
     if call.kind is RequestKind.NON_IDEMPOTENT:
         return call.status == 504 and left < shape.route.target_latency_s
-    if call.status is not None or not call.events:
+    # A stream that has not begun is answered at its deadline, and cut otherwise.
+    if call.status not in (None, 504) or not call.events:
         return False
     prefill = compute_prefill_time(documents.ENGINE, shape.prompt_tokens)
     run_at = min((run.at for run in evidence.runs[call.request_id]), default=math.inf)
--- a/tests/unit/soak/test_calm_silences.py
+++ b/tests/unit/soak/test_calm_silences.py
@@ -139,6 +139,27 @@
     assert bool(list(check_planned_stop(evidence))) == is_broken
 
 
+@pytest.mark.parametrize(
+    ("silences", "run_at", "ended_at", "is_broken"),
+    [
+        # 2.5 s were left, for a wait of 2 s, its prompt and its events.
+        ([("i-1", 102.5, None)], 102.0, 105.0, False),
+        # There was time for it, or it waited for longer than its target allows.
+        ([("i-1", 102.5, 103.4)], 102.0, 105.0, True),
+        ([("i-1", 102.5, None)], 102.2, 105.0, True),
+        # Before its deadline, and without any silence.
+        ([("i-1", 102.5, None)], 102.0, 104.8, True),
+        ([], 102.0, 105.0, True),
+    ],
+)
+def test_stream_that_its_deadline_refuses_counts_unless_silences_took_its_time(
+    silences, run_at, ended_at, is_broken
+):
+    changes = {**CUT, "status": 504, "ended_at": ended_at, "runs": (("i-1", run_at),)}
+    evidence = build_evidence(silences, **changes)
+    assert bool(list(check_calm_service(evidence))) == is_broken
+
+
 @pytest.mark.parametrize(
     ("silences", "changes", "is_broken"),
     [
