Reject responses whose status line is not valid

What callers saw: answers of a replica in trouble with status 000, passed on as `HTTP/1.1 0 OK` with that replica's body; likewise 001, 099, 101 and HTTP/2.0 for calls of all kinds, 600 and 999 for those that may run once, where "has not run" beside 999 was believed, too. Own interface: 000, 099, 101, 999 of a plain service. A report and a reservation of memory counted as answered with 000.

Cause: the library's parser is lenient with responses on purpose and checks neither the version nor the range of the status; what reads the head after it asks whose answer it is, not whether it is one.

Change: the protocol class of all upstream connections (plain calls, streams, second attempts, resumed streams, reports, reservations, tunnels, own interface) checks the bytes of each head before the parser gets its end. A head that is not valid fails the request with InvalidHeadError and closes the connection: an interrupted attempt that may have run, and nothing in its head is read. The error outlives the end of the connection, so that no lost connection (a sign of a crash) is seen in its place.

Ruled out: a check of the parsed status alone, because other faults of a head no longer show after parsing; the library's strict mode, which only debug mode turns on and which passes these statuses, too; a strict parser from the registry (h11), which takes 600 to 999 and control bytes in values.

Handled before, kept: two and four digits, signs and letters; 600 and 999 where another replica may run the call; heads in the middle of an open stream; engines of the own interface; every sound head.

--- /dev/null
+++ b/src/scalebend/edges/gateway/response_heads.py
@@ -0,0 +1,83 @@
+"""Checks the heads of responses before the parser of the HTTP library reads them.
+
+The parser is lenient with responses, and what it returns no longer shows all of a head.
+So the bytes are checked. A status line is valid by RFC 9112, section 4, and RFC 9110,
+section 15; lines that end with LF alone are accepted, as the former allows recipients.
+"""
+
+from __future__ import annotations
+
+import re
+
+import aiohttp
+
+SWITCHING_PROTOCOLS = 101
+"""Never valid here: no request asks for an upgrade."""
+
+MAX_LOGGED_BYTES = 60
+"""Bytes of an invalid line that its error names."""
+
+_END = re.compile(rb"\n\r?\n")
+_TEXT = rb"[^\r\n]*"
+_STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9][0-9])(?: %s)?" % _TEXT)
+
+
+class InvalidHeadError(aiohttp.ClientError):
+    """The upstream sent a head that is not valid, so it sent no response.
+
+    No error of the connection: a crashed upstream sends nothing.
+    """
+
+
+class HeadChecker:
+    """Checks the heads of the response to one request: interim ones and the final."""
+
+    def __init__(self) -> None:
+        self._unchecked = bytearray()
+        self.is_done = False
+        """Whether the final head is complete."""
+
+    def feed(self, data: bytes) -> None:
+        """Check the heads that ``data`` completes, up to the final one.
+
+        Raises :class:`InvalidHeadError` for an invalid one.
+        """
+        # The end of a head may have begun in the data before.
+        start = max(0, len(self._unchecked) - 2)
+        self._unchecked += data
+        while not self.is_done:
+            end = _END.search(self._unchecked, start)
+            if end is None:
+                return
+            status = _check_head(bytes(self._unchecked[: end.start()]))
+            del self._unchecked[: end.end()]
+            start = 0
+            self.is_done = status >= 200
+        self._unchecked.clear()
+
+
+def _check_head(head: bytes) -> int:
+    """Return the status of a head, given without its last line end and empty line.
+
+    Raises :class:`InvalidHeadError` if it is not valid.
+    """
+    status_line = head.split(b"\n", 1)[0].removesuffix(b"\r")
+    return _read_status(status_line)
+
+
+def _read_status(line: bytes) -> int:
+    status = int(_match(_STATUS_LINE, "status line", line)[1])
+    if status == SWITCHING_PROTOCOLS:
+        raise _build_error("status line", line)
+    return status
+
+
+def _match(pattern: re.Pattern[bytes], part: str, line: bytes) -> re.Match[bytes]:
+    match = pattern.fullmatch(line)
+    if match is None:
+        raise _build_error(part, line)
+    return match
+
+
+def _build_error(part: str, line: bytes) -> InvalidHeadError:
+    return InvalidHeadError(f"invalid {part}: {line[:MAX_LOGGED_BYTES]!r}")
--- a/src/scalebend/edges/gateway/upstream_client.py
+++ b/src/scalebend/edges/gateway/upstream_client.py
@@ -1,11 +1,11 @@
-"""HTTP sessions to upstreams that reject unsolicited, truncated and endless responses.
+"""HTTP sessions to upstreams that reject invalid, truncated and endless responses.
 
 aiohttp pools connections. A faulty upstream may send a second response after a complete
 one; in a pooled connection it would be taken for the response to the next request.
 Also, a response without a length ends with its connection, and a reset must not count
 as its end. And the parser drops chunk extensions, trailers and interim responses,
-however many come, unseen by the reader of the body. All three are handled here, in the
-protocol class of the connector.
+however many come, unseen by the reader of the body. And it accepts heads that are not
+valid. All four are handled here, in the protocol class of the connector.
 """
 
 from __future__ import annotations
@@ -24,6 +24,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from scalebend.edges.gateway.response_heads import HeadChecker, InvalidHeadError
 from scalebend.edges.gateway.response_reading import OversizedResponseError
 from scalebend.edges.gateway.socket_statistics import SocketCounts
 from scalebend.edges.gateway.upstream_sockets import (
@@ -74,6 +75,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._previous_payload: object = None
+        self._heads = HeadChecker()
+        """Checks the heads of the current response."""
+
         self.counts = SocketCounts()
         """Segments of this connection that were evaluated; see ``path_watch.py``."""
 
@@ -93,7 +97,7 @@
         self._received_bytes = 0
         """Bytes received since the last request was sent."""
 
-        self._loss: PathLostError | None = None
+        self._loss: aiohttp.ClientError | None = None
         """Why this process ended the connection, if it did."""
 
     def watch(
@@ -120,6 +124,7 @@
     def set_response_params(self, **params: object) -> None:
         """Begin a new request (called by aiohttp)."""
         self._previous_payload = self._payload
+        self._heads = HeadChecker()
         self._received_bytes = 0
         self._awaits_data = True
         self._may_repeat = _may_repeat.get()
@@ -178,10 +183,19 @@
             if self.transport is not None:
                 self.transport.abort()
             return
+        # What came before the request is read again with it.
+        if self._parser is not None and not self._heads.is_done:
+            try:
+                self._heads.feed(data)
+            except InvalidHeadError as error:
+                self._loss = error
+                self._reject_response(error)
+                return
         super().data_received(data)
         self._received_bytes += len(data)
         if self._is_framing_excessive():
-            self._reject_response()
+            detail = f"{self._received_bytes} bytes, hardly any body"
+            self._reject_response(OversizedResponseError(detail))
 
     def _is_framing_excessive(self) -> bool:
         """Whether too little of what was received is a part of a body."""
@@ -191,9 +205,8 @@
         framing = self._received_bytes - FRAMING_FACTOR * body_bytes
         return framing > MAX_FRAMING_BYTES
 
-    def _reject_response(self) -> None:
+    def _reject_response(self, error: aiohttp.ClientError) -> None:
         """End the connection and fail its request."""
-        error = OversizedResponseError(f"{self._received_bytes} bytes, hardly any body")
         payload = self._payload
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
--- /dev/null
+++ b/tests/unit/gateway/test_response_heads.py
@@ -0,0 +1,348 @@
+"""Responses whose head is not valid HTTP are no answer.
+
+Guards against broken answers of an upstream that reach callers, and against anything
+that such a head says being believed.
+"""
+
+import asyncio
+import itertools
+
+import pytest
+from hypothesis import given, strategies as st
+from structlog.testing import capture_logs
+
+from scalebend.edges.gateway.report_requests import NoReport, fetch_report
+from scalebend.edges.gateway.reservations import (
+    HelperUnresponsiveError,
+    reserve_memory,
+)
+from scalebend.edges.gateway.response_heads import HeadChecker, InvalidHeadError
+from scalebend.edges.gateway.upstream_client import (
+    StrictResponseHandler,
+    open_upstream_sessions,
+)
+from scalebend.models.ids import UpstreamId
+from scalebend.models.placement import Helper, Placement
+from scalebend.models.routing import RouteKind
+from tests.lib.front import run_front, serve, wait_for
+from tests.lib.gateway_builders import build_route, build_routing, build_work
+from tests.lib.raw_heads import EVENT, LENGTH, RawReplica, build_chunks, build_head
+from tests.lib.raw_upstream import run_upstream
+from tests.unit.gateway.test_endless_bytes import run_beside_sound
+from tests.unit.gateway.test_reservations import Runtime
+from tests.unit.gateway.test_silent_attempts import Upstream, build_body
+from tests.unit.gateway.test_tunnels import run_tunnelled
+
+NOT_RUN = b"X-Not-Executed: 1"
+CHUNKED = b"Transfer-Encoding: chunked"
+EARLY_HINTS = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+STATUSES = {
+    "000": build_head(b"HTTP/1.1 000 OK"),
+    "000 without reason": build_head(b"HTTP/1.1 000"),
+    "000 of HTTP/1.0": build_head(b"HTTP/1.0 000 OK"),
+    "000 after early hints": EARLY_HINTS + build_head(b"HTTP/1.1 000 OK"),
+    "000 that has not run": build_head(b"HTTP/1.1 000 OK", NOT_RUN),
+    "000 without body": build_head(b"HTTP/1.1 000 OK", framing=b"Content-Length: 0"),
+    "001": build_head(b"HTTP/1.1 001 OK"),
+    "099": build_head(b"HTTP/1.1 099 OK"),
+    "101": build_head(b"HTTP/1.1 101 Switching Protocols"),
+    "101 with upgrade": build_head(
+        b"HTTP/1.1 101 Switching Protocols", b"Upgrade: x", b"Connection: upgrade"
+    ),
+    "600": build_head(b"HTTP/1.1 600 Busy"),
+    "999": build_head(b"HTTP/1.1 999 Busy"),
+    "999 that has not run": build_head(b"HTTP/1.1 999 Busy", NOT_RUN),
+    "two digits": build_head(b"HTTP/1.1 20 OK"),
+    "four digits": build_head(b"HTTP/1.1 2000 OK"),
+    "signed": build_head(b"HTTP/1.1 +20 OK"),
+    "letters": build_head(b"HTTP/1.1 2xx OK"),
+    "HTTP/2.0": build_head(b"HTTP/2.0 200 OK"),
+}
+BROKEN = STATUSES
+SOUND = {
+    "early hints": EARLY_HINTS + build_head(),
+    "two early heads": EARLY_HINTS * 2 + build_head(),
+    "no reason": build_head(b"HTTP/1.1 200 "),
+    "no blank after the status": build_head(b"HTTP/1.1 200"),
+    "Latin-1 byte in reason": build_head(b"HTTP/1.1 200 \xe9"),
+    "HTTP/1.0": build_head(b"HTTP/1.0 200 OK"),
+    "every character of a name": build_head(
+        b"HTTP/1.1 200 OK", b"!#$%&'*+-.^_`|~09azAZ: b"
+    ),
+    "empty value": build_head(b"HTTP/1.1 200 OK", b"X-A:", b"X-B: "),
+    "tab in value": build_head(b"HTTP/1.1 200 OK", b"X-A:\tb\tc \t"),
+    "Latin-1 bytes in value": build_head(b"HTTP/1.1 200 OK", b"X-A: \xe9\xff"),
+    "colon in value": build_head(b"HTTP/1.1 200 OK", b"X-A: b : c"),
+    "folded line": build_head(b"HTTP/1.1 200 OK", b"X-A: b", b" c"),
+    "lines end with LF alone": build_head(end=b"\n"),
+    "repeated field": build_head(b"HTTP/1.1 200 OK", b"X-A: b", b"X-A: b"),
+    "upper case length": build_head(framing=LENGTH.upper()),
+}
+CHUNKED_SOUND = {
+    "chunked": (CHUNKED, b""),
+    "upper case": (CHUNKED.upper(), b""),
+    "blanks around": (b"Transfer-Encoding: \tchunked  ", b""),
+    "trailer": (CHUNKED, b"X-A: b\r\n"),
+}
+REPEATABLE = {
+    "plain": {"kind": RouteKind.IDEMPOTENT},
+    "stream": {"kind": RouteKind.STREAMING, "is_resumable": True},
+}
+ONCE = {
+    "plain": {"kind": RouteKind.NON_IDEMPOTENT, "is_resumable": False},
+    "stream": {"kind": RouteKind.STREAMING, "is_resumable": False},
+}
+
+
+def build_framed(head):
+    """Return the body of a broken response in the framing that its head means."""
+    if b"chunked" in head:
+        return build_chunks(EVENT)
+    return b"" if b"Content-Length: 0" in head else EVENT
+
+
+async def check_served_elsewhere(head, route):
+    replica = RawReplica(head, build_framed(head))
+    async with run_beside_sound(replica, **route) as front:
+        async with front.call() as response:
+            body = await response.read()
+    assert response.status == 200
+    assert b"raw" not in body
+    assert body == b"done" or body.endswith(b"data: sound\n\n")
+    assert len(replica.requests) == 1
+
+
+async def check_refused(head, route):
+    replica = RawReplica(head, build_framed(head))
+    async with run_beside_sound(replica, **route) as front:
+        async with front.call() as response:
+            body = await response.read()
+    assert response.status == 502
+    assert b"raw" not in body
+    assert "X-A" not in response.headers
+    assert len(replica.requests) == 1
+
+
+@pytest.mark.parametrize("head", BROKEN.values(), ids=BROKEN)
+@pytest.mark.parametrize("route", REPEATABLE.values(), ids=REPEATABLE)
+async def test_broken_head_is_served_elsewhere(head, route):
+    await check_served_elsewhere(head, route)
+
+
+@pytest.mark.parametrize("head", BROKEN.values(), ids=BROKEN)
+@pytest.mark.parametrize("route", ONCE.values(), ids=ONCE)
+async def test_broken_head_is_not_passed_on_to_who_may_run_once(head, route):
+    await check_refused(head, route)
+
+
+async def fetch_alone(replica, route):
+    async with (
+        run_front(build_routing(1, [build_route(event_gap=0.2, **route)])) as front,
+        run_upstream(replica.respond) as (address, _),
+    ):
+        front.add(1, address)
+        async with front.call() as response:
+            return response, await response.read()
+
+
+ROUTES = {
+    f"{name}, {count}": route
+    for count, routes in (("repeatable", REPEATABLE), ("once", ONCE))
+    for name, route in routes.items()
+}
+
+
+@pytest.mark.parametrize("head", SOUND.values(), ids=SOUND)
+@pytest.mark.parametrize("route", ROUTES.values(), ids=ROUTES)
+@pytest.mark.parametrize("size", [None, 1], ids=["whole", "byte by byte"])
+async def test_sound_head_is_passed_on(head, route, size):
+    if size is not None and head.startswith(EARLY_HINTS):
+        size = None
+    replica = RawReplica(head, segment_size=size)
+    response, body = await fetch_alone(replica, route)
+    assert (response.status, body) == (200, EVENT)
+    assert response.headers["X-Server-Seal"] == "raw"
+    assert len(replica.requests) == 1
+
+
+@pytest.mark.parametrize(
+    ("framing", "trailer"), CHUNKED_SOUND.values(), ids=CHUNKED_SOUND
+)
+@pytest.mark.parametrize("route", ROUTES.values(), ids=ROUTES)
+async def test_chunked_body_is_passed_on(framing, trailer, route):
+    head = build_head(framing=framing)
+    replica = RawReplica(head, build_chunks(EVENT, trailer))
+    response, body = await fetch_alone(replica, route)
+    assert (response.status, body) == (200, EVENT)
+
+
+@pytest.mark.parametrize("status", [201, 204, 299, 302, 304, 404, 500, 599])
+async def test_sound_status_is_passed_on(status):
+    has_body = status not in (204, 304)
+    framing = LENGTH if has_body else None
+    head = build_head(b"HTTP/1.1 %d Status" % status, framing=framing)
+    replica = RawReplica(head, EVENT if has_body else b"")
+    response, body = await fetch_alone(replica, ONCE["plain"])
+    assert (response.status, body) == (status, EVENT if has_body else b"")
+
+
+BELIEVABLE = (
+    NOT_RUN,
+    b"Retry-After: 60",
+    b"Server-Limit: 0.01",
+    b"Server-Leaving: 1",
+    b"X-Server-Load: 9,9,9",
+)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        build_head(b"HTTP/1.1 000 Busy", *BELIEVABLE),
+        build_head(b"HTTP/1.1 999 Busy", *BELIEVABLE),
+    ],
+    ids=["000", "999"],
+)
+async def test_nothing_in_a_broken_head_is_believed(head):
+    replica = RawReplica(head)
+    async with (
+        run_front(build_routing(1, [build_route(**ONCE["plain"])])) as front,
+        run_upstream(replica.respond) as (address, _),
+    ):
+        endpoint = front.add(1, address)
+        with capture_logs() as lines:
+            async with front.call() as response:
+                problem = await response.json(content_type=None)
+        assert (response.status, problem["ran"]) == (502, "unknown")
+        instance = front.runtime.instance
+        assert instance.may_send(endpoint.upstream, front.runtime.now())
+        assert not instance.limits.is_limited(endpoint.upstream)
+        await wait_for(lambda: replica.closed == 1)
+        metrics = front.runtime.metrics.render().decode()
+    assert 'scalebend_attempts_total{outcome="broken"} 1.0' in metrics
+    (ended,) = [line for line in lines if line["event"] == "attempt ended"]
+    assert (ended["request"], ended["upstream"]) == ("r-1", endpoint.upstream)
+    assert ended["outcome"] == "broken"
+    assert ended["detail"].startswith("InvalidHeadError: invalid ")
+    # Only a running replica sends a head.
+    assert "request lost with its upstream" not in {line["event"] for line in lines}
+
+
+async def test_broken_head_that_nobody_awaits_yet_is_no_lost_connection():
+    """The head may come while the request is still being written."""
+    replica = RawReplica(STATUSES["000"])
+    loop = asyncio.get_running_loop()
+    handler = StrictResponseHandler(loop)
+    async with run_upstream(replica.respond) as (address, _):
+        host, port = address.split(":")
+        transport, _ = await loop.create_connection(lambda: handler, host, int(port))
+        handler.set_response_params()
+        transport.write(b"GET / HTTP/1.1\r\n\r\n")
+        await wait_for(lambda: handler.transport is None)
+        with pytest.raises(InvalidHeadError):
+            await handler.read()
+
+
+def feed(segments):
+    """Return what a checker says of a response that comes in these segments."""
+    checker = HeadChecker()
+    try:
+        for segment in segments:
+            checker.feed(segment)
+    except InvalidHeadError as error:
+        return str(error)
+    return checker.is_done
+
+
+@given(
+    head=st.sampled_from([*BROKEN.values(), *SOUND.values()]),
+    cuts=st.lists(st.integers(0, 300)),
+)
+def test_segments_make_no_difference(head, cuts):
+    data = head + EVENT
+    bounds = [0, *sorted(cuts), len(data)]
+    segments = [data[a:b] for a, b in itertools.pairwise(bounds)]
+    assert feed(segments) == feed([data])
+
+
+@pytest.mark.parametrize("head", SOUND.values(), ids=SOUND)
+def test_head_is_done_with_its_last_byte(head):
+    assert feed([head[:-1]]) is False
+    assert feed([head]) is True
+
+
+async def test_resumed_stream_passes_over_a_broken_head():
+    first, broken = Upstream("first", 3), RawReplica(STATUSES["000"])
+    route = {**REPEATABLE["stream"], "max_attempts": 3}
+    async with run_beside_sound(broken, **route) as front:
+        async with serve(first.handle) as address:
+            add_as_first(front, address)
+            reading = asyncio.create_task(read_body(front))
+            await wait_for(lambda: first.runs)
+            await asyncio.sleep(0.1)
+            first.breaks = True
+            first.gate.set()
+            body = await reading
+    assert len(broken.requests) == 1
+    assert body == build_body("first", "first", "sound", "sound")
+
+
+async def test_broken_head_of_a_second_attempt_leaves_the_silent_first_one():
+    first, broken = Upstream("first", 3), RawReplica(STATUSES["000"])
+    async with run_beside_sound(broken, **REPEATABLE["stream"]) as front:
+        async with serve(first.handle) as address:
+            add_as_first(front, address)
+            reading = asyncio.create_task(read_body(front))
+            await wait_for(lambda: broken.closed)
+            first.gate.set()
+            body = await reading
+    assert body == build_body("first", "first", "first", "first")
+
+
+async def read_body(front):
+    async with front.call() as response:
+        assert response.status == 200
+        return await response.read()
+
+
+def add_as_first(front, address):
+    """Add an upstream that is chosen before the two others."""
+    balancer = front.runtime.instance.balancer
+    for number, load in ((1, 1), (2, 2)):
+        for _ in range(load):
+            balancer.record_sent(UpstreamId(f"i-{number}"))
+    front.add(3, address)
+
+
+@pytest.mark.parametrize("head", BROKEN.values(), ids=BROKEN)
+async def test_broken_head_of_a_report_is_no_report(head):
+    report = b'{"pace": 1.0, "Waiting": 0, "Running": 0}'
+    framed = head.replace(LENGTH, b"Content-Length: %d" % len(report))
+    replica = RawReplica(framed, report)
+    async with (
+        open_upstream_sessions() as sessions,
+        run_upstream(replica.respond) as (address, _),
+    ):
+        assert await fetch_report(sessions, address) is NoReport.BROKEN
+
+
+async def test_broken_head_through_a_peer_is_no_response():
+    replica = RawReplica(STATUSES["000"])
+    async with run_tunnelled(replica.respond) as tunnelled:
+        with pytest.raises(InvalidHeadError):
+            await tunnelled.fetch()
+        await wait_for(lambda: replica.closed == 1)
+
+
+async def test_broken_head_of_a_helper_reserves_nothing():
+    replica = RawReplica(STATUSES["000"])
+    async with run_upstream(replica.respond) as (address, _):
+        async with open_upstream_sessions() as sessions:
+            runtime = Runtime(sessions)
+            helper = Helper("i-2", address, 50_000)
+            placement = Placement("i-first", "127.0.0.1:1", (helper,), 1.0)
+            with pytest.raises(HelperUnresponsiveError):
+                async with reserve_memory(runtime, build_work(1, 500_000), placement):
+                    pass
+            await asyncio.gather(*runtime.tasks)
