Reject responses in whose head a name of a field is not valid

What callers saw: the answer of a replica in trouble with a blank between a name and its colon (`Content-Length : N`, `Connection : close`), passed on with the body in that framing, and so with a blank before the first name, which was gone after parsing. A 503 with such a line was believed to have not run. Own interface and reports: likewise.

Cause: for names that it knows, the lenient parser passes over what stands before the colon; a line that begins with a blank it takes for a folded one, also as the first.

Change: the check of heads requires each line to be a token directly before a colon, or a folded line, which can't be the first. The rest follows as for the status line.

Handled before, kept: all other names with a blank, tab, control byte, Latin-1 byte or carriage return, no name, no colon, also in early hints, a 500 and a 503 that has not run.

--- a/src/scalebend/edges/gateway/response_heads.py
+++ b/src/scalebend/edges/gateway/response_heads.py
@@ -1,8 +1,9 @@
 """Checks the heads of responses before the parser of the HTTP library reads them.
 
-The parser is lenient with responses, and what it returns no longer shows all of a head.
-So the bytes are checked. A status line is valid by RFC 9112, section 4, and RFC 9110,
-section 15; lines that end with LF alone are accepted, as the former allows recipients.
+The parser is lenient with responses, and what it returns no longer shows all of a head:
+a blank before the first name is gone, for example. So the bytes are checked. A head is
+valid by RFC 9112, sections 2.2, 4 and 5, and RFC 9110, sections 5 and 15; folded
+lines and lines that end with LF alone are accepted, as the former allows recipients.
 """
 
 from __future__ import annotations
@@ -20,6 +21,8 @@
 _END = re.compile(rb"\n\r?\n")
 _TEXT = rb"[^\r\n]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9][0-9])(?: %s)?" % _TEXT)
+_FIELD_LINE = re.compile(rb"([!#$%%&'*+\-.^_`|~0-9A-Za-z]+):%s" % _TEXT)
+_FOLDED_LINE = re.compile(rb"[\t ]%s" % _TEXT)
 
 
 class InvalidHeadError(aiohttp.ClientError):
@@ -61,8 +64,16 @@
 
     Raises :class:`InvalidHeadError` if it is not valid.
     """
-    status_line = head.split(b"\n", 1)[0].removesuffix(b"\r")
-    return _read_status(status_line)
+    status_line, *lines = [line.removesuffix(b"\r") for line in head.split(b"\n")]
+    status = _read_status(status_line)
+    name = b""
+    for line in lines:
+        if name and line.startswith((b" ", b"\t")):
+            _match(_FOLDED_LINE, "folded line", line)
+        else:
+            field = _match(_FIELD_LINE, "field", line)
+            name = field[1]
+    return status
 
 
 def _read_status(line: bytes) -> int:
--- a/tests/functional/test_broken_heads.py
+++ b/tests/functional/test_broken_heads.py
@@ -11,7 +11,7 @@
 from tests.functional.test_oversized_responses import is_known_at
 from tests.functional.test_requests import build_expected_text, read_problem, read_text
 from tests.lib.fleet import run_fleet
-from tests.lib.raw_heads import EVENT, RawReplica, build_chunks, build_head
+from tests.lib.raw_heads import EVENT, LENGTH, RawReplica, build_chunks, build_head
 from tests.lib.raw_upstream import run_upstream
 
 BROKEN = {
@@ -19,6 +19,12 @@
     "099": build_head(b"HTTP/1.1 099 OK"),
     "101": build_head(b"HTTP/1.1 101 Switching Protocols"),
     "999": build_head(b"HTTP/1.1 999 Busy"),
+    "blank in a name": build_head(b"HTTP/1.1 200 OK", b"X A: b"),
+    "blank before the first name": build_head(b"HTTP/1.1 200 OK", b" X-A: b"),
+    "Content-Length and blank": build_head(
+        framing=LENGTH.replace(b":", b" :"),
+    ),
+    "coding and blank": build_head(framing=b"Transfer-Encoding : chunked"),
 }
 PROMPT = "where is the lamp?"
 
--- a/tests/unit/gateway/test_response_heads.py
+++ b/tests/unit/gateway/test_response_heads.py
@@ -59,7 +59,37 @@
     "letters": build_head(b"HTTP/1.1 2xx OK"),
     "HTTP/2.0": build_head(b"HTTP/2.0 200 OK"),
 }
-BROKEN = STATUSES
+NAMES = {
+    "Content-Length and blank": build_head(framing=b"Content-Length : %d" % len(EVENT)),
+    "Connection and blank": build_head(b"HTTP/1.1 200 OK", b"Connection : close"),
+    "blank before the first name": build_head(b"HTTP/1.1 200 OK", b" X-A: b"),
+    "tab before the first name": build_head(b"HTTP/1.1 200 OK", b"\tX-A: b"),
+    "blank before a first length": build_head(
+        b"HTTP/1.1 200 OK", b" " + LENGTH, framing=None
+    ),
+    "blank at the end": build_head(b"HTTP/1.1 200 OK", b"X-A : b"),
+    "tab at the end": build_head(b"HTTP/1.1 200 OK", b"X-A\t: b"),
+    "blank inside": build_head(b"HTTP/1.1 200 OK", b"X A: b"),
+    "null byte": build_head(b"HTTP/1.1 200 OK", b"X\x00A: b"),
+    "control byte": build_head(b"HTTP/1.1 200 OK", b"X\x01A: b"),
+    "vertical tab": build_head(b"HTTP/1.1 200 OK", b"X\x0bA: b"),
+    "delete byte": build_head(b"HTTP/1.1 200 OK", b"X\x7fA: b"),
+    "carriage return": build_head(b"HTTP/1.1 200 OK", b"X\rA: b"),
+    "Latin-1 byte": build_head(b"HTTP/1.1 200 OK", b"X\xe9A: b"),
+    "no name": build_head(b"HTTP/1.1 200 OK", b": b"),
+    "no colon": build_head(b"HTTP/1.1 200 OK", b"X-A"),
+    "blank in early hints": b"HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\n"
+    + build_head(),
+    "seal and blank": build_head(b"HTTP/1.1 200 OK", b"X-Server-Seal : b"),
+    "blank in a 500": build_head(b"HTTP/1.1 500 Error", b"X A: b"),
+    "blank in a 503 that has not run": build_head(
+        b"HTTP/1.1 503 Busy", NOT_RUN, b"X A: b"
+    ),
+    "Connection and blank, not run": build_head(
+        b"HTTP/1.1 503 Busy", NOT_RUN, b"Connection : close"
+    ),
+}
+BROKEN = {**STATUSES, **NAMES}
 SOUND = {
     "early hints": EARLY_HINTS + build_head(),
     "two early heads": EARLY_HINTS * 2 + build_head(),
@@ -201,8 +231,10 @@
     [
         build_head(b"HTTP/1.1 000 Busy", *BELIEVABLE),
         build_head(b"HTTP/1.1 999 Busy", *BELIEVABLE),
+        build_head(b"HTTP/1.1 503 Busy", *BELIEVABLE, b"Connection : close"),
+        build_head(b"HTTP/1.1 503 Busy", *BELIEVABLE, b"X A: b"),
     ],
-    ids=["000", "999"],
+    ids=["000", "999", "blank after a known name", "blank in a name"],
 )
 async def test_nothing_in_a_broken_head_is_believed(head):
     replica = RawReplica(head)
