Reject responses with control bytes in a reason or a value

What callers saw: 500 (`internal`) for calls of all kinds, with no other attempt, where a replica sent byte 01 or 7f in a value, or 01 or 00 in the reason; own interface: byte 01 in `Content-Type` closed the caller's connection without an answer, and one in the reason was passed over: a 200 with that body.

Cause: the lenient parser accepts these bytes, and the response to the caller can't be written with them: a ValueError far from where the head was read.

Change: reasons, values and folded lines may hold tabs, visible ASCII and Latin-1 bytes. The head is then no answer, like one with another invalid line, and another replica serves the call where one may.

Handled before, kept: a null byte or a carriage return in a value.

--- a/src/scalebend/edges/gateway/response_heads.py
+++ b/src/scalebend/edges/gateway/response_heads.py
@@ -19,7 +19,7 @@
 """Bytes of an invalid line that its error names."""
 
 _END = re.compile(rb"\n\r?\n")
-_TEXT = rb"[^\r\n]*"
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
 _STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] ([1-5][0-9][0-9])(?: %s)?" % _TEXT)
 _FIELD_LINE = re.compile(rb"([!#$%%&'*+\-.^_`|~0-9A-Za-z]+):%s" % _TEXT)
 _FOLDED_LINE = re.compile(rb"[\t ]%s" % _TEXT)
--- a/tests/functional/test_broken_heads.py
+++ b/tests/functional/test_broken_heads.py
@@ -25,6 +25,8 @@
         framing=LENGTH.replace(b":", b" :"),
     ),
     "coding and blank": build_head(framing=b"Transfer-Encoding : chunked"),
+    "control byte in value": build_head(b"HTTP/1.1 200 OK", b"Content-Type: a/b\x01"),
+    "control byte in reason": build_head(b"HTTP/1.1 200 \x01"),
 }
 PROMPT = "where is the lamp?"
 
--- a/tests/unit/gateway/test_response_heads.py
+++ b/tests/unit/gateway/test_response_heads.py
@@ -89,7 +89,19 @@
         b"HTTP/1.1 503 Busy", NOT_RUN, b"Connection : close"
     ),
 }
-BROKEN = {**STATUSES, **NAMES}
+VALUES = {
+    "control byte in reason": build_head(b"HTTP/1.1 200 O\x01K"),
+    "null byte in reason": build_head(b"HTTP/1.1 200 O\x00K"),
+    "control byte in reason, not run": build_head(b"HTTP/1.1 503 \x01", NOT_RUN),
+    "control byte in value": build_head(b"HTTP/1.1 200 OK", b"X-A: b\x01"),
+    "delete byte in value": build_head(b"HTTP/1.1 200 OK", b"X-A: \x7fb"),
+    "null byte in value": build_head(b"HTTP/1.1 200 OK", b"X-A: b\x00"),
+    "carriage return in value": build_head(b"HTTP/1.1 200 OK", b"X-A: b\rc"),
+    "control byte in a folded line": build_head(
+        b"HTTP/1.1 200 OK", b"X-A: b", b" c\x01"
+    ),
+}
+BROKEN = {**STATUSES, **NAMES, **VALUES}
 SOUND = {
     "early hints": EARLY_HINTS + build_head(),
     "two early heads": EARLY_HINTS * 2 + build_head(),
@@ -233,8 +245,9 @@
         build_head(b"HTTP/1.1 999 Busy", *BELIEVABLE),
         build_head(b"HTTP/1.1 503 Busy", *BELIEVABLE, b"Connection : close"),
         build_head(b"HTTP/1.1 503 Busy", *BELIEVABLE, b"X A: b"),
+        build_head(b"HTTP/1.1 503 \x01", *BELIEVABLE),
     ],
-    ids=["000", "999", "blank after a known name", "blank in a name"],
+    ids=["000", "999", "blank after a known name", "blank in a name", "reason"],
 )
 async def test_nothing_in_a_broken_head_is_believed(head):
     replica = RawReplica(head)
