Count heads that are not valid as no crash in the own interface

What callers could see (read, not run): a broken head of an engine counted as a crash under its request and the parts of its prompt, and after three such crashes a request is held back everywhere.

Cause: Exchange took every client error for a lost connection. A broken head, or bytes that the parser refuses before a head ends, come from a running upstream. Fronts knew so.

Change: both end the attempt as interrupted without a crash, with the invalid line as its detail.

Each request there is another one: a success of the same request just before hides the crash.

--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -24,6 +24,7 @@
     Prefilled,
     StartAttempt,
 )
+from scalebend.edges.gateway.response_heads import InvalidHeadError
 from scalebend.edges.gateway.response_reading import (
     OversizedResponseError,
     read_whole,
@@ -218,6 +219,9 @@
             return InvalidResponse(str(error))
         except PathLostError as error:
             return Interrupted(str(error), may_have_crashed=False, is_path_lost=True)
+        except (InvalidHeadError, aiohttp.ClientResponseError) as error:
+            # Only a running upstream sends what is no head.
+            return Interrupted(str(error), may_have_crashed=False)
         except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
             return Interrupted(f"connection lost: {type(error).__name__}")
 
--- a/tests/functional/test_broken_heads.py
+++ b/tests/functional/test_broken_heads.py
@@ -5,8 +5,10 @@
 """
 
 import contextlib
+import itertools
 
 import pytest
+from structlog.testing import capture_logs
 
 from tests.functional.test_oversized_responses import is_known_at
 from tests.functional.test_requests import build_expected_text, read_problem, read_text
@@ -28,13 +30,15 @@
     "coding and blank": build_head(framing=b"Transfer-Encoding : chunked"),
     "control byte in value": build_head(b"HTTP/1.1 200 OK", b"Content-Type: a/b\x01"),
     "control byte in reason": build_head(b"HTTP/1.1 200 \x01"),
+    "no head": b"<html>",
 }
-PROMPT = "where is the lamp?"
 
 
 @contextlib.asynccontextmanager
 async def run_raw(head):
     body = build_chunks(EVENT) if b"chunked" in head else EVENT
+    if not head.endswith(b"\r\n\r\n"):
+        body = b""
     replica = RawReplica(head, body)
     async with run_upstream(replica.respond) as (address, _):
         yield replica, address
@@ -70,13 +74,19 @@
 @pytest.mark.parametrize("head", BROKEN.values(), ids=BROKEN)
 async def test_broken_answer_of_an_engine_is_served_elsewhere(head, is_streamed):
     async with run_with_raw_engine(head) as (fleet, replica):
-        while not replica.requests:
-            async with fleet.complete(PROMPT, stream=is_streamed) as response:
-                body = await response.read()
-            assert response.status == 200
-            assert b"raw" not in body
-            if is_streamed:
-                assert read_text(body) == build_expected_text(PROMPT, 4)
+        with capture_logs() as logs:
+            for number in itertools.count():
+                # A success of the same request would clear it of a crash.
+                prompt = f"where is lamp {number}?"
+                async with fleet.complete(prompt, stream=is_streamed) as response:
+                    body = await response.read()
+                assert response.status == 200
+                assert b"raw" not in body
+                if is_streamed:
+                    assert read_text(body) == build_expected_text(prompt, 4)
+                if replica.requests:
+                    break
+    assert "request lost with its upstream" not in {line["event"] for line in logs}
 
 
 async def test_broken_answer_of_a_helper_reserves_nothing():
