Log responses that are not valid in the own interface

An attempt that a broken head ended was sent again elsewhere without a line that says why. Exchange now logs the attempt, its upstreams and the invalid line.

--- a/src/scalebend/edges/exchange.py
+++ b/src/scalebend/edges/exchange.py
@@ -221,6 +221,12 @@
             return Interrupted(str(error), may_have_crashed=False, is_path_lost=True)
         except (InvalidHeadError, aiohttp.ClientResponseError) as error:
             # Only a running upstream sends what is no head.
+            logger.warning(
+                "response not valid",
+                attempt=start.attempt,
+                upstreams=start.upstreams,
+                error=str(error),
+            )
             return Interrupted(str(error), may_have_crashed=False)
         except (aiohttp.ClientError, ConnectionError, TimeoutError) as error:
             return Interrupted(f"connection lost: {type(error).__name__}")
--- a/tests/functional/test_broken_heads.py
+++ b/tests/functional/test_broken_heads.py
@@ -87,6 +87,9 @@
                 if replica.requests:
                     break
     assert "request lost with its upstream" not in {line["event"] for line in logs}
+    (line,) = [line for line in logs if line["event"] == "response not valid"]
+    assert line["upstreams"] == (fleet.engines[-1].options.upstream,)
+    assert line["error"]
 
 
 async def test_broken_answer_of_a_helper_reserves_nothing():
