--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -19,7 +19,9 @@
 ROOT = Path(__file__).resolve().parents[2]
 COMMAND = ["python3", "-m", "scalebend.commands.start_gateway"]
 FIRST_HOST = 30
+MOST_HOSTS = 12
 LINK_PORTS = 8
+SEND_PIECES = 50
 BOUNDS = {
     "SeedLagS": 3,
     "ReuseAfterS": 2,
@@ -67,25 +69,35 @@
 
 
 def find_port(count=1):
-    """Return the first of ``count`` ports that are free on all addresses."""
+    """Return the first of ``count`` ports that are free on the processes' addresses."""
     while True:
-        with contextlib.ExitStack() as stack:
-            first = 0
-            try:
-                for number in range(count):
-                    sock = stack.enter_context(socket.socket())
-                    sock.bind(("0.0.0.0", first + number if first else 0))
-                    first = first or sock.getsockname()[1]
-            except OSError:
-                continue
+        with socket.socket() as sock:
+            sock.bind((f"127.0.0.{FIRST_HOST}", 0))
+            first = sock.getsockname()[1]
+        if all(_is_free(first + number) for number in range(count)):
             return first
 
 
+def _is_free(port):
+    with contextlib.ExitStack() as stack:
+        for number in range(MOST_HOSTS):
+            sock = stack.enter_context(socket.socket())
+            try:
+                sock.bind((f"127.0.0.{FIRST_HOST + number}", port))
+            except (OSError, OverflowError):
+                return False
+    return True
+
+
 class Deployment:
     """Processes of the project, each with a loopback address of its own."""
 
-    def __init__(self, folder, *, controls, fronts, tolerate, zones=None):
-        """``tolerate`` is as in the settings; ``zones`` names those of processes."""
+    def __init__(self, folder, *, controls, fronts, tolerate, zones=None, relays=0):
+        """``tolerate`` is as in the settings; ``zones`` names those of processes.
+
+        ``relays`` are processes that serve control on machines without a disk. If
+        there are any, the seeds are relays.
+        """
         self._folder = Path(folder)
         self._ports = {name: find_port() for name in ("control", "front", "ready")}
         self._link_port = find_port(LINK_PORTS)
@@ -93,7 +105,8 @@
         self._zones = zones or {}
         self.controls = [f"control-{n}" for n in range(controls)]
         self.fronts = [f"front-{n}" for n in range(fronts)]
-        self._names = [*self.controls, *self.fronts]
+        self.relays = [f"relay-{n}" for n in range(relays)]
+        self._names = [*self.controls, *self.fronts, *self.relays]
         self._starts = {}
         self.running = {}
 
@@ -105,7 +118,7 @@
 
     def start_all(self):
         """Start the whole system for the first time."""
-        for name in (*self.controls, *self.fronts):
+        for name in (*self.relays, *self.controls, *self.fronts):
             self.start(name, is_first=True)
 
     def start(self, name, *, is_first=False):
@@ -132,7 +145,8 @@
             )
 
     def _build_settings(self, name, is_first):
-        is_control = name.startswith("control")
+        has_disk = name.startswith("control")
+        is_control = not name.startswith("front")
         ip = self.find_address(name, "control").partition(":")[0]
         kinds = (
             {"Control": "control"}
@@ -142,11 +156,12 @@
                 "Ready": "ready",
             }
         )
-        data = str(self._folder / name / "data") if is_control else None
+        data = str(self._folder / name / "data") if has_disk else None
+        seeds = (self.relays or self.controls)[:3]
         return {
             "NodeName": name,
             "Role": "control" if is_control else "front",
-            "MachineClass": "core" if is_control else "front",
+            "MachineClass": "core" if has_disk else "front",
             "Serves": ["control" if is_control else "front"],
             "Ip": ip,
             "Zone": self._zones.get(name, DEFAULT_ZONE),
@@ -154,16 +169,16 @@
             "Zones": dict.fromkeys({*self._zones.values(), DEFAULT_ZONE}, "r"),
             "Listen": {k: self.find_address(name, v) for k, v in kinds.items()},
             "PortRange": [self._link_port, self._link_port + LINK_PORTS - 1],
-            "Seeds": [self.find_address(n, "control") for n in self.controls[:3]],
+            "Seeds": [self.find_address(n, "control") for n in seeds],
             "Bootstrap": is_first,
-            "LossCounts": is_control,
+            "LossCounts": has_disk,
             "Limits": {
                 "CpuShare": 0.537,
                 "Cores": 2,
                 "MemoryMb": 300,
                 "MaxFds": 4100,
                 "LinkMbps": 1000.0,
-                "DiskMb": 128 if is_control else 0,
+                "DiskMb": 128 if has_disk else 0,
             },
             "DataDir": data,
             "Discovery": "registration",
@@ -269,13 +284,50 @@
             writer.close()
 
 
+class Channel:
+    """A client's channel that is kept for several requests."""
+
+    def __init__(self, address):
+        self._ip, _, self._port = address.rpartition(":")
+        self._reader = self._writer = None
+
+    async def __aenter__(self):
+        opening = asyncio.open_connection(self._ip, int(self._port))
+        self._reader, self._writer = await asyncio.wait_for(opening, 1.0)
+        return self
+
+    async def __aexit__(self, *error):
+        self._writer.close()
+
+    async def send(self, method, path, headers, size, duration_s):
+        """Send a request with a body of ``size`` bytes at an even rate."""
+        fields = {**headers, "Content-Length": str(size)}
+        lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        self._writer.write(f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode())
+        piece = b"x" * (size // SEND_PIECES)
+        for _ in range(SEND_PIECES):
+            self._writer.write(piece)
+            await self._writer.drain()
+            await asyncio.sleep(duration_s / SEND_PIECES)
+
+    async def read_answer(self, timeout_s):
+        """Return the next answer; ``None`` if the channel ends without any."""
+        async with asyncio.timeout(timeout_s):
+            head = await _read_head(self._reader)
+            if head is None:
+                return None
+            line, headers = head
+            body, is_whole = await _read_body(self._reader, headers)
+            return Answer(int(line.split()[1]), headers, body, is_whole=is_whole)
+
+
 async def call_control(system, method, path, body=b""):
     """Call the nodes that serve control, one after the other.
 
     Return the first clear answer and the node that gave it, or two ``None``.
     """
     fields = {"Content-Type": "application/json"} if body else None
-    for name in system.controls:
+    for name in (*system.controls, *system.relays):
         address = system.find_address(name, "control")
         answer = None
         for _ in range(3):
