--- a/review/5/case.py
+++ b/review/5/case.py
@@ -2,10 +2,8 @@
 
 import asyncio
 import json
-import os
 import subprocess
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -16,12 +14,12 @@
     CannotRunError,
     Channel,
     Deployment,
-    Record,
     build_document,
     build_headers,
     build_route,
     call_control,
     call_until_clear,
+    run_case,
 )
 
 MEMORY_MB = 300
@@ -191,7 +189,7 @@
     return len(lost) <= MOST_LOST
 
 
-def run(folder, record, *, has_trouble):
+def run(folder, record, has_trouble):
     system = Deployment(folder, controls=3, fronts=2, tolerate={"Machines": 1})
     arguments = [str(one) for one in (REPLICAS, SLOTS, QUEUED, WORK_S)]
     output = Path(folder) / "ran"
@@ -207,18 +205,5 @@
         system.close()
 
 
-def main():
-    record = Record(FOLDER / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    with tempfile.TemporaryDirectory() as folder:
-        try:
-            has_held = run(folder, record, has_trouble=has_trouble)
-        except (CannotRunError, OSError, ValueError, IndexError) as error:
-            record(f"the case could not run: {error!r}")
-            return 2
-    record("the rule held" if has_held else "the rule was broken")
-    return 0 if has_held else 1
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(FOLDER, run))
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -13,6 +13,8 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 from pathlib import Path
 
@@ -477,3 +479,22 @@
             + done
         )
         await writer.drain()
+
+
+def run_case(folder, play):
+    """Play a case and return its exit status.
+
+    ``play`` gets a scratch folder, the record and whether there is trouble; it returns
+    whether the rule held.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    record = Record(folder / "record.txt")
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    try:
+        with tempfile.TemporaryDirectory() as scratch:
+            has_held = play(scratch, record, has_trouble)
+    except Exception as error:
+        record(f"the case could not run: {error!r}")
+        return 2
+    record("the rule held" if has_held else "the rule was broken")
+    return 0 if has_held else 1
