Control processes that stop pass on their votes

Two machines replaced 0.3 s apart do the same without any fault.

Cause: a learner replaced a voter only after 2.5 s without a reply to the present leader (ControlMember._promote_learners). A process that gets SIGTERM passed on its lead, but told nobody that its vote goes with it.

Change: a process that stops says so in its replies and waits until another member has its vote, or the leader knows none that could take it; the wait is bounded by its grace. Votes are replaced in one joint change, which the next leader completes; a successor that is lost on the way costs nothing.

Ruled out: the successor's log (complete seconds before), the election (two of three votes, one of them on a lost disk). Weighed and not taken: a shorter timeout, out first, in first, more voters.

Also: a vote is reported as settled only once the change is complete. A test that waits for the report, then takes down another member, would otherwise lose the quorum.

--- a/src/scalebend/core/consensus/messages.py
+++ b/src/scalebend/core/consensus/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import Enum
 from typing import NewType
 
 import msgspec
@@ -20,19 +21,40 @@
 
 
 class Members(msgspec.Struct, frozen=True):
-    """Voters, and learners that receive the log but cannot vote yet."""
+    """Voters, and learners that receive the log but cannot vote.
+
+    While a voter is being replaced the list is joint: ``former_voters`` holds the
+    voters before the change, and every decision needs a majority of both sets.
+    """
 
     voters: frozenset[Member]
     learners: frozenset[Member] = frozenset()
+    former_voters: frozenset[Member] = frozenset()
 
     @property
     def all_members(self) -> frozenset[Member]:
-        """Voters and learners."""
-        return self.voters | self.learners
+        """Everyone who receives the log."""
+        return self.electors | self.learners
+
+    @property
+    def electors(self) -> frozenset[Member]:
+        """Everyone whose vote counts, before or after the change."""
+        return self.voters | self.former_voters
+
+    @property
+    def is_joint(self) -> bool:
+        """Whether a voter is being replaced."""
+        return bool(self.former_voters)
 
     def is_quorum(self, members: set[Member]) -> bool:
-        """Whether ``members`` include a majority of the voters."""
-        return len(self.voters & members) * 2 > len(self.voters)
+        """Whether ``members`` include a majority, of both sets in a joint list."""
+        if not _is_majority(members, self.voters):
+            return False
+        return not self.is_joint or _is_majority(members, self.former_voters)
+
+
+def _is_majority(members: set[Member], voters: frozenset[Member]) -> bool:
+    return len(voters & members) * 2 > len(voters)
 
 
 class LogEntry(msgspec.Struct, frozen=True):
@@ -74,8 +96,21 @@
     request_sent_at: float = 0.0
 
 
+class LeaveReply(Enum):
+    """What the leader tells a member that is about to stop."""
+
+    WAIT = "wait"
+    """Another member takes over its vote; the change is not committed yet."""
+
+    KEEP_VOTE = "keep-vote"
+    """No other member can take over its vote: the member stops with it."""
+
+
 class Append(msgspec.Struct, frozen=True, tag=True):
-    """Leader to member: entries after ``previous_index``; none in a heartbeat."""
+    """Leader to member: entries after ``previous_index``; none in a heartbeat.
+
+    ``leave_reply`` answers a member whose last reply said that it is about to stop.
+    """
 
     sender: Member
     term: Term
@@ -84,12 +119,15 @@
     entries: list[LogEntry]
     commit: LogIndex
     round: int
+    leave_reply: LeaveReply | None = None
 
 
 class AppendReply(msgspec.Struct, frozen=True, tag=True):
     """Member to leader.
 
     ``index`` is the last matching entry, or on rejection the last that may match.
+    ``knows_joint_lists`` is false from versions that would take a joint list for a
+    plain one.
     """
 
     sender: Member
@@ -97,6 +135,8 @@
     is_accepted: bool
     index: LogIndex
     round: int
+    is_leaving: bool = False
+    knows_joint_lists: bool = False
 
 
 class InstallSnapshot(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/consensus/progress.py
+++ b/src/scalebend/core/consensus/progress.py
@@ -64,6 +64,12 @@
 
     chunk_sent_at: float = -1e9
 
+    is_leaving: bool = False
+    """Whether the member said in its last reply that it is about to stop."""
+
+    knows_joint_lists: bool | None = None
+    """Whether the member reads joint lists; ``None`` before its first reply."""
+
     def record_sent(self, number: int, now: float) -> None:
         """Record that the append with this round number was sent."""
         self.pending_rounds.append(_PendingRound(number, now))
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -1,7 +1,7 @@
 """One member of the control group: elections, replication and membership changes.
 
-Implements Raft with pre-vote, check-quorum, learners and single-server membership
-changes. The class does no I/O: the caller passes in messages and the current time,
+Implements Raft with pre-vote, check-quorum, learners and joint consensus for replaced
+voters. The class does no I/O: the caller passes in messages and the current time,
 then takes a :class:`Ready` and carries it out in the order that it defines.
 """
 
@@ -21,6 +21,7 @@
     ConsensusMessage,
     HardState,
     InstallSnapshot,
+    LeaveReply,
     LogEntry,
     Member,
     Members,
@@ -35,6 +36,7 @@
     VoteRequest,
 )
 from scalebend.core.consensus.progress import Progress, find_quorum_value
+from scalebend.core.consensus.voter_changes import MemberReport, decide_leave_reply
 from scalebend.models.ids import InstanceId, LogIndex, Term
 
 logger = structlog.get_logger(__name__)
@@ -84,6 +86,10 @@
         self.me = me
         self.role = ReplicaRole.FOLLOWER
         self.leader: Member | None = None
+        self.is_leaving = False
+        """Whether this process is about to stop."""
+        self.leave_reply: LeaveReply | None = None
+        """What the leader's last message said about that."""
         self.term = recovered.hard_state.term
         self.log = EntryLog(recovered.snapshot, recovered.entries)
         self.commit_index = self.log.base_index
@@ -121,7 +127,7 @@
     @property
     def is_voter(self) -> bool:
         """Whether this member, with this disk, has a vote."""
-        return self._members is not None and self.me in self._members.voters
+        return self._members is not None and self.me in self._members.electors
 
     def form_group(self, members: Members) -> None:
         """Append the first member list to an empty log; otherwise do nothing."""
@@ -197,6 +203,24 @@
         suspected = now + LINK_LOSS_TIMEOUT_S * self._random.uniform(1.0, 2.0)
         self._election_deadline = min(self._election_deadline, suspected)
 
+    def report_members(self, timeout: float, now: float) -> dict[Member, MemberReport]:
+        """As leader, what is known about each member, this one included.
+
+        ``timeout``: seconds without a reply after which a member counts as silent.
+        """
+        reports = {
+            member: MemberReport(
+                progress.is_caught_up(self.log.last_index),
+                now - progress.last_reply_at > timeout,
+                now - progress.last_reply_at,
+                progress.is_leaving,
+                progress.knows_joint_lists,
+            )
+            for member, progress in self._progress.items()
+        }
+        reports[self.me] = MemberReport(True, False, 0.0, self.is_leaving, True)
+        return reports
+
     def list_unresponsive(self, timeout: float, now: float) -> list[Member]:
         """As leader, members without a reply for ``timeout`` seconds, longest first."""
         unresponsive = [
@@ -213,10 +237,14 @@
         others = [m for m in sorted(self._members.voters) if m != self.me]
         if not others:
             return None
-        best = max(others, key=lambda member: self._progress[member].match_index)
+        best = max(others, key=self._rank_successor)
         self._send(best, TimeoutNow(self.me, self.term))
         return best
 
+    def _rank_successor(self, member: Member) -> tuple[bool, LogIndex]:
+        progress = self._progress[member]
+        return not progress.is_leaving, progress.match_index
+
     # Time
 
     def advance(self, now: float) -> None:
@@ -343,7 +371,7 @@
             is_transfer,
             now,
         )
-        for member in self._members.voters - {self.me}:
+        for member in self._members.electors - {self.me}:
             self._send(member, request)
         self._count_votes(now)
 
@@ -489,8 +517,9 @@
             )
             self._become_follower(self.term, None, now)
             return
-        is_removed = self.me not in self._members.voters
+        is_removed = self.me not in self._members.electors
         if is_removed and self.log.find_last_members_index() <= self.commit_index:
+            self.transfer_leadership(now)
             self._become_follower(self.term, None, now)
             return
         self._broadcast(now)
@@ -534,9 +563,19 @@
             entries,
             self.commit_index,
             self._round,
+            self._decide_leave_reply(member, progress, now),
         )
         self._send(member, message)
 
+    def _decide_leave_reply(
+        self, member: Member, progress: Progress, now: float
+    ) -> LeaveReply | None:
+        if not progress.is_leaving:
+            return None
+        assert self._members is not None
+        reports = self.report_members(QUORUM_TIMEOUT_S, now)
+        return decide_leave_reply(member, self._members, reports)
+
     def _send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
         """Send the next chunk, or an empty one as a heartbeat while one is in flight.
 
@@ -575,6 +614,8 @@
             return
         progress.record_reply(now)
         progress.record_round_reply(reply.round, now)
+        progress.is_leaving = reply.is_leaving
+        progress.knows_joint_lists = reply.knows_joint_lists
         if reply.is_accepted:
             progress.record_match(reply.index)
             self._advance_commit()
@@ -643,6 +684,7 @@
             self._reply_append(message, is_accepted=False, index=self.log.last_index)
             return
         self._follow_leader(message.sender, message.term, now)
+        self.leave_reply = message.leave_reply
         previous_term = self.log.get_term(message.previous_index)
         is_covered = message.previous_index < self.log.base_index
         if not is_covered and previous_term != message.previous_term:
@@ -688,7 +730,15 @@
     def _reply_append(
         self, message: Append, *, is_accepted: bool, index: LogIndex
     ) -> None:
-        reply = AppendReply(self.me, self.term, is_accepted, index, message.round)
+        reply = AppendReply(
+            self.me,
+            self.term,
+            is_accepted,
+            index,
+            message.round,
+            self.is_leaving,
+            knows_joint_lists=True,
+        )
         self._send(message.sender, reply)
 
     def _handle_install_snapshot(self, message: InstallSnapshot, now: float) -> None:
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -1,8 +1,9 @@
 """One control instance: group formation, membership, proposals, replicated state.
 
 A group is formed only once every configured control instance reports an empty disk.
-An instance with a new disk joins an existing group as a learner; it becomes a voter
-once it has nearly the whole log and the vote of its old disk is removed.
+An instance with a new disk joins an existing group as a learner; it takes the vote of
+its old disk, or of another member that leaves or is silent, once it has nearly the
+whole log.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 from scalebend.core.consensus.messages import (
     ConsensusMessage,
     HardState,
+    LeaveReply,
     LogEntry,
     Member,
     Members,
@@ -21,6 +23,12 @@
     Snapshot,
 )
 from scalebend.core.consensus.replica import Replica
+from scalebend.core.consensus.voter_changes import (
+    VoterChange,
+    choose_voter_change,
+    decide_leave_reply,
+    drop_silent_learners,
+)
 from scalebend.core.control_state import (
     ControlState,
     ListedInstance,
@@ -135,6 +143,12 @@
         self._list_history.put(self.state.instances)
         self._outbox: list[ToInstance] = []
 
+    @property
+    def has_settled_vote(self) -> bool:
+        """Whether this member votes, and no replacement of a voter is under way."""
+        members = self.replica.members
+        return members is not None and not members.is_joint and self.replica.is_voter
+
     @property
     def leader(self) -> InstanceId | None:
         """Leader as far as known."""
@@ -183,7 +197,7 @@
             self._next_hello_at = now + HELLO_INTERVAL_S
             self._seek_group()
         if self.replica.is_leader:
-            self._promote_learners(now)
+            self._change_voters(now)
 
     def is_list_due(self, now: float) -> bool:
         """Whether this member leads and the instance list is due for a comparison."""
@@ -206,6 +220,28 @@
         """Transfer leadership to another voter before a planned stop."""
         self.replica.transfer_leadership(now)
 
+    def leave(self) -> None:
+        """Ask for another member to take over this member's vote before a stop."""
+        self.replica.is_leaving = True
+
+    def may_stop(self, now: float) -> bool:
+        """Whether nobody takes over this member's vote any more, or someone has.
+
+        A leader without a successor still has to transfer its leadership.
+        """
+        members = self.replica.members
+        if members is None or not self.replica.is_voter:
+            return not self.replica.is_leader
+        if not members.learners and not members.is_joint:
+            return True
+        if self.replica.is_leader:
+            reports = self.replica.report_members(VOTER_TIMEOUT_S, now)
+            reply = decide_leave_reply(self.me, members, reports)
+            return reply is LeaveReply.KEEP_VOTE
+        if self.replica.leader is None:
+            return now - self._leader_seen_at > LEADERLESS_TIMEOUT_S
+        return self.replica.leave_reply is LeaveReply.KEEP_VOTE
+
     # Output
 
     def collect_ready(self, now: float) -> Ready:
@@ -328,50 +364,25 @@
         if member in members.all_members:
             return
         learners = {m for m in members.learners if m.instance != member.instance}
-        changed = Members(members.voters, frozenset(learners | {member}))
+        # Keeps the voters before a change that is not complete.
+        changed = msgspec.structs.replace(
+            members, learners=frozenset(learners | {member})
+        )
         if self.replica.propose_members(changed, 0.0, now) is not None:
             logger.info("control learner added", instance=member.instance)
 
-    def _promote_learners(self, now: float) -> None:
+    def _change_voters(self, now: float) -> None:
         members = self.replica.members
         if members is None or not self.replica.can_change_members():
             return
-        for learner in sorted(members.learners):
-            if not self.replica.is_caught_up(learner):
-                continue
-            replaced = {m for m in members.voters if m.instance == learner.instance}
-            is_full = self._voters_wanted is not None and (
-                len(members.voters) >= self._voters_wanted
-            )
-            if not replaced and is_full:
-                unresponsive = self.replica.list_unresponsive(VOTER_TIMEOUT_S, now)
-                expired = [
-                    member for member in unresponsive if member in members.voters
-                ]
-                if not expired:
-                    continue
-                changed = Members(members.voters - {expired[0]}, members.learners)
-            elif replaced:
-                # Removes the vote of the replaced disk before the new disk gets one:
-                # membership changes one voter at a time.
-                changed = Members(members.voters - replaced, members.learners)
-            else:
-                changed = Members(
-                    members.voters | {learner}, members.learners - {learner}
-                )
-            self.replica.propose_members(changed, 0.0, now)
-            logger.info("control voter changed", instance=learner.instance)
-            return
-        self._remove_expired_learners(members, now)
-
-    def _remove_expired_learners(self, members: Members, now: float) -> None:
-        unresponsive = self.replica.list_unresponsive(LEARNER_TIMEOUT_S, now)
-        expired = members.learners & frozenset(unresponsive)
-        if not expired:
-            return
-        changed = Members(members.voters, members.learners - expired)
-        if self.replica.propose_members(changed, 0.0, now) is not None:
-            logger.info("control learners dropped", count=len(expired))
+        reports = self.replica.report_members(VOTER_TIMEOUT_S, now)
+        change = choose_voter_change(members, reports, self._voters_wanted)
+        if change is None:
+            expired = self.replica.list_unresponsive(LEARNER_TIMEOUT_S, now)
+            change = drop_silent_learners(members, expired)
+        if change is not None:
+            self.replica.propose_members(change.members, 0.0, now)
+            _log_voter_change(change)
 
     # Proposals
 
@@ -421,3 +432,14 @@
 
     def _send(self, instance: InstanceId, message: PeerMessage) -> None:
         self._outbox.append(ToInstance(instance, message))
+
+
+def _log_voter_change(change: VoterChange) -> None:
+    logger.info(
+        "control members changed",
+        reason=change.reason.value,
+        added=change.added.instance if change.added is not None else None,
+        removed=change.removed.instance if change.removed is not None else None,
+        voters=sorted(member.instance for member in change.members.voters),
+        learners=sorted(member.instance for member in change.members.learners),
+    )
--- a/src/scalebend/core/gateway/drain.py
+++ b/src/scalebend/core/gateway/drain.py
@@ -11,19 +11,13 @@
 from scalebend.core.gateway.room_forecast import EngineFleet, compute_shortest_prefill
 from scalebend.models.calls import Call
 from scalebend.models.placement import EngineWork, JobId
+from scalebend.utils.stop_signal import compute_stop_end
 
 LAST_ADMISSION_S = 2.8
 """Seconds after the stop signal for which requests are still admitted: the load
 balancer probes every second and needs two failed probes. Later requests may not finish
 before the kill."""
 
-STOP_MARGIN_S = 0.6
-"""Time before the kill at which open requests are ended: for their last responses, the
-last messages to replicas, and a stall of the process."""
-
-STOP_MARGIN_SHARE = 1.0 / 8.0
-"""Upper limit of the same as a share of the grace."""
-
 UNKNOWN_DURATION_S = 1.0
 """Time kept for a request of which nothing tells how long it takes."""
 
@@ -38,8 +32,7 @@
     @property
     def end(self) -> float:
         """When requests that are still open are ended."""
-        margin_s = min(STOP_MARGIN_S, STOP_MARGIN_SHARE * self.grace)
-        return self.began + self.grace - margin_s
+        return compute_stop_end(self.began, self.grace)
 
     def may_admit(self, now: float) -> bool:
         """Whether requests are still admitted, if there is time for them."""
--- a/src/scalebend/edges/admin.py
+++ b/src/scalebend/edges/admin.py
@@ -127,7 +127,7 @@
         version,
         instance.instances.epoch,
         control is not None,
-        control is not None and control.replica.is_voter,
+        control is not None and control.has_settled_vote,
         control.list_voters() if control is not None else [],
         control.leader if control is not None else None,
         runtime.count_open(),
--- a/src/scalebend/edges/gateway/control_server.py
+++ b/src/scalebend/edges/gateway/control_server.py
@@ -11,7 +11,7 @@
 
 from scalebend.core.consensus.messages import Recovered
 from scalebend.core.gateway.founding import plan_founding
-from scalebend.edges.gateway.control_runtime import ControlRuntime
+from scalebend.edges.gateway.control_runtime import TICK_INTERVAL_S, ControlRuntime
 from scalebend.edges.gateway.http_loading import load_http
 from scalebend.edges.gateway.links import run_links
 from scalebend.edges.gateway.metrics import GatewayMetrics
@@ -21,6 +21,7 @@
 from scalebend.models.ids import InstanceId
 from scalebend.storage.founding_file import read_founding, store_founding
 from scalebend.storage.journal import open_journal
+from scalebend.utils.stop_signal import StopSignal, compute_stop_end
 
 logger = structlog.get_logger(__name__)
 
@@ -29,7 +30,7 @@
 
 
 async def serve_control(
-    settings: GatewaySettings, stopped: asyncio.Event, watch: SettingsWatch
+    settings: GatewaySettings, stopped: StopSignal, watch: SettingsWatch
 ) -> None:
     """Run a control instance until ``stopped`` is set.
 
@@ -49,7 +50,7 @@
 async def _serve_member(
     settings: GatewaySettings,
     metrics: GatewayMetrics,
-    stopped: asyncio.Event,
+    stopped: StopSignal,
     watch: SettingsWatch,
 ) -> None:
     assert settings.data_folder is not None
@@ -77,8 +78,9 @@
             ends: set[asyncio.Future[None]] = {stopping, runtime.failure}
             await asyncio.wait(ends, return_when=asyncio.FIRST_COMPLETED)
             stopping.cancel()
-            if not runtime.failure.done():
-                await _hand_over_leadership(runtime)
+            if stopped.came_at is not None:
+                grace = settings.bounds.drain_grace
+                await _leave_group(runtime, compute_stop_end(stopped.came_at, grace))
 
 
 def _plan_founding(
@@ -112,9 +114,30 @@
 """Seconds for another member to become leader before this process ends."""
 
 
-async def _hand_over_leadership(runtime: ControlRuntime) -> None:
+async def _leave_group(runtime: ControlRuntime, end: float) -> None:
+    """Pass on this member's vote and leadership; ``end`` is the latest time to stop.
+
+    The process may be gone for good: a vote that stays with it is as good as lost.
+    """
+    member = runtime.instance.member
+    has_led = runtime.instance.is_leader
+    member.leave()
+    while not runtime.failure.done() and not member.may_stop(runtime.now()):
+        if runtime.now() >= end:
+            logger.warning("control member stops before its vote is taken over")
+            break
+        await asyncio.sleep(TICK_INTERVAL_S)
+    if runtime.failure.done():
+        return
+    logger.info(
+        "control member leaves",
+        votes=member.has_settled_vote,
+        voters=member.list_voters(),
+    )
     if runtime.instance.is_leader:
+        has_led = True
+        member.stop_leading(runtime.now())
+    if has_led:
         logger.info("leadership handed over")
-        runtime.instance.member.stop_leading(runtime.now())
         runtime.schedule_pump()
         await asyncio.sleep(HANDOVER_DELAY_S)
--- a/tests/lib/control_group.py
+++ b/tests/lib/control_group.py
@@ -10,6 +10,9 @@
 
 CLIENT = "client"
 
+TICK_S = 0.05
+"""Simulated time between two rounds of timers."""
+
 
 class Disk:
     """Disk whose contents after a crash are the whole, synced writes."""
@@ -184,6 +187,33 @@
             self.advance(0.1)
             self.deliver_all()
 
+    def run(self, seconds):
+        """Run for ``seconds``; members that are down stay down."""
+        for _ in range(round(seconds / TICK_S)):
+            self.advance(TICK_S)
+            self.deliver_all()
+
+    def terminate(self, name, *, grace_s=8.0):
+        """Stop a member as SIGTERM does, within its grace; return how long it took."""
+        member = self.members[name]
+        began = self.now
+        member.leave()
+        while not member.may_stop(self.now) and self.now - began < grace_s:
+            self.run(TICK_S)
+            if self.members.get(name) is not member:
+                return self.now - began
+        if member.replica.is_leader:
+            member.stop_leading(self.now)
+        self.pump(name)
+        self.crash(name)
+        self.deliver_all()
+        return self.now - began
+
+    def lose_disk(self, name):
+        """Crash a member whose disk is lost with it."""
+        self.crash(name)
+        self.disks[name] = Disk(f"{name}-disk-{self.starts}")
+
     def find_leader(self):
         return next((n for n, m in self.members.items() if m.replica.is_leader), None)
 
--- a/tests/lib/platform_processes.py
+++ b/tests/lib/platform_processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import os
+import shutil
 import signal
 import subprocess
 import sys
@@ -11,6 +12,7 @@
 from scalebend.standins.ports import find_free_ports, find_port_range
 
 CONTROLS = 3
+GRACE_S = 8.0
 FRONTS = 2
 
 
@@ -27,8 +29,9 @@
         self.starts = {}
         self.names = [f"control-{n}" for n in range(CONTROLS)]
         self.names += [f"front-{n}" for n in range(FRONTS)]
-        # Not started by default: a relay (no data folder) and another front.
-        self.names += ["relay-0", "front-9"]
+        # Not started by default: a relay (no data folder), another front, and machines
+        # that join later.
+        self.names += ["relay-0", "front-9", "control-3", "control-4"]
         self.started = self.names[: CONTROLS + FRONTS]
         self.seeds = {}
         self.has_faults = True
@@ -70,7 +73,7 @@
             "Listen": listen,
             "PortRange": [self.ports["link"], self.ports["metrics"]],
             "Seeds": self.seeds.get(name, self.list_controls()),
-            "Bootstrap": starts == 0,
+            "Bootstrap": starts == 0 and name in self.started,
             "Tolerate": {"Machines": 1},
             "HeartbeatMs": 1200,
             "DataDir": str(folder / "data") if name.startswith("control") else None,
@@ -99,6 +102,16 @@
         process.kill()
         process.wait()
 
+    def stop(self, name):
+        """Send SIGTERM and wait; return the exit status."""
+        process = self.running.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return process.wait(timeout=GRACE_S)
+
+    def lose_disk(self, name):
+        """Remove the data of a process that has ended."""
+        shutil.rmtree(self.folder / name / "data")
+
     def read_log(self, name):
         path = self.folder / name / f"log-{self.starts[name] - 1}"
         lines = path.read_text().splitlines()
--- a/tests/unit/gateway/test_drain.py
+++ b/tests/unit/gateway/test_drain.py
@@ -5,7 +5,6 @@
 
 from scalebend.core.gateway.drain import (
     LAST_ADMISSION_S,
-    STOP_MARGIN_S,
     UNKNOWN_DURATION_S,
     Drain,
     estimate_duration,
@@ -13,6 +12,7 @@
 from scalebend.core.gateway.engine_scheduler import EngineScheduler
 from scalebend.core.gateway.replica_load import Job
 from scalebend.models.calls import PromptSize
+from scalebend.utils.stop_signal import STOP_MARGIN_S
 from tests.lib.gateway_builders import PROFILE, build_call, build_endpoint, build_work
 
 
