Count the silence of a member across changes of leader

The leader is gone for good, its successor starts at once; the next leader loses its disk at 2.4 s; a third disk is lost at 4.4 s, when the first no longer counts. No leader from then on, no configuration read or taken.

Cause: a voter was replaced after 2.5 s without a reply to the present leader (VOTER_TIMEOUT_S), and each new leader began with every member as if it had just replied (Replica._become_leader).

Change: each member knows when the others were last heard from; leaders tell of silences in their messages, and the next leader goes on from there (Contacts). A silence counts as long as a leader may be without a quorum, which follows the round trips observed, and only after this leader gave the member two round trips to reply. The constant is gone.

Ruled out: the successor (whole log within 1 s), elections (below 1 s each).

--- a/src/scalebend/core/consensus/messages.py
+++ b/src/scalebend/core/consensus/messages.py
@@ -106,10 +106,18 @@
     """No other member can take over its vote: the member stops with it."""
 
 
+class Silence(msgspec.Struct, frozen=True):
+    """A member that the leader has not heard from for ``seconds``."""
+
+    member: Member
+    seconds: float
+
+
 class Append(msgspec.Struct, frozen=True, tag=True):
     """Leader to member: entries after ``previous_index``; none in a heartbeat.
 
     ``leave_reply`` answers a member whose last reply said that it is about to stop.
+    ``silences`` are those of voters, as seen by this leader and those before it.
     """
 
     sender: Member
@@ -120,6 +128,7 @@
     commit: LogIndex
     round: int
     leave_reply: LeaveReply | None = None
+    silences: list[Silence] = msgspec.field(default_factory=list)
 
 
 class AppendReply(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from scalebend.core.consensus.contacts import Contacts
 from scalebend.core.consensus.election import ELECTION_TIMEOUT_S, Election
 from scalebend.core.consensus.log import EntryLog
 from scalebend.core.consensus.messages import (
@@ -29,6 +30,7 @@
     Persist,
     Ready,
     Recovered,
+    Silence,
     Snapshot,
     SnapshotReply,
     TimeoutNow,
@@ -100,6 +102,8 @@
         self._random = random.Random(f"{seed}/{me.instance}/{me.disk}")
         self._members = self.log.find_members()
         self._progress: dict[Member, Progress] = {}
+        self._contacts = Contacts()
+        self._led_since = math.inf
         self._election = Election(me, self.term)
         self._round = 0
         self._leader_contact_at = -1e9
@@ -203,33 +207,27 @@
         suspected = now + LINK_LOSS_TIMEOUT_S * self._random.uniform(1.0, 2.0)
         self._election_deadline = min(self._election_deadline, suspected)
 
-    def report_members(self, timeout: float, now: float) -> dict[Member, MemberReport]:
+    def report_members(self, now: float) -> dict[Member, MemberReport]:
         """As leader, what is known about each member, this one included.
 
-        ``timeout``: seconds without a reply after which a member counts as silent.
+        A member is silent after the time in which silence would end a leadership, if
+        it could also have replied to this leader.
         """
-        reports = {
-            member: MemberReport(
+        could_reply = now - self._led_since >= self._compute_reply_time()
+        timeout = self._compute_quorum_timeout()
+        reports = {}
+        for member, progress in self._progress.items():
+            silence = self._contacts.compute_silence(member, now)
+            reports[member] = MemberReport(
                 progress.is_caught_up(self.log.last_index),
-                now - progress.last_reply_at > timeout,
-                now - progress.last_reply_at,
+                could_reply and silence > timeout,
+                silence,
                 progress.is_leaving,
                 progress.knows_joint_lists,
             )
-            for member, progress in self._progress.items()
-        }
         reports[self.me] = MemberReport(True, False, 0.0, self.is_leaving, True)
         return reports
 
-    def list_unresponsive(self, timeout: float, now: float) -> list[Member]:
-        """As leader, members without a reply for ``timeout`` seconds, longest first."""
-        unresponsive = [
-            (progress.last_reply_at, member)
-            for member, progress in self._progress.items()
-            if now - progress.last_reply_at > timeout
-        ]
-        return [member for _, member in sorted(unresponsive)]
-
     def transfer_leadership(self, now: float) -> Member | None:
         """Ask the voter with the most complete log to take over; return it."""
         if not self.is_leader or self._members is None:
@@ -437,6 +435,7 @@
         if reply.term > self.term and not reply.is_granted:
             self._become_follower(reply.term, None, now)
             return
+        self._contacts.record(reply.sender, now)
         if self.role not in (ReplicaRole.PRE_CANDIDATE, ReplicaRole.CANDIDATE):
             return
         if reply.is_pre_vote:
@@ -459,6 +458,7 @@
         )
         self._election.record_leader(self.term)
         self.leader = self.me
+        self._led_since = now
         self._progress = {}
         self._sync_progress(now)
         for progress in self._progress.values():
@@ -526,13 +526,18 @@
 
     def _compute_quorum_timeout(self) -> float:
         """Time without replies from a quorum before this leader steps down."""
+        return min(
+            max(QUORUM_TIMEOUT_S, self._compute_reply_time()), MAX_QUORUM_TIMEOUT_S
+        )
+
+    def _compute_reply_time(self) -> float:
+        """Time in which members reply, from the round trips to a quorum."""
         assert self._members is not None
         # Negative, since the quorum with the largest values is found.
         negated = {m: -progress.round_trip for m, progress in self._progress.items()}
         negated[self.me] = 0.0
         round_trip = -(find_quorum_value(negated, self._members) or 0.0)
-        timeout = max(QUORUM_TIMEOUT_S, QUORUM_TIMEOUT_ROUND_TRIPS * round_trip)
-        return min(timeout, MAX_QUORUM_TIMEOUT_S)
+        return max(HEARTBEAT_INTERVAL_S, QUORUM_TIMEOUT_ROUND_TRIPS * round_trip)
 
     def _broadcast(self, now: float) -> None:
         for member, progress in self._progress.items():
@@ -564,6 +569,7 @@
             self.commit_index,
             self._round,
             self._decide_leave_reply(member, progress, now),
+            self._list_silences(now),
         )
         self._send(member, message)
 
@@ -573,9 +579,14 @@
         if not progress.is_leaving:
             return None
         assert self._members is not None
-        reports = self.report_members(QUORUM_TIMEOUT_S, now)
+        reports = self.report_members(now)
         return decide_leave_reply(member, self._members, reports)
 
+    def _list_silences(self, now: float) -> list[Silence]:
+        assert self._members is not None
+        others = self._members.electors - {self.me}
+        return self._contacts.list_silences(others, now)
+
     def _send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
         """Send the next chunk, or an empty one as a heartbeat while one is in flight.
 
@@ -614,6 +625,7 @@
             return
         progress.record_reply(now)
         progress.record_round_reply(reply.round, now)
+        self._contacts.record(reply.sender, now)
         progress.is_leaving = reply.is_leaving
         progress.knows_joint_lists = reply.knows_joint_lists
         if reply.is_accepted:
@@ -632,6 +644,7 @@
         if not self.is_leader or progress is None or reply.term < self.term:
             return
         progress.record_reply(now)
+        self._contacts.record(reply.sender, now)
         if self._snapshot is None or reply.index != self._snapshot.index:
             progress.snapshot_offset = 0
             progress.chunk_end = 0
@@ -671,6 +684,7 @@
     def _sync_progress(self, now: float) -> None:
         assert self._members is not None
         others = self._members.all_members - {self.me}
+        self._contacts.keep(others, now)
         for member in [m for m in self._progress if m not in others]:
             del self._progress[member]
         for member in sorted(others):
@@ -685,6 +699,7 @@
             return
         self._follow_leader(message.sender, message.term, now)
         self.leave_reply = message.leave_reply
+        self._record_contacts(message, now)
         previous_term = self.log.get_term(message.previous_index)
         is_covered = message.previous_index < self.log.base_index
         if not is_covered and previous_term != message.previous_term:
@@ -698,6 +713,12 @@
         self.commit_index = max(self.commit_index, min(message.commit, matched))
         self._reply_append(message, is_accepted=True, index=matched)
 
+    def _record_contacts(self, message: Append, now: float) -> None:
+        if self._members is not None:
+            self._contacts.record_report(
+                self._members.all_members, message.silences, now
+            )
+
     def _store_entries(self, entries: list[LogEntry], now: float) -> LogIndex | None:
         has_members = False
         for entry in entries:
--- a/src/scalebend/core/consensus/voter_changes.py
+++ b/src/scalebend/core/consensus/voter_changes.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from enum import Enum
 
 import msgspec
@@ -18,7 +18,8 @@
 class MemberReport(msgspec.Struct, frozen=True):
     """What the leader knows about one member.
 
-    ``silent_s``: seconds since the member was last heard from. ``knows_joint_lists`` is
+    ``silent_s``: seconds since the member was last heard from, by this leader or, as
+    far as they told, by those before it. ``knows_joint_lists`` is
     ``None`` until it replies to the leader of this term.
     """
 
@@ -172,11 +173,14 @@
 
 
 def drop_silent_learners(
-    members: Members, silent: Iterable[Member]
+    members: Members, reports: Mapping[Member, MemberReport], timeout: float
 ) -> VoterChange | None:
-    """Return the list without the learners in ``silent``; ``None`` if it has none."""
-    expired = members.learners & frozenset(silent)
-    if not expired:
+    """Return the list without learners that are silent for ``timeout`` seconds.
+
+    ``None`` if there are none.
+    """
+    kept = {m for m in members.learners if reports[m].silent_s <= timeout}
+    if kept == members.learners:
         return None
-    changed = msgspec.structs.replace(members, learners=members.learners - expired)
+    changed = msgspec.structs.replace(members, learners=frozenset(kept))
     return VoterChange(changed, Reason.LEARNERS_SILENT)
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -67,13 +67,6 @@
 """Time without a leader after which a member contacts its peers again: it may have
 been replaced while it was down."""
 
-VOTER_TIMEOUT_S = 2.5
-"""Time without a reply after which a learner may replace a voter.
-
-With an election before it, if the voter led, shorter than the time that the successor
-of a removed instance has to catch up (4 s): from then on another disk may be lost.
-"""
-
 LEARNER_TIMEOUT_S = 15.0
 """Time without a reply after which a learner is removed."""
 
@@ -235,7 +228,7 @@
         if not members.learners and not members.is_joint:
             return True
         if self.replica.is_leader:
-            reports = self.replica.report_members(VOTER_TIMEOUT_S, now)
+            reports = self.replica.report_members(now)
             reply = decide_leave_reply(self.me, members, reports)
             return reply is LeaveReply.KEEP_VOTE
         if self.replica.leader is None:
@@ -373,13 +366,14 @@
 
     def _change_voters(self, now: float) -> None:
         members = self.replica.members
-        if members is None or not self.replica.can_change_members():
+        if members is None or not (members.learners or members.is_joint):
+            return
+        if not self.replica.can_change_members():
             return
-        reports = self.replica.report_members(VOTER_TIMEOUT_S, now)
+        reports = self.replica.report_members(now)
         change = choose_voter_change(members, reports, self._voters_wanted)
         if change is None:
-            expired = self.replica.list_unresponsive(LEARNER_TIMEOUT_S, now)
-            change = drop_silent_learners(members, expired)
+            change = drop_silent_learners(members, reports, LEARNER_TIMEOUT_S)
         if change is not None:
             self.replica.propose_members(change.members, 0.0, now)
             _log_voter_change(change)
--- a/tests/unit/gateway/test_voter_replacement.py
+++ b/tests/unit/gateway/test_voter_replacement.py
@@ -272,3 +272,66 @@
             reported.append(member.replica.members)
     assert reported
     assert not any(members.is_joint for members in reported)
+
+
+SECOND_DOWN_S = 3.0
+
+
+# Guards against the silence of a machine that is gone being counted anew by each
+# leader, so that its vote outlasts the time for which it counts as lost.
+@pytest.mark.parametrize("second_at_s", [0.1, 0.7, 1.0, 1.3, 1.6, 1.9, 2.4, 3.0, 3.7])
+@pytest.mark.parametrize("first_leads", [True, False])
+def test_next_leaders_disk_is_lost_after_a_machine_is_gone(first_leads, second_at_s):
+    group = build_group(5)
+    group.seeds = tuple(group.names)
+    group.run(2 * CATCH_UP_S)
+    began = group.now
+    first = find_victim(group, leads=first_leads)
+    group.lose_disk(first)
+    group.names.remove(first)
+    group.add("new")
+
+    group.run(second_at_s)
+    second = group.find_leader() or find_follower(group, ["new"])
+    group.lose_disk(second)
+
+    # The successor of the first machine has had its time: it no longer counts as lost.
+    group.run(began + CATCH_UP_S + 0.4 - group.now)
+    third = next(n for n in group.members if n != "new")
+    group.replace_disk(third)
+    group.run(max(0.0, began + second_at_s + SECOND_DOWN_S - group.now))
+    if second not in group.members:
+        group.start(second)
+    assert_serves(group, 2)
+
+
+# Guards against a silence that only the last leader knew of.
+def test_silence_of_a_follower_is_known_to_the_next_leader():
+    group = build_group(5)
+    first = find_follower(group)
+    group.lose_disk(first)
+    group.names.remove(first)
+    group.run(0.5)
+    group.crash(group.find_leader())
+    while group.find_leader() is None:
+        group.advance(0.01)
+        group.deliver_all()
+    replica = group.members[group.find_leader()].replica
+    silences = {
+        m.instance: r.silent_s for m, r in replica.report_members(group.now).items()
+    }
+    assert silences[first] > 0.5
+
+
+# Guards against a vote that is taken from a member which had no time to reply.
+def test_new_leader_takes_no_vote_from_members_that_reply():
+    group = build_group(3)
+    group.add("spare")
+    group.run(CATCH_UP_S)
+    voters = group.members["c0"].replica.members.voters
+    for _ in range(6):
+        deposed = group.find_leader()
+        group.members[deposed].stop_leading(group.now)
+        group.pump(deposed)
+        group.run(1.0)
+    assert group.members["c0"].replica.members.voters == voters
