Let an empty disk join the members that send to it

Seen while the tests for replaced voters were written: the first machine named in the settings is gone and replaced, the two others lose their disks at once, as Tolerate allows with five. They ask only each other and the machine that is gone for a group, and stay without a vote for good: the next loss takes the quorum.

Cause: ControlMember learns peers from its settings, from stored member lists and from replies to Hello. The leader goes on sending to their addresses, in vain.

Change: who sends messages of the replicated log is a peer to ask.

--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -178,6 +178,10 @@
             case Fetch():
                 self._publish(sender, message)
             case _ if isinstance(message, ConsensusMessage):
+                # With an empty disk, this instance may know no other member.
+                self.record_control_instances([sender])
+                # With an empty disk, this instance may know no other member.
+                self.record_control_instances([sender])
                 self.replica.handle(message, now)
 
     def advance(self, now: float) -> None:
--- a/tests/unit/gateway/test_voter_replacement.py
+++ b/tests/unit/gateway/test_voter_replacement.py
@@ -335,3 +335,20 @@
         group.pump(deposed)
         group.run(1.0)
     assert group.members["c0"].replica.members.voters == voters
+
+
+# Guards against a lost disk that stays without a vote, since the settings of its
+# process name only machines that are gone, and members with empty disks.
+def test_empty_disk_joins_the_members_that_send_to_it():
+    group = build_group(5)
+    group.remove("c0")
+    group.add("new")
+    group.run(CATCH_UP_S)
+    for name in ("c1", "c2"):
+        group.lose_disk(name)
+    for name in ("c1", "c2"):
+        group.start(name)
+    group.run(CATCH_UP_S)
+    assert group.members["c1"].replica.is_voter
+    assert group.members["c2"].replica.is_voter
+    assert_serves(group, 2)
