Split what a leader knows about members off the replica

The progress of all members, the quorums over it and their silences are now one class, ProgressTable; elections, replication and the log stay.

--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -13,7 +13,6 @@
 
 import structlog
 
-from scalebend.core.consensus.contacts import Contacts
 from scalebend.core.consensus.election import ELECTION_TIMEOUT_S, Election
 from scalebend.core.consensus.log import EntryLog
 from scalebend.core.consensus.messages import (
@@ -37,15 +36,13 @@
     VoteReply,
     VoteRequest,
 )
-from scalebend.core.consensus.progress import Progress, find_quorum_value
+from scalebend.core.consensus.progress import Progress
+from scalebend.core.consensus.progress_table import HEARTBEAT_INTERVAL_S, ProgressTable
 from scalebend.core.consensus.voter_changes import MemberReport, decide_leave_reply
 from scalebend.models.ids import InstanceId, LogIndex, Term
 
 logger = structlog.get_logger(__name__)
 
-HEARTBEAT_INTERVAL_S = 0.1
-"""Maximum time between two messages from a leader to each member."""
-
 MIN_ROUND_INTERVAL_S = 0.01
 """Minimum time between two messages to a member while a leadership confirmation is
 pending, so that one round serves several callers."""
@@ -54,15 +51,6 @@
 """Time after the link to the leader breaks before a member starts an election,
 randomized up to twice: a live leader reconnects and sends a heartbeat within it."""
 
-QUORUM_TIMEOUT_S = 0.6
-"""Minimum time without replies from a quorum before a leader steps down."""
-
-MAX_QUORUM_TIMEOUT_S = 3.0
-"""Maximum of the same time, which grows with the round trips to the members."""
-
-QUORUM_TIMEOUT_ROUND_TRIPS = 2.0
-"""Round trips to a quorum that the same time covers."""
-
 MAX_ENTRIES_PER_APPEND = 256
 """Entries in one append message."""
 
@@ -101,9 +89,7 @@
         self._durable_index = self.log.last_index
         self._random = random.Random(f"{seed}/{me.instance}/{me.disk}")
         self._members = self.log.find_members()
-        self._progress: dict[Member, Progress] = {}
-        self._contacts = Contacts()
-        self._led_since = math.inf
+        self._progress = ProgressTable(me)
         self._election = Election(me, self.term)
         self._round = 0
         self._leader_contact_at = -1e9
@@ -183,9 +169,7 @@
             return None
         if self.log.get_term(self._applied_index) != self.term:
             return None
-        times = {m: progress.confirmed_at for m, progress in self._progress.items()}
-        times[self.me] = now
-        return find_quorum_value(times, self._members)
+        return self._progress.find_confirmed_at(self._members, now)
 
     def request_confirmation(self, since: float, now: float) -> None:
         """As leader, send at once to members with no message since ``since``."""
@@ -208,23 +192,9 @@
         self._election_deadline = min(self._election_deadline, suspected)
 
     def report_members(self, now: float) -> dict[Member, MemberReport]:
-        """As leader, what is known about each member, this one included.
-
-        A member is silent after the time in which silence would end a leadership, if
-        it could also have replied to this leader.
-        """
-        could_reply = now - self._led_since >= self._compute_reply_time()
-        timeout = self._compute_quorum_timeout()
-        reports = {}
-        for member, progress in self._progress.items():
-            silence = self._contacts.compute_silence(member, now)
-            reports[member] = MemberReport(
-                progress.is_caught_up(self.log.last_index),
-                could_reply and silence > timeout,
-                silence,
-                progress.is_leaving,
-                progress.knows_joint_lists,
-            )
+        """As leader, what is known about each member, this one included."""
+        assert self._members is not None
+        reports = self._progress.report(self._members, self.log.last_index, now)
         reports[self.me] = MemberReport(True, False, 0.0, self.is_leaving, True)
         return reports
 
@@ -232,16 +202,10 @@
         """Ask the voter with the most complete log to take over; return it."""
         if not self.is_leader or self._members is None:
             return None
-        others = [m for m in sorted(self._members.voters) if m != self.me]
-        if not others:
-            return None
-        best = max(others, key=self._rank_successor)
-        self._send(best, TimeoutNow(self.me, self.term))
-        return best
-
-    def _rank_successor(self, member: Member) -> tuple[bool, LogIndex]:
-        progress = self._progress[member]
-        return not progress.is_leaving, progress.match_index
+        successor = self._progress.choose_successor(self._members)
+        if successor is not None:
+            self._send(successor, TimeoutNow(self.me, self.term))
+        return successor
 
     # Time
 
@@ -435,7 +399,7 @@
         if reply.term > self.term and not reply.is_granted:
             self._become_follower(reply.term, None, now)
             return
-        self._contacts.record(reply.sender, now)
+        self._progress.contacts.record(reply.sender, now)
         if self.role not in (ReplicaRole.PRE_CANDIDATE, ReplicaRole.CANDIDATE):
             return
         if reply.is_pre_vote:
@@ -458,11 +422,7 @@
         )
         self._election.record_leader(self.term)
         self.leader = self.me
-        self._led_since = now
-        self._progress = {}
-        self._sync_progress(now)
-        for progress in self._progress.values():
-            progress.round_trip = seconds
+        self._progress.start_term(self._members, self._next_index(), seconds, now)
         # An entry of its own term lets the leader commit entries of earlier terms.
         self._append_to_log(LogEntry(self._next_index(), self.term, 0.0))
         self._broadcast(now)
@@ -499,21 +459,13 @@
 
     def _advance_leader(self, now: float) -> None:
         assert self._members is not None
-        timeout = self._compute_quorum_timeout()
-        responsive = {
-            member
-            for member, progress in self._progress.items()
-            if now - progress.last_reply_at < timeout
-        }
-        if not self._members.is_quorum(responsive | {self.me}):
+        if not self._progress.has_quorum(self._members, now):
+            timeout = self._progress.compute_quorum_timeout(self._members)
             logger.warning(
                 "leadership lost without a quorum",
                 term=self.term,
                 timeout=round(timeout, 3),
-                seconds_since_reply={
-                    member.instance: round(now - progress.last_reply_at, 3)
-                    for member, progress in self._progress.items()
-                },
+                seconds_since_reply=self._progress.describe_silences(now),
             )
             self._become_follower(self.term, None, now)
             return
@@ -524,21 +476,6 @@
             return
         self._broadcast(now)
 
-    def _compute_quorum_timeout(self) -> float:
-        """Time without replies from a quorum before this leader steps down."""
-        return min(
-            max(QUORUM_TIMEOUT_S, self._compute_reply_time()), MAX_QUORUM_TIMEOUT_S
-        )
-
-    def _compute_reply_time(self) -> float:
-        """Time in which members reply, from the round trips to a quorum."""
-        assert self._members is not None
-        # Negative, since the quorum with the largest values is found.
-        negated = {m: -progress.round_trip for m, progress in self._progress.items()}
-        negated[self.me] = 0.0
-        round_trip = -(find_quorum_value(negated, self._members) or 0.0)
-        return max(HEARTBEAT_INTERVAL_S, QUORUM_TIMEOUT_ROUND_TRIPS * round_trip)
-
     def _broadcast(self, now: float) -> None:
         for member, progress in self._progress.items():
             is_due = now - progress.last_sent_at >= HEARTBEAT_INTERVAL_S
@@ -585,7 +522,7 @@
     def _list_silences(self, now: float) -> list[Silence]:
         assert self._members is not None
         others = self._members.electors - {self.me}
-        return self._contacts.list_silences(others, now)
+        return self._progress.contacts.list_silences(others, now)
 
     def _send_snapshot(self, member: Member, progress: Progress, now: float) -> None:
         """Send the next chunk, or an empty one as a heartbeat while one is in flight.
@@ -625,7 +562,7 @@
             return
         progress.record_reply(now)
         progress.record_round_reply(reply.round, now)
-        self._contacts.record(reply.sender, now)
+        self._progress.contacts.record(reply.sender, now)
         progress.is_leaving = reply.is_leaving
         progress.knows_joint_lists = reply.knows_joint_lists
         if reply.is_accepted:
@@ -644,7 +581,7 @@
         if not self.is_leader or progress is None or reply.term < self.term:
             return
         progress.record_reply(now)
-        self._contacts.record(reply.sender, now)
+        self._progress.contacts.record(reply.sender, now)
         if self._snapshot is None or reply.index != self._snapshot.index:
             progress.snapshot_offset = 0
             progress.chunk_end = 0
@@ -659,9 +596,9 @@
 
     def _advance_commit(self) -> None:
         assert self._members is not None
-        indexes = {m: progress.match_index for m, progress in self._progress.items()}
-        indexes[self.me] = self._durable_index
-        quorum_index = find_quorum_value(indexes, self._members)
+        quorum_index = self._progress.find_quorum_index(
+            self._members, self._durable_index
+        )
         # Entries of earlier terms are committed only together with one of this term.
         # Terms in a log never decrease, so checking the newest replicated entry is
         # enough.
@@ -678,18 +615,8 @@
 
     def _set_members(self, members: Members | None, now: float) -> None:
         self._members = members
-        if self.is_leader:
-            self._sync_progress(now)
-
-    def _sync_progress(self, now: float) -> None:
-        assert self._members is not None
-        others = self._members.all_members - {self.me}
-        self._contacts.keep(others, now)
-        for member in [m for m in self._progress if m not in others]:
-            del self._progress[member]
-        for member in sorted(others):
-            if member not in self._progress:
-                self._progress[member] = Progress(self._next_index(), last_reply_at=now)
+        if self.is_leader and members is not None:
+            self._progress.set_members(members, self._next_index(), now)
 
     # Following
 
@@ -715,7 +642,7 @@
 
     def _record_contacts(self, message: Append, now: float) -> None:
         if self._members is not None:
-            self._contacts.record_report(
+            self._progress.contacts.record_report(
                 self._members.all_members, message.silences, now
             )
 
