Move the epoch of customers' use with time

What callers would see: 2 h 51 min after the last prompt of a service the timers of the leader end (heartbeats, elections, everything due), while its process stays; after as many quiet nights as there are members, the group decides nothing any more.

Cause: use is stored multiplied by 2 to the power of the seconds since an epoch over 10, which overflows after 10,240 s; only charge() moved the epoch, and expire() runs in each tick.

Change: expire() moves the epoch as well, and growth beyond the range of a float is infinite: what was used before has decayed to nothing.

--- a/src/scalebend/core/gateway/customer_use.py
+++ b/src/scalebend/core/gateway/customer_use.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import math
+import sys
+
 from scalebend.models.ids import CustomerId
 
 HALF_LIFE_S = 10.0
@@ -41,8 +44,7 @@
 
     def charge(self, customer: CustomerId | None, seconds: float, now: float) -> None:
         """Add ``seconds`` of engine time."""
-        if now - self._epoch > MAX_GROWTH * HALF_LIFE_S:
-            self._move_epoch(now)
+        self._move_epoch_if_due(now)
         added = seconds * self._compute_growth(now)
         self._grown[customer] = self._grown.get(customer, 0.0) + added
         self._total += added
@@ -71,6 +73,7 @@
 
     def expire(self, now: float) -> None:
         """Forget customers whose use has decayed."""
+        self._move_epoch_if_due(now)
         least = MIN_USE_S * self._compute_growth(now)
         kept = {one: use for one, use in self._grown.items() if use >= least}
         if len(kept) < len(self._grown):
@@ -79,9 +82,15 @@
         self._total = sum(kept.values())
 
     def _compute_growth(self, now: float) -> float:
-        return float(2.0 ** ((now - self._epoch) / HALF_LIFE_S))
-
-    def _move_epoch(self, now: float) -> None:
+        """Growth since the epoch; infinite once all use before it has decayed."""
+        half_lives = max(0.0, now - self._epoch) / HALF_LIFE_S
+        if half_lives >= sys.float_info.max_exp:
+            return math.inf
+        return float(2.0**half_lives)
+
+    def _move_epoch_if_due(self, now: float) -> None:
+        if now - self._epoch <= MAX_GROWTH * HALF_LIFE_S:
+            return
         growth = self._compute_growth(now)
         self._epoch = now
         self.revision += 1
