Decay the evidence on a path to the later of two times

What the leader did: a front that reported or left within 0.1 s after a path was judged for the first time got its link closed, or its jobs were not forgotten, on machines up for over 24 minutes.

Cause: PathHealth.shift_baseline grew the evidence by e to the power of half the seconds since the last evaluation, whose time was 0 before the first.

Change: the time of a first judgement is that of its evidence, and a shift decays the older of the two to the time of the newer.

Evidence: the property test over uptimes up to ten years fails on the code before (math range error), and passes. Evidence older and newer than the last counts as before (test_baseline_decays_between_shifts, passes on both).

--- a/src/scalebend/core/gateway/path_health.py
+++ b/src/scalebend/core/gateway/path_health.py
@@ -104,6 +104,8 @@
     """Decayed evidence at the last update."""
 
     last_at: float = 0.0
+    """When ``last`` was valid."""
+
     tried: PathSum = msgspec.field(default_factory=PathSum)
     """Evidence since the trial began, not decayed."""
 
@@ -114,6 +116,18 @@
         self.tried.lost += max(0.0, found.lost - factor * self.last.lost)
         self.last, self.last_at = found, now
 
+    def shift(self, observed: float, lost: float, at: float) -> None:
+        """Add evidence of time ``at`` to the last, or remove it if negative."""
+        now = max(at, self.last_at)
+        kept = compute_decay(now - self.last_at)
+        added = compute_decay(now - at)
+        self.last = PathSum(
+            max(0.0, kept * self.last.observed + added * observed),
+            max(0.0, kept * self.last.lost + added * lost),
+            self.last.fronts,
+        )
+        self.last_at = now
+
     def needs_use(self, now: float) -> bool:
         """Whether a trial goes on until the path has been used enough."""
         return (
@@ -227,13 +241,7 @@
         """Leave evidence that appears, or disappears if negative, out of a trial."""
         judged = self._judged.get(path)
         if judged is not None:
-            factor = math.exp((at - judged.last_at) / EVIDENCE_DECAY_S)
-            last = judged.last
-            judged.last = PathSum(
-                max(0.0, last.observed + factor * observed),
-                max(0.0, last.lost + factor * lost),
-                last.fronts,
-            )
+            judged.shift(observed, lost, at)
 
     def _is_lossy(
         self, path: ZonePath, sums: Mapping[ZonePath, PathSum], now: float
@@ -295,7 +303,7 @@
         judged = self._judged.get(path)
         if judged is None:
             judged = self._judged[path] = _Judged(
-                PathState.HEALTHY, now, FIRST_DEGRADED_S / 2
+                PathState.HEALTHY, now, FIRST_DEGRADED_S / 2, last_at=now
             )
         if judged.state is not PathState.DEGRADED:
             judged.duration = min(MAX_DEGRADED_S, 2.0 * judged.duration)
