End a process that has lost an essential task

What callers would see: a process whose timers end by a fault holds its links and takes requests, but sends no heartbeat, times nothing out and decides nothing; nobody starts it again.

Change: such a task is started by name, and its end, by an error, by returning or by a cancelled call within it, ends the process with status 70 after one log line with the task and the error. os._exit: a regular end waits for tasks that may wait for the lost one. The own interface goes on after single failures of its timers, as before, and ends when they have failed for 1 s.

--- a/src/scalebend/commands/gateway.py
+++ b/src/scalebend/commands/gateway.py
@@ -12,6 +12,7 @@
 import structlog
 
 from scalebend.commands.check import print_faults
+from scalebend.edges.essential_tasks import end_process_without_essential_tasks
 from scalebend.edges.gateway.settings_watch import SettingsWatch
 from scalebend.edges.gateway.sockets import Listeners, open_listeners
 from scalebend.edges.logs import configure_bounded_logs
@@ -74,6 +75,7 @@
 ) -> None:
     stopped = StopSignal()
     loop = asyncio.get_running_loop()
+    end_process_without_essential_tasks(loop)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stopped.set)
     watch = SettingsWatch(path, settings)
--- a/src/scalebend/commands/run.py
+++ b/src/scalebend/commands/run.py
@@ -10,6 +10,7 @@
 import structlog
 
 from scalebend.commands.check import print_faults
+from scalebend.edges.essential_tasks import end_process_without_essential_tasks
 from scalebend.edges.http_server import drain, serve_instance
 from scalebend.edges.logs import configure_logs
 from scalebend.edges.settings_file import read_settings
@@ -38,8 +39,9 @@
 
 
 async def _run(settings: Settings) -> int:
+    loop = asyncio.get_running_loop()
+    end_process_without_essential_tasks(loop)
     async with serve_instance(settings) as runtime:
-        loop = asyncio.get_running_loop()
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, runtime.stop_requested.set)
         await runtime.stop_requested.wait()
--- a/src/scalebend/edges/gateway/control_calls.py
+++ b/src/scalebend/edges/gateway/control_calls.py
@@ -9,6 +9,7 @@
 import structlog
 from aiohttp import web
 
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.edges.gateway.control_runtime import (
     ControlRuntime,
     build_no_quorum_error,
@@ -167,7 +168,7 @@
     """Serve requests and inspect the engines until the block ends."""
     assert settings.control_address is not None
     sock = Listeners().pop(settings.control_address)
-    task = asyncio.create_task(_inspect_engines(runtime))
+    task = start_essential_task("engine inspection", _inspect_engines(runtime))
     try:
         async with listen(sock, ControlHandler(runtime).handle):
             try:
--- a/src/scalebend/edges/gateway/front_runtime.py
+++ b/src/scalebend/edges/gateway/front_runtime.py
@@ -27,6 +27,7 @@
     REPLAN_INTERVAL_S,
 )
 from scalebend.core.gateway.slow_start import CEILING_PERMIT_LIFETIME_S
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.edges.gateway.evacuation_watch import EvacuationWatch
 from scalebend.edges.gateway.held_requests import HeldRequests
 from scalebend.edges.gateway.leader_calls import LeaderCalls
@@ -423,7 +424,7 @@
         if settings.tunnel_address is not None:
             listening = listen_for_tunnels(settings.tunnel_address, runtime.tunnels)
             await stack.enter_async_context(listening)
-        task = asyncio.create_task(runtime.run())
+        task = start_essential_task("timers", runtime.run())
         try:
             yield runtime
         finally:
--- a/src/scalebend/edges/gateway/links.py
+++ b/src/scalebend/edges/gateway/links.py
@@ -25,6 +25,7 @@
 
 from scalebend.core.gateway.link_history import LinkHistory
 from scalebend.core.gateway.messages import Introduce, LinkMessage
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.models.ids import InstanceId
 from scalebend.utils.addresses import parse_address
@@ -256,7 +257,9 @@
     def dial(self, instance: InstanceId) -> None:
         """Maintain a link to ``instance``, whose id is its address, from now on."""
         if instance not in self._tasks and instance != self._introduction.instance:
-            self._tasks[instance] = asyncio.create_task(self._maintain_link(instance))
+            self._tasks[instance] = start_essential_task(
+                f"link to {instance}", self._maintain_link(instance)
+            )
 
     def set_targets(self, instances: set[InstanceId]) -> None:
         """Maintain links to these instances; stop dialling others without a link."""
@@ -433,7 +436,7 @@
 ) -> AsyncIterator[None]:
     """Accept links at ``address`` and run ``timers`` until the block ends."""
     async with listen_for_links(address, server):
-        task = asyncio.create_task(timers)
+        task = start_essential_task("timers", timers)
         try:
             yield
         finally:
--- a/src/scalebend/edges/gateway/settings_watch.py
+++ b/src/scalebend/edges/gateway/settings_watch.py
@@ -13,6 +13,7 @@
 
 import structlog
 
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.exceptions import DocumentError
 from scalebend.models.gateway_settings import GatewaySettings
 from scalebend.models.ids import InstanceId
@@ -42,7 +43,7 @@
     @contextlib.asynccontextmanager
     async def watch_seeds(self, on_seeds: OnSeeds) -> AsyncIterator[None]:
         """Call ``on_seeds`` at each reload of the file until the block ends."""
-        task = asyncio.create_task(self._run(on_seeds))
+        task = start_essential_task("settings watch", self._run(on_seeds))
         try:
             yield
         finally:
--- a/src/scalebend/edges/gateway/tunnel_server.py
+++ b/src/scalebend/edges/gateway/tunnel_server.py
@@ -13,6 +13,7 @@
 from scalebend.core.gateway.front_instance import FrontInstance
 from scalebend.core.upstream_reach import FailureKind
 from scalebend.edges.connection_checks import is_own_fault
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.edges.gateway.metrics import GatewayMetrics
 from scalebend.edges.gateway.tunnel_frames import (
     FrameError,
@@ -356,7 +357,7 @@
     loop = asyncio.get_running_loop()
     parsed = parse_address(address)
     listener = await loop.create_server(server.build_protocol, parsed.host, parsed.port)
-    sweeping = asyncio.create_task(_sweep(server))
+    sweeping = start_essential_task("tunnel sweep", _sweep(server))
     try:
         yield
     finally:
--- a/src/scalebend/edges/peers.py
+++ b/src/scalebend/edges/peers.py
@@ -19,6 +19,7 @@
 from grpc import aio
 
 from scalebend.core.messages import Envelope, PeerMessage
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.edges.peer_tunnels import TUNNEL_METHOD, TunnelCarrier
 from scalebend.models.ids import InstanceId
 from scalebend.models.settings import Tls
@@ -68,7 +69,7 @@
         self._me = me
         self._tls = tls
         self._queue: asyncio.Queue[PeerMessage] = asyncio.Queue(MAX_QUEUED_MESSAGES)
-        self.task = asyncio.create_task(self._run())
+        self.task = start_essential_task(f"link to {address}", self._run())
 
     def send(self, message: PeerMessage) -> None:
         if self._queue.full():
--- a/src/scalebend/edges/runtime.py
+++ b/src/scalebend/edges/runtime.py
@@ -11,9 +11,7 @@
 
 import aiohttp
 import msgspec
-import reactivex
 import structlog
-from reactivex.scheduler.eventloop import AsyncIOScheduler
 from reactivex.subject import Subject
 
 from scalebend.core.catalog import UpstreamRecord
@@ -44,6 +42,7 @@
 from scalebend.core.orders import ORDER_TIMEOUT_S
 from scalebend.core.owner import CancelOnEngine
 from scalebend.edges.control_log import ControlLog
+from scalebend.edges.essential_tasks import start_essential_task
 from scalebend.edges.exchange import AttemptReporter, Exchange
 from scalebend.edges.gateway.upstream_client import StrictConnector
 from scalebend.edges.gossip import GossipSocket, open_gossip
@@ -73,6 +72,10 @@
 TICK_INTERVAL_S = 0.05
 """Time between two runs of the core's timers."""
 
+TICK_FAILURE_TIMEOUT_S = 1.0
+"""Time for which each run of the core's timers may fail: without them nothing times
+out, and other instances take this one for alive."""
+
 PEERS_INTERVAL_S = 1.0
 """Time between two updates of the instances that open tunnels for this one."""
 
@@ -135,6 +138,7 @@
         self._is_pump_scheduled = False
         self._next_gauges_at = 0.0
         self._next_peers_at = 0.0
+        self._failing_since: float | None = None
         self._stalls = StallGuard(TICK_INTERVAL_S, self.now(), self._count_stall)
         self._request_count = 0
         self.announcements.subscribe(on_next=self._receive_announcement)
@@ -257,9 +261,20 @@
             self._schedule_pump()
             self._update_peers()
             self._report_gauges()
+            self._failing_since = None
         except Exception:
-            # The timer must keep running: all timeouts depend on it.
+            # One failure costs less than the open requests of this process.
             logger.exception("tick failed")
+            if self._failing_since is None:
+                self._failing_since = self.now()
+            if self.now() - self._failing_since > TICK_FAILURE_TIMEOUT_S:
+                raise
+
+    async def run(self) -> None:
+        """Run the timers until cancelled."""
+        while True:
+            self.tick()
+            await asyncio.sleep(TICK_INTERVAL_S)
 
     def _count_stall(self) -> None:
         self.metrics.incr("event_loop.stalls")
@@ -533,12 +548,6 @@
         runtime.gossip = await stack.enter_async_context(
             open_gossip(settings.listen.gossip, runtime.receive_datagram, key)
         )
-        ticks = reactivex.interval(
-            TICK_INTERVAL_S, scheduler=AsyncIOScheduler(loop)
-        ).subscribe(on_next=lambda _: runtime.tick(), on_error=_log_failure)
-        stack.callback(ticks.dispose)
+        timers = start_essential_task("timers", runtime.run())
+        stack.callback(timers.cancel)
         yield runtime
-
-
-def _log_failure(error: Exception) -> None:
-    logger.error("timer failed", exc_info=error)
--- a/src/scalebend/soak/misbehaving.py
+++ b/src/scalebend/soak/misbehaving.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from scalebend.edges.stalls import StallGuard
 from scalebend.soak.faults import DiskMode
 
 POLL_INTERVAL_S = 0.02
@@ -27,6 +28,8 @@
 
 FAULTS_FILE = "orders"
 SYNCED_FILE = "synced"
+FAILING_TIMERS_FILE = "failing-timers"
+"""Exists once each run of the process's timers is to fail."""
 
 
 BACKLOG_CONNECTIONS = 2
@@ -66,6 +69,11 @@
     temporary.replace(folder / FAULTS_FILE)
 
 
+def fail_timers(folder: Path) -> None:
+    """Let each run of the timers fail in the process that reads ``folder``."""
+    (folder / FAILING_TIMERS_FILE).touch()
+
+
 def read_synced(folder: Path) -> dict[str, int]:
     """Return the synced size of each file in bytes, by path."""
     path = folder / SYNCED_FILE
@@ -87,7 +95,7 @@
 
 
 class _Misbehaviour:
-    """Replaces the clock, the sync calls and the connects of the process."""
+    """Replaces clock, timers, sync calls and connects of the process."""
 
     def __init__(self, folder: Path, host: str) -> None:
         self._folder = folder
@@ -113,6 +121,18 @@
             self._connect(sock, address)
 
         socket.socket.connect = connect  # type: ignore[assignment]
+        self._install_timer_fault()
+
+    def _install_timer_fault(self) -> None:
+        original = StallGuard.may_run
+        path = self._folder / FAILING_TIMERS_FILE
+
+        def may_run(guard: StallGuard, now: float) -> bool:
+            if path.exists():
+                raise OverflowError("timers fail (injected by the soak)")
+            return original(guard, now)
+
+        StallGuard.may_run = may_run  # type: ignore[assignment,method-assign]
 
     def _find_peer(
         self, sock: socket.socket, address: tuple[str, int]
