Spread the voters over the zones and regions that may be lost

A zone is lost with its disks: no configuration is read or taken any more, though three processes run on.

Cause: Tolerate.Zones and Tolerate.Regions were not read. The number of voters followed Machines alone, and who votes the order of joining: two of three voters in one zone.

Change: members report their zone and region to the leader. The number of voters is the least odd one with which the machines, zones and regions that may be lost hold less than half of the votes; additions and replacements take who is best apart, and a vote that stands too close moves. Where there are too few zones, a line says once for each list what may be lost and what was asked. Where neither zones nor regions may be lost, nothing changes.

Ruled out: the other processes with disks (whole log, no vote).

--- a/src/scalebend/core/consensus/messages.py
+++ b/src/scalebend/core/consensus/messages.py
@@ -7,7 +7,13 @@
 
 import msgspec
 
-from scalebend.models.ids import InstanceId, LogIndex, Term
+from scalebend.models.ids import (
+    AvailabilityZone,
+    InstanceId,
+    LogIndex,
+    Region,
+    Term,
+)
 
 DiskId = NewType("DiskId", str)
 """Random identifier of a data folder; a replacement disk gets a new one."""
@@ -20,16 +26,32 @@
     disk: DiskId
 
 
+class Place(msgspec.Struct, frozen=True, order=True):
+    """Where a member stands; the region may be empty if there is only one."""
+
+    zone: AvailabilityZone
+    region: Region
+
+
+class MemberPlace(msgspec.Struct, frozen=True):
+    """The place that a member reported."""
+
+    member: Member
+    place: Place
+
+
 class Members(msgspec.Struct, frozen=True):
     """Voters, and learners that receive the log but cannot vote.
 
     While a voter is being replaced the list is joint: ``former_voters`` holds the
     voters before the change, and every decision needs a majority of both sets.
+    ``places`` are kept where they matter for the choice of voters.
     """
 
     voters: frozenset[Member]
     learners: frozenset[Member] = frozenset()
     former_voters: frozenset[Member] = frozenset()
+    places: frozenset[MemberPlace] = frozenset()
 
     @property
     def all_members(self) -> frozenset[Member]:
@@ -146,6 +168,7 @@
     round: int
     is_leaving: bool = False
     knows_joint_lists: bool = False
+    place: Place | None = None
 
 
 class InstallSnapshot(msgspec.Struct, frozen=True, tag=True):
--- a/src/scalebend/core/consensus/progress.py
+++ b/src/scalebend/core/consensus/progress.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from scalebend.core.consensus.messages import Member, Members
+from scalebend.core.consensus.messages import Member, Members, Place
 from scalebend.models.ids import LogIndex
 
 MAX_PENDING_ROUNDS = 64
@@ -70,6 +70,9 @@
     knows_joint_lists: bool | None = None
     """Whether the member reads joint lists; ``None`` before its first reply."""
 
+    place: Place | None = None
+    """Where the member says that it stands."""
+
     def record_sent(self, number: int, now: float) -> None:
         """Record that the append with this round number was sent."""
         self.pending_rounds.append(_PendingRound(number, now))
--- a/src/scalebend/core/consensus/progress_table.py
+++ b/src/scalebend/core/consensus/progress_table.py
@@ -126,6 +126,7 @@
                 silence,
                 progress.is_leaving,
                 progress.knows_joint_lists,
+                progress.place,
             )
         return reports
 
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -27,6 +27,7 @@
     Members,
     Outgoing,
     Persist,
+    Place,
     Ready,
     Recovered,
     Silence,
@@ -76,6 +77,8 @@
         self.me = me
         self.role = ReplicaRole.FOLLOWER
         self.leader: Member | None = None
+        self.place: Place | None = None
+        """Where this member stands, if that matters for the choice of voters."""
         self.is_leaving = False
         """Whether this process is about to stop."""
         self.leave_reply: LeaveReply | None = None
@@ -195,7 +198,9 @@
         """As leader, what is known about each member, this one included."""
         assert self._members is not None
         reports = self._progress.report(self._members, self.log.last_index, now)
-        reports[self.me] = MemberReport(True, False, 0.0, self.is_leaving, True)
+        reports[self.me] = MemberReport(
+            True, False, 0.0, self.is_leaving, True, self.place
+        )
         return reports
 
     def transfer_leadership(self, now: float) -> Member | None:
@@ -565,6 +570,7 @@
         self._progress.contacts.record(reply.sender, now)
         progress.is_leaving = reply.is_leaving
         progress.knows_joint_lists = reply.knows_joint_lists
+        progress.place = reply.place
         if reply.is_accepted:
             progress.record_match(reply.index)
             self._advance_commit()
@@ -686,6 +692,7 @@
             message.round,
             self.is_leaving,
             knows_joint_lists=True,
+            place=self.place,
         )
         self._send(message.sender, reply)
 
--- a/src/scalebend/core/consensus/voter_changes.py
+++ b/src/scalebend/core/consensus/voter_changes.py
@@ -12,7 +12,20 @@
 
 import msgspec
 
-from scalebend.core.consensus.messages import LeaveReply, Member, Members
+from scalebend.core.consensus.messages import (
+    LeaveReply,
+    Member,
+    MemberPlace,
+    Members,
+    Place,
+)
+from scalebend.core.consensus.voter_spread import (
+    Places,
+    Tolerance,
+    choose_voter_count,
+    compute_excess,
+    rate_place,
+)
 
 
 class MemberReport(msgspec.Struct, frozen=True):
@@ -28,6 +41,7 @@
     silent_s: float
     is_leaving: bool
     knows_joint_lists: bool | None
+    place: Place | None = None
 
     @property
     def is_present(self) -> bool:
@@ -48,6 +62,8 @@
     TOO_FEW_VOTERS = "too-few-voters"
     VOTER_LEAVES = "voter-leaves"
     VOTER_SILENT = "voter-silent"
+    VOTERS_TOO_CLOSE = "voters-too-close"
+    PLACES_REPORTED = "places-reported"
     LEARNERS_SILENT = "learners-silent"
 
 
@@ -63,34 +79,141 @@
 def choose_voter_change(
     members: Members,
     reports: Mapping[Member, MemberReport],
-    voters_wanted: int | None,
+    demand: Tolerance | None,
 ) -> VoterChange | None:
     """Return the next change of the voters; ``None`` if they are to stay.
 
-    ``reports`` cover all members, the leader included. ``voters_wanted`` is ``None``
-    where the configured members vote and only the disk of a voter is replaced.
+    ``reports`` cover all members, the leader included. ``demand`` is ``None`` where the
+    configured members vote and only the disk of a voter is replaced.
     """
     if members.is_joint:
         return _complete_replacement(members)
-    for learner in _list_successors(members, reports):
-        change = _choose_change_for(learner, members, reports, voters_wanted)
-        if change is not None and _may_vote(change.members, reports):
-            return change
-    return None
+    successors = _list_successors(members, reports)
+    choice = _Choice(members, reports, demand or Tolerance())
+    for learner in successors:
+        lost = _find_lost_disk(members, learner)
+        if lost is not None:
+            return choice.replace(lost, [learner], Reason.DISK_LOST)
+    if demand is None:
+        return choice.add(successors)
+    if demand.needs_spread and (change := choice.record_places()) is not None:
+        return change
+    if len(members.voters) < choice.count_wanted(successors):
+        return choice.add(successors)
+    return (
+        choice.replace_silent(successors)
+        or choice.replace_leaving(successors)
+        or choice.spread(successors)
+    )
 
 
-def _choose_change_for(
-    learner: Member,
-    members: Members,
-    reports: Mapping[Member, MemberReport],
-    voters_wanted: int | None,
-) -> VoterChange | None:
-    lost = _find_lost_disk(members, learner)
-    if lost is not None:
-        return _replace(members, lost, learner, Reason.DISK_LOST)
-    if voters_wanted is None or len(members.voters) < voters_wanted:
-        return _add_voter(members, learner)
-    return _replace_worst(members, reports, learner)
+class _Choice:
+    """Changes of one member list, given what is known about the members."""
+
+    def __init__(
+        self,
+        members: Members,
+        reports: Mapping[Member, MemberReport],
+        demand: Tolerance,
+    ) -> None:
+        self._members = members
+        self._reports = reports
+        self._demand = demand
+        self._places: Places = {one.member: one.place for one in members.places}
+
+    def count_wanted(self, successors: list[Member]) -> int:
+        """Return the number of voters for the members that are here to stay."""
+        voters = [m for m in self._members.voters if self._reports[m].is_present]
+        return choose_voter_count([*voters, *successors], self._places, self._demand)
+
+    def record_places(self) -> VoterChange | None:
+        """Return the list with the places that members report, if any is new."""
+        known = dict(self._places)
+        for member, report in self._reports.items():
+            if report.place is not None:
+                known[member] = report.place
+        current = {m: p for m, p in known.items() if m in self._members.all_members}
+        if current == self._places:
+            return None
+        places = frozenset(MemberPlace(m, place) for m, place in current.items())
+        changed = msgspec.structs.replace(self._members, places=places)
+        return VoterChange(changed, Reason.PLACES_REPORTED)
+
+    def add(self, successors: list[Member]) -> VoterChange | None:
+        """Return the list with one more voter."""
+        if not successors:
+            return None
+        voters = self._members.voters
+        learner = self._choose_best(successors, voters)
+        changed = msgspec.structs.replace(
+            self._members,
+            voters=voters | {learner},
+            learners=self._members.learners - {learner},
+        )
+        return VoterChange(changed, Reason.TOO_FEW_VOTERS, added=learner)
+
+    def replace_silent(self, successors: list[Member]) -> VoterChange | None:
+        """Return the list without the voter that is silent for the longest time."""
+        silent = [m for m in self._members.voters if self._reports[m].is_silent]
+        if not silent:
+            return None
+        longest = max(silent, key=lambda one: (self._reports[one].silent_s, one))
+        return self.replace(longest, successors, Reason.VOTER_SILENT)
+
+    def replace_leaving(self, successors: list[Member]) -> VoterChange | None:
+        """Return the list without a voter that is about to stop."""
+        leaving = sorted(m for m in self._members.voters if self._reports[m].is_leaving)
+        if not leaving:
+            return None
+        return self.replace(leaving[0], successors, Reason.VOTER_LEAVES)
+
+    def spread(self, successors: list[Member]) -> VoterChange | None:
+        """Return the list with a vote moved to where fewer are lost together."""
+        voters = self._members.voters
+        best, least = None, self._compute_excess(voters)
+        for replaced in sorted(voters) if least else ():
+            for learner in successors:
+                excess = self._compute_excess((voters - {replaced}) | {learner})
+                if excess < least:
+                    best, least = (replaced, learner), excess
+        if best is None:
+            return None
+        return self.replace(best[0], [best[1]], Reason.VOTERS_TOO_CLOSE)
+
+    def replace(
+        self, replaced: Member, successors: list[Member], reason: Reason
+    ) -> VoterChange | None:
+        """Return the joint list in which the best of ``successors`` takes a vote."""
+        if not successors:
+            return None
+        left = self._members.voters - {replaced}
+        learner = self._choose_best(successors, left)
+        joint = msgspec.structs.replace(
+            self._members,
+            voters=left | {learner},
+            learners=self._members.learners - {learner},
+            former_voters=self._members.voters,
+        )
+        if not all(_knows_joint(self._reports[member]) for member in joint.electors):
+            return None
+        return VoterChange(joint, reason, added=learner, removed=replaced)
+
+    def _compute_excess(self, voters: frozenset[Member]) -> int:
+        return compute_excess(voters, self._places, self._demand)
+
+    def _choose_best(
+        self, successors: list[Member], voters: frozenset[Member]
+    ) -> Member:
+        """Choose who is best added to ``voters``."""
+        if not self._demand.needs_spread:
+            return successors[0]
+        return min(
+            successors,
+            key=lambda one: (
+                self._compute_excess(voters | {one}),
+                rate_place(one, voters, self._places, self._demand),
+            ),
+        )
 
 
 def decide_leave_reply(
@@ -115,7 +238,9 @@
     instances = {member.instance for member in members.voters | members.learners}
     replaced = members.former_voters - members.voters
     kept = {member for member in replaced if member.instance not in instances}
-    completed = Members(members.voters, members.learners | kept)
+    completed = msgspec.structs.replace(
+        members, learners=members.learners | kept, former_voters=frozenset()
+    )
     return VoterChange(completed, Reason.REPLACEMENT_COMMITTED)
 
 
@@ -131,39 +256,6 @@
     return lost[0] if lost else None
 
 
-def _add_voter(members: Members, learner: Member) -> VoterChange:
-    changed = Members(members.voters | {learner}, members.learners - {learner})
-    return VoterChange(changed, Reason.TOO_FEW_VOTERS, added=learner)
-
-
-def _replace_worst(
-    members: Members, reports: Mapping[Member, MemberReport], learner: Member
-) -> VoterChange | None:
-    silent = [m for m in members.voters if reports[m].is_silent]
-    if silent:
-        longest = max(silent, key=lambda member: (reports[member].silent_s, member))
-        return _replace(members, longest, learner, Reason.VOTER_SILENT)
-    leaving = sorted(m for m in members.voters if reports[m].is_leaving)
-    if leaving:
-        return _replace(members, leaving[0], learner, Reason.VOTER_LEAVES)
-    return None
-
-
-def _replace(
-    members: Members, replaced: Member, learner: Member, reason: Reason
-) -> VoterChange:
-    voters = (members.voters - {replaced}) | {learner}
-    joint = Members(voters, members.learners - {learner}, members.voters)
-    return VoterChange(joint, reason, added=learner, removed=replaced)
-
-
-def _may_vote(members: Members, reports: Mapping[Member, MemberReport]) -> bool:
-    """Whether all that vote in this list, and answer, read it as it is meant."""
-    return not members.is_joint or all(
-        _knows_joint(reports[member]) for member in members.electors
-    )
-
-
 def _knows_joint(report: MemberReport) -> bool:
     return report.is_silent or report.knows_joint_lists is True
 
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -18,6 +18,7 @@
     LogEntry,
     Member,
     Members,
+    Place,
     Ready,
     Recovered,
     Snapshot,
@@ -29,6 +30,7 @@
     decide_leave_reply,
     drop_silent_learners,
 )
+from scalebend.core.consensus.voter_spread import Tolerance, compute_tolerance
 from scalebend.core.control_state import (
     ControlState,
     ListedInstance,
@@ -103,12 +105,14 @@
         may_found: bool = True,
         needs_all_founders: bool = False,
         may_be_sole_founder: bool = False,
-        voters_wanted: int | None = None,
+        demand: Tolerance | None = None,
+        place: Place | None = None,
     ) -> None:
         """Recover the member from ``recovered``.
 
-        ``voters_wanted``: number of voters in a group that replaces unresponsive
-        voters by itself; without it, the configured peers stay the voters.
+        ``demand``: what a group that chooses its voters by itself must be able to lose;
+        without it, the configured peers stay the voters.
+        ``place``: where this instance stands.
         ``may_found``: whether this instance may form a group.
         ``needs_all_founders``: whether it may do so only if all founders may.
         ``may_be_sole_founder``: whether a relay may name this instance as founder
@@ -119,13 +123,15 @@
         if recovered.snapshot is not None:
             self.state.restore(recovered.snapshot.state)
         self.replica = Replica(self.me, recovered, now=now, seed=seed)
+        self.replica.place = place
         self._peers = list(peers)
         self._founders = set(peers)
         self._may_found = may_found
         self._needs_all_founders = needs_all_founders
         self._may_be_sole_founder = may_be_sole_founder
         self._relays: set[InstanceId] = set()
-        self._voters_wanted = voters_wanted
+        self._demand = demand
+        self._reported_members: Members | None = None
         self._leader_seen_at = now
         self._applied_bytes = 0
         self._hellos: dict[InstanceId, HelloReply] = {}
@@ -370,17 +376,42 @@
 
     def _change_voters(self, now: float) -> None:
         members = self.replica.members
-        if members is None or not (members.learners or members.is_joint):
+        if members is None or self._is_settled(members):
             return
         if not self.replica.can_change_members():
             return
         reports = self.replica.report_members(now)
-        change = choose_voter_change(members, reports, self._voters_wanted)
+        change = choose_voter_change(members, reports, self._demand)
         if change is None:
             change = drop_silent_learners(members, reports, LEARNER_TIMEOUT_S)
         if change is not None:
             self.replica.propose_members(change.members, 0.0, now)
             _log_voter_change(change)
+        else:
+            self._report_tolerance(members)
+
+    def _is_settled(self, members: Members) -> bool:
+        """Whether nothing that members report could change this list."""
+        if members.learners or members.is_joint or members != self._reported_members:
+            return False
+        return self._demand is None or not self._demand.needs_spread
+
+    def _report_tolerance(self, members: Members) -> None:
+        """Log what may be lost if it is less than asked, once for each list."""
+        if members == self._reported_members:
+            return
+        self._reported_members = members
+        if self._demand is None:
+            return
+        places = {one.member: one.place for one in members.places}
+        possible = compute_tolerance(members.voters, places)
+        if not possible.covers(self._demand):
+            logger.warning(
+                "control group may lose less than asked",
+                asked=msgspec.structs.asdict(self._demand),
+                possible=msgspec.structs.asdict(possible),
+                voters=sorted(member.instance for member in members.voters),
+            )
 
     # Proposals
 
--- a/src/scalebend/edges/gateway/control_runtime.py
+++ b/src/scalebend/edges/gateway/control_runtime.py
@@ -14,7 +14,8 @@
 
 import structlog
 
-from scalebend.core.consensus.messages import Ready, Recovered
+from scalebend.core.consensus.messages import Place, Ready, Recovered
+from scalebend.core.consensus.voter_spread import Tolerance
 from scalebend.core.control_member import ControlMember, ToInstance
 from scalebend.core.control_state import EvacuationResult, RoutingResult
 from scalebend.core.gateway.control_actions import (
@@ -93,7 +94,12 @@
             may_found=founding is not None and own_id in founding.founders,
             needs_all_founders=founding is not None and founding.needs_all,
             may_be_sole_founder=founding is not None,
-            voters_wanted=2 * settings.tolerated_losses + 1,
+            demand=Tolerance(
+                settings.tolerated_losses,
+                settings.tolerated_zones,
+                settings.tolerated_regions,
+            ),
+            place=Place(settings.availability_zone, settings.region),
         )
         self.instance = ControlInstance(
             member,
--- a/src/scalebend/models/gateway_settings.py
+++ b/src/scalebend/models/gateway_settings.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from scalebend.models.ids import AvailabilityZone, InstanceId
+from scalebend.models.ids import AvailabilityZone, InstanceId, Region
 
 
 class GatewayRole(Enum):
@@ -69,7 +69,7 @@
     """Whether the deployment never ran before, so that a group may be formed."""
 
     tolerated_losses: int
-    """Control instances that may fail at once; twice as many and one more vote."""
+    """Control instances that may be lost at once with their disks."""
 
     heartbeat_interval: float
     """Seconds between two registrations of an upstream."""
@@ -84,6 +84,11 @@
     callers_address: str | None = None
     readiness_address: str | None = None
     control_address: str | None = None
+    tolerated_zones: int = 0
+    """Availability zones that may be lost at once, with all disks in them."""
+
+    tolerated_regions: int = 0
+    region: Region = Region("")
     metrics_port: int | None = None
     data_folder: str | None = None
     max_open_files: int = 1024
--- a/src/scalebend/platform/settings.py
+++ b/src/scalebend/platform/settings.py
@@ -8,7 +8,7 @@
 
 from scalebend.exceptions import DocumentError, ErrorKind, Fault
 from scalebend.models.gateway_settings import Bounds, GatewayRole, GatewaySettings
-from scalebend.models.ids import AvailabilityZone
+from scalebend.models.ids import AvailabilityZone, Region
 from scalebend.utils.addresses import parse_address
 
 
@@ -20,6 +20,8 @@
 
 class _Tolerate(msgspec.Struct, rename="pascal"):
     machines: int = 0
+    zones: int = 0
+    regions: int = 0
 
 
 class _Limits(msgspec.Struct, rename="pascal"):
@@ -50,6 +52,7 @@
     port_range: tuple[int, int]
     # Control addresses; the port for links is the same on every instance.
     seeds: list[str]
+    region: str = ""
     bootstrap: bool = False
     tolerate: _Tolerate = msgspec.field(default_factory=_Tolerate)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -77,7 +80,12 @@
         port_range=(link.port, settings.metrics_port or link.port),
         seeds=[f"{parse_address(s).host}:{control_port}" for s in settings.seeds],
         bootstrap=settings.is_first_start,
-        tolerate=_Tolerate(settings.tolerated_losses),
+        tolerate=_Tolerate(
+            settings.tolerated_losses,
+            settings.tolerated_zones,
+            settings.tolerated_regions,
+        ),
+        region=settings.region,
         bounds=_Bounds(
             revoke_ms=bounds.key_revocation * 1000.0,
             revoke_strict=bounds.is_revocation_strict,
@@ -118,6 +126,9 @@
         seeds=[f"{parse_address(seed).host}:{link_port}" for seed in read.seeds],
         is_first_start=read.bootstrap,
         tolerated_losses=read.tolerate.machines,
+        tolerated_zones=read.tolerate.zones,
+        tolerated_regions=read.tolerate.regions,
+        region=Region(read.region),
         heartbeat_interval=read.heartbeat_ms / 1000.0,
         bounds=Bounds(
             key_revocation=bounds.revoke_ms / 1000.0,
--- a/tests/lib/control_group.py
+++ b/tests/lib/control_group.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from scalebend.core.consensus.messages import DiskId, HardState, Recovered
+from scalebend.core.consensus.messages import DiskId, HardState, Place, Recovered
+from scalebend.core.consensus.voter_spread import Tolerance
 from scalebend.core.control_member import ControlMember
 from scalebend.core.control_state import decode_command
 from scalebend.core.messages import ProposalReply, Propose
@@ -44,11 +45,23 @@
 class ControlGroup:
     """Members by name, messages in flight, and the entries that were applied."""
 
-    def __init__(self, names, snapshot_entries=8, seeds=None, voters_wanted=None):
+    def __init__(
+        self,
+        names,
+        snapshot_entries=8,
+        seeds=None,
+        voters_wanted=None,
+        demand=None,
+        zones=None,
+    ):
         """With ``seeds``, members discover each other through these."""
         self.names = list(names)
         self.seeds = seeds
-        self.voters_wanted = voters_wanted
+        if voters_wanted is not None:
+            demand = Tolerance(machines=(voters_wanted - 1) // 2)
+        self.demand = demand
+        self.zones = zones or {}
+        """Zones by the names of members; those of others are not known."""
         self.now = 0.0
         self.disks = {name: Disk(f"{name}-disk-0") for name in self.names}
         self.members = {}
@@ -74,10 +87,17 @@
             now=self.now,
             seed=self.starts,
             may_found=self.seeds is None or (self.is_first_start and name in known),
-            voters_wanted=self.voters_wanted,
+            demand=self.demand,
+            place=self.find_place(name),
         )
         self.members[name] = member
 
+    def find_place(self, name):
+        if name not in self.zones:
+            return None
+        region, _, zone = self.zones[name].rpartition("/")
+        return Place(zone, region)
+
     def crash(self, name):
         self.members.pop(name, None)
 
--- a/tests/unit/gateway/test_founding.py
+++ b/tests/unit/gateway/test_founding.py
@@ -115,7 +115,7 @@
             seed=self.starts,
             may_found=plan is not None and name in plan.founders,
             needs_all_founders=plan is not None and plan.needs_all,
-            voters_wanted=self.voters_wanted,
+            demand=self.demand,
         )
 
 
