Remove what the voters' changes left twice or unused

Read over the whole change: the call that makes a sender a peer stood twice in a row, Replica.is_caught_up and ProgressTable.values had no caller left, two test files repeated put() of test_group_changes, and a failing run of test_ended_tasks left its process running. No change of behaviour; no assertion changed.

--- a/src/scalebend/core/consensus/progress_table.py
+++ b/src/scalebend/core/consensus/progress_table.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import ItemsView, ValuesView
+from collections.abc import ItemsView
 
 from scalebend.core.consensus.contacts import Contacts
 from scalebend.core.consensus.messages import Member, Members
@@ -44,10 +44,6 @@
         """Return all members with their progress."""
         return self._progress.items()
 
-    def values(self) -> ValuesView[Progress]:
-        """Return the progress of all members."""
-        return self._progress.values()
-
     def start_term(
         self, members: Members, next_index: LogIndex, round_trip: float, now: float
     ) -> None:
--- a/src/scalebend/core/consensus/replica.py
+++ b/src/scalebend/core/consensus/replica.py
@@ -156,11 +156,6 @@
         is_settled = self.log.find_last_members_index() <= self.commit_index
         return is_settled and self.log.get_term(self.commit_index) == self.term
 
-    def is_caught_up(self, member: Member) -> bool:
-        """Whether a learner has nearly the whole log."""
-        progress = self._progress.get(member)
-        return progress is not None and progress.is_caught_up(self.log.last_index)
-
     def compute_confirmed_at(self, now: float) -> float | None:
         """Latest time at which this member was certainly the only leader.
 
--- a/src/scalebend/core/control_member.py
+++ b/src/scalebend/core/control_member.py
@@ -184,8 +184,6 @@
             case Fetch():
                 self._publish(sender, message)
             case _ if isinstance(message, ConsensusMessage):
-                # With an empty disk, this instance may know no other member.
-                self.record_control_instances([sender])
                 # With an empty disk, this instance may know no other member.
                 self.record_control_instances([sender])
                 self.replica.handle(message, now)
--- a/tests/functional/test_ended_tasks.py
+++ b/tests/functional/test_ended_tasks.py
@@ -28,8 +28,9 @@
                 processes.start(name)
                 await asyncio.sleep(1.0)
             fail_timers(processes.folder / name)
-            process = processes.running.pop(name)
+            process = processes.running[name]
             status = await asyncio.to_thread(process.wait, END_TIMEOUT_S)
+            del processes.running[name]
             assert status == EXIT_STATUS
             ends = [
                 line
--- a/tests/unit/gateway/test_voter_replacement.py
+++ b/tests/unit/gateway/test_voter_replacement.py
@@ -2,11 +2,8 @@
 
 import pytest
 
-from scalebend.core.control_state import PutRouting, RoutingResult
-from scalebend.core.gateway.routing_store import pack_routing
 from tests.lib.control_group import ControlGroup
-from tests.lib.gateway_builders import build_routing
-from tests.unit.test_control_group import commit
+from tests.unit.gateway.test_group_changes import put
 
 CATCH_UP_S = 4.0
 """Time after which a new machine no longer counts as lost."""
@@ -24,11 +21,6 @@
     return group
 
 
-def put(group, version):
-    stored = pack_routing(build_routing(version), f"{version}".encode())
-    assert commit(group, f"put-{version}", PutRouting(stored)) == RoutingResult(version)
-
-
 def assert_serves(group, version):
     """Assert that a change is accepted and that all members know it in the end."""
     put(group, version)
--- a/tests/unit/gateway/test_voter_spread.py
+++ b/tests/unit/gateway/test_voter_spread.py
@@ -13,11 +13,8 @@
     compute_excess,
     compute_tolerance,
 )
-from scalebend.core.control_state import PutRouting, RoutingResult
-from scalebend.core.gateway.routing_store import pack_routing
 from tests.lib.control_group import ControlGroup
-from tests.lib.gateway_builders import build_routing
-from tests.unit.test_control_group import commit
+from tests.unit.gateway.test_group_changes import put
 
 CATCH_UP_S = 4.0
 DOWN_S = 1.0
@@ -38,11 +35,6 @@
     return group
 
 
-def put(group, version):
-    stored = pack_routing(build_routing(version), f"{version}".encode())
-    assert commit(group, f"put-{version}", PutRouting(stored)) == RoutingResult(version)
-
-
 def list_voters(group):
     leader = group.members[group.find_leader()].replica
     assert not leader.members.is_joint
